--- /dev/null
+++ b/cmd/cloverrail-lab/demo.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cloverrail/cloverrail/examples"
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/lab/cluster"
+	"github.com/cloverrail/cloverrail/internal/lab/load"
+)
+
+// stepTimes of the engines of each profile.
+var stepTimes = map[string]time.Duration{"kuusisto": 6 * time.Millisecond, "dakar": 4 * time.Millisecond}
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "start a fleet with its stand-ins, send load, print a summary",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "profile", Value: "kuusisto", Usage: "`PROFILE`: kuusisto or dakar"},
+			&cli.IntFlag{Name: "nodes", Value: 3},
+			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second},
+			&cli.IntFlag{Name: "callers", Value: 24, Usage: "requests open at once"},
+			&cli.BoolFlag{Name: "verbose", Usage: "print the nodes' logs"},
+		},
+		Action: runDemo,
+	}
+}
+
+func exampleOf(profile string) (*configuration.Declaration, error) {
+	text, err := examples.Files.ReadFile(profile + ".yaml")
+	if err != nil {
+		return nil, errors.Errorf("%q is not a profile; use kuusisto or dakar", profile)
+	}
+	return configuration.Parse("examples/"+profile+".yaml", text)
+}
+
+func startCluster(ctx context.Context, command *cli.Command, eventGap float64, lag time.Duration) (*cluster.Cluster, error) {
+	declaration, err := exampleOf(command.String("profile"))
+	if err != nil {
+		return nil, err
+	}
+	var log io.Writer
+	if command.Bool("verbose") {
+		log = os.Stderr
+	}
+	return cluster.Start(ctx, cluster.Config{
+		Declaration: declaration, Nodes: command.Int("nodes"), EventGap: eventGap, MachineListLag: lag, Log: log,
+		StepTime: stepTimes[command.String("profile")],
+	})
+}
+
+func targetOf(started *cluster.Cluster) load.Target {
+	declaration := started.Declaration
+	target := load.Target{Model: declaration.Models[0].Name, BlockBytes: declaration.Pools[0].BlockBytes}
+	for _, node := range started.Nodes {
+		target.Addresses = append(target.Addresses, node.Caller)
+	}
+	for _, tenant := range declaration.Tenants {
+		target.Tenants = append(target.Tenants, tenant.Name)
+	}
+	for _, route := range declaration.Services[0].Routes {
+		if !route.Repeatable {
+			target.OncePath = route.Path
+		}
+	}
+	return target
+}
+
+func runDemo(ctx context.Context, command *cli.Command) error {
+	begin := time.Now()
+	started, err := startCluster(ctx, command, 0, 5*time.Second)
+	if err != nil {
+		return err
+	}
+	defer started.Stop()
+	fmt.Printf("%d nodes, %d engines and %d plain servers ready after %s\n",
+		len(started.Nodes), len(started.Engines), len(started.Servers), time.Since(begin).Round(time.Millisecond))
+	generator := load.New(targetOf(started), 1)
+	ctx, cancel := context.WithTimeout(ctx, command.Duration("duration"))
+	defer cancel()
+	progress(ctx, generator, command.Int("callers"), len(started.Nodes))
+	summary := load.Summarize(generator.History)
+	if err := summary.Print(os.Stdout); err != nil {
+		return errors.Trace(err)
+	}
+	if summary.Wrong > 0 || summary.Broken > 0 {
+		return errors.New("some answers were wrong or broken; run again with --verbose")
+	}
+	return nil
+}
+
+// progress keeps callers busy until the context ends, and lets open requests
+// finish.
+func progress(ctx context.Context, generator *load.Generator, callers, nodes int) {
+	kinds := []load.Kind{load.Streamed, load.Streamed, load.Whole, load.Once}
+	var done sync.WaitGroup
+	for caller := range callers {
+		done.Go(func() {
+			for turn := caller; ctx.Err() == nil; turn++ {
+				generator.Request(context.WithoutCancel(ctx), kinds[turn%len(kinds)], turn%nodes)
+			}
+		})
+	}
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+			fmt.Printf("  %d requests\n", generator.Count())
+		case <-ctx.Done():
+		}
+	}
+	done.Wait()
+}
--- /dev/null
+++ b/cmd/cloverrail/main.go
@@ -0,0 +1,13 @@
+// Command cloverrail runs a node, and the operators' commands.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/cloverrail/cloverrail/internal/command"
+)
+
+func main() {
+	os.Exit(command.Main(context.Background(), os.Args))
+}
--- /dev/null
+++ b/internal/admission/places.go
@@ -0,0 +1,131 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/failure"
+)
+
+// serviceMemory is the weight of the newest service time in the running mean.
+const serviceMemory = 0.1
+
+// Places hands out the places of one pool on one node, through a Queue. It is
+// safe for concurrent use.
+type Places struct {
+	mutex   sync.Mutex
+	queue   *Queue
+	total   int
+	taken   int
+	nextID  uint64
+	waiting map[uint64]chan struct{}
+	// service is the running mean of how long a place is held, in seconds.
+	service float64
+}
+
+// NewPlaces returns places of which none is taken.
+func NewPlaces(total int) *Places {
+	return &Places{queue: NewQueue(), total: total, waiting: map[uint64]chan struct{}{}}
+}
+
+// Resize follows a change of the pool.
+func (places *Places) Resize(total int) {
+	places.mutex.Lock()
+	defer places.mutex.Unlock()
+	places.total = total
+	places.fill()
+}
+
+// Acquire waits for a place, at most until the ticket's time. A request whose
+// estimated wait is longer than that is refused at once. The returned function
+// gives the place back.
+func (places *Places) Acquire(ctx context.Context, ticket Ticket) (release func(), err error) {
+	admitted, id, refusal := places.enter(time.Now(), ticket)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if admitted == nil {
+		return places.releaser(), nil
+	}
+	timer := time.NewTimer(time.Until(ticket.Until))
+	defer timer.Stop()
+	select {
+	case <-admitted:
+		return places.releaser(), nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if places.withdraw(id) {
+		return nil, places.refusal(failure.KindQueueTimeout, "no place became free in time", 0)
+	}
+	// The place came in the same moment.
+	<-admitted
+	return places.releaser(), nil
+}
+
+// enter takes a place at once (nil channel) or queues.
+func (places *Places) enter(now time.Time, ticket Ticket) (<-chan struct{}, uint64, error) {
+	places.mutex.Lock()
+	defer places.mutex.Unlock()
+	if places.taken < places.total && places.queue.Len() == 0 {
+		places.taken++
+		return nil, 0, nil
+	}
+	ahead := places.queue.Ahead(ticket.Tenant, ticket.Weight, ticket.Cost, ticket.Priority)
+	wait := time.Duration(float64(ahead+1) * places.service / float64(max(1, places.total)) * float64(time.Second))
+	if now.Add(wait).After(ticket.Until) {
+		return nil, 0, places.refusal(failure.KindQueueFull, fmt.Sprintf("%d requests wait ahead", ahead), wait)
+	}
+	places.nextID++
+	ticket.ID = places.nextID
+	admitted := make(chan struct{})
+	places.waiting[ticket.ID] = admitted
+	places.queue.Push(ticket)
+	return admitted, ticket.ID, nil
+}
+
+func (places *Places) refusal(kind failure.Kind, problem string, wait time.Duration) error {
+	return failure.New(kind, problem, "send it again after the time given").WithRetryAfter(max(wait, time.Second))
+}
+
+func (places *Places) withdraw(id uint64) bool {
+	places.mutex.Lock()
+	defer places.mutex.Unlock()
+	if !places.queue.Remove(id) {
+		return false
+	}
+	delete(places.waiting, id)
+	return true
+}
+
+func (places *Places) releaser() func() {
+	taken := time.Now()
+	return sync.OnceFunc(func() {
+		places.mutex.Lock()
+		defer places.mutex.Unlock()
+		places.service += serviceMemory * (time.Since(taken).Seconds() - places.service)
+		places.taken--
+		places.fill()
+	})
+}
+
+func (places *Places) fill() {
+	for places.taken < places.total {
+		next, found := places.queue.Pop()
+		if !found {
+			return
+		}
+		places.taken++
+		close(places.waiting[next.ID])
+		delete(places.waiting, next.ID)
+	}
+}
+
+// Waiting is the number of queued requests.
+func (places *Places) Waiting() int {
+	places.mutex.Lock()
+	defer places.mutex.Unlock()
+	return places.queue.Len()
+}
--- /dev/null
+++ b/internal/command/declaration.go
@@ -0,0 +1,139 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/operator"
+)
+
+func fileArgument(command *cli.Command) (string, error) {
+	if command.Args().Len() != 1 {
+		return "", failure.New(failure.KindInvalidRequest, "one declaration file is needed", "write: cloverrail "+command.Name+" FILE")
+	}
+	return command.Args().First(), nil
+}
+
+// checked reads a declaration and its text.
+func checked(command *cli.Command) (path string, text []byte, declared *configuration.Declaration, err error) {
+	if path, err = fileArgument(command); err != nil {
+		return "", nil, nil, err
+	}
+	if text, err = os.ReadFile(path); err != nil {
+		return "", nil, nil, failure.New(failure.KindInvalidRequest, err.Error(), "name a file that exists")
+	}
+	declared, err = configuration.Parse(path, text)
+	return path, text, declared, err
+}
+
+// checkResult is what check prints.
+type checkResult struct {
+	File    string `json:"file"`
+	Fleet   string `json:"fleet"`
+	Tenants int    `json:"tenants"`
+	Pools   int    `json:"pools"`
+	Models  int    `json:"models"`
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "check",
+		Usage:       "check a declaration without a fleet",
+		ArgsUsage:   "FILE",
+		Description: "Reports every fault with its line and remedy.\n\nExample:\n  cloverrail check examples/kuusisto.yaml",
+		Flags:       []cli.Flag{outputFlag()},
+		Action: func(_ context.Context, command *cli.Command) error {
+			path, _, declared, err := checked(command)
+			if err != nil {
+				return err
+			}
+			result := checkResult{File: path, Fleet: declared.Fleet, Tenants: len(declared.Tenants), Pools: len(declared.Pools), Models: len(declared.Models)}
+			return print(command, result, func() *operator.Table {
+				return &operator.Table{Columns: []string{"file", "fleet", "tenants", "pools", "models"}, Rows: [][]string{{
+					result.File, result.Fleet, fmt.Sprint(result.Tenants), fmt.Sprint(result.Pools), fmt.Sprint(result.Models)}}}
+			})
+		},
+	}
+}
+
+func planCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "plan",
+		Usage:       "show what a declaration would change",
+		ArgsUsage:   "FILE",
+		Description: "Example:\n  cloverrail plan --node 127.0.0.1:8082 examples/kuusisto.yaml",
+		Flags:       clientFlags(),
+		Action: func(ctx context.Context, command *cli.Command) error {
+			path, text, _, err := checked(command)
+			if err != nil {
+				return err
+			}
+			answer, err := post[operator.PlanAnswer](ctx, command, "plan", operator.ApplyRequest{File: filepath.Base(path), Text: string(text)})
+			if err != nil {
+				return err
+			}
+			return print(command, answer, func() *operator.Table {
+				table := &operator.Table{Columns: []string{fmt.Sprintf("against revision %d", answer.Revision)}}
+				for _, line := range answer.Differences {
+					table.Rows = append(table.Rows, []string{line.String()})
+				}
+				if len(answer.Differences) == 0 {
+					table.Rows = append(table.Rows, []string{"no difference"})
+				}
+				return table
+			})
+		},
+	}
+}
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "put a declaration in force",
+		ArgsUsage: "FILE",
+		Description: `Accepted means in force for good. When the outcome cannot be known, the exit
+code is 3 and --settle decides it later: the change is either in force, or voided.
+
+Examples:
+  cloverrail apply --node 127.0.0.1:8082 examples/kuusisto.yaml
+  cloverrail apply --node 127.0.0.1:8082 --settle 4f0c…`,
+		Flags: append(clientFlags(),
+			&cli.Int64Flag{Name: "base", Usage: "refuse unless `REVISION` is still in force"},
+			&cli.StringFlag{Name: "settle", Usage: "decide what became of `CHANGE`"}),
+		Action: func(ctx context.Context, command *cli.Command) error {
+			if change := command.String("settle"); change != "" {
+				answer, err := post[operator.ChangeAnswer](ctx, command, "settle", operator.SettleRequest{ChangeID: change})
+				return printChange(command, answer, err)
+			}
+			path, text, _, err := checked(command)
+			if err != nil {
+				return err
+			}
+			change := uuid.NewString()
+			answer, err := post[operator.ChangeAnswer](ctx, command, "apply", operator.ApplyRequest{
+				ChangeID: change, File: filepath.Base(path), Text: string(text), BaseRevision: command.Int64("base")})
+			if err != nil && failure.As(err).Outcome == failure.Unknown {
+				return failure.New(failure.KindUnknownOutcome, "it is not known whether change "+change+" took effect: "+failure.As(err).Problem,
+					"run: cloverrail apply --settle "+change).WithOutcome(failure.Unknown)
+			}
+			return printChange(command, answer, err)
+		},
+	}
+}
+
+func printChange(command *cli.Command, answer operator.ChangeAnswer, err error) error {
+	if err != nil {
+		return err
+	}
+	return print(command, answer, func() *operator.Table {
+		return &operator.Table{Columns: []string{"accepted", "revision", "change"},
+			Rows: [][]string{{fmt.Sprint(answer.Accepted), fmt.Sprint(answer.Revision), answer.ChangeID}}}
+	})
+}
--- /dev/null
+++ b/internal/command/node.go
@@ -0,0 +1,122 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cloverrail/cloverrail/internal/gateway"
+	"github.com/cloverrail/cloverrail/internal/node"
+	"github.com/cloverrail/cloverrail/internal/operator"
+	"github.com/cloverrail/cloverrail/internal/settings"
+)
+
+const environmentPrefix = "CLOVERRAIL_"
+
+// Node returns the command that runs a server.
+func Node() *cli.Command {
+	return &cli.Command{
+		Name:  "node",
+		Usage: "run a node",
+		Description: `Settings come from a YAML file, overridden by the environment, overridden by flags.
+
+Examples:
+  cloverrail node --settings node.yaml
+  cloverrail node --settings node.yaml --zone espoo-a --print-settings`,
+		Flags: append([]cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Sources: cli.EnvVars(environmentPrefix + "SETTINGS")},
+			&cli.BoolFlag{Name: "print-settings", Usage: "print the effective settings and exit"},
+		}, settingFlags()...),
+		Action: runNode,
+	}
+}
+
+func settingFlags() []cli.Flag {
+	text := func(name, variable, usage string) cli.Flag {
+		return &cli.StringFlag{Name: name, Usage: usage, Sources: cli.EnvVars(environmentPrefix + variable)}
+	}
+	return []cli.Flag{
+		text("zone", "ZONE", "`ZONE` the node stands in"),
+		text("caller-address", "CALLER_ADDRESS", "`IP:PORT` that serves callers"),
+		text("peer-address", "PEER_ADDRESS", "`IP:PORT` that serves other nodes"),
+		text("operator-address", "OPERATOR_ADDRESS", "`IP:PORT` that serves operators"),
+		&cli.StringSliceFlag{Name: "seed", Usage: "peer `IP:PORT` of another node; may be repeated", Sources: cli.EnvVars(environmentPrefix + "SEEDS")},
+		text("key-value-address", "KEY_VALUE_ADDRESS", "`IP:PORT` of the key-value service"),
+		text("machine-list-address", "MACHINE_LIST_ADDRESS", "`IP:PORT` of the machine list"),
+		text("fleet-key", "FLEET_KEY", "secret that all nodes share, in `HEX`; better given by the environment"),
+		&cli.DurationFlag{Name: "drain-deadline", Usage: "longest `TIME` that a planned stop waits", Sources: cli.EnvVars(environmentPrefix + "DRAIN_DEADLINE")},
+		&cli.Int64Flag{Name: "revision-floor", Usage: "lowest configuration `REVISION` to accept", Sources: cli.EnvVars(environmentPrefix + "REVISION_FLOOR")},
+		&cli.Int64Flag{Name: "maximum-body", Usage: "largest request body in `BYTES`", Sources: cli.EnvVars(environmentPrefix + "MAXIMUM_BODY")},
+		text("bootstrap-digest", "BOOTSTRAP_DIGEST", "SHA-256 `DIGEST` of the first operator's key"),
+		text("log-level", "LOG_LEVEL", "`LEVEL`: debug, info, warn or error"),
+	}
+}
+
+// effective reads the file and lays the environment and flags over it.
+func effective(command *cli.Command) (settings.Settings, error) {
+	given := settings.Defaults()
+	if path := command.String("settings"); path != "" {
+		var err error
+		if given, err = settings.Read(path); err != nil {
+			return given, err
+		}
+	}
+	for name, target := range map[string]*string{
+		"zone": &given.Zone, "caller-address": &given.CallerAddress, "peer-address": &given.PeerAddress,
+		"operator-address": &given.OperatorAddress, "key-value-address": &given.KeyValueAddress,
+		"machine-list-address": &given.MachineListAddress, "fleet-key": &given.FleetKey,
+		"bootstrap-digest": &given.BootstrapDigest, "log-level": &given.LogLevel,
+	} {
+		if command.IsSet(name) {
+			*target = command.String(name)
+		}
+	}
+	if command.IsSet("seed") {
+		given.Seeds = command.StringSlice("seed")
+	}
+	if command.IsSet("drain-deadline") {
+		given.DrainDeadline = command.Duration("drain-deadline")
+	}
+	if command.IsSet("revision-floor") {
+		given.RevisionFloor = command.Int64("revision-floor")
+	}
+	if command.IsSet("maximum-body") {
+		given.MaximumBody = command.Int64("maximum-body")
+	}
+	return given, given.Check()
+}
+
+func runNode(ctx context.Context, command *cli.Command) error {
+	given, err := effective(command)
+	if err != nil {
+		return err
+	}
+	if command.Bool("print-settings") {
+		text, err := yaml.Marshal(given.Redacted())
+		if err != nil {
+			return errors.Trace(err)
+		}
+		_, err = writer(command).Write(text)
+		return err
+	}
+	level, err := zerolog.ParseLevel(given.LogLevel)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("node", given.PeerAddress).Logger()
+	created, err := node.New(given, log, node.Options{})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return created.Run(ctx, gateway.New(created), operator.NewServer(created, given.BootstrapDigest))
+}
--- /dev/null
+++ b/internal/command/root.go
@@ -0,0 +1,89 @@
+// Package command is the command line of cloverrail.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/strictyaml"
+)
+
+// The exit codes.
+const (
+	exitFailed  = 1
+	exitInvalid = 2
+	exitUnknown = 3
+)
+
+const exitCodeHelp = `Exit codes: 0 done, 1 refused or failed, 2 faulty file or usage,
+3 outcome unknown (settle it with: cloverrail apply --settle CHANGE).`
+
+// Main runs the command line and returns the exit code.
+func Main(ctx context.Context, arguments []string) int {
+	err := Root().Run(ctx, arguments)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var faults strictyaml.Faults
+	var refusal *failure.Failure
+	switch {
+	case errors.As(err, &faults):
+		return exitInvalid
+	case errors.As(err, &refusal) && refusal.Kind == failure.KindInvalidRequest:
+		return exitInvalid
+	case errors.As(err, &refusal) && refusal.Outcome == failure.Unknown:
+		return exitUnknown
+	default:
+		return exitFailed
+	}
+}
+
+// Root returns the whole command tree.
+func Root() *cli.Command {
+	return &cli.Command{
+		Name:        "cloverrail",
+		Usage:       "route language-model traffic with long shared prompts",
+		Description: exitCodeHelp,
+		// Errors are printed and turned into exit codes in one place.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			Node(),
+			checkCommand(),
+			planCommand(),
+			applyCommand(),
+			queryCommand(),
+			statusCommand(),
+			drainCommand(),
+			{
+				Name:  "version",
+				Usage: "print the version",
+				Action: func(_ context.Context, command *cli.Command) error {
+					_, err := fmt.Fprintln(command.Root().Writer, buildVersion())
+					return err
+				},
+			},
+		},
+	}
+}
+
+func buildVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "cloverrail (unknown build)"
+	}
+	return "cloverrail " + info.Main.Version + " " + info.GoVersion
+}
+
+func writer(command *cli.Command) io.Writer { return command.Root().Writer }
--- /dev/null
+++ b/internal/configstore/store.go
@@ -0,0 +1,216 @@
+package configstore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/kvservice"
+)
+
+// The keys used in the service.
+const (
+	ManifestKey     = "/cloverrail/configuration/manifest"
+	partKeyPrefix   = "/cloverrail/configuration/part/"
+	changeKeyPrefix = "/cloverrail/configuration/change/"
+)
+
+// operationsPerTransaction stays under the service's usual limit of 128.
+const operationsPerTransaction = 100
+
+// The marks stored under a change's key. Whichever is written first is final.
+const (
+	markAccepted = "accepted"
+	markVoid     = "void"
+)
+
+// KeyValues is what the store needs of the key-value service.
+type KeyValues interface {
+	Get(ctx context.Context, key string) (kvservice.KeyValue, error)
+	Commit(ctx context.Context, transaction kvservice.TxnRequest) (kvservice.TxnResponse, error)
+}
+
+// Version is one accepted revision with all of its parts.
+type Version struct {
+	Revision int64
+	Manifest Manifest
+	Parts    []Part
+}
+
+// Compile joins the parts and compiles them.
+func (version *Version) Compile() (*configuration.Snapshot, error) {
+	declaration, err := Join(version.Parts)
+	if err != nil {
+		return nil, err
+	}
+	return configuration.Compile(version.Revision, version.Manifest.ChangeID, declaration), nil
+}
+
+// Store reads and changes the declaration.
+type Store struct {
+	service KeyValues
+}
+
+// New returns a store on the service.
+func New(service KeyValues) *Store {
+	return &Store{service: service}
+}
+
+// Read fetches the version in force, taking parts that known already holds from
+// there. The version is nil when nothing was ever applied.
+func (store *Store) Read(ctx context.Context, known *Version) (*Version, error) {
+	stored, err := store.service.Get(ctx, ManifestKey)
+	if err != nil {
+		return nil, err
+	}
+	if stored.ModRevision == 0 {
+		return nil, nil
+	}
+	version := &Version{Revision: stored.ModRevision}
+	if err := json.Unmarshal(stored.Value, &version.Manifest); err != nil {
+		return nil, errors.Annotate(err, "the stored manifest cannot be read; apply the declaration again")
+	}
+	held := HeldParts(known)
+	for _, name := range version.Manifest.Parts {
+		part, found := held[name]
+		if !found {
+			value, err := store.service.Get(ctx, partKey(name))
+			if err != nil {
+				return nil, err
+			}
+			part = Part{Name: name.Name, Digest: name.Digest, Data: value.Value}
+		}
+		version.Parts = append(version.Parts, part)
+	}
+	return version, nil
+}
+
+// HeldParts indexes the parts of a version, which may be nil.
+func HeldParts(version *Version) map[PartName]Part {
+	held := map[PartName]Part{}
+	if version == nil {
+		return held
+	}
+	for _, part := range version.Parts {
+		held[PartName{Name: part.Name, Digest: part.Digest}] = part
+	}
+	return held
+}
+
+func partKey(name PartName) string {
+	return partKeyPrefix + name.Name + "/" + name.Digest
+}
+
+// Propose makes the declaration the successor of base (nil for the first one).
+// It returns the new version exactly when the change is in force for good. Any
+// error of kind conflict means that it never will be. An error of kind
+// unknown_outcome means that the service could not be asked; Settle tells later.
+func (store *Store) Propose(ctx context.Context, base *Version, changeID string, declaration *configuration.Declaration) (*Version, error) {
+	parts, err := Split(declaration)
+	if err != nil {
+		return nil, err
+	}
+	version := &Version{Manifest: Manifest{ChangeID: changeID}, Parts: parts}
+	transaction, err := store.prepare(ctx, base, version)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := store.service.Commit(ctx, transaction)
+	if err == nil && answer.Succeeded {
+		version.Revision = answer.Header.Revision
+		return version, nil
+	}
+	// A lost answer and a failed comparison look alike from here: the first try
+	// of a repeated transaction may have been the one that took effect.
+	accepted, settleError := store.Settle(ctx, changeID)
+	if settleError != nil {
+		return nil, failure.New(failure.KindUnknownOutcome, "the key-value service gave no answer on change "+changeID,
+			"ask again with `cloverrail apply --settle "+changeID+"`").WithOutcome(failure.Unknown)
+	}
+	if !accepted {
+		return nil, store.conflict(ctx, base)
+	}
+	return store.Read(ctx, version)
+}
+
+// prepare stores new parts that do not fit into the deciding transaction and
+// returns that transaction.
+func (store *Store) prepare(ctx context.Context, base, version *Version) (kvservice.TxnRequest, error) {
+	held := HeldParts(base)
+	puts := []kvservice.RequestOp{}
+	for _, part := range version.Parts {
+		name := PartName{Name: part.Name, Digest: part.Digest}
+		version.Manifest.Parts = append(version.Manifest.Parts, name)
+		if _, found := held[name]; !found {
+			puts = append(puts, kvservice.Put(partKey(name), part.Data))
+		}
+		delete(held, name)
+	}
+	for len(puts) > operationsPerTransaction/2 {
+		early := puts[:operationsPerTransaction/2]
+		if _, err := store.service.Commit(ctx, kvservice.TxnRequest{Success: early}); err != nil {
+			// Parts without a manifest change nothing, whatever became of them.
+			return kvservice.TxnRequest{}, failure.As(err).WithOutcome(failure.NotRun)
+		}
+		puts = puts[len(early):]
+	}
+	manifest, err := json.Marshal(version.Manifest)
+	if err != nil {
+		return kvservice.TxnRequest{}, errors.Trace(err)
+	}
+	baseRevision := int64(0)
+	if base != nil {
+		baseRevision = base.Revision
+	}
+	operations := append(puts,
+		kvservice.Put(ManifestKey, manifest),
+		kvservice.Put(changeKeyPrefix+version.Manifest.ChangeID, []byte(markAccepted)))
+	for name := range held {
+		if len(operations) < operationsPerTransaction {
+			operations = append(operations, kvservice.Delete(partKey(name)))
+		}
+	}
+	return kvservice.TxnRequest{
+		Compare: []kvservice.Compare{
+			kvservice.IfModified(ManifestKey, baseRevision),
+			kvservice.IfAbsent(changeKeyPrefix + version.Manifest.ChangeID),
+		},
+		Success: operations,
+	}, nil
+}
+
+// Settle decides a change whose answer was lost. It writes a mark that voids
+// the change unless the change is already in force; after that a delayed
+// transaction of the change can no longer take effect.
+func (store *Store) Settle(ctx context.Context, changeID string) (accepted bool, err error) {
+	key := changeKeyPrefix + changeID
+	// The answer does not matter: if the mark was lost or refused, the read shows it.
+	_, _ = store.service.Commit(ctx, kvservice.TxnRequest{
+		Compare: []kvservice.Compare{kvservice.IfAbsent(key)},
+		Success: []kvservice.RequestOp{kvservice.Put(key, []byte(markVoid))},
+	})
+	mark, err := store.service.Get(ctx, key)
+	if err != nil {
+		return false, err
+	}
+	if mark.ModRevision == 0 {
+		return false, failure.New(failure.KindUnknownOutcome, "the change could not be settled", "ask again").WithOutcome(failure.Unknown)
+	}
+	return string(mark.Value) == markAccepted, nil
+}
+
+func (store *Store) conflict(ctx context.Context, base *Version) error {
+	baseRevision := int64(0)
+	if base != nil {
+		baseRevision = base.Revision
+	}
+	problem := fmt.Sprintf("another change came after revision %d", baseRevision)
+	if winner, err := store.Read(ctx, base); err == nil && winner != nil {
+		problem = fmt.Sprintf("revision %d, change %s, came after revision %d", winner.Revision, winner.Manifest.ChangeID, baseRevision)
+	}
+	return failure.New(failure.KindConflict, problem, "run `cloverrail plan` to see the difference, then apply again")
+}
--- /dev/null
+++ b/internal/configuration/check.go
@@ -0,0 +1,127 @@
+package configuration
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/strictyaml"
+)
+
+// Defaults that apply where a declaration is silent.
+const (
+	DefaultClaimWindow = 10 * time.Minute
+	DefaultClockSkew   = 500 * time.Millisecond
+)
+
+// ReadFile parses and checks one declaration. The error is strictyaml.Faults
+// when the file was read but is wrong.
+func ReadFile(path string) (*Declaration, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Annotatef(err, "cannot read the declaration; name a file that exists")
+	}
+	return Parse(path, data)
+}
+
+// Parse reads one declaration from YAML. The file name is for messages alone.
+func Parse(file string, data []byte) (*Declaration, error) {
+	declaration := &Declaration{Claims: Claims{Window: DefaultClaimWindow, ClockSkew: DefaultClockSkew}}
+	if err := strictyaml.Decode(file, data, declaration); err != nil {
+		return nil, err
+	}
+	return declaration, nil
+}
+
+// Check reports references that lead nowhere and names that stand twice.
+func (declaration *Declaration) Check(report func(path, problem, remedy string)) {
+	zones := nameSet(declaration.Zones, func(zone Zone) string { return zone.Name })
+	models := nameSet(declaration.Models, func(model Model) string { return model.Name })
+	pools := nameSet(declaration.Pools, func(pool Pool) string { return pool.Name })
+	classes := nameSet(declaration.Classes, func(class Class) string { return class.Name })
+	tenants := nameSet(declaration.Tenants, func(tenant Tenant) string { return tenant.Name })
+
+	reference := func(known map[string]bool, path, kind, name string) {
+		if !known[name] {
+			report(path, fmt.Sprintf("no %s is named %q", kind, name), "declare it, or correct the name")
+		}
+	}
+	backends := map[string]string{}
+	backend := func(path string, server Backend) {
+		reference(zones, path+".zone", "zone", server.Zone)
+		if first, twice := backends[server.Name]; twice {
+			report(path+".name", fmt.Sprintf("%q is already used at %s", server.Name, first), "give every back end its own name")
+		}
+		backends[server.Name] = path
+	}
+	for index, pool := range declaration.Pools {
+		path := fmt.Sprintf("pools[%d]", index)
+		for position, model := range pool.Models {
+			reference(models, fmt.Sprintf("%s.models[%d]", path, position), "model", model)
+		}
+		for position, engine := range pool.Engines {
+			backend(fmt.Sprintf("%s.engines[%d]", path, position), engine)
+		}
+	}
+	for index, service := range declaration.Services {
+		path := fmt.Sprintf("services[%d]", index)
+		for position, server := range service.Servers {
+			backend(fmt.Sprintf("%s.servers[%d]", path, position), server)
+		}
+		for position, tenant := range service.Tenants {
+			reference(tenants, fmt.Sprintf("%s.tenants[%d]", path, position), "tenant", tenant)
+		}
+	}
+	digests := map[string]string{}
+	digest := func(path, value string) {
+		if first, twice := digests[value]; twice {
+			report(path, "the same key digest stands at "+first, "give every tenant and operator its own key")
+		}
+		digests[value] = path
+	}
+	for index, tenant := range declaration.Tenants {
+		path := fmt.Sprintf("tenants[%d]", index)
+		reference(classes, path+".class", "class", tenant.Class)
+		for position, pool := range tenant.Pools {
+			reference(pools, fmt.Sprintf("%s.pools[%d]", path, position), "pool", pool)
+		}
+		for position, value := range tenant.KeyDigests {
+			digest(fmt.Sprintf("%s.keyDigests[%d]", path, position), value)
+		}
+	}
+	for index, operator := range declaration.Operators {
+		digest(fmt.Sprintf("operators[%d].keyDigest", index), operator.KeyDigest)
+	}
+	if count := len(declaration.Claims.Holders); count > 0 && count < 3 {
+		report("claims.holders", fmt.Sprintf("%d holders cannot outlive the loss of one", count), "name at least 3 nodes, in different zones")
+	}
+}
+
+func nameSet[Item any](items []Item, name func(Item) string) map[string]bool {
+	names := make(map[string]bool, len(items))
+	for _, item := range items {
+		names[name(item)] = true
+	}
+	return names
+}
+
+// HasBackend reports whether an engine or server of the name is declared.
+func (declaration *Declaration) HasBackend(name string) bool {
+	for _, pool := range declaration.Pools {
+		for _, engine := range pool.Engines {
+			if engine.Name == name {
+				return true
+			}
+		}
+	}
+	for _, service := range declaration.Services {
+		for _, server := range service.Servers {
+			if server.Name == name {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/configuration/snapshot.go
@@ -0,0 +1,172 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+)
+
+// Snapshot is a compiled declaration. It is immutable: a node swaps one
+// pointer to put a new one in force.
+type Snapshot struct {
+	// Revision is the key-value service's revision of the declaration.
+	Revision int64
+	// ChangeID names the change that made this revision.
+	ChangeID    string
+	Declaration *Declaration
+
+	tenants           map[string]*Tenant
+	tenantsByDigest   map[string]*Tenant
+	operatorsByDigest map[string]*Operator
+	classes           map[string]*Class
+	models            map[string]*Model
+	pools             map[string]*Pool
+	draining          map[string]bool
+}
+
+// Compile builds the lookup tables of a declaration that passed its checks.
+func Compile(revision int64, changeID string, declaration *Declaration) *Snapshot {
+	snapshot := &Snapshot{
+		Revision:          revision,
+		ChangeID:          changeID,
+		Declaration:       declaration,
+		tenants:           make(map[string]*Tenant, len(declaration.Tenants)),
+		tenantsByDigest:   make(map[string]*Tenant, len(declaration.Tenants)),
+		operatorsByDigest: make(map[string]*Operator, len(declaration.Operators)),
+		classes:           make(map[string]*Class, len(declaration.Classes)),
+		models:            make(map[string]*Model, len(declaration.Models)),
+		pools:             make(map[string]*Pool, len(declaration.Pools)),
+		draining:          make(map[string]bool, len(declaration.Draining)),
+	}
+	for index := range declaration.Tenants {
+		tenant := &declaration.Tenants[index]
+		snapshot.tenants[tenant.Name] = tenant
+		for _, digest := range tenant.KeyDigests {
+			snapshot.tenantsByDigest[digest] = tenant
+		}
+	}
+	for index := range declaration.Operators {
+		snapshot.operatorsByDigest[declaration.Operators[index].KeyDigest] = &declaration.Operators[index]
+	}
+	for index := range declaration.Classes {
+		snapshot.classes[declaration.Classes[index].Name] = &declaration.Classes[index]
+	}
+	for index := range declaration.Models {
+		snapshot.models[declaration.Models[index].Name] = &declaration.Models[index]
+	}
+	for index := range declaration.Pools {
+		snapshot.pools[declaration.Pools[index].Name] = &declaration.Pools[index]
+	}
+	for _, name := range declaration.Draining {
+		snapshot.draining[name] = true
+	}
+	return snapshot
+}
+
+// Digest returns the SHA-256 digest of a key, as declared.
+func Digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// TenantOfKey finds the tenant that owns the key.
+func (snapshot *Snapshot) TenantOfKey(key string) (*Tenant, bool) {
+	tenant, found := snapshot.tenantsByDigest[Digest(key)]
+	return tenant, found
+}
+
+// Tenant finds a tenant by name.
+func (snapshot *Snapshot) Tenant(name string) (*Tenant, bool) {
+	tenant, found := snapshot.tenants[name]
+	return tenant, found
+}
+
+// OperatorOfKey finds the operator that owns the key.
+func (snapshot *Snapshot) OperatorOfKey(key string) (*Operator, bool) {
+	operator, found := snapshot.operatorsByDigest[Digest(key)]
+	return operator, found
+}
+
+// Class finds a job class by name.
+func (snapshot *Snapshot) Class(name string) (*Class, bool) {
+	class, found := snapshot.classes[name]
+	return class, found
+}
+
+// Model finds a model by name.
+func (snapshot *Snapshot) Model(name string) (*Model, bool) {
+	model, found := snapshot.models[name]
+	return model, found
+}
+
+// Draining reports whether operators drain the back end.
+func (snapshot *Snapshot) Draining(backend string) bool {
+	return snapshot.draining[backend]
+}
+
+// PoolsFor lists the pools through which the tenant reaches the model. An empty
+// list means either that there is no such model or that it is another tenant's:
+// callers must not be able to tell these apart.
+func (snapshot *Snapshot) PoolsFor(tenant *Tenant, model string) []*Pool {
+	pools := []*Pool{}
+	for _, name := range tenant.Pools {
+		pool, found := snapshot.pools[name]
+		if !found {
+			continue
+		}
+		for _, served := range pool.Models {
+			if served == model {
+				pools = append(pools, pool)
+			}
+		}
+	}
+	return pools
+}
+
+// ModelsFor lists the models that the tenant reaches, in order of declaration.
+func (snapshot *Snapshot) ModelsFor(tenant *Tenant) []*Model {
+	models := []*Model{}
+	for index := range snapshot.Declaration.Models {
+		model := &snapshot.Declaration.Models[index]
+		if len(snapshot.PoolsFor(tenant, model.Name)) > 0 {
+			models = append(models, model)
+		}
+	}
+	return models
+}
+
+// ServiceFor finds the service and route of a plain request. The longest path
+// wins; a service closed to the tenant does not exist for it.
+func (snapshot *Snapshot) ServiceFor(tenant *Tenant, method, path string) (*Service, *Route) {
+	var service *Service
+	var route *Route
+	for index := range snapshot.Declaration.Services {
+		candidate := &snapshot.Declaration.Services[index]
+		if !admits(candidate, tenant) {
+			continue
+		}
+		for position := range candidate.Routes {
+			offered := &candidate.Routes[position]
+			if offered.Method == method && matches(offered.Path, path) && (route == nil || len(offered.Path) > len(route.Path)) {
+				service, route = candidate, offered
+			}
+		}
+	}
+	return service, route
+}
+
+func admits(service *Service, tenant *Tenant) bool {
+	if len(service.Tenants) == 0 {
+		return true
+	}
+	for _, name := range service.Tenants {
+		if name == tenant.Name {
+			return true
+		}
+	}
+	return false
+}
+
+func matches(prefix, path string) bool {
+	return path == prefix || strings.HasPrefix(path, strings.TrimSuffix(prefix, "/")+"/")
+}
--- /dev/null
+++ b/internal/engineapi/client.go
@@ -0,0 +1,215 @@
+package engineapi
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/juju/errors"
+	"github.com/tmaxmax/go-sse"
+)
+
+const (
+	connectTimeout = 500 * time.Millisecond
+	sideTimeout    = time.Second
+	maximumEvent   = 1 << 20
+)
+
+// ErrNotStarted says that the engine itself refused a dispatch before starting it.
+type ErrNotStarted struct{ Reason string }
+
+// Error names the engine's reason.
+func (err *ErrNotStarted) Error() string {
+	return "the engine did not start the request: " + err.Reason
+}
+
+// ErrRejected is an engine's final word on a request, such as a bad parameter.
+type ErrRejected struct {
+	Status int
+	Body   []byte
+}
+
+// Error shows the status.
+func (err *ErrRejected) Error() string { return fmt.Sprintf("the engine answered %d", err.Status) }
+
+// Dispatch is one attempt of one request on one engine.
+type Dispatch struct {
+	Address string
+	Path    string
+	Attempt string
+	Epoch   string
+	Weights string
+	Body    []byte
+}
+
+// Served states what answered.
+type Served struct {
+	Attempt string
+	Epoch   string
+	Weights string
+}
+
+// Event is one event of an answer; Done marks the explicit end.
+type Event struct {
+	Offset int
+	Data   []byte
+	Done   bool
+}
+
+// Client calls engines.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client whose connections are shared by all requests.
+func NewClient() *Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		MaxIdleConnsPerHost: 256,
+		DisableCompression:  true,
+	}
+	return &Client{http: &http.Client{Transport: transport}}
+}
+
+// Answer is an open stream. Close releases it.
+type Answer struct {
+	Served Served
+	body   io.ReadCloser
+}
+
+// Close ends the answer's connection.
+func (answer *Answer) Close() { _ = answer.body.Close() }
+
+// Open sends a dispatch and returns once the engine has answered its headers.
+func (client *Client) Open(ctx context.Context, dispatch Dispatch) (*Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+dispatch.Address+dispatch.Path, newBody(dispatch.Body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(HeaderAttempt, dispatch.Attempt)
+	request.Header.Set(HeaderEpoch, dispatch.Epoch)
+	request.Header.Set(HeaderWeights, dispatch.Weights)
+	return client.open(request)
+}
+
+// Resume goes on with an attempt's stream after the given offset.
+func (client *Client) Resume(ctx context.Context, address, attempt string, after int) (*Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathStreams+attempt, nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	request.Header.Set(HeaderLastEvent, strconv.Itoa(after))
+	return client.open(request)
+}
+
+func (client *Client) open(request *http.Request) (*Answer, error) {
+	response, err := client.http.Do(request)
+	if err != nil {
+		var operation *net.OpError
+		if errors.As(err, &operation) && operation.Op == "dial" {
+			return nil, &ErrNotStarted{Reason: "no connection"}
+		}
+		return nil, errors.Trace(err)
+	}
+	if response.StatusCode == http.StatusOK {
+		served := Served{
+			Attempt: response.Header.Get(HeaderAttempt),
+			Epoch:   response.Header.Get(HeaderEpoch),
+			Weights: response.Header.Get(HeaderWeights),
+		}
+		return &Answer{Served: served, body: response.Body}, nil
+	}
+	defer response.Body.Close()
+	if reason := response.Header.Get(HeaderRefused); reason != "" {
+		return nil, &ErrNotStarted{Reason: reason}
+	}
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maximumEvent))
+	return nil, &ErrRejected{Status: response.StatusCode, Body: body}
+}
+
+// Read yields the events of the answer in the order they arrive, until the end
+// of the stream, an error, or until the consumer stops.
+func (answer *Answer) Read(yield func(Event) bool) error {
+	var failed error
+	for event, err := range sse.Read(answer.body, &sse.ReadConfig{MaxEventSize: maximumEvent}) {
+		if err != nil {
+			failed = err
+			break
+		}
+		offset, err := strconv.Atoi(event.LastEventID)
+		if err != nil {
+			return errors.Errorf("event without a number in its id: %q", event.LastEventID)
+		}
+		if !yield(Event{Offset: offset, Data: []byte(event.Data), Done: event.Data == "[DONE]"}) {
+			return nil
+		}
+	}
+	if failed == nil {
+		failed = io.ErrUnexpectedEOF
+	}
+	return failed
+}
+
+// Cancel ends an attempt's work on the engine. It is best effort.
+func (client *Client) Cancel(address, attempt string) {
+	ctx, cancel := context.WithTimeout(context.Background(), sideTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+PathStreams+attempt, nil)
+	if err != nil {
+		return
+	}
+	if response, err := client.http.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// Status asks an engine for its account of itself.
+func (client *Client) Status(ctx context.Context, address string) (Status, error) {
+	return side[Status](ctx, client, sling.New().Get("http://"+address+PathStatus))
+}
+
+// eventQuery is the query of a read of cache events.
+type eventQuery struct {
+	After uint64 `url:"after"`
+}
+
+// Events reads the cache events after a sequence number.
+func (client *Client) Events(ctx context.Context, address string, after uint64) (EventBatch, error) {
+	return side[EventBatch](ctx, client, sling.New().Get("http://"+address+PathEvents).QueryStruct(eventQuery{After: after}))
+}
+
+// Snapshot reads the whole cache.
+func (client *Client) Snapshot(ctx context.Context, address string) (Snapshot, error) {
+	return side[Snapshot](ctx, client, sling.New().Get("http://"+address+PathSnapshot))
+}
+
+// Order sends a fenced order.
+func (client *Client) Order(ctx context.Context, address string, order Order) error {
+	_, err := side[json.RawMessage](ctx, client, sling.New().Post("http://"+address+PathOrders).BodyJSON(order))
+	return err
+}
+
+func side[Result any](ctx context.Context, client *Client, call *sling.Sling) (Result, error) {
+	var result Result
+	ctx, cancel := context.WithTimeout(ctx, sideTimeout)
+	defer cancel()
+	request, err := call.Request()
+	if err != nil {
+		return result, errors.Trace(err)
+	}
+	response, err := sling.New().Client(client.http).Do(request.WithContext(ctx), &result, nil)
+	if err != nil {
+		return result, errors.Trace(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return result, &ErrRejected{Status: response.StatusCode}
+	}
+	return result, nil
+}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/metrics"
+)
+
+// answer passes a completion on, as a stream or as one object. It gives all
+// chunks one identifier and time, so that an answer which moved from one engine
+// to another reads like one that did not.
+type answer struct {
+	served  *call
+	message *engineapi.CompletionRequest
+	metrics *metrics.Set
+	id      string
+	created int64
+	began   bool
+	content strings.Builder
+	finish  *string
+	tools   []json.RawMessage
+	usage   *engineapi.Usage
+}
+
+func newAnswer(served *call, message *engineapi.CompletionRequest, set *metrics.Set) *answer {
+	prefix := "cmpl-"
+	if len(message.Messages) > 0 {
+		prefix = "chatcmpl-"
+	}
+	return &answer{served: served, message: message, metrics: set, id: prefix + uuid.NewString(), created: time.Now().Unix()}
+}
+
+// text is what the caller has received.
+func (answer *answer) text() string { return answer.content.String() }
+
+// Emit implements dispatch.Sink.
+func (answer *answer) Emit(data []byte) (complete bool, err error) {
+	var chunk engineapi.Chunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return false, errors.Annotate(err, "the engine sent an event that is not a chunk")
+	}
+	if !answer.began && len(chunk.Choices) > 0 {
+		answer.metrics.FirstToken.Observe(time.Since(answer.served.started).Seconds())
+	}
+	if chunk.Usage != nil {
+		answer.usage = chunk.Usage
+	}
+	for _, choice := range chunk.Choices {
+		answer.content.WriteString(choice.Content())
+		if choice.Delta != nil {
+			if len(choice.Delta.ToolCalls) > 0 {
+				answer.tools = append(answer.tools, choice.Delta.ToolCalls)
+			}
+		}
+		if choice.FinishReason != nil {
+			answer.finish = choice.FinishReason
+		}
+	}
+	if answer.message.Stream {
+		err = answer.pass(chunk)
+	} else {
+		answer.began = true
+	}
+	return answer.finish != nil, err
+}
+
+// wantsUsage reports whether the caller asked for the accounting chunk, which
+// the fleet always asks its engines for.
+func (answer *answer) wantsUsage() bool {
+	return answer.message.StreamOptions != nil && answer.message.StreamOptions.IncludeUsage
+}
+
+func (answer *answer) pass(chunk engineapi.Chunk) error {
+	if len(chunk.Choices) == 0 && !answer.wantsUsage() {
+		return nil
+	}
+	chunk.ID, chunk.Created, chunk.Model = answer.id, answer.created, answer.message.Model
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return answer.write(data)
+}
+
+func (answer *answer) write(data []byte) error {
+	controller := http.NewResponseController(answer.served.ResponseWriter)
+	if !answer.began {
+		answer.began = true
+		answer.served.Header().Set("Content-Type", "text/event-stream")
+		answer.served.Header().Set("Cache-Control", "no-store")
+		answer.served.WriteHeader(http.StatusOK)
+	}
+	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := fmt.Fprintf(answer.served, "data: %s\n\n", data); err != nil {
+		return errors.Trace(err)
+	}
+	return controller.Flush()
+}
+
+// end finishes the answer, with an explicit error event if it broke off. It
+// returns the failure only when nothing was sent, so that it can still be
+// answered with a status.
+func (answer *answer) end(err error) error {
+	if err == nil {
+		answer.count()
+	}
+	if !answer.message.Stream {
+		if err != nil {
+			return err
+		}
+		return writeJSON(answer.served, http.StatusOK, answer.whole())
+	}
+	if err == nil {
+		return ignoreWrite(answer.write([]byte("[DONE]")))
+	}
+	if !answer.began {
+		return err
+	}
+	refusal := failure.As(err)
+	answer.metrics.Refusals.WithLabelValues(string(refusal.Kind), string(refusal.Outcome)).Inc()
+	data, _ := json.Marshal(errorBody{Error: detailOf(refusal)})
+	_ = answer.write(data)
+	return nil
+}
+
+func (answer *answer) count() {
+	if answer.usage == nil {
+		return
+	}
+	answer.metrics.PromptTokens.Add(float64(answer.usage.PromptTokens))
+	if answer.usage.Details != nil {
+		answer.metrics.CachedTokens.Add(float64(answer.usage.Details.CachedTokens))
+	}
+}
+
+// whole builds the object of an answer that was not streamed.
+func (answer *answer) whole() engineapi.Chunk {
+	content := answer.content.String()
+	choice := engineapi.Choice{FinishReason: answer.finish}
+	object := "text_completion"
+	if len(answer.message.Messages) > 0 {
+		object = "chat.completion"
+		choice.Message = &engineapi.Delta{Role: "assistant", Content: &content}
+		if len(answer.tools) == 1 {
+			choice.Message.ToolCalls = answer.tools[0]
+		}
+	} else {
+		choice.Text = &content
+	}
+	return engineapi.Chunk{ID: answer.id, Object: object, Created: answer.created, Model: answer.message.Model,
+		Choices: []engineapi.Choice{choice}, Usage: answer.usage}
+}
--- /dev/null
+++ b/internal/kvservice/client.go
@@ -0,0 +1,131 @@
+// Package kvservice is the adapter for the platform's key-value service. It
+// speaks etcd v3's published JSON mapping over HTTP.
+package kvservice
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/failure"
+)
+
+// RequestTimeout bounds one call. A call that ends by it may have taken effect.
+const RequestTimeout = 2 * time.Second
+
+// Client calls the service.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the service at an IP address and port.
+func NewClient(address string) *Client {
+	return &Client{base: "http://" + address, http: &http.Client{}}
+}
+
+// call posts one message. The error is a failure.Failure: its outcome is
+// failure.NotRun only when the service itself said that it refused.
+func (client *Client) call(ctx context.Context, path string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, RequestTimeout)
+	defer cancel()
+	request, err := sling.New().Base(client.base).Post(path).BodyJSON(body).Request()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var refusal ErrorResponse
+	response, err := sling.New().Client(client.http).Do(request.WithContext(ctx), answer, &refusal)
+	if err != nil {
+		return failure.New(failure.KindUnavailable, "the key-value service gave no answer: "+err.Error(),
+			"check that it runs at "+client.base).WithOutcome(failure.Unknown)
+	}
+	if response.StatusCode != http.StatusOK {
+		return failure.New(failure.KindUnavailable, "the key-value service refused: "+refusal.Message,
+			"wait until it accepts requests again").WithRetryAfter(time.Second)
+	}
+	return nil
+}
+
+// Get reads one key. A missing key is a KeyValue with ModRevision 0.
+func (client *Client) Get(ctx context.Context, key string) (KeyValue, error) {
+	var answer RangeResponse
+	if err := client.call(ctx, "/v3/kv/range", RangeRequest{Key: []byte(key)}, &answer); err != nil {
+		return KeyValue{}, err
+	}
+	if len(answer.Kvs) == 0 {
+		return KeyValue{}, nil
+	}
+	return answer.Kvs[0], nil
+}
+
+// Commit runs a transaction and reports whether its comparisons held, and the
+// revision after it.
+func (client *Client) Commit(ctx context.Context, transaction TxnRequest) (TxnResponse, error) {
+	var answer TxnResponse
+	err := client.call(ctx, "/v3/kv/txn", transaction, &answer)
+	return answer, err
+}
+
+// GrantLease opens a lease.
+func (client *Client) GrantLease(ctx context.Context, life time.Duration) (int64, error) {
+	var answer LeaseGrantResponse
+	err := client.call(ctx, "/v3/lease/grant", LeaseGrantRequest{TTL: int64(life / time.Second)}, &answer)
+	return answer.ID, err
+}
+
+// KeepAlive renews a lease and reports whether it still lives.
+func (client *Client) KeepAlive(ctx context.Context, lease int64) (bool, error) {
+	var answer LeaseKeepAliveResponse
+	err := client.call(ctx, "/v3/lease/keepalive", LeaseKeepAliveRequest{ID: lease}, &answer)
+	return answer.Result.TTL > 0, err
+}
+
+// Watch calls changed with each new revision of the key until the watch or the
+// context ends. It returns at once when the watch breaks; callers read the key
+// afresh and watch again.
+func (client *Client) Watch(ctx context.Context, key string, from int64, changed func(KeyValue)) error {
+	message := WatchRequest{CreateRequest: WatchCreateRequest{Key: []byte(key), StartRevision: from}}
+	request, err := sling.New().Base(client.base).Post("/v3/watch").BodyJSON(message).Request()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	response, err := client.http.Do(request.WithContext(ctx))
+	if err != nil {
+		return errors.Annotate(err, "the watch did not open; it is tried again")
+	}
+	defer response.Body.Close()
+	decoder := json.NewDecoder(response.Body)
+	for {
+		var update WatchResponse
+		if err := decoder.Decode(&update); err != nil {
+			return errors.Annotate(err, "the watch ended; it is opened again")
+		}
+		for _, event := range update.Result.Events {
+			changed(event.Kv)
+		}
+	}
+}
+
+// Put returns the operation that stores a value.
+func Put(key string, value []byte) RequestOp {
+	return RequestOp{RequestPut: &PutRequest{Key: []byte(key), Value: value}}
+}
+
+// Delete returns the operation that deletes a key.
+func Delete(key string) RequestOp {
+	return RequestOp{RequestDeleteRange: &DeleteRangeRequest{Key: []byte(key)}}
+}
+
+// IfModified returns the condition that the key was last changed at revision.
+func IfModified(key string, revision int64) Compare {
+	return Compare{Key: []byte(key), Target: "MOD", Result: "EQUAL", ModRevision: &revision}
+}
+
+// IfAbsent returns the condition that the key does not exist.
+func IfAbsent(key string) Compare {
+	return Compare{Key: []byte(key), Target: "CREATE", Result: "EQUAL", CreateRevision: new(int64)}
+}
--- /dev/null
+++ b/internal/lab/cluster/cluster.go
@@ -0,0 +1,335 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/goccy/go-yaml"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/lab/kvstub"
+	"github.com/cloverrail/cloverrail/internal/lab/machinestub"
+	"github.com/cloverrail/cloverrail/internal/operator"
+)
+
+// OperatorKey opens the operators' interface of a laboratory fleet.
+const OperatorKey = "demo-operator"
+
+const (
+	fleetKey     = "6c61622d666c6565742d6b65792d31323334"
+	readyTimeout = 20 * time.Second
+	readyPause   = 20 * time.Millisecond
+)
+
+// Config sets up a cluster.
+type Config struct {
+	// Declaration is an example whose addresses are replaced.
+	Declaration *configuration.Declaration
+	Nodes       int
+	// MachineListLag is how far the machine list is behind.
+	MachineListLag time.Duration
+	// EventGap is the share of cache events that engines lose.
+	EventGap float64
+	// Log receives the output of all processes; nil drops it.
+	Log io.Writer
+	// StepTime of the engines.
+	StepTime time.Duration
+}
+
+// Node is one node's process and addresses.
+type Node struct {
+	Process  *Process
+	Zone     string
+	Caller   string
+	Peer     string
+	Operator string
+}
+
+// Backend is one stand-in's process and address.
+type Backend struct {
+	Process *Process
+	Name    string
+	Address string
+}
+
+// Cluster is a running fleet.
+type Cluster struct {
+	config      Config
+	Declaration *configuration.Declaration
+	Nodes       []*Node
+	Engines     []*Backend
+	Servers     []*Backend
+	KeyValue    *Backend
+	Machines    *Backend
+	client      *http.Client
+}
+
+// Start starts everything and waits until every node is ready.
+func Start(ctx context.Context, config Config) (*Cluster, error) {
+	cluster := &Cluster{config: config, client: &http.Client{Timeout: 10 * time.Second}}
+	if err := cluster.start(ctx); err != nil {
+		cluster.Stop()
+		return nil, err
+	}
+	return cluster, nil
+}
+
+func (cluster *Cluster) start(ctx context.Context) error {
+	copied := *cluster.config.Declaration
+	cluster.Declaration = &copied
+	if err := cluster.startPlatform(); err != nil {
+		return err
+	}
+	if err := cluster.startBackends(); err != nil {
+		return err
+	}
+	holders := []string{}
+	for index := range cluster.config.Nodes {
+		zone := copied.Zones[index%len(copied.Zones)].Name
+		cluster.Nodes = append(cluster.Nodes, &Node{Zone: zone, Caller: freeAddress(), Peer: freeAddress(), Operator: freeAddress()})
+		holders = append(holders, cluster.Nodes[index].Peer)
+	}
+	cluster.Declaration.Claims.Holders = holders[:min(3, len(holders))]
+	for index := range cluster.Nodes {
+		if err := cluster.StartNode(index); err != nil {
+			return err
+		}
+	}
+	if err := cluster.await(ctx, func() bool { return cluster.get(cluster.Nodes[0].Operator, "/healthz") }); err != nil {
+		return err
+	}
+	if _, err := cluster.Apply(ctx, 0, cluster.Declaration, uuid.NewString()); err != nil {
+		return err
+	}
+	return cluster.await(ctx, cluster.AllReady)
+}
+
+func (cluster *Cluster) startPlatform() error {
+	cluster.KeyValue = &Backend{Name: "key-value", Address: freeAddress()}
+	cluster.Machines = &Backend{Name: "machines", Address: freeAddress()}
+	var err error
+	if cluster.KeyValue.Process, err = start("key-value", cluster.config.Log, "standin", "key-value", "--address", cluster.KeyValue.Address); err != nil {
+		return err
+	}
+	cluster.Machines.Process, err = start("machines", cluster.config.Log, "standin", "machines",
+		"--address", cluster.Machines.Address, "--lag", cluster.config.MachineListLag.String())
+	return err
+}
+
+func (cluster *Cluster) startBackends() error {
+	declaration := cluster.Declaration
+	pools := append([]configuration.Pool(nil), declaration.Pools...)
+	for index := range pools {
+		pool := &pools[index]
+		pool.Engines = append([]configuration.Backend(nil), pool.Engines...)
+		for position := range pool.Engines {
+			pool.Engines[position].Address = freeAddress()
+			backend := &Backend{Name: pool.Engines[position].Name, Address: pool.Engines[position].Address}
+			cluster.Engines = append(cluster.Engines, backend)
+			if err := cluster.StartEngine(backend); err != nil {
+				return err
+			}
+		}
+	}
+	declaration.Pools = pools
+	services := append([]configuration.Service(nil), declaration.Services...)
+	for index := range services {
+		service := &services[index]
+		service.Servers = append([]configuration.Backend(nil), service.Servers...)
+		for position := range service.Servers {
+			service.Servers[position].Address = freeAddress()
+			backend := &Backend{Name: service.Servers[position].Name, Address: service.Servers[position].Address}
+			var err error
+			if backend.Process, err = start(backend.Name, cluster.config.Log, "standin", "plain", "--address", backend.Address); err != nil {
+				return err
+			}
+			cluster.Servers = append(cluster.Servers, backend)
+		}
+	}
+	declaration.Services = services
+	return nil
+}
+
+// StartEngine starts, or starts again, an engine's process.
+func (cluster *Cluster) StartEngine(backend *Backend) error {
+	weights := []string{}
+	for _, model := range cluster.Declaration.Models {
+		weights = append(weights, model.Name+"="+model.Version)
+	}
+	pool := cluster.config.Declaration.Pools[0]
+	var err error
+	backend.Process, err = start(backend.Name, cluster.config.Log, "standin", "engine",
+		"--address", backend.Address,
+		"--weights", strings.Join(weights, ","),
+		"--block-bytes", fmt.Sprint(pool.BlockBytes),
+		"--prefill", fmt.Sprint(pool.PrefillTokensPerSecond),
+		"--step", cluster.config.StepTime.String(),
+		"--event-gap", fmt.Sprint(cluster.config.EventGap))
+	return err
+}
+
+// StartNode starts, or starts again, a node's process.
+func (cluster *Cluster) StartNode(index int) error {
+	node := cluster.Nodes[index]
+	arguments := []string{"node", "--zone", node.Zone, "--caller-address", node.Caller, "--peer-address", node.Peer,
+		"--operator-address", node.Operator, "--key-value-address", cluster.KeyValue.Address,
+		"--machine-list-address", cluster.Machines.Address, "--bootstrap-digest", configuration.Digest(OperatorKey), "--drain-deadline", "60s"}
+	for _, other := range cluster.Nodes {
+		arguments = append(arguments, "--seed", other.Peer)
+	}
+	if os.Getenv("CLOVERRAIL_FLEET_KEY") == "" {
+		if err := os.Setenv("CLOVERRAIL_FLEET_KEY", fleetKey); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	var err error
+	node.Process, err = start("node "+node.Peer, cluster.config.Log, arguments...)
+	return err
+}
+
+// Apply puts a declaration in force through a node.
+func (cluster *Cluster) Apply(ctx context.Context, node int, declaration *configuration.Declaration, change string) (operator.ChangeAnswer, error) {
+	text, err := yaml.Marshal(declaration)
+	if err != nil {
+		return operator.ChangeAnswer{}, errors.Trace(err)
+	}
+	return Post[operator.ChangeAnswer](ctx, cluster, node, "apply", operator.ApplyRequest{ChangeID: change, File: "lab", Text: string(text)})
+}
+
+// Post sends an operator's message to a node.
+func Post[Answer any](ctx context.Context, cluster *Cluster, node int, path string, message any) (Answer, error) {
+	var answer Answer
+	var refusal operator.ErrorAnswer
+	request, err := sling.New().Post("http://"+cluster.Nodes[node].Operator+"/operator/"+path).
+		Set("Authorization", "Bearer "+OperatorKey).BodyJSON(message).Request()
+	if err != nil {
+		return answer, errors.Trace(err)
+	}
+	response, err := sling.New().Client(cluster.client).Do(request.WithContext(ctx), &answer, &refusal)
+	if err != nil {
+		return answer, errors.Trace(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return answer, errors.Errorf("%s (%s, %s); %s", refusal.Problem, refusal.Kind, refusal.Outcome, refusal.Remedy)
+	}
+	return answer, nil
+}
+
+// Status asks a node for its state.
+func (cluster *Cluster) Status(node int) (operator.StatusAnswer, error) {
+	var answer operator.StatusAnswer
+	_, err := sling.New().Client(cluster.client).Get("http://"+cluster.Nodes[node].Operator+"/operator/status").
+		Set("Authorization", "Bearer "+OperatorKey).ReceiveSuccess(&answer)
+	return answer, err
+}
+
+// Fetch reads a JSON value from a stand-in.
+func Fetch[Value any](cluster *Cluster, address, path string) (Value, error) {
+	var value Value
+	response, err := sling.New().Client(cluster.client).Get("http://" + address + path).ReceiveSuccess(&value)
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = errors.Errorf("%s%s answered %d", address, path, response.StatusCode)
+	}
+	return value, err
+}
+
+// Control sends a command to a stand-in.
+func (cluster *Cluster) Control(address, action string, body any) error {
+	call := sling.New().Client(cluster.client).Post("http://" + address + "/" + action)
+	if body != nil {
+		call = call.BodyJSON(body)
+	}
+	_, err := call.ReceiveSuccess(nil)
+	return errors.Trace(err)
+}
+
+// SetKeyValueFaults harms the key-value service.
+func (cluster *Cluster) SetKeyValueFaults(faults kvstub.Faults) error {
+	return cluster.Control(cluster.KeyValue.Address, "control/faults", faults)
+}
+
+// SetMachine changes the machine list.
+func (cluster *Cluster) SetMachine(machine machinestub.Machine) error {
+	return cluster.Control(cluster.Machines.Address, "machines", machine)
+}
+
+// AllReady reports whether every node serves.
+func (cluster *Cluster) AllReady() bool {
+	for _, node := range cluster.Nodes {
+		if !cluster.get(node.Caller, "/readyz") {
+			return false
+		}
+	}
+	return true
+}
+
+// Await polls until the condition holds.
+func (cluster *Cluster) await(ctx context.Context, condition func() bool) error {
+	deadline := time.Now().Add(readyTimeout)
+	for !condition() {
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return errors.Errorf("the fleet did not become ready in %s; the first node printed:\n%s", readyTimeout, cluster.Nodes[0].Process.Output())
+		}
+		time.Sleep(readyPause)
+	}
+	return nil
+}
+
+func (cluster *Cluster) get(address, path string) bool {
+	response, err := cluster.client.Get("http://" + address + path)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Stop ends every process that this cluster started.
+func (cluster *Cluster) Stop() {
+	processes := []*Process{}
+	for _, node := range cluster.Nodes {
+		processes = append(processes, node.Process)
+	}
+	for _, backend := range append(append([]*Backend{cluster.KeyValue, cluster.Machines}, cluster.Engines...), cluster.Servers...) {
+		if backend != nil {
+			processes = append(processes, backend.Process)
+		}
+	}
+	for _, process := range processes {
+		if process != nil {
+			process.Signal(syscall.SIGKILL)
+		}
+	}
+	for _, process := range processes {
+		if process != nil {
+			process.Wait(killWait)
+		}
+	}
+}
+
+// freeAddress finds a loopback address that is free for TCP and UDP.
+func freeAddress() string {
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			continue
+		}
+		address := listener.Addr().String()
+		packet, err := net.ListenPacket("udp", address)
+		_ = listener.Close()
+		if err == nil {
+			_ = packet.Close()
+			return address
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/enginemodel/engine.go
@@ -0,0 +1,213 @@
+package enginemodel
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/prefix"
+)
+
+// Config sets an engine's speed and memory.
+type Config struct {
+	// StepTime is the least time one step takes.
+	StepTime time.Duration
+	// PrefillTokensPerSecond is the speed of computing prompt tokens.
+	PrefillTokensPerSecond float64
+	// DecodeTokenTime is added to a step for each running sequence.
+	DecodeTokenTime time.Duration
+	// ChunkTokens bounds the prompt tokens computed in one step.
+	ChunkTokens int
+	// MaxRunning bounds the sequences in the batch.
+	MaxRunning int
+	// CacheBlocks is the memory for cached blocks.
+	CacheBlocks int
+	// BlockTokens is the size of one block.
+	BlockTokens int
+}
+
+// Request is one prompt to complete.
+type Request struct {
+	ID           string
+	Chain        []prefix.Hash
+	PromptTokens int
+	OutputTokens int
+	Priority     int
+}
+
+// Output is what one step did for one request.
+type Output struct {
+	ID string
+	// Offset counts the request's tokens from 0.
+	Offset int
+	Done   bool
+	// RecomputedTokens, on the first token, counts prompt tokens not taken from
+	// the cache; HitBlocks counts blocks that were.
+	RecomputedTokens int
+	HitBlocks        int
+}
+
+type sequence struct {
+	request  Request
+	pinned   []prefix.Hash
+	hit      int
+	prefill  int
+	computed int
+	emitted  int
+	arrival  uint64
+}
+
+// Engine is the state machine.
+type Engine struct {
+	config   Config
+	cache    *cache
+	waiting  []*sequence
+	running  []*sequence
+	arrivals uint64
+}
+
+// New returns an engine with an empty cache.
+func New(config Config) *Engine {
+	return &Engine{config: config, cache: newCache(config.CacheBlocks)}
+}
+
+// Submit queues a request, behind those of the same or a higher priority.
+func (engine *Engine) Submit(request Request) {
+	engine.arrivals++
+	engine.waiting = append(engine.waiting, &sequence{request: request, arrival: engine.arrivals})
+	sort.SliceStable(engine.waiting, func(i, j int) bool {
+		return engine.waiting[i].request.Priority > engine.waiting[j].request.Priority
+	})
+}
+
+// Cancel forgets a request.
+func (engine *Engine) Cancel(id string) {
+	engine.waiting = engine.without(engine.waiting, id)
+	engine.running = engine.without(engine.running, id)
+}
+
+func (engine *Engine) without(sequences []*sequence, id string) []*sequence {
+	kept := sequences[:0]
+	for _, item := range sequences {
+		if item.request.ID == id {
+			engine.cache.release(item.pinned)
+			continue
+		}
+		kept = append(kept, item)
+	}
+	return kept
+}
+
+// Idle reports whether a step would do nothing.
+func (engine *Engine) Idle() bool {
+	return len(engine.waiting) == 0 && len(engine.running) == 0
+}
+
+// Depth counts the leading blocks of the chain that the cache holds.
+func (engine *Engine) Depth(chain []prefix.Hash) int {
+	return engine.cache.depth(chain)
+}
+
+// Step admits waiting requests, computes one chunk of prompts and one token of
+// each sequence that is past its prompt. It returns how long that took; outputs
+// become visible at the end of it.
+func (engine *Engine) Step(now time.Time) (time.Duration, []Output) {
+	engine.admit(now)
+	prefilled := engine.prefill()
+	outputs := []Output{}
+	decoded := 0
+	for _, item := range engine.running {
+		if item.computed < item.prefill {
+			continue
+		}
+		decoded++
+		output := Output{ID: item.request.ID, Offset: item.emitted, RecomputedTokens: item.prefill, HitBlocks: item.hit}
+		if item.emitted == 0 {
+			engine.remember(item, now)
+		}
+		item.emitted++
+		output.Done = item.emitted >= item.request.OutputTokens
+		outputs = append(outputs, output)
+	}
+	for _, output := range outputs {
+		if output.Done {
+			engine.running = engine.without(engine.running, output.ID)
+		}
+	}
+	seconds := float64(prefilled) / engine.config.PrefillTokensPerSecond
+	elapsed := engine.config.StepTime + time.Duration(seconds*float64(time.Second)) + time.Duration(decoded)*engine.config.DecodeTokenTime
+	return elapsed, outputs
+}
+
+// admit moves waiting requests into the batch; the cache is looked up then,
+// since blocks may be evicted or computed while a request waits.
+func (engine *Engine) admit(now time.Time) {
+	for len(engine.waiting) > 0 && len(engine.running) < engine.config.MaxRunning {
+		item := engine.waiting[0]
+		engine.waiting = engine.waiting[1:]
+		item.hit = engine.cache.depth(item.request.Chain)
+		item.pinned = item.request.Chain[:item.hit]
+		engine.cache.touch(item.pinned, now)
+		engine.cache.pin(item.pinned)
+		item.prefill = max(1, item.request.PromptTokens-item.hit*engine.config.BlockTokens)
+		engine.running = append(engine.running, item)
+	}
+}
+
+func (engine *Engine) prefill() int {
+	budget := engine.config.ChunkTokens
+	for _, item := range engine.running {
+		share := min(budget, item.prefill-item.computed)
+		item.computed += share
+		budget -= share
+	}
+	return engine.config.ChunkTokens - budget
+}
+
+func (engine *Engine) remember(item *sequence, now time.Time) {
+	chain := item.request.Chain
+	held := engine.cache.depth(chain)
+	engine.cache.store(chain, now)
+	engine.cache.release(chain[held:])
+}
+
+// Load reports the work at hand.
+func (engine *Engine) Load() engineapi.Load {
+	load := engineapi.Load{Running: len(engine.running), Waiting: len(engine.waiting), EvictionAgeSeconds: engine.cache.evictionAge.Seconds()}
+	for _, item := range engine.running {
+		load.PrefillTokens += item.prefill - item.computed
+	}
+	for _, item := range engine.waiting {
+		load.PrefillTokens += item.request.PromptTokens - engine.cache.depth(item.request.Chain)*engine.config.BlockTokens
+	}
+	return load
+}
+
+// TakeEvents returns the cache events since the last call.
+func (engine *Engine) TakeEvents() []engineapi.CacheEvent {
+	events := engine.cache.events
+	engine.cache.events = nil
+	return events
+}
+
+// Snapshot lists the cached blocks, parents before children.
+func (engine *Engine) Snapshot() (sequence uint64, blocks []engineapi.CacheEvent) {
+	for place := engine.cache.order.Front(); place != nil; place = place.Next() {
+		held := place.Value.(*block)
+		blocks = append(blocks, engineapi.CacheEvent{Kind: engineapi.BlockStored, Block: held.hash, Parent: held.parent})
+	}
+	return engine.cache.sequence, blocks
+}
+
+// Standard returns the setup of an engine of the given speed.
+func Standard(step time.Duration, prefillTokensPerSecond float64) Config {
+	return Config{
+		StepTime:               step,
+		PrefillTokensPerSecond: prefillTokensPerSecond,
+		DecodeTokenTime:        20 * time.Microsecond,
+		ChunkTokens:            512,
+		MaxRunning:             64,
+		CacheBlocks:            160,
+		BlockTokens:            1000,
+	}
+}
--- /dev/null
+++ b/internal/lab/kvstub/server.go
@@ -0,0 +1,148 @@
+package kvstub
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/cloverrail/cloverrail/internal/kvservice"
+)
+
+// Faults is what the stand-in does wrong at present.
+type Faults struct {
+	// Outage refuses every call and ends every watch.
+	Outage bool `json:"outage"`
+	// Delay is added before every call.
+	Delay time.Duration `json:"delay"`
+	// LoseAnswers is the share of transactions that take effect without answer.
+	LoseAnswers float64 `json:"loseAnswers"`
+}
+
+// requestsPerSecond is the rate limit of the stand-in.
+const requestsPerSecond = 200
+
+// Server is the stand-in as an HTTP handler.
+type Server struct {
+	store   *store
+	limiter *rate.Limiter
+	mux     *http.ServeMux
+
+	mutex  sync.Mutex
+	faults Faults
+	calls  map[string]int
+}
+
+// New returns an empty service without faults.
+func New() *Server {
+	server := &Server{store: newStore(), limiter: rate.NewLimiter(requestsPerSecond, requestsPerSecond), mux: http.NewServeMux(), calls: map[string]int{}}
+	handle(server, "/v3/kv/range", func(request kvservice.RangeRequest) any { return server.store.get(request) })
+	handle(server, "/v3/kv/txn", func(request kvservice.TxnRequest) any { return server.store.commit(request) })
+	handle(server, "/v3/lease/grant", func(request kvservice.LeaseGrantRequest) any {
+		life := time.Duration(request.TTL) * time.Second
+		return kvservice.LeaseGrantResponse{ID: server.store.grant(life), TTL: request.TTL}
+	})
+	handle(server, "/v3/lease/keepalive", func(request kvservice.LeaseKeepAliveRequest) any {
+		life := server.store.keepAlive(request.ID)
+		return kvservice.LeaseKeepAliveResponse{Result: kvservice.LeaseGrantResponse{ID: request.ID, TTL: int64(life / time.Second)}}
+	})
+	server.mux.HandleFunc("/v3/watch", server.watch)
+	server.mux.HandleFunc("/control/faults", server.control)
+	return server
+}
+
+// SetFaults replaces the faults.
+func (server *Server) SetFaults(faults Faults) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.faults = faults
+}
+
+// Calls counts the calls of one path so far.
+func (server *Server) Calls(path string) int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.calls[path]
+}
+
+func (server *Server) current() Faults {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.faults
+}
+
+// ServeHTTP answers one call.
+func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	server.mutex.Lock()
+	server.calls[request.URL.Path]++
+	server.mutex.Unlock()
+	server.mux.ServeHTTP(writer, request)
+}
+
+func handle[Request any](server *Server, path string, serve func(Request) any) {
+	server.mux.HandleFunc(path, func(writer http.ResponseWriter, request *http.Request) {
+		faults := server.current()
+		time.Sleep(faults.Delay)
+		if faults.Outage || !server.limiter.Allow() {
+			refuse(writer)
+			return
+		}
+		var message Request
+		if err := json.NewDecoder(request.Body).Decode(&message); err != nil {
+			http.Error(writer, err.Error(), http.StatusBadRequest)
+			return
+		}
+		answer := serve(message)
+		if path == "/v3/kv/txn" && rand.Float64() < faults.LoseAnswers {
+			panic(http.ErrAbortHandler)
+		}
+		writer.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(writer).Encode(answer)
+	})
+}
+
+func refuse(writer http.ResponseWriter) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(http.StatusServiceUnavailable)
+	_ = json.NewEncoder(writer).Encode(kvservice.ErrorResponse{Message: "unavailable or over the rate limit", Code: 14})
+}
+
+func (server *Server) watch(writer http.ResponseWriter, request *http.Request) {
+	var message kvservice.WatchRequest
+	if server.current().Outage || json.NewDecoder(request.Body).Decode(&message) != nil {
+		refuse(writer)
+		return
+	}
+	opened := server.store.watch(string(message.CreateRequest.Key), message.CreateRequest.StartRevision)
+	defer server.store.unwatch(opened)
+	encoder := json.NewEncoder(writer)
+	check := time.NewTicker(50 * time.Millisecond)
+	defer check.Stop()
+	for {
+		select {
+		case result := <-opened.events:
+			if encoder.Encode(kvservice.WatchResponse{Result: result}) != nil {
+				return
+			}
+			_ = http.NewResponseController(writer).Flush()
+		case <-check.C:
+			if server.current().Outage {
+				return
+			}
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
+
+func (server *Server) control(writer http.ResponseWriter, request *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(request.Body).Decode(&faults); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	server.SetFaults(faults)
+}
--- /dev/null
+++ b/internal/lab/load/load.go
@@ -0,0 +1,311 @@
+// Package load sends traffic to nodes as callers would, and keeps the history
+// that checks are made on.
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/lab/enginestub"
+)
+
+// Kind tells requests apart.
+type Kind string
+
+// The kinds of requests.
+const (
+	Streamed Kind = "streamed"
+	Whole    Kind = "whole"
+	Once     Kind = "once"
+)
+
+// Record is one request and what came of it.
+type Record struct {
+	ID     string
+	Kind   Kind
+	Tenant string
+	Node   int
+	Status int
+	// Outcome is what a refusal claimed; empty for answers.
+	Outcome string
+	// Code is the kind of a refusal.
+	Code string
+	// RetryAfter is the header of a refusal.
+	RetryAfter string
+	// Complete says that the answer had its explicit end.
+	Complete bool
+	// Correct says that the answer was the one that belongs to the request.
+	Correct    bool
+	Started    time.Time
+	FirstToken time.Duration
+	Elapsed    time.Duration
+	Usage      *engineapi.Usage
+	// Broke says that the connection ended without an answer or an end.
+	Broke bool
+}
+
+// Target is where requests go.
+type Target struct {
+	// Addresses of the nodes' caller interfaces.
+	Addresses []string
+	Model     string
+	Tenants   []string
+	// OncePath is a route that is not repeatable.
+	OncePath   string
+	BlockBytes int
+}
+
+// Generator makes requests and keeps their history.
+type Generator struct {
+	target Target
+	client *http.Client
+	mutex  sync.Mutex
+	random *rand.Rand
+	// History is complete once all requests have ended.
+	History []Record
+	shared  map[string][]byte
+}
+
+// New returns a generator with a seed.
+func New(target Target, seed uint64) *Generator {
+	return &Generator{
+		target: target,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: 60 * time.Second},
+		random: rand.New(rand.NewPCG(seed, 1)),
+		shared: map[string][]byte{},
+	}
+}
+
+func (generator *Generator) number(limit int) int {
+	generator.mutex.Lock()
+	defer generator.mutex.Unlock()
+	return generator.random.IntN(limit)
+}
+
+// text makes repeatable filler of a length.
+func (generator *Generator) text(name string, length int) []byte {
+	generator.mutex.Lock()
+	defer generator.mutex.Unlock()
+	if made, found := generator.shared[name]; found {
+		return made
+	}
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(name), 7))
+	made := make([]byte, length)
+	for index := range made {
+		made[index] = byte('a' + random.IntN(26))
+	}
+	generator.shared[name] = made
+	return made
+}
+
+// prompt nests prefixes: rules of the tenant, a history that a few requests
+// share, and the request's own question.
+func (generator *Generator) prompt(tenant, id string) []byte {
+	block := generator.target.BlockBytes
+	// A few histories are very hot.
+	campaign := generator.number(1 + generator.number(12))
+	prompt := bytes.Clone(generator.text(tenant+" rules", 2*block))
+	prompt = append(prompt, generator.text(fmt.Sprint(tenant, " campaign ", campaign), 4*block)...)
+	return append(prompt, "question "+id...)
+}
+
+// Request sends one request of a kind to a node and keeps its record.
+func (generator *Generator) Request(ctx context.Context, kind Kind, node int) Record {
+	tenant := generator.target.Tenants[generator.number(len(generator.target.Tenants))]
+	record := Record{ID: uuid.Must(uuid.NewV7()).String(), Kind: kind, Tenant: tenant, Node: node, Started: time.Now()}
+	if kind == Once {
+		generator.once(ctx, &record)
+	} else {
+		generator.completion(ctx, &record)
+	}
+	record.Elapsed = time.Since(record.Started)
+	generator.keep(record)
+	return record
+}
+
+// Duplicate sends one request that is not repeatable to several nodes at once.
+func (generator *Generator) Duplicate(ctx context.Context, nodes []int) []Record {
+	tenant := generator.target.Tenants[generator.number(len(generator.target.Tenants))]
+	id := uuid.Must(uuid.NewV7()).String()
+	records := make([]Record, len(nodes))
+	var done sync.WaitGroup
+	for index, node := range nodes {
+		done.Go(func() {
+			records[index] = Record{ID: id, Kind: Once, Tenant: tenant, Node: node, Started: time.Now()}
+			generator.once(ctx, &records[index])
+			records[index].Elapsed = time.Since(records[index].Started)
+		})
+	}
+	done.Wait()
+	for _, record := range records {
+		generator.keep(record)
+	}
+	return records
+}
+
+func (generator *Generator) keep(record Record) {
+	generator.mutex.Lock()
+	defer generator.mutex.Unlock()
+	generator.History = append(generator.History, record)
+}
+
+func (generator *Generator) send(ctx context.Context, record *Record, path string, body []byte) (*http.Response, bool) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+generator.target.Addresses[record.Node]+path, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		record.Broke = true
+		return nil, false
+	}
+	request.ContentLength = int64(len(body))
+	request.Header.Set("Authorization", "Bearer demo-"+record.Tenant)
+	request.Header.Set("Content-Type", "application/json")
+	if record.Kind == Once {
+		request.Header.Set("Idempotency-Key", record.ID)
+	}
+	response, err := generator.client.Do(request)
+	if err != nil {
+		record.Broke = true
+		return nil, false
+	}
+	record.Status = response.StatusCode
+	record.Outcome = response.Header.Get("X-Outcome")
+	record.RetryAfter = response.Header.Get("Retry-After")
+	return response, true
+}
+
+func (generator *Generator) once(ctx context.Context, record *Record) {
+	body := []byte("turn " + record.ID)
+	response, ok := generator.send(ctx, record, generator.target.OncePath, body)
+	if !ok {
+		return
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	record.Broke = err != nil
+	record.Complete = err == nil
+	record.Correct = string(text) == "done "+string(body)
+	record.note(text)
+}
+
+// note reads the code of a refusal.
+func (record *Record) note(text []byte) {
+	if record.Status == http.StatusOK {
+		return
+	}
+	var refusal struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(text, &refusal) == nil {
+		record.Code = refusal.Error.Code
+	}
+}
+
+func (generator *Generator) completion(ctx context.Context, record *Record) {
+	prompt := generator.prompt(record.Tenant, record.ID)
+	tokens := 8 + generator.number(40)
+	text, _ := json.Marshal(string(prompt))
+	body, _ := json.Marshal(engineapi.CompletionRequest{
+		Model: generator.target.Model, Prompt: text, MaxTokens: tokens, Seed: 11, User: record.ID,
+		Stream: record.Kind == Streamed, StreamOptions: &engineapi.StreamOptions{IncludeUsage: true},
+	})
+	response, ok := generator.send(ctx, record, "/v1/completions", body)
+	if !ok {
+		return
+	}
+	defer response.Body.Close()
+	expected := &strings.Builder{}
+	content := xxhash.Sum64(prompt) ^ 11
+	for offset := range tokens {
+		expected.WriteString(enginestub.Token(content, offset))
+	}
+	received := ""
+	if record.Kind == Streamed && record.Status == http.StatusOK {
+		received = record.stream(response.Body)
+	} else {
+		received = record.whole(response.Body)
+	}
+	record.Correct = received == expected.String()
+}
+
+func (record *Record) whole(body io.Reader) string {
+	text, err := io.ReadAll(body)
+	record.Broke = err != nil
+	record.note(text)
+	var answer engineapi.Chunk
+	if err != nil || json.Unmarshal(text, &answer) != nil || len(answer.Choices) == 0 {
+		return ""
+	}
+	record.Complete = true
+	record.Usage = answer.Usage
+	record.FirstToken = time.Since(record.Started)
+	return answer.Choices[0].Content()
+}
+
+// stream reads server-sent events of one line each, as the nodes write them.
+func (record *Record) stream(body io.Reader) string {
+	received := &strings.Builder{}
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, 1<<20)
+	failed := false
+	for lines.Scan() {
+		data, isData := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !isData:
+		case data == "[DONE]":
+			record.Complete = true
+		case strings.HasPrefix(data, `{"error"`):
+			failed = true
+			record.Status = http.StatusBadGateway
+			record.noteEvent([]byte(data))
+		default:
+			var chunk engineapi.Chunk
+			if json.Unmarshal([]byte(data), &chunk) != nil {
+				continue
+			}
+			if record.FirstToken == 0 {
+				record.FirstToken = time.Since(record.Started)
+			}
+			if chunk.Usage != nil {
+				record.Usage = chunk.Usage
+			}
+			for _, choice := range chunk.Choices {
+				received.WriteString(choice.Content())
+			}
+		}
+	}
+	record.Broke = !record.Complete && !failed
+	return received.String()
+}
+
+func (record *Record) noteEvent(data []byte) {
+	var event struct {
+		Error struct {
+			Code    string `json:"code"`
+			Outcome string `json:"outcome"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(data, &event) == nil {
+		record.Code, record.Outcome = event.Error.Code, event.Error.Outcome
+	}
+}
+
+// Count is the number of requests that have ended.
+func (generator *Generator) Count() int {
+	generator.mutex.Lock()
+	defer generator.mutex.Unlock()
+	return len(generator.History)
+}
--- /dev/null
+++ b/internal/lab/load/summary.go
@@ -0,0 +1,84 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Summary condenses a history.
+type Summary struct {
+	Requests   int
+	Answered   int
+	Wrong      int
+	Broken     int
+	HitRate    float64
+	Recomputed int
+	FirstToken *hdrhistogram.Histogram
+	Refusals   map[string]int
+}
+
+const longest = int64(time.Minute / time.Microsecond)
+
+// Summarize condenses a history.
+func Summarize(history []Record) Summary {
+	summary := Summary{FirstToken: hdrhistogram.New(1, longest, 3), Refusals: map[string]int{}}
+	prompt, cached := 0, 0
+	for _, record := range history {
+		summary.Requests++
+		switch {
+		case record.Broke:
+			summary.Broken++
+		case record.Status != 200:
+			summary.Refusals[fmt.Sprintf("%s (%s)", record.Code, record.Outcome)]++
+		case !record.Complete || !record.Correct:
+			summary.Wrong++
+		default:
+			summary.Answered++
+		}
+		if record.Usage != nil {
+			prompt += record.Usage.PromptTokens
+			cached += record.Usage.Details.CachedTokens
+		}
+		if record.FirstToken > 0 && record.Kind == Streamed {
+			_ = summary.FirstToken.RecordValue(int64(record.FirstToken / time.Microsecond))
+		}
+	}
+	summary.Recomputed = prompt - cached
+	if prompt > 0 {
+		summary.HitRate = float64(cached) / float64(prompt)
+	}
+	return summary
+}
+
+// Print writes the summary as a table.
+func (summary Summary) Print(output io.Writer) error {
+	columns := tabwriter.NewWriter(output, 0, 4, 2, ' ', 0)
+	row := func(name string, value any) { fmt.Fprintf(columns, "%s\t%v\n", name, value) }
+	row("requests", summary.Requests)
+	row("answered whole and right", summary.Answered)
+	row("wrong or incomplete", summary.Wrong)
+	row("connection broke", summary.Broken)
+	row("prefix hit rate", fmt.Sprintf("%.1f %%", 100*summary.HitRate))
+	row("recomputed tokens", summary.Recomputed)
+	for _, quantile := range []float64{50, 95, 99} {
+		value := time.Duration(summary.FirstToken.ValueAtQuantile(quantile)) * time.Microsecond
+		row(fmt.Sprintf("first token p%.0f", quantile), value.Round(100*time.Microsecond))
+	}
+	kinds := []string{}
+	for kind := range summary.Refusals {
+		kinds = append(kinds, kind)
+	}
+	sort.Strings(kinds)
+	if len(kinds) == 0 {
+		row("refusals", "none")
+	}
+	for _, kind := range kinds {
+		row("refused: "+kind, summary.Refusals[kind])
+	}
+	return columns.Flush()
+}
--- /dev/null
+++ b/internal/lab/machinestub/server.go
@@ -0,0 +1,73 @@
+// Package machinestub stands in for the platform's list of machines, which lags
+// behind reality.
+package machinestub
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Machine is one entry.
+type Machine struct {
+	Name  string `json:"name"`
+	State string `json:"state"`
+	Epoch string `json:"epoch"`
+}
+
+type change struct {
+	at      time.Time
+	machine Machine
+}
+
+// Server is the stand-in as an HTTP handler.
+type Server struct {
+	lag     time.Duration
+	mutex   sync.Mutex
+	changes []change
+}
+
+// New returns an empty list that lags by the given time.
+func New(lag time.Duration) *Server { return &Server{lag: lag} }
+
+// Set changes an entry; readers see it after the lag.
+func (server *Server) Set(machine Machine) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.changes = append(server.changes, change{at: time.Now(), machine: machine})
+}
+
+// ServeHTTP answers GET /machines and takes POST /machines.
+func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.Method == http.MethodPost {
+		var machine Machine
+		if err := json.NewDecoder(request.Body).Decode(&machine); err != nil {
+			http.Error(writer, err.Error(), http.StatusBadRequest)
+			return
+		}
+		server.Set(machine)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(server.visible(time.Now()))
+}
+
+func (server *Server) visible(now time.Time) []Machine {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	latest := map[string]int{}
+	machines := []Machine{}
+	for _, item := range server.changes {
+		if now.Sub(item.at) < server.lag {
+			continue
+		}
+		if index, found := latest[item.machine.Name]; found {
+			machines[index] = item.machine
+			continue
+		}
+		latest[item.machine.Name] = len(machines)
+		machines = append(machines, item.machine)
+	}
+	return machines
+}
--- /dev/null
+++ b/internal/node/completion.go
@@ -0,0 +1,262 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/admission"
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/dispatch"
+	"github.com/cloverrail/cloverrail/internal/endpoint"
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/prefix"
+	"github.com/cloverrail/cloverrail/internal/retry"
+	"github.com/cloverrail/cloverrail/internal/routing"
+)
+
+const (
+	bytesPerToken = 4
+	// probesAtOnce bounds the back ends asked directly when none is known to be
+	// ready, as right after a restart of the whole fleet.
+	probesAtOnce   = 4
+	probeTimeout   = 300 * time.Millisecond
+	noEndpointWait = time.Second
+)
+
+// Completion is one request for a model.
+type Completion struct {
+	Tenant  *configuration.Tenant
+	Class   *configuration.Class
+	Path    string
+	Body    []byte
+	Request *engineapi.CompletionRequest
+	// Emitted returns the text passed on so far, for a continuation.
+	Emitted func() string
+	Sink    dispatch.Sink
+}
+
+// placement is the state of placing one completion; it implements
+// dispatch.Placer.
+type placement struct {
+	node       *Node
+	completion *Completion
+	prompt     []byte
+	model      string
+	adapter    string
+
+	// salt and chain belong to the version that the last placement was for.
+	salt  string
+	chain []prefix.Hash
+}
+
+// Complete serves one request for a model.
+func (node *Node) Complete(ctx context.Context, completion *Completion) error {
+	model, adapter, _ := strings.Cut(completion.Request.Model, ":")
+	place := &placement{node: node, completion: completion, prompt: completion.Request.PromptText(), model: model, adapter: adapter}
+	snapshot := node.catalog.snapshot.Load()
+	pools := snapshot.PoolsFor(completion.Tenant, model)
+	if len(pools) == 0 {
+		return failure.New(failure.KindNotFound, "the model does not exist", "use a model that GET /v1/models lists")
+	}
+	ctx, cancel := context.WithTimeout(ctx, completion.Class.Deadline)
+	defer cancel()
+	release, err := node.acquire(ctx, completion, pools[0], len(place.prompt))
+	if err != nil {
+		return err
+	}
+	defer release()
+	budget := retry.All{node.limits.tenant(completion.Tenant.Name).budget, node.retries}
+	node.retries.Deposit(time.Now())
+	return node.driver.Run(ctx, dispatch.Call{
+		Path:   completion.Path,
+		Body:   place.body,
+		Placer: place,
+		Sink:   completion.Sink,
+		Limits: dispatch.DefaultLimits,
+		Budget: budget,
+	})
+}
+
+func (node *Node) acquire(ctx context.Context, completion *Completion, pool *configuration.Pool, promptBytes int) (func(), error) {
+	return node.limits.poolPlaces(pool.Name).Acquire(ctx, admission.Ticket{
+		Tenant:   completion.Tenant.Name,
+		Weight:   completion.Tenant.Weight,
+		Priority: priorityOf(completion),
+		Cost:     float64(promptBytes) / bytesPerToken / pool.PrefillTokensPerSecond,
+		Until:    time.Now().Add(completion.Class.QueueTimeout),
+	})
+}
+
+func priorityOf(completion *Completion) int {
+	if completion.Tenant.Priority > 0 {
+		return completion.Tenant.Priority
+	}
+	return completion.Class.Priority
+}
+
+// Place implements dispatch.Placer.
+func (place *placement) Place(ctx context.Context, excluded []string) (dispatch.Target, *failure.Failure) {
+	snapshot := place.node.catalog.snapshot.Load()
+	model, found := snapshot.Model(place.model)
+	pools := snapshot.PoolsFor(place.completion.Tenant, place.model)
+	if !found || len(pools) == 0 {
+		return dispatch.Target{}, failure.New(failure.KindNotFound, "the model does not exist", "use a model that GET /v1/models lists")
+	}
+	place.identify(model, pools[0])
+	if len(excluded) == 0 && len(place.chain) > 0 {
+		place.node.hot.add(place.chain[0], place.completion.Tenant.Name, model.Name, time.Now())
+	}
+	target, reason := place.choose(ctx, snapshot, model, pools, excluded)
+	if target == nil && reason == routing.ReasonNotReady {
+		place.node.probeUnknown(ctx, pools)
+		target, reason = place.choose(ctx, snapshot, model, pools, excluded)
+	}
+	if target == nil && reason == routing.ReasonExcluded {
+		// All were tried; one of them may have recovered, such as an engine that
+		// had merely restarted.
+		target, reason = place.choose(ctx, snapshot, model, pools, nil)
+	}
+	if target == nil {
+		return dispatch.Target{}, failure.New(failure.KindNoEndpoint, "no engine can take the request now ("+string(reason)+")",
+			"send it again after the time given").WithRetryAfter(noEndpointWait)
+	}
+	return *target, nil
+}
+
+func (place *placement) identify(model *configuration.Model, pool *configuration.Pool) {
+	identity := prefix.Identity{Tenant: place.completion.Tenant.Name, Model: model.Name, Version: model.Version, Adapter: place.adapter}
+	salt := prefix.Salt(place.node.key, identity)
+	if salt != place.salt {
+		place.salt = salt
+		place.chain = prefix.Chain(salt, place.prompt, pool.BlockBytes)
+	}
+}
+
+var schedulers = sync.Pool{New: func() any { return routing.NewScheduler() }}
+
+func (place *placement) choose(ctx context.Context, snapshot *configuration.Snapshot, model *configuration.Model, pools []*configuration.Pool, excluded []string) (*dispatch.Target, routing.Reason) {
+	node := place.node
+	now := time.Now()
+	answer := node.lookup(ctx, place.chain)
+	candidates := []routing.Candidate{}
+	for _, pool := range pools {
+		candidates = node.table.Candidates(candidates, pool.Name, model.Name, model.Version, now)
+	}
+	for index := range candidates {
+		candidate := &candidates[index]
+		for _, depth := range answer.Depths {
+			// Entries of another incarnation are of no use, whatever they say.
+			if depth.Holder.Endpoint == candidate.Endpoint && depth.Holder.Epoch == candidate.Epoch {
+				candidate.HitBlocks = depth.Blocks
+			}
+		}
+		for _, name := range excluded {
+			candidate.Excluded = candidate.Excluded || name == candidate.Endpoint
+		}
+		if len(place.chain) > 0 {
+			candidate.Affinity = prefix.Weight(place.chain[0], candidate.Endpoint)
+		} else {
+			candidate.Affinity = prefix.Weight(prefix.KeyOf(place.salt), candidate.Endpoint)
+		}
+	}
+	request := &routing.Request{
+		PromptTokens:           len(place.prompt)/bytesPerToken + 1,
+		BlockTokens:            pools[0].BlockBytes / bytesPerToken,
+		Blocks:                 len(place.chain),
+		PrefillTokensPerSecond: pools[0].PrefillTokensPerSecond,
+		ConcurrentPerEngine:    pools[0].ConcurrentPerEngine,
+		WaitWeight:             snapshot.Declaration.Routing.WaitWeight,
+		WorkWeight:             snapshot.Declaration.Routing.WorkWeight,
+	}
+	scheduler := schedulers.Get().(*routing.Scheduler)
+	defer schedulers.Put(scheduler)
+	decision := scheduler.Schedule(request, candidates)
+	if decision.Index < 0 {
+		return nil, decision.Refused
+	}
+	chosen := candidates[decision.Index]
+	missing := max(0, request.PromptTokens-chosen.HitBlocks*request.BlockTokens)
+	node.table.Begin(chosen.Endpoint, missing, now)
+	return &dispatch.Target{Endpoint: chosen.Endpoint, Address: chosen.Address, Epoch: chosen.Epoch, Weights: model.Version}, routing.Accepted
+}
+
+// Ended implements dispatch.Placer.
+func (place *placement) Ended(target dispatch.Target, failed bool) {
+	place.node.ended(target.Endpoint, failed)
+}
+
+func (node *Node) ended(endpoint string, failed bool) {
+	result := "ok"
+	if failed {
+		result = "failed"
+	}
+	node.metrics.Attempts.WithLabelValues(endpoint, result).Inc()
+	node.table.End(endpoint, failed, time.Now())
+}
+
+// Alive implements dispatch.Placer.
+func (place *placement) Alive(target dispatch.Target) context.Context {
+	return place.node.table.Alive(target.Endpoint)
+}
+
+// Stale implements dispatch.Placer: it asks the engine itself.
+func (place *placement) Stale(target dispatch.Target) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	status, err := place.node.engines.Status(ctx, target.Address)
+	if err == nil {
+		place.node.observe(target.Endpoint, endpoint.Observation{Answered: true, Status: status})
+	}
+}
+
+// probeUnknown asks a few engines that were never seen for their state.
+func (node *Node) probeUnknown(ctx context.Context, pools []*configuration.Pool) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var done sync.WaitGroup
+	probes := 0
+	for _, pool := range pools {
+		for _, engine := range pool.Engines {
+			known, found := node.table.Record(engine.Name)
+			if !found || known.Epoch != "" || probes >= probesAtOnce {
+				continue
+			}
+			probes++
+			done.Go(func() {
+				if status, err := node.engines.Status(ctx, engine.Address); err == nil {
+					node.observe(engine.Name, endpoint.Observation{Answered: true, Status: status})
+				}
+			})
+		}
+	}
+	done.Wait()
+}
+
+// body builds the engine's request: the caller's own with the fields that the
+// fleet sets. Unknown fields pass through.
+func (place *placement) body(continueAt int) ([]byte, error) {
+	fields := map[string]json.RawMessage{}
+	decoder := json.NewDecoder(bytes.NewReader(place.completion.Body))
+	if err := decoder.Decode(&fields); err != nil {
+		return nil, errors.Trace(err)
+	}
+	set := func(name string, value any) {
+		fields[name], _ = json.Marshal(value)
+	}
+	set("stream", true)
+	set("stream_options", engineapi.StreamOptions{IncludeUsage: true})
+	set("cache_salt", place.salt)
+	set("priority", priorityOf(place.completion))
+	delete(fields, "continue_from")
+	if continueAt > 0 {
+		set("continue_from", engineapi.Continuation{Text: place.completion.Emitted(), Offset: continueAt})
+	}
+	return json.Marshal(fields)
+}
--- /dev/null
+++ b/internal/node/gossip.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/endpoint"
+	"github.com/cloverrail/cloverrail/internal/membership"
+	"github.com/cloverrail/cloverrail/internal/metrics"
+	"github.com/cloverrail/cloverrail/internal/peer"
+)
+
+const endpointItemPrefix = "endpoint/"
+
+// gossip drives the membership machine.
+type gossip struct {
+	mutex     sync.Mutex
+	machine   *membership.Machine
+	datagrams *peer.Datagrams[membership.Message]
+	changed   func(membership.Change)
+	metrics   *metrics.Set
+	// ticked is when the machine last ticked, in nanoseconds.
+	ticked atomic.Int64
+	// live caches the addresses of usable nodes.
+	live atomic.Pointer[[]membership.Member]
+}
+
+func newGossip(address, zone string, seeds []string, credentials *peer.Credentials, blocked func(string) bool, set *metrics.Set) (*gossip, error) {
+	datagrams, err := peer.ListenDatagrams[membership.Message](address, credentials, blocked)
+	if err != nil {
+		return nil, err
+	}
+	// A process that starts later at the address has a higher incarnation.
+	self := membership.Member{Address: address, Zone: zone, Incarnation: uint64(time.Now().UnixMilli())}
+	random := rand.New(rand.NewPCG(self.Incarnation, rand.Uint64()))
+	created := &gossip{
+		machine:   membership.NewMachine(membership.DefaultConfig, self, seeds, random),
+		datagrams: datagrams,
+		metrics:   set,
+	}
+	created.refresh()
+	return created, nil
+}
+
+// run ticks and receives until the context ends.
+func (gossip *gossip) run(ctx context.Context) {
+	go gossip.datagrams.Receive(func(message membership.Message) {
+		gossip.do(func(machine *membership.Machine) membership.Output { return machine.Receive(time.Now(), message) })
+	})
+	ticker := time.NewTicker(membership.TickInterval)
+	defer ticker.Stop()
+	for {
+		gossip.do(func(machine *membership.Machine) membership.Output { return machine.Tick(time.Now()) })
+		gossip.ticked.Store(time.Now().UnixNano())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// paused reports whether this process stood still for so long that others may
+// have declared it dead, and has not noticed yet.
+func (gossip *gossip) paused() bool {
+	return time.Since(time.Unix(0, gossip.ticked.Load())) > membership.DefaultConfig.PauseLimit
+}
+
+func (gossip *gossip) do(step func(*membership.Machine) membership.Output) {
+	gossip.mutex.Lock()
+	output := step(gossip.machine)
+	if len(output.Changes) > 0 {
+		gossip.refresh()
+	}
+	gossip.mutex.Unlock()
+	for _, message := range output.Messages {
+		gossip.metrics.DatagramsSent.Inc()
+		// Loss is what the protocol is made for.
+		_ = gossip.datagrams.Send(message.To, message)
+	}
+	for _, change := range output.Changes {
+		gossip.changed(change)
+	}
+}
+
+// refresh must be called with the lock held.
+func (gossip *gossip) refresh() {
+	live := []membership.Member{}
+	counts := map[membership.Status]int{}
+	for _, member := range gossip.machine.Members() {
+		counts[member.Status]++
+		if member.Status < membership.Dead && !member.Draining {
+			live = append(live, member)
+		}
+	}
+	gossip.live.Store(&live)
+	for status := membership.Alive; status <= membership.Left; status++ {
+		gossip.metrics.Members.WithLabelValues(status.String()).Set(float64(counts[status]))
+	}
+}
+
+// members lists the nodes that take work, this one included.
+func (gossip *gossip) members() []membership.Member { return *gossip.live.Load() }
+
+// addresses lists their addresses.
+func (gossip *gossip) addresses() []string {
+	members := gossip.members()
+	addresses := make([]string, len(members))
+	for index, member := range members {
+		addresses[index] = member.Address
+	}
+	return addresses
+}
+
+// all lists every known member and item.
+func (gossip *gossip) all() ([]membership.Member, []membership.Item) {
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	return gossip.machine.Members(), gossip.machine.Items()
+}
+
+func (gossip *gossip) merge(members []membership.Member, items []membership.Item) {
+	gossip.do(func(machine *membership.Machine) membership.Output { return machine.Merge(time.Now(), members, items) })
+}
+
+func (gossip *gossip) offer(record endpoint.Record) {
+	var data bytes.Buffer
+	if gob.NewEncoder(&data).Encode(record) != nil {
+		return
+	}
+	item := membership.Item{Key: endpointItemPrefix + record.Name, Version: record.Version, Data: data.Bytes()}
+	gossip.do(func(machine *membership.Machine) membership.Output { return machine.Offer(item) })
+}
+
+func decodeRecord(item membership.Item) (endpoint.Record, bool) {
+	var record endpoint.Record
+	err := gob.NewDecoder(bytes.NewReader(item.Data)).Decode(&record)
+	return record, err == nil
+}
--- /dev/null
+++ b/internal/node/limits.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/admission"
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/prefix"
+	"github.com/cloverrail/cloverrail/internal/retry"
+	"github.com/cloverrail/cloverrail/internal/wire"
+)
+
+// takeTimeout is what a request waits for its tenant's ledger.
+const takeTimeout = 50 * time.Millisecond
+
+// limits keeps what this node knows of its tenants' use.
+type limits struct {
+	mutex   sync.Mutex
+	ledger  *admission.Ledger
+	tenants map[string]*tenantUse
+	places  map[string]*admission.Places
+}
+
+// tenantUse is one tenant's use of this node. It exists only for tenants that
+// have called here.
+type tenantUse struct {
+	mutex   sync.Mutex
+	share   *admission.Share
+	streams int
+	budget  *retry.Budget
+}
+
+func newLimits(now time.Time) *limits {
+	return &limits{ledger: admission.NewLedger(now), tenants: map[string]*tenantUse{}, places: map[string]*admission.Places{}}
+}
+
+func (limits *limits) tenant(name string) *tenantUse {
+	limits.mutex.Lock()
+	defer limits.mutex.Unlock()
+	use, found := limits.tenants[name]
+	if !found {
+		use = &tenantUse{share: admission.NewShare(), budget: retry.NewBudget(retry.DefaultBudget, time.Now())}
+		limits.tenants[name] = use
+	}
+	return use
+}
+
+// configure sizes the places of each pool.
+func (limits *limits) configure(snapshot *configuration.Snapshot) {
+	limits.mutex.Lock()
+	defer limits.mutex.Unlock()
+	for _, pool := range snapshot.Declaration.Pools {
+		total := pool.ConcurrentPerEngine * len(pool.Engines)
+		if places, found := limits.places[pool.Name]; found {
+			places.Resize(total)
+		} else {
+			limits.places[pool.Name] = admission.NewPlaces(total)
+		}
+	}
+}
+
+func (limits *limits) poolPlaces(pool string) *admission.Places {
+	limits.mutex.Lock()
+	defer limits.mutex.Unlock()
+	return limits.places[pool]
+}
+
+func (limits *limits) take(tenant string, limit admission.Rate, want int) int {
+	limits.mutex.Lock()
+	defer limits.mutex.Unlock()
+	return limits.ledger.Take(time.Now(), tenant, limit, want)
+}
+
+// Admit checks the tenant's rate and open streams. The returned function ends
+// the request's count.
+func (node *Node) Admit(ctx context.Context, tenant *configuration.Tenant) (done func(), err error) {
+	use := node.limits.tenant(tenant.Name)
+	if !node.spend(ctx, tenant, use) {
+		return nil, failure.New(failure.KindRateLimited, "the tenant's request rate is used up", "send fewer requests, or ask for a higher limit").
+			WithRetryAfter(max(time.Second, time.Duration(float64(time.Second)/tenant.Limits.RequestsPerSecond)))
+	}
+	use.mutex.Lock()
+	defer use.mutex.Unlock()
+	if use.streams >= tenant.Limits.Streams {
+		return nil, failure.New(failure.KindRateLimited, "the tenant has too many open requests", "wait for some to end").WithRetryAfter(time.Second)
+	}
+	use.streams++
+	use.budget.Deposit(time.Now())
+	node.metrics.OpenStreams.Inc()
+	return sync.OnceFunc(func() {
+		use.mutex.Lock()
+		defer use.mutex.Unlock()
+		use.streams--
+		node.metrics.OpenStreams.Dec()
+	}), nil
+}
+
+// spend uses a token of the tenant's rate, asking its ledger for more when none
+// is at hand. A ledger that does not answer leaves this node's even part.
+func (node *Node) spend(ctx context.Context, tenant *configuration.Tenant, use *tenantUse) bool {
+	use.mutex.Lock()
+	if use.share.Spend(time.Now()) {
+		use.mutex.Unlock()
+		return true
+	}
+	want := use.share.Want()
+	use.mutex.Unlock()
+	tokens, err := node.takeTokens(ctx, tenant, want)
+	use.mutex.Lock()
+	defer use.mutex.Unlock()
+	now := time.Now()
+	if err != nil {
+		limit := admission.Rate{PerSecond: tenant.Limits.RequestsPerSecond, Burst: tenant.Limits.Burst}
+		return use.share.SpendFallback(now, limit, len(node.gossip.members()))
+	}
+	if tokens == 0 {
+		return false
+	}
+	use.share.Fill(now, tokens-1)
+	return true
+}
+
+func (node *Node) takeTokens(ctx context.Context, tenant *configuration.Tenant, want int) (int, error) {
+	owner := prefix.Owner(prefix.KeyOf("tenant/"+tenant.Name), node.gossip.addresses())
+	if owner == node.settings.PeerAddress || owner == "" {
+		limit := admission.Rate{PerSecond: tenant.Limits.RequestsPerSecond, Burst: tenant.Limits.Burst}
+		return node.limits.take(tenant.Name, limit, want), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	answer, err := call[wire.TakeAnswer](ctx, node, owner, wire.TakeRequest{Tenant: tenant.Name, Want: want})
+	return answer.Tokens, err
+}
+
+// serveTake answers for the tenants whose ledger is here.
+func (node *Node) serveTake(request wire.TakeRequest) wire.TakeAnswer {
+	snapshot := node.catalog.snapshot.Load()
+	if snapshot == nil {
+		return wire.TakeAnswer{}
+	}
+	tenant, found := snapshot.Tenant(request.Tenant)
+	if !found {
+		return wire.TakeAnswer{}
+	}
+	limit := admission.Rate{PerSecond: tenant.Limits.RequestsPerSecond, Burst: tenant.Limits.Burst}
+	return wire.TakeAnswer{Tokens: node.limits.take(tenant.Name, limit, request.Want)}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,351 @@
+// Package node wires the parts of one server process together. Decisions live
+// in the packages it calls; it owns the sockets, goroutines and clocks.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/cloverrail/cloverrail/internal/configstore"
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/dispatch"
+	"github.com/cloverrail/cloverrail/internal/endpoint"
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/kvservice"
+	"github.com/cloverrail/cloverrail/internal/membership"
+	"github.com/cloverrail/cloverrail/internal/metrics"
+	"github.com/cloverrail/cloverrail/internal/peer"
+	"github.com/cloverrail/cloverrail/internal/plain"
+	"github.com/cloverrail/cloverrail/internal/retry"
+	"github.com/cloverrail/cloverrail/internal/settings"
+	"github.com/cloverrail/cloverrail/internal/wire"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	syncTimeout       = 300 * time.Millisecond
+	resyncInterval    = 10 * time.Second
+	startInterval     = 100 * time.Millisecond
+	// callTimeout bounds calls between nodes that set no bound of their own.
+	callTimeout = time.Second
+	// leaveNotice is how long peers get to hear that this node drains before it
+	// refuses new work.
+	leaveNotice = 200 * time.Millisecond
+)
+
+// Node is one server process.
+type Node struct {
+	settings settings.Settings
+	key      []byte
+	log      zerolog.Logger
+	metrics  *metrics.Set
+
+	gossip    *gossip
+	caller    *peer.Caller
+	catalog   *catalog
+	table     *endpoint.Table
+	home      *home
+	claims    *claims
+	limits    *limits
+	hot       *hotCounter
+	engines   *engineapi.Client
+	driver    *dispatch.Driver
+	forwarder *plain.Forwarder
+	retries   *retry.Budget
+	lifecycle *lifecycle
+	tasks     chan func(context.Context)
+
+	peers net.Listener
+	creds *peer.Credentials
+}
+
+// Options are what tests and the laboratory may replace.
+type Options struct {
+	// Blocked cuts the path to a peer.
+	Blocked func(address string) bool
+}
+
+// New opens the sockets of a node. Its settings must have passed their check.
+func New(given settings.Settings, log zerolog.Logger, options Options) (*Node, error) {
+	credentials, err := peer.NewCredentials(given.Key())
+	if err != nil {
+		return nil, err
+	}
+	set := metrics.New()
+	now := time.Now()
+	node := &Node{
+		settings:  given,
+		key:       given.Key(),
+		log:       log,
+		metrics:   set,
+		caller:    peer.NewCaller(credentials, options.Blocked),
+		table:     endpoint.NewTable(),
+		home:      newHome(),
+		claims:    newClaims(now),
+		limits:    newLimits(now),
+		hot:       newHotCounter(),
+		engines:   engineapi.NewClient(),
+		retries:   retry.NewBudget(retry.DefaultBudget, now),
+		lifecycle: newLifecycle(),
+		tasks:     make(chan func(context.Context), 256),
+		creds:     credentials,
+	}
+	node.driver = dispatch.NewDriver(node.engines, func(count int) { set.LateEvents.Add(float64(count)) })
+	node.forwarder = plain.NewForwarder(set.LateEvents.Inc)
+	service := kvservice.NewClient(given.KeyValueAddress)
+	node.catalog = &catalog{store: configstore.New(service), service: service, floor: given.RevisionFloor, log: log, metrics: set, adopted: node.configured}
+	node.gossip, err = newGossip(given.PeerAddress, given.Zone, given.Seeds, credentials, options.Blocked, set)
+	if err != nil {
+		return nil, err
+	}
+	node.gossip.changed = node.memberChanged
+	if node.peers, err = net.Listen("tcp", given.PeerAddress); err != nil {
+		return nil, errors.Annotate(err, "the peer address cannot be used; choose a free port")
+	}
+	return node, nil
+}
+
+// configured puts a new snapshot into the parts that follow it.
+func (node *Node) configured(snapshot *configuration.Snapshot) {
+	node.table.Configure(snapshot)
+	node.limits.configure(snapshot)
+	node.claims.configure(snapshot.Declaration.Claims, time.Now())
+	_, items := node.gossip.all()
+	node.takeItems(items)
+	node.gossip.do(func(machine *membership.Machine) membership.Output { return machine.SetRevision(snapshot.Revision) })
+}
+
+// Run serves until the context ends, then stops as planned: it announces that
+// it drains, refuses new requests, and waits for open ones.
+func (node *Node) Run(ctx context.Context, callers, operators http.Handler) error {
+	callerServer, err := node.listen(node.settings.CallerAddress, callers)
+	if err != nil {
+		return err
+	}
+	operatorServer, err := node.listen(node.settings.OperatorAddress, operators)
+	if err != nil {
+		return err
+	}
+	// Peers are served, and gossip goes on, until the last request has ended.
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	go peer.Serve(running, node.peers, node.creds, node.handle)
+	go node.gossip.run(running)
+	go node.perform(running)
+	go node.join(running)
+	go node.watchWhileRanked(running)
+	go node.observeOwned(running)
+	go node.recoverClaims(running)
+	node.log.Info().Str("callers", node.settings.CallerAddress).Str("peers", node.settings.PeerAddress).Msg("node started")
+	<-ctx.Done()
+	node.drain(callerServer)
+	node.gossip.do((*membership.Machine).Leave)
+	_ = operatorServer.Close()
+	_ = callerServer.Close()
+	node.gossip.datagrams.Close()
+	node.log.Info().Msg("node stopped")
+	return nil
+}
+
+func (node *Node) listen(address string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "address %s cannot be used; choose a free port", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+func (node *Node) drain(server *http.Server) {
+	node.log.Info().Int("open", node.lifecycle.open()).Msg("node drains")
+	node.lifecycle.stopReadiness()
+	node.gossip.do((*membership.Machine).Drain)
+	time.Sleep(leaveNotice)
+	node.lifecycle.refuse()
+	bounded, cancel := context.WithTimeout(context.Background(), node.settings.DrainDeadline)
+	defer cancel()
+	node.lifecycle.wait(bounded)
+	if left := node.lifecycle.open(); left > 0 {
+		node.log.Warn().Int("cut", left).Msg("the drain deadline passed with requests open; declare a longer drainDeadline")
+	}
+	// Let answers that are written leave their connections.
+	flushing, stop := context.WithTimeout(context.Background(), callTimeout)
+	defer stop()
+	_ = server.Shutdown(flushing)
+}
+
+// perform runs tasks that membership changes call for, off the gossip's path.
+func (node *Node) perform(ctx context.Context) {
+	for {
+		select {
+		case task := <-node.tasks:
+			task(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (node *Node) enqueue(task func(context.Context)) {
+	select {
+	case node.tasks <- task:
+	default:
+		// The periodic synchronization makes up for a dropped task.
+	}
+}
+
+func (node *Node) memberChanged(change membership.Change) {
+	switch {
+	case change.Resumed:
+		node.resumed()
+	case change.Revision > node.catalog.revision():
+		node.enqueue(func(ctx context.Context) {
+			if change.Revision > node.catalog.revision() {
+				node.fetch(ctx, change.From)
+			}
+		})
+	case change.Item != nil:
+		node.takeItems([]membership.Item{*change.Item})
+	case change.Member != nil:
+		node.log.Info().Str("member", change.Member.Address).Stringer("status", change.Member.Status).
+			Bool("draining", change.Member.Draining).Msg("member changed")
+	}
+}
+
+// resumed follows a pause of this process. What it owned may be another's now.
+func (node *Node) resumed() {
+	node.log.Warn().Msg("this process was paused; it starts over as a member")
+	node.lifecycle.suspend()
+	node.claims.restart(time.Now())
+	node.home.reset()
+	node.enqueue(func(ctx context.Context) {
+		node.synchronize(ctx)
+		node.lifecycle.resume()
+	})
+}
+
+func (node *Node) takeItems(items []membership.Item) {
+	for _, item := range items {
+		if record, ok := decodeRecord(item); ok {
+			node.table.Merge(record)
+		}
+	}
+}
+
+// join looks for the fleet at once, and again from time to time, so that what
+// gossip lost is made up for.
+func (node *Node) join(ctx context.Context) {
+	for ctx.Err() == nil {
+		node.synchronize(ctx)
+		if node.catalog.revision() == 0 {
+			_ = node.catalog.read(ctx)
+		}
+		pause := resyncInterval
+		if node.catalog.revision() == 0 {
+			pause = startInterval
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// synchronize exchanges views with a few peers and takes the highest revision.
+func (node *Node) synchronize(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	members, _ := node.gossip.all()
+	addresses := node.syncPartners()
+	answers := make(chan wire.SyncAnswer, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			answer, err := call[wire.SyncAnswer](ctx, node, address, wire.SyncRequest{Members: members})
+			if err != nil {
+				answer = wire.SyncAnswer{}
+			}
+			node.gossip.merge(answer.Members, answer.Items)
+			if answer.Revision > node.catalog.revision() {
+				node.fetch(ctx, address)
+			}
+			answers <- answer
+		}()
+	}
+	for range addresses {
+		select {
+		case <-answers:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// syncPartners are the seeds while nobody else is known, and then one seed and
+// one member at random order of the map.
+func (node *Node) syncPartners() []string {
+	partners := map[string]bool{}
+	known := node.gossip.addresses()
+	for _, seed := range node.settings.Seeds {
+		if seed != node.settings.PeerAddress {
+			partners[seed] = true
+		}
+	}
+	addresses := []string{}
+	for address := range partners {
+		if len(known) > 1 && len(addresses) == 2 {
+			break
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+// call sends a request to a peer and checks the type of its answer.
+func call[Answer any](ctx context.Context, node *Node, address string, request any) (Answer, error) {
+	var none Answer
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	received, err := node.caller.Call(ctx, address, request)
+	if err != nil {
+		return none, err
+	}
+	answer, ok := received.(Answer)
+	if !ok {
+		return none, errors.Errorf("unexpected answer %T from %s; run the same version on all nodes", received, address)
+	}
+	return answer, nil
+}
+
+// handle answers a peer's call.
+func (node *Node) handle(_ context.Context, request any) (any, error) {
+	switch request := request.(type) {
+	case wire.SyncRequest:
+		node.gossip.merge(request.Members, nil)
+		members, items := node.gossip.all()
+		return wire.SyncAnswer{Members: members, Items: items, Revision: node.catalog.revision()}, nil
+	case wire.ConfigurationRequest:
+		return node.serveConfiguration(request), nil
+	case wire.IndexUpdate:
+		return node.applyUpdate(request), nil
+	case wire.LookupRequest:
+		return node.home.lookup(request.Chain), nil
+	case wire.ClaimRequest:
+		return node.claims.answer(request), nil
+	case wire.ConcludeRequest:
+		node.claims.conclude(request)
+		return wire.ConcludeAnswer{}, nil
+	case wire.ClaimsRequest:
+		return node.claims.records(request), nil
+	case wire.TakeRequest:
+		return node.serveTake(request), nil
+	default:
+		return nil, errors.Errorf("unknown request %T; run the same version on all nodes", request)
+	}
+}
--- /dev/null
+++ b/internal/node/observe.go
@@ -0,0 +1,302 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/endpoint"
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/eventreader"
+	"github.com/cloverrail/cloverrail/internal/prefix"
+	"github.com/cloverrail/cloverrail/internal/prefixindex"
+	"github.com/cloverrail/cloverrail/internal/wire"
+)
+
+const (
+	readInterval = 100 * time.Millisecond
+	// missesUntilDown reads in a row without an answer mark a back end as down.
+	missesUntilDown = 3
+	// publishTimeout bounds the wait for a node that keeps part of the index; one
+	// that missed an update asks for all later.
+	publishTimeout      = 300 * time.Millisecond
+	machineListInterval = time.Second
+)
+
+// observer follows one back end for the fleet.
+type observer struct {
+	node    *Node
+	backend configuration.Backend
+	engine  bool
+	reader  *eventreader.Reader
+	misses  int
+	// sequences counts the updates sent to each node.
+	sequences map[string]uint64
+}
+
+// observeOwned runs an observer for each back end that this node owns. One node
+// owns each back end: the first by rendezvous, in the back end's zone if there
+// are nodes in it.
+func (node *Node) observeOwned(ctx context.Context) {
+	running := map[string]context.CancelFunc{}
+	for ctx.Err() == nil {
+		wanted := map[string]bool{}
+		for _, item := range node.backends() {
+			if node.ownerOf(item.backend) != node.settings.PeerAddress {
+				continue
+			}
+			name := item.backend.Name + "@" + item.backend.Address
+			wanted[name] = true
+			if running[name] == nil {
+				observing, stop := context.WithCancel(ctx)
+				running[name] = stop
+				go item.run(observing)
+			}
+		}
+		for name, stop := range running {
+			if !wanted[name] {
+				stop()
+				delete(running, name)
+			}
+		}
+		select {
+		case <-time.After(rankInterval / 2):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (node *Node) backends() []*observer {
+	snapshot := node.catalog.snapshot.Load()
+	if snapshot == nil {
+		return nil
+	}
+	observers := []*observer{}
+	for _, pool := range snapshot.Declaration.Pools {
+		for _, backend := range pool.Engines {
+			observers = append(observers, &observer{node: node, backend: backend, engine: true, sequences: map[string]uint64{}, reader: eventreader.New(backend.Name)})
+		}
+	}
+	for _, service := range snapshot.Declaration.Services {
+		for _, backend := range service.Servers {
+			observers = append(observers, &observer{node: node, backend: backend, reader: eventreader.New(backend.Name)})
+		}
+	}
+	return observers
+}
+
+func (node *Node) ownerOf(backend configuration.Backend) string {
+	near := []string{}
+	all := []string{}
+	for _, member := range node.gossip.members() {
+		all = append(all, member.Address)
+		if member.Zone == backend.Zone {
+			near = append(near, member.Address)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	return prefix.Owner(prefix.KeyOf(backend.Name), near)
+}
+
+func (observer *observer) run(ctx context.Context) {
+	ticker := time.NewTicker(readInterval)
+	defer ticker.Stop()
+	for {
+		if observer.engine {
+			observer.readEvents(ctx)
+		} else {
+			status, answered := observer.node.probe(ctx, observer.backend)
+			observer.note(ctx, status, answered)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (observer *observer) readEvents(ctx context.Context) {
+	node := observer.node
+	batch, err := node.engines.Events(ctx, observer.backend.Address, observer.reader.After())
+	observer.note(ctx, batch.Status, err == nil)
+	if err != nil {
+		return
+	}
+	node.metrics.CacheEvents.Add(float64(len(batch.Events)))
+	change := observer.reader.Take(batch)
+	if observer.reader.SnapshotDue(time.Now()) {
+		if snapshot, err := node.engines.Snapshot(ctx, observer.backend.Address); err == nil {
+			node.metrics.CacheGaps.Inc()
+			change = observer.reader.Reset(time.Now(), snapshot)
+		}
+	}
+	observer.publish(ctx, change, batch.Status.Load)
+}
+
+// note spreads what an observation changed.
+func (observer *observer) note(ctx context.Context, status engineapi.Status, answered bool) {
+	if ctx.Err() != nil {
+		return
+	}
+	if answered {
+		observer.misses = 0
+	} else if observer.misses++; observer.misses < missesUntilDown {
+		return
+	}
+	observer.node.observe(observer.backend.Name, endpoint.Observation{Answered: answered, Status: status})
+}
+
+// observe merges one look at a back end and tells the fleet what is new.
+func (node *Node) observe(name string, observation endpoint.Observation) {
+	known, found := node.table.Record(name)
+	if !found {
+		return
+	}
+	if next, changed := endpoint.Observe(known, observation); changed {
+		node.spread(known, next)
+	}
+}
+
+func (node *Node) spread(known, next endpoint.Record) {
+	node.log.Info().Str("backend", next.Name).Bool("down", next.Down).Bool("leaving", next.Leaving).
+		Bool("restarted", known.Epoch != "" && known.Epoch != next.Epoch).Msg("back end changed")
+	node.table.Merge(next)
+	node.gossip.offer(next)
+}
+
+// publish sends a change to the nodes that keep it, each its own part.
+func (observer *observer) publish(ctx context.Context, change eventreader.Change, load engineapi.Load) {
+	addresses := observer.node.gossip.addresses()
+	parts := split(change, addresses)
+	updates := map[string]wire.IndexUpdate{}
+	for address, part := range parts {
+		observer.sequences[address]++
+		updates[address] = observer.update(address, part, load)
+	}
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	var done sync.WaitGroup
+	for address, update := range updates {
+		done.Go(func() {
+			if answer, err := observer.send(ctx, address, update); err != nil || !answer.NeedAll {
+				return
+			}
+			// The receiver missed something, or has just started.
+			whole := split(observer.reader.All(), addresses)[address]
+			whole.Clear = true
+			update.Update = observer.update(address, whole, load).Update
+			_, _ = observer.send(ctx, address, update)
+		})
+	}
+	done.Wait()
+}
+
+func (observer *observer) update(address string, part eventreader.Change, load engineapi.Load) wire.IndexUpdate {
+	update := prefixindex.Update{Holder: observer.reader.Holder(), Clear: part.Clear}
+	for _, item := range part.Stored {
+		update.Stored = append(update.Stored, item.Block)
+	}
+	for _, item := range part.Evicted {
+		update.Evicted = append(update.Evicted, item.Block)
+	}
+	return wire.IndexUpdate{Reader: observer.node.settings.PeerAddress, Sequence: observer.sequences[address], Update: update, Load: load}
+}
+
+func (observer *observer) send(ctx context.Context, address string, update wire.IndexUpdate) (wire.IndexAnswer, error) {
+	if address == observer.node.settings.PeerAddress {
+		return observer.node.applyUpdate(update), nil
+	}
+	return call[wire.IndexAnswer](ctx, observer.node, address, update)
+}
+
+// split deals a change out to the nodes that keep it. In a small fleet each
+// node gets all of it, and a load report even when nothing changed.
+func split(change eventreader.Change, addresses []string) map[string]eventreader.Change {
+	parts := map[string]eventreader.Change{}
+	if replicated(len(addresses)) {
+		for _, address := range addresses {
+			parts[address] = change
+		}
+		return parts
+	}
+	if change.Clear {
+		for _, address := range addresses {
+			parts[address] = eventreader.Change{Clear: true}
+		}
+	}
+	for _, item := range change.Stored {
+		owner := prefix.Owner(item.Root, addresses)
+		part := parts[owner]
+		part.Stored = append(part.Stored, item)
+		parts[owner] = part
+	}
+	for _, item := range change.Evicted {
+		owner := prefix.Owner(item.Root, addresses)
+		part := parts[owner]
+		part.Evicted = append(part.Evicted, item)
+		parts[owner] = part
+	}
+	return parts
+}
+
+// probe asks a back end for its account. A plain service need not have one: any
+// answer shows that it lives.
+func (node *Node) probe(ctx context.Context, backend configuration.Backend) (engineapi.Status, bool) {
+	status, err := node.engines.Status(ctx, backend.Address)
+	var rejected *engineapi.ErrRejected
+	return status, err == nil || errors.As(err, &rejected)
+}
+
+// machine is one entry of the platform's list.
+type machine struct {
+	Name  string `json:"name"`
+	State string `json:"state"`
+	// Epoch is the incarnation that the entry speaks of.
+	Epoch string `json:"epoch"`
+}
+
+// machineLeaving is the state of machines that will go.
+const machineLeaving = "leaving"
+
+// followMachineList takes leaving machines from the platform's list. The list
+// lags: it may speak of an incarnation that is gone.
+func (node *Node) followMachineList(ctx context.Context) {
+	if node.settings.MachineListAddress == "" {
+		return
+	}
+	client := &http.Client{Timeout: machineListInterval}
+	ticker := time.NewTicker(machineListInterval)
+	defer ticker.Stop()
+	for {
+		var machines []machine
+		_, err := sling.New().Client(client).Get("http://"+node.settings.MachineListAddress+"/machines").Receive(&machines, nil)
+		if err == nil {
+			node.takeMachineList(machines)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (node *Node) takeMachineList(machines []machine) {
+	for _, entry := range machines {
+		known, found := node.table.Record(entry.Name)
+		if !found || entry.State != machineLeaving || entry.Epoch != known.Epoch {
+			continue
+		}
+		if next, changed := endpoint.Leave(known); changed {
+			node.spread(known, next)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/service.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cloverrail/cloverrail/internal/configstore"
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/endpoint"
+	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/membership"
+	"github.com/cloverrail/cloverrail/internal/metrics"
+	"github.com/cloverrail/cloverrail/internal/plain"
+	"github.com/cloverrail/cloverrail/internal/prefix"
+	"github.com/cloverrail/cloverrail/internal/retry"
+	"github.com/cloverrail/cloverrail/internal/routing"
+)
+
+// Snapshot returns the configuration in force, or nil.
+func (node *Node) Snapshot() *configuration.Snapshot { return node.catalog.snapshot.Load() }
+
+// Metrics returns the node's metrics.
+func (node *Node) Metrics() *metrics.Set { return node.metrics }
+
+// Registry returns the registry behind /metrics.
+func (node *Node) Registry() *prometheus.Registry { return node.metrics.Registry }
+
+// MaximumBody is the largest request body accepted, in bytes.
+func (node *Node) MaximumBody() int64 { return node.settings.MaximumBody }
+
+// Enter admits a request to the node. Without a configuration, or after a pause
+// that the node has not yet made up for, it refuses rather than serve by rules
+// that may be out of force.
+func (node *Node) Enter() (*configuration.Snapshot, func(), error) {
+	snapshot := node.Snapshot()
+	if snapshot == nil {
+		return nil, nil, failure.New(failure.KindNotConfigured, "this node has no configuration yet",
+			"apply a declaration, or check that peers or the key-value service can be reached").WithRetryAfter(time.Second)
+	}
+	if node.gossip.paused() {
+		return nil, nil, failure.New(failure.KindUnavailable, "this node was paused and is catching up", "send the request to another node").WithRetryAfter(time.Second)
+	}
+	done, refusal := node.lifecycle.enter()
+	if refusal != nil {
+		return nil, nil, refusal
+	}
+	return snapshot, done, nil
+}
+
+// Ready reports whether the node takes new work.
+func (node *Node) Ready() bool {
+	return node.Snapshot() != nil && node.lifecycle.ready() && !node.gossip.paused()
+}
+
+// chooser picks servers of a plain service.
+type chooser struct {
+	node    *Node
+	service string
+	key     prefix.Hash
+}
+
+// Choose implements plain.Chooser.
+func (chooser *chooser) Choose(excluded []string) (plain.Server, *failure.Failure) {
+	now := time.Now()
+	candidates := chooser.node.table.Candidates(nil, chooser.service, "", "", now)
+	for index := range candidates {
+		candidates[index].Affinity = prefix.Weight(chooser.key, candidates[index].Endpoint)
+		for _, name := range excluded {
+			candidates[index].Excluded = candidates[index].Excluded || name == candidates[index].Endpoint
+		}
+	}
+	scheduler := routing.NewScheduler(routing.LoadScorer{})
+	decision := scheduler.Schedule(&routing.Request{}, candidates)
+	if decision.Index < 0 {
+		return plain.Server{}, failure.New(failure.KindNoEndpoint, "no server can take the request now ("+string(decision.Refused)+")",
+			"send it again after the time given").WithRetryAfter(noEndpointWait)
+	}
+	chosen := candidates[decision.Index]
+	chooser.node.table.Begin(chosen.Endpoint, 0, now)
+	return plain.Server{Name: chosen.Endpoint, Address: chosen.Address}, nil
+}
+
+// Ended implements plain.Chooser.
+func (chooser *chooser) Ended(server plain.Server, failed bool) {
+	chooser.node.ended(server.Name, failed)
+}
+
+// Forward sends a request to a plain service. A request of a route that is not
+// repeatable is claimed first when it carries an idempotency key.
+func (node *Node) Forward(ctx context.Context, tenant *configuration.Tenant, service *configuration.Service, request plain.Request, idempotencyKey string) (*plain.Answer, error) {
+	choose := &chooser{node: node, service: service.Name, key: prefix.KeyOf(tenant.Name + idempotencyKey + request.Path)}
+	budget := retry.All{node.limits.tenant(tenant.Name).budget, node.retries}
+	node.retries.Deposit(time.Now())
+	if request.Repeatable || idempotencyKey == "" {
+		return node.forwarder.Forward(ctx, request, choose, budget)
+	}
+	claimed, err := node.Claim(ctx, tenant.Name+"/"+service.Name, idempotencyKey)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := node.forwarder.Forward(ctx, request, choose, budget)
+	switch {
+	case err == nil:
+		claimed.Complete()
+	case failure.As(err).Outcome == failure.NotRun:
+		claimed.Release()
+	}
+	return answer, err
+}
+
+// Store gives operator commands access to the declaration.
+func (node *Node) Store() *configstore.Store { return node.catalog.store }
+
+// Version returns the version in force, or nil.
+func (node *Node) Version() *configstore.Version { return node.catalog.version.Load() }
+
+// Adopt puts a version that was just accepted in force here at once.
+func (node *Node) Adopt(version *configstore.Version) { node.catalog.adopt(version) }
+
+// Members lists all known nodes.
+func (node *Node) Members() []membership.Member {
+	members, _ := node.gossip.all()
+	return members
+}
+
+// Endpoints lists all back ends.
+func (node *Node) Endpoints() []endpoint.View { return node.table.Views() }
+
+// IndexBlocks is the number of cached blocks that this node knows of.
+func (node *Node) IndexBlocks() int { return node.home.blocks() }
+
+// HotPrefixes lists the prefixes asked for most.
+func (node *Node) HotPrefixes(limit int) []HotPrefix { return node.hot.top(limit) }
--- /dev/null
+++ b/internal/operator/command.go
@@ -0,0 +1,144 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/configstore"
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/strictyaml"
+)
+
+// commandTries bounds the repetitions of a command that lost a race. Unlike a
+// whole declaration, a command means the same on top of any other change.
+const commandTries = 5
+
+// Execute carries out a command: it changes the declaration in the key-value
+// service, and returns the version that put it in force.
+func Execute(ctx context.Context, store *configstore.Store, statement *Statement) (*configstore.Version, error) {
+	var lost error
+	for range commandTries {
+		base, err := store.Read(ctx, nil)
+		if err != nil {
+			return nil, err
+		}
+		if base == nil {
+			return nil, failure.New(failure.KindNotConfigured, "nothing is declared yet", "apply a declaration first")
+		}
+		declaration, err := configstore.Join(base.Parts)
+		if err != nil {
+			return nil, err
+		}
+		if err := change(declaration, statement); err != nil {
+			return nil, err
+		}
+		if err := strictyaml.Validate("(command)", declaration); err != nil {
+			return nil, failure.New(failure.KindInvalidRequest, err.Error(), "give a value in range")
+		}
+		version, err := store.Propose(ctx, base, uuid.NewString(), declaration)
+		if err == nil || !failure.Is(err, failure.KindConflict) {
+			return version, err
+		}
+		lost = err
+	}
+	return nil, lost
+}
+
+func change(declaration *configuration.Declaration, statement *Statement) error {
+	switch {
+	case statement.Drain != nil:
+		return drain(declaration, statement.Drain.Name)
+	case statement.Readmit != nil:
+		return readmit(declaration, statement.Readmit.Name)
+	case statement.Set != nil && statement.Set.Subject == "tenant":
+		return setTenant(declaration, statement.Set)
+	case statement.Set != nil:
+		return setModel(declaration, statement.Set)
+	default:
+		return errors.New("not a command")
+	}
+}
+
+func drain(declaration *configuration.Declaration, name string) error {
+	if !declaration.HasBackend(name) {
+		return unknown("back end", name, "show engines")
+	}
+	for _, drained := range declaration.Draining {
+		if drained == name {
+			return nil
+		}
+	}
+	declaration.Draining = append(declaration.Draining, name)
+	return nil
+}
+
+func readmit(declaration *configuration.Declaration, name string) error {
+	kept := []string{}
+	for _, drained := range declaration.Draining {
+		if drained != name {
+			kept = append(kept, drained)
+		}
+	}
+	if len(kept) == len(declaration.Draining) {
+		return failure.New(failure.KindNotFound, name+" is not draining by command", "see `show engines where state = draining`")
+	}
+	declaration.Draining = kept
+	return nil
+}
+
+func unknown(kind, name, query string) error {
+	return failure.New(failure.KindNotFound, "no "+kind+" is named "+strconv.Quote(name), "see `"+query+"`")
+}
+
+func setTenant(declaration *configuration.Declaration, set *Set) error {
+	for index := range declaration.Tenants {
+		tenant := &declaration.Tenants[index]
+		if tenant.Name != set.Name {
+			continue
+		}
+		var err error
+		switch set.Field {
+		case "priority":
+			tenant.Priority, err = strconv.Atoi(set.Value)
+		case "weight":
+			tenant.Weight, err = strconv.ParseFloat(set.Value, 64)
+		case "rate":
+			tenant.Limits.RequestsPerSecond, err = strconv.ParseFloat(set.Value, 64)
+		case "class":
+			tenant.Class = set.Value
+		default:
+			return failure.New(failure.KindInvalidRequest, "a tenant has no "+set.Field, "set its priority, weight, rate or class")
+		}
+		if err != nil {
+			return failure.New(failure.KindInvalidRequest, strconv.Quote(set.Value)+" is not a number", "give a number such as 3")
+		}
+		return nil
+	}
+	return unknown("tenant", set.Name, "show tenants")
+}
+
+func setModel(declaration *configuration.Declaration, set *Set) error {
+	if set.Field != "version" {
+		return failure.New(failure.KindInvalidRequest, "a model has no "+set.Field, "set its version")
+	}
+	for index := range declaration.Models {
+		if declaration.Models[index].Name == set.Name {
+			declaration.Models[index].Version = set.Value
+			return nil
+		}
+	}
+	return unknown("model", set.Name, "show models")
+}
+
+// decode reads a JSON message, naming the remedy when it cannot.
+func decode(data []byte, into any) error {
+	if err := json.Unmarshal(data, into); err != nil {
+		return failure.New(failure.KindInvalidRequest, "the message is not valid: "+err.Error(), "use the cloverrail command of the same version")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operator/language.go
@@ -0,0 +1,86 @@
+// Package operator is the operators' interface: a small query and command
+// language, and the calls behind check, plan and apply.
+package operator
+
+import (
+	"fmt"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/failure"
+)
+
+// Statement is one line of the language; exactly one field is set.
+type Statement struct {
+	Show    *Show    `parser:"(  'show' @@"`
+	Drain   *Drain   `parser:" | 'drain' @@"`
+	Readmit *Readmit `parser:" | 'readmit' @@"`
+	Set     *Set     `parser:" | 'set' @@ ) EOF"`
+}
+
+// Show is a query: show engines where state = draining limit 10.
+type Show struct {
+	Subject    string      `parser:"@('engines' | 'nodes' | 'tenants' | 'models' | 'pools' | 'services' | 'prefixes' | 'configuration')"`
+	Hot        bool        `parser:"@'hot'?"`
+	Conditions []Condition `parser:"('where' @@ ('and' @@)*)?"`
+	Limit      int         `parser:"('limit' @Number)?"`
+}
+
+// Condition compares one column.
+type Condition struct {
+	Column   string `parser:"@Word"`
+	Operator string `parser:"@Operator"`
+	Value    string `parser:"@(Word | Number | String)"`
+}
+
+// Drain stops new work for a back end: drain engine NAME.
+type Drain struct {
+	Kind string `parser:"@('engine' | 'server')"`
+	Name string `parser:"@(Word | String)"`
+}
+
+// Readmit undoes Drain.
+type Readmit struct {
+	Kind string `parser:"@('engine' | 'server')"`
+	Name string `parser:"@(Word | String)"`
+}
+
+// Set changes one value: set tenant NAME priority 3, set model NAME version v2.
+type Set struct {
+	Subject string `parser:"@('tenant' | 'model')"`
+	Name    string `parser:"@(Word | String)"`
+	Field   string `parser:"@('priority' | 'weight' | 'rate' | 'version' | 'class')"`
+	Value   string `parser:"@(Word | Number | String)"`
+}
+
+var rules = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "String", Pattern: `"[^"]*"`},
+	{Name: "Number", Pattern: `\d+(\.\d+)?\b`},
+	{Name: "Word", Pattern: `[a-zA-Z0-9][a-zA-Z0-9_.:/-]*`},
+	{Name: "Operator", Pattern: `!=|<=|>=|=|<|>`},
+	{Name: "Space", Pattern: `\s+`},
+})
+
+var statementParser = participle.MustBuild[Statement](
+	participle.Lexer(rules),
+	participle.Elide("Space"),
+	participle.Unquote("String"),
+	participle.UseLookahead(2),
+)
+
+// Parse reads one statement. A fault names the column and what was expected.
+func Parse(text string) (*Statement, error) {
+	statement, err := statementParser.ParseString("", text)
+	if err == nil {
+		return statement, nil
+	}
+	column, message := 1, err.Error()
+	var located participle.Error
+	if errors.As(err, &located) {
+		column, message = located.Position().Column, located.Message()
+	}
+	return nil, failure.New(failure.KindInvalidRequest, fmt.Sprintf("column %d: %s", column, message),
+		"write for example: show engines where state = draining limit 10")
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,263 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/cloverrail/cloverrail/internal/configstore"
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/difference"
+	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/node"
+	"github.com/cloverrail/cloverrail/internal/strictyaml"
+)
+
+const (
+	maximumMessage = 64 << 20
+	callTimeout    = 20 * time.Second
+)
+
+// QueryRequest carries one statement.
+type QueryRequest struct {
+	Statement string `json:"statement"`
+}
+
+// ApplyRequest carries a whole declaration.
+type ApplyRequest struct {
+	// ChangeID is chosen by the operator's command, so that a lost answer can be
+	// settled.
+	ChangeID string `json:"changeID"`
+	File     string `json:"file"`
+	Text     string `json:"text"`
+	// BaseRevision is the revision that the operator's plan was made against; 0
+	// takes the one in force.
+	BaseRevision int64 `json:"baseRevision"`
+}
+
+// SettleRequest asks what became of a change.
+type SettleRequest struct {
+	ChangeID string `json:"changeID"`
+}
+
+// ChangeAnswer tells of an accepted change.
+type ChangeAnswer struct {
+	Accepted bool   `json:"accepted"`
+	Revision int64  `json:"revision"`
+	ChangeID string `json:"changeID"`
+}
+
+// PlanAnswer lists what a declaration would change.
+type PlanAnswer struct {
+	Revision    int64             `json:"revision"`
+	Differences []difference.Line `json:"differences"`
+}
+
+// StatusAnswer is a node's account of itself.
+type StatusAnswer struct {
+	Ready       bool   `json:"ready"`
+	Revision    int64  `json:"revision"`
+	ChangeID    string `json:"changeID"`
+	Nodes       int    `json:"nodes"`
+	IndexBlocks int    `json:"indexBlocks"`
+}
+
+// ErrorAnswer carries a failure.
+type ErrorAnswer struct {
+	Kind    failure.Kind    `json:"kind"`
+	Outcome failure.Outcome `json:"outcome"`
+	Problem string          `json:"problem"`
+	Remedy  string          `json:"remedy"`
+}
+
+// Server is the operators' HTTP interface of one node.
+type Server struct {
+	node      *node.Node
+	bootstrap string
+	mux       *http.ServeMux
+}
+
+// NewServer returns the interface. Bootstrap is the digest of a key that works
+// before any operator is declared; empty means none.
+func NewServer(served *node.Node, bootstrap string) *Server {
+	server := &Server{node: served, bootstrap: bootstrap, mux: http.NewServeMux()}
+	server.mux.Handle("GET /metrics", promhttp.HandlerFor(served.Registry(), promhttp.HandlerOpts{}))
+	server.mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "ok\n") })
+	server.mux.HandleFunc("GET /readyz", func(writer http.ResponseWriter, _ *http.Request) {
+		if !served.Ready() {
+			http.Error(writer, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	server.handle("POST /operator/query", server.query)
+	server.handle("POST /operator/plan", server.plan)
+	server.handle("POST /operator/apply", server.apply)
+	server.handle("POST /operator/settle", server.settle)
+	server.handle("GET /operator/status", server.status)
+	return server
+}
+
+// ServeHTTP serves one request.
+func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	server.mux.ServeHTTP(writer, request)
+}
+
+func (server *Server) handle(pattern string, serve func(ctx context.Context, body []byte) (any, error)) {
+	server.mux.HandleFunc(pattern, func(writer http.ResponseWriter, request *http.Request) {
+		ctx, cancel := context.WithTimeout(request.Context(), callTimeout)
+		defer cancel()
+		answer, err := server.serve(ctx, writer, request, serve)
+		writer.Header().Set("Content-Type", "application/json")
+		if err != nil {
+			refusal := describe(err)
+			writer.WriteHeader(statusOf(refusal.Kind))
+			_ = json.NewEncoder(writer).Encode(ErrorAnswer{Kind: refusal.Kind, Outcome: refusal.Outcome, Problem: refusal.Problem, Remedy: refusal.Remedy})
+			return
+		}
+		_ = json.NewEncoder(writer).Encode(answer)
+	})
+}
+
+func (server *Server) serve(ctx context.Context, writer http.ResponseWriter, request *http.Request, serve func(context.Context, []byte) (any, error)) (any, error) {
+	key, _ := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+	if !server.allowed(key) {
+		return nil, failure.New(failure.KindUnauthorized, "the operator key is missing or wrong", "set --key or CLOVERRAIL_OPERATOR_KEY")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maximumMessage))
+	if err != nil {
+		return nil, failure.New(failure.KindTooLarge, "the message is too long", "split the declaration over fleets")
+	}
+	return serve(ctx, body)
+}
+
+// allowed knows operators only; the keys of tenants do not open this interface.
+func (server *Server) allowed(key string) bool {
+	if server.bootstrap != "" && configuration.Digest(key) == server.bootstrap {
+		return true
+	}
+	snapshot := server.node.Snapshot()
+	if snapshot == nil {
+		return false
+	}
+	_, found := snapshot.OperatorOfKey(key)
+	return found
+}
+
+func describe(err error) *failure.Failure {
+	var faults strictyaml.Faults
+	if errors.As(err, &faults) {
+		return failure.New(failure.KindInvalidRequest, faults.Error(), "mend the declaration and run `cloverrail check`")
+	}
+	return failure.As(err)
+}
+
+func statusOf(kind failure.Kind) int {
+	switch kind {
+	case failure.KindUnauthorized:
+		return http.StatusUnauthorized
+	case failure.KindInvalidRequest:
+		return http.StatusBadRequest
+	case failure.KindNotFound:
+		return http.StatusNotFound
+	case failure.KindConflict:
+		return http.StatusConflict
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func (server *Server) query(ctx context.Context, body []byte) (any, error) {
+	var message QueryRequest
+	if err := decode(body, &message); err != nil {
+		return nil, err
+	}
+	statement, err := Parse(message.Statement)
+	if err != nil {
+		return nil, err
+	}
+	if statement.Show != nil {
+		return Query(server.node, statement.Show)
+	}
+	version, err := Execute(ctx, server.node.Store(), statement)
+	if err != nil {
+		return nil, err
+	}
+	server.node.Adopt(version)
+	answer := &Table{Columns: []string{"accepted", "revision", "change"}}
+	answer.add(true, version.Revision, version.Manifest.ChangeID)
+	return answer, nil
+}
+
+func (server *Server) plan(ctx context.Context, body []byte) (any, error) {
+	var message ApplyRequest
+	if err := decode(body, &message); err != nil {
+		return nil, err
+	}
+	declared, err := configuration.Parse(message.File, []byte(message.Text))
+	if err != nil {
+		return nil, err
+	}
+	base, err := server.node.Store().Read(ctx, server.node.Version())
+	if err != nil {
+		return nil, err
+	}
+	answer := PlanAnswer{}
+	var current *configuration.Declaration
+	if base != nil {
+		answer.Revision = base.Revision
+		if current, err = configstore.Join(base.Parts); err != nil {
+			return nil, err
+		}
+	}
+	answer.Differences, err = difference.Between(current, declared)
+	return answer, err
+}
+
+func (server *Server) apply(ctx context.Context, body []byte) (any, error) {
+	var message ApplyRequest
+	if err := decode(body, &message); err != nil {
+		return nil, err
+	}
+	declared, err := configuration.Parse(message.File, []byte(message.Text))
+	if err != nil {
+		return nil, err
+	}
+	base, err := server.node.Store().Read(ctx, server.node.Version())
+	if err != nil {
+		return nil, err
+	}
+	if message.BaseRevision > 0 && (base == nil || base.Revision != message.BaseRevision) {
+		return nil, failure.New(failure.KindConflict, "the declaration was changed since the plan", "run `cloverrail plan` again, then apply")
+	}
+	version, err := server.node.Store().Propose(ctx, base, message.ChangeID, declared)
+	if err != nil {
+		return nil, err
+	}
+	server.node.Adopt(version)
+	return ChangeAnswer{Accepted: true, Revision: version.Revision, ChangeID: message.ChangeID}, nil
+}
+
+func (server *Server) settle(ctx context.Context, body []byte) (any, error) {
+	var message SettleRequest
+	if err := decode(body, &message); err != nil {
+		return nil, err
+	}
+	accepted, err := server.node.Store().Settle(ctx, message.ChangeID)
+	if err != nil {
+		return nil, err
+	}
+	return ChangeAnswer{Accepted: accepted, ChangeID: message.ChangeID}, nil
+}
+
+func (server *Server) status(context.Context, []byte) (any, error) {
+	answer := StatusAnswer{Ready: server.node.Ready(), Nodes: len(server.node.Members()), IndexBlocks: server.node.IndexBlocks()}
+	if snapshot := server.node.Snapshot(); snapshot != nil {
+		answer.Revision, answer.ChangeID = snapshot.Revision, snapshot.ChangeID
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/peer/credentials.go
@@ -0,0 +1,89 @@
+// Package peer carries messages between nodes: gob over TLS for calls, and
+// sealed datagrams for gossip. Nodes prove to each other that they hold the
+// fleet's key.
+package peer
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/ed25519"
+	"crypto/hkdf"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	certificateContext = "cloverrail node certificate v1"
+	datagramContext    = "cloverrail datagram v1"
+	certificateLife    = 10 * 365 * 24 * time.Hour
+)
+
+// Credentials prove membership of the fleet. In this version they derive from
+// one shared key: every node holds the same signing key, made from it.
+type Credentials struct {
+	signer ed25519.PrivateKey
+	config *tls.Config
+	seal   cipher.AEAD
+}
+
+// NewCredentials derives credentials from the fleet's key.
+func NewCredentials(fleetKey []byte) (*Credentials, error) {
+	seed, err := hkdf.Key(sha256.New, fleetKey, nil, certificateContext, ed25519.SeedSize)
+	if err != nil {
+		return nil, errors.Annotate(err, "the fleet key cannot be used; give at least 16 bytes")
+	}
+	credentials := &Credentials{signer: ed25519.NewKeyFromSeed(seed)}
+	if err := credentials.makeTLS(); err != nil {
+		return nil, err
+	}
+	datagramKey, err := hkdf.Key(sha256.New, fleetKey, nil, datagramContext, 32)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	block, err := aes.NewCipher(datagramKey)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	credentials.seal, err = cipher.NewGCMWithRandomNonce(block)
+	return credentials, errors.Trace(err)
+}
+
+func (credentials *Credentials) makeTLS() error {
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(certificateLife),
+	}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, credentials.signer.Public(), credentials.signer)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	credentials.config = &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{{Certificate: [][]byte{certificate}, PrivateKey: credentials.signer}},
+		ClientAuth:   tls.RequireAnyClientCert,
+		// The name and issuer mean nothing here; VerifyConnection checks the key.
+		InsecureSkipVerify: true,
+		VerifyConnection:   credentials.verify,
+	}
+	return nil
+}
+
+// verify accepts exactly the peers that hold the fleet's signing key; TLS has
+// already proved that the peer holds the key of its certificate.
+func (credentials *Credentials) verify(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("the peer showed no certificate")
+	}
+	key, ok := state.PeerCertificates[0].PublicKey.(ed25519.PublicKey)
+	if !ok || !key.Equal(credentials.signer.Public()) {
+		return errors.New("the peer does not hold this fleet's key; give all nodes the same fleetKey")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/datagram.go
@@ -0,0 +1,88 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/gob"
+	"net"
+	"net/netip"
+
+	"github.com/juju/errors"
+)
+
+// maximumDatagram is the largest datagram sent or read, in bytes.
+const maximumDatagram = 60_000
+
+// Datagrams sends and receives sealed messages of one type over UDP.
+type Datagrams[Message any] struct {
+	socket      *net.UDPConn
+	credentials *Credentials
+	blocked     func(address string) bool
+}
+
+// ListenDatagrams opens the socket. Blocked, which may be nil, lets tests cut links.
+func ListenDatagrams[Message any](address string, credentials *Credentials, blocked func(string) bool) (*Datagrams[Message], error) {
+	place, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, errors.Annotate(err, "write the peer address as IP number and port")
+	}
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(place))
+	if err != nil {
+		return nil, errors.Annotate(err, "the peer address cannot be used; choose a free port")
+	}
+	return &Datagrams[Message]{socket: socket, credentials: credentials, blocked: blocked}, nil
+}
+
+// Send seals and sends one message. Loss is normal and not reported.
+func (datagrams *Datagrams[Message]) Send(address string, message Message) error {
+	if datagrams.blocked != nil && datagrams.blocked(address) {
+		return nil
+	}
+	place, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	sealed, err := Seal(datagrams.credentials, message)
+	if err != nil {
+		return err
+	}
+	_, err = datagrams.socket.WriteToUDPAddrPort(sealed, place)
+	return errors.Trace(err)
+}
+
+// Seal encodes and encrypts one message.
+func Seal[Message any](credentials *Credentials, message Message) ([]byte, error) {
+	var plain bytes.Buffer
+	if err := gob.NewEncoder(&plain).Encode(message); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if plain.Len() > maximumDatagram {
+		return nil, errors.Errorf("message of %d bytes does not fit a datagram", plain.Len())
+	}
+	return credentials.seal.Seal(nil, nil, plain.Bytes(), nil), nil
+}
+
+// Receive calls handle with every genuine message until the socket is closed.
+// Datagrams that do not open with the fleet's key are dropped.
+func (datagrams *Datagrams[Message]) Receive(handle func(Message)) {
+	buffer := make([]byte, 1<<16)
+	for {
+		count, _, err := datagrams.socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		plain, err := datagrams.credentials.seal.Open(nil, nil, buffer[:count], nil)
+		if err != nil {
+			continue
+		}
+		var message Message
+		if gob.NewDecoder(bytes.NewReader(plain)).Decode(&message) == nil {
+			handle(message)
+		}
+	}
+}
+
+// Close closes the socket.
+func (datagrams *Datagrams[Message]) Close() { _ = datagrams.socket.Close() }
--- /dev/null
+++ b/internal/routing/candidate.go
@@ -0,0 +1,45 @@
+// Package routing chooses the endpoint of one request: filter, score, pick. It
+// is pure: everything it needs to know is in its arguments.
+package routing
+
+// Candidate is an endpoint as a decision sees it.
+type Candidate struct {
+	Endpoint string
+	Address  string
+	Zone     string
+	Pool     string
+	Epoch    string
+	// Ready says that the model is loaded at the version in force.
+	Ready    bool
+	Leaving  bool
+	Down     bool
+	Resting  bool
+	Excluded bool
+	// InFlight counts this node's attempts on the endpoint.
+	InFlight int
+	// Running counts the sequences that the endpoint is known to work on.
+	Running int
+	// QueuedTokens are the prompt tokens known to wait for computation.
+	QueuedTokens int
+	// HitBlocks is how many leading blocks of the prompt the endpoint holds.
+	HitBlocks int
+	// Affinity is the endpoint's rendezvous weight for the prompt's first block.
+	Affinity uint64
+	// AffinityRank is the endpoint's place by Affinity among those that passed
+	// the filters, 0 being the first. The scheduler fills it in.
+	AffinityRank int
+}
+
+// Request is what a decision needs to know of the request.
+type Request struct {
+	PromptTokens int
+	BlockTokens  int
+	// Blocks is the number of whole blocks of the prompt.
+	Blocks int
+	// PrefillTokensPerSecond is the pool's declared speed.
+	PrefillTokensPerSecond float64
+	// ConcurrentPerEngine bounds InFlight; 0 means no bound.
+	ConcurrentPerEngine int
+	WaitWeight          float64
+	WorkWeight          float64
+}
--- /dev/null
+++ b/internal/routing/pick.go
@@ -0,0 +1,18 @@
+package routing
+
+// Pick returns the index of the cheapest candidate; equal costs go to the
+// higher rendezvous weight, so that all nodes choose alike. It returns -1 when
+// none was accepted.
+func Pick(candidates []Candidate, accepted []int, costs []float64) int {
+	best := -1
+	lowest := 0.0
+	for position, index := range accepted {
+		cost := costs[position]
+		cheaper := best < 0 || cost < lowest
+		tied := best >= 0 && cost == lowest && candidates[index].Affinity > candidates[best].Affinity
+		if cheaper || tied {
+			best, lowest = index, cost
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/routing/scheduler.go
@@ -0,0 +1,75 @@
+package routing
+
+// Scorer puts a price on serving the request at the candidate, in seconds of
+// engine time.
+type Scorer interface {
+	Score(request *Request, candidate *Candidate) float64
+}
+
+// Scheduler filters, scores and picks. It keeps scratch memory between
+// decisions and is not safe for concurrent use.
+type Scheduler struct {
+	scorers  []Scorer
+	accepted []int
+	costs    []float64
+}
+
+// NewScheduler returns a scheduler with the given scorers, or with all of them.
+func NewScheduler(scorers ...Scorer) *Scheduler {
+	if len(scorers) == 0 {
+		scorers = []Scorer{WorkScorer{}, WaitScorer{}, AffinityScorer{}}
+	}
+	return &Scheduler{scorers: scorers}
+}
+
+// Decision is the outcome of one placement.
+type Decision struct {
+	// Index of the chosen candidate, or -1.
+	Index int
+	// Refused is why the last refused candidate was refused, for the message
+	// when none was accepted. Full wins over the others: it passes by waiting.
+	Refused Reason
+}
+
+// Schedule chooses among the candidates. It fills in their affinity ranks.
+func (scheduler *Scheduler) Schedule(request *Request, candidates []Candidate) Decision {
+	decision := Decision{Index: -1}
+	scheduler.accepted = scheduler.accepted[:0]
+	scheduler.costs = scheduler.costs[:0]
+	for index := range candidates {
+		reason := Filter(request, &candidates[index])
+		if reason == Accepted {
+			scheduler.accepted = append(scheduler.accepted, index)
+		} else if decision.Refused != ReasonFull {
+			decision.Refused = reason
+		}
+	}
+	rank(candidates, scheduler.accepted)
+	for _, index := range scheduler.accepted {
+		cost := 0.0
+		for _, scorer := range scheduler.scorers {
+			cost += scorer.Score(request, &candidates[index])
+		}
+		scheduler.costs = append(scheduler.costs, cost)
+	}
+	decision.Index = Pick(candidates, scheduler.accepted, scheduler.costs)
+	return decision
+}
+
+// rank fills in the places of the few highest affinities; all others share the
+// last place. It is linear in the candidates.
+func rank(candidates []Candidate, accepted []int) {
+	for _, index := range accepted {
+		candidates[index].AffinityRank = maximumRank
+	}
+	for place := range min(maximumRank, len(accepted)) {
+		best := -1
+		for _, index := range accepted {
+			unplaced := candidates[index].AffinityRank == maximumRank
+			if unplaced && (best < 0 || candidates[index].Affinity > candidates[best].Affinity) {
+				best = index
+			}
+		}
+		candidates[best].AffinityRank = place
+	}
+}
--- /dev/null
+++ b/internal/strictyaml/decode.go
@@ -0,0 +1,282 @@
+package strictyaml
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// Checker reports faults that need more than one field to see. Path names are
+// those of the file, such as pools[0].engines[1].name.
+type Checker interface {
+	Check(report func(path, problem, remedy string))
+}
+
+// Decode reads data into out, a pointer to a struct with yaml and validate
+// tags. The error is Faults when the file is wrong.
+func Decode(file string, data []byte, out any) error {
+	walk, err := structure(file, data, out)
+	if err != nil {
+		return err
+	}
+	sound := len(walk.faults) == 0
+	// Range faults are reported together with the structural ones; references
+	// only make sense once the structure is sound.
+	walk.validate(out)
+	if sound {
+		walk.cross(out)
+	}
+	if len(walk.faults) > 0 {
+		return walk.sorted()
+	}
+	return nil
+}
+
+// DecodePartial is Decode for a file whose values may still be overridden: keys
+// and types are checked, ranges and references are not.
+func DecodePartial(file string, data []byte, out any) error {
+	walk, err := structure(file, data, out)
+	if err != nil {
+		return err
+	}
+	if len(walk.faults) > 0 {
+		return walk.sorted()
+	}
+	return nil
+}
+
+// structure checks keys and types and decodes what is sound.
+func structure(file string, data []byte, out any) (*walker, error) {
+	tree, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return nil, Faults{syntaxFault(file, err)}
+	}
+	walk := &walker{file: file, lines: map[string]int{}}
+	if len(tree.Docs) > 0 && tree.Docs[0].Body != nil {
+		walk.node("", tree.Docs[0].Body, reflect.TypeOf(out).Elem())
+	}
+	if err := yaml.Unmarshal(data, out); err != nil && len(walk.faults) == 0 {
+		return nil, Faults{syntaxFault(file, err)}
+	}
+	return walk, nil
+}
+
+// Validate checks a value that came without a file, such as one read from JSON.
+func Validate(name string, value any) error {
+	walk := &walker{file: name, lines: map[string]int{}}
+	walk.validate(value)
+	walk.cross(value)
+	if len(walk.faults) > 0 {
+		return walk.sorted()
+	}
+	return nil
+}
+
+func syntaxFault(file string, err error) Fault {
+	line := 0
+	var located yaml.Error
+	if errors.As(err, &located) && located.GetToken() != nil {
+		line = located.GetToken().Position.Line
+	}
+	problem := strings.SplitN(yaml.FormatError(err, false, false), "\n", 2)[0]
+	return Fault{File: file, Line: line, Field: "(file)", Problem: problem, Remedy: "write valid YAML"}
+}
+
+type walker struct {
+	file   string
+	lines  map[string]int
+	faults Faults
+}
+
+func (walk *walker) report(path, problem, remedy string) {
+	walk.faults = append(walk.faults, Fault{File: walk.file, Line: walk.line(path), Field: path, Problem: problem, Remedy: remedy})
+}
+
+// line finds the line of the path, or of the nearest enclosing value.
+func (walk *walker) line(path string) int {
+	for path != "" {
+		if line, found := walk.lines[path]; found {
+			return line
+		}
+		cut := strings.LastIndexAny(path, ".[")
+		if cut < 0 {
+			break
+		}
+		path = path[:cut]
+	}
+	return 1
+}
+
+func (walk *walker) sorted() Faults {
+	sort.SliceStable(walk.faults, func(i, j int) bool { return walk.faults[i].Line < walk.faults[j].Line })
+	return walk.faults
+}
+
+func (walk *walker) node(path string, node ast.Node, kind reflect.Type) {
+	if _, found := walk.lines[path]; !found {
+		walk.lines[path] = node.GetToken().Position.Line
+	}
+	for kind.Kind() == reflect.Pointer {
+		kind = kind.Elem()
+	}
+	switch {
+	case node.Type() == ast.NullType:
+	case kind.Kind() == reflect.Struct && !hasOwnDecoder(kind):
+		walk.mapping(path, node, kind)
+	case kind.Kind() == reflect.Slice:
+		walk.sequence(path, node, kind)
+	default:
+		walk.scalar(path, node, kind)
+	}
+}
+
+func hasOwnDecoder(kind reflect.Type) bool {
+	return reflect.PointerTo(kind).Implements(reflect.TypeFor[yaml.BytesUnmarshaler]())
+}
+
+func (walk *walker) mapping(path string, node ast.Node, kind reflect.Type) {
+	entries, ok := node.(ast.MapNode)
+	if !ok {
+		walk.report(path, "is not a mapping", "write it as key: value lines")
+		return
+	}
+	fields := map[string]reflect.Type{}
+	names := []string{}
+	for index := range kind.NumField() {
+		name := fieldName(kind.Field(index))
+		if name != "" {
+			fields[name] = kind.Field(index).Type
+			names = append(names, name)
+		}
+	}
+	seen := map[string]bool{}
+	for iterator := entries.MapRange(); iterator.Next(); {
+		key := iterator.Key().GetToken().Value
+		child := strings.TrimPrefix(path+"."+key, ".")
+		walk.lines[child] = iterator.Key().GetToken().Position.Line
+		field, known := fields[key]
+		switch {
+		case !known:
+			walk.report(child, "unknown key", "use one of: "+strings.Join(names, ", "))
+		case seen[key]:
+			walk.report(child, "key given twice", "keep one of them")
+		default:
+			seen[key] = true
+			walk.node(child, iterator.Value(), field)
+		}
+	}
+}
+
+func (walk *walker) sequence(path string, node ast.Node, kind reflect.Type) {
+	items, ok := node.(*ast.SequenceNode)
+	if !ok {
+		walk.report(path, "is not a list", "write it as - items")
+		return
+	}
+	for index, item := range items.Values {
+		walk.node(fmt.Sprintf("%s[%d]", path, index), item, kind.Elem())
+	}
+}
+
+func (walk *walker) scalar(path string, node ast.Node, kind reflect.Type) {
+	value := reflect.New(kind)
+	if err := yaml.NodeToValue(node, value.Interface()); err != nil {
+		walk.report(path, fmt.Sprintf("%q is not a %s", node.GetToken().Value, typeName(kind)), "write "+typeExample(kind))
+	}
+}
+
+func typeName(kind reflect.Type) string {
+	switch kind.Kind() {
+	case reflect.Bool:
+		return "boolean"
+	case reflect.Int, reflect.Int64, reflect.Uint64:
+		if kind.Name() == "Duration" {
+			return "duration"
+		}
+		return "whole number"
+	case reflect.Float64:
+		return "number"
+	default:
+		return "text value"
+	}
+}
+
+func typeExample(kind reflect.Type) string {
+	switch typeName(kind) {
+	case "boolean":
+		return "true or false"
+	case "duration":
+		return "a duration such as 250ms, 2s or 10m"
+	case "whole number":
+		return "a whole number such as 10"
+	case "number":
+		return "a number such as 1.5"
+	default:
+		return "text, in quotes where it could be read as something else"
+	}
+}
+
+func fieldName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	if name == "-" {
+		return ""
+	}
+	return name
+}
+
+func newValidator() *validator.Validate {
+	validate := validator.New(validator.WithRequiredStructEnabled())
+	validate.RegisterTagNameFunc(fieldName)
+	return validate
+}
+
+func (walk *walker) validate(value any) {
+	err := newValidator().Struct(value)
+	var failures validator.ValidationErrors
+	if !errors.As(err, &failures) {
+		return
+	}
+	for _, failure := range failures {
+		_, path, _ := strings.Cut(failure.Namespace(), ".")
+		problem, remedy := describe(failure)
+		walk.report(path, problem, remedy)
+	}
+}
+
+func (walk *walker) cross(value any) {
+	if checker, ok := value.(Checker); ok {
+		checker.Check(walk.report)
+	}
+}
+
+func describe(failure validator.FieldError) (problem, remedy string) {
+	switch failure.Tag() {
+	case "required":
+		return "is missing", "add it"
+	case "min", "gte":
+		return fmt.Sprintf("%v is too small", failure.Value()), "use at least " + failure.Param()
+	case "max", "lte":
+		return fmt.Sprintf("%v is too large", failure.Value()), "use at most " + failure.Param()
+	case "gt":
+		return fmt.Sprintf("%v is too small", failure.Value()), "use more than " + failure.Param()
+	case "hostname_port", "ip|hostname_port", "tcp_addr":
+		return fmt.Sprintf("%q is not an address", failure.Value()), "write an IP number and a port, such as 127.0.0.1:8080"
+	case "len":
+		return "has the wrong length", "use exactly " + failure.Param() + " characters"
+	case "hexadecimal":
+		return "is not hexadecimal", "use digits 0-9 and a-f"
+	case "oneof":
+		return fmt.Sprintf("%q is not a choice", failure.Value()), "use one of: " + failure.Param()
+	case "unique":
+		return "has entries with the same " + strings.ToLower(failure.Param()), "make them unique"
+	default:
+		return "fails the check " + failure.Tag() + " " + failure.Param(), "see the configuration reference"
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,126 @@
+// Package wire defines the calls between nodes. All of them bear repetition.
+package wire
+
+import (
+	"encoding/gob"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/claim"
+	"github.com/cloverrail/cloverrail/internal/configstore"
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/membership"
+	"github.com/cloverrail/cloverrail/internal/prefix"
+	"github.com/cloverrail/cloverrail/internal/prefixindex"
+)
+
+// SyncRequest asks a peer for its whole view of members and items.
+type SyncRequest struct {
+	Members []membership.Member
+}
+
+// SyncAnswer is that view.
+type SyncAnswer struct {
+	Members  []membership.Member
+	Items    []membership.Item
+	Revision int64
+}
+
+// ConfigurationRequest asks for the configuration in force at the peer, but for
+// the parts that the asker holds.
+type ConfigurationRequest struct {
+	Held []configstore.PartName
+}
+
+// ConfigurationAnswer is the peer's version; Revision 0 means that it has none.
+type ConfigurationAnswer struct {
+	Revision int64
+	Manifest configstore.Manifest
+	Parts    []configstore.Part
+}
+
+// IndexUpdate brings cache changes and a load report of one engine to a node
+// that keeps part of the index.
+type IndexUpdate struct {
+	Reader string
+	// Sequence counts the updates of this reader for this engine and receiver.
+	Sequence uint64
+	Update   prefixindex.Update
+	Load     engineapi.Load
+}
+
+// IndexAnswer says whether the receiver missed an update and needs all.
+type IndexAnswer struct {
+	NeedAll bool
+}
+
+// LookupRequest asks the home of a chain's first block who holds the chain.
+type LookupRequest struct {
+	Chain []prefix.Hash
+}
+
+// HolderLoad is a holder's load as its home knows it.
+type HolderLoad struct {
+	Endpoint string
+	Load     engineapi.Load
+	At       time.Time
+}
+
+// LookupAnswer lists the holders.
+type LookupAnswer struct {
+	Depths []prefixindex.Depth
+	Loads  []HolderLoad
+}
+
+// ClaimRequest asks a holder for a key.
+type ClaimRequest struct {
+	Roster string
+	Key    claim.Key
+	Owner  string
+}
+
+// ClaimAnswer is the holder's answer.
+type ClaimAnswer struct {
+	Answer claim.Answer
+}
+
+// ConcludeRequest tells a holder how a claim ended.
+type ConcludeRequest struct {
+	Key    claim.Key
+	Owner  string
+	Status claim.Status
+}
+
+// ConcludeAnswer acknowledges it.
+type ConcludeAnswer struct{}
+
+// ClaimsRequest asks for all claims of a holder, to recover from.
+type ClaimsRequest struct {
+	Roster string
+}
+
+// ClaimsAnswer lists them; Complete says that the holder itself had recovered.
+type ClaimsAnswer struct {
+	Complete bool
+	Records  []claim.Record
+}
+
+// TakeRequest asks a tenant's ledger for tokens.
+type TakeRequest struct {
+	Tenant string
+	Want   int
+}
+
+// TakeAnswer is how many were given.
+type TakeAnswer struct {
+	Tokens int
+}
+
+func init() {
+	for _, message := range []any{
+		SyncRequest{}, SyncAnswer{}, ConfigurationRequest{}, ConfigurationAnswer{}, IndexUpdate{}, IndexAnswer{},
+		LookupRequest{}, LookupAnswer{}, ClaimRequest{}, ClaimAnswer{}, ConcludeRequest{}, ConcludeAnswer{},
+		ClaimsRequest{}, ClaimsAnswer{}, TakeRequest{}, TakeAnswer{},
+	} {
+		gob.Register(message)
+	}
+}
