--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -36,11 +36,10 @@
 
 // flight is a claim or its answer under way.
 type flight struct {
-	due        time.Time
-	attempt    *attempt
-	holder     int
-	answer     *Answer
-	generation int
+	due     time.Time
+	attempt *attempt
+	holder  int
+	answer  *Answer
 }
 
 type attempt struct {
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -162,10 +162,6 @@
 	if err != nil {
 		return kvservice.TxnRequest{}, errors.Trace(err)
 	}
-	baseRevision := int64(0)
-	if base != nil {
-		baseRevision = base.Revision
-	}
 	operations := append(puts,
 		kvservice.Put(ManifestKey, manifest),
 		kvservice.Put(changeKeyPrefix+version.Manifest.ChangeID, []byte(markAccepted)))
@@ -176,7 +172,7 @@
 	}
 	return kvservice.TxnRequest{
 		Compare: []kvservice.Compare{
-			kvservice.IfModified(ManifestKey, baseRevision),
+			kvservice.IfModified(ManifestKey, revisionOf(base)),
 			kvservice.IfAbsent(changeKeyPrefix + version.Manifest.ChangeID),
 		},
 		Success: operations,
@@ -203,14 +199,18 @@
 	return string(mark.Value) == markAccepted, nil
 }
 
-func (store *Store) conflict(ctx context.Context, base *Version) error {
-	baseRevision := int64(0)
-	if base != nil {
-		baseRevision = base.Revision
+// revisionOf is 0 for the absence of any version.
+func revisionOf(version *Version) int64 {
+	if version == nil {
+		return 0
 	}
-	problem := fmt.Sprintf("another change came after revision %d", baseRevision)
+	return version.Revision
+}
+
+func (store *Store) conflict(ctx context.Context, base *Version) error {
+	problem := fmt.Sprintf("another change came after revision %d", revisionOf(base))
 	if winner, err := store.Read(ctx, base); err == nil && winner != nil {
-		problem = fmt.Sprintf("revision %d, change %s, came after revision %d", winner.Revision, winner.Manifest.ChangeID, baseRevision)
+		problem = fmt.Sprintf("revision %d, change %s, came after revision %d", winner.Revision, winner.Manifest.ChangeID, revisionOf(base))
 	}
 	return failure.New(failure.KindConflict, problem, "run `cloverrail plan` to see the difference, then apply again")
 }
--- a/internal/endpoint/record.go
+++ b/internal/endpoint/record.go
@@ -14,6 +14,8 @@
 	Epoch   string
 	// Weights is the loaded version of each model.
 	Weights map[string]string
+	// Loading says that the engine is busy loading weights.
+	Loading bool
 	// Leaving is set by the first signal that the back end leaves and stays set
 	// until it shows a newer epoch.
 	Leaving bool
@@ -39,6 +41,7 @@
 		next.Down = false
 		next.Epoch = status.Epoch
 		next.Weights = status.Weights
+		next.Loading = status.Loading
 		// A back end that said it leaves does not come back by keeping silent:
 		// only a newer epoch readmits it.
 		next.Leaving = status.Leaving || (known.Leaving && !restarted)
@@ -61,7 +64,7 @@
 }
 
 func same(first, second Record) bool {
-	if first.Epoch != second.Epoch || first.Leaving != second.Leaving || first.Down != second.Down || len(first.Weights) != len(second.Weights) {
+	if first.Epoch != second.Epoch || first.Leaving != second.Leaving || first.Down != second.Down || first.Loading != second.Loading || len(first.Weights) != len(second.Weights) {
 		return false
 	}
 	for model, version := range first.Weights {
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -199,6 +199,7 @@
 			Pool:         pool,
 			Epoch:        known.record.Epoch,
 			Ready:        model == "" || (held && loaded == version),
+			Loading:      known.record.Loading,
 			Leaving:      known.record.Leaving || known.drained,
 			Down:         known.record.Down,
 			Resting:      !known.breaker.Allows(now),
@@ -210,6 +211,29 @@
 	return candidates
 }
 
+// Address returns the address of a back end, or "".
+func (table *Table) Address(name string) string {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	if known, found := table.endpoints[name]; found {
+		return known.backend.Address
+	}
+	return ""
+}
+
+// Usable counts the back ends of a pool that take new work.
+func (table *Table) Usable(pool string) int {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	count := 0
+	for _, known := range table.pools[pool] {
+		if !known.record.Down && !known.record.Leaving && !known.drained {
+			count++
+		}
+	}
+	return count
+}
+
 // Views lists all back ends.
 func (table *Table) Views() []View {
 	table.mutex.Lock()
--- a/internal/engineapi/messages.go
+++ b/internal/engineapi/messages.go
@@ -79,6 +79,8 @@
 	Epoch string `json:"epoch"`
 	// Weights is the loaded version of each model.
 	Weights map[string]string `json:"weights"`
+	// Loading says that the engine is busy loading weights.
+	Loading bool `json:"loading"`
 	// Leaving says that the engine will stop and wants no new work.
 	Leaving bool `json:"leaving"`
 	Load    Load `json:"load"`
--- a/internal/lab/enginestub/server.go
+++ b/internal/lab/enginestub/server.go
@@ -58,6 +58,7 @@
 	epoch      string
 	weights    map[string]string
 	leaving    bool
+	loads      int
 	frozen     bool
 	orderToken int64
 	streams    map[string]*stream
@@ -126,6 +127,16 @@
 	server.weights[model] = version
 }
 
+// loaded ends a load; a later order for the model makes an earlier one moot.
+func (server *Server) loaded(order engineapi.Order) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.loads--
+	if order.Token >= server.orderToken {
+		server.weights[order.Model] = order.Version
+	}
+}
+
 // SetFrozen stops or continues the engine's steps.
 func (server *Server) SetFrozen(frozen bool) {
 	server.mutex.Lock()
@@ -313,7 +324,7 @@
 }
 
 func (server *Server) account() engineapi.Status {
-	return engineapi.Status{Epoch: server.epoch, Weights: server.weights, Leaving: server.leaving, Load: server.engine.Load()}
+	return engineapi.Status{Epoch: server.epoch, Weights: server.weights, Loading: server.loads > 0, Leaving: server.leaving, Load: server.engine.Load()}
 }
 
 func (server *Server) cacheEvents(writer http.ResponseWriter, request *http.Request) {
@@ -351,7 +362,8 @@
 	server.orderToken = order.Token
 	if server.weights[order.Model] != order.Version {
 		delete(server.weights, order.Model)
-		time.AfterFunc(server.config.LoadTime, func() { server.SetWeights(order.Model, order.Version) })
+		server.loads++
+		time.AfterFunc(server.config.LoadTime, func() { server.loaded(order) })
 	}
 	answer(writer, order)
 }
--- /dev/null
+++ b/internal/lab/inprocess/fleet.go
@@ -0,0 +1,252 @@
+// Package inprocess runs nodes and stand-ins inside one process, over real
+// sockets on loopback, for tests of the whole path.
+package inprocess
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/gateway"
+	"github.com/cloverrail/cloverrail/internal/kvservice"
+	"github.com/cloverrail/cloverrail/internal/lab/enginemodel"
+	"github.com/cloverrail/cloverrail/internal/lab/enginestub"
+	"github.com/cloverrail/cloverrail/internal/lab/kvstub"
+	"github.com/cloverrail/cloverrail/internal/lab/machinestub"
+	"github.com/cloverrail/cloverrail/internal/lab/plainstub"
+	"github.com/cloverrail/cloverrail/internal/node"
+	"github.com/cloverrail/cloverrail/internal/operator"
+	"github.com/cloverrail/cloverrail/internal/settings"
+
+	"github.com/cloverrail/cloverrail/internal/configstore"
+)
+
+// Names in the declaration of a test fleet.
+const (
+	Model       = "oraakeli"
+	Version     = "v1"
+	Tenant      = "studio"
+	OtherTenant = "rival"
+	BlockBytes  = 400
+	OncePath    = "/turns"
+	fleetKey    = "00112233445566778899aabbccddeeff"
+	readyLimit  = 15 * time.Second
+	poll        = 10 * time.Millisecond
+)
+
+// Key returns a tenant's or operator's key.
+func Key(name string) string { return "key-of-" + name }
+
+// Config sets up a fleet.
+type Config struct {
+	Nodes   int
+	Engines int
+	Servers int
+	// Step is an engine's step time.
+	Step time.Duration
+	// Lag of the machine list.
+	Lag time.Duration
+}
+
+// Node is one running node.
+type Node struct {
+	Settings settings.Settings
+	*node.Node
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// Fleet is all of it.
+type Fleet struct {
+	Declaration *configuration.Declaration
+	KeyValue    *kvstub.Server
+	Machines    *machinestub.Server
+	Engines     []*enginestub.Server
+	Servers     []*plainstub.Server
+	Nodes       []*Node
+	Store       *configstore.Store
+
+	mutex   sync.Mutex
+	blocked map[string]bool
+	closers []func()
+	peers   []string
+	base    settings.Settings
+}
+
+// Start starts the fleet, applies its declaration and waits until every node is
+// ready.
+func Start(config Config) (*Fleet, error) {
+	fleet := &Fleet{blocked: map[string]bool{}, KeyValue: kvstub.New(), Machines: machinestub.New(config.Lag)}
+	fleet.base = settings.Defaults()
+	fleet.base.KeyValueAddress = fleet.serve(fleet.KeyValue)
+	fleet.base.MachineListAddress = fleet.serve(fleet.Machines)
+	fleet.base.FleetKey = fleetKey
+	fleet.base.DrainDeadline = 30 * time.Second
+	for range config.Nodes {
+		fleet.peers = append(fleet.peers, freeAddress())
+	}
+	fleet.declare(config)
+	fleet.Store = configstore.New(kvservice.NewClient(fleet.base.KeyValueAddress))
+	if _, err := fleet.Store.Propose(context.Background(), nil, uuid.NewString(), fleet.Declaration); err != nil {
+		return nil, err
+	}
+	for index := range config.Nodes {
+		if err := fleet.StartNode(index); err != nil {
+			return nil, err
+		}
+	}
+	return fleet, fleet.Await(fleet.ready)
+}
+
+func (fleet *Fleet) serve(handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	fleet.closers = append(fleet.closers, func() {
+		server.CloseClientConnections()
+		server.Config.Close()
+	})
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func (fleet *Fleet) declare(config Config) {
+	declared := &configuration.Declaration{
+		Version: 1, Fleet: "test",
+		Zones:   []configuration.Zone{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "c", Region: "r"}},
+		Routing: configuration.Routing{WaitWeight: 1, WorkWeight: 1},
+		Claims:  configuration.Claims{Holders: fleet.peers, Window: configuration.DefaultClaimWindow, ClockSkew: 50 * time.Millisecond},
+		Classes: []configuration.Class{{Name: "normal", Priority: 3, Deadline: time.Minute, QueueTimeout: 20 * time.Second}},
+		Models:  []configuration.Model{{Name: Model, Version: Version}, {Name: "secret", Version: Version}},
+	}
+	model := enginemodel.Standard(config.Step, 20_000)
+	model.BlockTokens = BlockBytes / 4
+	pool := configuration.Pool{Name: "main", Models: []string{Model}, BlockBytes: BlockBytes, PrefillTokensPerSecond: 20_000, LoadsAtOnce: 2, ConcurrentPerEngine: 16}
+	for index := range config.Engines {
+		engine := enginestub.New(enginestub.Config{Model: model, BlockBytes: BlockBytes, Weights: map[string]string{Model: Version, "secret": Version}, LoadTime: 200 * time.Millisecond})
+		fleet.Engines = append(fleet.Engines, engine)
+		pool.Engines = append(pool.Engines, configuration.Backend{Name: fmt.Sprint("engine-", index), Address: fleet.serve(engine), Zone: "a"})
+	}
+	closed := configuration.Pool{Name: "closed", Models: []string{"secret"}, BlockBytes: BlockBytes, PrefillTokensPerSecond: 20_000, LoadsAtOnce: 2, ConcurrentPerEngine: 16}
+	declared.Pools = []configuration.Pool{pool, closed}
+	service := configuration.Service{Name: "turns", Routes: []configuration.Route{
+		{Method: "POST", Path: OncePath}, {Method: "GET", Path: "/matches", Repeatable: true}}}
+	for index := range config.Servers {
+		server := plainstub.New(time.Millisecond)
+		fleet.Servers = append(fleet.Servers, server)
+		service.Servers = append(service.Servers, configuration.Backend{Name: fmt.Sprint("server-", index), Address: fleet.serve(server), Zone: "a"})
+	}
+	declared.Services = []configuration.Service{service}
+	tenant := func(name, pool string) configuration.Tenant {
+		return configuration.Tenant{Name: name, KeyDigests: []string{configuration.Digest(Key(name))}, Pools: []string{pool}, Class: "normal", Weight: 1,
+			Limits: configuration.Limits{RequestsPerSecond: 1000, Burst: 1000, Streams: 1000}}
+	}
+	declared.Tenants = []configuration.Tenant{tenant(Tenant, "main"), tenant(OtherTenant, "closed")}
+	declared.Operators = []configuration.Operator{{Name: "duty", KeyDigest: configuration.Digest(Key("duty"))}}
+	fleet.Declaration = declared
+}
+
+// StartNode starts a node at its addresses.
+func (fleet *Fleet) StartNode(index int) error {
+	given := fleet.base
+	given.Zone = string(rune('a' + index%3))
+	given.PeerAddress = fleet.peers[index]
+	given.CallerAddress, given.OperatorAddress = freeAddress(), freeAddress()
+	given.Seeds = fleet.peers
+	created, err := node.New(given, zerolog.Nop(), node.Options{Blocked: fleet.isBlocked})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	running := &Node{Settings: given, Node: created, stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(running.done)
+		_ = created.Run(ctx, gateway.New(created), operator.NewServer(created, ""))
+	}()
+	if index < len(fleet.Nodes) {
+		fleet.Nodes[index] = running
+	} else {
+		fleet.Nodes = append(fleet.Nodes, running)
+	}
+	return nil
+}
+
+// Shutdown asks a node to stop as planned and returns a channel that closes
+// when it has.
+func (running *Node) Shutdown() <-chan struct{} {
+	running.stop()
+	return running.done
+}
+
+// Cut blocks the path to a node's peer address, or opens it again.
+func (fleet *Fleet) Cut(address string, cut bool) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.blocked[address] = cut
+}
+
+func (fleet *Fleet) isBlocked(address string) bool {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.blocked[address]
+}
+
+func (fleet *Fleet) ready() bool {
+	for _, running := range fleet.Nodes {
+		if !running.Ready() || len(running.Members()) < len(fleet.Nodes) || running.UsableEngines("main") < len(fleet.Engines) {
+			return false
+		}
+	}
+	return true
+}
+
+// Await polls until the condition holds, or fails after a generous while.
+func (fleet *Fleet) Await(condition func() bool) error {
+	for end := time.Now().Add(readyLimit); !condition(); time.Sleep(poll) {
+		if time.Now().After(end) {
+			return errors.New("the condition did not come to hold")
+		}
+	}
+	return nil
+}
+
+// URL returns a node's callers' interface.
+func (fleet *Fleet) URL(index int) string {
+	return "http://" + fleet.Nodes[index].Settings.CallerAddress
+}
+
+// Stop ends everything.
+func (fleet *Fleet) Stop() {
+	for _, running := range fleet.Nodes {
+		running.stop()
+	}
+	for _, closer := range fleet.closers {
+		closer()
+	}
+	for _, running := range fleet.Nodes {
+		<-running.done
+	}
+}
+
+func freeAddress() string {
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			continue
+		}
+		address := listener.Addr().String()
+		packet, err := net.ListenPacket("udp", address)
+		_ = listener.Close()
+		if err == nil {
+			_ = packet.Close()
+			return address
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/inprocess/fleet_test.go
@@ -0,0 +1,388 @@
+package inprocess
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/openai/openai-go"
+	"github.com/openai/openai-go/option"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/lab/enginestub"
+	"github.com/cloverrail/cloverrail/internal/lab/kvstub"
+	"github.com/cloverrail/cloverrail/internal/lab/machinestub"
+	"github.com/cloverrail/cloverrail/internal/operator"
+)
+
+func startFleet(t *testing.T, config Config) *Fleet {
+	t.Helper()
+	fleet, err := Start(config)
+	require.NoError(t, err)
+	t.Cleanup(fleet.Stop)
+	return fleet
+}
+
+// post sends a request to a node with a tenant's key.
+func post(t *testing.T, url, key, path string, header http.Header, body []byte) *http.Response {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, url+path, bytes.NewReader(body))
+	require.NoError(t, err)
+	request.Header = header.Clone()
+	if request.Header == nil {
+		request.Header = http.Header{}
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	return response
+}
+
+func completionBody(t *testing.T, prompt string, tokens int, stream bool) []byte {
+	t.Helper()
+	text, err := json.Marshal(prompt)
+	require.NoError(t, err)
+	body, err := json.Marshal(engineapi.CompletionRequest{Model: Model, Prompt: text, MaxTokens: tokens, Stream: stream})
+	require.NoError(t, err)
+	return body
+}
+
+func expectedText(prompt string, tokens int) string {
+	text := &strings.Builder{}
+	for offset := range tokens {
+		text.WriteString(enginestub.Token(xxhash.Sum64String(prompt), offset))
+	}
+	return text.String()
+}
+
+// readStream returns the text of a streamed completion and whether it ended.
+func readStream(t *testing.T, body io.Reader, each func(events int)) (text string, done bool) {
+	t.Helper()
+	lines := bufio.NewScanner(body)
+	events := 0
+	for lines.Scan() {
+		data, isData := strings.CutPrefix(lines.Text(), "data: ")
+		if !isData {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var chunk engineapi.Chunk
+		require.NoError(t, json.Unmarshal([]byte(data), &chunk))
+		for _, choice := range chunk.Choices {
+			text += choice.Content()
+		}
+		events++
+		if each != nil {
+			each(events)
+		}
+	}
+	return text, false
+}
+
+func (fleet *Fleet) ran(body string) int {
+	count := 0
+	for _, server := range fleet.Servers {
+		for _, execution := range server.Executions() {
+			if execution.Body == body {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func TestStockClientWorksUnchanged(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 2, Step: time.Millisecond})
+	client := openai.NewClient(option.WithBaseURL(fleet.URL(0)+"/v1"), option.WithAPIKey(Key(Tenant)), option.WithMaxRetries(0))
+	ctx := context.Background()
+	models, err := client.Models.List(ctx)
+	require.NoError(t, err)
+	require.Len(t, models.Data, 1)
+	parameters := openai.ChatCompletionNewParams{
+		Model:               Model,
+		Messages:            []openai.ChatCompletionMessageParamUnion{openai.UserMessage("whose turn is it?")},
+		MaxCompletionTokens: openai.Int(12),
+	}
+	whole, err := client.Chat.Completions.New(ctx, parameters)
+	require.NoError(t, err)
+	require.Equal(t, "length", whole.Choices[0].FinishReason)
+	require.EqualValues(t, 12, whole.Usage.CompletionTokens)
+	stream := client.Chat.Completions.NewStreaming(ctx, parameters)
+	accumulator := openai.ChatCompletionAccumulator{}
+	for stream.Next() {
+		require.True(t, accumulator.AddChunk(stream.Current()))
+	}
+	require.NoError(t, stream.Err())
+	require.Equal(t, whole.Choices[0].Message.Content, accumulator.Choices[0].Message.Content)
+	_, err = client.Chat.Completions.New(ctx, openai.ChatCompletionNewParams{Model: "no such model"})
+	var refusal *openai.Error
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, http.StatusNotFound, refusal.StatusCode)
+	require.Equal(t, "not_found", refusal.Code)
+}
+
+func TestStrangersAndOtherTenantsLearnNothing(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: time.Millisecond})
+	answer := func(key, model string) (int, string) {
+		body := bytes.Replace(completionBody(t, "p", 1, false), []byte(Model), []byte(model), 1)
+		response := post(t, fleet.URL(0), key, "/v1/completions", nil, body)
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		return response.StatusCode, string(text)
+	}
+	status, wrongKey := answer("wrong", Model)
+	require.Equal(t, http.StatusUnauthorized, status)
+	_, noKey := answer("", "secret")
+	require.Equal(t, wrongKey, noKey)
+	status, foreign := answer(Key(Tenant), "secret")
+	require.Equal(t, http.StatusNotFound, status)
+	_, missing := answer(Key(Tenant), "none")
+	require.Equal(t, missing, foreign)
+	_, operatorKey := answer(Key("duty"), Model)
+	require.Equal(t, wrongKey, operatorKey)
+}
+
+func TestEngineCrashMidStreamIsContinuedElsewhere(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 3, Step: 2 * time.Millisecond})
+	prompt := strings.Repeat("campaign history ", 100)
+	crash := sync.OnceFunc(func() {
+		for _, engine := range fleet.Engines {
+			if len(engine.Executions()) > 0 {
+				engine.Crash()
+			}
+		}
+	})
+	response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, prompt, 60, true))
+	defer response.Body.Close()
+	text, done := readStream(t, response.Body, func(events int) {
+		if events == 10 {
+			crash()
+		}
+	})
+	require.True(t, done)
+	require.Equal(t, expectedText(prompt, 60), text)
+}
+
+func TestFirstRequestAfterACrashUnderTheSameAddress(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: time.Millisecond})
+	fleet.Engines[0].Crash()
+	prompt := "short"
+	response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, prompt, 5, true))
+	defer response.Body.Close()
+	text, done := readStream(t, response.Body, nil)
+	require.True(t, done)
+	require.Equal(t, expectedText(prompt, 5), text)
+}
+
+func TestVersionChangeIsServedByNewWeightsOnly(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 2, Engines: 3, Step: time.Millisecond})
+	base, err := fleet.Store.Read(context.Background(), nil)
+	require.NoError(t, err)
+	changed := *fleet.Declaration
+	changed.Models = []configuration.Model{{Name: Model, Version: "v2"}, {Name: "secret", Version: Version}}
+	version, err := fleet.Store.Propose(context.Background(), base, uuid.NewString(), &changed)
+	require.NoError(t, err)
+	require.NoError(t, fleet.Await(func() bool {
+		return fleet.Nodes[0].Snapshot().Revision >= version.Revision && fleet.Nodes[1].Snapshot().Revision >= version.Revision
+	}))
+	before := len(fleet.Engines[0].Executions()) + len(fleet.Engines[1].Executions()) + len(fleet.Engines[2].Executions())
+	require.Zero(t, before)
+	for index := range 6 {
+		response := post(t, fleet.URL(index%2), Key(Tenant), "/v1/completions", nil, completionBody(t, fmt.Sprint("p", index), 3, false))
+		_, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+	}
+	for _, engine := range fleet.Engines {
+		for _, execution := range engine.Executions() {
+			require.Equal(t, "v2", execution.Version)
+		}
+	}
+	require.NoError(t, fleet.Await(func() bool {
+		response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, "after", 3, false))
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}), "the engines are ordered to load the new version")
+}
+
+func TestDuplicatesToDifferentNodesRunOnce(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 3, Engines: 1, Servers: 3, Step: time.Millisecond})
+	for round := range 5 {
+		key := uuid.Must(uuid.NewV7()).String()
+		body := fmt.Sprint("turn ", round)
+		statuses := make([]int, 6)
+		var done sync.WaitGroup
+		for index := range statuses {
+			done.Go(func() {
+				header := http.Header{"Idempotency-Key": []string{key}}
+				response := post(t, fleet.URL(index%3), Key(Tenant), OncePath, header, []byte(body))
+				defer response.Body.Close()
+				statuses[index] = response.StatusCode
+				if response.StatusCode != http.StatusOK {
+					require.NotEmpty(t, response.Header.Get("X-Outcome"))
+				}
+			})
+		}
+		done.Wait()
+		require.LessOrEqual(t, fleet.ran(body), 1, "%v", statuses)
+	}
+}
+
+func TestLostAnswerOfAOnceRequestIsNotRepeated(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 3, Engines: 1, Servers: 2, Step: time.Millisecond})
+	for _, server := range fleet.Servers {
+		server.CutAnswers(1)
+	}
+	send := func() *http.Response {
+		return post(t, fleet.URL(0), Key(Tenant), OncePath, http.Header{}, []byte("turn"))
+	}
+	response := send()
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	require.Equal(t, "unknown", response.Header.Get("X-Outcome"))
+	require.Equal(t, 1, fleet.ran("turn"))
+	_ = response.Body.Close()
+}
+
+func TestLeavingEngineGetsNothingNewAndListMayLag(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 2, Engines: 2, Step: time.Millisecond, Lag: time.Hour})
+	fleet.Machines.Set(machinestub.Machine{Name: "engine-0", State: "leaving"})
+	fleet.Engines[0].SetLeaving(true)
+	require.NoError(t, fleet.Await(func() bool {
+		return fleet.Nodes[0].UsableEngines("main") == 1 && fleet.Nodes[1].UsableEngines("main") == 1
+	}))
+	before := len(fleet.Engines[0].Executions())
+	for index := range 20 {
+		response := post(t, fleet.URL(index%2), Key(Tenant), "/v1/completions", nil, completionBody(t, fmt.Sprint("p", index), 2, false))
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		_ = response.Body.Close()
+	}
+	require.Len(t, fleet.Engines[0].Executions(), before)
+}
+
+func TestDrainedEngineGetsNothingNewUntilReadmitted(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 2, Engines: 2, Step: time.Millisecond})
+	command := func(text string) {
+		statement, err := operator.Parse(text)
+		require.NoError(t, err)
+		version, err := operator.Execute(context.Background(), fleet.Store, statement)
+		require.NoError(t, err)
+		require.NoError(t, fleet.Await(func() bool {
+			return fleet.Nodes[0].Snapshot().Revision >= version.Revision && fleet.Nodes[1].Snapshot().Revision >= version.Revision
+		}))
+	}
+	send := func() {
+		for index := range 20 {
+			response := post(t, fleet.URL(index%2), Key(Tenant), "/v1/completions", nil, completionBody(t, fmt.Sprint("p", index), 2, false))
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			_ = response.Body.Close()
+		}
+	}
+	command("drain engine engine-0")
+	send()
+	require.Empty(t, fleet.Engines[0].Executions())
+	command("readmit engine engine-0")
+	send()
+	require.NotEmpty(t, fleet.Engines[0].Executions())
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 2, Engines: 2, Step: 5 * time.Millisecond})
+	const streams = 12
+	var opened, done sync.WaitGroup
+	opened.Add(streams)
+	for index := range streams {
+		done.Go(func() {
+			prompt := fmt.Sprint("long ", index)
+			response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, prompt, 100, true))
+			defer response.Body.Close()
+			opened.Done()
+			text, ended := readStream(t, response.Body, nil)
+			require.True(t, ended)
+			require.Equal(t, expectedText(prompt, 100), text)
+		})
+	}
+	opened.Wait()
+	stopped := fleet.Nodes[0].Shutdown()
+	require.NoError(t, fleet.Await(func() bool {
+		response, err := http.Get(fleet.URL(0) + "/readyz")
+		if err != nil {
+			return true
+		}
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusServiceUnavailable
+	}))
+	done.Wait()
+	<-stopped
+}
+
+func TestHerdRestartServesWithTheKeyValueServiceUp(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 3, Engines: 2, Step: time.Millisecond})
+	for _, running := range fleet.Nodes {
+		<-running.Shutdown()
+	}
+	for index := range fleet.Nodes {
+		require.NoError(t, fleet.StartNode(index))
+	}
+	for index := range fleet.Nodes {
+		require.NoError(t, fleet.Await(func() bool { return fleet.Nodes[index].Ready() }))
+		response := post(t, fleet.URL(index), Key(Tenant), "/v1/completions", nil, completionBody(t, "again", 3, false))
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		_ = response.Body.Close()
+	}
+}
+
+func TestRestartServesFromPeersDuringAnOutage(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 3, Engines: 2, Step: time.Millisecond})
+	fleet.KeyValue.SetFaults(kvstub.Faults{Outage: true})
+	<-fleet.Nodes[1].Shutdown()
+	require.NoError(t, fleet.StartNode(1))
+	require.NoError(t, fleet.Await(func() bool { return fleet.Nodes[1].Ready() }))
+	response := post(t, fleet.URL(1), Key(Tenant), "/v1/completions", nil, completionBody(t, "again", 3, false))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	_ = response.Body.Close()
+}
+
+func TestNothingThatKnowsTheConfigurationIsRefusedAsNotRun(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: time.Millisecond})
+	fleet.KeyValue.SetFaults(kvstub.Faults{Outage: true})
+	<-fleet.Nodes[0].Shutdown()
+	require.NoError(t, fleet.StartNode(0))
+	require.NoError(t, fleet.Await(func() bool {
+		response, err := http.Get(fleet.URL(0) + "/healthz")
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return err == nil
+	}))
+	response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, "p", 1, false))
+	defer response.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, "not-run", response.Header.Get("X-Outcome"))
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+}
+
+func TestCallerWhoLeavesCancelsTheEnginesWork(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: 2 * time.Millisecond})
+	response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, "long", 100_000, true))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	_ = response.Body.Close()
+	require.NoError(t, fleet.Await(func() bool {
+		status, err := engineapi.NewClient().Status(context.Background(), fleet.Declaration.Pools[0].Engines[0].Address)
+		return err == nil && status.Load.Running == 0 && status.Load.Waiting == 0
+	}))
+}
--- a/internal/lab/kvstub/server.go
+++ b/internal/lab/kvstub/server.go
@@ -27,7 +27,7 @@
 
 // Server is the stand-in as an HTTP handler.
 type Server struct {
-	store   *store
+	store   *Store
 	limiter *rate.Limiter
 	mux     *http.ServeMux
 
@@ -38,9 +38,9 @@
 
 // New returns an empty service without faults.
 func New() *Server {
-	server := &Server{store: newStore(), limiter: rate.NewLimiter(requestsPerSecond, requestsPerSecond), mux: http.NewServeMux(), calls: map[string]int{}}
-	handle(server, "/v3/kv/range", func(request kvservice.RangeRequest) any { return server.store.get(request) })
-	handle(server, "/v3/kv/txn", func(request kvservice.TxnRequest) any { return server.store.commit(request) })
+	server := &Server{store: NewStore(), limiter: rate.NewLimiter(requestsPerSecond, requestsPerSecond), mux: http.NewServeMux(), calls: map[string]int{}}
+	handle(server, "/v3/kv/range", func(request kvservice.RangeRequest) any { return server.store.Get(request) })
+	handle(server, "/v3/kv/txn", func(request kvservice.TxnRequest) any { return server.store.Commit(request) })
 	handle(server, "/v3/lease/grant", func(request kvservice.LeaseGrantRequest) any {
 		life := time.Duration(request.TTL) * time.Second
 		return kvservice.LeaseGrantResponse{ID: server.store.grant(life), TTL: request.TTL}
--- a/internal/lab/kvstub/store.go
+++ b/internal/lab/kvstub/store.go
@@ -10,8 +10,8 @@
 	"github.com/cloverrail/cloverrail/internal/kvservice"
 )
 
-// store is the data of the stand-in, behind one lock.
-type store struct {
+// Store is the data of the stand-in, behind one lock.
+type Store struct {
 	mutex    sync.Mutex
 	revision int64
 	pairs    map[string]kvservice.KeyValue
@@ -29,11 +29,12 @@
 	events chan kvservice.WatchResult
 }
 
-func newStore() *store {
-	return &store{revision: 1, pairs: map[string]kvservice.KeyValue{}, leases: map[int64]*lease{}, watchers: map[*watcher]bool{}}
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{revision: 1, pairs: map[string]kvservice.KeyValue{}, leases: map[int64]*lease{}, watchers: map[*watcher]bool{}}
 }
 
-func (store *store) expire(now time.Time) {
+func (store *Store) expire(now time.Time) {
 	for id, held := range store.leases {
 		if now.Before(held.expires) {
 			continue
@@ -48,7 +49,8 @@
 	}
 }
 
-func (store *store) get(request kvservice.RangeRequest) kvservice.RangeResponse {
+// Get answers a range request.
+func (store *Store) Get(request kvservice.RangeRequest) kvservice.RangeResponse {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.expire(time.Now())
@@ -68,7 +70,8 @@
 	return answer
 }
 
-func (store *store) commit(request kvservice.TxnRequest) kvservice.TxnResponse {
+// Commit runs a transaction.
+func (store *Store) Commit(request kvservice.TxnRequest) kvservice.TxnResponse {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.expire(time.Now())
@@ -84,7 +87,7 @@
 	return kvservice.TxnResponse{Header: kvservice.ResponseHeader{Revision: store.revision}, Succeeded: true}
 }
 
-func (store *store) holds(condition kvservice.Compare) bool {
+func (store *Store) holds(condition kvservice.Compare) bool {
 	pair := store.pairs[string(condition.Key)]
 	if condition.ModRevision != nil {
 		return pair.ModRevision == *condition.ModRevision
@@ -95,7 +98,7 @@
 	return false
 }
 
-func (store *store) apply(operation kvservice.RequestOp) {
+func (store *Store) apply(operation kvservice.RequestOp) {
 	if operation.RequestDeleteRange != nil {
 		delete(store.pairs, string(operation.RequestDeleteRange.Key))
 		return
@@ -125,7 +128,7 @@
 	}
 }
 
-func (store *store) grant(life time.Duration) int64 {
+func (store *Store) grant(life time.Duration) int64 {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.revision++
@@ -133,7 +136,7 @@
 	return store.revision
 }
 
-func (store *store) keepAlive(id int64) time.Duration {
+func (store *Store) keepAlive(id int64) time.Duration {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.expire(time.Now())
@@ -145,7 +148,7 @@
 	return held.life
 }
 
-func (store *store) watch(key string, from int64) *watcher {
+func (store *Store) watch(key string, from int64) *watcher {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	opened := &watcher{key: key, events: make(chan kvservice.WatchResult, 64)}
@@ -157,7 +160,7 @@
 	return opened
 }
 
-func (store *store) unwatch(closed *watcher) {
+func (store *Store) unwatch(closed *watcher) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	delete(store.watchers, closed)
--- a/internal/node/completion.go
+++ b/internal/node/completion.go
@@ -28,6 +28,7 @@
 	probesAtOnce   = 4
 	probeTimeout   = 300 * time.Millisecond
 	noEndpointWait = time.Second
+	placeInterval  = 50 * time.Millisecond
 )
 
 // Completion is one request for a model.
@@ -54,6 +55,8 @@
 	// salt and chain belong to the version that the last placement was for.
 	salt  string
 	chain []prefix.Hash
+	// pools are those through which the last placement looked.
+	pools []*configuration.Pool
 }
 
 // Complete serves one request for a model.
@@ -101,33 +104,67 @@
 	return completion.Class.Priority
 }
 
-// Place implements dispatch.Placer.
+// Place implements dispatch.Placer. Where waiting can help it waits, by the
+// configuration in force at each moment, as long as the class may queue.
 func (place *placement) Place(ctx context.Context, excluded []string) (dispatch.Target, *failure.Failure) {
+	ctx, cancel := context.WithTimeout(ctx, place.completion.Class.QueueTimeout)
+	defer cancel()
+	for {
+		target, reason, refusal := place.once(ctx, excluded)
+		if refusal != nil {
+			return dispatch.Target{}, refusal
+		}
+		if target != nil {
+			return *target, nil
+		}
+		if ctx.Err() != nil || !place.willPass(reason) {
+			return dispatch.Target{}, failure.New(failure.KindNoEndpoint, "no engine can take the request now ("+string(reason)+")",
+				"send it again after the time given").WithRetryAfter(noEndpointWait)
+		}
+		select {
+		case <-time.After(placeInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// once tries to place the request by the configuration in force now.
+func (place *placement) once(ctx context.Context, excluded []string) (*dispatch.Target, routing.Reason, *failure.Failure) {
 	snapshot := place.node.catalog.snapshot.Load()
 	model, found := snapshot.Model(place.model)
 	pools := snapshot.PoolsFor(place.completion.Tenant, place.model)
 	if !found || len(pools) == 0 {
-		return dispatch.Target{}, failure.New(failure.KindNotFound, "the model does not exist", "use a model that GET /v1/models lists")
+		return nil, "", failure.New(failure.KindNotFound, "the model does not exist", "use a model that GET /v1/models lists")
 	}
+	place.pools = pools
 	place.identify(model, pools[0])
-	if len(excluded) == 0 && len(place.chain) > 0 {
-		place.node.hot.add(place.chain[0], place.completion.Tenant.Name, model.Name, time.Now())
-	}
-	target, reason := place.choose(ctx, snapshot, model, pools, excluded)
+	target, reason := place.choose(ctx, snapshot, model, excluded)
 	if target == nil && reason == routing.ReasonNotReady {
 		place.node.probeUnknown(ctx, pools)
-		target, reason = place.choose(ctx, snapshot, model, pools, excluded)
+		target, reason = place.choose(ctx, snapshot, model, excluded)
 	}
 	if target == nil && reason == routing.ReasonExcluded {
 		// All were tried; one of them may have recovered, such as an engine that
 		// had merely restarted.
-		target, reason = place.choose(ctx, snapshot, model, pools, nil)
+		target, reason = place.choose(ctx, snapshot, model, nil)
+	}
+	return target, reason, nil
+}
+
+// willPass reports whether waiting can help: engines are full, or one is loading
+// the model.
+func (place *placement) willPass(reason routing.Reason) bool {
+	if reason == routing.ReasonFull {
+		return true
 	}
-	if target == nil {
-		return dispatch.Target{}, failure.New(failure.KindNoEndpoint, "no engine can take the request now ("+string(reason)+")",
-			"send it again after the time given").WithRetryAfter(noEndpointWait)
+	for _, pool := range place.pools {
+		for _, candidate := range place.node.table.Candidates(nil, pool.Name, "", "", time.Now()) {
+			if candidate.Loading && !candidate.Down && !candidate.Leaving {
+				return true
+			}
+		}
 	}
-	return *target, nil
+	return false
 }
 
 func (place *placement) identify(model *configuration.Model, pool *configuration.Pool) {
@@ -136,12 +173,16 @@
 	if salt != place.salt {
 		place.salt = salt
 		place.chain = prefix.Chain(salt, place.prompt, pool.BlockBytes)
+		if len(place.chain) > 0 {
+			place.node.hot.add(place.chain[0], identity.Tenant, identity.Model, time.Now())
+		}
 	}
 }
 
 var schedulers = sync.Pool{New: func() any { return routing.NewScheduler() }}
 
-func (place *placement) choose(ctx context.Context, snapshot *configuration.Snapshot, model *configuration.Model, pools []*configuration.Pool, excluded []string) (*dispatch.Target, routing.Reason) {
+func (place *placement) choose(ctx context.Context, snapshot *configuration.Snapshot, model *configuration.Model, excluded []string) (*dispatch.Target, routing.Reason) {
+	pools := place.pools
 	node := place.node
 	now := time.Now()
 	answer := node.lookup(ctx, place.chain)
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -16,6 +16,9 @@
 // takeTimeout is what a request waits for its tenant's ledger.
 const takeTimeout = 50 * time.Millisecond
 
+// resizeInterval is how often the places follow the back ends.
+const resizeInterval = 250 * time.Millisecond
+
 // limits keeps what this node knows of its tenants' use.
 type limits struct {
 	mutex   sync.Mutex
@@ -62,6 +65,27 @@
 	}
 }
 
+// resizePlaces follows the back ends that come and go, so that requests queue
+// here rather than being refused for want of an engine.
+func (node *Node) resizePlaces(ctx context.Context) {
+	ticker := time.NewTicker(resizeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		snapshot := node.catalog.snapshot.Load()
+		if snapshot == nil {
+			continue
+		}
+		for _, pool := range snapshot.Declaration.Pools {
+			node.limits.poolPlaces(pool.Name).Resize(pool.ConcurrentPerEngine * max(1, node.table.Usable(pool.Name)))
+		}
+	}
+}
+
 func (limits *limits) poolPlaces(pool string) *admission.Places {
 	limits.mutex.Lock()
 	defer limits.mutex.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,6 +142,8 @@
 	go node.watchWhileRanked(running)
 	go node.observeOwned(running)
 	go node.recoverClaims(running)
+	go node.issueOrders(running)
+	go node.resizePlaces(running)
 	node.log.Info().Str("callers", node.settings.CallerAddress).Str("peers", node.settings.PeerAddress).Msg("node started")
 	<-ctx.Done()
 	node.drain(callerServer)
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -133,3 +133,15 @@
 
 // HotPrefixes lists the prefixes asked for most.
 func (node *Node) HotPrefixes(limit int) []HotPrefix { return node.hot.top(limit) }
+
+// UsableEngines counts the engines of a pool that this node knows and that take
+// new work.
+func (node *Node) UsableEngines(pool string) int {
+	count := 0
+	for _, candidate := range node.table.Candidates(nil, pool, "", "", time.Now()) {
+		if candidate.Epoch != "" && !candidate.Down && !candidate.Leaving {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/order/issuer_test.go
@@ -0,0 +1,150 @@
+package order
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/property"
+)
+
+// fencedEngine is an engine that refuses tokens below the highest it saw. Two
+// issuers take turns with the lease; one may be
+// paused while it holds it and go on when another has it.
+type fencedEngine struct {
+	state   Engine
+	token   int64
+	readyAt time.Time
+	order   engineapi.Order
+}
+
+func (engine *fencedEngine) take(now time.Time, order engineapi.Order) bool {
+	if order.Token < engine.token {
+		return false
+	}
+	engine.token = order.Token
+	if engine.state.Weights[order.Model] == order.Version {
+		return true
+	}
+	delete(engine.state.Weights, order.Model)
+	engine.state.Loading, engine.order, engine.readyAt = true, order, now.Add(600*time.Millisecond)
+	return true
+}
+
+func (engine *fencedEngine) advance(now time.Time) {
+	if engine.state.Loading && !now.Before(engine.readyAt) {
+		engine.state.Loading = false
+		engine.state.Weights[engine.order.Model] = engine.order.Version
+	}
+}
+
+func TestPacedAndFenced(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		pace := rapid.IntRange(1, 4).Draw(t, "pace")
+		version := 1
+		engines := []*fencedEngine{}
+		for index := range rapid.IntRange(1, 12).Draw(t, "engines") {
+			engines = append(engines, &fencedEngine{state: Engine{Name: fmt.Sprintf("engine-%02d", index), Pool: "p", Usable: true, Weights: map[string]string{}}})
+		}
+		issuers := []*Issuer{NewIssuer(), NewIssuer()}
+		holder, token := 0, int64(1)
+		issuers[0].Hold(token, now.Add(5*time.Second))
+		views := func() []Engine {
+			seen := []Engine{}
+			for _, engine := range engines {
+				weights := map[string]string{}
+				for model, loaded := range engine.state.Weights {
+					weights[model] = loaded
+				}
+				view := engine.state
+				view.Weights = weights
+				seen = append(seen, view)
+			}
+			return seen
+		}
+		act := func(which int, stale []Send) []Send {
+			wanted := []Wanted{{Pool: "p", Versions: map[string]string{"m": fmt.Sprint("v", version)}, LoadsAtOnce: pace}}
+			sends := append(stale, issuers[which].Step(now, wanted, views())...)
+			return sends
+		}
+		var parked []Send
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"act", "act", "act", "wait", "pause", "late", "version"}).Draw(t, "step") {
+			case "act":
+				issuers[holder].Hold(token, now.Add(5*time.Second))
+				for _, send := range act(holder, nil) {
+					for _, engine := range engines {
+						if engine.state.Name == send.Engine {
+							require.True(t, engine.take(now, send.Order), "the holder's orders are taken")
+						}
+					}
+				}
+			case "wait":
+				now = now.Add(time.Duration(rapid.IntRange(50, 800).Draw(t, "milliseconds")) * time.Millisecond)
+			case "pause":
+				// The holder decides, then stands still with its orders unsent while
+				// the other one takes the lease over and acts on every engine.
+				parked = append(parked, act(holder, nil)...)
+				holder, token = 1-holder, token+1
+				now = now.Add(6 * time.Second)
+				for _, engine := range engines {
+					engine.advance(now)
+					engine.token = token
+				}
+			case "late":
+				for _, send := range parked {
+					for _, engine := range engines {
+						if engine.state.Name == send.Engine && send.Order.Token < token {
+							require.False(t, engine.take(now, send.Order), "a late order is refused")
+						}
+					}
+				}
+				if len(parked) > 0 {
+					require.Empty(t, act(1-holder, nil), "a lapsed lease is not relied on")
+				}
+			case "version":
+				version++
+			}
+			loading := 0
+			for _, engine := range engines {
+				engine.advance(now)
+				if engine.state.Loading {
+					loading++
+				}
+			}
+			require.LessOrEqual(t, loading, pace, "loads stay within the pace")
+		}
+	})
+}
+
+func TestAllEnginesAreBroughtUpToDate(t *testing.T) {
+	now := time.Unix(0, 0)
+	issuer := NewIssuer()
+	engines := []Engine{}
+	for index := range 7 {
+		engines = append(engines, Engine{Name: fmt.Sprint(index), Pool: "p", Usable: true, Weights: map[string]string{"m": "v1"}})
+	}
+	wanted := []Wanted{{Pool: "p", Versions: map[string]string{"m": "v2"}, LoadsAtOnce: 3}}
+	rounds := 0
+	for ; rounds < 10; rounds++ {
+		issuer.Hold(9, now.Add(5*time.Second))
+		sends := issuer.Step(now, wanted, engines)
+		if len(sends) == 0 {
+			break
+		}
+		require.LessOrEqual(t, len(sends), 3)
+		for _, send := range sends {
+			for index := range engines {
+				if engines[index].Name == send.Engine {
+					engines[index].Weights = map[string]string{"m": send.Order.Version}
+				}
+			}
+		}
+	}
+	require.Equal(t, 3, rounds)
+}
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -10,7 +10,9 @@
 	Pool     string
 	Epoch    string
 	// Ready says that the model is loaded at the version in force.
-	Ready    bool
+	Ready bool
+	// Loading says that it is busy loading weights.
+	Loading  bool
 	Leaving  bool
 	Down     bool
 	Resting  bool
