--- a/cmd/cloverrail-lab/main.go
+++ b/cmd/cloverrail-lab/main.go
@@ -22,6 +22,8 @@
 		Usage: "try cloverrail out against stand-ins",
 		Commands: []*cli.Command{
 			demoCommand(),
+			experimentCommand(),
+			faultsCommand(),
 			standinCommand(),
 			command.Node(),
 		},
--- a/internal/lab/enginestub/server.go
+++ b/internal/lab/enginestub/server.go
@@ -45,6 +45,8 @@
 	Salt    string `json:"salt"`
 	Model   string `json:"model"`
 	Version string `json:"version"`
+	// At is when the engine started it.
+	At time.Time `json:"at"`
 }
 
 // Server is the stand-in as an HTTP handler.
@@ -248,7 +250,7 @@
 	}
 	server.streams[attempt] = opened
 	server.executions = append(server.executions, Execution{
-		Attempt: attempt, User: message.User, Salt: message.CacheSalt, Model: message.Model, Version: version,
+		Attempt: attempt, User: message.User, Salt: message.CacheSalt, Model: message.Model, Version: version, At: time.Now(),
 	})
 	server.engine.Submit(enginemodel.Request{
 		ID:           attempt,
--- /dev/null
+++ b/internal/lab/experiment/policy.go
@@ -0,0 +1,114 @@
+package experiment
+
+import (
+	"math/rand/v2"
+
+	"github.com/cloverrail/cloverrail/internal/prefix"
+	"github.com/cloverrail/cloverrail/internal/routing"
+)
+
+// policy chooses an engine for a request as one node sees the fleet.
+type policy interface {
+	name() string
+	// perfect policies see the engines' true state at once.
+	perfect() bool
+	choose(node int, request *routing.Request, candidates []routing.Candidate) int
+}
+
+// PolicyNames lists the policies in the order in which they are reported.
+var PolicyNames = []string{"cloverrail", "random", "round-robin", "least-loaded", "rendezvous", "longest-prefix", "oracle"}
+
+func newPolicy(name string, profile Profile, seed uint64) policy {
+	switch name {
+	case "cloverrail":
+		return &scheduled{title: name, scheduler: routing.NewScheduler()}
+	case "oracle":
+		return &scheduled{title: name, oracle: true, scheduler: routing.NewScheduler()}
+	case "random":
+		return &randomPolicy{random: rand.New(rand.NewPCG(seed, 21))}
+	case "round-robin":
+		return &roundRobin{next: make([]int, profile.Nodes)}
+	case "least-loaded":
+		return leastLoaded{}
+	case "rendezvous":
+		return rendezvous{}
+	case "longest-prefix":
+		return longestPrefix{}
+	default:
+		return nil
+	}
+}
+
+// scheduled is the product's own scheduler, with a node's knowledge or, as the
+// oracle, with perfect knowledge.
+type scheduled struct {
+	title     string
+	oracle    bool
+	scheduler *routing.Scheduler
+}
+
+func (policy *scheduled) name() string  { return policy.title }
+func (policy *scheduled) perfect() bool { return policy.oracle }
+
+func (policy *scheduled) choose(_ int, request *routing.Request, candidates []routing.Candidate) int {
+	return policy.scheduler.Schedule(request, candidates).Index
+}
+
+type randomPolicy struct{ random *rand.Rand }
+
+func (*randomPolicy) name() string  { return "random" }
+func (*randomPolicy) perfect() bool { return false }
+func (policy *randomPolicy) choose(_ int, _ *routing.Request, candidates []routing.Candidate) int {
+	return policy.random.IntN(len(candidates))
+}
+
+type roundRobin struct{ next []int }
+
+func (*roundRobin) name() string  { return "round-robin" }
+func (*roundRobin) perfect() bool { return false }
+func (policy *roundRobin) choose(node int, _ *routing.Request, candidates []routing.Candidate) int {
+	policy.next[node]++
+	return (policy.next[node] + node) % len(candidates)
+}
+
+type leastLoaded struct{}
+
+func (leastLoaded) name() string  { return "least-loaded" }
+func (leastLoaded) perfect() bool { return false }
+func (leastLoaded) choose(_ int, _ *routing.Request, candidates []routing.Candidate) int {
+	return best(candidates, func(candidate *routing.Candidate) float64 { return -float64(candidate.Running) })
+}
+
+type rendezvous struct{}
+
+func (rendezvous) name() string  { return "rendezvous" }
+func (rendezvous) perfect() bool { return false }
+func (rendezvous) choose(_ int, _ *routing.Request, candidates []routing.Candidate) int {
+	return best(candidates, func(*routing.Candidate) float64 { return 0 })
+}
+
+type longestPrefix struct{}
+
+func (longestPrefix) name() string  { return "longest-prefix" }
+func (longestPrefix) perfect() bool { return false }
+func (longestPrefix) choose(_ int, _ *routing.Request, candidates []routing.Candidate) int {
+	return best(candidates, func(candidate *routing.Candidate) float64 { return float64(candidate.HitBlocks) })
+}
+
+// best returns the candidate of the highest value, ties by rendezvous.
+func best(candidates []routing.Candidate, value func(*routing.Candidate) float64) int {
+	chosen := 0
+	for index := range candidates {
+		first, second := value(&candidates[index]), value(&candidates[chosen])
+		if first > second || (first == second && candidates[index].Affinity > candidates[chosen].Affinity) {
+			chosen = index
+		}
+	}
+	return chosen
+}
+
+// keyOf is the rendezvous key of a prompt. Baselines that have no index hash
+// deeper than the tenant's rules, as a careful operator would set them up.
+func keyOf(chain []prefix.Hash, depth int) prefix.Hash {
+	return chain[min(len(chain), depth)-1]
+}
--- /dev/null
+++ b/internal/lab/experiment/simulation.go
@@ -0,0 +1,306 @@
+package experiment
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/endpoint"
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/eventreader"
+	"github.com/cloverrail/cloverrail/internal/lab/enginemodel"
+	"github.com/cloverrail/cloverrail/internal/prefix"
+	"github.com/cloverrail/cloverrail/internal/prefixindex"
+	"github.com/cloverrail/cloverrail/internal/routing"
+)
+
+const (
+	poolName     = "pool"
+	modelName    = "model"
+	readInterval = 100 * time.Millisecond
+	// epochOfTime is when virtual time starts.
+	epochOfTime = 1_800_000_000
+)
+
+// happening is something that takes place at a moment of virtual time.
+type happening struct {
+	at    time.Duration
+	order uint64
+	do    func()
+}
+
+type agenda []happening
+
+func (agenda agenda) Len() int { return len(agenda) }
+func (agenda agenda) Less(i, j int) bool {
+	if agenda[i].at != agenda[j].at {
+		return agenda[i].at < agenda[j].at
+	}
+	return agenda[i].order < agenda[j].order
+}
+func (agenda agenda) Swap(i, j int) { agenda[i], agenda[j] = agenda[j], agenda[i] }
+func (agenda *agenda) Push(item any) {
+	*agenda = append(*agenda, item.(happening))
+}
+func (agenda *agenda) Pop() any {
+	old := *agenda
+	last := old[len(old)-1]
+	*agenda = old[:len(old)-1]
+	return last
+}
+
+// simulatedEngine is one engine with its reader.
+type simulatedEngine struct {
+	name     string
+	number   int
+	epoch    int
+	engine   *enginemodel.Engine
+	stepping bool
+	reader   *eventreader.Reader
+	// log holds events that the reader has not read, already thinned by gaps.
+	log []engineapi.CacheEvent
+	// open are the requests on the engine.
+	open map[string]*flight
+}
+
+// flight is one request under way.
+type flight struct {
+	arrival  *arrival
+	node     int
+	engine   *simulatedEngine
+	first    time.Duration
+	last     time.Duration
+	hit      int
+	computed int
+}
+
+// simulation is one run of one policy.
+type simulation struct {
+	profile Profile
+	policy  policy
+	random  *rand.Rand
+	agenda  agenda
+	order   uint64
+	now     time.Duration
+	engines []*simulatedEngine
+	tables  []*endpoint.Table
+	index   *prefixindex.Index
+	result  result
+}
+
+type result struct {
+	firstTokens  []time.Duration
+	betweenTimes []time.Duration
+	promptTokens int
+	recomputed   int
+	refused      int
+	completed    int
+	decisions    []float64
+}
+
+func newSimulation(profile Profile, chosen policy, seed uint64) *simulation {
+	run := &simulation{profile: profile, policy: chosen, random: rand.New(rand.NewPCG(seed, 31)), index: prefixindex.New()}
+	declaration := &configuration.Declaration{Pools: []configuration.Pool{{Name: poolName}}}
+	for number := range profile.Engines {
+		name := fmt.Sprintf("engine-%02d", number)
+		declaration.Pools[0].Engines = append(declaration.Pools[0].Engines, configuration.Backend{Name: name})
+		run.engines = append(run.engines, &simulatedEngine{name: name, number: number, engine: enginemodel.New(profile.Engine), reader: eventreader.New(name), open: map[string]*flight{}})
+	}
+	snapshot := configuration.Compile(1, "experiment", declaration)
+	for range profile.Nodes {
+		table := endpoint.NewTable()
+		table.Configure(snapshot)
+		run.tables = append(run.tables, table)
+	}
+	for _, engine := range run.engines {
+		run.announce(engine)
+		run.at(time.Duration(run.random.Int64N(int64(readInterval))), func() { run.read(engine) })
+	}
+	return run
+}
+
+func (run *simulation) clock() time.Time { return time.Unix(epochOfTime, 0).Add(run.now) }
+
+func (run *simulation) at(when time.Duration, do func()) {
+	run.order++
+	heap.Push(&run.agenda, happening{at: when, order: run.order, do: do})
+}
+
+// announce tells all nodes of an engine's incarnation.
+func (run *simulation) announce(engine *simulatedEngine) {
+	for _, table := range run.tables {
+		table.Merge(endpoint.Record{Name: engine.name, Version: uint64(engine.epoch + 1), Epoch: engine.epochName(), Weights: map[string]string{modelName: "v"}})
+	}
+}
+
+func (engine *simulatedEngine) epochName() string { return fmt.Sprint("epoch-", engine.epoch) }
+
+func (run *simulation) run(requests []arrival, crashes []crash) result {
+	for index := range requests {
+		request := &requests[index]
+		run.at(request.at, func() { run.place(request) })
+	}
+	for _, item := range crashes {
+		run.at(item.at, func() { run.crash(run.engines[item.engine]) })
+	}
+	remaining := len(requests)
+	for run.result.completed < remaining && len(run.agenda) > 0 {
+		next := heap.Pop(&run.agenda).(happening)
+		run.now = next.at
+		next.do()
+	}
+	return run.result
+}
+
+// place lets a node decide, and sends the request on its way.
+func (run *simulation) place(request *arrival) {
+	table := run.tables[request.node]
+	candidates := table.Candidates(nil, poolName, modelName, "v", run.clock())
+	key := request.chain[0]
+	if !run.isScheduled() {
+		key = keyOf(request.chain, run.profile.Workload.RuleBlocks+1)
+	}
+	if run.policy.perfect() {
+		run.reveal(candidates, request.chain)
+		routing.Annotate(candidates, key, nil)
+	} else {
+		routing.Annotate(candidates, key, run.index.Lookup(nil, request.chain))
+	}
+	chosen := run.policy.choose(request.node, &routing.Request{
+		PromptTokens:           request.tokens,
+		BlockTokens:            run.profile.Engine.BlockTokens,
+		Blocks:                 len(request.chain),
+		PrefillTokensPerSecond: run.profile.Engine.PrefillTokensPerSecond,
+		WaitWeight:             run.profile.WaitWeight,
+		WorkWeight:             run.profile.WorkWeight,
+	}, candidates)
+	missing := max(0, request.tokens-candidates[chosen].HitBlocks*run.profile.Engine.BlockTokens)
+	table.Begin(candidates[chosen].Endpoint, missing, run.clock())
+	travelling := &flight{arrival: request, node: request.node, engine: run.engines[chosen]}
+	run.at(run.now+run.profile.OneWay, func() { run.submit(travelling) })
+}
+
+func (run *simulation) isScheduled() bool {
+	_, scheduled := run.policy.(*scheduled)
+	return scheduled
+}
+
+// reveal gives the candidates the engines' true state, and no lag.
+func (run *simulation) reveal(candidates []routing.Candidate, chain []prefix.Hash) {
+	for index := range candidates {
+		engine := run.engines[index]
+		load := engine.engine.Load()
+		candidates[index].HitBlocks = engine.engine.Depth(chain)
+		candidates[index].Running = load.Running + load.Waiting
+		candidates[index].QueuedTokens = load.PrefillTokens
+	}
+}
+
+func (run *simulation) submit(travelling *flight) {
+	engine := travelling.engine
+	request := travelling.arrival
+	engine.open[request.id] = travelling
+	engine.engine.Submit(enginemodel.Request{ID: request.id, Chain: request.chain, PromptTokens: request.tokens, OutputTokens: request.output})
+	run.step(engine)
+}
+
+// step runs the engine's steps one after another while it has work.
+func (run *simulation) step(engine *simulatedEngine) {
+	if engine.stepping || engine.engine.Idle() {
+		return
+	}
+	engine.stepping = true
+	epoch := engine.epoch
+	elapsed, outputs := engine.engine.Step(run.clock())
+	run.publish(engine)
+	run.at(run.now+elapsed, func() {
+		if engine.epoch != epoch {
+			return
+		}
+		engine.stepping = false
+		for _, output := range outputs {
+			run.deliver(engine, output)
+		}
+		run.step(engine)
+	})
+}
+
+// publish moves cache events to the log, losing some.
+func (run *simulation) publish(engine *simulatedEngine) {
+	for _, event := range engine.engine.TakeEvents() {
+		if run.random.Float64() >= run.profile.EventGap {
+			engine.log = append(engine.log, event)
+		}
+	}
+}
+
+func (run *simulation) deliver(engine *simulatedEngine, output enginemodel.Output) {
+	travelling, found := engine.open[output.ID]
+	if !found {
+		return
+	}
+	if output.Offset == 0 {
+		travelling.first = run.now
+		run.result.firstTokens = append(run.result.firstTokens, run.now+run.profile.OneWay-travelling.arrival.at)
+		run.result.promptTokens += travelling.arrival.tokens
+		run.result.recomputed += output.RecomputedTokens
+	} else {
+		run.result.betweenTimes = append(run.result.betweenTimes, run.now-travelling.last)
+	}
+	travelling.last = run.now
+	if output.Done {
+		delete(engine.open, output.ID)
+		run.result.completed++
+		run.tables[travelling.node].End(engine.name, false, run.clock())
+	}
+}
+
+// crash brings an engine back empty; its requests are placed again.
+func (run *simulation) crash(engine *simulatedEngine) {
+	engine.epoch++
+	engine.engine = enginemodel.New(run.profile.Engine)
+	engine.stepping = false
+	engine.log = nil
+	lost := make([]*flight, 0, len(engine.open))
+	for _, travelling := range engine.open {
+		lost = append(lost, travelling)
+	}
+	sort.Slice(lost, func(i, j int) bool { return lost[i].arrival.id < lost[j].arrival.id })
+	engine.open = map[string]*flight{}
+	run.announce(engine)
+	for _, travelling := range lost {
+		run.tables[travelling.node].End(engine.name, false, run.clock())
+		run.place(travelling.arrival)
+	}
+}
+
+// read is one read of the engine's reader; what it brings is known to the nodes
+// after a lag.
+func (run *simulation) read(engine *simulatedEngine) {
+	batch := engineapi.EventBatch{Events: engine.log, Status: engineapi.Status{Epoch: engine.epochName(), Load: engine.engine.Load()}}
+	engine.log = nil
+	change := engine.reader.Take(batch)
+	if engine.reader.SnapshotDue(run.clock()) {
+		sequence, blocks := engine.engine.Snapshot()
+		change = engine.reader.Reset(run.clock(), engineapi.Snapshot{Epoch: engine.epochName(), Sequence: sequence, Blocks: blocks})
+	}
+	update := prefixindex.Update{Holder: engine.reader.Holder(), Clear: change.Clear}
+	for _, item := range change.Stored {
+		update.Stored = append(update.Stored, item.Block)
+	}
+	for _, item := range change.Evicted {
+		update.Evicted = append(update.Evicted, item.Block)
+	}
+	taken := run.clock()
+	lag := time.Duration(run.random.Int64N(int64(run.profile.EventLag - readInterval)))
+	run.at(run.now+lag, func() {
+		run.index.Apply(update)
+		for _, table := range run.tables {
+			table.Report(engine.name, batch.Status.Load, taken)
+		}
+	})
+	run.at(run.now+readInterval, func() { run.read(engine) })
+}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -53,6 +53,8 @@
 	FirstToken time.Duration
 	Elapsed    time.Duration
 	Usage      *engineapi.Usage
+	// Ended is when the record was closed.
+	Ended time.Time
 	// Broke says that the connection ended without an answer or an end.
 	Broke bool
 }
@@ -131,7 +133,17 @@
 	} else {
 		generator.completion(ctx, &record)
 	}
-	record.Elapsed = time.Since(record.Started)
+	record.close()
+	generator.keep(record)
+	return record
+}
+
+// Probe sends a short streamed request, whose first token shows that a node serves.
+func (generator *Generator) Probe(ctx context.Context, node int) Record {
+	tenant := generator.target.Tenants[0]
+	record := Record{ID: uuid.Must(uuid.NewV7()).String(), Kind: Streamed, Tenant: tenant, Node: node, Started: time.Now()}
+	generator.complete(ctx, &record, []byte("are you there? "+record.ID), 2)
+	record.close()
 	generator.keep(record)
 	return record
 }
@@ -146,7 +158,7 @@
 		done.Go(func() {
 			records[index] = Record{ID: id, Kind: Once, Tenant: tenant, Node: node, Started: time.Now()}
 			generator.once(ctx, &records[index])
-			records[index].Elapsed = time.Since(records[index].Started)
+			records[index].close()
 		})
 	}
 	done.Wait()
@@ -156,6 +168,11 @@
 	return records
 }
 
+func (record *Record) close() {
+	record.Ended = time.Now()
+	record.Elapsed = record.Ended.Sub(record.Started)
+}
+
 func (generator *Generator) keep(record Record) {
 	generator.mutex.Lock()
 	defer generator.mutex.Unlock()
@@ -215,8 +232,10 @@
 }
 
 func (generator *Generator) completion(ctx context.Context, record *Record) {
-	prompt := generator.prompt(record.Tenant, record.ID)
-	tokens := 8 + generator.number(40)
+	generator.complete(ctx, record, generator.prompt(record.Tenant, record.ID), 8+generator.number(40))
+}
+
+func (generator *Generator) complete(ctx context.Context, record *Record, prompt []byte, tokens int) {
 	text, _ := json.Marshal(string(prompt))
 	body, _ := json.Marshal(engineapi.CompletionRequest{
 		Model: generator.target.Model, Prompt: text, MaxTokens: tokens, Seed: 11, User: record.ID,
--- a/internal/node/completion.go
+++ b/internal/node/completion.go
@@ -190,23 +190,12 @@
 	for _, pool := range pools {
 		candidates = node.table.Candidates(candidates, pool.Name, model.Name, model.Version, now)
 	}
-	for index := range candidates {
-		candidate := &candidates[index]
-		for _, depth := range answer.Depths {
-			// Entries of another incarnation are of no use, whatever they say.
-			if depth.Holder.Endpoint == candidate.Endpoint && depth.Holder.Epoch == candidate.Epoch {
-				candidate.HitBlocks = depth.Blocks
-			}
-		}
-		for _, name := range excluded {
-			candidate.Excluded = candidate.Excluded || name == candidate.Endpoint
-		}
-		if len(place.chain) > 0 {
-			candidate.Affinity = prefix.Weight(place.chain[0], candidate.Endpoint)
-		} else {
-			candidate.Affinity = prefix.Weight(prefix.KeyOf(place.salt), candidate.Endpoint)
-		}
+	key := prefix.KeyOf(place.salt)
+	if len(place.chain) > 0 {
+		key = place.chain[0]
 	}
+	routing.Annotate(candidates, key, answer.Depths)
+	routing.Exclude(candidates, excluded)
 	request := &routing.Request{
 		PromptTokens:           len(place.prompt)/bytesPerToken + 1,
 		BlockTokens:            pools[0].BlockBytes / bytesPerToken,
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -65,12 +65,8 @@
 func (chooser *chooser) Choose(excluded []string) (plain.Server, *failure.Failure) {
 	now := time.Now()
 	candidates := chooser.node.table.Candidates(nil, chooser.service, "", "", now)
-	for index := range candidates {
-		candidates[index].Affinity = prefix.Weight(chooser.key, candidates[index].Endpoint)
-		for _, name := range excluded {
-			candidates[index].Excluded = candidates[index].Excluded || name == candidates[index].Endpoint
-		}
-	}
+	routing.Annotate(candidates, chooser.key, nil)
+	routing.Exclude(candidates, excluded)
 	scheduler := routing.NewScheduler(routing.LoadScorer{})
 	decision := scheduler.Schedule(&routing.Request{}, candidates)
 	if decision.Index < 0 {
