Choose the affinity key by what is known of a prompt

Cause: the affinity scorer ranked engines by the prompt's first block, which all of a tenant's stories share, so they crowded onto the same few engines.

Change: the key is the first block that no engine holds, or the last block. Where a node sent a prompt in the last second counts as held there. A new copy is charged 0.1 of its prefill, not 0.25.

--- a/internal/lab/experiment/profile.go
+++ b/internal/lab/experiment/profile.go
@@ -67,7 +67,7 @@
 func Profiles() []Profile {
 	kuusisto := Profile{
 		Name: "kuusisto", Engines: 18, Nodes: 6, Engine: enginemodel.Standard(6*time.Millisecond, 20_000),
-		OneWay: 1500 * time.Microsecond, WaitWeight: 0.2, WorkWeight: 1,
+		OneWay: 1500 * time.Microsecond, WaitWeight: 0.3, WorkWeight: 1,
 		Duration: 5 * time.Minute, Rate: 26,
 		BurstEvery: 100 * time.Second, BurstLength: 25 * time.Second, BurstFactor: 1.6,
 		ShiftEvery: 80 * time.Second, CrashEvery: 70 * time.Second,
@@ -80,7 +80,7 @@
 	kuusisto.Engine.CacheBlocks = 200
 	dakar := Profile{
 		Name: "dakar", Engines: 12, Nodes: 4, Engine: enginemodel.Standard(4*time.Millisecond, 30_000),
-		OneWay: 900 * time.Microsecond, WaitWeight: 1, WorkWeight: 0.5,
+		OneWay: 900 * time.Microsecond, WaitWeight: 1, WorkWeight: 1,
 		Duration: 5 * time.Minute, Rate: 40,
 		BurstEvery: 90 * time.Second, BurstLength: 20 * time.Second, BurstFactor: 2,
 		ShiftEvery: 60 * time.Second, CrashEvery: 80 * time.Second,
--- a/internal/lab/experiment/simulation.go
+++ b/internal/lab/experiment/simulation.go
@@ -21,6 +21,7 @@
 	poolName     = "pool"
 	modelName    = "model"
 	readInterval = 100 * time.Millisecond
+	expectedLife = time.Second
 	// epochOfTime is when virtual time starts.
 	epochOfTime = 1_800_000_000
 )
@@ -88,7 +89,9 @@
 	engines []*simulatedEngine
 	tables  []*endpoint.Table
 	index   *prefixindex.Index
-	result  result
+	// expected is each node's memory of where it sent prompts.
+	expected []*prefixindex.Expected
+	result   result
 }
 
 type result struct {
@@ -114,6 +117,7 @@
 		table := endpoint.NewTable()
 		table.Configure(snapshot)
 		run.tables = append(run.tables, table)
+		run.expected = append(run.expected, prefixindex.NewExpected(expectedLife))
 	}
 	for _, engine := range run.engines {
 		run.announce(engine)
@@ -159,16 +163,19 @@
 func (run *simulation) place(request *arrival) {
 	table := run.tables[request.node]
 	candidates := table.Candidates(nil, poolName, modelName, "v", run.clock())
-	key := request.chain[0]
-	if !run.isScheduled() {
-		key = keyOf(request.chain, run.profile.Workload.RuleBlocks+1)
+	depths := run.index.Lookup(nil, request.chain)
+	if run.isScheduled() {
+		depths = run.expected[request.node].Lookup(run.clock(), depths, request.chain)
+	}
+	key := keyOf(request.chain, run.profile.Workload.RuleBlocks+1)
+	if run.isScheduled() {
+		key = routing.AffinityKey(request.chain, depths)
 	}
 	if run.policy.perfect() {
 		run.reveal(candidates, request.chain)
-		routing.Annotate(candidates, key, nil)
-	} else {
-		routing.Annotate(candidates, key, run.index.Lookup(nil, request.chain))
+		depths = nil
 	}
+	routing.Annotate(candidates, key, depths)
 	chosen := run.policy.choose(request.node, &routing.Request{
 		PromptTokens:           request.tokens,
 		BlockTokens:            run.profile.Engine.BlockTokens,
@@ -177,6 +184,7 @@
 		WaitWeight:             run.profile.WaitWeight,
 		WorkWeight:             run.profile.WorkWeight,
 	}, candidates)
+	run.expected[request.node].Add(run.clock(), prefixindex.Holder{Endpoint: candidates[chosen].Endpoint, Epoch: candidates[chosen].Epoch}, request.chain)
 	missing := max(0, request.tokens-candidates[chosen].HitBlocks*run.profile.Engine.BlockTokens)
 	table.Begin(candidates[chosen].Endpoint, missing, run.clock())
 	travelling := &flight{arrival: request, node: request.node, engine: run.engines[chosen]}
--- a/internal/node/completion.go
+++ b/internal/node/completion.go
@@ -17,6 +17,7 @@
 	"github.com/cloverrail/cloverrail/internal/engineapi"
 	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/prefix"
+	"github.com/cloverrail/cloverrail/internal/prefixindex"
 	"github.com/cloverrail/cloverrail/internal/retry"
 	"github.com/cloverrail/cloverrail/internal/routing"
 )
@@ -185,16 +186,17 @@
 	pools := place.pools
 	node := place.node
 	now := time.Now()
-	answer := node.lookup(ctx, place.chain)
+	depths := node.lookup(ctx, place.chain).Depths
+	depths = node.expected.Lookup(now, depths, place.chain)
 	candidates := []routing.Candidate{}
 	for _, pool := range pools {
 		candidates = node.table.Candidates(candidates, pool.Name, model.Name, model.Version, now)
 	}
 	key := prefix.KeyOf(place.salt)
 	if len(place.chain) > 0 {
-		key = place.chain[0]
+		key = routing.AffinityKey(place.chain, depths)
 	}
-	routing.Annotate(candidates, key, answer.Depths)
+	routing.Annotate(candidates, key, depths)
 	routing.Exclude(candidates, excluded)
 	request := &routing.Request{
 		PromptTokens:           len(place.prompt)/bytesPerToken + 1,
@@ -214,6 +216,7 @@
 	chosen := candidates[decision.Index]
 	missing := max(0, request.PromptTokens-chosen.HitBlocks*request.BlockTokens)
 	node.table.Begin(chosen.Endpoint, missing, now)
+	node.expected.Add(now, prefixindex.Holder{Endpoint: chosen.Endpoint, Epoch: chosen.Epoch}, place.chain)
 	return &dispatch.Target{Endpoint: chosen.Endpoint, Address: chosen.Address, Epoch: chosen.Epoch, Weights: model.Version}, routing.Accepted
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/cloverrail/cloverrail/internal/metrics"
 	"github.com/cloverrail/cloverrail/internal/peer"
 	"github.com/cloverrail/cloverrail/internal/plain"
+	"github.com/cloverrail/cloverrail/internal/prefixindex"
 	"github.com/cloverrail/cloverrail/internal/retry"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/internal/wire"
@@ -32,6 +33,9 @@
 	syncTimeout       = 300 * time.Millisecond
 	resyncInterval    = 10 * time.Second
 	startInterval     = 100 * time.Millisecond
+	// expectedLife is how long a prompt sent to an engine counts as held there
+	// without the engine's word; events are at most that late.
+	expectedLife = time.Second
 	// callTimeout bounds calls between nodes that set no bound of their own.
 	callTimeout = time.Second
 	// leaveNotice is how long peers get to hear that this node drains before it
@@ -54,6 +58,7 @@
 	claims    *claims
 	limits    *limits
 	hot       *hotCounter
+	expected  *prefixindex.Expected
 	engines   *engineapi.Client
 	driver    *dispatch.Driver
 	forwarder *plain.Forwarder
@@ -90,6 +95,7 @@
 		claims:    newClaims(now),
 		limits:    newLimits(now),
 		hot:       newHotCounter(),
+		expected:  prefixindex.NewExpected(expectedLife),
 		engines:   engineapi.NewClient(),
 		retries:   retry.NewBudget(retry.DefaultBudget, now),
 		lifecycle: newLifecycle(),
--- a/internal/routing/annotate.go
+++ b/internal/routing/annotate.go
@@ -5,9 +5,21 @@
 	"github.com/cloverrail/cloverrail/internal/prefixindex"
 )
 
+// AffinityKey is the rendezvous key of a prompt: its first block that no engine
+// holds, or its last one. Prompts that differ only further down share the key,
+// so all nodes send a new prefix to the same engine; and prompts that share a
+// known beginning, such as one tenant's rules, are spread by what is new.
+func AffinityKey(chain []prefix.Hash, depths []prefixindex.Depth) prefix.Hash {
+	known := 0
+	for _, depth := range depths {
+		known = max(known, depth.Blocks)
+	}
+	return chain[min(known, len(chain)-1)]
+}
+
 // Annotate fills in what the index knows of the candidates and their rendezvous
-// weights for the key, which is the prompt's first block where it has one.
-// Entries of another incarnation are of no use, whatever they say.
+// weights for the key. Entries of another incarnation are of no use, whatever
+// they say.
 func Annotate(candidates []Candidate, key prefix.Hash, depths []prefixindex.Depth) {
 	for index := range candidates {
 		candidate := &candidates[index]
--- a/internal/routing/score_affinity.go
+++ b/internal/routing/score_affinity.go
@@ -2,7 +2,7 @@
 
 // copyCost is the share of a prompt's prefill that one more copy of its prefix
 // costs later on: it takes cache memory from another prefix.
-const copyCost = 0.25
+const copyCost = 0.1
 
 // maximumRank bounds the rank, so that distant ranks do not differ.
 const maximumRank = 4
