Give laboratory processes addresses that restarts keep

The node's listener had failed: its address was given back for the restart and an outgoing connection took the port. The harness dropped that error, so the test saw only a node that never became ready. Ruled out: the path of the configuration from peers (passes alone, 20 of 20, after the change).

Change: addresses away from 127.0.0.1 and below the range of outgoing ports; a node's end and its error are told when a condition does not come to hold. Digests of keys are kept in binary. After: three whole runs of the package and 20 of the test alone pass.

--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -16,8 +16,8 @@
 	Declaration *Declaration
 
 	tenants           map[string]*Tenant
-	tenantsByDigest   map[string]*Tenant
-	operatorsByDigest map[string]*Operator
+	tenantsByDigest   map[[sha256.Size]byte]*Tenant
+	operatorsByDigest map[[sha256.Size]byte]*Operator
 	classes           map[string]*Class
 	models            map[string]*Model
 	pools             map[string]*Pool
@@ -31,8 +31,8 @@
 		ChangeID:          changeID,
 		Declaration:       declaration,
 		tenants:           make(map[string]*Tenant, len(declaration.Tenants)),
-		tenantsByDigest:   make(map[string]*Tenant, len(declaration.Tenants)),
-		operatorsByDigest: make(map[string]*Operator, len(declaration.Operators)),
+		tenantsByDigest:   make(map[[sha256.Size]byte]*Tenant, len(declaration.Tenants)),
+		operatorsByDigest: make(map[[sha256.Size]byte]*Operator, len(declaration.Operators)),
 		classes:           make(map[string]*Class, len(declaration.Classes)),
 		models:            make(map[string]*Model, len(declaration.Models)),
 		pools:             make(map[string]*Pool, len(declaration.Pools)),
@@ -42,11 +42,11 @@
 		tenant := &declaration.Tenants[index]
 		snapshot.tenants[tenant.Name] = tenant
 		for _, digest := range tenant.KeyDigests {
-			snapshot.tenantsByDigest[digest] = tenant
+			snapshot.tenantsByDigest[binaryDigest(digest)] = tenant
 		}
 	}
 	for index := range declaration.Operators {
-		snapshot.operatorsByDigest[declaration.Operators[index].KeyDigest] = &declaration.Operators[index]
+		snapshot.operatorsByDigest[binaryDigest(declaration.Operators[index].KeyDigest)] = &declaration.Operators[index]
 	}
 	for index := range declaration.Classes {
 		snapshot.classes[declaration.Classes[index].Name] = &declaration.Classes[index]
@@ -69,9 +69,16 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// binaryDigest halves the memory of a digest that passed its check.
+func binaryDigest(digest string) [sha256.Size]byte {
+	var binary [sha256.Size]byte
+	_, _ = hex.Decode(binary[:], []byte(digest))
+	return binary
+}
+
 // TenantOfKey finds the tenant that owns the key.
 func (snapshot *Snapshot) TenantOfKey(key string) (*Tenant, bool) {
-	tenant, found := snapshot.tenantsByDigest[Digest(key)]
+	tenant, found := snapshot.tenantsByDigest[sha256.Sum256([]byte(key))]
 	return tenant, found
 }
 
@@ -83,7 +90,7 @@
 
 // OperatorOfKey finds the operator that owns the key.
 func (snapshot *Snapshot) OperatorOfKey(key string) (*Operator, bool) {
-	operator, found := snapshot.operatorsByDigest[Digest(key)]
+	operator, found := snapshot.operatorsByDigest[sha256.Sum256([]byte(key))]
 	return operator, found
 }
 
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -17,6 +16,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/lab/address"
 	"github.com/cloverrail/cloverrail/internal/lab/kvstub"
 	"github.com/cloverrail/cloverrail/internal/lab/machinestub"
 	"github.com/cloverrail/cloverrail/internal/operator"
@@ -96,7 +96,7 @@
 	holders := []string{}
 	for index := range cluster.config.Nodes {
 		zone := copied.Zones[index%len(copied.Zones)].Name
-		cluster.Nodes = append(cluster.Nodes, &Node{Zone: zone, Caller: freeAddress(), Peer: freeAddress(), Operator: freeAddress()})
+		cluster.Nodes = append(cluster.Nodes, &Node{Zone: zone, Caller: address.Free(), Peer: address.Free(), Operator: address.Free()})
 		holders = append(holders, cluster.Nodes[index].Peer)
 	}
 	cluster.Declaration.Claims.Holders = holders[:min(3, len(holders))]
@@ -115,8 +115,8 @@
 }
 
 func (cluster *Cluster) startPlatform() error {
-	cluster.KeyValue = &Backend{Name: "key-value", Address: freeAddress()}
-	cluster.Machines = &Backend{Name: "machines", Address: freeAddress()}
+	cluster.KeyValue = &Backend{Name: "key-value", Address: address.Free()}
+	cluster.Machines = &Backend{Name: "machines", Address: address.Free()}
 	var err error
 	if cluster.KeyValue.Process, err = start("key-value", cluster.config.Log, "standin", "key-value", "--address", cluster.KeyValue.Address); err != nil {
 		return err
@@ -133,7 +133,7 @@
 		pool := &pools[index]
 		pool.Engines = append([]configuration.Backend(nil), pool.Engines...)
 		for position := range pool.Engines {
-			pool.Engines[position].Address = freeAddress()
+			pool.Engines[position].Address = address.Free()
 			backend := &Backend{Name: pool.Engines[position].Name, Address: pool.Engines[position].Address}
 			cluster.Engines = append(cluster.Engines, backend)
 			if err := cluster.StartEngine(backend); err != nil {
@@ -147,7 +147,7 @@
 		service := &services[index]
 		service.Servers = append([]configuration.Backend(nil), service.Servers...)
 		for position := range service.Servers {
-			service.Servers[position].Address = freeAddress()
+			service.Servers[position].Address = address.Free()
 			backend := &Backend{Name: service.Servers[position].Name, Address: service.Servers[position].Address}
 			var err error
 			if backend.Process, err = start(backend.Name, cluster.config.Log, "standin", "plain", "--address", backend.Address); err != nil {
@@ -321,20 +321,3 @@
 		}
 	}
 }
-
-// freeAddress finds a loopback address that is free for TCP and UDP.
-func freeAddress() string {
-	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			continue
-		}
-		address := listener.Addr().String()
-		packet, err := net.ListenPacket("udp", address)
-		_ = listener.Close()
-		if err == nil {
-			_ = packet.Close()
-			return address
-		}
-	}
-}
--- a/internal/lab/experiment/simulation.go
+++ b/internal/lab/experiment/simulation.go
@@ -69,13 +69,11 @@
 
 // flight is one request under way.
 type flight struct {
-	arrival  *arrival
-	node     int
-	engine   *simulatedEngine
-	first    time.Duration
-	last     time.Duration
-	hit      int
-	computed int
+	arrival *arrival
+	node    int
+	engine  *simulatedEngine
+	first   time.Duration
+	last    time.Duration
 }
 
 // simulation is one run of one policy.
@@ -103,7 +101,6 @@
 	recomputed   int
 	refused      int
 	completed    int
-	decisions    []float64
 }
 
 func newSimulation(profile Profile, chosen policy, seed uint64) *simulation {
--- a/internal/lab/inprocess/fleet.go
+++ b/internal/lab/inprocess/fleet.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -20,6 +19,7 @@
 	"github.com/cloverrail/cloverrail/internal/configuration"
 	"github.com/cloverrail/cloverrail/internal/gateway"
 	"github.com/cloverrail/cloverrail/internal/kvservice"
+	"github.com/cloverrail/cloverrail/internal/lab/address"
 	"github.com/cloverrail/cloverrail/internal/lab/enginemodel"
 	"github.com/cloverrail/cloverrail/internal/lab/enginestub"
 	"github.com/cloverrail/cloverrail/internal/lab/kvstub"
@@ -65,6 +65,8 @@
 	*node.Node
 	stop context.CancelFunc
 	done chan struct{}
+	// err is why the node ended, once done is closed.
+	err error
 }
 
 // Fleet is all of it.
@@ -95,7 +97,7 @@
 	fleet.base.DrainDeadline = 30 * time.Second
 	fleet.base.DrainNotice = 200 * time.Millisecond
 	for range config.Nodes {
-		fleet.peers = append(fleet.peers, freeAddress())
+		fleet.peers = append(fleet.peers, address.Free())
 	}
 	fleet.declare(config)
 	fleet.Store = configstore.New(kvservice.NewClient(fleet.base.KeyValueAddress))
@@ -164,7 +166,7 @@
 	given := fleet.base
 	given.Zone = string(rune('a' + index%3))
 	given.PeerAddress = fleet.peers[index]
-	given.CallerAddress, given.OperatorAddress = freeAddress(), freeAddress()
+	given.CallerAddress, given.OperatorAddress = address.Free(), address.Free()
 	given.Seeds = fleet.peers
 	created, err := node.New(given, zerolog.Nop(), node.Options{Blocked: fleet.isBlocked})
 	if err != nil {
@@ -174,7 +176,7 @@
 	running := &Node{Settings: given, Node: created, stop: stop, done: make(chan struct{})}
 	go func() {
 		defer close(running.done)
-		_ = created.Run(ctx, gateway.New(created), operator.NewServer(created, ""))
+		running.err = created.Run(ctx, gateway.New(created), operator.NewServer(created, ""))
 	}()
 	if index < len(fleet.Nodes) {
 		fleet.Nodes[index] = running
@@ -217,12 +219,25 @@
 func (fleet *Fleet) Await(condition func() bool) error {
 	for end := time.Now().Add(readyLimit); !condition(); time.Sleep(poll) {
 		if time.Now().After(end) {
-			return errors.New("the condition did not come to hold")
+			return errors.Errorf("the condition did not come to hold; %s", fleet.ends())
 		}
 	}
 	return nil
 }
 
+// ends tells which nodes have ended, and why.
+func (fleet *Fleet) ends() string {
+	told := "nodes that ended:"
+	for index, running := range fleet.Nodes {
+		select {
+		case <-running.done:
+			told += fmt.Sprintf(" %d (%v)", index, running.err)
+		default:
+		}
+	}
+	return told
+}
+
 // URL returns a node's callers' interface.
 func (fleet *Fleet) URL(index int) string {
 	return "http://" + fleet.Nodes[index].Settings.CallerAddress
@@ -240,19 +255,3 @@
 		<-running.done
 	}
 }
-
-func freeAddress() string {
-	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			continue
-		}
-		address := listener.Addr().String()
-		packet, err := net.ListenPacket("udp", address)
-		_ = listener.Close()
-		if err == nil {
-			_ = packet.Close()
-			return address
-		}
-	}
-}
