Import kept KV cache where it beats recomputation

The platform keeps KV cache; nothing used it.

Change: a pool may declare its store. Its events are read like an engine's, so the index knows what it keeps; the scorers price an import at its own speed; the dispatch tells the engine what to import and where to export. Kept blocks carry the identity they were computed for, and an engine takes no other.

Ruled out: treating the store as one more engine to route to (it cannot decode); letting engines ask the store for every prompt (a round trip for each cold one).

TestKeptBlocksOfAnotherIdentityAreNotUsed fails with the identity check off.

--- a/cmd/cloverrail-lab/standin.go
+++ b/cmd/cloverrail-lab/standin.go
@@ -12,6 +12,7 @@
 
 	"github.com/cloverrail/cloverrail/internal/lab/enginemodel"
 	"github.com/cloverrail/cloverrail/internal/lab/enginestub"
+	"github.com/cloverrail/cloverrail/internal/lab/keptstub"
 	"github.com/cloverrail/cloverrail/internal/lab/kvstub"
 	"github.com/cloverrail/cloverrail/internal/lab/machinestub"
 	"github.com/cloverrail/cloverrail/internal/lab/plainstub"
@@ -47,6 +48,13 @@
 					return serve(ctx, command, machinestub.New(command.Duration("lag")))
 				},
 			},
+			{
+				Name: "kept", Usage: "the store of kept KV cache",
+				Flags: []cli.Flag{address, &cli.IntFlag{Name: "blocks", Value: 20_000, Usage: "capacity"}},
+				Action: func(ctx context.Context, command *cli.Command) error {
+					return serve(ctx, command, keptstub.New(command.Int("blocks")))
+				},
+			},
 			{
 				Name: "plain", Usage: "a plain service",
 				Flags: []cli.Flag{address, &cli.DurationFlag{Name: "work", Value: 5 * time.Millisecond}},
--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -61,6 +61,9 @@
 		for position, model := range pool.Models {
 			reference(models, fmt.Sprintf("%s.models[%d]", path, position), "model", model)
 		}
+		if pool.KeptCache != nil {
+			backend(path+".keptCache", Backend{Name: pool.KeptCache.Name, Zone: pool.KeptCache.Zone})
+		}
 		for position, engine := range pool.Engines {
 			backend(fmt.Sprintf("%s.engines[%d]", path, position), engine)
 		}
--- a/internal/configuration/declaration.go
+++ b/internal/configuration/declaration.go
@@ -91,10 +91,21 @@
 	LoadsAtOnce int `yaml:"loadsAtOnce" json:"loadsAtOnce" validate:"min=1"`
 	// ConcurrentPerEngine bounds one node's streams on one engine.
 	ConcurrentPerEngine int `yaml:"concurrentPerEngine" json:"concurrentPerEngine" validate:"min=1"`
+	// KeptCache is the store of kept KV cache that the engines share, if any.
+	KeptCache *KeptCache `yaml:"keptCache" json:"keptCache,omitempty" validate:"omitempty"`
 	// Engines are the pool's back ends.
 	Engines []Backend `yaml:"engines" json:"engines" validate:"unique=Name,dive"`
 }
 
+// KeptCache is the platform's store of kept KV cache.
+type KeptCache struct {
+	Name    string `yaml:"name" json:"name" validate:"required"`
+	Address string `yaml:"address" json:"address" validate:"tcp_addr"`
+	Zone    string `yaml:"zone" json:"zone" validate:"required"`
+	// TokensPerSecond is the speed at which one engine imports.
+	TokensPerSecond float64 `yaml:"tokensPerSecond" json:"tokensPerSecond" validate:"gt=0"`
+}
+
 // Backend is one process that serves requests.
 type Backend struct {
 	Name    string `yaml:"name" json:"name" validate:"required"`
--- a/internal/engineapi/completion.go
+++ b/internal/engineapi/completion.go
@@ -18,6 +18,7 @@
 	CacheSalt           string          `json:"cache_salt,omitempty"`
 	Priority            int             `json:"priority,omitempty"`
 	Continue            *Continuation   `json:"continue_from,omitempty"`
+	Transfer            *Transfer       `json:"kv_transfer,omitempty"`
 }
 
 // StreamOptions are the caller's wishes for a streamed answer.
--- a/internal/engineapi/messages.go
+++ b/internal/engineapi/messages.go
@@ -27,6 +27,9 @@
 	PathSnapshot = "/v1/cache/snapshot"
 	PathStreams  = "/v1/streams/"
 	PathOrders   = "/v1/orders"
+	// The store's paths.
+	PathKeptFetch = "/v1/kept/fetch"
+	PathKeptStore = "/v1/kept/store"
 )
 
 // EventKind tells cache events apart.
@@ -93,6 +96,28 @@
 	Version string `json:"version"`
 }
 
+// Transfer tells an engine which kept-KV store to take blocks from and to give
+// new ones to.
+type Transfer struct {
+	Store string `json:"store"`
+	// ImportBlocks is how many leading blocks of the prompt the store is thought
+	// to keep; 0 imports none.
+	ImportBlocks int `json:"importBlocks"`
+}
+
+// KeptBlock is one block as the store keeps it, with the identity that it was
+// computed for. An engine refuses a block of another identity.
+type KeptBlock struct {
+	Block    prefix.Hash `json:"block"`
+	Parent   prefix.Hash `json:"parent"`
+	Identity string      `json:"identity"`
+}
+
+// KeptBlocks is the body of calls to the store.
+type KeptBlocks struct {
+	Blocks []KeptBlock `json:"blocks"`
+}
+
 // Continuation asks an engine to go on with a stream that another engine began.
 type Continuation struct {
 	// Text is what the caller has received.
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -69,6 +69,7 @@
 	Nodes       []*Node
 	Engines     []*Backend
 	Servers     []*Backend
+	Stores      []*Backend
 	KeyValue    *Backend
 	Machines    *Backend
 	client      *http.Client
@@ -132,6 +133,17 @@
 	for index := range pools {
 		pool := &pools[index]
 		pool.Engines = append([]configuration.Backend(nil), pool.Engines...)
+		if pool.KeptCache != nil {
+			store := *pool.KeptCache
+			store.Address = address.Free()
+			pool.KeptCache = &store
+			backend := &Backend{Name: store.Name, Address: store.Address}
+			cluster.Stores = append(cluster.Stores, backend)
+			var err error
+			if backend.Process, err = start(store.Name, cluster.config.Log, "standin", "kept", "--address", store.Address); err != nil {
+				return err
+			}
+		}
 		for position := range pool.Engines {
 			pool.Engines[position].Address = address.Free()
 			backend := &Backend{Name: pool.Engines[position].Name, Address: pool.Engines[position].Address}
@@ -305,7 +317,7 @@
 	for _, node := range cluster.Nodes {
 		processes = append(processes, node.Process)
 	}
-	for _, backend := range append(append([]*Backend{cluster.KeyValue, cluster.Machines}, cluster.Engines...), cluster.Servers...) {
+	for _, backend := range append(append([]*Backend{cluster.KeyValue, cluster.Machines}, cluster.Engines...), append(cluster.Servers, cluster.Stores...)...) {
 		if backend != nil {
 			processes = append(processes, backend.Process)
 		}
--- a/internal/lab/enginemodel/cache.go
+++ b/internal/lab/enginemodel/cache.go
@@ -115,3 +115,12 @@
 	event.Sequence = cache.sequence
 	cache.events = append(cache.events, event)
 }
+
+// snapshot lists the blocks, parents before children.
+func (cache *cache) snapshot() (sequence uint64, blocks []engineapi.CacheEvent) {
+	for place := cache.order.Front(); place != nil; place = place.Next() {
+		held := place.Value.(*block)
+		blocks = append(blocks, engineapi.CacheEvent{Kind: engineapi.BlockStored, Block: held.hash, Parent: held.parent})
+	}
+	return cache.sequence, blocks
+}
--- a/internal/lab/enginemodel/engine.go
+++ b/internal/lab/enginemodel/engine.go
@@ -24,6 +24,8 @@
 	CacheBlocks int
 	// BlockTokens is the size of one block.
 	BlockTokens int
+	// ImportTokensPerSecond is the speed of taking blocks from the kept-KV store.
+	ImportTokensPerSecond float64
 }
 
 // Request is one prompt to complete.
@@ -33,6 +35,8 @@
 	PromptTokens int
 	OutputTokens int
 	Priority     int
+	// ImportBlocks is how many leading blocks the kept-KV store offers.
+	ImportBlocks int
 }
 
 // Output is what one step did for one request.
@@ -45,12 +49,17 @@
 	// the cache; HitBlocks counts blocks that were.
 	RecomputedTokens int
 	HitBlocks        int
+	// ImportedBlocks came from the kept-KV store.
+	ImportedBlocks int
 }
 
 type sequence struct {
 	request  Request
 	pinned   []prefix.Hash
 	hit      int
+	imported int
+	// ready is when the import has ended.
+	ready    time.Time
 	prefill  int
 	computed int
 	emitted  int
@@ -121,7 +130,7 @@
 			continue
 		}
 		decoded++
-		output := Output{ID: item.request.ID, Offset: item.emitted, RecomputedTokens: item.prefill, HitBlocks: item.hit}
+		output := Output{ID: item.request.ID, Offset: item.emitted, RecomputedTokens: item.prefill, HitBlocks: item.hit, ImportedBlocks: item.imported}
 		item.emitted++
 		output.Done = item.emitted >= item.request.OutputTokens
 		outputs = append(outputs, output)
@@ -146,7 +155,12 @@
 		item.pinned = item.request.Chain[:item.hit]
 		engine.cache.touch(item.pinned, now)
 		engine.cache.pin(item.pinned)
-		item.prefill = max(1, item.request.PromptTokens-item.hit*engine.config.BlockTokens)
+		item.imported = max(0, min(item.request.ImportBlocks, len(item.request.Chain))-item.hit)
+		if item.imported > 0 {
+			seconds := float64(item.imported*engine.config.BlockTokens) / engine.config.ImportTokensPerSecond
+			item.ready = now.Add(time.Duration(seconds * float64(time.Second)))
+		}
+		item.prefill = max(1, item.request.PromptTokens-(item.hit+item.imported)*engine.config.BlockTokens)
 		engine.running = append(engine.running, item)
 	}
 }
@@ -156,7 +170,8 @@
 	budget := engine.config.ChunkTokens
 	for _, item := range engine.running {
 		share := min(budget, item.prefill-item.computed)
-		if share == 0 {
+		if share == 0 || now.Before(item.ready) {
+			// An import runs beside the computation of others.
 			continue
 		}
 		before := item.computed / engine.config.BlockTokens
@@ -170,7 +185,7 @@
 }
 
 func (engine *Engine) remember(item *sequence, now time.Time) {
-	whole := item.hit + item.computed/engine.config.BlockTokens
+	whole := item.hit + item.imported + item.computed/engine.config.BlockTokens
 	chain := item.request.Chain[:min(whole, len(item.request.Chain))]
 	held := engine.cache.depth(chain)
 	engine.cache.store(chain, now)
@@ -198,11 +213,7 @@
 
 // Snapshot lists the cached blocks, parents before children.
 func (engine *Engine) Snapshot() (sequence uint64, blocks []engineapi.CacheEvent) {
-	for place := engine.cache.order.Front(); place != nil; place = place.Next() {
-		held := place.Value.(*block)
-		blocks = append(blocks, engineapi.CacheEvent{Kind: engineapi.BlockStored, Block: held.hash, Parent: held.parent})
-	}
-	return engine.cache.sequence, blocks
+	return engine.cache.snapshot()
 }
 
 // Standard returns the setup of an engine of the given speed.
@@ -215,5 +226,6 @@
 		MaxRunning:             64,
 		CacheBlocks:            160,
 		BlockTokens:            1000,
+		ImportTokensPerSecond:  10 * prefillTokensPerSecond,
 	}
 }
--- a/internal/lab/enginestub/server.go
+++ b/internal/lab/enginestub/server.go
@@ -3,6 +3,7 @@
 package enginestub
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -180,6 +181,9 @@
 func (server *Server) deliver(output enginemodel.Output) {
 	if target, found := server.streams[output.ID]; found {
 		target.add(output)
+		if transfer := target.message.Transfer; transfer != nil && output.Offset == 0 && len(target.chain) > 0 {
+			go export(transfer.Store, identityOf(target.message.CacheSalt, target.version), target.chain)
+		}
 	}
 }
 
@@ -209,6 +213,7 @@
 	if attempt == "" {
 		attempt = uuid.NewString()
 	}
+	work := server.prepare(&message)
 	server.mutex.Lock()
 	version := server.weights[message.Model]
 	refusal := server.refusal(request, version)
@@ -217,7 +222,7 @@
 		notStarted(writer, http.StatusConflict, refusal)
 		return
 	}
-	opened := server.start(attempt, version, &message)
+	opened := server.start(attempt, version, &message, work)
 	server.mutex.Unlock()
 	server.send(writer, request, opened, opened.base)
 }
@@ -239,23 +244,52 @@
 	}
 }
 
-func (server *Server) start(attempt, version string, message *engineapi.CompletionRequest) *stream {
-	prompt := message.PromptText()
-	opened := newStream(attempt, server.epoch, version, prompt, message)
+// work is what a request asks of the engine.
+type work struct {
+	// prompt of the caller, and with what another engine has added to it.
+	prompt []byte
+	text   []byte
+	chain  []prefix.Hash
+	// version that the import below was checked for.
+	version      string
+	importBlocks int
+}
+
+// prepare reads a request and fetches what it may import. Nothing starts here.
+func (server *Server) prepare(message *engineapi.CompletionRequest) work {
+	prepared := work{prompt: message.PromptText()}
+	prepared.text = prepared.prompt
+	if message.Continue != nil {
+		prepared.text = append(bytes.Clone(prepared.prompt), message.Continue.Text...)
+	}
+	prepared.chain = prefix.Chain(message.CacheSalt, prepared.text, server.config.BlockBytes)
+	server.mutex.Lock()
+	prepared.version = server.weights[message.Model]
+	server.mutex.Unlock()
+	prepared.importBlocks = importable(message, prepared.version, prepared.chain)
+	return prepared
+}
+
+func (server *Server) start(attempt, version string, message *engineapi.CompletionRequest, prepared work) *stream {
+	opened := newStream(attempt, server.epoch, version, prepared.prompt, message)
+	opened.chain = prepared.chain
 	tokens := message.OutputLimit(defaultOutputTokens)
 	if message.Continue != nil {
-		prompt = append(prompt, message.Continue.Text...)
 		opened.base = message.Continue.Offset
 		tokens -= message.Continue.Offset
 	}
+	if prepared.version != version {
+		prepared.importBlocks = 0
+	}
 	server.streams[attempt] = opened
 	server.executions = append(server.executions, Execution{
 		Attempt: attempt, User: message.User, Salt: message.CacheSalt, Model: message.Model, Version: version, At: time.Now(),
 	})
 	server.engine.Submit(enginemodel.Request{
 		ID:           attempt,
-		Chain:        prefix.Chain(message.CacheSalt, prompt, server.config.BlockBytes),
-		PromptTokens: len(prompt)/bytesPerToken + 1,
+		Chain:        prepared.chain,
+		PromptTokens: len(prepared.text)/bytesPerToken + 1,
+		ImportBlocks: prepared.importBlocks,
 		OutputTokens: max(1, tokens),
 		Priority:     message.Priority,
 	})
--- a/internal/lab/enginestub/stream.go
+++ b/internal/lab/enginestub/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/cloverrail/cloverrail/internal/engineapi"
 	"github.com/cloverrail/cloverrail/internal/lab/enginemodel"
+	"github.com/cloverrail/cloverrail/internal/prefix"
 )
 
 // stream keeps the events of one attempt, so that a cut connection can resume.
@@ -20,6 +21,7 @@
 	message *engineapi.CompletionRequest
 	content uint64
 	prompt  int
+	chain   []prefix.Hash
 	created int64
 	// base is the offset of the first event; lower ones came from another engine.
 	base int
--- a/internal/lab/experiment/policy.go
+++ b/internal/lab/experiment/policy.go
@@ -12,26 +12,30 @@
 	name() string
 	// perfect policies see the engines' true state at once.
 	perfect() bool
+	// imports says that the policy takes blocks from the kept-KV store.
+	imports() bool
 	choose(node int, request *routing.Request, candidates []routing.Candidate) int
 }
 
 // PolicyNames lists the policies in the order in which they are reported.
-var PolicyNames = []string{"cloverrail", "random", "round-robin", "least-loaded", "rendezvous", "longest-prefix", "oracle"}
+// Policies whose name ends in +import use the kept-KV store; cloverrail and the
+// oracle do too, cloverrail-no-import does not.
+var PolicyNames = []string{"cloverrail", "cloverrail-no-import", "random", "round-robin", "least-loaded", "rendezvous", "rendezvous+import", "longest-prefix", "oracle"}
 
 func newPolicy(name string, profile Profile, seed uint64) policy {
 	switch name {
-	case "cloverrail":
-		return &scheduled{title: name, scheduler: routing.NewScheduler()}
+	case "cloverrail", "cloverrail-no-import":
+		return &scheduled{title: name, importing: name == "cloverrail", scheduler: routing.NewScheduler()}
 	case "oracle":
-		return &scheduled{title: name, oracle: true, scheduler: routing.NewScheduler()}
+		return &scheduled{title: name, importing: true, oracle: true, scheduler: routing.NewScheduler()}
 	case "random":
 		return &randomPolicy{random: rand.New(rand.NewPCG(seed, 21))}
 	case "round-robin":
 		return &roundRobin{next: make([]int, profile.Nodes)}
 	case "least-loaded":
 		return leastLoaded{}
-	case "rendezvous":
-		return rendezvous{}
+	case "rendezvous", "rendezvous+import":
+		return rendezvous{importing: name == "rendezvous+import"}
 	case "longest-prefix":
 		return longestPrefix{}
 	default:
@@ -44,11 +48,13 @@
 type scheduled struct {
 	title     string
 	oracle    bool
+	importing bool
 	scheduler *routing.Scheduler
 }
 
 func (policy *scheduled) name() string  { return policy.title }
 func (policy *scheduled) perfect() bool { return policy.oracle }
+func (policy *scheduled) imports() bool { return policy.importing }
 
 func (policy *scheduled) choose(_ int, request *routing.Request, candidates []routing.Candidate) int {
 	return policy.scheduler.Schedule(request, candidates).Index
@@ -58,6 +64,7 @@
 
 func (*randomPolicy) name() string  { return "random" }
 func (*randomPolicy) perfect() bool { return false }
+func (*randomPolicy) imports() bool { return false }
 func (policy *randomPolicy) choose(_ int, _ *routing.Request, candidates []routing.Candidate) int {
 	return policy.random.IntN(len(candidates))
 }
@@ -66,6 +73,7 @@
 
 func (*roundRobin) name() string  { return "round-robin" }
 func (*roundRobin) perfect() bool { return false }
+func (*roundRobin) imports() bool { return false }
 func (policy *roundRobin) choose(node int, _ *routing.Request, candidates []routing.Candidate) int {
 	policy.next[node]++
 	return (policy.next[node] + node) % len(candidates)
@@ -75,14 +83,21 @@
 
 func (leastLoaded) name() string  { return "least-loaded" }
 func (leastLoaded) perfect() bool { return false }
+func (leastLoaded) imports() bool { return false }
 func (leastLoaded) choose(_ int, _ *routing.Request, candidates []routing.Candidate) int {
 	return best(candidates, func(candidate *routing.Candidate) float64 { return -float64(candidate.Running) })
 }
 
-type rendezvous struct{}
+type rendezvous struct{ importing bool }
 
-func (rendezvous) name() string  { return "rendezvous" }
-func (rendezvous) perfect() bool { return false }
+func (policy rendezvous) name() string {
+	if policy.importing {
+		return "rendezvous+import"
+	}
+	return "rendezvous"
+}
+func (rendezvous) perfect() bool        { return false }
+func (policy rendezvous) imports() bool { return policy.importing }
 func (rendezvous) choose(_ int, _ *routing.Request, candidates []routing.Candidate) int {
 	return best(candidates, func(*routing.Candidate) float64 { return 0 })
 }
@@ -91,6 +106,7 @@
 
 func (longestPrefix) name() string  { return "longest-prefix" }
 func (longestPrefix) perfect() bool { return false }
+func (longestPrefix) imports() bool { return false }
 func (longestPrefix) choose(_ int, _ *routing.Request, candidates []routing.Candidate) int {
 	return best(candidates, func(candidate *routing.Candidate) float64 { return float64(candidate.HitBlocks) })
 }
--- a/internal/lab/experiment/profile.go
+++ b/internal/lab/experiment/profile.go
@@ -33,6 +33,8 @@
 	// CrashEvery is how often an engine comes back empty.
 	CrashEvery time.Duration
 	Workload   Workload
+	// KeptBlocks is the capacity of the kept-KV store.
+	KeptBlocks int
 	// EventLag is the most that cache events and load reports are late, and
 	// EventGap the share of events lost.
 	EventLag time.Duration
@@ -78,6 +80,7 @@
 		},
 	}
 	kuusisto.Engine.CacheBlocks = 200
+	kuusisto.KeptBlocks = 20_000
 	dakar := Profile{
 		Name: "dakar", Engines: 12, Nodes: 4, Engine: enginemodel.Standard(4*time.Millisecond, 30_000),
 		OneWay: 900 * time.Microsecond, WaitWeight: 1, WorkWeight: 1,
@@ -91,6 +94,7 @@
 		},
 	}
 	dakar.Engine.CacheBlocks = 160
+	dakar.KeptBlocks = 10_000
 	return []Profile{kuusisto, dakar}
 }
 
--- a/internal/lab/experiment/report.go
+++ b/internal/lab/experiment/report.go
@@ -18,6 +18,8 @@
 	FirstTokenP99        float64 `json:"ttft_p99_ms"`
 	BetweenTokensP95     float64 `json:"tbt_p95_ms"`
 	Refused              int     `json:"refused"`
+	// ImportedTokens came from the kept-KV store.
+	ImportedTokens int `json:"imported_tokens"`
 	// FirstTokens are sorted times, for plots.
 	FirstTokens []time.Duration `json:"-"`
 }
@@ -69,6 +71,7 @@
 		FirstTokenP99:    quantile(result.firstTokens, 0.99),
 		BetweenTokensP95: quantile(result.betweenTimes, 0.95),
 		Refused:          result.refused,
+		ImportedTokens:   result.imported,
 		FirstTokens:      result.firstTokens,
 	}
 }
--- a/internal/lab/experiment/simulation.go
+++ b/internal/lab/experiment/simulation.go
@@ -22,6 +22,7 @@
 	modelName    = "model"
 	readInterval = 100 * time.Millisecond
 	expectedLife = time.Second
+	exportLag    = 500 * time.Millisecond
 	// epochOfTime is when virtual time starts.
 	epochOfTime = 1_800_000_000
 )
@@ -91,6 +92,7 @@
 	expected []*prefixindex.Expected
 	// scheduler annotates for every policy.
 	scheduler *routing.Scheduler
+	kept      *enginemodel.Kept
 	result    result
 }
 
@@ -99,12 +101,13 @@
 	betweenTimes []time.Duration
 	promptTokens int
 	recomputed   int
+	imported     int
 	refused      int
 	completed    int
 }
 
 func newSimulation(profile Profile, chosen policy, seed uint64) *simulation {
-	run := &simulation{profile: profile, policy: chosen, random: rand.New(rand.NewPCG(seed, 31)), index: prefixindex.New(), scheduler: routing.NewScheduler()}
+	run := &simulation{profile: profile, policy: chosen, random: rand.New(rand.NewPCG(seed, 31)), index: prefixindex.New(), scheduler: routing.NewScheduler(), kept: enginemodel.NewKept(profile.KeptBlocks)}
 	declaration := &configuration.Declaration{Pools: []configuration.Pool{{Name: poolName}}}
 	for number := range profile.Engines {
 		name := fmt.Sprintf("engine-%02d", number)
@@ -168,23 +171,27 @@
 	}
 	key := keyOf(request.chain, run.profile.Workload.RuleBlocks+1)
 	if run.isScheduled() {
-		key = routing.AffinityKey(request.chain, depths)
+		key = routing.AffinityKey(request.chain, depths, keptName)
 	}
 	if run.policy.perfect() {
 		run.reveal(candidates, request.chain)
 		depths = nil
 	}
-	run.scheduler.Annotate(candidates, key, depths)
-	chosen := run.policy.choose(request.node, &routing.Request{
+	run.scheduler.Annotate(candidates, key, depths, keptName)
+	message := routing.Request{
 		PromptTokens:           request.tokens,
 		BlockTokens:            run.profile.Engine.BlockTokens,
 		Blocks:                 len(request.chain),
 		PrefillTokensPerSecond: run.profile.Engine.PrefillTokensPerSecond,
 		WaitWeight:             run.profile.WaitWeight,
 		WorkWeight:             run.profile.WorkWeight,
-	}, candidates)
+	}
+	if run.policy.imports() {
+		message.ImportTokensPerSecond = run.profile.Engine.ImportTokensPerSecond
+	}
+	chosen := run.policy.choose(request.node, &message, candidates)
 	run.expected[request.node].Add(run.clock(), prefixindex.Holder{Endpoint: candidates[chosen].Endpoint, Epoch: candidates[chosen].Epoch}, request.chain)
-	missing := max(0, request.tokens-candidates[chosen].HitBlocks*run.profile.Engine.BlockTokens)
+	missing, _ := routing.Missing(&message, &candidates[chosen])
 	table.Begin(candidates[chosen].Endpoint, missing, run.clock())
 	travelling := &flight{arrival: request, node: request.node, engine: run.engines[chosen]}
 	run.at(run.now+run.profile.OneWay, func() { run.submit(travelling) })
@@ -203,6 +210,7 @@
 		candidates[index].HitBlocks = engine.engine.Depth(chain)
 		candidates[index].Running = load.Running + load.Waiting
 		candidates[index].QueuedTokens = load.PrefillTokens
+		candidates[index].ImportBlocks = run.kept.Depth(chain)
 	}
 }
 
@@ -210,7 +218,7 @@
 	engine := travelling.engine
 	request := travelling.arrival
 	engine.open[request.id] = travelling
-	engine.engine.Submit(enginemodel.Request{ID: request.id, Chain: request.chain, PromptTokens: request.tokens, OutputTokens: request.output})
+	engine.engine.Submit(enginemodel.Request{ID: request.id, Chain: request.chain, PromptTokens: request.tokens, OutputTokens: request.output, ImportBlocks: run.offered(request)})
 	run.step(engine)
 }
 
@@ -254,6 +262,8 @@
 		run.result.firstTokens = append(run.result.firstTokens, run.now+run.profile.OneWay-travelling.arrival.at)
 		run.result.promptTokens += travelling.arrival.tokens
 		run.result.recomputed += output.RecomputedTokens
+		run.result.imported += output.ImportedBlocks * run.profile.Engine.BlockTokens
+		run.export(travelling.arrival)
 	} else {
 		run.result.betweenTimes = append(run.result.betweenTimes, run.now-travelling.last)
 	}
@@ -311,3 +321,35 @@
 	})
 	run.at(run.now+readInterval, func() { run.read(engine) })
 }
+
+// keptName names the kept-KV store among the index's holders.
+const keptName = "kept"
+
+// export sends the blocks of a request, once computed, to the kept-KV store.
+func (run *simulation) export(request *arrival) {
+	run.at(run.now+exportLag, func() {
+		run.kept.Store(request.chain, run.clock())
+		run.index.Apply(run.keptUpdate())
+	})
+}
+
+func (run *simulation) keptUpdate() prefixindex.Update {
+	update := prefixindex.Update{Holder: prefixindex.Holder{Endpoint: keptName, Epoch: "1"}}
+	for _, event := range run.kept.TakeEvents() {
+		if event.Kind == engineapi.BlockStored {
+			update.Stored = append(update.Stored, event.Block)
+		} else {
+			update.Evicted = append(update.Evicted, event.Block)
+		}
+	}
+	return update
+}
+
+// offered is how many blocks the request may import at the engine.
+func (run *simulation) offered(request *arrival) int {
+	if !run.policy.imports() {
+		return 0
+	}
+	run.kept.Touch(request.chain, run.clock())
+	return run.kept.Depth(request.chain)
+}
--- a/internal/lab/inprocess/fleet.go
+++ b/internal/lab/inprocess/fleet.go
@@ -22,6 +22,7 @@
 	"github.com/cloverrail/cloverrail/internal/lab/address"
 	"github.com/cloverrail/cloverrail/internal/lab/enginemodel"
 	"github.com/cloverrail/cloverrail/internal/lab/enginestub"
+	"github.com/cloverrail/cloverrail/internal/lab/keptstub"
 	"github.com/cloverrail/cloverrail/internal/lab/kvstub"
 	"github.com/cloverrail/cloverrail/internal/lab/machinestub"
 	"github.com/cloverrail/cloverrail/internal/lab/plainstub"
@@ -76,6 +77,7 @@
 	Machines    *machinestub.Server
 	Engines     []*enginestub.Server
 	Servers     []*plainstub.Server
+	Kept        *keptstub.Server
 	Nodes       []*Node
 	Store       *configstore.Store
 
@@ -137,6 +139,8 @@
 	model := enginemodel.Standard(config.Step, 20_000)
 	model.BlockTokens = BlockBytes / 4
 	pool := configuration.Pool{Name: "main", Models: []string{Model}, BlockBytes: BlockBytes, PrefillTokensPerSecond: 20_000, LoadsAtOnce: 2, ConcurrentPerEngine: 16}
+	fleet.Kept = keptstub.New(10_000)
+	pool.KeptCache = &configuration.KeptCache{Name: "kept", Address: fleet.serve(fleet.Kept), Zone: "b", TokensPerSecond: 200_000}
 	for index := range config.Engines {
 		engine := enginestub.New(enginestub.Config{Model: model, BlockBytes: BlockBytes, Weights: map[string]string{Model: Version, "secret": Version}, LoadTime: 200 * time.Millisecond})
 		fleet.Engines = append(fleet.Engines, engine)
--- a/internal/lab/inprocess/fleet_test.go
+++ b/internal/lab/inprocess/fleet_test.go
@@ -189,6 +189,42 @@
 	require.Equal(t, expectedText(prompt, 5), text)
 }
 
+// wholeAnswer sends a request that is not streamed and returns its answer.
+func wholeAnswer(t *testing.T, fleet *Fleet, prompt string) engineapi.Chunk {
+	t.Helper()
+	response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, prompt, 5, false))
+	defer response.Body.Close()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	var answer engineapi.Chunk
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&answer))
+	require.Equal(t, expectedText(prompt, 5), answer.Choices[0].Content())
+	return answer
+}
+
+func TestKeptBlocksAreImportedAfterACrash(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: time.Millisecond})
+	prompt := strings.Repeat("the long history of a campaign ", 100)
+	require.Zero(t, wholeAnswer(t, fleet, prompt).Usage.Details.CachedTokens)
+	require.NoError(t, fleet.Await(func() bool { return fleet.Nodes[0].IndexBlocks() > 0 }))
+	fleet.Engines[0].Crash()
+	require.NoError(t, fleet.Await(func() bool {
+		return wholeAnswer(t, fleet, prompt+"!").Usage.Details.CachedTokens > 0 && fleet.Kept.Fetched() > 0
+	}))
+}
+
+func TestKeptBlocksOfAnotherIdentityAreNotUsed(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: time.Millisecond})
+	prompt := strings.Repeat("the long history of a campaign ", 100)
+	wholeAnswer(t, fleet, prompt)
+	fleet.Kept.SetWrong(true)
+	require.NoError(t, fleet.Await(func() bool {
+		fleet.Engines[0].Crash()
+		answer := wholeAnswer(t, fleet, prompt)
+		require.Zero(t, answer.Usage.Details.CachedTokens, "nothing of another identity is used")
+		return fleet.Kept.Fetched() > 0
+	}))
+}
+
 func TestVersionChangeIsServedByNewWeightsOnly(t *testing.T) {
 	fleet := startFleet(t, Config{Nodes: 2, Engines: 3, Step: time.Millisecond})
 	base, err := fleet.Store.Read(context.Background(), nil)
--- a/internal/node/completion.go
+++ b/internal/node/completion.go
@@ -56,6 +56,8 @@
 	// salt and chain belong to the version that the last placement was for.
 	salt  string
 	chain []prefix.Hash
+	// importBlocks is how much the chosen engine shall import.
+	importBlocks int
 	// pools are those through which the last placement looked.
 	pools []*configuration.Pool
 }
@@ -192,19 +194,24 @@
 	for _, pool := range pools {
 		candidates = node.table.Candidates(candidates, pool.Name, model.Name, model.Version, now)
 	}
+	storeName, importSpeed := "", 0.0
+	if store := pools[0].KeptCache; store != nil {
+		storeName, importSpeed = store.Name, store.TokensPerSecond
+	}
 	key := prefix.KeyOf(place.salt)
 	if len(place.chain) > 0 {
-		key = routing.AffinityKey(place.chain, depths)
+		key = routing.AffinityKey(place.chain, depths, storeName)
 	}
 	scheduler := schedulers.Get().(*routing.Scheduler)
 	defer schedulers.Put(scheduler)
-	scheduler.Annotate(candidates, key, depths)
+	scheduler.Annotate(candidates, key, depths, storeName)
 	routing.Exclude(candidates, excluded)
 	request := &routing.Request{
 		PromptTokens:           len(place.prompt)/bytesPerToken + 1,
 		BlockTokens:            pools[0].BlockBytes / bytesPerToken,
 		Blocks:                 len(place.chain),
 		PrefillTokensPerSecond: pools[0].PrefillTokensPerSecond,
+		ImportTokensPerSecond:  importSpeed,
 		ConcurrentPerEngine:    pools[0].ConcurrentPerEngine,
 		WaitWeight:             snapshot.Declaration.Routing.WaitWeight,
 		WorkWeight:             snapshot.Declaration.Routing.WorkWeight,
@@ -214,7 +221,11 @@
 		return nil, decision.Refused
 	}
 	chosen := candidates[decision.Index]
-	missing := max(0, request.PromptTokens-chosen.HitBlocks*request.BlockTokens)
+	missing, imported := routing.Missing(request, &chosen)
+	place.importBlocks = 0
+	if imported > 0 {
+		place.importBlocks = chosen.ImportBlocks
+	}
 	node.table.Begin(chosen.Endpoint, missing, now)
 	node.expected.Add(now, prefixindex.Holder{Endpoint: chosen.Endpoint, Epoch: chosen.Epoch}, place.chain)
 	return &dispatch.Target{Endpoint: chosen.Endpoint, Address: chosen.Address, Epoch: chosen.Epoch, Weights: model.Version}, routing.Accepted
@@ -288,6 +299,10 @@
 	set("cache_salt", place.salt)
 	set("priority", priorityOf(place.completion))
 	delete(fields, "continue_from")
+	delete(fields, "kv_transfer")
+	if store := place.pools[0].KeptCache; store != nil {
+		set("kv_transfer", engineapi.Transfer{Store: store.Address, ImportBlocks: place.importBlocks})
+	}
 	if continueAt > 0 {
 		set("continue_from", engineapi.Continuation{Text: place.completion.Emitted(), Offset: continueAt})
 	}
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -32,9 +32,10 @@
 type observer struct {
 	node    *Node
 	backend configuration.Backend
-	engine  bool
-	reader  *eventreader.Reader
-	misses  int
+	// events says that the back end publishes cache events.
+	events bool
+	reader *eventreader.Reader
+	misses int
 	// sequences counts the updates sent to each node.
 	sequences map[string]uint64
 }
@@ -79,17 +80,24 @@
 	observers := []*observer{}
 	for _, pool := range snapshot.Declaration.Pools {
 		for _, backend := range pool.Engines {
-			observers = append(observers, &observer{node: node, backend: backend, engine: true, sequences: map[string]uint64{}, reader: eventreader.New(backend.Name)})
+			observers = append(observers, newObserver(node, backend, true))
+		}
+		if store := pool.KeptCache; store != nil {
+			observers = append(observers, newObserver(node, configuration.Backend{Name: store.Name, Address: store.Address, Zone: store.Zone}, true))
 		}
 	}
 	for _, service := range snapshot.Declaration.Services {
 		for _, backend := range service.Servers {
-			observers = append(observers, &observer{node: node, backend: backend, reader: eventreader.New(backend.Name)})
+			observers = append(observers, newObserver(node, backend, false))
 		}
 	}
 	return observers
 }
 
+func newObserver(node *Node, backend configuration.Backend, events bool) *observer {
+	return &observer{node: node, backend: backend, events: events, sequences: map[string]uint64{}, reader: eventreader.New(backend.Name)}
+}
+
 func (node *Node) ownerOf(backend configuration.Backend) string {
 	near := []string{}
 	all := []string{}
@@ -109,7 +117,7 @@
 	ticker := time.NewTicker(readInterval)
 	defer ticker.Stop()
 	for {
-		if observer.engine {
+		if observer.events {
 			observer.readEvents(ctx)
 		} else {
 			status, answered := observer.node.probe(ctx, observer.backend)
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -70,7 +70,7 @@
 	now := time.Now()
 	candidates := chooser.node.table.Candidates(nil, chooser.service, "", "", now)
 	scheduler := routing.NewScheduler(routing.LoadScorer{})
-	scheduler.Annotate(candidates, chooser.key, nil)
+	scheduler.Annotate(candidates, chooser.key, nil, "")
 	routing.Exclude(candidates, excluded)
 	decision := scheduler.Schedule(&routing.Request{}, candidates)
 	if decision.Index < 0 {
--- a/internal/routing/annotate.go
+++ b/internal/routing/annotate.go
@@ -9,28 +9,38 @@
 // holds, or its last one. Prompts that differ only further down share the key,
 // so all nodes send a new prefix to the same engine; and prompts that share a
 // known beginning, such as one tenant's rules, are spread by what is new.
-func AffinityKey(chain []prefix.Hash, depths []prefixindex.Depth) prefix.Hash {
+func AffinityKey(chain []prefix.Hash, depths []prefixindex.Depth, store string) prefix.Hash {
 	known := 0
 	for _, depth := range depths {
-		known = max(known, depth.Blocks)
+		if depth.Holder.Endpoint != store {
+			known = max(known, depth.Blocks)
+		}
 	}
 	return chain[min(known, len(chain)-1)]
 }
 
 // Annotate fills in what the index knows of the candidates and their rendezvous
 // weights for the key. Entries of another incarnation are of no use, whatever
-// they say.
-func (scheduler *Scheduler) Annotate(candidates []Candidate, key prefix.Hash, depths []prefixindex.Depth) {
+// they say. Store names the kept-KV store, whose blocks every candidate can
+// import; "" means none.
+func (scheduler *Scheduler) Annotate(candidates []Candidate, key prefix.Hash, depths []prefixindex.Depth, store string) {
 	clear(scheduler.held)
 	for _, depth := range depths {
 		scheduler.held[depth.Holder] = max(scheduler.held[depth.Holder], depth.Blocks)
 	}
+	kept := 0
+	for holder, blocks := range scheduler.held {
+		if holder.Endpoint == store {
+			kept = blocks
+		}
+	}
 	for index := range candidates {
 		candidate := &candidates[index]
 		candidate.Affinity = prefix.Weight(key, candidate.Endpoint)
 		if len(depths) > 0 {
 			holder := prefixindex.Holder{Endpoint: candidate.Endpoint, Epoch: candidate.Epoch}
 			candidate.HitBlocks = max(candidate.HitBlocks, scheduler.held[holder])
+			candidate.ImportBlocks = kept
 		}
 	}
 }
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -25,6 +25,8 @@
 	QueuedTokens int
 	// HitBlocks is how many leading blocks of the prompt the endpoint holds.
 	HitBlocks int
+	// ImportBlocks is how many leading blocks it can take from the kept-KV store.
+	ImportBlocks int
 	// Affinity is the endpoint's rendezvous weight for the prompt's first block.
 	Affinity uint64
 	// AffinityRank is the endpoint's place by Affinity among those that passed
@@ -40,6 +42,9 @@
 	Blocks int
 	// PrefillTokensPerSecond is the pool's declared speed.
 	PrefillTokensPerSecond float64
+	// ImportTokensPerSecond is the speed of taking blocks from the kept-KV store; 0
+	// means that there is none.
+	ImportTokensPerSecond float64
 	// ConcurrentPerEngine bounds InFlight; 0 means no bound.
 	ConcurrentPerEngine int
 	WaitWeight          float64
--- a/internal/routing/scheduler_test.go
+++ b/internal/routing/scheduler_test.go
@@ -51,8 +51,8 @@
 		key := prefix.Hash(rapid.Uint64().Draw(t, "key"))
 		request := &Request{PromptTokens: 4000, BlockTokens: 1000, Blocks: 4, PrefillTokensPerSecond: 20_000, WaitWeight: 1, WorkWeight: 1}
 		shuffled := rapid.Permutation(candidates).Draw(t, "shuffled")
-		NewScheduler().Annotate(candidates, key, nil)
-		NewScheduler().Annotate(shuffled, key, nil)
+		NewScheduler().Annotate(candidates, key, nil, "")
+		NewScheduler().Annotate(shuffled, key, nil, "")
 		first, second := NewScheduler().Schedule(request, candidates), NewScheduler().Schedule(request, shuffled)
 		require.Equal(t, first.Index < 0, second.Index < 0)
 		if first.Index >= 0 {
@@ -71,7 +71,7 @@
 
 func TestEntriesOfADeadIncarnationDoNotCount(t *testing.T) {
 	candidates := []Candidate{{Endpoint: "e", Epoch: "new"}}
-	NewScheduler().Annotate(candidates, 1, []prefixindex.Depth{{Holder: prefixindex.Holder{Endpoint: "e", Epoch: "old"}, Blocks: 5}})
+	NewScheduler().Annotate(candidates, 1, []prefixindex.Depth{{Holder: prefixindex.Holder{Endpoint: "e", Epoch: "old"}, Blocks: 5}}, "")
 	require.Zero(t, candidates[0].HitBlocks)
 }
 
@@ -101,7 +101,7 @@
 			for b.Loop() {
 				candidates = append(candidates[:0], template...)
 				depths = index.Lookup(depths[:0], chain)
-				scheduler.Annotate(candidates, AffinityKey(chain, depths), depths)
+				scheduler.Annotate(candidates, AffinityKey(chain, depths, ""), depths, "")
 				if scheduler.Schedule(request, candidates).Index < 0 {
 					b.Fatal("no engine was chosen")
 				}
--- a/internal/routing/score_wait.go
+++ b/internal/routing/score_wait.go
@@ -10,8 +10,8 @@
 
 // Score returns seconds.
 func (WaitScorer) Score(request *Request, candidate *Candidate) float64 {
-	missing := max(0, request.PromptTokens-candidate.HitBlocks*request.BlockTokens)
-	seconds := float64(candidate.QueuedTokens+missing) / request.PrefillTokensPerSecond
+	recompute, imported := Missing(request, candidate)
+	wait := seconds(request, candidate.QueuedTokens+recompute, imported)
 	slowdown := 1 + decodeShare*float64(candidate.Running)
-	return request.WaitWeight * seconds * slowdown
+	return request.WaitWeight * wait * slowdown
 }
--- a/internal/routing/score_work.go
+++ b/internal/routing/score_work.go
@@ -1,11 +1,30 @@
 package routing
 
-// WorkScorer is the engine time that the request itself spends on computing
-// the part of its prompt that the endpoint does not hold.
+// WorkScorer is the engine time that the request itself spends on the part of
+// its prompt that the endpoint does not hold.
 type WorkScorer struct{}
 
 // Score returns seconds of engine time.
 func (WorkScorer) Score(request *Request, candidate *Candidate) float64 {
-	missing := request.PromptTokens - candidate.HitBlocks*request.BlockTokens
-	return request.WorkWeight * float64(max(0, missing)) / request.PrefillTokensPerSecond
+	recompute, imported := Missing(request, candidate)
+	return request.WorkWeight * seconds(request, recompute, imported)
+}
+
+// Missing splits the prompt tokens that the endpoint does not hold into those
+// that it must compute and those that it can import.
+func Missing(request *Request, candidate *Candidate) (recompute, imported int) {
+	covered := candidate.HitBlocks
+	if request.ImportTokensPerSecond > request.PrefillTokensPerSecond && candidate.ImportBlocks > covered {
+		imported = (candidate.ImportBlocks - covered) * request.BlockTokens
+		covered = candidate.ImportBlocks
+	}
+	return max(0, request.PromptTokens-covered*request.BlockTokens), imported
+}
+
+func seconds(request *Request, recompute, imported int) float64 {
+	total := float64(recompute) / request.PrefillTokensPerSecond
+	if imported > 0 {
+		total += float64(imported) / request.ImportTokensPerSecond
+	}
+	return total
 }
