Stream cache events, and index anchors in large fleets

Cause: at the size designed for, control bytes were far over 8 KB/s a node. Polling engines ten times a second costs some 9 KB/s of headers alone, an event some 100 B of JSON; a lookup of 64 blocks was 245 + 316 B and one request's changes 422 B, once for each direction.

Ruled out: a codec of our own for events (another parser); full copies of the index (two orders too much); letting the home know chains by their last block only (a lookup that branches off in the middle would find nothing).

Change: engines stream batches of runs of blocks; large fleets index the first four blocks of a chain and every eighth after them; messages have short names, incarnations a tag of 4 bytes, answers the four deepest holders. Nodes get their part again, 16 at a time, when the fleet changes; before, a chain whose home had moved was unknown until its engine computed it again.

Also found by new tests: `set model oraakeli version 2026-12` was a syntax error (a number was cut off the word), and `show engines limit` blamed column 14, not the end where the number is missing. Words may begin with digits now; the parser reports its deepest error.

--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -180,9 +180,37 @@
 	After uint64 `url:"after"`
 }
 
-// Events reads the cache events after a sequence number.
-func (client *Client) Events(ctx context.Context, address string, after uint64) (EventBatch, error) {
-	return side[EventBatch](ctx, client, sling.New().Get("http://"+address+PathEvents).QueryStruct(eventQuery{After: after}))
+// Follow reads the stream of cache events after a sequence number, until handle
+// returns false or the stream ends. A stream that is silent for longer than
+// silence has ended.
+func (client *Client) Follow(ctx context.Context, address string, after uint64, silence time.Duration, handle func(EventBatch) bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	request, err := sling.New().Get("http://" + address + PathEvents).QueryStruct(eventQuery{After: after}).Request()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	watchdog := time.AfterFunc(silence, cancel)
+	defer watchdog.Stop()
+	response, err := client.http.Do(request.WithContext(ctx))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return &ErrRejected{Status: response.StatusCode}
+	}
+	decoder := json.NewDecoder(response.Body)
+	for {
+		var batch EventBatch
+		if err := decoder.Decode(&batch); err != nil {
+			return errors.Trace(err)
+		}
+		watchdog.Reset(silence)
+		if !handle(batch) {
+			return nil
+		}
+	}
 }
 
 // Snapshot reads the whole cache.
--- a/internal/engineapi/messages.go
+++ b/internal/engineapi/messages.go
@@ -3,7 +3,11 @@
 // cancellation, cache events, load and fenced orders.
 package engineapi
 
-import "github.com/cloverrail/cloverrail/internal/prefix"
+import (
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/prefix"
+)
 
 // The headers of a dispatch and of its answer.
 const (
@@ -51,14 +55,24 @@
 	Parent prefix.Hash `json:"parent,omitempty"`
 }
 
-// EventBatch answers a read of cache events.
+// EventBatch is one message of the stream of cache events. Batches come when
+// there is news, and otherwise once in HeartbeatInterval.
 type EventBatch struct {
-	Status Status `json:"status"`
-	// Events follow the sequence asked for. A first sequence above it plus one
-	// is a gap.
-	Events []CacheEvent `json:"events"`
+	// Epoch of the engine that the events belong to.
+	Epoch string `json:"epoch"`
+	// Status is set on the first batch of a stream and whenever it has changed.
+	Status *Status `json:"status,omitempty"`
+	// Runs are the events. A first sequence above the last one plus one is a gap.
+	Runs []Run `json:"runs,omitempty"`
+	Load Load  `json:"load"`
 }
 
+// The pace of event streams.
+const (
+	BatchInterval     = 100 * time.Millisecond
+	HeartbeatInterval = 500 * time.Millisecond
+)
+
 // Snapshot is the whole cache of an engine, parents before children.
 type Snapshot struct {
 	Epoch    string       `json:"epoch"`
@@ -68,13 +82,13 @@
 
 // Load is an engine's report of its own work. It lags.
 type Load struct {
-	Running int `json:"running"`
-	Waiting int `json:"waiting"`
+	Running int `json:"running,omitempty"`
+	Waiting int `json:"waiting,omitempty"`
 	// PrefillTokens still to be computed for admitted and waiting requests.
-	PrefillTokens int `json:"prefillTokens"`
+	PrefillTokens int `json:"prefillTokens,omitempty"`
 	// EvictionAgeSeconds is how long the block evicted last had been unused;
 	// 0 while nothing was evicted.
-	EvictionAgeSeconds float64 `json:"evictionAgeSeconds"`
+	EvictionAgeSeconds float64 `json:"evictionAgeSeconds,omitempty"`
 }
 
 // Status is an engine's account of itself.
--- a/internal/eventreader/reader.go
+++ b/internal/eventreader/reader.go
@@ -19,17 +19,24 @@
 	endpoint string
 	epoch    string
 	sequence uint64
-	// roots names the first block of the chain that each block is part of; it
-	// decides which node keeps the block.
-	roots map[prefix.Hash]prefix.Hash
+	// places knows each block's place in its chain; the chain's first block decides
+	// which node keeps the block.
+	places map[prefix.Hash]place
 	// stale says that events were missed, so a snapshot is wanted.
 	stale      bool
 	snapshotAt time.Time
 }
 
+// place is a block's place in its chain.
+type place struct {
+	root prefix.Hash
+	// depth counts from 1.
+	depth int32
+}
+
 // New returns a reader that wants a snapshot first.
 func New(endpoint string) *Reader {
-	return &Reader{endpoint: endpoint, roots: map[prefix.Hash]prefix.Hash{}, stale: true}
+	return &Reader{endpoint: endpoint, places: map[prefix.Hash]place{}, stale: true}
 }
 
 // After is the sequence number to ask events after.
@@ -42,11 +49,13 @@
 
 // Holder names the incarnation followed.
 func (reader *Reader) Holder() prefixindex.Holder {
-	return prefixindex.Holder{Endpoint: reader.endpoint, Epoch: reader.epoch}
+	return prefixindex.NewHolder(reader.endpoint, reader.epoch)
 }
 
 // Change is what a batch or snapshot did, with the root of each block.
 type Change struct {
+	// Events counts those of the batch.
+	Events  int
 	Clear   bool
 	Stored  []Placed
 	Evicted []Placed
@@ -56,6 +65,8 @@
 type Placed struct {
 	Block prefix.Hash
 	Root  prefix.Hash
+	// Depth of the block in its chain, from 1.
+	Depth int
 }
 
 // Empty reports whether nothing changed.
@@ -63,21 +74,27 @@
 	return !change.Clear && len(change.Stored) == 0 && len(change.Evicted) == 0
 }
 
+// Cleared returns the change as one that starts afresh.
+func (change Change) Cleared() Change {
+	change.Clear = true
+	return change
+}
+
 // Take follows a batch of events. Stores and evictions of one block within the
 // batch cancel out.
 func (reader *Reader) Take(batch engineapi.EventBatch) Change {
 	change := Change{}
-	if batch.Status.Epoch != reader.epoch {
+	if batch.Epoch != reader.epoch {
 		// The engine came back empty: nothing known of it holds any longer.
-		reader.begin(batch.Status.Epoch)
+		reader.begin(batch.Epoch)
 		change.Clear = true
-		reader.stale = batch.Status.Epoch != ""
+		reader.stale = batch.Epoch != ""
 		reader.snapshotAt = time.Time{}
 		return change
 	}
-	stored := map[prefix.Hash]prefix.Hash{}
-	evicted := map[prefix.Hash]prefix.Hash{}
-	for _, event := range batch.Events {
+	stored := map[prefix.Hash]place{}
+	evicted := map[prefix.Hash]place{}
+	for _, event := range engineapi.Unpack(batch.Runs) {
 		if event.Sequence <= reader.sequence {
 			continue
 		}
@@ -85,25 +102,26 @@
 			reader.stale = true
 		}
 		reader.sequence = event.Sequence
+		change.Events++
 		switch event.Kind {
 		case engineapi.BlockStored:
-			root := reader.store(event)
+			stands := reader.store(event)
 			if _, undone := evicted[event.Block]; undone {
 				delete(evicted, event.Block)
 			} else {
-				stored[event.Block] = root
+				stored[event.Block] = stands
 			}
 		case engineapi.BlockEvicted:
-			root, known := reader.roots[event.Block]
-			delete(reader.roots, event.Block)
+			stood, known := reader.places[event.Block]
+			delete(reader.places, event.Block)
 			if _, undone := stored[event.Block]; undone {
 				delete(stored, event.Block)
 			} else if known {
-				evicted[event.Block] = root
+				evicted[event.Block] = stood
 			}
 		case engineapi.CacheCleared:
-			reader.roots = map[prefix.Hash]prefix.Hash{}
-			stored, evicted = map[prefix.Hash]prefix.Hash{}, map[prefix.Hash]prefix.Hash{}
+			reader.places = map[prefix.Hash]place{}
+			stored, evicted = map[prefix.Hash]place{}, map[prefix.Hash]place{}
 			change.Clear = true
 		}
 	}
@@ -126,32 +144,32 @@
 
 // All is the whole of what is known, for a node that has to start afresh.
 func (reader *Reader) All() Change {
-	return Change{Clear: true, Stored: placed(reader.roots)}
+	return Change{Clear: true, Stored: placed(reader.places)}
 }
 
 func (reader *Reader) begin(epoch string) {
 	reader.epoch = epoch
 	reader.sequence = 0
-	reader.roots = map[prefix.Hash]prefix.Hash{}
+	reader.places = map[prefix.Hash]place{}
 }
 
-func (reader *Reader) store(event engineapi.CacheEvent) prefix.Hash {
-	root := event.Block
+func (reader *Reader) store(event engineapi.CacheEvent) place {
+	stands := place{root: event.Block, depth: 1}
 	if event.Parent != 0 {
 		// A parent lost in a gap makes this block its own root until the
 		// snapshot that the gap calls for.
-		if known, found := reader.roots[event.Parent]; found {
-			root = known
+		if parent, found := reader.places[event.Parent]; found {
+			stands = place{root: parent.root, depth: parent.depth + 1}
 		}
 	}
-	reader.roots[event.Block] = root
-	return root
+	reader.places[event.Block] = stands
+	return stands
 }
 
-func placed(blocks map[prefix.Hash]prefix.Hash) []Placed {
+func placed(blocks map[prefix.Hash]place) []Placed {
 	list := make([]Placed, 0, len(blocks))
-	for block, root := range blocks {
-		list = append(list, Placed{Block: block, Root: root})
+	for block, stands := range blocks {
+		list = append(list, Placed{Block: block, Root: stands.root, Depth: int(stands.depth)})
 	}
 	return list
 }
--- a/internal/node/completion.go
+++ b/internal/node/completion.go
@@ -188,7 +188,7 @@
 	pools := place.pools
 	node := place.node
 	now := time.Now()
-	depths := node.lookup(ctx, place.chain).Depths
+	depths := node.lookup(ctx, place.chain)
 	depths = node.expected.Lookup(now, depths, place.chain)
 	candidates := []routing.Candidate{}
 	for _, pool := range pools {
@@ -227,7 +227,7 @@
 		place.importBlocks = chosen.ImportBlocks
 	}
 	node.table.Begin(chosen.Endpoint, missing, now)
-	node.expected.Add(now, prefixindex.Holder{Endpoint: chosen.Endpoint, Epoch: chosen.Epoch}, place.chain)
+	node.expected.Add(now, prefixindex.NewHolder(chosen.Endpoint, chosen.Epoch), place.chain)
 	return &dispatch.Target{Endpoint: chosen.Endpoint, Address: chosen.Address, Epoch: chosen.Epoch, Weights: model.Version}, routing.Accepted
 }
 
--- /dev/null
+++ b/internal/node/home_test.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/prefix"
+	"github.com/cloverrail/cloverrail/internal/prefixindex"
+	"github.com/cloverrail/cloverrail/internal/wire"
+)
+
+func updateOf(sequence uint64, clear bool, blocks ...prefix.Hash) wire.IndexUpdate {
+	return wire.IndexUpdate{Reader: "r", Sequence: sequence, Update: prefixindex.Update{Holder: prefixindex.NewHolder("e", "1"), Clear: clear, Stored: blocks}}
+}
+
+func TestHomeAsksForAllAfterAMissedUpdate(t *testing.T) {
+	home := newHome()
+	now := time.Unix(0, 0)
+	require.True(t, home.apply(updateOf(5, false, 1), now).NeedAll, "a new home knows nothing of what came before")
+	require.False(t, home.apply(updateOf(6, true, 1), now).NeedAll)
+	require.False(t, home.apply(updateOf(7, false, 2), now).NeedAll)
+	require.True(t, home.apply(updateOf(9, false, 3), now).NeedAll, "update 8 was missed")
+	require.Equal(t, 2, home.blocks())
+	other := updateOf(8, false, 4)
+	other.Reader = "another reader"
+	require.True(t, home.apply(other, now).NeedAll, "a new reader starts afresh")
+}
+
+func TestDrainingLifecycleRefusesAndWaits(t *testing.T) {
+	lifecycle := newLifecycle()
+	done, refusal := lifecycle.enter()
+	require.Nil(t, refusal)
+	lifecycle.stopReadiness()
+	require.False(t, lifecycle.ready())
+	later, refusal := lifecycle.enter()
+	require.Nil(t, refusal, "an unready node still serves who comes")
+	lifecycle.refuse()
+	_, refusal = lifecycle.enter()
+	require.NotNil(t, refusal)
+	require.Positive(t, refusal.RetryAfter)
+	done()
+	select {
+	case <-lifecycle.idle:
+		t.Fatal("a request is still open")
+	default:
+	}
+	later()
+	<-lifecycle.idle
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -352,7 +352,7 @@
 	case wire.IndexUpdate:
 		return node.applyUpdate(request), nil
 	case wire.LookupRequest:
-		return node.home.lookup(request.Chain), nil
+		return node.serveLookup(request), nil
 	case wire.ClaimRequest:
 		return node.claims.answer(request), nil
 	case wire.ConcludeRequest:
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,12 +20,20 @@
 )
 
 const (
-	readInterval = 100 * time.Millisecond
-	// missesUntilDown reads in a row without an answer mark a back end as down.
-	missesUntilDown = 3
+	// reopenInterval is the pause between streams of one engine, probeInterval
+	// that between probes of one plain server.
+	reopenInterval = 100 * time.Millisecond
+	probeInterval  = 500 * time.Millisecond
+	// silenceLimit is how long a stream of events may be silent.
+	silenceLimit = 3 * engineapi.HeartbeatInterval
+	// missesUntilDown streams or probes in a row without an answer mark a back end
+	// as down.
+	missesUntilDown = 2
 	// publishTimeout bounds the wait for a node that keeps part of the index; one
 	// that missed an update asks for all later.
-	publishTimeout      = 300 * time.Millisecond
+	publishTimeout = 300 * time.Millisecond
+	// renewalsAtOnce bounds the nodes that get all of their part in one update.
+	renewalsAtOnce      = 16
 	machineListInterval = time.Second
 )
 
@@ -36,6 +45,9 @@
 	events bool
 	reader *eventreader.Reader
 	misses int
+	// fleet is the nodes as last seen; renew are those that get all of their part.
+	fleet []string
+	renew map[string]bool
 	// sequences counts the updates sent to each node.
 	sequences map[string]uint64
 }
@@ -95,7 +107,7 @@
 }
 
 func newObserver(node *Node, backend configuration.Backend, events bool) *observer {
-	return &observer{node: node, backend: backend, events: events, sequences: map[string]uint64{}, reader: eventreader.New(backend.Name)}
+	return &observer{node: node, backend: backend, events: events, sequences: map[string]uint64{}, renew: map[string]bool{}, reader: eventreader.New(backend.Name)}
 }
 
 func (node *Node) ownerOf(backend configuration.Backend) string {
@@ -114,52 +126,61 @@
 }
 
 func (observer *observer) run(ctx context.Context) {
-	ticker := time.NewTicker(readInterval)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
+		pause := probeInterval
 		if observer.events {
-			observer.readEvents(ctx)
+			pause = reopenInterval
+			// The end of a stream, and a stream that did not open, count as a miss.
+			_ = observer.node.engines.Follow(ctx, observer.backend.Address, observer.reader.After(), silenceLimit, func(batch engineapi.EventBatch) bool {
+				return observer.take(ctx, batch)
+			})
+			observer.note(ctx, nil, false)
 		} else {
 			status, answered := observer.node.probe(ctx, observer.backend)
-			observer.note(ctx, status, answered)
+			observer.note(ctx, &status, answered)
 		}
 		select {
-		case <-ticker.C:
+		case <-time.After(pause):
 		case <-ctx.Done():
-			return
 		}
 	}
 }
 
-func (observer *observer) readEvents(ctx context.Context) {
+// take follows one batch and reports whether the stream shall go on.
+func (observer *observer) take(ctx context.Context, batch engineapi.EventBatch) bool {
 	node := observer.node
-	batch, err := node.engines.Events(ctx, observer.backend.Address, observer.reader.After())
-	observer.note(ctx, batch.Status, err == nil)
-	if err != nil {
-		return
-	}
-	node.metrics.CacheEvents.Add(float64(len(batch.Events)))
+	observer.note(ctx, batch.Status, true)
 	change := observer.reader.Take(batch)
+	node.metrics.CacheEvents.Add(float64(change.Events))
+	reset := false
 	if observer.reader.SnapshotDue(time.Now()) {
 		if snapshot, err := node.engines.Snapshot(ctx, observer.backend.Address); err == nil {
 			node.metrics.CacheGaps.Inc()
 			change = observer.reader.Reset(time.Now(), snapshot)
+			reset = true
 		}
 	}
-	observer.publish(ctx, change, batch.Status.Load)
+	observer.publish(ctx, change, batch.Load)
+	// After a snapshot the stream is opened again behind it.
+	return !reset
 }
 
-// note spreads what an observation changed.
-func (observer *observer) note(ctx context.Context, status engineapi.Status, answered bool) {
+// note spreads what an observation changed. A nil status says that nothing but
+// the load has changed.
+func (observer *observer) note(ctx context.Context, status *engineapi.Status, answered bool) {
 	if ctx.Err() != nil {
 		return
 	}
-	if answered {
-		observer.misses = 0
-	} else if observer.misses++; observer.misses < missesUntilDown {
+	if !answered {
+		if observer.misses++; observer.misses == missesUntilDown {
+			observer.node.observe(observer.backend.Name, endpoint.Observation{})
+		}
 		return
 	}
-	observer.node.observe(observer.backend.Name, endpoint.Observation{Answered: answered, Status: status})
+	observer.misses = 0
+	if status != nil {
+		observer.node.observe(observer.backend.Name, endpoint.Observation{Answered: true, Status: *status})
+	}
 }
 
 // observe merges one look at a back end and tells the fleet what is new.
@@ -180,10 +201,20 @@
 	node.gossip.offer(next)
 }
 
-// publish sends a change to the nodes that keep it, each its own part.
+// publish sends a change to the nodes that keep it, each its own part. When the
+// fleet has changed, so has the part of many nodes: they get all of theirs again,
+// a few at a time.
 func (observer *observer) publish(ctx context.Context, change eventreader.Change, load engineapi.Load) {
 	addresses := observer.node.gossip.addresses()
-	parts := split(change, addresses, observer.node.replicated(len(addresses)))
+	observer.noteFleet(addresses)
+	replicated := observer.node.replicated(len(addresses))
+	parts := split(change, addresses, replicated)
+	if renewed := observer.takeRenewals(); len(renewed) > 0 {
+		whole := split(observer.reader.All(), addresses, replicated)
+		for _, address := range renewed {
+			parts[address] = whole[address].Cleared()
+		}
+	}
 	updates := map[string]wire.IndexUpdate{}
 	for address, part := range parts {
 		observer.sequences[address]++
@@ -191,22 +222,46 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
+	var mutex sync.Mutex
 	var done sync.WaitGroup
 	for address, update := range updates {
 		done.Go(func() {
-			if answer, err := observer.send(ctx, address, update); err != nil || !answer.NeedAll {
-				return
+			if answer, err := observer.send(ctx, address, update); err == nil && answer.NeedAll {
+				// The receiver missed something, or has just started.
+				mutex.Lock()
+				defer mutex.Unlock()
+				observer.renew[address] = true
 			}
-			// The receiver missed something, or has just started.
-			whole := split(observer.reader.All(), addresses, observer.node.replicated(len(addresses)))[address]
-			whole.Clear = true
-			update.Update = observer.update(address, whole, load).Update
-			_, _ = observer.send(ctx, address, update)
 		})
 	}
 	done.Wait()
 }
 
+// noteFleet marks all nodes for renewal when the fleet is another than before.
+func (observer *observer) noteFleet(addresses []string) {
+	if slices.Equal(addresses, observer.fleet) {
+		return
+	}
+	observer.fleet = addresses
+	observer.renew = map[string]bool{}
+	for _, address := range addresses {
+		observer.renew[address] = true
+	}
+}
+
+// takeRenewals picks the nodes that get all of their part with this update.
+func (observer *observer) takeRenewals() []string {
+	picked := []string{}
+	for address := range observer.renew {
+		if len(picked) == renewalsAtOnce {
+			break
+		}
+		picked = append(picked, address)
+		delete(observer.renew, address)
+	}
+	return picked
+}
+
 func (observer *observer) update(address string, part eventreader.Change, load engineapi.Load) wire.IndexUpdate {
 	update := prefixindex.Update{Holder: observer.reader.Holder(), Clear: part.Clear}
 	for _, item := range part.Stored {
@@ -226,7 +281,8 @@
 }
 
 // split deals a change out to the nodes that keep it. In a small fleet each
-// node gets all of it, and a load report even when nothing changed.
+// node gets all of it, and a load report even when nothing changed; in a large
+// one each chain's anchors go to its home.
 func split(change eventreader.Change, addresses []string, replicated bool) map[string]eventreader.Change {
 	parts := map[string]eventreader.Change{}
 	if replicated {
@@ -241,16 +297,20 @@
 		}
 	}
 	for _, item := range change.Stored {
-		owner := prefix.Owner(item.Root, addresses)
-		part := parts[owner]
-		part.Stored = append(part.Stored, item)
-		parts[owner] = part
+		if prefixindex.IsAnchor(item.Depth) {
+			owner := prefix.Owner(item.Root, addresses)
+			part := parts[owner]
+			part.Stored = append(part.Stored, item)
+			parts[owner] = part
+		}
 	}
 	for _, item := range change.Evicted {
-		owner := prefix.Owner(item.Root, addresses)
-		part := parts[owner]
-		part.Evicted = append(part.Evicted, item)
-		parts[owner] = part
+		if prefixindex.IsAnchor(item.Depth) {
+			owner := prefix.Owner(item.Root, addresses)
+			part := parts[owner]
+			part.Evicted = append(part.Evicted, item)
+			parts[owner] = part
+		}
 	}
 	return parts
 }
--- a/internal/operator/language.go
+++ b/internal/operator/language.go
@@ -17,7 +17,7 @@
 	Show    *Show    `parser:"(  'show' @@"`
 	Drain   *Drain   `parser:" | 'drain' @@"`
 	Readmit *Readmit `parser:" | 'readmit' @@"`
-	Set     *Set     `parser:" | 'set' @@ ) EOF"`
+	Set     *Set     `parser:" | 'set' @@ )"`
 }
 
 // Show is a query: show engines where state = draining limit 10.
@@ -25,14 +25,14 @@
 	Subject    string      `parser:"@('engines' | 'nodes' | 'tenants' | 'models' | 'pools' | 'services' | 'prefixes' | 'configuration')"`
 	Hot        bool        `parser:"@'hot'?"`
 	Conditions []Condition `parser:"('where' @@ ('and' @@)*)?"`
-	Limit      int         `parser:"('limit' @Number)?"`
+	Limit      int         `parser:"('limit' @Word)?"`
 }
 
 // Condition compares one column.
 type Condition struct {
 	Column   string `parser:"@Word"`
 	Operator string `parser:"@Operator"`
-	Value    string `parser:"@(Word | Number | String)"`
+	Value    string `parser:"@(Word | String)"`
 }
 
 // Drain stops new work for a back end: drain engine NAME.
@@ -52,12 +52,12 @@
 	Subject string `parser:"@('tenant' | 'model')"`
 	Name    string `parser:"@(Word | String)"`
 	Field   string `parser:"@('priority' | 'weight' | 'rate' | 'version' | 'class')"`
-	Value   string `parser:"@(Word | Number | String)"`
+	Value   string `parser:"@(Word | String)"`
 }
 
+// A number is a word too: versions such as 2026-12 begin with one.
 var rules = lexer.MustSimple([]lexer.SimpleRule{
 	{Name: "String", Pattern: `"[^"]*"`},
-	{Name: "Number", Pattern: `\d+(\.\d+)?\b`},
 	{Name: "Word", Pattern: `[a-zA-Z0-9][a-zA-Z0-9_.:/-]*`},
 	{Name: "Operator", Pattern: `!=|<=|>=|=|<|>`},
 	{Name: "Space", Pattern: `\s+`},
@@ -67,7 +67,6 @@
 	participle.Lexer(rules),
 	participle.Elide("Space"),
 	participle.Unquote("String"),
-	participle.UseLookahead(2),
 )
 
 // Parse reads one statement. A fault names the column and what was expected.
--- /dev/null
+++ b/internal/operator/language_test.go
@@ -0,0 +1,68 @@
+package operator
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/property"
+)
+
+func TestStatementsOfTheManual(t *testing.T) {
+	for _, text := range []string{
+		"show engines", "show engines where state = draining", "show prefixes hot limit 10", "show tenants",
+		"show engines where state != ready and zone = espoo-a limit 3", `show tenants where name = "a b"`, "show configuration",
+		"drain engine espoo-a-1", "readmit engine espoo-a-1", "set tenant studio priority 3", "set model oraakeli version 2026-12",
+	} {
+		_, err := Parse(text)
+		require.NoError(t, err, text)
+	}
+}
+
+func TestFaultsNameTheColumn(t *testing.T) {
+	for text, column := range map[string]string{
+		"show motors":                "column 6",
+		"show engines where = ready": "column 20",
+		"drain engine":               "column 13",
+		"set tenant a colour 3":      "column 14",
+		"show engines limit":         "column 19",
+	} {
+		_, err := Parse(text)
+		require.True(t, failure.Is(err, failure.KindInvalidRequest), text)
+		require.ErrorContains(t, err, column, text)
+	}
+}
+
+func TestNoStatementMakesItPanic(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		_, _ = Parse(rapid.String().Draw(t, "text"))
+	})
+}
+
+func TestCommandsChangeOnlyWhatTheyName(t *testing.T) {
+	declared := &configuration.Declaration{
+		Models:  []configuration.Model{{Name: "m", Version: "1"}},
+		Pools:   []configuration.Pool{{Name: "p", Engines: []configuration.Backend{{Name: "e1"}, {Name: "e2"}}}},
+		Tenants: []configuration.Tenant{{Name: "a", Priority: 1, Weight: 1}, {Name: "b", Priority: 2, Weight: 1}},
+	}
+	run := func(text string) error {
+		statement, err := Parse(text)
+		require.NoError(t, err)
+		return change(declared, statement)
+	}
+	require.NoError(t, run("set tenant a priority 5"))
+	require.Equal(t, 5, declared.Tenants[0].Priority)
+	require.Equal(t, 2, declared.Tenants[1].Priority)
+	require.NoError(t, run("drain engine e1"))
+	require.NoError(t, run("drain engine e1"), "a repeated command does no harm")
+	require.Equal(t, []string{"e1"}, declared.Draining)
+	require.NoError(t, run("readmit engine e1"))
+	require.Empty(t, declared.Draining)
+	require.Error(t, run("readmit engine e1"))
+	require.ErrorContains(t, run("drain engine e9"), "show engines")
+	require.ErrorContains(t, run("set tenant a version 3"), "priority, weight, rate or class")
+	require.ErrorContains(t, run("set tenant a priority high"), "not a number")
+}
--- a/internal/prefixindex/index.go
+++ b/internal/prefixindex/index.go
@@ -2,13 +2,24 @@
 // hint: engines check identity, epoch and version themselves.
 package prefixindex
 
-import "github.com/cloverrail/cloverrail/internal/prefix"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cloverrail/cloverrail/internal/prefix"
+)
 
 // Holder is one incarnation of an engine. Entries belong to an incarnation, so
 // those of a dead one can never be looked up.
 type Holder struct {
 	Endpoint string
-	Epoch    string
+	// Epoch is a tag of the incarnation's name, which is longer than it need be to
+	// tell two incarnations of one engine apart.
+	Epoch uint32
+}
+
+// NewHolder names an incarnation of an engine.
+func NewHolder(endpoint, epoch string) Holder {
+	return Holder{Endpoint: endpoint, Epoch: uint32(xxhash.Sum64String(epoch))}
 }
 
 // Update is a batch of changes from one engine's event reader.
--- a/internal/routing/annotate.go
+++ b/internal/routing/annotate.go
@@ -38,7 +38,7 @@
 		candidate := &candidates[index]
 		candidate.Affinity = prefix.Weight(key, candidate.Endpoint)
 		if len(depths) > 0 {
-			holder := prefixindex.Holder{Endpoint: candidate.Endpoint, Epoch: candidate.Epoch}
+			holder := prefixindex.NewHolder(candidate.Endpoint, candidate.Epoch)
 			candidate.HitBlocks = max(candidate.HitBlocks, scheduler.held[holder])
 			candidate.ImportBlocks = kept
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -58,19 +58,24 @@
 	Chain []prefix.Hash
 }
 
-// HolderLoad is a holder's load as its home knows it.
-type HolderLoad struct {
-	Endpoint string
-	Load     engineapi.Load
-	At       time.Time
+// Holding says how much of a chain an engine holds, and its load as the home
+// knows it.
+type Holding struct {
+	prefixindex.Depth
+	Load engineapi.Load
+	// LoadAge is how old the load report is.
+	LoadAge time.Duration
 }
 
-// LookupAnswer lists the holders.
+// LookupAnswer lists the deepest holders, at most MaximumHoldings.
 type LookupAnswer struct {
-	Depths []prefixindex.Depth
-	Loads  []HolderLoad
+	Holdings []Holding
 }
 
+// MaximumHoldings bounds an answer: an engine that holds less than these others
+// is hardly ever chosen for what it holds.
+const MaximumHoldings = 4
+
 // ClaimRequest asks a holder for a key.
 type ClaimRequest struct {
 	Roster string
@@ -115,12 +120,18 @@
 	Tokens int
 }
 
+// Names of messages are short, since they travel with each one.
 func init() {
-	for _, message := range []any{
-		SyncRequest{}, SyncAnswer{}, ConfigurationRequest{}, ConfigurationAnswer{}, IndexUpdate{}, IndexAnswer{},
-		LookupRequest{}, LookupAnswer{}, ClaimRequest{}, ClaimAnswer{}, ConcludeRequest{}, ConcludeAnswer{},
-		ClaimsRequest{}, ClaimsAnswer{}, TakeRequest{}, TakeAnswer{},
+	for name, message := range map[string]any{
+		"sync?": SyncRequest{}, "sync": SyncAnswer{},
+		"conf?": ConfigurationRequest{}, "conf": ConfigurationAnswer{},
+		"idx?": IndexUpdate{}, "idx": IndexAnswer{},
+		"look?": LookupRequest{}, "look": LookupAnswer{},
+		"claim?": ClaimRequest{}, "claim": ClaimAnswer{},
+		"done?": ConcludeRequest{}, "done": ConcludeAnswer{},
+		"all?": ClaimsRequest{}, "all": ClaimsAnswer{},
+		"take?": TakeRequest{}, "take": TakeAnswer{},
 	} {
-		gob.Register(message)
+		gob.RegisterName(name, message)
 	}
 }
