--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -18,6 +18,7 @@
 const (
 	connectTimeout = 500 * time.Millisecond
 	sideTimeout    = time.Second
+	headerTimeout  = 750 * time.Millisecond
 	maximumEvent   = 1 << 20
 	readBuffer     = 2 << 10
 )
@@ -73,6 +74,9 @@
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 		MaxIdleConnsPerHost: 256,
+		// An engine answers its headers when it accepts a request, long before the
+		// first token; one that does not has stopped without a word.
+		ResponseHeaderTimeout: headerTimeout,
 		// Events are small, and each open stream has a buffer of its own.
 		ReadBufferSize:     readBuffer,
 		DisableCompression: true,
--- a/internal/lab/enginestub/server.go
+++ b/internal/lab/enginestub/server.go
@@ -64,6 +64,7 @@
 	leaving    bool
 	loads      int
 	frozen     bool
+	mute       bool
 	orderToken int64
 	streams    map[string]*stream
 	events     eventlog.Log
@@ -149,6 +150,14 @@
 	server.changed.Broadcast()
 }
 
+// SetMute makes the engine take dispatches without ever answering them, while
+// its other endpoints work.
+func (server *Server) SetMute(mute bool) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.mute = mute
+}
+
 // Executions returns the log of started requests.
 func (server *Server) Executions() []Execution {
 	server.mutex.Lock()
@@ -215,6 +224,11 @@
 	server.mutex.Lock()
 	version := server.weights[message.Model]
 	refusal := server.refusal(request, version)
+	if server.mute {
+		server.mutex.Unlock()
+		<-request.Context().Done()
+		return
+	}
 	if refusal != "" {
 		server.mutex.Unlock()
 		notStarted(writer, http.StatusConflict, refusal)
--- a/internal/lab/inprocess/fleet_test.go
+++ b/internal/lab/inprocess/fleet_test.go
@@ -179,6 +179,19 @@
 	require.Equal(t, expectedText(prompt, 60), text)
 }
 
+func TestEngineThatNeverAnswersIsGivenUpOn(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 2, Step: time.Millisecond})
+	fleet.Engines[0].SetMute(true)
+	for index := range 4 {
+		prompt := fmt.Sprint("prompt ", index)
+		response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, prompt, 3, true))
+		text, done := readStream(t, response.Body, nil)
+		require.True(t, done)
+		require.Equal(t, expectedText(prompt, 3), text)
+		_ = response.Body.Close()
+	}
+}
+
 func TestFirstRequestAfterACrashUnderTheSameAddress(t *testing.T) {
 	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: time.Millisecond})
 	fleet.Engines[0].Crash()
--- a/internal/node/home_test.go
+++ b/internal/node/home_test.go
@@ -28,6 +28,16 @@
 	require.True(t, home.apply(other, now).NeedAll, "a new reader starts afresh")
 }
 
+func TestIdleTenantsAreForgotten(t *testing.T) {
+	limits := newLimits(time.Now())
+	limits.tenant("idle")
+	limits.tenant("busy").streams = 1
+	limits.forget(time.Now().Add(forgetAfter / 2))
+	require.Len(t, limits.tenants, 2)
+	limits.forget(time.Now().Add(2 * forgetAfter))
+	require.Len(t, limits.tenants, 1)
+}
+
 func TestDrainingLifecycleRefusesAndWaits(t *testing.T) {
 	lifecycle := newLifecycle()
 	done, refusal := lifecycle.enter()
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -19,6 +19,9 @@
 // resizeInterval is how often the places follow the back ends.
 const resizeInterval = 250 * time.Millisecond
 
+// forgetAfter is how long a tenant's use is remembered without calls.
+const forgetAfter = 5 * time.Minute
+
 // limits keeps what this node knows of its tenants' use.
 type limits struct {
 	mutex   sync.Mutex
@@ -34,6 +37,7 @@
 	share   *admission.Share
 	streams int
 	budget  *retry.Budget
+	usedAt  time.Time
 }
 
 func newLimits(now time.Time) *limits {
@@ -48,9 +52,25 @@
 		use = &tenantUse{share: admission.NewShare(), budget: retry.NewBudget(retry.DefaultBudget, time.Now())}
 		limits.tenants[name] = use
 	}
+	use.usedAt = time.Now()
 	return use
 }
 
+// forget drops tenants that have not called for a while: a node must not keep
+// state for every tenant that ever came by.
+func (limits *limits) forget(now time.Time) {
+	limits.mutex.Lock()
+	defer limits.mutex.Unlock()
+	for name, use := range limits.tenants {
+		use.mutex.Lock()
+		idle := use.streams == 0 && now.Sub(use.usedAt) > forgetAfter
+		use.mutex.Unlock()
+		if idle {
+			delete(limits.tenants, name)
+		}
+	}
+}
+
 // configure sizes the places of each pool.
 func (limits *limits) configure(snapshot *configuration.Snapshot) {
 	limits.mutex.Lock()
@@ -66,7 +86,7 @@
 }
 
 // resizePlaces follows the back ends that come and go, so that requests queue
-// here rather than being refused for want of an engine.
+// here rather than being refused for want of an engine, and forgets idle tenants.
 func (node *Node) resizePlaces(ctx context.Context) {
 	ticker := time.NewTicker(resizeInterval)
 	defer ticker.Stop()
@@ -76,6 +96,7 @@
 		case <-ctx.Done():
 			return
 		}
+		node.limits.forget(time.Now())
 		snapshot := node.catalog.snapshot.Load()
 		if snapshot == nil {
 			continue
