Count an engine that nothing was heard of as typically loaded

Cause: CAPACITY.md named it as unmeasured: above 32 nodes a node hears an engine's load only with index answers that name it. The experiment's new profile `plan` is one of 31 models at the size designed for: 23 servers asked by 340 nodes, each of which sees such a request every three seconds. An engine without a report counted as idle and drew the requests of every node that knew as little.

Change: without a report of the last 2 s an engine counts as the mean of those that have one.

The fault run now also sends late duplicates.

--- a/internal/endpoint/record_test.go
+++ b/internal/endpoint/record_test.go
@@ -75,6 +75,19 @@
 	require.NoError(t, table.Alive("e").Err())
 }
 
+func TestEngineThatNothingWasHeardOfCountsAsTypical(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := NewTable()
+	engines := []configuration.Backend{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+	table.Configure(configuration.Compile(1, "c", &configuration.Declaration{Pools: []configuration.Pool{{Name: "p", Engines: engines}}}))
+	table.Report("a", engineapi.Load{PrefillTokens: 1000, Running: 4}, now)
+	table.Report("b", engineapi.Load{PrefillTokens: 3000, Running: 8}, now)
+	silent := table.Candidates(nil, "p", "", "", now)[2]
+	require.Equal(t, 2000, silent.QueuedTokens)
+	require.Equal(t, 6, silent.Running)
+	require.Zero(t, table.Candidates(nil, "p", "", "", now.Add(time.Minute))[0].QueuedTokens, "old reports say nothing")
+}
+
 func TestWorkSentAfterAReportCountsUntilTheNext(t *testing.T) {
 	now := time.Unix(100, 0)
 	table := newTable()
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -15,6 +15,9 @@
 // sent that long before a report arrived may not be in it yet.
 const loadLag = 250 * time.Millisecond
 
+// loadLife is how long a load report says something about its engine.
+const loadLife = 2 * time.Second
+
 // Table holds all back ends of the snapshot in force. It is safe for
 // concurrent use.
 type Table struct {
@@ -186,9 +189,14 @@
 func (table *Table) Candidates(candidates []routing.Candidate, pool, model, version string, now time.Time) []routing.Candidate {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
+	typical := typicalLoad(table.pools[pool], now)
 	for _, known := range table.pools[pool] {
 		loaded, held := known.record.Weights[model]
-		tokens := known.load.PrefillTokens
+		load := known.load
+		if now.Sub(known.loadAt) > loadLife {
+			load = typical
+		}
+		tokens := load.PrefillTokens
 		for _, item := range known.sent {
 			tokens += item.tokens
 		}
@@ -204,7 +212,7 @@
 			Down:         known.record.Down,
 			Resting:      !known.breaker.Allows(now),
 			InFlight:     known.inFlight,
-			Running:      max(known.load.Running+known.load.Waiting, known.inFlight),
+			Running:      max(load.Running+load.Waiting, known.inFlight),
 			QueuedTokens: tokens,
 		})
 	}
@@ -234,6 +242,26 @@
 	return count
 }
 
+// typicalLoad is the mean of the loads heard of lately. An engine that nothing
+// was heard of counts as typical: as idle it would draw the requests of every
+// node that knows as little.
+func typicalLoad(pool []*state, now time.Time) engineapi.Load {
+	typical, heard := engineapi.Load{}, 0
+	for _, known := range pool {
+		if now.Sub(known.loadAt) > loadLife {
+			continue
+		}
+		heard++
+		typical.Running += known.load.Running + known.load.Waiting
+		typical.PrefillTokens += known.load.PrefillTokens
+	}
+	if heard > 0 {
+		typical.Running /= heard
+		typical.PrefillTokens /= heard
+	}
+	return typical
+}
+
 // Views lists all back ends.
 func (table *Table) Views() []View {
 	table.mutex.Lock()
--- a/internal/lab/experiment/profile.go
+++ b/internal/lab/experiment/profile.go
@@ -33,6 +33,8 @@
 	// CrashEvery is how often an engine comes back empty.
 	CrashEvery time.Duration
 	Workload   Workload
+	// LoadView says how nodes learn of engines' loads.
+	LoadView LoadView
 	// KeptBlocks is the capacity of the kept-KV store.
 	KeptBlocks int
 	// EventLag is the most that cache events and load reports are late, and
@@ -41,6 +43,18 @@
 	EventGap float64
 }
 
+// LoadView is a way for nodes to learn of engines' loads.
+type LoadView string
+
+// The ways, as fleets of different sizes can afford them.
+const (
+	// LoadsToAll sends every report to every node, as in a small fleet.
+	LoadsToAll LoadView = "all"
+	// LoadsByLookup brings only the loads of engines that hold some of the prompt,
+	// with the index's answer.
+	LoadsByLookup LoadView = "lookup"
+)
+
 // Workload sets the shape of prompts.
 type Workload struct {
 	Tenants int
@@ -81,6 +95,7 @@
 	}
 	kuusisto.Engine.CacheBlocks = 200
 	kuusisto.KeptBlocks = 20_000
+	kuusisto.LoadView = LoadsToAll
 	dakar := Profile{
 		Name: "dakar", Engines: 12, Nodes: 4, Engine: enginemodel.Standard(4*time.Millisecond, 30_000),
 		OneWay: 900 * time.Microsecond, WaitWeight: 1, WorkWeight: 1,
@@ -95,7 +110,30 @@
 	}
 	dakar.Engine.CacheBlocks = 160
 	dakar.KeptBlocks = 10_000
-	return []Profile{kuusisto, dakar}
+	dakar.LoadView = LoadsToAll
+	return []Profile{kuusisto, dakar, plan()}
+}
+
+// plan is one of 31 models at the size designed for: 23 servers of eight
+// accelerators, asked by all 340 nodes, each of which sees a request for the model
+// only every three seconds.
+func plan() Profile {
+	profile := Profile{
+		Name: "plan", Engines: 23, Nodes: 340, Engine: enginemodel.Standard(6*time.Millisecond, 200_000),
+		OneWay: 1500 * time.Microsecond, WaitWeight: 1, WorkWeight: 1,
+		Duration: time.Minute, Rate: 123,
+		BurstEvery: 30 * time.Second, BurstLength: 8 * time.Second, BurstFactor: 1.3,
+		ShiftEvery: 25 * time.Second, CrashEvery: 20 * time.Second,
+		EventLag: 300 * time.Millisecond, EventGap: 0.01, KeptBlocks: 1_000_000, LoadView: LoadsByLookup,
+		Workload: Workload{
+			Tenants: 100, TenantSkew: 0.7, Stories: 10, StorySkew: 0.9, RuleBlocks: 8, StoryLeast: 20, StoryMost: 80,
+			Branches: 4, BranchBlocks: 8, HeavyShare: 0.7, HeavyOutput: 480, LightOutput: 200, OwnTokens: 400,
+		},
+	}
+	profile.Engine.CacheBlocks = 52_777
+	profile.Engine.ChunkTokens = 2048
+	profile.Engine.MaxRunning = 256
+	return profile
 }
 
 // ProfileOf finds a profile.
@@ -105,5 +143,5 @@
 			return profile, nil
 		}
 	}
-	return Profile{}, errors.Errorf("%q is not a profile; use kuusisto or dakar", name)
+	return Profile{}, errors.Errorf("%q is not a profile; use kuusisto, dakar or plan", name)
 }
--- a/internal/lab/experiment/simulation.go
+++ b/internal/lab/experiment/simulation.go
@@ -64,6 +64,9 @@
 	reader   *eventreader.Reader
 	// log holds events that the reader has not read, already thinned by gaps.
 	log []engineapi.CacheEvent
+	// reported is the load that the engine's reader knows.
+	reported   engineapi.Load
+	reportedAt time.Time
 	// open are the requests on the engine.
 	open map[string]*flight
 }
@@ -164,20 +167,7 @@
 // place lets a node decide, and sends the request on its way.
 func (run *simulation) place(request *arrival) {
 	table := run.tables[request.node]
-	candidates := table.Candidates(nil, poolName, modelName, "v", run.clock())
-	depths := run.index.Lookup(nil, request.chain)
-	if run.isScheduled() {
-		depths = run.expected[request.node].Lookup(run.clock(), depths, request.chain)
-	}
-	key := keyOf(request.chain, run.profile.Workload.RuleBlocks+1)
-	if run.isScheduled() {
-		key = routing.AffinityKey(request.chain, depths, keptName)
-	}
-	if run.policy.perfect() {
-		run.reveal(candidates, request.chain)
-		depths = nil
-	}
-	run.scheduler.Annotate(candidates, key, depths, keptName)
+	candidates := run.survey(request, table)
 	message := routing.Request{
 		PromptTokens:           request.tokens,
 		BlockTokens:            run.profile.Engine.BlockTokens,
@@ -197,6 +187,27 @@
 	run.at(run.now+run.profile.OneWay, func() { run.submit(travelling) })
 }
 
+// survey collects what the node knows of the engines, or for a perfect policy
+// what is true.
+func (run *simulation) survey(request *arrival, table *endpoint.Table) []routing.Candidate {
+	depths := run.index.Lookup(nil, request.chain)
+	if run.profile.LoadView == LoadsByLookup {
+		run.learnLoads(table, depths)
+	}
+	candidates := table.Candidates(nil, poolName, modelName, "v", run.clock())
+	key := keyOf(request.chain, run.profile.Workload.RuleBlocks+1)
+	if run.isScheduled() {
+		depths = run.expected[request.node].Lookup(run.clock(), depths, request.chain)
+		key = routing.AffinityKey(request.chain, depths, keptName)
+	}
+	if run.policy.perfect() {
+		run.reveal(candidates, request.chain)
+		depths = nil
+	}
+	run.scheduler.Annotate(candidates, key, depths, keptName)
+	return candidates
+}
+
 func (run *simulation) isScheduled() bool {
 	_, scheduled := run.policy.(*scheduled)
 	return scheduled
@@ -315,8 +326,11 @@
 	lag := time.Duration(run.random.Int64N(int64(run.profile.EventLag - readInterval)))
 	run.at(run.now+lag, func() {
 		run.index.Apply(update)
-		for _, table := range run.tables {
-			table.Report(engine.name, batch.Load, taken)
+		engine.reported, engine.reportedAt = batch.Load, taken
+		if run.profile.LoadView == LoadsToAll {
+			for _, table := range run.tables {
+				table.Report(engine.name, batch.Load, taken)
+			}
 		}
 	})
 	run.at(run.now+readInterval, func() { run.read(engine) })
@@ -353,3 +367,14 @@
 	run.kept.Touch(request.chain, run.clock())
 	return run.kept.Depth(request.chain)
 }
+
+// learnLoads gives a node the loads that come with the index's answer.
+func (run *simulation) learnLoads(table *endpoint.Table, depths []prefixindex.Depth) {
+	for _, depth := range depths {
+		for _, engine := range run.engines {
+			if engine.name == depth.Holder.Endpoint {
+				table.Report(engine.name, engine.reported, engine.reportedAt)
+			}
+		}
+	}
+}
--- a/internal/lab/faults/run.go
+++ b/internal/lab/faults/run.go
@@ -129,6 +129,9 @@
 					run.generator.Duplicate(background, []int{turn % nodes, (turn + 1) % nodes, turn % nodes})
 					continue
 				}
+				if turn%11 == 0 && run.generator.Again(background, run.readyNode(turn)) {
+					continue
+				}
 				record := run.generator.Request(background, kinds[turn%len(kinds)], run.readyNode(turn))
 				if record.Status != 200 {
 					time.Sleep(pollPause)
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -168,6 +168,32 @@
 	return records
 }
 
+// lateDuplicates reach back over so many records.
+const lateDuplicates = 400
+
+// Again sends an earlier request that is not repeatable once more, under its own
+// key, as a caller does who has lost the answer. It reports whether there was one.
+func (generator *Generator) Again(ctx context.Context, node int) bool {
+	generator.mutex.Lock()
+	recent := generator.History[max(0, len(generator.History)-lateDuplicates):]
+	earlier := make([]Record, 0, len(recent))
+	for _, record := range recent {
+		if record.Kind == Once {
+			earlier = append(earlier, record)
+		}
+	}
+	generator.mutex.Unlock()
+	if len(earlier) == 0 {
+		return false
+	}
+	first := earlier[generator.number(len(earlier))]
+	record := Record{ID: first.ID, Kind: Once, Tenant: first.Tenant, Node: node, Started: time.Now()}
+	generator.once(ctx, &record)
+	record.close()
+	generator.keep(record)
+	return true
+}
+
 func (record *Record) close() {
 	record.Ended = time.Now()
 	record.Elapsed = record.Ended.Sub(record.Started)
