Keep herd restarts from burying the key-value service

Cause: a starting node read the service at once and every 100 ms, part by part. Nine nodes with a configuration of 33 parts used up the stand-in's 200 calls a second and none came up within 15 s (new test, failed first); 340 nodes with 513 parts would have asked for 174,000 reads.

Ruled out: reading from peers only (after a herd restart no peer knows anything).

Change: a node asks its peers first; only the two watchers of each zone read the service, others after 5 s without a configuration; many missing parts are read as lists of at most 256.

Reads now grow with zones, not nodes.

--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 
 	"github.com/juju/errors"
 
@@ -19,6 +20,14 @@
 	changeKeyPrefix = "/cloverrail/configuration/change/"
 )
 
+const (
+	// partsReadSingly is how many missing parts are read one by one.
+	partsReadSingly = 4
+	// listedBeginning is the length of "tenants/" and one digit: at most 256 parts,
+	// some 4 MB, in one answer.
+	listedBeginning = len("tenants/") + 1
+)
+
 // operationsPerTransaction stays under the service's usual limit of 128.
 const operationsPerTransaction = 100
 
@@ -31,6 +40,7 @@
 // KeyValues is what the store needs of the key-value service.
 type KeyValues interface {
 	Get(ctx context.Context, key string) (kvservice.KeyValue, error)
+	List(ctx context.Context, prefix string) ([]kvservice.KeyValue, error)
 	Commit(ctx context.Context, transaction kvservice.TxnRequest) (kvservice.TxnResponse, error)
 }
 
@@ -79,20 +89,68 @@
 		return nil, errors.Annotate(err, "the stored manifest cannot be read; apply the declaration again")
 	}
 	held := HeldParts(known)
+	if err := store.fetch(ctx, version.Manifest, held); err != nil {
+		return nil, err
+	}
 	for _, name := range version.Manifest.Parts {
 		part, found := held[name]
 		if !found {
-			value, err := store.service.Get(ctx, partKey(name))
-			if err != nil {
-				return nil, err
-			}
-			part = Part{Name: name.Name, Digest: name.Digest, Data: value.Value}
+			return nil, failure.New(failure.KindUnavailable, "part "+name.Name+" is gone; another change came meanwhile", "read again")
 		}
 		version.Parts = append(version.Parts, part)
 	}
 	return version, nil
 }
 
+// fetch adds the manifest's missing parts to those held: one by one when few are
+// missing, as after a change, and by lists when many are, as after a restart. The
+// service's rate is small, and after a herd restart many nodes ask at once.
+func (store *Store) fetch(ctx context.Context, manifest Manifest, held map[PartName]Part) error {
+	missing := []PartName{}
+	for _, name := range manifest.Parts {
+		if _, found := held[name]; !found {
+			missing = append(missing, name)
+		}
+	}
+	if len(missing) > partsReadSingly {
+		return store.list(ctx, missing, held)
+	}
+	for _, name := range missing {
+		value, err := store.service.Get(ctx, partKey(name))
+		if err != nil {
+			return err
+		}
+		if value.ModRevision > 0 {
+			held[name] = Part{Name: name.Name, Digest: name.Digest, Data: value.Value}
+		}
+	}
+	return nil
+}
+
+// list reads the missing parts by lists of those whose names begin alike.
+func (store *Store) list(ctx context.Context, missing []PartName, held map[PartName]Part) error {
+	listed := map[string]bool{}
+	for _, name := range missing {
+		beginning := name.Name[:min(len(name.Name), listedBeginning)]
+		if listed[beginning] {
+			continue
+		}
+		listed[beginning] = true
+		values, err := store.service.List(ctx, partKeyPrefix+beginning)
+		if err != nil {
+			return err
+		}
+		for _, value := range values {
+			full := strings.TrimPrefix(string(value.Key), partKeyPrefix)
+			cut := strings.LastIndex(full, "/")
+			if cut > 0 {
+				held[PartName{Name: full[:cut], Digest: full[cut+1:]}] = Part{Name: full[:cut], Digest: full[cut+1:], Data: value.Value}
+			}
+		}
+	}
+	return nil
+}
+
 // HeldParts indexes the parts of a version, which may be nil.
 func HeldParts(version *Version) map[PartName]Part {
 	held := map[PartName]Part{}
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -45,6 +45,15 @@
 	return answer.Kvs[0], nil
 }
 
+func (service *unreliable) List(_ context.Context, prefix string) ([]kvservice.KeyValue, error) {
+	if fate := service.fate(); fate != "fine" {
+		return nil, errNoAnswer
+	}
+	end := []byte(prefix)
+	end[len(end)-1]++
+	return service.store.Get(kvservice.RangeRequest{Key: []byte(prefix), RangeEnd: end}).Kvs, nil
+}
+
 func (service *unreliable) Commit(_ context.Context, transaction kvservice.TxnRequest) (kvservice.TxnResponse, error) {
 	switch service.fate() {
 	case "lost answer":
--- a/internal/kvservice/client.go
+++ b/internal/kvservice/client.go
@@ -62,6 +62,15 @@
 	return answer.Kvs[0], nil
 }
 
+// List reads all keys that begin with the prefix.
+func (client *Client) List(ctx context.Context, prefix string) ([]KeyValue, error) {
+	end := []byte(prefix)
+	end[len(end)-1]++
+	var answer RangeResponse
+	err := client.call(ctx, "/v3/kv/range", RangeRequest{Key: []byte(prefix), RangeEnd: end}, &answer)
+	return answer.Kvs, err
+}
+
 // Commit runs a transaction and reports whether its comparisons held, and the
 // revision after it.
 func (client *Client) Commit(ctx context.Context, transaction TxnRequest) (TxnResponse, error) {
--- a/internal/lab/inprocess/fleet_test.go
+++ b/internal/lab/inprocess/fleet_test.go
@@ -464,6 +464,44 @@
 	}
 }
 
+// TestHerdRestartIsGentleOnTheKeyValueService restarts nine nodes at once with a
+// configuration of many parts, and counts the reads that this costs.
+func TestHerdRestartIsGentleOnTheKeyValueService(t *testing.T) {
+	const nodes = 9
+	fleet := startFleet(t, Config{Nodes: nodes, Engines: 1, Step: time.Millisecond})
+	base, err := fleet.Store.Read(context.Background(), nil)
+	require.NoError(t, err)
+	grown := *fleet.Declaration
+	for index := range 2000 {
+		tenant := grown.Tenants[0]
+		tenant.Name = fmt.Sprint("tenant-", index)
+		tenant.KeyDigests = []string{configuration.Digest(tenant.Name)}
+		grown.Tenants = append(grown.Tenants, tenant)
+	}
+	version, err := fleet.Store.Propose(context.Background(), base, uuid.NewString(), &grown)
+	require.NoError(t, err)
+	var done sync.WaitGroup
+	for _, running := range fleet.Nodes {
+		done.Go(func() { <-running.Shutdown() })
+	}
+	done.Wait()
+	before := fleet.KeyValue.Calls("/v3/kv/range")
+	for index := range nodes {
+		require.NoError(t, fleet.StartNode(index))
+	}
+	require.NoError(t, fleet.Await(func() bool {
+		for _, running := range fleet.Nodes {
+			if running.Snapshot() == nil || running.Snapshot().Revision < version.Revision {
+				return false
+			}
+		}
+		return true
+	}))
+	calls := fleet.KeyValue.Calls("/v3/kv/range") - before
+	t.Logf("%d nodes, %d parts: %d reads", nodes, len(version.Parts), calls)
+	require.LessOrEqual(t, calls, 20*nodes)
+}
+
 func TestRestartServesFromPeersDuringAnOutage(t *testing.T) {
 	fleet := startFleet(t, Config{Nodes: 3, Engines: 2, Step: time.Millisecond})
 	fleet.KeyValue.SetFaults(kvstub.Faults{Outage: true})
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -107,6 +107,13 @@
 // watchWhileRanked watches for as long as this node is among the first of its
 // zone. No lease is needed: a watcher too many costs one watch.
 func (node *Node) watchWhileRanked(ctx context.Context) {
+	// Before the first exchange with peers every node would take itself for the
+	// first of its zone.
+	select {
+	case <-node.met:
+	case <-ctx.Done():
+		return
+	}
 	var stop context.CancelFunc
 	for ctx.Err() == nil {
 		ranked := node.rankInZone() < watchersPerZone
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -33,6 +34,7 @@
 	syncTimeout       = 300 * time.Millisecond
 	resyncInterval    = 10 * time.Second
 	startInterval     = 100 * time.Millisecond
+	ownReadAfter      = 5 * time.Second
 	// expectedLife is how long a prompt sent to an engine counts as held there
 	// without the engine's word; events are at most that late.
 	expectedLife = time.Second
@@ -65,6 +67,9 @@
 	retries   *retry.Budget
 	lifecycle *lifecycle
 	tasks     chan func(context.Context)
+	// met is closed once peers were asked for the first time.
+	met        chan struct{}
+	acquainted func()
 	// replicateUpTo is the size of fleet up to which the index is replicated.
 	replicateUpTo int
 
@@ -106,6 +111,8 @@
 		tasks:     make(chan func(context.Context), 256),
 		creds:     credentials,
 	}
+	node.met = make(chan struct{})
+	node.acquainted = sync.OnceFunc(func() { close(node.met) })
 	node.replicateUpTo = DefaultReplicateUpTo
 	if options.ReplicateUpTo != nil {
 		node.replicateUpTo = *options.ReplicateUpTo
@@ -259,13 +266,17 @@
 // join looks for the fleet at once, and again from time to time, so that what
 // gossip lost is made up for.
 func (node *Node) join(ctx context.Context) {
+	started := time.Now()
 	for ctx.Err() == nil {
 		node.synchronize(ctx)
-		if node.catalog.revision() == 0 {
-			_ = node.catalog.read(ctx)
-		}
+		node.acquainted()
 		pause := resyncInterval
 		if node.catalog.revision() == 0 {
+			// The zone's watchers read the service. The others hear from them; only
+			// if that takes long does each try for itself.
+			if time.Since(started) > ownReadAfter {
+				_ = node.catalog.read(ctx)
+			}
 			pause = startInterval
 		}
 		select {
