Lose a zone without losing its requests

Causes, found by asking what the loss of a zone does at the size designed for: 1. Engines are read by nodes of their own zone, so both die together, and nobody tells the others for some 20 s (membership) and 3 s (the next reader). New test TestDeathOfAnEngineIsToldByWhoMeetsIt failed first: 15 s, the other node had not heard. Now whoever meets a dead engine tells the fleet; a reader that gets through contradicts. 2. Now a peer rests after two calls without an answer, 0.3 s doubling to 3 s. 3. A node that gossip had missed believed a dead member alive for up to two rounds of probes (TestLostZoneIsLearnedAndComesBack: 1 wrong belief after 50 s), and if all seeds were dead nothing repaired it. The periodic exchange now goes to a random member as well as a seed, in the hollow network too. 4. That exchange carried whole views both ways every 10 s, at 340 nodes and 720 engines some 200 KB. Now it compares digests.

--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -259,6 +259,7 @@
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		run.step(Broken{Attempt: attempt, Reason: "the engine closed it early"})
 	default:
+		go run.call.Placer.Stale(run.target)
 		run.step(Broken{Attempt: attempt, Reason: err.Error()})
 	}
 }
--- a/internal/lab/hollow/network.go
+++ b/internal/lab/hollow/network.go
@@ -17,6 +17,13 @@
 // datagramOverhead is what sealing, UDP and IP add to a message, in bytes.
 const datagramOverhead = 28 + 28
 
+const (
+	// syncInterval is how often a node compares its view with another's.
+	syncInterval = 10 * time.Second
+	// digestBytes is what a request or an answer without a view costs on a call.
+	digestBytes = 120
+)
+
 // Config sets up a network of hollow nodes.
 type Config struct {
 	Nodes int
@@ -47,6 +54,7 @@
 	Received int64
 	side     int
 	nextTick time.Time
+	nextSync time.Time
 }
 
 type delivery struct {
@@ -178,11 +186,43 @@
 			if node.Up && !node.Paused && !node.nextTick.After(network.Now) {
 				node.nextTick = network.Now.Add(membership.TickInterval)
 				network.send(node, node.Machine.Tick(network.Now))
+				network.synchronize(node)
 			}
 		}
 	}
 }
 
+// synchronize compares a node's view with that of another that it believes to
+// live, as real nodes do by a call.
+func (network *Network) synchronize(node *Node) {
+	if node.nextSync.After(network.Now) {
+		return
+	}
+	node.nextSync = network.Now.Add(syncInterval/2 + time.Duration(network.random.Int64N(int64(syncInterval))))
+	members := node.Machine.Members()
+	partner := network.byName[members[network.random.IntN(len(members))].Address]
+	if partner == node || partner.side != node.side || !partner.Up || partner.Paused {
+		return
+	}
+	network.count(node, partner, digestBytes, digestBytes)
+	if partner.Machine.Digest() == node.Machine.Digest() {
+		return
+	}
+	answer := membership.Message{Members: partner.Machine.Members(), Items: partner.Machine.Items()}
+	if network.config.CountBytes {
+		network.count(partner, node, encodedLength(answer), 0)
+	}
+	network.send(node, node.Machine.Merge(network.Now, answer.Members, answer.Items))
+}
+
+// count notes bytes that a call moves to the one and back to the other.
+func (network *Network) count(from, to *Node, there, back int64) {
+	from.Sent += there
+	to.Received += there
+	to.Sent += back
+	from.Received += back
+}
+
 // deliver hands over everything due before the next tick, in order.
 func (network *Network) deliver() {
 	horizon := network.Now
--- a/internal/lab/hollow/network_test.go
+++ b/internal/lab/hollow/network_test.go
@@ -55,6 +55,63 @@
 	}
 }
 
+// wrongBeliefs counts, over the live nodes, members whose status is not what it
+// should be.
+func (network *Network) wrongBeliefs(right func(member membership.Member) bool) int {
+	wrong := 0
+	for _, node := range network.Nodes {
+		if !node.Up {
+			continue
+		}
+		for _, member := range node.Machine.Members() {
+			if !right(member) {
+				wrong++
+			}
+		}
+	}
+	return wrong
+}
+
+func TestLostZoneIsLearnedAndComesBack(t *testing.T) {
+	network := New(Config{Nodes: 100, Seed: 7, Zones: 5, Delay: 2 * time.Millisecond, Loss: 0.01})
+	network.Run(5 * time.Second)
+	for index, node := range network.Nodes {
+		node.Up = index%5 != 0
+	}
+	network.Run(time.Second)
+	network.Adopt(1, 1)
+	network.Run(3 * time.Second)
+	for _, node := range network.Nodes {
+		require.True(t, !node.Up || node.Revision == 1, "a change still reaches all that live in 3 s")
+	}
+	network.Run(50 * time.Second)
+	dead := func(member membership.Member) bool {
+		return (member.Zone == "zone-0") == (member.Status == membership.Dead)
+	}
+	require.Zero(t, network.wrongBeliefs(dead))
+	for index := 0; index < len(network.Nodes); index += 5 {
+		network.Restart(index)
+	}
+	network.Run(40 * time.Second)
+	require.Zero(t, network.wrongBeliefs(func(member membership.Member) bool { return member.Status == membership.Alive }))
+}
+
+func TestRegionsThatPartedFindEachOther(t *testing.T) {
+	network := New(Config{Nodes: 100, Seed: 8, Zones: 5, Delay: 2 * time.Millisecond, Loss: 0.01})
+	network.Run(5 * time.Second)
+	network.Split(func(index int) int { return index % 5 / 3 })
+	network.Run(4 * time.Minute)
+	network.Adopt(0, 1)
+	network.Run(3 * time.Second)
+	require.Zero(t, network.Nodes[4].Revision)
+	network.Split(func(int) int { return 0 })
+	network.Run(90 * time.Second)
+	require.Zero(t, network.wrongBeliefs(func(member membership.Member) bool { return member.Status == membership.Alive }))
+	for _, node := range network.Nodes {
+		require.EqualValues(t, 1, node.Revision)
+	}
+}
+
 // TestRevisionsSpreadAndNeverGoDown restarts, pauses and parts nodes at random
 // while revisions come in force, and checks every node after every step.
 func TestRevisionsSpreadAndNeverGoDown(t *testing.T) {
--- a/internal/lab/inprocess/fleet.go
+++ b/internal/lab/inprocess/fleet.go
@@ -58,6 +58,8 @@
 	Step time.Duration
 	// Homes makes each chain of the index have one home, as in a large fleet.
 	Homes bool
+	// NoReaders leaves the engines unwatched.
+	NoReaders bool
 	// Lag of the machine list.
 	Lag time.Duration
 }
@@ -86,9 +88,11 @@
 	mutex   sync.Mutex
 	blocked map[string]bool
 	closers []func()
-	peers   []string
-	base    settings.Settings
-	options node.Options
+	// engineClosers end the servers of single engines.
+	engineClosers []func()
+	peers         []string
+	base          settings.Settings
+	options       node.Options
 }
 
 // Start starts the fleet, applies its declaration and waits until every node is
@@ -96,6 +100,7 @@
 func Start(config Config) (*Fleet, error) {
 	fleet := &Fleet{blocked: map[string]bool{}, KeyValue: kvstub.New(), Machines: machinestub.New(config.Lag)}
 	fleet.options.Blocked = fleet.isBlocked
+	fleet.options.NoReaders = config.NoReaders
 	if config.Homes {
 		fleet.options.ReplicateUpTo = new(int)
 	}
@@ -152,6 +157,7 @@
 		engine := enginestub.New(enginestub.Config{Model: model, BlockBytes: BlockBytes, Weights: map[string]string{Model: Version, "secret": Version}, LoadTime: 200 * time.Millisecond})
 		fleet.Engines = append(fleet.Engines, engine)
 		pool.Engines = append(pool.Engines, configuration.Backend{Name: fmt.Sprint("engine-", index), Address: fleet.serve(engine), Zone: "a"})
+		fleet.engineClosers = append(fleet.engineClosers, fleet.closers[len(fleet.closers)-1])
 	}
 	closed := configuration.Pool{Name: "closed", Models: []string{"secret"}, BlockBytes: BlockBytes, PrefillTokensPerSecond: 20_000, LoadsAtOnce: 2, ConcurrentPerEngine: 16}
 	declared.Pools = []configuration.Pool{pool, closed}
@@ -204,6 +210,9 @@
 	return running.done
 }
 
+// CloseEngine ends an engine's server for good.
+func (fleet *Fleet) CloseEngine(index int) { fleet.engineClosers[index]() }
+
 // Cut blocks the path to a node's peer address, or opens it again.
 func (fleet *Fleet) Cut(address string, cut bool) {
 	fleet.mutex.Lock()
@@ -219,7 +228,7 @@
 
 func (fleet *Fleet) ready() bool {
 	for _, running := range fleet.Nodes {
-		if !running.Ready() || len(running.Members()) < len(fleet.Nodes) || running.UsableEngines("main") < len(fleet.Engines) {
+		if !running.Ready() || len(running.Members()) < len(fleet.Nodes) || (!fleet.options.NoReaders && running.UsableEngines("main") < len(fleet.Engines)) {
 			return false
 		}
 	}
--- a/internal/lab/inprocess/fleet_test.go
+++ b/internal/lab/inprocess/fleet_test.go
@@ -179,6 +179,24 @@
 	require.Equal(t, expectedText(prompt, 60), text)
 }
 
+// TestDeathOfAnEngineIsToldByWhoMeetsIt has no readers, as in the first seconds
+// after a zone is lost with its engines and the nodes that read them.
+func TestDeathOfAnEngineIsToldByWhoMeetsIt(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 2, Engines: 2, Step: time.Millisecond, NoReaders: true})
+	send := func(node int, prompt string) int {
+		response := post(t, fleet.URL(node), Key(Tenant), "/v1/completions", nil, completionBody(t, prompt, 2, false))
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	require.Equal(t, http.StatusOK, send(0, "first"))
+	require.NoError(t, fleet.Await(func() bool { return fleet.Nodes[1].UsableEngines("main") == 2 }))
+	fleet.CloseEngine(0)
+	require.NoError(t, fleet.Await(func() bool {
+		require.Equal(t, http.StatusOK, send(0, uuid.NewString()))
+		return fleet.Nodes[1].UsableEngines("main") == 1
+	}), "the other node hears of it without having tried")
+}
+
 func TestEngineThatNeverAnswersIsGivenUpOn(t *testing.T) {
 	fleet := startFleet(t, Config{Nodes: 1, Engines: 2, Step: time.Millisecond})
 	fleet.Engines[0].SetMute(true)
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -1,10 +1,13 @@
 package membership
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // TickInterval is how often drivers call Tick.
@@ -137,6 +140,21 @@
 	return output
 }
 
+// Digest is equal for two machines that believe the same of all who live, and
+// hold the same items. Suspicion does not count: it passes.
+func (machine *Machine) Digest() uint64 {
+	digest := uint64(0)
+	for _, member := range machine.Members() {
+		if member.Status < Dead {
+			digest ^= xxhash.Sum64String(fmt.Sprint("member ", member.Address, member.Incarnation, member.Draining))
+		}
+	}
+	for _, item := range machine.items {
+		digest ^= xxhash.Sum64String(fmt.Sprint("item ", item.Key, item.Version))
+	}
+	return digest
+}
+
 // Items lists all items held, by key.
 func (machine *Machine) Items() []Item {
 	items := make([]Item, 0, len(machine.items))
--- a/internal/node/completion.go
+++ b/internal/node/completion.go
@@ -257,14 +257,15 @@
 	return place.node.table.Alive(target.Endpoint)
 }
 
-// Stale implements dispatch.Placer: it asks the engine itself.
+// Stale implements dispatch.Placer: it asks the engine itself, and tells the
+// fleet what it finds. When a zone is lost, the engines' readers are lost with
+// them; those who meet the dead engines then tell the others. A reader that does
+// get through contradicts.
 func (place *placement) Stale(target dispatch.Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	status, err := place.node.engines.Status(ctx, target.Address)
-	if err == nil {
-		place.node.observe(target.Endpoint, endpoint.Observation{Answered: true, Status: status})
-	}
+	place.node.observe(target.Endpoint, endpoint.Observation{Answered: err == nil, Status: status})
 }
 
 // probeUnknown asks a few engines that were never seen for their state.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -117,6 +117,13 @@
 	return addresses
 }
 
+// view returns what this node says of itself, and the digest of its view.
+func (gossip *gossip) view() (membership.Member, uint64) {
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	return gossip.machine.Self(), gossip.machine.Digest()
+}
+
 // all lists every known member and item.
 func (gossip *gossip) all() ([]membership.Member, []membership.Item) {
 	gossip.mutex.Lock()
--- a/internal/node/home_test.go
+++ b/internal/node/home_test.go
@@ -28,6 +28,21 @@
 	require.True(t, home.apply(other, now).NeedAll, "a new reader starts afresh")
 }
 
+func TestPeerWithoutAnswersRestsAndIsTriedAgain(t *testing.T) {
+	health := newPeerHealth()
+	now := time.Unix(0, 0)
+	for range peerBreaker.Failures {
+		require.True(t, health.allows("p", now))
+		health.note("p", true, now)
+	}
+	require.False(t, health.allows("p", now))
+	later := now.Add(peerBreaker.Rest)
+	require.True(t, health.allows("p", later))
+	require.False(t, health.allows("p", later), "one call probes")
+	health.note("p", false, later)
+	require.True(t, health.allows("p", later))
+}
+
 func TestIdleTenantsAreForgotten(t *testing.T) {
 	limits := newLimits(time.Now())
 	limits.tenant("idle")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -52,21 +53,23 @@
 	log      zerolog.Logger
 	metrics  *metrics.Set
 
-	gossip    *gossip
-	caller    *peer.Caller
-	catalog   *catalog
-	table     *endpoint.Table
-	home      *home
-	claims    *claims
-	limits    *limits
-	hot       *hotCounter
-	expected  *prefixindex.Expected
-	engines   *engineapi.Client
-	driver    *dispatch.Driver
-	forwarder *plain.Forwarder
-	retries   *retry.Budget
-	lifecycle *lifecycle
-	tasks     chan func(context.Context)
+	gossip     *gossip
+	caller     *peer.Caller
+	peerHealth *peerHealth
+	catalog    *catalog
+	table      *endpoint.Table
+	home       *home
+	claims     *claims
+	limits     *limits
+	hot        *hotCounter
+	expected   *prefixindex.Expected
+	engines    *engineapi.Client
+	driver     *dispatch.Driver
+	forwarder  *plain.Forwarder
+	retries    *retry.Budget
+	lifecycle  *lifecycle
+	tasks      chan func(context.Context)
+	unwatched  bool
 	// met is closed once peers were asked for the first time.
 	met        chan struct{}
 	acquainted func()
@@ -81,6 +84,9 @@
 type Options struct {
 	// Blocked cuts the path to a peer.
 	Blocked func(address string) bool
+	// NoReaders leaves the back ends unwatched, as when their readers have died
+	// with them.
+	NoReaders bool
 	// ReplicateUpTo replaces DefaultReplicateUpTo unless it is nil.
 	ReplicateUpTo *int
 }
@@ -94,23 +100,25 @@
 	set := metrics.New()
 	now := time.Now()
 	node := &Node{
-		settings:  given,
-		key:       given.Key(),
-		log:       log,
-		metrics:   set,
-		caller:    peer.NewCaller(credentials, options.Blocked),
-		table:     endpoint.NewTable(),
-		home:      newHome(),
-		claims:    newClaims(now),
-		limits:    newLimits(now),
-		hot:       newHotCounter(),
-		expected:  prefixindex.NewExpected(expectedLife),
-		engines:   engineapi.NewClient(),
-		retries:   retry.NewBudget(retry.DefaultBudget, now),
-		lifecycle: newLifecycle(),
-		tasks:     make(chan func(context.Context), 256),
-		creds:     credentials,
+		settings:   given,
+		key:        given.Key(),
+		log:        log,
+		metrics:    set,
+		caller:     peer.NewCaller(credentials, options.Blocked),
+		peerHealth: newPeerHealth(),
+		table:      endpoint.NewTable(),
+		home:       newHome(),
+		claims:     newClaims(now),
+		limits:     newLimits(now),
+		hot:        newHotCounter(),
+		expected:   prefixindex.NewExpected(expectedLife),
+		engines:    engineapi.NewClient(),
+		retries:    retry.NewBudget(retry.DefaultBudget, now),
+		lifecycle:  newLifecycle(),
+		tasks:      make(chan func(context.Context), 256),
+		creds:      credentials,
 	}
+	node.unwatched = options.NoReaders
 	node.met = make(chan struct{})
 	node.acquainted = sync.OnceFunc(func() { close(node.met) })
 	node.replicateUpTo = DefaultReplicateUpTo
@@ -161,7 +169,9 @@
 	go node.perform(running)
 	go node.join(running)
 	go node.watchWhileRanked(running)
-	go node.observeOwned(running)
+	if !node.unwatched {
+		go node.observeOwned(running)
+	}
 	go node.recoverClaims(running)
 	go node.issueOrders(running)
 	go node.resizePlaces(running)
@@ -290,16 +300,18 @@
 func (node *Node) synchronize(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	members, _ := node.gossip.all()
+	self, digest := node.gossip.view()
 	addresses := node.syncPartners()
 	answers := make(chan wire.SyncAnswer, len(addresses))
 	for _, address := range addresses {
 		go func() {
-			answer, err := call[wire.SyncAnswer](ctx, node, address, wire.SyncRequest{Members: members})
+			answer, err := call[wire.SyncAnswer](ctx, node, address, wire.SyncRequest{Self: self, Digest: digest})
 			if err != nil {
 				answer = wire.SyncAnswer{}
 			}
-			node.gossip.merge(answer.Members, answer.Items)
+			if !answer.Same {
+				node.gossip.merge(answer.Members, answer.Items)
+			}
 			if answer.Revision > node.catalog.revision() {
 				node.fetch(ctx, address)
 			}
@@ -315,47 +327,41 @@
 	}
 }
 
-// syncPartners are the seeds while nobody else is known, and then one seed and
-// one member at random order of the map.
+// syncPartners are all seeds while nobody else is known, and after that one seed
+// and one member, drawn at random: seeds heal partitions, members repair what
+// gossip lost even when all seeds are gone.
 func (node *Node) syncPartners() []string {
-	partners := map[string]bool{}
-	known := node.gossip.addresses()
-	for _, seed := range node.settings.Seeds {
-		if seed != node.settings.PeerAddress {
-			partners[seed] = true
-		}
+	seeds := node.others(node.settings.Seeds)
+	members := node.others(node.gossip.addresses())
+	if len(members) == 0 {
+		return seeds
 	}
-	addresses := []string{}
-	for address := range partners {
-		if len(known) > 1 && len(addresses) == 2 {
-			break
-		}
-		addresses = append(addresses, address)
+	partners := members[:1]
+	if len(seeds) > 0 && seeds[0] != partners[0] {
+		partners = append(partners, seeds[0])
 	}
-	return addresses
+	return partners
 }
 
-// call sends a request to a peer and checks the type of its answer.
-func call[Answer any](ctx context.Context, node *Node, address string, request any) (Answer, error) {
-	var none Answer
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	received, err := node.caller.Call(ctx, address, request)
-	if err != nil {
-		return none, err
-	}
-	answer, ok := received.(Answer)
-	if !ok {
-		return none, errors.Errorf("unexpected answer %T from %s; run the same version on all nodes", received, address)
+// others returns the addresses but this node's, in random order.
+func (node *Node) others(addresses []string) []string {
+	others := []string{}
+	for _, index := range rand.Perm(len(addresses)) {
+		if addresses[index] != node.settings.PeerAddress {
+			others = append(others, addresses[index])
+		}
 	}
-	return answer, nil
+	return others
 }
 
 // handle answers a peer's call.
 func (node *Node) handle(_ context.Context, request any) (any, error) {
 	switch request := request.(type) {
 	case wire.SyncRequest:
-		node.gossip.merge(request.Members, nil)
+		node.gossip.merge([]membership.Member{request.Self}, nil)
+		if _, digest := node.gossip.view(); digest == request.Digest {
+			return wire.SyncAnswer{Same: true, Revision: node.catalog.revision()}, nil
+		}
 		members, items := node.gossip.all()
 		return wire.SyncAnswer{Members: members, Items: items, Revision: node.catalog.revision()}, nil
 	case wire.ConfigurationRequest:
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -45,6 +45,8 @@
 	events bool
 	reader *eventreader.Reader
 	misses int
+	// status is what the back end last said of itself.
+	status *engineapi.Status
 	// fleet is the nodes as last seen; renew are those that get all of their part.
 	fleet []string
 	renew map[string]bool
@@ -178,11 +180,24 @@
 		return
 	}
 	observer.misses = 0
+	if status == nil {
+		status = observer.contradict()
+	}
 	if status != nil {
+		observer.status = status
 		observer.node.observe(observer.backend.Name, endpoint.Observation{Answered: true, Status: *status})
 	}
 }
 
+// contradict returns the last status when others hold the back end for down.
+func (observer *observer) contradict() *engineapi.Status {
+	known, found := observer.node.table.Record(observer.backend.Name)
+	if !found || !known.Down {
+		return nil
+	}
+	return observer.status
+}
+
 // observe merges one look at a back end and tells the fleet what is new.
 func (node *Node) observe(name string, observation endpoint.Observation) {
 	known, found := node.table.Record(name)
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/retry"
+)
+
+// peerHealth rests peers that do not answer, so that a request does not wait for
+// the time-out of every home that died with its zone until membership has found
+// out.
+type peerHealth struct {
+	mutex    sync.Mutex
+	breakers map[string]*retry.Breaker
+}
+
+func newPeerHealth() *peerHealth { return &peerHealth{breakers: map[string]*retry.Breaker{}} }
+
+func (health *peerHealth) allows(address string, now time.Time) bool {
+	health.mutex.Lock()
+	defer health.mutex.Unlock()
+	breaker, found := health.breakers[address]
+	if !found {
+		return true
+	}
+	if !breaker.Allows(now) {
+		return false
+	}
+	breaker.Sent(now)
+	return true
+}
+
+func (health *peerHealth) note(address string, failed bool, now time.Time) {
+	health.mutex.Lock()
+	defer health.mutex.Unlock()
+	if !failed {
+		delete(health.breakers, address)
+		return
+	}
+	breaker, found := health.breakers[address]
+	if !found {
+		breaker = &retry.Breaker{}
+		health.breakers[address] = breaker
+	}
+	breaker.Failed(peerBreaker, now)
+}
+
+// peerBreaker rests a peer after two calls in a row without an answer.
+var peerBreaker = retry.BreakerConfig{Failures: 2, Rest: 300 * time.Millisecond, MaximumRest: 3 * time.Second}
+
+// call sends a request to a peer and checks the type of its answer. A peer that
+// lately did not answer fails at once.
+func call[Answer any](ctx context.Context, node *Node, address string, request any) (Answer, error) {
+	var none Answer
+	if !node.peerHealth.allows(address, time.Now()) {
+		return none, errors.Errorf("%s did not answer lately", address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	received, err := node.caller.Call(ctx, address, request)
+	node.peerHealth.note(address, err != nil, time.Now())
+	if err != nil {
+		return none, err
+	}
+	answer, ok := received.(Answer)
+	if !ok {
+		return none, errors.Errorf("unexpected answer %T from %s; run the same version on all nodes", received, address)
+	}
+	return answer, nil
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,13 +13,19 @@
 	"github.com/cloverrail/cloverrail/internal/prefixindex"
 )
 
-// SyncRequest asks a peer for its whole view of members and items.
+// SyncRequest asks a peer for its whole view of members and items, unless it is
+// the asker's own.
 type SyncRequest struct {
-	Members []membership.Member
+	// Self is the asker, whom the peer may not know yet.
+	Self membership.Member
+	// Digest of the asker's view.
+	Digest uint64
 }
 
 // SyncAnswer is that view.
 type SyncAnswer struct {
+	// Same says that the view is left out, since it has the asker's digest.
+	Same     bool
 	Members  []membership.Member
 	Items    []membership.Item
 	Revision int64
