Tell a request that did not start from one that may have run

Cause: the forwarder of plain services marked "not started" by wrapping one error in another, and then looked for the wrong one. A server that was down, or that refused because it leaves, counted as one that may have run the request: turns were refused as unknown where another server could have taken them. Change: the typed error of the engine's client, here too.

The size up to which the index is replicated is a setting, so that demo and faults can run a small fleet with homes (--homes).

--- a/cmd/cloverrail-lab/demo.go
+++ b/cmd/cloverrail-lab/demo.go
@@ -30,6 +30,7 @@
 			&cli.IntFlag{Name: "nodes", Value: 3},
 			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second},
 			&cli.IntFlag{Name: "callers", Value: 24, Usage: "requests open at once"},
+			&cli.BoolFlag{Name: "homes", Usage: "give each chain of the index one home, as in a large fleet"},
 			&cli.BoolFlag{Name: "verbose", Usage: "print the nodes' logs"},
 		},
 		Action: runDemo,
@@ -58,6 +59,7 @@
 		log = os.Stderr
 	}
 	return cluster.Start(ctx, cluster.Config{
+		Homes:       command.Bool("homes"),
 		Declaration: declaration, Nodes: command.Int("nodes"), EventGap: eventGap, MachineListLag: lag, Log: log,
 		StepTime: stepTimes[command.String("profile")],
 	})
--- a/cmd/cloverrail-lab/faults.go
+++ b/cmd/cloverrail-lab/faults.go
@@ -25,6 +25,7 @@
 			&cli.DurationFlag{Name: "duration", Value: 45 * time.Second},
 			&cli.IntFlag{Name: "callers", Value: 16},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the order of faults"},
+			&cli.BoolFlag{Name: "homes", Usage: "give each chain of the index one home, as in a large fleet"},
 			&cli.BoolFlag{Name: "verbose", Usage: "print the nodes' logs"},
 		},
 		Action: runFaults,
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -61,6 +61,7 @@
 		&cli.DurationFlag{Name: "drain-deadline", Usage: "longest `TIME` that a planned stop waits", Sources: cli.EnvVars(environmentPrefix + "DRAIN_DEADLINE")},
 		&cli.DurationFlag{Name: "drain-notice", Usage: "`TIME` that a draining node still takes new requests", Sources: cli.EnvVars(environmentPrefix + "DRAIN_NOTICE")},
 		&cli.Int64Flag{Name: "revision-floor", Usage: "lowest configuration `REVISION` to accept", Sources: cli.EnvVars(environmentPrefix + "REVISION_FLOOR")},
+		&cli.IntFlag{Name: "replicate-up-to", Usage: "largest `FLEET` in which every node keeps the whole index", Sources: cli.EnvVars(environmentPrefix + "REPLICATE_UP_TO")},
 		&cli.Int64Flag{Name: "maximum-body", Usage: "largest request body in `BYTES`", Sources: cli.EnvVars(environmentPrefix + "MAXIMUM_BODY")},
 		text("bootstrap-digest", "BOOTSTRAP_DIGEST", "SHA-256 `DIGEST` of the first operator's key"),
 		text("log-level", "LOG_LEVEL", "`LEVEL`: debug, info, warn or error"),
@@ -98,6 +99,9 @@
 	if command.IsSet("revision-floor") {
 		given.RevisionFloor = command.Int64("revision-floor")
 	}
+	if command.IsSet("replicate-up-to") {
+		given.ReplicateUpTo = command.Int("replicate-up-to")
+	}
 	if command.IsSet("maximum-body") {
 		given.MaximumBody = command.Int64("maximum-body")
 	}
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -45,6 +45,8 @@
 	EventGap float64
 	// Log receives the output of all processes; nil drops it.
 	Log io.Writer
+	// Homes makes each chain of the index have one home, as in a large fleet.
+	Homes bool
 	// StepTime of the engines.
 	StepTime time.Duration
 }
@@ -202,6 +204,9 @@
 	arguments := []string{"node", "--zone", node.Zone, "--caller-address", node.Caller, "--peer-address", node.Peer,
 		"--operator-address", node.Operator, "--key-value-address", cluster.KeyValue.Address,
 		"--machine-list-address", cluster.Machines.Address, "--bootstrap-digest", configuration.Digest(OperatorKey), "--drain-deadline", "60s"}
+	if cluster.config.Homes {
+		arguments = append(arguments, "--replicate-up-to", "0")
+	}
 	for _, other := range cluster.Nodes {
 		arguments = append(arguments, "--seed", other.Peer)
 	}
--- a/internal/lab/inprocess/bench_test.go
+++ b/internal/lab/inprocess/bench_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -43,14 +44,29 @@
 // BenchmarkNodeOverhead compares a request through a node with the same request
 // sent to the engine itself, in turns, and reports what the node adds.
 func BenchmarkNodeOverhead(b *testing.B) {
-	fleet, err := Start(Config{Nodes: 1, Engines: 1, Step: 200 * time.Microsecond})
+	benchmarkOverhead(b, Config{Nodes: 1, Engines: 1, Step: 200 * time.Microsecond}, "whose turn is it?")
+}
+
+// BenchmarkIndexHop is the same with a prompt of 20 blocks and three nodes, with
+// the whole index on every node and with one home for each chain.
+func BenchmarkIndexHop(b *testing.B) {
+	prompt := strings.Repeat("campaign", 20*BlockBytes/8)
+	for name, homes := range map[string]bool{"replicated": false, "homes": true} {
+		b.Run(name, func(b *testing.B) {
+			benchmarkOverhead(b, Config{Nodes: 3, Engines: 1, Step: 200 * time.Microsecond, Homes: homes}, prompt)
+		})
+	}
+}
+
+func benchmarkOverhead(b *testing.B, config Config, prompt string) {
+	fleet, err := Start(config)
 	if err != nil {
 		b.Fatal(err)
 	}
 	defer fleet.Stop()
 	direct := hdrhistogram.New(1, int64(time.Minute), 4)
 	through := hdrhistogram.New(1, int64(time.Minute), 4)
-	body := benchmarkBody("whose turn is it?", 1)
+	body := benchmarkBody(prompt, 1)
 	engine := "http://" + fleet.Declaration.Pools[0].Engines[0].Address
 	timeRequest(b, engine, body)
 	timeRequest(b, fleet.URL(0), body)
--- a/internal/lab/inprocess/fleet.go
+++ b/internal/lab/inprocess/fleet.go
@@ -101,10 +101,10 @@
 	fleet := &Fleet{blocked: map[string]bool{}, KeyValue: kvstub.New(), Machines: machinestub.New(config.Lag)}
 	fleet.options.Blocked = fleet.isBlocked
 	fleet.options.NoReaders = config.NoReaders
+	fleet.base = settings.Defaults()
 	if config.Homes {
-		fleet.options.ReplicateUpTo = new(int)
+		fleet.base.ReplicateUpTo = 0
 	}
-	fleet.base = settings.Defaults()
 	fleet.base.KeyValueAddress = fleet.serve(fleet.KeyValue)
 	fleet.base.MachineListAddress = fleet.serve(fleet.Machines)
 	fleet.base.FleetKey = fleetKey
--- a/internal/lab/inprocess/fleet_test.go
+++ b/internal/lab/inprocess/fleet_test.go
@@ -560,3 +560,16 @@
 		return err == nil && status.Load.Running == 0 && status.Load.Waiting == 0
 	}))
 }
+
+func TestLateOrderIsRefusedByTheEngine(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: time.Millisecond})
+	client := engineapi.NewClient()
+	address := fleet.Declaration.Pools[0].Engines[0].Address
+	ctx := context.Background()
+	require.NoError(t, client.Order(ctx, address, engineapi.Order{Token: 1 << 40, Model: Model, Version: Version}))
+	err := client.Order(ctx, address, engineapi.Order{Token: 1<<40 - 1, Model: Model, Version: "older"})
+	require.ErrorContains(t, err, "409")
+	status, err := client.Status(ctx, address)
+	require.NoError(t, err)
+	require.Equal(t, Version, status.Weights[Model])
+}
--- a/internal/node/home.go
+++ b/internal/node/home.go
@@ -12,14 +12,8 @@
 	"github.com/cloverrail/cloverrail/internal/wire"
 )
 
-const (
-	// DefaultReplicateUpTo is the size of fleet up to which every node keeps the
-	// whole index. Above it, each chain has one home. docs/decisions/index.md
-	// weighs it.
-	DefaultReplicateUpTo = 32
-	// lookupTimeout is what a placement waits for a home before it goes without.
-	lookupTimeout = 20 * time.Millisecond
-)
+// lookupTimeout is what a placement waits for a home before it goes without.
+const lookupTimeout = 20 * time.Millisecond
 
 // stream of updates from one reader about one endpoint.
 type updateStream struct {
@@ -101,7 +95,7 @@
 }
 
 // replicated reports whether every node keeps the whole index.
-func (node *Node) replicated(nodes int) bool { return nodes <= node.replicateUpTo }
+func (node *Node) replicated(nodes int) bool { return nodes <= node.settings.ReplicateUpTo }
 
 // lookup asks who holds the chain. The fallback without an answer is an empty
 // one: the request then goes where rendezvous sends it.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,8 +73,6 @@
 	// met is closed once peers were asked for the first time.
 	met        chan struct{}
 	acquainted func()
-	// replicateUpTo is the size of fleet up to which the index is replicated.
-	replicateUpTo int
 
 	peers net.Listener
 	creds *peer.Credentials
@@ -87,8 +85,6 @@
 	// NoReaders leaves the back ends unwatched, as when their readers have died
 	// with them.
 	NoReaders bool
-	// ReplicateUpTo replaces DefaultReplicateUpTo unless it is nil.
-	ReplicateUpTo *int
 }
 
 // New opens the sockets of a node. Its settings must have passed their check.
@@ -121,10 +117,6 @@
 	node.unwatched = options.NoReaders
 	node.met = make(chan struct{})
 	node.acquainted = sync.OnceFunc(func() { close(node.met) })
-	node.replicateUpTo = DefaultReplicateUpTo
-	if options.ReplicateUpTo != nil {
-		node.replicateUpTo = *options.ReplicateUpTo
-	}
 	node.driver = dispatch.NewDriver(node.engines, func(count int) { set.LateEvents.Add(float64(count)) })
 	node.forwarder = plain.NewForwarder(set.LateEvents.Inc)
 	service := kvservice.NewClient(given.KeyValueAddress)
--- a/internal/plain/forwarder.go
+++ b/internal/plain/forwarder.go
@@ -85,9 +85,6 @@
 	}
 }
 
-// errNotStarted says that no byte left, or that the server refused to start.
-var errNotStarted = errors.New("not started")
-
 // Forward sends the request until it is answered or given up.
 func (forwarder *Forwarder) Forward(ctx context.Context, request Request, chooser Chooser, budget Budget) (*Answer, error) {
 	excluded := []string{}
@@ -103,7 +100,8 @@
 			return answer, nil
 		}
 		excluded = append(excluded, server.Name)
-		started := !errors.Is(err, errNotStarted)
+		var notStarted *engineapi.ErrNotStarted
+		started := !errors.As(err, &notStarted)
 		if started {
 			outcome = failure.Unknown
 		}
@@ -127,7 +125,7 @@
 	attempt := uuid.NewString()
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+server.Address+request.Path, bytes.NewReader(request.Body))
 	if err != nil {
-		return nil, errors.Wrap(err, errNotStarted)
+		return nil, &engineapi.ErrNotStarted{Reason: err.Error()}
 	}
 	outgoing.Header = request.Header.Clone()
 	outgoing.Header.Set(engineapi.HeaderAttempt, attempt)
@@ -139,13 +137,13 @@
 	if err != nil {
 		var operation *net.OpError
 		if errors.As(err, &operation) && operation.Op == "dial" {
-			return nil, errors.Wrap(err, errNotStarted)
+			return nil, &engineapi.ErrNotStarted{Reason: "no connection"}
 		}
 		return nil, errors.Trace(err)
 	}
 	defer response.Body.Close()
-	if response.Header.Get(engineapi.HeaderRefused) != "" {
-		return nil, errors.Wrap(errors.New(response.Status), errNotStarted)
+	if reason := response.Header.Get(engineapi.HeaderRefused); reason != "" {
+		return nil, &engineapi.ErrNotStarted{Reason: reason}
 	}
 	if echoed := response.Header.Get(engineapi.HeaderAttempt); echoed != "" && echoed != attempt {
 		forwarder.crossed()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,9 @@
 	DrainNotice time.Duration `yaml:"drainNotice" validate:"min=0"`
 	// RevisionFloor makes a node refuse configurations below it.
 	RevisionFloor int64 `yaml:"revisionFloor" validate:"min=0"`
+	// ReplicateUpTo is the size of fleet up to which every node keeps the whole
+	// cache index. Above it, each chain has one home. All nodes must agree.
+	ReplicateUpTo int `yaml:"replicateUpTo" validate:"min=0"`
 	// MaximumBody bounds a request's body in bytes.
 	MaximumBody int64 `yaml:"maximumBody" validate:"min=1024"`
 	// BootstrapDigest is the SHA-256 digest of an operator key that works on this
@@ -46,6 +49,9 @@
 	LogLevel string `yaml:"logLevel" validate:"oneof=debug info warn error"`
 }
 
+// defaultReplicateUpTo is weighed in docs/decisions/index.md.
+const defaultReplicateUpTo = 32
+
 // Defaults for what the file may leave out.
 func Defaults() Settings {
 	return Settings{
@@ -55,6 +61,7 @@
 		KeyValueAddress: "127.0.0.1:2379",
 		DrainDeadline:   10 * time.Minute,
 		DrainNotice:     time.Second,
+		ReplicateUpTo:   defaultReplicateUpTo,
 		MaximumBody:     32 << 20,
 		LogLevel:        "info",
 	}
