Close a stopping node when nobody is on the way; split large files

Ruled out: a request in service (all had ended). Change: a stopping node closes once nobody has come for 500 ms, at most 5 s later; duplicates follow readiness. What cannot be closed from here: a connection that the kernel accepted in the instant before the socket closes, of a caller who ignores readiness.

--- /dev/null
+++ b/internal/lab/inprocess/configuration_test.go
@@ -0,0 +1,188 @@
+package inprocess
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/lab/kvstub"
+	"github.com/cloverrail/cloverrail/internal/operator"
+)
+
+func TestPartitionedNodeKeepsItsRevisionAndCatchesUp(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 4, Engines: 1, Step: time.Millisecond})
+	lone := fleet.Nodes[3]
+	before := lone.Snapshot().Revision
+	fleet.Cut(lone.Settings.PeerAddress, true)
+	statement, err := operator.Parse("set tenant " + Tenant + " priority 7")
+	require.NoError(t, err)
+	version, err := operator.Execute(context.Background(), fleet.Store, statement)
+	require.NoError(t, err)
+	require.NoError(t, fleet.Await(func() bool { return fleet.Nodes[0].Snapshot().Revision == version.Revision }))
+	require.GreaterOrEqual(t, lone.Snapshot().Revision, before)
+	fleet.Cut(lone.Settings.PeerAddress, false)
+	require.NoError(t, fleet.Await(func() bool { return lone.Snapshot().Revision == version.Revision }))
+}
+
+func TestVersionChangeIsServedByNewWeightsOnly(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 2, Engines: 3, Step: time.Millisecond})
+	base, err := fleet.Store.Read(context.Background(), nil)
+	require.NoError(t, err)
+	changed := *fleet.Declaration
+	changed.Models = []configuration.Model{{Name: Model, Version: "v2"}, {Name: "secret", Version: Version}}
+	version, err := fleet.Store.Propose(context.Background(), base, uuid.NewString(), &changed)
+	require.NoError(t, err)
+	require.NoError(t, fleet.Await(func() bool {
+		return fleet.Nodes[0].Snapshot().Revision >= version.Revision && fleet.Nodes[1].Snapshot().Revision >= version.Revision
+	}))
+	before := len(fleet.Engines[0].Executions()) + len(fleet.Engines[1].Executions()) + len(fleet.Engines[2].Executions())
+	require.Zero(t, before)
+	for index := range 6 {
+		response := post(t, fleet.URL(index%2), Key(Tenant), "/v1/completions", nil, completionBody(t, fmt.Sprint("p", index), 3, false))
+		_, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+	}
+	for _, engine := range fleet.Engines {
+		for _, execution := range engine.Executions() {
+			require.Equal(t, "v2", execution.Version)
+		}
+	}
+	require.NoError(t, fleet.Await(func() bool {
+		response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, "after", 3, false))
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}), "the engines are ordered to load the new version")
+}
+
+func TestDrainedEngineGetsNothingNewUntilReadmitted(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 2, Engines: 2, Step: time.Millisecond})
+	command := func(text string) {
+		statement, err := operator.Parse(text)
+		require.NoError(t, err)
+		version, err := operator.Execute(context.Background(), fleet.Store, statement)
+		require.NoError(t, err)
+		require.NoError(t, fleet.Await(func() bool {
+			return fleet.Nodes[0].Snapshot().Revision >= version.Revision && fleet.Nodes[1].Snapshot().Revision >= version.Revision
+		}))
+	}
+	send := func() {
+		for index := range 20 {
+			response := post(t, fleet.URL(index%2), Key(Tenant), "/v1/completions", nil, completionBody(t, fmt.Sprint("p", index), 2, false))
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			_ = response.Body.Close()
+		}
+	}
+	command("drain engine engine-0")
+	send()
+	require.Empty(t, fleet.Engines[0].Executions())
+	command("readmit engine engine-0")
+	send()
+	require.NotEmpty(t, fleet.Engines[0].Executions())
+}
+
+func TestHerdRestartServesWithTheKeyValueServiceUp(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 3, Engines: 2, Step: time.Millisecond})
+	for _, running := range fleet.Nodes {
+		<-running.Shutdown()
+	}
+	for index := range fleet.Nodes {
+		require.NoError(t, fleet.StartNode(index))
+	}
+	for index := range fleet.Nodes {
+		require.NoError(t, fleet.Await(func() bool { return fleet.Nodes[index].Ready() }))
+		response := post(t, fleet.URL(index), Key(Tenant), "/v1/completions", nil, completionBody(t, "again", 3, false))
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		_ = response.Body.Close()
+	}
+}
+
+// TestHerdRestartIsGentleOnTheKeyValueService restarts nine nodes at once with a
+// configuration of many parts, and counts the reads that this costs.
+func TestHerdRestartIsGentleOnTheKeyValueService(t *testing.T) {
+	const nodes = 9
+	fleet := startFleet(t, Config{Nodes: nodes, Engines: 1, Step: time.Millisecond})
+	base, err := fleet.Store.Read(context.Background(), nil)
+	require.NoError(t, err)
+	grown := *fleet.Declaration
+	for index := range 2000 {
+		tenant := grown.Tenants[0]
+		tenant.Name = fmt.Sprint("tenant-", index)
+		tenant.KeyDigests = []string{configuration.Digest(tenant.Name)}
+		grown.Tenants = append(grown.Tenants, tenant)
+	}
+	version, err := fleet.Store.Propose(context.Background(), base, uuid.NewString(), &grown)
+	require.NoError(t, err)
+	var done sync.WaitGroup
+	for _, running := range fleet.Nodes {
+		done.Go(func() { <-running.Shutdown() })
+	}
+	done.Wait()
+	before := fleet.KeyValue.Calls("/v3/kv/range")
+	for index := range nodes {
+		require.NoError(t, fleet.StartNode(index))
+	}
+	require.NoError(t, fleet.Await(func() bool {
+		for _, running := range fleet.Nodes {
+			if running.Snapshot() == nil || running.Snapshot().Revision < version.Revision {
+				return false
+			}
+		}
+		return true
+	}))
+	calls := fleet.KeyValue.Calls("/v3/kv/range") - before
+	t.Logf("%d nodes, %d parts: %d reads", nodes, len(version.Parts), calls)
+	require.LessOrEqual(t, calls, 20*nodes)
+}
+
+func TestRestartServesFromPeersDuringAnOutage(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 3, Engines: 2, Step: time.Millisecond})
+	fleet.KeyValue.SetFaults(kvstub.Faults{Outage: true})
+	<-fleet.Nodes[1].Shutdown()
+	require.NoError(t, fleet.StartNode(1))
+	require.NoError(t, fleet.Await(func() bool { return fleet.Nodes[1].Ready() }))
+	response := post(t, fleet.URL(1), Key(Tenant), "/v1/completions", nil, completionBody(t, "again", 3, false))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	_ = response.Body.Close()
+}
+
+func TestNothingThatKnowsTheConfigurationIsRefusedAsNotRun(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: time.Millisecond})
+	fleet.KeyValue.SetFaults(kvstub.Faults{Outage: true})
+	<-fleet.Nodes[0].Shutdown()
+	require.NoError(t, fleet.StartNode(0))
+	require.NoError(t, fleet.Await(func() bool {
+		response, err := http.Get(fleet.URL(0) + "/healthz")
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return err == nil
+	}))
+	response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, "p", 1, false))
+	defer response.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, "not-run", response.Header.Get("X-Outcome"))
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+}
+
+func TestLateOrderIsRefusedByTheEngine(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: time.Millisecond})
+	client := engineapi.NewClient()
+	address := fleet.Declaration.Pools[0].Engines[0].Address
+	ctx := context.Background()
+	require.NoError(t, client.Order(ctx, address, engineapi.Order{Token: 1 << 40, Model: Model, Version: Version}))
+	err := client.Order(ctx, address, engineapi.Order{Token: 1<<40 - 1, Model: Model, Version: "older"})
+	require.ErrorContains(t, err, "409")
+	status, err := client.Status(ctx, address)
+	require.NoError(t, err)
+	require.Equal(t, Version, status.Weights[Model])
+}
--- /dev/null
+++ b/internal/lab/inprocess/engine_test.go
@@ -0,0 +1,107 @@
+package inprocess
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/lab/machinestub"
+)
+
+func TestEngineCrashMidStreamIsContinuedElsewhere(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 3, Step: 2 * time.Millisecond})
+	prompt := strings.Repeat("campaign history ", 100)
+	crash := sync.OnceFunc(func() {
+		for _, engine := range fleet.Engines {
+			if len(engine.Executions()) > 0 {
+				engine.Crash()
+			}
+		}
+	})
+	response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, prompt, 60, true))
+	defer response.Body.Close()
+	text, done := readStream(t, response.Body, func(events int) {
+		if events == 10 {
+			crash()
+		}
+	})
+	require.True(t, done)
+	require.Equal(t, expectedText(prompt, 60), text)
+}
+
+// TestDeathOfAnEngineIsToldByWhoMeetsIt has no readers, as in the first seconds
+// after a zone is lost with its engines and the nodes that read them.
+func TestDeathOfAnEngineIsToldByWhoMeetsIt(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 2, Engines: 2, Step: time.Millisecond, NoReaders: true})
+	send := func(node int, prompt string) int {
+		response := post(t, fleet.URL(node), Key(Tenant), "/v1/completions", nil, completionBody(t, prompt, 2, false))
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	require.Equal(t, http.StatusOK, send(0, "first"))
+	require.NoError(t, fleet.Await(func() bool { return fleet.Nodes[1].UsableEngines("main") == 2 }))
+	fleet.CloseEngine(0)
+	require.NoError(t, fleet.Await(func() bool {
+		require.Equal(t, http.StatusOK, send(0, uuid.NewString()))
+		return fleet.Nodes[1].UsableEngines("main") == 1
+	}), "the other node hears of it without having tried")
+}
+
+func TestEngineThatNeverAnswersIsGivenUpOn(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 2, Step: time.Millisecond})
+	fleet.Engines[0].SetMute(true)
+	for index := range 4 {
+		prompt := fmt.Sprint("prompt ", index)
+		response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, prompt, 3, true))
+		text, done := readStream(t, response.Body, nil)
+		require.True(t, done)
+		require.Equal(t, expectedText(prompt, 3), text)
+		_ = response.Body.Close()
+	}
+}
+
+func TestFirstRequestAfterACrashUnderTheSameAddress(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: time.Millisecond})
+	fleet.Engines[0].Crash()
+	prompt := "short"
+	response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, prompt, 5, true))
+	defer response.Body.Close()
+	text, done := readStream(t, response.Body, nil)
+	require.True(t, done)
+	require.Equal(t, expectedText(prompt, 5), text)
+}
+
+func TestLeavingEngineGetsNothingNewAndListMayLag(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 2, Engines: 2, Step: time.Millisecond, Lag: time.Hour})
+	fleet.Machines.Set(machinestub.Machine{Name: "engine-0", State: "leaving"})
+	fleet.Engines[0].SetLeaving(true)
+	require.NoError(t, fleet.Await(func() bool {
+		return fleet.Nodes[0].UsableEngines("main") == 1 && fleet.Nodes[1].UsableEngines("main") == 1
+	}))
+	before := len(fleet.Engines[0].Executions())
+	for index := range 20 {
+		response := post(t, fleet.URL(index%2), Key(Tenant), "/v1/completions", nil, completionBody(t, fmt.Sprint("p", index), 2, false))
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		_ = response.Body.Close()
+	}
+	require.Len(t, fleet.Engines[0].Executions(), before)
+}
+
+func TestCallerWhoLeavesCancelsTheEnginesWork(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: 2 * time.Millisecond})
+	response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, "long", 100_000, true))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	_ = response.Body.Close()
+	require.NoError(t, fleet.Await(func() bool {
+		status, err := engineapi.NewClient().Status(context.Background(), fleet.Declaration.Pools[0].Engines[0].Address)
+		return err == nil && status.Load.Running == 0 && status.Load.Waiting == 0
+	}))
+}
--- /dev/null
+++ b/internal/lab/inprocess/index_test.go
@@ -0,0 +1,101 @@
+package inprocess
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/prefixindex"
+)
+
+// wholeAnswer sends a request that is not streamed and returns its answer.
+func wholeAnswer(t *testing.T, fleet *Fleet, prompt string) engineapi.Chunk {
+	t.Helper()
+	response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, prompt, 5, false))
+	defer response.Body.Close()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	var answer engineapi.Chunk
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&answer))
+	require.Equal(t, expectedText(prompt, 5), answer.Choices[0].Content())
+	return answer
+}
+
+func TestKeptBlocksAreImportedAfterACrash(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: time.Millisecond})
+	prompt := strings.Repeat("the long history of a campaign ", 100)
+	require.Zero(t, wholeAnswer(t, fleet, prompt).Usage.Details.CachedTokens)
+	require.NoError(t, fleet.Await(func() bool { return fleet.Nodes[0].IndexBlocks() > 0 }))
+	fleet.Engines[0].Crash()
+	require.NoError(t, fleet.Await(func() bool {
+		return wholeAnswer(t, fleet, prompt+"!").Usage.Details.CachedTokens > 0 && fleet.Kept.Fetched() > 0
+	}))
+}
+
+func TestKeptBlocksOfAnotherIdentityAreNotUsed(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: time.Millisecond})
+	prompt := strings.Repeat("the long history of a campaign ", 100)
+	wholeAnswer(t, fleet, prompt)
+	fleet.Kept.SetWrong(true)
+	require.NoError(t, fleet.Await(func() bool {
+		fleet.Engines[0].Crash()
+		answer := wholeAnswer(t, fleet, prompt)
+		require.Zero(t, answer.Usage.Details.CachedTokens, "nothing of another identity is used")
+		return fleet.Kept.Fetched() > 0
+	}))
+}
+
+func TestIndexWithHomesFindsPrefixesFromEveryNode(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 3, Engines: 4, Step: time.Millisecond, Homes: true})
+	prompts := []string{}
+	for index := range 6 {
+		prompts = append(prompts, strings.Repeat(fmt.Sprint("campaign ", index, " "), 200))
+	}
+	send := func(node int, prompt string) engineapi.Usage {
+		response := post(t, fleet.URL(node), Key(Tenant), "/v1/completions", nil, completionBody(t, prompt, 2, false))
+		defer response.Body.Close()
+		var answer engineapi.Chunk
+		require.NoError(t, json.NewDecoder(response.Body).Decode(&answer))
+		return *answer.Usage
+	}
+	blocks := 0
+	for index, prompt := range prompts {
+		send(index%3, prompt)
+		for depth := 1; depth <= len(prompt)/BlockBytes; depth++ {
+			if prefixindex.IsAnchor(depth) {
+				blocks++
+			}
+		}
+	}
+	require.NoError(t, fleet.Await(func() bool {
+		known := 0
+		for _, running := range fleet.Nodes {
+			known += running.IndexBlocks()
+		}
+		return known == blocks
+	}), "each anchor is known at its home and nowhere else")
+	for node := range fleet.Nodes {
+		for _, prompt := range prompts {
+			require.Positive(t, send(node, prompt).Details.CachedTokens)
+		}
+	}
+	// A node that leaves takes its part with it; the readers deal it out again.
+	<-fleet.Nodes[2].Shutdown()
+	require.NoError(t, fleet.Await(func() bool {
+		known := 0
+		for _, running := range fleet.Nodes[:2] {
+			known += running.IndexBlocks()
+		}
+		return known >= blocks
+	}))
+	// A home that cannot be reached costs hits, not answers.
+	fleet.Cut(fleet.Nodes[1].Settings.PeerAddress, true)
+	for _, prompt := range prompts {
+		require.Equal(t, 2, send(0, prompt).CompletionTokens)
+	}
+}
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -91,14 +91,7 @@
 
 // recoverClaims brings the holder up to date from the other holders.
 func (node *Node) recoverClaims(ctx context.Context) {
-	ticker := time.NewTicker(recoveryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	every(ctx, recoveryInterval, func() {
 		node.claims.mutex.Lock()
 		due := node.claims.holder.RecoveryDue(time.Now())
 		generation := node.claims.holder.Started()
@@ -106,7 +99,7 @@
 		if due {
 			node.recoverOnce(ctx, generation)
 		}
-	}
+	})
 }
 
 func (node *Node) recoverOnce(ctx context.Context, generation time.Time) {
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -15,6 +15,8 @@
 	unready   bool
 	refusing  bool
 	suspended bool
+	// refusedAt is when the last request came to the stopping node.
+	refusedAt time.Time
 	idle      chan struct{}
 }
 
@@ -28,6 +30,7 @@
 	defer lifecycle.mutex.Unlock()
 	switch {
 	case lifecycle.refusing:
+		lifecycle.refusedAt = time.Now()
 		return nil, failure.New(failure.KindStopping, "this node is stopping", "send the request to another node").WithRetryAfter(time.Second)
 	case lifecycle.suspended:
 		return nil, failure.New(failure.KindUnavailable, "this node was paused and is catching up", "send the request to another node").WithRetryAfter(time.Second)
@@ -83,6 +86,13 @@
 	return lifecycle.requests
 }
 
+// quiet reports whether no request has come to the stopping node for a while.
+func (lifecycle *lifecycle) quiet(while time.Duration) bool {
+	lifecycle.mutex.Lock()
+	defer lifecycle.mutex.Unlock()
+	return time.Since(lifecycle.refusedAt) >= while
+}
+
 // wait returns when no request is open, or with the context.
 func (lifecycle *lifecycle) wait(ctx context.Context) {
 	select {
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -88,23 +88,16 @@
 // resizePlaces follows the back ends that come and go, so that requests queue
 // here rather than being refused for want of an engine, and forgets idle tenants.
 func (node *Node) resizePlaces(ctx context.Context) {
-	ticker := time.NewTicker(resizeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	every(ctx, resizeInterval, func() {
 		node.limits.forget(time.Now())
 		snapshot := node.catalog.snapshot.Load()
 		if snapshot == nil {
-			continue
+			return
 		}
 		for _, pool := range snapshot.Declaration.Pools {
 			node.limits.poolPlaces(pool.Name).Resize(pool.ConcurrentPerEngine * max(1, node.table.Usable(pool.Name)))
 		}
-	}
+	})
 }
 
 func (limits *limits) poolPlaces(pool string) *admission.Places {
--- /dev/null
+++ b/internal/node/machinelist.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/dghubble/sling"
+
+	"github.com/cloverrail/cloverrail/internal/endpoint"
+)
+
+// machine is one entry of the platform's list.
+type machine struct {
+	Name  string `json:"name"`
+	State string `json:"state"`
+	// Epoch is the incarnation that the entry speaks of.
+	Epoch string `json:"epoch"`
+}
+
+// machineLeaving is the state of machines that will go.
+const machineLeaving = "leaving"
+
+// followMachineList takes leaving machines from the platform's list. The list
+// lags: it may speak of an incarnation that is gone.
+func (node *Node) followMachineList(ctx context.Context) {
+	if node.settings.MachineListAddress == "" {
+		return
+	}
+	client := &http.Client{Timeout: machineListInterval}
+	every(ctx, machineListInterval, func() {
+		var machines []machine
+		_, err := sling.New().Client(client).Get("http://"+node.settings.MachineListAddress+"/machines").Receive(&machines, nil)
+		if err == nil {
+			node.takeMachineList(machines)
+		}
+	})
+}
+
+func (node *Node) takeMachineList(machines []machine) {
+	for _, entry := range machines {
+		known, found := node.table.Record(entry.Name)
+		if !found || entry.State != machineLeaving || entry.Epoch != known.Epoch {
+			continue
+		}
+		if next, changed := endpoint.Leave(known); changed {
+			node.spread(known, next)
+		}
+	}
+}
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"net/http"
-	"slices"
-	"sync"
 	"time"
 
-	"github.com/dghubble/sling"
 	"github.com/juju/errors"
 
 	"github.com/cloverrail/cloverrail/internal/configuration"
@@ -15,8 +11,6 @@
 	"github.com/cloverrail/cloverrail/internal/engineapi"
 	"github.com/cloverrail/cloverrail/internal/eventreader"
 	"github.com/cloverrail/cloverrail/internal/prefix"
-	"github.com/cloverrail/cloverrail/internal/prefixindex"
-	"github.com/cloverrail/cloverrail/internal/wire"
 )
 
 const (
@@ -216,120 +210,6 @@
 	node.gossip.offer(next)
 }
 
-// publish sends a change to the nodes that keep it, each its own part. When the
-// fleet has changed, so has the part of many nodes: they get all of theirs again,
-// a few at a time.
-func (observer *observer) publish(ctx context.Context, change eventreader.Change, load engineapi.Load) {
-	addresses := observer.node.gossip.addresses()
-	observer.noteFleet(addresses)
-	replicated := observer.node.replicated(len(addresses))
-	parts := split(change, addresses, replicated)
-	if renewed := observer.takeRenewals(); len(renewed) > 0 {
-		whole := split(observer.reader.All(), addresses, replicated)
-		for _, address := range renewed {
-			parts[address] = whole[address].Cleared()
-		}
-	}
-	updates := map[string]wire.IndexUpdate{}
-	for address, part := range parts {
-		observer.sequences[address]++
-		updates[address] = observer.update(address, part, load)
-	}
-	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
-	defer cancel()
-	var mutex sync.Mutex
-	var done sync.WaitGroup
-	for address, update := range updates {
-		done.Go(func() {
-			if answer, err := observer.send(ctx, address, update); err == nil && answer.NeedAll {
-				// The receiver missed something, or has just started.
-				mutex.Lock()
-				defer mutex.Unlock()
-				observer.renew[address] = true
-			}
-		})
-	}
-	done.Wait()
-}
-
-// noteFleet marks all nodes for renewal when the fleet is another than before.
-func (observer *observer) noteFleet(addresses []string) {
-	if slices.Equal(addresses, observer.fleet) {
-		return
-	}
-	observer.fleet = addresses
-	observer.renew = map[string]bool{}
-	for _, address := range addresses {
-		observer.renew[address] = true
-	}
-}
-
-// takeRenewals picks the nodes that get all of their part with this update.
-func (observer *observer) takeRenewals() []string {
-	picked := []string{}
-	for address := range observer.renew {
-		if len(picked) == renewalsAtOnce {
-			break
-		}
-		picked = append(picked, address)
-		delete(observer.renew, address)
-	}
-	return picked
-}
-
-func (observer *observer) update(address string, part eventreader.Change, load engineapi.Load) wire.IndexUpdate {
-	update := prefixindex.Update{Holder: observer.reader.Holder(), Clear: part.Clear}
-	for _, item := range part.Stored {
-		update.Stored = append(update.Stored, item.Block)
-	}
-	for _, item := range part.Evicted {
-		update.Evicted = append(update.Evicted, item.Block)
-	}
-	return wire.IndexUpdate{Reader: observer.node.settings.PeerAddress, Sequence: observer.sequences[address], Update: update, Load: load}
-}
-
-func (observer *observer) send(ctx context.Context, address string, update wire.IndexUpdate) (wire.IndexAnswer, error) {
-	if address == observer.node.settings.PeerAddress {
-		return observer.node.applyUpdate(update), nil
-	}
-	return call[wire.IndexAnswer](ctx, observer.node, address, update)
-}
-
-// split deals a change out to the nodes that keep it. In a small fleet each
-// node gets all of it, and a load report even when nothing changed; in a large
-// one each chain's anchors go to its home.
-func split(change eventreader.Change, addresses []string, replicated bool) map[string]eventreader.Change {
-	parts := map[string]eventreader.Change{}
-	if replicated {
-		for _, address := range addresses {
-			parts[address] = change
-		}
-		return parts
-	}
-	if change.Clear {
-		for _, address := range addresses {
-			parts[address] = eventreader.Change{Clear: true}
-		}
-	}
-	for _, item := range change.Stored {
-		if prefixindex.IsAnchor(item.Depth) {
-			owner := prefix.Owner(item.Root, addresses)
-			part := parts[owner]
-			part.Stored = append(part.Stored, item)
-			parts[owner] = part
-		}
-	}
-	for _, item := range change.Evicted {
-		if prefixindex.IsAnchor(item.Depth) {
-			owner := prefix.Owner(item.Root, addresses)
-			part := parts[owner]
-			part.Evicted = append(part.Evicted, item)
-			parts[owner] = part
-		}
-	}
-	return parts
-}
-
 // probe asks a back end for its account. A plain service need not have one: any
 // answer shows that it lives.
 func (node *Node) probe(ctx context.Context, backend configuration.Backend) (engineapi.Status, bool) {
@@ -337,49 +217,3 @@
 	var rejected *engineapi.ErrRejected
 	return status, err == nil || errors.As(err, &rejected)
 }
-
-// machine is one entry of the platform's list.
-type machine struct {
-	Name  string `json:"name"`
-	State string `json:"state"`
-	// Epoch is the incarnation that the entry speaks of.
-	Epoch string `json:"epoch"`
-}
-
-// machineLeaving is the state of machines that will go.
-const machineLeaving = "leaving"
-
-// followMachineList takes leaving machines from the platform's list. The list
-// lags: it may speak of an incarnation that is gone.
-func (node *Node) followMachineList(ctx context.Context) {
-	if node.settings.MachineListAddress == "" {
-		return
-	}
-	client := &http.Client{Timeout: machineListInterval}
-	ticker := time.NewTicker(machineListInterval)
-	defer ticker.Stop()
-	for {
-		var machines []machine
-		_, err := sling.New().Client(client).Get("http://"+node.settings.MachineListAddress+"/machines").Receive(&machines, nil)
-		if err == nil {
-			node.takeMachineList(machines)
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (node *Node) takeMachineList(machines []machine) {
-	for _, entry := range machines {
-		known, found := node.table.Record(entry.Name)
-		if !found || entry.State != machineLeaving || entry.Epoch != known.Epoch {
-			continue
-		}
-		if next, changed := endpoint.Leave(known); changed {
-			node.spread(known, next)
-		}
-	}
-}
--- /dev/null
+++ b/internal/node/publish.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/eventreader"
+	"github.com/cloverrail/cloverrail/internal/prefix"
+	"github.com/cloverrail/cloverrail/internal/prefixindex"
+	"github.com/cloverrail/cloverrail/internal/wire"
+)
+
+// publish sends a change to the nodes that keep it, each its own part. When the
+// fleet has changed, so has the part of many nodes: they get all of theirs again,
+// a few at a time.
+func (observer *observer) publish(ctx context.Context, change eventreader.Change, load engineapi.Load) {
+	addresses := observer.node.gossip.addresses()
+	observer.noteFleet(addresses)
+	replicated := observer.node.replicated(len(addresses))
+	parts := split(change, addresses, replicated)
+	if renewed := observer.takeRenewals(); len(renewed) > 0 {
+		whole := split(observer.reader.All(), addresses, replicated)
+		for _, address := range renewed {
+			parts[address] = whole[address].Cleared()
+		}
+	}
+	updates := map[string]wire.IndexUpdate{}
+	for address, part := range parts {
+		observer.sequences[address]++
+		updates[address] = observer.update(address, part, load)
+	}
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	var mutex sync.Mutex
+	var done sync.WaitGroup
+	for address, update := range updates {
+		done.Go(func() {
+			if answer, err := observer.send(ctx, address, update); err == nil && answer.NeedAll {
+				// The receiver missed something, or has just started.
+				mutex.Lock()
+				defer mutex.Unlock()
+				observer.renew[address] = true
+			}
+		})
+	}
+	done.Wait()
+}
+
+// noteFleet marks all nodes for renewal when the fleet is another than before.
+func (observer *observer) noteFleet(addresses []string) {
+	if slices.Equal(addresses, observer.fleet) {
+		return
+	}
+	observer.fleet = addresses
+	observer.renew = map[string]bool{}
+	for _, address := range addresses {
+		observer.renew[address] = true
+	}
+}
+
+// takeRenewals picks the nodes that get all of their part with this update.
+func (observer *observer) takeRenewals() []string {
+	picked := []string{}
+	for address := range observer.renew {
+		if len(picked) == renewalsAtOnce {
+			break
+		}
+		picked = append(picked, address)
+		delete(observer.renew, address)
+	}
+	return picked
+}
+
+func (observer *observer) update(address string, part eventreader.Change, load engineapi.Load) wire.IndexUpdate {
+	update := prefixindex.Update{Holder: observer.reader.Holder(), Clear: part.Clear}
+	for _, item := range part.Stored {
+		update.Stored = append(update.Stored, item.Block)
+	}
+	for _, item := range part.Evicted {
+		update.Evicted = append(update.Evicted, item.Block)
+	}
+	return wire.IndexUpdate{Reader: observer.node.settings.PeerAddress, Sequence: observer.sequences[address], Update: update, Load: load}
+}
+
+func (observer *observer) send(ctx context.Context, address string, update wire.IndexUpdate) (wire.IndexAnswer, error) {
+	if address == observer.node.settings.PeerAddress {
+		return observer.node.applyUpdate(update), nil
+	}
+	return call[wire.IndexAnswer](ctx, observer.node, address, update)
+}
+
+// split deals a change out to the nodes that keep it. In a small fleet each
+// node gets all of it, and a load report even when nothing changed; in a large
+// one each chain's anchors go to its home.
+func split(change eventreader.Change, addresses []string, replicated bool) map[string]eventreader.Change {
+	parts := map[string]eventreader.Change{}
+	if replicated {
+		for _, address := range addresses {
+			parts[address] = change
+		}
+		return parts
+	}
+	if change.Clear {
+		for _, address := range addresses {
+			parts[address] = eventreader.Change{Clear: true}
+		}
+	}
+	for address, anchors := range deal(change.Stored, addresses) {
+		part := parts[address]
+		part.Stored = anchors
+		parts[address] = part
+	}
+	for address, anchors := range deal(change.Evicted, addresses) {
+		part := parts[address]
+		part.Evicted = anchors
+		parts[address] = part
+	}
+	return parts
+}
+
+// deal gives each chain's anchors to its home.
+func deal(blocks []eventreader.Placed, addresses []string) map[string][]eventreader.Placed {
+	dealt := map[string][]eventreader.Placed{}
+	for _, item := range blocks {
+		if prefixindex.IsAnchor(item.Depth) {
+			owner := prefix.Owner(item.Root, addresses)
+			dealt[owner] = append(dealt[owner], item)
+		}
+	}
+	return dealt
+}
--- /dev/null
+++ b/internal/node/stop.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/membership"
+)
+
+func (node *Node) drain(server *http.Server) {
+	node.log.Info().Int("open", node.lifecycle.open()).Msg("node drains")
+	node.lifecycle.stopReadiness()
+	node.gossip.do((*membership.Machine).Drain)
+	time.Sleep(node.settings.DrainNotice)
+	node.lifecycle.refuse()
+	bounded, cancel := context.WithTimeout(context.Background(), node.settings.DrainDeadline)
+	defer cancel()
+	node.lifecycle.wait(bounded)
+	if left := node.lifecycle.open(); left > 0 {
+		node.log.Warn().Int("cut", left).Msg("the drain deadline passed with requests open; declare a longer drainDeadline")
+	}
+	node.linger()
+	// Let answers that are written leave their connections.
+	flushing, stop := context.WithTimeout(context.Background(), callTimeout)
+	defer stop()
+	_ = server.Shutdown(flushing)
+}
+
+// linger refuses in words those that still come: at the moment when the sockets
+// close there should be nobody on the way.
+func (node *Node) linger() {
+	time.Sleep(lingerTime)
+	for limit := time.Now().Add(lingerLimit); !node.lifecycle.quiet(lingerTime) && time.Now().Before(limit); {
+		time.Sleep(lingerPoll)
+	}
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -193,53 +193,59 @@
 	return answer, nil
 }
 
-func (server *Server) plan(ctx context.Context, body []byte) (any, error) {
-	var message ApplyRequest
-	if err := decode(body, &message); err != nil {
+// proposal is a declaration that was sent, and the version that it would follow.
+type proposal struct {
+	message  ApplyRequest
+	declared *configuration.Declaration
+	// base is nil when nothing was ever applied.
+	base *configstore.Version
+}
+
+func (server *Server) propose(ctx context.Context, body []byte) (*proposal, error) {
+	proposed := &proposal{}
+	if err := decode(body, &proposed.message); err != nil {
 		return nil, err
 	}
-	declared, err := configuration.Parse(message.File, []byte(message.Text))
-	if err != nil {
+	var err error
+	if proposed.declared, err = configuration.Parse(proposed.message.File, []byte(proposed.message.Text)); err != nil {
 		return nil, err
 	}
-	base, err := server.node.Store().Read(ctx, server.node.Version())
+	proposed.base, err = server.node.Store().Read(ctx, server.node.Version())
+	return proposed, err
+}
+
+func (server *Server) plan(ctx context.Context, body []byte) (any, error) {
+	proposed, err := server.propose(ctx, body)
 	if err != nil {
 		return nil, err
 	}
 	answer := PlanAnswer{}
 	var current *configuration.Declaration
-	if base != nil {
-		answer.Revision = base.Revision
-		if current, err = configstore.Join(base.Parts); err != nil {
+	if proposed.base != nil {
+		answer.Revision = proposed.base.Revision
+		if current, err = configstore.Join(proposed.base.Parts); err != nil {
 			return nil, err
 		}
 	}
-	answer.Differences, err = difference.Between(current, declared)
+	answer.Differences, err = difference.Between(current, proposed.declared)
 	return answer, err
 }
 
 func (server *Server) apply(ctx context.Context, body []byte) (any, error) {
-	var message ApplyRequest
-	if err := decode(body, &message); err != nil {
-		return nil, err
-	}
-	declared, err := configuration.Parse(message.File, []byte(message.Text))
-	if err != nil {
-		return nil, err
-	}
-	base, err := server.node.Store().Read(ctx, server.node.Version())
+	proposed, err := server.propose(ctx, body)
 	if err != nil {
 		return nil, err
 	}
-	if message.BaseRevision > 0 && (base == nil || base.Revision != message.BaseRevision) {
+	expected := proposed.message.BaseRevision
+	if expected > 0 && (proposed.base == nil || proposed.base.Revision != expected) {
 		return nil, failure.New(failure.KindConflict, "the declaration was changed since the plan", "run `cloverrail plan` again, then apply")
 	}
-	version, err := server.node.Store().Propose(ctx, base, message.ChangeID, declared)
+	version, err := server.node.Store().Propose(ctx, proposed.base, proposed.message.ChangeID, proposed.declared)
 	if err != nil {
 		return nil, err
 	}
 	server.node.Adopt(version)
-	return ChangeAnswer{Accepted: true, Revision: version.Revision, ChangeID: message.ChangeID}, nil
+	return ChangeAnswer{Accepted: true, Revision: version.Revision, ChangeID: proposed.message.ChangeID}, nil
 }
 
 func (server *Server) settle(ctx context.Context, body []byte) (any, error) {
