Hand claims over when their holders change

Cause: the known hole of the claims. Machines are replaced daily, so the roster changes; holders then started over for the window, and a stale side of a partition could still win with the old holders while the new ones granted too.

Ruled out: abstaining for the window alone (the stale side knows nothing of it); a joint majority of both rosters for each claim.

Change: the store keeps the holders before; a new holder grants nothing until all but one of them have adopted the change, and takes over their claims; the order issuer settles the change; a further one is refused until then.

TestClaimsOutliveAChangeOfTheirHolders over real sockets does not turn red without the records (its keys are held by members that stay); it shows that the change settles and nothing runs twice.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -152,7 +152,7 @@
 // coordinators at once and late, while holders restart one by one and as a
 // herd, are cut off, and have clocks within the stated bound.
 func TestAtMostOnce(t *testing.T) {
-	property.Check(t, func(t *rapid.T) {
+	property.CheckMany(t, 5_000, func(t *rapid.T) {
 		fleet := &fleet{t: t, now: time.UnixMilli(1_800_000_000_000), runs: map[Key]int{}, born: map[Key]time.Time{}}
 		for range 3 {
 			skew := time.Duration(rapid.IntRange(-100, 100).Draw(t, "skew")) * time.Millisecond
--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -9,6 +9,12 @@
 	config    Config
 	started   time.Time
 	recovered bool
+	// joined is false while the roster has changed and the holders before have not
+	// yet told what they granted. Nothing is granted then, whatever the key.
+	joined bool
+	// witnessed says that this process was there when the roster changed, so it
+	// knows all that it granted under the new one.
+	witnessed bool
 	records   map[Key]Record
 	// released remembers owners that gave up, so that a claim of theirs which
 	// arrives late is not kept for nobody.
@@ -18,7 +24,7 @@
 
 // NewHolder returns the holder of a process that started at the given time.
 func NewHolder(config Config, started time.Time) *Holder {
-	return &Holder{config: config, started: started, records: map[Key]Record{}, released: map[string]time.Time{}}
+	return &Holder{config: config, started: started, joined: true, records: map[Key]Record{}, released: map[string]time.Time{}}
 }
 
 // Claim asks for a key on behalf of an owner. Asking again is harmless.
@@ -42,6 +48,9 @@
 
 // remembers reports whether the holder would know of an earlier claim.
 func (holder *Holder) remembers(now time.Time, key Key) bool {
+	if !holder.joined {
+		return false
+	}
 	if holder.recovered || now.Sub(holder.started) >= holder.config.Window {
 		return true
 	}
@@ -71,6 +80,12 @@
 // Complete reports whether the holder knows all claims of the last window, and
 // may therefore help others to recover.
 func (holder *Holder) Complete(now time.Time) bool {
+	return holder.joined && holder.KnowsEarlier(now)
+}
+
+// KnowsEarlier reports whether the holder knows all claims that it, or earlier
+// processes at its address, granted under the roster before.
+func (holder *Holder) KnowsEarlier(now time.Time) bool {
 	return holder.recovered || now.Sub(holder.started) >= holder.config.Window
 }
 
@@ -94,20 +109,62 @@
 // Recover takes the claims of all other holders of the roster. It must be
 // called only when each of them was complete itself: a majority that decided
 // without this process then has a member among them.
-func (holder *Holder) Recover(now time.Time, records []Record) {
+func (holder *Holder) Recover(_ time.Time, records []Record) {
+	holder.take(records)
+	holder.recovered = true
+}
+
+func (holder *Holder) take(records []Record) {
 	for _, record := range records {
 		if _, found := holder.records[record.Key]; !found {
 			holder.store(record)
 		}
 	}
-	holder.recovered = true
+}
+
+// ChangeRoster notes that the roster has changed under this process.
+func (holder *Holder) ChangeRoster() {
+	holder.joined = false
+	holder.witnessed = true
+}
+
+// AwaitJoin notes that this process started while a change of the roster was
+// under way.
+func (holder *Holder) AwaitJoin() { holder.joined = false }
+
+// Joined reports whether the holder knows what the holders before granted.
+func (holder *Holder) Joined() bool { return holder.joined }
+
+// Join takes the claims of the holders before. It must be called only when all
+// of them but one have adopted the new roster: none of those grants under the old
+// one any more, so no majority of it can form from now on. Complete says that
+// those heard also know all that they granted, so that whatever a majority
+// decided stands with one of them; without it the process counts as new.
+func (holder *Holder) Join(now time.Time, records []Record, complete bool) {
+	holder.take(records)
+	holder.joined = true
+	if complete {
+		holder.recovered = holder.recovered || holder.witnessed
+		return
+	}
+	holder.Restart(now)
+}
+
+// Settle ends a change of the roster that most holders have joined. One that has
+// not starts over as a new process: the old roster can decide nothing any more.
+func (holder *Holder) Settle(now time.Time) {
+	if !holder.joined {
+		holder.joined = true
+		holder.Restart(now)
+	}
 }
 
 // Restart treats the process as new, as after a pause during which its claims
-// may have expired, or when the roster changed.
+// may have expired, or when a change of the roster passed it by.
 func (holder *Holder) Restart(now time.Time) {
 	holder.started = now
 	holder.recovered = false
+	holder.witnessed = false
 }
 
 func (holder *Holder) store(record Record) {
--- a/internal/configstore/part.go
+++ b/internal/configstore/part.go
@@ -97,16 +97,14 @@
 // Join puts a declaration together. Parts whose content does not match their
 // digest are refused.
 func Join(parts []Part) (*configuration.Declaration, error) {
-	declaration := &configuration.Declaration{}
 	for _, part := range parts {
 		if part.tenants == nil && newPart(part.Name, part.Data).Digest != part.Digest {
 			return nil, errors.Errorf("part %s does not match its digest; it is fetched again", part.Name)
 		}
-		if part.Name == basePart {
-			if err := json.Unmarshal(part.Data, declaration); err != nil {
-				return nil, errors.Trace(err)
-			}
-		}
+	}
+	declaration, err := readBase(parts)
+	if err != nil {
+		return nil, err
 	}
 	declaration.Tenants = []configuration.Tenant{}
 	for _, part := range parts {
@@ -120,6 +118,17 @@
 	return declaration, nil
 }
 
+// readBase reads all of a declaration but its tenants.
+func readBase(parts []Part) (*configuration.Declaration, error) {
+	declaration := &configuration.Declaration{}
+	for _, part := range parts {
+		if part.Name == basePart {
+			return declaration, errors.Trace(json.Unmarshal(part.Data, declaration))
+		}
+	}
+	return declaration, nil
+}
+
 // read returns the tenants of the part; those of an unchanged part are taken
 // from the version before.
 func (part *Part) read() ([]configuration.Tenant, error) {
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/juju/errors"
@@ -172,7 +173,45 @@
 // error of kind conflict means that it never will be. An error of kind
 // unknown_outcome means that the service could not be asked; Settle tells later.
 func (store *Store) Propose(ctx context.Context, base *Version, changeID string, declaration *configuration.Declaration) (*Version, error) {
-	parts, err := Split(declaration)
+	previous, err := previousHolders(base, declaration)
+	if err != nil {
+		return nil, err
+	}
+	return store.propose(ctx, base, changeID, declaration, previous)
+}
+
+// SettleHolders ends a change of the claim holders, once they have taken over.
+func (store *Store) SettleHolders(ctx context.Context, base *Version, changeID string) (*Version, error) {
+	declaration, err := Join(base.Parts)
+	if err != nil {
+		return nil, err
+	}
+	return store.propose(ctx, base, changeID, declaration, nil)
+}
+
+// previousHolders says which holders have to hand over under the declaration.
+func previousHolders(base *Version, declaration *configuration.Declaration) ([]string, error) {
+	if base == nil {
+		return nil, nil
+	}
+	before, err := readBase(base.Parts)
+	if err != nil {
+		return nil, err
+	}
+	if slices.Equal(before.Claims.Holders, declaration.Claims.Holders) || len(before.Claims.Holders) == 0 {
+		return before.Claims.Previous, nil
+	}
+	if len(before.Claims.Previous) > 0 {
+		return nil, failure.New(failure.KindConflict, "a change of claims.holders is still under way",
+			"apply again once the holders have taken over; all but one of the old and of the new must be up")
+	}
+	return before.Claims.Holders, nil
+}
+
+func (store *Store) propose(ctx context.Context, base *Version, changeID string, proposed *configuration.Declaration, previous []string) (*Version, error) {
+	declaration := *proposed
+	declaration.Claims.Previous = previous
+	parts, err := Split(&declaration)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/configuration/declaration.go
+++ b/internal/configuration/declaration.go
@@ -53,6 +53,9 @@
 type Claims struct {
 	// Holders are the peer addresses of the nodes that store claims.
 	Holders []string `yaml:"holders" json:"holders" validate:"unique,dive,tcp_addr"`
+	// Previous are the holders before, while a change of them is under way. The
+	// fleet keeps it; declarations do not write it.
+	Previous []string `yaml:"-" json:"previous,omitempty"`
 	// Window is how long a claim is remembered; a duplicate that arrives later
 	// than this is outside the guarantee.
 	Window time.Duration `yaml:"window" json:"window" validate:"min=0"`
--- a/internal/difference/difference.go
+++ b/internal/difference/difference.go
@@ -63,7 +63,9 @@
 	if declaration == nil {
 		return values, nil
 	}
-	data, err := json.Marshal(declaration)
+	shown := *declaration
+	shown.Claims.Previous = nil
+	data, err := json.Marshal(shown)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/lab/inprocess/fleet.go
+++ b/internal/lab/inprocess/fleet.go
@@ -58,6 +58,8 @@
 	Step time.Duration
 	// Homes makes each chain of the index have one home, as in a large fleet.
 	Homes bool
+	// Holders of claims; 0 makes all nodes holders.
+	Holders int
 	// NoReaders leaves the engines unwatched.
 	NoReaders bool
 	// Lag of the machine list.
@@ -137,6 +139,9 @@
 
 func (fleet *Fleet) declare(config Config) {
 	holders := fleet.peers
+	if config.Holders > 0 {
+		holders = holders[:config.Holders]
+	}
 	if len(holders) < claim.HoldersPerKey {
 		holders = nil
 	}
--- a/internal/lab/inprocess/once_test.go
+++ b/internal/lab/inprocess/once_test.go
@@ -1,6 +1,7 @@
 package inprocess
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -46,6 +47,50 @@
 	}
 }
 
+// TestClaimsOutliveAChangeOfTheirHolders replaces one of three holders, and sends
+// duplicates of requests that ran before, during and after the change.
+func TestClaimsOutliveAChangeOfTheirHolders(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 4, Engines: 1, Servers: 2, Step: time.Millisecond, Holders: 3})
+	send := func(node int, key, body string) int {
+		header := http.Header{"Idempotency-Key": []string{key}}
+		response := post(t, fleet.URL(node), Key(Tenant), OncePath, header, []byte(body))
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	keys := []string{}
+	run := func(count int) {
+		for range count {
+			require.NoError(t, fleet.Await(func() bool {
+				// A send that was not run may come back under a new key.
+				key := uuid.Must(uuid.NewV7()).String()
+				if send(len(keys)%4, key, "turn "+key) != http.StatusOK {
+					return false
+				}
+				keys = append(keys, key)
+				return true
+			}))
+		}
+	}
+	run(8)
+	base, err := fleet.Store.Read(context.Background(), nil)
+	require.NoError(t, err)
+	changed := *fleet.Declaration
+	changed.Claims.Holders = []string{fleet.Nodes[1].Settings.PeerAddress, fleet.Nodes[2].Settings.PeerAddress, fleet.Nodes[3].Settings.PeerAddress}
+	_, err = fleet.Store.Propose(context.Background(), base, uuid.NewString(), &changed)
+	require.NoError(t, err)
+	for range 40 {
+		for index, key := range keys {
+			require.NotEqual(t, http.StatusOK, send(index%4, key, "turn "+key), "a duplicate does not run")
+		}
+	}
+	run(8)
+	require.NoError(t, fleet.Await(func() bool { return len(fleet.Nodes[0].Snapshot().Declaration.Claims.Previous) == 0 }), "the change is settled")
+	for index, key := range keys {
+		require.NotEqual(t, http.StatusOK, send(index%4, key, "turn "+key))
+		require.Equal(t, 1, fleet.ran("turn "+key))
+	}
+}
+
 func TestLostAnswerOfAOnceRequestIsNotRepeated(t *testing.T) {
 	fleet := startFleet(t, Config{Nodes: 3, Engines: 1, Servers: 2, Step: time.Millisecond})
 	for _, server := range fleet.Servers {
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -14,9 +14,8 @@
 )
 
 const (
-	recoveryInterval = 500 * time.Millisecond
-	claimRetryAfter  = time.Second
-	concludeTimeout  = time.Second
+	claimRetryAfter = time.Second
+	concludeTimeout = time.Second
 )
 
 // claims drives this node's holder, and rounds on behalf of its callers.
@@ -25,6 +24,8 @@
 	holder *claim.Holder
 	config claim.Config
 	roster []string
+	// previous are the holders before, while they hand over.
+	previous []string
 }
 
 func newClaims(now time.Time) *claims {
@@ -32,22 +33,33 @@
 	return &claims{holder: claim.NewHolder(config, now), config: config}
 }
 
-// configure follows a new snapshot. A changed roster or window makes this node
-// abstain as if it had just started: it may have become the holder of keys that
-// others granted.
+// configure follows a new snapshot. When the roster has changed, nothing is
+// granted until the holders before have handed over.
 func (claims *claims) configure(declared configuration.Claims, now time.Time) {
 	claims.mutex.Lock()
 	defer claims.mutex.Unlock()
 	config := claim.Config{Window: declared.Window, ClockSkew: declared.ClockSkew, RoundLimit: claim.DefaultRoundLimit}
-	changed := claims.roster != nil && claim.RosterName(claims.roster) != claim.RosterName(declared.Holders)
-	if claims.roster == nil || config != claims.config {
+	if config != claims.config {
 		claims.holder.Reconfigure(config)
 	}
-	claims.config = config
-	claims.roster = declared.Holders
-	if changed {
+	first := claims.roster == nil
+	changed := claim.RosterName(claims.roster) != claim.RosterName(declared.Holders)
+	switch {
+	case len(declared.Previous) == 0 && changed && !first:
+		// This node has missed the whole change: it knows nothing of what the new
+		// holders granted.
 		claims.holder.Restart(now)
+		claims.holder.Settle(now)
+	case len(declared.Previous) == 0:
+		claims.holder.Settle(now)
+	case first:
+		claims.holder.AwaitJoin()
+	case changed:
+		claims.holder.ChangeRoster()
 	}
+	claims.config = config
+	claims.roster = declared.Holders
+	claims.previous = declared.Previous
 }
 
 func (claims *claims) current() (claim.Config, []string) {
@@ -76,11 +88,17 @@
 func (claims *claims) records(request wire.ClaimsRequest) wire.ClaimsAnswer {
 	claims.mutex.Lock()
 	defer claims.mutex.Unlock()
-	now := time.Now()
 	if request.Roster != claim.RosterName(claims.roster) {
 		return wire.ClaimsAnswer{}
 	}
-	return wire.ClaimsAnswer{Complete: claims.holder.Complete(now), Records: claims.holder.Records(now)}
+	now := time.Now()
+	return wire.ClaimsAnswer{
+		Adopted:      true,
+		Joined:       claims.holder.Joined(),
+		Complete:     claims.holder.Complete(now),
+		KnowsEarlier: claims.holder.KnowsEarlier(now),
+		Records:      claims.holder.Records(now),
+	}
 }
 
 func (claims *claims) restart(now time.Time) {
@@ -89,41 +107,6 @@
 	claims.holder.Restart(now)
 }
 
-// recoverClaims brings the holder up to date from the other holders.
-func (node *Node) recoverClaims(ctx context.Context) {
-	every(ctx, recoveryInterval, func() {
-		node.claims.mutex.Lock()
-		due := node.claims.holder.RecoveryDue(time.Now())
-		generation := node.claims.holder.Started()
-		node.claims.mutex.Unlock()
-		if due {
-			node.recoverOnce(ctx, generation)
-		}
-	})
-}
-
-func (node *Node) recoverOnce(ctx context.Context, generation time.Time) {
-	_, roster := node.claims.current()
-	records := []claim.Record{}
-	for _, address := range roster {
-		if address == node.settings.PeerAddress {
-			continue
-		}
-		answer, err := call[wire.ClaimsAnswer](ctx, node, address, wire.ClaimsRequest{Roster: claim.RosterName(roster)})
-		if err != nil || !answer.Complete {
-			return
-		}
-		records = append(records, answer.Records...)
-	}
-	node.claims.mutex.Lock()
-	defer node.claims.mutex.Unlock()
-	if node.claims.holder.Started() != generation {
-		return
-	}
-	node.claims.holder.Recover(time.Now(), records)
-	node.log.Info().Int("claims", len(records)).Msg("claims recovered from the other holders")
-}
-
 // Claimed is a key that this node's caller owns. Exactly one of its methods is
 // called once the request is over.
 type Claimed struct {
@@ -160,7 +143,7 @@
 	default:
 		claimed.Release()
 		return nil, failure.New(failure.KindClaimUnavailable, "too few claim holders answered",
-			"send the same request again with the same key").WithRetryAfter(claimRetryAfter)
+			"send it again with the same key, or under a new one if no earlier send of it may have run").WithRetryAfter(claimRetryAfter)
 	}
 }
 
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -17,6 +17,7 @@
 	orderInterval  = 100 * time.Millisecond
 	campaignPause  = 2 * time.Second
 	campaignNodes  = 3
+	settleInterval = 2 * time.Second
 	orderTimeout   = time.Second
 	firstOrderWait = 500 * time.Millisecond
 )
@@ -75,6 +76,7 @@
 	// What the engines do is known to this node only after its first look.
 	start := time.Now().Add(firstOrderWait)
 	renewed := since
+	settled := since
 	ticker := time.NewTicker(orderInterval)
 	defer ticker.Stop()
 	for issuer.Holds(time.Now()) {
@@ -95,6 +97,10 @@
 		if time.Now().After(start) {
 			node.sendOrders(ctx, issuer)
 		}
+		if time.Since(settled) >= settleInterval {
+			settled = time.Now()
+			node.settleHolders(ctx)
+		}
 	}
 }
 
--- a/internal/property/property.go
+++ b/internal/property/property.go
@@ -22,6 +22,18 @@
 	}
 })
 
+// CheckMany is Check with a number of cases, for faults that few of them show.
+func CheckMany(t *testing.T, cases int, check func(*rapid.T)) {
+	t.Helper()
+	checks := flag.Lookup("rapid.checks")
+	before := checks.Value.String()
+	if number, err := strconv.Atoi(before); err == nil && number < cases {
+		_ = checks.Value.Set(strconv.Itoa(cases))
+		defer func() { _ = checks.Value.Set(before) }()
+	}
+	Check(t, check)
+}
+
 // Check runs the property on a fixed sequence of cases.
 func Check(t *testing.T, check func(*rapid.T)) {
 	t.Helper()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -109,10 +109,18 @@
 	Roster string
 }
 
-// ClaimsAnswer lists them; Complete says that the holder itself had recovered.
+// ClaimsAnswer lists them.
 type ClaimsAnswer struct {
-	Complete bool
-	Records  []claim.Record
+	// Adopted says that the node has the asker's roster in force, and grants under
+	// no other.
+	Adopted bool
+	// Joined says that it knows what the holders before granted; Complete, that it
+	// knows all claims of the window; KnowsEarlier, all that it granted itself
+	// under the roster before.
+	Joined       bool
+	Complete     bool
+	KnowsEarlier bool
+	Records      []claim.Record
 }
 
 // TakeRequest asks a tenant's ledger for tokens.
