--- /dev/null
+++ b/internal/dispatch/driver_test.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/failure"
+)
+
+const (
+	hugeEvents = 60_000
+	eventSize  = 1000
+)
+
+// hugeEngine streams some 60 MB as fast as it may, and counts what it has written.
+type hugeEngine struct{ written atomic.Int64 }
+
+func (engine *hugeEngine) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	for _, name := range []string{engineapi.HeaderAttempt, engineapi.HeaderEpoch, engineapi.HeaderWeights} {
+		writer.Header().Set(name, request.Header.Get(name))
+	}
+	text := strings.Repeat("x", eventSize)
+	for offset := range hugeEvents {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", offset, text); err != nil {
+			return
+		}
+		engine.written.Add(1)
+	}
+	_, _ = fmt.Fprintf(writer, "id: %d\ndata: [DONE]\n\n", hugeEvents)
+}
+
+// oneEngine places every attempt on one engine.
+type oneEngine struct{ address string }
+
+func (placer oneEngine) Place(context.Context, []string) (Target, *failure.Failure) {
+	return Target{Endpoint: "e", Address: placer.address, Epoch: "1", Weights: "v"}, nil
+}
+func (oneEngine) Ended(Target, bool)           {}
+func (oneEngine) Alive(Target) context.Context { return context.Background() }
+func (oneEngine) Stale(Target)                 {}
+
+// stalled is a caller that reads nothing until it is released.
+type stalled struct {
+	released chan struct{}
+	received int
+}
+
+func (sink *stalled) Emit([]byte) (bool, error) {
+	<-sink.released
+	sink.received++
+	return false, nil
+}
+
+// TestSlowCallerHoldsTheEngineBack lets a caller stand still, and checks that the
+// node does not read the answer into its memory meanwhile.
+func TestSlowCallerHoldsTheEngineBack(t *testing.T) {
+	engine := &hugeEngine{}
+	server := httptest.NewServer(engine)
+	defer server.Close()
+	sink := &stalled{released: make(chan struct{})}
+	driver := NewDriver(engineapi.NewClient(), func(int) {})
+	done := make(chan error)
+	go func() {
+		done <- driver.Run(context.Background(), Call{
+			Path: "/v1/completions", Body: func(int) ([]byte, error) { return []byte("{}"), nil },
+			Placer: oneEngine{address: strings.TrimPrefix(server.URL, "http://")}, Sink: sink, Limits: DefaultLimits, Budget: &steadyBudget{},
+		})
+	}()
+	// The engine comes to a stop once the buffers between are full.
+	for last := int64(-1); last != engine.written.Load() || last <= 0; time.Sleep(100 * time.Millisecond) {
+		last = engine.written.Load()
+	}
+	require.Less(t, engine.written.Load(), int64(hugeEvents/2))
+	close(sink.released)
+	require.NoError(t, <-done)
+	require.Equal(t, hugeEvents, sink.received)
+}
--- a/internal/lab/faults/verdict.go
+++ b/internal/lab/faults/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sort"
 	"strings"
 	"time"
 
@@ -186,6 +187,11 @@
 
 func (run *run) restartsServe() Verdict {
 	verdict := Verdict{Guarantee: "a restarted node answers within 1 s", Checked: len(run.restarts)}
+	sort.Slice(run.restarts, func(i, j int) bool { return run.restarts[i].elapsed < run.restarts[j].elapsed })
+	if count := len(run.restarts); count > 0 {
+		fmt.Fprintf(run.config.Output, "process start to first token: median %s, slowest %s of %d\n",
+			run.restarts[count/2].elapsed.Round(time.Millisecond), run.restarts[count-1].elapsed.Round(time.Millisecond), count)
+	}
 	for _, restart := range run.restarts {
 		if restart.elapsed > time.Second {
 			verdict.violate("first token after %s: %v", restart.elapsed, restart.tries[max(0, len(restart.tries)-5):])
