--- a/internal/lab/inprocess/engine_test.go
+++ b/internal/lab/inprocess/engine_test.go
@@ -1,6 +1,7 @@
 package inprocess
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"github.com/cloverrail/cloverrail/internal/engineapi"
 	"github.com/cloverrail/cloverrail/internal/lab/machinestub"
+	"github.com/cloverrail/cloverrail/internal/operator"
 )
 
 func TestEngineCrashMidStreamIsContinuedElsewhere(t *testing.T) {
@@ -68,6 +70,41 @@
 	}
 }
 
+// TestAnswerNeverMixesTwoVersions changes the model's version while an answer is
+// being written, and then takes the engine away: nothing may go on with it.
+func TestAnswerNeverMixesTwoVersions(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 2, Step: 5 * time.Millisecond})
+	response := post(t, fleet.URL(0), Key(Tenant), "/v1/completions", nil, completionBody(t, "prompt", 4000, true))
+	defer response.Body.Close()
+	change := sync.OnceFunc(func() {
+		statement, err := operator.Parse("set model " + Model + " version v2")
+		require.NoError(t, err)
+		version, err := operator.Execute(context.Background(), fleet.Store, statement)
+		require.NoError(t, err)
+		require.NoError(t, fleet.Await(func() bool { return fleet.Nodes[0].Snapshot().Revision >= version.Revision }))
+		client := engineapi.NewClient()
+		for _, engine := range fleet.Declaration.Pools[0].Engines {
+			require.NoError(t, fleet.Await(func() bool {
+				status, err := client.Status(context.Background(), engine.Address)
+				return err == nil && status.Weights[Model] == "v2"
+			}))
+		}
+		for _, engine := range fleet.Engines {
+			engine.Crash()
+		}
+	})
+	lines := bufio.NewScanner(response.Body)
+	last := ""
+	for lines.Scan() {
+		if data, isData := strings.CutPrefix(lines.Text(), "data: "); isData {
+			change()
+			last = data
+		}
+	}
+	require.Contains(t, last, `"code":"stream_broken"`)
+	require.Contains(t, last, `"outcome":"ran"`)
+}
+
 func TestFirstRequestAfterACrashUnderTheSameAddress(t *testing.T) {
 	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, Step: time.Millisecond})
 	fleet.Engines[0].Crash()
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -33,6 +33,8 @@
 	store   *configstore.Store
 	service *kvservice.Client
 	floor   int64
+	// prepare is called with a new snapshot before it is in force, adopted after.
+	prepare func(*configuration.Snapshot)
 	adopted func(*configuration.Snapshot)
 	log     zerolog.Logger
 	metrics *metrics.Set
@@ -56,6 +58,7 @@
 		catalog.log.Error().Err(err).Int64("revision", version.Revision).Msg("configuration cannot be read")
 		return false
 	}
+	catalog.prepare(snapshot)
 	catalog.version.Store(version)
 	catalog.snapshot.Store(snapshot)
 	catalog.metrics.Revision.Set(float64(version.Revision))
--- a/internal/node/completion.go
+++ b/internal/node/completion.go
@@ -54,8 +54,9 @@
 	adapter    string
 
 	// salt and chain belong to the version that the last placement was for.
-	salt  string
-	chain []prefix.Hash
+	version string
+	salt    string
+	chain   []prefix.Hash
 	// importBlocks is how much the chosen engine shall import.
 	importBlocks int
 	// pools are those through which the last placement looked.
@@ -139,6 +140,11 @@
 	if !found || len(pools) == 0 {
 		return nil, "", failure.New(failure.KindNotFound, "the model does not exist", "use a model that GET /v1/models lists")
 	}
+	if place.completion.Emitted() != "" && model.Version != place.version {
+		// Text of two versions in one answer would be neither's.
+		return nil, "", failure.New(failure.KindStreamBroken, "the model's version changed while the answer was written", "send the request again").
+			WithRetryAfter(noEndpointWait)
+	}
 	place.pools = pools
 	place.identify(model, pools[0])
 	target, reason := place.choose(ctx, snapshot, model, excluded)
@@ -174,6 +180,7 @@
 	identity := prefix.Identity{Tenant: place.completion.Tenant.Name, Model: model.Name, Version: model.Version, Adapter: place.adapter}
 	salt := prefix.Salt(place.node.key, identity)
 	if salt != place.salt {
+		place.version = model.Version
 		place.salt = salt
 		place.chain = prefix.Chain(salt, place.prompt, pool.BlockBytes)
 		if len(place.chain) > 0 {
@@ -190,44 +197,26 @@
 
 var scratches = sync.Pool{New: func() any { return &scratch{scheduler: routing.NewScheduler()} }}
 
+// choose decides on an engine by what this node knows, and counts the request as
+// sent to it.
 func (place *placement) choose(ctx context.Context, snapshot *configuration.Snapshot, model *configuration.Model, excluded []string) (*dispatch.Target, routing.Reason) {
-	pools := place.pools
 	node := place.node
 	now := time.Now()
-	depths := node.lookup(ctx, place.chain)
-	depths = node.expected.Lookup(now, depths, place.chain)
+	depths := node.expected.Lookup(now, node.lookup(ctx, place.chain), place.chain)
 	memory := scratches.Get().(*scratch)
 	defer scratches.Put(memory)
-	candidates := memory.candidates[:0]
-	for _, pool := range pools {
-		candidates = node.table.Candidates(candidates, pool.Name, model.Name, model.Version, now)
-	}
-	memory.candidates = candidates
-	storeName, importSpeed := "", 0.0
-	if store := pools[0].KeptCache; store != nil {
-		storeName, importSpeed = store.Name, store.TokensPerSecond
-	}
-	key := prefix.KeyOf(place.salt)
-	if len(place.chain) > 0 {
-		key = routing.AffinityKey(place.chain, depths, storeName)
-	}
-	memory.scheduler.Annotate(candidates, key, depths, storeName)
-	routing.Exclude(candidates, excluded)
-	request := &routing.Request{
-		PromptTokens:           len(place.prompt)/bytesPerToken + 1,
-		BlockTokens:            pools[0].BlockBytes / bytesPerToken,
-		Blocks:                 len(place.chain),
-		PrefillTokensPerSecond: pools[0].PrefillTokensPerSecond,
-		ImportTokensPerSecond:  importSpeed,
-		ConcurrentPerEngine:    pools[0].ConcurrentPerEngine,
-		WaitWeight:             snapshot.Declaration.Routing.WaitWeight,
-		WorkWeight:             snapshot.Declaration.Routing.WorkWeight,
+	memory.candidates = memory.candidates[:0]
+	for _, pool := range place.pools {
+		memory.candidates = node.table.Candidates(memory.candidates, pool.Name, model.Name, model.Version, now)
 	}
-	decision := memory.scheduler.Schedule(request, candidates)
+	request := place.request(snapshot.Declaration.Routing)
+	memory.scheduler.Annotate(memory.candidates, place.affinityKey(depths), depths, place.storeName())
+	routing.Exclude(memory.candidates, excluded)
+	decision := memory.scheduler.Schedule(request, memory.candidates)
 	if decision.Index < 0 {
 		return nil, decision.Refused
 	}
-	chosen := candidates[decision.Index]
+	chosen := memory.candidates[decision.Index]
 	missing, imported := routing.Missing(request, &chosen)
 	place.importBlocks = 0
 	if imported > 0 {
@@ -238,6 +227,40 @@
 	return &dispatch.Target{Endpoint: chosen.Endpoint, Address: chosen.Address, Epoch: chosen.Epoch, Weights: model.Version}, routing.Accepted
 }
 
+// request describes the prompt to the scheduler. The pools of one model are taken
+// to be alike, and the first one's figures stand for all.
+func (place *placement) request(weights configuration.Routing) *routing.Request {
+	pool := place.pools[0]
+	request := &routing.Request{
+		PromptTokens:           len(place.prompt)/bytesPerToken + 1,
+		BlockTokens:            pool.BlockBytes / bytesPerToken,
+		Blocks:                 len(place.chain),
+		PrefillTokensPerSecond: pool.PrefillTokensPerSecond,
+		ConcurrentPerEngine:    pool.ConcurrentPerEngine,
+		WaitWeight:             weights.WaitWeight,
+		WorkWeight:             weights.WorkWeight,
+	}
+	if pool.KeptCache != nil {
+		request.ImportTokensPerSecond = pool.KeptCache.TokensPerSecond
+	}
+	return request
+}
+
+// storeName names the kept-KV store among the index's holders, or "".
+func (place *placement) storeName() string {
+	if store := place.pools[0].KeptCache; store != nil {
+		return store.Name
+	}
+	return ""
+}
+
+func (place *placement) affinityKey(depths []prefixindex.Depth) prefix.Hash {
+	if len(place.chain) == 0 {
+		return prefix.KeyOf(place.salt)
+	}
+	return routing.AffinityKey(place.chain, depths, place.storeName())
+}
+
 // Ended implements dispatch.Placer.
 func (place *placement) Ended(target dispatch.Target, failed bool) {
 	place.node.ended(target.Endpoint, failed)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,7 +121,7 @@
 	node.driver = dispatch.NewDriver(node.engines, func(count int) { set.LateEvents.Add(float64(count)) })
 	node.forwarder = plain.NewForwarder(set.LateEvents.Inc)
 	service := kvservice.NewClient(given.KeyValueAddress)
-	node.catalog = &catalog{store: configstore.New(service), service: service, floor: given.RevisionFloor, log: log, metrics: set, adopted: node.configured}
+	node.catalog = &catalog{store: configstore.New(service), service: service, floor: given.RevisionFloor, log: log, metrics: set, prepare: node.configure, adopted: node.announce}
 	node.gossip, err = newGossip(given.PeerAddress, given.Zone, given.Seeds, credentials, options.Blocked, set)
 	if err != nil {
 		return nil, err
@@ -133,13 +133,18 @@
 	return node, nil
 }
 
-// configured puts a new snapshot into the parts that follow it.
-func (node *Node) configured(snapshot *configuration.Snapshot) {
+// configure prepares the parts that follow the configuration for a new snapshot,
+// before requests see it: a pool must have its places by then.
+func (node *Node) configure(snapshot *configuration.Snapshot) {
 	node.table.Configure(snapshot)
 	node.limits.configure(snapshot)
 	node.claims.configure(snapshot.Declaration.Claims, time.Now())
 	_, items := node.gossip.all()
 	node.takeItems(items)
+}
+
+// announce tells the fleet of a new revision, once peers can fetch it here.
+func (node *Node) announce(snapshot *configuration.Snapshot) {
 	node.gossip.do(func(machine *membership.Machine) membership.Output { return machine.SetRevision(snapshot.Revision) })
 }
 
@@ -233,10 +238,10 @@
 	node.lifecycle.suspend()
 	node.claims.restart(time.Now())
 	node.home.reset()
-	node.enqueue(func(ctx context.Context) {
-		node.synchronize(ctx)
+	go func() {
+		node.synchronize(context.Background())
 		node.lifecycle.resume()
-	})
+	}()
 }
 
 func (node *Node) takeItems(items []membership.Item) {
