--- a/internal/lab/inprocess/configuration_test.go
+++ b/internal/lab/inprocess/configuration_test.go
@@ -25,7 +25,7 @@
 	fleet.Cut(lone.Settings.PeerAddress, true)
 	statement, err := operator.Parse("set tenant " + Tenant + " priority 7")
 	require.NoError(t, err)
-	version, err := operator.Execute(context.Background(), fleet.Store, statement)
+	version, err := operator.Execute(context.Background(), fleet.Store, nil, statement)
 	require.NoError(t, err)
 	require.NoError(t, fleet.Await(func() bool { return fleet.Nodes[0].Snapshot().Revision == version.Revision }))
 	require.GreaterOrEqual(t, lone.Snapshot().Revision, before)
@@ -69,7 +69,7 @@
 	command := func(text string) {
 		statement, err := operator.Parse(text)
 		require.NoError(t, err)
-		version, err := operator.Execute(context.Background(), fleet.Store, statement)
+		version, err := operator.Execute(context.Background(), fleet.Store, nil, statement)
 		require.NoError(t, err)
 		require.NoError(t, fleet.Await(func() bool {
 			return fleet.Nodes[0].Snapshot().Revision >= version.Revision && fleet.Nodes[1].Snapshot().Revision >= version.Revision
--- a/internal/lab/inprocess/engine_test.go
+++ b/internal/lab/inprocess/engine_test.go
@@ -79,7 +79,7 @@
 	change := sync.OnceFunc(func() {
 		statement, err := operator.Parse("set model " + Model + " version v2")
 		require.NoError(t, err)
-		version, err := operator.Execute(context.Background(), fleet.Store, statement)
+		version, err := operator.Execute(context.Background(), fleet.Store, nil, statement)
 		require.NoError(t, err)
 		require.NoError(t, fleet.Await(func() bool { return fleet.Nodes[0].Snapshot().Revision >= version.Revision }))
 		client := engineapi.NewClient()
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"runtime/debug"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -23,7 +24,9 @@
 	// hear from their peers.
 	watchersPerZone = 2
 	rankInterval    = time.Second
-	watchPause      = time.Second
+	// manyParts is more than a change of single tenants brings.
+	manyParts  = 16
+	watchPause = time.Second
 	// rereadInterval is how often a watcher reads the key besides its watch.
 	rereadInterval = 10 * time.Second
 )
@@ -52,6 +55,12 @@
 	if version == nil || version.Revision < catalog.floor || (current != nil && version.Revision <= current.Revision) {
 		return false
 	}
+	fresh := 0
+	for index := range version.Parts {
+		if len(version.Parts[index].Data) > 0 {
+			fresh++
+		}
+	}
 	snapshot, err := version.Compile()
 	if err != nil {
 		catalog.metrics.ConfigurationErr.Inc()
@@ -64,6 +73,11 @@
 	catalog.metrics.Revision.Set(float64(version.Revision))
 	catalog.log.Info().Int64("revision", version.Revision).Str("change", version.Manifest.ChangeID).Msg("configuration in force")
 	catalog.adopted(snapshot)
+	if fresh > manyParts {
+		// Reading a whole configuration leaves several times its size as garbage,
+		// which the runtime would keep for minutes.
+		go debug.FreeOSMemory()
+	}
 	return true
 }
 
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -19,11 +19,12 @@
 const commandTries = 5
 
 // Execute carries out a command: it changes the declaration in the key-value
-// service, and returns the version that put it in force.
-func Execute(ctx context.Context, store *configstore.Store, statement *Statement) (*configstore.Version, error) {
+// service, and returns the version that put it in force. Parts that the known
+// version has, which may be nil, are not read again.
+func Execute(ctx context.Context, store *configstore.Store, known *configstore.Version, statement *Statement) (*configstore.Version, error) {
 	var lost error
 	for range commandTries {
-		base, err := store.Read(ctx, nil)
+		base, err := store.Read(ctx, known)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -22,6 +23,8 @@
 const (
 	maximumMessage = 64 << 20
 	callTimeout    = 20 * time.Second
+	// freeAfter is when the memory of a call is given back.
+	freeAfter = time.Second
 )
 
 // QueryRequest carries one statement.
@@ -183,7 +186,7 @@
 	if statement.Show != nil {
 		return Query(server.node, statement.Show)
 	}
-	version, err := Execute(ctx, server.node.Store(), statement)
+	version, err := Execute(ctx, server.node.Store(), server.node.Version(), statement)
 	if err != nil {
 		return nil, err
 	}
@@ -245,6 +248,8 @@
 		return nil, err
 	}
 	server.node.Adopt(version)
+	// A whole declaration as text and tree is many times its compiled size.
+	time.AfterFunc(freeAfter, debug.FreeOSMemory)
 	return ChangeAnswer{Accepted: true, Revision: version.Revision, ChangeID: proposed.message.ChangeID}, nil
 }
 
