Do not take an answer that breaks off for a whole one

Found by reading the driver as a newcomer: an event of an engine that was not a chunk counted as a caller who left, and a run that ends so returned no error. The gateway then wrote [DONE] under a cut text. Now such an answer ends in an explicit error, and a caller who leaves is a kind of its own (caller_left) instead of a success in the counters. TestAnAnswerThatBreaksOffIsNoSuccess is red with the old handling put back.

The names under its bars no longer overlap.

--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -37,10 +37,14 @@
 // which in turn stops reading from the engine: memory does not grow.
 type Sink interface {
 	// Emit passes one event on. Complete says that the answer's text has ended:
-	// only accounting may follow.
+	// only accounting may follow. ErrUnreadable means that the event cannot be
+	// passed on; any other error, that the caller has left.
 	Emit(data []byte) (complete bool, err error)
 }
 
+// ErrUnreadable says that an engine sent an event that is not one.
+var ErrUnreadable = errors.New("the engine sent an event that cannot be read")
+
 // Body builds the request's body for an attempt that goes on from an offset.
 type Body func(continueAt int) ([]byte, error)
 
@@ -123,12 +127,7 @@
 	case Cancel:
 		go run.driver.engines.Cancel(action.Target.Address, action.Attempt)
 	case Emit:
-		complete, err := run.call.Sink.Emit(action.Data)
-		if err != nil {
-			run.step(CallerLeft{})
-		} else if complete {
-			run.step(TextComplete{})
-		}
+		run.emit(action)
 	case Fail:
 		run.err = action.Failure
 	case PassRejection:
@@ -136,6 +135,18 @@
 	}
 }
 
+func (run *run) emit(action Emit) {
+	complete, err := run.call.Sink.Emit(action.Data)
+	switch {
+	case errors.Is(err, ErrUnreadable):
+		run.step(Unreadable{})
+	case err != nil:
+		run.step(CallerLeft{})
+	case complete:
+		run.step(TextComplete{})
+	}
+}
+
 func (run *run) release(failed bool) {
 	if run.placed {
 		run.placed = false
--- a/internal/dispatch/driver_test.go
+++ b/internal/dispatch/driver_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverrail/cloverrail/internal/engineapi"
@@ -84,3 +85,26 @@
 	require.NoError(t, <-done)
 	require.Equal(t, hugeEvents, sink.received)
 }
+
+// refusing is a sink that fails on its first event.
+type refusing struct{ err error }
+
+func (sink refusing) Emit([]byte) (bool, error) { return false, sink.err }
+
+// TestAnAnswerThatBreaksOffIsNoSuccess has sinks that cannot pass an event on: no
+// such run may be taken for a whole answer.
+func TestAnAnswerThatBreaksOffIsNoSuccess(t *testing.T) {
+	server := httptest.NewServer(&hugeEngine{})
+	defer server.Close()
+	for err, kind := range map[error]failure.Kind{
+		ErrUnreadable:             failure.KindStreamBroken,
+		errors.New("caller left"): failure.KindCallerLeft,
+	} {
+		driver := NewDriver(engineapi.NewClient(), func(int) {})
+		ended := driver.Run(context.Background(), Call{
+			Path: "/v1/completions", Body: func(int) ([]byte, error) { return []byte("{}"), nil },
+			Placer: oneEngine{address: strings.TrimPrefix(server.URL, "http://")}, Sink: refusing{err: err}, Limits: DefaultLimits, Budget: &steadyBudget{},
+		})
+		require.True(t, failure.Is(ended, kind), "%v", ended)
+	}
+}
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -68,6 +68,9 @@
 // TextComplete says that the caller has the whole text of the answer.
 type TextComplete struct{}
 
+// Unreadable says that an event of the answer cannot be passed on.
+type Unreadable struct{}
+
 // Expired says that the request's deadline has passed.
 type Expired struct{}
 
@@ -82,6 +85,7 @@
 func (Rejected) event()     {}
 func (Broken) event()       {}
 func (TextComplete) event() {}
+func (Unreadable) event()   {}
 func (Expired) event()      {}
 func (CallerLeft) event()   {}
 
@@ -223,11 +227,12 @@
 	case TextComplete:
 		machine.complete = true
 		return nil
+	case Unreadable:
+		return machine.abandon(failure.KindStreamBroken, "the engine sent an event that cannot be read", "send the request again")
 	case Expired:
 		return machine.abandon(failure.KindDeadline, "the request's deadline passed", "send it again, or declare a longer deadline for its class")
 	case CallerLeft:
-		machine.finished = true
-		return machine.cancel()
+		return machine.abandon(failure.KindCallerLeft, "the caller left before the end", "send the request again")
 	default:
 		return nil
 	}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -32,6 +32,7 @@
 	KindConflict         Kind = "conflict"
 	KindUnknownOutcome   Kind = "unknown_outcome"
 	KindUnavailable      Kind = "unavailable"
+	KindCallerLeft       Kind = "caller_left"
 )
 
 // Outcome says whether the back end ran the request.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
+	"github.com/cloverrail/cloverrail/internal/dispatch"
 	"github.com/cloverrail/cloverrail/internal/engineapi"
 	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/metrics"
@@ -46,7 +47,7 @@
 func (answer *answer) Emit(data []byte) (complete bool, err error) {
 	var chunk engineapi.Chunk
 	if err := json.Unmarshal(data, &chunk); err != nil {
-		return false, errors.Annotate(err, "the engine sent an event that is not a chunk")
+		return false, errors.Trace(dispatch.ErrUnreadable)
 	}
 	if !answer.began && len(chunk.Choices) > 0 {
 		answer.metrics.FirstToken.Observe(time.Since(answer.served.started).Seconds())
--- a/internal/lab/experiment/page.go
+++ b/internal/lab/experiment/page.go
@@ -12,11 +12,14 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 )
 
 const (
 	plotWidth  = 18 * vg.Centimeter
 	plotHeight = 11 * vg.Centimeter
+	// labelRotation, in radians, keeps the policies' names apart.
+	labelRotation = 0.5
 	// curvePoints of each distribution are drawn.
 	curvePoints = 200
 )
@@ -67,6 +70,8 @@
 	}
 	drawing.Add(bars)
 	drawing.NominalX(names...)
+	drawing.X.Tick.Label.Rotation = labelRotation
+	drawing.X.Tick.Label.XAlign = draw.XRight
 	drawing.Y.Min = 0
 	return errors.Trace(drawing.Save(plotWidth, plotHeight, path))
 }
