Pass on only those errors of an engine that blame the request

Found by reading: every status an engine answered, 500 and 503 included, was final, and went to the caller with the outcome not-run, which nobody had said. Now 4xx but 408, 409, 425 and 429 are the request's own fault and final; anything else is the engine's, may have run, and another engine is tried. TestOnlyTheCallersFaultsAreFinal failed first.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -59,7 +59,7 @@
 	property.Check(t, func(t *rapid.T) {
 		now := time.Unix(0, 0)
 		begin := now
-		ledger := NewLedger(now)
+		ledger := NewLedger()
 		limit := Rate{PerSecond: 10, Burst: 5}
 		given := 0
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
@@ -104,7 +104,7 @@
 	)
 	random := rand.New(rand.NewPCG(5, 5))
 	now := time.Unix(0, 0)
-	ledger := NewLedger(now)
+	ledger := NewLedger()
 	queue := NewQueue()
 	began := map[uint64]time.Time{}
 	waits := []time.Duration{}
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -17,7 +17,6 @@
 // hands out tokens to nodes. It is not safe for concurrent use.
 type Ledger struct {
 	buckets map[string]*ledgerBucket
-	started time.Time
 }
 
 type ledgerBucket struct {
@@ -25,9 +24,9 @@
 	limiter *rate.Limiter
 }
 
-// NewLedger returns a ledger that starts now.
-func NewLedger(now time.Time) *Ledger {
-	return &Ledger{buckets: map[string]*ledgerBucket{}, started: now}
+// NewLedger returns a ledger of full buckets.
+func NewLedger() *Ledger {
+	return &Ledger{buckets: map[string]*ledgerBucket{}}
 }
 
 // Take hands out up to want tokens of a tenant; 0 means that the rate is used up.
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/operator"
 	"github.com/cloverrail/cloverrail/internal/strictyaml"
 )
 
@@ -69,21 +70,30 @@
 			{
 				Name:  "version",
 				Usage: "print the version",
+				Flags: []cli.Flag{outputFlag()},
 				Action: func(_ context.Context, command *cli.Command) error {
-					_, err := fmt.Fprintln(command.Root().Writer, buildVersion())
-					return err
+					version := buildVersion()
+					return print(command, version, func() *operator.Table {
+						return &operator.Table{Columns: []string{"version", "go"}, Rows: [][]string{{version.Version, version.Go}}}
+					})
 				},
 			},
 		},
 	}
 }
 
-func buildVersion() string {
+// versionInfo says what was built, and with what.
+type versionInfo struct {
+	Version string `json:"version"`
+	Go      string `json:"go"`
+}
+
+func buildVersion() versionInfo {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
-		return "cloverrail (unknown build)"
+		return versionInfo{Version: "unknown", Go: "unknown"}
 	}
-	return "cloverrail " + info.Main.Version + " " + info.GoVersion
+	return versionInfo{Version: info.Main.Version, Go: info.GoVersion}
 }
 
 func writer(command *cli.Command) io.Writer { return command.Root().Writer }
--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -2,11 +2,8 @@
 
 import (
 	"fmt"
-	"os"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/cloverrail/cloverrail/internal/strictyaml"
 )
 
@@ -16,16 +13,6 @@
 	DefaultClockSkew   = 500 * time.Millisecond
 )
 
-// ReadFile parses and checks one declaration. The error is strictyaml.Faults
-// when the file was read but is wrong.
-func ReadFile(path string) (*Declaration, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, errors.Annotatef(err, "cannot read the declaration; name a file that exists")
-	}
-	return Parse(path, data)
-}
-
 // Parse reads one declaration from YAML. The file name is for messages alone.
 func Parse(file string, data []byte) (*Declaration, error) {
 	declaration := &Declaration{Claims: Claims{Window: DefaultClaimWindow, ClockSkew: DefaultClockSkew}}
--- a/internal/dispatch/driver_test.go
+++ b/internal/dispatch/driver_test.go
@@ -108,3 +108,48 @@
 		require.True(t, failure.Is(ended, kind), "%v", ended)
 	}
 }
+
+// failingOnce answers its first request with a status of its own making, and
+// serves the next ones.
+type failingOnce struct {
+	status   int
+	requests atomic.Int32
+}
+
+func (engine *failingOnce) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if engine.requests.Add(1) == 1 {
+		http.Error(writer, `{"error":{}}`, engine.status)
+		return
+	}
+	for _, name := range []string{engineapi.HeaderAttempt, engineapi.HeaderEpoch, engineapi.HeaderWeights} {
+		writer.Header().Set(name, request.Header.Get(name))
+	}
+	_, _ = fmt.Fprint(writer, "id: 0\ndata: text\n\nid: 1\ndata: [DONE]\n\n")
+}
+
+// collecting is a caller that takes everything.
+type collecting struct{ received int }
+
+func (sink *collecting) Emit([]byte) (bool, error) {
+	sink.received++
+	return false, nil
+}
+
+// TestOnlyTheCallersFaultsAreFinal sends a request that the engine answers with an
+// error: one of the request's own is the answer, one of the engine's is not.
+func TestOnlyTheCallersFaultsAreFinal(t *testing.T) {
+	for status, final := range map[int]bool{400: true, 404: true, 422: true, 408: false, 429: false, 500: false, 503: false} {
+		engine := &failingOnce{status: status}
+		server := httptest.NewServer(engine)
+		sink := &collecting{}
+		driver := NewDriver(engineapi.NewClient(), func(int) {})
+		err := driver.Run(context.Background(), Call{
+			Path: "/v1/completions", Body: func(int) ([]byte, error) { return []byte("{}"), nil },
+			Placer: oneEngine{address: strings.TrimPrefix(server.URL, "http://")}, Sink: sink, Limits: DefaultLimits, Budget: &steadyBudget{left: 3},
+		})
+		var rejection *Rejection
+		require.Equal(t, final, errors.As(err, &rejection), "status %d: %v", status, err)
+		require.Equal(t, !final, sink.received == 1, "status %d", status)
+		server.Close()
+	}
+}
--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -31,7 +31,8 @@
 	return "the engine did not start the request: " + err.Reason
 }
 
-// ErrRejected is an engine's final word on a request, such as a bad parameter.
+// ErrRejected is an engine's final word on a request, such as a bad parameter; it
+// blames the caller. Side endpoints give it for any status that is not 200.
 type ErrRejected struct {
 	Status int
 	Body   []byte
@@ -137,10 +138,25 @@
 	if reason := response.Header.Get(HeaderRefused); reason != "" {
 		return nil, &ErrNotStarted{Reason: reason}
 	}
+	if !callersFault(response.StatusCode) {
+		// The engine's own trouble, and it does not say whether it had started.
+		return nil, errors.Errorf("the engine answered %d", response.StatusCode)
+	}
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maximumEvent))
 	return nil, &ErrRejected{Status: response.StatusCode, Body: body}
 }
 
+// callersFault reports whether a status blames the request itself, so that every
+// engine would give it.
+func callersFault(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusConflict, http.StatusTooEarly, http.StatusTooManyRequests:
+		return false
+	default:
+		return status >= 400 && status < 500
+	}
+}
+
 // Read yields the events of the answer in the order they arrive, until the end
 // of the stream, an error, or until the consumer stops.
 func (answer *Answer) Read(yield func(Event) bool) error {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -118,10 +118,13 @@
 		if err != nil {
 			return err
 		}
-		return writeJSON(answer.served, http.StatusOK, answer.whole())
+		writeJSON(answer.served, http.StatusOK, answer.whole())
+		return nil
 	}
 	if err == nil {
-		return ignoreWrite(answer.write([]byte("[DONE]")))
+		// A caller who has left in this moment has the text all the same.
+		_ = answer.write([]byte("[DONE]"))
+		return nil
 	}
 	if !answer.began {
 		return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,7 +195,8 @@
 			list.Data = append(list.Data, modelEntry{ID: model.Name + ":" + adapter, Object: "model", OwnedBy: served.snapshot.Declaration.Fleet})
 		}
 	}
-	return writeJSON(served, http.StatusOK, list)
+	writeJSON(served, http.StatusOK, list)
+	return nil
 }
 
 func (gateway *Gateway) forward(served *call) error {
@@ -233,14 +234,11 @@
 		}
 	}
 	served.WriteHeader(answer.Status)
-	_, err = served.Write(answer.Body)
-	return errors.Trace(ignoreWrite(err))
+	// There is nobody to tell when the caller has left.
+	_, _ = served.Write(answer.Body)
+	return nil
 }
 
-// ignoreWrite drops the error of writing to a caller who left: there is nobody
-// to tell.
-func ignoreWrite(error) error { return nil }
-
 // errorBody is the shape that OpenAI clients expect, with what they ignore.
 type errorBody struct {
 	Error errorDetail `json:"error"`
@@ -297,11 +295,12 @@
 	if refusal.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
 	}
-	_ = writeJSON(writer, status, errorBody{Error: detailOf(refusal)})
+	writeJSON(writer, status, errorBody{Error: detailOf(refusal)})
 }
 
-func writeJSON(writer http.ResponseWriter, status int, value any) error {
+// writeJSON answers with a value. A caller who has left does not get it.
+func writeJSON(writer http.ResponseWriter, status int, value any) {
 	writer.Header().Set("Content-Type", "application/json")
 	writer.WriteHeader(status)
-	return ignoreWrite(json.NewEncoder(writer).Encode(value))
+	_ = json.NewEncoder(writer).Encode(value)
 }
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -45,7 +45,8 @@
 }
 
 func TestEveryPolicyServesEveryRequest(t *testing.T) {
-	for name, policy := range reportOf(t, "dakar", 2, PolicyNames...) {
-		require.Equal(t, reportOf(t, "dakar", 2, "cloverrail")["cloverrail"].Requests, policy.Requests, name)
+	policies := reportOf(t, "dakar", 2, PolicyNames...)
+	for name, policy := range policies {
+		require.Equal(t, policies["cloverrail"].Requests, policy.Requests, name)
 	}
 }
--- a/internal/node/home_test.go
+++ b/internal/node/home_test.go
@@ -44,7 +44,7 @@
 }
 
 func TestIdleTenantsAreForgotten(t *testing.T) {
-	limits := newLimits(time.Now())
+	limits := newLimits()
 	limits.tenant("idle")
 	limits.tenant("busy").streams = 1
 	limits.forget(time.Now().Add(forgetAfter / 2))
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -40,8 +40,8 @@
 	usedAt  time.Time
 }
 
-func newLimits(now time.Time) *limits {
-	return &limits{ledger: admission.NewLedger(now), tenants: map[string]*tenantUse{}, places: map[string]*admission.Places{}}
+func newLimits() *limits {
+	return &limits{ledger: admission.NewLedger(), tenants: map[string]*tenantUse{}, places: map[string]*admission.Places{}}
 }
 
 func (limits *limits) tenant(name string) *tenantUse {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,7 +106,7 @@
 		table:      endpoint.NewTable(),
 		home:       newHome(),
 		claims:     newClaims(now),
-		limits:     newLimits(now),
+		limits:     newLimits(),
 		hot:        newHotCounter(),
 		expected:   prefixindex.NewExpected(expectedLife),
 		engines:    engineapi.NewClient(),
