Stand in for the weight store

Cause: engines of the laboratory loaded weights in a fixed time, so nothing outside the issuer showed whether loads keep their pace. Change: a weight store that slows down when more than its number load together, as a process of its own and in-process; engines fetch from it. TestVersionChangeIsServedByNewWeightsOnly now also counts who loads together: at most the declared two; it turns red with the issuer's pace taken out.

--- a/cmd/cloverrail-lab/standin.go
+++ b/cmd/cloverrail-lab/standin.go
@@ -16,6 +16,7 @@
 	"github.com/cloverrail/cloverrail/internal/lab/kvstub"
 	"github.com/cloverrail/cloverrail/internal/lab/machinestub"
 	"github.com/cloverrail/cloverrail/internal/lab/plainstub"
+	"github.com/cloverrail/cloverrail/internal/lab/weightstub"
 )
 
 func standinCommand() *cli.Command {
@@ -32,6 +33,7 @@
 					&cli.FloatFlag{Name: "prefill", Value: 20000, Usage: "prompt tokens a second"},
 					&cli.DurationFlag{Name: "step", Value: 6 * time.Millisecond},
 					&cli.FloatFlag{Name: "event-gap", Usage: "share of cache events lost"},
+					&cli.StringFlag{Name: "weight-store", Usage: "`IP:PORT` of the weight store"},
 				},
 				Action: func(ctx context.Context, command *cli.Command) error {
 					return serve(ctx, command, engineOf(command))
@@ -48,6 +50,13 @@
 					return serve(ctx, command, machinestub.New(command.Duration("lag")))
 				},
 			},
+			{
+				Name: "weights", Usage: "the weight store",
+				Flags: []cli.Flag{address, &cli.DurationFlag{Name: "load", Value: 600 * time.Millisecond}, &cli.IntFlag{Name: "at-once", Value: 3}},
+				Action: func(ctx context.Context, command *cli.Command) error {
+					return serve(ctx, command, weightstub.New(command.Duration("load"), command.Int("at-once")))
+				},
+			},
 			{
 				Name: "kept", Usage: "the store of kept KV cache",
 				Flags: []cli.Flag{address, &cli.IntFlag{Name: "blocks", Value: 20_000, Usage: "capacity"}},
@@ -75,7 +84,7 @@
 	blockBytes := command.Int("block-bytes")
 	model := enginemodel.Standard(command.Duration("step"), command.Float("prefill"))
 	model.BlockTokens = blockBytes / 4
-	return enginestub.New(enginestub.Config{Model: model, BlockBytes: blockBytes, Weights: weights, EventGap: command.Float("event-gap"), LoadTime: 300 * time.Millisecond})
+	return enginestub.New(enginestub.Config{Model: model, BlockBytes: blockBytes, Weights: weights, EventGap: command.Float("event-gap"), WeightStore: command.String("weight-store")})
 }
 
 func serve(ctx context.Context, command *cli.Command, handler http.Handler) error {
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -76,6 +76,7 @@
 	Stores      []*Backend
 	KeyValue    *Backend
 	Machines    *Backend
+	Weights     *Backend
 	client      *http.Client
 }
 
@@ -125,7 +126,12 @@
 func (cluster *Cluster) startPlatform() error {
 	cluster.KeyValue = &Backend{Name: "key-value", Address: address.Free()}
 	cluster.Machines = &Backend{Name: "machines", Address: address.Free()}
+	cluster.Weights = &Backend{Name: "weights", Address: address.Free()}
 	var err error
+	if cluster.Weights.Process, err = start("weights", cluster.config.Log, "standin", "weights", "--address", cluster.Weights.Address,
+		"--at-once", fmt.Sprint(cluster.Declaration.Pools[0].LoadsAtOnce)); err != nil {
+		return err
+	}
 	if cluster.KeyValue.Process, err = start("key-value", cluster.config.Log, "standin", "key-value", "--address", cluster.KeyValue.Address); err != nil {
 		return err
 	}
@@ -193,7 +199,8 @@
 		"--block-bytes", fmt.Sprint(pool.BlockBytes),
 		"--prefill", fmt.Sprint(pool.PrefillTokensPerSecond),
 		"--step", cluster.config.StepTime.String(),
-		"--event-gap", fmt.Sprint(cluster.config.EventGap))
+		"--event-gap", fmt.Sprint(cluster.config.EventGap),
+		"--weight-store", cluster.Weights.Address)
 	return err
 }
 
@@ -323,7 +330,7 @@
 	for _, node := range cluster.Nodes {
 		processes = append(processes, node.Process)
 	}
-	for _, backend := range append(append([]*Backend{cluster.KeyValue, cluster.Machines}, cluster.Engines...), append(cluster.Servers, cluster.Stores...)...) {
+	for _, backend := range append(append([]*Backend{cluster.KeyValue, cluster.Machines, cluster.Weights}, cluster.Engines...), append(cluster.Servers, cluster.Stores...)...) {
 		if backend != nil {
 			processes = append(processes, backend.Process)
 		}
--- a/internal/lab/enginestub/server.go
+++ b/internal/lab/enginestub/server.go
@@ -29,8 +29,8 @@
 	Weights map[string]string
 	// EventGap is the share of cache events that are lost.
 	EventGap float64
-	// LoadTime is how long new weights take to load.
-	LoadTime time.Duration
+	// WeightStore is the address new weights are fetched from.
+	WeightStore string
 }
 
 // Execution is one line of the engine's own log: a request that it started.
--- a/internal/lab/enginestub/side.go
+++ b/internal/lab/enginestub/side.go
@@ -9,8 +9,24 @@
 
 	"github.com/cloverrail/cloverrail/internal/engineapi"
 	"github.com/cloverrail/cloverrail/internal/lab/standin"
+	"github.com/cloverrail/cloverrail/internal/lab/weightstub"
 )
 
+// fetchWeights takes as long as the store does; a failing store is asked again.
+func (server *Server) fetchWeights() {
+	for {
+		response, err := http.Post("http://"+server.config.WeightStore+weightstub.Path, "", nil)
+		if err == nil {
+			_ = response.Body.Close()
+			return
+		}
+		time.Sleep(weightRetry)
+	}
+}
+
+// weightRetry is the pause before a failing store is asked again.
+const weightRetry = 100 * time.Millisecond
+
 // loaded ends a load; a later order for the model makes an earlier one moot.
 func (server *Server) loaded(order engineapi.Order) {
 	server.mutex.Lock()
@@ -61,7 +77,10 @@
 	if server.weights[order.Model] != order.Version {
 		delete(server.weights, order.Model)
 		server.loads++
-		time.AfterFunc(server.config.LoadTime, func() { server.loaded(order) })
+		go func() {
+			server.fetchWeights()
+			server.loaded(order)
+		}()
 	}
 	standin.Answer(writer, order)
 }
--- a/internal/lab/inprocess/configuration_test.go
+++ b/internal/lab/inprocess/configuration_test.go
@@ -62,6 +62,7 @@
 		defer response.Body.Close()
 		return response.StatusCode == http.StatusOK
 	}), "the engines are ordered to load the new version")
+	require.LessOrEqual(t, fleet.Weights.Most(), loadsAtOnce, "the store is not asked by more engines than declared")
 }
 
 func TestDrainedEngineGetsNothingNewUntilReadmitted(t *testing.T) {
--- a/internal/lab/inprocess/fleet.go
+++ b/internal/lab/inprocess/fleet.go
@@ -26,6 +26,7 @@
 	"github.com/cloverrail/cloverrail/internal/lab/kvstub"
 	"github.com/cloverrail/cloverrail/internal/lab/machinestub"
 	"github.com/cloverrail/cloverrail/internal/lab/plainstub"
+	"github.com/cloverrail/cloverrail/internal/lab/weightstub"
 	"github.com/cloverrail/cloverrail/internal/node"
 	"github.com/cloverrail/cloverrail/internal/operator"
 	"github.com/cloverrail/cloverrail/internal/settings"
@@ -43,6 +44,7 @@
 	OncePath    = "/turns"
 	fleetKey    = "00112233445566778899aabbccddeeff"
 	readyLimit  = 15 * time.Second
+	loadsAtOnce = 2
 	poll        = 10 * time.Millisecond
 )
 
@@ -84,6 +86,7 @@
 	Engines     []*enginestub.Server
 	Servers     []*plainstub.Server
 	Kept        *keptstub.Server
+	Weights     *weightstub.Server
 	Nodes       []*Node
 	Store       *configstore.Store
 
@@ -155,16 +158,18 @@
 	}
 	model := enginemodel.Standard(config.Step, 20_000)
 	model.BlockTokens = BlockBytes / 4
-	pool := configuration.Pool{Name: "main", Models: []string{Model}, BlockBytes: BlockBytes, PrefillTokensPerSecond: 20_000, LoadsAtOnce: 2, ConcurrentPerEngine: 16}
+	pool := configuration.Pool{Name: "main", Models: []string{Model}, BlockBytes: BlockBytes, PrefillTokensPerSecond: 20_000, LoadsAtOnce: loadsAtOnce, ConcurrentPerEngine: 16}
+	fleet.Weights = weightstub.New(200*time.Millisecond, loadsAtOnce)
+	weights := fleet.serve(fleet.Weights)
 	fleet.Kept = keptstub.New(10_000)
 	pool.KeptCache = &configuration.KeptCache{Name: "kept", Address: fleet.serve(fleet.Kept), Zone: "b", TokensPerSecond: 200_000}
 	for index := range config.Engines {
-		engine := enginestub.New(enginestub.Config{Model: model, BlockBytes: BlockBytes, Weights: map[string]string{Model: Version, "secret": Version}, LoadTime: 200 * time.Millisecond})
+		engine := enginestub.New(enginestub.Config{Model: model, BlockBytes: BlockBytes, Weights: map[string]string{Model: Version, "secret": Version}, WeightStore: weights})
 		fleet.Engines = append(fleet.Engines, engine)
 		pool.Engines = append(pool.Engines, configuration.Backend{Name: fmt.Sprint("engine-", index), Address: fleet.serve(engine), Zone: "a"})
 		fleet.engineClosers = append(fleet.engineClosers, fleet.closers[len(fleet.closers)-1])
 	}
-	closed := configuration.Pool{Name: "closed", Models: []string{"secret"}, BlockBytes: BlockBytes, PrefillTokensPerSecond: 20_000, LoadsAtOnce: 2, ConcurrentPerEngine: 16}
+	closed := configuration.Pool{Name: "closed", Models: []string{"secret"}, BlockBytes: BlockBytes, PrefillTokensPerSecond: 20_000, LoadsAtOnce: loadsAtOnce, ConcurrentPerEngine: 16}
 	declared.Pools = []configuration.Pool{pool, closed}
 	service := configuration.Service{Name: "turns", Routes: []configuration.Route{
 		{Method: "POST", Path: OncePath}, {Method: "GET", Path: "/matches", Repeatable: true}}}
