Build index updates in one place; look for owned back ends once a pass

Found by reading the whole change again. The same two loops turned a reader's change into an index update in the node, the experiment and a test: eventreader's Change does it now. Twice a second the search for owned back ends sorted all nodes by zone anew for each back end, and made an observer with its maps for each of them, owned or not: at 340 nodes and 720 engines that is work for nothing on every node. Now the nodes are dealt to zones once a pass, and an observer is made when it starts. Three methods that nothing called are gone. Not measured.

--- a/internal/admission/places.go
+++ b/internal/admission/places.go
@@ -122,10 +122,3 @@
 		delete(places.waiting, next.ID)
 	}
 }
-
-// Waiting is the number of queued requests.
-func (places *Places) Waiting() int {
-	places.mutex.Lock()
-	defer places.mutex.Unlock()
-	return places.queue.Len()
-}
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -198,9 +198,6 @@
 // Finished reports whether the final answer was given.
 func (machine *Machine) Finished() bool { return machine.finished }
 
-// Next is the offset of the first event that the caller has not received.
-func (machine *Machine) Next() int { return machine.next }
-
 // Step takes one event. After the final answer it returns no actions.
 func (machine *Machine) Step(now time.Time, event Event) []Action {
 	if machine.finished {
--- a/internal/eventreader/reader.go
+++ b/internal/eventreader/reader.go
@@ -69,9 +69,16 @@
 	Depth int
 }
 
-// Empty reports whether nothing changed.
-func (change Change) Empty() bool {
-	return !change.Clear && len(change.Stored) == 0 && len(change.Evicted) == 0
+// Update puts the change into the words of the index.
+func (change Change) Update(holder prefixindex.Holder) prefixindex.Update {
+	update := prefixindex.Update{Holder: holder, Clear: change.Clear}
+	for _, item := range change.Stored {
+		update.Stored = append(update.Stored, item.Block)
+	}
+	for _, item := range change.Evicted {
+		update.Evicted = append(update.Evicted, item.Block)
+	}
+	return update
 }
 
 // Cleared returns the change as one that starts afresh.
--- a/internal/eventreader/reader_test.go
+++ b/internal/eventreader/reader_test.go
@@ -39,14 +39,7 @@
 				sequence, blocks := engine.Snapshot()
 				change = reader.Reset(now, engineapi.Snapshot{Epoch: epoch, Sequence: sequence, Blocks: blocks})
 			}
-			update := prefixindex.Update{Holder: reader.Holder(), Clear: change.Clear}
-			for _, item := range change.Stored {
-				update.Stored = append(update.Stored, item.Block)
-			}
-			for _, item := range change.Evicted {
-				update.Evicted = append(update.Evicted, item.Block)
-			}
-			index.Apply(update)
+			index.Apply(change.Update(reader.Holder()))
 		}
 		serve := func(root uint64, length int) []prefix.Hash {
 			chain := []prefix.Hash{}
--- a/internal/lab/experiment/simulation.go
+++ b/internal/lab/experiment/simulation.go
@@ -290,13 +290,7 @@
 		sequence, blocks := engine.engine.Snapshot()
 		change = engine.reader.Reset(run.clock(), engineapi.Snapshot{Epoch: engine.epochName(), Sequence: sequence, Blocks: blocks})
 	}
-	update := prefixindex.Update{Holder: engine.reader.Holder(), Clear: change.Clear}
-	for _, item := range change.Stored {
-		update.Stored = append(update.Stored, item.Block)
-	}
-	for _, item := range change.Evicted {
-		update.Evicted = append(update.Evicted, item.Block)
-	}
+	update := change.Update(engine.reader.Holder())
 	taken := run.clock()
 	lag := time.Duration(run.random.Int64N(int64(run.profile.EventLag - readInterval)))
 	run.at(run.now+lag, func() {
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -10,6 +10,7 @@
 	"github.com/cloverrail/cloverrail/internal/endpoint"
 	"github.com/cloverrail/cloverrail/internal/engineapi"
 	"github.com/cloverrail/cloverrail/internal/eventreader"
+	"github.com/cloverrail/cloverrail/internal/membership"
 	"github.com/cloverrail/cloverrail/internal/prefix"
 )
 
@@ -55,8 +56,9 @@
 	running := map[string]context.CancelFunc{}
 	for ctx.Err() == nil {
 		wanted := map[string]bool{}
+		owners := newOwnership(node.gossip.members())
 		for _, item := range node.backends() {
-			if node.ownerOf(item.backend) != node.settings.PeerAddress {
+			if owners.of(item.backend) != node.settings.PeerAddress {
 				continue
 			}
 			name := item.backend.Name + "@" + item.backend.Address
@@ -64,7 +66,7 @@
 			if running[name] == nil {
 				observing, stop := context.WithCancel(ctx)
 				running[name] = stop
-				go item.run(observing)
+				go newObserver(node, item).run(observing)
 			}
 		}
 		for name, stop := range running {
@@ -80,43 +82,58 @@
 	}
 }
 
-func (node *Node) backends() []*observer {
+// observed is a back end to observe; events says that it publishes cache events.
+type observed struct {
+	backend configuration.Backend
+	events  bool
+}
+
+func (node *Node) backends() []observed {
 	snapshot := node.catalog.snapshot.Load()
 	if snapshot == nil {
 		return nil
 	}
-	observers := []*observer{}
+	list := []observed{}
 	for _, pool := range snapshot.Declaration.Pools {
 		for _, backend := range pool.Engines {
-			observers = append(observers, newObserver(node, backend, true))
+			list = append(list, observed{backend: backend, events: true})
 		}
 		if store := pool.KeptCache; store != nil {
-			observers = append(observers, newObserver(node, configuration.Backend{Name: store.Name, Address: store.Address, Zone: store.Zone}, true))
+			list = append(list, observed{backend: configuration.Backend{Name: store.Name, Address: store.Address, Zone: store.Zone}, events: true})
 		}
 	}
 	for _, service := range snapshot.Declaration.Services {
 		for _, backend := range service.Servers {
-			observers = append(observers, newObserver(node, backend, false))
+			list = append(list, observed{backend: backend})
 		}
 	}
-	return observers
+	return list
 }
 
-func newObserver(node *Node, backend configuration.Backend, events bool) *observer {
-	return &observer{node: node, backend: backend, events: events, sequences: map[string]uint64{}, renew: map[string]bool{}, reader: eventreader.New(backend.Name)}
+func newObserver(node *Node, item observed) *observer {
+	return &observer{node: node, backend: item.backend, events: item.events, sequences: map[string]uint64{}, renew: map[string]bool{}, reader: eventreader.New(item.backend.Name)}
 }
 
-func (node *Node) ownerOf(backend configuration.Backend) string {
-	near := []string{}
-	all := []string{}
-	for _, member := range node.gossip.members() {
-		all = append(all, member.Address)
-		if member.Zone == backend.Zone {
-			near = append(near, member.Address)
-		}
+// ownership deals back ends out to nodes: by rendezvous, among the nodes of the
+// back end's zone if there are any.
+type ownership struct {
+	all    []string
+	byZone map[string][]string
+}
+
+func newOwnership(members []membership.Member) ownership {
+	owners := ownership{byZone: map[string][]string{}}
+	for _, member := range members {
+		owners.all = append(owners.all, member.Address)
+		owners.byZone[member.Zone] = append(owners.byZone[member.Zone], member.Address)
 	}
+	return owners
+}
+
+func (owners ownership) of(backend configuration.Backend) string {
+	near := owners.byZone[backend.Zone]
 	if len(near) == 0 {
-		near = all
+		near = owners.all
 	}
 	return prefix.Owner(prefix.KeyOf(backend.Name), near)
 }
--- a/internal/node/publish.go
+++ b/internal/node/publish.go
@@ -74,14 +74,7 @@
 }
 
 func (observer *observer) update(address string, part eventreader.Change, load engineapi.Load) wire.IndexUpdate {
-	update := prefixindex.Update{Holder: observer.reader.Holder(), Clear: part.Clear}
-	for _, item := range part.Stored {
-		update.Stored = append(update.Stored, item.Block)
-	}
-	for _, item := range part.Evicted {
-		update.Evicted = append(update.Evicted, item.Block)
-	}
-	return wire.IndexUpdate{Reader: observer.node.settings.PeerAddress, Sequence: observer.sequences[address], Update: update, Load: load}
+	return wire.IndexUpdate{Reader: observer.node.settings.PeerAddress, Sequence: observer.sequences[address], Update: part.Update(observer.reader.Holder()), Load: load}
 }
 
 func (observer *observer) send(ctx context.Context, address string, update wire.IndexUpdate) (wire.IndexAnswer, error) {
