--- a/cmd/cloverrail/main.go
+++ b/cmd/cloverrail/main.go
@@ -1,4 +1,4 @@
-// Command cloverrail runs a node, and the operators' commands.
+// Command cloverrail runs a node or a proxy, and the operators' commands.
 package main
 
 import (
@@ -9,5 +9,5 @@
 )
 
 func main() {
-	os.Exit(command.Main(context.Background(), os.Args))
+	os.Exit(command.Main(context.Background(), os.Args, proxyCommand()))
 }
--- /dev/null
+++ b/cmd/cloverrail/proxy.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/fleet"
+	"github.com/cloverrail/cloverrail/internal/lease"
+	"github.com/cloverrail/cloverrail/internal/proxy"
+	"github.com/cloverrail/cloverrail/internal/reflector"
+	"github.com/cloverrail/cloverrail/internal/rollout"
+	"github.com/cloverrail/cloverrail/internal/settings"
+	"github.com/cloverrail/cloverrail/internal/telemetry"
+	"github.com/cloverrail/cloverrail/platform"
+)
+
+const (
+	// readPart is the part of a bound within which the store is read anew.
+	readPart = 0.35
+	// fleetInterval is the time between two looks at the fleet.
+	fleetInterval = 2 * time.Second
+	// leasePart is the life of the holder's lease as a part of the time between two
+	// holders.
+	leasePart = 0.5
+	// spreadPerNode spreads the tries of a fleet to take a duty over.
+	spreadPerNode = 5 * time.Millisecond
+
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	shutdownTimeout   = 400 * time.Millisecond
+	connectTimeout    = 300 * time.Millisecond
+	silenceTimeout    = 1500 * time.Millisecond
+	collectorPercent  = 50
+)
+
+// proxyCommand returns the command that serves opaque services on the platform.
+func proxyCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "proxy",
+		Usage: "serve the platform's clients",
+		Description: `Serves requests of opaque services, as the platform's store declares them.
+
+Example:
+  cloverrail proxy --settings proxy.yaml`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true, Sources: cli.EnvVars("CLOVERRAIL_SETTINGS")},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			given, err := settings.ReadProxy(command.String("settings"))
+			if err != nil {
+				return err
+			}
+			return runProxy(ctx, given)
+		},
+	}
+}
+
+// process is the parts of a running proxy.
+type process struct {
+	settings settings.Proxy
+	log      zerolog.Logger
+	belief   *catalog.Holder
+	set      *backend.Set
+	store    *platform.Store
+	servers  *platform.Servers
+	metrics  *telemetry.Metrics
+	recorder *telemetry.Recorder
+	retries  *proxy.Retries
+	proxy    *proxy.Proxy
+	registry *fleet.Registry
+	stopping atomic.Bool
+}
+
+func newProcess(given settings.Proxy) (*process, error) {
+	level, err := zerolog.ParseLevel(given.LogLevel)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	process := &process{settings: given, belief: &catalog.Holder{}, set: backend.NewSet(), store: platform.NewStore(given.StoreAddress)}
+	process.log = zerolog.New(telemetry.NewWriter(os.Stdout)).Level(level).With().Timestamp().Str("node", given.Name).Logger()
+	process.metrics = telemetry.NewMetrics(process.belief)
+	process.recorder = telemetry.NewRecorder(process.log, process.metrics)
+	process.servers = platform.NewServers(platform.Connections{Connect: connectTimeout, Silence: silenceTimeout})
+	process.retries = proxy.NewRetries(proxy.RetryBounds{
+		Ratio:  given.Bounds.RetryRatio,
+		Extra:  given.Bounds.RetryExtra,
+		Window: given.Bounds.RetryWindow,
+	})
+	process.proxy = proxy.New(proxy.Options{
+		Belief:  process.belief,
+		Set:     process.set,
+		Servers: process.servers,
+		Bounds: proxy.Bounds{
+			Revocation:    given.Bounds.Revocation,
+			Configuration: given.Bounds.Configuration,
+			Weights:       given.Bounds.Weights,
+		},
+		Retries:  process.retries,
+		Distance: process.distance,
+		Recorder: process.recorder,
+	})
+	process.registry = &fleet.Registry{
+		Store:    process.store,
+		Keys:     fleet.Keys{Root: platform.PrefixFleet, Nodes: platform.PrefixNodes},
+		Name:     given.Name,
+		Interval: fleetInterval,
+		Resized:  process.retries.Resize,
+	}
+	return process, nil
+}
+
+// distance is 0 within the zone, 1 within the region, and 2 beyond.
+func (process *process) distance(zone string) int {
+	zones := process.settings.Zones
+	switch {
+	case zone == process.settings.Zone:
+		return 0
+	case zones[zone] == zones[process.settings.Zone]:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func part(whole time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(whole))
+}
+
+// follow starts what keeps the node's beliefs current.
+func (process *process) follow(ctx context.Context) {
+	bounds := process.settings.Bounds
+	reading := &reflector.Reflector{
+		Source:              platform.NewSource(process.store, process.recorder.Unreadable),
+		Belief:              process.belief,
+		Set:                 process.set,
+		Recorder:            process.recorder,
+		DeclarationInterval: part(bounds.Configuration, readPart),
+		ServersInterval:     part(bounds.Drain, readPart),
+	}
+	go reading.Run(ctx)
+}
+
+// keep starts the duties that nodes share.
+func (process *process) keep(ctx context.Context) {
+	bounds := process.settings.Bounds
+	go process.registry.Run(ctx)
+	keeper := &lease.Keeper{
+		Store: process.store,
+		Duty: &rollout.Duty{
+			Belief:   process.belief,
+			Set:      process.set,
+			Servers:  process.servers,
+			Recorder: process.recorder,
+			Holder:   process.settings.Name,
+			Bound:    bounds.Weights,
+		},
+		Recorder:  process.recorder,
+		Name:      process.settings.Name,
+		Key:       platform.KeyRollout,
+		KeyState:  platform.KeyRolloutState,
+		Life:      max(process.settings.StoreLeastLease, part(bounds.HolderChange, leasePart)),
+		Settling:  bounds.HolderChange,
+		Spread:    func() time.Duration { return time.Duration(process.registry.Nodes()) * spreadPerNode },
+		FirstSeen: process.registry.FirstSeen,
+	}
+	go keeper.Run(ctx)
+}
+
+func serve(address string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "address %s cannot be used; choose a free port", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+// runProxy serves until it is told to stop, and then stops as planned.
+func runProxy(ctx context.Context, given settings.Proxy) error {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(collectorPercent)
+	}
+	process, err := newProcess(given)
+	if err != nil {
+		return err
+	}
+	told, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	process.follow(ctx)
+	process.keep(told)
+	ready := func() bool { return !process.stopping.Load() && process.proxy.Ready(time.Now()) }
+	if _, err := serve(given.ReadinessAddress, platform.ReadinessHandler(ready)); err != nil {
+		return err
+	}
+	if given.MetricsAddress != "" {
+		if _, err := serve(given.MetricsAddress, promhttp.HandlerFor(process.metrics.Registry, promhttp.HandlerOpts{})); err != nil {
+			return err
+		}
+	}
+	callers, err := serve(given.CallerAddress, &platform.Ingress{Proxy: process.proxy, Stopping: process.stopping.Load})
+	if err != nil {
+		return err
+	}
+	process.log.Info().Str("zone", given.Zone).Msg("started")
+	<-told.Done()
+	process.stopping.Store(true)
+	process.log.Info().Int("open", process.proxy.Open()).Msg("stopping")
+	process.proxy.Drain(ctx, given.Grace)
+	ending, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	_ = callers.Shutdown(ending)
+	process.log.Info().Msg("stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/backend/set.go
@@ -0,0 +1,297 @@
+// Package backend keeps what a node believes of the servers of opaque services:
+// which there are, what weights they hold, this node's own work on them, and
+// how they have treated it.
+package backend
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/retry"
+	"github.com/cloverrail/cloverrail/internal/routing"
+)
+
+// Server is one incarnation of a server, as it tells of itself.
+type Server struct {
+	// Instance names the incarnation; a restart has a new one.
+	Instance string
+	Service  string
+	Address  string
+	Zone     string
+	// Slots is how many requests it runs at once.
+	Slots    int
+	Draining bool
+	// Versions is the loaded version of each model.
+	Versions map[string]int64
+}
+
+const (
+	// refusalRest is how long a server that refused is passed over while others
+	// have room. It is about the time in which a full queue moves on.
+	refusalRest = 100 * time.Millisecond
+	// failureHalfLife is the time in which an observed failure loses half of its
+	// weight.
+	failureHalfLife = 3 * time.Second
+	// unlistedLife is how long a server that vanished from the list is still used
+	// if no other is there. The list loses entries while its store is down.
+	unlistedLife = 15 * time.Second
+)
+
+var (
+	// unreachedBreaker rests a server at the first connection that does not come up.
+	unreachedBreaker = retry.BreakerConfig{Failures: 1, Rest: 400 * time.Millisecond, MaximumRest: 4 * time.Second}
+	// brokenBreaker rests a server that fails again and again.
+	brokenBreaker = retry.BreakerConfig{Failures: 3, Rest: 400 * time.Millisecond, MaximumRest: 4 * time.Second}
+)
+
+// Set holds all servers. It is safe for concurrent use.
+type Set struct {
+	mutex     sync.Mutex
+	servers   map[string]*state
+	byService map[string][]*state
+}
+
+type state struct {
+	server Server
+	// listed is false once the server has vanished from the list.
+	listed       bool
+	unlistedAt   time.Time
+	inFlight     int
+	queuedTokens int
+	busyUntil    time.Time
+	breaker      retry.Breaker
+	failures     failureShare
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	return &Set{servers: map[string]*state{}, byService: map[string][]*state{}}
+}
+
+// Change is one difference between two lists, for the log.
+type Change struct {
+	Server Server
+	// Gone says that the server has vanished from the list.
+	Gone bool
+}
+
+// Update takes a whole list of servers, and returns what is new in it.
+func (set *Set) Update(list []Server, now time.Time) []Change {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	changes := []Change{}
+	seen := make(map[string]bool, len(list))
+	for _, server := range list {
+		seen[server.Instance] = true
+		known, found := set.servers[server.Instance]
+		if !found {
+			known = &state{}
+			set.servers[server.Instance] = known
+		}
+		if !found || known.server.Draining != server.Draining {
+			changes = append(changes, Change{Server: server})
+		}
+		known.take(server.clone())
+	}
+	for instance, known := range set.servers {
+		if seen[instance] {
+			continue
+		}
+		if known.listed {
+			known.listed, known.unlistedAt = false, now
+			changes = append(changes, Change{Server: known.server, Gone: true})
+		}
+		if now.Sub(known.unlistedAt) > unlistedLife && known.inFlight == 0 {
+			delete(set.servers, instance)
+		}
+	}
+	set.index()
+	return changes
+}
+
+// take follows the server's word of itself. The list lags behind what answers
+// have shown, and the weights of one incarnation only grow newer.
+func (state *state) take(server Server) {
+	for model, version := range state.server.Versions {
+		server.Versions[model] = max(version, server.Versions[model])
+	}
+	state.server = server
+	state.listed = true
+}
+
+func (set *Set) index() {
+	set.byService = map[string][]*state{}
+	for _, known := range set.servers {
+		set.byService[known.server.Service] = append(set.byService[known.server.Service], known)
+	}
+}
+
+// Servers returns the listed servers.
+func (set *Set) Servers() []Server {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	servers := make([]Server, 0, len(set.servers))
+	for _, known := range set.servers {
+		if known.listed {
+			servers = append(servers, known.server.clone())
+		}
+	}
+	return servers
+}
+
+func (server Server) clone() Server {
+	versions := make(map[string]int64, len(server.Versions))
+	for model, version := range server.Versions {
+		versions[model] = version
+	}
+	server.Versions = versions
+	return server
+}
+
+// Find returns a server by its instance.
+func (set *Set) Find(instance string) (Server, bool) {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	known, found := set.servers[instance]
+	if !found {
+		return Server{}, false
+	}
+	return known.server.clone(), true
+}
+
+// Learn notes the weights that a server's own answer showed.
+func (set *Set) Learn(instance string, versions map[string]int64) {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	known, found := set.servers[instance]
+	if !found {
+		return
+	}
+	known.server = known.server.clone()
+	for model, version := range versions {
+		known.server.Versions[model] = max(version, known.server.Versions[model])
+	}
+}
+
+// Distance returns how far a server's zone is from here, 0 being the same zone.
+type Distance func(zone string) int
+
+// Query says which servers a request may go to.
+type Query struct {
+	Service string
+	// Model is empty for plain services; MinimumVersion is the oldest version of
+	// its weights that may still serve.
+	Model          string
+	MinimumVersion int64
+	// PreferredVersion is the newest one named.
+	PreferredVersion int64
+	Distance         Distance
+}
+
+// Candidates appends the servers of a service as routing sees them.
+func (set *Set) Candidates(candidates []routing.Candidate, query Query, now time.Time) []routing.Candidate {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	anyListed := false
+	for _, known := range set.byService[query.Service] {
+		anyListed = anyListed || (known.listed && !known.server.Draining)
+	}
+	for _, known := range set.byService[query.Service] {
+		if !known.listed && (anyListed || known.server.Draining) {
+			continue
+		}
+		candidates = append(candidates, known.candidate(query, now))
+	}
+	return candidates
+}
+
+func (state *state) candidate(query Query, now time.Time) routing.Candidate {
+	version := state.server.Versions[query.Model]
+	return routing.Candidate{
+		Endpoint:     state.server.Instance,
+		Address:      state.server.Address,
+		Zone:         state.server.Zone,
+		Pool:         state.server.Service,
+		Epoch:        state.server.Instance,
+		Version:      version,
+		Ready:        query.Model == "" || (version > 0 && version >= query.MinimumVersion),
+		Leaving:      state.server.Draining,
+		Resting:      !state.breaker.Allows(now),
+		Busy:         now.Before(state.busyUntil),
+		InFlight:     state.inFlight,
+		Running:      state.inFlight,
+		QueuedTokens: state.queuedTokens,
+		Distance:     query.Distance(state.server.Zone),
+		FailureShare: state.failures.at(now),
+	}
+}
+
+// Begin counts an attempt in flight, with the prompt tokens that it brings.
+func (set *Set) Begin(instance string, tokens int, now time.Time) *Attempt {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	known, found := set.servers[instance]
+	if !found {
+		return &Attempt{set: set}
+	}
+	known.inFlight++
+	known.queuedTokens += tokens
+	known.breaker.Sent(now)
+	return &Attempt{set: set, state: known, tokens: tokens}
+}
+
+// Attempt is one attempt in flight.
+type Attempt struct {
+	set    *Set
+	state  *state
+	tokens int
+}
+
+// Started says that the server has read the prompt.
+func (attempt *Attempt) Started() {
+	if attempt.state == nil || attempt.tokens == 0 {
+		return
+	}
+	attempt.set.mutex.Lock()
+	defer attempt.set.mutex.Unlock()
+	attempt.unqueue()
+}
+
+func (attempt *Attempt) unqueue() {
+	attempt.state.queuedTokens -= attempt.tokens
+	attempt.tokens = 0
+}
+
+// End says how the attempt ended.
+func (attempt *Attempt) End(result exchange.Result, now time.Time) {
+	if attempt.state == nil {
+		return
+	}
+	attempt.set.mutex.Lock()
+	defer attempt.set.mutex.Unlock()
+	attempt.unqueue()
+	known := attempt.state
+	attempt.state = nil
+	known.inFlight--
+	known.judge(result, now)
+}
+
+func (state *state) judge(result exchange.Result, now time.Time) {
+	switch result {
+	case exchange.ResultServed:
+		state.breaker.Succeeded()
+		state.failures.note(0, now)
+	case exchange.ResultRefused:
+		state.breaker.Abandoned()
+		state.busyUntil = now.Add(refusalRest)
+	case exchange.ResultUnreached:
+		state.breaker.Failed(unreachedBreaker, now)
+		state.failures.note(1, now)
+	case exchange.ResultFaulty, exchange.ResultBroken, exchange.ResultSilent:
+		state.breaker.Failed(brokenBreaker, now)
+		state.failures.note(1, now)
+	default:
+		state.breaker.Abandoned()
+	}
+}
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,72 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cloverrail/cloverrail/internal/property"
+)
+
+func TestTheLongestPrefixOfTheHostWins(t *testing.T) {
+	snapshot := New(Declaration{Routes: []Route{
+		{Name: "all", Host: "a.example", PathPrefix: "/"},
+		{Name: "deep", Host: "a.example", PathPrefix: "/x/y/"},
+		{Name: "short", Host: "a.example", PathPrefix: "/x/"},
+		{Name: "other", Host: "b.example", PathPrefix: "/x/y/z/"},
+	}})
+	for path, expected := range map[string]string{"/x/y/z/1": "deep", "/x/1": "short", "/x": "all", "/xx/": "all"} {
+		require.Equal(t, expected, snapshot.FindRoute("A.example:80", path).Name, path)
+	}
+	require.Nil(t, snapshot.FindRoute("c.example", "/x/"))
+	require.Nil(t, snapshot.FindRoute("b.example", "/x/"))
+}
+
+func TestKeysBelongToTheirTenant(t *testing.T) {
+	snapshot := New(Declaration{Tenants: []TenantKeys{
+		{Tenant: Tenant{Name: "one"}, Keys: []string{"k1", "k2"}},
+		{Tenant: Tenant{Name: "two", Isolated: true}, Keys: []string{"k3"}},
+	}})
+	require.True(t, snapshot.Keyed())
+	require.Equal(t, "one", snapshot.TenantOf("k2").Name)
+	require.True(t, snapshot.TenantOf("k3").Isolated)
+	require.Nil(t, snapshot.TenantOf("k4"))
+	require.Nil(t, snapshot.TenantOf(""))
+}
+
+func TestABeliefNeverGoesBack(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		begin := time.Unix(1000, 0)
+		var belief *Belief
+		highest, newest, latest := int64(0), int64(0), time.Time{}
+		for range rapid.IntRange(1, 30).Draw(t, "readings") {
+			sent := begin.Add(time.Duration(rapid.IntRange(0, 10_000).Draw(t, "sent")) * time.Millisecond)
+			reading := Reading{SentAt: sent, Weights: map[string]int64{"m": rapid.Int64Range(1, 9).Draw(t, "weights")}}
+			if rapid.Bool().Draw(t, "changed") {
+				reading.Declaration = &Declaration{Version: rapid.Int64Range(1, 20).Draw(t, "version")}
+				highest = max(highest, reading.Declaration.Version)
+			}
+			newest = max(newest, reading.Weights["m"])
+			if sent.After(latest) {
+				latest = sent
+			}
+			belief = Advance(belief, reading)
+			if highest > 0 {
+				require.Equal(t, highest, belief.Snapshot.Version)
+			}
+			require.Equal(t, newest, belief.Weights["m"].Version)
+			require.Equal(t, latest, belief.AsOf)
+		}
+	})
+}
+
+func TestANamedVersionIsDatedByTheReadingBeforeIt(t *testing.T) {
+	first := time.Unix(1000, 0)
+	belief := Advance(nil, Reading{SentAt: first, Weights: map[string]int64{"m": 1}})
+	require.Zero(t, belief.Weights["m"].NotNamedAt, "nobody knows since when")
+	belief = Advance(belief, Reading{SentAt: first.Add(time.Second), Weights: map[string]int64{"m": 1}})
+	belief = Advance(belief, Reading{SentAt: first.Add(2 * time.Second), Weights: map[string]int64{"m": 2}})
+	require.Equal(t, first.Add(time.Second), belief.Weights["m"].NotNamedAt)
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -26,9 +26,12 @@
 const exitCodeHelp = `Exit codes: 0 done, 1 refused or failed, 2 faulty file or usage,
 3 outcome unknown (settle it with: cloverrail apply --settle CHANGE).`
 
-// Main runs the command line and returns the exit code.
-func Main(ctx context.Context, arguments []string) int {
-	err := Root().Run(ctx, arguments)
+// Main runs the command line, with commands that the caller adds, and returns
+// the exit code.
+func Main(ctx context.Context, arguments []string, added ...*cli.Command) int {
+	root := Root()
+	root.Commands = append(root.Commands, added...)
+	err := root.Run(ctx, arguments)
 	if err == nil {
 		return 0
 	}
--- /dev/null
+++ b/internal/coordination/store.go
@@ -0,0 +1,44 @@
+// Package coordination says what nodes need of the key-value store that they
+// share: conditional writes, leases, and reads that are current.
+package coordination
+
+import (
+	"context"
+	"time"
+)
+
+// Entry is one stored value.
+type Entry struct {
+	Key   string
+	Value []byte
+	// Revision is that of the last change. Revisions of the whole store only grow.
+	Revision int64
+}
+
+// Lease is a promise of the store to keep keys for a time.
+type Lease struct {
+	ID int64
+	// Life is how long the lease lasts from the arrival of the call that granted or
+	// renewed it.
+	Life time.Duration
+}
+
+// Store is the shared key-value store. An error of a write leaves open whether
+// it was done, unless it is a failure.Failure with the outcome NotRun.
+type Store interface {
+	// Grant opens a lease.
+	Grant(ctx context.Context, life time.Duration) (Lease, error)
+	// Renew keeps a lease and reports whether it still lives.
+	Renew(ctx context.Context, lease int64) (bool, error)
+	// End gives a lease back; its keys go with it.
+	End(ctx context.Context, lease int64) error
+	// Create writes a key that does not exist and reports whether it did.
+	Create(ctx context.Context, key string, value []byte, lease int64) (revision int64, created bool, err error)
+	// WriteGuarded writes a key if the guard is still at its revision.
+	WriteGuarded(ctx context.Context, key string, value []byte, guard string, revision int64) (written bool, err error)
+	// Read returns the current entry of a key.
+	Read(ctx context.Context, key string) (Entry, bool, error)
+	// ListRecent returns the entries below a prefix. It is cheap, and may be
+	// seconds old.
+	ListRecent(ctx context.Context, prefix string) ([]Entry, error)
+}
--- /dev/null
+++ b/internal/exchange/driver.go
@@ -0,0 +1,392 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/failure"
+)
+
+// Answer is a server's whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Reply is what a server begins to answer. Either Whole is set, or the answer is
+// a stream whose events Next returns until io.EOF.
+type Reply struct {
+	Status int
+	Header http.Header
+	Whole  *Answer
+	Next   func() (StreamEvent, error)
+	Close  func()
+}
+
+// StreamEvent is one whole event of a stream.
+type StreamEvent struct {
+	Raw   []byte
+	ID    int64
+	HasID bool
+}
+
+// Result says how an attempt ended, for what is believed of its server.
+type Result int
+
+// The results of attempts.
+const (
+	// ResultNeutral says nothing of the server: the caller left, say.
+	ResultNeutral Result = iota
+	ResultServed
+	ResultFaulty
+	ResultRefused
+	ResultUnreached
+	ResultBroken
+	ResultSilent
+)
+
+// ErrRefused is a server's word that it did not run an attempt.
+type ErrRefused struct {
+	Reason string
+	// LoadedVersion is the version that the server has, if it said so.
+	LoadedVersion int64
+}
+
+// Error shows the reason.
+func (refused *ErrRefused) Error() string { return "not run: " + refused.Reason }
+
+// ErrUnreached says that no connection to the server came up.
+type ErrUnreached struct{ Reason string }
+
+// Error shows the reason.
+func (unreached *ErrUnreached) Error() string { return "not reached: " + unreached.Reason }
+
+// Placement is a chosen server, on which the attempt counts as in flight.
+type Placement interface {
+	// Server names the server's incarnation.
+	Server() string
+	// Send sends the request. ErrRefused and ErrUnreached promise that it did not
+	// run; any other error leaves that open.
+	Send(ctx context.Context, resumes bool, after int64) (*Reply, error)
+	// Started says that the server has begun to answer.
+	Started()
+	// End says that the attempt is over.
+	End(result Result)
+}
+
+// Placer chooses servers.
+type Placer interface {
+	// Place returns a placement, or why there is none.
+	Place(excluded []string) (Placement, *Unplaced)
+}
+
+// Caller is where the answer goes. Its methods block while the caller reads
+// slowly; an error means that the caller has left.
+type Caller interface {
+	Answer(answer *Answer) error
+	Open(status int, header http.Header) error
+	Forward(event []byte) error
+}
+
+// Patience is how long an attempt may be silent before another one is tried.
+type Patience struct {
+	// First bounds the time to the answer or to the first event; Between, the
+	// pause between events. Zero means for ever.
+	First   time.Duration
+	Between time.Duration
+}
+
+// Request is one request to carry.
+type Request struct {
+	Rules       Rules
+	Budget      Budget
+	Patience    Patience
+	ResumeAfter *int64
+	Placer      Placer
+	Caller      Caller
+	// Stopping is closed when the process must end.
+	Stopping <-chan struct{}
+	// Observe, if set, hears of each event with the server it concerns.
+	Observe func(server string, event Event)
+}
+
+// Outcome is how a request ended.
+type Outcome struct {
+	// Failure is nil if the caller has a whole answer of a server.
+	Failure *failure.Failure
+	// Cut says that the caller's stream had begun and must be broken off.
+	Cut    bool
+	Status int
+	Runs   int
+	Sends  int
+	// FirstAfter is when the caller got the head of the answer, from the start.
+	FirstAfter time.Duration
+}
+
+// message is what an attempt's goroutine tells the driver.
+type message struct {
+	event  Event
+	result Result
+	reply  *Reply
+	raw    []byte
+}
+
+// run is the state of one request's performance.
+type run struct {
+	request   Request
+	machine   *Machine
+	queue     []Action
+	started   time.Time
+	outcome   Outcome
+	placement Placement
+	inbox     chan message
+	cancel    context.CancelFunc
+	result    Result
+	reply     *Reply
+	kept      *Answer
+	raw       []byte
+	silence   *time.Timer
+}
+
+// Run carries a request to its end. The context ends with the caller or with
+// the request's time.
+func Run(ctx context.Context, request Request) Outcome {
+	started := time.Now()
+	run := &run{
+		request: request,
+		machine: NewMachine(request.Rules, request.Budget, request.ResumeAfter),
+		started: started,
+		silence: time.NewTimer(time.Hour),
+	}
+	run.silence.Stop()
+	run.queue = run.machine.Start(started)
+	for !run.machine.Finished() || len(run.queue) > 0 {
+		if len(run.queue) == 0 {
+			run.await(ctx)
+			continue
+		}
+		action := run.queue[0]
+		run.queue = run.queue[1:]
+		run.perform(ctx, action)
+	}
+	run.release(ResultNeutral)
+	run.outcome.Runs, run.outcome.Sends = run.machine.Runs(), run.machine.Sends()
+	return run.outcome
+}
+
+func (run *run) step(event Event) {
+	if run.request.Observe != nil {
+		server := ""
+		if run.placement != nil {
+			server = run.placement.Server()
+		}
+		run.request.Observe(server, event)
+	}
+	run.queue = append(run.queue, run.machine.Step(time.Now(), event)...)
+}
+
+// await waits for the next thing that happens.
+func (run *run) await(ctx context.Context) {
+	select {
+	case message := <-run.inbox:
+		run.result, run.raw = message.result, message.raw
+		if message.reply != nil {
+			run.reply = message.reply
+		}
+		run.heard(message.event)
+		run.step(message.event)
+	case <-run.silence.C:
+		run.result = ResultSilent
+		run.step(Silent{})
+	case <-ctx.Done():
+		run.step(run.over(ctx))
+	case <-run.request.Stopping:
+		run.step(Stopping{})
+	}
+}
+
+// over says why the request's context ended.
+func (run *run) over(ctx context.Context) Event {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		run.result = ResultSilent
+		return Expired{}
+	}
+	return CallerLeft{}
+}
+
+// heard sets the clock of the silence anew.
+func (run *run) heard(event Event) {
+	switch event.(type) {
+	case Opened, Arrived:
+		run.placement.Started()
+		run.listen(run.request.Patience.Between)
+	}
+}
+
+func (run *run) listen(patience time.Duration) {
+	run.silence.Stop()
+	if patience > 0 {
+		run.silence.Reset(patience)
+	}
+}
+
+func (run *run) perform(ctx context.Context, action Action) {
+	switch action := action.(type) {
+	case Place:
+		run.place(ctx, action)
+	case Send:
+		run.send(ctx, action)
+	case Cancel:
+		run.release(ResultNeutral)
+	case Keep:
+		run.kept = run.reply.Whole
+		run.release(ResultFaulty)
+	case Deliver:
+		run.deliver()
+	case Open:
+		run.outcome.Status = run.reply.Status
+		run.outcome.FirstAfter = time.Since(run.started)
+		run.give(run.request.Caller.Open(run.reply.Status, run.reply.Header))
+	case Forward:
+		run.give(run.request.Caller.Forward(run.raw))
+	case Finish:
+		run.release(ResultServed)
+	case Cut:
+		run.outcome.Cut, run.outcome.Failure = true, action.Failure
+	case Fail:
+		run.outcome.Failure = action.Failure
+	}
+}
+
+// give follows a write to the caller.
+func (run *run) give(err error) {
+	if err != nil {
+		run.step(CallerLeft{})
+	}
+}
+
+func (run *run) deliver() {
+	answer := run.kept
+	if run.placement != nil && run.reply != nil && run.reply.Whole != nil {
+		answer = run.reply.Whole
+		run.release(run.result)
+	}
+	run.outcome.Status = answer.Status
+	run.outcome.FirstAfter = time.Since(run.started)
+	if run.request.Caller.Answer(answer) != nil {
+		run.outcome.Failure = failure.New(failure.KindCallerLeft, "the caller left before the end", "send it again").WithOutcome(failure.Ran)
+	}
+}
+
+func (run *run) place(ctx context.Context, action Place) {
+	if action.Pause > 0 {
+		select {
+		case <-time.After(action.Pause):
+		case <-ctx.Done():
+			run.step(run.over(ctx))
+			return
+		case <-run.request.Stopping:
+			run.step(Stopping{})
+			return
+		}
+	}
+	placement, unplaced := run.request.Placer.Place(action.Excluded)
+	if unplaced != nil {
+		run.step(*unplaced)
+		return
+	}
+	run.placement = placement
+	run.step(Placed{Server: placement.Server()})
+}
+
+func (run *run) send(ctx context.Context, action Send) {
+	attempt, cancel := context.WithCancel(ctx)
+	run.cancel = cancel
+	run.reply = nil
+	run.result = ResultNeutral
+	run.inbox = make(chan message)
+	run.listen(run.request.Patience.First)
+	go perform(attempt, run.placement, action, run.inbox)
+}
+
+// release ends the current attempt. What was heard of it goes before other.
+func (run *run) release(other Result) {
+	if run.placement == nil {
+		return
+	}
+	run.silence.Stop()
+	if run.cancel != nil {
+		run.cancel()
+	}
+	if run.result != ResultNeutral && other != ResultServed {
+		other = run.result
+	}
+	run.placement.End(other)
+	run.placement, run.cancel, run.inbox = nil, nil, nil
+}
+
+// perform sends one attempt and tells of all that comes of it, until its
+// context ends.
+func perform(ctx context.Context, placement Placement, action Send, inbox chan<- message) {
+	tell := func(message message) bool {
+		select {
+		case inbox <- message:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	reply, err := placement.Send(ctx, action.Resumes, action.After)
+	if err != nil {
+		tell(failed(err))
+		return
+	}
+	defer reply.Close()
+	if reply.Whole != nil {
+		tell(whole(reply))
+		return
+	}
+	if !tell(message{event: Opened{}, result: ResultServed, reply: reply}) {
+		return
+	}
+	for {
+		next, err := reply.Next()
+		switch {
+		case errors.Is(err, io.EOF):
+			tell(message{event: Ended{}, result: ResultServed})
+			return
+		case err != nil:
+			tell(message{event: Broken{Reason: err.Error()}, result: ResultBroken})
+			return
+		}
+		raw := append([]byte(nil), next.Raw...)
+		if !tell(message{event: Arrived{ID: next.ID, HasID: next.HasID}, result: ResultServed, raw: raw}) {
+			return
+		}
+	}
+}
+
+func whole(reply *Reply) message {
+	if reply.Status >= http.StatusInternalServerError {
+		return message{event: Answered{Faulty: true}, result: ResultFaulty, reply: reply}
+	}
+	return message{event: Answered{}, result: ResultServed, reply: reply}
+}
+
+func failed(err error) message {
+	var refused *ErrRefused
+	var unreached *ErrUnreached
+	switch {
+	case errors.As(err, &refused):
+		return message{event: Refused{Reason: refused.Reason}, result: ResultRefused}
+	case errors.As(err, &unreached):
+		return message{event: Unreached{Reason: unreached.Reason}, result: ResultUnreached}
+	default:
+		return message{event: Broken{Reason: err.Error()}, result: ResultBroken}
+	}
+}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -18,6 +18,7 @@
 	KindNotFound         Kind = "not_found"
 	KindInvalidRequest   Kind = "invalid_request"
 	KindTooLarge         Kind = "request_too_large"
+	KindHeaderTooLarge   Kind = "header_too_large"
 	KindRateLimited      Kind = "rate_limited"
 	KindQueueFull        Kind = "queue_full"
 	KindQueueTimeout     Kind = "queue_timeout"
--- /dev/null
+++ b/internal/fleet/registry.go
@@ -0,0 +1,154 @@
+// Package fleet tells a node how many others there are. Each node keeps a key
+// under a lease in the shared store; nobody needs to know all others exactly.
+package fleet
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/cloverrail/cloverrail/internal/coordination"
+)
+
+const (
+	// registrationLife is how long a node that died is still counted.
+	registrationLife = 6 * time.Second
+	// renewals a life gives a node several tries before it is forgotten.
+	renewals    = 3
+	callTimeout = time.Second
+)
+
+// Keys are the names under which the fleet keeps its own state in the store.
+type Keys struct {
+	// Root is the prefix of all; Nodes, that of the nodes' keys.
+	Root  string
+	Nodes string
+}
+
+// Registry registers this node and counts the others.
+type Registry struct {
+	Store coordination.Store
+	Keys  Keys
+	Name  string
+	// Interval is the time between two looks at the fleet.
+	Interval time.Duration
+	// Resized hears of the number of nodes after each look.
+	Resized func(nodes int)
+
+	mutex sync.Mutex
+	nodes int
+	seen  map[string]sighting
+}
+
+// sighting is when a key was first seen at a revision.
+type sighting struct {
+	revision int64
+	at       time.Time
+}
+
+// Run registers and looks until the context ends, and then takes the
+// registration back.
+func (registry *Registry) Run(ctx context.Context) {
+	go registry.register(ctx)
+	ticker := time.NewTicker(registry.Interval)
+	defer ticker.Stop()
+	for {
+		registry.look(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// register keeps this node's key alive, and writes it anew if it was lost.
+func (registry *Registry) register(ctx context.Context) {
+	ticker := time.NewTicker(registrationLife / renewals)
+	defer ticker.Stop()
+	lease := int64(0)
+	for {
+		lease = registry.renew(ctx, lease)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			ending, cancel := context.WithTimeout(context.Background(), callTimeout)
+			defer cancel()
+			if lease != 0 {
+				_ = registry.Store.End(ending, lease)
+			}
+			return
+		}
+	}
+}
+
+// renew returns the lease that keeps the node's key, or 0 if there is none.
+func (registry *Registry) renew(ctx context.Context, lease int64) int64 {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if lease != 0 {
+		alive, err := registry.Store.Renew(ctx, lease)
+		if err != nil || alive {
+			return lease
+		}
+	}
+	granted, err := registry.Store.Grant(ctx, registrationLife)
+	if err != nil {
+		return 0
+	}
+	key := registry.Keys.Nodes + registry.Name + "/" + uuid.NewString()
+	if _, _, err := registry.Store.Create(ctx, key, nil, granted.ID); err != nil {
+		return 0
+	}
+	return granted.ID
+}
+
+// look counts the nodes and notes what it sees of other keys.
+func (registry *Registry) look(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entries, err := registry.Store.ListRecent(ctx, registry.Keys.Root)
+	if err != nil {
+		return
+	}
+	names := map[string]bool{registry.Name: true}
+	now := time.Now()
+	registry.mutex.Lock()
+	seen := map[string]sighting{}
+	for _, entry := range entries {
+		if rest, found := strings.CutPrefix(entry.Key, registry.Keys.Nodes); found {
+			name, _, _ := strings.Cut(rest, "/")
+			names[name] = true
+			continue
+		}
+		known := registry.seen[entry.Key]
+		if known.revision != entry.Revision {
+			known = sighting{revision: entry.Revision, at: now}
+		}
+		seen[entry.Key] = known
+	}
+	registry.seen = seen
+	registry.nodes = len(names)
+	registry.mutex.Unlock()
+	registry.Resized(len(names))
+}
+
+// Nodes returns the number of nodes at the last look.
+func (registry *Registry) Nodes() int {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return max(1, registry.nodes)
+}
+
+// FirstSeen returns when a key was first seen at the revision, or zero.
+func (registry *Registry) FirstSeen(key string, revision int64) time.Time {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	if known := registry.seen[key]; known.revision == revision {
+		return known.at
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/internal/lease/keeper.go
@@ -0,0 +1,227 @@
+package lease
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/cloverrail/cloverrail/internal/coordination"
+)
+
+const (
+	callTimeout = 500 * time.Millisecond
+	// renewals a life gives a holder several tries before its lease lapses.
+	renewals = 3
+	// marginPart of the life is kept free at its end, for an order on its way.
+	marginPart = 5
+	tick       = 50 * time.Millisecond
+	// retryPause follows a failed try to take the duty over.
+	retryPause = 300 * time.Millisecond
+)
+
+var (
+	valueActive = []byte("active")
+	valueIdle   = []byte("idle")
+)
+
+// Duty is what the holder does.
+type Duty interface {
+	// Wanted reports whether there is work.
+	Wanted(now time.Time) bool
+	// Step does the next piece of work and reports whether the duty is idle. It is
+	// called at every tick while the tenure may act.
+	Step(ctx context.Context, tenure *Tenure) (idle bool)
+	// Lost says that the tenure is over.
+	Lost()
+}
+
+// Recorder hears of changes of the tenure. Its methods must not block.
+type Recorder interface {
+	Acquired(fence int64, settled time.Duration)
+	Released(fence int64, reason string)
+}
+
+// Keeper takes the duty over when there is work and nobody else holds it.
+type Keeper struct {
+	Store    coordination.Store
+	Duty     Duty
+	Recorder Recorder
+	// Name is this node's; Key names the duty, and KeyState whether it is at work.
+	Name     string
+	Key      string
+	KeyState string
+	// Life of the lease, and the time between the orders of two holders.
+	Life     time.Duration
+	Settling time.Duration
+	// Spread is the time over which the nodes of the fleet spread their tries.
+	Spread func() time.Duration
+	// FirstSeen returns when this node first saw a key at a revision, or zero.
+	FirstSeen func(key string, revision int64) time.Time
+}
+
+// holding is a tenure with its lease.
+type holding struct {
+	tenure  *Tenure
+	lease   coordination.Lease
+	renewed time.Time
+	active  bool
+}
+
+// Run holds the duty when it should, until the context ends, and then gives it
+// back.
+func (keeper *Keeper) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !keeper.Duty.Wanted(time.Now()) {
+			pause(ctx, tick)
+			continue
+		}
+		pause(ctx, rand.N(max(tick, keeper.Spread())))
+		held, taken := keeper.acquire(ctx)
+		if taken {
+			pause(ctx, keeper.Life)
+			continue
+		}
+		if held == nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		reason := keeper.hold(ctx, held)
+		keeper.Duty.Lost()
+		keeper.Recorder.Released(held.tenure.Fence, reason)
+	}
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+	}
+}
+
+// acquire tries to create the duty's key, and reports whether another node
+// holds it. An answer that was lost is settled by reading the key: its value is
+// unique to this try.
+func (keeper *Keeper) acquire(ctx context.Context) (held *holding, taken bool) {
+	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
+	defer cancel()
+	if _, found, err := keeper.Store.Read(ctx, keeper.Key); err != nil || found {
+		return nil, found
+	}
+	asked := time.Now()
+	granted, err := keeper.Store.Grant(ctx, keeper.Life)
+	if err != nil {
+		return nil, false
+	}
+	value := []byte(keeper.Name + " " + uuid.NewString())
+	fence, created, err := keeper.Store.Create(ctx, keeper.Key, value, granted.ID)
+	if err != nil {
+		entry, found, readErr := keeper.Store.Read(ctx, keeper.Key)
+		created = readErr == nil && found && bytes.Equal(entry.Value, value)
+		fence = entry.Revision
+	}
+	if !created {
+		return nil, true
+	}
+	state, found, err := keeper.Store.Read(ctx, keeper.KeyState)
+	if err != nil {
+		return nil, false
+	}
+	active := found && bytes.Equal(state.Value, valueActive)
+	last := time.Time{}
+	if !active {
+		last = keeper.FirstSeen(keeper.KeyState, state.Revision)
+	}
+	settled := SettledAt(found, last, time.Now(), keeper.Settling)
+	keeper.Recorder.Acquired(fence, time.Until(settled))
+	return &holding{
+		tenure:  NewTenure(fence, asked, granted.Life, granted.Life/marginPart, settled),
+		lease:   granted,
+		renewed: asked,
+		active:  active,
+	}, false
+}
+
+// renewal is the answer to one renewal.
+type renewal struct {
+	asked time.Time
+	alive bool
+	err   error
+}
+
+// hold works until the tenure ends, and returns why.
+func (keeper *Keeper) hold(ctx context.Context, held *holding) string {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	renewed := make(chan renewal, 1)
+	renewing := false
+	for {
+		select {
+		case <-ticker.C:
+		case answer := <-renewed:
+			renewing = false
+			if answer.err == nil && !answer.alive {
+				return "the lease ended"
+			}
+			if answer.err == nil {
+				held.tenure.Renewed(answer.asked)
+			}
+		case <-ctx.Done():
+			keeper.handBack(held)
+			return "this node stops"
+		}
+		now := time.Now()
+		if held.tenure.Lapsed(now) {
+			return "the lease lapsed"
+		}
+		if !renewing && now.Sub(held.renewed) >= held.lease.Life/renewals {
+			renewing = true
+			held.renewed = now
+			go func() { renewed <- keeper.renew(ctx, held.lease.ID, now) }()
+		}
+		if held.tenure.MayAct(now) {
+			keeper.work(ctx, held, now)
+		}
+	}
+}
+
+func (keeper *Keeper) renew(ctx context.Context, lease int64, asked time.Time) renewal {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	alive, err := keeper.Store.Renew(ctx, lease)
+	return renewal{asked: asked, alive: alive, err: err}
+}
+
+// work lets the duty act. Before its first order the state says so: should this
+// node die, the next holder knows that it must wait.
+func (keeper *Keeper) work(ctx context.Context, held *holding, now time.Time) {
+	wanted := keeper.Duty.Wanted(now)
+	if wanted && !held.active {
+		held.active = keeper.note(ctx, held, valueActive)
+	}
+	if !held.active {
+		return
+	}
+	idle := keeper.Duty.Step(ctx, held.tenure)
+	if idle && !wanted && keeper.note(ctx, held, valueIdle) {
+		held.active = false
+	}
+}
+
+// note writes the state of the duty, which only its holder can.
+func (keeper *Keeper) note(ctx context.Context, held *holding, value []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	written, err := keeper.Store.WriteGuarded(ctx, keeper.KeyState, value, keeper.Key, held.tenure.Fence)
+	return err == nil && written
+}
+
+// handBack ends the lease at a planned stop, so that the next holder need not
+// wait for it to lapse.
+func (keeper *Keeper) handBack(held *holding) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_ = keeper.Store.End(ctx, held.lease.ID)
+}
--- /dev/null
+++ b/internal/proxy/retries.go
@@ -0,0 +1,83 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/retry"
+)
+
+const (
+	// ratioShare and extraShare are the parts of the fleet's bounds that nodes use;
+	// the rest covers nodes that join unseen.
+	ratioShare = 0.8
+	extraShare = 0.7
+)
+
+// RetryBounds bound the fleet's repetitions at one service: within any window,
+// Ratio of the first sends plus Extra.
+type RetryBounds struct {
+	Ratio  float64
+	Extra  float64
+	Window time.Duration
+}
+
+// Retries holds this node's part of the retry budget of each service. Nodes do
+// not ask each other: each earns by its own requests, and saves up at most its
+// part of what the fleet may send beyond the ratio.
+type Retries struct {
+	bounds RetryBounds
+	mutex  sync.Mutex
+	nodes  int
+	each   map[string]*retry.Budget
+}
+
+// NewRetries returns budgets for a fleet of unknown size.
+func NewRetries(bounds RetryBounds) *Retries {
+	return &Retries{bounds: bounds, nodes: 1, each: map[string]*retry.Budget{}}
+}
+
+// Resize follows the number of nodes in the fleet.
+func (retries *Retries) Resize(nodes int) {
+	retries.mutex.Lock()
+	defer retries.mutex.Unlock()
+	if nodes = max(1, nodes); nodes == retries.nodes {
+		return
+	}
+	retries.nodes = nodes
+	for _, budget := range retries.each {
+		budget.Limit(retries.capacity())
+	}
+}
+
+// capacity is what one node may save up. Half of the extra is saved up, the
+// other half comes in over a window.
+func (retries *Retries) capacity() float64 {
+	return extraShare * retries.bounds.Extra / 2 / float64(retries.nodes)
+}
+
+func (retries *Retries) budget(service string, now time.Time) *retry.Budget {
+	retries.mutex.Lock()
+	defer retries.mutex.Unlock()
+	known, found := retries.each[service]
+	if !found {
+		capacity := retries.capacity()
+		known = retry.NewBudget(retry.BudgetConfig{
+			Ratio:     ratioShare * retries.bounds.Ratio,
+			PerSecond: capacity / retries.bounds.Window.Seconds(),
+			Capacity:  capacity,
+		}, now)
+		retries.each[service] = known
+	}
+	return known
+}
+
+// Deposit notes a first send to a service.
+func (retries *Retries) Deposit(service string, now time.Time) {
+	retries.budget(service, now).Deposit(now)
+}
+
+// Of returns the budget of a service.
+func (retries *Retries) Of(service string, now time.Time) *retry.Budget {
+	return retries.budget(service, now)
+}
--- a/internal/retry/breaker.go
+++ b/internal/retry/breaker.go
@@ -39,6 +39,12 @@
 	}
 }
 
+// Abandoned says that an attempt ended without a word on the endpoint, so that
+// the next one may probe it.
+func (breaker *Breaker) Abandoned() {
+	breaker.probing = false
+}
+
 // Succeeded closes the breaker.
 func (breaker *Breaker) Succeeded() {
 	*breaker = Breaker{}
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -9,6 +9,8 @@
 	Zone     string
 	Pool     string
 	Epoch    string
+	// Version is the loaded version of the model, where versions are numbers.
+	Version int64
 	// Ready says that the model is loaded at the version in force.
 	Ready bool
 	// Loading says that it is busy loading weights.
@@ -17,6 +19,13 @@
 	Down     bool
 	Resting  bool
 	Excluded bool
+	// Busy says that it has just refused a request for want of room.
+	Busy bool
+	// Distance is how far the endpoint is: 0 the same zone, 1 the same region,
+	// 2 another region.
+	Distance int
+	// FailureShare is the estimated share of attempts that fail on it.
+	FailureShare float64
 	// InFlight counts this node's attempts on the endpoint.
 	InFlight int
 	// Running counts the sequences that the endpoint is known to work on.
@@ -49,4 +58,11 @@
 	ConcurrentPerEngine int
 	WaitWeight          float64
 	WorkWeight          float64
+	// TurnSeconds is what one more running request costs the next, at servers
+	// without prompts.
+	TurnSeconds float64
+	// Bytes is the size of the request, for what it costs to carry it far.
+	Bytes int
+	// FailureCost is what a failed attempt costs, in seconds.
+	FailureCost float64
 }
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -12,6 +12,7 @@
 	ReasonNotReady Reason = "not_ready"
 	ReasonResting  Reason = "resting"
 	ReasonFull     Reason = "full"
+	ReasonBusy     Reason = "busy"
 )
 
 // Filter says whether the request may go to the candidate. Reasons that will
@@ -28,6 +29,8 @@
 		return ReasonNotReady
 	case candidate.Resting:
 		return ReasonResting
+	case candidate.Busy:
+		return ReasonBusy
 	case request.ConcurrentPerEngine > 0 && candidate.InFlight >= request.ConcurrentPerEngine:
 		return ReasonFull
 	default:
--- /dev/null
+++ b/internal/routing/score_failure.go
@@ -0,0 +1,9 @@
+package routing
+
+// FailureScorer charges for the risk that the attempt fails.
+type FailureScorer struct{}
+
+// Score returns the seconds that a failure costs, times its chance.
+func (FailureScorer) Score(request *Request, candidate *Candidate) float64 {
+	return request.FailureCost * candidate.FailureShare
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,64 @@
+package telemetry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cloverrail/cloverrail/internal/catalog"
+)
+
+// Metrics are the counters of one proxy. Keys, prompts and answers never stand
+// in labels.
+type Metrics struct {
+	Registry        *prometheus.Registry
+	requests        *prometheus.CounterVec
+	attempts        *prometheus.CounterVec
+	firstAnswer     *prometheus.HistogramVec
+	reads           *prometheus.CounterVec
+	orders          *prometheus.CounterVec
+	version         prometheus.Gauge
+	suppressedLines prometheus.Counter
+}
+
+// firstAnswerBuckets reach from 5 ms to 10 s.
+var firstAnswerBuckets = prometheus.ExponentialBuckets(0.005, 2, 12)
+
+// NewMetrics registers all metrics. Belief gives the age of the declaration.
+func NewMetrics(belief *catalog.Holder) *Metrics {
+	metrics := &Metrics{
+		Registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_requests_total", Help: "Requests by route and result.",
+		}, []string{"route", "result"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_attempts_total", Help: "Events of attempts at servers by kind.",
+		}, []string{"event"}),
+		firstAnswer: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cloverrail_proxy_first_answer_seconds", Help: "Time to the head of the answer.", Buckets: firstAnswerBuckets,
+		}, []string{"route"}),
+		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_store_reads_total", Help: "Readings of the shared store by subject and result.",
+		}, []string{"subject", "result"}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_orders_total", Help: "Orders to servers by result.",
+		}, []string{"result"}),
+		version: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "cloverrail_proxy_declaration_version", Help: "Version of the declaration in force.",
+		}),
+		suppressedLines: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_log_lines_suppressed_total", Help: "Log lines left out to bound their number.",
+		}),
+	}
+	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "cloverrail_proxy_declaration_age_seconds", Help: "Time since the declaration was certainly current.",
+	}, func() float64 {
+		if known := belief.Load(); known != nil {
+			return time.Since(known.AsOf).Seconds()
+		}
+		return -1
+	})
+	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstAnswer, metrics.reads,
+		metrics.orders, metrics.version, metrics.suppressedLines, age)
+	return metrics
+}
--- /dev/null
+++ b/internal/telemetry/recorder.go
@@ -0,0 +1,186 @@
+package telemetry
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/proxy"
+	"github.com/cloverrail/cloverrail/internal/rollout"
+)
+
+const (
+	// linesPerSecond bounds the lines that concern requests; burstLines may come
+	// at once.
+	linesPerSecond = 200
+	burstLines     = 400
+)
+
+// Recorder writes one line for each decision that touches a request or changes
+// what the process believes, and counts it.
+type Recorder struct {
+	log     zerolog.Logger
+	metrics *Metrics
+	limiter *rate.Limiter
+
+	mutex      sync.Mutex
+	suppressed int
+	lost       map[string]bool
+}
+
+// NewRecorder returns a recorder.
+func NewRecorder(log zerolog.Logger, metrics *Metrics) *Recorder {
+	return &Recorder{log: log, metrics: metrics, limiter: rate.NewLimiter(linesPerSecond, burstLines), lost: map[string]bool{}}
+}
+
+// line returns an event for a line that concerns a request, or nil if there are
+// too many. The next line that is written tells how many were left out.
+func (recorder *Recorder) line(level zerolog.Level) *zerolog.Event {
+	recorder.mutex.Lock()
+	defer recorder.mutex.Unlock()
+	if !recorder.limiter.Allow() {
+		recorder.suppressed++
+		recorder.metrics.suppressedLines.Inc()
+		return nil
+	}
+	event := recorder.log.WithLevel(level)
+	if recorder.suppressed > 0 {
+		event = event.Int("suppressed_before", recorder.suppressed)
+		recorder.suppressed = 0
+	}
+	return event
+}
+
+// eventName is the name of an event's type in logs and metrics.
+func eventName(event exchange.Event) string {
+	return strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", event), "exchange."))
+}
+
+// Attempt hears of each event of an attempt. Those of the ordinary course are
+// told by the request's last line alone.
+func (recorder *Recorder) Attempt(request *proxy.Request, server string, event exchange.Event) {
+	reason := ""
+	switch event := event.(type) {
+	case exchange.Arrived, exchange.Opened, exchange.Ended:
+		return
+	case exchange.Placed:
+		recorder.metrics.attempts.WithLabelValues("placed").Inc()
+		return
+	case exchange.Answered:
+		if !event.Faulty {
+			return
+		}
+		reason = "the server failed"
+	case exchange.Refused:
+		reason = event.Reason
+	case exchange.Unreached:
+		reason = event.Reason
+	case exchange.Broken:
+		reason = event.Reason
+	case exchange.Unplaced:
+		reason = event.Reason
+	}
+	name := eventName(event)
+	recorder.metrics.attempts.WithLabelValues(name).Inc()
+	recorder.line(zerolog.InfoLevel).Str("id", request.ID).Str("server", server).Str("event", name).Str("reason", reason).
+		Dur("after", time.Since(request.Arrived)).Msg("attempt")
+}
+
+// Request hears of the end of a request.
+func (recorder *Recorder) Request(request *proxy.Request, route *catalog.Route, version int64, outcome exchange.Outcome) {
+	name, result := "", "answered"
+	if route != nil {
+		name = route.Name
+	}
+	line := recorder.line(zerolog.InfoLevel).Str("id", request.ID).Str("route", name).Int64("declaration", version)
+	if outcome.Failure != nil {
+		result = string(outcome.Failure.Kind)
+		line.Str("problem", outcome.Failure.Problem).Str("outcome", string(outcome.Failure.Outcome))
+	}
+	recorder.metrics.requests.WithLabelValues(name, result).Inc()
+	if outcome.FirstAfter > 0 {
+		recorder.metrics.firstAnswer.WithLabelValues(name).Observe(outcome.FirstAfter.Seconds())
+	}
+	line.Str("result", result).Int("status", outcome.Status).Int("sends", outcome.Sends).Int("runs", outcome.Runs).
+		Dur("first", outcome.FirstAfter).Dur("took", time.Since(request.Arrived)).Msg("request")
+}
+
+// Read hears of each reading of the shared store.
+func (recorder *Recorder) Read(what string, took time.Duration, err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	recorder.metrics.reads.WithLabelValues(what, result).Inc()
+	recorder.mutex.Lock()
+	changed := recorder.lost[what] != (err != nil)
+	recorder.lost[what] = err != nil
+	recorder.mutex.Unlock()
+	switch {
+	case changed && err != nil:
+		recorder.log.Warn().Str("what", what).Dur("took", took).Err(err).Msg("the store cannot be read")
+	case changed:
+		recorder.log.Info().Str("what", what).Dur("took", took).Msg("the store can be read again")
+	}
+}
+
+// Declared hears of a change of the belief.
+func (recorder *Recorder) Declared(before, after *catalog.Belief) {
+	if after.Snapshot != nil && (before == nil || before.Snapshot != after.Snapshot) {
+		recorder.metrics.version.Set(float64(after.Snapshot.Version))
+		recorder.log.Info().Int64("declaration", after.Snapshot.Version).Msg("a declaration is in force")
+	}
+	for model, named := range after.Weights {
+		if before == nil || before.Weights[model].Version != named.Version {
+			recorder.log.Info().Str("model", model).Int64("version", named.Version).Msg("weights were named")
+		}
+	}
+}
+
+// Listed hears of changes to the list of servers.
+func (recorder *Recorder) Listed(changes []backend.Change) {
+	for _, change := range changes {
+		server := change.Server
+		recorder.log.Info().Str("server", server.Instance).Str("service", server.Service).Str("address", server.Address).
+			Bool("draining", server.Draining).Bool("gone", change.Gone).Msg("a server changed")
+	}
+}
+
+// Acquired hears that this node holds the duty of ordering.
+func (recorder *Recorder) Acquired(fence int64, settled time.Duration) {
+	recorder.log.Info().Int64("fence", fence).Dur("settles_in", settled).Msg("this node orders servers to load weights")
+}
+
+// Released hears that this node holds the duty no longer.
+func (recorder *Recorder) Released(fence int64, reason string) {
+	recorder.log.Info().Int64("fence", fence).Str("reason", reason).Msg("this node orders servers no longer")
+}
+
+var orderResults = map[rollout.Result]string{
+	rollout.ResultUnknown:   "unknown",
+	rollout.ResultTaken:     "taken",
+	rollout.ResultHolds:     "holds",
+	rollout.ResultConflict:  "conflict",
+	rollout.ResultRejected:  "rejected",
+	rollout.ResultUnreached: "unreached",
+}
+
+// Ordered hears of an order.
+func (recorder *Recorder) Ordered(order rollout.Order, fence int64, result rollout.Result, err error) {
+	name := orderResults[result]
+	recorder.metrics.orders.WithLabelValues(name).Inc()
+	recorder.log.Info().Str("server", order.Server.Instance).Str("model", order.Model).Int64("version", order.Version).
+		Int64("fence", fence).Int64("expected", order.Expected).Str("result", name).Err(err).Msg("order")
+}
+
+// Unreadable hears of an entry of the store that is skipped.
+func (recorder *Recorder) Unreadable(key string, revision int64, err error) {
+	recorder.log.Warn().Str("key", key).Int64("revision", revision).Err(err).Msg("an entry cannot be read and is skipped")
+}
--- /dev/null
+++ b/internal/telemetry/writer.go
@@ -0,0 +1,69 @@
+// Package telemetry tells what a proxy decides: structured log lines and
+// metrics. It never blocks the path of a request: lines that cannot be written
+// in time are dropped and counted.
+package telemetry
+
+import (
+	"bytes"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// queuedLines bounds the lines that wait to be written.
+	queuedLines = 1024
+	// flushInterval is how long a line waits for others, since each write costs a
+	// system call.
+	flushInterval = 50 * time.Millisecond
+	flushBytes    = 32 << 10
+)
+
+// Writer passes lines on to a slow writer without ever waiting for it.
+type Writer struct {
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewWriter returns a writer in front of target.
+func NewWriter(target io.Writer) *Writer {
+	writer := &Writer{lines: make(chan []byte, queuedLines)}
+	go writer.drain(target)
+	return writer
+}
+
+// Write queues one line, or drops it if too many wait.
+func (writer *Writer) Write(line []byte) (int, error) {
+	select {
+	case writer.lines <- bytes.Clone(line):
+	default:
+		writer.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped so far.
+func (writer *Writer) Dropped() int64 { return writer.dropped.Load() }
+
+func (writer *Writer) drain(target io.Writer) {
+	buffer := bytes.Buffer{}
+	for line := range writer.lines {
+		buffer.Write(line)
+		time.Sleep(flushInterval)
+		writer.gather(&buffer)
+		_, _ = target.Write(buffer.Bytes())
+		buffer.Reset()
+	}
+}
+
+// gather adds the lines that wait already.
+func (writer *Writer) gather(buffer *bytes.Buffer) {
+	for buffer.Len() < flushBytes {
+		select {
+		case line := <-writer.lines:
+			buffer.Write(line)
+		default:
+			return
+		}
+	}
+}
