Roll weights out oldest first, and publish which servers load

Ruled out: too few loads at once alone; the longest load was 2.7 s because more than two ran together.

Change: namings are remembered one by one; a server's deadline is that of the first version it lacks. The holder publishes the loading servers under a guard before it orders them, and nodes follow that one key with a long watch.

Still weak: seconds 8 to 14, while loads run.

--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -179,6 +179,8 @@
 		FirstSeen: process.registry.FirstSeen,
 	}
 	go keeper.Run(ctx)
+	follower := &rollout.Follower{Store: process.store, Set: process.set, Key: platform.KeyRolloutState}
+	go follower.Run(ctx)
 }
 
 func serve(address string, handler http.Handler) (*http.Server, error) {
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -60,8 +60,11 @@
 	inFlight     int
 	queuedTokens int
 	busyUntil    time.Time
-	breaker      retry.Breaker
-	failures     failureShare
+	// loadingVersion is the version that it is loading, or 0.
+	loadingVersion int64
+	loadingUntil   time.Time
+	breaker        retry.Breaker
+	failures       failureShare
 }
 
 // NewSet returns an empty set.
@@ -174,6 +177,30 @@
 	}
 }
 
+// loadingLife is how long a server is taken to load weights if nothing more is
+// heard of it.
+const loadingLife = 4 * time.Second
+
+// Load takes which servers load weights now, and all others not.
+func (set *Set) Load(loading map[string]int64, now time.Time) {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	for instance, known := range set.servers {
+		version, found := loading[instance]
+		switch {
+		case !found:
+			known.loadingVersion = 0
+		case known.loadingVersion != version:
+			known.loadingVersion, known.loadingUntil = version, now.Add(loadingLife)
+		}
+	}
+}
+
+// loads reports whether the server is busy loading weights.
+func (state *state) loads(model string, now time.Time) bool {
+	return state.server.Versions[model] < state.loadingVersion && now.Before(state.loadingUntil)
+}
+
 // Distance returns how far a server's zone is from here, 0 being the same zone.
 type Distance func(zone string) int
 
@@ -215,8 +242,9 @@
 		Pool:         state.server.Service,
 		Epoch:        state.server.Instance,
 		Version:      version,
-		Ready:        query.Model == "" || (version > 0 && version >= query.MinimumVersion),
+		Ready:        query.Model == "" || (version > 0 && version >= query.MinimumVersion && !state.loads(query.Model, now)),
 		Leaving:      state.server.Draining,
+		Loading:      state.loads(query.Model, now),
 		Resting:      !state.breaker.Allows(now),
 		Busy:         now.Before(state.busyUntil),
 		InFlight:     state.inFlight,
--- a/internal/catalog/belief.go
+++ b/internal/catalog/belief.go
@@ -5,19 +5,71 @@
 	"time"
 )
 
-// NamedVersion is the newest version of a model's weights that operators named.
-type NamedVersion struct {
+// Naming is one version of a model's weights that operators named.
+type Naming struct {
 	Version int64
 	// NotNamedAt is the last time at which it was certainly not named yet; it is
 	// zero when the version was found at the first reading.
 	NotNamedAt time.Time
 }
 
+// mostNamings bounds the namings that are remembered of one model.
+const mostNamings = 32
+
+// Namings are the versions of one model's weights in the order of their naming,
+// which is also that of the versions.
+type Namings []Naming
+
+// Newest returns the newest version, or 0 if none was named.
+func (namings Namings) Newest() int64 {
+	if len(namings) == 0 {
+		return 0
+	}
+	return namings[len(namings)-1].Version
+}
+
+// After returns the first naming that a server with the given version lacks.
+func (namings Namings) After(version int64) (Naming, bool) {
+	for _, naming := range namings {
+		if naming.Version > version {
+			return naming, true
+		}
+	}
+	return Naming{}, false
+}
+
+// Required returns the oldest version that may still serve: the newest one that
+// may have been named before the given time. A version that was found at the
+// first reading counts as named at found.
+func (namings Namings) Required(before, found time.Time) int64 {
+	required := int64(0)
+	for _, naming := range namings {
+		named := naming.NotNamedAt
+		if named.IsZero() {
+			named = found
+		}
+		if named.Before(before) {
+			required = naming.Version
+		}
+	}
+	return required
+}
+
+// with returns the namings with one more, if it is newer than all known.
+func (namings Namings) with(naming Naming) Namings {
+	if naming.Version <= namings.Newest() {
+		return namings
+	}
+	next := append(Namings(nil), namings...)
+	next = append(next, naming)
+	return next[max(0, len(next)-mostNamings):]
+}
+
 // Belief is what a node holds for true, and how recently it was true.
 type Belief struct {
 	Snapshot *Snapshot
-	// Weights holds the named version of each model.
-	Weights map[string]NamedVersion
+	// Weights holds the named versions of each model.
+	Weights map[string]Namings
 	// AsOf is when the call was sent whose answer proved all this current. What
 	// was acknowledged to an operator later may be missing.
 	AsOf time.Time
@@ -36,7 +88,7 @@
 // Advance returns the belief that follows from a reading. Versions never go
 // down: an older declaration than the known one is not taken over.
 func Advance(known *Belief, reading Reading) *Belief {
-	next := &Belief{AsOf: reading.SentAt, Weights: map[string]NamedVersion{}}
+	next := &Belief{AsOf: reading.SentAt, Weights: map[string]Namings{}}
 	previous := time.Time{}
 	if known != nil {
 		next.Snapshot = known.Snapshot
@@ -44,17 +96,15 @@
 		if reading.SentAt.Before(known.AsOf) {
 			next.AsOf = known.AsOf
 		}
-		for model, named := range known.Weights {
-			next.Weights[model] = named
+		for model, namings := range known.Weights {
+			next.Weights[model] = namings
 		}
 	}
 	if reading.Declaration != nil && (next.Snapshot == nil || reading.Declaration.Version > next.Snapshot.Version) {
 		next.Snapshot = New(*reading.Declaration)
 	}
 	for model, version := range reading.Weights {
-		if version > next.Weights[model].Version {
-			next.Weights[model] = NamedVersion{Version: version, NotNamedAt: previous}
-		}
+		next.Weights[model] = next.Weights[model].with(Naming{Version: version, NotNamedAt: previous})
 	}
 	return next
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -56,17 +56,34 @@
 			if highest > 0 {
 				require.Equal(t, highest, belief.Snapshot.Version)
 			}
-			require.Equal(t, newest, belief.Weights["m"].Version)
+			require.Equal(t, newest, belief.Weights["m"].Newest())
 			require.Equal(t, latest, belief.AsOf)
 		}
 	})
 }
 
-func TestANamedVersionIsDatedByTheReadingBeforeIt(t *testing.T) {
+func TestANamingIsDatedByTheReadingBeforeIt(t *testing.T) {
 	first := time.Unix(1000, 0)
-	belief := Advance(nil, Reading{SentAt: first, Weights: map[string]int64{"m": 1}})
-	require.Zero(t, belief.Weights["m"].NotNamedAt, "nobody knows since when")
-	belief = Advance(belief, Reading{SentAt: first.Add(time.Second), Weights: map[string]int64{"m": 1}})
-	belief = Advance(belief, Reading{SentAt: first.Add(2 * time.Second), Weights: map[string]int64{"m": 2}})
-	require.Equal(t, first.Add(time.Second), belief.Weights["m"].NotNamedAt)
+	second := func(number int) time.Time { return first.Add(time.Duration(number) * time.Second) }
+	belief := Advance(nil, Reading{SentAt: second(0), Weights: map[string]int64{"m": 1}})
+	belief = Advance(belief, Reading{SentAt: second(1), Weights: map[string]int64{"m": 1}})
+	belief = Advance(belief, Reading{SentAt: second(2), Weights: map[string]int64{"m": 2}})
+	belief = Advance(belief, Reading{SentAt: second(5), Weights: map[string]int64{"m": 4}})
+	namings := belief.Weights["m"]
+	require.Equal(t, Namings{{Version: 1}, {Version: 2, NotNamedAt: second(1)}, {Version: 4, NotNamedAt: second(2)}}, namings)
+	lacks, found := namings.After(1)
+	require.True(t, found)
+	require.Equal(t, int64(2), lacks.Version, "a server is late from the first version that it lacks")
+	_, found = namings.After(4)
+	require.False(t, found)
+}
+
+func TestAServerMayNotServeWhatWasReplacedTooLongAgo(t *testing.T) {
+	first := time.Unix(1000, 0)
+	second := func(number int) time.Time { return first.Add(time.Duration(number) * time.Second) }
+	namings := Namings{{Version: 1}, {Version: 2, NotNamedAt: second(10)}, {Version: 3, NotNamedAt: second(14)}}
+	require.Equal(t, int64(0), namings.Required(second(0), second(0)))
+	require.Equal(t, int64(1), namings.Required(second(9), second(0)))
+	require.Equal(t, int64(2), namings.Required(second(12), second(0)), "a newer naming does not excuse the one before")
+	require.Equal(t, int64(3), namings.Required(second(15), second(0)))
 }
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -22,18 +22,15 @@
 	retryPause = 300 * time.Millisecond
 )
 
-var (
-	valueActive = []byte("active")
-	valueIdle   = []byte("idle")
-)
-
 // Duty is what the holder does.
 type Duty interface {
 	// Wanted reports whether there is work.
-	Wanted(now time.Time) bool
-	// Step does the next piece of work and reports whether the duty is idle. It is
-	// called at every tick while the tenure may act.
-	Step(ctx context.Context, tenure *Tenure) (idle bool)
+	Wanted() bool
+	// Step decides on the next piece of work. It is called at every tick while the
+	// tenure may act. The state is published before act is called.
+	Step() (state []byte, act func(ctx context.Context, tenure *Tenure))
+	// Resting reports whether a published state says that nothing is under way.
+	Resting(state []byte) bool
 	// Lost says that the tenure is over.
 	Lost()
 }
@@ -49,7 +46,7 @@
 	Store    coordination.Store
 	Duty     Duty
 	Recorder Recorder
-	// Name is this node's; Key names the duty, and KeyState whether it is at work.
+	// Name is this node's; Key names the duty, and KeyState its published state.
 	Name     string
 	Key      string
 	KeyState string
@@ -67,14 +64,15 @@
 	tenure  *Tenure
 	lease   coordination.Lease
 	renewed time.Time
-	active  bool
+	// state is what was published last.
+	state []byte
 }
 
 // Run holds the duty when it should, until the context ends, and then gives it
 // back.
 func (keeper *Keeper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !keeper.Duty.Wanted(time.Now()) {
+		if !keeper.Duty.Wanted() {
 			pause(ctx, tick)
 			continue
 		}
@@ -129,9 +127,8 @@
 	if err != nil {
 		return nil, false
 	}
-	active := found && bytes.Equal(state.Value, valueActive)
 	last := time.Time{}
-	if !active {
+	if found && keeper.Duty.Resting(state.Value) {
 		last = keeper.FirstSeen(keeper.KeyState, state.Revision)
 	}
 	settled := SettledAt(found, last, time.Now(), keeper.Settling)
@@ -140,7 +137,7 @@
 		tenure:  NewTenure(fence, asked, granted.Life, granted.Life/marginPart, settled),
 		lease:   granted,
 		renewed: asked,
-		active:  active,
+		state:   state.Value,
 	}, false
 }
 
@@ -182,7 +179,7 @@
 			go func() { renewed <- keeper.renew(ctx, held.lease.ID, now) }()
 		}
 		if held.tenure.MayAct(now) {
-			keeper.work(ctx, held, now)
+			keeper.work(ctx, held)
 		}
 	}
 }
@@ -194,27 +191,24 @@
 	return renewal{asked: asked, alive: alive, err: err}
 }
 
-// work lets the duty act. Before its first order the state says so: should this
-// node die, the next holder knows that it must wait.
-func (keeper *Keeper) work(ctx context.Context, held *holding, now time.Time) {
-	wanted := keeper.Duty.Wanted(now)
-	if wanted && !held.active {
-		held.active = keeper.note(ctx, held, valueActive)
-	}
-	if !held.active {
-		return
-	}
-	idle := keeper.Duty.Step(ctx, held.tenure)
-	if idle && !wanted && keeper.note(ctx, held, valueIdle) {
-		held.active = false
+// work lets the duty act. What it is about to do is published before: should
+// this node die, the next holder knows that it must wait.
+func (keeper *Keeper) work(ctx context.Context, held *holding) {
+	state, act := keeper.Duty.Step()
+	if !bytes.Equal(state, held.state) {
+		if !keeper.publish(ctx, held, state) {
+			return
+		}
+		held.state = state
 	}
+	act(ctx, held.tenure)
 }
 
-// note writes the state of the duty, which only its holder can.
-func (keeper *Keeper) note(ctx context.Context, held *holding, value []byte) bool {
+// publish writes the state of the duty, which only its holder can.
+func (keeper *Keeper) publish(ctx context.Context, held *holding, state []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	written, err := keeper.Store.WriteGuarded(ctx, keeper.KeyState, value, keeper.Key, held.tenure.Fence)
+	written, err := keeper.Store.WriteGuarded(ctx, keeper.KeyState, state, keeper.Key, held.tenure.Fence)
 	return err == nil && written
 }
 
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -177,19 +177,10 @@
 // minimumVersion is the oldest version of a model's weights that may serve now.
 // It follows the newest belief, not the one that the request was admitted by.
 func (proxy *Proxy) minimumVersion(model string, now time.Time) int64 {
-	named, found := proxy.belief.Load().Weights[model]
-	if !found {
-		return 0
-	}
-	since := named.NotNamedAt
 	tolerated := proxy.bounds.Weights - weightsMargin
-	if since.IsZero() {
-		since, tolerated = proxy.started, settlingTime
-	}
-	if now.Sub(since) < tolerated {
-		return 0
-	}
-	return named.Version
+	// What was found at the first reading may have been named at any time before.
+	found := proxy.started.Add(settlingTime - tolerated)
+	return proxy.belief.Load().Weights[model].Required(now.Add(-tolerated), found)
 }
 
 // shared returns the parts that other requests may have in common with this one.
--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -44,27 +44,18 @@
 	machine *Machine
 }
 
-// targets returns what operators named, with the time by which it should hold.
-func (duty *Duty) targets(now time.Time) map[string]Target {
-	belief := duty.Belief.Load()
-	targets := map[string]Target{}
-	if belief == nil {
-		return targets
-	}
-	for model, named := range belief.Weights {
-		since := named.NotNamedAt
-		if since.IsZero() {
-			since = now
-		}
-		deadline := since.Add(time.Duration(finishPart * float64(duty.Bound)))
-		targets[model] = Target{Version: named.Version, Deadline: deadline}
+// targets returns what operators named, with the time in which it should hold.
+func (duty *Duty) targets() Targets {
+	targets := Targets{Within: time.Duration(finishPart * float64(duty.Bound))}
+	if belief := duty.Belief.Load(); belief != nil {
+		targets.Weights = belief.Weights
 	}
 	return targets
 }
 
 // Wanted reports whether a server is behind.
-func (duty *Duty) Wanted(now time.Time) bool {
-	return Behind(duty.targets(now), duty.Set.Servers())
+func (duty *Duty) Wanted() bool {
+	return Behind(duty.targets(), duty.Set.Servers(), time.Now())
 }
 
 // Lost forgets the orders of a tenure that is over.
@@ -74,18 +65,26 @@
 	duty.machine = nil
 }
 
-// Step sends the orders and questions that are due.
-func (duty *Duty) Step(ctx context.Context, tenure *lease.Tenure) bool {
+// Step decides on the orders and questions that are due. The state is to be
+// published before act is called: nodes then keep new requests from servers that
+// are about to load.
+func (duty *Duty) Step() (state []byte, act func(ctx context.Context, tenure *lease.Tenure)) {
 	now := time.Now()
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
 	if duty.machine == nil {
 		duty.machine = NewMachine()
 	}
-	for _, action := range duty.machine.Step(now, duty.targets(now), duty.Set.Servers()) {
+	actions := duty.machine.Step(now, duty.targets(), duty.Set.Servers())
+	encoded := State{Active: !duty.machine.Idle(), Loading: duty.machine.Loading()}.Encode()
+	return encoded, func(ctx context.Context, tenure *lease.Tenure) { duty.act(ctx, tenure, actions) }
+}
+
+func (duty *Duty) act(ctx context.Context, tenure *lease.Tenure, actions []Action) {
+	for _, action := range actions {
 		// A freeze may lie between the decision and the sending.
 		if !tenure.MayAct(time.Now()) {
-			return false
+			return
 		}
 		switch action := action.(type) {
 		case Order:
@@ -94,7 +93,12 @@
 			go duty.inspect(ctx, action)
 		}
 	}
-	return duty.machine.Idle()
+}
+
+// Resting reports whether a published state says that no order is under way.
+func (duty *Duty) Resting(state []byte) bool {
+	decoded, err := DecodeState(state)
+	return err == nil && !decoded.Active
 }
 
 // do runs a change of the machine, unless the tenure has ended since.
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -6,11 +6,14 @@
 package rollout
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/catalog"
 )
 
 // Result is what a server said to an order.
@@ -54,13 +57,51 @@
 	Sequence int64
 }
 
-// Target is the named version of a model.
-type Target struct {
-	Version int64
-	// Deadline is when all servers should have it.
-	Deadline time.Time
+// Targets is what servers should be moved to.
+type Targets struct {
+	// Weights holds the named versions of each model.
+	Weights map[string]catalog.Namings
+	// Within is how long after a naming all servers should have it.
+	Within time.Duration
+}
+
+// lack is what a server lacks: the newest version of a model, since the naming
+// of the first version that it has not.
+type lack struct {
+	server   backend.Server
+	model    string
+	version  int64
+	deadline time.Time
+}
+
+// of returns what the server lacks, the most urgent first.
+func (targets Targets) of(server backend.Server, now time.Time) (lack, bool) {
+	most, found := lack{}, false
+	for model, version := range server.Versions {
+		namings := targets.Weights[model]
+		first, lacks := namings.After(version)
+		if !lacks {
+			continue
+		}
+		since := first.NotNamedAt
+		if since.IsZero() {
+			since = now
+		}
+		one := lack{server: server, model: model, version: namings.Newest(), deadline: since.Add(targets.Within)}
+		earlier := one.deadline.Before(most.deadline) || (one.deadline.Equal(most.deadline) && model < most.model)
+		if !found || earlier {
+			most, found = one, true
+		}
+	}
+	return most, found
 }
 
+// Action is what the holder of the duty must do.
+type Action interface{ action() }
+
+func (Order) action()   {}
+func (Inspect) action() {}
+
 const (
 	inspectInterval = 200 * time.Millisecond
 	// resendAfter is when an order without an answer and without an effect is
@@ -72,8 +113,10 @@
 	// assumedLoad is how long a load is taken to last before one was seen.
 	assumedLoad = time.Second
 	loadGain    = 0.3
-	// mostAtOnce bounds the part of a service's servers that load together.
-	mostAtOnce = 3
+	// Of a service's servers, one in leastAtOnce loads at a time if there is time,
+	// and one in mostAtOnce if there is none.
+	leastAtOnce = 6
+	mostAtOnce  = 3
 )
 
 // Machine is the state of the roll-outs.
@@ -106,36 +149,29 @@
 }
 
 // Behind reports whether any server needs an order.
-func Behind(targets map[string]Target, servers []backend.Server) bool {
+func Behind(targets Targets, servers []backend.Server, now time.Time) bool {
 	for _, server := range servers {
-		if _, missing := missing(targets, server); missing && !server.Draining {
+		if _, lacks := targets.of(server, now); lacks && !server.Draining {
 			return true
 		}
 	}
 	return false
 }
 
-// missing returns the model for which the server lacks the named version.
-func missing(targets map[string]Target, server backend.Server) (string, bool) {
-	models := make([]string, 0, len(server.Versions))
-	for model, version := range server.Versions {
-		if target, named := targets[model]; named && version < target.Version {
-			models = append(models, model)
-		}
-	}
-	if len(models) == 0 {
-		return "", false
-	}
-	sort.Strings(models)
-	return models[0], true
-}
-
 // Idle reports whether no order is under way.
 func (machine *Machine) Idle() bool { return len(machine.pending) == 0 }
 
-// Step returns what to do now. Actions are Order and Inspect.
-func (machine *Machine) Step(now time.Time, targets map[string]Target, servers []backend.Server) []any {
-	actions := []any{}
+// Loading returns the servers that are being moved, with their new versions.
+func (machine *Machine) Loading() map[string]int64 {
+	loading := make(map[string]int64, len(machine.pending))
+	for instance, known := range machine.pending {
+		loading[instance] = known.order.Version
+	}
+	return loading
+}
+
+// Step returns what to do now.
+func (machine *Machine) Step(now time.Time, targets Targets, servers []backend.Server) []Action {
 	services := map[string][]backend.Server{}
 	present := map[string]bool{}
 	for _, server := range servers {
@@ -147,71 +183,65 @@
 			delete(machine.pending, instance)
 		}
 	}
-	names := make([]string, 0, len(services))
-	for name := range services {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
+	actions := []Action{}
+	for _, name := range slices.Sorted(maps.Keys(services)) {
 		actions = append(actions, machine.stepService(now, targets, services[name])...)
 	}
 	return actions
 }
 
-func (machine *Machine) stepService(now time.Time, targets map[string]Target, servers []backend.Server) []any {
-	actions := []any{}
+func (machine *Machine) stepService(now time.Time, targets Targets, servers []backend.Server) []Action {
+	actions := []Action{}
 	loading := 0
-	behind := []backend.Server{}
-	deadline := time.Time{}
+	behind := []lack{}
 	for _, server := range servers {
 		if known := machine.pending[server.Instance]; known != nil {
-			if machine.follow(now, known, server) {
+			if machine.underWay(now, known, server) {
 				loading++
 				actions = append(actions, machine.chase(now, known, server)...)
 				continue
 			}
 			delete(machine.pending, server.Instance)
 		}
-		model, lacks := missing(targets, server)
-		if !lacks || server.Draining || now.Before(machine.resting[server.Instance]) {
-			continue
-		}
-		behind = append(behind, server)
-		if target := targets[model]; deadline.IsZero() || target.Deadline.Before(deadline) {
-			deadline = target.Deadline
+		one, lacks := targets.of(server, now)
+		if lacks && !server.Draining && !now.Before(machine.resting[server.Instance]) {
+			behind = append(behind, one)
 		}
 	}
-	room := machine.atOnce(now, deadline, len(behind)+loading, len(servers)) - loading
-	for _, server := range spread(behind) {
-		expected, reported := machine.sequences[server.Instance]
-		if !reported {
-			actions = append(actions, machine.inspect(now, server)...)
-			continue
-		}
-		if room <= 0 {
-			continue
+	sortByUrgency(behind)
+	room := machine.atOnce(now, behind, loading, len(servers)) - loading
+	for _, one := range behind {
+		expected, reported := machine.sequences[one.server.Instance]
+		switch {
+		case !reported:
+			actions = append(actions, machine.inspect(now, one.server)...)
+		case room > 0:
+			room--
+			actions = append(actions, machine.order(now, one, expected))
 		}
-		room--
-		model, _ := missing(targets, server)
-		order := Order{Server: server, Model: model, Version: targets[model].Version, Expected: expected}
-		machine.pending[server.Instance] = &pending{order: order, sentAt: now, begunAt: now}
-		machine.asked[server.Instance] = now
-		actions = append(actions, order)
 	}
 	return actions
 }
 
+func (machine *Machine) order(now time.Time, one lack, expected int64) Order {
+	order := Order{Server: one.server, Model: one.model, Version: one.version, Expected: expected}
+	machine.pending[one.server.Instance] = &pending{order: order, sentAt: now, begunAt: now}
+	machine.asked[one.server.Instance] = now
+	return order
+}
+
 // inspect asks a server how far it is, unless it was asked just now.
-func (machine *Machine) inspect(now time.Time, server backend.Server) []any {
+func (machine *Machine) inspect(now time.Time, server backend.Server) []Action {
 	if now.Sub(machine.asked[server.Instance]) < inspectInterval {
 		return nil
 	}
 	machine.asked[server.Instance] = now
-	return []any{Inspect{Server: server}}
+	return []Action{Inspect{Server: server}}
 }
 
-// follow reports whether the order is still under way.
-func (machine *Machine) follow(now time.Time, known *pending, server backend.Server) bool {
+// underWay reports whether an order has not shown its effect yet. When it has,
+// the time that it took is learned.
+func (machine *Machine) underWay(now time.Time, known *pending, server backend.Server) bool {
 	if server.Versions[known.order.Model] < known.order.Version {
 		return true
 	}
@@ -221,46 +251,50 @@
 }
 
 // chase asks how far the server is, and repeats an order that seems lost.
-func (machine *Machine) chase(now time.Time, known *pending, server backend.Server) []any {
+func (machine *Machine) chase(now time.Time, known *pending, server backend.Server) []Action {
 	if !known.taken && now.Sub(known.sentAt) >= resendAfter {
 		known.sentAt = now
 		known.order.Server = server
-		return []any{known.order}
+		return []Action{known.order}
 	}
 	return machine.inspect(now, server)
 }
 
 // atOnce is how many servers should load together for all to be done in time.
-func (machine *Machine) atOnce(now time.Time, deadline time.Time, remaining, all int) int {
-	if remaining == 0 {
+// It starts with few, since loads slow each other down.
+func (machine *Machine) atOnce(now time.Time, behind []lack, loading, all int) int {
+	if len(behind) == 0 {
 		return 0
 	}
-	rounds := deadline.Sub(now).Seconds() / machine.load.Seconds()
-	wanted := remaining
-	if rounds >= 1 {
-		wanted = int(math.Ceil(float64(remaining) / math.Floor(rounds)))
+	least, most := max(1, all/leastAtOnce), max(1, all/mostAtOnce)
+	rounds := behind[0].deadline.Sub(now).Seconds() / machine.load.Seconds()
+	if rounds < 1 {
+		return most
 	}
-	most := max(1, all/mostAtOnce)
-	return min(max(1, wanted), most)
+	wanted := int(math.Ceil(float64(len(behind)+loading) / math.Floor(rounds)))
+	return min(max(least, wanted), most)
 }
 
-// spread orders servers so that neighbours in the order are in different zones.
-func spread(servers []backend.Server) []backend.Server {
-	sort.Slice(servers, func(i, j int) bool { return servers[i].Instance < servers[j].Instance })
+// sortByUrgency puts those first that are late soonest; among equals, neighbours
+// in the order are in different zones.
+func sortByUrgency(behind []lack) {
+	sort.Slice(behind, func(i, j int) bool { return behind[i].server.Instance < behind[j].server.Instance })
 	place := map[string]int{}
 	rank := map[string]int{}
-	for _, server := range servers {
-		rank[server.Instance] = place[server.Zone]
-		place[server.Zone]++
+	for _, one := range behind {
+		rank[one.server.Instance] = place[one.server.Zone]
+		place[one.server.Zone]++
 	}
-	sort.SliceStable(servers, func(i, j int) bool {
-		first, second := servers[i], servers[j]
-		if rank[first.Instance] != rank[second.Instance] {
-			return rank[first.Instance] < rank[second.Instance]
+	sort.SliceStable(behind, func(i, j int) bool {
+		first, second := behind[i], behind[j]
+		if !first.deadline.Equal(second.deadline) {
+			return first.deadline.Before(second.deadline)
+		}
+		if rank[first.server.Instance] != rank[second.server.Instance] {
+			return rank[first.server.Instance] < rank[second.server.Instance]
 		}
-		return first.Zone < second.Zone
+		return first.server.Zone < second.server.Zone
 	})
-	return servers
 }
 
 // Answered takes a server's answer to an order.
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -137,9 +137,10 @@
 		recorder.metrics.version.Set(float64(after.Snapshot.Version))
 		recorder.log.Info().Int64("declaration", after.Snapshot.Version).Msg("a declaration is in force")
 	}
-	for model, named := range after.Weights {
-		if before == nil || before.Weights[model].Version != named.Version {
-			recorder.log.Info().Str("model", model).Int64("version", named.Version).Msg("weights were named")
+	for model, namings := range after.Weights {
+		newest := namings.Newest()
+		if before == nil || before.Weights[model].Newest() != newest {
+			recorder.log.Info().Str("model", model).Int64("version", newest).Msg("weights were named")
 		}
 	}
 }
