Place by what is known of cached parts, doubt only silent servers, start retry budgets empty

Change: internal/residency remembers what this node had read where; a part that nobody is known to hold goes to the rendezvous server of the fleet. Silence counts only if the server answers nobody else. Budgets start empty.

--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -22,6 +22,7 @@
 	"github.com/cloverrail/cloverrail/internal/lease"
 	"github.com/cloverrail/cloverrail/internal/proxy"
 	"github.com/cloverrail/cloverrail/internal/reflector"
+	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/rollout"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/internal/telemetry"
@@ -80,6 +81,7 @@
 	metrics  *telemetry.Metrics
 	recorder *telemetry.Recorder
 	retries  *proxy.Retries
+	ledger   *residency.Ledger
 	proxy    *proxy.Proxy
 	registry *fleet.Registry
 	stopping atomic.Bool
@@ -101,6 +103,7 @@
 		Extra:  given.Bounds.RetryExtra,
 		Window: given.Bounds.RetryWindow,
 	})
+	process.ledger = residency.NewLedger()
 	process.proxy = proxy.New(proxy.Options{
 		Belief:  process.belief,
 		Set:     process.set,
@@ -113,17 +116,24 @@
 		Retries:  process.retries,
 		Distance: process.distance,
 		Recorder: process.recorder,
+		Ledger:   process.ledger,
 	})
 	process.registry = &fleet.Registry{
 		Store:    process.store,
 		Keys:     fleet.Keys{Root: platform.PrefixFleet, Nodes: platform.PrefixNodes},
 		Name:     given.Name,
 		Interval: fleetInterval,
-		Resized:  process.retries.Resize,
+		Resized:  process.resize,
 	}
 	return process, nil
 }
 
+// resize follows the number of nodes in the fleet.
+func (process *process) resize(nodes int) {
+	process.retries.Resize(nodes)
+	process.ledger.Resize(nodes)
+}
+
 // distance is 0 within the zone, 1 within the region, and 2 beyond.
 func (process *process) distance(zone string) int {
 	zones := process.settings.Zones
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -55,9 +55,11 @@
 type state struct {
 	server Server
 	// listed is false once the server has vanished from the list.
-	listed       bool
-	unlistedAt   time.Time
-	inFlight     int
+	listed     bool
+	unlistedAt time.Time
+	inFlight   int
+	// heardAt is when the server last answered anything.
+	heardAt      time.Time
 	queuedTokens int
 	busyUntil    time.Time
 	// loadingVersion is the version that it is loading, or 0.
@@ -277,13 +279,24 @@
 }
 
 // Started says that the server has read the prompt.
-func (attempt *Attempt) Started() {
-	if attempt.state == nil || attempt.tokens == 0 {
+func (attempt *Attempt) Started(now time.Time) {
+	if attempt.state == nil {
 		return
 	}
 	attempt.set.mutex.Lock()
 	defer attempt.set.mutex.Unlock()
 	attempt.unqueue()
+	attempt.state.heardAt = now
+}
+
+// HeardSince reports whether the server has answered anything since a time.
+func (attempt *Attempt) HeardSince(since time.Time) bool {
+	if attempt.state == nil {
+		return false
+	}
+	attempt.set.mutex.Lock()
+	defer attempt.set.mutex.Unlock()
+	return attempt.state.heardAt.After(since)
 }
 
 func (attempt *Attempt) unqueue() {
@@ -306,6 +319,10 @@
 }
 
 func (state *state) judge(result exchange.Result, now time.Time) {
+	switch result {
+	case exchange.ResultServed, exchange.ResultRefused, exchange.ResultFaulty:
+		state.heardAt = now
+	}
 	switch result {
 	case exchange.ResultServed:
 		state.breaker.Succeeded()
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -75,6 +75,9 @@
 	Send(ctx context.Context, resumes bool, after int64) (*Reply, error)
 	// Started says that the server has begun to answer.
 	Started()
+	// Doubtful reports whether an attempt that has been silent for a time is
+	// better tried elsewhere.
+	Doubtful(silent time.Duration) bool
 	// End says that the attempt is over.
 	End(result Result)
 }
@@ -151,6 +154,8 @@
 	kept      *Answer
 	raw       []byte
 	silence   *time.Timer
+	patience  time.Duration
+	heardAt   time.Time
 }
 
 // Run carries a request to its end. The context ends with the caller or with
@@ -201,8 +206,7 @@
 		run.heard(message.event)
 		run.step(message.event)
 	case <-run.silence.C:
-		run.result = ResultSilent
-		run.step(Silent{})
+		run.doubt()
 	case <-ctx.Done():
 		run.step(run.over(ctx))
 	case <-run.request.Stopping:
@@ -228,8 +232,21 @@
 	}
 }
 
+// doubt decides on an attempt that has been silent for long.
+func (run *run) doubt() {
+	if !run.placement.Doubtful(time.Since(run.heardAt)) {
+		run.silence.Reset(run.patience)
+		return
+	}
+	run.step(Silent{})
+	if len(run.queue) > 0 {
+		run.result = ResultSilent
+	}
+}
+
 func (run *run) listen(patience time.Duration) {
 	run.silence.Stop()
+	run.patience, run.heardAt = patience, time.Now()
 	if patience > 0 {
 		run.silence.Reset(patience)
 	}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -11,6 +11,7 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/prefix"
+	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/routing"
 )
 
@@ -26,6 +27,18 @@
 	firstPatience = 1
 	gapPatience   = 4
 	leastGap      = time.Second
+	// lastDoubt is the silence, in targets, after which an attempt is tried elsewhere
+	// even if its server answers others.
+	lastDoubt = 2.5
+	// saveTime is how long after the first event the parts of a prompt have surely
+	// reached the store.
+	saveTime = 150 * time.Millisecond
+	// workWeight is how much dearer a second of reading a prompt is than a second
+	// of waiting: it is taken from every request that comes after.
+	workWeight = 4
+	// copyCost is the share of the reading of a prompt that one more copy of its
+	// shared parts costs.
+	copyCost = 1
 	// leastUrgent is the last rank that servers know.
 	leastUrgent = 9
 )
@@ -44,7 +57,7 @@
 		Budget:      proxy.retries.Of(admitted.service.Name, time.Now()),
 		Patience:    patience(route),
 		ResumeAfter: admitted.request.ResumeAfter,
-		Placer:      &placer{proxy: proxy, admitted: admitted},
+		Placer:      &placer{proxy: proxy, admitted: admitted, pieces: map[int64][]residency.Piece{}},
 		Caller:      caller,
 		Stopping:    proxy.stopping,
 		Observe: func(server string, event exchange.Event) {
@@ -73,42 +86,81 @@
 type placer struct {
 	proxy    *Proxy
 	admitted *admitted
+	// pieces holds the shared parts of the prompt as they are named at each version.
+	pieces map[int64][]residency.Piece
 }
 
 // Place filters, scores and picks among the servers known now.
 func (placer *placer) Place(excluded []string) (exchange.Placement, *exchange.Unplaced) {
 	now := time.Now()
-	proxy, admitted := placer.proxy, placer.admitted
-	query := placer.query(now)
-	candidates := proxy.set.Candidates(nil, query, now)
+	candidates := placer.proxy.set.Candidates(nil, placer.query(now), now)
 	if len(candidates) == 0 {
 		return nil, &exchange.Unplaced{Reason: "no server is known"}
 	}
 	routing.Exclude(candidates, excluded)
-	request := placer.routingRequest()
-	if admitted.request.Prompt != nil {
-		for index := range candidates {
-			candidates[index].Affinity = prefix.Weight(placer.affinityKey(), candidates[index].Endpoint)
-			candidates[index].ImportBlocks = placer.importable()
-		}
+	if placer.prompt() != nil {
+		placer.annotate(candidates, now)
 	}
-	decision := placer.schedule(request, candidates)
+	decision := placer.schedule(placer.routingRequest(), candidates)
 	if decision.Index < 0 {
 		return nil, &exchange.Unplaced{Reason: "every server is " + string(decision.Refused)}
 	}
-	chosen := candidates[decision.Index]
+	return placer.begin(candidates[decision.Index], now), nil
+}
+
+// annotate adds what is known of the prompt's parts at each server.
+func (placer *placer) annotate(candidates []routing.Candidate, now time.Time) {
+	store := placer.store()
+	key := placer.affinityKey()
+	for index := range candidates {
+		candidate := &candidates[index]
+		candidate.Affinity = prefix.Weight(key, candidate.Endpoint)
+		pieces := placer.named(candidate.Version)
+		candidate.HitBlocks = placer.proxy.ledger.Held(candidate.Endpoint, pieces, now)
+		if store != nil {
+			candidate.ImportBlocks = placer.proxy.ledger.Held(store.Address, pieces, now)
+		}
+	}
+}
+
+// begin counts the attempt at the chosen server.
+func (placer *placer) begin(chosen routing.Candidate, now time.Time) *placement {
 	tokens := 0
-	if admitted.request.Prompt != nil {
-		tokens = admitted.request.Prompt.Tokens - placer.importable()
+	if prompt := placer.prompt(); prompt != nil {
+		tokens = max(0, prompt.Tokens-max(chosen.HitBlocks, chosen.ImportBlocks))
 	}
 	return &placement{
 		placer:  placer,
 		chosen:  chosen,
-		attempt: proxy.set.Begin(chosen.Endpoint, tokens, now),
+		attempt: placer.proxy.set.Begin(chosen.Endpoint, tokens, now),
 		tokens:  tokens,
-		idle:    chosen.InFlight == 0,
 		begun:   now,
-	}, nil
+	}
+}
+
+// prompt is nil for requests to plain services.
+func (placer *placer) prompt() *Prompt {
+	if placer.admitted.service.Engine == nil {
+		return nil
+	}
+	return placer.admitted.request.Prompt
+}
+
+func (placer *placer) store() *catalog.PrefixStore { return placer.admitted.belief.Snapshot.Store() }
+
+// named returns the shared parts as they are named at a version.
+func (placer *placer) named(version int64) []residency.Piece {
+	if pieces, found := placer.pieces[version]; found {
+		return pieces
+	}
+	salt := placer.salt(version)
+	pieces := []residency.Piece{}
+	for _, part := range placer.shared() {
+		key := residency.Key(prefix.KeyOf(salt + part.ID))
+		pieces = append(pieces, residency.Piece{Key: key, Tokens: part.Tokens})
+	}
+	placer.pieces[version] = pieces
+	return pieces
 }
 
 // schedule prefers servers that were not tried and do not rest; a server that
@@ -128,27 +180,27 @@
 }
 
 func (placer *placer) scorers() []routing.Scorer {
-	if placer.admitted.request.Prompt == nil {
+	if placer.prompt() == nil {
 		return []routing.Scorer{routing.TurnScorer{}, routing.DistanceScorer{}, routing.FailureScorer{}}
 	}
-	return []routing.Scorer{routing.WorkScorer{}, routing.WaitScorer{}, routing.AffinityScorer{}, routing.DistanceScorer{}, routing.FailureScorer{}}
+	return []routing.Scorer{routing.WorkScorer{}, routing.WaitScorer{}, routing.AffinityScorer{CopyCost: copyCost}, routing.DistanceScorer{}, routing.FailureScorer{}}
 }
 
 func (placer *placer) routingRequest() *routing.Request {
 	request := &routing.Request{
 		WaitWeight:  1,
-		WorkWeight:  1,
+		WorkWeight:  workWeight,
 		TurnSeconds: plainTurn,
 		Bytes:       len(placer.admitted.request.Body),
 		FailureCost: placer.admitted.route.TargetLatency.Seconds(),
 	}
-	prompt := placer.admitted.request.Prompt
+	prompt := placer.prompt()
 	if prompt == nil {
 		return request
 	}
 	request.PromptTokens = prompt.Tokens
 	request.BlockTokens = 1
-	request.Blocks = prompt.Tokens
+	request.Blocks = placer.sharedTokens()
 	request.PrefillTokensPerSecond = placer.proxy.pace.tokensPerSecond()
 	request.ImportTokensPerSecond = importSpeed(placer.admitted.service.Engine)
 	return request
@@ -165,8 +217,8 @@
 // query says which servers may serve the request.
 func (placer *placer) query(now time.Time) backend.Query {
 	query := backend.Query{Service: placer.admitted.service.Name, Distance: placer.proxy.distance}
-	prompt := placer.admitted.request.Prompt
-	if prompt == nil || placer.admitted.service.Engine == nil {
+	prompt := placer.prompt()
+	if prompt == nil {
 		return query
 	}
 	query.Model = prompt.Model
@@ -192,12 +244,8 @@
 	return parts[:len(parts)-1]
 }
 
-// importable is how many leading tokens the store of kept KV cache is taken to
-// hold: all that is shared.
-func (placer *placer) importable() int {
-	if placer.admitted.belief.Snapshot.Store() == nil {
-		return 0
-	}
+// sharedTokens is the length of the shared parts.
+func (placer *placer) sharedTokens() int {
 	tokens := 0
 	for _, part := range placer.shared() {
 		tokens += part.Tokens
@@ -223,15 +271,25 @@
 	return tenant.Name
 }
 
+// salt keeps cached prefixes of different walls, models and versions apart.
+func (placer *placer) salt(version int64) string {
+	return prefix.Salt(nil, prefix.Identity{
+		Tenant:  placer.wall(),
+		Model:   placer.prompt().Model,
+		Version: strconv.FormatInt(version, 10),
+	})
+}
+
 // placement is one attempt at a chosen server.
 type placement struct {
 	placer  *placer
 	chosen  routing.Candidate
 	attempt *backend.Attempt
+	// tokens are those of the prompt that the server is taken to read.
 	tokens  int
-	idle    bool
 	begun   time.Time
 	started bool
+	saves   bool
 }
 
 // Server names the server's incarnation.
@@ -254,12 +312,10 @@
 	if admitted.tenant != nil {
 		dispatch.Tenant = admitted.tenant.Name
 	}
-	if prompt := admitted.request.Prompt; prompt != nil && admitted.service.Engine != nil {
+	if placement.placer.prompt() != nil {
 		dispatch.Version = placement.chosen.Version
-		dispatch.Salt = placement.salt(prompt.Model)
-		if store := admitted.belief.Snapshot.Store(); store != nil {
-			dispatch.FetchFrom, dispatch.SaveTo = store.Address, store.Address
-		}
+		dispatch.Salt = placement.placer.salt(placement.chosen.Version)
+		placement.addStore(&dispatch)
 	}
 	reply, err := placement.placer.proxy.servers.Send(ctx, dispatch)
 	placement.learn(dispatch, err)
@@ -275,13 +331,18 @@
 	}
 }
 
-// salt keeps cached prefixes of different walls, models and versions apart.
-func (placement *placement) salt(model string) string {
-	return prefix.Salt(nil, prefix.Identity{
-		Tenant:  placement.placer.wall(),
-		Model:   model,
-		Version: strconv.FormatInt(placement.chosen.Version, 10),
-	})
+// addStore says what the server fetches from the store of kept KV cache, and
+// whether it saves there: only if the store lacks a shared part.
+func (placement *placement) addStore(dispatch *Dispatch) {
+	store := placement.placer.store()
+	if store == nil {
+		return
+	}
+	dispatch.FetchFrom = store.Address
+	if placement.chosen.ImportBlocks < placement.placer.sharedTokens() {
+		dispatch.SaveTo = store.Address
+		placement.saves = true
+	}
 }
 
 func urgency(admitted *admitted) int {
@@ -292,16 +353,49 @@
 	return min(max(priority, 0), leastUrgent)
 }
 
-// Started says that the server has begun to answer.
+// Started says that the server has begun to answer: it has read the prompt.
 func (placement *placement) Started() {
 	if placement.started {
 		return
 	}
 	placement.started = true
-	if placement.idle {
-		placement.placer.proxy.pace.measure(placement.tokens, time.Since(placement.begun))
+	now := time.Now()
+	placement.attempt.Started(now)
+	if placement.placer.prompt() == nil {
+		return
+	}
+	if placement.chosen.InFlight == 0 {
+		placement.placer.proxy.pace.measure(placement.tokens, now.Sub(placement.begun))
+	}
+	placement.remember(now)
+}
+
+// remember notes where the parts of the prompt lie now.
+func (placement *placement) remember(now time.Time) {
+	placer := placement.placer
+	ledger := placer.proxy.ledger
+	pieces := placer.named(placement.chosen.Version)
+	capacity := placer.admitted.service.Engine.CacheTokens
+	ledger.Note(placement.chosen.Endpoint, pieces, placement.tokens, capacity, now)
+	store := placer.store()
+	switch {
+	case store == nil:
+	case placement.saves:
+		ledger.Note(store.Address, pieces, placer.prompt().Tokens, store.CapacityTokens, now.Add(saveTime))
+	case placement.chosen.HitBlocks < placer.sharedTokens():
+		ledger.Note(store.Address, pieces, 0, store.CapacityTokens, now)
+	}
+}
+
+// Doubtful reports whether a silent attempt is better tried elsewhere: at once
+// if its server has answered nobody meanwhile, and later if it only has much to
+// do.
+func (placement *placement) Doubtful(silent time.Duration) bool {
+	if !placement.attempt.HeardSince(time.Now().Add(-silent)) {
+		return true
 	}
-	placement.attempt.Started()
+	target := placement.placer.admitted.route.TargetLatency
+	return silent >= time.Duration(lastDoubt*float64(target))
 }
 
 // End says that the attempt is over.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/residency"
 )
 
 // Part is one part of a prompt, shared with other requests or their own.
@@ -121,8 +122,10 @@
 	started  time.Time
 	splits   splits
 	pace     *pace
+	ledger   *residency.Ledger
 	stopping chan struct{}
 	open     atomic.Int64
+	refusing atomic.Bool
 }
 
 // Options are the parts of a proxy.
@@ -134,6 +137,7 @@
 	Retries  *Retries
 	Distance backend.Distance
 	Recorder Recorder
+	Ledger   *residency.Ledger
 }
 
 // New returns a proxy.
@@ -146,6 +150,7 @@
 		retries:  options.Retries,
 		distance: options.Distance,
 		recorder: options.Recorder,
+		ledger:   options.Ledger,
 		started:  time.Now(),
 		pace:     newPace(),
 		stopping: make(chan struct{}),
@@ -188,6 +193,9 @@
 	proxy.open.Add(1)
 	defer proxy.open.Add(-1)
 	admitted, refusal := proxy.admit(request, time.Now())
+	if proxy.refusing.Load() {
+		refusal = failure.New(failure.KindStopping, "this node stops", "send the request to another node").WithRetryAfter(soon)
+	}
 	if refusal != nil {
 		outcome := exchange.Outcome{Failure: refusal}
 		proxy.recorder.Request(request, nil, 0, outcome)
--- a/internal/proxy/retries.go
+++ b/internal/proxy/retries.go
@@ -24,7 +24,7 @@
 
 // Retries holds this node's part of the retry budget of each service. Nodes do
 // not ask each other: each earns by its own requests, and saves up at most its
-// part of what the fleet may send beyond the ratio.
+// part of what the fleet may send beyond the ratio, and at least one.
 type Retries struct {
 	bounds RetryBounds
 	mutex  sync.Mutex
@@ -32,9 +32,13 @@
 	each   map[string]*retry.Budget
 }
 
-// NewRetries returns budgets for a fleet of unknown size.
+// unknownFleet is the size that a fleet is taken to have before it is known.
+const unknownFleet = 1000
+
+// NewRetries returns budgets for a fleet of unknown size. A node that has just
+// started does not know what the fleet has spent: it has nothing saved up.
 func NewRetries(bounds RetryBounds) *Retries {
-	return &Retries{bounds: bounds, nodes: 1, each: map[string]*retry.Budget{}}
+	return &Retries{bounds: bounds, nodes: unknownFleet, each: map[string]*retry.Budget{}}
 }
 
 // Resize follows the number of nodes in the fleet.
@@ -46,14 +50,19 @@
 	}
 	retries.nodes = nodes
 	for _, budget := range retries.each {
-		budget.Limit(retries.capacity())
+		budget.Limit(retries.capacity(), retries.perSecond())
 	}
 }
 
 // capacity is what one node may save up. Half of the extra is saved up, the
 // other half comes in over a window.
 func (retries *Retries) capacity() float64 {
-	return extraShare * retries.bounds.Extra / 2 / float64(retries.nodes)
+	return max(1, extraShare*retries.bounds.Extra/2/float64(retries.nodes))
+}
+
+// perSecond is what one node earns without any traffic.
+func (retries *Retries) perSecond() float64 {
+	return extraShare * retries.bounds.Extra / 2 / float64(retries.nodes) / retries.bounds.Window.Seconds()
 }
 
 func (retries *Retries) budget(service string, now time.Time) *retry.Budget {
@@ -64,9 +73,10 @@
 		capacity := retries.capacity()
 		known = retry.NewBudget(retry.BudgetConfig{
 			Ratio:     ratioShare * retries.bounds.Ratio,
-			PerSecond: capacity / retries.bounds.Window.Seconds(),
+			PerSecond: retries.perSecond(),
 			Capacity:  capacity,
 		}, now)
+		known.Drain()
 		retries.each[service] = known
 	}
 	return known
--- /dev/null
+++ b/internal/residency/ledger.go
@@ -0,0 +1,137 @@
+// Package residency remembers where cached parts of prompts lie, from what this
+// node itself sent. It needs no word of other nodes: they choose the same server
+// for a part that none of them knows to be cached.
+package residency
+
+import (
+	"sync"
+	"time"
+)
+
+// Key names one part of a prompt together with all that keeps it apart: wall,
+// model and version.
+type Key uint64
+
+// Piece is one part in the order of its prompt.
+type Piece struct {
+	Key    Key
+	Tokens int
+}
+
+const (
+	// sureShare is the share of a holder's memory that may be written anew before a
+	// part counts as given up. Parts unused longest give way first.
+	sureShare = 0.6
+	// longestLife is how long a part is remembered without being used.
+	longestLife = time.Minute
+	// sweepAbove is the number of parts of one holder above which old ones are
+	// looked for and forgotten.
+	sweepAbove = 4096
+)
+
+// mark is when a part was used last: the holder's count of written tokens, and
+// the time from which it is there.
+type mark struct {
+	written int64
+	from    time.Time
+}
+
+type holding struct {
+	// written counts the tokens that this node's requests brought.
+	written  int64
+	capacity int64
+	marks    map[Key]mark
+	sweepAt  int
+}
+
+// Ledger is what one node remembers. It is safe for concurrent use.
+type Ledger struct {
+	mutex    sync.Mutex
+	holdings map[string]*holding
+	nodes    int64
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{holdings: map[string]*holding{}, nodes: 1}
+}
+
+// Resize follows the number of nodes: others write about as much as this one.
+func (ledger *Ledger) Resize(nodes int) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.nodes = int64(max(1, nodes))
+}
+
+// Held returns how many leading tokens of the pieces the holder has.
+func (ledger *Ledger) Held(holder string, pieces []Piece, now time.Time) int {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	known := ledger.holdings[holder]
+	if known == nil {
+		return 0
+	}
+	tokens := 0
+	for _, piece := range pieces {
+		mark, found := known.marks[piece.Key]
+		if !found || now.Before(mark.from) || ledger.gone(known, mark, now) {
+			break
+		}
+		tokens += piece.Tokens
+	}
+	return tokens
+}
+
+// gone reports whether a part has probably given way.
+func (ledger *Ledger) gone(known *holding, mark mark, now time.Time) bool {
+	if now.Sub(mark.from) > longestLife {
+		return true
+	}
+	since := (known.written - mark.written) * ledger.nodes
+	return known.capacity > 0 && float64(since) > sureShare*float64(known.capacity)
+}
+
+// Note says that the holder has the pieces from a time on, that their use
+// brought it written tokens, and how many tokens it has room for.
+func (ledger *Ledger) Note(holder string, pieces []Piece, written, capacity int, from time.Time) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	known := ledger.holdings[holder]
+	if known == nil {
+		known = &holding{marks: map[Key]mark{}, sweepAt: sweepAbove}
+		ledger.holdings[holder] = known
+	}
+	known.written += int64(written)
+	known.capacity = int64(capacity)
+	for _, piece := range pieces {
+		next := mark{written: known.written, from: from}
+		if before, found := known.marks[piece.Key]; found && before.from.Before(from) && !ledger.gone(known, before, from) {
+			next.from = before.from
+			if from.Sub(before.from) > longestLife/2 {
+				next.from = from
+			}
+		}
+		known.marks[piece.Key] = next
+	}
+	ledger.sweep(known, from)
+}
+
+// sweep forgets old parts when there are many.
+func (ledger *Ledger) sweep(known *holding, now time.Time) {
+	if len(known.marks) < known.sweepAt {
+		return
+	}
+	for key, mark := range known.marks {
+		if ledger.gone(known, mark, now) {
+			delete(known.marks, key)
+		}
+	}
+	known.sweepAt = max(sweepAbove, 2*len(known.marks))
+}
+
+// Forget drops all that is remembered of a holder.
+func (ledger *Ledger) Forget(holder string) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	delete(ledger.holdings, holder)
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -46,18 +46,22 @@
 	budget.tokens = math.Min(budget.config.Capacity, budget.tokens+budget.config.Ratio)
 }
 
-// Limit changes how many retries may be saved up, and with it how many are
-// earned without any traffic.
-func (budget *Budget) Limit(capacity float64) {
+// Limit changes how many retries may be saved up, and how many are earned
+// without any traffic.
+func (budget *Budget) Limit(capacity, perSecond float64) {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	if budget.config.Capacity > 0 {
-		budget.config.PerSecond *= capacity / budget.config.Capacity
-	}
-	budget.config.Capacity = capacity
+	budget.config.Capacity, budget.config.PerSecond = capacity, perSecond
 	budget.tokens = math.Min(budget.tokens, capacity)
 }
 
+// Drain takes all that is saved up.
+func (budget *Budget) Drain() {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.tokens = 0
+}
+
 // Withdraw takes one retry and reports whether it was there.
 func (budget *Budget) Withdraw(now time.Time) bool {
 	budget.mutex.Lock()
