Register nodes with a value, so that the size of the fleet is known

Every node took the fleet to have one node: the store refuses a key whose value is null, and the registration was repeated in vain.

Change: the value is the node's name; the log tells when the fleet's size changes.

--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -130,6 +130,7 @@
 
 // resize follows the number of nodes in the fleet.
 func (process *process) resize(nodes int) {
+	process.recorder.Resized(nodes)
 	process.retries.Resize(nodes)
 	process.ledger.Resize(nodes)
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -100,7 +100,7 @@
 		return 0
 	}
 	key := registry.Keys.Nodes + registry.Name + "/" + uuid.NewString()
-	if _, _, err := registry.Store.Create(ctx, key, nil, granted.ID); err != nil {
+	if _, _, err := registry.Store.Create(ctx, key, []byte(registry.Name), granted.ID); err != nil {
 		return 0
 	}
 	return granted.ID
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -33,6 +33,7 @@
 	mutex      sync.Mutex
 	suppressed int
 	lost       map[string]bool
+	nodes      int
 }
 
 // NewRecorder returns a recorder.
@@ -154,6 +155,17 @@
 	}
 }
 
+// Resized hears of the number of nodes in the fleet.
+func (recorder *Recorder) Resized(nodes int) {
+	recorder.mutex.Lock()
+	before := recorder.nodes
+	recorder.nodes = nodes
+	recorder.mutex.Unlock()
+	if before != nodes {
+		recorder.log.Info().Int("nodes", nodes).Int("before", before).Msg("the fleet changed")
+	}
+}
+
 // Acquired hears that this node holds the duty of ordering.
 func (recorder *Recorder) Acquired(fence int64, settled time.Duration) {
 	recorder.log.Info().Int64("fence", fence).Dur("settles_in", settled).Msg("this node orders servers to load weights")
