Allow for the time to read a prompt before its server is doubted

Cause: prompts of 20,000 tokens and more take longer than the 800 ms after which an attempt was sent elsewhere, where its shared parts were read once more.

Ruled out: missing knowledge of other nodes' prompts; most parts are new in each version, and the owner of the part is the same on every node.

--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -96,7 +96,8 @@
 	Forward(event []byte) error
 }
 
-// Patience is how long an attempt may be silent before another one is tried.
+// Patience is how long an attempt may be silent before its placement is asked
+// whether to try another one.
 type Patience struct {
 	// First bounds the time to the answer or to the first event; Between, the
 	// pause between events. Zero means for ever.
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -24,12 +24,15 @@
 	placementPart = 8
 	// firstPatience and gapPatience are the silences, in targets, after which a
 	// request that may run again is tried elsewhere.
-	firstPatience = 1
+	firstPatience = 0.5
 	gapPatience   = 4
 	leastGap      = time.Second
 	// lastDoubt is the silence, in targets, after which an attempt is tried elsewhere
 	// even if its server answers others.
 	lastDoubt = 2.5
+	// readingAllowance is how much longer than expected the reading of a prompt may
+	// take before its server is doubted.
+	readingAllowance = 2
 	// saveTime is how long after the first event the parts of a prompt have surely
 	// reached the store.
 	saveTime = 150 * time.Millisecond
@@ -71,7 +74,7 @@
 		return exchange.Patience{}
 	}
 	return exchange.Patience{
-		First:   firstPatience * route.TargetLatency,
+		First:   time.Duration(firstPatience * float64(route.TargetLatency)),
 		Between: max(leastGap, gapPatience*route.GapTarget),
 	}
 }
@@ -129,6 +132,7 @@
 	if prompt := placer.prompt(); prompt != nil {
 		tokens = max(0, prompt.Tokens-max(chosen.HitBlocks, chosen.ImportBlocks))
 	}
+	placer.proxy.recorder.Placed(placer.admitted.request, chosen)
 	return &placement{
 		placer:  placer,
 		chosen:  chosen,
@@ -387,15 +391,32 @@
 	}
 }
 
-// Doubtful reports whether a silent attempt is better tried elsewhere: at once
-// if its server has answered nobody meanwhile, and later if it only has much to
-// do.
+// Doubtful reports whether a silent attempt is better tried elsewhere: soon if
+// its server has answered nobody meanwhile, and later if it only has much to do.
+// The time to read the prompt, and those before it, is allowed for.
 func (placement *placement) Doubtful(silent time.Duration) bool {
-	if !placement.attempt.HeardSince(time.Now().Add(-silent)) {
-		return true
+	if !placement.started {
+		silent -= placement.reading()
+	}
+	if silent <= 0 {
+		return false
 	}
 	target := placement.placer.admitted.route.TargetLatency
-	return silent >= time.Duration(lastDoubt*float64(target))
+	if placement.attempt.HeardSince(time.Now().Add(-silent)) {
+		return silent >= time.Duration(lastDoubt*float64(target))
+	}
+	return silent >= target/2
+}
+
+// reading is the time that the server is allowed for reading the prompt and
+// those that were sent before it.
+func (placement *placement) reading() time.Duration {
+	if placement.placer.prompt() == nil {
+		return 0
+	}
+	tokens := float64(placement.chosen.QueuedTokens + placement.tokens)
+	seconds := readingAllowance * tokens / placement.placer.proxy.pace.tokensPerSecond()
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // End says that the attempt is over.
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -14,6 +14,7 @@
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/proxy"
 	"github.com/cloverrail/cloverrail/internal/rollout"
+	"github.com/cloverrail/cloverrail/internal/routing"
 )
 
 const (
@@ -64,6 +65,17 @@
 	return strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", event), "exchange."))
 }
 
+// Placed hears of each placement with what decided it.
+func (recorder *Recorder) Placed(request *proxy.Request, chosen routing.Candidate) {
+	line := recorder.line(zerolog.InfoLevel).Str("id", request.ID).Str("server", chosen.Endpoint).
+		Int("distance", chosen.Distance).Int("in_flight", chosen.InFlight).Float64("failures", chosen.FailureShare)
+	if prompt := request.Prompt; prompt != nil {
+		line.Int64("version", chosen.Version).Int("prompt", prompt.Tokens).Int("held", chosen.HitBlocks).
+			Int("in_store", chosen.ImportBlocks).Int("queued", chosen.QueuedTokens).Int("rank", chosen.AffinityRank)
+	}
+	line.Msg("placed")
+}
+
 // Attempt hears of each event of an attempt. Those of the ordinary course are
 // told by the request's last line alone.
 func (recorder *Recorder) Attempt(request *proxy.Request, server string, event exchange.Event) {
