Read the whole store in one call, 2.5 times within the shortest bound

Change: one listing without a prefix brings the declaration, namings, servers and the fleet's own keys; the keeper asks only if the last look showed no holder.

--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -31,9 +31,7 @@
 
 const (
 	// readPart is the part of a bound within which the store is read anew.
-	readPart = 0.35
-	// fleetInterval is the time between two looks at the fleet.
-	fleetInterval = 2 * time.Second
+	readPart = 0.4
 	// leasePart is the life of the holder's lease as a part of the time between two
 	// holders.
 	leasePart = 0.5
@@ -119,11 +117,10 @@
 		Ledger:   process.ledger,
 	})
 	process.registry = &fleet.Registry{
-		Store:    process.store,
-		Keys:     fleet.Keys{Root: platform.PrefixFleet, Nodes: platform.PrefixNodes},
-		Name:     given.Name,
-		Interval: fleetInterval,
-		Resized:  process.resize,
+		Store:   process.store,
+		Prefix:  platform.PrefixNodes,
+		Name:    given.Name,
+		Resized: process.resize,
 	}
 	return process, nil
 }
@@ -156,12 +153,12 @@
 func (process *process) follow(ctx context.Context) {
 	bounds := process.settings.Bounds
 	reading := &reflector.Reflector{
-		Source:              platform.NewSource(process.store, process.recorder.Unreadable),
-		Belief:              process.belief,
-		Set:                 process.set,
-		Recorder:            process.recorder,
-		DeclarationInterval: part(bounds.Configuration, readPart),
-		ServersInterval:     part(bounds.Drain, readPart),
+		Source:   platform.NewSource(process.store, process.recorder.Unreadable),
+		Belief:   process.belief,
+		Set:      process.set,
+		Registry: process.registry,
+		Recorder: process.recorder,
+		Interval: part(min(bounds.Configuration, bounds.Drain), readPart),
 	}
 	go reading.Run(ctx)
 }
@@ -187,6 +184,7 @@
 		Life:      max(process.settings.StoreLeastLease, part(bounds.HolderChange, leasePart)),
 		Settling:  bounds.HolderChange,
 		Spread:    func() time.Duration { return time.Duration(process.registry.Nodes()) * spreadPerNode },
+		Exists:    process.registry.Exists,
 		FirstSeen: process.registry.FirstSeen,
 	}
 	go keeper.Run(ctx)
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -43,7 +43,4 @@
 	// Watch waits for changes of keys that begin with the prefix, after a revision,
 	// and returns them, and the revision to go on from. It may return none.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (entries []Entry, at int64, err error)
-	// ListRecent returns the entries below a prefix. It is cheap, and may be
-	// seconds old.
-	ListRecent(ctx context.Context, prefix string) ([]Entry, error)
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -21,21 +21,13 @@
 	callTimeout = time.Second
 )
 
-// Keys are the names under which the fleet keeps its own state in the store.
-type Keys struct {
-	// Root is the prefix of all; Nodes, that of the nodes' keys.
-	Root  string
-	Nodes string
-}
-
 // Registry registers this node and counts the others.
 type Registry struct {
 	Store coordination.Store
-	Keys  Keys
-	Name  string
-	// Interval is the time between two looks at the fleet.
-	Interval time.Duration
-	// Resized hears of the number of nodes after each look.
+	// Prefix is that of the nodes' keys.
+	Prefix string
+	Name   string
+	// Resized hears of the number of nodes after each observation.
 	Resized func(nodes int)
 
 	mutex sync.Mutex
@@ -49,24 +41,9 @@
 	at       time.Time
 }
 
-// Run registers and looks until the context ends, and then takes the
-// registration back.
+// Run keeps this node's key alive, writes it anew if it was lost, and takes it
+// back when the context ends.
 func (registry *Registry) Run(ctx context.Context) {
-	go registry.register(ctx)
-	ticker := time.NewTicker(registry.Interval)
-	defer ticker.Stop()
-	for {
-		registry.look(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// register keeps this node's key alive, and writes it anew if it was lost.
-func (registry *Registry) register(ctx context.Context) {
 	ticker := time.NewTicker(registrationLife / renewals)
 	defer ticker.Stop()
 	lease := int64(0)
@@ -75,16 +52,21 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			ending, cancel := context.WithTimeout(context.Background(), callTimeout)
-			defer cancel()
-			if lease != 0 {
-				_ = registry.Store.End(ending, lease)
-			}
+			registry.leave(lease)
 			return
 		}
 	}
 }
 
+func (registry *Registry) leave(lease int64) {
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_ = registry.Store.End(ctx, lease)
+}
+
 // renew returns the lease that keeps the node's key, or 0 if there is none.
 func (registry *Registry) renew(ctx context.Context, lease int64) int64 {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -99,27 +81,21 @@
 	if err != nil {
 		return 0
 	}
-	key := registry.Keys.Nodes + registry.Name + "/" + uuid.NewString()
+	key := registry.Prefix + registry.Name + "/" + uuid.NewString()
 	if _, _, err := registry.Store.Create(ctx, key, []byte(registry.Name), granted.ID); err != nil {
 		return 0
 	}
 	return granted.ID
 }
 
-// look counts the nodes and notes what it sees of other keys.
-func (registry *Registry) look(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	entries, err := registry.Store.ListRecent(ctx, registry.Keys.Root)
-	if err != nil {
-		return
-	}
+// Observe takes what the fleet keeps in the store: it counts the nodes, and
+// notes what it sees of other keys.
+func (registry *Registry) Observe(entries []coordination.Entry, now time.Time) {
 	names := map[string]bool{registry.Name: true}
-	now := time.Now()
 	registry.mutex.Lock()
 	seen := map[string]sighting{}
 	for _, entry := range entries {
-		if rest, found := strings.CutPrefix(entry.Key, registry.Keys.Nodes); found {
+		if rest, found := strings.CutPrefix(entry.Key, registry.Prefix); found {
 			name, _, _ := strings.Cut(rest, "/")
 			names[name] = true
 			continue
@@ -136,7 +112,15 @@
 	registry.Resized(len(names))
 }
 
-// Nodes returns the number of nodes at the last look.
+// Exists reports whether the last observation showed a key.
+func (registry *Registry) Exists(key string) bool {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	_, found := registry.seen[key]
+	return found
+}
+
+// Nodes returns the number of nodes at the last observation.
 func (registry *Registry) Nodes() int {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -55,6 +55,8 @@
 	Settling time.Duration
 	// Spread is the time over which the nodes of the fleet spread their tries.
 	Spread func() time.Duration
+	// Exists reports whether a key was there when this node looked last.
+	Exists func(key string) bool
 	// FirstSeen returns when this node first saw a key at a revision, or zero.
 	FirstSeen func(key string, revision int64) time.Time
 }
@@ -72,7 +74,7 @@
 // back.
 func (keeper *Keeper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !keeper.Duty.Wanted() {
+		if keeper.Exists(keeper.Key) || !keeper.Duty.Wanted() {
 			pause(ctx, tick)
 			continue
 		}
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -10,20 +10,27 @@
 
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/coordination"
+	"github.com/cloverrail/cloverrail/internal/fleet"
 )
 
-// Source reads the store.
+// Observation is all that one reading found.
+type Observation struct {
+	Declared catalog.Reading
+	Servers  []backend.Server
+	// Fleet holds what the nodes keep in the store themselves.
+	Fleet []coordination.Entry
+}
+
+// Source reads the store. Its readings are linearizable.
 type Source interface {
-	// Declaration returns what operators declared. It is linearizable.
-	Declaration(ctx context.Context) (catalog.Reading, error)
-	// Servers returns the list of servers. It is linearizable.
-	Servers(ctx context.Context) ([]backend.Server, error)
+	Observe(ctx context.Context) (Observation, error)
 }
 
 // Recorder hears of what a reading changes. Its methods must not block.
 type Recorder interface {
 	// Read hears of each reading, of how long it took, and of its failure, if any.
-	Read(what string, took time.Duration, err error)
+	Read(took time.Duration, err error)
 	// Declared hears of a change of the belief.
 	Declared(before, after *catalog.Belief)
 	// Listed hears of changes to the list of servers.
@@ -42,57 +49,42 @@
 	Source   Source
 	Belief   *catalog.Holder
 	Set      *backend.Set
+	Registry *fleet.Registry
 	Recorder Recorder
-	// DeclarationInterval and ServersInterval are the times between readings.
-	DeclarationInterval time.Duration
-	ServersInterval     time.Duration
+	// Interval is the time between readings.
+	Interval time.Duration
 }
 
-// Run reads until the context ends.
+// Run reads until the context ends, and soon again after a failure.
 func (reflector *Reflector) Run(ctx context.Context) {
-	go repeat(ctx, reflector.DeclarationInterval, reflector.readDeclaration)
-	repeat(ctx, reflector.ServersInterval, reflector.readServers)
-}
-
-// repeat calls read at the interval, and soon again after a failure.
-func repeat(ctx context.Context, interval time.Duration, read func(context.Context) error) {
 	for ctx.Err() == nil {
 		begun := time.Now()
-		bounded, cancel := context.WithTimeout(ctx, callTimeout)
-		err := read(bounded)
-		cancel()
-		pause := interval - time.Since(begun)
-		if err != nil {
+		pause := reflector.Interval
+		if err := reflector.read(ctx); err != nil {
 			pause = failurePause
 		}
 		select {
-		case <-time.After(pause):
+		case <-time.After(pause - time.Since(begun)):
 		case <-ctx.Done():
 		}
 	}
 }
 
-func (reflector *Reflector) readDeclaration(ctx context.Context) error {
+func (reflector *Reflector) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	begun := time.Now()
-	reading, err := reflector.Source.Declaration(ctx)
-	reflector.Recorder.Read("declaration", time.Since(begun), err)
+	observation, err := reflector.Source.Observe(ctx)
+	reflector.Recorder.Read(time.Since(begun), err)
 	if err != nil {
 		return err
 	}
 	before := reflector.Belief.Load()
-	after := catalog.Advance(before, reading)
+	after := catalog.Advance(before, observation.Declared)
 	reflector.Belief.Store(after)
 	reflector.Recorder.Declared(before, after)
-	return nil
-}
-
-func (reflector *Reflector) readServers(ctx context.Context) error {
-	begun := time.Now()
-	servers, err := reflector.Source.Servers(ctx)
-	reflector.Recorder.Read("servers", time.Since(begun), err)
-	if err != nil {
-		return err
-	}
-	reflector.Recorder.Listed(reflector.Set.Update(servers, time.Now()))
+	now := time.Now()
+	reflector.Recorder.Listed(reflector.Set.Update(observation.Servers, now))
+	reflector.Registry.Observe(observation.Fleet, now)
 	return nil
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -38,8 +38,8 @@
 			Name: "cloverrail_proxy_first_answer_seconds", Help: "Time to the head of the answer.", Buckets: firstAnswerBuckets,
 		}, []string{"route"}),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "cloverrail_proxy_store_reads_total", Help: "Readings of the shared store by subject and result.",
-		}, []string{"subject", "result"}),
+			Name: "cloverrail_proxy_store_reads_total", Help: "Readings of the shared store by result.",
+		}, []string{"result"}),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_orders_total", Help: "Orders to servers by result.",
 		}, []string{"result"}),
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -33,13 +33,13 @@
 
 	mutex      sync.Mutex
 	suppressed int
-	lost       map[string]bool
+	storeLost  bool
 	nodes      int
 }
 
 // NewRecorder returns a recorder.
 func NewRecorder(log zerolog.Logger, metrics *Metrics) *Recorder {
-	return &Recorder{log: log, metrics: metrics, limiter: rate.NewLimiter(linesPerSecond, burstLines), lost: map[string]bool{}}
+	return &Recorder{log: log, metrics: metrics, limiter: rate.NewLimiter(linesPerSecond, burstLines)}
 }
 
 // line returns an event for a line that concerns a request, or nil if there are
@@ -126,21 +126,21 @@
 }
 
 // Read hears of each reading of the shared store.
-func (recorder *Recorder) Read(what string, took time.Duration, err error) {
+func (recorder *Recorder) Read(took time.Duration, err error) {
 	result := "ok"
 	if err != nil {
 		result = "failed"
 	}
-	recorder.metrics.reads.WithLabelValues(what, result).Inc()
+	recorder.metrics.reads.WithLabelValues(result).Inc()
 	recorder.mutex.Lock()
-	changed := recorder.lost[what] != (err != nil)
-	recorder.lost[what] = err != nil
+	changed := recorder.storeLost != (err != nil)
+	recorder.storeLost = err != nil
 	recorder.mutex.Unlock()
 	switch {
 	case changed && err != nil:
-		recorder.log.Warn().Str("what", what).Dur("took", took).Err(err).Msg("the store cannot be read")
+		recorder.log.Warn().Dur("took", took).Err(err).Msg("the store cannot be read")
 	case changed:
-		recorder.log.Info().Str("what", what).Dur("took", took).Msg("the store can be read again")
+		recorder.log.Info().Dur("took", took).Msg("the store can be read again")
 	}
 }
 
