Let dead servers hold no roll-out up, and load at most a quarter at once

Cause: an order to a server that had crashed counted as a load under way until its entry vanished; loads slow each other down, so that four of twelve at once took 3.5 s each.

Change: a server that does not answer is passed over; a load three times as long as usual no longer counts; a quarter at once at the most; 0.8 of the bound.

--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -27,7 +27,7 @@
 	callTimeout = 300 * time.Millisecond
 	// finishPart is the part of the bound on weights by which all servers should
 	// have been moved.
-	finishPart = 0.5
+	finishPart = 0.8
 )
 
 // Duty rolls weights out while its node holds the lease.
@@ -121,11 +121,12 @@
 func (duty *Duty) inspect(ctx context.Context, inspect Inspect) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	instance := inspect.Server.Instance
 	report, err := duty.Servers.Report(ctx, inspect.Server)
 	if err != nil {
+		duty.do(func(machine *Machine) { machine.Unheard(time.Now(), instance) })
 		return
 	}
-	instance := inspect.Server.Instance
 	duty.Set.Learn(instance, report.Versions)
 	duty.do(func(machine *Machine) { machine.Inspected(time.Now(), instance, report) })
 }
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -113,10 +113,12 @@
 	// assumedLoad is how long a load is taken to last before one was seen.
 	assumedLoad = time.Second
 	loadGain    = 0.3
+	// overdueAfter is how many usual loads one may take before others stop waiting.
+	overdueAfter = 3
 	// Of a service's servers, one in leastAtOnce loads at a time if there is time,
 	// and one in mostAtOnce if there is none.
 	leastAtOnce = 6
-	mostAtOnce  = 3
+	mostAtOnce  = 4
 )
 
 // Machine is the state of the roll-outs.
@@ -197,7 +199,9 @@
 	for _, server := range servers {
 		if known := machine.pending[server.Instance]; known != nil {
 			if machine.underWay(now, known, server) {
-				loading++
+				if !machine.overdue(now, known) {
+					loading++
+				}
 				actions = append(actions, machine.chase(now, known, server)...)
 				continue
 			}
@@ -250,6 +254,12 @@
 	return false
 }
 
+// overdue reports whether a load takes so long that others should not wait for
+// it any more.
+func (machine *Machine) overdue(now time.Time, known *pending) bool {
+	return now.Sub(known.begunAt) > overdueAfter*machine.load
+}
+
 // chase asks how far the server is, and repeats an order that seems lost.
 func (machine *Machine) chase(now time.Time, known *pending, server backend.Server) []Action {
 	if !known.taken && now.Sub(known.sentAt) >= resendAfter {
@@ -316,6 +326,13 @@
 	}
 }
 
+// Unheard says that a server did not answer a question. If it is gone, others
+// need not wait for it; an order that it took all the same shows later.
+func (machine *Machine) Unheard(now time.Time, instance string) {
+	delete(machine.pending, instance)
+	machine.resting[instance] = now.Add(restAfterFailure)
+}
+
 // Inspected takes a server's report. The caller has told the set of servers of
 // its weights already. Reports lag, so one never lowers the count of orders.
 func (machine *Machine) Inspected(now time.Time, instance string, report Report) {
