--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -177,13 +178,15 @@
 			Holder:   process.settings.Name,
 			Bound:    bounds.Weights,
 		},
-		Recorder:  process.recorder,
-		Name:      process.settings.Name,
-		Key:       platform.KeyRollout,
-		KeyState:  platform.KeyRolloutState,
-		Life:      max(process.settings.StoreLeastLease, part(bounds.HolderChange, leasePart)),
-		Settling:  bounds.HolderChange,
-		Spread:    func() time.Duration { return time.Duration(process.registry.Nodes()) * spreadPerNode },
+		Recorder: process.recorder,
+		Name:     process.settings.Name,
+		Key:      platform.KeyRollout,
+		KeyState: platform.KeyRolloutState,
+		Life:     max(process.settings.StoreLeastLease, part(bounds.HolderChange, leasePart)),
+		Settling: bounds.HolderChange,
+		Delay: func() time.Duration {
+			return rand.N(time.Duration(process.registry.Nodes()) * spreadPerNode)
+		},
 		Exists:    process.registry.Exists,
 		FirstSeen: process.registry.FirstSeen,
 	}
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -288,6 +288,8 @@
 		return nil
 	}
 	machine.opened = true
+	// A faulty answer that was put aside cannot be shown any more.
+	machine.kept = false
 	return []Action{Open{}}
 }
 
--- /dev/null
+++ b/internal/lab/storestub/store.go
@@ -0,0 +1,189 @@
+// Package storestub is an in-memory stand-in for the shared store that nodes
+// coordinate by. Its calls can be made to fail, with or without taking effect.
+package storestub
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/coordination"
+)
+
+// Fault is what becomes of one call.
+type Fault int
+
+// The faults.
+const (
+	// None lets the call through.
+	None Fault = iota
+	// Refused does nothing and answers with an error.
+	Refused
+	// Lost does what was asked and answers with an error.
+	Lost
+)
+
+var errFault = errors.New("the store gave no answer")
+
+// lease is a lease and when it lapses.
+type lease struct {
+	life  time.Duration
+	until time.Time
+}
+
+// Store is the stand-in. Its clock is the caller's.
+type Store struct {
+	mutex    sync.Mutex
+	now      func() time.Time
+	fault    func(call string) Fault
+	revision int64
+	leases   map[int64]*lease
+	entries  map[string]entry
+}
+
+type entry struct {
+	coordination.Entry
+	lease int64
+}
+
+// New returns an empty store. Fault says what becomes of each call; nil means
+// that all succeed.
+func New(now func() time.Time, fault func(call string) Fault) *Store {
+	if fault == nil {
+		fault = func(string) Fault { return None }
+	}
+	return &Store{now: now, fault: fault, leases: map[int64]*lease{}, entries: map[string]entry{}}
+}
+
+// run performs one call under its fault.
+func (store *Store) run(call string, perform func()) error {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	fault := store.fault(call)
+	if fault == Refused {
+		return errFault
+	}
+	store.expire()
+	perform()
+	if fault == Lost {
+		return errFault
+	}
+	return nil
+}
+
+// expire drops lapsed leases with their keys.
+func (store *Store) expire() {
+	for id, held := range store.leases {
+		if !store.now().Before(held.until) {
+			store.drop(id)
+		}
+	}
+}
+
+func (store *Store) drop(id int64) {
+	delete(store.leases, id)
+	for key, known := range store.entries {
+		if known.lease == id {
+			delete(store.entries, key)
+			store.revision++
+		}
+	}
+}
+
+// Grant opens a lease.
+func (store *Store) Grant(_ context.Context, life time.Duration) (granted coordination.Lease, err error) {
+	err = store.run("grant", func() {
+		store.revision++
+		store.leases[store.revision] = &lease{life: life, until: store.now().Add(life)}
+		granted = coordination.Lease{ID: store.revision, Life: life}
+	})
+	return granted, err
+}
+
+// Renew keeps a lease.
+func (store *Store) Renew(_ context.Context, id int64) (alive bool, err error) {
+	err = store.run("renew", func() {
+		held := store.leases[id]
+		if alive = held != nil; alive {
+			held.until = store.now().Add(held.life)
+		}
+	})
+	return alive, err
+}
+
+// End gives a lease back.
+func (store *Store) End(_ context.Context, id int64) error {
+	return store.run("end", func() { store.drop(id) })
+}
+
+// Create writes a key that does not exist.
+func (store *Store) Create(_ context.Context, key string, value []byte, leaseID int64) (revision int64, created bool, err error) {
+	err = store.run("create", func() {
+		_, exists := store.entries[key]
+		if created = !exists && store.leases[leaseID] != nil; created {
+			revision = store.put(key, value, leaseID)
+		}
+	})
+	return revision, created, err
+}
+
+func (store *Store) put(key string, value []byte, leaseID int64) int64 {
+	store.revision++
+	store.entries[key] = entry{Entry: coordination.Entry{Key: key, Value: value, Revision: store.revision}, lease: leaseID}
+	return store.revision
+}
+
+// WriteGuarded writes a key if the guard is still at its revision.
+func (store *Store) WriteGuarded(_ context.Context, key string, value []byte, guard string, revision int64) (written bool, err error) {
+	err = store.run("write", func() {
+		if written = store.entries[guard].Revision == revision; written {
+			store.put(key, value, 0)
+		}
+	})
+	return written, err
+}
+
+// Read returns the current entry of a key.
+func (store *Store) Read(ctx context.Context, key string) (coordination.Entry, bool, error) {
+	found, exists, _, err := store.ReadAt(ctx, key)
+	return found, exists, err
+}
+
+// ReadAt is Read with the store's revision.
+func (store *Store) ReadAt(_ context.Context, key string) (found coordination.Entry, exists bool, at int64, err error) {
+	err = store.run("read", func() {
+		known, present := store.entries[key]
+		found, exists, at = known.Entry, present, store.revision
+	})
+	return found, exists, at, err
+}
+
+// Watch returns the present entries that are newer than a revision, at once.
+func (store *Store) Watch(_ context.Context, prefix string, after int64, _ time.Duration) (entries []coordination.Entry, at int64, err error) {
+	err = store.run("watch", func() {
+		for key, known := range store.entries {
+			if strings.HasPrefix(key, prefix) && known.Revision > after {
+				entries = append(entries, known.Entry)
+			}
+		}
+		at = store.revision
+	})
+	return entries, at, err
+}
+
+// Entries returns all entries below a prefix.
+func (store *Store) Entries(prefix string) []coordination.Entry {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.expire()
+	entries := []coordination.Entry{}
+	for key, known := range store.entries {
+		if strings.HasPrefix(key, prefix) {
+			entries = append(entries, known.Entry)
+		}
+	}
+	return entries
+}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
@@ -53,8 +52,8 @@
 	// Life of the lease, and the time between the orders of two holders.
 	Life     time.Duration
 	Settling time.Duration
-	// Spread is the time over which the nodes of the fleet spread their tries.
-	Spread func() time.Duration
+	// Delay returns a random wait that spreads the tries of a whole fleet.
+	Delay func() time.Duration
 	// Exists reports whether a key was there when this node looked last.
 	Exists func(key string) bool
 	// FirstSeen returns when this node first saw a key at a revision, or zero.
@@ -78,7 +77,7 @@
 			pause(ctx, tick)
 			continue
 		}
-		pause(ctx, rand.N(max(tick, keeper.Spread())))
+		pause(ctx, keeper.Delay())
 		held, taken := keeper.acquire(ctx)
 		if taken {
 			pause(ctx, keeper.Life)
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,187 @@
+package lease
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cloverrail/cloverrail/internal/lab/storestub"
+	"github.com/cloverrail/cloverrail/internal/property"
+)
+
+const (
+	life     = 1500 * time.Millisecond
+	settling = 3 * time.Second
+)
+
+// act is one order of a holder.
+type act struct {
+	node  string
+	fence int64
+	at    time.Time
+}
+
+// duty always has work until it is told otherwise, and notes its orders.
+type duty struct {
+	node   string
+	wanted atomic.Bool
+	fleet  *fleet
+}
+
+func (duty *duty) Wanted() bool { return duty.wanted.Load() }
+func (duty *duty) Step() ([]byte, func(context.Context, *Tenure)) {
+	state := []byte("idle")
+	if duty.Wanted() {
+		state = []byte("active")
+	}
+	return state, func(_ context.Context, tenure *Tenure) {
+		if duty.Wanted() && tenure.MayAct(time.Now()) {
+			duty.fleet.note(act{node: duty.node, fence: tenure.Fence, at: time.Now()})
+		}
+	}
+}
+func (duty *duty) Resting(state []byte) bool { return string(state) == "idle" }
+func (duty *duty) Lost()                     {}
+
+type silent struct{}
+
+func (silent) Acquired(int64, time.Duration) {}
+func (silent) Released(int64, string)        {}
+
+// fleet runs keepers over one store in virtual time.
+type fleet struct {
+	store *storestub.Store
+	mutex sync.Mutex
+	acts  []act
+}
+
+func (fleet *fleet) note(act act) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.acts = append(fleet.acts, act)
+}
+
+// last returns the latest order.
+func (fleet *fleet) last() act {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.acts[len(fleet.acts)-1]
+}
+
+// start runs a keeper until its context ends.
+func (fleet *fleet) start(ctx context.Context, name string, seen map[int64]time.Time) *duty {
+	duty := &duty{node: name, fleet: fleet}
+	duty.wanted.Store(true)
+	keeper := &Keeper{
+		Store: fleet.store, Duty: duty, Recorder: silent{}, Name: name, Key: "holder", KeyState: "state",
+		Life: life, Settling: settling,
+		Delay:     func() time.Duration { return time.Duration(name[0]%7) * time.Millisecond },
+		Exists:    func(string) bool { return len(fleet.store.Entries("holder")) > 0 },
+		FirstSeen: func(_ string, revision int64) time.Time { return seen[revision] },
+	}
+	go keeper.Run(ctx)
+	return duty
+}
+
+// check holds the orders against the promise: fences only grow, and two holders
+// are never closer than the settling time.
+func (fleet *fleet) check(t require.TestingT) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	for index := 1; index < len(fleet.acts); index++ {
+		before, after := fleet.acts[index-1], fleet.acts[index]
+		require.GreaterOrEqual(t, after.fence, before.fence)
+		if before.node != after.node {
+			require.GreaterOrEqual(t, after.at.Sub(before.at), settling)
+		}
+	}
+}
+
+func TestHoldersNeverOrderWithinTheSettlingTime(test *testing.T) {
+	property.Check(test, func(t *rapid.T) {
+		harm := rapid.SliceOfN(rapid.SampledFrom([]storestub.Fault{
+			storestub.None, storestub.None, storestub.None, storestub.Refused, storestub.Lost,
+		}), 40, 40).Draw(t, "faults")
+		deaths := rapid.SliceOfN(rapid.IntRange(500, 6000), 3, 3).Draw(t, "deaths")
+		fleet := &fleet{}
+		synctest.Test(test, func(*testing.T) { fleet.play(harm, deaths) })
+		fleet.check(t)
+		require.NotEmpty(t, fleet.acts)
+		require.Equal(t, "survivor", fleet.last().node, "the duty is taken over")
+	})
+}
+
+// play lets three nodes die one by one beside one that survives. The store's
+// first calls fail as harm says.
+func (fleet *fleet) play(harm []storestub.Fault, deaths []int) {
+	calls := 0
+	fleet.store = storestub.New(time.Now, func(string) storestub.Fault {
+		calls++
+		if calls < len(harm) {
+			return harm[calls]
+		}
+		return storestub.None
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	for number, after := range deaths {
+		one, kill := context.WithCancel(ctx)
+		fleet.start(one, string(rune('a'+number)), nil)
+		time.AfterFunc(time.Duration(after)*time.Millisecond, kill)
+	}
+	fleet.start(ctx, "survivor", nil)
+	time.Sleep(40 * time.Second)
+}
+
+func TestANodeThatSawTheDutyRestTakesItOverAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := &fleet{}
+		fleet.store = storestub.New(time.Now, nil)
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		one, stopOne := context.WithCancel(ctx)
+		first := fleet.start(one, "a", nil)
+		time.Sleep(time.Second)
+		first.wanted.Store(false)
+		time.Sleep(time.Second)
+		state := fleet.store.Entries("state")[0]
+		require.Equal(t, "idle", string(state.Value))
+		seen := map[int64]time.Time{state.Revision: time.Now()}
+		time.Sleep(settling)
+		stopOne()
+		time.Sleep(time.Millisecond)
+		handed := time.Now()
+		fleet.start(ctx, "b", seen)
+		time.Sleep(time.Second)
+		fleet.check(t)
+		require.Less(t, fleet.last().at.Sub(handed), 2*time.Second, "no need to wait")
+		require.Equal(t, "b", fleet.last().node)
+	})
+}
+
+func TestATenureStopsBeforeItsLeaseCanLapse(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		asked := time.Unix(1000, 0)
+		margin := 300 * time.Millisecond
+		tenure := NewTenure(7, asked, life, margin, asked)
+		latest := asked
+		for range rapid.IntRange(0, 20).Draw(t, "renewals") {
+			renewal := asked.Add(time.Duration(rapid.IntRange(0, 10_000).Draw(t, "asked")) * time.Millisecond)
+			tenure.Renewed(renewal)
+			if renewal.After(latest) {
+				latest = renewal
+			}
+		}
+		lapse := latest.Add(life)
+		require.True(t, tenure.MayAct(lapse.Add(-margin-time.Nanosecond)))
+		require.False(t, tenure.MayAct(lapse.Add(-margin)))
+		require.False(t, tenure.Lapsed(lapse.Add(-time.Nanosecond)))
+		require.True(t, tenure.Lapsed(lapse))
+	})
+}
--- /dev/null
+++ b/internal/rollout/machine_test.go
@@ -0,0 +1,231 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/property"
+)
+
+const model = "m"
+
+// modelServer is a server in virtual time: it takes orders, loads for a while,
+// and may get an order late or lose its answer.
+type modelServer struct {
+	name     string
+	life     int
+	version  int64
+	loading  int64
+	doneAt   time.Time
+	sequence int64
+	late     []lateOrder
+	downTill time.Time
+}
+
+type lateOrder struct {
+	order Order
+	at    time.Time
+}
+
+func (server *modelServer) instance() string { return fmt.Sprint(server.name, "-", server.life) }
+
+// carryOut takes an order as a real server would.
+func (server *modelServer) carryOut(now time.Time, order Order) Result {
+	switch {
+	case order.Server.Instance != server.instance():
+		return ResultRejected
+	case server.loading != 0 || order.Expected != server.sequence:
+		return ResultConflict
+	case order.Version == server.version:
+		return ResultHolds
+	}
+	server.sequence++
+	server.loading, server.doneAt = order.Version, now.Add(700*time.Millisecond)
+	return ResultTaken
+}
+
+func (server *modelServer) tick(now time.Time) {
+	kept := server.late[:0]
+	for _, late := range server.late {
+		if now.Before(late.at) {
+			kept = append(kept, late)
+			continue
+		}
+		server.carryOut(now, late.order)
+	}
+	server.late = kept
+	if server.loading != 0 && !now.Before(server.doneAt) {
+		server.version, server.loading = server.loading, 0
+	}
+}
+
+// restart gives the server a new life with the weights that it had.
+func (server *modelServer) restart(now time.Time) {
+	server.life++
+	server.loading, server.sequence = 0, 0
+	server.downTill = now.Add(time.Second)
+}
+
+// world is a fleet of servers and the holder of the duty.
+type world struct {
+	t       *rapid.T
+	now     time.Time
+	servers []*modelServer
+	machine *Machine
+	targets Targets
+	// view is what the holder believes, which lags behind.
+	view map[string]int64
+	most int
+}
+
+func (world *world) list() []backend.Server {
+	list := []backend.Server{}
+	for _, server := range world.servers {
+		if world.now.Before(server.downTill) {
+			continue
+		}
+		instance := server.instance()
+		if world.view[instance] == 0 {
+			world.view[instance] = server.version
+		}
+		list = append(list, backend.Server{
+			Instance: instance, Service: "s", Zone: server.name[:1], Versions: map[string]int64{model: world.view[instance]},
+		})
+	}
+	return list
+}
+
+func (world *world) find(instance string) *modelServer {
+	for _, server := range world.servers {
+		if server.instance() == instance && !world.now.Before(server.downTill) {
+			return server
+		}
+	}
+	return nil
+}
+
+func (world *world) order(order Order) {
+	server := world.find(order.Server.Instance)
+	if server == nil {
+		world.machine.Answered(world.now, order.Server.Instance, ResultUnreached)
+		return
+	}
+	switch rapid.SampledFrom([]string{"fine", "fine", "fine", "late", "lost"}).Draw(world.t, "fate") {
+	case "fine":
+		world.machine.Answered(world.now, order.Server.Instance, server.carryOut(world.now, order))
+	case "late":
+		wait := time.Duration(rapid.IntRange(1000, 8000).Draw(world.t, "late")) * time.Millisecond
+		server.late = append(server.late, lateOrder{order: order, at: world.now.Add(wait)})
+		world.machine.Answered(world.now, order.Server.Instance, ResultUnknown)
+	case "lost":
+		server.carryOut(world.now, order)
+		world.machine.Answered(world.now, order.Server.Instance, ResultUnknown)
+	}
+}
+
+func (world *world) inspect(inspect Inspect) {
+	server := world.find(inspect.Server.Instance)
+	if server == nil {
+		world.machine.Unheard(world.now, inspect.Server.Instance)
+		return
+	}
+	world.view[server.instance()] = server.version
+	world.machine.Inspected(world.now, server.instance(), Report{
+		Busy: server.loading != 0, Versions: map[string]int64{model: server.version}, Sequence: server.sequence,
+	})
+}
+
+func (world *world) tick() {
+	world.now = world.now.Add(50 * time.Millisecond)
+	loading := 0
+	for _, server := range world.servers {
+		server.tick(world.now)
+		if server.loading != 0 {
+			loading++
+		}
+	}
+	world.most = max(world.most, loading)
+	for _, action := range world.machine.Step(world.now, world.targets, world.list()) {
+		switch action := action.(type) {
+		case Order:
+			world.order(action)
+		case Inspect:
+			world.inspect(action)
+		}
+	}
+}
+
+func (world *world) name(version int64) {
+	namings := append(catalog.Namings(nil), world.targets.Weights[model]...)
+	world.targets.Weights = map[string]catalog.Namings{model: append(namings, catalog.Naming{Version: version, NotNamedAt: world.now})}
+}
+
+func newWorld(t *rapid.T, servers int) *world {
+	world := &world{t: t, now: time.Unix(1000, 0), machine: NewMachine(), view: map[string]int64{}}
+	world.targets = Targets{Within: 6 * time.Second, Weights: map[string]catalog.Namings{model: {{Version: 1}}}}
+	for number := range servers {
+		world.servers = append(world.servers, &modelServer{name: fmt.Sprintf("%c%d", 'a'+number%3, number), version: 1})
+	}
+	return world
+}
+
+func TestEveryServerReachesTheNewestWeightsWhateverBecomesOfOrders(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		world := newWorld(t, rapid.IntRange(1, 20).Draw(t, "servers"))
+		newest := int64(1)
+		for range rapid.IntRange(1, 3).Draw(t, "namings") {
+			newest++
+			world.name(newest)
+			for range rapid.IntRange(5, 80).Draw(t, "ticks") {
+				world.tick()
+				if rapid.IntRange(0, 60).Draw(t, "crash") == 0 {
+					world.servers[rapid.IntRange(0, len(world.servers)-1).Draw(t, "who")].restart(world.now)
+				}
+			}
+		}
+		// Longer than the latest order that is still on its way.
+		for range 1200 {
+			world.tick()
+		}
+		for _, server := range world.servers {
+			require.Equal(t, newest, server.version, server.name)
+		}
+		require.False(t, Behind(world.targets, world.list(), world.now))
+		require.True(t, world.machine.Idle())
+	})
+}
+
+func TestTheOldestWeightsAreReplacedFirst(t *testing.T) {
+	machine := NewMachine()
+	now := time.Unix(1000, 0)
+	targets := Targets{Within: 6 * time.Second, Weights: map[string]catalog.Namings{model: {
+		{Version: 1}, {Version: 2, NotNamedAt: now.Add(-4 * time.Second)}, {Version: 3, NotNamedAt: now.Add(-time.Second)},
+	}}}
+	servers := []backend.Server{
+		{Instance: "a", Service: "s", Versions: map[string]int64{model: 2}},
+		{Instance: "b", Service: "s", Versions: map[string]int64{model: 1}},
+		{Instance: "c", Service: "s", Versions: map[string]int64{model: 3}},
+		{Instance: "d", Service: "s", Versions: map[string]int64{model: 1}, Draining: true},
+	}
+	require.Len(t, machine.Step(now, targets, servers), 2, "both are asked for their count of orders")
+	machine.Inspected(now, "a", Report{Versions: servers[0].Versions, Sequence: 4})
+	machine.Inspected(now, "b", Report{Versions: servers[1].Versions, Sequence: 2})
+	actions := machine.Step(now, targets, servers)
+	require.Equal(t, []Action{Order{Server: servers[1], Model: model, Version: 3, Expected: 2}}, actions, "straight to the newest, one at a time")
+}
+
+func TestTheStateSaysWhoLoads(t *testing.T) {
+	state := State{Active: true, Loading: map[string]int64{"b": 2, "a": 3}}
+	decoded, err := DecodeState(state.Encode())
+	require.NoError(t, err)
+	require.Equal(t, state, decoded)
+	require.Equal(t, state.Encode(), State{Active: true, Loading: map[string]int64{"a": 3, "b": 2}}.Encode())
+	_, err = DecodeState([]byte("idle"))
+	require.Error(t, err)
+}
