Prove the proxy end to end against stand-ins of the platform

Found: a budget that is made at its first request had earned nothing since the start; it earns from the start of the node on.

--- /dev/null
+++ b/cmd/cloverrail/fixture_test.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/settings"
+	"github.com/cloverrail/cloverrail/platform"
+	"github.com/cloverrail/cloverrail/platform/standin"
+)
+
+const (
+	host  = "shop.example"
+	key   = "key-of-one"
+	model = "m"
+)
+
+// eventually is how long a test waits for what must come; none waits that long.
+const eventually = 20 * time.Second
+
+// fixture is a proxy between a client and stand-ins of the platform.
+type fixture struct {
+	t        *testing.T
+	store    *standin.Store
+	process  *process
+	front    *httptest.Server
+	requests atomic.Int64
+	version  int64
+}
+
+// The document of the configuration, as operators write it.
+type document struct {
+	Version  int64           `json:"version"`
+	Routes   []routeEntry    `json:"routes"`
+	Services []serviceEntry  `json:"services"`
+	Limits   limitsEntry     `json:"limits"`
+	Tenants  []tenantEntry   `json:"tenants"`
+	Unknown  map[string]bool `json:"unknown_field"`
+}
+
+type routeEntry struct {
+	Name          string `json:"name"`
+	Host          string `json:"host"`
+	PathPrefix    string `json:"path_prefix"`
+	Kind          string `json:"kind"`
+	Timeout       int    `json:"timeout_ms"`
+	TargetLatency int    `json:"target_latency_ms"`
+	GapTarget     int    `json:"gap_target_ms,omitempty"`
+	Service       string `json:"service"`
+	MaxAttempts   int    `json:"max_attempts"`
+	Public        bool   `json:"public"`
+	Resumable     bool   `json:"resumable"`
+}
+
+type engineEntry struct {
+	Slots          int     `json:"slots"`
+	CapacityTokens int     `json:"kv_capacity_tokens"`
+	TokenBytes     float64 `json:"kv_token_bytes"`
+	LinkMegabits   float64 `json:"link_mbps"`
+}
+
+type serviceEntry struct {
+	Name         string       `json:"name"`
+	Engine       *engineEntry `json:"engine,omitempty"`
+	StoreAddress string       `json:"kv_store_addr,omitempty"`
+	Capacity     int          `json:"kv_capacity_tokens,omitempty"`
+}
+
+type limitsEntry struct {
+	MaxHeaderBytes int `json:"max_header_bytes"`
+	MaxBodyBytes   int `json:"max_body_bytes"`
+}
+
+type tenantEntry struct {
+	Name     string   `json:"name"`
+	Keys     []string `json:"api_keys"`
+	Isolated bool     `json:"isolated"`
+}
+
+const keptAddress = "127.0.0.1:9"
+
+func declared(version int64, keys ...string) document {
+	return document{
+		Version: version,
+		Routes: []routeEntry{
+			{Name: "once", Host: host, PathPrefix: "/once/", Kind: "non_idempotent", Timeout: 15000, TargetLatency: 300, Service: "plain", MaxAttempts: 1},
+			{Name: "again", Host: host, PathPrefix: "/again/", Kind: "idempotent", Timeout: 15000, TargetLatency: 300, Service: "plain", MaxAttempts: 3},
+			{Name: "short", Host: host, PathPrefix: "/short/", Kind: "non_idempotent", Timeout: 100, TargetLatency: 50, Service: "plain", MaxAttempts: 1},
+			{Name: "stream", Host: host, PathPrefix: "/stream/", Kind: "streaming", Timeout: 15000, TargetLatency: 800, GapTarget: 500, Service: "engines", MaxAttempts: 3, Resumable: true},
+			{Name: "fixed", Host: host, PathPrefix: "/fixed/", Kind: "streaming", Timeout: 15000, TargetLatency: 800, GapTarget: 500, Service: "engines", MaxAttempts: 1},
+			{Name: "open", Host: host, PathPrefix: "/open/", Kind: "idempotent", Timeout: 15000, TargetLatency: 300, Service: "plain", MaxAttempts: 1, Public: true},
+		},
+		Services: []serviceEntry{
+			{Name: "plain"},
+			{Name: "engines", Engine: &engineEntry{Slots: 8, CapacityTokens: 100_000, TokenBytes: 1000, LinkMegabits: 1e6}},
+			{Name: "kept", StoreAddress: keptAddress, Capacity: 1_000_000},
+		},
+		Limits:  limitsEntry{MaxHeaderBytes: 4096, MaxBodyBytes: 1000},
+		Tenants: []tenantEntry{{Name: "one", Keys: keys}, {Name: "two", Keys: []string{"key-of-two"}, Isolated: true}},
+	}
+}
+
+// newFixture starts a proxy whose bounds are short, so that tests are. The
+// declaration is not there yet.
+func newFixture(t *testing.T) *fixture {
+	fixture := &fixture{t: t, store: standin.NewStore()}
+	storeServer := httptest.NewServer(fixture.store)
+	t.Cleanup(storeServer.Close)
+	given := settings.ProxyDefaults()
+	given.Name, given.Zone = "node", "a"
+	given.Zones = map[string]string{"a": "r", "b": "r"}
+	given.StoreAddress = storeServer.Listener.Addr().String()
+	given.StoreLeastLease = 500 * time.Millisecond
+	given.Bounds.Configuration = 250 * time.Millisecond
+	given.Bounds.Revocation = 2 * time.Second
+	given.Bounds.HolderChange = time.Second
+	given.Bounds.RetryExtra = 1e6
+	given.LogLevel = "error"
+	var err error
+	fixture.process, err = newProcess(given)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	fixture.process.follow(ctx)
+	fixture.process.keep(ctx)
+	fixture.front = httptest.NewServer(&platform.Ingress{Proxy: fixture.process.proxy, Stopping: fixture.process.stopping.Load})
+	t.Cleanup(fixture.front.Close)
+	return fixture
+}
+
+// serve starts servers and waits until the proxy knows them and the declaration.
+func (fixture *fixture) serve(servers ...*standin.Server) *fixture {
+	for _, server := range servers {
+		fixture.add(server)
+	}
+	fixture.declare(key)
+	fixture.until(func() bool { return len(fixture.process.set.Servers()) == len(servers) })
+	return fixture
+}
+
+func (fixture *fixture) add(server *standin.Server) {
+	listener := httptest.NewServer(server)
+	fixture.t.Cleanup(listener.Close)
+	fixture.list(server, listener.Listener.Addr().String(), "ready")
+}
+
+func (fixture *fixture) list(server *standin.Server, address, state string) {
+	service := "plain"
+	if server.Model != "" {
+		service = "engines"
+	}
+	fixture.store.Put("servers/"+server.Instance, server.Entry(service, address, "a", state))
+}
+
+// declare puts a newer declaration, in which tenant one holds the keys.
+func (fixture *fixture) declare(keys ...string) {
+	fixture.version++
+	version := fixture.version
+	fixture.store.Put("op/config", declared(version, keys...))
+	fixture.until(func() bool {
+		belief := fixture.process.belief.Load()
+		return belief != nil && belief.Snapshot != nil && belief.Snapshot.Version >= version
+	})
+}
+
+func (fixture *fixture) until(condition func() bool) {
+	fixture.t.Helper()
+	require.Eventually(fixture.t, condition, eventually, 5*time.Millisecond)
+}
+
+// answer is what the client got.
+type answer struct {
+	status int
+	header http.Header
+	closes bool
+	body   string
+	err    error
+}
+
+// send sends a request with the usual headers; change alters it.
+func (fixture *fixture) send(method, path, body string, change func(*http.Request)) answer {
+	request, err := http.NewRequest(method, fixture.front.URL+path, strings.NewReader(body))
+	require.NoError(fixture.t, err)
+	request.Host = host
+	request.Header.Set("Cloverrail-Request-Id", fmt.Sprint("request-", fixture.requests.Add(1)))
+	request.Header.Set("Cloverrail-Deadline-Ms", "15000")
+	request.Header.Set("Authorization", "Bearer "+key)
+	if change != nil {
+		change(request)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, closes: response.Close, body: string(data), err: err}
+}
+
+// prompt adds what a request tells of its prompt.
+func prompt(request *http.Request) {
+	request.Header.Set("Cloverrail-Model", model)
+	request.Header.Set("Cloverrail-Token-Count", "1460,80")
+	request.Header.Set("Cloverrail-Prompt-Prefix", "5c1e:800,91bd:410,e440:250")
+}
+
+func plainServer(instance string, manner standin.Manner) *standin.Server {
+	return standin.NewServer(instance, "", 0, manner)
+}
+
+func engine(instance string, manner standin.Manner) *standin.Server {
+	return standin.NewServer(instance, model, 1, manner)
+}
+
+// events is the text of a stream's events.
+func events(last int) string {
+	text := strings.Builder{}
+	for id := range last {
+		fmt.Fprintf(&text, "id: %d\ndata: token %d\n\n", id+1, id+1)
+	}
+	return text.String()
+}
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -101,7 +101,7 @@
 		Ratio:  given.Bounds.RetryRatio,
 		Extra:  given.Bounds.RetryExtra,
 		Window: given.Bounds.RetryWindow,
-	})
+	}, time.Now())
 	process.ledger = residency.NewLedger()
 	process.proxy = proxy.New(proxy.Options{
 		Belief:  process.belief,
--- /dev/null
+++ b/cmd/cloverrail/proxy_test.go
@@ -0,0 +1,301 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/platform/standin"
+)
+
+func TestARequestReachesItsServerUnchanged(t *testing.T) {
+	server := plainServer("i-1", standin.Answers(http.StatusCreated, "done"))
+	fixture := newFixture(t).serve(server)
+	got := fixture.send(http.MethodPost, "/once/a%2Fb/../c?x=1&y=%20", "turn", func(request *http.Request) {
+		request.Header.Set("X-Kept", "yes")
+		request.Header.Set("X-Hop", "no")
+		request.Header.Set("Connection", "X-Hop")
+		request.Header.Set("Cloverrail-Tenant", "two")
+		request.Header.Set("Cloverrail-Cache-Salt", "stolen")
+		request.Header.Set("Cloverrail-Hold", "stolen")
+		request.Header.Set("Kv-From", "stolen")
+	})
+	require.Equal(t, http.StatusCreated, got.status)
+	require.Equal(t, "done", got.body)
+	require.Equal(t, "i-1.stamp", got.header.Get("Cloverrail-Response-Stamp"))
+	arrival := server.Arrivals()[0]
+	require.Equal(t, "/once/a%2Fb/../c?x=1&y=%20", arrival.Target)
+	require.Equal(t, "turn", string(arrival.Body))
+	require.Equal(t, host, arrival.Host)
+	require.Equal(t, "yes", arrival.Header.Get("X-Kept"))
+	require.Equal(t, "one", arrival.Header.Get("Cloverrail-Tenant"))
+	require.Equal(t, "i-1", arrival.Header.Get("Cloverrail-Expect-Instance"))
+	for _, name := range []string{"Authorization", "X-Hop", "Cloverrail-Cache-Salt", "Cloverrail-Hold", "Kv-From"} {
+		require.Empty(t, arrival.Header.Get(name), name)
+	}
+	left, err := strconv.Atoi(arrival.Header.Get("Cloverrail-Deadline-Ms"))
+	require.NoError(t, err)
+	require.LessOrEqual(t, left, 15000)
+}
+
+func TestWhatMayNotBeRepeatedRunsOnce(t *testing.T) {
+	for name, manner := range map[string]standin.Manner{
+		"dies": standin.Dies, "crosses": standin.Crosses, "unsigned": standin.Unsigned, "encodes": standin.Encodes,
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, second := plainServer("i-1", manner), plainServer("i-2", manner)
+			fixture := newFixture(t).serve(first, second)
+			for _, method := range []string{http.MethodPost, http.MethodGet} {
+				got := fixture.send(method, "/once/", "", nil)
+				require.Equal(t, http.StatusBadGateway, got.status)
+				require.Empty(t, got.header.Get("Retry-After"), "nothing is promised")
+				require.Empty(t, got.header.Get("Cloverrail-Response-Stamp"))
+			}
+			require.Equal(t, 2, first.Runs()+second.Runs())
+		})
+	}
+}
+
+func TestWhatMayBeRepeatedIsAnsweredByAnother(t *testing.T) {
+	for name, manner := range map[string]standin.Manner{
+		"dies": standin.Dies, "crosses": standin.Crosses, "unsigned": standin.Unsigned, "encodes": standin.Encodes,
+		"fails": standin.Answers(http.StatusInternalServerError, "sorry"), "sheds": standin.Sheds,
+	} {
+		t.Run(name, func(t *testing.T) {
+			fixture := newFixture(t).serve(plainServer("i-1", manner), plainServer("i-2", standin.Answers(http.StatusOK, "done")))
+			for range 4 {
+				got := fixture.send(http.MethodGet, "/again/", "", nil)
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, "done", got.body)
+			}
+		})
+	}
+}
+
+func TestARefusalByEveryServerIsAPromise(t *testing.T) {
+	server := plainServer("i-1", standin.Sheds)
+	fixture := newFixture(t).serve(server)
+	got := fixture.send(http.MethodPost, "/once/", "turn", nil)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.Positive(t, wait)
+	require.Zero(t, server.Runs())
+}
+
+func TestAServersOwnFailureIsPassedOn(t *testing.T) {
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Answers(http.StatusInternalServerError, "sorry")))
+	got := fixture.send(http.MethodPost, "/once/", "turn", nil)
+	require.Equal(t, http.StatusInternalServerError, got.status)
+	require.Equal(t, "sorry", got.body)
+	require.Equal(t, "i-1.stamp", got.header.Get("Cloverrail-Response-Stamp"))
+}
+
+func TestABrokenStreamGoesOnElsewhere(t *testing.T) {
+	fixture := newFixture(t).serve(
+		engine("i-1", standin.Streams(6, 3)), engine("i-2", standin.Streams(6, 5)), engine("i-3", standin.Streams(6, 0)))
+	for range 5 {
+		got := fixture.send(http.MethodPost, "/stream/", "prompt", prompt)
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, events(6), got.body, "no event twice, none missing")
+	}
+}
+
+func TestABrokenStreamThatCannotGoOnIsCut(t *testing.T) {
+	fixture := newFixture(t).serve(engine("i-1", standin.Streams(6, 3)), engine("i-2", standin.Streams(6, 3)))
+	got := fixture.send(http.MethodPost, "/fixed/", "prompt", prompt)
+	require.Error(t, got.err, "it must not look complete")
+	require.Equal(t, events(2), got.body)
+}
+
+func TestACallerResumesAStreamItself(t *testing.T) {
+	server := engine("i-1", standin.Streams(4, 0))
+	fixture := newFixture(t).serve(server)
+	got := fixture.send(http.MethodPost, "/stream/", "prompt", func(request *http.Request) {
+		prompt(request)
+		request.Header.Set("Last-Event-Id", "2")
+	})
+	require.Equal(t, events(4)[len(events(2)):], got.body)
+	require.Equal(t, "2", server.Arrivals()[0].Header.Get("Last-Event-Id"))
+}
+
+func TestPromptsCarryWallAndVersion(t *testing.T) {
+	server := engine("i-1", standin.Streams(1, 0))
+	fixture := newFixture(t).serve(server)
+	fixture.send(http.MethodPost, "/stream/", "prompt", prompt)
+	fixture.send(http.MethodPost, "/stream/", "prompt", func(request *http.Request) {
+		prompt(request)
+		request.Header.Set("Authorization", "Bearer key-of-two")
+	})
+	arrivals := server.Arrivals()
+	require.Len(t, arrivals, 2)
+	shared, walled := arrivals[0].Header, arrivals[1].Header
+	require.NotEmpty(t, shared.Get("Cloverrail-Cache-Salt"))
+	require.NotEqual(t, shared.Get("Cloverrail-Cache-Salt"), walled.Get("Cloverrail-Cache-Salt"), "tenant two is isolated")
+	require.Equal(t, "1", shared.Get("Cloverrail-Expect-Version"))
+	require.Equal(t, keptAddress, shared.Get("Cloverrail-Kv-Fetch"))
+	require.Equal(t, "5c1e:800,91bd:410,e440:250", shared.Get("Cloverrail-Prompt-Prefix"))
+}
+
+func TestWhatIsWrongIsRefusedAtOnce(t *testing.T) {
+	server := plainServer("i-1", standin.Answers(http.StatusOK, "done"))
+	fixture := newFixture(t)
+	require.Equal(t, http.StatusServiceUnavailable, fixture.send(http.MethodGet, "/again/", "", nil).status, "nothing is declared yet")
+	fixture.serve(server)
+	without := func(name string) func(*http.Request) {
+		return func(request *http.Request) { request.Header.Del(name) }
+	}
+	with := func(name, value string) func(*http.Request) {
+		return func(request *http.Request) { request.Header.Set(name, value) }
+	}
+	for name, one := range map[string]struct {
+		path, body string
+		change     func(*http.Request)
+		status     int
+	}{
+		"no key":        {"/once/", "", without("Authorization"), http.StatusUnauthorized},
+		"unknown key":   {"/once/", "", with("Authorization", "Bearer x"), http.StatusUnauthorized},
+		"no route":      {"/none/", "", nil, http.StatusNotFound},
+		"no id":         {"/once/", "", without("Cloverrail-Request-Id"), http.StatusBadRequest},
+		"bad deadline":  {"/once/", "", with("Cloverrail-Deadline-Ms", "soon"), http.StatusBadRequest},
+		"long body":     {"/once/", strings.Repeat("x", 1001), nil, http.StatusRequestEntityTooLarge},
+		"long head":     {"/once/", "", with("X-Long", strings.Repeat("x", 5000)), http.StatusRequestHeaderFieldsTooLarge},
+		"broken prompt": {"/stream/", "", func(request *http.Request) { prompt(request); request.Header.Set("Cloverrail-Prompt-Prefix", "a") }, http.StatusBadRequest},
+	} {
+		require.Equal(t, one.status, fixture.send(http.MethodPost, one.path, one.body, one.change).status, name)
+	}
+	require.Empty(t, server.Arrivals())
+	require.Equal(t, http.StatusOK, fixture.send(http.MethodGet, "/open/", "", without("Authorization")).status, "the route is public")
+}
+
+func TestARemovedKeyStopsWorking(t *testing.T) {
+	server := plainServer("i-1", standin.Answers(http.StatusOK, "done"))
+	fixture := newFixture(t).serve(server)
+	require.Equal(t, http.StatusOK, fixture.send(http.MethodGet, "/again/", "", nil).status)
+	fixture.declare("another")
+	require.Equal(t, http.StatusUnauthorized, fixture.send(http.MethodGet, "/again/", "", nil).status)
+}
+
+func TestANodeThatCannotReadKeysServesOnlyWhatNeedsNone(t *testing.T) {
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Answers(http.StatusOK, "done")))
+	fixture.store.SetHarm(func(*http.Request) standin.Harm { return standin.Mute })
+	fixture.until(func() bool {
+		return fixture.send(http.MethodGet, "/again/", "", nil).status == http.StatusServiceUnavailable
+	})
+	require.False(t, fixture.process.proxy.Ready(time.Now()))
+	require.Equal(t, http.StatusServiceUnavailable, fixture.send(http.MethodGet, "/none/", "", nil).status, "the route may exist by now")
+	require.Equal(t, http.StatusOK, fixture.send(http.MethodGet, "/open/", "", nil).status)
+	fixture.store.SetHarm(nil)
+	fixture.until(func() bool { return fixture.send(http.MethodGet, "/again/", "", nil).status == http.StatusOK })
+}
+
+func TestUnreadableEntriesStopNothing(t *testing.T) {
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Answers(http.StatusOK, "done")))
+	fixture.store.Put("servers/i-broken", "not an entry")
+	fixture.store.Put("op/version/x", 7)
+	fixture.store.Put("op/config", "not a document")
+	fixture.add(plainServer("i-2", standin.Answers(http.StatusOK, "done")))
+	fixture.until(func() bool { return len(fixture.process.set.Servers()) == 2 })
+	require.Equal(t, http.StatusOK, fixture.send(http.MethodGet, "/again/", "", nil).status, "the last good declaration stays")
+}
+
+func TestALeavingServerGetsNothingNew(t *testing.T) {
+	leaving := plainServer("i-1", standin.Answers(http.StatusOK, "done"))
+	staying := plainServer("i-2", standin.Answers(http.StatusOK, "done"))
+	fixture := newFixture(t).serve(leaving, staying)
+	fixture.list(leaving, "127.0.0.1:9", "draining")
+	fixture.until(func() bool {
+		server, found := fixture.process.set.Find("i-1")
+		return found && server.Draining
+	})
+	before := len(leaving.Arrivals())
+	for range 10 {
+		require.Equal(t, http.StatusOK, fixture.send(http.MethodPost, "/once/", "", nil).status)
+	}
+	require.Len(t, leaving.Arrivals(), before)
+}
+
+func TestAReusedAddressIsNoticedBeforeAnythingRuns(t *testing.T) {
+	other := plainServer("i-other", standin.Answers(http.StatusOK, "wrong"))
+	fixture := newFixture(t)
+	fixture.add(other)
+	fixture.declare(key)
+	fixture.until(func() bool { return len(fixture.process.set.Servers()) == 1 })
+	server, _ := fixture.process.set.Find("i-other")
+	fixture.store.Put("servers/i-gone", plainServer("i-gone", nil).Entry("plain", server.Address, "a", "ready"))
+	fixture.store.Remove("servers/i-other")
+	fixture.until(func() bool { _, found := fixture.process.set.Find("i-gone"); return found })
+	got := fixture.send(http.MethodPost, "/once/", "turn", nil)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Zero(t, other.Runs())
+}
+
+func TestNewWeightsReachEveryServer(t *testing.T) {
+	servers := []*standin.Server{}
+	for _, name := range []string{"i-1", "i-2", "i-3"} {
+		server := engine(name, standin.Streams(2, 0))
+		server.LoadTime = 20 * time.Millisecond
+		servers = append(servers, server)
+	}
+	fixture := newFixture(t).serve(servers...)
+	for version := int64(2); version <= 3; version++ {
+		fixture.store.Put("op/version/"+model, map[string]any{"model": model, "version": version})
+		fixture.until(func() bool {
+			got := fixture.send(http.MethodPost, "/stream/", "prompt", prompt)
+			require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, got.status)
+			for _, server := range servers {
+				if server.Version() != version {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	for _, server := range servers {
+		require.Equal(t, 2, server.Orders(), "one order for each version")
+	}
+}
+
+func TestTheRoutesTimeEndsARequest(t *testing.T) {
+	server := plainServer("i-1", standin.Hangs)
+	fixture := newFixture(t).serve(server)
+	got := fixture.send(http.MethodPost, "/short/", "turn", nil)
+	require.Equal(t, http.StatusGatewayTimeout, got.status, "it may have run")
+	require.Empty(t, got.header.Get("Retry-After"))
+}
+
+func TestACallerWhoLeavesEndsTheWork(t *testing.T) {
+	ended := make(chan struct{})
+	server := plainServer("i-1", func(_ *standin.Server, _ http.ResponseWriter, request *http.Request) {
+		<-request.Context().Done()
+		close(ended)
+	})
+	fixture := newFixture(t).serve(server)
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		fixture.until(func() bool { return len(server.Arrivals()) == 1 })
+		leave()
+	}()
+	fixture.send(http.MethodPost, "/once/", "turn", func(request *http.Request) { *request = *request.WithContext(ctx) })
+	<-ended
+}
+
+func TestAPlannedStopEndsWhatIsOpenWithAnAnswer(t *testing.T) {
+	server := plainServer("i-1", standin.Hangs)
+	fixture := newFixture(t).serve(server)
+	answers := make(chan answer)
+	go func() { answers <- fixture.send(http.MethodPost, "/once/", "turn", nil) }()
+	fixture.until(func() bool { return len(server.Arrivals()) == 1 })
+	fixture.process.stopping.Store(true)
+	fixture.process.proxy.Drain(context.Background(), 0)
+	got := <-answers
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.True(t, got.closes, "the next request goes elsewhere")
+}
--- /dev/null
+++ b/internal/backend/set_test.go
@@ -0,0 +1,161 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/property"
+	"github.com/cloverrail/cloverrail/internal/routing"
+)
+
+var (
+	begin = time.Unix(1000, 0)
+	near  = func(zone string) int { return map[string]int{"a": 0, "b": 1}[zone] }
+	query = Query{Service: "s", Model: "m", Distance: near}
+)
+
+func server(instance string) Server {
+	return Server{Instance: instance, Service: "s", Zone: "a", Versions: map[string]int64{"m": 1}}
+}
+
+// only returns the one candidate of an instance.
+func only(t require.TestingT, set *Set, query Query, now time.Time, instance string) routing.Candidate {
+	for _, candidate := range set.Candidates(nil, query, now) {
+		if candidate.Endpoint == instance {
+			return candidate
+		}
+	}
+	require.Fail(t, "not among the candidates", instance)
+	return routing.Candidate{}
+}
+
+func TestAVanishedServerIsUsedOnlyForWantOfOthers(t *testing.T) {
+	set := NewSet()
+	set.Update([]Server{server("x"), server("y")}, begin)
+	changes := set.Update([]Server{server("y")}, begin)
+	require.Equal(t, []Change{{Server: server("x"), Gone: true}}, changes)
+	require.Len(t, set.Candidates(nil, query, begin), 1)
+	set.Update(nil, begin)
+	require.Len(t, set.Candidates(nil, query, begin), 2, "the list may have lost them")
+	set.Update(nil, begin.Add(unlistedLife+time.Second))
+	require.Empty(t, set.Candidates(nil, query, begin))
+}
+
+func TestADrainingServerIsNeverUsedAgain(t *testing.T) {
+	set := NewSet()
+	leaving := server("x")
+	leaving.Draining = true
+	set.Update([]Server{leaving}, begin)
+	require.True(t, only(t, set, query, begin, "x").Leaving)
+	set.Update(nil, begin)
+	require.Empty(t, set.Candidates(nil, query, begin), "not even when it has vanished")
+}
+
+func TestWeightsOnlyGrowNewer(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		set := NewSet()
+		set.Update([]Server{server("x")}, begin)
+		newest := int64(1)
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			version := rapid.Int64Range(1, 9).Draw(t, "version")
+			newest = max(newest, version)
+			if rapid.Bool().Draw(t, "learned") {
+				set.Learn("x", map[string]int64{"m": version})
+			} else {
+				listed := server("x")
+				listed.Versions["m"] = version
+				set.Update([]Server{listed}, begin)
+			}
+			require.Equal(t, newest, only(t, set, query, begin, "x").Version)
+			older := query
+			older.MinimumVersion = newest + 1
+			require.False(t, only(t, set, older, begin, "x").Ready)
+		}
+	})
+}
+
+func TestALoadingServerIsNotReadyUntilItHasItsWeights(t *testing.T) {
+	set := NewSet()
+	set.Update([]Server{server("x"), server("y")}, begin)
+	set.Load(map[string]int64{"x": 2}, begin)
+	require.False(t, only(t, set, query, begin, "x").Ready)
+	require.True(t, only(t, set, query, begin, "y").Ready)
+	require.True(t, only(t, set, query, begin.Add(loadingLife), "x").Ready, "whoever said so may be gone")
+	set.Learn("x", map[string]int64{"m": 2})
+	require.True(t, only(t, set, query, begin, "x").Ready)
+	set.Load(map[string]int64{"y": 2}, begin)
+	set.Load(nil, begin)
+	require.True(t, only(t, set, query, begin, "y").Ready)
+}
+
+func TestWorkInFlightIsCountedExactly(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		set := NewSet()
+		set.Update([]Server{server("x")}, begin)
+		open := []*Attempt{}
+		results := []exchange.Result{
+			exchange.ResultNeutral, exchange.ResultServed, exchange.ResultFaulty, exchange.ResultRefused,
+			exchange.ResultUnreached, exchange.ResultBroken, exchange.ResultSilent,
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if len(open) == 0 || rapid.Bool().Draw(t, "begins") {
+				open = append(open, set.Begin("x", 100, begin))
+				continue
+			}
+			index := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+			if rapid.Bool().Draw(t, "started") {
+				open[index].Started(begin)
+			}
+			open[index].End(rapid.SampledFrom(results).Draw(t, "result"), begin)
+			open[index].End(exchange.ResultServed, begin)
+			open = append(open[:index], open[index+1:]...)
+		}
+		require.Equal(t, len(open), only(t, set, query, begin, "x").InFlight)
+		for _, attempt := range open {
+			attempt.End(exchange.ResultNeutral, begin)
+		}
+		require.Zero(t, only(t, set, query, begin, "x").InFlight)
+		require.Zero(t, only(t, set, query, begin, "x").QueuedTokens)
+	})
+}
+
+func TestAnUnreachedServerRestsAndIsProbedOnce(t *testing.T) {
+	set := NewSet()
+	set.Update([]Server{server("x")}, begin)
+	set.Begin("x", 0, begin).End(exchange.ResultUnreached, begin)
+	require.True(t, only(t, set, query, begin, "x").Resting)
+	later := begin.Add(unreachedBreaker.Rest)
+	require.False(t, only(t, set, query, later, "x").Resting)
+	probe := set.Begin("x", 0, later)
+	require.True(t, only(t, set, query, later, "x").Resting, "one probe at a time")
+	probe.End(exchange.ResultNeutral, later)
+	require.False(t, only(t, set, query, later, "x").Resting, "the probe said nothing")
+	set.Begin("x", 0, later).End(exchange.ResultServed, later)
+	require.False(t, only(t, set, query, later, "x").Resting)
+}
+
+func TestFailuresFade(t *testing.T) {
+	set := NewSet()
+	set.Update([]Server{server("x")}, begin)
+	require.Zero(t, only(t, set, query, begin, "x").FailureShare)
+	for range 4 {
+		set.Begin("x", 0, begin).End(exchange.ResultFaulty, begin)
+	}
+	fresh := only(t, set, query, begin, "x").FailureShare
+	require.InDelta(t, 4.0/(4+priorAttempts), fresh, 1e-9)
+	require.Less(t, only(t, set, query, begin.Add(failureHalfLife), "x").FailureShare, fresh)
+}
+
+func TestAnAnswerToAnyoneShowsThatAServerLives(t *testing.T) {
+	set := NewSet()
+	set.Update([]Server{server("x")}, begin)
+	waiting, other := set.Begin("x", 0, begin), set.Begin("x", 0, begin)
+	require.False(t, waiting.HeardSince(begin))
+	other.Started(begin.Add(time.Second))
+	require.True(t, waiting.HeardSince(begin))
+	require.False(t, waiting.HeardSince(begin.Add(time.Second)))
+}
--- /dev/null
+++ b/internal/fleet/registry_test.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/coordination"
+	"github.com/cloverrail/cloverrail/internal/lab/storestub"
+)
+
+func TestNodesCountEachOtherThroughOutagesAndDeaths(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		down := atomic.Bool{}
+		store := storestub.New(time.Now, func(string) storestub.Fault {
+			if down.Load() {
+				return storestub.Refused
+			}
+			return storestub.None
+		})
+		ctx, stop := context.WithCancel(context.Background())
+		registry := func(ctx context.Context, name string) *Registry {
+			registry := &Registry{Store: store, Prefix: "f/nodes/", Name: name, Resized: func(int) {}}
+			go registry.Run(ctx)
+			return registry
+		}
+		one := registry(ctx, "a")
+		dying, kill := context.WithCancel(ctx)
+		registry(dying, "b")
+		registry(ctx, "c")
+		count := func() int {
+			one.Observe(store.Entries("f/"), time.Now())
+			return one.Nodes()
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, 3, count())
+		down.Store(true)
+		time.Sleep(3 * registrationLife)
+		down.Store(false)
+		time.Sleep(registrationLife)
+		require.Equal(t, 3, count(), "registered anew after an outage that outlasted the leases")
+		kill()
+		time.Sleep(registrationLife)
+		require.Equal(t, 2, count())
+		stop()
+		synctest.Wait()
+		require.Empty(t, store.Entries("f/nodes/"), "a planned stop takes the registration back")
+		require.Equal(t, 1, count(), "a node counts itself")
+	})
+}
+
+func TestAKeyIsDatedByItsRevision(t *testing.T) {
+	registry := &Registry{Prefix: "f/nodes/", Resized: func(int) {}}
+	begin := time.Unix(1000, 0)
+	entry := coordination.Entry{Key: "f/state", Revision: 4}
+	registry.Observe([]coordination.Entry{entry}, begin)
+	registry.Observe([]coordination.Entry{entry}, begin.Add(time.Second))
+	require.Equal(t, begin, registry.FirstSeen("f/state", 4))
+	require.Zero(t, registry.FirstSeen("f/state", 5))
+	require.True(t, registry.Exists("f/state"))
+	registry.Observe(nil, begin)
+	require.False(t, registry.Exists("f/state"))
+}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -57,7 +57,7 @@
 			PlacementWait: route.TargetLatency / placementPart,
 			RetryAfter:    retryAfter(route),
 		},
-		Budget:      proxy.retries.Of(admitted.service.Name, time.Now()),
+		Budget:      proxy.retries.Of(admitted.service.Name),
 		Patience:    patience(route),
 		ResumeAfter: admitted.request.ResumeAfter,
 		Placer:      &placer{proxy: proxy, admitted: admitted, pieces: map[int64][]residency.Piece{}},
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,146 @@
+package proxy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/property"
+)
+
+func TestAFleetKeepsItsRetryBudgetWithoutAsking(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		bounds := RetryBounds{Ratio: 0.2, Extra: 54, Window: 10 * time.Second}
+		begin := time.Unix(1000, 0)
+		nodes := make([]*Retries, rapid.IntRange(1, 30).Draw(t, "nodes"))
+		for index := range nodes {
+			nodes[index] = NewRetries(bounds, begin)
+			nodes[index].Resize(len(nodes))
+		}
+		step := 100 * time.Millisecond
+		requests, repeats := []int{}, []int{}
+		for tick := range 200 {
+			now := begin.Add(time.Duration(tick) * step)
+			if rapid.IntRange(0, 40).Draw(t, "restart") == 0 {
+				which := rapid.IntRange(0, len(nodes)-1).Draw(t, "which")
+				nodes[which] = NewRetries(bounds, now)
+			}
+			first, again := rapid.IntRange(0, 2*len(nodes)).Draw(t, "requests"), 0
+			for number := range first {
+				nodes[number%len(nodes)].Deposit("s", now)
+			}
+			for _, node := range nodes {
+				node.Resize(len(nodes))
+				for node.Of("s").Withdraw(now) {
+					again++
+				}
+			}
+			requests, repeats = append(requests, first), append(repeats, again)
+		}
+		window := int(bounds.Window / step)
+		for end := window; end <= len(requests); end++ {
+			allowed := bounds.Ratio*float64(sum(requests[end-window:end])) + bounds.Extra
+			// What was earned in the window before may be spent in this one.
+			before := requests[max(0, end-2*window) : end-window]
+			allowed = max(allowed, bounds.Ratio*float64(sum(before))+bounds.Extra)
+			require.LessOrEqual(t, float64(sum(repeats[end-window:end])), allowed)
+		}
+	})
+}
+
+func sum(numbers []int) int {
+	total := 0
+	for _, number := range numbers {
+		total += number
+	}
+	return total
+}
+
+func TestTrafficIsSplitByWeightOverShortSpans(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		route := &catalog.Route{Name: "r"}
+		total := 0
+		for index := range rapid.IntRange(1, 4).Draw(t, "services") {
+			weight := rapid.IntRange(0, 100).Draw(t, "weight")
+			total += weight
+			route.Split = append(route.Split, catalog.Share{Service: fmt.Sprint("s", index), Weight: weight})
+		}
+		if total == 0 || len(route.Split) == 1 {
+			return
+		}
+		splits := splits{}
+		counts := map[string]int{}
+		sent := rapid.IntRange(1, 300).Draw(t, "requests")
+		for range sent {
+			counts[splits.choose(route)]++
+		}
+		for _, share := range route.Split {
+			expected := float64(sent) * float64(share.Weight) / float64(total)
+			require.InDelta(t, expected, counts[share.Service], float64(len(route.Split)))
+		}
+	})
+}
+
+func TestThePaceIsLearnedFromLongPromptsOnly(t *testing.T) {
+	pace := newPace()
+	pace.measure(10, time.Second)
+	require.Equal(t, float64(assumedPrefill), pace.tokensPerSecond())
+	for range 100 {
+		pace.measure(5000, 100*time.Millisecond)
+	}
+	require.InDelta(t, 50_000, pace.tokensPerSecond(), 500)
+}
+
+// at returns a proxy that believes a declaration as of a time.
+func at(asOf time.Time, weights catalog.Namings) *Proxy {
+	holder := &catalog.Holder{}
+	holder.Store(&catalog.Belief{
+		AsOf:    asOf,
+		Weights: map[string]catalog.Namings{"m": weights},
+		Snapshot: catalog.New(catalog.Declaration{
+			Version:  3,
+			Routes:   []catalog.Route{{Name: "r", Host: "h", PathPrefix: "/r/", Split: []catalog.Share{{Service: "s", Weight: 1}}, Timeout: time.Second}},
+			Services: []catalog.Service{{Name: "s"}},
+			Tenants:  []catalog.TenantKeys{{Tenant: catalog.Tenant{Name: "one"}, Keys: []string{"k"}}},
+		}),
+	})
+	return New(Options{Belief: holder, Bounds: Bounds{Revocation: 5 * time.Second, Configuration: 2 * time.Second, Weights: 8 * time.Second}})
+}
+
+func TestOnlyACurrentNodeSaysThatSomethingDoesNotExist(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for age, expected := range map[time.Duration]map[string]string{
+		time.Second:             {"k": "", "x": "unauthorized", "/none/": "not_found"},
+		3 * time.Second:         {"k": "", "x": "not_configured", "/none/": "not_configured"},
+		4600 * time.Millisecond: {"k": "not_configured", "x": "not_configured", "/none/": "not_configured"},
+	} {
+		proxy := at(now.Add(-age), nil)
+		for what, kind := range expected {
+			request := &Request{Host: "h", Path: "/r/", Key: what, Arrived: now}
+			if what == "/none/" {
+				request.Path, request.Key = what, "k"
+			}
+			admitted, refusal := proxy.admit(request, now)
+			if kind == "" {
+				require.Nil(t, refusal)
+				require.Equal(t, now.Add(time.Second), admitted.deadline, "the route's time")
+				continue
+			}
+			require.Equal(t, kind, string(refusal.Kind), "%s after %s", what, age)
+		}
+	}
+}
+
+func TestOldWeightsServeOnlyForAWhile(t *testing.T) {
+	start := time.Now()
+	proxy := at(start, catalog.Namings{{Version: 4}, {Version: 5, NotNamedAt: start}, {Version: 6, NotNamedAt: start.Add(4 * time.Second)}})
+	require.Equal(t, int64(0), proxy.minimumVersion("m", start.Add(time.Second)), "nobody knows when 4 was named")
+	require.Equal(t, int64(4), proxy.minimumVersion("m", start.Add(3*time.Second)))
+	require.Equal(t, int64(5), proxy.minimumVersion("m", start.Add(7*time.Second)))
+	require.Equal(t, int64(6), proxy.minimumVersion("m", start.Add(11*time.Second)))
+	require.Zero(t, proxy.minimumVersion("other", start.Add(time.Hour)))
+}
--- a/internal/proxy/retries.go
+++ b/internal/proxy/retries.go
@@ -26,10 +26,11 @@
 // not ask each other: each earns by its own requests, and saves up at most its
 // part of what the fleet may send beyond the ratio, and at least one.
 type Retries struct {
-	bounds RetryBounds
-	mutex  sync.Mutex
-	nodes  int
-	each   map[string]*retry.Budget
+	bounds  RetryBounds
+	started time.Time
+	mutex   sync.Mutex
+	nodes   int
+	each    map[string]*retry.Budget
 }
 
 // unknownFleet is the size that a fleet is taken to have before it is known.
@@ -37,8 +38,8 @@
 
 // NewRetries returns budgets for a fleet of unknown size. A node that has just
 // started does not know what the fleet has spent: it has nothing saved up.
-func NewRetries(bounds RetryBounds) *Retries {
-	return &Retries{bounds: bounds, nodes: unknownFleet, each: map[string]*retry.Budget{}}
+func NewRetries(bounds RetryBounds, now time.Time) *Retries {
+	return &Retries{bounds: bounds, started: now, nodes: unknownFleet, each: map[string]*retry.Budget{}}
 }
 
 // Resize follows the number of nodes in the fleet.
@@ -65,7 +66,7 @@
 	return extraShare * retries.bounds.Extra / 2 / float64(retries.nodes) / retries.bounds.Window.Seconds()
 }
 
-func (retries *Retries) budget(service string, now time.Time) *retry.Budget {
+func (retries *Retries) budget(service string) *retry.Budget {
 	retries.mutex.Lock()
 	defer retries.mutex.Unlock()
 	known, found := retries.each[service]
@@ -75,7 +76,7 @@
 			Ratio:     ratioShare * retries.bounds.Ratio,
 			PerSecond: retries.perSecond(),
 			Capacity:  capacity,
-		}, now)
+		}, retries.started)
 		known.Drain()
 		retries.each[service] = known
 	}
@@ -84,10 +85,10 @@
 
 // Deposit notes a first send to a service.
 func (retries *Retries) Deposit(service string, now time.Time) {
-	retries.budget(service, now).Deposit(now)
+	retries.budget(service).Deposit(now)
 }
 
 // Of returns the budget of a service.
-func (retries *Retries) Of(service string, now time.Time) *retry.Budget {
-	return retries.budget(service, now)
+func (retries *Retries) Of(service string) *retry.Budget {
+	return retries.budget(service)
 }
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,90 @@
+package telemetry
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/proxy"
+)
+
+var errLost = errors.New("no answer")
+
+// stuck is a standard output that nobody reads.
+type stuck struct{ freed chan struct{} }
+
+func (stuck stuck) Write(data []byte) (int, error) {
+	<-stuck.freed
+	return len(data), nil
+}
+
+func TestAStuckOutputBlocksNobody(t *testing.T) {
+	output := stuck{freed: make(chan struct{})}
+	defer close(output.freed)
+	writer := NewWriter(output)
+	for range 3 * queuedLines {
+		_, err := writer.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	require.Positive(t, writer.Dropped())
+}
+
+// page is an output that can be read while it is written.
+type page struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (page *page) Write(data []byte) (int, error) {
+	page.mutex.Lock()
+	defer page.mutex.Unlock()
+	return page.text.Write(data)
+}
+
+func (page *page) lines() []string {
+	page.mutex.Lock()
+	defer page.mutex.Unlock()
+	return strings.Split(strings.TrimSpace(page.text.String()), "\n")
+}
+
+func TestLinesAreWrittenInTheirOrder(t *testing.T) {
+	page := &page{}
+	writer := NewWriter(page)
+	for _, line := range []string{"a\n", "b\n", "c\n"} {
+		_, _ = writer.Write([]byte(line))
+	}
+	require.Eventually(t, func() bool { return len(page.lines()) == 3 }, 20*time.Second, time.Millisecond)
+	require.Equal(t, []string{"a", "b", "c"}, page.lines())
+}
+
+func TestTheLinesOfRequestsAreBoundedAndTheRestIsCounted(t *testing.T) {
+	page := &page{}
+	recorder := NewRecorder(zerolog.New(page), NewMetrics(&catalog.Holder{}))
+	request := &proxy.Request{ID: "r", Key: "secret", Body: []byte("private")}
+	for range 10 * burstLines {
+		recorder.Request(request, nil, 1, exchange.Outcome{})
+	}
+	require.Less(t, len(page.lines()), 2*burstLines)
+	require.Positive(t, recorder.suppressed)
+	require.NotContains(t, page.text.String(), "secret")
+	require.NotContains(t, page.text.String(), "private")
+}
+
+func TestALostStoreIsToldOnce(t *testing.T) {
+	page := &page{}
+	recorder := NewRecorder(zerolog.New(page), NewMetrics(&catalog.Holder{}))
+	for range 5 {
+		recorder.Read(time.Second, errLost)
+	}
+	recorder.Read(time.Second, nil)
+	recorder.Read(time.Second, nil)
+	require.Len(t, page.lines(), 2)
+}
