Let the machine that held the duty go on at once, and log how long loads take

Old weights were out of use 2 s after the start while the roll-out waited for runs of before: loads took 3 to 4.6 s at servers with runs, 0.8 s at idle ones.

Change: a machine is one holder through its restarts and others let it come first; old weights are tolerated until the node is in touch (a setting); a line for each finished load.

--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -111,6 +111,7 @@
 			Revocation:    given.Bounds.Revocation,
 			Configuration: given.Bounds.Configuration,
 			Weights:       given.Bounds.Weights,
+			Contact:       given.Bounds.Contact,
 		},
 		Retries:  process.retries,
 		Distance: process.distance,
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -19,6 +19,8 @@
 	tick       = 50 * time.Millisecond
 	// retryPause follows a failed try to take the duty over.
 	retryPause = 300 * time.Millisecond
+	// headStart is how long others wait for the machine that held the duty last.
+	headStart = 300 * time.Millisecond
 )
 
 // Duty is what the holder does.
@@ -30,6 +32,8 @@
 	Step() (state []byte, act func(ctx context.Context, tenure *Tenure))
 	// Resting reports whether a published state says that nothing is under way.
 	Resting(state []byte) bool
+	// Own reports whether this node published a state, in this life or one before.
+	Own(state []byte) bool
 	// Lost says that the tenure is over.
 	Lost()
 }
@@ -109,6 +113,9 @@
 	if _, found, err := keeper.Store.Read(ctx, keeper.Key); err != nil || found {
 		return nil, found
 	}
+	if !keeper.makeWay(ctx) {
+		return nil, false
+	}
 	asked := time.Now()
 	granted, err := keeper.Store.Grant(ctx, keeper.Life)
 	if err != nil {
@@ -132,7 +139,9 @@
 	if found && keeper.Duty.Resting(state.Value) {
 		last = keeper.FirstSeen(keeper.KeyState, state.Revision)
 	}
-	settled := SettledAt(found, last, time.Now(), keeper.Settling)
+	// One machine is one holder, whatever became of its process.
+	another := found && !keeper.Duty.Own(state.Value)
+	settled := SettledAt(another, last, time.Now(), keeper.Settling)
 	keeper.Recorder.Acquired(fence, time.Until(settled))
 	return &holding{
 		tenure:  NewTenure(fence, asked, granted.Life, granted.Life/marginPart, settled),
@@ -142,6 +151,19 @@
 	}, false
 }
 
+// makeWay lets the machine that held the duty last come first: it alone need not
+// wait. It reports whether the state could be read.
+func (keeper *Keeper) makeWay(ctx context.Context) bool {
+	state, found, err := keeper.Store.Read(ctx, keeper.KeyState)
+	if err != nil {
+		return false
+	}
+	if found && !keeper.Duty.Own(state.Value) && !keeper.Duty.Resting(state.Value) {
+		pause(ctx, headStart)
+	}
+	return true
+}
+
 // renewal is the answer to one renewal.
 type renewal struct {
 	asked time.Time
--- a/internal/lease/tenure.go
+++ b/internal/lease/tenure.go
@@ -41,10 +41,10 @@
 // Lapsed reports whether the lease may be another's now.
 func (tenure *Tenure) Lapsed(now time.Time) bool { return !now.Before(tenure.until) }
 
-// SettledAt returns when a new holder may begin: at once if the duty was never
-// held, and otherwise when the last order is certainly older than the settling
-// time. Last is a time at which the holder before was certainly done; it is zero
-// if nobody knows one.
+// SettledAt returns when a new holder may begin: at once if no other held the
+// duty before, and otherwise when the last order is certainly older than the
+// settling time. Last is a time at which the holder before was certainly done; it
+// is zero if nobody knows one.
 func SettledAt(held bool, last, acquired time.Time, settling time.Duration) time.Time {
 	switch {
 	case !held:
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -235,7 +235,7 @@
 func (proxy *Proxy) minimumVersion(model string, now time.Time) int64 {
 	tolerated := proxy.bounds.Weights - weightsMargin
 	// What was found at the first reading may have been named at any time before.
-	found := proxy.started.Add(settlingTime - tolerated)
+	found := proxy.started.Add(proxy.bounds.Contact - contactMargin - tolerated)
 	return proxy.belief.Load().Weights[model].Required(now.Add(-tolerated), found)
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -96,6 +96,9 @@
 	Configuration time.Duration
 	// Weights is the longest time for which older weights may serve.
 	Weights time.Duration
+	// Contact is the time after its start in which a node is not yet held to what
+	// it cannot know.
+	Contact time.Duration
 }
 
 const (
@@ -103,9 +106,9 @@
 	answerMargin = 500 * time.Millisecond
 	// weightsMargin is the longest wait in a server's queue that is allowed for.
 	weightsMargin = 1500 * time.Millisecond
-	// settlingTime is how long after its start a node tolerates any weights,
-	// since it cannot know when the newest were named.
-	settlingTime = 2 * time.Second
+	// contactMargin is kept free below Bounds.Contact. Until then a node tolerates
+	// any weights, since it cannot know when the newest were named.
+	contactMargin = 300 * time.Millisecond
 	// soon is when to come back for a node that is catching up.
 	soon = 100 * time.Millisecond
 )
--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -21,6 +21,7 @@
 // Recorder hears of orders. Its methods must not block.
 type Recorder interface {
 	Ordered(order Order, fence int64, result Result, err error)
+	Loaded(loaded Loaded)
 }
 
 const (
@@ -76,7 +77,7 @@
 		duty.machine = NewMachine()
 	}
 	actions := duty.machine.Step(now, duty.targets(), duty.Set.Servers())
-	encoded := State{Active: !duty.machine.Idle(), Loading: duty.machine.Loading()}.Encode()
+	encoded := State{Holder: duty.Holder, Active: !duty.machine.Idle(), Loading: duty.machine.Loading()}.Encode()
 	return encoded, func(ctx context.Context, tenure *lease.Tenure) { duty.act(ctx, tenure, actions) }
 }
 
@@ -91,6 +92,8 @@
 			go duty.order(ctx, action, tenure.Fence)
 		case Inspect:
 			go duty.inspect(ctx, action)
+		case Loaded:
+			duty.Recorder.Loaded(action)
 		}
 	}
 }
@@ -101,6 +104,12 @@
 	return err == nil && !decoded.Active
 }
 
+// Own reports whether this node published a state, in this life or in one before.
+func (duty *Duty) Own(state []byte) bool {
+	decoded, err := DecodeState(state)
+	return err == nil && decoded.Holder == duty.Holder
+}
+
 // do runs a change of the machine, unless the tenure has ended since.
 func (duty *Duty) do(change func(machine *Machine)) {
 	duty.mutex.Lock()
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -50,6 +50,12 @@
 // Inspect is the action of asking a server how far it is.
 type Inspect struct{ Server backend.Server }
 
+// Loaded tells that an order has shown its effect, for the log.
+type Loaded struct {
+	Order Order
+	Took  time.Duration
+}
+
 // Report is what a server says of itself.
 type Report struct {
 	Busy     bool
@@ -87,7 +93,12 @@
 		if since.IsZero() {
 			since = now
 		}
-		one := lack{server: server, model: model, version: namings.Newest(), deadline: since.Add(targets.Within)}
+		one := lack{
+			server:   server,
+			model:    model,
+			version:  namings.Newest(),
+			deadline: since.Add(targets.Within),
+		}
 		earlier := one.deadline.Before(most.deadline) || (one.deadline.Equal(most.deadline) && model < most.model)
 		if !found || earlier {
 			most, found = one, true
@@ -101,6 +112,7 @@
 
 func (Order) action()   {}
 func (Inspect) action() {}
+func (Loaded) action()  {}
 
 const (
 	inspectInterval = 200 * time.Millisecond
@@ -206,6 +218,7 @@
 				continue
 			}
 			delete(machine.pending, server.Instance)
+			actions = append(actions, Loaded{Order: known.order, Took: now.Sub(known.begunAt)})
 		}
 		one, lacks := targets.of(server, now)
 		if lacks && !server.Draining && !now.Before(machine.resting[server.Instance]) {
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -10,6 +10,8 @@
 
 // State is what the holder of the duty publishes for all nodes.
 type State struct {
+	// Holder is the name of the node.
+	Holder string
 	// Active says that orders may be under way.
 	Active bool
 	// Loading holds the servers that load weights now, with their new versions.
@@ -24,13 +26,14 @@
 }
 
 type encodedState struct {
+	Holder  string
 	Active  bool
 	Loading []entry
 }
 
 // Encode returns the state as it is published.
 func (state State) Encode() []byte {
-	encoded := encodedState{Active: state.Active}
+	encoded := encodedState{Holder: state.Holder, Active: state.Active}
 	for instance, version := range state.Loading {
 		encoded.Loading = append(encoded.Loading, entry{Instance: instance, Version: version})
 	}
@@ -51,7 +54,7 @@
 	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&encoded); err != nil {
 		return State{}, errors.Annotate(err, "the published state of the roll-out cannot be read; run one version on all nodes")
 	}
-	state := State{Active: encoded.Active, Loading: map[string]int64{}}
+	state := State{Holder: encoded.Holder, Active: encoded.Active, Loading: map[string]int64{}}
 	for _, one := range encoded.Loading {
 		state.Loading[one.Instance] = one.Version
 	}
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -43,6 +43,9 @@
 	Drain time.Duration `yaml:"drain" validate:"gt=0"`
 	// Weights is when older weights must have stopped serving.
 	Weights time.Duration `yaml:"weights" validate:"gt=0"`
+	// Contact is the time after its start in which a node is not yet held to what
+	// it cannot know.
+	Contact time.Duration `yaml:"contact" validate:"gt=0"`
 	// HolderChange is the least time between the orders of two holders.
 	HolderChange time.Duration `yaml:"holderChange" validate:"gt=0"`
 	// RetryRatio, RetryExtra and RetryWindow bound the fleet's repetitions.
@@ -61,6 +64,7 @@
 			Revocation:    5 * time.Second,
 			Drain:         2 * time.Second,
 			Weights:       8 * time.Second,
+			Contact:       3 * time.Second,
 			HolderChange:  3 * time.Second,
 			RetryRatio:    0.2,
 			RetryWindow:   10 * time.Second,
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -205,6 +205,12 @@
 		Int64("fence", fence).Int64("expected", order.Expected).Str("result", name).Err(err).Msg("order")
 }
 
+// Loaded hears that a server has the weights that it was ordered to load.
+func (recorder *Recorder) Loaded(loaded rollout.Loaded) {
+	recorder.log.Info().Str("server", loaded.Order.Server.Instance).Str("model", loaded.Order.Model).
+		Int64("version", loaded.Order.Version).Dur("took", loaded.Took).Msg("weights are loaded")
+}
+
 // Unreadable hears of an entry of the store that is skipped.
 func (recorder *Recorder) Unreadable(key string, revision int64, err error) {
 	recorder.log.Warn().Str("key", key).Int64("revision", revision).Err(err).Msg("an entry cannot be read and is skipped")
