Keep a duty through lost answers, and old weights while none could be replaced

The holder counted its lease as lapsed, gave up, and the next one had to wait 3 s; from second 9 no server was allowed to serve, since none had been moved.

Change: renewals do not wait for each other, ten to a life; a lease that may have lapsed is only not acted on until a renewal shows that it never did; publishing is tried three times. After a reading that failed, old weights are not put out of use for the whole bound: the store was not sound, and nobody could move servers.

--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -35,7 +35,7 @@
 	readPart = 0.4
 	// leasePart is the life of the holder's lease as a part of the time between two
 	// holders.
-	leasePart = 0.5
+	leasePart = 0.65
 	// spreadPerNode spreads the tries of a fleet to take a duty over.
 	spreadPerNode = 5 * time.Millisecond
 
--- a/internal/catalog/belief.go
+++ b/internal/catalog/belief.go
@@ -73,6 +73,9 @@
 	// AsOf is when the call was sent whose answer proved all this current. What
 	// was acknowledged to an operator later may be missing.
 	AsOf time.Time
+	// Disturbed is when a reading failed last: the store, or the way to it, was not
+	// sound then, and what was to be done since could not be.
+	Disturbed time.Time
 }
 
 // Reading is one linearizable look at the declaration.
@@ -91,7 +94,7 @@
 	next := &Belief{AsOf: reading.SentAt, Weights: map[string]Namings{}}
 	previous := time.Time{}
 	if known != nil {
-		next.Snapshot = known.Snapshot
+		next.Snapshot, next.Disturbed = known.Snapshot, known.Disturbed
 		previous = known.AsOf
 		if reading.SentAt.Before(known.AsOf) {
 			next.AsOf = known.AsOf
@@ -109,6 +112,16 @@
 	return next
 }
 
+// Disturb returns the belief that follows from a reading that failed.
+func Disturb(known *Belief, now time.Time) *Belief {
+	if known == nil {
+		return nil
+	}
+	next := *known
+	next.Disturbed = now
+	return &next
+}
+
 // Holder is where a node keeps its belief. Readers take it whole.
 type Holder struct {
 	belief atomic.Pointer[Belief]
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -12,8 +12,9 @@
 
 const (
 	callTimeout = 500 * time.Millisecond
-	// renewals a life gives a holder several tries before its lease lapses.
-	renewals = 3
+	// renewals a life gives a holder several tries before its lease lapses, also
+	// while many answers are lost. They do not wait for each other.
+	renewals = 10
 	// marginPart of the life is kept free at its end, for an order on its way.
 	marginPart = 5
 	tick       = 50 * time.Millisecond
@@ -23,6 +24,9 @@
 	headStart = 300 * time.Millisecond
 )
 
+// publishPatience is how long the tries to publish a state wait for an answer.
+var publishPatience = []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, callTimeout}
+
 // Duty is what the holder does.
 type Duty interface {
 	// Wanted reports whether there is work.
@@ -171,17 +175,16 @@
 	err   error
 }
 
-// hold works until the tenure ends, and returns why.
+// hold works until the tenure ends, and returns why. A lease that may have lapsed
+// is not given up: it is not acted on until a renewal shows that it never did.
 func (keeper *Keeper) hold(ctx context.Context, held *holding) string {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	renewed := make(chan renewal, 1)
-	renewing := false
+	renewed := make(chan renewal, renewals)
 	for {
 		select {
 		case <-ticker.C:
 		case answer := <-renewed:
-			renewing = false
 			if answer.err == nil && !answer.alive {
 				return "the lease ended"
 			}
@@ -193,11 +196,7 @@
 			return "this node stops"
 		}
 		now := time.Now()
-		if held.tenure.Lapsed(now) {
-			return "the lease lapsed"
-		}
-		if !renewing && now.Sub(held.renewed) >= held.lease.Life/renewals {
-			renewing = true
+		if now.Sub(held.renewed) >= held.lease.Life/renewals {
 			held.renewed = now
 			go func() { renewed <- keeper.renew(ctx, held.lease.ID, now) }()
 		}
@@ -227,12 +226,18 @@
 	act(ctx, held.tenure)
 }
 
-// publish writes the state of the duty, which only its holder can.
+// publish writes the state of the duty, which only its holder can. Writing it
+// twice does no harm, so that a lost answer costs only a short wait.
 func (keeper *Keeper) publish(ctx context.Context, held *holding, state []byte) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	written, err := keeper.Store.WriteGuarded(ctx, keeper.KeyState, state, keeper.Key, held.tenure.Fence)
-	return err == nil && written
+	for _, patience := range publishPatience {
+		bounded, cancel := context.WithTimeout(ctx, patience)
+		written, err := keeper.Store.WriteGuarded(bounded, keeper.KeyState, state, keeper.Key, held.tenure.Fence)
+		cancel()
+		if err == nil {
+			return written
+		}
+	}
+	return false
 }
 
 // handBack ends the lease at a planned stop, so that the next holder need not
--- a/internal/lease/tenure.go
+++ b/internal/lease/tenure.go
@@ -38,9 +38,6 @@
 	return !now.Before(tenure.settled) && now.Before(tenure.until.Add(-tenure.margin))
 }
 
-// Lapsed reports whether the lease may be another's now.
-func (tenure *Tenure) Lapsed(now time.Time) bool { return !now.Before(tenure.until) }
-
 // SettledAt returns when a new holder may begin: at once if no other held the
 // duty before, and otherwise when the last order is certainly older than the
 // settling time. Last is a time at which the holder before was certainly done; it
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -233,10 +233,14 @@
 // minimumVersion is the oldest version of a model's weights that may serve now.
 // It follows the newest belief, not the one that the request was admitted by.
 func (proxy *Proxy) minimumVersion(model string, now time.Time) int64 {
+	belief := proxy.belief.Load()
 	tolerated := proxy.bounds.Weights - weightsMargin
+	if now.Sub(belief.Disturbed) < tolerated {
+		return 0
+	}
 	// What was found at the first reading may have been named at any time before.
 	found := proxy.started.Add(proxy.bounds.Contact - contactMargin - tolerated)
-	return proxy.belief.Load().Weights[model].Required(now.Add(-tolerated), found)
+	return belief.Weights[model].Required(now.Add(-tolerated), found)
 }
 
 // shared returns the parts that other requests may have in common with this one.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -143,4 +143,7 @@
 	require.Equal(t, int64(5), proxy.minimumVersion("m", start.Add(7*time.Second)))
 	require.Equal(t, int64(6), proxy.minimumVersion("m", start.Add(11*time.Second)))
 	require.Zero(t, proxy.minimumVersion("other", start.Add(time.Hour)))
+	proxy.belief.Store(catalog.Disturb(proxy.belief.Load(), start.Add(9*time.Second)))
+	require.Zero(t, proxy.minimumVersion("m", start.Add(11*time.Second)), "nobody could be moved while the store was away")
+	require.Equal(t, int64(6), proxy.minimumVersion("m", start.Add(16*time.Second)))
 }
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -76,10 +76,11 @@
 	begun := time.Now()
 	observation, err := reflector.Source.Observe(ctx)
 	reflector.Recorder.Read(time.Since(begun), err)
+	before := reflector.Belief.Load()
 	if err != nil {
+		reflector.Belief.Store(catalog.Disturb(before, time.Now()))
 		return err
 	}
-	before := reflector.Belief.Load()
 	after := catalog.Advance(before, observation.Declared)
 	reflector.Belief.Store(after)
 	reflector.Recorder.Declared(before, after)
