--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -24,8 +24,8 @@
 	headStart = 300 * time.Millisecond
 )
 
-// publishPatience is how long the tries to publish a state wait for an answer.
-var publishPatience = []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, callTimeout}
+// callPatience is how long the tries of one call wait for an answer.
+var callPatience = []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, callTimeout}
 
 // Duty is what the holder does.
 type Duty interface {
@@ -108,34 +108,54 @@
 	}
 }
 
+// persist runs a call of the store that may be repeated, until it is answered. An
+// answer that is lost costs only a short wait, and one that is slow is waited for.
+func persist(ctx context.Context, call func(context.Context) error) error {
+	var err error
+	for _, patience := range callPatience {
+		bounded, cancel := context.WithTimeout(ctx, patience)
+		err = call(bounded)
+		cancel()
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// read returns the current entry of a key.
+func (keeper *Keeper) read(ctx context.Context, key string) (entry coordination.Entry, found bool, err error) {
+	err = persist(ctx, func(ctx context.Context) error {
+		entry, found, err = keeper.Store.Read(ctx, key)
+		return err
+	})
+	return entry, found, err
+}
+
 // acquire tries to create the duty's key, and reports whether another node
-// holds it. An answer that was lost is settled by reading the key: its value is
-// unique to this try.
+// holds it.
 func (keeper *Keeper) acquire(ctx context.Context) (held *holding, taken bool) {
-	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
-	defer cancel()
-	if _, found, err := keeper.Store.Read(ctx, keeper.Key); err != nil || found {
+	if _, found, err := keeper.read(ctx, keeper.Key); err != nil || found {
 		return nil, found
 	}
 	if !keeper.makeWay(ctx) {
 		return nil, false
 	}
-	asked := time.Now()
-	granted, err := keeper.Store.Grant(ctx, keeper.Life)
+	var granted coordination.Lease
+	var asked time.Time
+	err := persist(ctx, func(ctx context.Context) (err error) {
+		asked = time.Now()
+		granted, err = keeper.Store.Grant(ctx, keeper.Life)
+		return err
+	})
 	if err != nil {
 		return nil, false
 	}
-	value := []byte(keeper.Name + " " + uuid.NewString())
-	fence, created, err := keeper.Store.Create(ctx, keeper.Key, value, granted.ID)
-	if err != nil {
-		entry, found, readErr := keeper.Store.Read(ctx, keeper.Key)
-		created = readErr == nil && found && bytes.Equal(entry.Value, value)
-		fence = entry.Revision
-	}
-	if !created {
-		return nil, true
+	fence, created, err := keeper.create(ctx, granted.ID)
+	if err != nil || !created {
+		return nil, err == nil
 	}
-	state, found, err := keeper.Store.Read(ctx, keeper.KeyState)
+	state, found, err := keeper.read(ctx, keeper.KeyState)
 	if err != nil {
 		return nil, false
 	}
@@ -155,10 +175,25 @@
 	}, false
 }
 
+// create writes the duty's key if nobody has. An answer that was lost is settled
+// by reading the key: its value is unique to this try.
+func (keeper *Keeper) create(ctx context.Context, lease int64) (fence int64, created bool, err error) {
+	value := []byte(keeper.Name + " " + uuid.NewString())
+	err = persist(ctx, func(ctx context.Context) error {
+		fence, created, err = keeper.Store.Create(ctx, keeper.Key, value, lease)
+		return err
+	})
+	if err == nil && created {
+		return fence, true, nil
+	}
+	entry, found, err := keeper.read(ctx, keeper.Key)
+	return entry.Revision, found && bytes.Equal(entry.Value, value), err
+}
+
 // makeWay lets the machine that held the duty last come first: it alone need not
 // wait. It reports whether the state could be read.
 func (keeper *Keeper) makeWay(ctx context.Context) bool {
-	state, found, err := keeper.Store.Read(ctx, keeper.KeyState)
+	state, found, err := keeper.read(ctx, keeper.KeyState)
 	if err != nil {
 		return false
 	}
@@ -226,18 +261,14 @@
 	act(ctx, held.tenure)
 }
 
-// publish writes the state of the duty, which only its holder can. Writing it
-// twice does no harm, so that a lost answer costs only a short wait.
+// publish writes the state of the duty, which only its holder can.
 func (keeper *Keeper) publish(ctx context.Context, held *holding, state []byte) bool {
-	for _, patience := range publishPatience {
-		bounded, cancel := context.WithTimeout(ctx, patience)
-		written, err := keeper.Store.WriteGuarded(bounded, keeper.KeyState, state, keeper.Key, held.tenure.Fence)
-		cancel()
-		if err == nil {
-			return written
-		}
-	}
-	return false
+	written := false
+	err := persist(ctx, func(ctx context.Context) (err error) {
+		written, err = keeper.Store.WriteGuarded(ctx, keeper.KeyState, state, keeper.Key, held.tenure.Fence)
+		return err
+	})
+	return err == nil && written
 }
 
 // handBack ends the lease at a planned stop, so that the next holder need not
