Follow what the store of kept KV cache tells of itself

Cause: each node knew only of parts that it had sent itself; every node had the same shared parts saved again, and moves kept the store's link busy.

Change: up to ten nodes of a fleet follow the store's events; the ledger then goes by the holder's word. A store that does not answer is left out, since asking a dead one costs the server time.

--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -39,6 +39,10 @@
 	// spreadPerNode spreads the tries of a fleet to take a duty over.
 	spreadPerNode = 5 * time.Millisecond
 
+	// storeReaders is how many nodes follow the store of kept KV cache: fewer than
+	// it takes.
+	storeReaders = 10
+
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	shutdownTimeout   = 400 * time.Millisecond
@@ -165,6 +169,29 @@
 	go reading.Run(ctx)
 }
 
+// followStore starts following what the store of kept KV cache has, if this node
+// is among the few that may.
+func (process *process) followStore(ctx context.Context) {
+	following := &residency.Follower{
+		Source: process.servers,
+		Ledger: process.ledger,
+		Holder: process.prefixStore,
+		Chosen: func() bool { return process.registry.Rank() < storeReaders },
+		Lost:   process.recorder.Unfollowed,
+		Found:  process.recorder.Followed,
+	}
+	go following.Run(ctx)
+}
+
+// prefixStore returns the address of the store of kept KV cache, or "".
+func (process *process) prefixStore() string {
+	belief := process.belief.Load()
+	if belief == nil || belief.Snapshot == nil || belief.Snapshot.Store() == nil {
+		return ""
+	}
+	return belief.Snapshot.Store().Address
+}
+
 // keep starts the duties that nodes share.
 func (process *process) keep(ctx context.Context) {
 	bounds := process.settings.Bounds
@@ -219,6 +246,7 @@
 	defer stop()
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	process.follow(ctx)
+	process.followStore(ctx)
 	process.keep(told)
 	ready := func() bool { return !process.stopping.Load() && process.proxy.Ready(time.Now()) }
 	if _, err := serve(given.ReadinessAddress, platform.ReadinessHandler(ready)); err != nil {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -32,7 +32,9 @@
 
 	mutex sync.Mutex
 	nodes int
-	seen  map[string]sighting
+	// rank is this node's place among the names of all.
+	rank int
+	seen map[string]sighting
 }
 
 // sighting is when a key was first seen at a revision.
@@ -107,7 +109,12 @@
 		seen[entry.Key] = known
 	}
 	registry.seen = seen
-	registry.nodes = len(names)
+	registry.nodes, registry.rank = len(names), 0
+	for name := range names {
+		if name < registry.Name {
+			registry.rank++
+		}
+	}
 	registry.mutex.Unlock()
 	registry.Resized(len(names))
 }
@@ -127,6 +134,14 @@
 	return max(1, registry.nodes)
 }
 
+// Rank returns this node's place among all, from 0. Nodes that see the same fleet
+// have different ranks.
+func (registry *Registry) Rank() int {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return registry.rank
+}
+
 // FirstSeen returns when a key was first seen at the revision, or zero.
 func (registry *Registry) FirstSeen(key string, revision int64) time.Time {
 	registry.mutex.Lock()
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -150,7 +150,15 @@
 	return placer.admitted.request.Prompt
 }
 
-func (placer *placer) store() *catalog.PrefixStore { return placer.admitted.belief.Snapshot.Store() }
+// store is nil if there is none, or if it does not answer: asking a dead one costs
+// the server time.
+func (placer *placer) store() *catalog.PrefixStore {
+	store := placer.admitted.belief.Snapshot.Store()
+	if store == nil || placer.proxy.ledger.Down(store.Address) {
+		return nil
+	}
+	return store
+}
 
 // named returns the shared parts as they are named at a version.
 func (placer *placer) named(version int64) []residency.Piece {
--- /dev/null
+++ b/internal/residency/follower_test.go
@@ -0,0 +1,96 @@
+package residency
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// told is a holder that tells of its memory.
+type told struct {
+	mutex   sync.Mutex
+	life    int64
+	has     map[Key]bool
+	log     []Change
+	first   int64
+	failure error
+}
+
+func (told *told) set(change func()) {
+	told.mutex.Lock()
+	defer told.mutex.Unlock()
+	change()
+}
+
+func (told *told) change(key Key, present bool) {
+	told.set(func() {
+		told.has[key] = present
+		told.log = append(told.log, Change{Key: key, Present: present})
+	})
+}
+
+func (told *told) List(context.Context, string) (Batch, error) {
+	told.mutex.Lock()
+	defer told.mutex.Unlock()
+	batch := Batch{Life: told.life, Next: told.first + int64(len(told.log))}
+	for key, present := range told.has {
+		if present {
+			batch.Changes = append(batch.Changes, Change{Key: key, Present: true})
+		}
+	}
+	return batch, told.failure
+}
+
+func (told *told) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (Batch, error) {
+	pause(ctx, wait)
+	told.mutex.Lock()
+	defer told.mutex.Unlock()
+	batch := Batch{Life: told.life, Next: told.first + int64(len(told.log)), Gap: after < told.first}
+	if !batch.Gap {
+		batch.Changes = append(batch.Changes, told.log[after-told.first:]...)
+	}
+	return batch, told.failure
+}
+
+func TestTheLedgerFollowsWhatAHolderTells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder := &told{life: 1, has: map[Key]bool{1: true}}
+		ledger := NewLedger()
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		follower := &Follower{
+			Source: holder, Ledger: ledger, Holder: func() string { return "store" },
+			Chosen: func() bool { return true }, Lost: func(string, error) {}, Found: func(string) {},
+		}
+		go follower.Run(ctx)
+		held := func() int {
+			time.Sleep(3 * time.Second)
+			return ledger.Held("store", prompt, time.Now())
+		}
+		require.Equal(t, 800, held())
+		holder.change(2, true)
+		require.Equal(t, 1200, held())
+		holder.change(1, false)
+		require.Zero(t, held())
+		holder.change(1, true)
+		ledger.Note("store", prompt, 0, 1, time.Now())
+		require.Equal(t, 1200, held(), "only the holder's own word counts")
+		holder.set(func() { holder.first, holder.log = holder.first+9, nil; holder.has[2] = false })
+		require.Equal(t, 800, held(), "a gap is made up for")
+		holder.set(func() { holder.life, holder.has = 2, map[Key]bool{} })
+		require.Zero(t, held(), "a restart loses all")
+		holder.set(func() { holder.failure = errors.New("no answer") })
+		time.Sleep(time.Second)
+		require.True(t, ledger.Down("store"))
+		holder.set(func() { holder.failure = ErrBusy })
+		time.Sleep(time.Second)
+		require.False(t, ledger.Down("store"), "it has enough readers, and lives")
+		ledger.Note("store", prompt, 0, 100_000, time.Now())
+		require.Equal(t, 1400, ledger.Held("store", prompt, time.Now()), "then this node goes by what it sends")
+	})
+}
--- a/internal/residency/ledger.go
+++ b/internal/residency/ledger.go
@@ -37,6 +37,10 @@
 }
 
 type holding struct {
+	// followed says that the holder itself tells what it has.
+	followed bool
+	// down says that the holder did not answer when it was asked last.
+	down bool
 	// written counts the tokens that this node's requests brought.
 	written  int64
 	capacity int64
@@ -68,13 +72,13 @@
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	known := ledger.holdings[holder]
-	if known == nil {
+	if known == nil || known.down {
 		return 0
 	}
 	tokens := 0
 	for _, piece := range pieces {
 		mark, found := known.marks[piece.Key]
-		if !found || now.Before(mark.from) || ledger.gone(known, mark, now) {
+		if !found || now.Before(mark.from) || (!known.followed && ledger.gone(known, mark, now)) {
 			break
 		}
 		tokens += piece.Tokens
@@ -96,10 +100,9 @@
 func (ledger *Ledger) Note(holder string, pieces []Piece, written, capacity int, from time.Time) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	known := ledger.holdings[holder]
-	if known == nil {
-		known = &holding{marks: map[Key]mark{}, sweepAt: sweepAbove}
-		ledger.holdings[holder] = known
+	known := ledger.holding(holder)
+	if known.followed {
+		return
 	}
 	known.written += int64(written)
 	known.capacity = int64(capacity)
@@ -129,9 +132,58 @@
 	known.sweepAt = max(sweepAbove, 2*len(known.marks))
 }
 
-// Forget drops all that is remembered of a holder.
-func (ledger *Ledger) Forget(holder string) {
+func (ledger *Ledger) holding(holder string) *holding {
+	known := ledger.holdings[holder]
+	if known == nil {
+		known = &holding{marks: map[Key]mark{}, sweepAt: sweepAbove}
+		ledger.holdings[holder] = known
+	}
+	return known
+}
+
+// Replace takes the holder's own list of what it has. From then on the holder's
+// word counts, and what this node sends there does not.
+func (ledger *Ledger) Replace(holder string, keys []Key) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	delete(ledger.holdings, holder)
+	marks := make(map[Key]mark, len(keys))
+	for _, key := range keys {
+		marks[key] = mark{}
+	}
+	ledger.holdings[holder] = &holding{followed: true, marks: marks, sweepAt: sweepAbove}
+}
+
+// Change is one change of what a followed holder has.
+type Change struct {
+	Key     Key
+	Present bool
+}
+
+// Apply takes changes that the holder told of.
+func (ledger *Ledger) Apply(holder string, changes []Change) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	known := ledger.holding(holder)
+	for _, change := range changes {
+		if change.Present {
+			known.marks[change.Key] = mark{}
+		} else {
+			delete(known.marks, change.Key)
+		}
+	}
+}
+
+// Lose says that the holder cannot be followed any more, and whether it is down.
+func (ledger *Ledger) Lose(holder string, down bool) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.holdings[holder] = &holding{down: down, marks: map[Key]mark{}, sweepAt: sweepAbove}
+}
+
+// Down reports whether the holder did not answer when it was asked last.
+func (ledger *Ledger) Down(holder string) bool {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	known := ledger.holdings[holder]
+	return known != nil && known.down
 }
--- a/internal/residency/ledger_test.go
+++ b/internal/residency/ledger_test.go
@@ -22,7 +22,7 @@
 	require.Zero(t, ledger.Held("b", prompt, begin))
 	ledger.Note("b", prompt[1:], 600, 100_000, begin)
 	require.Zero(t, ledger.Held("b", prompt, begin), "what comes before is missing")
-	ledger.Forget("a")
+	ledger.Lose("a", false)
 	require.Zero(t, ledger.Held("a", prompt, begin))
 }
 
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -211,6 +211,16 @@
 		Int64("version", loaded.Order.Version).Dur("took", loaded.Took).Msg("weights are loaded")
 }
 
+// Unfollowed hears that a holder of cached parts cannot be followed.
+func (recorder *Recorder) Unfollowed(holder string, err error) {
+	recorder.log.Warn().Str("holder", holder).Err(err).Msg("cached parts cannot be followed")
+}
+
+// Followed hears that a holder of cached parts is followed.
+func (recorder *Recorder) Followed(holder string) {
+	recorder.log.Info().Str("holder", holder).Msg("cached parts are followed")
+}
+
 // Unreadable hears of an entry of the store that is skipped.
 func (recorder *Recorder) Unreadable(key string, revision int64, err error) {
 	recorder.log.Warn().Str("key", key).Int64("revision", revision).Err(err).Msg("an entry cannot be read and is skipped")
