Let ten nodes read the list of servers for all, and price copies by what they take

Change: nodes of rank below ten read the store, the others take what changes in the list, and which servers load, from one of them over gob; only readers may hold the duty of ordering. CopyScorer charges a copy by the time to recompute or import it, the store's link counting. Every order is out 0.7 s before the bound.

--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -130,7 +130,7 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	fixture.process.follow(ctx)
+	go fixture.process.reflector.Run(ctx)
 	fixture.process.keep(ctx)
 	fixture.front = httptest.NewServer(&platform.Ingress{Proxy: fixture.process.proxy, Stopping: fixture.process.stopping.Load})
 	t.Cleanup(fixture.front.Close)
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
@@ -39,10 +40,6 @@
 	// spreadPerNode spreads the tries of a fleet to take a duty over.
 	spreadPerNode = 5 * time.Millisecond
 
-	// storeReaders is how many nodes follow the store of kept KV cache: fewer than
-	// it takes.
-	storeReaders = 10
-
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	shutdownTimeout   = 400 * time.Millisecond
@@ -87,7 +84,10 @@
 	ledger   *residency.Ledger
 	proxy    *proxy.Proxy
 	registry *fleet.Registry
-	stopping atomic.Bool
+	feed     *reflector.Feed
+	// reflector reads the store or follows a node that does.
+	reflector *reflector.Reflector
+	stopping  atomic.Bool
 }
 
 func newProcess(given settings.Proxy) (*process, error) {
@@ -122,12 +122,17 @@
 		Recorder: process.recorder,
 		Ledger:   process.ledger,
 	})
+	life := uuid.NewString()
+	process.feed = reflector.NewFeed(given.Name + " " + life)
 	process.registry = &fleet.Registry{
 		Store:   process.store,
 		Prefix:  platform.PrefixNodes,
 		Name:    given.Name,
+		Life:    life,
+		Address: given.PeerAddress,
 		Resized: process.resize,
 	}
+	process.reflector = process.newReflector()
 	return process, nil
 }
 
@@ -138,6 +143,15 @@
 	process.ledger.Resize(nodes)
 }
 
+// reads reports whether this node is among the few that read all from the store.
+func (process *process) reads() bool { return process.reflector.Reads() }
+
+// takeLoading takes which servers load weights, and passes it on.
+func (process *process) takeLoading(loading map[string]int64) {
+	process.set.Load(loading, time.Now())
+	process.feed.TakeLoading(loading)
+}
+
 // distance is 0 within the zone, 1 within the region, and 2 beyond.
 func (process *process) distance(zone string) int {
 	zones := process.settings.Zones
@@ -155,18 +169,19 @@
 	return time.Duration(share * float64(whole))
 }
 
-// follow starts what keeps the node's beliefs current.
-func (process *process) follow(ctx context.Context) {
+// newReflector returns what keeps the node's beliefs current.
+func (process *process) newReflector() *reflector.Reflector {
 	bounds := process.settings.Bounds
-	reading := &reflector.Reflector{
+	return &reflector.Reflector{
 		Source:   platform.NewSource(process.store, process.recorder.Unreadable),
+		Peers:    &reflector.Caller{Client: &http.Client{}},
 		Belief:   process.belief,
 		Set:      process.set,
 		Registry: process.registry,
+		Feed:     process.feed,
 		Recorder: process.recorder,
 		Interval: part(min(bounds.Configuration, bounds.Drain), readPart),
 	}
-	go reading.Run(ctx)
 }
 
 // followStore starts following what the store of kept KV cache has, if this node
@@ -176,7 +191,7 @@
 		Source: process.servers,
 		Ledger: process.ledger,
 		Holder: process.prefixStore,
-		Chosen: func() bool { return process.registry.Rank() < storeReaders },
+		Chosen: process.reads,
 		Lost:   process.recorder.Unfollowed,
 		Found:  process.recorder.Followed,
 	}
@@ -215,11 +230,17 @@
 		Delay: func() time.Duration {
 			return rand.N(time.Duration(process.registry.Nodes()) * spreadPerNode)
 		},
+		Eligible:  process.reads,
 		Exists:    process.registry.Exists,
 		FirstSeen: process.registry.FirstSeen,
 	}
 	go keeper.Run(ctx)
-	follower := &rollout.Follower{Store: process.store, Set: process.set, Key: platform.KeyRolloutState}
+	follower := &rollout.Follower{
+		Store:    process.store,
+		Take:     process.takeLoading,
+		Eligible: process.reads,
+		Key:      platform.KeyRolloutState,
+	}
 	go follower.Run(ctx)
 }
 
@@ -245,13 +266,16 @@
 	told, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
-	process.follow(ctx)
+	go process.reflector.Run(ctx)
 	process.followStore(ctx)
 	process.keep(told)
 	ready := func() bool { return !process.stopping.Load() && process.proxy.Ready(time.Now()) }
 	if _, err := serve(given.ReadinessAddress, platform.ReadinessHandler(ready)); err != nil {
 		return err
 	}
+	if _, err := serve(given.PeerAddress, reflector.Handler(process.feed)); err != nil {
+		return err
+	}
 	if given.MetricsAddress != "" {
 		if _, err := serve(given.MetricsAddress, promhttp.HandlerFor(process.metrics.Registry, promhttp.HandlerOpts{})); err != nil {
 			return err
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -4,6 +4,8 @@
 package backend
 
 import (
+	"maps"
+	"reflect"
 	"sync"
 	"time"
 
@@ -145,6 +147,13 @@
 	return servers
 }
 
+// Equal reports whether two descriptions say the same.
+func (server Server) Equal(other Server) bool {
+	same := maps.Equal(server.Versions, other.Versions)
+	server.Versions, other.Versions = nil, nil
+	return same && reflect.DeepEqual(server, other)
+}
+
 func (server Server) clone() Server {
 	versions := make(map[string]int64, len(server.Versions))
 	for model, version := range server.Versions {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -4,12 +4,12 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/cloverrail/cloverrail/internal/coordination"
 )
 
@@ -19,6 +19,10 @@
 	// renewals a life gives a node several tries before it is forgotten.
 	renewals    = 3
 	callTimeout = time.Second
+	// gathering is how long nodes wait for each other at the first start, and
+	// longestGathering how long a node waits that cannot register.
+	gathering        = 500 * time.Millisecond
+	longestGathering = 2 * time.Second
 )
 
 // Registry registers this node and counts the others.
@@ -27,14 +31,22 @@
 	// Prefix is that of the nodes' keys.
 	Prefix string
 	Name   string
+	// Life names this life of the node's process.
+	Life string
+	// Address is where other nodes reach this one.
+	Address string
 	// Resized hears of the number of nodes after each observation.
 	Resized func(nodes int)
 
 	mutex sync.Mutex
-	nodes int
-	// rank is this node's place among the names of all.
-	rank int
-	seen map[string]sighting
+	// names holds all nodes in their order, and addresses where they are reached.
+	names     []string
+	addresses map[string]string
+	// begun is when the fleet was first observed; settled, that the places in it
+	// may be relied on.
+	begun   time.Time
+	settled bool
+	seen    map[string]sighting
 }
 
 // sighting is when a key was first seen at a revision.
@@ -83,8 +95,7 @@
 	if err != nil {
 		return 0
 	}
-	key := registry.Prefix + registry.Name + "/" + uuid.NewString()
-	if _, _, err := registry.Store.Create(ctx, key, []byte(registry.Name), granted.ID); err != nil {
+	if _, _, err := registry.Store.Create(ctx, registry.key(), []byte(registry.Address), granted.ID); err != nil {
 		return 0
 	}
 	return granted.ID
@@ -93,13 +104,13 @@
 // Observe takes what the fleet keeps in the store: it counts the nodes, and
 // notes what it sees of other keys.
 func (registry *Registry) Observe(entries []coordination.Entry, now time.Time) {
-	names := map[string]bool{registry.Name: true}
-	registry.mutex.Lock()
+	addresses := map[string]string{registry.Name: registry.Address}
 	seen := map[string]sighting{}
+	registry.mutex.Lock()
 	for _, entry := range entries {
 		if rest, found := strings.CutPrefix(entry.Key, registry.Prefix); found {
 			name, _, _ := strings.Cut(rest, "/")
-			names[name] = true
+			addresses[name] = string(entry.Value)
 			continue
 		}
 		known := registry.seen[entry.Key]
@@ -108,15 +119,58 @@
 		}
 		seen[entry.Key] = known
 	}
-	registry.seen = seen
-	registry.nodes, registry.rank = len(names), 0
-	for name := range names {
-		if name < registry.Name {
-			registry.rank++
-		}
-	}
+	registry.seen, registry.addresses = seen, addresses
+	registry.settle(entries, now)
+	registry.names = slices.Sorted(maps.Keys(addresses))
+	nodes := len(registry.names)
 	registry.mutex.Unlock()
-	registry.Resized(len(names))
+	registry.Resized(nodes)
+}
+
+// settle decides whether the places in the fleet may be relied on. When all nodes
+// start for the first time, the first ones see only few: they wait for the rest.
+// A node that finds itself registered in a life before need not.
+func (registry *Registry) settle(entries []coordination.Entry, now time.Time) {
+	if registry.settled {
+		return
+	}
+	if registry.begun.IsZero() {
+		registry.begun = now
+	}
+	own := slices.ContainsFunc(entries, func(entry coordination.Entry) bool {
+		return strings.HasPrefix(entry.Key, registry.Prefix+registry.Name+"/")
+	})
+	waited := now.Sub(registry.begun)
+	registry.settled = own && (registry.fromBefore(entries) || waited >= gathering) || waited >= longestGathering
+}
+
+// fromBefore reports whether an entry of this node is not of this life.
+func (registry *Registry) fromBefore(entries []coordination.Entry) bool {
+	return slices.ContainsFunc(entries, func(entry coordination.Entry) bool {
+		return strings.HasPrefix(entry.Key, registry.Prefix+registry.Name+"/") && entry.Key != registry.key()
+	})
+}
+
+func (registry *Registry) key() string {
+	return registry.Prefix + registry.Name + "/" + registry.Life
+}
+
+// Settled reports whether the places in the fleet may be relied on.
+func (registry *Registry) Settled() bool {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return registry.settled
+}
+
+// Addresses returns where the first nodes of the fleet are reached.
+func (registry *Registry) Addresses(most int) []string {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	addresses := []string{}
+	for _, name := range registry.names[:min(most, len(registry.names))] {
+		addresses = append(addresses, registry.addresses[name])
+	}
+	return addresses
 }
 
 // Exists reports whether the last observation showed a key.
@@ -131,7 +185,7 @@
 func (registry *Registry) Nodes() int {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	return max(1, registry.nodes)
+	return max(1, len(registry.names))
 }
 
 // Rank returns this node's place among all, from 0. Nodes that see the same fleet
@@ -139,7 +193,8 @@
 func (registry *Registry) Rank() int {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	return registry.rank
+	rank, _ := slices.BinarySearch(registry.names, registry.Name)
+	return rank
 }
 
 // FirstSeen returns when a key was first seen at the revision, or zero.
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -24,7 +24,7 @@
 		})
 		ctx, stop := context.WithCancel(context.Background())
 		registry := func(ctx context.Context, name string) *Registry {
-			registry := &Registry{Store: store, Prefix: "f/nodes/", Name: name, Resized: func(int) {}}
+			registry := &Registry{Store: store, Prefix: "f/nodes/", Name: name, Life: "1", Resized: func(int) {}}
 			go registry.Run(ctx)
 			return registry
 		}
@@ -65,3 +65,26 @@
 	registry.Observe(nil, begin)
 	require.False(t, registry.Exists("f/state"))
 }
+
+func TestPlacesAreReliedOnOnceTheFleetHasGathered(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	own := coordination.Entry{Key: "f/nodes/b/2", Value: []byte("10.0.0.2:1")}
+	other := coordination.Entry{Key: "f/nodes/a/1", Value: []byte("10.0.0.1:1")}
+	newNode := func() *Registry {
+		return &Registry{Prefix: "f/nodes/", Name: "b", Life: "2", Address: "10.0.0.2:1", Resized: func(int) {}}
+	}
+	first := newNode()
+	first.Observe([]coordination.Entry{own}, begin)
+	require.False(t, first.Settled(), "others may be about to register")
+	first.Observe([]coordination.Entry{other, own}, begin.Add(gathering))
+	require.True(t, first.Settled())
+	require.Equal(t, 1, first.Rank())
+	require.Equal(t, []string{"10.0.0.1:1"}, first.Addresses(1))
+	again := newNode()
+	again.Observe([]coordination.Entry{other, {Key: "f/nodes/b/1"}}, begin)
+	require.True(t, again.Settled(), "the fleet is there already")
+	alone := newNode()
+	alone.Observe(nil, begin)
+	alone.Observe(nil, begin.Add(longestGathering))
+	require.True(t, alone.Settled(), "it cannot register, and must serve all the same")
+}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -62,6 +62,9 @@
 	Settling time.Duration
 	// Delay returns a random wait that spreads the tries of a whole fleet.
 	Delay func() time.Duration
+	// Eligible reports whether this node is among those that may hold the duty: they
+	// see all that it concerns.
+	Eligible func() bool
 	// Exists reports whether a key was there when this node looked last.
 	Exists func(key string) bool
 	// FirstSeen returns when this node first saw a key at a revision, or zero.
@@ -81,7 +84,7 @@
 // back.
 func (keeper *Keeper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if keeper.Exists(keeper.Key) || !keeper.Duty.Wanted() {
+		if !keeper.Eligible() || keeper.Exists(keeper.Key) || !keeper.Duty.Wanted() {
 			pause(ctx, tick)
 			continue
 		}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -84,6 +84,7 @@
 		Store: fleet.store, Duty: duty, Recorder: silent{}, Name: name, Key: "holder", KeyState: "state",
 		Life: life, Settling: settling,
 		Delay:     func() time.Duration { return time.Duration(name[0]%7) * time.Millisecond },
+		Eligible:  func() bool { return true },
 		Exists:    func(string) bool { return len(fleet.store.Entries("holder")) > 0 },
 		FirstSeen: func(_ string, revision int64) time.Time { return seen[revision] },
 	}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -39,9 +39,6 @@
 	// workWeight is how much dearer a second of reading a prompt is than a second
 	// of waiting: it is taken from every request that comes after.
 	workWeight = 4
-	// copyCost is the share of the reading of a prompt that one more copy of its
-	// shared parts costs.
-	copyCost = 1
 	// leastUrgent is the last rank that servers know.
 	leastUrgent = 9
 )
@@ -195,7 +192,7 @@
 	if placer.prompt() == nil {
 		return []routing.Scorer{routing.TurnScorer{}, routing.DistanceScorer{}, routing.FailureScorer{}}
 	}
-	return []routing.Scorer{routing.WorkScorer{}, routing.WaitScorer{}, routing.AffinityScorer{CopyCost: copyCost}, routing.DistanceScorer{}, routing.FailureScorer{}}
+	return []routing.Scorer{routing.WorkScorer{}, routing.WaitScorer{}, routing.CopyScorer{}, routing.DistanceScorer{}, routing.FailureScorer{}}
 }
 
 func (placer *placer) routingRequest() *routing.Request {
@@ -214,16 +211,21 @@
 	request.BlockTokens = 1
 	request.Blocks = placer.sharedTokens()
 	request.PrefillTokensPerSecond = placer.proxy.pace.tokensPerSecond()
-	request.ImportTokensPerSecond = importSpeed(placer.admitted.service.Engine)
+	request.ImportTokensPerSecond = importSpeed(placer.admitted.service.Engine, placer.store())
 	return request
 }
 
-// importSpeed is how many tokens of kept KV cache an engine takes in a second.
-func importSpeed(engine *catalog.Engine) float64 {
-	if engine == nil || engine.TokenBytes <= 0 {
+// importSpeed is how many tokens of kept KV cache an engine takes from the store
+// in a second. The store's own link is shared by all engines, so it counts too.
+func importSpeed(engine *catalog.Engine, store *catalog.PrefixStore) float64 {
+	if engine == nil || store == nil || engine.TokenBytes <= 0 {
 		return 0
 	}
-	return engine.LinkBitsPerSecond / 8 / engine.TokenBytes
+	bits := engine.LinkBitsPerSecond
+	if store.LinkBitsPerSecond > 0 {
+		bits = min(bits, store.LinkBitsPerSecond)
+	}
+	return bits / 8 / engine.TokenBytes
 }
 
 // query says which servers may serve the request.
--- /dev/null
+++ b/internal/reflector/feed_test.go
@@ -0,0 +1,76 @@
+package reflector
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/property"
+)
+
+func TestACopyEqualsTheListWhateverItMissed(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		feeds := []*Feed{NewFeed("one"), NewFeed("two")}
+		copied := &Copy{}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			list := []backend.Server{}
+			for number := range 8 {
+				if rapid.Bool().Draw(t, "present") {
+					version := rapid.Int64Range(1, 3).Draw(t, "version")
+					list = append(list, backend.Server{
+						Instance: fmt.Sprint("i-", number), Draining: rapid.Bool().Draw(t, "draining"), Versions: map[string]int64{"m": version},
+					})
+				}
+			}
+			feed := feeds[rapid.IntRange(0, 1).Draw(t, "feed")]
+			feed.Take(list, time.Now())
+			if rapid.IntRange(0, 2).Draw(t, "asks") == 0 {
+				got := copied.Apply(feed.Answer(context.Background(), copied.Question(0)))
+				require.ElementsMatch(t, list, got)
+			}
+		}
+	})
+}
+
+func TestABeatIsNoChange(t *testing.T) {
+	feed := NewFeed("one")
+	list := []backend.Server{{Instance: "i-1", Versions: map[string]int64{"m": 1}}}
+	feed.Take(list, time.Now())
+	copied := &Copy{}
+	copied.Apply(feed.Answer(context.Background(), copied.Question(0)))
+	feed.Take(list, time.Now())
+	delta := feed.Answer(context.Background(), copied.Question(0))
+	require.False(t, delta.Whole)
+	require.Empty(t, delta.Changed)
+	feed.Take(nil, time.Now())
+	require.Equal(t, []string{"i-1"}, feed.Answer(context.Background(), copied.Question(time.Hour)).Gone, "it does not wait for what is there")
+}
+
+func TestWhoLoadsIsPassedOnOnce(t *testing.T) {
+	feed := NewFeed("one")
+	copied := &Copy{}
+	copied.Apply(feed.Answer(context.Background(), copied.Question(0)))
+	feed.TakeLoading(map[string]int64{"i-1": 2})
+	delta := feed.Answer(context.Background(), copied.Question(time.Hour))
+	require.Equal(t, map[string]int64{"i-1": 2}, delta.Loading)
+	copied.Apply(delta)
+	require.Nil(t, feed.Answer(context.Background(), copied.Question(0)).Loading)
+}
+
+func TestAForgottenPastIsMadeUpForByTheWholeList(t *testing.T) {
+	feed := NewFeed("one")
+	copied := &Copy{}
+	copied.Apply(feed.Answer(context.Background(), copied.Question(0)))
+	many := []backend.Server{}
+	for number := range goneKept + 1 {
+		many = append(many, backend.Server{Instance: fmt.Sprint("i-", number)})
+	}
+	feed.Take(many, time.Now())
+	feed.Take(nil, time.Now())
+	require.True(t, feed.Answer(context.Background(), copied.Question(0)).Whole)
+}
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -24,7 +24,17 @@
 
 // Source reads the store. Its readings are linearizable.
 type Source interface {
+	// Observe reads all.
 	Observe(ctx context.Context) (Observation, error)
+	// Declared reads only what operators wrote.
+	Declared(ctx context.Context) (catalog.Reading, error)
+	// Fleet reads only what the nodes keep in the store themselves.
+	Fleet(ctx context.Context) ([]coordination.Entry, error)
+}
+
+// Peers asks other nodes for their lists of servers.
+type Peers interface {
+	Ask(ctx context.Context, address string, question Question) (Delta, error)
 }
 
 // Recorder hears of what a reading changes. Its methods must not block.
@@ -35,46 +45,70 @@
 	Declared(before, after *catalog.Belief)
 	// Listed hears of changes to the list of servers.
 	Listed(changes []backend.Change)
+	// Follows hears from which node the list of servers is taken.
+	Follows(reader string)
 }
 
 const (
 	// callTimeout bounds one reading.
 	callTimeout = time.Second
-	// failurePause is the wait after a reading that failed.
-	failurePause = 100 * time.Millisecond
+	// soonPause is the wait after a reading that failed, and between readings while
+	// the fleet gathers.
+	soonPause = 100 * time.Millisecond
+	// fleetInterval is the time between a follower's readings of the fleet.
+	fleetInterval = 4 * time.Second
+	// Readers is how many nodes read the list of servers from the store. In a
+	// larger fleet the others take it from them: the store could not send it to
+	// all.
+	Readers = 10
 )
 
 // Reflector reads the store.
 type Reflector struct {
 	Source   Source
+	Peers    Peers
 	Belief   *catalog.Holder
 	Set      *backend.Set
 	Registry *fleet.Registry
+	Feed     *Feed
 	Recorder Recorder
 	// Interval is the time between readings.
 	Interval time.Duration
+
+	fleetAt time.Time
 }
 
 // Run reads until the context ends, and soon again after a failure.
 func (reflector *Reflector) Run(ctx context.Context) {
+	go reflector.followReaders(ctx)
 	for ctx.Err() == nil {
 		begun := time.Now()
 		pause := reflector.Interval
-		if err := reflector.read(ctx); err != nil {
-			pause = failurePause
-		}
-		select {
-		case <-time.After(pause - time.Since(begun)):
-		case <-ctx.Done():
+		err := reflector.read(ctx)
+		if err != nil || !reflector.Registry.Settled() {
+			pause = soonPause
 		}
+		wait(ctx, pause-time.Since(begun))
+	}
+}
+
+func wait(ctx context.Context, length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
 	}
 }
 
+// Reads reports whether this node reads the list of servers from the store.
+func (reflector *Reflector) Reads() bool {
+	return reflector.Registry.Settled() && reflector.Registry.Rank() < Readers
+}
+
 func (reflector *Reflector) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	begun := time.Now()
-	observation, err := reflector.Source.Observe(ctx)
+	observation, err := reflector.observe(ctx, begun)
 	reflector.Recorder.Read(time.Since(begun), err)
 	before := reflector.Belief.Load()
 	if err != nil {
@@ -84,8 +118,40 @@
 	after := catalog.Advance(before, observation.Declared)
 	reflector.Belief.Store(after)
 	reflector.Recorder.Declared(before, after)
-	now := time.Now()
-	reflector.Recorder.Listed(reflector.Set.Update(observation.Servers, now))
-	reflector.Registry.Observe(observation.Fleet, now)
+	return nil
+}
+
+// observe reads what this node's part in the fleet asks for.
+func (reflector *Reflector) observe(ctx context.Context, now time.Time) (Observation, error) {
+	if !reflector.Registry.Settled() {
+		if err := reflector.readFleet(ctx, now); err != nil {
+			return Observation{}, err
+		}
+	}
+	if !reflector.Reads() {
+		declared, err := reflector.Source.Declared(ctx)
+		if err == nil && now.Sub(reflector.fleetAt) >= fleetInterval {
+			err = reflector.readFleet(ctx, now)
+		}
+		return Observation{Declared: declared}, err
+	}
+	observation, err := reflector.Source.Observe(ctx)
+	if err != nil {
+		return observation, err
+	}
+	reflector.Recorder.Listed(reflector.Set.Update(observation.Servers, time.Now()))
+	reflector.Registry.Observe(observation.Fleet, time.Now())
+	reflector.Feed.Take(observation.Servers, now)
+	reflector.fleetAt = now
+	return observation, nil
+}
+
+func (reflector *Reflector) readFleet(ctx context.Context, now time.Time) error {
+	entries, err := reflector.Source.Fleet(ctx)
+	if err != nil {
+		return err
+	}
+	reflector.Registry.Observe(entries, time.Now())
+	reflector.fleetAt = now
 	return nil
 }
--- /dev/null
+++ b/internal/reflector/transport.go
@@ -0,0 +1,60 @@
+package reflector
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"io"
+	"net/http"
+
+	"github.com/dghubble/sling"
+	"github.com/juju/errors"
+)
+
+const (
+	pathServers = "/servers"
+	// maximumQuestion bounds a question in bytes.
+	maximumQuestion = 4 << 10
+)
+
+// Handler answers other nodes' questions for a feed.
+func Handler(feed *Feed) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathServers, func(writer http.ResponseWriter, request *http.Request) {
+		var question Question
+		if err := gob.NewDecoder(io.LimitReader(request.Body, maximumQuestion)).Decode(&question); err != nil {
+			writer.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		question.Wait = min(question.Wait, askWait)
+		_ = gob.NewEncoder(writer).Encode(feed.Answer(request.Context(), question))
+	})
+	return mux
+}
+
+// Caller asks other nodes over HTTP.
+type Caller struct {
+	Client *http.Client
+}
+
+// Ask asks a node for what has changed in its list of servers.
+func (caller *Caller) Ask(ctx context.Context, address string, question Question) (Delta, error) {
+	var delta Delta
+	body := bytes.Buffer{}
+	if err := gob.NewEncoder(&body).Encode(question); err != nil {
+		return delta, errors.Trace(err)
+	}
+	request, err := sling.New().Base("http://" + address).Post(pathServers).Body(&body).Request()
+	if err != nil {
+		return delta, errors.Trace(err)
+	}
+	response, err := caller.Client.Do(request.WithContext(ctx))
+	if err != nil {
+		return delta, errors.Trace(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return delta, errors.Errorf("node %s answered with status %d; run the same version on all nodes", address, response.StatusCode)
+	}
+	return delta, errors.Trace(gob.NewDecoder(response.Body).Decode(&delta))
+}
--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -29,6 +29,8 @@
 	// finishPart is the part of the bound on weights by which all servers should
 	// have been moved.
 	finishPart = 0.8
+	// latestMargin is kept free below the bound for the order to arrive.
+	latestMargin = 700 * time.Millisecond
 )
 
 // Duty rolls weights out while its node holds the lease.
@@ -47,7 +49,7 @@
 
 // targets returns what operators named, with the time in which it should hold.
 func (duty *Duty) targets() Targets {
-	targets := Targets{Within: time.Duration(finishPart * float64(duty.Bound))}
+	targets := Targets{Within: time.Duration(finishPart * float64(duty.Bound)), Latest: duty.Bound - latestMargin}
 	if belief := duty.Belief.Load(); belief != nil {
 		targets.Weights = belief.Weights
 	}
--- a/internal/rollout/follower.go
+++ b/internal/rollout/follower.go
@@ -4,10 +4,13 @@
 	"context"
 	"time"
 
-	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/juju/errors"
+
 	"github.com/cloverrail/cloverrail/internal/coordination"
 )
 
+var errNotEligible = errors.New("this node hears it from another one")
+
 const (
 	// watchWait is how long one watch waits for a change.
 	watchWait = 15 * time.Second
@@ -16,11 +19,14 @@
 	followPause = 300 * time.Millisecond
 )
 
-// Follower tells this node's set of servers which of them load weights, as the
-// holder of the duty publishes it. What it misses is found out by refusals.
+// Follower hears which servers load weights, as the holder of the duty publishes
+// it. What it misses is found out by refusals.
 type Follower struct {
 	Store coordination.Store
-	Set   *backend.Set
+	// Take takes the servers that load, with their new versions.
+	Take func(loading map[string]int64)
+	// Eligible reports whether this node is to follow.
+	Eligible func() bool
 	// Key is where the holder publishes.
 	Key string
 }
@@ -28,8 +34,12 @@
 // Run follows until the context ends.
 func (follower *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		revision, err := follower.read(ctx)
-		for err == nil {
+		var revision int64
+		err := errNotEligible
+		if follower.Eligible() {
+			revision, err = follower.read(ctx)
+		}
+		for err == nil && follower.Eligible() {
 			revision, err = follower.watch(ctx, revision)
 		}
 		select {
@@ -64,6 +74,6 @@
 
 func (follower *Follower) take(value []byte) {
 	if state, err := DecodeState(value); err == nil {
-		follower.Set.Load(state.Loading, time.Now())
+		follower.Take(state.Loading)
 	}
 }
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -69,6 +69,9 @@
 	Weights map[string]catalog.Namings
 	// Within is how long after a naming all servers should have it.
 	Within time.Duration
+	// Latest is how long after a naming every server must at least have its order:
+	// from then on nothing begins on the old weights.
+	Latest time.Duration
 }
 
 // lack is what a server lacks: the newest version of a model, since the naming
@@ -78,6 +81,8 @@
 	model    string
 	version  int64
 	deadline time.Time
+	// latest is when the order must be out.
+	latest time.Time
 }
 
 // of returns what the server lacks, the most urgent first.
@@ -98,6 +103,7 @@
 			model:    model,
 			version:  namings.Newest(),
 			deadline: since.Add(targets.Within),
+			latest:   since.Add(targets.Latest),
 		}
 		earlier := one.deadline.Before(most.deadline) || (one.deadline.Equal(most.deadline) && model < most.model)
 		if !found || earlier {
@@ -232,7 +238,7 @@
 		switch {
 		case !reported:
 			actions = append(actions, machine.inspect(now, one.server)...)
-		case room > 0:
+		case room > 0 || !now.Before(one.latest):
 			room--
 			actions = append(actions, machine.order(now, one, expected))
 		}
--- a/internal/rollout/machine_test.go
+++ b/internal/rollout/machine_test.go
@@ -168,7 +168,7 @@
 
 func newWorld(t *rapid.T, servers int) *world {
 	world := &world{t: t, now: time.Unix(1000, 0), machine: NewMachine(), view: map[string]int64{}}
-	world.targets = Targets{Within: 6 * time.Second, Weights: map[string]catalog.Namings{model: {{Version: 1}}}}
+	world.targets = Targets{Within: 6 * time.Second, Latest: 7 * time.Second, Weights: map[string]catalog.Namings{model: {{Version: 1}}}}
 	for number := range servers {
 		world.servers = append(world.servers, &modelServer{name: fmt.Sprintf("%c%d", 'a'+number%3, number), version: 1})
 	}
@@ -204,7 +204,7 @@
 func TestTheOldestWeightsAreReplacedFirst(t *testing.T) {
 	machine := NewMachine()
 	now := time.Unix(1000, 0)
-	targets := Targets{Within: 6 * time.Second, Weights: map[string]catalog.Namings{model: {
+	targets := Targets{Within: 6 * time.Second, Latest: 7 * time.Second, Weights: map[string]catalog.Namings{model: {
 		{Version: 1}, {Version: 2, NotNamedAt: now.Add(-4 * time.Second)}, {Version: 3, NotNamedAt: now.Add(-time.Second)},
 	}}}
 	servers := []backend.Server{
@@ -222,7 +222,7 @@
 
 func TestMoreServersLoadTogetherWhenTimeIsShort(t *testing.T) {
 	now := time.Unix(1000, 0)
-	targets := Targets{Within: time.Minute, Weights: map[string]catalog.Namings{model: {{Version: 1}, {Version: 2, NotNamedAt: now}}}}
+	targets := Targets{Within: time.Minute, Latest: time.Hour, Weights: map[string]catalog.Namings{model: {{Version: 1}, {Version: 2, NotNamedAt: now}}}}
 	orders := func(targets Targets) int {
 		machine := NewMachine()
 		servers := []backend.Server{}
@@ -236,6 +236,8 @@
 	require.Equal(t, 2, orders(targets))
 	targets.Within = 0
 	require.Equal(t, 3, orders(targets))
+	targets.Latest = 0
+	require.Equal(t, 12, orders(targets), "nothing may begin on the old weights any more")
 }
 
 func TestTheStateSaysWhoLoads(t *testing.T) {
--- /dev/null
+++ b/internal/routing/score_opaque_test.go
@@ -0,0 +1,42 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// longPrompt is a request most of whose prompt is shared.
+var longPrompt = &Request{
+	PromptTokens: 10_000, BlockTokens: 1, Blocks: 8_000, PrefillTokensPerSecond: 40_000, ImportTokensPerSecond: 160_000,
+	WaitWeight: 1, WorkWeight: 4, Bytes: 20_000, FailureCost: 1, TurnSeconds: 0.01,
+}
+
+func TestACopyCostsWhatItTakesToGetThere(t *testing.T) {
+	first := &Candidate{AffinityRank: 0}
+	second := &Candidate{AffinityRank: 1}
+	kept := &Candidate{AffinityRank: 1, ImportBlocks: 8_000}
+	holder := &Candidate{AffinityRank: 1, HitBlocks: 8_000, ImportBlocks: 8_000}
+	scorer := CopyScorer{}
+	require.Zero(t, scorer.Score(longPrompt, first))
+	require.InDelta(t, 0.8, scorer.Score(longPrompt, second), 1e-9, "it would be computed")
+	require.InDelta(t, 0.2, scorer.Score(longPrompt, kept), 1e-9, "it would be imported")
+	require.Zero(t, scorer.Score(longPrompt, holder))
+}
+
+func TestAFarEndpointCostsByTheSizeOfTheRequest(t *testing.T) {
+	scorer := DistanceScorer{}
+	require.Zero(t, scorer.Score(longPrompt, &Candidate{}))
+	require.InDelta(t, distanceCost+0.06, scorer.Score(longPrompt, &Candidate{Distance: 1}), 1e-9)
+	require.InDelta(t, 2*distanceCost+0.12, scorer.Score(longPrompt, &Candidate{Distance: 2}), 1e-9)
+}
+
+func TestFailuresAndTurnsArePriced(t *testing.T) {
+	require.InDelta(t, 0.25, FailureScorer{}.Score(longPrompt, &Candidate{FailureShare: 0.25}), 1e-9)
+	require.InDelta(t, 0.03, TurnScorer{}.Score(longPrompt, &Candidate{Running: 3}), 1e-9)
+}
+
+func TestABusyEndpointIsPassedOver(t *testing.T) {
+	candidates := []Candidate{{Endpoint: "busy", Ready: true, Busy: true, HitBlocks: 8_000}, {Endpoint: "free", Ready: true}}
+	require.Equal(t, 1, NewScheduler().Schedule(longPrompt, candidates).Index)
+}
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -22,6 +22,8 @@
 	ReadinessAddress string `yaml:"readinessAddress" validate:"tcp_addr"`
 	// MetricsAddress serves metrics; empty means none.
 	MetricsAddress string `yaml:"metricsAddress" validate:"omitempty,tcp_addr"`
+	// PeerAddress serves other nodes.
+	PeerAddress string `yaml:"peerAddress" validate:"tcp_addr"`
 	// StoreAddress is the shared store's.
 	StoreAddress string `yaml:"storeAddress" validate:"tcp_addr"`
 	// StoreLeastLease is the shortest lease that the store grants.
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -144,6 +144,11 @@
 	}
 }
 
+// Follows hears from which node the list of servers is taken.
+func (recorder *Recorder) Follows(reader string) {
+	recorder.log.Info().Str("reader", reader).Msg("the list of servers is taken from a reader")
+}
+
 // Declared hears of a change of the belief.
 func (recorder *Recorder) Declared(before, after *catalog.Belief) {
 	if after.Snapshot != nil && (before == nil || before.Snapshot != after.Snapshot) {
