--- /dev/null
+++ b/internal/command/explain.go
@@ -0,0 +1,166 @@
+package command
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cloverrail/cloverrail/internal/failure"
+)
+
+// longestLine bounds a line of a log in bytes.
+const longestLine = 1 << 20
+
+// logLine is what explain reads of a proxy's log line.
+type logLine struct {
+	ID          string    `json:"id"`
+	Time        time.Time `json:"time"`
+	Node        string    `json:"node"`
+	Message     string    `json:"message"`
+	Server      string    `json:"server"`
+	Event       string    `json:"event"`
+	Reason      string    `json:"reason"`
+	Route       string    `json:"route"`
+	Declaration int64     `json:"declaration"`
+	Result      string    `json:"result"`
+	Outcome     string    `json:"outcome"`
+	Problem     string    `json:"problem"`
+	Status      int       `json:"status"`
+	Sends       int       `json:"sends"`
+	Runs        int       `json:"runs"`
+	First       float64   `json:"first"`
+	Took        float64   `json:"took"`
+	InFlight    int       `json:"in_flight"`
+	Failures    float64   `json:"failures"`
+	Distance    int       `json:"distance"`
+	Version     int64     `json:"version"`
+	Prompt      int       `json:"prompt"`
+	Held        int       `json:"held"`
+	InStore     int       `json:"in_store"`
+	Queued      int       `json:"queued"`
+	Suppressed  int       `json:"suppressed_before"`
+}
+
+// eventMeanings says what became of an attempt.
+var eventMeanings = map[string]string{
+	"refused":    "the server refused it: it did not run there",
+	"unreached":  "no connection to the server came up: nothing was sent",
+	"broken":     "the attempt broke after it was sent: it may have run",
+	"silent":     "nothing was heard of the attempt for too long",
+	"answered":   "the server answered with a failure of its own",
+	"expired":    "the request's time was over",
+	"callerleft": "the caller left",
+	"stopping":   "the node stopped",
+}
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "say what became of one request of a proxy",
+		ArgsUsage: "ID < LOG",
+		Description: `Reads the logs of all nodes from the standard input, puts the lines of one
+request in order, and says what they mean.
+
+Example:
+  cat node-*.log | cloverrail explain 9c41d07be2a35f68`,
+		Action: func(_ context.Context, command *cli.Command) error {
+			id := command.Args().First()
+			if id == "" {
+				return failure.New(failure.KindInvalidRequest, "no request is named", "give the request's id")
+			}
+			return explain(os.Stdin, writer(command), id)
+		},
+	}
+}
+
+// explain writes what the log says of a request.
+func explain(log io.Reader, target io.Writer, id string) error {
+	lines, suppressed, err := linesOf(log, id)
+	if err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		remedy := "give the logs of all nodes"
+		if suppressed > 0 {
+			remedy = fmt.Sprintf("its lines may be among the %d that the nodes left out", suppressed)
+		}
+		return failure.New(failure.KindNotFound, "no line names the request", remedy)
+	}
+	for _, line := range lines {
+		if _, err := fmt.Fprintf(target, "%s %s: %s\n", line.Time.Format("15:04:05.000"), line.Node, line.meaning()); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+// linesOf returns the lines of a request in the order of their time, and how many
+// lines the log says were left out.
+func linesOf(log io.Reader, id string) (lines []logLine, suppressed int, err error) {
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(nil, longestLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		// Collectors put their own words before a line.
+		start := strings.IndexByte(text, '{')
+		var line logLine
+		if start < 0 || json.Unmarshal([]byte(text[start:]), &line) != nil {
+			continue
+		}
+		suppressed += line.Suppressed
+		if line.ID == id {
+			lines = append(lines, line)
+		}
+	}
+	slices.SortStableFunc(lines, func(first, second logLine) int { return first.Time.Compare(second.Time) })
+	return lines, suppressed, errors.Annotate(scanner.Err(), "the log cannot be read; give it as the nodes wrote it")
+}
+
+func (line logLine) meaning() string {
+	switch line.Message {
+	case "placed":
+		return line.placed()
+	case "attempt":
+		meaning := eventMeanings[line.Event]
+		if meaning == "" {
+			meaning = line.Event
+		}
+		if line.Reason != "" {
+			meaning += " (" + line.Reason + ")"
+		}
+		return fmt.Sprintf("at server %s %s", line.Server, meaning)
+	case "request":
+		return line.ended()
+	default:
+		return line.Message
+	}
+}
+
+func (line logLine) placed() string {
+	text := fmt.Sprintf("server %s was chosen: distance %d, %d requests of this node there, failure share %.2f",
+		line.Server, line.Distance, line.InFlight, line.Failures)
+	if line.Prompt > 0 {
+		text += fmt.Sprintf("; weights %d, prompt of %d tokens, %d held there, %d in the store, %d waiting before it",
+			line.Version, line.Prompt, line.Held, line.InStore, line.Queued)
+	}
+	return text
+}
+
+func (line logLine) ended() string {
+	text := fmt.Sprintf("route %q, declaration %d: ", line.Route, line.Declaration)
+	if line.Problem == "" {
+		text += fmt.Sprintf("answered with the server's %d, first after %.0f ms", line.Status, line.First)
+	} else {
+		text += fmt.Sprintf("%s (%s, outcome %s)", line.Problem, line.Result, line.Outcome)
+	}
+	return text + fmt.Sprintf("; sent %d times, may have run %d times, %.0f ms in all", line.Sends, line.Runs, line.Took)
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -70,6 +70,7 @@
 			queryCommand(),
 			statusCommand(),
 			drainCommand(),
+			explainCommand(),
 			{
 				Name:  "version",
 				Usage: "print the version",
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -83,8 +83,9 @@
 	switch event := event.(type) {
 	case exchange.Arrived, exchange.Opened, exchange.Ended:
 		return
-	case exchange.Placed:
-		recorder.metrics.attempts.WithLabelValues("placed").Inc()
+	case exchange.Placed, exchange.Unplaced:
+		// A placement has its own line; the want of one is told at the end.
+		recorder.metrics.attempts.WithLabelValues(eventName(event)).Inc()
 		return
 	case exchange.Answered:
 		if !event.Faulty {
@@ -97,8 +98,6 @@
 		reason = event.Reason
 	case exchange.Broken:
 		reason = event.Reason
-	case exchange.Unplaced:
-		reason = event.Reason
 	}
 	name := eventName(event)
 	recorder.metrics.attempts.WithLabelValues(name).Inc()
