Free a node's addresses before Run returns

Cause: two tests failed now and then with 'address already in use' for the peer address of a node that starts again. Run cancelled the context that closes the peer listener, and returned before the closing had run.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -179,6 +179,10 @@
 	node.gossip.do((*membership.Machine).Leave)
 	_ = operatorServer.Close()
 	_ = callerServer.Close()
+	// Closed here and not by the context, so that the addresses are free when Run
+	// returns: a node that starts again binds them at once.
+	stop()
+	_ = node.peers.Close()
 	node.gossip.datagrams.Close()
 	node.log.Info().Msg("node stopped")
 	return nil
