Carry plain requests of nodes by the same attempt machine

Cause: internal/plain decided on repetitions a second time.

Change: plain.Forwarder keeps its interface and its way of sending, and leaves the decisions to package exchange. New for nodes: a repeatable request whose server fails itself (5xx) is tried elsewhere, and the failure delivered if that fails; an attempt that reached nobody is not paid for. Its tests are unchanged and pass, as do those of internal/node and internal/lab/inprocess.

--- a/internal/plain/forwarder.go
+++ b/internal/plain/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cloverrail/cloverrail/internal/engineapi"
+	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/failure"
 )
 
@@ -85,47 +86,98 @@
 	}
 }
 
-// Forward sends the request until it is answered or given up.
+// Forward sends the request until it is answered or given up. What may follow a
+// failed attempt is decided by package exchange.
 func (forwarder *Forwarder) Forward(ctx context.Context, request Request, chooser Chooser, budget Budget) (*Answer, error) {
-	excluded := []string{}
-	outcome := failure.NotRun
-	for try := 1; ; try++ {
-		server, refusal := chooser.Choose(excluded)
-		if refusal != nil {
-			return nil, refusal.WithOutcome(outcome)
-		}
-		answer, err := forwarder.attempt(ctx, request, server)
-		chooser.Ended(server, err != nil && ctx.Err() == nil)
-		if err == nil {
-			return answer, nil
-		}
-		excluded = append(excluded, server.Name)
-		var notStarted *engineapi.ErrNotStarted
-		started := !errors.As(err, &notStarted)
-		if started {
-			outcome = failure.Unknown
-		}
-		again := (!started || request.Repeatable) && try < maximumTries && ctx.Err() == nil && budget.Withdraw(time.Now())
-		if !again {
-			return nil, giveUp(outcome, request.Repeatable)
-		}
+	collected := &collector{}
+	outcome := exchange.Run(ctx, exchange.Request{
+		Rules: exchange.Rules{
+			Repeatable: request.Repeatable,
+			Runs:       maximumTries,
+			Sends:      maximumTries,
+			RetryAfter: retryAfter,
+		},
+		Budget: budget,
+		Placer: &placer{forwarder: forwarder, request: request, chooser: chooser},
+		Caller: collected,
+	})
+	if outcome.Failure == nil {
+		return collected.answer, nil
+	}
+	final := *outcome.Failure
+	if final.Outcome == failure.Unknown && !request.Repeatable {
+		final.Remedy = "ask the service whether the request took effect before sending it under a new key"
 	}
+	return nil, &final
+}
+
+// collector takes the answer for the caller, who wants it whole.
+type collector struct{ answer *Answer }
+
+// Answer takes the whole answer.
+func (collector *collector) Answer(answer *exchange.Answer) error {
+	collector.answer = &Answer{Status: answer.Status, Header: answer.Header, Body: answer.Body}
+	return nil
+}
+
+// Open is not called: plain answers are whole.
+func (collector *collector) Open(int, http.Header) error { return nil }
+
+// Forward is not called: plain answers are whole.
+func (collector *collector) Forward([]byte) error { return nil }
+
+// placer adapts a chooser.
+type placer struct {
+	forwarder *Forwarder
+	request   Request
+	chooser   Chooser
 }
 
-func giveUp(outcome failure.Outcome, repeatable bool) error {
-	remedy := "send the request again"
-	if outcome == failure.Unknown && !repeatable {
-		remedy = "ask the service whether the request took effect before sending it under a new key"
+// Place chooses a server.
+func (placer *placer) Place(excluded []string) (exchange.Placement, *exchange.Unplaced) {
+	server, refusal := placer.chooser.Choose(excluded)
+	if refusal != nil {
+		return nil, &exchange.Unplaced{Reason: refusal.Problem, Lasting: true}
+	}
+	return &placement{placer: placer, server: server}, nil
+}
+
+// placement is one attempt at a server.
+type placement struct {
+	placer *placer
+	server Server
+}
+
+// Server names the server.
+func (placement *placement) Server() string { return placement.server.Name }
+
+// Started needs no note: plain answers are whole.
+func (placement *placement) Started() {}
+
+// Doubtful never gives up on a silent server before the request's time is over.
+func (placement *placement) Doubtful(time.Duration) bool { return false }
+
+// End tells the chooser how the attempt went.
+func (placement *placement) End(result exchange.Result) {
+	failed := result != exchange.ResultServed && result != exchange.ResultFaulty && result != exchange.ResultNeutral
+	placement.placer.chooser.Ended(placement.server, failed)
+}
+
+// Send sends the attempt.
+func (placement *placement) Send(ctx context.Context, _ bool, _ int64) (*exchange.Reply, error) {
+	answer, err := placement.placer.forwarder.attempt(ctx, placement.placer.request, placement.server)
+	if err != nil {
+		return nil, err
 	}
-	return failure.New(failure.KindBackendFailed, "no server answered the request", remedy).
-		WithOutcome(outcome).WithRetryAfter(retryAfter)
+	whole := &exchange.Answer{Status: answer.Status, Header: answer.Header, Body: answer.Body}
+	return &exchange.Reply{Status: answer.Status, Header: answer.Header, Whole: whole, Close: func() {}}, nil
 }
 
 func (forwarder *Forwarder) attempt(ctx context.Context, request Request, server Server) (*Answer, error) {
 	attempt := uuid.NewString()
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+server.Address+request.Path, bytes.NewReader(request.Body))
 	if err != nil {
-		return nil, &engineapi.ErrNotStarted{Reason: err.Error()}
+		return nil, &exchange.ErrRefused{Reason: err.Error()}
 	}
 	outgoing.Header = request.Header.Clone()
 	outgoing.Header.Set(engineapi.HeaderAttempt, attempt)
@@ -137,13 +189,13 @@
 	if err != nil {
 		var operation *net.OpError
 		if errors.As(err, &operation) && operation.Op == "dial" {
-			return nil, &engineapi.ErrNotStarted{Reason: "no connection"}
+			return nil, &exchange.ErrUnreached{Reason: "no connection"}
 		}
 		return nil, errors.Trace(err)
 	}
 	defer response.Body.Close()
 	if reason := response.Header.Get(engineapi.HeaderRefused); reason != "" {
-		return nil, &engineapi.ErrNotStarted{Reason: reason}
+		return nil, &exchange.ErrRefused{Reason: reason}
 	}
 	if echoed := response.Header.Get(engineapi.HeaderAttempt); echoed != "" && echoed != attempt {
 		forwarder.crossed()
