--- /dev/null
+++ b/cmd/cloverrail/process.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/fleet"
+	"github.com/cloverrail/cloverrail/internal/lease"
+	"github.com/cloverrail/cloverrail/internal/proxy"
+	"github.com/cloverrail/cloverrail/internal/reflector"
+	"github.com/cloverrail/cloverrail/internal/residency"
+	"github.com/cloverrail/cloverrail/internal/rollout"
+	"github.com/cloverrail/cloverrail/internal/settings"
+	"github.com/cloverrail/cloverrail/internal/telemetry"
+	"github.com/cloverrail/cloverrail/platform"
+)
+
+const (
+	// readPart is the part of a bound within which the store is read anew.
+	readPart = 0.4
+	// leasePart is the life of the holder's lease as a part of the time between two
+	// holders.
+	leasePart = 0.65
+	// spreadPerNode spreads the tries of a fleet to take a duty over.
+	spreadPerNode = 5 * time.Millisecond
+
+	connectTimeout = 300 * time.Millisecond
+	silenceTimeout = 1500 * time.Millisecond
+)
+
+// process is the parts of a running proxy.
+type process struct {
+	settings settings.Proxy
+	log      zerolog.Logger
+	belief   *catalog.Holder
+	set      *backend.Set
+	store    *platform.Store
+	servers  *platform.Servers
+	metrics  *telemetry.Metrics
+	recorder *telemetry.Recorder
+	retries  *proxy.Retries
+	ledger   *residency.Ledger
+	proxy    *proxy.Proxy
+	registry *fleet.Registry
+	feed     *reflector.Feed
+	// reflector reads the store or follows a node that does.
+	reflector *reflector.Reflector
+	stopping  atomic.Bool
+}
+
+func newProcess(given settings.Proxy) (*process, error) {
+	level, err := zerolog.ParseLevel(given.LogLevel)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	process := &process{settings: given, belief: &catalog.Holder{}, set: backend.NewSet(), store: platform.NewStore(given.StoreAddress)}
+	process.log = zerolog.New(telemetry.NewWriter(os.Stdout)).Level(level).With().Timestamp().Str("node", given.Name).Logger()
+	process.metrics = telemetry.NewMetrics(process.belief)
+	process.recorder = telemetry.NewRecorder(process.log, process.metrics)
+	process.servers = platform.NewServers(platform.Connections{Connect: connectTimeout, Silence: silenceTimeout})
+	process.retries = proxy.NewRetries(proxy.RetryBounds{
+		Ratio:  given.Bounds.RetryRatio,
+		Extra:  given.Bounds.RetryExtra,
+		Window: given.Bounds.RetryWindow,
+	}, time.Now())
+	process.ledger = residency.NewLedger()
+	process.proxy = proxy.New(proxy.Options{
+		Belief:  process.belief,
+		Set:     process.set,
+		Servers: process.servers,
+		Bounds: proxy.Bounds{
+			Revocation:    given.Bounds.Revocation,
+			Configuration: given.Bounds.Configuration,
+			Weights:       given.Bounds.Weights,
+			Contact:       given.Bounds.Contact,
+		},
+		Retries:  process.retries,
+		Distance: process.distance,
+		Recorder: process.recorder,
+		Ledger:   process.ledger,
+	})
+	life := uuid.NewString()
+	process.feed = reflector.NewFeed(given.Name + " " + life)
+	process.registry = &fleet.Registry{
+		Store:   process.store,
+		Prefix:  platform.PrefixNodes,
+		Name:    given.Name,
+		Life:    life,
+		Address: given.PeerAddress,
+		Resized: process.resize,
+	}
+	process.reflector = process.newReflector()
+	return process, nil
+}
+
+// resize follows the number of nodes in the fleet.
+func (process *process) resize(nodes int) {
+	process.recorder.Resized(nodes)
+	process.retries.Resize(nodes)
+	process.ledger.Resize(nodes)
+}
+
+// reads reports whether this node is among the few that read all from the store.
+func (process *process) reads() bool { return process.reflector.Reads() }
+
+// takeLoading takes which servers load weights, and passes it on.
+func (process *process) takeLoading(loading map[string]int64) {
+	process.set.Load(loading, time.Now())
+	process.feed.TakeLoading(loading)
+}
+
+// distance is 0 within the zone, 1 within the region, and 2 beyond.
+func (process *process) distance(zone string) int {
+	zones := process.settings.Zones
+	switch {
+	case zone == process.settings.Zone:
+		return 0
+	case zones[zone] == zones[process.settings.Zone]:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func part(whole time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(whole))
+}
+
+// newReflector returns what keeps the node's beliefs current.
+func (process *process) newReflector() *reflector.Reflector {
+	bounds := process.settings.Bounds
+	return &reflector.Reflector{
+		Source:   platform.NewSource(process.store, process.recorder.Unreadable),
+		Peers:    &reflector.Caller{Client: &http.Client{}},
+		Belief:   process.belief,
+		Set:      process.set,
+		Registry: process.registry,
+		Feed:     process.feed,
+		Recorder: process.recorder,
+		Interval: part(min(bounds.Configuration, bounds.Drain), readPart),
+	}
+}
+
+// followStore starts following what the store of kept KV cache has, if this node
+// is among the few that may.
+func (process *process) followStore(ctx context.Context) {
+	following := &residency.Follower{
+		Source: process.servers,
+		Ledger: process.ledger,
+		Holder: process.prefixStore,
+		Chosen: process.reads,
+		Lost:   process.recorder.Unfollowed,
+		Found:  process.recorder.Followed,
+	}
+	go following.Run(ctx)
+}
+
+// prefixStore returns the address of the store of kept KV cache, or "".
+func (process *process) prefixStore() string {
+	belief := process.belief.Load()
+	if belief == nil || belief.Snapshot == nil || belief.Snapshot.Store() == nil {
+		return ""
+	}
+	return belief.Snapshot.Store().Address
+}
+
+// keep starts the duties that nodes share.
+func (process *process) keep(ctx context.Context) {
+	bounds := process.settings.Bounds
+	go process.registry.Run(ctx)
+	keeper := &lease.Keeper{
+		Store: process.store,
+		Duty: &rollout.Duty{
+			Belief:   process.belief,
+			Set:      process.set,
+			Servers:  process.servers,
+			Recorder: process.recorder,
+			Holder:   process.settings.Name,
+			Bound:    bounds.Weights,
+		},
+		Recorder: process.recorder,
+		Name:     process.settings.Name,
+		Key:      platform.KeyRollout,
+		KeyState: platform.KeyRolloutState,
+		Life:     max(process.settings.StoreLeastLease, part(bounds.HolderChange, leasePart)),
+		Settling: bounds.HolderChange,
+		Delay: func() time.Duration {
+			return rand.N(time.Duration(process.registry.Nodes()) * spreadPerNode)
+		},
+		Eligible:  process.reads,
+		Exists:    process.registry.Exists,
+		FirstSeen: process.registry.FirstSeen,
+	}
+	go keeper.Run(ctx)
+	follower := &rollout.Follower{
+		Store:    process.store,
+		Take:     process.takeLoading,
+		Eligible: process.reads,
+		Key:      platform.KeyRolloutState,
+	}
+	go follower.Run(ctx)
+}
--- /dev/null
+++ b/internal/proxy/placement.go
@@ -0,0 +1,154 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/routing"
+)
+
+// placement is one attempt at a chosen server.
+type placement struct {
+	placer  *placer
+	chosen  routing.Candidate
+	attempt *backend.Attempt
+	// tokens are those of the prompt that the server is taken to read.
+	tokens  int
+	begun   time.Time
+	started bool
+	saves   bool
+}
+
+// Server names the server's incarnation.
+func (placement *placement) Server() string { return placement.chosen.Endpoint }
+
+// Send sends the request to the server.
+func (placement *placement) Send(ctx context.Context, resumes bool, after int64) (*exchange.Reply, error) {
+	admitted := placement.placer.admitted
+	dispatch := Dispatch{
+		Request:    admitted.request,
+		Instance:   placement.chosen.Endpoint,
+		Address:    placement.chosen.Address,
+		Stream:     admitted.route.Kind == catalog.Stream,
+		Deadline:   admitted.deadline,
+		Urgency:    urgency(admitted),
+		Resumes:    resumes,
+		After:      after,
+		Repeatable: admitted.route.MayRunAgain(),
+	}
+	if admitted.tenant != nil {
+		dispatch.Tenant = admitted.tenant.Name
+	}
+	if placement.placer.prompt() != nil {
+		dispatch.Version = placement.chosen.Version
+		dispatch.Salt = placement.placer.salt(placement.chosen.Version)
+		placement.addStore(&dispatch)
+	}
+	reply, err := placement.placer.proxy.servers.Send(ctx, dispatch)
+	placement.learn(dispatch, err)
+	return reply, err
+}
+
+// learn takes what a refusal says of the server's weights.
+func (placement *placement) learn(dispatch Dispatch, err error) {
+	var refused *exchange.ErrRefused
+	if dispatch.Version != 0 && errors.As(err, &refused) && refused.LoadedVersion != 0 {
+		versions := map[string]int64{dispatch.Request.Prompt.Model: refused.LoadedVersion}
+		placement.placer.proxy.set.Learn(placement.chosen.Endpoint, versions)
+	}
+}
+
+// addStore says what the server fetches from the store of kept KV cache, and
+// whether it saves there: only if the store lacks a shared part.
+func (placement *placement) addStore(dispatch *Dispatch) {
+	store := placement.placer.store()
+	if store == nil {
+		return
+	}
+	dispatch.FetchFrom = store.Address
+	if placement.chosen.ImportBlocks < placement.placer.sharedTokens() {
+		dispatch.SaveTo = store.Address
+		placement.saves = true
+	}
+}
+
+// Started says that the server has begun to answer: it has read the prompt.
+func (placement *placement) Started() {
+	if placement.started {
+		return
+	}
+	placement.started = true
+	now := time.Now()
+	placement.attempt.Started(now)
+	if placement.placer.prompt() == nil {
+		return
+	}
+	if placement.chosen.InFlight == 0 {
+		placement.placer.proxy.pace.measure(placement.tokens, now.Sub(placement.begun))
+	}
+	placement.remember(now)
+}
+
+// remember notes where the parts of the prompt lie now.
+func (placement *placement) remember(now time.Time) {
+	placer := placement.placer
+	ledger := placer.proxy.ledger
+	pieces := placer.named(placement.chosen.Version)
+	capacity := placer.admitted.service.Engine.CacheTokens
+	ledger.Note(placement.chosen.Endpoint, pieces, placement.tokens, capacity, now)
+	store := placer.store()
+	switch {
+	case store == nil:
+	case placement.saves:
+		ledger.Note(store.Address, pieces, placer.prompt().Tokens, store.CapacityTokens, now.Add(saveTime))
+	case placement.chosen.HitBlocks < placer.sharedTokens():
+		ledger.Note(store.Address, pieces, 0, store.CapacityTokens, now)
+	}
+}
+
+// Doubtful reports whether a silent attempt is better tried elsewhere: soon if
+// its server has answered nobody meanwhile, and later if it only has much to do.
+// The time to read the prompt, and those before it, is allowed for.
+func (placement *placement) Doubtful(silent time.Duration) bool {
+	if !placement.started {
+		silent -= placement.reading()
+	}
+	if silent <= 0 {
+		return false
+	}
+	target := placement.placer.admitted.route.TargetLatency
+	if placement.attempt.HeardSince(time.Now().Add(-silent)) {
+		return silent >= time.Duration(lastDoubt*float64(target))
+	}
+	return silent >= target/2
+}
+
+// reading is the time that the server is allowed for reading the prompt and
+// those that were sent before it.
+func (placement *placement) reading() time.Duration {
+	if placement.placer.prompt() == nil {
+		return 0
+	}
+	tokens := float64(placement.chosen.QueuedTokens + placement.tokens)
+	seconds := readingAllowance * tokens / placement.placer.proxy.pace.tokensPerSecond()
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// End says that the attempt is over.
+func (placement *placement) End(result exchange.Result) {
+	placement.attempt.End(result, time.Now())
+}
+
+// urgency is the rank of a request at servers; a tenant's goes before its route's.
+func urgency(admitted *admitted) int {
+	priority := admitted.route.Priority
+	if admitted.tenant != nil && admitted.tenant.Priority != nil {
+		priority = *admitted.tenant.Priority
+	}
+	return min(max(priority, 0), leastUrgent)
+}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -1,12 +1,8 @@
 package proxy
 
 import (
-	"context"
-	"strconv"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
@@ -139,14 +135,6 @@
 	}
 }
 
-// prompt is nil for requests to plain services.
-func (placer *placer) prompt() *Prompt {
-	if placer.admitted.service.Engine == nil {
-		return nil
-	}
-	return placer.admitted.request.Prompt
-}
-
 // store is nil if there is none, or if it does not answer: asking a dead one costs
 // the server time.
 func (placer *placer) store() *catalog.PrefixStore {
@@ -157,21 +145,6 @@
 	return store
 }
 
-// named returns the shared parts as they are named at a version.
-func (placer *placer) named(version int64) []residency.Piece {
-	if pieces, found := placer.pieces[version]; found {
-		return pieces
-	}
-	salt := placer.salt(version)
-	pieces := []residency.Piece{}
-	for _, part := range placer.shared() {
-		key := residency.Key(prefix.KeyOf(salt + part.ID))
-		pieces = append(pieces, residency.Piece{Key: key, Tokens: part.Tokens})
-	}
-	placer.pieces[version] = pieces
-	return pieces
-}
-
 // schedule prefers servers that were not tried and do not rest; a server that
 // rests or was tried is better than none.
 func (placer *placer) schedule(request *routing.Request, candidates []routing.Candidate) routing.Decision {
@@ -252,188 +225,3 @@
 	found := proxy.started.Add(proxy.bounds.Contact - contactMargin - tolerated)
 	return belief.Weights[model].Required(now.Add(-tolerated), found)
 }
-
-// shared returns the parts that other requests may have in common with this one.
-func (placer *placer) shared() []Part {
-	parts := placer.admitted.request.Prompt.Parts
-	if len(parts) == 0 {
-		return nil
-	}
-	return parts[:len(parts)-1]
-}
-
-// sharedTokens is the length of the shared parts.
-func (placer *placer) sharedTokens() int {
-	tokens := 0
-	for _, part := range placer.shared() {
-		tokens += part.Tokens
-	}
-	return tokens
-}
-
-// affinityKey is the last shared part: requests that share it, share all before.
-func (placer *placer) affinityKey() prefix.Hash {
-	shared := placer.shared()
-	if len(shared) == 0 {
-		return prefix.KeyOf(placer.admitted.request.ID)
-	}
-	return prefix.KeyOf(placer.wall() + "/" + shared[len(shared)-1].ID)
-}
-
-// wall is the tenant's name if nothing that is cached for it may be shared.
-func (placer *placer) wall() string {
-	tenant := placer.admitted.tenant
-	if tenant == nil || !tenant.Isolated {
-		return ""
-	}
-	return tenant.Name
-}
-
-// salt keeps cached prefixes of different walls, models and versions apart.
-func (placer *placer) salt(version int64) string {
-	return prefix.Salt(nil, prefix.Identity{
-		Tenant:  placer.wall(),
-		Model:   placer.prompt().Model,
-		Version: strconv.FormatInt(version, 10),
-	})
-}
-
-// placement is one attempt at a chosen server.
-type placement struct {
-	placer  *placer
-	chosen  routing.Candidate
-	attempt *backend.Attempt
-	// tokens are those of the prompt that the server is taken to read.
-	tokens  int
-	begun   time.Time
-	started bool
-	saves   bool
-}
-
-// Server names the server's incarnation.
-func (placement *placement) Server() string { return placement.chosen.Endpoint }
-
-// Send sends the request to the server.
-func (placement *placement) Send(ctx context.Context, resumes bool, after int64) (*exchange.Reply, error) {
-	admitted := placement.placer.admitted
-	dispatch := Dispatch{
-		Request:    admitted.request,
-		Instance:   placement.chosen.Endpoint,
-		Address:    placement.chosen.Address,
-		Stream:     admitted.route.Kind == catalog.Stream,
-		Deadline:   admitted.deadline,
-		Urgency:    urgency(admitted),
-		Resumes:    resumes,
-		After:      after,
-		Repeatable: admitted.route.MayRunAgain(),
-	}
-	if admitted.tenant != nil {
-		dispatch.Tenant = admitted.tenant.Name
-	}
-	if placement.placer.prompt() != nil {
-		dispatch.Version = placement.chosen.Version
-		dispatch.Salt = placement.placer.salt(placement.chosen.Version)
-		placement.addStore(&dispatch)
-	}
-	reply, err := placement.placer.proxy.servers.Send(ctx, dispatch)
-	placement.learn(dispatch, err)
-	return reply, err
-}
-
-// learn takes what a refusal says of the server's weights.
-func (placement *placement) learn(dispatch Dispatch, err error) {
-	var refused *exchange.ErrRefused
-	if dispatch.Version != 0 && errors.As(err, &refused) && refused.LoadedVersion != 0 {
-		versions := map[string]int64{dispatch.Request.Prompt.Model: refused.LoadedVersion}
-		placement.placer.proxy.set.Learn(placement.chosen.Endpoint, versions)
-	}
-}
-
-// addStore says what the server fetches from the store of kept KV cache, and
-// whether it saves there: only if the store lacks a shared part.
-func (placement *placement) addStore(dispatch *Dispatch) {
-	store := placement.placer.store()
-	if store == nil {
-		return
-	}
-	dispatch.FetchFrom = store.Address
-	if placement.chosen.ImportBlocks < placement.placer.sharedTokens() {
-		dispatch.SaveTo = store.Address
-		placement.saves = true
-	}
-}
-
-func urgency(admitted *admitted) int {
-	priority := admitted.route.Priority
-	if admitted.tenant != nil && admitted.tenant.Priority != nil {
-		priority = *admitted.tenant.Priority
-	}
-	return min(max(priority, 0), leastUrgent)
-}
-
-// Started says that the server has begun to answer: it has read the prompt.
-func (placement *placement) Started() {
-	if placement.started {
-		return
-	}
-	placement.started = true
-	now := time.Now()
-	placement.attempt.Started(now)
-	if placement.placer.prompt() == nil {
-		return
-	}
-	if placement.chosen.InFlight == 0 {
-		placement.placer.proxy.pace.measure(placement.tokens, now.Sub(placement.begun))
-	}
-	placement.remember(now)
-}
-
-// remember notes where the parts of the prompt lie now.
-func (placement *placement) remember(now time.Time) {
-	placer := placement.placer
-	ledger := placer.proxy.ledger
-	pieces := placer.named(placement.chosen.Version)
-	capacity := placer.admitted.service.Engine.CacheTokens
-	ledger.Note(placement.chosen.Endpoint, pieces, placement.tokens, capacity, now)
-	store := placer.store()
-	switch {
-	case store == nil:
-	case placement.saves:
-		ledger.Note(store.Address, pieces, placer.prompt().Tokens, store.CapacityTokens, now.Add(saveTime))
-	case placement.chosen.HitBlocks < placer.sharedTokens():
-		ledger.Note(store.Address, pieces, 0, store.CapacityTokens, now)
-	}
-}
-
-// Doubtful reports whether a silent attempt is better tried elsewhere: soon if
-// its server has answered nobody meanwhile, and later if it only has much to do.
-// The time to read the prompt, and those before it, is allowed for.
-func (placement *placement) Doubtful(silent time.Duration) bool {
-	if !placement.started {
-		silent -= placement.reading()
-	}
-	if silent <= 0 {
-		return false
-	}
-	target := placement.placer.admitted.route.TargetLatency
-	if placement.attempt.HeardSince(time.Now().Add(-silent)) {
-		return silent >= time.Duration(lastDoubt*float64(target))
-	}
-	return silent >= target/2
-}
-
-// reading is the time that the server is allowed for reading the prompt and
-// those that were sent before it.
-func (placement *placement) reading() time.Duration {
-	if placement.placer.prompt() == nil {
-		return 0
-	}
-	tokens := float64(placement.chosen.QueuedTokens + placement.tokens)
-	seconds := readingAllowance * tokens / placement.placer.proxy.pace.tokensPerSecond()
-	return time.Duration(seconds * float64(time.Second))
-}
-
-// End says that the attempt is over.
-func (placement *placement) End(result exchange.Result) {
-	placement.attempt.End(result, time.Now())
-}
