--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -51,7 +51,7 @@
 func (duty *Duty) targets() Targets {
 	targets := Targets{Within: time.Duration(finishPart * float64(duty.Bound)), Latest: duty.Bound - latestMargin}
 	if belief := duty.Belief.Load(); belief != nil {
-		targets.Weights = belief.Weights
+		targets.Weights, targets.Disturbed = belief.Weights, belief.Disturbed
 	}
 	return targets
 }
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -72,6 +72,9 @@
 	// Latest is how long after a naming every server must at least have its order:
 	// from then on nothing begins on the old weights.
 	Latest time.Duration
+	// Disturbed is when the shared store was not sound last. Nobody could be moved
+	// until then, so no time is counted from before.
+	Disturbed time.Time
 }
 
 // lack is what a server lacks: the newest version of a model, since the naming
@@ -98,6 +101,9 @@
 		if since.IsZero() {
 			since = now
 		}
+		if since.Before(targets.Disturbed) {
+			since = targets.Disturbed
+		}
 		one := lack{
 			server:   server,
 			model:    model,
--- a/internal/rollout/machine_test.go
+++ b/internal/rollout/machine_test.go
@@ -238,6 +238,11 @@
 	require.Equal(t, 3, orders(targets))
 	targets.Latest = 0
 	require.Equal(t, 12, orders(targets), "nothing may begin on the old weights any more")
+	targets.Within, targets.Latest = 6*time.Second, 7*time.Second
+	targets.Weights[model][1].NotNamedAt = now.Add(-10 * time.Second)
+	require.Equal(t, 12, orders(targets))
+	targets.Disturbed = now.Add(-time.Second)
+	require.Equal(t, 3, orders(targets), "the time in which the store was away does not count")
 }
 
 func TestTheStateSaysWhoLoads(t *testing.T) {
