Publish which servers have loaded, with the model

Cause: after a load only the list told other nodes, up to a second later; each node found out by a refusal for the version (421).

Change: the published state names loads under way and loads that have ended, with their model; nodes learn from it at once.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -114,10 +114,10 @@
 // reads reports whether this node is among the few that read all from the store.
 func (process *process) reads() bool { return process.reflector.Reads() }
 
-// takeLoading takes which servers load weights, and passes it on.
-func (process *process) takeLoading(loading map[string]int64) {
-	process.set.Load(loading, time.Now())
-	process.feed.TakeLoading(loading)
+// takeLoads takes how far the roll-out of weights is, and passes it on.
+func (process *process) takeLoads(loads backend.Loads) {
+	process.set.Load(loads, time.Now())
+	process.feed.TakeLoads(loads)
 }
 
 // distance is 0 within the zone, 1 within the region, and 2 beyond.
@@ -205,7 +205,7 @@
 	go keeper.Run(ctx)
 	follower := &rollout.Follower{
 		Store:    process.store,
-		Take:     process.takeLoading,
+		Take:     process.takeLoads,
 		Eligible: process.reads,
 		Key:      platform.KeyRolloutState,
 	}
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -64,11 +64,11 @@
 	heardAt      time.Time
 	queuedTokens int
 	busyUntil    time.Time
-	// loadingVersion is the version that it is loading, or 0.
-	loadingVersion int64
-	loadingUntil   time.Time
-	breaker        retry.Breaker
-	failures       failureShare
+	// load is the move that it is making, if any.
+	load         Load
+	loadingUntil time.Time
+	breaker      retry.Breaker
+	failures     failureShare
 }
 
 // NewSet returns an empty set.
@@ -178,38 +178,60 @@
 func (set *Set) Learn(instance string, versions map[string]int64) {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
+	for model, version := range versions {
+		set.learn(instance, model, version)
+	}
+}
+
+func (set *Set) learn(instance, model string, version int64) {
 	known, found := set.servers[instance]
-	if !found {
+	if !found || known.server.Versions[model] >= version {
 		return
 	}
 	known.server = known.server.clone()
-	for model, version := range versions {
-		known.server.Versions[model] = max(version, known.server.Versions[model])
-	}
+	known.server.Versions[model] = version
 }
 
 // loadingLife is how long a server is taken to load weights if nothing more is
 // heard of it.
 const loadingLife = 4 * time.Second
 
-// Load takes which servers load weights now, and all others not.
-func (set *Set) Load(loading map[string]int64, now time.Time) {
+// Load is a server's move to a version of a model's weights.
+type Load struct {
+	Instance string
+	Model    string
+	Version  int64
+}
+
+// Loads is how far a roll-out of weights is.
+type Loads struct {
+	// Loading holds the moves that are under way, and Loaded those that have ended
+	// since the roll-out began.
+	Loading []Load
+	Loaded  []Load
+}
+
+// Load takes how far a roll-out is. Servers that are not named do not load.
+func (set *Set) Load(loads Loads, now time.Time) {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
+	loading := make(map[string]Load, len(loads.Loading))
+	for _, load := range loads.Loading {
+		loading[load.Instance] = load
+	}
 	for instance, known := range set.servers {
-		version, found := loading[instance]
-		switch {
-		case !found:
-			known.loadingVersion = 0
-		case known.loadingVersion != version:
-			known.loadingVersion, known.loadingUntil = version, now.Add(loadingLife)
+		if load := loading[instance]; known.load != load {
+			known.load, known.loadingUntil = load, now.Add(loadingLife)
 		}
 	}
+	for _, load := range loads.Loaded {
+		set.learn(load.Instance, load.Model, load.Version)
+	}
 }
 
-// loads reports whether the server is busy loading weights.
+// loads reports whether the server is busy loading weights of the model.
 func (state *state) loads(model string, now time.Time) bool {
-	return state.server.Versions[model] < state.loadingVersion && now.Before(state.loadingUntil)
+	return state.load.Model == model && state.server.Versions[model] < state.load.Version && now.Before(state.loadingUntil)
 }
 
 // Distance returns how far a server's zone is from here, 0 being the same zone.
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -81,15 +81,18 @@
 func TestALoadingServerIsNotReadyUntilItHasItsWeights(t *testing.T) {
 	set := NewSet()
 	set.Update([]Server{server("x"), server("y")}, begin)
-	set.Load(map[string]int64{"x": 2}, begin)
+	set.Load(Loads{Loading: []Load{{Instance: "x", Model: "m", Version: 2}}}, begin)
 	require.False(t, only(t, set, query, begin, "x").Ready)
 	require.True(t, only(t, set, query, begin, "y").Ready)
 	require.True(t, only(t, set, query, begin.Add(loadingLife), "x").Ready, "whoever said so may be gone")
 	set.Learn("x", map[string]int64{"m": 2})
 	require.True(t, only(t, set, query, begin, "x").Ready)
-	set.Load(map[string]int64{"y": 2}, begin)
-	set.Load(nil, begin)
+	set.Load(Loads{Loading: []Load{{Instance: "y", Model: "m", Version: 2}}}, begin)
+	set.Load(Loads{Loaded: []Load{{Instance: "y", Model: "m", Version: 2}}}, begin)
 	require.True(t, only(t, set, query, begin, "y").Ready)
+	require.Equal(t, int64(2), only(t, set, query, begin, "y").Version, "known at once, not only from the list")
+	set.Load(Loads{Loading: []Load{{Instance: "y", Model: "other", Version: 9}}}, begin)
+	require.True(t, only(t, set, query, begin, "y").Ready, "another model is no concern")
 }
 
 func TestWorkInFlightIsCountedExactly(t *testing.T) {
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -17,9 +17,8 @@
 	Whole   bool
 	Changed []backend.Server
 	Gone    []string
-	// Loading holds the servers that load weights, with their new versions; nil
-	// says that it is as before.
-	Loading map[string]int64
+	// Loads is how far the roll-out of weights is; nil says that it is as before.
+	Loads *backend.Loads
 	// Age is how old the reader's last reading of the store is.
 	Age time.Duration
 }
@@ -47,9 +46,9 @@
 	readAt  time.Time
 	servers map[string]placedServer
 	gone    map[string]int64
-	// loading was set at loadingPlace.
-	loading      map[string]int64
-	loadingPlace int64
+	// loads was set at loadsPlace.
+	loads      backend.Loads
+	loadsPlace int64
 }
 
 type placedServer struct {
@@ -95,12 +94,12 @@
 	}
 }
 
-// TakeLoading takes which servers load weights now.
-func (feed *Feed) TakeLoading(loading map[string]int64) {
+// TakeLoads takes how far the roll-out of weights is.
+func (feed *Feed) TakeLoads(loads backend.Loads) {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
 	feed.place++
-	feed.loading, feed.loadingPlace = loading, feed.place
+	feed.loads, feed.loadsPlace = loads, feed.place
 	feed.wake()
 }
 
@@ -136,8 +135,9 @@
 			delta.Changed = append(delta.Changed, known.server)
 		}
 	}
-	if delta.Whole || feed.loadingPlace > question.Place {
-		delta.Loading = feed.loading
+	if delta.Whole || feed.loadsPlace > question.Place {
+		loads := feed.loads
+		delta.Loads = &loads
 	}
 	for instance, place := range feed.gone {
 		if !delta.Whole && place > question.Place {
--- a/internal/reflector/feed_test.go
+++ b/internal/reflector/feed_test.go
@@ -55,11 +55,12 @@
 	feed := NewFeed("one")
 	copied := &Copy{}
 	copied.Apply(feed.Answer(context.Background(), copied.Question(0)))
-	feed.TakeLoading(map[string]int64{"i-1": 2})
+	loads := backend.Loads{Loading: []backend.Load{{Instance: "i-1", Model: "m", Version: 2}}}
+	feed.TakeLoads(loads)
 	delta := feed.Answer(context.Background(), copied.Question(time.Hour))
-	require.Equal(t, map[string]int64{"i-1": 2}, delta.Loading)
+	require.Equal(t, &loads, delta.Loads)
 	copied.Apply(delta)
-	require.Nil(t, feed.Answer(context.Background(), copied.Question(0)).Loading)
+	require.Nil(t, feed.Answer(context.Background(), copied.Question(0)).Loads)
 }
 
 func TestAForgottenPastIsMadeUpForByTheWholeList(t *testing.T) {
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -48,12 +48,12 @@
 	if err != nil || delta.Age > staleAfter {
 		return false
 	}
-	if delta.Loading != nil {
-		reflector.Set.Load(delta.Loading, time.Now())
-	}
 	if delta.Whole || len(delta.Changed)+len(delta.Gone) > 0 {
 		list := copied.Apply(delta)
 		reflector.Recorder.Listed(reflector.Set.Update(list, time.Now()))
 	}
+	if delta.Loads != nil {
+		reflector.Set.Load(*delta.Loads, time.Now())
+	}
 	return true
 }
--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -79,7 +79,7 @@
 		duty.machine = NewMachine()
 	}
 	actions := duty.machine.Step(now, duty.targets(), duty.Set.Servers())
-	encoded := State{Holder: duty.Holder, Active: !duty.machine.Idle(), Loading: duty.machine.Loading()}.Encode()
+	encoded := State{Holder: duty.Holder, Active: !duty.machine.Idle(), Loads: duty.machine.Loads()}.Encode()
 	return encoded, func(ctx context.Context, tenure *lease.Tenure) { duty.act(ctx, tenure, actions) }
 }
 
--- a/internal/rollout/follower.go
+++ b/internal/rollout/follower.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 )
 
@@ -23,8 +24,8 @@
 // it. What it misses is found out by refusals.
 type Follower struct {
 	Store coordination.Store
-	// Take takes the servers that load, with their new versions.
-	Take func(loading map[string]int64)
+	// Take takes how far the roll-out is.
+	Take func(loads backend.Loads)
 	// Eligible reports whether this node is to follow.
 	Eligible func() bool
 	// Key is where the holder publishes.
@@ -74,6 +75,6 @@
 
 func (follower *Follower) take(value []byte) {
 	if state, err := DecodeState(value); err == nil {
-		follower.Take(state.Loading)
+		follower.Take(state.Loads)
 	}
 }
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -10,6 +10,7 @@
 	"math"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
@@ -154,6 +155,8 @@
 	sequences map[string]int64
 	asked     map[string]time.Time
 	load      time.Duration
+	// loaded holds the moves that have ended since the roll-out began.
+	loaded map[string]backend.Load
 }
 
 type pending struct {
@@ -171,6 +174,7 @@
 		sequences: map[string]int64{},
 		asked:     map[string]time.Time{},
 		load:      assumedLoad,
+		loaded:    map[string]backend.Load{},
 	}
 }
 
@@ -187,13 +191,19 @@
 // Idle reports whether no order is under way.
 func (machine *Machine) Idle() bool { return len(machine.pending) == 0 }
 
-// Loading returns the servers that are being moved, with their new versions.
-func (machine *Machine) Loading() map[string]int64 {
-	loading := make(map[string]int64, len(machine.pending))
+// Loads returns how far the roll-out is, in a fixed order.
+func (machine *Machine) Loads() backend.Loads {
+	loads := backend.Loads{}
 	for instance, known := range machine.pending {
-		loading[instance] = known.order.Version
+		loads.Loading = append(loads.Loading, backend.Load{Instance: instance, Model: known.order.Model, Version: known.order.Version})
 	}
-	return loading
+	for _, load := range machine.loaded {
+		loads.Loaded = append(loads.Loaded, load)
+	}
+	byInstance := func(first, second backend.Load) int { return strings.Compare(first.Instance, second.Instance) }
+	slices.SortFunc(loads.Loading, byInstance)
+	slices.SortFunc(loads.Loaded, byInstance)
+	return loads
 }
 
 // Step returns what to do now.
@@ -213,6 +223,9 @@
 	for _, name := range slices.Sorted(maps.Keys(services)) {
 		actions = append(actions, machine.stepService(now, targets, services[name])...)
 	}
+	if machine.Idle() && !Behind(targets, servers, now) {
+		clear(machine.loaded)
+	}
 	return actions
 }
 
@@ -229,7 +242,7 @@
 				actions = append(actions, machine.chase(now, known, server)...)
 				continue
 			}
-			delete(machine.pending, server.Instance)
+			machine.finish(server.Instance)
 			actions = append(actions, Loaded{Order: known.order, Took: now.Sub(known.begunAt)})
 		}
 		one, lacks := targets.of(server, now)
@@ -268,6 +281,14 @@
 	return []Action{Inspect{Server: server}}
 }
 
+// finish notes that an order has shown its effect. What is loaded is told until
+// the roll-out is over: by then the list of servers shows it.
+func (machine *Machine) finish(instance string) {
+	order := machine.pending[instance].order
+	machine.loaded[instance] = backend.Load{Instance: instance, Model: order.Model, Version: order.Version}
+	delete(machine.pending, instance)
+}
+
 // underWay reports whether an order has not shown its effect yet. When it has,
 // the time that it took is learned.
 func (machine *Machine) underWay(now time.Time, known *pending, server backend.Server) bool {
--- a/internal/rollout/machine_test.go
+++ b/internal/rollout/machine_test.go
@@ -246,11 +246,34 @@
 }
 
 func TestTheStateSaysWhoLoads(t *testing.T) {
-	state := State{Holder: "n", Active: true, Loading: map[string]int64{"b": 2, "a": 3}}
+	loads := backend.Loads{Loading: []backend.Load{{Instance: "a", Model: model, Version: 3}}, Loaded: []backend.Load{{Instance: "b", Model: model, Version: 3}}}
+	state := State{Holder: "n", Active: true, Loads: loads}
 	decoded, err := DecodeState(state.Encode())
 	require.NoError(t, err)
 	require.Equal(t, state, decoded)
-	require.Equal(t, state.Encode(), State{Holder: "n", Active: true, Loading: map[string]int64{"a": 3, "b": 2}}.Encode())
 	_, err = DecodeState([]byte("idle"))
 	require.Error(t, err)
 }
+
+func TestWhatIsLoadedIsToldUntilTheRolloutIsOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	targets := Targets{Within: time.Minute, Latest: time.Hour, Weights: map[string]catalog.Namings{model: {{Version: 2, NotNamedAt: now}}}}
+	machine := NewMachine()
+	at := func(versions ...int64) []backend.Server {
+		servers := []backend.Server{}
+		for number, version := range versions {
+			instance := fmt.Sprint("i-", number)
+			servers = append(servers, backend.Server{Instance: instance, Service: "s", Versions: map[string]int64{model: version}})
+			machine.Inspected(now, instance, Report{Versions: servers[number].Versions})
+		}
+		return servers
+	}
+	first := backend.Load{Instance: "i-0", Model: model, Version: 2}
+	second := backend.Load{Instance: "i-1", Model: model, Version: 2}
+	machine.Step(now, targets, at(1, 1))
+	require.Equal(t, backend.Loads{Loading: []backend.Load{first}}, machine.Loads())
+	machine.Step(now, targets, at(2, 1))
+	require.Equal(t, backend.Loads{Loading: []backend.Load{second}, Loaded: []backend.Load{first}}, machine.Loads())
+	machine.Step(now, targets, at(2, 2))
+	require.Equal(t, backend.Loads{}, machine.Loads())
+}
