End requests that have not begun when their server's weights must stop serving

Ruled out: the order; it went out at 10.89 s, as soon as the new holder could act.

Change: an attempt at old weights has a time by which it must have begun; then it is ended, and tried elsewhere if it may be.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -57,6 +57,7 @@
 	"broken":     "the attempt broke after it was sent: it may have run",
 	"silent":     "nothing was heard of the attempt for too long",
 	"answered":   "the server answered with a failure of its own",
+	"late":       "it had not begun when the server's old weights had to stop serving",
 	"expired":    "the request's time was over",
 	"callerleft": "the caller left",
 	"stopping":   "the node stopped",
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -78,6 +78,9 @@
 	// Doubtful reports whether an attempt that has been silent for a time is
 	// better tried elsewhere.
 	Doubtful(silent time.Duration) bool
+	// StartBy is when the attempt must have begun, or it is ended; zero means that
+	// it may begin at any time.
+	StartBy() time.Time
 	// End says that the attempt is over.
 	End(result Result)
 }
@@ -155,6 +158,7 @@
 	kept      *Answer
 	raw       []byte
 	silence   *time.Timer
+	late      *time.Timer
 	patience  time.Duration
 	heardAt   time.Time
 }
@@ -167,9 +171,9 @@
 		request: request,
 		machine: NewMachine(request.Rules, request.Budget, request.ResumeAfter),
 		started: started,
-		silence: time.NewTimer(time.Hour),
+		silence: stoppedTimer(),
+		late:    stoppedTimer(),
 	}
-	run.silence.Stop()
 	run.queue = run.machine.Start(started)
 	for !run.machine.Finished() || len(run.queue) > 0 {
 		if len(run.queue) == 0 {
@@ -185,6 +189,12 @@
 	return run.outcome
 }
 
+func stoppedTimer() *time.Timer {
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return timer
+}
+
 func (run *run) step(event Event) {
 	if run.request.Observe != nil {
 		server := ""
@@ -208,6 +218,8 @@
 		run.step(message.event)
 	case <-run.silence.C:
 		run.doubt()
+	case <-run.late.C:
+		run.step(Late{})
 	case <-ctx.Done():
 		run.step(run.over(ctx))
 	case <-run.request.Stopping:
@@ -228,6 +240,7 @@
 func (run *run) heard(event Event) {
 	switch event.(type) {
 	case Opened, Arrived:
+		run.late.Stop()
 		run.placement.Started()
 		run.listen(run.request.Patience.Between)
 	}
@@ -329,6 +342,9 @@
 	run.result = ResultNeutral
 	run.inbox = make(chan message)
 	run.listen(run.request.Patience.First)
+	if by := run.placement.StartBy(); !by.IsZero() {
+		run.late.Reset(time.Until(by))
+	}
 	go perform(attempt, run.placement, action, run.inbox)
 }
 
@@ -338,6 +354,7 @@
 		return
 	}
 	run.silence.Stop()
+	run.late.Stop()
 	if run.cancel != nil {
 		run.cancel()
 	}
--- a/internal/exchange/driver_test.go
+++ b/internal/exchange/driver_test.go
@@ -24,6 +24,7 @@
 	next    int
 	results []Result
 	doubts  func(silent time.Duration) bool
+	startBy time.Duration
 }
 
 func (servers *servers) Place([]string) (Placement, *Unplaced) {
@@ -44,6 +45,12 @@
 func (placed *placed) Doubtful(silent time.Duration) bool {
 	return placed.servers.doubts != nil && placed.servers.doubts(silent)
 }
+func (placed *placed) StartBy() time.Time {
+	if placed.servers.startBy == 0 || placed.number > 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(placed.servers.startBy)
+}
 func (placed *placed) End(result Result) {
 	placed.servers.results = append(placed.servers.results, result)
 }
@@ -194,3 +201,30 @@
 	require.Equal(t, 3, asked)
 	require.Equal(t, []Result{ResultSilent, ResultServed}, chosen.results)
 }
+
+func TestAnAttemptThatDoesNotBeginInTimeIsEnded(t *testing.T) {
+	for _, rules := range []Rules{once, twice} {
+		ended := make(chan struct{})
+		slow := func(ctx context.Context, _ bool, _ int64) (*Reply, error) {
+			<-ctx.Done()
+			close(ended)
+			return nil, ctx.Err()
+		}
+		chosen := &servers{list: []server{slow, streams(2, io.EOF)}, startBy: time.Millisecond}
+		page := &page{}
+		outcome := Run(context.Background(), Request{Rules: rules, Budget: &purse{left: 1}, Placer: chosen, Caller: page})
+		<-ended
+		if rules.Repeatable {
+			require.Nil(t, outcome.Failure)
+			require.Equal(t, "1 2 ", page.text.String())
+			continue
+		}
+		require.Equal(t, failure.Unknown, outcome.Failure.Outcome)
+	}
+}
+
+func TestAStreamThatHasBegunIsNotEndedForBeingLate(t *testing.T) {
+	chosen := &servers{list: []server{streams(50, io.EOF)}, startBy: 20 * time.Second}
+	outcome := Run(context.Background(), Request{Rules: once, Budget: &purse{}, Placer: chosen, Caller: &page{}})
+	require.Nil(t, outcome.Failure)
+}
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -74,6 +74,9 @@
 // Silent says that nothing was heard of the attempt for longer than expected.
 type Silent struct{}
 
+// Late says that the attempt has not begun by the time by which it must.
+type Late struct{}
+
 // Expired says that the request's time is over.
 type Expired struct{}
 
@@ -93,6 +96,7 @@
 func (Ended) event()      {}
 func (Broken) event()     {}
 func (Silent) event()     {}
+func (Late) event()       {}
 func (Expired) event()    {}
 func (Stopping) event()   {}
 func (CallerLeft) event() {}
@@ -241,6 +245,8 @@
 		return machine.another(now, "the attempt broke: "+event.Reason, true)
 	case Silent:
 		return machine.silent(now)
+	case Late:
+		return machine.another(now, "it did not begin in time", true)
 	case Expired:
 		return machine.abandon(failure.KindDeadline, "the request's time is over", "allow it more time, or send it again")
 	case Stopping:
--- a/internal/exchange/machine_test.go
+++ b/internal/exchange/machine_test.go
@@ -84,7 +84,7 @@
 	case Refused, Unreached:
 		observer.mayRun--
 		observer.inFlight = false
-	case Answered, Ended, Broken:
+	case Answered, Ended, Broken, Late:
 		observer.inFlight = false
 	}
 	actions := observer.machine.Step(observer.now, event)
@@ -113,7 +113,7 @@
 	}
 	event := rapid.SampledFrom([]Event{
 		Opened{}, Opened{}, Answered{}, Answered{Faulty: true}, Refused{Reason: "full"}, Unreached{Reason: "dark"},
-		Broken{Reason: "reset"}, Silent{}, Expired{}, CallerLeft{}, Stopping{},
+		Broken{Reason: "reset"}, Silent{}, Late{}, Expired{}, CallerLeft{}, Stopping{},
 	}).Draw(observer.t, "attempt")
 	_, observer.streamed = event.(Opened)
 	return event
--- a/internal/plain/forwarder.go
+++ b/internal/plain/forwarder.go
@@ -157,6 +157,9 @@
 // Doubtful never gives up on a silent server before the request's time is over.
 func (placement *placement) Doubtful(time.Duration) bool { return false }
 
+// StartBy is never: plain requests may begin at any time.
+func (placement *placement) StartBy() time.Time { return time.Time{} }
+
 // End tells the chooser how the attempt went.
 func (placement *placement) End(result exchange.Result) {
 	failed := result != exchange.ResultServed && result != exchange.ResultFaulty && result != exchange.ResultNeutral
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -128,6 +128,16 @@
 	return silent >= target/2
 }
 
+// StartBy is when the request must have begun if the server's weights are not the
+// newest: it may wait in the server's queue until they must not serve any more.
+func (placement *placement) StartBy() time.Time {
+	prompt := placement.placer.prompt()
+	if prompt == nil {
+		return time.Time{}
+	}
+	return placement.placer.proxy.lastStart(prompt.Model, placement.chosen.Version)
+}
+
 // reading is the time that the server is allowed for reading the prompt and
 // those that were sent before it.
 func (placement *placement) reading() time.Duration {
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -225,3 +225,20 @@
 	found := proxy.started.Add(proxy.bounds.Contact - contactMargin - tolerated)
 	return belief.Weights[model].Required(now.Add(-tolerated), found)
 }
+
+// lastStart is when a request must have begun on a version of a model's weights;
+// zero if it is the newest.
+func (proxy *Proxy) lastStart(model string, version int64) time.Time {
+	belief := proxy.belief.Load()
+	naming, replaced := belief.Weights[model].After(version)
+	switch {
+	case !replaced:
+		return time.Time{}
+	case naming.NotNamedAt.IsZero():
+		return proxy.started.Add(proxy.bounds.Contact - startMargin)
+	case naming.NotNamedAt.Before(belief.Disturbed):
+		return belief.Disturbed.Add(proxy.bounds.Weights - startMargin)
+	default:
+		return naming.NotNamedAt.Add(proxy.bounds.Weights - startMargin)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -106,6 +106,9 @@
 	answerMargin = 500 * time.Millisecond
 	// weightsMargin is the longest wait in a server's queue that is allowed for.
 	weightsMargin = 1500 * time.Millisecond
+	// startMargin is kept free below the bound on weights for ending a request that
+	// has not begun.
+	startMargin = 300 * time.Millisecond
 	// contactMargin is kept free below Bounds.Contact. Until then a node tolerates
 	// any weights, since it cannot know when the newest were named.
 	contactMargin = 300 * time.Millisecond
