Keep the duty of ordering while a stopping node drains

Cause: each change of the holder costs the fleet 3 s, and a planned stop gave the duty away although the process lived on for seconds.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -175,10 +176,12 @@
 	return belief.Snapshot.Store().Address
 }
 
-// keep starts the duties that nodes share.
-func (process *process) keep(ctx context.Context) {
+// keep starts the duties that nodes share. The returned channel is closed when
+// they have been handed back after the context's end.
+func (process *process) keep(ctx context.Context) <-chan struct{} {
 	bounds := process.settings.Bounds
-	go process.registry.Run(ctx)
+	handedBack := sync.WaitGroup{}
+	handedBack.Go(func() { process.registry.Run(ctx) })
 	keeper := &lease.Keeper{
 		Store: process.store,
 		Duty: &rollout.Duty{
@@ -202,7 +205,7 @@
 		Exists:    process.registry.Exists,
 		FirstSeen: process.registry.FirstSeen,
 	}
-	go keeper.Run(ctx)
+	handedBack.Go(func() { keeper.Run(ctx) })
 	follower := &rollout.Follower{
 		Store:    process.store,
 		Take:     process.takeLoads,
@@ -210,4 +213,10 @@
 		Key:      platform.KeyRolloutState,
 	}
 	go follower.Run(ctx)
+	done := make(chan struct{})
+	go func() {
+		handedBack.Wait()
+		close(done)
+	}()
+	return done
 }
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -72,7 +72,9 @@
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	go process.reflector.Run(ctx)
 	process.followStore(ctx)
-	process.keep(told)
+	keeping, handBack := context.WithCancel(ctx)
+	defer handBack()
+	handedBack := process.keep(keeping)
 	ready := func() bool { return !process.stopping.Load() && process.proxy.Ready(time.Now()) }
 	if _, err := serve(given.ReadinessAddress, platform.ReadinessHandler(ready)); err != nil {
 		return err
@@ -93,10 +95,17 @@
 	<-told.Done()
 	process.stopping.Store(true)
 	process.log.Info().Int("open", process.proxy.Open()).Msg("stopping")
+	// Duties go on while open requests are waited for: a change of their holder
+	// costs the fleet more than a late one.
 	process.proxy.Drain(ctx, given.Grace)
+	handBack()
 	ending, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
 	_ = callers.Shutdown(ending)
+	select {
+	case <-handedBack:
+	case <-ending.Done():
+	}
 	process.log.Info().Msg("stopped")
 	return nil
 }
