Spread readers over zones, and follow the nearest

A reading of 3,300 entries takes long, so readers looked stale at 1.2 s; followers changed readers at every question and got whole lists.

Change: ranks by a hash of the name; readers of the own zone first; a reader is left only when its list is 2.5 s old, counted from the end of its reading.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -99,6 +99,7 @@
 		Name:    given.Name,
 		Life:    life,
 		Address: given.PeerAddress,
+		Zone:    given.Zone,
 		Resized: process.resize,
 	}
 	process.reflector = process.newReflector()
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/coordination"
+	"github.com/cloverrail/cloverrail/internal/prefix"
 )
 
 const (
@@ -33,15 +35,17 @@
 	Name   string
 	// Life names this life of the node's process.
 	Life string
-	// Address is where other nodes reach this one.
+	// Address is where other nodes reach this one, and Zone where it stands.
 	Address string
+	Zone    string
 	// Resized hears of the number of nodes after each observation.
 	Resized func(nodes int)
 
 	mutex sync.Mutex
-	// names holds all nodes in their order, and addresses where they are reached.
-	names     []string
-	addresses map[string]string
+	// names holds all nodes in the order of a hash, which spreads the first ones
+	// over the zones, and places where they are reached.
+	names  []string
+	places map[string]place
 	// begun is when the fleet was first observed; settled, that the places in it
 	// may be relied on.
 	begun   time.Time
@@ -49,6 +53,12 @@
 	seen    map[string]sighting
 }
 
+// place is where a node is reached.
+type place struct {
+	address string
+	zone    string
+}
+
 // sighting is when a key was first seen at a revision.
 type sighting struct {
 	revision int64
@@ -95,7 +105,7 @@
 	if err != nil {
 		return 0
 	}
-	if _, _, err := registry.Store.Create(ctx, registry.key(), []byte(registry.Address), granted.ID); err != nil {
+	if _, _, err := registry.Store.Create(ctx, registry.key(), []byte(registry.Address+" "+registry.Zone), granted.ID); err != nil {
 		return 0
 	}
 	return granted.ID
@@ -104,13 +114,14 @@
 // Observe takes what the fleet keeps in the store: it counts the nodes, and
 // notes what it sees of other keys.
 func (registry *Registry) Observe(entries []coordination.Entry, now time.Time) {
-	addresses := map[string]string{registry.Name: registry.Address}
+	places := map[string]place{registry.Name: {address: registry.Address, zone: registry.Zone}}
 	seen := map[string]sighting{}
 	registry.mutex.Lock()
 	for _, entry := range entries {
 		if rest, found := strings.CutPrefix(entry.Key, registry.Prefix); found {
 			name, _, _ := strings.Cut(rest, "/")
-			addresses[name] = string(entry.Value)
+			address, zone, _ := strings.Cut(string(entry.Value), " ")
+			places[name] = place{address: address, zone: zone}
 			continue
 		}
 		known := registry.seen[entry.Key]
@@ -119,9 +130,9 @@
 		}
 		seen[entry.Key] = known
 	}
-	registry.seen, registry.addresses = seen, addresses
+	registry.seen, registry.places = seen, places
 	registry.settle(entries, now)
-	registry.names = slices.Sorted(maps.Keys(addresses))
+	registry.names = slices.SortedFunc(maps.Keys(places), byHash)
 	nodes := len(registry.names)
 	registry.mutex.Unlock()
 	registry.Resized(nodes)
@@ -162,15 +173,28 @@
 	return registry.settled
 }
 
-// Addresses returns where the first nodes of the fleet are reached.
+// byHash orders names alike on all nodes.
+func byHash(first, second string) int {
+	if order := cmp.Compare(prefix.KeyOf(first), prefix.KeyOf(second)); order != 0 {
+		return order
+	}
+	return strings.Compare(first, second)
+}
+
+// Addresses returns where the first nodes of the fleet are reached, those of this
+// node's zone before others.
 func (registry *Registry) Addresses(most int) []string {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	addresses := []string{}
+	near, far := []string{}, []string{}
 	for _, name := range registry.names[:min(most, len(registry.names))] {
-		addresses = append(addresses, registry.addresses[name])
+		if place := registry.places[name]; place.zone == registry.Zone {
+			near = append(near, place.address)
+		} else {
+			far = append(far, place.address)
+		}
 	}
-	return addresses
+	return append(near, far...)
 }
 
 // Exists reports whether the last observation showed a key.
@@ -193,8 +217,7 @@
 func (registry *Registry) Rank() int {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	rank, _ := slices.BinarySearch(registry.names, registry.Name)
-	return rank
+	return max(0, slices.Index(registry.names, registry.Name))
 }
 
 // FirstSeen returns when a key was first seen at the revision, or zero.
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -11,7 +11,7 @@
 	askWait   = 400 * time.Millisecond
 	askMargin = 200 * time.Millisecond
 	// staleAfter is the age of a reader's list from which another reader is asked.
-	staleAfter = 1200 * time.Millisecond
+	staleAfter = 2500 * time.Millisecond
 	idlePause  = 100 * time.Millisecond
 )
 
@@ -27,8 +27,8 @@
 			wait(ctx, idlePause)
 			continue
 		}
-		// Nodes begin with different readers, so that each has few followers.
-		reader := readers[(reflector.Registry.Rank()+turn)%len(readers)]
+		// The nearest reader comes first, and then the next one.
+		reader := readers[turn%len(readers)]
 		if reader != told {
 			told = reader
 			reflector.Recorder.Follows(reader)
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -141,7 +141,7 @@
 	}
 	reflector.Recorder.Listed(reflector.Set.Update(observation.Servers, time.Now()))
 	reflector.Registry.Observe(observation.Fleet, time.Now())
-	reflector.Feed.Take(observation.Servers, now)
+	reflector.Feed.Take(observation.Servers, time.Now())
 	reflector.fleetAt = now
 	return observation, nil
 }
