--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -37,61 +37,12 @@
 	version  int64
 }
 
-// The document of the configuration, as operators write it.
-type document struct {
-	Version  int64           `json:"version"`
-	Routes   []routeEntry    `json:"routes"`
-	Services []serviceEntry  `json:"services"`
-	Limits   limitsEntry     `json:"limits"`
-	Tenants  []tenantEntry   `json:"tenants"`
-	Unknown  map[string]bool `json:"unknown_field"`
-}
-
-type routeEntry struct {
-	Name          string `json:"name"`
-	Host          string `json:"host"`
-	PathPrefix    string `json:"path_prefix"`
-	Kind          string `json:"kind"`
-	Timeout       int    `json:"timeout_ms"`
-	TargetLatency int    `json:"target_latency_ms"`
-	GapTarget     int    `json:"gap_target_ms,omitempty"`
-	Service       string `json:"service"`
-	MaxAttempts   int    `json:"max_attempts"`
-	Public        bool   `json:"public"`
-	Resumable     bool   `json:"resumable"`
-}
-
-type engineEntry struct {
-	Slots          int     `json:"slots"`
-	CapacityTokens int     `json:"kv_capacity_tokens"`
-	TokenBytes     float64 `json:"kv_token_bytes"`
-	LinkMegabits   float64 `json:"link_mbps"`
-}
-
-type serviceEntry struct {
-	Name         string       `json:"name"`
-	Engine       *engineEntry `json:"engine,omitempty"`
-	StoreAddress string       `json:"kv_store_addr,omitempty"`
-	Capacity     int          `json:"kv_capacity_tokens,omitempty"`
-}
-
-type limitsEntry struct {
-	MaxHeaderBytes int `json:"max_header_bytes"`
-	MaxBodyBytes   int `json:"max_body_bytes"`
-}
-
-type tenantEntry struct {
-	Name     string   `json:"name"`
-	Keys     []string `json:"api_keys"`
-	Isolated bool     `json:"isolated"`
-}
-
 const keptAddress = "127.0.0.1:9"
 
-func declared(version int64, keys ...string) document {
-	return document{
+func declared(version int64, keys ...string) standin.Document {
+	return standin.Document{
 		Version: version,
-		Routes: []routeEntry{
+		Routes: []standin.Route{
 			{Name: "once", Host: host, PathPrefix: "/once/", Kind: "non_idempotent", Timeout: 15000, TargetLatency: 300, Service: "plain", MaxAttempts: 1},
 			{Name: "again", Host: host, PathPrefix: "/again/", Kind: "idempotent", Timeout: 15000, TargetLatency: 300, Service: "plain", MaxAttempts: 3},
 			{Name: "short", Host: host, PathPrefix: "/short/", Kind: "non_idempotent", Timeout: 100, TargetLatency: 50, Service: "plain", MaxAttempts: 1},
@@ -99,13 +50,13 @@
 			{Name: "fixed", Host: host, PathPrefix: "/fixed/", Kind: "streaming", Timeout: 15000, TargetLatency: 800, GapTarget: 500, Service: "engines", MaxAttempts: 1},
 			{Name: "open", Host: host, PathPrefix: "/open/", Kind: "idempotent", Timeout: 15000, TargetLatency: 300, Service: "plain", MaxAttempts: 1, Public: true},
 		},
-		Services: []serviceEntry{
+		Services: []standin.Service{
 			{Name: "plain"},
-			{Name: "engines", Engine: &engineEntry{Slots: 8, CapacityTokens: 100_000, TokenBytes: 1000, LinkMegabits: 1e6}},
+			{Name: "engines", Engine: &standin.Engine{Slots: 8, CapacityTokens: 100_000, TokenBytes: 1000, LinkMegabits: 1e6}},
 			{Name: "kept", StoreAddress: keptAddress, Capacity: 1_000_000},
 		},
-		Limits:  limitsEntry{MaxHeaderBytes: 4096, MaxBodyBytes: 1000},
-		Tenants: []tenantEntry{{Name: "one", Keys: keys}, {Name: "two", Keys: []string{"key-of-two"}, Isolated: true}},
+		Limits:  standin.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 1000},
+		Tenants: []standin.Tenant{{Name: "one", Keys: keys}, {Name: "two", Keys: []string{"key-of-two"}, Isolated: true}},
 	}
 }
 
@@ -158,14 +109,14 @@
 	if server.Model != "" {
 		service = "engines"
 	}
-	fixture.store.Put("servers/"+server.Instance, server.Entry(service, address, "a", state))
+	fixture.store.Put(standin.PrefixServers+server.Instance, server.Entry(service, address, "a", state))
 }
 
 // declare puts a newer declaration, in which tenant one holds the keys.
 func (fixture *fixture) declare(keys ...string) {
 	fixture.version++
 	version := fixture.version
-	fixture.store.Put("op/config", declared(version, keys...))
+	fixture.store.Put(standin.KeyConfiguration, declared(version, keys...))
 	fixture.until(func() bool {
 		belief := fixture.process.belief.Load()
 		return belief != nil && belief.Snapshot != nil && belief.Snapshot.Version >= version
@@ -191,8 +142,8 @@
 	request, err := http.NewRequest(method, fixture.front.URL+path, strings.NewReader(body))
 	require.NoError(fixture.t, err)
 	request.Host = host
-	request.Header.Set("Cloverrail-Request-Id", fmt.Sprint("request-", fixture.requests.Add(1)))
-	request.Header.Set("Cloverrail-Deadline-Ms", "15000")
+	request.Header.Set(standin.HeaderRequestID, fmt.Sprint("request-", fixture.requests.Add(1)))
+	request.Header.Set(standin.HeaderDeadline, "15000")
 	request.Header.Set("Authorization", "Bearer "+key)
 	if change != nil {
 		change(request)
@@ -208,9 +159,9 @@
 
 // prompt adds what a request tells of its prompt.
 func prompt(request *http.Request) {
-	request.Header.Set("Cloverrail-Model", model)
-	request.Header.Set("Cloverrail-Token-Count", "1460,80")
-	request.Header.Set("Cloverrail-Prompt-Prefix", "5c1e:800,91bd:410,e440:250")
+	request.Header.Set(standin.HeaderModel, model)
+	request.Header.Set(standin.HeaderTokenCount, "1460,80")
+	request.Header.Set(standin.HeaderPromptPrefix, "5c1e:800,91bd:410,e440:250")
 }
 
 func plainServer(instance string, manner standin.Manner) *standin.Server {
--- a/cmd/cloverrail/proxy_test.go
+++ b/cmd/cloverrail/proxy_test.go
@@ -20,25 +20,25 @@
 		request.Header.Set("X-Kept", "yes")
 		request.Header.Set("X-Hop", "no")
 		request.Header.Set("Connection", "X-Hop")
-		request.Header.Set("Cloverrail-Tenant", "two")
-		request.Header.Set("Cloverrail-Cache-Salt", "stolen")
-		request.Header.Set("Cloverrail-Hold", "stolen")
-		request.Header.Set("Kv-From", "stolen")
+		request.Header.Set(standin.HeaderTenant, "two")
+		request.Header.Set(standin.HeaderSalt, "stolen")
+		request.Header.Set(standin.HeaderHold, "stolen")
+		request.Header.Set(standin.HeaderBackupFrom, "stolen")
 	})
 	require.Equal(t, http.StatusCreated, got.status)
 	require.Equal(t, "done", got.body)
-	require.Equal(t, "i-1.stamp", got.header.Get("Cloverrail-Response-Stamp"))
+	require.Equal(t, "i-1.stamp", got.header.Get(standin.HeaderStamp))
 	arrival := server.Arrivals()[0]
 	require.Equal(t, "/once/a%2Fb/../c?x=1&y=%20", arrival.Target)
 	require.Equal(t, "turn", string(arrival.Body))
 	require.Equal(t, host, arrival.Host)
 	require.Equal(t, "yes", arrival.Header.Get("X-Kept"))
-	require.Equal(t, "one", arrival.Header.Get("Cloverrail-Tenant"))
-	require.Equal(t, "i-1", arrival.Header.Get("Cloverrail-Expect-Instance"))
-	for _, name := range []string{"Authorization", "X-Hop", "Cloverrail-Cache-Salt", "Cloverrail-Hold", "Kv-From"} {
+	require.Equal(t, "one", arrival.Header.Get(standin.HeaderTenant))
+	require.Equal(t, "i-1", arrival.Header.Get(standin.HeaderExpectInstance))
+	for _, name := range []string{"Authorization", "X-Hop", standin.HeaderSalt, standin.HeaderHold, standin.HeaderBackupFrom} {
 		require.Empty(t, arrival.Header.Get(name), name)
 	}
-	left, err := strconv.Atoi(arrival.Header.Get("Cloverrail-Deadline-Ms"))
+	left, err := strconv.Atoi(arrival.Header.Get(standin.HeaderDeadline))
 	require.NoError(t, err)
 	require.LessOrEqual(t, left, 15000)
 }
@@ -54,7 +54,7 @@
 				got := fixture.send(method, "/once/", "", nil)
 				require.Equal(t, http.StatusBadGateway, got.status)
 				require.Empty(t, got.header.Get("Retry-After"), "nothing is promised")
-				require.Empty(t, got.header.Get("Cloverrail-Response-Stamp"))
+				require.Empty(t, got.header.Get(standin.HeaderStamp))
 			}
 			require.Equal(t, 2, first.Runs()+second.Runs())
 		})
@@ -93,7 +93,7 @@
 	got := fixture.send(http.MethodPost, "/once/", "turn", nil)
 	require.Equal(t, http.StatusInternalServerError, got.status)
 	require.Equal(t, "sorry", got.body)
-	require.Equal(t, "i-1.stamp", got.header.Get("Cloverrail-Response-Stamp"))
+	require.Equal(t, "i-1.stamp", got.header.Get(standin.HeaderStamp))
 }
 
 func TestABrokenStreamGoesOnElsewhere(t *testing.T) {
@@ -119,10 +119,10 @@
 	fixture := newFixture(t).serve(server)
 	got := fixture.send(http.MethodPost, "/stream/", "prompt", func(request *http.Request) {
 		prompt(request)
-		request.Header.Set("Last-Event-Id", "2")
+		request.Header.Set(standin.HeaderLastEvent, "2")
 	})
 	require.Equal(t, events(4)[len(events(2)):], got.body)
-	require.Equal(t, "2", server.Arrivals()[0].Header.Get("Last-Event-Id"))
+	require.Equal(t, "2", server.Arrivals()[0].Header.Get(standin.HeaderLastEvent))
 }
 
 func TestPromptsCarryWallAndVersion(t *testing.T) {
@@ -136,11 +136,11 @@
 	arrivals := server.Arrivals()
 	require.Len(t, arrivals, 2)
 	shared, walled := arrivals[0].Header, arrivals[1].Header
-	require.NotEmpty(t, shared.Get("Cloverrail-Cache-Salt"))
-	require.NotEqual(t, shared.Get("Cloverrail-Cache-Salt"), walled.Get("Cloverrail-Cache-Salt"), "tenant two is isolated")
-	require.Equal(t, "1", shared.Get("Cloverrail-Expect-Version"))
-	require.Equal(t, keptAddress, shared.Get("Cloverrail-Kv-Fetch"))
-	require.Equal(t, "5c1e:800,91bd:410,e440:250", shared.Get("Cloverrail-Prompt-Prefix"))
+	require.NotEmpty(t, shared.Get(standin.HeaderSalt))
+	require.NotEqual(t, shared.Get(standin.HeaderSalt), walled.Get(standin.HeaderSalt), "tenant two is isolated")
+	require.Equal(t, "1", shared.Get(standin.HeaderExpectVersion))
+	require.Equal(t, keptAddress, shared.Get(standin.HeaderFetch))
+	require.Equal(t, "5c1e:800,91bd:410,e440:250", shared.Get(standin.HeaderPromptPrefix))
 }
 
 func TestWhatIsWrongIsRefusedAtOnce(t *testing.T) {
@@ -162,11 +162,11 @@
 		"no key":        {"/once/", "", without("Authorization"), http.StatusUnauthorized},
 		"unknown key":   {"/once/", "", with("Authorization", "Bearer x"), http.StatusUnauthorized},
 		"no route":      {"/none/", "", nil, http.StatusNotFound},
-		"no id":         {"/once/", "", without("Cloverrail-Request-Id"), http.StatusBadRequest},
-		"bad deadline":  {"/once/", "", with("Cloverrail-Deadline-Ms", "soon"), http.StatusBadRequest},
+		"no id":         {"/once/", "", without(standin.HeaderRequestID), http.StatusBadRequest},
+		"bad deadline":  {"/once/", "", with(standin.HeaderDeadline, "soon"), http.StatusBadRequest},
 		"long body":     {"/once/", strings.Repeat("x", 1001), nil, http.StatusRequestEntityTooLarge},
 		"long head":     {"/once/", "", with("X-Long", strings.Repeat("x", 5000)), http.StatusRequestHeaderFieldsTooLarge},
-		"broken prompt": {"/stream/", "", func(request *http.Request) { prompt(request); request.Header.Set("Cloverrail-Prompt-Prefix", "a") }, http.StatusBadRequest},
+		"broken prompt": {"/stream/", "", func(request *http.Request) { prompt(request); request.Header.Set(standin.HeaderPromptPrefix, "a") }, http.StatusBadRequest},
 	} {
 		require.Equal(t, one.status, fixture.send(http.MethodPost, one.path, one.body, one.change).status, name)
 	}
@@ -197,9 +197,9 @@
 
 func TestUnreadableEntriesStopNothing(t *testing.T) {
 	fixture := newFixture(t).serve(plainServer("i-1", standin.Answers(http.StatusOK, "done")))
-	fixture.store.Put("servers/i-broken", "not an entry")
-	fixture.store.Put("op/version/x", 7)
-	fixture.store.Put("op/config", "not a document")
+	fixture.store.Put(standin.PrefixServers+"i-broken", "not an entry")
+	fixture.store.PutVersion("x", 7)
+	fixture.store.Put(standin.KeyConfiguration, "not a document")
 	fixture.add(plainServer("i-2", standin.Answers(http.StatusOK, "done")))
 	fixture.until(func() bool { return len(fixture.process.set.Servers()) == 2 })
 	require.Equal(t, http.StatusOK, fixture.send(http.MethodGet, "/again/", "", nil).status, "the last good declaration stays")
@@ -228,8 +228,8 @@
 	fixture.declare(key)
 	fixture.until(func() bool { return len(fixture.process.set.Servers()) == 1 })
 	server, _ := fixture.process.set.Find("i-other")
-	fixture.store.Put("servers/i-gone", plainServer("i-gone", nil).Entry("plain", server.Address, "a", "ready"))
-	fixture.store.Remove("servers/i-other")
+	fixture.store.Put(standin.PrefixServers+"i-gone", plainServer("i-gone", nil).Entry("plain", server.Address, "a", "ready"))
+	fixture.store.Remove(standin.PrefixServers + "i-other")
 	fixture.until(func() bool { _, found := fixture.process.set.Find("i-gone"); return found })
 	got := fixture.send(http.MethodPost, "/once/", "turn", nil)
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
@@ -245,7 +245,7 @@
 	}
 	fixture := newFixture(t).serve(servers...)
 	for version := int64(2); version <= 3; version++ {
-		fixture.store.Put("op/version/"+model, map[string]any{"model": model, "version": version})
+		fixture.store.NameVersion(model, version)
 		fixture.until(func() bool {
 			got := fixture.send(http.MethodPost, "/stream/", "prompt", prompt)
 			require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, got.status)
