--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/platform"
 	"github.com/cloverrail/cloverrail/platform/standin"
@@ -123,6 +124,16 @@
 	})
 }
 
+// known returns what the proxy believes of a listed server.
+func (fixture *fixture) known(instance string) (backend.Server, bool) {
+	for _, server := range fixture.process.set.Servers() {
+		if server.Instance == instance {
+			return server, true
+		}
+	}
+	return backend.Server{}, false
+}
+
 func (fixture *fixture) until(condition func() bool) {
 	fixture.t.Helper()
 	require.Eventually(fixture.t, condition, eventually, 5*time.Millisecond)
--- a/cmd/cloverrail/proxy_test.go
+++ b/cmd/cloverrail/proxy_test.go
@@ -211,7 +211,7 @@
 	fixture := newFixture(t).serve(leaving, staying)
 	fixture.list(leaving, "127.0.0.1:9", "draining")
 	fixture.until(func() bool {
-		server, found := fixture.process.set.Find("i-1")
+		server, found := fixture.known("i-1")
 		return found && server.Draining
 	})
 	before := len(leaving.Arrivals())
@@ -227,10 +227,10 @@
 	fixture.add(other)
 	fixture.declare(key)
 	fixture.until(func() bool { return len(fixture.process.set.Servers()) == 1 })
-	server, _ := fixture.process.set.Find("i-other")
+	server, _ := fixture.known("i-other")
 	fixture.store.Put(standin.PrefixServers+"i-gone", plainServer("i-gone", nil).Entry("plain", server.Address, "a", "ready"))
 	fixture.store.Remove(standin.PrefixServers + "i-other")
-	fixture.until(func() bool { _, found := fixture.process.set.Find("i-gone"); return found })
+	fixture.until(func() bool { _, found := fixture.known("i-gone"); return found })
 	got := fixture.send(http.MethodPost, "/once/", "turn", nil)
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.Zero(t, other.Runs())
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -163,17 +163,6 @@
 	return server
 }
 
-// Find returns a server by its instance.
-func (set *Set) Find(instance string) (Server, bool) {
-	set.mutex.Lock()
-	defer set.mutex.Unlock()
-	known, found := set.servers[instance]
-	if !found {
-		return Server{}, false
-	}
-	return known.server.clone(), true
-}
-
 // Learn notes the weights that a server's own answer showed.
 func (set *Set) Learn(instance string, versions map[string]int64) {
 	set.mutex.Lock()
--- a/internal/proxy/prompt.go
+++ b/internal/proxy/prompt.go
@@ -23,8 +23,7 @@
 	salt := placer.salt(version)
 	pieces := []residency.Piece{}
 	for _, part := range placer.shared() {
-		key := residency.Key(prefix.KeyOf(salt + part.ID))
-		pieces = append(pieces, residency.Piece{Key: key, Tokens: part.Tokens})
+		pieces = append(pieces, residency.Piece{Key: residency.NewKey(salt, part.ID), Tokens: part.Tokens})
 	}
 	placer.pieces[version] = pieces
 	return pieces
--- a/internal/residency/ledger.go
+++ b/internal/residency/ledger.go
@@ -6,12 +6,17 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cloverrail/cloverrail/internal/prefix"
 )
 
 // Key names one part of a prompt together with all that keeps it apart: wall,
 // model and version.
 type Key uint64
 
+// NewKey names the part with an id that is kept under a salt.
+func NewKey(salt, id string) Key { return Key(prefix.KeyOf(salt + id)) }
+
 // Piece is one part in the order of its prompt.
 type Piece struct {
 	Key    Key
