Read the settings again on SIGHUP

Cause: the signal was ignored, and nothing said so.

Change: the level of the log takes effect at once, other changes are told of as needing a restart, and a faulty file changes nothing.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,7 +67,8 @@
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	process := &process{settings: given, belief: &catalog.Holder{}, set: backend.NewSet(), store: platform.NewStore(given.StoreAddress)}
-	process.log = zerolog.New(telemetry.NewWriter(os.Stdout)).Level(level).With().Timestamp().Str("node", given.Name).Logger()
+	zerolog.SetGlobalLevel(level)
+	process.log = zerolog.New(telemetry.NewWriter(os.Stdout)).With().Timestamp().Str("node", given.Name).Logger()
 	process.metrics = telemetry.NewMetrics(process.belief)
 	process.recorder = telemetry.NewRecorder(process.log, process.metrics)
 	process.servers = platform.NewServers(platform.Connections{Connect: connectTimeout, Silence: silenceTimeout})
@@ -106,6 +108,26 @@
 	return process, nil
 }
 
+// reload reads the settings again. The level of the log takes effect at once; all
+// else is bound to sockets and duties, and takes effect at the next start.
+func (process *process) reload(file string) {
+	given, err := settings.ReadProxy(file)
+	if err != nil {
+		process.log.Error().Err(err).Msg("the settings cannot be read again and stay as they are")
+		return
+	}
+	level, err := zerolog.ParseLevel(given.LogLevel)
+	if err != nil {
+		process.log.Error().Err(err).Msg("the settings cannot be read again and stay as they are")
+		return
+	}
+	zerolog.SetGlobalLevel(level)
+	rest := given
+	rest.LogLevel = process.settings.LogLevel
+	changed := !reflect.DeepEqual(rest, process.settings)
+	process.log.Info().Str("log_level", given.LogLevel).Bool("takes_a_restart", changed).Msg("settings were read again")
+}
+
 // resize follows the number of nodes in the fleet.
 func (process *process) resize(nodes int) {
 	process.recorder.Resized(nodes)
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -43,7 +43,7 @@
 			if err != nil {
 				return err
 			}
-			return runProxy(ctx, given)
+			return runProxy(ctx, given, command.String("settings"))
 		},
 	}
 }
@@ -59,7 +59,7 @@
 }
 
 // runProxy serves until it is told to stop, and then stops as planned.
-func runProxy(ctx context.Context, given settings.Proxy) error {
+func runProxy(ctx context.Context, given settings.Proxy, file string) error {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(collectorPercent)
 	}
@@ -69,7 +69,9 @@
 	}
 	told, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	signal.Ignore(syscall.SIGPIPE)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	go process.reflector.Run(ctx)
 	process.followStore(ctx)
 	keeping, handBack := context.WithCancel(ctx)
@@ -92,7 +94,14 @@
 		return err
 	}
 	process.log.Info().Str("zone", given.Zone).Msg("started")
-	<-told.Done()
+	for running := true; running; {
+		select {
+		case <-hangups:
+			process.reload(file)
+		case <-told.Done():
+			running = false
+		}
+	}
 	process.stopping.Store(true)
 	process.log.Info().Int("open", process.proxy.Open()).Msg("stopping")
 	// Duties go on while open requests are waited for: a change of their holder
--- a/cmd/cloverrail/proxy_test.go
+++ b/cmd/cloverrail/proxy_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverrail/cloverrail/platform/standin"
@@ -286,6 +289,20 @@
 	<-ended
 }
 
+func TestSettingsAreReadAgainAndFaultyOnesStopNothing(t *testing.T) {
+	defer zerolog.SetGlobalLevel(zerolog.GlobalLevel())
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Answers(http.StatusOK, "done")))
+	file := filepath.Join(t.TempDir(), "proxy.yaml")
+	text := "name: node\nzone: a\ncallerAddress: 127.0.0.1:1\nreadinessAddress: 127.0.0.1:2\npeerAddress: 127.0.0.1:3\nstoreAddress: 127.0.0.1:4\nlogLevel: "
+	require.NoError(t, os.WriteFile(file, []byte(text+"warn\n"), 0o600))
+	fixture.process.reload(file)
+	require.Equal(t, zerolog.WarnLevel, zerolog.GlobalLevel())
+	require.NoError(t, os.WriteFile(file, []byte(text+"loud\n"), 0o600))
+	fixture.process.reload(file)
+	require.Equal(t, zerolog.WarnLevel, zerolog.GlobalLevel())
+	require.Equal(t, http.StatusOK, fixture.send(http.MethodGet, "/again/", "", nil).status)
+}
+
 func TestAPlannedStopEndsWhatIsOpenWithAnAnswer(t *testing.T) {
 	server := plainServer("i-1", standin.Hangs)
 	fixture := newFixture(t).serve(server)
