Begin with different readers, and give long readings their time

Change: each node begins with another reader of its zone; each page has a second, the whole reading four; while the fleet gathers only its registrations are read.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -87,3 +87,10 @@
 	require.Equal(t, int64(2), namings.Required(second(12), second(0)), "a newer naming does not excuse the one before")
 	require.Equal(t, int64(3), namings.Required(second(15), second(0)))
 }
+
+func TestAReadingOfNothingDatesNothing(t *testing.T) {
+	belief := Advance(nil, Reading{})
+	belief = Advance(belief, Reading{SentAt: time.Unix(1000, 0), Weights: map[string]int64{"m": 3}})
+	require.Zero(t, belief.Weights["m"][0].NotNamedAt, "it may have been named long before")
+	require.True(t, belief.Fresh(time.Unix(1001, 0), time.Second))
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -182,7 +182,7 @@
 }
 
 // Addresses returns where the first nodes of the fleet are reached, those of this
-// node's zone before others.
+// node's zone before others. Each node begins with another one of them.
 func (registry *Registry) Addresses(most int) []string {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
@@ -194,7 +194,17 @@
 			far = append(far, place.address)
 		}
 	}
-	return append(near, far...)
+	rank := max(0, slices.Index(registry.names, registry.Name))
+	return append(rotate(near, rank), rotate(far, rank)...)
+}
+
+// rotate moves the first elements of a list behind the others.
+func rotate(list []string, by int) []string {
+	if len(list) == 0 {
+		return list
+	}
+	by %= len(list)
+	return append(slices.Clone(list[by:]), list[:by]...)
 }
 
 // Exists reports whether the last observation showed a key.
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -99,6 +99,7 @@
 	}
 	ranks := map[int]bool{}
 	first := map[string]bool{}
+	begins := map[string]bool{}
 	for index, name := range names {
 		zone := string(rune('a' + index%3))
 		registry := &Registry{Prefix: "f/nodes/", Name: name, Zone: zone, Address: "addr-" + name, Resized: func(int) {}}
@@ -107,10 +108,12 @@
 		addresses := registry.Addresses(9)
 		require.Len(t, addresses, 9)
 		require.Contains(t, addresses[0], "-"+zone+"-", "every zone has one of the first")
+		begins[addresses[0]] = true
 		for _, address := range addresses {
 			first[address] = true
 		}
 	}
+	require.Greater(t, len(begins), 3, "nodes of one zone begin with different ones")
 	require.Len(t, ranks, 30, "every node has its own rank")
 	require.Len(t, first, 9, "all agree on the first")
 }
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -50,11 +50,12 @@
 }
 
 const (
-	// callTimeout bounds one reading.
-	callTimeout = time.Second
-	// soonPause is the wait after a reading that failed, and between readings while
-	// the fleet gathers.
+	// readTimeout bounds one reading, which may take several calls in a large fleet.
+	readTimeout = 4 * time.Second
+	// soonPause is the wait after a reading that failed.
 	soonPause = 100 * time.Millisecond
+	// gatherPause is the wait between readings while the fleet gathers.
+	gatherPause = 250 * time.Millisecond
 	// fleetInterval is the time between a follower's readings of the fleet.
 	fleetInterval = 4 * time.Second
 	// Readers is how many nodes read the list of servers from the store. In a
@@ -85,8 +86,11 @@
 		begun := time.Now()
 		pause := reflector.Interval
 		err := reflector.read(ctx)
-		if err != nil || !reflector.Registry.Settled() {
+		switch {
+		case err != nil:
 			pause = soonPause
+		case !reflector.Registry.Settled():
+			pause = gatherPause
 		}
 		wait(ctx, pause-time.Since(begun))
 	}
@@ -105,7 +109,7 @@
 }
 
 func (reflector *Reflector) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	begun := time.Now()
 	observation, err := reflector.observe(ctx, begun)
@@ -124,7 +128,8 @@
 // observe reads what this node's part in the fleet asks for.
 func (reflector *Reflector) observe(ctx context.Context, now time.Time) (Observation, error) {
 	if !reflector.Registry.Settled() {
-		if err := reflector.readFleet(ctx, now); err != nil {
+		if err := reflector.readFleet(ctx, now); err != nil || !reflector.Registry.Settled() {
+			// Nothing that operators wrote was read: the belief is as old as before.
 			return Observation{}, err
 		}
 	}
