Mend what a last read of the change found

What the store holds is looked up once a version, not once a server, and a feed with nothing new looks at no server. - the time from which a naming counts was worked out in two packages; it is catalog.Naming.Since now. A field of backend.Query was never read.

--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -24,7 +24,8 @@
 	// Slots is how many requests it runs at once.
 	Slots    int
 	Draining bool
-	// Versions is the loaded version of each model.
+	// Versions is the loaded version of each model. It is not changed once it is set:
+	// a change makes a copy.
 	Versions map[string]int64
 }
 
@@ -141,7 +142,7 @@
 	servers := make([]Server, 0, len(set.servers))
 	for _, known := range set.servers {
 		if known.listed {
-			servers = append(servers, known.server.clone())
+			servers = append(servers, known.server)
 		}
 	}
 	return servers
@@ -156,9 +157,7 @@
 
 func (server Server) clone() Server {
 	versions := make(map[string]int64, len(server.Versions))
-	for model, version := range server.Versions {
-		versions[model] = version
-	}
+	maps.Copy(versions, server.Versions)
 	server.Versions = versions
 	return server
 }
@@ -233,9 +232,7 @@
 	// its weights that may still serve.
 	Model          string
 	MinimumVersion int64
-	// PreferredVersion is the newest one named.
-	PreferredVersion int64
-	Distance         Distance
+	Distance       Distance
 }
 
 // Candidates appends the servers of a service as routing sees them.
--- a/internal/catalog/belief.go
+++ b/internal/catalog/belief.go
@@ -13,6 +13,15 @@
 	NotNamedAt time.Time
 }
 
+// Since is the time from which a naming counts: nobody could follow it while the
+// shared store was disturbed. It is zero if nobody knows it.
+func (naming Naming) Since(disturbed time.Time) time.Time {
+	if !naming.NotNamedAt.IsZero() && naming.NotNamedAt.Before(disturbed) {
+		return disturbed
+	}
+	return naming.NotNamedAt
+}
+
 // mostNamings bounds the namings that are remembered of one model.
 const mostNamings = 32
 
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -108,14 +108,19 @@
 func (placer *placer) annotate(candidates []routing.Candidate, now time.Time) {
 	store := placer.store()
 	key := placer.affinityKey()
+	inStore := map[int64]int{}
 	for index := range candidates {
 		candidate := &candidates[index]
 		candidate.Affinity = prefix.Weight(key, candidate.Endpoint)
 		pieces := placer.named(candidate.Version)
 		candidate.HitBlocks = placer.proxy.ledger.Held(candidate.Endpoint, pieces, now)
-		if store != nil {
-			candidate.ImportBlocks = placer.proxy.ledger.Held(store.Address, pieces, now)
+		if store == nil {
+			continue
 		}
+		if _, looked := inStore[candidate.Version]; !looked {
+			inStore[candidate.Version] = placer.proxy.ledger.Held(store.Address, pieces, now)
+		}
+		candidate.ImportBlocks = inStore[candidate.Version]
 	}
 }
 
@@ -231,14 +236,18 @@
 func (proxy *Proxy) lastStart(model string, version int64) time.Time {
 	belief := proxy.belief.Load()
 	naming, replaced := belief.Weights[model].After(version)
-	switch {
-	case !replaced:
+	if !replaced {
 		return time.Time{}
-	case naming.NotNamedAt.IsZero():
-		return proxy.started.Add(proxy.bounds.Contact - startMargin)
-	case naming.NotNamedAt.Before(belief.Disturbed):
-		return belief.Disturbed.Add(proxy.bounds.Weights - startMargin)
-	default:
-		return naming.NotNamedAt.Add(proxy.bounds.Weights - startMargin)
 	}
+	since := naming.Since(belief.Disturbed)
+	if !since.IsZero() {
+		return since.Add(proxy.bounds.Weights - startMargin)
+	}
+	// It may have been named at any time before the start; but what was disturbed
+	// since counts from then, as in minimumVersion.
+	last := proxy.started.Add(proxy.bounds.Contact - startMargin)
+	if disturbed := belief.Disturbed.Add(proxy.bounds.Weights - startMargin); disturbed.After(last) {
+		return disturbed
+	}
+	return last
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -169,13 +169,14 @@
 // Open returns the number of requests in service.
 func (proxy *Proxy) Open() int { return int(proxy.open.Load()) }
 
-// Limits returns the bounds of what callers may send.
-func (proxy *Proxy) Limits() (catalog.Limits, bool) {
+// Limits returns the bounds of what callers may send. Before they are known
+// nothing may be read.
+func (proxy *Proxy) Limits() (catalog.Limits, *failure.Failure) {
 	belief := proxy.belief.Load()
 	if belief == nil || belief.Snapshot == nil {
-		return catalog.Limits{}, false
+		return catalog.Limits{}, unconfigured()
 	}
-	return belief.Snapshot.Limits, true
+	return belief.Snapshot.Limits, nil
 }
 
 // Ready reports whether callers should be sent here.
@@ -199,9 +200,6 @@
 	proxy.open.Add(1)
 	defer proxy.open.Add(-1)
 	admitted, refusal := proxy.admit(request, time.Now())
-	if proxy.refusing.Load() {
-		refusal = failure.New(failure.KindStopping, "this node stops", "send the request to another node").WithRetryAfter(soon)
-	}
 	if refusal != nil {
 		outcome := exchange.Outcome{Failure: refusal}
 		proxy.recorder.Request(request, nil, 0, outcome)
@@ -218,9 +216,12 @@
 // admit decides whether a request may be served. Only a node whose declaration
 // is certainly current says that a route or key does not exist.
 func (proxy *Proxy) admit(request *Request, now time.Time) (*admitted, *failure.Failure) {
+	if proxy.refusing.Load() {
+		return nil, failure.New(failure.KindStopping, "this node stops", "send the request to another node").WithRetryAfter(soon)
+	}
 	belief := proxy.belief.Load()
 	if belief == nil || belief.Snapshot == nil {
-		return nil, catchingUp("this node has not read its configuration yet")
+		return nil, unconfigured()
 	}
 	current := belief.Fresh(now, proxy.bounds.Configuration)
 	route := belief.Snapshot.FindRoute(request.Host, request.Path)
@@ -261,6 +262,10 @@
 	}
 }
 
+func unconfigured() *failure.Failure {
+	return catchingUp("this node has not read its configuration yet")
+}
+
 func catchingUp(problem string) *failure.Failure {
 	return failure.New(failure.KindNotConfigured, problem, "send the request to another node").WithRetryAfter(soon)
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -151,3 +151,26 @@
 	require.Zero(t, proxy.minimumVersion("m", start.Add(11*time.Second)), "nobody could be moved while the store was away")
 	require.Equal(t, int64(6), proxy.minimumVersion("m", start.Add(16*time.Second)))
 }
+
+// What is admitted must have time to begin, or it would be ended as soon as it is sent.
+func TestWhatMayServeMayAlsoBegin(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		start := time.Now()
+		moment := func(name string) time.Time {
+			return start.Add(time.Duration(rapid.IntRange(0, 30_000).Draw(t, name)) * time.Millisecond)
+		}
+		second := catalog.Naming{Version: 2}
+		if rapid.Bool().Draw(t, "seen being named") {
+			second.NotNamedAt = moment("named")
+		}
+		proxy := at(start, catalog.Namings{{Version: 1}, second})
+		proxy.started = start
+		if rapid.Bool().Draw(t, "disturbed") {
+			proxy.belief.Store(catalog.Disturb(proxy.belief.Load(), moment("disturbance")))
+		}
+		now := moment("now")
+		if proxy.minimumVersion("m", now) <= 1 {
+			require.False(t, proxy.lastStart("m", 1).Before(now))
+		}
+	})
+}
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -130,6 +130,9 @@
 	defer feed.mutex.Unlock()
 	delta := Delta{Feed: feed.name, Place: feed.place, Age: time.Since(feed.readAt)}
 	delta.Whole = question.Feed != feed.name || question.Place < feed.oldest
+	if !delta.Whole && question.Place == feed.place {
+		return delta, feed.changed
+	}
 	for _, known := range feed.servers {
 		if delta.Whole || known.place > question.Place {
 			delta.Changed = append(delta.Changed, known.server)
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -11,6 +11,7 @@
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/coordination"
+	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 )
 
@@ -116,7 +117,10 @@
 	reflector.Recorder.Read(time.Since(begun), err)
 	before := reflector.Belief.Load()
 	if err != nil {
-		reflector.Belief.Store(catalog.Disturb(before, time.Now()))
+		// A store that only limits the rate is sound.
+		if !failure.Is(err, failure.KindRateLimited) {
+			reflector.Belief.Store(catalog.Disturb(before, time.Now()))
+		}
 		return err
 	}
 	after := catalog.Advance(before, observation.Declared)
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -98,13 +98,10 @@
 		if !lacks {
 			continue
 		}
-		since := first.NotNamedAt
+		since := first.Since(targets.Disturbed)
 		if since.IsZero() {
 			since = now
 		}
-		if since.Before(targets.Disturbed) {
-			since = targets.Disturbed
-		}
 		one := lack{
 			server:   server,
 			model:    model,
