Let readers tell the fleet all they know, and take shared parts from where they lie

Of three stores only the first was used.

Change. - A reader's answer carries its belief with its age, the fleet, and the work of all other nodes; a follower reads the store itself only when what it heard is older than 1.5 intervals. A server rests when two others say so; a node that rests a third of all says nothing. - residency.Ledger tells other nodes what a followed holder told (relay, Peer). - Each prompt has one store by rendezvous. A server that lacks shared parts takes them from that store, or else from the first server in rendezvous order. - Only prompts that are mostly shared are saved.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -24,6 +24,7 @@
 	"github.com/cloverrail/cloverrail/internal/rollout"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/internal/telemetry"
+	"github.com/cloverrail/cloverrail/internal/workshare"
 	"github.com/cloverrail/cloverrail/platform"
 )
 
@@ -55,6 +56,9 @@
 	proxy    *proxy.Proxy
 	registry *fleet.Registry
 	feed     *reflector.Feed
+	work     *workshare.Board
+	// peers calls other nodes.
+	peers *http.Client
 	// reflector reads the store or follows a node that does.
 	reflector *reflector.Reflector
 	stopping  atomic.Bool
@@ -66,7 +70,7 @@
 		return nil, errors.Trace(err)
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	process := &process{settings: given, belief: &catalog.Holder{}, set: backend.NewSet(), store: platform.NewStore(given.StoreAddress)}
+	process := &process{settings: given, belief: &catalog.Holder{}, set: backend.NewSet(), store: platform.NewStore(given.StoreAddress), peers: &http.Client{}}
 	zerolog.SetGlobalLevel(level)
 	process.log = zerolog.New(telemetry.NewWriter(os.Stdout)).With().Timestamp().Str("node", given.Name).Logger()
 	process.metrics = telemetry.NewMetrics(process.belief)
@@ -94,7 +98,6 @@
 		Ledger:   process.ledger,
 	})
 	life := uuid.NewString()
-	process.feed = reflector.NewFeed(given.Name + " " + life)
 	process.registry = &fleet.Registry{
 		Store:   process.store,
 		Prefix:  platform.PrefixNodes,
@@ -104,6 +107,8 @@
 		Zone:    given.Zone,
 		Resized: process.resize,
 	}
+	process.work = workshare.New(func() []backend.Work { return process.set.Work(time.Now()) })
+	process.feed = reflector.NewFeed(given.Name+" "+life, process.belief, process.registry, process.work)
 	process.reflector = process.newReflector()
 	return process, nil
 }
@@ -166,37 +171,46 @@
 	bounds := process.settings.Bounds
 	return &reflector.Reflector{
 		Source:   platform.NewSource(process.store, process.recorder.Unreadable),
-		Peers:    &reflector.Caller{Client: &http.Client{}},
+		Peers:    &reflector.Caller{Client: process.peers},
 		Belief:   process.belief,
 		Set:      process.set,
 		Registry: process.registry,
 		Feed:     process.feed,
+		Work:     process.work,
 		Recorder: process.recorder,
 		Interval: part(min(bounds.Configuration, bounds.Drain), readPart),
 	}
 }
 
-// followStore starts following what the store of kept KV cache has, if this node
-// is among the few that may.
-func (process *process) followStore(ctx context.Context) {
-	following := &residency.Follower{
-		Source: process.servers,
-		Ledger: process.ledger,
-		Holder: process.prefixStore,
-		Chosen: process.reads,
-		Lost:   process.recorder.Unfollowed,
-		Found:  process.recorder.Followed,
-	}
-	go following.Run(ctx)
+// followStores starts following what the stores of kept KV cache have: by itself
+// if this node is among the few that may, and else by the word of one of those.
+func (process *process) followStores(ctx context.Context) {
+	peer := residency.NewPeer(process.peers, process.reflector.Reader)
+	source := residency.NewEither(process.servers, peer, process.reads)
+	go residency.FollowAll(ctx, process.prefixStores, func(holder string) *residency.Follower {
+		return residency.NewFollower(holder, source, process.ledger, process.recorder)
+	})
 }
 
-// prefixStore returns the address of the store of kept KV cache, or "".
-func (process *process) prefixStore() string {
+// peerHandler answers other nodes.
+func (process *process) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+reflector.PathServers, reflector.Handler(process.feed))
+	mux.HandleFunc("POST "+residency.PathKept, residency.Handler(process.ledger))
+	return mux
+}
+
+// prefixStores returns the addresses of the stores of kept KV cache.
+func (process *process) prefixStores() []string {
 	belief := process.belief.Load()
-	if belief == nil || belief.Snapshot == nil || belief.Snapshot.Store() == nil {
-		return ""
+	if belief == nil || belief.Snapshot == nil {
+		return nil
+	}
+	var addresses []string
+	for _, store := range belief.Snapshot.Stores() {
+		addresses = append(addresses, store.Address)
 	}
-	return belief.Snapshot.Store().Address
+	return addresses
 }
 
 // keep starts the duties that nodes share. The returned channel is closed when
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -14,7 +14,6 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/urfave/cli/v3"
 
-	"github.com/cloverrail/cloverrail/internal/reflector"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/platform"
 )
@@ -73,7 +72,7 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	go process.reflector.Run(ctx)
-	process.followStore(ctx)
+	process.followStores(ctx)
 	keeping, handBack := context.WithCancel(ctx)
 	defer handBack()
 	handedBack := process.keep(keeping)
@@ -81,7 +80,7 @@
 	if _, err := serve(given.ReadinessAddress, platform.ReadinessHandler(ready)); err != nil {
 		return err
 	}
-	if _, err := serve(given.PeerAddress, reflector.Handler(process.feed)); err != nil {
+	if _, err := serve(given.PeerAddress, process.peerHandler()); err != nil {
 		return err
 	}
 	if given.MetricsAddress != "" {
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -53,10 +53,16 @@
 	mutex     sync.Mutex
 	servers   map[string]*state
 	byService map[string][]*state
+	byKey     map[uint64]*state
+	// othersUntil is how long what other nodes told of their work counts.
+	othersUntil time.Time
 }
 
 type state struct {
 	server Server
+	key    uint64
+	// others is what other nodes have under way.
+	others Work
 	// listed is false once the server has vanished from the list.
 	listed     bool
 	unlistedAt time.Time
@@ -94,7 +100,7 @@
 		seen[server.Instance] = true
 		known, found := set.servers[server.Instance]
 		if !found {
-			known = &state{}
+			known = &state{key: ServerKey(server.Instance)}
 			set.servers[server.Instance] = known
 		}
 		if !found || known.server.Draining != server.Draining {
@@ -130,7 +136,9 @@
 
 func (set *Set) index() {
 	set.byService = map[string][]*state{}
+	set.byKey = make(map[uint64]*state, len(set.servers))
 	for _, known := range set.servers {
+		set.byKey[known.key] = known
 		set.byService[known.server.Service] = append(set.byService[known.server.Service], known)
 	}
 }
@@ -247,12 +255,12 @@
 		if !known.listed && (anyListed || known.server.Draining) {
 			continue
 		}
-		candidates = append(candidates, known.candidate(query, now))
+		candidates = append(candidates, known.candidate(query, set.othersAt(known, now), now))
 	}
 	return candidates
 }
 
-func (state *state) candidate(query Query, now time.Time) routing.Candidate {
+func (state *state) candidate(query Query, others Work, now time.Time) routing.Candidate {
 	version := state.server.Versions[query.Model]
 	return routing.Candidate{
 		Endpoint:     state.server.Instance,
@@ -264,11 +272,11 @@
 		Ready:        query.Model == "" || (version > 0 && version >= query.MinimumVersion && !state.loads(query.Model, now)),
 		Leaving:      state.server.Draining,
 		Loading:      state.loads(query.Model, now),
-		Resting:      !state.breaker.Allows(now),
+		Resting:      !state.breaker.Allows(now) || others.Suspects >= enoughSuspects,
 		Busy:         now.Before(state.busyUntil),
 		InFlight:     state.inFlight,
-		Running:      state.inFlight,
-		QueuedTokens: state.queuedTokens,
+		Running:      state.inFlight + others.Running,
+		QueuedTokens: state.queuedTokens + others.QueuedTokens,
 		Distance:     query.Distance(state.server.Zone),
 		FailureShare: state.failures.at(now),
 	}
--- /dev/null
+++ b/internal/backend/work.go
@@ -0,0 +1,82 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Work is what nodes have under way at one server.
+type Work struct {
+	// Server is the ServerKey of the server's incarnation.
+	Server uint64
+	// Running counts the attempts in flight, and QueuedTokens the prompt tokens of
+	// those that have not begun to answer.
+	Running      int
+	QueuedTokens int
+	// Suspects counts the nodes that let the server rest after failures.
+	Suspects int
+}
+
+// ServerKey is the short name of a server's incarnation between nodes.
+func ServerKey(instance string) uint64 { return xxhash.Sum64String(instance) }
+
+const (
+	// workLife is how long the word of other nodes counts if it is not renewed.
+	workLife = time.Second
+	// enoughSuspects is how many other nodes must let a server rest for this node to
+	// pass it over unseen. One alone may have lost its own way to the server.
+	enoughSuspects = 2
+	// trustedShare is the share of its servers that a node may let rest before its
+	// suspicion says more about itself.
+	trustedShare = 1.0 / 3
+)
+
+// Work returns what this node has under way, without servers that it has nothing
+// to say about.
+func (set *Set) Work(now time.Time) []Work {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	var all []Work
+	resting := 0
+	for _, s := range set.servers {
+		w := Work{Server: s.key, Running: s.inFlight, QueuedTokens: s.queuedTokens}
+		if !s.breaker.Allows(now) {
+			w.Suspects = 1
+			resting++
+		}
+		if w.Running != 0 || w.QueuedTokens != 0 || w.Suspects != 0 {
+			all = append(all, w)
+		}
+	}
+	if float64(resting) > trustedShare*float64(len(set.servers)) {
+		for i := range all {
+			all[i].Suspects = 0
+		}
+	}
+	return all
+}
+
+// TakeWork takes what all other nodes have under way.
+func (set *Set) TakeWork(others []Work, now time.Time) {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	for _, s := range set.servers {
+		s.others = Work{}
+	}
+	for _, w := range others {
+		if s := set.byKey[w.Server]; s != nil {
+			s.others = w
+		}
+	}
+	set.othersUntil = now.Add(workLife)
+}
+
+// othersAt returns what other nodes have under way at the server, as far as that
+// is known now.
+func (set *Set) othersAt(s *state, now time.Time) Work {
+	if now.After(set.othersUntil) {
+		return Work{}
+	}
+	return s.others
+}
--- /dev/null
+++ b/internal/backend/work_test.go
@@ -0,0 +1,77 @@
+package backend
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/routing"
+)
+
+// alike returns a set of n servers of one plain service.
+func alike(n int, now time.Time) *Set {
+	set := NewSet()
+	list := []Server{}
+	for i := range n {
+		list = append(list, Server{Instance: fmt.Sprint("i-", i), Service: "s"})
+	}
+	set.Update(list, now)
+	return set
+}
+
+func candidate(set *Set, instance string, now time.Time) routing.Candidate {
+	for _, c := range set.Candidates(nil, Query{Service: "s", Distance: func(string) int { return 0 }}, now) {
+		if c.Endpoint == instance {
+			return c
+		}
+	}
+	return routing.Candidate{}
+}
+
+func TestTheWorkOfOtherNodesCountsWhileItIsRenewed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := alike(2, now)
+	set.Begin("i-0", 100, now)
+	require.Equal(t, []Work{{Server: ServerKey("i-0"), Running: 1, QueuedTokens: 100}}, set.Work(now))
+	set.TakeWork([]Work{{Server: ServerKey("i-0"), Running: 4, QueuedTokens: 900}, {Server: 7, Running: 1}}, now)
+	seen := candidate(set, "i-0", now)
+	require.Equal(t, []int{1, 5, 1000}, []int{seen.InFlight, seen.Running, seen.QueuedTokens})
+	require.Zero(t, candidate(set, "i-1", now).Running)
+	late := now.Add(workLife + 1)
+	require.Equal(t, 1, candidate(set, "i-0", late).Running, "nobody renewed it")
+	set.TakeWork(nil, now)
+	require.Equal(t, 1, candidate(set, "i-0", now).Running, "they have done it")
+}
+
+func TestAServerRestsWhenTwoOthersSaySo(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := alike(2, now)
+	set.TakeWork([]Work{{Server: ServerKey("i-0"), Suspects: 1}}, now)
+	require.False(t, candidate(set, "i-0", now).Resting, "one may have lost its own way there")
+	set.TakeWork([]Work{{Server: ServerKey("i-0"), Suspects: 2}}, now)
+	require.True(t, candidate(set, "i-0", now).Resting)
+	require.False(t, candidate(set, "i-1", now).Resting)
+}
+
+func TestANodeThatReachesHardlyAnybodySuspectsNobody(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := alike(9, now)
+	suspects := func() int {
+		sum := 0
+		for _, w := range set.Work(now) {
+			sum += w.Suspects
+		}
+		return sum
+	}
+	for i := range 9 {
+		set.Begin(fmt.Sprint("i-", i), 0, now).End(exchange.ResultUnreached, now)
+		if i < 3 {
+			require.Equal(t, i+1, suspects())
+		} else {
+			require.Zero(t, suspects())
+		}
+	}
+}
--- a/internal/catalog/belief.go
+++ b/internal/catalog/belief.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"sync/atomic"
 	"time"
 )
@@ -127,10 +128,17 @@
 		return nil
 	}
 	next := *known
-	next.Disturbed = now
+	if now.After(next.Disturbed) {
+		next.Disturbed = now
+	}
 	return &next
 }
 
+// SameWeights reports whether two beliefs know the same versions to be the newest.
+func (belief *Belief) SameWeights(other *Belief) bool {
+	return maps.EqualFunc(belief.Weights, other.Weights, func(a, b Namings) bool { return a.Newest() == b.Newest() })
+}
+
 // Holder is where a node keeps its belief. Readers take it whole.
 type Holder struct {
 	belief atomic.Pointer[Belief]
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -92,8 +92,9 @@
 // Tenant is who a key belongs to.
 type Tenant struct {
 	Name string
-	// Priority overrides the routes' when it is set.
-	Priority *int
+	// Priority overrides the routes' if HasPriority is set.
+	Priority    int
+	HasPriority bool
 	// Isolated tenants share no cached prefix with others.
 	Isolated bool
 }
@@ -124,13 +125,14 @@
 
 // Snapshot is an indexed declaration.
 type Snapshot struct {
-	Version  int64
-	Limits   Limits
-	routes   map[string][]*Route
-	services map[string]*Service
-	store    *PrefixStore
-	tenants  map[uint64][]heldKey
-	keyed    bool
+	Version     int64
+	Limits      Limits
+	declaration *Declaration
+	routes      map[string][]*Route
+	services    map[string]*Service
+	stores      []*PrefixStore
+	tenants     map[uint64][]heldKey
+	keyed       bool
 }
 
 type heldKey struct {
@@ -141,12 +143,13 @@
 // New indexes a declaration.
 func New(declaration Declaration) *Snapshot {
 	snapshot := &Snapshot{
-		Version:  declaration.Version,
-		Limits:   declaration.Limits,
-		routes:   map[string][]*Route{},
-		services: map[string]*Service{},
-		tenants:  map[uint64][]heldKey{},
-		keyed:    len(declaration.Tenants) > 0,
+		Version:     declaration.Version,
+		Limits:      declaration.Limits,
+		declaration: &declaration,
+		routes:      map[string][]*Route{},
+		services:    map[string]*Service{},
+		tenants:     map[uint64][]heldKey{},
+		keyed:       len(declaration.Tenants) > 0,
 	}
 	for index := range declaration.Routes {
 		route := &declaration.Routes[index]
@@ -159,8 +162,8 @@
 	for index := range declaration.Services {
 		service := &declaration.Services[index]
 		snapshot.services[service.Name] = service
-		if service.Store != nil && snapshot.store == nil {
-			snapshot.store = service.Store
+		if service.Store != nil {
+			snapshot.stores = append(snapshot.stores, service.Store)
 		}
 	}
 	for index := range declaration.Tenants {
@@ -195,8 +198,11 @@
 // Service returns a service, or nil.
 func (snapshot *Snapshot) Service(name string) *Service { return snapshot.services[name] }
 
-// Store returns the store of kept KV cache, or nil.
-func (snapshot *Snapshot) Store() *PrefixStore { return snapshot.store }
+// Declaration returns what the snapshot was made of. It must not be changed.
+func (snapshot *Snapshot) Declaration() *Declaration { return snapshot.declaration }
+
+// Stores returns the stores of kept KV cache.
+func (snapshot *Snapshot) Stores() []*PrefixStore { return snapshot.stores }
 
 // Keyed reports whether routes that are not public need a key.
 func (snapshot *Snapshot) Keyed() bool { return snapshot.keyed }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -51,6 +51,9 @@
 	begun   time.Time
 	settled bool
 	seen    map[string]sighting
+	// entries are those of the nodes at the last observation, and digest is theirs.
+	entries []coordination.Entry
+	digest  uint64
 }
 
 // place is where a node is reached.
@@ -116,12 +119,14 @@
 func (registry *Registry) Observe(entries []coordination.Entry, now time.Time) {
 	places := map[string]place{registry.Name: {address: registry.Address, zone: registry.Zone}}
 	seen := map[string]sighting{}
+	nodeEntries := []coordination.Entry{}
 	registry.mutex.Lock()
 	for _, entry := range entries {
 		if rest, found := strings.CutPrefix(entry.Key, registry.Prefix); found {
 			name, _, _ := strings.Cut(rest, "/")
 			address, zone, _ := strings.Cut(string(entry.Value), " ")
 			places[name] = place{address: address, zone: zone}
+			nodeEntries = append(nodeEntries, entry)
 			continue
 		}
 		known := registry.seen[entry.Key]
@@ -131,6 +136,7 @@
 		seen[entry.Key] = known
 	}
 	registry.seen, registry.places = seen, places
+	registry.entries, registry.digest = nodeEntries, digestOf(nodeEntries)
 	registry.settle(entries, now)
 	registry.names = slices.SortedFunc(maps.Keys(places), byHash)
 	nodes := len(registry.names)
@@ -138,6 +144,33 @@
 	registry.Resized(nodes)
 }
 
+// digestOf returns a number that tells two sets of nodes apart.
+func digestOf(entries []coordination.Entry) uint64 {
+	digest := uint64(len(entries))
+	for _, entry := range entries {
+		digest += uint64(prefix.KeyOf(entry.Key + " " + string(entry.Value)))
+	}
+	return digest
+}
+
+// Digest tells the nodes of the last observation apart from other sets of nodes.
+func (registry *Registry) Digest() uint64 {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return registry.digest
+}
+
+// NewerThan returns the entries of the nodes if their digest is another one, for
+// Observe on another node, and else nil.
+func (registry *Registry) NewerThan(digest uint64) []coordination.Entry {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	if registry.digest == digest {
+		return nil
+	}
+	return registry.entries
+}
+
 // settle decides whether the places in the fleet may be relied on. When all nodes
 // start for the first time, the first ones see only few: they wait for the rest.
 // A node that finds itself registered in a life before need not.
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -47,7 +47,7 @@
 	if placement.placer.prompt() != nil {
 		dispatch.Version = placement.chosen.Version
 		dispatch.Salt = placement.placer.salt(placement.chosen.Version)
-		placement.addStore(&dispatch)
+		placement.addSources(&dispatch)
 	}
 	reply, err := placement.placer.proxy.servers.Send(ctx, dispatch)
 	placement.learn(dispatch, err)
@@ -63,15 +63,19 @@
 	}
 }
 
-// addStore says what the server fetches from the store of kept KV cache, and
-// whether it saves there: only if the store lacks a shared part.
-func (placement *placement) addStore(dispatch *Dispatch) {
+// addSources says from where the server fetches shared parts that it lacks, and
+// whether it saves to the store of kept KV cache. A server saves whole prompts, so
+// it does only if the store lacks more shared tokens than it would take in for
+// nobody else.
+func (placement *placement) addSources(dispatch *Dispatch) {
+	dispatch.FetchFrom = placement.chosen.ImportFrom
 	store := placement.placer.store()
 	if store == nil {
 		return
 	}
-	dispatch.FetchFrom = store.Address
-	if placement.chosen.ImportBlocks < placement.placer.sharedTokens() {
+	shared := placement.placer.sharedTokens()
+	missing := shared - placement.placer.inStore(placement.chosen.Version, placement.begun)
+	if own := placement.placer.prompt().Tokens - shared; missing > 0 && missing >= own {
 		dispatch.SaveTo = store.Address
 		placement.saves = true
 	}
@@ -88,7 +92,7 @@
 	if placement.placer.prompt() == nil {
 		return
 	}
-	if placement.chosen.InFlight == 0 {
+	if placement.chosen.Running == 0 {
 		placement.placer.proxy.pace.measure(placement.tokens, now.Sub(placement.begun))
 	}
 	placement.remember(now)
@@ -157,8 +161,8 @@
 // urgency is the rank of a request at servers; a tenant's goes before its route's.
 func urgency(admitted *admitted) int {
 	priority := admitted.route.Priority
-	if admitted.tenant != nil && admitted.tenant.Priority != nil {
-		priority = *admitted.tenant.Priority
+	if admitted.tenant != nil && admitted.tenant.HasPriority {
+		priority = admitted.tenant.Priority
 	}
 	return min(max(priority, 0), leastUrgent)
 }
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -53,7 +53,7 @@
 		Budget:      proxy.retries.Of(admitted.service.Name),
 		Patience:    patience(route),
 		ResumeAfter: admitted.request.ResumeAfter,
-		Placer:      &placer{proxy: proxy, admitted: admitted, pieces: map[int64][]residency.Piece{}},
+		Placer:      newPlacer(proxy, admitted),
 		Caller:      caller,
 		Stopping:    proxy.stopping,
 		Observe: func(server string, event exchange.Event) {
@@ -84,6 +84,12 @@
 	admitted *admitted
 	// pieces holds the shared parts of the prompt as they are named at each version.
 	pieces map[int64][]residency.Piece
+	// stored holds how much of it the store of kept KV cache has at each version.
+	stored map[int64]int
+}
+
+func newPlacer(proxy *Proxy, admitted *admitted) *placer {
+	return &placer{proxy: proxy, admitted: admitted, pieces: map[int64][]residency.Piece{}, stored: map[int64]int{}}
 }
 
 // Place filters, scores and picks among the servers known now.
@@ -106,22 +112,15 @@
 
 // annotate adds what is known of the prompt's parts at each server.
 func (placer *placer) annotate(candidates []routing.Candidate, now time.Time) {
-	store := placer.store()
 	key := placer.affinityKey()
-	inStore := map[int64]int{}
+	clear(placer.stored)
 	for index := range candidates {
 		candidate := &candidates[index]
 		candidate.Affinity = prefix.Weight(key, candidate.Endpoint)
 		pieces := placer.named(candidate.Version)
 		candidate.HitBlocks = placer.proxy.ledger.Held(candidate.Endpoint, pieces, now)
-		if store == nil {
-			continue
-		}
-		if _, looked := inStore[candidate.Version]; !looked {
-			inStore[candidate.Version] = placer.proxy.ledger.Held(store.Address, pieces, now)
-		}
-		candidate.ImportBlocks = inStore[candidate.Version]
 	}
+	placer.annotateSources(candidates, now)
 }
 
 // begin counts the attempt at the chosen server.
@@ -140,16 +139,6 @@
 	}
 }
 
-// store is nil if there is none, or if it does not answer: asking a dead one costs
-// the server time.
-func (placer *placer) store() *catalog.PrefixStore {
-	store := placer.admitted.belief.Snapshot.Store()
-	if store == nil || placer.proxy.ledger.Down(store.Address) {
-		return nil
-	}
-	return store
-}
-
 // schedule prefers servers that were not tried and do not rest; a server that
 // rests or was tried is better than none.
 func (placer *placer) schedule(request *routing.Request, candidates []routing.Candidate) routing.Decision {
--- /dev/null
+++ b/internal/proxy/sources_test.go
@@ -0,0 +1,119 @@
+package proxy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/residency"
+	"github.com/cloverrail/cloverrail/internal/routing"
+)
+
+// unheeded is a recorder that keeps nothing.
+type unheeded struct{}
+
+func (unheeded) Placed(*Request, routing.Candidate)                        {}
+func (unheeded) Attempt(*Request, string, exchange.Event)                  {}
+func (unheeded) Request(*Request, *catalog.Route, int64, exchange.Outcome) {}
+
+// placing returns a placer of a prompt with 1,000 shared tokens and some of its
+// own, before servers and stores of the given numbers.
+func placing(own, servers, stores int) *placer {
+	declaration := catalog.Declaration{Version: 1, Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{TokenBytes: 1000, LinkBitsPerSecond: 1e12}}}}
+	for i := range stores {
+		store := &catalog.PrefixStore{Address: fmt.Sprint("store-", i), CapacityTokens: 1e6, LinkBitsPerSecond: 1e12}
+		declaration.Services = append(declaration.Services, catalog.Service{Name: store.Address, Store: store})
+	}
+	snapshot := catalog.New(declaration)
+	holder := &catalog.Holder{}
+	holder.Store(&catalog.Belief{Snapshot: snapshot, AsOf: time.Now()})
+	set := backend.NewSet()
+	list := []backend.Server{}
+	for i := range servers {
+		name := fmt.Sprint("i-", i)
+		list = append(list, backend.Server{Instance: name, Address: "at " + name, Service: "s", Versions: map[string]int64{"m": 1}})
+	}
+	set.Update(list, time.Now())
+	prompt := &Prompt{Model: "m", Tokens: 1000 + own, Parts: []Part{{ID: "a", Tokens: 1000}, {ID: "b", Tokens: own}}}
+	return newPlacer(New(Options{Belief: holder, Set: set, Ledger: residency.NewLedger(), Recorder: unheeded{}}), &admitted{
+		request: &Request{Prompt: prompt}, belief: holder.Load(), route: &catalog.Route{}, service: snapshot.Service("s"),
+	})
+}
+
+func (p *placer) candidates() []routing.Candidate {
+	query := backend.Query{Service: "s", Model: "m", Distance: func(string) int { return 0 }}
+	all := p.proxy.set.Candidates(nil, query, time.Now())
+	p.annotate(all, time.Now())
+	return all
+}
+
+func TestSharedPartsAreTakenFromTheFirstServerIfNoStoreHasThem(t *testing.T) {
+	p := placing(10, 5, 1)
+	all := p.candidates()
+	h := homesOf(all)[1]
+	for i := range all {
+		c := &all[i]
+		if c == h.first {
+			require.Equal(t, h.second.Address, c.ImportFrom, "the second may have stood in for it")
+			require.Zero(t, c.ImportBlocks)
+			continue
+		}
+		require.Equal(t, h.first.Address, c.ImportFrom)
+		require.Equal(t, 700, c.ImportBlocks)
+	}
+	p.proxy.ledger.Replace("store-0", []residency.Key{p.named(1)[0].Key})
+	for _, c := range p.candidates() {
+		require.Equal(t, "store-0", c.ImportFrom)
+		require.Equal(t, 1000, c.ImportBlocks)
+	}
+}
+
+func TestAServerThatRestsOrLoadsIsNoSource(t *testing.T) {
+	p := placing(10, 3, 0)
+	first := homesOf(p.candidates())[1].first.Endpoint
+	p.proxy.set.TakeWork([]backend.Work{{Server: backend.ServerKey(first), Suspects: 2}}, time.Now())
+	for _, c := range p.candidates() {
+		require.NotEqual(t, "at "+first, c.ImportFrom)
+	}
+	p = placing(10, 3, 0)
+	p.proxy.set.Load(backend.Loads{Loading: []backend.Load{{Instance: first, Model: "m", Version: 2}}}, time.Now())
+	for _, c := range p.candidates() {
+		require.NotEqual(t, "at "+first, c.ImportFrom)
+	}
+}
+
+func TestEachPromptHasOneStoreAndAnotherWhenThatIsDown(t *testing.T) {
+	p := placing(10, 1, 3)
+	first := p.store().Address
+	require.Equal(t, first, p.store().Address)
+	p.proxy.ledger.Lose(first, true)
+	second := p.store().Address
+	require.NotEqual(t, first, second)
+	seen := map[string]bool{}
+	for i := range 50 {
+		p.admitted.request.Prompt.Parts[0].ID = fmt.Sprint("part-", i)
+		seen[p.store().Address] = true
+	}
+	require.Len(t, seen, 2, "they share the work")
+}
+
+func TestOnlyWhatIsMostlySharedIsSaved(t *testing.T) {
+	for own, saves := range map[int]bool{10: true, 1000: true, 1001: false} {
+		p := placing(own, 1, 1)
+		placed := p.begin(p.candidates()[0], time.Now())
+		dispatch := Dispatch{}
+		placed.addSources(&dispatch)
+		require.Equal(t, saves, dispatch.SaveTo == "store-0", own)
+	}
+	p := placing(10, 1, 1)
+	p.proxy.ledger.Replace("store-0", []residency.Key{p.named(1)[0].Key})
+	dispatch := Dispatch{}
+	p.begin(p.candidates()[0], time.Now()).addSources(&dispatch)
+	require.Empty(t, dispatch.SaveTo, "the store has it")
+	require.Equal(t, "store-0", dispatch.FetchFrom)
+}
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -6,9 +6,13 @@
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/coordination"
+	"github.com/cloverrail/cloverrail/internal/fleet"
+	"github.com/cloverrail/cloverrail/internal/workshare"
 )
 
-// Delta is what has changed in a reader's list of servers.
+// Delta is what a follower lacks of what a reader knows.
 type Delta struct {
 	// Feed names the reader's process; Place is from where to read on.
 	Feed  string
@@ -19,8 +23,23 @@
 	Gone    []string
 	// Loads is how far the roll-out of weights is; nil says that it is as before.
 	Loads *backend.Loads
-	// Age is how old the reader's last reading of the store is.
-	Age time.Duration
+	// Age is how old the reader's list of servers is, and BeliefAge how long ago the
+	// call was sent that proved its declaration and weights current. It is negative
+	// if there was none.
+	Age       time.Duration
+	BeliefAge time.Duration
+	// DisturbedAgo is how long ago a reading of the reader failed last; negative if
+	// none did.
+	DisturbedAgo time.Duration
+	// Declaration is nil if it is not newer than the follower's. Weights holds the
+	// newest named version of each model.
+	Declaration *catalog.Declaration
+	Weights     map[string]int64
+	// Fleet is nil if the follower has it.
+	Fleet []coordination.Entry
+	// Work is what all nodes but the follower have under way at servers; a reader
+	// that asks hears of the group of nodes that ask this one.
+	Work []backend.Work
 }
 
 // Question asks a reader for what has changed since a place in its feed.
@@ -28,15 +47,28 @@
 	Feed  string
 	Place int64
 	Wait  time.Duration
+	// Node names who asks.
+	Node string
+	// FromReader says that it is a reader, who only wants to hear of work.
+	FromReader bool
+	// Declaration is the version that the follower has, and Fleet the digest of its
+	// fleet.
+	Declaration int64
+	Fleet       uint64
+	// Work is what the follower has under way at servers.
+	Work []backend.Work
 }
 
 // goneKept bounds the vanished servers that a feed remembers.
 const goneKept = 4096
 
-// Feed passes a list of servers on to nodes that do not read the store. What a
+// Feed passes what a reader knows on to nodes that do not read the store. What a
 // server writes anew without a change is not passed on, which is nearly all.
 type Feed struct {
-	name string
+	name     string
+	belief   *catalog.Holder
+	registry *fleet.Registry
+	work     *workshare.Board
 
 	mutex   sync.Mutex
 	changed chan struct{}
@@ -57,8 +89,8 @@
 }
 
 // NewFeed returns an empty feed with a name that no other has.
-func NewFeed(name string) *Feed {
-	return &Feed{name: name, changed: make(chan struct{}), servers: map[string]placedServer{}, gone: map[string]int64{}}
+func NewFeed(name string, belief *catalog.Holder, registry *fleet.Registry, work *workshare.Board) *Feed {
+	return &Feed{name: name, belief: belief, registry: registry, work: work, changed: make(chan struct{}), servers: map[string]placedServer{}, gone: map[string]int64{}}
 }
 
 // Take takes a whole list as it was read at a time.
@@ -103,6 +135,13 @@
 	feed.wake()
 }
 
+// Wake lets waiting questions look again, after a change of the belief.
+func (feed *Feed) Wake() {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	feed.wake()
+}
+
 // wake lets waiting questions look again.
 func (feed *Feed) wake() {
 	close(feed.changed)
@@ -112,6 +151,39 @@
 // Answer returns what has changed since the question's place, and waits for it if
 // nothing has.
 func (feed *Feed) Answer(ctx context.Context, question Question) Delta {
+	if question.FromReader {
+		return Delta{Work: feed.work.Group(time.Now())}
+	}
+	feed.work.TakeFollower(question.Node, question.Work, time.Now())
+	delta := feed.await(ctx, question)
+	feed.addBelief(&delta, question, time.Now())
+	delta.Fleet = feed.registry.NewerThan(question.Fleet)
+	delta.Work = feed.work.Others(question.Node, time.Now())
+	return delta
+}
+
+// addBelief adds what the reader believes.
+func (feed *Feed) addBelief(delta *Delta, question Question, now time.Time) {
+	delta.BeliefAge, delta.DisturbedAgo = -1, -1
+	belief := feed.belief.Load()
+	if belief == nil || belief.Snapshot == nil {
+		return
+	}
+	delta.BeliefAge = now.Sub(belief.AsOf)
+	if !belief.Disturbed.IsZero() {
+		delta.DisturbedAgo = now.Sub(belief.Disturbed)
+	}
+	delta.Weights = make(map[string]int64, len(belief.Weights))
+	for model, namings := range belief.Weights {
+		delta.Weights[model] = namings.Newest()
+	}
+	if belief.Snapshot.Version > question.Declaration {
+		delta.Declaration = belief.Snapshot.Declaration()
+	}
+}
+
+// await returns what has changed in the list of servers.
+func (feed *Feed) await(ctx context.Context, question Question) Delta {
 	delta, changed := feed.since(question)
 	if delta.Place != question.Place || delta.Whole {
 		return delta
--- a/internal/reflector/feed_test.go
+++ b/internal/reflector/feed_test.go
@@ -10,12 +10,20 @@
 	"pgregory.net/rapid"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/property"
+	"github.com/cloverrail/cloverrail/internal/workshare"
 )
 
+// newFeed returns a feed of a node that believes nothing and has no work.
+func newFeed(name string) *Feed {
+	return NewFeed(name, &catalog.Holder{}, &fleet.Registry{}, workshare.New(func() []backend.Work { return nil }))
+}
+
 func TestACopyEqualsTheListWhateverItMissed(t *testing.T) {
 	property.Check(t, func(t *rapid.T) {
-		feeds := []*Feed{NewFeed("one"), NewFeed("two")}
+		feeds := []*Feed{newFeed("one"), newFeed("two")}
 		copied := &Copy{}
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			list := []backend.Server{}
@@ -38,7 +46,7 @@
 }
 
 func TestABeatIsNoChange(t *testing.T) {
-	feed := NewFeed("one")
+	feed := newFeed("one")
 	list := []backend.Server{{Instance: "i-1", Versions: map[string]int64{"m": 1}}}
 	feed.Take(list, time.Now())
 	copied := &Copy{}
@@ -52,7 +60,7 @@
 }
 
 func TestWhoLoadsIsPassedOnOnce(t *testing.T) {
-	feed := NewFeed("one")
+	feed := newFeed("one")
 	copied := &Copy{}
 	copied.Apply(feed.Answer(context.Background(), copied.Question(0)))
 	loads := backend.Loads{Loading: []backend.Load{{Instance: "i-1", Model: "m", Version: 2}}}
@@ -64,7 +72,7 @@
 }
 
 func TestAForgottenPastIsMadeUpForByTheWholeList(t *testing.T) {
-	feed := NewFeed("one")
+	feed := newFeed("one")
 	copied := &Copy{}
 	copied.Apply(feed.Answer(context.Background(), copied.Question(0)))
 	many := []backend.Server{}
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
@@ -13,6 +15,7 @@
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/fleet"
+	"github.com/cloverrail/cloverrail/internal/workshare"
 )
 
 // Observation is all that one reading found.
@@ -33,7 +36,7 @@
 	Fleet(ctx context.Context) ([]coordination.Entry, error)
 }
 
-// Peers asks other nodes for their lists of servers.
+// Peers asks other nodes for what they know.
 type Peers interface {
 	Ask(ctx context.Context, address string, question Question) (Delta, error)
 }
@@ -73,16 +76,29 @@
 	Set      *backend.Set
 	Registry *fleet.Registry
 	Feed     *Feed
+	Work     *workshare.Board
 	Recorder Recorder
 	// Interval is the time between readings.
 	Interval time.Duration
 
-	fleetAt time.Time
+	// advancing is held while the belief is replaced.
+	advancing sync.Mutex
+	fleetAt   atomicTime
+	// reader is the address of the node that is followed.
+	reader atomic.Pointer[string]
 }
 
+// atomicTime is a time that goroutines share.
+type atomicTime struct{ nanoseconds atomic.Int64 }
+
+func (t *atomicTime) load() time.Time { return time.Unix(0, t.nanoseconds.Load()) }
+
+func (t *atomicTime) store(at time.Time) { t.nanoseconds.Store(at.UnixNano()) }
+
 // Run reads until the context ends, and soon again after a failure.
 func (reflector *Reflector) Run(ctx context.Context) {
 	go reflector.followReaders(ctx)
+	go reflector.shareWork(ctx)
 	for ctx.Err() == nil {
 		begun := time.Now()
 		pause := reflector.Interval
@@ -115,18 +131,44 @@
 	begun := time.Now()
 	observation, err := reflector.observe(ctx, begun)
 	reflector.Recorder.Read(time.Since(begun), err)
-	before := reflector.Belief.Load()
 	if err != nil {
 		// A store that only limits the rate is sound.
 		if !failure.Is(err, failure.KindRateLimited) {
-			reflector.Belief.Store(catalog.Disturb(before, time.Now()))
+			reflector.disturb(time.Now())
 		}
 		return err
 	}
-	after := catalog.Advance(before, observation.Declared)
+	if !observation.Declared.SentAt.IsZero() {
+		reflector.advance(observation.Declared)
+	}
+	return nil
+}
+
+// advance takes a reading, this node's or one that a reader passed on.
+func (reflector *Reflector) advance(reading catalog.Reading) {
+	reflector.advancing.Lock()
+	defer reflector.advancing.Unlock()
+	before := reflector.Belief.Load()
+	after := catalog.Advance(before, reading)
 	reflector.Belief.Store(after)
 	reflector.Recorder.Declared(before, after)
-	return nil
+	if before == nil || before.Snapshot != after.Snapshot || !before.SameWeights(after) {
+		reflector.Feed.Wake()
+	}
+}
+
+// disturb notes that the shared store, or the way to it, was not sound at a time.
+func (reflector *Reflector) disturb(at time.Time) {
+	reflector.advancing.Lock()
+	defer reflector.advancing.Unlock()
+	reflector.Belief.Store(catalog.Disturb(reflector.Belief.Load(), at))
+}
+
+// heardWithin reports whether the belief is no older than a time, so that a
+// follower need not read the store itself.
+func (reflector *Reflector) heardWithin(age time.Duration, now time.Time) bool {
+	belief := reflector.Belief.Load()
+	return belief != nil && belief.Snapshot != nil && belief.Fresh(now, age)
 }
 
 // observe reads what this node's part in the fleet asks for.
@@ -138,8 +180,11 @@
 		}
 	}
 	if !reflector.Reads() {
+		if reflector.heardWithin(reflector.Interval*3/2, now) {
+			return Observation{}, nil
+		}
 		declared, err := reflector.Source.Declared(ctx)
-		if err == nil && now.Sub(reflector.fleetAt) >= fleetInterval {
+		if err == nil && now.Sub(reflector.fleetAt.load()) >= fleetInterval {
 			err = reflector.readFleet(ctx, now)
 		}
 		return Observation{Declared: declared}, err
@@ -151,7 +196,7 @@
 	reflector.Recorder.Listed(reflector.Set.Update(observation.Servers, time.Now()))
 	reflector.Registry.Observe(observation.Fleet, time.Now())
 	reflector.Feed.Take(observation.Servers, time.Now())
-	reflector.fleetAt = now
+	reflector.fleetAt.store(now)
 	return observation, nil
 }
 
@@ -161,6 +206,6 @@
 		return err
 	}
 	reflector.Registry.Observe(entries, time.Now())
-	reflector.fleetAt = now
+	reflector.fleetAt.store(now)
 	return nil
 }
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -12,15 +12,15 @@
 )
 
 const (
-	pathServers = "/servers"
+	// PathServers is where a node answers questions for its feed.
+	PathServers = "/servers"
 	// maximumQuestion bounds a question in bytes.
-	maximumQuestion = 4 << 10
+	maximumQuestion = 64 << 10
 )
 
 // Handler answers other nodes' questions for a feed.
-func Handler(feed *Feed) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+pathServers, func(writer http.ResponseWriter, request *http.Request) {
+func Handler(feed *Feed) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
 		var question Question
 		if err := gob.NewDecoder(io.LimitReader(request.Body, maximumQuestion)).Decode(&question); err != nil {
 			writer.WriteHeader(http.StatusBadRequest)
@@ -28,8 +28,7 @@
 		}
 		question.Wait = min(question.Wait, askWait)
 		_ = gob.NewEncoder(writer).Encode(feed.Answer(request.Context(), question))
-	})
-	return mux
+	}
 }
 
 // Caller asks other nodes over HTTP.
@@ -44,7 +43,7 @@
 	if err := gob.NewEncoder(&body).Encode(question); err != nil {
 		return delta, errors.Trace(err)
 	}
-	request, err := sling.New().Base("http://" + address).Post(pathServers).Body(&body).Request()
+	request, err := sling.New().Base("http://" + address).Post(PathServers).Body(&body).Request()
 	if err != nil {
 		return delta, errors.Trace(err)
 	}
--- a/internal/residency/follower.go
+++ b/internal/residency/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,8 +26,12 @@
 	Changes(ctx context.Context, holder string, after int64, wait time.Duration) (Batch, error)
 }
 
-// ErrBusy says that the holder has enough readers.
-var ErrBusy = errors.New("the holder has enough readers; this node goes by what it sends itself")
+var (
+	// ErrBusy says that the holder has enough readers.
+	ErrBusy = errors.New("the holder has enough readers; this node goes by what it sends itself")
+	// ErrUnheard says that nobody can tell now what the holder has. It may be sound.
+	ErrUnheard = errors.New("no node tells what the holder has; this node goes by what it sends itself")
+)
 
 const (
 	// changesWait is how long a holder keeps a question for changes open, and
@@ -38,37 +43,63 @@
 	busyPause   = 5 * time.Second
 )
 
+// Recorder hears of holders. Its methods must not block.
+type Recorder interface {
+	// Unfollowed hears once of a holder that cannot be followed any more, and
+	// Followed that it can be.
+	Unfollowed(holder string, err error)
+	Followed(holder string)
+}
+
 // Follower keeps the ledger true to what one holder tells of itself.
 type Follower struct {
-	Source Source
-	Ledger *Ledger
-	// Holder returns whom to follow, or "".
-	Holder func() string
-	// Chosen reports whether this node is among those that follow: a holder takes
-	// few readers.
-	Chosen func() bool
-	// Lost hears once of a holder that cannot be followed any more, and Found that
-	// it can be. They must not block.
-	Lost  func(holder string, err error)
-	Found func(holder string)
+	holder   string
+	source   Source
+	ledger   *Ledger
+	recorder Recorder
 
 	lost bool
 }
 
-// Run follows until the context ends.
-func (follower *Follower) Run(ctx context.Context) {
+// NewFollower returns a follower of one holder.
+func NewFollower(holder string, source Source, ledger *Ledger, recorder Recorder) *Follower {
+	return &Follower{holder: holder, source: source, ledger: ledger, recorder: recorder}
+}
+
+// FollowAll runs a follower for each of the holders, as these come and go.
+func FollowAll(ctx context.Context, holders func() []string, follow func(holder string) *Follower) {
+	stops := map[string]context.CancelFunc{}
 	for ctx.Err() == nil {
-		holder := follower.Holder()
-		if holder == "" || !follower.Chosen() {
-			pause(ctx, downPause)
-			continue
+		present := holders()
+		for _, holder := range present {
+			if stops[holder] == nil {
+				following, stop := context.WithCancel(ctx)
+				stops[holder] = stop
+				go follow(holder).Run(following)
+			}
+		}
+		for holder, stop := range stops {
+			if !slices.Contains(present, holder) {
+				stop()
+				delete(stops, holder)
+			}
 		}
-		err := follower.follow(ctx, holder)
+		pause(ctx, downPause)
+	}
+	for _, stop := range stops {
+		stop()
+	}
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.follow(ctx)
 		busy := errors.Is(err, ErrBusy)
-		follower.Ledger.Lose(holder, err != nil && !busy)
-		if err != nil && !follower.lost && ctx.Err() == nil {
-			follower.lost = true
-			follower.Lost(holder, err)
+		f.ledger.Lose(f.holder, err != nil && !busy && !errors.Is(err, ErrUnheard))
+		if err != nil && !f.lost && ctx.Err() == nil {
+			f.lost = true
+			f.recorder.Unfollowed(f.holder, err)
 		}
 		if busy {
 			pause(ctx, busyPause)
@@ -76,6 +107,7 @@
 			pause(ctx, downPause)
 		}
 	}
+	f.ledger.Lose(f.holder, false)
 }
 
 func pause(ctx context.Context, length time.Duration) {
@@ -85,12 +117,12 @@
 	}
 }
 
-// follow reads all that the holder has and then its changes, until there is a
-// gap, another holder to follow, or no answer.
-func (follower *Follower) follow(ctx context.Context, holder string) error {
+// follow reads all that the holder has and then its changes, until there is a gap
+// or no answer.
+func (f *Follower) follow(ctx context.Context) error {
 	listing, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	all, err := follower.Source.List(listing, holder)
+	all, err := f.source.List(listing, f.holder)
 	if err != nil {
 		return err
 	}
@@ -98,27 +130,27 @@
 	for _, change := range all.Changes {
 		keys = append(keys, change.Key)
 	}
-	follower.Ledger.Replace(holder, keys)
-	follower.lost = false
-	follower.Found(holder)
+	f.ledger.Replace(f.holder, keys)
+	f.lost = false
+	f.recorder.Followed(f.holder)
 	life, next := all.Life, all.Next
-	for ctx.Err() == nil && follower.Holder() == holder {
-		batch, err := follower.changes(ctx, holder, next)
+	for ctx.Err() == nil {
+		batch, err := f.changes(ctx, next)
 		if err != nil {
 			return err
 		}
 		if batch.Gap || batch.Life != life {
 			return nil
 		}
-		follower.Ledger.Apply(holder, batch.Changes)
+		f.ledger.Apply(f.holder, batch.Changes)
 		next = batch.Next
 		pause(ctx, gatherTime)
 	}
 	return nil
 }
 
-func (follower *Follower) changes(ctx context.Context, holder string, after int64) (Batch, error) {
+func (f *Follower) changes(ctx context.Context, after int64) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, changesWait+askTimeout)
 	defer cancel()
-	return follower.Source.Changes(ctx, holder, after, changesWait)
+	return f.source.Changes(ctx, f.holder, after, changesWait)
 }
--- a/internal/residency/follower_test.go
+++ b/internal/residency/follower_test.go
@@ -57,17 +57,20 @@
 	return batch, told.failure
 }
 
+type unheeded struct{}
+
+func (unheeded) Unfollowed(string, error) {}
+func (unheeded) Followed(string)          {}
+
 func TestTheLedgerFollowsWhatAHolderTells(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		holder := &told{life: 1, has: map[Key]bool{1: true}}
 		ledger := NewLedger()
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
-		follower := &Follower{
-			Source: holder, Ledger: ledger, Holder: func() string { return "store" },
-			Chosen: func() bool { return true }, Lost: func(string, error) {}, Found: func(string) {},
-		}
-		go follower.Run(ctx)
+		go FollowAll(ctx, func() []string { return []string{"store"} }, func(name string) *Follower {
+			return NewFollower(name, holder, ledger, unheeded{})
+		})
 		held := func() int {
 			time.Sleep(3 * time.Second)
 			return ledger.Held("store", prompt, time.Now())
--- a/internal/residency/ledger.go
+++ b/internal/residency/ledger.go
@@ -51,6 +51,9 @@
 	capacity int64
 	marks    map[Key]mark
 	sweepAt  int
+	// recent are the last changes of a followed holder, for nodes that hear of it
+	// from this one.
+	recent history
 }
 
 // Ledger is what one node remembers. It is safe for concurrent use.
@@ -155,7 +158,7 @@
 	for _, key := range keys {
 		marks[key] = mark{}
 	}
-	ledger.holdings[holder] = &holding{followed: true, marks: marks, sweepAt: sweepAbove}
+	ledger.holdings[holder] = &holding{followed: true, marks: marks, sweepAt: sweepAbove, recent: newHistory()}
 }
 
 // Change is one change of what a followed holder has.
@@ -169,6 +172,7 @@
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	known := ledger.holding(holder)
+	known.recent.add(changes)
 	for _, change := range changes {
 		if change.Present {
 			known.marks[change.Key] = mark{}
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -34,8 +34,10 @@
 	QueuedTokens int
 	// HitBlocks is how many leading blocks of the prompt the endpoint holds.
 	HitBlocks int
-	// ImportBlocks is how many leading blocks it can take from the kept-KV store.
+	// ImportBlocks is how many leading blocks it can probably take from elsewhere,
+	// and ImportFrom the address to take them from, or "".
 	ImportBlocks int
+	ImportFrom   string
 	// Affinity is the endpoint's rendezvous weight for the prompt's first block.
 	Affinity uint64
 	// AffinityRank is the endpoint's place by Affinity among those that passed
--- /dev/null
+++ b/internal/workshare/board_test.go
@@ -0,0 +1,96 @@
+package workshare
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/property"
+)
+
+var begin = time.Unix(1000, 0)
+
+// node is a node of a fleet with its own work.
+type node struct {
+	name  string
+	work  []backend.Work
+	board *Board
+}
+
+func newNode(name string) *node {
+	n := &node{name: name}
+	n.board = New(func() []backend.Work { return n.work })
+	return n
+}
+
+// Whatever the nodes have under way, each hears of all the others' and not of its own.
+func TestEachNodeHearsOfAllOthers(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		readers, all := []*node{}, []*node{}
+		asks := map[*node]*node{}
+		for i := range rapid.IntRange(1, 10).Draw(t, "readers") {
+			readers = append(readers, newNode(fmt.Sprint("reader-", i)))
+		}
+		all = append(all, readers...)
+		for i := range rapid.IntRange(0, 30).Draw(t, "followers") {
+			follower := newNode(fmt.Sprint("follower-", i))
+			asks[follower] = rapid.SampledFrom(readers).Draw(t, "asks")
+			all = append(all, follower)
+		}
+		whole := totals{}
+		for _, n := range all {
+			for server := range rapid.Uint64Range(0, 5).Draw(t, "servers") {
+				n.work = append(n.work, backend.Work{Server: server, Running: rapid.IntRange(0, 9).Draw(t, "running")})
+			}
+			whole.add(n.work)
+		}
+		for follower, reader := range asks {
+			reader.board.TakeFollower(follower.name, follower.work, begin)
+		}
+		for _, a := range readers {
+			for _, b := range readers {
+				if a != b {
+					a.board.TakeGroup(b.name, b.board.Group(begin), begin)
+				}
+			}
+		}
+		for _, n := range all {
+			heard := n.board.Others("", begin)
+			if reader := asks[n]; reader != nil {
+				heard = reader.board.Others(n.name, begin)
+			}
+			sum := totals{}
+			sum.add(heard)
+			sum.add(n.work)
+			for server := range whole {
+				require.Equal(t, whole[server].Running, sum[server].Running, n.name)
+			}
+		}
+	})
+}
+
+func TestAnOldWordDoesNotCount(t *testing.T) {
+	b := New(func() []backend.Work { return nil })
+	b.TakeFollower("a", []backend.Work{{Server: 1, Running: 2}}, begin)
+	b.TakeGroup("r", []backend.Work{{Server: 1, Running: 3}}, begin.Add(reportLife))
+	require.Equal(t, []backend.Work{{Server: 1, Running: 5}}, b.Others("", begin.Add(reportLife)))
+	require.Equal(t, []backend.Work{{Server: 1, Running: 3}}, b.Others("", begin.Add(reportLife+1)))
+	require.Empty(t, b.Others("", begin.Add(3*reportLife)))
+}
+
+func TestWhatMattersMostIsToldIfThereIsTooMuch(t *testing.T) {
+	b := New(func() []backend.Work { return nil })
+	work := []backend.Work{{Server: 9999, Suspects: 1}}
+	for i := range 2 * mostTold {
+		work = append(work, backend.Work{Server: uint64(i), QueuedTokens: i})
+	}
+	b.TakeGroup("r", work, begin)
+	told := b.Others("", begin)
+	require.Len(t, told, mostTold)
+	require.Equal(t, uint64(9999), told[0].Server)
+	require.Equal(t, 2*mostTold-1, told[1].QueuedTokens)
+}
