End a tenure when its fencing token was refused

A 412 of a server counted as any rejection, and a refused guarded write was tried again at every tick.

ResultFenced; Tenure.Supersede ends the tenure at once and for good; the keeper gives its lease back and takes the duty over anew if there is still work.

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -233,6 +233,10 @@
 			keeper.handBack(held)
 			return "this node stops"
 		}
+		if held.tenure.Superseded() {
+			keeper.handBack(held)
+			return "another node has a higher fencing token"
+		}
 		now := time.Now()
 		if now.Sub(held.renewed) >= held.lease.Life/renewals {
 			held.renewed = now
@@ -264,13 +268,17 @@
 	act(ctx, held.tenure)
 }
 
-// publish writes the state of the duty, which only its holder can.
+// publish writes the state of the duty, which only its holder can. A refusal says
+// that the duty's key is not this holder's any more.
 func (keeper *Keeper) publish(ctx context.Context, held *holding, state []byte) bool {
 	written := false
 	err := persist(ctx, func(ctx context.Context) (err error) {
 		written, err = keeper.Store.WriteGuarded(ctx, keeper.KeyState, state, keeper.Key, held.tenure.Fence)
 		return err
 	})
+	if err == nil && !written {
+		held.tenure.Supersede()
+	}
 	return err == nil && written
 }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -32,7 +32,9 @@
 type duty struct {
 	node   string
 	wanted atomic.Bool
-	fleet  *fleet
+	// refused is a fencing token for which servers refuse orders.
+	refused atomic.Int64
+	fleet   *fleet
 }
 
 func (duty *duty) Wanted() bool { return duty.wanted.Load() }
@@ -43,6 +45,9 @@
 	}
 	return []byte(state + " " + duty.node), func(_ context.Context, tenure *Tenure) {
 		if duty.Wanted() && tenure.MayAct(time.Now()) {
+			if duty.refused.Load() == tenure.Fence {
+				tenure.Supersede()
+			}
 			duty.fleet.note(act{node: duty.node, fence: tenure.Fence, at: time.Now()})
 		}
 	}
@@ -230,3 +235,23 @@
 		fleet.check(t)
 	})
 }
+
+func TestAHolderThatWasRefusedForItsTokenOrdersNoMoreWithIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := &fleet{}
+		fleet.store = storestub.New(time.Now, nil)
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		duty := fleet.start(ctx, "a", nil)
+		time.Sleep(time.Second)
+		fenced := fleet.last().fence
+		duty.refused.Store(fenced)
+		time.Sleep(tick)
+		refusedAt := time.Now()
+		time.Sleep(4 * settling)
+		for _, act := range fleet.acts {
+			require.False(t, act.fence == fenced && act.at.After(refusedAt), "%s", act.at.Sub(refusedAt))
+		}
+		require.Greater(t, fleet.last().fence, fenced, "it takes the duty over anew")
+	})
+}
--- a/internal/lease/tenure.go
+++ b/internal/lease/tenure.go
@@ -2,7 +2,10 @@
 // fencing token is the revision of the key that it created: it only ever grows.
 package lease
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Tenure is one node's hold on the duty. It is pure: all times are given.
 //
@@ -18,6 +21,8 @@
 	until   time.Time
 	life    time.Duration
 	margin  time.Duration
+	// superseded says that a higher fencing token is in use.
+	superseded atomic.Bool
 }
 
 // NewTenure returns a tenure whose lease was asked for at asked. It may act from
@@ -33,9 +38,16 @@
 	}
 }
 
+// Supersede ends the tenure: somebody was refused for its fencing token, so that
+// another holder has a higher one.
+func (tenure *Tenure) Supersede() { tenure.superseded.Store(true) }
+
+// Superseded reports whether the tenure was ended by another holder's token.
+func (tenure *Tenure) Superseded() bool { return tenure.superseded.Load() }
+
 // MayAct reports whether orders may go out now.
 func (tenure *Tenure) MayAct(now time.Time) bool {
-	return !now.Before(tenure.settled) && now.Before(tenure.until.Add(-tenure.margin))
+	return !tenure.Superseded() && !now.Before(tenure.settled) && now.Before(tenure.until.Add(-tenure.margin))
 }
 
 // SettledAt returns when a new holder may begin: at once if no other held the
--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -91,7 +91,7 @@
 		}
 		switch action := action.(type) {
 		case Order:
-			go duty.order(ctx, action, tenure.Fence)
+			go duty.order(ctx, action, tenure)
 		case Inspect:
 			go duty.inspect(ctx, action)
 		case Loaded:
@@ -121,11 +121,14 @@
 	}
 }
 
-func (duty *Duty) order(ctx context.Context, order Order, fence int64) {
+func (duty *Duty) order(ctx context.Context, order Order, tenure *lease.Tenure) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	result, err := duty.Servers.Order(ctx, order, duty.Holder, fence)
-	duty.Recorder.Ordered(order, fence, result, err)
+	result, err := duty.Servers.Order(ctx, order, duty.Holder, tenure.Fence)
+	duty.Recorder.Ordered(order, tenure.Fence, result, err)
+	if result == ResultFenced {
+		tenure.Supersede()
+	}
 	duty.do(func(machine *Machine) { machine.Answered(time.Now(), order.Server.Instance, result) })
 }
 
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -33,6 +33,8 @@
 	ResultConflict
 	// ResultRejected says that the server will not take the order as it is.
 	ResultRejected
+	// ResultFenced says that the server has seen a higher fencing token.
+	ResultFenced
 	// ResultUnreached says that the order did not reach the server.
 	ResultUnreached
 )
@@ -362,7 +364,7 @@
 		machine.sequences[instance] = known.order.Expected + 1
 	case ResultHolds:
 		// The next report shows it.
-	case ResultConflict, ResultRejected, ResultUnreached:
+	case ResultConflict, ResultRejected, ResultFenced, ResultUnreached:
 		delete(machine.pending, instance)
 		delete(machine.sequences, instance)
 		machine.resting[instance] = now.Add(restAfterFailure)
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -198,6 +198,7 @@
 	rollout.ResultHolds:     "holds",
 	rollout.ResultConflict:  "conflict",
 	rollout.ResultRejected:  "rejected",
+	rollout.ResultFenced:    "fenced",
 	rollout.ResultUnreached: "unreached",
 }
 
