Soak real proxies under faults from outside

cloverrail-lab soak starts proxies as processes before stand-ins of the platform, with a loopback wire (internal/lab/faultwire) on each node's way to the store and before each server. It kills, pauses, stops, reloads and restarts nodes, delays, resets, silences and cuts connections one way, crashes and retires servers, names weights and takes keys away, and then holds what callers and servers saw against the promises.

--- a/cmd/cloverrail-lab/main.go
+++ b/cmd/cloverrail-lab/main.go
@@ -24,6 +24,7 @@
 			demoCommand(),
 			experimentCommand(),
 			faultsCommand(),
+			soakCommand(),
 			standinCommand(),
 			streamsCommand(),
 			command.Node(),
--- /dev/null
+++ b/cmd/cloverrail-lab/soak.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cloverrail/cloverrail/platform/standin/soak"
+)
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "harm real proxies before stand-ins of the platform and check their promises",
+		Description: `Build the program first, then play a seed, or the seeds that once failed:
+  go build -o target/ ./cmd/cloverrail
+  go run ./cmd/cloverrail-lab soak --program target/cloverrail --seed 1
+  go run ./cmd/cloverrail-lab soak --program target/cloverrail --known`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "program", Value: "target/cloverrail", Usage: "`PATH` of the program under test"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the faults"},
+			&cli.BoolFlag{Name: "known", Usage: "play all seeds that once failed"},
+			&cli.DurationFlag{Name: "duration", Value: time.Minute, Usage: "how long faults go on"},
+			&cli.IntFlag{Name: "nodes", Value: 4},
+			&cli.IntFlag{Name: "engines", Value: 4},
+			&cli.IntFlag{Name: "plain", Value: 3},
+			&cli.IntFlag{Name: "callers", Value: 12},
+			&cli.StringFlag{Name: "folder", Usage: "`FOLDER` for the nodes' logs; a new one by default"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, command *cli.Command) error {
+	folder := command.String("folder")
+	if folder == "" {
+		made, err := os.MkdirTemp("", "cloverrail-soak-")
+		if err != nil {
+			return errors.Annotate(err, "name a folder with --folder")
+		}
+		folder = made
+	}
+	seeds := []uint64{command.Uint64("seed")}
+	if command.Bool("known") {
+		seeds = soak.KnownSeeds()
+	}
+	violated := false
+	for _, seed := range seeds {
+		fmt.Printf("seed %d, %s; logs in %s\n", seed, command.Duration("duration"), folder)
+		verdicts, err := soak.Run(ctx, soak.Config{
+			Program: command.String("program"), Seed: seed, Duration: command.Duration("duration"),
+			Nodes: command.Int("nodes"), Engines: command.Int("engines"), Plain: command.Int("plain"), Callers: command.Int("callers"),
+			RetryExtra: 1000, Folder: folder, Output: os.Stdout,
+		})
+		if err != nil {
+			return err
+		}
+		violated = printVerdicts(verdicts) || violated
+	}
+	if violated {
+		return errors.New("a promise was broken; keep the seed in platform/standin/soak/seeds.txt with its cause")
+	}
+	return nil
+}
+
+// printVerdicts prints a table, and reports whether a promise was broken.
+func printVerdicts(verdicts []soak.Verdict) bool {
+	violated := false
+	columns := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(columns, "PROMISE\tCHECKED\tVIOLATIONS")
+	for _, v := range verdicts {
+		fmt.Fprintf(columns, "%s\t%d\t%d\n", v.Promise, v.Checked, len(v.Violations))
+	}
+	_ = columns.Flush()
+	for _, v := range verdicts {
+		for _, one := range v.Violations[:min(len(v.Violations), shownViolations)] {
+			violated = true
+			fmt.Println("  " + one)
+		}
+	}
+	return violated
+}
--- a/internal/lab/cluster/process.go
+++ b/internal/lab/cluster/process.go
@@ -48,12 +48,18 @@
 	return len(data), nil
 }
 
-// start runs this program again with other arguments. The child dies with it.
+// start runs this program again with other arguments.
 func start(name string, output io.Writer, arguments ...string) (*Process, error) {
 	program, err := os.Executable()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	return StartProgram(name, output, program, arguments...)
+}
+
+// StartProgram runs a program, which dies with this one. Output, which may be nil, gets a
+// copy of what it prints.
+func StartProgram(name string, output io.Writer, program string, arguments ...string) (*Process, error) {
 	process := &Process{name: name, command: exec.Command(program, arguments...), ended: make(chan struct{}), output: &tail{copy: output}}
 	process.command.Stderr = process.output
 	process.command.Stdout = process.output
