--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -196,6 +196,7 @@
 func (process *process) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+reflector.PathServers, reflector.Handler(process.feed))
+	mux.HandleFunc("GET "+reflector.PathWork, reflector.WorkHandler(process.work))
 	mux.HandleFunc("POST "+residency.PathKept, residency.Handler(process.ledger))
 	return mux
 }
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -37,8 +37,7 @@
 	Weights     map[string]int64
 	// Fleet is nil if the follower has it.
 	Fleet []coordination.Entry
-	// Work is what all nodes but the follower have under way at servers; a reader
-	// that asks hears of the group of nodes that ask this one.
+	// Work is what all nodes but the follower have under way at servers.
 	Work []backend.Work
 }
 
@@ -49,8 +48,6 @@
 	Wait  time.Duration
 	// Node names who asks.
 	Node string
-	// FromReader says that it is a reader, who only wants to hear of work.
-	FromReader bool
 	// Declaration is the version that the follower has, and Fleet the digest of its
 	// fleet.
 	Declaration int64
@@ -151,9 +148,6 @@
 // Answer returns what has changed since the question's place, and waits for it if
 // nothing has.
 func (feed *Feed) Answer(ctx context.Context, question Question) Delta {
-	if question.FromReader {
-		return Delta{Work: feed.work.Group(time.Now())}
-	}
 	feed.work.TakeFollower(question.Node, question.Work, time.Now())
 	delta := feed.await(ctx, question)
 	feed.addBelief(&delta, question, time.Now())
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -133,9 +133,9 @@
 			continue
 		}
 		asked.Go(func() {
-			delta, err := reflector.Peers.Ask(ctx, reader, Question{Node: reflector.Registry.Name, FromReader: true})
+			work, err := reflector.Peers.Work(ctx, reader)
 			if err == nil {
-				reflector.Work.TakeGroup(reader, delta.Work, time.Now())
+				reflector.Work.TakeGroup(reader, work, time.Now())
 			}
 		})
 	}
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -29,6 +29,8 @@
 	return a.feed.Answer(ctx, question), nil
 }
 
+func (a *answering) Work(context.Context, string) ([]backend.Work, error) { return nil, nil }
+
 // counting is a store that counts readings.
 type counting struct{ declared, fleet int }
 
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -39,6 +39,8 @@
 // Peers asks other nodes for what they know.
 type Peers interface {
 	Ask(ctx context.Context, address string, question Question) (Delta, error)
+	// Work asks a reader for the work of its group: itself and the nodes that ask it.
+	Work(ctx context.Context, address string) ([]backend.Work, error)
 }
 
 // Recorder hears of what a reading changes. Its methods must not block.
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -6,14 +6,21 @@
 	"encoding/gob"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/dghubble/sling"
 	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/workshare"
 )
 
 const (
 	// PathServers is where a node answers questions for its feed.
 	PathServers = "/servers"
+	// PathWork is where a reader tells other readers of its group's work. It is apart
+	// from PathServers since the description of a Delta alone is longer than most work.
+	PathWork = "/work"
 	// maximumQuestion bounds a question in bytes.
 	maximumQuestion = 64 << 10
 )
@@ -31,6 +38,13 @@
 	}
 }
 
+// WorkHandler tells other readers of this node's group.
+func WorkHandler(board *workshare.Board) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		_ = gob.NewEncoder(w).Encode(board.Group(time.Now()))
+	}
+}
+
 // Caller asks other nodes over HTTP.
 type Caller struct {
 	Client *http.Client
@@ -47,13 +61,30 @@
 	if err != nil {
 		return delta, errors.Trace(err)
 	}
+	err = caller.do(ctx, request, &delta)
+	return delta, err
+}
+
+// Work asks a reader for the work of its group.
+func (caller *Caller) Work(ctx context.Context, address string) ([]backend.Work, error) {
+	var work []backend.Work
+	request, err := sling.New().Base("http://" + address).Get(PathWork).Request()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	err = caller.do(ctx, request, &work)
+	return work, err
+}
+
+// do sends a request and decodes the answer.
+func (caller *Caller) do(ctx context.Context, request *http.Request, answer any) error {
 	response, err := caller.Client.Do(request.WithContext(ctx))
 	if err != nil {
-		return delta, errors.Trace(err)
+		return errors.Trace(err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return delta, errors.Errorf("node %s answered with status %d; run the same version on all nodes", address, response.StatusCode)
+		return errors.Errorf("node %s answered with status %d; run the same version on all nodes", request.URL.Host, response.StatusCode)
 	}
-	return delta, errors.Trace(gob.NewDecoder(response.Body).Decode(&delta))
+	return errors.Trace(gob.NewDecoder(response.Body).Decode(answer))
 }
