Remember an outage of the store that came before the first reading

The first reading failed, but there was no belief yet to note it in.

Ruled out: the sharing of work and the choice of sources (the refusals come from the filter by version, before any score).

TestAnOutageBeforeTheFirstReadingIsRemembered failed before.

--- a/internal/catalog/belief.go
+++ b/internal/catalog/belief.go
@@ -122,10 +122,11 @@
 	return next
 }
 
-// Disturb returns the belief that follows from a reading that failed.
+// Disturb returns the belief that follows from a reading that failed. Before the
+// first reading that is a belief without a snapshot.
 func Disturb(known *Belief, now time.Time) *Belief {
 	if known == nil {
-		return nil
+		return &Belief{Disturbed: now}
 	}
 	next := *known
 	if now.After(next.Disturbed) {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -94,3 +94,13 @@
 	require.Zero(t, belief.Weights["m"][0].NotNamedAt, "it may have been named long before")
 	require.True(t, belief.Fresh(time.Unix(1001, 0), time.Second))
 }
+
+func TestAnOutageBeforeTheFirstReadingIsRemembered(t *testing.T) {
+	failedAt := time.Unix(1000, 0)
+	belief := Disturb(nil, failedAt)
+	require.NotNil(t, belief)
+	belief = Advance(belief, Reading{SentAt: failedAt.Add(time.Second), Declaration: &Declaration{Version: 1}, Weights: map[string]int64{"m": 2}})
+	require.Equal(t, failedAt, belief.Disturbed)
+	require.True(t, belief.Weights["m"][0].NotNamedAt.IsZero(), "nobody knows when it was named")
+	require.Equal(t, failedAt.Add(time.Second), belief.AsOf)
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -53,7 +53,7 @@
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "cloverrail_proxy_declaration_age_seconds", Help: "Time since the declaration was certainly current.",
 	}, func() float64 {
-		if known := belief.Load(); known != nil {
+		if known := belief.Load(); known != nil && known.Snapshot != nil {
 			return time.Since(known.AsOf).Seconds()
 		}
 		return -1
