--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -90,6 +90,8 @@
 			Revocation:    given.Bounds.Revocation,
 			Configuration: given.Bounds.Configuration,
 			Weights:       given.Bounds.Weights,
+			ReplacedGrace: given.Bounds.ReplacedGrace,
+			ReplacedLoss:  given.Bounds.ReplacedLoss,
 			Contact:       given.Bounds.Contact,
 		},
 		Retries:  process.retries,
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -35,6 +35,9 @@
 	// workWeight is how much dearer a second of reading a prompt is than a second
 	// of waiting: it is taken from every request that comes after.
 	workWeight = 4
+	// answerWorth is how many target latencies of engine time an answer in time is
+	// worth: to save one that would be lost, others may wait for so long in all.
+	answerWorth = 4
 	// leastUrgent is the last rank that servers know.
 	leastUrgent = 9
 )
@@ -119,6 +122,7 @@
 		candidate.Affinity = prefix.Weight(key, candidate.Endpoint)
 		pieces := placer.named(candidate.Version)
 		candidate.HitBlocks = placer.proxy.ledger.Held(candidate.Endpoint, pieces, now)
+		candidate.ReplacedLoss = placer.proxy.replacedLoss(placer.prompt().Model, candidate.Version, now)
 	}
 	placer.annotateSources(candidates, now)
 }
@@ -159,7 +163,7 @@
 	if placer.prompt() == nil {
 		return []routing.Scorer{routing.TurnScorer{}, routing.DistanceScorer{}, routing.FailureScorer{}}
 	}
-	return []routing.Scorer{routing.WorkScorer{}, routing.WaitScorer{}, routing.CopyScorer{}, routing.DistanceScorer{}, routing.FailureScorer{}}
+	return []routing.Scorer{routing.WorkScorer{}, routing.WaitScorer{}, routing.CopyScorer{}, routing.DistanceScorer{}, routing.FailureScorer{}, routing.ReplacedScorer{}}
 }
 
 func (placer *placer) routingRequest() *routing.Request {
@@ -169,6 +173,7 @@
 		TurnSeconds: plainTurn,
 		Bytes:       len(placer.admitted.request.Body),
 		FailureCost: placer.admitted.route.TargetLatency.Seconds(),
+		AnswerWorth: answerWorth * placer.admitted.route.TargetLatency.Seconds(),
 	}
 	prompt := placer.prompt()
 	if prompt == nil {
@@ -220,6 +225,16 @@
 	return belief.Weights[model].Required(now.Add(-tolerated), found)
 }
 
+// replacedLoss is the share of an answer's worth that is lost if it is begun now on
+// a version of a model's weights.
+func (proxy *Proxy) replacedLoss(model string, version int64, now time.Time) float64 {
+	naming, replaced := proxy.belief.Load().Weights[model].After(version)
+	if !replaced || (!naming.NotNamedAt.IsZero() && now.Sub(naming.NotNamedAt) < proxy.bounds.ReplacedGrace) {
+		return 0
+	}
+	return proxy.bounds.ReplacedLoss
+}
+
 // lastStart is when a request must have begun on a version of a model's weights;
 // zero if it is the newest.
 func (proxy *Proxy) lastStart(model string, version int64) time.Time {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -96,6 +96,11 @@
 	Configuration time.Duration
 	// Weights is the longest time for which older weights may serve.
 	Weights time.Duration
+	// ReplacedGrace is the time after the naming of newer weights in which answers on
+	// older ones are worth as much, and ReplacedLoss the share of their worth that is
+	// lost after it.
+	ReplacedGrace time.Duration
+	ReplacedLoss  float64
 	// Contact is the time after its start in which a node is not yet held to what
 	// it cannot know.
 	Contact time.Duration
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -152,6 +152,18 @@
 	require.Equal(t, int64(6), proxy.minimumVersion("m", start.Add(16*time.Second)))
 }
 
+func TestAnswersOnReplacedWeightsAreWorthLessAfterTheGrace(t *testing.T) {
+	start := time.Now()
+	proxy := at(start, catalog.Namings{{Version: 4}, {Version: 5, NotNamedAt: start}, {Version: 6, NotNamedAt: start.Add(4 * time.Second)}})
+	proxy.bounds.ReplacedGrace, proxy.bounds.ReplacedLoss = 1500*time.Millisecond, 0.2
+	require.Zero(t, proxy.replacedLoss("m", 4, start.Add(1499*time.Millisecond)))
+	require.InDelta(t, 0.2, proxy.replacedLoss("m", 4, start.Add(1500*time.Millisecond)), 1e-9)
+	require.Zero(t, proxy.replacedLoss("m", 5, start.Add(5*time.Second)))
+	require.InDelta(t, 0.2, proxy.replacedLoss("m", 5, start.Add(5500*time.Millisecond)), 1e-9)
+	require.Zero(t, proxy.replacedLoss("m", 6, start.Add(time.Hour)), "the newest")
+	require.InDelta(t, 0.2, proxy.replacedLoss("m", 3, start), 1e-9, "nobody knows when 4 was named")
+}
+
 // What is admitted must have time to begin, or it would be ended as soon as it is sent.
 func TestWhatMayServeMayAlsoBegin(t *testing.T) {
 	property.Check(t, func(t *rapid.T) {
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -24,6 +24,9 @@
 	// Distance is how far the endpoint is: 0 the same zone, 1 the same region,
 	// 2 another region.
 	Distance int
+	// ReplacedLoss is the share of an answer's worth, from 0 to 1, that is lost if the
+	// endpoint makes it, since its weights have been replaced.
+	ReplacedLoss float64
 	// FailureShare is the estimated share of attempts that fail on it.
 	FailureShare float64
 	// InFlight counts this node's attempts on the endpoint.
@@ -67,4 +70,6 @@
 	Bytes int
 	// FailureCost is what a failed attempt costs, in seconds.
 	FailureCost float64
+	// AnswerWorth is what a whole answer in time is worth, in seconds of engine time.
+	AnswerWorth float64
 }
--- a/internal/routing/score_opaque_test.go
+++ b/internal/routing/score_opaque_test.go
@@ -36,6 +36,16 @@
 	require.InDelta(t, 0.03, TurnScorer{}.Score(longPrompt, &Candidate{Running: 3}), 1e-9)
 }
 
+func TestNewerWeightsWinUntilTheirQueueCostsMoreThanTheLoss(t *testing.T) {
+	request := *longPrompt
+	request.AnswerWorth = 2
+	candidates := []Candidate{{Endpoint: "old", Ready: true, ReplacedLoss: 0.2, HitBlocks: 8_000}, {Endpoint: "new", Ready: true, HitBlocks: 8_000}}
+	scheduler := NewScheduler(WorkScorer{}, WaitScorer{}, ReplacedScorer{})
+	require.Equal(t, 1, scheduler.Schedule(&request, candidates).Index)
+	candidates[1].QueuedTokens = 17_000
+	require.Equal(t, 0, scheduler.Schedule(&request, candidates).Index, "0.4 s are lost, 0.425 s would be waited")
+}
+
 func TestABusyEndpointIsPassedOver(t *testing.T) {
 	candidates := []Candidate{{Endpoint: "busy", Ready: true, Busy: true, HitBlocks: 8_000}, {Endpoint: "free", Ready: true}}
 	require.Equal(t, 1, NewScheduler().Schedule(longPrompt, candidates).Index)
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -45,6 +45,11 @@
 	Drain time.Duration `yaml:"drain" validate:"gt=0"`
 	// Weights is when older weights must have stopped serving.
 	Weights time.Duration `yaml:"weights" validate:"gt=0"`
+	// ReplacedGrace is the time after the naming of newer weights in which an answer
+	// on older ones is worth as much; ReplacedLoss is the share of its worth, from 0 to
+	// 1, that is lost after it.
+	ReplacedGrace time.Duration `yaml:"replacedGrace" validate:"min=0"`
+	ReplacedLoss  float64       `yaml:"replacedLoss" validate:"min=0,max=1"`
 	// Contact is the time after its start in which a node is not yet held to what
 	// it cannot know.
 	Contact time.Duration `yaml:"contact" validate:"gt=0"`
@@ -66,6 +71,8 @@
 			Revocation:    5 * time.Second,
 			Drain:         2 * time.Second,
 			Weights:       8 * time.Second,
+			ReplacedGrace: 1500 * time.Millisecond,
+			ReplacedLoss:  0.2,
 			Contact:       3 * time.Second,
 			HolderChange:  3 * time.Second,
 			RetryRatio:    0.2,
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -17,6 +17,8 @@
 	firstAnswer     *prometheus.HistogramVec
 	reads           *prometheus.CounterVec
 	orders          *prometheus.CounterVec
+	connections     *prometheus.CounterVec
+	replaced        prometheus.Counter
 	version         prometheus.Gauge
 	suppressedLines prometheus.Counter
 }
@@ -43,6 +45,12 @@
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_orders_total", Help: "Orders to servers by result.",
 		}, []string{"result"}),
+		connections: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_connections_total", Help: "Requests to servers by whether their connection was kept or new.",
+		}, []string{"kind"}),
+		replaced: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_replaced_placements_total", Help: "Placements on weights that had been replaced for longer than the grace.",
+		}),
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cloverrail_proxy_declaration_version", Help: "Version of the declaration in force.",
 		}),
@@ -59,6 +67,6 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstAnswer, metrics.reads,
-		metrics.orders, metrics.version, metrics.suppressedLines, age)
+		metrics.orders, metrics.connections, metrics.replaced, metrics.version, metrics.suppressedLines, age)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -67,6 +67,9 @@
 
 // Placed hears of each placement with what decided it.
 func (recorder *Recorder) Placed(request *proxy.Request, chosen routing.Candidate) {
+	if chosen.ReplacedLoss > 0 {
+		recorder.metrics.replaced.Inc()
+	}
 	line := recorder.line(zerolog.InfoLevel).Str("id", request.ID).Str("server", chosen.Endpoint).
 		Int("distance", chosen.Distance).Int("in_flight", chosen.InFlight).Float64("failures", chosen.FailureShare)
 	if prompt := request.Prompt; prompt != nil {
@@ -76,6 +79,15 @@
 	line.Msg("placed")
 }
 
+// Connected hears for each request to a server whether its connection was kept.
+func (recorder *Recorder) Connected(kept bool) {
+	kind := "new"
+	if kept {
+		kind = "kept"
+	}
+	recorder.metrics.connections.WithLabelValues(kind).Inc()
+}
+
 // Attempt hears of each event of an attempt. Those of the ordinary course are
 // told by the request's last line alone.
 func (recorder *Recorder) Attempt(request *proxy.Request, server string, event exchange.Event) {
