--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -75,7 +75,7 @@
 	process.log = zerolog.New(telemetry.NewWriter(os.Stdout)).With().Timestamp().Str("node", given.Name).Logger()
 	process.metrics = telemetry.NewMetrics(process.belief)
 	process.recorder = telemetry.NewRecorder(process.log, process.metrics)
-	process.servers = platform.NewServers(platform.Connections{Connect: connectTimeout, Silence: silenceTimeout})
+	process.servers = platform.NewServers(platform.Connections{Connect: connectTimeout, Silence: silenceTimeout, Used: process.recorder.Connected})
 	process.retries = proxy.NewRetries(proxy.RetryBounds{
 		Ratio:  given.Bounds.RetryRatio,
 		Extra:  given.Bounds.RetryExtra,
