Let one node ask each holder of cached parts, and tell the others in few bytes

Cause: a node knew of engines only what it had sent itself, an eighth of the traffic: it believed 20 % of a prompt's shared tokens to be held where 51 % were found. Change: an engine or store is asked by one reader, of its zone if there is any; the readers tell each other on the call that carries their work, and their followers with the list of servers: changes of parts since a place, 4 bytes a part. A word that is not renewed for 2 s is forgotten. Relays with a question for each holder (PathKept) are gone, and with them the most frequent call of followers. A request takes parts from the server that holds most of them, and from the store only if that has more. A list is asked for only after a gap and once a minute, since events get lost.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -110,7 +110,7 @@
 		Resized: process.resize,
 	}
 	process.work = workshare.New(func() []backend.Work { return process.set.Work(time.Now()) })
-	process.feed = reflector.NewFeed(given.Name+" "+life, process.belief, process.registry, process.work)
+	process.feed = reflector.NewFeed(given.Name+" "+life, process.belief, process.registry, process.work, process.ledger)
 	process.reflector = process.newReflector()
 	return process, nil
 }
@@ -179,18 +179,17 @@
 		Registry: process.registry,
 		Feed:     process.feed,
 		Work:     process.work,
+		Kept:     residency.NewHearer(process.ledger),
 		Recorder: process.recorder,
 		Interval: part(min(bounds.Configuration, bounds.Drain), readPart),
 	}
 }
 
-// followStores starts following what the stores of kept KV cache have: by itself
-// if this node is among the few that may, and else by the word of one of those.
-func (process *process) followStores(ctx context.Context) {
-	peer := residency.NewPeer(process.peers, process.reflector.Reader)
-	source := residency.NewEither(process.servers, peer, process.reads)
-	go residency.FollowAll(ctx, process.prefixStores, func(holder string) *residency.Follower {
-		return residency.NewFollower(holder, source, process.ledger, process.recorder)
+// followHolders starts following what those holders of cached parts have that are
+// this node's to ask. It hears of the others from the nodes that ask these.
+func (process *process) followHolders(ctx context.Context) {
+	go residency.FollowAll(ctx, process.ownHolders, func(holder string) *residency.Follower {
+		return residency.NewFollower(holder, process.servers, process.ledger, process.recorder)
 	})
 }
 
@@ -198,20 +197,30 @@
 func (process *process) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+reflector.PathServers, reflector.Handler(process.feed))
-	mux.HandleFunc("GET "+reflector.PathWork, reflector.WorkHandler(process.work))
-	mux.HandleFunc("POST "+residency.PathKept, residency.Handler(process.ledger))
+	mux.HandleFunc("GET "+reflector.PathWork, reflector.WorkHandler(process.work, process.ledger))
 	return mux
 }
 
-// prefixStores returns the addresses of the stores of kept KV cache.
-func (process *process) prefixStores() []string {
+// ownHolders returns the addresses of the engines, and of the stores of kept KV
+// cache, that this node is to ask for what they have.
+func (process *process) ownHolders() []string {
 	belief := process.belief.Load()
-	if belief == nil || belief.Snapshot == nil {
+	if belief == nil || belief.Snapshot == nil || !process.reads() {
 		return nil
 	}
 	var addresses []string
+	own := func(address, zone string) {
+		if process.registry.Owns(address, zone, reflector.Readers) {
+			addresses = append(addresses, address)
+		}
+	}
 	for _, store := range belief.Snapshot.Stores() {
-		addresses = append(addresses, store.Address)
+		own(store.Address, store.Zone)
+	}
+	for _, server := range process.set.Servers() {
+		if len(server.Versions) > 0 {
+			own(server.Address, server.Zone)
+		}
 	}
 	return addresses
 }
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -72,7 +72,7 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	go process.reflector.Run(ctx)
-	process.followStores(ctx)
+	process.followHolders(ctx)
 	keeping, handBack := context.WithCancel(ctx)
 	defer handBack()
 	handedBack := process.keep(keeping)
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -231,6 +231,25 @@
 	return append(rotate(near, rank), rotate(far, rank)...)
 }
 
+// Owns reports whether this node is the one among the first nodes of the fleet that
+// does what one must do for a thing in a zone: one of that zone if there is any.
+// Nodes that see the same fleet agree.
+func (r *Registry) Owns(thing, zone string, most int) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	first := r.names[:min(most, len(r.names))]
+	near := []string{}
+	for _, name := range first {
+		if r.places[name].zone == zone {
+			near = append(near, name)
+		}
+	}
+	if len(near) == 0 {
+		near = first
+	}
+	return prefix.Owner(prefix.KeyOf(thing), near) == r.Name
+}
+
 // rotate moves the first elements of a list behind the others.
 func rotate(list []string, by int) []string {
 	if len(list) == 0 {
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -117,3 +117,31 @@
 	require.Len(t, ranks, 30, "every node has its own rank")
 	require.Len(t, first, 9, "all agree on the first")
 }
+
+func TestOneNodeOwnsAThingAndItStandsInItsZoneIfAnyDoes(t *testing.T) {
+	entries := []coordination.Entry{}
+	for number := range 30 {
+		zone := string(rune('a' + number%3))
+		entries = append(entries, coordination.Entry{Key: fmt.Sprint("f/nodes/node-", zone, "-", number, "/1"), Value: []byte(fmt.Sprint("addr-", number, " ", zone))})
+	}
+	owners := map[string]bool{}
+	for thing := range 20 {
+		for _, zone := range []string{"a", "b", "c", "elsewhere"} {
+			found := []string{}
+			for number := range 30 {
+				own := string(rune('a' + number%3))
+				name := fmt.Sprint("node-", own, "-", number)
+				registry := &Registry{Prefix: "f/nodes/", Name: name, Zone: own, Resized: func(int) {}}
+				registry.Observe(entries, time.Unix(1000, 0))
+				if registry.Owns(fmt.Sprint("thing-", thing), zone, 9) {
+					found = append(found, name)
+					require.Less(t, registry.Rank(), 9)
+					require.True(t, own == zone || zone == "elsewhere")
+				}
+			}
+			require.Len(t, found, 1)
+			owners[found[0]] = true
+		}
+	}
+	require.Greater(t, len(owners), 6, "things are spread over the first nodes")
+}
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -104,14 +104,14 @@
 	ledger := placer.proxy.ledger
 	pieces := placer.named(placement.chosen.Version)
 	capacity := placer.admitted.service.Engine.CacheTokens
-	ledger.Note(placement.chosen.Endpoint, pieces, placement.tokens, capacity, now)
+	ledger.Note(placement.chosen.Address, placement.chosen.Endpoint, pieces, placement.tokens, capacity, now)
 	store := placer.store()
 	switch {
 	case store == nil:
 	case placement.saves:
-		ledger.Note(store.Address, pieces, placer.prompt().Tokens, store.CapacityTokens, now.Add(saveTime))
+		ledger.Note(store.Address, "", pieces, placer.prompt().Tokens, store.CapacityTokens, now.Add(saveTime))
 	case placement.chosen.HitBlocks < placer.sharedTokens():
-		ledger.Note(store.Address, pieces, 0, store.CapacityTokens, now)
+		ledger.Note(store.Address, "", pieces, 0, store.CapacityTokens, now)
 	}
 }
 
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -121,7 +121,7 @@
 		candidate := &candidates[index]
 		candidate.Affinity = prefix.Weight(key, candidate.Endpoint)
 		pieces := placer.named(candidate.Version)
-		candidate.HitBlocks = placer.proxy.ledger.Held(candidate.Endpoint, pieces, now)
+		candidate.HitBlocks = placer.proxy.ledger.Held(candidate.Address, candidate.Endpoint, pieces, now)
 		candidate.ReplacedLoss = placer.proxy.replacedLoss(placer.prompt().Model, candidate.Version, now)
 	}
 	placer.annotateSources(candidates, now)
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -117,3 +117,37 @@
 	require.Empty(t, dispatch.SaveTo, "the store has it")
 	require.Equal(t, "store-0", dispatch.FetchFrom)
 }
+
+func TestSharedPartsAreTakenFromTheServerThatHoldsMostOfThem(t *testing.T) {
+	p := placing(10, 5, 1)
+	all := p.candidates()
+	h := homesOf(all)[1]
+	var holder, other *routing.Candidate
+	for i := range all {
+		if c := &all[i]; c != h.first && holder == nil {
+			holder = c
+		} else if c != h.first && c != h.second {
+			other = c
+		}
+	}
+	p.proxy.ledger.Replace(holder.Address, []residency.Key{p.named(1)[0].Key})
+	for _, c := range p.candidates() {
+		if c.Endpoint != holder.Endpoint {
+			require.Equal(t, holder.Address, c.ImportFrom)
+			require.Equal(t, 1000, c.ImportBlocks)
+			require.InDelta(t, 1e12/8/1000, c.ImportTokensPerSecond, 1)
+		}
+	}
+	// A store that has as much is not asked: its link is shared by all.
+	p.proxy.ledger.Replace("store-0", []residency.Key{p.named(1)[0].Key})
+	for _, c := range p.candidates() {
+		if c.Endpoint == other.Endpoint {
+			require.Equal(t, holder.Address, c.ImportFrom)
+		}
+	}
+	// What a server that loads other weights had is gone.
+	p.proxy.set.Load(backend.Loads{Loading: []backend.Load{{Instance: holder.Endpoint, Model: "m", Version: 2}}}, time.Now())
+	for _, c := range p.candidates() {
+		require.Equal(t, "store-0", c.ImportFrom)
+	}
+}
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -9,6 +9,7 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/fleet"
+	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/workshare"
 )
 
@@ -39,6 +40,8 @@
 	Fleet []coordination.Entry
 	// Work is what all nodes but the follower have under way at servers.
 	Work []backend.Work
+	// Kept is the reader's news of cached parts, or nil if there is none.
+	Kept []byte
 }
 
 // Question asks a reader for what has changed since a place in its feed.
@@ -54,6 +57,8 @@
 	Fleet       uint64
 	// Work is what the follower has under way at servers.
 	Work []backend.Work
+	// Kept is up to where the follower has heard the reader's news of cached parts.
+	Kept residency.Place
 }
 
 // goneKept bounds the vanished servers that a feed remembers.
@@ -66,6 +71,7 @@
 	belief   *catalog.Holder
 	registry *fleet.Registry
 	work     *workshare.Board
+	kept     *residency.Ledger
 
 	mutex   sync.Mutex
 	changed chan struct{}
@@ -86,8 +92,11 @@
 }
 
 // NewFeed returns an empty feed with a name that no other has.
-func NewFeed(name string, belief *catalog.Holder, registry *fleet.Registry, work *workshare.Board) *Feed {
-	return &Feed{name: name, belief: belief, registry: registry, work: work, changed: make(chan struct{}), servers: map[string]placedServer{}, gone: map[string]int64{}}
+func NewFeed(name string, belief *catalog.Holder, registry *fleet.Registry, work *workshare.Board, kept *residency.Ledger) *Feed {
+	return &Feed{
+		name: name, belief: belief, registry: registry, work: work, kept: kept,
+		changed: make(chan struct{}), servers: map[string]placedServer{}, gone: map[string]int64{},
+	}
 }
 
 // Take takes a whole list as it was read at a time.
@@ -153,6 +162,7 @@
 	f.addBelief(&delta, question, time.Now())
 	delta.Fleet = f.registry.NewerThan(question.Fleet)
 	delta.Work = f.work.Others(question.Node, time.Now())
+	delta.Kept = f.kept.News(question.Kept, false)
 	return delta
 }
 
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/pause"
+	"github.com/cloverrail/cloverrail/internal/residency"
 )
 
 const (
@@ -68,7 +69,9 @@
 	ctx, cancel := context.WithTimeout(ctx, askWait+askMargin)
 	defer cancel()
 	sentAt := time.Now()
-	delta, err := r.Peers.Ask(ctx, reader, r.question(copied, sentAt))
+	question := r.question(copied, sentAt)
+	question.Kept = r.Kept.Place(reader)
+	delta, err := r.Peers.Ask(ctx, reader, question)
 	if err != nil || delta.Age > staleAfter || delta.BeliefAge < 0 || delta.BeliefAge > staleAfter {
 		return false
 	}
@@ -84,10 +87,20 @@
 	}
 	r.fleetAt.store(sentAt)
 	r.Set.TakeWork(delta.Work, time.Now())
+	r.hear(reader, question.Kept, delta.Kept)
 	r.believe(delta, sentAt)
 	return true
 }
 
+// hear takes a node's news of cached parts, and forgets those of nodes that are
+// not heard any more.
+func (r *Reflector) hear(node string, since residency.Place, news []byte) {
+	if err := r.Kept.Take(node, since, news, time.Now()); err != nil {
+		r.Recorder.Garbled(node, err)
+	}
+	r.Kept.Expire(time.Now())
+}
+
 func (r *Reflector) question(copied *Copy, now time.Time) Question {
 	question := copied.Question(askWait)
 	question.Node = r.Registry.Name
@@ -134,9 +147,11 @@
 			continue
 		}
 		asked.Go(func() {
-			work, err := r.Peers.Work(ctx, reader)
+			since := r.Kept.Place(reader)
+			group, err := r.Peers.Group(ctx, reader, since)
 			if err == nil {
-				r.Work.TakeGroup(reader, work, time.Now())
+				r.Work.TakeGroup(reader, group.Work, time.Now())
+				r.hear(reader, since, group.Kept)
 			}
 		})
 	}
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -12,6 +12,7 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/fleet"
+	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/workshare"
 )
 
@@ -29,7 +30,9 @@
 	return a.feed.Answer(ctx, question), nil
 }
 
-func (a *answering) Work(context.Context, string) ([]backend.Work, error) { return nil, nil }
+func (a *answering) Group(context.Context, string, residency.Place) (Group, error) {
+	return Group{}, nil
+}
 
 // counting is a store that counts readings.
 type counting struct{ declared, fleet int }
@@ -49,9 +52,10 @@
 	registry := &fleet.Registry{Prefix: "nodes/", Name: "follower", Resized: func(int) {}}
 	belief, set := &catalog.Holder{}, backend.NewSet()
 	work := workshare.New(func() []backend.Work { return nil })
+	ledger := residency.NewLedger()
 	return &Reflector{
 		Source: source, Peers: peers, Belief: belief, Set: set, Registry: registry, Recorder: silent{}, Interval: time.Second,
-		Work: work, Feed: NewFeed("follower", belief, registry, work),
+		Work: work, Feed: NewFeed("follower", belief, registry, work, ledger), Kept: residency.NewHearer(ledger),
 	}
 }
 
@@ -62,9 +66,11 @@
 	belief.Store(catalog.Advance(nil, catalog.Reading{SentAt: read, Declaration: &declaration, Weights: map[string]int64{"m": 3}}))
 	registry := &fleet.Registry{Prefix: "nodes/", Name: "reader", Resized: func(int) {}}
 	registry.Observe([]coordination.Entry{{Key: "nodes/reader/1", Value: []byte("a z")}, {Key: "nodes/follower/1"}}, time.Now())
+	kept := residency.NewLedger()
+	kept.Replace("store", []residency.Key{7})
 	reader := &answering{feed: NewFeed("reader", belief, registry, workshare.New(func() []backend.Work {
 		return []backend.Work{{Server: backend.ServerKey("i-1"), Running: 4}}
-	}))}
+	}), kept)}
 	reader.feed.Take([]backend.Server{{Instance: "i-1", Service: "s"}}, time.Now())
 	follower := newFollower(&counting{}, reader)
 
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -16,6 +16,7 @@
 	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/pause"
+	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/workshare"
 )
 
@@ -40,8 +41,9 @@
 // Peers asks other nodes for what they know.
 type Peers interface {
 	Ask(ctx context.Context, address string, question Question) (Delta, error)
-	// Work asks a reader for the work of its group: itself and the nodes that ask it.
-	Work(ctx context.Context, address string) ([]backend.Work, error)
+	// Group asks a reader for the work of its group, itself and the nodes that ask it,
+	// and for its news of cached parts since a place.
+	Group(ctx context.Context, address string, since residency.Place) (Group, error)
 }
 
 // Recorder hears of what a reading changes. Its methods must not block.
@@ -54,6 +56,8 @@
 	Listed(changes []backend.Change)
 	// Follows hears from which node the list of servers is taken.
 	Follows(reader string)
+	// Garbled hears of news of cached parts that cannot be read.
+	Garbled(node string, err error)
 }
 
 const (
@@ -80,6 +84,7 @@
 	Registry *fleet.Registry
 	Feed     *Feed
 	Work     *workshare.Board
+	Kept     *residency.Hearer
 	Recorder Recorder
 	// Interval is the time between readings.
 	Interval time.Duration
--- a/internal/reflector/reflector_test.go
+++ b/internal/reflector/reflector_test.go
@@ -33,6 +33,7 @@
 func (silent) Declared(*catalog.Belief, *catalog.Belief) {}
 func (silent) Listed([]backend.Change)                   {}
 func (silent) Follows(string)                            {}
+func (silent) Garbled(string, error)                     {}
 
 func TestOnlyAnUnsoundStoreDisturbsTheBelief(t *testing.T) {
 	for kind, disturbs := range map[failure.Kind]bool{failure.KindUnavailable: true, failure.KindRateLimited: false} {
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -6,12 +6,14 @@
 	"encoding/gob"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/dghubble/sling"
 	"github.com/juju/errors"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/workshare"
 )
 
@@ -38,10 +40,27 @@
 	}
 }
 
+// Group is what a reader tells other readers: the work of its group, and what it
+// heard from holders of cached parts since the place that was asked for.
+type Group struct {
+	Work []backend.Work
+	Kept []byte
+}
+
+// groupQuery is up to where the news of cached parts were heard.
+type groupQuery struct {
+	Life uint64 `url:"life,omitempty"`
+	Next int64  `url:"next,omitempty"`
+}
+
 // WorkHandler tells other readers of this node's group.
-func WorkHandler(board *workshare.Board) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		_ = gob.NewEncoder(w).Encode(board.Group(time.Now()))
+func WorkHandler(board *workshare.Board, kept *residency.Ledger) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		// What cannot be read is 0: all is told.
+		life, _ := strconv.ParseUint(r.FormValue("life"), 10, 64)
+		next, _ := strconv.ParseInt(r.FormValue("next"), 10, 64)
+		since := residency.Place{Life: life, Next: next}
+		_ = gob.NewEncoder(w).Encode(Group{Work: board.Group(time.Now()), Kept: kept.News(since, true)})
 	}
 }
 
@@ -65,15 +84,16 @@
 	return delta, err
 }
 
-// Work asks a reader for the work of its group.
-func (c *Caller) Work(ctx context.Context, address string) ([]backend.Work, error) {
-	var work []backend.Work
-	request, err := sling.New().Base("http://" + address).Get(PathWork).Request()
+// Group asks a reader for the work of its group, and for its news of cached parts.
+func (c *Caller) Group(ctx context.Context, address string, since residency.Place) (Group, error) {
+	var group Group
+	query := groupQuery{Life: since.Life, Next: since.Next}
+	request, err := sling.New().Base("http://" + address).Get(PathWork).QueryStruct(query).Request()
 	if err != nil {
-		return nil, errors.Trace(err)
+		return group, errors.Trace(err)
 	}
-	err = c.do(ctx, request, &work)
-	return work, err
+	err = c.do(ctx, request, &group)
+	return group, err
 }
 
 // do sends a request and decodes the answer.
--- a/internal/residency/follower.go
+++ b/internal/residency/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,12 +29,8 @@
 	Changes(ctx context.Context, holder string, after int64, wait time.Duration) (Batch, error)
 }
 
-var (
-	// ErrBusy says that the holder has enough readers.
-	ErrBusy = errors.New("the holder has enough readers; this node goes by what it sends itself")
-	// ErrUnheard says that nobody can tell now what the holder has. It may be sound.
-	ErrUnheard = errors.New("no node tells what the holder has; this node goes by what it sends itself")
-)
+// ErrBusy says that the holder has enough readers.
+var ErrBusy = errors.New("the holder has enough readers; this node goes by what it sends itself")
 
 const (
 	// changesWait is how long a holder keeps a question for changes open, and
@@ -41,8 +38,10 @@
 	changesWait = 800 * time.Millisecond
 	gatherTime  = 150 * time.Millisecond
 	askTimeout  = 400 * time.Millisecond
-	downPause   = 300 * time.Millisecond
-	busyPause   = 5 * time.Second
+	// renewAfter is how long changes are taken before all is asked for anew.
+	renewAfter = time.Minute
+	downPause  = 300 * time.Millisecond
+	busyPause  = 5 * time.Second
 )
 
 // Recorder hears of holders. Its methods must not block.
@@ -61,6 +60,8 @@
 	recorder Recorder
 
 	lost bool
+	// renews says that the holder was followed before without a break.
+	renews bool
 }
 
 // NewFollower returns a follower of one holder.
@@ -97,8 +98,12 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := f.follow(ctx)
+		if f.renews = err == nil; f.renews {
+			pause.For(ctx, gatherTime)
+			continue
+		}
 		busy := errors.Is(err, ErrBusy)
-		f.ledger.Lose(f.holder, err != nil && !busy && !errors.Is(err, ErrUnheard))
+		f.ledger.Lose(f.holder, err != nil && !busy && ctx.Err() == nil)
 		if err != nil && !f.lost && ctx.Err() == nil {
 			f.lost = true
 			f.recorder.Unfollowed(f.holder, err)
@@ -112,28 +117,42 @@
 	f.ledger.Lose(f.holder, false)
 }
 
+// begin learns all that the holder has. At first a holder that has forgotten none
+// of its changes is not asked for the list, which holds its work up.
+func (f *Follower) begin(ctx context.Context) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if !f.renews {
+		all, err := f.source.Changes(ctx, f.holder, 0, 0)
+		if err != nil || !all.Gap {
+			return all, err
+		}
+	}
+	return f.source.List(ctx, f.holder)
+}
+
 // follow reads all that the holder has and then its changes, until there is a gap
 // or no answer.
 func (f *Follower) follow(ctx context.Context) error {
-	listing, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	all, err := f.source.List(listing, f.holder)
+	all, err := f.begin(ctx)
 	if err != nil {
 		return err
 	}
-	keys := make([]Key, 0, len(all.Changes))
-	for _, change := range all.Changes {
-		keys = append(keys, change.Key)
-	}
-	f.ledger.Replace(f.holder, keys)
+	f.ledger.Replace(f.holder, keysOf(all.Changes))
 	f.lost = false
-	f.recorder.Followed(f.holder)
+	if !f.renews {
+		f.recorder.Followed(f.holder)
+	}
 	life, next := all.Life, all.Next
-	for ctx.Err() == nil {
+	// Changes that never came add up: after a time all is asked for anew.
+	for begun := time.Now(); ctx.Err() == nil && time.Since(begun) < renewAfter; {
 		batch, err := f.changes(ctx, next)
 		if err != nil {
 			return err
 		}
+		if batch.Life != life {
+			f.ledger.Replace(f.holder, nil)
+		}
 		if batch.Gap || batch.Life != life {
 			return nil
 		}
@@ -144,6 +163,19 @@
 	return nil
 }
 
+// keysOf returns the keys that are there after the changes.
+func keysOf(changes []Change) []Key {
+	has := map[Key]bool{}
+	for _, change := range changes {
+		if change.Present {
+			has[change.Key] = true
+		} else {
+			delete(has, change.Key)
+		}
+	}
+	return slices.Collect(maps.Keys(has))
+}
+
 func (f *Follower) changes(ctx context.Context, after int64) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, changesWait+askTimeout)
 	defer cancel()
--- a/internal/residency/follower_test.go
+++ b/internal/residency/follower_test.go
@@ -52,7 +52,7 @@
 	pause.For(ctx, wait)
 	told.mutex.Lock()
 	defer told.mutex.Unlock()
-	batch := Batch{Life: told.life, Next: told.first + int64(len(told.log)), Gap: after < told.first}
+	batch := Batch{Life: told.life, Next: told.first + int64(len(told.log)), Gap: after < told.first || after > told.first+int64(len(told.log))}
 	if !batch.Gap {
 		batch.Changes = append(batch.Changes, told.log[after-told.first:]...)
 	}
@@ -66,7 +66,8 @@
 
 func TestTheLedgerFollowsWhatAHolderTells(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		holder := &told{life: 1, has: map[Key]bool{1: true}}
+		holder := &told{life: 1, has: map[Key]bool{}}
+		holder.change(1, true)
 		ledger := NewLedger()
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
@@ -75,7 +76,7 @@
 		})
 		held := func() int {
 			time.Sleep(3 * time.Second)
-			return ledger.Held("store", prompt, time.Now())
+			return ledger.Held("store", "", prompt, time.Now())
 		}
 		require.Equal(t, 800, held())
 		holder.change(2, true)
@@ -83,11 +84,11 @@
 		holder.change(1, false)
 		require.Zero(t, held())
 		holder.change(1, true)
-		ledger.Note("store", prompt, 0, 1, time.Now())
+		ledger.Note("store", "", prompt, 0, 1, time.Now())
 		require.Equal(t, 1200, held(), "only the holder's own word counts")
 		holder.set(func() { holder.first, holder.log = holder.first+9, nil; holder.has[2] = false })
 		require.Equal(t, 800, held(), "a gap is made up for")
-		holder.set(func() { holder.life, holder.has = 2, map[Key]bool{} })
+		holder.set(func() { holder.life, holder.has, holder.log, holder.first = 2, map[Key]bool{}, nil, 0 })
 		require.Zero(t, held(), "a restart loses all")
 		holder.set(func() { holder.failure = errors.New("no answer") })
 		time.Sleep(time.Second)
@@ -95,7 +96,7 @@
 		holder.set(func() { holder.failure = ErrBusy })
 		time.Sleep(time.Second)
 		require.False(t, ledger.Down("store"), "it has enough readers, and lives")
-		ledger.Note("store", prompt, 0, 100_000, time.Now())
-		require.Equal(t, 1400, ledger.Held("store", prompt, time.Now()), "then this node goes by what it sends")
+		ledger.Note("store", "", prompt, 0, 100_000, time.Now())
+		require.Equal(t, 1400, ledger.Held("store", "", prompt, time.Now()), "then this node goes by what it sends")
 	})
 }
--- a/internal/residency/ledger_test.go
+++ b/internal/residency/ledger_test.go
@@ -17,22 +17,22 @@
 
 func TestOnlyLeadingPartsCount(t *testing.T) {
 	ledger := NewLedger()
-	ledger.Note("a", prompt[:2], 1200, 100_000, begin)
-	require.Equal(t, 1200, ledger.Held("a", prompt, begin))
-	require.Zero(t, ledger.Held("b", prompt, begin))
-	ledger.Note("b", prompt[1:], 600, 100_000, begin)
-	require.Zero(t, ledger.Held("b", prompt, begin), "what comes before is missing")
+	ledger.Note("a", "", prompt[:2], 1200, 100_000, begin)
+	require.Equal(t, 1200, ledger.Held("a", "", prompt, begin))
+	require.Zero(t, ledger.Held("b", "", prompt, begin))
+	ledger.Note("b", "", prompt[1:], 600, 100_000, begin)
+	require.Zero(t, ledger.Held("b", "", prompt, begin), "what comes before is missing")
 	ledger.Lose("a", false)
-	require.Zero(t, ledger.Held("a", prompt, begin))
+	require.Zero(t, ledger.Held("a", "", prompt, begin))
 }
 
 func TestAPartIsThereOnlyOnceItWasSaved(t *testing.T) {
 	ledger := NewLedger()
 	saved := begin.Add(100 * time.Millisecond)
-	ledger.Note("store", prompt, 1400, 100_000, saved)
-	require.Zero(t, ledger.Held("store", prompt, begin))
-	ledger.Note("store", prompt, 0, 100_000, saved.Add(time.Second))
-	require.Equal(t, 1400, ledger.Held("store", prompt, saved.Add(time.Millisecond)), "a later use does not put it off")
+	ledger.Note("store", "", prompt, 1400, 100_000, saved)
+	require.Zero(t, ledger.Held("store", "", prompt, begin))
+	ledger.Note("store", "", prompt, 0, 100_000, saved.Add(time.Second))
+	require.Equal(t, 1400, ledger.Held("store", "", prompt, saved.Add(time.Millisecond)), "a later use does not put it off")
 }
 
 func TestUnusedPartsGiveWayToWhatAllNodesWrite(t *testing.T) {
@@ -41,19 +41,19 @@
 		capacity := rapid.IntRange(10_000, 1_000_000).Draw(t, "capacity")
 		ledger := NewLedger()
 		ledger.Resize(nodes)
-		ledger.Note("a", prompt, 1400, capacity, begin)
+		ledger.Note("a", "", prompt, 1400, capacity, begin)
 		written := 0
 		for range rapid.IntRange(0, 50).Draw(t, "others") {
 			tokens := rapid.IntRange(0, 20_000).Draw(t, "tokens")
-			ledger.Note("a", []Piece{{Key: 99, Tokens: 10}}, tokens, capacity, begin)
+			ledger.Note("a", "", []Piece{{Key: 99, Tokens: 10}}, tokens, capacity, begin)
 			written += tokens
 		}
 		expected := 1400
 		if float64(written*nodes) > sureShare*float64(capacity) {
 			expected = 0
 		}
-		require.Equal(t, expected, ledger.Held("a", prompt, begin))
-		ledger.Note("a", prompt, 0, capacity, begin)
-		require.Equal(t, 1400, ledger.Held("a", prompt, begin), "use renews it")
+		require.Equal(t, expected, ledger.Held("a", "", prompt, begin))
+		ledger.Note("a", "", prompt, 0, capacity, begin)
+		require.Equal(t, 1400, ledger.Held("a", "", prompt, begin), "use renews it")
 	})
 }
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -41,6 +41,8 @@
 	// and ImportFrom the address to take them from, or "".
 	ImportBlocks int
 	ImportFrom   string
+	// ImportTokensPerSecond is the speed of taking them; 0 means the request's.
+	ImportTokensPerSecond float64
 	// Affinity is the endpoint's rendezvous weight for the prompt's first block.
 	Affinity uint64
 	// AffinityRank is the endpoint's place by Affinity among those that passed
--- a/internal/routing/score_copy.go
+++ b/internal/routing/score_copy.go
@@ -11,7 +11,7 @@
 func (CopyScorer) Score(request *Request, candidate *Candidate) float64 {
 	recompute := request.Blocks - max(candidate.HitBlocks, candidate.ImportBlocks)
 	imported := candidate.ImportBlocks - candidate.HitBlocks
-	missing := seconds(request, max(0, recompute)*request.BlockTokens, max(0, imported)*request.BlockTokens)
+	missing := seconds(request, candidate, max(0, recompute)*request.BlockTokens, max(0, imported)*request.BlockTokens)
 	rank := float64(min(candidate.AffinityRank, maximumRank))
 	return request.WorkWeight * rank * missing
 }
--- a/internal/routing/score_wait.go
+++ b/internal/routing/score_wait.go
@@ -11,7 +11,7 @@
 // Score returns seconds.
 func (WaitScorer) Score(request *Request, candidate *Candidate) float64 {
 	recompute, imported := Missing(request, candidate)
-	wait := seconds(request, candidate.QueuedTokens+recompute, imported)
+	wait := seconds(request, candidate, candidate.QueuedTokens+recompute, imported)
 	slowdown := 1 + decodeShare*float64(candidate.Running)
 	return request.WaitWeight * wait * slowdown
 }
--- a/internal/routing/score_work.go
+++ b/internal/routing/score_work.go
@@ -7,24 +7,32 @@
 // Score returns seconds of engine time.
 func (WorkScorer) Score(request *Request, candidate *Candidate) float64 {
 	recompute, imported := Missing(request, candidate)
-	return request.WorkWeight * seconds(request, recompute, imported)
+	return request.WorkWeight * seconds(request, candidate, recompute, imported)
 }
 
 // Missing splits the prompt tokens that the endpoint does not hold into those
 // that it must compute and those that it can import.
 func Missing(request *Request, candidate *Candidate) (recompute, imported int) {
 	covered := candidate.HitBlocks
-	if request.ImportTokensPerSecond > request.PrefillTokensPerSecond && candidate.ImportBlocks > covered {
+	if importSpeed(request, candidate) > request.PrefillTokensPerSecond && candidate.ImportBlocks > covered {
 		imported = (candidate.ImportBlocks - covered) * request.BlockTokens
 		covered = candidate.ImportBlocks
 	}
 	return max(0, request.PromptTokens-covered*request.BlockTokens), imported
 }
 
-func seconds(request *Request, recompute, imported int) float64 {
+// importSpeed is how many tokens the candidate takes from elsewhere in a second.
+func importSpeed(request *Request, candidate *Candidate) float64 {
+	if candidate.ImportTokensPerSecond > 0 {
+		return candidate.ImportTokensPerSecond
+	}
+	return request.ImportTokensPerSecond
+}
+
+func seconds(request *Request, candidate *Candidate, recompute, imported int) float64 {
 	total := float64(recompute) / request.PrefillTokensPerSecond
 	if imported > 0 {
-		total += float64(imported) / request.ImportTokensPerSecond
+		total += float64(imported) / importSpeed(request, candidate)
 	}
 	return total
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -19,6 +19,7 @@
 	orders          *prometheus.CounterVec
 	connections     *prometheus.CounterVec
 	replaced        prometheus.Counter
+	garbled         prometheus.Counter
 	version         prometheus.Gauge
 	suppressedLines prometheus.Counter
 }
@@ -51,6 +52,9 @@
 		replaced: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_replaced_placements_total", Help: "Placements on weights that had been replaced for longer than the grace.",
 		}),
+		garbled: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_garbled_news_total", Help: "Answers of other nodes about cached parts that could not be read.",
+		}),
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cloverrail_proxy_declaration_version", Help: "Version of the declaration in force.",
 		}),
@@ -67,6 +71,6 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstAnswer, metrics.reads,
-		metrics.orders, metrics.connections, metrics.replaced, metrics.version, metrics.suppressedLines, age)
+		metrics.orders, metrics.connections, metrics.replaced, metrics.garbled, metrics.version, metrics.suppressedLines, age)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -238,6 +238,12 @@
 	recorder.log.Info().Str("holder", holder).Msg("cached parts are followed")
 }
 
+// Garbled hears of news of cached parts that cannot be read.
+func (recorder *Recorder) Garbled(node string, err error) {
+	recorder.metrics.garbled.Inc()
+	recorder.log.Warn().Str("from", node).Err(err).Msg("news of cached parts are dropped")
+}
+
 // Unreadable hears of an entry of the store that is skipped.
 func (recorder *Recorder) Unreadable(key string, revision int64, err error) {
 	recorder.log.Warn().Str("key", key).Int64("revision", revision).Err(err).Msg("an entry cannot be read and is skipped")
