Remove the hollow fleet; its properties of membership stand with membership

What it held that is worth keeping are the properties of the membership machine in virtual time. Ruled out: deleting them with it; GUARANTEES names them. Change: internal/lab/hollow is gone. Its simulated network is test code of package membership now, its tests and benchmarks unchanged but for the package.

--- a/internal/lab/hollow/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -1,4 +1,4 @@
-package hollow
+package membership_test
 
 import (
 	"fmt"
@@ -15,7 +15,7 @@
 			var before, after runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&before)
-			network := New(Config{Nodes: nodes, Seed: 1, Zones: 5, Delay: 2 * time.Millisecond, CountBytes: true})
+			network := newNetwork(Config{Nodes: nodes, Seed: 1, Zones: 5, Delay: 2 * time.Millisecond, CountBytes: true})
 			network.Run(20 * time.Second)
 			runtime.GC()
 			runtime.ReadMemStats(&after)
@@ -45,7 +45,7 @@
 func BenchmarkSpread(b *testing.B) {
 	for _, nodes := range []int{10, 100, 340} {
 		b.Run(fmt.Sprint(nodes, "nodes"), func(b *testing.B) {
-			network := New(Config{Nodes: nodes, Seed: 1, Zones: 5, Delay: 2 * time.Millisecond, Loss: 0.02})
+			network := newNetwork(Config{Nodes: nodes, Seed: 1, Zones: 5, Delay: 2 * time.Millisecond, Loss: 0.02})
 			network.Run(5 * time.Second)
 			revision, slowest := int64(0), time.Duration(0)
 			for b.Loop() {
--- a/internal/lab/hollow/network_test.go
+++ b/internal/membership/membership_test.go
@@ -1,4 +1,4 @@
-package hollow
+package membership_test
 
 import (
 	"testing"
@@ -12,13 +12,13 @@
 )
 
 func TestNoFlappingAtTwentyPercentLoss(t *testing.T) {
-	network := New(Config{Nodes: 60, Seed: 1, Zones: 3, Delay: time.Millisecond, Loss: 0.2})
+	network := newNetwork(Config{Nodes: 60, Seed: 1, Zones: 3, Delay: time.Millisecond, Loss: 0.2})
 	network.Run(3 * time.Minute)
 	require.Zero(t, network.Changes[membership.Dead], "nobody that lives is declared dead")
 }
 
 func TestDeathIsLearnedByAll(t *testing.T) {
-	network := New(Config{Nodes: 60, Seed: 2, Zones: 3, Delay: time.Millisecond, Loss: 0.05})
+	network := newNetwork(Config{Nodes: 60, Seed: 2, Zones: 3, Delay: time.Millisecond, Loss: 0.05})
 	network.Run(5 * time.Second)
 	network.Nodes[7].Up = false
 	network.Run(20 * time.Second)
@@ -29,7 +29,7 @@
 }
 
 func TestPausedNodeLearnsOfItsDeathAndReturns(t *testing.T) {
-	network := New(Config{Nodes: 20, Seed: 3, Zones: 3, Delay: time.Millisecond})
+	network := newNetwork(Config{Nodes: 20, Seed: 3, Zones: 3, Delay: time.Millisecond})
 	network.Run(5 * time.Second)
 	paused := network.Nodes[4]
 	before := paused.Machine.Self().Incarnation
@@ -43,7 +43,7 @@
 }
 
 func TestPartitionHeals(t *testing.T) {
-	network := New(Config{Nodes: 30, Seed: 4, Zones: 2, Delay: time.Millisecond})
+	network := newNetwork(Config{Nodes: 30, Seed: 4, Zones: 2, Delay: time.Millisecond})
 	network.Run(5 * time.Second)
 	network.Split(func(index int) int { return index % 2 })
 	network.Run(40 * time.Second)
@@ -73,7 +73,7 @@
 }
 
 func TestLostZoneIsLearnedAndComesBack(t *testing.T) {
-	network := New(Config{Nodes: 100, Seed: 7, Zones: 5, Delay: 2 * time.Millisecond, Loss: 0.01})
+	network := newNetwork(Config{Nodes: 100, Seed: 7, Zones: 5, Delay: 2 * time.Millisecond, Loss: 0.01})
 	network.Run(5 * time.Second)
 	for index, node := range network.Nodes {
 		node.Up = index%5 != 0
@@ -97,7 +97,7 @@
 }
 
 func TestRegionsThatPartedFindEachOther(t *testing.T) {
-	network := New(Config{Nodes: 100, Seed: 8, Zones: 5, Delay: 2 * time.Millisecond, Loss: 0.01})
+	network := newNetwork(Config{Nodes: 100, Seed: 8, Zones: 5, Delay: 2 * time.Millisecond, Loss: 0.01})
 	network.Run(5 * time.Second)
 	network.Split(func(index int) int { return index % 5 / 3 })
 	network.Run(4 * time.Minute)
@@ -116,7 +116,7 @@
 // while revisions come in force, and checks every node after every step.
 func TestRevisionsSpreadAndNeverGoDown(t *testing.T) {
 	property.Check(t, func(t *rapid.T) {
-		network := New(Config{Nodes: 12, Seed: rapid.Uint64().Draw(t, "seed"), Zones: 3, Delay: time.Millisecond, Loss: 0.1})
+		network := newNetwork(Config{Nodes: 12, Seed: rapid.Uint64().Draw(t, "seed"), Zones: 3, Delay: time.Millisecond, Loss: 0.1})
 		revision := int64(0)
 		highest := make([]int64, len(network.Nodes))
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
@@ -157,7 +157,7 @@
 
 func TestConfigurationReachesAllInThreeSeconds(t *testing.T) {
 	for _, nodes := range []int{10, 100, 340} {
-		network := New(Config{Nodes: nodes, Seed: 5, Zones: 5, Delay: 2 * time.Millisecond, Loss: 0.02})
+		network := newNetwork(Config{Nodes: nodes, Seed: 5, Zones: 5, Delay: 2 * time.Millisecond, Loss: 0.02})
 		network.Run(3 * time.Second)
 		for revision := int64(1); revision <= 5; revision++ {
 			begin := network.Now
@@ -174,7 +174,7 @@
 func TestBytesPerNodeStayFlat(t *testing.T) {
 	rates := map[int]float64{}
 	for _, nodes := range []int{10, 340} {
-		network := New(Config{Nodes: nodes, Seed: 6, Zones: 5, Delay: 2 * time.Millisecond, CountBytes: true})
+		network := newNetwork(Config{Nodes: nodes, Seed: 6, Zones: 5, Delay: 2 * time.Millisecond, CountBytes: true})
 		network.Run(30 * time.Second)
 		sent := int64(0)
 		for _, node := range network.Nodes {
--- a/internal/lab/hollow/network.go
+++ b/internal/membership/network_test.go
@@ -1,7 +1,4 @@
-// Package hollow runs the control plane of many nodes in one process and in
-// virtual time: the same membership machines as real nodes, joined by a network
-// with delay, loss, partitions and pauses.
-package hollow
+package membership_test
 
 import (
 	"bytes"
@@ -24,7 +21,7 @@
 	digestBytes = 120
 )
 
-// Config sets up a network of hollow nodes.
+// Config sets up a network of simulated nodes.
 type Config struct {
 	Nodes int
 	Seed  uint64
@@ -37,7 +34,7 @@
 	CountBytes bool
 }
 
-// Node is one hollow node.
+// Node is one simulated node.
 type Node struct {
 	Address string
 	Zone    string
@@ -78,8 +75,8 @@
 	Messages int64
 }
 
-// New returns a network whose nodes know each other, as after a join.
-func New(config Config) *Network {
+// newNetwork returns a network whose nodes know each other, as after a join.
+func newNetwork(config Config) *Network {
 	network := &Network{
 		Now:     time.UnixMilli(1_800_000_000_000),
 		config:  config,
