Load the emptiest servers first; pass over what another instance answers for

Requests went on to incarnations that had been replaced (421, then 503) until the list knew. Requests that met a node in the 27 ms before its first reading got 503. Change: of each zone the server with the fewest runs is ordered first. A 421 of another instance takes a server out of placement for 10 s, by when its entry has lapsed. A request waits up to 300 ms after a node's start for the first declaration.

--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -95,7 +95,7 @@
 		fixture.add(server)
 	}
 	fixture.declare(key)
-	fixture.until(func() bool { return len(fixture.process.set.Servers()) == len(servers) })
+	fixture.until(func() bool { return len(fixture.process.set.Servers(time.Now())) == len(servers) })
 	return fixture
 }
 
@@ -126,7 +126,7 @@
 
 // known returns what the proxy believes of a listed server.
 func (fixture *fixture) known(instance string) (backend.Server, bool) {
-	for _, server := range fixture.process.set.Servers() {
+	for _, server := range fixture.process.set.Servers(time.Now()) {
 		if server.Instance == instance {
 			return server, true
 		}
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -217,7 +217,7 @@
 	for _, store := range belief.Snapshot.Stores() {
 		own(store.Address, store.Zone)
 	}
-	for _, server := range process.set.Servers() {
+	for _, server := range process.set.Servers(time.Now()) {
 		if len(server.Versions) > 0 {
 			own(server.Address, server.Zone)
 		}
--- a/cmd/cloverrail/proxy_test.go
+++ b/cmd/cloverrail/proxy_test.go
@@ -204,7 +204,7 @@
 	fixture.store.PutVersion("x", 7)
 	fixture.store.Put(standin.KeyConfiguration, "not a document")
 	fixture.add(plainServer("i-2", standin.Answers(http.StatusOK, "done")))
-	fixture.until(func() bool { return len(fixture.process.set.Servers()) == 2 })
+	fixture.until(func() bool { return len(fixture.process.set.Servers(time.Now())) == 2 })
 	require.Equal(t, http.StatusOK, fixture.send(http.MethodGet, "/again/", "", nil).status, "the last good declaration stays")
 }
 
@@ -229,7 +229,7 @@
 	fixture := newFixture(t)
 	fixture.add(other)
 	fixture.declare(key)
-	fixture.until(func() bool { return len(fixture.process.set.Servers()) == 1 })
+	fixture.until(func() bool { return len(fixture.process.set.Servers(time.Now())) == 1 })
 	server, _ := fixture.known("i-other")
 	fixture.store.Put(standin.PrefixServers+"i-gone", plainServer("i-gone", nil).Entry("plain", server.Address, "a", "ready"))
 	fixture.store.Remove(standin.PrefixServers + "i-other")
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -39,6 +39,10 @@
 	// unlistedLife is how long a server that vanished from the list is still used
 	// if no other is there. The list loses entries while its store is down.
 	unlistedLife = 15 * time.Second
+	// goneLife is how long a server is passed over after another incarnation answered
+	// in its place. By then the list does not name it any more; if it does, the answer
+	// was wrong.
+	goneLife = 10 * time.Second
 )
 
 var (
@@ -66,7 +70,10 @@
 	// listed is false once the server has vanished from the list.
 	listed     bool
 	unlistedAt time.Time
-	inFlight   int
+	// goneUntil is how long the word counts that another incarnation answers in its
+	// place.
+	goneUntil time.Time
+	inFlight  int
 	// heardAt is when the server last answered anything.
 	heardAt      time.Time
 	queuedTokens int
@@ -143,13 +150,13 @@
 	}
 }
 
-// Servers returns the listed servers.
-func (set *Set) Servers() []Server {
+// Servers returns the listed servers that are not known to be gone.
+func (set *Set) Servers(now time.Time) []Server {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	servers := make([]Server, 0, len(set.servers))
 	for _, known := range set.servers {
-		if known.listed {
+		if known.listed && !now.Before(known.goneUntil) {
 			servers = append(servers, known.server)
 		}
 	}
@@ -170,6 +177,16 @@
 	return server
 }
 
+// Gone notes that another incarnation answered in a server's place. The list goes on
+// to name it until its entry lapses.
+func (set *Set) Gone(instance string, now time.Time) {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	if known, found := set.servers[instance]; found {
+		known.goneUntil = now.Add(goneLife)
+	}
+}
+
 // Learn notes the weights that a server's own answer showed.
 func (set *Set) Learn(instance string, versions map[string]int64) {
 	set.mutex.Lock()
@@ -249,10 +266,10 @@
 	defer set.mutex.Unlock()
 	anyListed := false
 	for _, known := range set.byService[query.Service] {
-		anyListed = anyListed || (known.listed && !known.server.Draining)
+		anyListed = anyListed || (known.listed && !now.Before(known.goneUntil) && !known.server.Draining)
 	}
 	for _, known := range set.byService[query.Service] {
-		if !known.listed && (anyListed || known.server.Draining) {
+		if now.Before(known.goneUntil) || (!known.listed && (anyListed || known.server.Draining)) {
 			continue
 		}
 		candidates = append(candidates, known.candidate(query, set.othersAt(known, now), now))
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -162,3 +162,23 @@
 	require.True(t, waiting.HeardSince(begin))
 	require.False(t, waiting.HeardSince(begin.Add(time.Second)))
 }
+
+func TestAServerInWhosePlaceAnotherAnsweredIsPassedOverUntilTheListMustKnow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := NewSet()
+	list := []Server{{Instance: "old", Service: "s", Address: "a"}, {Instance: "other", Service: "s", Address: "b"}}
+	set.Update(list, now)
+	set.Gone("old", now)
+	set.Gone("nobody", now)
+	names := func(at time.Time) []string {
+		var names []string
+		for _, c := range set.Candidates(nil, Query{Service: "s", Distance: func(string) int { return 0 }}, at) {
+			names = append(names, c.Endpoint)
+		}
+		return names
+	}
+	set.Update(list, now.Add(time.Second))
+	require.Equal(t, []string{"other"}, names(now.Add(time.Second)), "the list lags")
+	require.Len(t, set.Servers(now.Add(time.Second)), 1)
+	require.Len(t, names(now.Add(goneLife)), 2, "one wrong answer condemns nobody for ever")
+}
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -57,6 +57,32 @@
 	return all
 }
 
+// Use is what is under way at one server, by this node's knowledge of all nodes.
+type Use struct {
+	Running      int
+	QueuedTokens int
+}
+
+// Less reports whether this is less work than other: fewer runs, or a shorter queue.
+func (u Use) Less(other Use) bool {
+	if u.Running != other.Running {
+		return u.Running < other.Running
+	}
+	return u.QueuedTokens < other.QueuedTokens
+}
+
+// Uses returns what is under way at the servers, by instance.
+func (set *Set) Uses(now time.Time) map[string]Use {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	uses := make(map[string]Use, len(set.servers))
+	for instance, s := range set.servers {
+		others := set.othersAt(s, now)
+		uses[instance] = Use{Running: s.inFlight + others.Running, QueuedTokens: s.queuedTokens + others.QueuedTokens}
+	}
+	return uses
+}
+
 // TakeWork takes what all other nodes have under way.
 func (set *Set) TakeWork(others []Work, now time.Time) {
 	set.mutex.Lock()
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -52,6 +52,9 @@
 	Reason string
 	// LoadedVersion is the version that the server has, if it said so.
 	LoadedVersion int64
+	// AnotherInstance says that another incarnation answered than the one that was
+	// asked: that one is gone for good.
+	AnotherInstance bool
 }
 
 // Error shows the reason.
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -54,10 +54,18 @@
 	return reply, err
 }
 
-// learn takes what a refusal says of the server's weights.
+// learn takes what a refusal says of the server: that it is gone, or what weights
+// it has.
 func (placement *placement) learn(dispatch Dispatch, err error) {
 	var refused *exchange.ErrRefused
-	if dispatch.Version != 0 && errors.As(err, &refused) && refused.LoadedVersion != 0 {
+	if !errors.As(err, &refused) {
+		return
+	}
+	if refused.AnotherInstance {
+		placement.placer.proxy.set.Gone(placement.chosen.Endpoint, time.Now())
+		return
+	}
+	if dispatch.Version != 0 && refused.LoadedVersion != 0 {
 		versions := map[string]int64{dispatch.Request.Prompt.Model: refused.LoadedVersion}
 		placement.placer.proxy.set.Learn(placement.chosen.Endpoint, versions)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/pause"
 	"github.com/cloverrail/cloverrail/internal/residency"
 )
 
@@ -117,6 +118,10 @@
 	// contactMargin is kept free below Bounds.Contact. Until then a node tolerates
 	// any weights, since it cannot know when the newest were named.
 	contactMargin = 300 * time.Millisecond
+	// firstWait is how long after its start a node lets a request wait for the first
+	// reading of the declaration, and firstLook is the time between two looks.
+	firstWait = 300 * time.Millisecond
+	firstLook = 5 * time.Millisecond
 	// soon is when to come back for a node that is catching up.
 	soon = 100 * time.Millisecond
 )
@@ -174,14 +179,27 @@
 // Open returns the number of requests in service.
 func (proxy *Proxy) Open() int { return int(proxy.open.Load()) }
 
+// AwaitFirst waits until a node that has just started knows its declaration, but not
+// for long: callers reach it before it has read anything.
+func (proxy *Proxy) AwaitFirst(ctx context.Context) {
+	for proxy.unread() && ctx.Err() == nil && time.Since(proxy.started) < firstWait {
+		pause.For(ctx, firstLook)
+	}
+}
+
+// unread reports whether no declaration was read yet.
+func (proxy *Proxy) unread() bool {
+	belief := proxy.belief.Load()
+	return belief == nil || belief.Snapshot == nil
+}
+
 // Limits returns the bounds of what callers may send. Before they are known
 // nothing may be read.
 func (proxy *Proxy) Limits() (catalog.Limits, *failure.Failure) {
-	belief := proxy.belief.Load()
-	if belief == nil || belief.Snapshot == nil {
+	if proxy.unread() {
 		return catalog.Limits{}, unconfigured()
 	}
-	return belief.Snapshot.Limits, nil
+	return proxy.belief.Load().Snapshot.Limits, nil
 }
 
 // Ready reports whether callers should be sent here.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -186,3 +187,22 @@
 		}
 	})
 }
+
+func TestANodeThatHasJustStartedLetsRequestsWaitForItsDeclaration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder := &catalog.Holder{}
+		proxy := New(Options{Belief: holder})
+		go func() {
+			time.Sleep(30 * time.Millisecond)
+			holder.Store(at(time.Now(), nil).belief.Load())
+		}()
+		begun := time.Now()
+		proxy.AwaitFirst(t.Context())
+		require.Equal(t, 30*time.Millisecond, time.Since(begun))
+		proxy = New(Options{Belief: &catalog.Holder{}})
+		proxy.AwaitFirst(t.Context())
+		require.Equal(t, 30*time.Millisecond+firstWait, time.Since(begun), "not for ever")
+		proxy.AwaitFirst(t.Context())
+		require.Equal(t, 30*time.Millisecond+firstWait, time.Since(begun), "only after the start")
+	})
+}
--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -58,7 +58,7 @@
 
 // Wanted reports whether a server is behind.
 func (duty *Duty) Wanted() bool {
-	return Behind(duty.targets(), duty.Set.Servers(), time.Now())
+	return Behind(duty.targets(), duty.Set.Servers(time.Now()), time.Now())
 }
 
 // Lost forgets the orders of a tenure that is over.
@@ -78,7 +78,9 @@
 	if duty.machine == nil {
 		duty.machine = NewMachine()
 	}
-	actions := duty.machine.Step(now, duty.targets(), duty.Set.Servers())
+	targets, servers := duty.targets(), duty.Set.Servers(now)
+	targets.Uses = duty.Set.Uses(now)
+	actions := duty.machine.Step(now, targets, servers)
 	encoded := State{Holder: duty.Holder, Active: !duty.machine.Idle(), Loads: duty.machine.Loads()}.Encode()
 	return encoded, func(ctx context.Context, tenure *lease.Tenure) { duty.act(ctx, tenure, actions) }
 }
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -78,6 +78,9 @@
 	// Disturbed is when the shared store was not sound last. Nobody could be moved
 	// until then, so no time is counted from before.
 	Disturbed time.Time
+	// Uses holds what is under way at each instance. Those with the least go first,
+	// since a load begins when the runs have ended.
+	Uses map[string]backend.Use
 }
 
 // lack is what a server lacks: the newest version of a model, since the naming
@@ -249,7 +252,7 @@
 			behind = append(behind, one)
 		}
 	}
-	sortByUrgency(behind)
+	sortByUrgency(behind, targets.Uses)
 	room := machine.atOnce(now, behind, loading, len(servers)) - loading
 	for _, one := range behind {
 		expected, reported := machine.sequences[one.server.Instance]
@@ -331,9 +334,16 @@
 }
 
 // sortByUrgency puts those first that are late soonest; among equals, neighbours
-// in the order are in different zones.
-func sortByUrgency(behind []lack) {
-	sort.Slice(behind, func(i, j int) bool { return behind[i].server.Instance < behind[j].server.Instance })
+// in the order are in different zones, and of each zone those with the least work
+// come first.
+func sortByUrgency(behind []lack, uses map[string]backend.Use) {
+	sort.Slice(behind, func(i, j int) bool {
+		first, second := behind[i].server.Instance, behind[j].server.Instance
+		if uses[first] != uses[second] {
+			return uses[first].Less(uses[second])
+		}
+		return first < second
+	})
 	place := map[string]int{}
 	rank := map[string]int{}
 	for _, one := range behind {
--- a/internal/rollout/machine_test.go
+++ b/internal/rollout/machine_test.go
@@ -277,3 +277,26 @@
 	machine.Step(now, targets, at(2, 2))
 	require.Equal(t, backend.Loads{}, machine.Loads())
 }
+
+func TestOfEachZoneTheServerWithTheLeastWorkLoadsFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	machine := NewMachine()
+	targets := Targets{
+		Within: time.Minute, Latest: time.Hour, Weights: map[string]catalog.Namings{model: {{Version: 1}, {Version: 2, NotNamedAt: now}}},
+		Uses: map[string]backend.Use{"i-0": {Running: 3}, "i-2": {Running: 1, QueuedTokens: 9}, "i-4": {Running: 1}, "i-1": {Running: 8}, "i-3": {Running: 9}, "i-5": {Running: 7}},
+	}
+	var servers []backend.Server
+	for number := range 12 {
+		instance := fmt.Sprint("i-", number)
+		if number > 5 {
+			targets.Uses[instance] = backend.Use{Running: 20}
+		}
+		servers = append(servers, backend.Server{Instance: instance, Service: "s", Zone: fmt.Sprint("z", number%2), Versions: map[string]int64{model: 1}})
+		machine.Inspected(now, instance, Report{Versions: servers[number].Versions})
+	}
+	var ordered []string
+	for _, action := range machine.Step(now, targets, servers) {
+		ordered = append(ordered, action.(Order).Server.Instance)
+	}
+	require.Equal(t, []string{"i-4", "i-5"}, ordered)
+}
