Keep a follower's place when no server has changed

A change of the roll-out moves a reader's place, but a follower took the new place over only with a change of servers; until the next one each question was answered at once. Ruled out: the news of cached parts, which no answer waits for. Change: the place is taken from every answer; two questions are 50 ms apart at least. Test: TestAFollowerIsUpToDateAfterEveryAnswer failed before (place 1 instead of 2). The property on copies follows the list over answers without a change now.

--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -238,21 +238,25 @@
 	return Question{Feed: c.feed, Place: c.place, Wait: wait}
 }
 
-// Apply takes a delta and returns the whole list.
-func (c *Copy) Apply(delta Delta) []backend.Server {
+// Apply takes a delta, and returns the whole list if that has changed. The delta's
+// place may be later without that: not every change is one of servers.
+func (c *Copy) Apply(delta Delta) (list []backend.Server, changed bool) {
 	if delta.Whole || c.servers == nil {
 		c.servers = map[string]backend.Server{}
 	}
 	c.feed, c.place = delta.Feed, delta.Place
+	if !delta.Whole && len(delta.Changed)+len(delta.Gone) == 0 {
+		return nil, false
+	}
 	for _, server := range delta.Changed {
 		c.servers[server.Instance] = server
 	}
 	for _, instance := range delta.Gone {
 		delete(c.servers, instance)
 	}
-	list := make([]backend.Server, 0, len(c.servers))
+	list = make([]backend.Server, 0, len(c.servers))
 	for _, server := range c.servers {
 		list = append(list, server)
 	}
-	return list
+	return list, true
 }
--- a/internal/reflector/feed_test.go
+++ b/internal/reflector/feed_test.go
@@ -26,6 +26,7 @@
 	property.Check(t, func(t *rapid.T) {
 		feeds := []*Feed{newFeed("one"), newFeed("two")}
 		copied := &Copy{}
+		var got []backend.Server
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			list := []backend.Server{}
 			for number := range 8 {
@@ -39,7 +40,9 @@
 			feed := feeds[rapid.IntRange(0, 1).Draw(t, "feed")]
 			feed.Take(list, time.Now())
 			if rapid.IntRange(0, 2).Draw(t, "asks") == 0 {
-				got := copied.Apply(feed.Answer(context.Background(), copied.Question(0)))
+				if whole, changed := copied.Apply(feed.Answer(context.Background(), copied.Question(0))); changed {
+					got = whole
+				}
 				require.ElementsMatch(t, list, got)
 			}
 		}
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -16,6 +16,9 @@
 	// much longer its answer may take.
 	askWait   = 150 * time.Millisecond
 	askMargin = 250 * time.Millisecond
+	// leastAskPause is the least time between two questions: changes that come soon
+	// after one another are heard together.
+	leastAskPause = 50 * time.Millisecond
 	// calmNodes is the size of a fleet above which nodes ask less often, so that a
 	// reader's answers stay bounded.
 	calmNodes = 100
@@ -48,7 +51,7 @@
 		}
 		begun := time.Now()
 		if r.ask(ctx, reader, copied) {
-			pause.For(ctx, r.askInterval()-askWait-time.Since(begun))
+			pause.For(ctx, max(r.askInterval()-askWait, leastAskPause)-time.Since(begun))
 		} else {
 			turn++
 			pause.For(ctx, idlePause)
@@ -75,8 +78,7 @@
 	if err != nil || delta.Age > staleAfter || delta.BeliefAge < 0 || delta.BeliefAge > staleAfter {
 		return false
 	}
-	if delta.Whole || len(delta.Changed)+len(delta.Gone) > 0 {
-		list := copied.Apply(delta)
+	if list, changed := copied.Apply(delta); changed {
 		r.Recorder.Listed(r.Set.Update(list, time.Now()))
 	}
 	if delta.Loads != nil {
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -122,3 +122,20 @@
 	require.NoError(t, follower.read(context.Background()))
 	require.Equal(t, 1, store.fleet)
 }
+
+// A follower that does not know where a change of the roll-out stands asks again at
+// once, for as long as the list of servers stays as it is.
+func TestAFollowerIsUpToDateAfterEveryAnswer(t *testing.T) {
+	belief := &catalog.Holder{}
+	belief.Store(catalog.Advance(nil, catalog.Reading{SentAt: time.Now(), Declaration: &catalog.Declaration{Version: 1}}))
+	feed := NewFeed("reader", belief, &fleet.Registry{Resized: func(int) {}}, workshare.New(func() []backend.Work { return nil }), residency.NewLedger())
+	feed.Take([]backend.Server{{Instance: "i-1", Service: "s"}}, time.Now())
+	follower := newFollower(&counting{}, &answering{feed: feed})
+	copied := &Copy{}
+	require.True(t, follower.ask(context.Background(), "reader", copied))
+	feed.TakeLoads(backend.Loads{Loading: []backend.Load{{Instance: "i-1", Model: "m", Version: 2}}})
+	require.True(t, follower.ask(context.Background(), "reader", copied))
+	delta, _ := feed.since(copied.Question(0))
+	require.Equal(t, copied.place, delta.Place, "there is nothing that it lacks")
+	require.Nil(t, delta.Loads)
+}
