Show the terms of the cost of the chosen and of the next best server

A placed line told what was known of the chosen server, not why it won. Change: every scorer has a name; a placed line holds the terms of the chosen server and of the cheapest other one in milliseconds; explain prints both with their sums. A node that asks many holders lets each gather for longer (20 ms a question), and no engines are asked above 128: their news would fill the links (docs/CAPACITY.md).

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"reflect"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,10 @@
 	// spreadPerNode spreads the tries of a fleet to take a duty over.
 	spreadPerNode = 5 * time.Millisecond
 
+	// mostFollowedEngines is the number of engines above which nodes go by what they
+	// sent themselves: the news of more would fill the links between nodes.
+	mostFollowedEngines = 128
+
 	connectTimeout = 300 * time.Millisecond
 	silenceTimeout = 1500 * time.Millisecond
 )
@@ -217,14 +222,22 @@
 	for _, store := range belief.Snapshot.Stores() {
 		own(store.Address, store.Zone)
 	}
-	for _, server := range process.set.Servers(time.Now()) {
-		if len(server.Versions) > 0 {
-			own(server.Address, server.Zone)
-		}
+	engines := process.engines()
+	if len(engines) > mostFollowedEngines {
+		return addresses
+	}
+	for _, engine := range engines {
+		own(engine.Address, engine.Zone)
 	}
 	return addresses
 }
 
+// engines returns the servers that hold models.
+func (process *process) engines() []backend.Server {
+	servers := process.set.Servers(time.Now())
+	return slices.DeleteFunc(servers, func(s backend.Server) bool { return len(s.Versions) == 0 })
+}
+
 // keep starts the duties that nodes share. The returned channel is closed when
 // they have been handed back after the context's end.
 func (process *process) keep(ctx context.Context) <-chan struct{} {
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -48,6 +50,11 @@
 	InStore     int       `json:"in_store"`
 	Queued      int       `json:"queued"`
 	Suppressed  int       `json:"suppressed_before"`
+	// Costs and NextCosts hold the terms of the cost of the chosen server and of Next,
+	// the cheapest other one, in milliseconds of engine time.
+	Costs     map[string]int64 `json:"costs"`
+	Next      string           `json:"next"`
+	NextCosts map[string]int64 `json:"next_costs"`
 }
 
 // eventMeanings says what became of an attempt.
@@ -153,9 +160,28 @@
 		text += fmt.Sprintf("; weights %d, prompt of %d tokens, %d held there, %d in the store, %d waiting before it",
 			line.Version, line.Prompt, line.Held, line.InStore, line.Queued)
 	}
+	if len(line.Costs) > 0 {
+		text += "; its cost was " + costText(line.Costs)
+	}
+	if line.Next != "" {
+		text += fmt.Sprintf(", that of the next best, %s, %s", line.Next, costText(line.NextCosts))
+	}
 	return text
 }
 
+// costText shows a cost with its terms, the greatest first.
+func costText(costs map[string]int64) string {
+	sum := int64(0)
+	names := slices.Sorted(maps.Keys(costs))
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(costs[b], costs[a]) })
+	terms := make([]string, 0, len(names))
+	for _, name := range names {
+		sum += costs[name]
+		terms = append(terms, fmt.Sprintf("%s %d", name, costs[name]))
+	}
+	return fmt.Sprintf("%d ms (%s)", sum, strings.Join(terms, ", "))
+}
+
 func (line logLine) ended() string {
 	text := fmt.Sprintf("route %q, declaration %d: ", line.Route, line.Declaration)
 	if line.Problem == "" {
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -23,6 +23,13 @@
 `, text.String())
 }
 
+func TestExplainShowsTheTermsOfBothCosts(t *testing.T) {
+	log := `{"node":"b","id":"r1","server":"i-7","costs":{"wait":40,"work":160},"next":"i-8","next_costs":{"replaced":480,"work":20,"wait":20},"message":"placed"}`
+	text := strings.Builder{}
+	require.NoError(t, explain(strings.NewReader(log), &text, "r1"))
+	require.Contains(t, text.String(), "its cost was 200 ms (work 160, wait 40), that of the next best, i-8, 520 ms (replaced 480, wait 20, work 20)")
+}
+
 func TestExplainSaysWhyThereIsNothing(t *testing.T) {
 	err := explain(strings.NewReader(explainLog), &strings.Builder{}, "r9")
 	require.ErrorContains(t, err, "5 that the nodes left out")
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -106,11 +106,20 @@
 	if placer.prompt() != nil {
 		placer.annotate(candidates, now)
 	}
-	decision := placer.schedule(placer.routingRequest(), candidates)
+	request := placer.routingRequest()
+	scheduler := routing.NewScheduler(placer.scorers()...)
+	decision := schedule(scheduler, request, candidates)
 	if decision.Index < 0 {
 		return nil, &exchange.Unplaced{Reason: "every server is " + string(decision.Refused)}
 	}
-	return placer.begin(candidates[decision.Index], now), nil
+	chosen := &candidates[decision.Index]
+	choice := Choice{Chosen: *chosen, Terms: scheduler.Terms(request, chosen)}
+	if decision.Next >= 0 {
+		next := &candidates[decision.Next]
+		choice.Next, choice.NextTerms = next.Endpoint, scheduler.Terms(request, next)
+	}
+	placer.proxy.recorder.Placed(placer.admitted.request, choice)
+	return placer.begin(*chosen, now), nil
 }
 
 // annotate adds what is known of the prompt's parts at each server.
@@ -133,7 +142,6 @@
 	if prompt := placer.prompt(); prompt != nil {
 		tokens = max(0, prompt.Tokens-max(chosen.HitBlocks, chosen.ImportBlocks))
 	}
-	placer.proxy.recorder.Placed(placer.admitted.request, chosen)
 	return &placement{
 		placer:  placer,
 		chosen:  chosen,
@@ -145,8 +153,7 @@
 
 // schedule prefers servers that were not tried and do not rest; a server that
 // rests or was tried is better than none.
-func (placer *placer) schedule(request *routing.Request, candidates []routing.Candidate) routing.Decision {
-	scheduler := routing.NewScheduler(placer.scorers()...)
+func schedule(scheduler *routing.Scheduler, request *routing.Request, candidates []routing.Candidate) routing.Decision {
 	decision := scheduler.Schedule(request, candidates)
 	if decision.Index >= 0 {
 		return decision
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -6,11 +6,21 @@
 	"github.com/cloverrail/cloverrail/internal/routing"
 )
 
+// Choice is a placement: the chosen server with the terms of its cost, and the
+// cheapest other one, if there was any.
+type Choice struct {
+	Chosen routing.Candidate
+	Terms  []routing.Term
+	// Next names the other server; "" if there was none.
+	Next      string
+	NextTerms []routing.Term
+}
+
 // Recorder hears of every decision that touches a request. Its methods must not
 // block.
 type Recorder interface {
 	// Placed hears of each placement with what decided it.
-	Placed(request *Request, chosen routing.Candidate)
+	Placed(request *Request, choice Choice)
 	// Attempt hears of each event of an attempt.
 	Attempt(request *Request, server string, event exchange.Event)
 	// Request hears of the end of a request. The route is nil if none was found.
--- a/internal/residency/follower.go
+++ b/internal/residency/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -37,6 +38,9 @@
 	// gatherTime how long changes are left to gather before they are asked for.
 	changesWait = 800 * time.Millisecond
 	gatherTime  = 150 * time.Millisecond
+	// askInterval is the least mean time between a node's questions to all holders: who
+	// asks many lets each gather for longer.
+	askInterval = 20 * time.Millisecond
 	askTimeout  = 400 * time.Millisecond
 	// renewAfter is how long changes are taken before all is asked for anew.
 	renewAfter = time.Minute
@@ -59,26 +63,37 @@
 	ledger   *Ledger
 	recorder Recorder
 
-	lost bool
+	// gather returns how long changes are left to gather.
+	gather func() time.Duration
+	lost   bool
 	// renews says that the holder was followed before without a break.
 	renews bool
 }
 
 // NewFollower returns a follower of one holder.
 func NewFollower(holder string, source Source, ledger *Ledger, recorder Recorder) *Follower {
-	return &Follower{holder: holder, source: source, ledger: ledger, recorder: recorder}
+	return &Follower{holder: holder, source: source, ledger: ledger, recorder: recorder, gather: func() time.Duration { return gatherTime }}
+}
+
+// gatherFor returns how long a node that asks so many holders lets each gather.
+func gatherFor(holders int) time.Duration {
+	return max(gatherTime, time.Duration(holders)*askInterval)
 }
 
 // FollowAll runs a follower for each of the holders, as these come and go.
 func FollowAll(ctx context.Context, holders func() []string, follow func(holder string) *Follower) {
 	stops := map[string]context.CancelFunc{}
+	var count atomic.Int64
 	for ctx.Err() == nil {
 		present := holders()
+		count.Store(int64(len(present)))
 		for _, holder := range present {
 			if stops[holder] == nil {
 				following, stop := context.WithCancel(ctx)
 				stops[holder] = stop
-				go follow(holder).Run(following)
+				follower := follow(holder)
+				follower.gather = func() time.Duration { return gatherFor(int(count.Load())) }
+				go follower.Run(following)
 			}
 		}
 		for holder, stop := range stops {
@@ -158,7 +173,7 @@
 		}
 		f.ledger.Apply(f.holder, batch.Changes)
 		next = batch.Next
-		pause.For(ctx, gatherTime)
+		pause.For(ctx, f.gather())
 	}
 	return nil
 }
--- a/internal/residency/follower_test.go
+++ b/internal/residency/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,6 +22,8 @@
 	log     []Change
 	first   int64
 	failure error
+	// asked counts questions.
+	asked int
 }
 
 func (told *told) set(change func()) {
@@ -100,3 +103,31 @@
 		require.Equal(t, 1400, ledger.Held("store", "", prompt, time.Now()), "then this node goes by what it sends")
 	})
 }
+
+func TestANodeThatAsksManyHoldersAsksEachLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder := &told{life: 1, has: map[Key]bool{}}
+		ledger := NewLedger()
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		names := []string{}
+		for i := range 100 {
+			names = append(names, fmt.Sprint("h", i))
+		}
+		go FollowAll(ctx, func() []string { return names }, func(name string) *Follower {
+			return NewFollower(name, &eager{told: holder}, ledger, unheeded{})
+		})
+		time.Sleep(10 * time.Second)
+		stop()
+		// A first question to each, and then one in 20 ms.
+		require.InDelta(t, 100+500, holder.asked, 100)
+	})
+}
+
+// eager is a holder that always has a change to tell of at once.
+type eager struct{ *told }
+
+func (p *eager) Changes(ctx context.Context, holder string, after int64, _ time.Duration) (Batch, error) {
+	p.set(func() { p.asked++ })
+	return p.told.Changes(ctx, holder, after, 0)
+}
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -1,10 +1,16 @@
 package routing
 
-import "github.com/cloverrail/cloverrail/internal/prefixindex"
+import (
+	"slices"
+
+	"github.com/cloverrail/cloverrail/internal/prefixindex"
+)
 
 // Scorer puts a price on serving the request at the candidate, in seconds of
 // engine time.
 type Scorer interface {
+	// Name tells the price apart from those of other scorers.
+	Name() string
 	Score(request *Request, candidate *Candidate) float64
 }
 
@@ -27,8 +33,9 @@
 
 // Decision is the outcome of one placement.
 type Decision struct {
-	// Index of the chosen candidate, or -1.
+	// Index of the chosen candidate, or -1; Next, that of the cheapest other one.
 	Index int
+	Next  int
 	// Refused is why the last refused candidate was refused, for the message
 	// when none was accepted. Full wins over the others: it passes by waiting.
 	Refused Reason
@@ -36,7 +43,7 @@
 
 // Schedule chooses among the candidates. It fills in their affinity ranks.
 func (scheduler *Scheduler) Schedule(request *Request, candidates []Candidate) Decision {
-	decision := Decision{Index: -1}
+	decision := Decision{Index: -1, Next: -1}
 	scheduler.accepted = scheduler.accepted[:0]
 	scheduler.costs = scheduler.costs[:0]
 	for index := range candidates {
@@ -56,9 +63,38 @@
 		scheduler.costs = append(scheduler.costs, cost)
 	}
 	decision.Index = Pick(candidates, scheduler.accepted, scheduler.costs)
+	decision.Next = scheduler.next(candidates, decision.Index)
 	return decision
 }
 
+// next returns the cheapest of the accepted candidates besides the chosen one.
+func (scheduler *Scheduler) next(candidates []Candidate, chosen int) int {
+	place := slices.Index(scheduler.accepted, chosen)
+	if place < 0 {
+		return -1
+	}
+	last := len(scheduler.accepted) - 1
+	scheduler.accepted[place], scheduler.costs[place] = scheduler.accepted[last], scheduler.costs[last]
+	return Pick(candidates, scheduler.accepted[:last], scheduler.costs[:last])
+}
+
+// Term is one part of the cost of a candidate, in seconds of engine time.
+type Term struct {
+	Name    string
+	Seconds float64
+}
+
+// Terms returns the parts of a candidate's cost that are not 0.
+func (scheduler *Scheduler) Terms(request *Request, candidate *Candidate) []Term {
+	terms := make([]Term, 0, len(scheduler.scorers))
+	for _, scorer := range scheduler.scorers {
+		if seconds := scorer.Score(request, candidate); seconds != 0 {
+			terms = append(terms, Term{Name: scorer.Name(), Seconds: seconds})
+		}
+	}
+	return terms
+}
+
 // rank fills in the places of the few highest affinities; all others share the
 // last place. It is linear in the candidates.
 func rank(candidates []Candidate, accepted []int) {
--- a/internal/routing/score_affinity.go
+++ b/internal/routing/score_affinity.go
@@ -13,6 +13,9 @@
 // enough to queue spreads to the next rank.
 type AffinityScorer struct{}
 
+// Name returns the name of the term.
+func (AffinityScorer) Name() string { return "affinity" }
+
 // Score returns seconds of engine time.
 func (AffinityScorer) Score(request *Request, candidate *Candidate) float64 {
 	if request.Blocks == 0 {
--- a/internal/routing/score_copy.go
+++ b/internal/routing/score_copy.go
@@ -7,6 +7,9 @@
 // KV cache do the same work in many places.
 type CopyScorer struct{}
 
+// Name returns the name of the term.
+func (CopyScorer) Name() string { return "copy" }
+
 // Score returns seconds of engine time.
 func (CopyScorer) Score(request *Request, candidate *Candidate) float64 {
 	recompute := request.Blocks - max(candidate.HitBlocks, candidate.ImportBlocks)
--- a/internal/routing/score_distance.go
+++ b/internal/routing/score_distance.go
@@ -12,6 +12,9 @@
 // DistanceScorer charges for endpoints outside the zone.
 type DistanceScorer struct{}
 
+// Name returns the name of the term.
+func (DistanceScorer) Name() string { return "distance" }
+
 // Score returns seconds.
 func (DistanceScorer) Score(request *Request, candidate *Candidate) float64 {
 	step := distanceCost + distanceByteCost*float64(request.Bytes)
--- a/internal/routing/score_opaque_test.go
+++ b/internal/routing/score_opaque_test.go
@@ -46,6 +46,21 @@
 	require.Equal(t, 0, scheduler.Schedule(&request, candidates).Index, "0.4 s are lost, 0.425 s would be waited")
 }
 
+func TestADecisionNamesTheNextBestAndTheTermsOfBoth(t *testing.T) {
+	candidates := []Candidate{
+		{Endpoint: "dear", Ready: true, Distance: 2}, {Endpoint: "best", Ready: true},
+		{Endpoint: "next", Ready: true, Distance: 1}, {Endpoint: "refused"},
+	}
+	scheduler := NewScheduler(DistanceScorer{}, FailureScorer{})
+	decision := scheduler.Schedule(longPrompt, candidates)
+	require.Equal(t, 1, decision.Index)
+	require.Equal(t, 2, decision.Next)
+	require.Empty(t, scheduler.Terms(longPrompt, &candidates[1]))
+	require.Equal(t, []Term{{Name: "distance", Seconds: DistanceScorer{}.Score(longPrompt, &candidates[2])}}, scheduler.Terms(longPrompt, &candidates[2]))
+	require.Equal(t, -1, scheduler.Schedule(longPrompt, candidates[1:2]).Next)
+	require.Equal(t, -1, scheduler.Schedule(longPrompt, candidates[3:]).Next)
+}
+
 func TestABusyEndpointIsPassedOver(t *testing.T) {
 	candidates := []Candidate{{Endpoint: "busy", Ready: true, Busy: true, HitBlocks: 8_000}, {Endpoint: "free", Ready: true}}
 	require.Equal(t, 1, NewScheduler().Schedule(longPrompt, candidates).Index)
--- a/internal/routing/score_turn.go
+++ b/internal/routing/score_turn.go
@@ -4,6 +4,9 @@
 // requests that run there, each taking its share of a typical one's time.
 type TurnScorer struct{}
 
+// Name returns the name of the term.
+func (TurnScorer) Name() string { return "turn" }
+
 // Score returns seconds.
 func (TurnScorer) Score(request *Request, candidate *Candidate) float64 {
 	return request.TurnSeconds * float64(candidate.Running)
--- a/internal/routing/score_wait.go
+++ b/internal/routing/score_wait.go
@@ -8,6 +8,9 @@
 // the request, slowed by the sequences that decode meanwhile.
 type WaitScorer struct{}
 
+// Name returns the name of the term.
+func (WaitScorer) Name() string { return "wait" }
+
 // Score returns seconds.
 func (WaitScorer) Score(request *Request, candidate *Candidate) float64 {
 	recompute, imported := Missing(request, candidate)
--- a/internal/routing/score_work.go
+++ b/internal/routing/score_work.go
@@ -4,6 +4,9 @@
 // its prompt that the endpoint does not hold.
 type WorkScorer struct{}
 
+// Name returns the name of the term.
+func (WorkScorer) Name() string { return "work" }
+
 // Score returns seconds of engine time.
 func (WorkScorer) Score(request *Request, candidate *Candidate) float64 {
 	recompute, imported := Missing(request, candidate)
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"time"
@@ -66,7 +67,8 @@
 }
 
 // Placed hears of each placement with what decided it.
-func (recorder *Recorder) Placed(request *proxy.Request, chosen routing.Candidate) {
+func (recorder *Recorder) Placed(request *proxy.Request, choice proxy.Choice) {
+	chosen := choice.Chosen
 	if chosen.ReplacedLoss > 0 {
 		recorder.metrics.replaced.Inc()
 	}
@@ -76,9 +78,22 @@
 		line.Int64("version", chosen.Version).Int("prompt", prompt.Tokens).Int("held", chosen.HitBlocks).
 			Int("in_store", chosen.ImportBlocks).Int("queued", chosen.QueuedTokens).Int("rank", chosen.AffinityRank)
 	}
+	line.Dict("costs", costs(choice.Terms))
+	if choice.Next != "" {
+		line.Str("next", choice.Next).Dict("next_costs", costs(choice.NextTerms))
+	}
 	line.Msg("placed")
 }
 
+// costs writes the terms of a cost in milliseconds of engine time.
+func costs(terms []routing.Term) *zerolog.Event {
+	all := zerolog.Dict()
+	for _, term := range terms {
+		all.Int64(term.Name, int64(math.Round(term.Seconds*1000)))
+	}
+	return all
+}
+
 // Connected hears for each request to a server whether its connection was kept.
 func (recorder *Recorder) Connected(kept bool) {
 	kind := "new"
