--- /dev/null
+++ b/internal/backend/attempt.go
@@ -0,0 +1,91 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/exchange"
+)
+
+// Begin counts an attempt in flight, with the prompt tokens that it brings.
+func (set *Set) Begin(instance string, tokens int, now time.Time) *Attempt {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	known, found := set.servers[instance]
+	if !found {
+		return &Attempt{set: set}
+	}
+	known.inFlight++
+	known.queuedTokens += tokens
+	known.breaker.Sent(now)
+	return &Attempt{set: set, state: known, tokens: tokens}
+}
+
+// Attempt is one attempt in flight.
+type Attempt struct {
+	set    *Set
+	state  *state
+	tokens int
+}
+
+// Started says that the server has read the prompt.
+func (attempt *Attempt) Started(now time.Time) {
+	if attempt.state == nil {
+		return
+	}
+	attempt.set.mutex.Lock()
+	defer attempt.set.mutex.Unlock()
+	attempt.unqueue()
+	attempt.state.heardAt = now
+}
+
+// HeardSince reports whether the server has answered anything since a time.
+func (attempt *Attempt) HeardSince(since time.Time) bool {
+	if attempt.state == nil {
+		return false
+	}
+	attempt.set.mutex.Lock()
+	defer attempt.set.mutex.Unlock()
+	return attempt.state.heardAt.After(since)
+}
+
+func (attempt *Attempt) unqueue() {
+	attempt.state.queuedTokens -= attempt.tokens
+	attempt.tokens = 0
+}
+
+// End says how the attempt ended.
+func (attempt *Attempt) End(result exchange.Result, now time.Time) {
+	if attempt.state == nil {
+		return
+	}
+	attempt.set.mutex.Lock()
+	defer attempt.set.mutex.Unlock()
+	attempt.unqueue()
+	known := attempt.state
+	attempt.state = nil
+	known.inFlight--
+	known.judge(result, now)
+}
+
+func (state *state) judge(result exchange.Result, now time.Time) {
+	switch result {
+	case exchange.ResultServed, exchange.ResultRefused, exchange.ResultFaulty:
+		state.heardAt = now
+	}
+	switch result {
+	case exchange.ResultServed:
+		state.breaker.Succeeded()
+		state.failures.note(0, now)
+	case exchange.ResultRefused:
+		state.breaker.Abandoned()
+		state.busyUntil = now.Add(refusalRest)
+	case exchange.ResultUnreached:
+		state.breaker.Failed(unreachedBreaker, now)
+		state.failures.note(1, now)
+	case exchange.ResultFaulty, exchange.ResultBroken, exchange.ResultSilent:
+		state.breaker.Failed(brokenBreaker, now)
+		state.failures.note(1, now)
+	default:
+		state.breaker.Abandoned()
+	}
+}
--- /dev/null
+++ b/internal/backend/load.go
@@ -0,0 +1,45 @@
+package backend
+
+import "time"
+
+// loadingLife is how long a server is taken to load weights if nothing more is
+// heard of it.
+const loadingLife = 4 * time.Second
+
+// Load is a server's move to a version of a model's weights.
+type Load struct {
+	Instance string
+	Model    string
+	Version  int64
+}
+
+// Loads is how far a roll-out of weights is.
+type Loads struct {
+	// Loading holds the moves that are under way, and Loaded those that have ended
+	// since the roll-out began.
+	Loading []Load
+	Loaded  []Load
+}
+
+// Load takes how far a roll-out is. Servers that are not named do not load.
+func (set *Set) Load(loads Loads, now time.Time) {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	loading := make(map[string]Load, len(loads.Loading))
+	for _, load := range loads.Loading {
+		loading[load.Instance] = load
+	}
+	for instance, known := range set.servers {
+		if load := loading[instance]; known.load != load {
+			known.load, known.loadingUntil = load, now.Add(loadingLife)
+		}
+	}
+	for _, load := range loads.Loaded {
+		set.learn(load.Instance, load.Model, load.Version)
+	}
+}
+
+// loads reports whether the server is busy loading weights of the model.
+func (state *state) loads(model string, now time.Time) bool {
+	return state.load.Model == model && state.server.Versions[model] < state.load.Version && now.Before(state.loadingUntil)
+}
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/retry"
 	"github.com/cloverrail/cloverrail/internal/routing"
 )
@@ -205,48 +204,6 @@
 	known.server.Versions[model] = version
 }
 
-// loadingLife is how long a server is taken to load weights if nothing more is
-// heard of it.
-const loadingLife = 4 * time.Second
-
-// Load is a server's move to a version of a model's weights.
-type Load struct {
-	Instance string
-	Model    string
-	Version  int64
-}
-
-// Loads is how far a roll-out of weights is.
-type Loads struct {
-	// Loading holds the moves that are under way, and Loaded those that have ended
-	// since the roll-out began.
-	Loading []Load
-	Loaded  []Load
-}
-
-// Load takes how far a roll-out is. Servers that are not named do not load.
-func (set *Set) Load(loads Loads, now time.Time) {
-	set.mutex.Lock()
-	defer set.mutex.Unlock()
-	loading := make(map[string]Load, len(loads.Loading))
-	for _, load := range loads.Loading {
-		loading[load.Instance] = load
-	}
-	for instance, known := range set.servers {
-		if load := loading[instance]; known.load != load {
-			known.load, known.loadingUntil = load, now.Add(loadingLife)
-		}
-	}
-	for _, load := range loads.Loaded {
-		set.learn(load.Instance, load.Model, load.Version)
-	}
-}
-
-// loads reports whether the server is busy loading weights of the model.
-func (state *state) loads(model string, now time.Time) bool {
-	return state.load.Model == model && state.server.Versions[model] < state.load.Version && now.Before(state.loadingUntil)
-}
-
 // Distance returns how far a server's zone is from here, 0 being the same zone.
 type Distance func(zone string) int
 
@@ -298,87 +255,3 @@
 		FailureShare: state.failures.at(now),
 	}
 }
-
-// Begin counts an attempt in flight, with the prompt tokens that it brings.
-func (set *Set) Begin(instance string, tokens int, now time.Time) *Attempt {
-	set.mutex.Lock()
-	defer set.mutex.Unlock()
-	known, found := set.servers[instance]
-	if !found {
-		return &Attempt{set: set}
-	}
-	known.inFlight++
-	known.queuedTokens += tokens
-	known.breaker.Sent(now)
-	return &Attempt{set: set, state: known, tokens: tokens}
-}
-
-// Attempt is one attempt in flight.
-type Attempt struct {
-	set    *Set
-	state  *state
-	tokens int
-}
-
-// Started says that the server has read the prompt.
-func (attempt *Attempt) Started(now time.Time) {
-	if attempt.state == nil {
-		return
-	}
-	attempt.set.mutex.Lock()
-	defer attempt.set.mutex.Unlock()
-	attempt.unqueue()
-	attempt.state.heardAt = now
-}
-
-// HeardSince reports whether the server has answered anything since a time.
-func (attempt *Attempt) HeardSince(since time.Time) bool {
-	if attempt.state == nil {
-		return false
-	}
-	attempt.set.mutex.Lock()
-	defer attempt.set.mutex.Unlock()
-	return attempt.state.heardAt.After(since)
-}
-
-func (attempt *Attempt) unqueue() {
-	attempt.state.queuedTokens -= attempt.tokens
-	attempt.tokens = 0
-}
-
-// End says how the attempt ended.
-func (attempt *Attempt) End(result exchange.Result, now time.Time) {
-	if attempt.state == nil {
-		return
-	}
-	attempt.set.mutex.Lock()
-	defer attempt.set.mutex.Unlock()
-	attempt.unqueue()
-	known := attempt.state
-	attempt.state = nil
-	known.inFlight--
-	known.judge(result, now)
-}
-
-func (state *state) judge(result exchange.Result, now time.Time) {
-	switch result {
-	case exchange.ResultServed, exchange.ResultRefused, exchange.ResultFaulty:
-		state.heardAt = now
-	}
-	switch result {
-	case exchange.ResultServed:
-		state.breaker.Succeeded()
-		state.failures.note(0, now)
-	case exchange.ResultRefused:
-		state.breaker.Abandoned()
-		state.busyUntil = now.Add(refusalRest)
-	case exchange.ResultUnreached:
-		state.breaker.Failed(unreachedBreaker, now)
-		state.failures.note(1, now)
-	case exchange.ResultFaulty, exchange.ResultBroken, exchange.ResultSilent:
-		state.breaker.Failed(brokenBreaker, now)
-		state.failures.note(1, now)
-	default:
-		state.breaker.Abandoned()
-	}
-}
--- a/internal/residency/ledger.go
+++ b/internal/residency/ledger.go
@@ -95,7 +95,7 @@
 	tokens := 0
 	for _, piece := range pieces {
 		told := known.followed && known.has[piece.Key]
-		if !told && (known.incarnation != incarnation || !l.sent(known, piece.Key, now)) {
+		if !told && (known.incarnation != incarnation || !l.probablyHas(known, piece.Key, now)) {
 			break
 		}
 		tokens += piece.Tokens
@@ -103,8 +103,8 @@
 	return tokens
 }
 
-// sent reports whether the holder probably has a part that this node sent there.
-func (l *Ledger) sent(known *holding, key Key, now time.Time) bool {
+// probablyHas reports whether the holder probably has a part that this node sent there.
+func (l *Ledger) probablyHas(known *holding, key Key, now time.Time) bool {
 	mark, found := known.sent[key]
 	if !found || now.Before(mark.from) {
 		return false
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -9,12 +9,10 @@
 	"maps"
 	"math"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
-	"github.com/cloverrail/cloverrail/internal/catalog"
 )
 
 // Result is what a server said to an order.
@@ -66,62 +64,6 @@
 	Sequence int64
 }
 
-// Targets is what servers should be moved to.
-type Targets struct {
-	// Weights holds the named versions of each model.
-	Weights map[string]catalog.Namings
-	// Within is how long after a naming all servers should have it.
-	Within time.Duration
-	// Latest is how long after a naming every server must at least have its order:
-	// from then on nothing begins on the old weights.
-	Latest time.Duration
-	// Disturbed is when the shared store was not sound last. Nobody could be moved
-	// until then, so no time is counted from before.
-	Disturbed time.Time
-	// Uses holds what is under way at each instance. Those with the least go first,
-	// since a load begins when the runs have ended.
-	Uses map[string]backend.Use
-}
-
-// lack is what a server lacks: the newest version of a model, since the naming
-// of the first version that it has not.
-type lack struct {
-	server   backend.Server
-	model    string
-	version  int64
-	deadline time.Time
-	// latest is when the order must be out.
-	latest time.Time
-}
-
-// of returns what the server lacks, the most urgent first.
-func (targets Targets) of(server backend.Server, now time.Time) (lack, bool) {
-	most, found := lack{}, false
-	for model, version := range server.Versions {
-		namings := targets.Weights[model]
-		first, lacks := namings.After(version)
-		if !lacks {
-			continue
-		}
-		since := first.Since(targets.Disturbed)
-		if since.IsZero() {
-			since = now
-		}
-		one := lack{
-			server:   server,
-			model:    model,
-			version:  namings.Newest(),
-			deadline: since.Add(targets.Within),
-			latest:   since.Add(targets.Latest),
-		}
-		earlier := one.deadline.Before(most.deadline) || (one.deadline.Equal(most.deadline) && model < most.model)
-		if !found || earlier {
-			most, found = one, true
-		}
-	}
-	return most, found
-}
-
 // Action is what the holder of the duty must do.
 type Action interface{ action() }
 
@@ -333,35 +275,6 @@
 	return min(max(least, wanted), most)
 }
 
-// sortByUrgency puts those first that are late soonest; among equals, neighbours
-// in the order are in different zones, and of each zone those with the least work
-// come first.
-func sortByUrgency(behind []lack, uses map[string]backend.Use) {
-	sort.Slice(behind, func(i, j int) bool {
-		first, second := behind[i].server.Instance, behind[j].server.Instance
-		if uses[first] != uses[second] {
-			return uses[first].Less(uses[second])
-		}
-		return first < second
-	})
-	place := map[string]int{}
-	rank := map[string]int{}
-	for _, one := range behind {
-		rank[one.server.Instance] = place[one.server.Zone]
-		place[one.server.Zone]++
-	}
-	sort.SliceStable(behind, func(i, j int) bool {
-		first, second := behind[i], behind[j]
-		if !first.deadline.Equal(second.deadline) {
-			return first.deadline.Before(second.deadline)
-		}
-		if rank[first.server.Instance] != rank[second.server.Instance] {
-			return rank[first.server.Instance] < rank[second.server.Instance]
-		}
-		return first.server.Zone < second.server.Zone
-	})
-}
-
 // Answered takes a server's answer to an order.
 func (machine *Machine) Answered(now time.Time, instance string, result Result) {
 	known := machine.pending[instance]
