--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -8,81 +8,63 @@
 	"github.com/cloverrail/cloverrail/internal/routing"
 )
 
-// likelyHeld is the share of a prompt's shared parts that the server first in
-// rendezvous order is taken to hold if nothing is known of it: requests go there
-// first, but parts that are not used for a while give way.
-const likelyHeld = 0.7
+// pair is the two best candidates of one version of the weights by some measure.
+type pair struct{ first, second *routing.Candidate }
 
-// homes are the first two usable servers in rendezvous order that hold one
-// version of the weights: those that are likely to hold the shared parts.
-type homes struct{ first, second *routing.Candidate }
+// besides returns the better one that is not the candidate itself, or nil.
+func (p pair) besides(c *routing.Candidate) *routing.Candidate {
+	if p.first == c {
+		return p.second
+	}
+	return p.first
+}
 
-// homesOf returns the homes of each version.
-func homesOf(candidates []routing.Candidate) map[int64]homes {
-	all := map[int64]homes{}
+// pairsOf returns the two usable candidates of each version with the highest measure.
+func pairsOf(candidates []routing.Candidate, usable func(c *routing.Candidate) bool, measure func(c *routing.Candidate) uint64) map[int64]pair {
+	pairs := map[int64]pair{}
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.Ready || c.Leaving || c.Down || c.Resting || c.Excluded {
+		if !usable(c) {
 			continue
 		}
-		h := all[c.Version]
+		p := pairs[c.Version]
 		switch {
-		case h.first == nil || c.Affinity > h.first.Affinity:
-			h.first, h.second = c, h.first
-		case h.second == nil || c.Affinity > h.second.Affinity:
-			h.second = c
+		case p.first == nil || measure(c) > measure(p.first):
+			p.first, p.second = c, p.first
+		case p.second == nil || measure(c) > measure(p.second):
+			p.second = c
 		}
-		all[c.Version] = h
+		pairs[c.Version] = p
 	}
-	return all
+	return pairs
 }
 
-// besides returns the home that is not the candidate itself, or nil.
-func (h homes) besides(c *routing.Candidate) *routing.Candidate {
-	if h.first == c {
-		return h.second
-	}
-	return h.first
-}
-
-// holders are the two usable servers of one version that hold most of the shared
-// parts.
-type holders struct{ most, next *routing.Candidate }
-
-// holdersOf returns the holders of each version. A server may give parts away that
-// takes no requests, but not one that is down or that loads other weights.
-func holdersOf(candidates []routing.Candidate) map[int64]holders {
-	all := map[int64]holders{}
-	for i := range candidates {
-		c := &candidates[i]
-		if c.HitBlocks == 0 || c.Down || c.Resting || c.Loading {
-			continue
-		}
-		h := all[c.Version]
-		switch {
-		case h.most == nil || c.HitBlocks > h.most.HitBlocks:
-			h.most, h.next = c, h.most
-		case h.next == nil || c.HitBlocks > h.next.HitBlocks:
-			h.next = c
-		}
-		all[c.Version] = h
+// homesOf returns the first two usable servers of each version in rendezvous order:
+// requests go there first, so that they may hold the shared parts even if nothing is
+// known of it.
+func homesOf(candidates []routing.Candidate) map[int64]pair {
+	usable := func(c *routing.Candidate) bool {
+		return c.Ready && !c.Leaving && !c.Down && !c.Resting && !c.Excluded
 	}
-	return all
+	return pairsOf(candidates, usable, func(c *routing.Candidate) uint64 { return c.Affinity })
 }
 
-// besides returns the holder that is not the candidate itself, or nil.
-func (h holders) besides(c *routing.Candidate) *routing.Candidate {
-	if h.most == c {
-		return h.next
+// holdersOf returns the two servers of each version that hold most of the shared
+// parts. One may give them away that takes no requests, but not one that is down or
+// that loads other weights.
+func holdersOf(candidates []routing.Candidate) map[int64]pair {
+	usable := func(c *routing.Candidate) bool {
+		return c.HitBlocks > 0 && !c.Down && !c.Resting && !c.Loading
 	}
-	return h.most
+	return pairsOf(candidates, usable, func(c *routing.Candidate) uint64 { return uint64(c.HitBlocks) })
 }
 
 // annotateSources says of each candidate from where it can take shared parts that
 // it lacks, and how many of them: from the server that holds most of them, whose
-// link is fast, or from the store of kept KV cache if that has more. If neither has
-// any, from the first server in rendezvous order, where they are read if anywhere;
-// the first itself asks the second, which stood in for it if it was away.
+// link is fast, or from the store of kept KV cache if that has more. If neither is
+// known to have all, it may ask the first server in rendezvous order, where they are
+// read if anywhere, but nothing is counted on; the first itself asks the second, which
+// stood in for it if it was away.
 func (p *placer) annotateSources(candidates []routing.Candidate, now time.Time) {
 	homes, holders := homesOf(candidates), holdersOf(candidates)
 	shared, store := p.sharedTokens(), p.store()
@@ -96,14 +78,8 @@
 			c.ImportTokensPerSecond = peerSpeed(p.admitted.service.Engine, peer.Zone == c.Zone)
 			continue
 		}
-		h := homes[c.Version]
-		peer := h.besides(c)
-		if peer == nil || c.ImportBlocks >= shared {
-			continue
-		}
-		c.ImportFrom = peer.Address
-		if peer == h.first {
-			c.ImportBlocks = max(c.ImportBlocks, int(likelyHeld*float64(shared)))
+		if peer := homes[c.Version].besides(c); peer != nil && c.ImportBlocks < shared {
+			c.ImportFrom = peer.Address
 		}
 	}
 }
