Use no server that has left the list because the one in its place is replaced

A server that answered 421 for another instance no longer counted as listed, so the list looked empty, and what had left it was used as if the store were away. Ruled out: the test's two writes to the store; it fails each time with that change in. Change: a replaced server still counts as listed. The property is in TestAServerInWhosePlaceAnotherAnsweredIsPassedOverUntilTheListMustKnow, which failed before.

--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -223,7 +223,7 @@
 	defer set.mutex.Unlock()
 	anyListed := false
 	for _, known := range set.byService[query.Service] {
-		anyListed = anyListed || (known.listed && !now.Before(known.goneUntil) && !known.server.Draining)
+		anyListed = anyListed || (known.listed && !known.server.Draining)
 	}
 	for _, known := range set.byService[query.Service] {
 		if now.Before(known.goneUntil) || (!known.listed && (anyListed || known.server.Draining)) {
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -181,4 +181,8 @@
 	require.Equal(t, []string{"other"}, names(now.Add(time.Second)), "the list lags")
 	require.Len(t, set.Servers(now.Add(time.Second)), 1)
 	require.Len(t, names(now.Add(goneLife)), 2, "one wrong answer condemns nobody for ever")
+
+	// A list that names only a replaced server is no reason to use one that has left it.
+	set.Update(list[:1], now.Add(time.Second))
+	require.Empty(t, names(now.Add(time.Second)))
 }
