--- a/cmd/cloverrail/proxy_test.go
+++ b/cmd/cloverrail/proxy_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/platform/standin"
 )
 
@@ -316,3 +317,23 @@
 	require.Equal(t, http.StatusBadGateway, got.status)
 	require.True(t, got.closes, "the next request goes elsewhere")
 }
+
+func TestWhatAnEngineHoldsIsLearnedFromItselfAndLostWithItsWeights(t *testing.T) {
+	server := engine("i-1", standin.Streams(2, 0))
+	server.LoadTime = 20 * time.Millisecond
+	fixture := newFixture(t).serve(server)
+	fixture.process.followHolders(t.Context())
+	require.Equal(t, http.StatusOK, fixture.send(http.MethodPost, "/stream/", "prompt", prompt).status)
+	known, _ := fixture.known("i-1")
+	arrivals := server.Arrivals()
+	salt := arrivals[len(arrivals)-1].Header.Get(standin.HeaderSalt)
+	shared := []residency.Piece{{Key: residency.NewKey(salt, "5c1e"), Tokens: 800}}
+	// Another incarnation's name: what this node sent does not count.
+	held := func() int { return fixture.process.ledger.Held(known.Address, "told", shared, time.Now()) }
+	fixture.until(func() bool { return held() == 800 })
+	fixture.store.NameVersion(model, 2)
+	fixture.until(func() bool { return held() == 0 })
+	for _, arrival := range server.Arrivals() {
+		require.NotContains(t, arrival.Target, "/api/", "a question is no request")
+	}
+}
