--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -30,17 +30,17 @@
 )
 
 const (
-	// readPart is the part of a bound within which the store is read anew.
-	readPart = 0.4
+	// readPart is the part of a bound within which a reader reads the store anew, and
+	// stalePart the part from which a node asks the store itself: what it hears of the
+	// readers is at most a reading and two questions old if all is well.
+	readPart  = 0.25
+	stalePart = 0.6
 	// leasePart is the life of the holder's lease as a part of the time between two
 	// holders.
 	leasePart = 0.65
-	// spreadPerNode spreads the tries of a fleet to take a duty over.
-	spreadPerNode = 5 * time.Millisecond
-
-	// mostFollowedEngines is the number of engines above which nodes go by what they
-	// sent themselves: the news of more would fill the links between nodes.
-	mostFollowedEngines = 128
+	// turnPerRank spreads the tries to take a duty over: the first reader, which the
+	// relays follow, comes first.
+	turnPerRank = 50 * time.Millisecond
 
 	connectTimeout = 300 * time.Millisecond
 	silenceTimeout = 1500 * time.Millisecond
@@ -75,11 +75,12 @@
 		return nil, errors.Trace(err)
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	process := &process{settings: given, belief: &catalog.Holder{}, set: backend.NewSet(), store: platform.NewStore(given.StoreAddress), peers: &http.Client{}}
+	process := &process{settings: given, belief: &catalog.Holder{}, set: backend.NewSet(), peers: &http.Client{}}
 	zerolog.SetGlobalLevel(level)
 	process.log = zerolog.New(telemetry.NewWriter(os.Stdout)).With().Timestamp().Str("node", given.Name).Logger()
 	process.metrics = telemetry.NewMetrics(process.belief)
 	process.recorder = telemetry.NewRecorder(process.log, process.metrics)
+	process.store = platform.NewStore(given.StoreAddress, process.recorder.StoreCalled)
 	process.servers = platform.NewServers(platform.Connections{Connect: connectTimeout, Silence: silenceTimeout, Used: process.recorder.Connected})
 	process.retries = proxy.NewRetries(proxy.RetryBounds{
 		Ratio:  given.Bounds.RetryRatio,
@@ -106,12 +107,13 @@
 	})
 	life := uuid.NewString()
 	process.registry = &fleet.Registry{
-		Store:   process.store,
+		Store:   process.store.WithPurpose("registration"),
 		Prefix:  platform.PrefixNodes,
 		Name:    given.Name,
 		Life:    life,
 		Address: given.PeerAddress,
 		Zone:    given.Zone,
+		Room:    given.ProcessorShare,
 		Resized: process.resize,
 	}
 	process.work = workshare.New(func() []backend.Work { return process.set.Work(time.Now()) })
@@ -147,15 +149,6 @@
 	process.ledger.Resize(nodes)
 }
 
-// reads reports whether this node is among the few that read all from the store.
-func (process *process) reads() bool { return process.reflector.Reads() }
-
-// takeLoads takes how far the roll-out of weights is, and passes it on.
-func (process *process) takeLoads(loads backend.Loads) {
-	process.set.Load(loads, time.Now())
-	process.feed.TakeLoads(loads)
-}
-
 // distance is 0 within the zone, 1 within the region, and 2 beyond.
 func (process *process) distance(zone string) int {
 	zones := process.settings.Zones
@@ -187,6 +180,7 @@
 		Kept:     residency.NewHearer(process.ledger),
 		Recorder: process.recorder,
 		Interval: part(min(bounds.Configuration, bounds.Drain), readPart),
+		Stale:    part(min(bounds.Configuration, bounds.Drain), stalePart),
 	}
 }
 
@@ -202,7 +196,7 @@
 func (process *process) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+reflector.PathServers, reflector.Handler(process.feed))
-	mux.HandleFunc("GET "+reflector.PathWork, reflector.WorkHandler(process.work, process.ledger))
+	mux.HandleFunc("GET "+reflector.PathWork, reflector.WorkHandler(process.feed))
 	return mux
 }
 
@@ -210,23 +204,19 @@
 // cache, that this node is to ask for what they have.
 func (process *process) ownHolders() []string {
 	belief := process.belief.Load()
-	if belief == nil || belief.Snapshot == nil || !process.reads() {
+	if belief == nil || belief.Snapshot == nil || !process.reflector.Relays() {
 		return nil
 	}
 	var addresses []string
 	own := func(address, zone string) {
-		if process.registry.Owns(address, zone, reflector.Readers) {
+		if process.registry.Owns(address, zone) {
 			addresses = append(addresses, address)
 		}
 	}
 	for _, store := range belief.Snapshot.Stores() {
 		own(store.Address, store.Zone)
 	}
-	engines := process.engines()
-	if len(engines) > mostFollowedEngines {
-		return addresses
-	}
-	for _, engine := range engines {
+	for _, engine := range process.engines() {
 		own(engine.Address, engine.Zone)
 	}
 	return addresses
@@ -245,7 +235,7 @@
 	handedBack := sync.WaitGroup{}
 	handedBack.Go(func() { process.registry.Run(ctx) })
 	keeper := &lease.Keeper{
-		Store: process.store,
+		Store: process.store.WithPurpose("duty"),
 		Duty: &rollout.Duty{
 			Belief:   process.belief,
 			Set:      process.set,
@@ -253,6 +243,7 @@
 			Recorder: process.recorder,
 			Holder:   process.settings.Name,
 			Bound:    bounds.Weights,
+			Tell:     process.reflector.TakeLoads,
 		},
 		Recorder: process.recorder,
 		Name:     process.settings.Name,
@@ -261,20 +252,13 @@
 		Life:     max(process.settings.StoreLeastLease, part(bounds.HolderChange, leasePart)),
 		Settling: bounds.HolderChange,
 		Delay: func() time.Duration {
-			return rand.N(time.Duration(process.registry.Nodes()) * spreadPerNode)
+			return time.Duration(process.registry.Rank())*turnPerRank + rand.N(turnPerRank)
 		},
-		Eligible:  process.reads,
+		Eligible:  process.reflector.Reads,
 		Exists:    process.registry.Exists,
 		FirstSeen: process.registry.FirstSeen,
 	}
 	handedBack.Go(func() { keeper.Run(ctx) })
-	follower := &rollout.Follower{
-		Store:    process.store,
-		Take:     process.takeLoads,
-		Eligible: process.reads,
-		Key:      platform.KeyRolloutState,
-	}
-	go follower.Run(ctx)
 	done := make(chan struct{})
 	go func() {
 		handedBack.Wait()
--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -13,8 +13,21 @@
 	Version  int64
 }
 
+// LoadsMark orders what holders of the roll-out tell of it.
+type LoadsMark struct {
+	// Fence is the holder's fencing token, and Sequence counts what it told.
+	Fence    int64
+	Sequence int64
+}
+
+// Before reports whether the mark is older than another.
+func (m LoadsMark) Before(other LoadsMark) bool {
+	return m.Fence < other.Fence || m.Fence == other.Fence && m.Sequence < other.Sequence
+}
+
 // Loads is how far a roll-out of weights is.
 type Loads struct {
+	Mark LoadsMark
 	// Loading holds the moves that are under way, and Loaded those that have ended
 	// since the roll-out began.
 	Loading []Load
--- a/internal/catalog/belief.go
+++ b/internal/catalog/belief.go
@@ -92,6 +92,8 @@
 type Reading struct {
 	// SentAt is when the look's first call was sent.
 	SentAt time.Time
+	// Revision is the store's at that look, or 0 if it is not known.
+	Revision int64
 	// Declaration is nil when it is the one of the reading before.
 	Declaration *Declaration
 	// Weights holds the named version of each model.
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -38,9 +38,4 @@
 	WriteGuarded(ctx context.Context, key string, value []byte, guard string, revision int64) (written bool, err error)
 	// Read returns the current entry of a key.
 	Read(ctx context.Context, key string) (Entry, bool, error)
-	// ReadAt is Read with the store's revision at that moment.
-	ReadAt(ctx context.Context, key string) (entry Entry, found bool, at int64, err error)
-	// Watch waits for changes of keys that begin with the prefix, after a revision,
-	// and returns them, and the revision to go on from. It may return none.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (entries []Entry, at int64, err error)
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -6,7 +6,9 @@
 	"cmp"
 	"context"
 	"maps"
+	"math"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -25,6 +27,15 @@
 	// longestGathering how long a node waits that cannot register.
 	gathering        = 500 * time.Millisecond
 	longestGathering = 2 * time.Second
+	// Readers is how many nodes read the store for the whole fleet: one, one for when
+	// it is lost, and one more for a store that refuses some machines at that time.
+	Readers = 3
+	// fewestRelays is the size up to which all nodes of a fleet ask each other: fewer
+	// hops make what they know younger, and 90 questions each 150 ms cost little.
+	fewestRelays = 10
+	// roomyShare is the share of the largest node's processor time from which a node
+	// counts as one with room.
+	roomyShare = 0.5
 )
 
 // Registry registers this node and counts the others.
@@ -38,14 +49,18 @@
 	// Address is where other nodes reach this one, and Zone where it stands.
 	Address string
 	Zone    string
+	// Room is this node's processor time in cores; 0 says that it is not known.
+	Room float64
 	// Resized hears of the number of nodes after each observation.
 	Resized func(nodes int)
 
 	mutex sync.Mutex
-	// names holds all nodes in the order of a hash, which spreads the first ones
-	// over the zones, and places where they are reached.
+	// names holds all nodes, those with room first and each kind in the order of a
+	// hash, which spreads the first ones over the zones; places holds where they are
+	// reached, and roomy how many have room.
 	names  []string
 	places map[string]place
+	roomy  int
 	// begun is when the fleet was first observed; settled, that the places in it
 	// may be relied on.
 	begun   time.Time
@@ -56,10 +71,29 @@
 	digest  uint64
 }
 
-// place is where a node is reached.
+// place is where a node is reached, and the processor time that it has, in cores.
 type place struct {
 	address string
 	zone    string
+	room    float64
+}
+
+// String is the place as it is registered.
+func (p place) String() string {
+	return strings.Join([]string{p.address, p.zone, strconv.FormatFloat(p.room, 'g', -1, 64)}, " ")
+}
+
+// parsePlace reads a registered place. What is missing in it stays empty: a node whose
+// room cannot be read is one without room.
+func parsePlace(text string) place {
+	p := place{}
+	address, rest, _ := strings.Cut(text, " ")
+	zone, room, _ := strings.Cut(rest, " ")
+	p.address, p.zone = address, zone
+	if cores, err := strconv.ParseFloat(room, 64); err == nil {
+		p.room = cores
+	}
+	return p
 }
 
 // sighting is when a key was first seen at a revision.
@@ -108,42 +142,94 @@
 	if err != nil {
 		return 0
 	}
-	if _, _, err := r.Store.Create(ctx, r.key(), []byte(r.Address+" "+r.Zone), granted.ID); err != nil {
+	if _, _, err := r.Store.Create(ctx, r.key(), []byte(r.place().String()), granted.ID); err != nil {
 		return 0
 	}
 	return granted.ID
 }
 
-// Observe takes what the fleet keeps in the store: it counts the nodes, and
-// notes what it sees of other keys.
-func (r *Registry) Observe(entries []coordination.Entry, now time.Time) {
-	places := map[string]place{r.Name: {address: r.Address, zone: r.Zone}}
-	seen := map[string]sighting{}
-	nodeEntries := []coordination.Entry{}
-	r.mutex.Lock()
+// place is this node's own.
+func (r *Registry) place() place { return place{address: r.Address, zone: r.Zone, room: r.Room} }
+
+// ObserveNodes takes the entries of all nodes as they were read at a time.
+func (r *Registry) ObserveNodes(entries []coordination.Entry, now time.Time) {
+	places := map[string]place{r.Name: r.place()}
 	for _, entry := range entries {
-		if rest, found := strings.CutPrefix(entry.Key, r.Prefix); found {
-			name, _, _ := strings.Cut(rest, "/")
-			address, zone, _ := strings.Cut(string(entry.Value), " ")
-			places[name] = place{address: address, zone: zone}
-			nodeEntries = append(nodeEntries, entry)
-			continue
+		name, _, _ := strings.Cut(strings.TrimPrefix(entry.Key, r.Prefix), "/")
+		places[name] = parsePlace(string(entry.Value))
+	}
+	r.mutex.Lock()
+	r.places = places
+	r.entries, r.digest = entries, digestOf(entries)
+	r.settle(entries, now)
+	r.rank()
+	nodes := len(r.names)
+	r.mutex.Unlock()
+	r.Resized(nodes)
+}
+
+// rank orders the nodes alike on all that see the same fleet.
+func (r *Registry) rank() {
+	largest := 0.0
+	for _, place := range r.places {
+		largest = max(largest, place.room)
+	}
+	roomy := func(name string) bool { return r.places[name].room >= roomyShare*largest }
+	r.roomy = 0
+	for name := range r.places {
+		if roomy(name) {
+			r.roomy++
 		}
+	}
+	r.names = slices.SortedFunc(maps.Keys(r.places), func(first, second string) int {
+		switch {
+		case roomy(first) == roomy(second):
+			return byHash(first, second)
+		case roomy(first):
+			return -1
+		default:
+			return 1
+		}
+	})
+}
+
+// ObserveDuties notes the keys under which nodes hold duties.
+func (r *Registry) ObserveDuties(entries []coordination.Entry, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	seen := map[string]sighting{}
+	for _, entry := range entries {
 		known := r.seen[entry.Key]
 		if known.revision != entry.Revision {
 			known = sighting{revision: entry.Revision, at: now}
 		}
 		seen[entry.Key] = known
 	}
-	r.seen, r.places = seen, places
-	r.entries, r.digest = nodeEntries, digestOf(nodeEntries)
-	r.settle(entries, now)
-	r.names = slices.SortedFunc(maps.Keys(places), byHash)
-	nodes := len(r.names)
-	r.mutex.Unlock()
-	r.Resized(nodes)
+	r.seen = seen
 }
 
+// Relays returns how many of the first nodes relay to the others what they know.
+// Relays ask each other, and each is followed by its part of the rest: the sum is
+// least at the square root of the fleet. Nodes with room relay alone if they are
+// half as many.
+func (r *Registry) Relays() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	nodes := max(1, len(r.names))
+	wanted := min(nodes, max(fewestRelays, int(math.Ceil(math.Sqrt(float64(nodes))))))
+	if r.roomy < wanted && 2*r.roomy >= wanted {
+		return r.roomy
+	}
+	return wanted
+}
+
+// Relaying reports whether this node is a relay.
+func (r *Registry) Relaying() bool { return r.Rank() < r.Relays() }
+
+// Reading reports whether this node is one of the few relays that read the store for
+// the fleet.
+func (r *Registry) Reading() bool { return r.Rank() < Readers }
+
 // digestOf returns a number that tells two sets of nodes apart.
 func digestOf(entries []coordination.Entry) uint64 {
 	digest := uint64(len(entries))
@@ -214,13 +300,14 @@
 	return strings.Compare(first, second)
 }
 
-// Addresses returns where the first nodes of the fleet are reached, those of this
-// node's zone before others. Each node begins with another one of them.
-func (r *Registry) Addresses(most int) []string {
+// RelayAddresses returns where the relays are reached, those of this node's zone before
+// others. Each node begins with another one of them.
+func (r *Registry) RelayAddresses() []string {
+	relays := r.Relays()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	near, far := []string{}, []string{}
-	for _, name := range r.names[:min(most, len(r.names))] {
+	for _, name := range r.first(relays) {
 		if place := r.places[name]; place.zone == r.Zone {
 			near = append(near, place.address)
 		} else {
@@ -231,13 +318,29 @@
 	return append(rotate(near, rank), rotate(far, rank)...)
 }
 
-// Owns reports whether this node is the one among the first nodes of the fleet that
-// does what one must do for a thing in a zone: one of that zone if there is any.
-// Nodes that see the same fleet agree.
-func (r *Registry) Owns(thing, zone string, most int) bool {
+// ReaderAddresses returns where the readers are reached, in the same order on all nodes:
+// whoever follows the first one hears of a change in the fewest steps.
+func (r *Registry) ReaderAddresses() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	addresses := []string{}
+	for _, name := range r.first(Readers) {
+		addresses = append(addresses, r.places[name].address)
+	}
+	return addresses
+}
+
+// first returns the names of the first nodes.
+func (r *Registry) first(most int) []string { return r.names[:min(most, len(r.names))] }
+
+// Owns reports whether this node is the one among the relays that does what one must do
+// for a thing in a zone: one of that zone if there is any. Nodes that see the same
+// fleet agree.
+func (r *Registry) Owns(thing, zone string) bool {
+	relays := r.Relays()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	first := r.names[:min(most, len(r.names))]
+	first := r.first(relays)
 	near := []string{}
 	for _, name := range first {
 		if r.places[name].zone == zone {
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -34,7 +34,7 @@
 		registry(dying, "b")
 		registry(ctx, "c")
 		count := func() int {
-			one.Observe(store.Entries("f/"), time.Now())
+			one.ObserveNodes(store.Entries("f/nodes/"), time.Now())
 			return one.Nodes()
 		}
 		time.Sleep(time.Second)
@@ -58,12 +58,12 @@
 	registry := &Registry{Prefix: "f/nodes/", Resized: func(int) {}}
 	begin := time.Unix(1000, 0)
 	entry := coordination.Entry{Key: "f/state", Revision: 4}
-	registry.Observe([]coordination.Entry{entry}, begin)
-	registry.Observe([]coordination.Entry{entry}, begin.Add(time.Second))
+	registry.ObserveDuties([]coordination.Entry{entry}, begin)
+	registry.ObserveDuties([]coordination.Entry{entry}, begin.Add(time.Second))
 	require.Equal(t, begin, registry.FirstSeen("f/state", 4))
 	require.Zero(t, registry.FirstSeen("f/state", 5))
 	require.True(t, registry.Exists("f/state"))
-	registry.Observe(nil, begin)
+	registry.ObserveDuties(nil, begin)
 	require.False(t, registry.Exists("f/state"))
 }
 
@@ -75,16 +75,16 @@
 		return &Registry{Prefix: "f/nodes/", Name: "b", Life: "2", Address: "10.0.0.2:1", Resized: func(int) {}}
 	}
 	first := newNode()
-	first.Observe([]coordination.Entry{own}, begin)
+	first.ObserveNodes([]coordination.Entry{own}, begin)
 	require.False(t, first.Settled(), "others may be about to register")
-	first.Observe([]coordination.Entry{other, own}, begin.Add(gathering))
+	first.ObserveNodes([]coordination.Entry{other, own}, begin.Add(gathering))
 	require.True(t, first.Settled())
 	again := newNode()
-	again.Observe([]coordination.Entry{other, {Key: "f/nodes/b/1"}}, begin)
+	again.ObserveNodes([]coordination.Entry{other, {Key: "f/nodes/b/1"}}, begin)
 	require.True(t, again.Settled(), "the fleet is there already")
 	alone := newNode()
-	alone.Observe(nil, begin)
-	alone.Observe(nil, begin.Add(longestGathering))
+	alone.ObserveNodes(nil, begin)
+	alone.ObserveNodes(nil, begin.Add(longestGathering))
 	require.True(t, alone.Settled(), "it cannot register, and must serve all the same")
 }
 
@@ -103,10 +103,10 @@
 	for index, name := range names {
 		zone := string(rune('a' + index%3))
 		registry := &Registry{Prefix: "f/nodes/", Name: name, Zone: zone, Address: "addr-" + name, Resized: func(int) {}}
-		registry.Observe(entries, time.Unix(1000, 0))
+		registry.ObserveNodes(entries, time.Unix(1000, 0))
 		ranks[registry.Rank()] = true
-		addresses := registry.Addresses(9)
-		require.Len(t, addresses, 9)
+		addresses := registry.RelayAddresses()
+		require.Len(t, addresses, fewestRelays)
 		require.Contains(t, addresses[0], "-"+zone+"-", "every zone has one of the first")
 		begins[addresses[0]] = true
 		for _, address := range addresses {
@@ -115,7 +115,7 @@
 	}
 	require.Greater(t, len(begins), 3, "nodes of one zone begin with different ones")
 	require.Len(t, ranks, 30, "every node has its own rank")
-	require.Len(t, first, 9, "all agree on the first")
+	require.Len(t, first, fewestRelays, "all agree on the first")
 }
 
 func TestOneNodeOwnsAThingAndItStandsInItsZoneIfAnyDoes(t *testing.T) {
@@ -132,10 +132,10 @@
 				own := string(rune('a' + number%3))
 				name := fmt.Sprint("node-", own, "-", number)
 				registry := &Registry{Prefix: "f/nodes/", Name: name, Zone: own, Resized: func(int) {}}
-				registry.Observe(entries, time.Unix(1000, 0))
-				if registry.Owns(fmt.Sprint("thing-", thing), zone, 9) {
+				registry.ObserveNodes(entries, time.Unix(1000, 0))
+				if registry.Owns(fmt.Sprint("thing-", thing), zone) {
 					found = append(found, name)
-					require.Less(t, registry.Rank(), 9)
+					require.True(t, registry.Relaying())
 					require.True(t, own == zone || zone == "elsewhere")
 				}
 			}
@@ -145,3 +145,50 @@
 	}
 	require.Greater(t, len(owners), 6, "things are spread over the first nodes")
 }
+
+func TestNodesWithRoomRelayIfThereAreEnough(t *testing.T) {
+	relaysOf := func(small, large int) (relays, largeRelays int) {
+		entries := []coordination.Entry{}
+		room := map[string]float64{}
+		for number := range small + large {
+			name := fmt.Sprint("node-", number)
+			room[name] = 0.2
+			if number >= small {
+				room[name] = 0.8
+			}
+			own := place{address: name, zone: "a", room: room[name]}
+			entries = append(entries, coordination.Entry{Key: "f/nodes/" + name + "/1", Value: []byte(own.String())})
+		}
+		for name, cores := range room {
+			registry := &Registry{Prefix: "f/nodes/", Name: name, Zone: "a", Address: name, Room: cores, Resized: func(int) {}}
+			registry.ObserveNodes(entries, time.Unix(1000, 0))
+			if registry.Relaying() {
+				relays++
+				if cores == 0.8 {
+					largeRelays++
+				}
+			}
+			require.LessOrEqual(t, Readers, registry.Relays())
+		}
+		return relays, largeRelays
+	}
+	for _, fleet := range []struct{ small, large, relays, largeRelays int }{
+		{7, 0, 7, 0},
+		{24, 0, fewestRelays, 0},
+		{280, 15, 15, 15},
+		{280, 40, 18, 18},
+		{280, 4, 17, 4},
+	} {
+		relays, largeRelays := relaysOf(fleet.small, fleet.large)
+		require.Equal(t, fleet.relays, relays, fleet)
+		require.Equal(t, fleet.largeRelays, largeRelays, fleet)
+	}
+}
+
+func TestAPlaceIsReadAsItWasRegistered(t *testing.T) {
+	own := place{address: "10.0.0.1:7340", zone: "a", room: 0.192}
+	require.Equal(t, own, parsePlace(own.String()))
+	require.Equal(t, place{address: "10.0.0.1:7340", zone: "a"}, parsePlace("10.0.0.1:7340 a"), "an earlier version told no room")
+	require.Equal(t, place{}, parsePlace(""))
+	require.Equal(t, place{address: "x", zone: "a"}, parsePlace("x a much"))
+}
--- a/internal/lab/storestub/store.go
+++ b/internal/lab/storestub/store.go
@@ -147,31 +147,12 @@
 }
 
 // Read returns the current entry of a key.
-func (store *Store) Read(ctx context.Context, key string) (coordination.Entry, bool, error) {
-	found, exists, _, err := store.ReadAt(ctx, key)
-	return found, exists, err
-}
-
-// ReadAt is Read with the store's revision.
-func (store *Store) ReadAt(_ context.Context, key string) (found coordination.Entry, exists bool, at int64, err error) {
+func (store *Store) Read(_ context.Context, key string) (found coordination.Entry, exists bool, err error) {
 	err = store.run("read", func() {
 		known, present := store.entries[key]
-		found, exists, at = known.Entry, present, store.revision
-	})
-	return found, exists, at, err
-}
-
-// Watch returns the present entries that are newer than a revision, at once.
-func (store *Store) Watch(_ context.Context, prefix string, after int64, _ time.Duration) (entries []coordination.Entry, at int64, err error) {
-	err = store.run("watch", func() {
-		for key, known := range store.entries {
-			if strings.HasPrefix(key, prefix) && known.Revision > after {
-				entries = append(entries, known.Entry)
-			}
-		}
-		at = store.revision
+		found, exists = known.Entry, present
 	})
-	return entries, at, err
+	return found, exists, err
 }
 
 // Entries returns all entries below a prefix.
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -55,9 +55,12 @@
 	// fleet.
 	Declaration int64
 	Fleet       uint64
+	// Relay says that the asker is a relay: it is told neither of work nor of cached
+	// parts, which relays ask each other for.
+	Relay bool
 	// Work is what the follower has under way at servers.
 	Work []backend.Work
-	// Kept is up to where the follower has heard the reader's news of cached parts.
+	// Kept is up to where the follower has heard the other's news of cached parts.
 	Kept residency.Place
 }
 
@@ -132,13 +135,46 @@
 	}
 }
 
-// TakeLoads takes how far the roll-out of weights is.
-func (f *Feed) TakeLoads(loads backend.Loads) {
+// Confirm notes that the list was found unchanged by a reading at a time.
+func (f *Feed) Confirm(readAt time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if readAt.After(f.readAt) {
+		f.readAt = readAt
+	}
+}
+
+// TakeLoads takes how far the roll-out of weights is, and reports whether that is newer
+// than what was known.
+func (f *Feed) TakeLoads(loads backend.Loads) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if !f.loads.Mark.Before(loads.Mark) {
+		return false
+	}
 	f.place++
 	f.loads, f.loadsPlace = loads, f.place
 	f.wake()
+	return true
+}
+
+// LoadsMark says how far the roll-out of weights is known.
+func (f *Feed) LoadsMark() backend.LoadsMark {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.loads.Mark
+}
+
+// Group returns what another relay asks for.
+func (f *Feed) Group(question GroupQuestion, now time.Time) Group {
+	group := Group{Work: f.work.Group(now), Kept: f.kept.News(question.Kept, true)}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if question.Loads.Before(f.loads.Mark) {
+		loads := f.loads
+		group.Loads = &loads
+	}
+	return group
 }
 
 // Wake lets waiting questions look again, after a change of the belief.
@@ -157,12 +193,16 @@
 // Answer returns what has changed since the question's place, and waits for it if
 // nothing has.
 func (f *Feed) Answer(ctx context.Context, question Question) Delta {
-	f.work.TakeFollower(question.Node, question.Work, time.Now())
+	if !question.Relay {
+		f.work.TakeFollower(question.Node, question.Work, time.Now())
+	}
 	delta := f.await(ctx, question)
 	f.addBelief(&delta, question, time.Now())
 	delta.Fleet = f.registry.NewerThan(question.Fleet)
-	delta.Work = f.work.Others(question.Node, time.Now())
-	delta.Kept = f.kept.News(question.Kept, false)
+	if !question.Relay {
+		delta.Work = f.work.Others(question.Node, time.Now())
+		delta.Kept = f.kept.News(question.Kept, false)
+	}
 	return delta
 }
 
@@ -214,7 +254,7 @@
 			delta.Changed = append(delta.Changed, known.server)
 		}
 	}
-	if delta.Whole || f.loadsPlace > question.Place {
+	if delta.Whole && f.loadsPlace > 0 || f.loadsPlace > question.Place {
 		loads := f.loads
 		delta.Loads = &loads
 	}
@@ -226,11 +266,15 @@
 	return delta, f.changed
 }
 
-// Copy is a follower's copy of a reader's list.
+// Copy is a follower's copy of the list of servers.
 type Copy struct {
 	feed    string
 	place   int64
 	servers map[string]backend.Server
+	// asOf is when the list was read that was returned last.
+	asOf time.Time
+	// pending says that the copy holds what was not returned yet.
+	pending bool
 }
 
 // Question asks for what the copy lacks.
@@ -238,22 +282,33 @@
 	return Question{Feed: c.feed, Place: c.place, Wait: wait}
 }
 
-// Apply takes a delta, and returns the whole list if that has changed. The delta's
-// place may be later without that: not every change is one of servers.
-func (c *Copy) Apply(delta Delta) (list []backend.Server, changed bool) {
+// Apply takes a delta of a list that was read at a time, and returns the whole list if
+// that has changed. The delta's place may be later without that: not every change is
+// one of servers. A list of another feed that is older than the one returned last
+// waits until it has caught up: servers that have left would be back in it.
+func (c *Copy) Apply(delta Delta, readAt time.Time) (list []backend.Server, changed bool) {
+	same := c.feed == delta.Feed && !c.pending
 	if delta.Whole || c.servers == nil {
 		c.servers = map[string]backend.Server{}
 	}
 	c.feed, c.place = delta.Feed, delta.Place
-	if !delta.Whole && len(delta.Changed)+len(delta.Gone) == 0 {
-		return nil, false
-	}
+	c.pending = c.pending || delta.Whole || len(delta.Changed)+len(delta.Gone) > 0
 	for _, server := range delta.Changed {
 		c.servers[server.Instance] = server
 	}
 	for _, instance := range delta.Gone {
 		delete(c.servers, instance)
 	}
+	if !same && readAt.Before(c.asOf) {
+		return nil, false
+	}
+	if readAt.After(c.asOf) {
+		c.asOf = readAt
+	}
+	if !c.pending {
+		return nil, false
+	}
+	c.pending = false
 	list = make([]backend.Server, 0, len(c.servers))
 	for _, server := range c.servers {
 		list = append(list, server)
--- a/internal/reflector/feed_test.go
+++ b/internal/reflector/feed_test.go
@@ -40,7 +40,7 @@
 			feed := feeds[rapid.IntRange(0, 1).Draw(t, "feed")]
 			feed.Take(list, time.Now())
 			if rapid.IntRange(0, 2).Draw(t, "asks") == 0 {
-				if whole, changed := copied.Apply(feed.Answer(context.Background(), copied.Question(0))); changed {
+				if whole, changed := copied.Apply(feed.Answer(context.Background(), copied.Question(0)), time.Now()); changed {
 					got = whole
 				}
 				require.ElementsMatch(t, list, got)
@@ -54,7 +54,7 @@
 	list := []backend.Server{{Instance: "i-1", Versions: map[string]int64{"m": 1}}}
 	feed.Take(list, time.Now())
 	copied := &Copy{}
-	copied.Apply(feed.Answer(context.Background(), copied.Question(0)))
+	copied.Apply(feed.Answer(context.Background(), copied.Question(0)), time.Now())
 	feed.Take(list, time.Now())
 	delta := feed.Answer(context.Background(), copied.Question(0))
 	require.False(t, delta.Whole)
@@ -66,19 +66,19 @@
 func TestWhoLoadsIsPassedOnOnce(t *testing.T) {
 	feed := newFeed("one")
 	copied := &Copy{}
-	copied.Apply(feed.Answer(context.Background(), copied.Question(0)))
-	loads := backend.Loads{Loading: []backend.Load{{Instance: "i-1", Model: "m", Version: 2}}}
+	copied.Apply(feed.Answer(context.Background(), copied.Question(0)), time.Now())
+	loads := backend.Loads{Mark: backend.LoadsMark{Fence: 1, Sequence: 1}, Loading: []backend.Load{{Instance: "i-1", Model: "m", Version: 2}}}
 	feed.TakeLoads(loads)
 	delta := feed.Answer(context.Background(), copied.Question(time.Hour))
 	require.Equal(t, &loads, delta.Loads)
-	copied.Apply(delta)
+	copied.Apply(delta, time.Now())
 	require.Nil(t, feed.Answer(context.Background(), copied.Question(0)).Loads)
 }
 
 func TestAForgottenPastIsMadeUpForByTheWholeList(t *testing.T) {
 	feed := newFeed("one")
 	copied := &Copy{}
-	copied.Apply(feed.Answer(context.Background(), copied.Question(0)))
+	copied.Apply(feed.Answer(context.Background(), copied.Question(0)), time.Now())
 	many := []backend.Server{}
 	for number := range goneKept + 1 {
 		many = append(many, backend.Server{Instance: fmt.Sprint("i-", number)})
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -5,93 +5,139 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/pause"
 	"github.com/cloverrail/cloverrail/internal/residency"
 )
 
 const (
-	// askWait is how long a reader keeps a question open if nothing has changed; it
-	// is the rate at which nodes tell each other of their work. askMargin is how
-	// much longer its answer may take.
+	// askWait is how long a node keeps a question open if nothing has changed; it is the
+	// rate at which nodes tell each other of their work. askMargin is how much longer
+	// its answer may take: nodes with little processor time answer late when they are
+	// busy, and to leave one costs a whole list.
 	askWait   = 150 * time.Millisecond
-	askMargin = 250 * time.Millisecond
+	askMargin = 850 * time.Millisecond
 	// leastAskPause is the least time between two questions: changes that come soon
 	// after one another are heard together.
 	leastAskPause = 50 * time.Millisecond
-	// calmNodes is the size of a fleet above which nodes ask less often, so that a
-	// reader's answers stay bounded.
-	calmNodes = 100
-	// staleAfter is the age of a reader's list from which another reader is asked.
-	staleAfter = 2500 * time.Millisecond
-	idlePause  = 100 * time.Millisecond
+	// answerInterval is the least mean time between the answers of a relay to its
+	// followers. An answer takes about half a millisecond, so that they take 4 % of a
+	// core at most.
+	answerInterval = 15 * time.Millisecond
+	// staleRest is the least time between two changes to another node because the one
+	// before believed what is old: during an outage of the store all do.
+	staleRest = time.Second
+	idlePause = 100 * time.Millisecond
 )
 
+// errStale says that the node that is followed believes what is old itself.
+var errStale = errors.New("it has not heard from the store of late")
+
 // askInterval is the time between two questions to the same node.
 func (r *Reflector) askInterval() time.Duration {
-	return askWait * time.Duration(max(1, r.Registry.Nodes()/calmNodes))
+	followers := r.Registry.Nodes() / r.Registry.Relays()
+	return max(askWait, time.Duration(followers)*answerInterval)
+}
+
+// sources returns the nodes that this one may ask, the first choice first.
+func (r *Reflector) sources() []string {
+	switch {
+	case !r.Registry.Settled() || r.Reads():
+		return nil
+	case r.Relays():
+		return r.Registry.ReaderAddresses()
+	default:
+		return r.Registry.RelayAddresses()
+	}
 }
 
-// followReaders takes all from a reader while this node is none, and goes on to
-// the next one when it does not answer or cannot read itself.
-func (r *Reflector) followReaders(ctx context.Context) {
+// follow takes all from another node unless this one reads the store. It goes on to
+// the next one when there is no answer, or when what it hears is old.
+func (r *Reflector) follow(ctx context.Context) {
 	copied := &Copy{}
 	turn := 0
+	changedAt := time.Time{}
+	var left error
 	for ctx.Err() == nil {
-		readers := r.Registry.Addresses(Readers)
-		if !r.Registry.Settled() || r.Reads() || len(readers) == 0 {
+		sources := r.sources()
+		if len(sources) == 0 {
 			pause.For(ctx, idlePause)
 			continue
 		}
-		// The nearest reader comes first, and then the next one.
-		reader := readers[turn%len(readers)]
-		if reader != r.Reader() {
-			r.reader.Store(&reader)
-			r.Recorder.Follows(reader)
+		node := sources[turn%len(sources)]
+		if node != r.Upstream() {
+			r.upstream.Store(&node)
+			r.Recorder.Follows(node, left)
+			changedAt = time.Now()
 		}
 		begun := time.Now()
-		if r.ask(ctx, reader, copied) {
+		left = r.ask(ctx, node, copied)
+		switch {
+		case left == nil:
 			pause.For(ctx, max(r.askInterval()-askWait, leastAskPause)-time.Since(begun))
-		} else {
+		case left == errStale && time.Since(changedAt) < staleRest:
+			pause.For(ctx, r.askInterval()-time.Since(begun))
+		default:
 			turn++
 			pause.For(ctx, idlePause)
 		}
 	}
 }
 
-// Reader returns the address of the node that is followed, or "".
-func (r *Reflector) Reader() string {
-	if reader := r.reader.Load(); reader != nil {
-		return *reader
+// Upstream returns the address of the node that is followed, or "".
+func (r *Reflector) Upstream() string {
+	if node := r.upstream.Load(); node != nil {
+		return *node
 	}
 	return ""
 }
 
-// ask takes one delta and reports whether the reader is worth following.
-func (r *Reflector) ask(ctx context.Context, reader string, copied *Copy) bool {
+// ask takes one delta, and returns why the node is not worth following, if it is not.
+// What a node that believes old things tells of all else counts all the same.
+func (r *Reflector) ask(ctx context.Context, node string, copied *Copy) error {
 	ctx, cancel := context.WithTimeout(ctx, askWait+askMargin)
 	defer cancel()
 	sentAt := time.Now()
-	question := r.question(copied, sentAt)
-	question.Kept = r.Kept.Place(reader)
-	delta, err := r.Peers.Ask(ctx, reader, question)
-	if err != nil || delta.Age > staleAfter || delta.BeliefAge < 0 || delta.BeliefAge > staleAfter {
-		return false
+	question := r.question(node, copied, sentAt)
+	delta, err := r.Peers.Ask(ctx, node, question)
+	if err != nil {
+		return err
 	}
-	if list, changed := copied.Apply(delta); changed {
+	readAt := sentAt.Add(-delta.Age)
+	if list, changed := copied.Apply(delta, readAt); changed {
 		r.Recorder.Listed(r.Set.Update(list, time.Now()))
+		r.Feed.Take(list, readAt)
+	} else if copied.asOf.Equal(readAt) {
+		r.Feed.Confirm(readAt)
 	}
 	if delta.Loads != nil {
-		r.Set.Load(*delta.Loads, time.Now())
+		r.TakeLoads(*delta.Loads)
 	}
 	if delta.Fleet != nil {
-		r.Registry.Observe(delta.Fleet, time.Now())
+		r.Registry.ObserveNodes(delta.Fleet, time.Now())
+	}
+	r.nodesAt.store(sentAt)
+	if !question.Relay {
+		r.Set.TakeWork(delta.Work, time.Now())
+		r.hear(node, question.Kept, delta.Kept)
+	}
+	if delta.BeliefAge >= 0 {
+		r.believe(delta, sentAt)
+	}
+	if delta.Age > r.Stale || delta.BeliefAge < 0 || delta.BeliefAge > r.Stale {
+		return errStale
+	}
+	return nil
+}
+
+// TakeLoads takes how far the roll-out of weights is, and passes it on.
+func (r *Reflector) TakeLoads(loads backend.Loads) {
+	if r.Feed.TakeLoads(loads) {
+		r.Set.Load(loads, time.Now())
 	}
-	r.fleetAt.store(sentAt)
-	r.Set.TakeWork(delta.Work, time.Now())
-	r.hear(reader, question.Kept, delta.Kept)
-	r.believe(delta, sentAt)
-	return true
 }
 
 // hear takes a node's news of cached parts, and forgets those of nodes that are
@@ -103,14 +149,19 @@
 	r.Kept.Expire(time.Now())
 }
 
-func (r *Reflector) question(copied *Copy, now time.Time) Question {
+// question asks a node for what this one lacks. Relays tell each other of their work
+// and of cached parts in questions of their own.
+func (r *Reflector) question(node string, copied *Copy, now time.Time) Question {
 	question := copied.Question(askWait)
 	question.Node = r.Registry.Name
-	question.Work = r.Set.Work(now)
 	question.Fleet = r.Registry.Digest()
 	if belief := r.Belief.Load(); belief != nil && belief.Snapshot != nil {
 		question.Declaration = belief.Snapshot.Version
 	}
+	if question.Relay = r.Relays(); !question.Relay {
+		question.Work = r.Set.Work(now)
+		question.Kept = r.Kept.Place(node)
+	}
 	return question
 }
 
@@ -127,35 +178,40 @@
 	}
 }
 
-// shareWork hears of the work of other readers' groups while this node is a reader.
+// shareWork hears of the work of other relays' groups while this node is a relay.
 func (r *Reflector) shareWork(ctx context.Context) {
 	for ctx.Err() == nil {
 		begun := time.Now()
-		if r.Reads() {
-			r.askReaders(ctx)
+		if r.Relays() {
+			r.askRelays(ctx)
 			r.Set.TakeWork(r.Work.Others("", time.Now()), time.Now())
 		}
 		pause.For(ctx, r.askInterval()-time.Since(begun))
 	}
 }
 
-// askReaders asks all other readers at once, and waits for their answers.
-func (r *Reflector) askReaders(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, askWait)
+// askRelays asks all other relays at once, and waits for their answers.
+func (r *Reflector) askRelays(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.askInterval())
 	defer cancel()
 	var asked sync.WaitGroup
-	for _, reader := range r.Registry.Addresses(Readers) {
-		if reader == r.Registry.Address {
-			continue
+	for _, relay := range r.Registry.RelayAddresses() {
+		if relay != r.Registry.Address {
+			asked.Go(func() { r.askRelay(ctx, relay) })
 		}
-		asked.Go(func() {
-			since := r.Kept.Place(reader)
-			group, err := r.Peers.Group(ctx, reader, since)
-			if err == nil {
-				r.Work.TakeGroup(reader, group.Work, time.Now())
-				r.hear(reader, since, group.Kept)
-			}
-		})
 	}
 	asked.Wait()
 }
+
+func (r *Reflector) askRelay(ctx context.Context, relay string) {
+	question := GroupQuestion{Kept: r.Kept.Place(relay), Loads: r.Feed.LoadsMark()}
+	group, err := r.Peers.Group(ctx, relay, question)
+	if err != nil {
+		return
+	}
+	r.Work.TakeGroup(relay, group.Work, time.Now())
+	if group.Loads != nil {
+		r.TakeLoads(*group.Loads)
+	}
+	r.hear(relay, question.Kept, group.Kept)
+}
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -30,22 +31,28 @@
 	return a.feed.Answer(ctx, question), nil
 }
 
-func (a *answering) Group(context.Context, string, residency.Place) (Group, error) {
+func (a *answering) Group(context.Context, string, GroupQuestion) (Group, error) {
 	return Group{}, nil
 }
 
 // counting is a store that counts readings.
-type counting struct{ declared, fleet int }
+type counting struct{ observed, declared, nodes int }
 
-func (c *counting) Observe(context.Context) (Observation, error) { return Observation{}, nil }
+func (c *counting) Observe(context.Context, bool) (Observation, error) {
+	c.observed++
+	return Observation{Declared: catalog.Reading{SentAt: time.Now()}}, nil
+}
 func (c *counting) Declared(context.Context) (catalog.Reading, error) {
 	c.declared++
 	return catalog.Reading{SentAt: time.Now()}, nil
 }
-func (c *counting) Fleet(context.Context) ([]coordination.Entry, error) {
-	c.fleet++
+func (c *counting) Nodes(context.Context, bool) ([]coordination.Entry, error) {
+	c.nodes++
 	return nil, nil
 }
+func (c *counting) AwaitDeclared(_ context.Context, after int64, _ time.Duration) (bool, int64, error) {
+	return false, after, nil
+}
 
 // newFollower returns a reflector of a node that is no reader.
 func newFollower(source Source, peers Peers) *Reflector {
@@ -54,7 +61,7 @@
 	work := workshare.New(func() []backend.Work { return nil })
 	ledger := residency.NewLedger()
 	return &Reflector{
-		Source: source, Peers: peers, Belief: belief, Set: set, Registry: registry, Recorder: silent{}, Interval: time.Second,
+		Source: source, Peers: peers, Belief: belief, Set: set, Registry: registry, Recorder: silent{}, Interval: time.Second, Stale: 1500 * time.Millisecond,
 		Work: work, Feed: NewFeed("follower", belief, registry, work, ledger), Kept: residency.NewHearer(ledger),
 	}
 }
@@ -65,7 +72,7 @@
 	declaration := catalog.Declaration{Version: 7, Tenants: []catalog.TenantKeys{{Tenant: catalog.Tenant{HasPriority: true}, Keys: []string{"k"}}}}
 	belief.Store(catalog.Advance(nil, catalog.Reading{SentAt: read, Declaration: &declaration, Weights: map[string]int64{"m": 3}}))
 	registry := &fleet.Registry{Prefix: "nodes/", Name: "reader", Resized: func(int) {}}
-	registry.Observe([]coordination.Entry{{Key: "nodes/reader/1", Value: []byte("a z")}, {Key: "nodes/follower/1"}}, time.Now())
+	registry.ObserveNodes([]coordination.Entry{{Key: "nodes/reader/1", Value: []byte("a z")}, {Key: "nodes/follower/1"}}, time.Now())
 	kept := residency.NewLedger()
 	kept.Replace("store", []residency.Key{7})
 	reader := &answering{feed: NewFeed("reader", belief, registry, workshare.New(func() []backend.Work {
@@ -74,7 +81,7 @@
 	reader.feed.Take([]backend.Server{{Instance: "i-1", Service: "s"}}, time.Now())
 	follower := newFollower(&counting{}, reader)
 
-	require.True(t, follower.ask(context.Background(), "reader", &Copy{}))
+	require.NoError(t, follower.ask(context.Background(), "reader", &Copy{}))
 	heard := follower.Belief.Load()
 	require.Equal(t, int64(7), heard.Snapshot.Version)
 	require.NotNil(t, heard.Snapshot.TenantOf("k"))
@@ -88,7 +95,7 @@
 
 	disturbed := time.Now().Add(-100 * time.Millisecond)
 	belief.Store(catalog.Disturb(belief.Load(), disturbed))
-	require.True(t, follower.ask(context.Background(), "reader", &Copy{}))
+	require.NoError(t, follower.ask(context.Background(), "reader", &Copy{}))
 	require.WithinDuration(t, disturbed, follower.Belief.Load().Disturbed, 50*time.Millisecond)
 	require.False(t, follower.Belief.Load().Disturbed.After(disturbed))
 }
@@ -96,31 +103,85 @@
 func TestAFollowerAsksTheStoreOnlyIfNoReaderTells(t *testing.T) {
 	store := &counting{}
 	follower := newFollower(store, &answering{lost: true})
-	now := time.Now()
-	// It is settled, and ten others come before it.
-	entries := []coordination.Entry{{Key: "nodes/follower/old"}}
-	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", "p"} {
-		entries = append(entries, coordination.Entry{Key: "nodes/" + name + "/1"})
-	}
-	follower.Registry.Name = "z" // by its hash it is no reader among these
-	for rank := 0; rank < Readers; rank = follower.Registry.Rank() {
-		follower.Registry.Name += "z"
-		entries[0].Key = "nodes/" + follower.Registry.Name + "/old"
-		follower.Registry.Observe(entries, now)
+	settleAs(follower.Registry, func(r *fleet.Registry) bool { return !r.Relaying() })
+	believe := func(age time.Duration) {
+		follower.Belief.Store(&catalog.Belief{Snapshot: follower.Belief.Load().Snapshot, AsOf: time.Now().Add(-age)})
 	}
-	require.False(t, follower.Reads())
-	follower.fleetAt.store(now)
-	follower.advance(catalog.Reading{SentAt: now.Add(-time.Second), Declaration: &catalog.Declaration{Version: 1}})
+	follower.advance(catalog.Reading{Declaration: &catalog.Declaration{Version: 1}})
+	follower.nodesAt.store(time.Now())
+	believe(time.Second)
 	require.NoError(t, follower.read(context.Background()))
-	require.Zero(t, store.declared, "what a reader told is young enough")
-	follower.Belief.Store(&catalog.Belief{Snapshot: follower.Belief.Load().Snapshot, AsOf: now.Add(-2 * time.Second)})
+	require.Zero(t, store.declared, "what a relay told is young enough")
+	believe(2 * time.Second)
 	require.NoError(t, follower.read(context.Background()))
-	require.Equal(t, 1, store.declared)
-	require.Zero(t, store.fleet)
-	follower.fleetAt.store(now.Add(-2 * fleetInterval))
-	follower.Belief.Store(&catalog.Belief{Snapshot: follower.Belief.Load().Snapshot, AsOf: now.Add(-2 * time.Second)})
+	require.Equal(t, counting{declared: 1}, *store)
+	follower.nodesAt.store(time.Now().Add(-2 * nodesInterval))
+	believe(2 * time.Second)
 	require.NoError(t, follower.read(context.Background()))
-	require.Equal(t, 1, store.fleet)
+	require.Equal(t, counting{declared: 2, nodes: 1}, *store)
+}
+
+// settleAs gives a node a name by which it has a part in a fleet of 30.
+func settleAs(registry *fleet.Registry, fits func(*fleet.Registry) bool) {
+	entries := []coordination.Entry{{}}
+	for number := range 29 {
+		entries = append(entries, coordination.Entry{Key: fmt.Sprint("nodes/node-", number, "/1")})
+	}
+	for first := true; first || !fits(registry); first = false {
+		registry.Name += "z"
+		entries[0].Key = "nodes/" + registry.Name + "/old"
+		registry.ObserveNodes(entries, time.Now())
+	}
+}
+
+func TestARelayThatHearsNothingReadsAllForItsFollowers(t *testing.T) {
+	store := &counting{}
+	relay := newFollower(store, &answering{lost: true})
+	settleAs(relay.Registry, func(r *fleet.Registry) bool { return r.Relaying() && !r.Reading() })
+	relay.advance(catalog.Reading{SentAt: time.Now().Add(-2 * time.Second), Declaration: &catalog.Declaration{Version: 1}})
+	require.NoError(t, relay.read(context.Background()))
+	require.Equal(t, counting{observed: 1}, *store)
+	require.NoError(t, relay.read(context.Background()))
+	require.Equal(t, counting{observed: 1}, *store, "what it read itself is young enough")
+}
+
+// A follower keeps what it hears of servers, work and loads from a node whose own word of
+// the store is old, but says so: another one may know more.
+func TestAnOldBeliefIsToldFromOtherNews(t *testing.T) {
+	belief := &catalog.Holder{}
+	belief.Store(catalog.Advance(nil, catalog.Reading{SentAt: time.Now().Add(-time.Minute), Declaration: &catalog.Declaration{Version: 1}}))
+	work := workshare.New(func() []backend.Work { return []backend.Work{{Server: backend.ServerKey("i-1"), Running: 4}} })
+	feed := NewFeed("relay", belief, &fleet.Registry{Resized: func(int) {}}, work, residency.NewLedger())
+	feed.Take([]backend.Server{{Instance: "i-1", Service: "s"}}, time.Now())
+	follower := newFollower(&counting{}, &answering{feed: feed})
+	require.Equal(t, errStale, follower.ask(context.Background(), "relay", &Copy{}))
+	candidates := follower.Set.Candidates(nil, backend.Query{Service: "s", Distance: func(string) int { return 0 }}, time.Now())
+	require.Equal(t, 4, candidates[0].Running)
+	require.Equal(t, int64(1), follower.Belief.Load().Snapshot.Version)
+}
+
+// A list that another node read earlier does not bring servers back that have left.
+func TestAnOlderListOfAnotherNodeWaitsUntilItHasCaughtUp(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	young, old := newFeed("young"), newFeed("old")
+	both := []backend.Server{{Instance: "i-1"}, {Instance: "i-2"}}
+	young.Take(both[:1], begin)
+	old.Take(both, begin.Add(-time.Second))
+	copied := &Copy{}
+	ask := func(feed *Feed, readAt time.Time) ([]backend.Server, bool) {
+		return copied.Apply(feed.Answer(context.Background(), copied.Question(0)), readAt)
+	}
+	list, changed := ask(young, begin)
+	require.True(t, changed)
+	require.Len(t, list, 1)
+	_, changed = ask(old, begin.Add(-time.Second))
+	require.False(t, changed)
+	_, changed = ask(old, begin.Add(-time.Second))
+	require.False(t, changed)
+	old.Take(both[:1], begin.Add(time.Second))
+	list, changed = ask(old, begin.Add(time.Second))
+	require.True(t, changed)
+	require.Len(t, list, 1)
 }
 
 // A follower that does not know where a change of the roll-out stands asks again at
@@ -132,9 +193,9 @@
 	feed.Take([]backend.Server{{Instance: "i-1", Service: "s"}}, time.Now())
 	follower := newFollower(&counting{}, &answering{feed: feed})
 	copied := &Copy{}
-	require.True(t, follower.ask(context.Background(), "reader", copied))
-	feed.TakeLoads(backend.Loads{Loading: []backend.Load{{Instance: "i-1", Model: "m", Version: 2}}})
-	require.True(t, follower.ask(context.Background(), "reader", copied))
+	require.NoError(t, follower.ask(context.Background(), "reader", copied))
+	feed.TakeLoads(backend.Loads{Mark: backend.LoadsMark{Fence: 1}, Loading: []backend.Load{{Instance: "i-1", Model: "m", Version: 2}}})
+	require.NoError(t, follower.ask(context.Background(), "reader", copied))
 	delta, _ := feed.since(copied.Question(0))
 	require.Equal(t, copied.place, delta.Place, "there is nothing that it lacks")
 	require.Nil(t, delta.Loads)
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -1,7 +1,11 @@
 // Package reflector keeps a node's copy of what the shared store says: the
-// declaration, the named weights, the list of servers and the fleet. It reads
-// at fixed intervals, so that whatever the store forgets or whoever was cut off,
-// the copy is right again after one reading.
+// declaration, the named weights, the list of servers and the fleet.
+//
+// A few nodes, the readers, read the store for the whole fleet: at fixed intervals, so
+// that whatever the store forgets or whoever was cut off, the copy is right again
+// after one reading, and at once when a watch tells of a change. Some more, the
+// relays, ask the readers; all others, the followers, ask the relays. Whoever hears
+// nothing recent from them reads the store itself.
 package reflector
 
 import (
@@ -24,26 +28,33 @@
 type Observation struct {
 	Declared catalog.Reading
 	Servers  []backend.Server
-	// Fleet holds what the nodes keep in the store themselves.
-	Fleet []coordination.Entry
+	// Duties holds the entries of the duties that nodes hold, and Nodes those of the
+	// nodes, which is nil if they were left out.
+	Duties []coordination.Entry
+	Nodes  []coordination.Entry
 }
 
-// Source reads the store. Its readings are linearizable.
+// Source reads the store. Its readings are linearizable unless it is said otherwise.
+// It is safe for concurrent use.
 type Source interface {
-	// Observe reads all.
-	Observe(ctx context.Context) (Observation, error)
+	// Observe reads all. The nodes may be left out unless they are asked for.
+	Observe(ctx context.Context, nodes bool) (Observation, error)
 	// Declared reads only what operators wrote.
 	Declared(ctx context.Context) (catalog.Reading, error)
-	// Fleet reads only what the nodes keep in the store themselves.
-	Fleet(ctx context.Context) ([]coordination.Entry, error)
+	// Nodes reads only the entries of the nodes. If they may be old, seconds old, the
+	// reading costs a tenth.
+	Nodes(ctx context.Context, old bool) ([]coordination.Entry, error)
+	// AwaitDeclared waits for a change of what operators wrote after a revision of the
+	// store. It returns whether there was one, and the revision to wait on from.
+	AwaitDeclared(ctx context.Context, after int64, wait time.Duration) (changed bool, at int64, err error)
 }
 
 // Peers asks other nodes for what they know.
 type Peers interface {
 	Ask(ctx context.Context, address string, question Question) (Delta, error)
-	// Group asks a reader for the work of its group, itself and the nodes that ask it,
-	// and for its news of cached parts since a place.
-	Group(ctx context.Context, address string, since residency.Place) (Group, error)
+	// Group asks a relay for the work of its group, itself and the nodes that ask it,
+	// and for what it heard since.
+	Group(ctx context.Context, address string, since GroupQuestion) (Group, error)
 }
 
 // Recorder hears of what a reading changes. Its methods must not block.
@@ -54,8 +65,8 @@
 	Declared(before, after *catalog.Belief)
 	// Listed hears of changes to the list of servers.
 	Listed(changes []backend.Change)
-	// Follows hears from which node the list of servers is taken.
-	Follows(reader string)
+	// Follows hears which node this one asks, and why it left the one before.
+	Follows(node string, left error)
 	// Garbled hears of news of cached parts that cannot be read.
 	Garbled(node string, err error)
 }
@@ -65,14 +76,19 @@
 	readTimeout = 4 * time.Second
 	// soonPause is the wait after a reading that failed.
 	soonPause = 100 * time.Millisecond
-	// gatherPause is the wait between readings while the fleet gathers.
-	gatherPause = 250 * time.Millisecond
-	// fleetInterval is the time between a follower's readings of the fleet.
-	fleetInterval = 4 * time.Second
-	// Readers is how many nodes read the list of servers from the store. In a
-	// larger fleet the others take it from them: the store could not send it to
-	// all.
-	Readers = 10
+	// gatherPause is the wait between readings while the fleet gathers: all nodes start
+	// within a few tenths of a second of each other, so that two readings mostly do.
+	gatherPause = 500 * time.Millisecond
+	// nodesInterval is the time between readings of the nodes' entries where these cost
+	// a call of their own. A node that died is listed for longer than that anyway.
+	nodesInterval = 4 * time.Second
+	// firstHearing is how long a node that has just started waits for the word of a
+	// relay before it reads the store itself.
+	firstHearing = 250 * time.Millisecond
+	// watchWait is how long one watch waits for a change, and watchPause the wait after
+	// one that failed.
+	watchWait  = 15 * time.Second
+	watchPause = time.Second
 )
 
 // Reflector reads the store.
@@ -86,14 +102,19 @@
 	Work     *workshare.Board
 	Kept     *residency.Hearer
 	Recorder Recorder
-	// Interval is the time between readings.
+	// Interval is the time between a reader's readings.
 	Interval time.Duration
+	// Stale is the age of what a node believes from which it reads the store itself.
+	Stale time.Duration
 
 	// advancing is held while the belief is replaced.
 	advancing sync.Mutex
-	fleetAt   atomicTime
-	// reader is the address of the node that is followed.
-	reader atomic.Pointer[string]
+	// nodesAt is when the nodes' entries were read or heard last.
+	nodesAt atomicTime
+	// revision is the store's at the last reading of the declaration.
+	revision atomic.Int64
+	// upstream is the address of the node that is followed.
+	upstream atomic.Pointer[string]
 }
 
 // atomicTime is a time that goroutines share.
@@ -105,53 +126,173 @@
 
 // Run reads until the context ends, and soon again after a failure.
 func (r *Reflector) Run(ctx context.Context) {
-	go r.followReaders(ctx)
+	go r.follow(ctx)
 	go r.shareWork(ctx)
+	go r.watch(ctx)
+	r.gather(ctx)
+	r.awaitRelay(ctx)
 	for ctx.Err() == nil {
 		begun := time.Now()
 		rest := r.Interval
-		err := r.read(ctx)
-		switch {
-		case err != nil:
+		if r.read(ctx) != nil {
 			rest = soonPause
-		case !r.Registry.Settled():
-			rest = gatherPause
 		}
 		pause.For(ctx, rest-time.Since(begun))
 	}
 }
 
-// Reads reports whether this node reads the list of servers from the store.
-func (r *Reflector) Reads() bool {
-	return r.Registry.Settled() && r.Registry.Rank() < Readers
+// Reads reports whether this node reads the store for the fleet.
+func (r *Reflector) Reads() bool { return r.Registry.Settled() && r.Registry.Reading() }
+
+// Relays reports whether this node tells others what it knows.
+func (r *Reflector) Relays() bool { return r.Registry.Settled() && r.Registry.Relaying() }
+
+// gather reads the nodes' entries until this node knows its place among them. A node
+// that starts again finds its former entry in an old reading.
+func (r *Reflector) gather(ctx context.Context) {
+	for old := true; ctx.Err() == nil && !r.Registry.Settled(); old = false {
+		begun := time.Now()
+		rest := gatherPause
+		if err := r.bounded(ctx, func(ctx context.Context) error { return r.readNodes(ctx, old) }); err != nil {
+			rest = soonPause
+		}
+		if !r.Registry.Settled() {
+			pause.For(ctx, rest-time.Since(begun))
+		}
+	}
 }
 
-func (r *Reflector) read(ctx context.Context) error {
+// awaitRelay gives the relays a moment to tell a node that has just started.
+func (r *Reflector) awaitRelay(ctx context.Context) {
+	for begun := time.Now(); ctx.Err() == nil && time.Since(begun) < firstHearing; {
+		if r.Reads() || r.believes(r.Stale, time.Now()) {
+			return
+		}
+		pause.For(ctx, soonPause/10)
+	}
+}
+
+// bounded runs one reading within its time, and tells of its end.
+func (r *Reflector) bounded(ctx context.Context, read func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	begun := time.Now()
-	observation, err := r.observe(ctx, begun)
+	err := read(ctx)
 	r.Recorder.Read(time.Since(begun), err)
+	// A store that only limits the rate is sound.
+	if err != nil && !failure.Is(err, failure.KindRateLimited) {
+		r.disturb(time.Now())
+	}
+	return err
+}
+
+// read reads what this node's part in the fleet asks for.
+func (r *Reflector) read(ctx context.Context) error {
+	now := time.Now()
+	switch {
+	case r.Reads():
+		return r.bounded(ctx, r.observe)
+	case r.believes(r.Stale, now):
+		return nil
+	case r.Relays():
+		// Others follow this node: they need all.
+		return r.bounded(ctx, r.observe)
+	default:
+		return r.bounded(ctx, r.readAlone)
+	}
+}
+
+// observe reads all.
+func (r *Reflector) observe(ctx context.Context) error {
+	begun := time.Now()
+	withNodes := begun.Sub(r.nodesAt.load()) >= nodesInterval
+	observation, err := r.Source.Observe(ctx, withNodes)
+	if err != nil {
+		return err
+	}
+	r.Recorder.Listed(r.Set.Update(observation.Servers, time.Now()))
+	r.Registry.ObserveDuties(observation.Duties, time.Now())
+	if observation.Nodes != nil {
+		r.Registry.ObserveNodes(observation.Nodes, time.Now())
+		r.nodesAt.store(begun)
+	}
+	r.Feed.Take(observation.Servers, begun)
+	r.advance(observation.Declared)
+	return nil
+}
+
+// readAlone reads what a node needs that hears nothing recent from others.
+func (r *Reflector) readAlone(ctx context.Context) error {
+	declared, err := r.Source.Declared(ctx)
+	if err != nil {
+		return err
+	}
+	r.advance(declared)
+	if time.Since(r.nodesAt.load()) < nodesInterval {
+		return nil
+	}
+	return r.readNodes(ctx, false)
+}
+
+func (r *Reflector) readNodes(ctx context.Context, old bool) error {
+	begun := time.Now()
+	entries, err := r.Source.Nodes(ctx, old)
 	if err != nil {
-		// A store that only limits the rate is sound.
-		if !failure.Is(err, failure.KindRateLimited) {
-			r.disturb(time.Now())
-		}
 		return err
 	}
-	if !observation.Declared.SentAt.IsZero() {
-		r.advance(observation.Declared)
+	r.Registry.ObserveNodes(entries, time.Now())
+	r.nodesAt.store(begun)
+	return nil
+}
+
+// watch lets a reader read what operators wrote as soon as it has changed. What a watch
+// misses is found by the next reading.
+func (r *Reflector) watch(ctx context.Context) {
+	after := int64(0)
+	for ctx.Err() == nil {
+		if after == 0 {
+			after = r.revision.Load()
+		}
+		if !r.Reads() || after == 0 {
+			after = 0
+			pause.For(ctx, idlePause)
+			continue
+		}
+		changed, at, err := r.awaitDeclared(ctx, after)
+		after = at
+		if err == nil && changed {
+			err = r.bounded(ctx, r.readDeclared)
+		}
+		if err != nil {
+			after = 0
+			pause.For(ctx, watchPause)
+		}
+	}
+}
+
+func (r *Reflector) awaitDeclared(ctx context.Context, after int64) (changed bool, at int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
+	defer cancel()
+	return r.Source.AwaitDeclared(ctx, after, watchWait)
+}
+
+func (r *Reflector) readDeclared(ctx context.Context) error {
+	declared, err := r.Source.Declared(ctx)
+	if err != nil {
+		return err
 	}
+	r.advance(declared)
 	return nil
 }
 
-// advance takes a reading, this node's or one that a reader passed on.
+// advance takes a reading, this node's or one that another node passed on.
 func (r *Reflector) advance(reading catalog.Reading) {
 	r.advancing.Lock()
 	defer r.advancing.Unlock()
 	before := r.Belief.Load()
 	after := catalog.Advance(before, reading)
 	r.Belief.Store(after)
+	r.revision.Store(max(r.revision.Load(), reading.Revision))
 	r.Recorder.Declared(before, after)
 	if before == nil || before.Snapshot != after.Snapshot || !before.SameWeights(after) {
 		r.Feed.Wake()
@@ -165,48 +306,8 @@
 	r.Belief.Store(catalog.Disturb(r.Belief.Load(), at))
 }
 
-// heardWithin reports whether the belief is no older than a time, so that a
-// follower need not read the store itself.
-func (r *Reflector) heardWithin(age time.Duration, now time.Time) bool {
+// believes reports whether the belief is no older than a time.
+func (r *Reflector) believes(age time.Duration, now time.Time) bool {
 	belief := r.Belief.Load()
 	return belief != nil && belief.Snapshot != nil && belief.Fresh(now, age)
 }
-
-// observe reads what this node's part in the fleet asks for.
-func (r *Reflector) observe(ctx context.Context, now time.Time) (Observation, error) {
-	if !r.Registry.Settled() {
-		if err := r.readFleet(ctx, now); err != nil || !r.Registry.Settled() {
-			// Nothing that operators wrote was read: the belief is as old as before.
-			return Observation{}, err
-		}
-	}
-	if !r.Reads() {
-		if r.heardWithin(r.Interval*3/2, now) {
-			return Observation{}, nil
-		}
-		declared, err := r.Source.Declared(ctx)
-		if err == nil && now.Sub(r.fleetAt.load()) >= fleetInterval {
-			err = r.readFleet(ctx, now)
-		}
-		return Observation{Declared: declared}, err
-	}
-	observation, err := r.Source.Observe(ctx)
-	if err != nil {
-		return observation, err
-	}
-	r.Recorder.Listed(r.Set.Update(observation.Servers, time.Now()))
-	r.Registry.Observe(observation.Fleet, time.Now())
-	r.Feed.Take(observation.Servers, time.Now())
-	r.fleetAt.store(now)
-	return observation, nil
-}
-
-func (r *Reflector) readFleet(ctx context.Context, now time.Time) error {
-	entries, err := r.Source.Fleet(ctx)
-	if err != nil {
-		return err
-	}
-	r.Registry.Observe(entries, time.Now())
-	r.fleetAt.store(now)
-	return nil
-}
--- a/internal/reflector/reflector_test.go
+++ b/internal/reflector/reflector_test.go
@@ -17,22 +17,25 @@
 // refusing is a store that refuses every reading.
 type refusing struct{ err error }
 
-func (refusing refusing) Observe(context.Context) (Observation, error) {
+func (refusing refusing) Observe(context.Context, bool) (Observation, error) {
 	return Observation{}, refusing.err
 }
 func (refusing refusing) Declared(context.Context) (catalog.Reading, error) {
 	return catalog.Reading{}, refusing.err
 }
-func (refusing refusing) Fleet(context.Context) ([]coordination.Entry, error) {
+func (refusing refusing) Nodes(context.Context, bool) ([]coordination.Entry, error) {
 	return nil, refusing.err
 }
+func (refusing refusing) AwaitDeclared(context.Context, int64, time.Duration) (bool, int64, error) {
+	return false, 0, refusing.err
+}
 
 type silent struct{}
 
 func (silent) Read(time.Duration, error)                 {}
 func (silent) Declared(*catalog.Belief, *catalog.Belief) {}
 func (silent) Listed([]backend.Change)                   {}
-func (silent) Follows(string)                            {}
+func (silent) Follows(string, error)                     {}
 func (silent) Garbled(string, error)                     {}
 
 func TestOnlyAnUnsoundStoreDisturbsTheBelief(t *testing.T) {
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -14,13 +14,12 @@
 
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/residency"
-	"github.com/cloverrail/cloverrail/internal/workshare"
 )
 
 const (
 	// PathServers is where a node answers questions for its feed.
 	PathServers = "/servers"
-	// PathWork is where a reader tells other readers of its group's work. It is apart
+	// PathWork is where a relay tells other relays of its group's work. It is apart
 	// from PathServers since the description of a Delta alone is longer than most work.
 	PathWork = "/work"
 	// maximumQuestion bounds a question in bytes.
@@ -40,27 +39,76 @@
 	}
 }
 
-// Group is what a reader tells other readers: the work of its group, and what it
-// heard from holders of cached parts since the place that was asked for.
+// Group is what a relay tells other relays: the work of its group, how far the roll-out
+// of weights is if that is news, and what it heard from holders of cached parts.
 type Group struct {
-	Work []backend.Work
-	Kept []byte
+	Work  []backend.Work
+	Loads *backend.Loads
+	Kept  []byte
 }
 
-// groupQuery is up to where the news of cached parts were heard.
+// wireGroup is a Group on the wire. Loads are encoded apart, since the description of
+// their types is longer than most groups and is needed only now and then.
+type wireGroup struct {
+	Work  []backend.Work
+	Loads []byte
+	Kept  []byte
+}
+
+// encode writes a group.
+func (g Group) encode(w io.Writer) error {
+	wired := wireGroup{Work: g.Work, Kept: g.Kept}
+	if g.Loads != nil {
+		loads := bytes.Buffer{}
+		if err := gob.NewEncoder(&loads).Encode(g.Loads); err != nil {
+			return errors.Trace(err)
+		}
+		wired.Loads = loads.Bytes()
+	}
+	return errors.Trace(gob.NewEncoder(w).Encode(wired))
+}
+
+// group reads a group.
+func (w wireGroup) group() (Group, error) {
+	g := Group{Work: w.Work, Kept: w.Kept}
+	if w.Loads == nil {
+		return g, nil
+	}
+	g.Loads = &backend.Loads{}
+	err := gob.NewDecoder(bytes.NewReader(w.Loads)).Decode(g.Loads)
+	return g, errors.Trace(err)
+}
+
+// GroupQuestion is how far the asker has heard another relay.
+type GroupQuestion struct {
+	Kept  residency.Place
+	Loads backend.LoadsMark
+}
+
+// groupQuery is a GroupQuestion on the wire.
 type groupQuery struct {
-	Life uint64 `url:"life,omitempty"`
-	Next int64  `url:"next,omitempty"`
+	Life     uint64 `url:"life,omitempty"`
+	Next     int64  `url:"next,omitempty"`
+	Fence    int64  `url:"fence,omitempty"`
+	Sequence int64  `url:"sequence,omitempty"`
 }
 
-// WorkHandler tells other readers of this node's group.
-func WorkHandler(board *workshare.Board, kept *residency.Ledger) http.HandlerFunc {
+// groupQuestion reads a question. What cannot be read is 0: all is told.
+func groupQuestion(r *http.Request) GroupQuestion {
+	life, _ := strconv.ParseUint(r.FormValue("life"), 10, 64)
+	next, _ := strconv.ParseInt(r.FormValue("next"), 10, 64)
+	fence, _ := strconv.ParseInt(r.FormValue("fence"), 10, 64)
+	sequence, _ := strconv.ParseInt(r.FormValue("sequence"), 10, 64)
+	return GroupQuestion{
+		Kept:  residency.Place{Life: life, Next: next},
+		Loads: backend.LoadsMark{Fence: fence, Sequence: sequence},
+	}
+}
+
+// WorkHandler tells other relays of this node's group.
+func WorkHandler(feed *Feed) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		// What cannot be read is 0: all is told.
-		life, _ := strconv.ParseUint(r.FormValue("life"), 10, 64)
-		next, _ := strconv.ParseInt(r.FormValue("next"), 10, 64)
-		since := residency.Place{Life: life, Next: next}
-		_ = gob.NewEncoder(w).Encode(Group{Work: board.Group(time.Now()), Kept: kept.News(since, true)})
+		_ = feed.Group(groupQuestion(r), time.Now()).encode(w)
 	}
 }
 
@@ -84,16 +132,18 @@
 	return delta, err
 }
 
-// Group asks a reader for the work of its group, and for its news of cached parts.
-func (c *Caller) Group(ctx context.Context, address string, since residency.Place) (Group, error) {
-	var group Group
-	query := groupQuery{Life: since.Life, Next: since.Next}
+// Group asks a relay for the work of its group, and for what it heard since.
+func (c *Caller) Group(ctx context.Context, address string, since GroupQuestion) (Group, error) {
+	query := groupQuery{Life: since.Kept.Life, Next: since.Kept.Next, Fence: since.Loads.Fence, Sequence: since.Loads.Sequence}
 	request, err := sling.New().Base("http://" + address).Get(PathWork).QueryStruct(query).Request()
 	if err != nil {
-		return group, errors.Trace(err)
+		return Group{}, errors.Trace(err)
+	}
+	var answer wireGroup
+	if err := c.do(ctx, request, &answer); err != nil {
+		return Group{}, err
 	}
-	err = c.do(ctx, request, &group)
-	return group, err
+	return answer.group()
 }
 
 // do sends a request and decodes the answer.
--- a/internal/reflector/transport_test.go
+++ b/internal/reflector/transport_test.go
@@ -11,6 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/workshare"
 )
@@ -20,21 +22,32 @@
 	board.TakeFollower("f", []backend.Work{{Server: 1, Running: 3, Suspects: 1}}, time.Now())
 	recorder := httptest.NewRecorder()
 	kept := residency.NewLedger()
-	WorkHandler(board, kept)(recorder, httptest.NewRequest(http.MethodGet, PathWork, nil))
+	feed := NewFeed("relay", &catalog.Holder{}, &fleet.Registry{}, board, kept)
+	WorkHandler(feed)(recorder, httptest.NewRequest(http.MethodGet, PathWork, nil))
 	require.Less(t, recorder.Body.Len(), 200)
 
-	server := httptest.NewServer(WorkHandler(board, kept))
+	server := httptest.NewServer(WorkHandler(feed))
 	defer server.Close()
 	caller, address := &Caller{Client: server.Client()}, strings.TrimPrefix(server.URL, "http://")
 	kept.Replace("store", []residency.Key{1, 2})
-	group, err := caller.Group(context.Background(), address, residency.Place{})
+	group, err := caller.Group(context.Background(), address, GroupQuestion{})
 	require.NoError(t, err)
 	require.Equal(t, []backend.Work{{Server: 1, Running: 5, Suspects: 1}}, group.Work)
 	heard := residency.NewLedger()
 	hearer := residency.NewHearer(heard)
 	require.NoError(t, hearer.Take(address, residency.Place{}, group.Kept, time.Now()))
 	require.Equal(t, 3, heard.Held("store", "", []residency.Piece{{Key: 2, Tokens: 3}}, time.Now()))
-	group, err = caller.Group(context.Background(), address, hearer.Place(address))
+	require.Nil(t, group.Loads, "nobody has told of any")
+	loads := backend.Loads{Mark: backend.LoadsMark{Fence: 7, Sequence: 2}, Loading: []backend.Load{{Instance: "i-1", Model: "m", Version: 3}}}
+	require.True(t, feed.TakeLoads(loads))
+	require.False(t, feed.TakeLoads(backend.Loads{Mark: backend.LoadsMark{Fence: 7, Sequence: 1}}), "what is older changes nothing")
+	question := GroupQuestion{Kept: hearer.Place(address)}
+	group, err = caller.Group(context.Background(), address, question)
 	require.NoError(t, err)
 	require.Nil(t, group.Kept, "nothing is told twice")
+	require.Equal(t, &loads, group.Loads)
+	question.Loads = group.Loads.Mark
+	group, err = caller.Group(context.Background(), address, question)
+	require.NoError(t, err)
+	require.Nil(t, group.Loads, "nothing is told twice")
 }
--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,9 +43,13 @@
 	Holder   string
 	// Bound is the longest time for which older weights may serve.
 	Bound time.Duration
+	// Tell tells all nodes how far the roll-out is. It must not block.
+	Tell func(loads backend.Loads)
 
 	mutex   sync.Mutex
 	machine *Machine
+	// told is what the nodes were told last.
+	told backend.Loads
 }
 
 // targets returns what operators named, with the time in which it should hold.
@@ -69,8 +74,8 @@
 }
 
 // Step decides on the orders and questions that are due. The state is to be
-// published before act is called: nodes then keep new requests from servers that
-// are about to load.
+// published before act is called, which tells the nodes of the loads before it sends
+// an order: they then keep new requests from servers that are about to load.
 func (duty *Duty) Step() (state []byte, act func(ctx context.Context, tenure *lease.Tenure)) {
 	now := time.Now()
 	duty.mutex.Lock()
@@ -81,8 +86,23 @@
 	targets, servers := duty.targets(), duty.Set.Servers(now)
 	targets.Uses = duty.Set.Uses(now)
 	actions := duty.machine.Step(now, targets, servers)
-	encoded := State{Holder: duty.Holder, Active: !duty.machine.Idle(), Loads: duty.machine.Loads()}.Encode()
-	return encoded, func(ctx context.Context, tenure *lease.Tenure) { duty.act(ctx, tenure, actions) }
+	loads := duty.machine.Loads()
+	encoded := State{Holder: duty.Holder, Active: !duty.machine.Idle()}.Encode()
+	return encoded, func(ctx context.Context, tenure *lease.Tenure) {
+		duty.tell(loads, tenure.Fence)
+		duty.act(ctx, tenure, actions)
+	}
+}
+
+// tell tells the nodes of loads if these have changed.
+func (duty *Duty) tell(loads backend.Loads, fence int64) {
+	same := slices.Equal(duty.told.Loading, loads.Loading) && slices.Equal(duty.told.Loaded, loads.Loaded)
+	if same && duty.told.Mark.Fence == fence {
+		return
+	}
+	loads.Mark = backend.LoadsMark{Fence: fence, Sequence: duty.told.Mark.Sequence + 1}
+	duty.told = loads
+	duty.Tell(loads)
 }
 
 func (duty *Duty) act(ctx context.Context, tenure *lease.Tenure, actions []Action) {
--- a/internal/rollout/duty_test.go
+++ b/internal/rollout/duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -43,7 +44,7 @@
 		set.Update([]backend.Server{{Instance: "i", Service: "s", Versions: map[string]int64{model: 1}}}, now)
 		belief.Store(&catalog.Belief{Weights: map[string]catalog.Namings{model: {{Version: 1}, {Version: 2, NotNamedAt: now}}}})
 		servers := &fencing{}
-		duty := &Duty{Belief: belief, Set: set, Servers: servers, Recorder: unheeded{}, Holder: "n", Bound: 8 * time.Second}
+		duty := &Duty{Belief: belief, Set: set, Servers: servers, Recorder: unheeded{}, Holder: "n", Bound: 8 * time.Second, Tell: func(backend.Loads) {}}
 		tenure := lease.NewTenure(7, now, time.Minute, time.Second, now)
 		for range 100 {
 			_, act := duty.Step()
@@ -54,3 +55,44 @@
 		require.Equal(t, 1, servers.orders)
 	})
 }
+
+// taking is a server that takes every order and never finishes it.
+type taking struct{}
+
+func (taking) Order(context.Context, Order, string, int64) (Result, error) { return ResultTaken, nil }
+func (taking) Report(context.Context, backend.Server) (Report, error) {
+	return Report{Busy: true, Versions: map[string]int64{model: 1}}, nil
+}
+
+// The store is written when the roll-out begins and ends, however many servers load;
+// nodes hear of these from the holder, and what one tells later counts.
+func TestLoadsAreToldAndTheStoreIsWrittenOnlyWhenTheRollOutBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		set, belief := backend.NewSet(), &catalog.Holder{}
+		var servers []backend.Server
+		for number := range 240 {
+			servers = append(servers, backend.Server{Instance: fmt.Sprint("i-", number), Service: "s", Versions: map[string]int64{model: 1}})
+		}
+		set.Update(servers, now)
+		belief.Store(&catalog.Belief{Weights: map[string]catalog.Namings{model: {{Version: 1}, {Version: 2, NotNamedAt: now}}}})
+		var told []backend.Loads
+		duty := &Duty{Belief: belief, Set: set, Servers: taking{}, Recorder: unheeded{}, Holder: "n", Bound: 8 * time.Second,
+			Tell: func(loads backend.Loads) { told = append(told, loads) }}
+		tenure := lease.NewTenure(7, now, time.Minute, time.Second, now)
+		states := map[string]bool{}
+		for range 60 {
+			state, act := duty.Step()
+			states[string(state)] = true
+			act(t.Context(), tenure)
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.Len(t, states, 2, "at rest, and at work")
+		require.Greater(t, len(told), 1)
+		for index := 1; index < len(told); index++ {
+			require.True(t, told[index-1].Mark.Before(told[index].Mark))
+			require.NotEqual(t, told[index-1].Loading, told[index].Loading, "nothing is told twice")
+		}
+		require.NotEmpty(t, told[len(told)-1].Loading)
+	})
+}
--- a/internal/rollout/machine_test.go
+++ b/internal/rollout/machine_test.go
@@ -245,9 +245,8 @@
 	require.Equal(t, 3, orders(targets), "the time in which the store was away does not count")
 }
 
-func TestTheStateSaysWhoLoads(t *testing.T) {
-	loads := backend.Loads{Loading: []backend.Load{{Instance: "a", Model: model, Version: 3}}, Loaded: []backend.Load{{Instance: "b", Model: model, Version: 3}}}
-	state := State{Holder: "n", Active: true, Loads: loads}
+func TestTheStateSaysWhoIsAtIt(t *testing.T) {
+	state := State{Holder: "n", Active: true}
 	decoded, err := DecodeState(state.Encode())
 	require.NoError(t, err)
 	require.Equal(t, state, decoded)
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -5,17 +5,15 @@
 	"encoding/gob"
 
 	"github.com/juju/errors"
-
-	"github.com/cloverrail/cloverrail/internal/backend"
 )
 
-// State is what the holder of the duty publishes for all nodes.
+// State is what the holder of the duty leaves in the store for the next one. How far
+// the roll-out is, it tells the other nodes itself.
 type State struct {
 	// Holder is the name of the node.
 	Holder string
 	// Active says that orders may be under way.
 	Active bool
-	Loads  backend.Loads
 }
 
 // Encode returns the state as it is published. Equal states have equal encodings.
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -22,6 +22,9 @@
 	ReadinessAddress string `yaml:"readinessAddress" validate:"tcp_addr"`
 	// MetricsAddress serves metrics; empty means none.
 	MetricsAddress string `yaml:"metricsAddress" validate:"omitempty,tcp_addr"`
+	// ProcessorShare is the processor time that this node may use, in cores; 0 means that
+	// it is not known. Nodes with much of it work for the others.
+	ProcessorShare float64 `yaml:"processorShare" validate:"min=0"`
 	// PeerAddress serves other nodes.
 	PeerAddress string `yaml:"peerAddress" validate:"tcp_addr"`
 	// StoreAddress is the shared store's.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -20,6 +20,8 @@
 	connections     *prometheus.CounterVec
 	replaced        prometheus.Counter
 	garbled         prometheus.Counter
+	follows         prometheus.Counter
+	storeCalls      *prometheus.CounterVec
 	version         prometheus.Gauge
 	suppressedLines prometheus.Counter
 }
@@ -55,6 +57,12 @@
 		garbled: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_garbled_news_total", Help: "Answers of other nodes about cached parts that could not be read.",
 		}),
+		follows: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_follows_total", Help: "Changes of the node that this one asks for what it believes.",
+		}),
+		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_store_calls_total", Help: "Calls of the shared store by purpose and by call.",
+		}, []string{"purpose", "call"}),
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cloverrail_proxy_declaration_version", Help: "Version of the declaration in force.",
 		}),
@@ -71,6 +79,6 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstAnswer, metrics.reads,
-		metrics.orders, metrics.connections, metrics.replaced, metrics.garbled, metrics.version, metrics.suppressedLines, age)
+		metrics.orders, metrics.connections, metrics.replaced, metrics.garbled, metrics.follows, metrics.storeCalls, metrics.version, metrics.suppressedLines, age)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -151,6 +151,11 @@
 		Dur("first", outcome.FirstAfter).Dur("took", time.Since(request.Arrived)).Msg("request")
 }
 
+// StoreCalled hears of each call of the shared store.
+func (recorder *Recorder) StoreCalled(purpose, call string) {
+	recorder.metrics.storeCalls.WithLabelValues(purpose, call).Inc()
+}
+
 // Read hears of each reading of the shared store.
 func (recorder *Recorder) Read(took time.Duration, err error) {
 	result := "ok"
@@ -170,9 +175,10 @@
 	}
 }
 
-// Follows hears from which node the list of servers is taken.
-func (recorder *Recorder) Follows(reader string) {
-	recorder.log.Info().Str("reader", reader).Msg("the list of servers is taken from a reader")
+// Follows hears which node this one asks, and why it left the one before.
+func (recorder *Recorder) Follows(node string, left error) {
+	recorder.metrics.follows.Inc()
+	recorder.log.Info().Str("asks", node).AnErr("left", left).Msg("another node is followed")
 }
 
 // Declared hears of a change of the belief.
