Let nodes read the store one after the other by the age of what they know

Cause: three readers read at the same fixed interval, each watch woke all three, nodes listed the fleet three times at their start, and a lease was renewed ten times a life.

Change: one rule: a node reads when what it knows reaches its part of the bound: 0.3 for the first reader, 0.45 for those that stand in, 0.55 for relays, 0.65 for followers, and leaves another node for old knowledge before that. The first reader alone watches. Leases are renewed five times a life, ten times once an answer is missing; the registration lives 9 s. Nodes send each other no headers that none reads.

Test: who is due when, and asks whom (TestNodesAreDueOneAfterTheOther).

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -30,11 +30,6 @@
 )
 
 const (
-	// readPart is the part of a bound within which a reader reads the store anew, and
-	// stalePart the part from which a node asks the store itself: what it hears of the
-	// readers is at most a reading and two questions old if all is well.
-	readPart  = 0.25
-	stalePart = 0.6
 	// leasePart is the life of the holder's lease as a part of the time between two
 	// holders.
 	leasePart = 0.65
@@ -75,7 +70,7 @@
 		return nil, errors.Trace(err)
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	process := &process{settings: given, belief: &catalog.Holder{}, set: backend.NewSet(), peers: &http.Client{}}
+	process := &process{settings: given, belief: &catalog.Holder{}, set: backend.NewSet(), peers: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	zerolog.SetGlobalLevel(level)
 	process.log = zerolog.New(telemetry.NewWriter(os.Stdout)).With().Timestamp().Str("node", given.Name).Logger()
 	process.metrics = telemetry.NewMetrics(process.belief)
@@ -179,8 +174,7 @@
 		Work:     process.work,
 		Kept:     residency.NewHearer(process.ledger),
 		Recorder: process.recorder,
-		Interval: part(min(bounds.Configuration, bounds.Drain), readPart),
-		Stale:    part(min(bounds.Configuration, bounds.Drain), stalePart),
+		Bound:    min(bounds.Configuration, bounds.Drain),
 	}
 }
 
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// registrationLife is how long a node that died is still counted.
-	registrationLife = 6 * time.Second
+	// registrationLife is how long a node that died is still counted. Whoever asks it
+	// meanwhile goes on to the next one; the count is for shares of a budget.
+	registrationLife = 9 * time.Second
 	// renewals a life gives a node several tries before it is forgotten.
 	renewals    = 3
 	callTimeout = time.Second
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -13,9 +13,11 @@
 
 const (
 	callTimeout = 500 * time.Millisecond
-	// renewals a life gives a holder several tries before its lease lapses, also
-	// while many answers are lost. They do not wait for each other.
-	renewals = 10
+	// renewals a life are sent while they are answered, and urgentRenewals from the first
+	// one on that is not: that gives a holder several tries before its lease lapses,
+	// also while many answers are lost. They do not wait for each other.
+	renewals       = 5
+	urgentRenewals = 10
 	// marginPart of the life is kept free at its end, for an order on its way.
 	marginPart = 5
 	tick       = 50 * time.Millisecond
@@ -74,9 +76,12 @@
 
 // holding is a tenure with its lease.
 type holding struct {
-	tenure  *Tenure
-	lease   coordination.Lease
-	renewed time.Time
+	tenure *Tenure
+	lease  coordination.Lease
+	// renewed is when the last renewal was asked for, and answered the last one that was
+	// answered.
+	renewed  time.Time
+	answered time.Time
 	// state is what was published last.
 	state []byte
 }
@@ -165,10 +170,11 @@
 	settled := SettledAt(another, last, time.Now(), keeper.Settling)
 	keeper.Recorder.Acquired(fence, time.Until(settled))
 	return &holding{
-		tenure:  NewTenure(fence, asked, granted.Life, granted.Life/marginPart, settled),
-		lease:   granted,
-		renewed: asked,
-		state:   state.Value,
+		tenure:   NewTenure(fence, asked, granted.Life, granted.Life/marginPart, settled),
+		lease:    granted,
+		renewed:  asked,
+		answered: asked,
+		state:    state.Value,
 	}, false
 }
 
@@ -212,7 +218,7 @@
 func (keeper *Keeper) hold(ctx context.Context, held *holding) string {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	renewed := make(chan renewal, renewals)
+	renewed := make(chan renewal, urgentRenewals)
 	for {
 		select {
 		case <-ticker.C:
@@ -222,6 +228,7 @@
 			}
 			if answer.err == nil {
 				held.tenure.Renewed(answer.asked)
+				held.answered = answer.asked
 			}
 		case <-ctx.Done():
 			keeper.handBack(held)
@@ -232,7 +239,7 @@
 			return "another node has a higher fencing token"
 		}
 		now := time.Now()
-		if now.Sub(held.renewed) >= held.lease.Life/renewals {
+		if now.Sub(held.renewed) >= held.renewInterval() {
 			held.renewed = now
 			go func() { renewed <- keeper.renew(ctx, held.lease.ID, now) }()
 		}
@@ -242,6 +249,14 @@
 	}
 }
 
+// renewInterval is the time between two renewals.
+func (held *holding) renewInterval() time.Duration {
+	if held.answered.Before(held.renewed) {
+		return held.lease.Life / urgentRenewals
+	}
+	return held.lease.Life / renewals
+}
+
 func (keeper *Keeper) renew(ctx context.Context, lease int64, asked time.Time) renewal {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -31,6 +31,10 @@
 	// before believed what is old: during an outage of the store all do.
 	staleRest = time.Second
 	idlePause = 100 * time.Millisecond
+	// relayStale and followerStale are the ages of another node's knowledge, as parts of
+	// the bound, from which it is left: below those at which this node reads itself.
+	relayStale    = 0.45
+	followerStale = 0.55
 )
 
 // errStale says that the node that is followed believes what is old itself.
@@ -45,8 +49,10 @@
 // sources returns the nodes that this one may ask, the first choice first.
 func (r *Reflector) sources() []string {
 	switch {
-	case !r.Registry.Settled() || r.Reads():
+	case !r.Registry.Settled():
 		return nil
+	case r.Reads():
+		return r.Registry.ReaderAddresses()[:r.Registry.Rank()]
 	case r.Relays():
 		return r.Registry.ReaderAddresses()
 	default:
@@ -54,7 +60,16 @@
 	}
 }
 
-// follow takes all from another node unless this one reads the store. It goes on to
+// stale is the age from which another node's knowledge is too old to follow it.
+func (r *Reflector) stale() time.Duration {
+	part := followerStale
+	if r.Relays() {
+		part = relayStale
+	}
+	return time.Duration(part * float64(r.Bound))
+}
+
+// follow takes all from another node unless this one is the first reader. It goes on to
 // the next one when there is no answer, or when what it hears is old.
 func (r *Reflector) follow(ctx context.Context) {
 	copied := &Copy{}
@@ -108,10 +123,10 @@
 	}
 	readAt := sentAt.Add(-delta.Age)
 	if list, changed := copied.Apply(delta, readAt); changed {
-		r.Recorder.Listed(r.Set.Update(list, time.Now()))
-		r.Feed.Take(list, readAt)
+		r.takeList(list, readAt)
 	} else if copied.asOf.Equal(readAt) {
 		r.Feed.Confirm(readAt)
+		r.listedAt.store(readAt)
 	}
 	if delta.Loads != nil {
 		r.TakeLoads(*delta.Loads)
@@ -127,7 +142,7 @@
 	if delta.BeliefAge >= 0 {
 		r.believe(delta, sentAt)
 	}
-	if delta.Age > r.Stale || delta.BeliefAge < 0 || delta.BeliefAge > r.Stale {
+	if stale := r.stale(); delta.Age > stale || delta.BeliefAge < 0 || delta.BeliefAge > stale {
 		return errStale
 	}
 	return nil
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -61,7 +61,7 @@
 	work := workshare.New(func() []backend.Work { return nil })
 	ledger := residency.NewLedger()
 	return &Reflector{
-		Source: source, Peers: peers, Belief: belief, Set: set, Registry: registry, Recorder: silent{}, Interval: time.Second, Stale: 1500 * time.Millisecond,
+		Source: source, Peers: peers, Belief: belief, Set: set, Registry: registry, Recorder: silent{}, Bound: 2 * time.Second,
 		Work: work, Feed: NewFeed("follower", belief, registry, work, ledger), Kept: residency.NewHearer(ledger),
 	}
 }
@@ -110,10 +110,11 @@
 	follower.advance(catalog.Reading{Declaration: &catalog.Declaration{Version: 1}})
 	follower.nodesAt.store(time.Now())
 	believe(time.Second)
+	require.False(t, follower.due(time.Now()), "what a relay told is young enough")
+	believe(1500 * time.Millisecond)
+	require.True(t, follower.due(time.Now()))
 	require.NoError(t, follower.read(context.Background()))
-	require.Zero(t, store.declared, "what a relay told is young enough")
-	believe(2 * time.Second)
-	require.NoError(t, follower.read(context.Background()))
+	require.False(t, follower.due(time.Now()))
 	require.Equal(t, counting{declared: 1}, *store)
 	follower.nodesAt.store(time.Now().Add(-2 * nodesInterval))
 	believe(2 * time.Second)
@@ -138,11 +139,37 @@
 	store := &counting{}
 	relay := newFollower(store, &answering{lost: true})
 	settleAs(relay.Registry, func(r *fleet.Registry) bool { return r.Relaying() && !r.Reading() })
-	relay.advance(catalog.Reading{SentAt: time.Now().Add(-2 * time.Second), Declaration: &catalog.Declaration{Version: 1}})
+	relay.advance(catalog.Reading{SentAt: time.Now(), Declaration: &catalog.Declaration{Version: 1}})
+	require.True(t, relay.due(time.Now()), "its followers need the servers, too")
 	require.NoError(t, relay.read(context.Background()))
 	require.Equal(t, counting{observed: 1}, *store)
-	require.NoError(t, relay.read(context.Background()))
-	require.Equal(t, counting{observed: 1}, *store, "what it read itself is young enough")
+	require.False(t, relay.due(time.Now()))
+}
+
+// While all is well the first reader alone reads: the others are due later, by more than
+// what an answer may be older than what it tells of.
+func TestNodesAreDueOneAfterTheOther(t *testing.T) {
+	parts := map[float64]func(*fleet.Registry) bool{
+		firstReadPart: func(r *fleet.Registry) bool { return r.Rank() == 0 },
+		otherReadPart: func(r *fleet.Registry) bool { return r.Rank() == 2 },
+		relayPart:     func(r *fleet.Registry) bool { return r.Relaying() && !r.Reading() },
+		followerPart:  func(r *fleet.Registry) bool { return !r.Relaying() },
+	}
+	for part, fits := range parts {
+		node := newFollower(&counting{}, &answering{lost: true})
+		settleAs(node.Registry, fits)
+		require.Equal(t, part, node.part())
+		sources := node.sources()
+		switch {
+		case part == firstReadPart:
+			require.Empty(t, sources)
+		case part == otherReadPart:
+			require.Len(t, sources, 2, "it asks those that come before it")
+		}
+		if part > firstReadPart {
+			require.Less(t, node.stale(), time.Duration(part*float64(node.Bound))+time.Millisecond, "another node is tried first")
+		}
+	}
 }
 
 // A follower keeps what it hears of servers, work and loads from a node whose own word of
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -1,11 +1,11 @@
 // Package reflector keeps a node's copy of what the shared store says: the
 // declaration, the named weights, the list of servers and the fleet.
 //
-// A few nodes, the readers, read the store for the whole fleet: at fixed intervals, so
-// that whatever the store forgets or whoever was cut off, the copy is right again
-// after one reading, and at once when a watch tells of a change. Some more, the
-// relays, ask the readers; all others, the followers, ask the relays. Whoever hears
-// nothing recent from them reads the store itself.
+// Every node reads the store once what it knows has reached an age: the first reader
+// soonest, the readers that stand in for it later, then the relays and at last all
+// others. Relays ask the readers and the others ask the relays, so that while all is
+// well only the first reader reads: at fixed intervals, whatever the store forgets, and
+// at once when a watch tells of a change. When it is lost, the next one is due.
 package reflector
 
 import (
@@ -76,15 +76,17 @@
 	readTimeout = 4 * time.Second
 	// soonPause is the wait after a reading that failed.
 	soonPause = 100 * time.Millisecond
-	// gatherPause is the wait between readings while the fleet gathers: all nodes start
-	// within a few tenths of a second of each other, so that two readings mostly do.
-	gatherPause = 500 * time.Millisecond
+	// gatherPause is the wait between readings while the fleet gathers. It is longer than
+	// a fleet takes to gather, so that two readings mostly do.
+	gatherPause = 550 * time.Millisecond
 	// nodesInterval is the time between readings of the nodes' entries where these cost
 	// a call of their own. A node that died is listed for longer than that anyway.
 	nodesInterval = 4 * time.Second
 	// firstHearing is how long a node that has just started waits for the word of a
 	// relay before it reads the store itself.
 	firstHearing = 250 * time.Millisecond
+	// duePoll is the time between two looks at whether a reading is due.
+	duePoll = 25 * time.Millisecond
 	// watchWait is how long one watch waits for a change, and watchPause the wait after
 	// one that failed.
 	watchWait  = 15 * time.Second
@@ -102,15 +104,15 @@
 	Work     *workshare.Board
 	Kept     *residency.Hearer
 	Recorder Recorder
-	// Interval is the time between a reader's readings.
-	Interval time.Duration
-	// Stale is the age of what a node believes from which it reads the store itself.
-	Stale time.Duration
+	// Bound is the age that what a node knows must never reach.
+	Bound time.Duration
 
 	// advancing is held while the belief is replaced.
 	advancing sync.Mutex
-	// nodesAt is when the nodes' entries were read or heard last.
-	nodesAt atomicTime
+	// nodesAt is when the nodes' entries were read or heard last, and listedAt when the
+	// list of servers was read that this node has.
+	nodesAt  atomicTime
+	listedAt atomicTime
 	// revision is the store's at the last reading of the declaration.
 	revision atomic.Int64
 	// upstream is the address of the node that is followed.
@@ -132,16 +134,58 @@
 	r.gather(ctx)
 	r.awaitRelay(ctx)
 	for ctx.Err() == nil {
-		begun := time.Now()
-		rest := r.Interval
-		if r.read(ctx) != nil {
-			rest = soonPause
+		switch {
+		case !r.due(time.Now()):
+			pause.For(ctx, duePoll)
+		case r.read(ctx) != nil:
+			pause.For(ctx, soonPause)
 		}
-		pause.For(ctx, rest-time.Since(begun))
 	}
 }
 
-// Reads reports whether this node reads the store for the fleet.
+// The ages of what a node knows, as parts of the bound, at which it reads the store by
+// its part in the fleet. An answer of another node is at most one question older than
+// what that node knows: the parts leave room for one each.
+const (
+	firstReadPart = 0.3
+	otherReadPart = 0.45
+	relayPart     = 0.55
+	followerPart  = 0.65
+)
+
+// part is the part of the bound at which this node reads.
+func (r *Reflector) part() float64 {
+	switch {
+	case r.leads():
+		return firstReadPart
+	case r.Reads():
+		return otherReadPart
+	case r.Relays():
+		return relayPart
+	default:
+		return followerPart
+	}
+}
+
+// due reports whether what this node knows is so old that it must read the store.
+func (r *Reflector) due(now time.Time) bool {
+	return !r.knows(time.Duration(r.part()*float64(r.Bound)), now)
+}
+
+// knows reports whether all that this node has to know is younger than an age. Others
+// follow a relay, so it has to know the servers too.
+func (r *Reflector) knows(age time.Duration, now time.Time) bool {
+	belief := r.Belief.Load()
+	if belief == nil || belief.Snapshot == nil || !belief.Fresh(now, age) {
+		return false
+	}
+	return !r.Relays() || now.Sub(r.listedAt.load()) <= age
+}
+
+// leads reports whether this node is the first reader.
+func (r *Reflector) leads() bool { return r.Registry.Settled() && r.Registry.Rank() == 0 }
+
+// Reads reports whether this node is a reader.
 func (r *Reflector) Reads() bool { return r.Registry.Settled() && r.Registry.Reading() }
 
 // Relays reports whether this node tells others what it knows.
@@ -165,10 +209,10 @@
 // awaitRelay gives the relays a moment to tell a node that has just started.
 func (r *Reflector) awaitRelay(ctx context.Context) {
 	for begun := time.Now(); ctx.Err() == nil && time.Since(begun) < firstHearing; {
-		if r.Reads() || r.believes(r.Stale, time.Now()) {
+		if r.leads() || r.knows(r.Bound, time.Now()) {
 			return
 		}
-		pause.For(ctx, soonPause/10)
+		pause.For(ctx, duePoll)
 	}
 }
 
@@ -188,18 +232,10 @@
 
 // read reads what this node's part in the fleet asks for.
 func (r *Reflector) read(ctx context.Context) error {
-	now := time.Now()
-	switch {
-	case r.Reads():
+	if r.Relays() {
 		return r.bounded(ctx, r.observe)
-	case r.believes(r.Stale, now):
-		return nil
-	case r.Relays():
-		// Others follow this node: they need all.
-		return r.bounded(ctx, r.observe)
-	default:
-		return r.bounded(ctx, r.readAlone)
 	}
+	return r.bounded(ctx, r.readAlone)
 }
 
 // observe reads all.
@@ -210,17 +246,23 @@
 	if err != nil {
 		return err
 	}
-	r.Recorder.Listed(r.Set.Update(observation.Servers, time.Now()))
+	r.takeList(observation.Servers, begun)
 	r.Registry.ObserveDuties(observation.Duties, time.Now())
 	if observation.Nodes != nil {
 		r.Registry.ObserveNodes(observation.Nodes, time.Now())
 		r.nodesAt.store(begun)
 	}
-	r.Feed.Take(observation.Servers, begun)
 	r.advance(observation.Declared)
 	return nil
 }
 
+// takeList takes a whole list of servers that was read at a time, and passes it on.
+func (r *Reflector) takeList(list []backend.Server, readAt time.Time) {
+	r.Recorder.Listed(r.Set.Update(list, time.Now()))
+	r.Feed.Take(list, readAt)
+	r.listedAt.store(readAt)
+}
+
 // readAlone reads what a node needs that hears nothing recent from others.
 func (r *Reflector) readAlone(ctx context.Context) error {
 	declared, err := r.Source.Declared(ctx)
@@ -245,15 +287,15 @@
 	return nil
 }
 
-// watch lets a reader read what operators wrote as soon as it has changed. What a watch
-// misses is found by the next reading.
+// watch lets the first reader read what operators wrote as soon as it has changed. What
+// a watch misses is found by the next reading.
 func (r *Reflector) watch(ctx context.Context) {
 	after := int64(0)
 	for ctx.Err() == nil {
 		if after == 0 {
 			after = r.revision.Load()
 		}
-		if !r.Reads() || after == 0 {
+		if !r.leads() || after == 0 {
 			after = 0
 			pause.For(ctx, idlePause)
 			continue
@@ -305,9 +347,3 @@
 	defer r.advancing.Unlock()
 	r.Belief.Store(catalog.Disturb(r.Belief.Load(), at))
 }
-
-// believes reports whether the belief is no older than a time.
-func (r *Reflector) believes(age time.Duration, now time.Time) bool {
-	belief := r.Belief.Load()
-	return belief != nil && belief.Snapshot != nil && belief.Fresh(now, age)
-}
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -35,10 +35,18 @@
 			return
 		}
 		question.Wait = min(question.Wait, askWait)
+		plainHeader(writer)
 		_ = gob.NewEncoder(writer).Encode(f.Answer(request.Context(), question))
 	}
 }
 
+// plainHeader leaves out headers that no node reads: they would be longer than most
+// answers.
+func plainHeader(w http.ResponseWriter) {
+	w.Header()["Date"] = nil
+	w.Header()["Content-Type"] = nil
+}
+
 // Group is what a relay tells other relays: the work of its group, how far the roll-out
 // of weights is if that is news, and what it heard from holders of cached parts.
 type Group struct {
@@ -108,6 +116,7 @@
 // WorkHandler tells other relays of this node's group.
 func WorkHandler(feed *Feed) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		plainHeader(w)
 		_ = feed.Group(groupQuestion(r), time.Now()).encode(w)
 	}
 }
@@ -146,8 +155,9 @@
 	return answer.group()
 }
 
-// do sends a request and decodes the answer.
+// do sends a request and decodes the answer. An empty name of the client is not sent.
 func (c *Caller) do(ctx context.Context, request *http.Request, answer any) error {
+	request.Header.Set("User-Agent", "")
 	response, err := c.Client.Do(request.WithContext(ctx))
 	if err != nil {
 		return errors.Trace(err)
