Take the store for unsound only when several readings fail and nobody tells more

The first reader asks the others while it cannot read. A node's own place goes before an entry of its earlier life.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -154,11 +154,13 @@
 
 // ObserveNodes takes the entries of all nodes as they were read at a time.
 func (r *Registry) ObserveNodes(entries []coordination.Entry, now time.Time) {
-	places := map[string]place{r.Name: r.place()}
+	places := make(map[string]place, len(entries)+1)
 	for _, entry := range entries {
 		name, _, _ := strings.Cut(strings.TrimPrefix(entry.Key, r.Prefix), "/")
 		places[name] = parsePlace(string(entry.Value))
 	}
+	// An entry of an earlier life of this node may tell of another place.
+	places[r.Name] = r.place()
 	r.mutex.Lock()
 	r.places = places
 	r.entries, r.digest = entries, digestOf(entries)
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,8 +52,11 @@
 	switch {
 	case !r.Registry.Settled():
 		return nil
+	case r.leads() && r.knows(time.Duration(otherReadPart*float64(r.Bound)), time.Now()):
+		return nil
 	case r.Reads():
-		return r.Registry.ReaderAddresses()[:r.Registry.Rank()]
+		// The first reader asks the others while it cannot read itself.
+		return slices.DeleteFunc(r.Registry.ReaderAddresses(), func(address string) bool { return address == r.Registry.Address })
 	case r.Relays():
 		return r.Registry.ReaderAddresses()
 	default:
@@ -69,8 +73,8 @@
 	return time.Duration(part * float64(r.Bound))
 }
 
-// follow takes all from another node unless this one is the first reader. It goes on to
-// the next one when there is no answer, or when what it hears is old.
+// follow takes all from another node unless this one reads for all. It goes on to the
+// next one when there is no answer, or when what it hears is old.
 func (r *Reflector) follow(ctx context.Context) {
 	copied := &Copy{}
 	turn := 0
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -85,6 +85,10 @@
 	// firstHearing is how long a node that has just started waits for the word of a
 	// relay before it reads the store itself.
 	firstHearing = 250 * time.Millisecond
+	// enoughFailures in a row, with nothing heard of others for disturbedPart of the bound,
+	// show that the store is not sound. By then all nodes were due to read.
+	enoughFailures = 2
+	disturbedPart  = followerPart
 	// duePoll is the time between two looks at whether a reading is due.
 	duePoll = 25 * time.Millisecond
 	// watchWait is how long one watch waits for a change, and watchPause the wait after
@@ -113,6 +117,8 @@
 	// list of servers was read that this node has.
 	nodesAt  atomicTime
 	listedAt atomicTime
+	// failures counts the readings that have failed in a row.
+	failures atomic.Int64
 	// revision is the store's at the last reading of the declaration.
 	revision atomic.Int64
 	// upstream is the address of the node that is followed.
@@ -223,11 +229,23 @@
 	begun := time.Now()
 	err := read(ctx)
 	r.Recorder.Read(time.Since(begun), err)
+	r.judge(err, time.Now())
+	return err
+}
+
+// judge decides after a reading whether the store is sound. One that fails may say more
+// about this node, which may be slow, stopped for a while or cut off: only if several
+// have failed, and no other node has told anything recent either, the store, or the
+// way to it, is not sound.
+func (r *Reflector) judge(err error, now time.Time) {
 	// A store that only limits the rate is sound.
-	if err != nil && !failure.Is(err, failure.KindRateLimited) {
-		r.disturb(time.Now())
+	if err == nil || failure.Is(err, failure.KindRateLimited) {
+		r.failures.Store(0)
+		return
+	}
+	if r.failures.Add(1) >= enoughFailures && !r.knows(time.Duration(disturbedPart*float64(r.Bound)), now) {
+		r.disturb(now)
 	}
-	return err
 }
 
 // read reads what this node's part in the fleet asks for.
