Tell standing-in readers of duties, and let a restarted node ask before it knows its place

Cause: two of three readers did not see who holds the roll-out and asked the store every two seconds; nodes that started before the first reader read the store themselves; a restarted node followed nobody for the half second in which it found its place.

Change: readers hear the entries of duties from the one that they ask. A node waits half a second, not a quarter, for the word of others, and asks those that it knows of at once. After a reading a node pauses, also if the store holds no declaration yet.

Tests: TestReadersHearOfDuties, TestANodeThatStartsAgainAsksBeforeItKnowsItsPlace.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -67,6 +67,7 @@
 	begun   time.Time
 	settled bool
 	seen    map[string]sighting
+	duties  []coordination.Entry
 	// entries are those of the nodes at the last observation, and digest is theirs.
 	entries []coordination.Entry
 	digest  uint64
@@ -208,7 +209,15 @@
 		}
 		seen[entry.Key] = known
 	}
-	r.seen = seen
+	r.seen, r.duties = seen, entries
+}
+
+// Duties returns the entries of the last observation of duties, for ObserveDuties on
+// another node.
+func (r *Registry) Duties() []coordination.Entry {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.duties
 }
 
 // Relays returns how many of the first nodes relay to the others what they know.
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -38,6 +38,8 @@
 	Weights     map[string]int64
 	// Fleet is nil if the follower has it.
 	Fleet []coordination.Entry
+	// Duties holds the entries of the duties, for other readers.
+	Duties []coordination.Entry
 	// Work is what all nodes but the follower have under way at servers.
 	Work []backend.Work
 	// Kept is the reader's news of cached parts, or nil if there is none.
@@ -58,6 +60,8 @@
 	// Relay says that the asker is a relay: it is told neither of work nor of cached
 	// parts, which relays ask each other for.
 	Relay bool
+	// Reader says that the asker is a reader: it may take duties over.
+	Reader bool
 	// Work is what the follower has under way at servers.
 	Work []backend.Work
 	// Kept is up to where the follower has heard the other's news of cached parts.
@@ -199,6 +203,9 @@
 	delta := f.await(ctx, question)
 	f.addBelief(&delta, question, time.Now())
 	delta.Fleet = f.registry.NewerThan(question.Fleet)
+	if question.Reader {
+		delta.Duties = f.registry.Duties()
+	}
 	if !question.Relay {
 		delta.Work = f.work.Others(question.Node, time.Now())
 		delta.Kept = f.kept.News(question.Kept, false)
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -47,16 +47,17 @@
 	return max(askWait, time.Duration(followers)*answerInterval)
 }
 
-// sources returns the nodes that this one may ask, the first choice first.
+// sources returns the nodes that this one may ask, the first choice first. Before it
+// knows its own place, it asks those that it knows of: they may have served for long.
 func (r *Reflector) sources() []string {
 	switch {
 	case !r.Registry.Settled():
-		return nil
-	case r.leads() && r.knows(time.Duration(otherReadPart*float64(r.Bound)), time.Now()):
+		return r.others(r.Registry.RelayAddresses())
+	case r.leads() && r.knows(r.age(otherReadPart), time.Now()):
 		return nil
 	case r.Reads():
 		// The first reader asks the others while it cannot read itself.
-		return slices.DeleteFunc(r.Registry.ReaderAddresses(), func(address string) bool { return address == r.Registry.Address })
+		return r.others(r.Registry.ReaderAddresses())
 	case r.Relays():
 		return r.Registry.ReaderAddresses()
 	default:
@@ -64,13 +65,18 @@
 	}
 }
 
+// others returns the addresses without this node's own.
+func (r *Reflector) others(addresses []string) []string {
+	return slices.DeleteFunc(addresses, func(address string) bool { return address == r.Registry.Address })
+}
+
 // stale is the age from which another node's knowledge is too old to follow it.
 func (r *Reflector) stale() time.Duration {
 	part := followerStale
 	if r.Relays() {
 		part = relayStale
 	}
-	return time.Duration(part * float64(r.Bound))
+	return r.age(part)
 }
 
 // follow takes all from another node unless this one reads for all. It goes on to the
@@ -139,6 +145,9 @@
 		r.Registry.ObserveNodes(delta.Fleet, time.Now())
 	}
 	r.nodesAt.store(sentAt)
+	if question.Reader {
+		r.Registry.ObserveDuties(delta.Duties, time.Now())
+	}
 	if !question.Relay {
 		r.Set.TakeWork(delta.Work, time.Now())
 		r.hear(node, question.Kept, delta.Kept)
@@ -177,6 +186,7 @@
 	if belief := r.Belief.Load(); belief != nil && belief.Snapshot != nil {
 		question.Declaration = belief.Snapshot.Version
 	}
+	question.Reader = r.Reads()
 	if question.Relay = r.Relays(); !question.Relay {
 		question.Work = r.Set.Work(now)
 		question.Kept = r.Kept.Place(node)
@@ -214,10 +224,8 @@
 	ctx, cancel := context.WithTimeout(ctx, r.askInterval())
 	defer cancel()
 	var asked sync.WaitGroup
-	for _, relay := range r.Registry.RelayAddresses() {
-		if relay != r.Registry.Address {
-			asked.Go(func() { r.askRelay(ctx, relay) })
-		}
+	for _, relay := range r.others(r.Registry.RelayAddresses()) {
+		asked.Go(func() { r.askRelay(ctx, relay) })
 	}
 	asked.Wait()
 }
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -231,3 +231,28 @@
 	require.Equal(t, copied.place, delta.Place, "there is nothing that it lacks")
 	require.Nil(t, delta.Loads)
 }
+
+// Who stands in for the first reader knows who holds a duty without asking the store.
+func TestReadersHearOfDuties(t *testing.T) {
+	registry := &fleet.Registry{Resized: func(int) {}}
+	registry.ObserveDuties([]coordination.Entry{{Key: "holder", Revision: 4}}, time.Now())
+	feed := NewFeed("first", &catalog.Holder{}, registry, workshare.New(func() []backend.Work { return nil }), residency.NewLedger())
+	for part, fits := range map[string]func(*fleet.Registry) bool{
+		"reader": func(r *fleet.Registry) bool { return r.Rank() == 1 },
+		"relay":  func(r *fleet.Registry) bool { return r.Relaying() && !r.Reading() },
+	} {
+		node := newFollower(&counting{}, &answering{feed: feed})
+		settleAs(node.Registry, fits)
+		_ = node.ask(context.Background(), "first", &Copy{})
+		require.Equal(t, part == "reader", node.Registry.Exists("holder"))
+		require.Equal(t, part == "reader", !node.Registry.FirstSeen("holder", 4).IsZero())
+	}
+}
+
+func TestANodeThatStartsAgainAsksBeforeItKnowsItsPlace(t *testing.T) {
+	node := newFollower(&counting{}, &answering{lost: true})
+	require.Empty(t, node.sources(), "it knows of nobody")
+	node.Registry.ObserveNodes([]coordination.Entry{{Key: "nodes/other/1", Value: []byte("address z")}}, time.Now())
+	require.False(t, node.Registry.Settled())
+	require.Equal(t, []string{"address"}, node.sources())
+}
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -82,9 +82,10 @@
 	// nodesInterval is the time between readings of the nodes' entries where these cost
 	// a call of their own. A node that died is listed for longer than that anyway.
 	nodesInterval = 4 * time.Second
-	// firstHearing is how long a node that has just started waits for the word of a
-	// relay before it reads the store itself.
-	firstHearing = 250 * time.Millisecond
+	// firstHearing is how long a node that has just started waits for the word of another
+	// one before it reads the store itself: the first reader may have started last, and
+	// reads once the fleet has gathered.
+	firstHearing = 500 * time.Millisecond
 	// enoughFailures in a row, with nothing heard of others for disturbedPart of the bound,
 	// show that the store is not sound. By then all nodes were due to read.
 	enoughFailures = 2
@@ -145,10 +146,16 @@
 			pause.For(ctx, duePoll)
 		case r.read(ctx) != nil:
 			pause.For(ctx, soonPause)
+		default:
+			// The store may hold no declaration yet.
+			pause.For(ctx, r.age(firstReadPart)/2)
 		}
 	}
 }
 
+// age is a part of the bound.
+func (r *Reflector) age(part float64) time.Duration { return time.Duration(part * float64(r.Bound)) }
+
 // The ages of what a node knows, as parts of the bound, at which it reads the store by
 // its part in the fleet. An answer of another node is at most one question older than
 // what that node knows: the parts leave room for one each.
@@ -175,7 +182,7 @@
 
 // due reports whether what this node knows is so old that it must read the store.
 func (r *Reflector) due(now time.Time) bool {
-	return !r.knows(time.Duration(r.part()*float64(r.Bound)), now)
+	return !r.knows(r.age(r.part()), now)
 }
 
 // knows reports whether all that this node has to know is younger than an age. Others
@@ -198,7 +205,8 @@
 func (r *Reflector) Relays() bool { return r.Registry.Settled() && r.Registry.Relaying() }
 
 // gather reads the nodes' entries until this node knows its place among them. A node
-// that starts again finds its former entry in an old reading.
+// that starts again finds its former entry in an old reading, or hears of its new one
+// from the relays that stand in it.
 func (r *Reflector) gather(ctx context.Context) {
 	for old := true; ctx.Err() == nil && !r.Registry.Settled(); old = false {
 		begun := time.Now()
@@ -206,8 +214,8 @@
 		if err := r.bounded(ctx, func(ctx context.Context) error { return r.readNodes(ctx, old) }); err != nil {
 			rest = soonPause
 		}
-		if !r.Registry.Settled() {
-			pause.For(ctx, rest-time.Since(begun))
+		for ctx.Err() == nil && !r.Registry.Settled() && time.Since(begun) < rest {
+			pause.For(ctx, duePoll)
 		}
 	}
 }
@@ -243,7 +251,7 @@
 		r.failures.Store(0)
 		return
 	}
-	if r.failures.Add(1) >= enoughFailures && !r.knows(time.Duration(disturbedPart*float64(r.Bound)), now) {
+	if r.failures.Add(1) >= enoughFailures && !r.knows(r.age(disturbedPart), now) {
 		r.disturb(now)
 	}
 }
