Rest an unreached server for longer than the word of it travels; announce loads before ordering them

Change: an unreached server rests 1.5 s. A load is told of by the time in which all nodes hear before its order goes out, unless the bound is near.

Test: TestAServerIsToldOfBeforeItsOrderIfThereIsTime.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -237,6 +237,7 @@
 			Recorder: process.recorder,
 			Holder:   process.settings.Name,
 			Bound:    bounds.Weights,
+			Notice:   process.reflector.HearTime,
 			Tell:     process.reflector.TakeLoads,
 		},
 		Recorder: process.recorder,
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -45,8 +45,11 @@
 )
 
 var (
-	// unreachedBreaker rests a server at the first connection that does not come up.
-	unreachedBreaker = retry.BreakerConfig{Failures: 1, Rest: 400 * time.Millisecond, MaximumRest: 4 * time.Second}
+	// unreachedBreaker rests a server at the first connection that does not come up. Most
+	// such servers are gone: they start again under another name. The rest is longer than
+	// the way of a suspicion through the fleet, three questions, so that all nodes share
+	// it while it lasts.
+	unreachedBreaker = retry.BreakerConfig{Failures: 1, Rest: 1500 * time.Millisecond, MaximumRest: 4 * time.Second}
 	// brokenBreaker rests a server that fails again and again.
 	brokenBreaker = retry.BreakerConfig{Failures: 3, Rest: 400 * time.Millisecond, MaximumRest: 4 * time.Second}
 )
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -47,6 +47,22 @@
 	return max(askWait, time.Duration(followers)*answerInterval)
 }
 
+// transit is the time that an answer takes on the way, with a busy node at each end.
+const transit = 20 * time.Millisecond
+
+// HearTime is the time in which all nodes hear of a change that this one takes while all
+// is well: relays ask this node, and followers the relays.
+func (r *Reflector) HearTime() time.Duration {
+	hop := r.askPause() + transit
+	if r.Registry.Nodes() > r.Registry.Relays() {
+		return 2 * hop
+	}
+	return hop
+}
+
+// askPause is the time between an answer and the next question.
+func (r *Reflector) askPause() time.Duration { return max(r.askInterval()-askWait, leastAskPause) }
+
 // sources returns the nodes that this one may ask, the first choice first. Before it
 // knows its own place, it asks those that it knows of: they may have served for long.
 func (r *Reflector) sources() []string {
@@ -102,7 +118,7 @@
 		left = r.ask(ctx, node, copied)
 		switch {
 		case left == nil:
-			pause.For(ctx, max(r.askInterval()-askWait, leastAskPause)-time.Since(begun))
+			pause.For(ctx, r.askPause()-time.Since(begun))
 		case left == errStale && time.Since(changedAt) < staleRest:
 			pause.For(ctx, r.askInterval()-time.Since(begun))
 		default:
--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -43,6 +43,8 @@
 	Holder   string
 	// Bound is the longest time for which older weights may serve.
 	Bound time.Duration
+	// Notice returns the time in which all nodes hear what they are told.
+	Notice func() time.Duration
 	// Tell tells all nodes how far the roll-out is. It must not block.
 	Tell func(loads backend.Loads)
 
@@ -84,7 +86,7 @@
 		duty.machine = NewMachine()
 	}
 	targets, servers := duty.targets(), duty.Set.Servers(now)
-	targets.Uses = duty.Set.Uses(now)
+	targets.Uses, targets.Notice = duty.Set.Uses(now), duty.Notice()
 	actions := duty.machine.Step(now, targets, servers)
 	loads := duty.machine.Loads()
 	encoded := State{Holder: duty.Holder, Active: !duty.machine.Idle()}.Encode()
--- a/internal/rollout/duty_test.go
+++ b/internal/rollout/duty_test.go
@@ -44,7 +44,7 @@
 		set.Update([]backend.Server{{Instance: "i", Service: "s", Versions: map[string]int64{model: 1}}}, now)
 		belief.Store(&catalog.Belief{Weights: map[string]catalog.Namings{model: {{Version: 1}, {Version: 2, NotNamedAt: now}}}})
 		servers := &fencing{}
-		duty := &Duty{Belief: belief, Set: set, Servers: servers, Recorder: unheeded{}, Holder: "n", Bound: 8 * time.Second, Tell: func(backend.Loads) {}}
+		duty := &Duty{Belief: belief, Set: set, Servers: servers, Recorder: unheeded{}, Holder: "n", Bound: 8 * time.Second, Tell: func(backend.Loads) {}, Notice: func() time.Duration { return 0 }}
 		tenure := lease.NewTenure(7, now, time.Minute, time.Second, now)
 		for range 100 {
 			_, act := duty.Step()
@@ -78,7 +78,7 @@
 		belief.Store(&catalog.Belief{Weights: map[string]catalog.Namings{model: {{Version: 1}, {Version: 2, NotNamedAt: now}}}})
 		var told []backend.Loads
 		duty := &Duty{Belief: belief, Set: set, Servers: taking{}, Recorder: unheeded{}, Holder: "n", Bound: 8 * time.Second,
-			Tell: func(loads backend.Loads) { told = append(told, loads) }}
+			Tell: func(loads backend.Loads) { told = append(told, loads) }, Notice: func() time.Duration { return 0 }}
 		tenure := lease.NewTenure(7, now, time.Minute, time.Second, now)
 		states := map[string]bool{}
 		for range 60 {
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -103,13 +103,19 @@
 	loaded map[string]backend.Load
 }
 
+// pending is a move that is under way. Its order goes out at sendAt; sentAt is when it
+// went out last, and begunAt when first.
 type pending struct {
 	order   Order
+	sendAt  time.Time
 	sentAt  time.Time
 	begunAt time.Time
 	taken   bool
 }
 
+// sent reports whether the order has gone out.
+func (p *pending) sent() bool { return !p.begunAt.IsZero() }
+
 // NewMachine returns a machine that knows of no order.
 func NewMachine() *Machine {
 	return &Machine{
@@ -183,11 +189,14 @@
 				if !machine.overdue(now, known) {
 					loading++
 				}
+				actions = append(actions, machine.due(now, server)...)
 				actions = append(actions, machine.chase(now, known, server)...)
 				continue
 			}
 			machine.finish(server.Instance)
-			actions = append(actions, Loaded{Order: known.order, Took: now.Sub(known.begunAt)})
+			if known.sent() {
+				actions = append(actions, Loaded{Order: known.order, Took: now.Sub(known.begunAt)})
+			}
 		}
 		one, lacks := targets.of(server, now)
 		if lacks && !server.Draining && !now.Before(machine.resting[server.Instance]) {
@@ -203,17 +212,34 @@
 			actions = append(actions, machine.inspect(now, one.server)...)
 		case room > 0 || !now.Before(one.latest):
 			room--
-			actions = append(actions, machine.order(now, one, expected))
+			machine.plan(now, targets, one, expected)
+			actions = append(actions, machine.due(now, one.server)...)
 		}
 	}
 	return actions
 }
 
-func (machine *Machine) order(now time.Time, one lack, expected int64) Order {
+// plan begins a move. It is told of from now on, and its order goes out after the notice
+// if there is time for one.
+func (machine *Machine) plan(now time.Time, targets Targets, one lack, expected int64) {
 	order := Order{Server: one.server, Model: one.model, Version: one.version, Expected: expected}
-	machine.pending[one.server.Instance] = &pending{order: order, sentAt: now, begunAt: now}
-	machine.asked[one.server.Instance] = now
-	return order
+	sendAt := now.Add(targets.Notice)
+	if sendAt.After(one.latest) {
+		sendAt = now
+	}
+	machine.pending[one.server.Instance] = &pending{order: order, sendAt: sendAt}
+}
+
+// due returns the order of a move if it is to go out now.
+func (machine *Machine) due(now time.Time, server backend.Server) []Action {
+	known := machine.pending[server.Instance]
+	if known.sent() || now.Before(known.sendAt) {
+		return nil
+	}
+	known.order.Server = server
+	known.sentAt, known.begunAt = now, now
+	machine.asked[server.Instance] = now
+	return []Action{known.order}
 }
 
 // inspect asks a server how far it is, unless it was asked just now.
@@ -239,6 +265,9 @@
 	if server.Versions[known.order.Model] < known.order.Version {
 		return true
 	}
+	if !known.sent() {
+		return false
+	}
 	took := now.Sub(known.begunAt)
 	machine.load += time.Duration(loadGain * float64(took-machine.load))
 	return false
@@ -247,11 +276,14 @@
 // overdue reports whether a load takes so long that others should not wait for
 // it any more.
 func (machine *Machine) overdue(now time.Time, known *pending) bool {
-	return now.Sub(known.begunAt) > overdueAfter*machine.load
+	return known.sent() && now.Sub(known.begunAt) > overdueAfter*machine.load
 }
 
 // chase asks how far the server is, and repeats an order that seems lost.
 func (machine *Machine) chase(now time.Time, known *pending, server backend.Server) []Action {
+	if !known.sent() {
+		return nil
+	}
 	if !known.taken && now.Sub(known.sentAt) >= resendAfter {
 		known.sentAt = now
 		known.order.Server = server
--- a/internal/rollout/machine_test.go
+++ b/internal/rollout/machine_test.go
@@ -299,3 +299,30 @@
 	}
 	require.Equal(t, []string{"i-4", "i-5"}, ordered)
 }
+
+func TestAServerIsToldOfBeforeItsOrderIfThereIsTime(t *testing.T) {
+	const notice = 200 * time.Millisecond
+	now := time.Unix(1000, 0)
+	targets := Targets{
+		Within: time.Minute, Latest: time.Hour, Notice: notice,
+		Weights: map[string]catalog.Namings{model: {{Version: 1}, {Version: 2, NotNamedAt: now}}},
+	}
+	servers := []backend.Server{{Instance: "i", Service: "s", Versions: map[string]int64{model: 1}}}
+	begin := func() *Machine {
+		machine := NewMachine()
+		machine.Inspected(now, "i", Report{Versions: servers[0].Versions})
+		return machine
+	}
+	machine := begin()
+	require.Empty(t, machine.Step(now, targets, servers))
+	require.Len(t, machine.Loads().Loading, 1)
+	require.False(t, machine.Idle())
+	require.Empty(t, machine.Step(now.Add(notice-1), targets, servers))
+	orders := machine.Step(now.Add(notice), targets, servers)
+	require.Len(t, orders, 1)
+	require.Equal(t, int64(2), orders[0].(Order).Version)
+	require.Empty(t, machine.Step(now.Add(notice), targets, servers), "it goes out once")
+
+	targets.Latest = notice / 2
+	require.Len(t, begin().Step(now, targets, servers), 1, "there is no time")
+}
--- a/internal/rollout/targets.go
+++ b/internal/rollout/targets.go
@@ -20,6 +20,9 @@
 	// Disturbed is when the shared store was not sound last. Nobody could be moved
 	// until then, so no time is counted from before.
 	Disturbed time.Time
+	// Notice is how long before its order a server is told of as loading, so that nodes
+	// that hear of it late do not send it requests that it would reject.
+	Notice time.Duration
 	// Uses holds what is under way at each instance. Those with the least go first,
 	// since a load begins when the runs have ended.
 	Uses map[string]backend.Use
