Let the notice of a load not slow the roll-out down

Change: as many more moves are under way as the notice is longer than nothing, by the learned time of a load. Test: TestTheNoticeDoesNotSlowTheRollOut.

--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -204,7 +204,7 @@
 		}
 	}
 	sortByUrgency(behind, targets.Uses)
-	room := machine.atOnce(now, behind, loading, len(servers)) - loading
+	room := machine.withNotice(machine.atOnce(now, behind, loading, len(servers)), targets.Notice) - loading
 	for _, one := range behind {
 		expected, reported := machine.sequences[one.server.Instance]
 		switch {
@@ -307,6 +307,12 @@
 	return min(max(least, wanted), most)
 }
 
+// withNotice returns how many moves are under way if so many servers load at a time: of
+// each move the notice is no load.
+func (machine *Machine) withNotice(loading int, notice time.Duration) int {
+	return int(float64(loading) * (1 + notice.Seconds()/machine.load.Seconds()))
+}
+
 // Answered takes a server's answer to an order.
 func (machine *Machine) Answered(now time.Time, instance string, result Result) {
 	known := machine.pending[instance]
--- a/internal/rollout/machine_test.go
+++ b/internal/rollout/machine_test.go
@@ -326,3 +326,26 @@
 	targets.Latest = notice / 2
 	require.Len(t, begin().Step(now, targets, servers), 1, "there is no time")
 }
+
+// The time of the notice does not slow the roll-out down: as many servers load at a time
+// as without it.
+func TestTheNoticeDoesNotSlowTheRollOut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	planned := func(notice time.Duration) int {
+		targets := Targets{
+			Within: time.Minute, Latest: time.Hour, Notice: notice,
+			Weights: map[string]catalog.Namings{model: {{Version: 1}, {Version: 2, NotNamedAt: now}}},
+		}
+		machine := NewMachine()
+		var servers []backend.Server
+		for number := range 240 {
+			instance := fmt.Sprint("i-", number)
+			servers = append(servers, backend.Server{Instance: instance, Service: "s", Versions: map[string]int64{model: 1}})
+			machine.Inspected(now, instance, Report{Versions: servers[number].Versions})
+		}
+		machine.Step(now, targets, servers)
+		return len(machine.Loads().Loading)
+	}
+	require.Equal(t, 40, planned(0))
+	require.Equal(t, 60, planned(assumedLoad/2))
+}
