Let news rest where nobody asks, and send the rare parts of an answer apart

Every node kept news of cached parts for others, though only relays are asked, and made a map for each holder that it heard of; every answer between nodes described the types of declarations, lists and loads, which few carry.

Change: news rest, and keep nothing, until somebody asks; what is heard is taken from slices; a Delta is sent with its rare parts encoded apart; answers are bounded.

Tests: TestNewsRestUntilSomebodyAsks, TestADeltaIsReadAsItWasWritten.

--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -13,6 +13,8 @@
 	"github.com/juju/errors"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/residency"
 )
 
@@ -24,6 +26,9 @@
 	PathWork = "/work"
 	// maximumQuestion bounds a question in bytes.
 	maximumQuestion = 64 << 10
+	// maximumAnswer bounds an answer in bytes: a whole list of 3,000 servers takes 0.4 MB,
+	// a declaration of 31,000 tenants some 2 MB.
+	maximumAnswer = 16 << 20
 )
 
 // Handler answers other nodes' questions for a feed.
@@ -40,12 +45,76 @@
 	}
 }
 
-func (d Delta) encode(w io.Writer) error { return gob.NewEncoder(w).Encode(d) }
+// wireDelta is a Delta on the wire. What is needed only now and then is encoded apart, in
+// Rest: the description of its types is longer than most answers.
+type wireDelta struct {
+	Feed         string
+	Place        int64
+	Age          time.Duration
+	BeliefAge    time.Duration
+	DisturbedAgo time.Duration
+	Weights      map[string]int64
+	Work         []backend.Work
+	Kept         []byte
+	Rest         []byte
+}
+
+// wireRest is the rest of a Delta.
+type wireRest struct {
+	Whole       bool
+	Changed     []backend.Server
+	Gone        []string
+	Loads       *backend.Loads
+	Declaration *catalog.Declaration
+	Fleet       []coordination.Entry
+	Duties      []coordination.Entry
+}
+
+func (r wireRest) empty() bool {
+	return !r.Whole && r.Changed == nil && r.Gone == nil && r.Loads == nil && r.Declaration == nil && r.Fleet == nil && r.Duties == nil
+}
+
+// encode writes a delta.
+func (d Delta) encode(w io.Writer) error {
+	wired := wireDelta{
+		Feed: d.Feed, Place: d.Place, Age: d.Age, BeliefAge: d.BeliefAge, DisturbedAgo: d.DisturbedAgo,
+		Weights: d.Weights, Work: d.Work, Kept: d.Kept,
+	}
+	rest := wireRest{
+		Whole: d.Whole, Changed: d.Changed, Gone: d.Gone, Loads: d.Loads,
+		Declaration: d.Declaration, Fleet: d.Fleet, Duties: d.Duties,
+	}
+	if !rest.empty() {
+		encoded, err := encodeApart(rest)
+		if err != nil {
+			return err
+		}
+		wired.Rest = encoded
+	}
+	return errors.Trace(gob.NewEncoder(w).Encode(wired))
+}
 
-func decodeDelta(r io.Reader) (Delta, error) {
-	var d Delta
-	err := gob.NewDecoder(r).Decode(&d)
-	return d, err
+// delta reads a delta.
+func (w wireDelta) delta() (Delta, error) {
+	var rest wireRest
+	if w.Rest != nil {
+		if err := gob.NewDecoder(bytes.NewReader(w.Rest)).Decode(&rest); err != nil {
+			return Delta{}, errors.Trace(err)
+		}
+	}
+	return Delta{
+		Feed: w.Feed, Place: w.Place, Age: w.Age, BeliefAge: w.BeliefAge, DisturbedAgo: w.DisturbedAgo,
+		Weights: w.Weights, Work: w.Work, Kept: w.Kept,
+		Whole: rest.Whole, Changed: rest.Changed, Gone: rest.Gone, Loads: rest.Loads,
+		Declaration: rest.Declaration, Fleet: rest.Fleet, Duties: rest.Duties,
+	}, nil
+}
+
+// encodeApart returns the encoding of a part of an answer.
+func encodeApart(part any) ([]byte, error) {
+	encoded := bytes.Buffer{}
+	err := gob.NewEncoder(&encoded).Encode(part)
+	return encoded.Bytes(), errors.Trace(err)
 }
 
 // plainHeader leaves out headers that no node reads: they would be longer than most
@@ -75,11 +144,11 @@
 func (g Group) encode(w io.Writer) error {
 	wired := wireGroup{Work: g.Work, Kept: g.Kept}
 	if g.Loads != nil {
-		loads := bytes.Buffer{}
-		if err := gob.NewEncoder(&loads).Encode(g.Loads); err != nil {
-			return errors.Trace(err)
+		loads, err := encodeApart(g.Loads)
+		if err != nil {
+			return err
 		}
-		wired.Loads = loads.Bytes()
+		wired.Loads = loads
 	}
 	return errors.Trace(gob.NewEncoder(w).Encode(wired))
 }
@@ -136,17 +205,19 @@
 
 // Ask asks a node for what has changed in its list of servers.
 func (c *Caller) Ask(ctx context.Context, address string, question Question) (Delta, error) {
-	var delta Delta
 	body := bytes.Buffer{}
 	if err := gob.NewEncoder(&body).Encode(question); err != nil {
-		return delta, errors.Trace(err)
+		return Delta{}, errors.Trace(err)
 	}
 	request, err := sling.New().Base("http://" + address).Post(PathServers).Body(&body).Request()
 	if err != nil {
-		return delta, errors.Trace(err)
+		return Delta{}, errors.Trace(err)
+	}
+	var answer wireDelta
+	if err := c.do(ctx, request, &answer); err != nil {
+		return Delta{}, err
 	}
-	err = c.do(ctx, request, &delta)
-	return delta, err
+	return answer.delta()
 }
 
 // Group asks a relay for the work of its group, and for what it heard since.
@@ -174,5 +245,5 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.Errorf("node %s answered with status %d; run the same version on all nodes", request.URL.Host, response.StatusCode)
 	}
-	return errors.Trace(gob.NewDecoder(response.Body).Decode(answer))
+	return errors.Trace(gob.NewDecoder(io.LimitReader(response.Body, maximumAnswer)).Decode(answer))
 }
--- a/internal/reflector/transport_bench_test.go
+++ b/internal/reflector/transport_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/gob"
 	"testing"
 	"time"
 
@@ -22,7 +23,11 @@
 			b.Fatal(err)
 		}
 		b.SetBytes(int64(buffer.Len()))
-		if _, err := decodeDelta(&buffer); err != nil {
+		var answer wireDelta
+		if err := gob.NewDecoder(&buffer).Decode(&answer); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := answer.delta(); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/reflector/transport_test.go
+++ b/internal/reflector/transport_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/workshare"
@@ -51,3 +52,24 @@
 	require.NoError(t, err)
 	require.Nil(t, group.Loads, "nothing is told twice")
 }
+
+func TestADeltaIsReadAsItWasWritten(t *testing.T) {
+	whole := Delta{
+		Feed: "f", Place: 3, Whole: true, Changed: []backend.Server{{Instance: "i", Versions: map[string]int64{"m": 1}}}, Gone: []string{"g"},
+		Loads: &backend.Loads{Mark: backend.LoadsMark{Fence: 1, Sequence: 2}}, Age: 4, BeliefAge: 5, DisturbedAgo: 6,
+		Declaration: &catalog.Declaration{Version: 7}, Weights: map[string]int64{"m": 2},
+		Fleet: []coordination.Entry{{Key: "n", Value: []byte("v"), Revision: 8}}, Duties: []coordination.Entry{{Key: "d"}},
+		Work: []backend.Work{{Server: 9, Running: 1}}, Kept: []byte{1},
+	}
+	usual := Delta{Feed: "f", Place: 3, BeliefAge: 1, DisturbedAgo: -1, Work: whole.Work}
+	for _, delta := range []Delta{whole, usual} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			require.NoError(t, delta.encode(w))
+		}))
+		caller := &Caller{Client: server.Client()}
+		got, err := caller.Ask(context.Background(), strings.TrimPrefix(server.URL, "http://"), Question{})
+		server.Close()
+		require.NoError(t, err)
+		require.Equal(t, delta, got)
+	}
+}
--- a/internal/residency/hearer.go
+++ b/internal/residency/hearer.go
@@ -85,27 +85,15 @@
 		switch {
 		case own:
 		case s.state == replaced:
-			keys := make([]Key, 0, len(s.parts))
-			for key := range s.parts {
-				keys = append(keys, key)
-			}
-			l.replace(s.holder, teller, keys)
+			l.replace(s.holder, teller, s.has)
 		case s.state == present && theirs && known.followed:
-			l.apply(s.holder, known, changesOf(s.parts))
+			l.apply(s.holder, known, s.has, s.lacks)
 		case s.state == isDown && (theirs || !known.followed), s.state == lost && theirs:
 			l.lose(s.holder, teller, s.state == isDown)
 		}
 	}
 }
 
-func changesOf(parts map[Key]bool) []Change {
-	changes := make([]Change, 0, len(parts))
-	for key, has := range parts {
-		changes = append(changes, Change{Key: key, Present: has})
-	}
-	return changes
-}
-
 // forget drops all that a node told.
 func (l *Ledger) forget(teller string) {
 	l.mutex.Lock()
--- a/internal/residency/ledger.go
+++ b/internal/residency/ledger.go
@@ -73,7 +73,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{holdings: map[string]*holding{}, nodes: 1, news: newNews()}
+	return &Ledger{holdings: map[string]*holding{}, nodes: 1, news: news{resting: true}}
 }
 
 // Resize follows the number of nodes: others write about as much as this one.
@@ -199,24 +199,41 @@
 func (l *Ledger) Apply(holder string, changes []Change) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if known := l.holding(holder); known.followed && known.teller == "" {
-		l.apply(holder, known, changes)
+	known := l.holding(holder)
+	if !known.followed || known.teller != "" {
+		return
 	}
-}
-
-func (l *Ledger) apply(holder string, known *holding, changes []Change) {
 	for _, change := range changes {
-		kind := absent
 		if change.Present {
-			kind = present
-			known.has[change.Key] = true
+			l.arrive(holder, known, change.Key)
 		} else {
-			delete(known.has, change.Key)
+			l.leave(holder, known, change.Key)
 		}
-		l.news.add(entry{holder: holder, kind: kind, key: change.Key, teller: known.teller})
 	}
 }
 
+// apply takes changes that another node told of.
+func (l *Ledger) apply(holder string, known *holding, has, lacks []Key) {
+	for _, key := range has {
+		l.arrive(holder, known, key)
+	}
+	for _, key := range lacks {
+		l.leave(holder, known, key)
+	}
+}
+
+// arrive notes that a holder has a part.
+func (l *Ledger) arrive(holder string, known *holding, key Key) {
+	known.has[key] = true
+	l.news.add(entry{holder: holder, kind: present, key: key, teller: known.teller})
+}
+
+// leave notes that a holder has a part no longer.
+func (l *Ledger) leave(holder string, known *holding, key Key) {
+	delete(known.has, key)
+	l.news.add(entry{holder: holder, kind: absent, key: key, teller: known.teller})
+}
+
 // Lose says that this node cannot follow the holder any more, and whether that is
 // down. What another node tells of it stays.
 func (l *Ledger) Lose(holder string, down bool) {
--- a/internal/residency/news.go
+++ b/internal/residency/news.go
@@ -38,11 +38,15 @@
 	teller string
 }
 
-// news is the last entries in order. Its life is a number that no other has.
+// news is the last entries in order. Its life is a number that no other has. Most nodes
+// are asked by nobody: theirs rest, and keep nothing, until they are.
 type news struct {
 	life    uint64
 	first   int64
 	entries []entry
+	resting bool
+	// asked is the place at which they were asked for last.
+	asked int64
 }
 
 func newNews() news { return news{life: rand.Uint64() | 1} }
@@ -50,6 +54,14 @@
 func (n *news) next() int64 { return n.first + int64(len(n.entries)) }
 
 func (n *news) add(e entry) {
+	if n.resting {
+		return
+	}
+	if n.next()-n.asked >= 2*mostNews {
+		// Whoever asked last has missed too much to be told of changes alone.
+		*n = news{resting: true}
+		return
+	}
 	if len(n.entries) >= 2*mostNews {
 		n.first += mostNews
 		n.entries = append([]entry(nil), n.entries[mostNews:]...)
@@ -57,6 +69,14 @@
 	n.entries = append(n.entries, e)
 }
 
+// ask notes that somebody asks, and begins anew if the news were resting.
+func (n *news) ask() {
+	if n.resting {
+		*n = newNews()
+	}
+	n.asked = n.next()
+}
+
 // Place is up to where one node has heard another's news. The zero value has heard
 // nothing.
 type Place struct {
@@ -76,7 +96,10 @@
 	holder string
 	// state is replaced, lost, isDown, or present if only parts have changed.
 	state kind
-	parts map[Key]bool
+	// has and lacks are the parts that have come and gone; lacks is empty unless the state
+	// is present.
+	has   []Key
+	lacks []Key
 }
 
 // News returns what has changed since a place, encoded for Hearer.Take, and nil if
@@ -84,6 +107,7 @@
 func (l *Ledger) News(since Place, direct bool) []byte {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.news.ask()
 	if since.Life == l.news.life && since.Next == l.news.next() {
 		return nil
 	}
@@ -111,7 +135,7 @@
 	for name, known := range l.holdings {
 		switch {
 		case known.followed:
-			sections = append(sections, section{holder: name, state: replaced, parts: known.has})
+			sections = append(sections, section{holder: name, state: replaced, has: slices.Sorted(maps.Keys(known.has))})
 		case known.down:
 			sections = append(sections, section{holder: name, state: isDown})
 		}
@@ -120,45 +144,61 @@
 	return sections
 }
 
+// changed is what entries told of one holder.
+type changed struct {
+	holder string
+	state  kind
+	parts  map[Key]bool
+}
+
+// section returns it with the parts in order.
+func (c changed) section() section {
+	s := section{holder: c.holder, state: c.state}
+	for _, key := range slices.Sorted(maps.Keys(c.parts)) {
+		if c.parts[key] {
+			s.has = append(s.has, key)
+		} else if c.state == present {
+			s.lacks = append(s.lacks, key)
+		}
+	}
+	return s
+}
+
 // collect merges entries to one section a holder.
 func collect(entries []entry) []section {
-	var sections []section
+	var all []changed
 	place := map[string]int{}
 	for _, e := range entries {
 		i, found := place[e.holder]
 		if !found {
-			i = len(sections)
+			i = len(all)
 			place[e.holder] = i
-			sections = append(sections, section{holder: e.holder, state: present, parts: map[Key]bool{}})
+			all = append(all, changed{holder: e.holder, state: present, parts: map[Key]bool{}})
 		}
-		s := &sections[i]
+		c := &all[i]
 		switch e.kind {
 		case present, absent:
-			s.parts[e.key] = e.kind == present
+			c.parts[e.key] = e.kind == present
 		default:
-			s.state = e.kind
-			clear(s.parts)
+			c.state = e.kind
+			clear(c.parts)
 		}
 	}
+	sections := make([]section, len(all))
+	for i := range all {
+		sections[i] = all[i].section()
+	}
 	return sections
 }
 
 // append encodes a section: the holder, its state, and the keys of the parts that it
 // has and of those that it has not.
 func (s section) append(data []byte) []byte {
-	var has, lacks []Key
-	for _, key := range slices.Sorted(maps.Keys(s.parts)) {
-		if s.parts[key] {
-			has = append(has, key)
-		} else if s.state == present {
-			lacks = append(lacks, key)
-		}
-	}
 	data = binary.AppendUvarint(data, uint64(len(s.holder)))
 	data = append(data, s.holder...)
 	data = append(data, byte(s.state))
-	data = appendKeys(data, has)
-	return appendKeys(data, lacks)
+	data = appendKeys(data, s.has)
+	return appendKeys(data, s.lacks)
 }
 
 func appendKeys(data []byte, keys []Key) []byte {
@@ -200,26 +240,31 @@
 	return value
 }
 
-func (d *decoder) keys(parts map[Key]bool, has bool) {
+func (d *decoder) keys() []Key {
 	count := d.number()
 	if count > uint64(len(d.data)) {
 		d.failed = true
-		return
+		return nil
+	}
+	encoded := d.take(count * keyBytes)
+	if len(encoded) == 0 {
+		return nil
 	}
-	for rest := d.take(count * keyBytes); len(rest) >= keyBytes; rest = rest[keyBytes:] {
-		parts[Key(binary.LittleEndian.Uint32(rest))] = has
+	keys := make([]Key, 0, len(encoded)/keyBytes)
+	for ; len(encoded) >= keyBytes; encoded = encoded[keyBytes:] {
+		keys = append(keys, Key(binary.LittleEndian.Uint32(encoded)))
 	}
+	return keys
 }
 
 func (d *decoder) section() section {
-	s := section{parts: map[Key]bool{}}
+	s := section{}
 	s.holder = string(d.take(d.number()))
 	if state := d.take(1); len(state) == 1 {
 		s.state = kind(state[0])
 	}
 	d.failed = d.failed || s.state > isDown || s.state == absent
-	d.keys(s.parts, true)
-	d.keys(s.parts, false)
+	s.has, s.lacks = d.keys(), d.keys()
 	return s
 }
 
--- a/internal/residency/news_test.go
+++ b/internal/residency/news_test.go
@@ -184,3 +184,26 @@
 		}
 	}
 }
+
+// Most nodes are asked for news by nobody: they keep none. Whoever asks after a rest is
+// told everything.
+func TestNewsRestUntilSomebodyAsks(t *testing.T) {
+	l, heard := NewLedger(), NewLedger()
+	h := NewHearer(heard)
+	ask := func() {
+		asked := h.Place("n")
+		require.NoError(t, h.Take("n", asked, l.News(asked, false), time.Now()))
+	}
+	l.Replace("holder", []Key{1})
+	require.Empty(t, l.news.entries)
+	ask()
+	l.Apply("holder", []Change{{Key: 2, Present: true}})
+	require.Len(t, l.news.entries, 1)
+	ask()
+	for number := range 3 * mostNews {
+		l.Apply("holder", []Change{{Key: Key(3 + number%5), Present: number%2 == 0}})
+	}
+	require.Empty(t, l.news.entries, "nobody asks any more")
+	ask()
+	require.Equal(t, l.holdings["holder"].has, heard.holdings["holder"].has)
+}
