Ask a store that is down seldom, but for the readers

Change: after a reading that failed only readers ask again after 0.1 s, all others after 0.4 s: they hear through the readers that the store is back.

Test: TestANodeThatKnowsNobodyAsksAStoreThatIsDownSeldom.

--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -74,8 +74,11 @@
 const (
 	// readTimeout bounds one reading, which may take several calls in a large fleet.
 	readTimeout = 4 * time.Second
-	// soonPause is the wait after a reading that failed.
-	soonPause = 100 * time.Millisecond
+	// soonPause is a reader's wait after a reading that failed, and laterPause that of all
+	// others: a store that is back is heard of through the readers, and one that is down
+	// or overloaded is not asked ten times a second by hundreds of nodes.
+	soonPause  = 100 * time.Millisecond
+	laterPause = 400 * time.Millisecond
 	// gatherPause is the wait between readings while the fleet gathers. It is longer than
 	// a fleet takes to gather, so that two readings mostly do.
 	gatherPause = 550 * time.Millisecond
@@ -148,7 +151,7 @@
 		case !r.due(time.Now()):
 			pause.For(ctx, r.untilDue(time.Now()))
 		case r.read(ctx) != nil:
-			pause.For(ctx, soonPause)
+			pause.For(ctx, r.failurePause())
 		default:
 			// The store may hold no declaration yet.
 			pause.For(ctx, r.age(firstReadPart)/2)
@@ -156,6 +159,14 @@
 	}
 }
 
+// failurePause is the wait after a reading that failed.
+func (r *Reflector) failurePause() time.Duration {
+	if r.Reads() {
+		return soonPause
+	}
+	return laterPause
+}
+
 // age is a part of the bound.
 func (r *Reflector) age(part float64) time.Duration { return time.Duration(part * float64(r.Bound)) }
 
@@ -225,7 +236,7 @@
 		begun := time.Now()
 		rest := gatherPause
 		if err := r.bounded(ctx, func(ctx context.Context) error { return r.readNodes(ctx, old) }); err != nil {
-			rest = soonPause
+			rest = r.failurePause()
 		}
 		for ctx.Err() == nil && !r.Registry.Settled() && time.Since(begun) < rest {
 			pause.For(ctx, startPoll)
--- a/internal/reflector/reflector_test.go
+++ b/internal/reflector/reflector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -69,3 +70,27 @@
 		require.Equal(t, one.disturbs, !reflector.Belief.Load().Disturbed.IsZero(), name)
 	}
 }
+
+// downStore is a store that refuses every reading, and counts them.
+type downStore struct {
+	refusing
+	calls int
+}
+
+func (d *downStore) Nodes(ctx context.Context, old bool) ([]coordination.Entry, error) {
+	d.calls++
+	return d.refusing.Nodes(ctx, old)
+}
+
+// Hundreds of nodes that start while the store is down do not keep it down.
+func TestANodeThatKnowsNobodyAsksAStoreThatIsDownSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &downStore{refusing: refusing{err: failure.New(failure.KindUnavailable, "refused", "wait")}}
+		node := newFollower(store, &answering{lost: true})
+		ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+		defer stop()
+		node.gather(ctx)
+		require.LessOrEqual(t, store.calls, 26)
+		require.Greater(t, store.calls, 20)
+	})
+}
