--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -13,9 +13,9 @@
 	"github.com/cloverrail/cloverrail/internal/workshare"
 )
 
-// Delta is what a follower lacks of what a reader knows.
+// Delta is what the asker lacks of what a node knows.
 type Delta struct {
-	// Feed names the reader's process; Place is from where to read on.
+	// Feed names the process of the node that tells; Place is from where to read on.
 	Feed  string
 	Place int64
 	// Whole says that Changed is the whole list.
@@ -24,12 +24,12 @@
 	Gone    []string
 	// Loads is how far the roll-out of weights is; nil says that it is as before.
 	Loads *backend.Loads
-	// Age is how old the reader's list of servers is, and BeliefAge how long ago the
+	// Age is how old that node's list of servers is, and BeliefAge how long ago the
 	// call was sent that proved its declaration and weights current. It is negative
 	// if there was none.
 	Age       time.Duration
 	BeliefAge time.Duration
-	// DisturbedAgo is how long ago a reading of the reader failed last; negative if
+	// DisturbedAgo is how long ago the store last counted as unsound; negative if
 	// none did.
 	DisturbedAgo time.Duration
 	// Declaration is nil if it is not newer than the follower's. Weights holds the
@@ -42,11 +42,11 @@
 	Duties []coordination.Entry
 	// Work is what all nodes but the follower have under way at servers.
 	Work []backend.Work
-	// Kept is the reader's news of cached parts, or nil if there is none.
+	// Kept is the news of cached parts, or nil if there is none.
 	Kept []byte
 }
 
-// Question asks a reader for what has changed since a place in its feed.
+// Question asks a node for what has changed since a place in its feed.
 type Question struct {
 	Feed  string
 	Place int64
@@ -71,7 +71,7 @@
 // goneKept bounds the vanished servers that a feed remembers.
 const goneKept = 4096
 
-// Feed passes what a reader knows on to nodes that do not read the store. What a
+// Feed passes what a node knows on to nodes that do not read the store. What a
 // server writes anew without a change is not passed on, which is nearly all.
 type Feed struct {
 	name     string
@@ -213,7 +213,7 @@
 	return delta
 }
 
-// addBelief adds what the reader believes.
+// addBelief adds what this node believes.
 func (f *Feed) addBelief(delta *Delta, question Question, now time.Time) {
 	delta.BeliefAge, delta.DisturbedAgo = -1, -1
 	belief := f.belief.Load()
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -210,7 +210,7 @@
 	return question
 }
 
-// believe takes what a reader believes. The answer was made after the question was
+// believe takes what another node believes. The answer was made after the question was
 // sent, so its age counts from then: the belief is taken to be older than it is.
 func (r *Reflector) believe(delta Delta, sentAt time.Time) {
 	r.advance(catalog.Reading{
--- a/internal/workshare/board.go
+++ b/internal/workshare/board.go
@@ -1,8 +1,8 @@
 // Package workshare merges what the nodes of a fleet tell each other of their
 // work at servers, so that each knows the whole load and which servers fail.
 //
-// A few nodes, the readers, are asked by all others. Whoever asks a reader tells
-// it of its own work and hears of everybody else's; readers ask each other for
+// A few nodes, the relays, are asked by all others. Whoever asks a relay tells
+// it of its own work and hears of everybody else's; relays ask each other for
 // the work of their groups, which are the nodes that ask them.
 package workshare
 
@@ -48,11 +48,11 @@
 	b.followers[node] = report{work: work, at: now}
 }
 
-// TakeGroup takes the work of another reader's group.
-func (b *Board) TakeGroup(reader string, work []backend.Work, now time.Time) {
+// TakeGroup takes the work of another relay's group.
+func (b *Board) TakeGroup(relay string, work []backend.Work, now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.groups[reader] = report{work: work, at: now}
+	b.groups[relay] = report{work: work, at: now}
 }
 
 // Group returns the work of this node and of those that ask it.
