Tell in the log which broken attempts are tries of the same request

Cause: a try has an id of its own, and no line named what makes two tries the same (caller, method, host, target and body), so that the hypotheses on the incident could not be told apart. Change: a fingerprint of these on the line of each attempt that broke. No decision looks at it.

--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -7,6 +7,7 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/prefix"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/routing"
 )
@@ -58,7 +59,11 @@
 		Caller:      caller,
 		Stopping:    proxy.stopping,
 		Observe: func(server string, event exchange.Event) {
-			proxy.recorder.Attempt(admitted.request, server, event)
+			fingerprint := quarantine.Fingerprint(0)
+			if _, broke := event.(exchange.Broken); broke {
+				fingerprint = admitted.fingerprint()
+			}
+			proxy.recorder.Attempt(admitted.request, server, event, fingerprint)
 		},
 	}
 }
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/quota"
 	"github.com/cloverrail/cloverrail/internal/routing"
 )
@@ -27,8 +28,9 @@
 	// Limited hears of a request that is refused since its tenant asks for more than its
 	// limit, and of what decided it.
 	Limited(request *Request, tenant string, limit quota.Limit, decision quota.Decision)
-	// Attempt hears of each event of an attempt.
-	Attempt(request *Request, server string, event exchange.Event)
+	// Attempt hears of each event of an attempt. The fingerprint is that of the request if
+	// the attempt broke, and else 0.
+	Attempt(request *Request, server string, event exchange.Event, fingerprint quarantine.Fingerprint)
 	// Request hears of the end of a request. The route is nil if none was found.
 	Request(request *Request, route *catalog.Route, version int64, outcome exchange.Outcome)
 }
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -10,6 +10,7 @@
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/quota"
 	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/routing"
@@ -18,10 +19,10 @@
 // unheeded is a recorder that keeps nothing.
 type unheeded struct{}
 
-func (unheeded) Placed(*Request, Choice)                                   {}
-func (unheeded) Limited(*Request, string, quota.Limit, quota.Decision)     {}
-func (unheeded) Attempt(*Request, string, exchange.Event)                  {}
-func (unheeded) Request(*Request, *catalog.Route, int64, exchange.Outcome) {}
+func (unheeded) Placed(*Request, Choice)                                          {}
+func (unheeded) Limited(*Request, string, quota.Limit, quota.Decision)            {}
+func (unheeded) Attempt(*Request, string, exchange.Event, quarantine.Fingerprint) {}
+func (unheeded) Request(*Request, *catalog.Route, int64, exchange.Outcome)        {}
 
 // placing returns a placer of a prompt with 1,000 shared tokens and some of its
 // own, before servers and stores of the given numbers.
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -14,6 +14,7 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/proxy"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/quota"
 	"github.com/cloverrail/cloverrail/internal/rollout"
 	"github.com/cloverrail/cloverrail/internal/routing"
@@ -119,7 +120,7 @@
 
 // Attempt hears of each event of an attempt. Those of the ordinary course are
 // told by the request's last line alone.
-func (recorder *Recorder) Attempt(request *proxy.Request, server string, event exchange.Event) {
+func (recorder *Recorder) Attempt(request *proxy.Request, server string, event exchange.Event, fingerprint quarantine.Fingerprint) {
 	reason := ""
 	switch event := event.(type) {
 	case exchange.Arrived, exchange.Opened, exchange.Ended:
@@ -142,8 +143,11 @@
 	}
 	name := eventName(event)
 	recorder.metrics.attempts.WithLabelValues(name).Inc()
-	recorder.line(zerolog.InfoLevel).Str("id", request.ID).Str("server", server).Str("event", name).Str("reason", reason).
-		Dur("after", time.Since(request.Arrived)).Msg("attempt")
+	line := recorder.line(zerolog.InfoLevel).Str("id", request.ID).Str("server", server).Str("event", name).Str("reason", reason)
+	if fingerprint != 0 {
+		line.Stringer("fingerprint", fingerprint)
+	}
+	line.Dur("after", time.Since(request.Arrived)).Msg("attempt")
 }
 
 // Request hears of the end of a request.
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -65,6 +65,21 @@
 	require.Equal(t, []string{"a", "b", "c"}, page.lines())
 }
 
+// Two tries of a request have ids of their own; what tells that they are the same stands on
+// the line of each attempt that broke.
+func TestABrokenAttemptTellsWhichTriesAreTheSameRequest(t *testing.T) {
+	page := &page{}
+	recorder := NewRecorder(zerolog.New(page), NewMetrics(&catalog.Holder{}))
+	for _, id := range []string{"a", "b"} {
+		recorder.Attempt(&proxy.Request{ID: id}, "i-1", exchange.Broken{Reason: "EOF"}, 0x2a)
+	}
+	recorder.Attempt(&proxy.Request{ID: "c"}, "i-1", exchange.Refused{Reason: "503"}, 0)
+	lines := page.lines()
+	require.Contains(t, lines[0], `"fingerprint":"000000000000002a"`)
+	require.Contains(t, lines[1], `"fingerprint":"000000000000002a"`)
+	require.NotContains(t, lines[2], "fingerprint")
+}
+
 func TestTheLinesOfRequestsAreBoundedAndTheRestIsCounted(t *testing.T) {
 	page := &page{}
 	recorder := NewRecorder(zerolog.New(page), NewMetrics(&catalog.Holder{}))
