--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -38,6 +38,8 @@
 	front    *httptest.Server
 	requests atomic.Int64
 	version  int64
+	// kill ends the node as far as others can tell.
+	kill func()
 }
 
 const keptAddress = "127.0.0.1:9"
@@ -70,13 +72,27 @@
 // newFixture starts a proxy whose bounds are short, so that tests are. The
 // declaration is not there yet.
 func newFixture(t testing.TB) *fixture {
-	fixture := &fixture{t: t, store: standin.NewStore()}
-	storeServer := httptest.NewServer(fixture.store)
-	t.Cleanup(storeServer.Close)
+	store, address := newStore(t)
+	return newNode(t, store, address, "node")
+}
+
+// newStore starts a stand-in of the platform's store.
+func newStore(t testing.TB) (store *standin.Store, address string) {
+	store = standin.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	return store, server.Listener.Addr().String()
+}
+
+// newNode starts one node of a fleet, with its peer address open.
+func newNode(t testing.TB, store *standin.Store, storeAddress, name string) *fixture {
+	fixture := &fixture{t: t, store: store}
+	peers := httptest.NewUnstartedServer(nil)
 	given := settings.ProxyDefaults()
-	given.Name, given.Zone = "node", "a"
+	given.Name, given.Zone = name, "a"
 	given.Zones = map[string]string{"a": "r", "b": "r"}
-	given.StoreAddress = storeServer.Listener.Addr().String()
+	given.StoreAddress = storeAddress
+	given.PeerAddress = peers.Listener.Addr().String()
 	given.StoreLeastLease = 500 * time.Millisecond
 	given.Bounds.Configuration = 250 * time.Millisecond
 	given.Bounds.Revocation = 2 * time.Second
@@ -87,7 +103,13 @@
 	fixture.process, err = newProcess(given)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
+	fixture.kill = func() {
+		cancel()
+		peers.Close()
+	}
+	t.Cleanup(fixture.kill)
+	peers.Config.Handler = fixture.process.peerHandler()
+	peers.Start()
 	go fixture.process.reflector.Run(ctx)
 	fixture.process.keep(ctx)
 	fixture.front = httptest.NewServer(&platform.Ingress{Proxy: fixture.process.proxy, Stopping: fixture.process.stopping.Load})
