Hold requests off that end the servers that run them

Cause: what a request had done to servers was not remembered beyond one try and one node, so that a caller that came again ended one more server with each try. Change: package quarantine. A request is known by its fingerprint; that a server closed a connection before its whole answer, and has answered nothing sent later, counts against the request. After three such servers it is refused as not run, before its limit is charged and before each further attempt, at every node: facts travel with what nodes tell each other anyway (up to the first reader, down to all). One whole answer clears it. What is held off is kept in the shared store under a lease, for a fleet of which all nodes are replaced at once. Not yet shown: nodes that start, are cut off or suspended, bystanders, bounds at size; they follow.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -20,6 +20,7 @@
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/lease"
 	"github.com/cloverrail/cloverrail/internal/proxy"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/quota"
 	"github.com/cloverrail/cloverrail/internal/reflector"
 	"github.com/cloverrail/cloverrail/internal/residency"
@@ -37,6 +38,9 @@
 	// turnPerRank spreads the tries to take a duty over: the first reader, which the
 	// relays follow, comes first.
 	turnPerRank = 50 * time.Millisecond
+	// keepTurn is how long a node waits for each one of a better rank before it writes to
+	// the store what that one should have written: longer than a reading of it is old.
+	keepTurn = time.Second
 
 	connectTimeout = 300 * time.Millisecond
 	silenceTimeout = 1500 * time.Millisecond
@@ -55,12 +59,15 @@
 	retries  *proxy.Retries
 	ledger   *residency.Ledger
 	limiter  *quota.Limiter
+	requests *quarantine.Ledger
 	proxy    *proxy.Proxy
 	registry *fleet.Registry
 	feed     *reflector.Feed
 	work     *workshare.Board
 	// peers calls other nodes.
 	peers *http.Client
+	// quarantine writes requests that are held off into the store.
+	quarantine *quarantine.Keeper
 	// reflector reads the store or follows a node that does.
 	reflector *reflector.Reflector
 	stopping  atomic.Bool
@@ -90,6 +97,7 @@
 		Slack:     given.Bounds.QuotaSlack,
 	}, rand.Float64, time.Now())
 	process.ledger = residency.NewLedger()
+	process.requests = quarantine.NewLedger()
 	process.proxy = proxy.New(proxy.Options{
 		Belief:  process.belief,
 		Set:     process.set,
@@ -107,6 +115,7 @@
 		Recorder: process.recorder,
 		Ledger:   process.ledger,
 		Limiter:  process.limiter,
+		Requests: process.requests,
 	})
 	life := uuid.NewString()
 	process.registry = &fleet.Registry{
@@ -123,7 +132,8 @@
 		now := time.Now()
 		return workshare.Report{Work: process.set.Work(now), Quota: process.limiter.Report(now)}
 	})
-	process.feed = reflector.NewFeed(given.Name+" "+life, process.belief, process.registry, process.work, process.ledger)
+	process.feed = reflector.NewFeed(given.Name+" "+life, process.belief, process.registry, process.work, process.ledger, process.requests)
+	process.quarantine = process.newQuarantine()
 	process.reflector = process.newReflector()
 	return process, nil
 }
@@ -188,9 +198,27 @@
 			process.set.TakeWork(others.Work, now)
 			process.limiter.Take(others.Quota, now)
 		},
-		Kept:     residency.NewHearer(process.ledger),
+		Kept:       residency.NewHearer(process.ledger),
+		Quarantine: process.requests,
+		TakeHeld:   process.quarantine.Observe,
+		Recorder:   process.recorder,
+		Bound:      min(bounds.Configuration, bounds.Drain),
+	}
+}
+
+// newQuarantine returns what writes requests that are held off into the store.
+func (process *process) newQuarantine() *quarantine.Keeper {
+	return &quarantine.Keeper{
+		Store:    process.store.WithPurpose("quarantine"),
+		Ledger:   process.requests,
 		Recorder: process.recorder,
-		Bound:    min(bounds.Configuration, bounds.Drain),
+		Prefix:   platform.PrefixHeld,
+		Lives:    process.set.AnsweredSince,
+		Eligible: func() bool { return process.reflector.Reads() },
+		Turn: func() time.Duration {
+			return time.Duration(process.registry.Rank()) * keepTurn
+		},
+		Now: time.Now,
 	}
 }
 
@@ -244,6 +272,7 @@
 	bounds := process.settings.Bounds
 	handedBack := sync.WaitGroup{}
 	handedBack.Go(func() { process.registry.Run(ctx) })
+	handedBack.Go(func() { process.quarantine.Run(ctx) })
 	keeper := &lease.Keeper{
 		Store: process.store.WithPurpose("duty"),
 		Duty: &rollout.Duty{
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -30,7 +30,7 @@
 		known.deferred++
 	}
 	known.breaker.Sent(now)
-	return &Attempt{set: set, state: known, tokens: tokens, deferred: deferred}
+	return &Attempt{set: set, state: known, tokens: tokens, deferred: deferred, begun: now}
 }
 
 // Attempt is one attempt in flight.
@@ -40,6 +40,7 @@
 	tokens int
 	// deferred says that it has not started and that others go first.
 	deferred bool
+	begun    time.Time
 }
 
 // Started says that the server has read the prompt.
@@ -51,6 +52,7 @@
 	defer attempt.set.mutex.Unlock()
 	attempt.unqueue()
 	attempt.state.heardAt = now
+	attempt.state.answered(attempt.begun)
 }
 
 // HeardSince reports whether the server has answered anything since a time.
@@ -83,9 +85,30 @@
 	known := attempt.state
 	attempt.state = nil
 	known.inFlight--
+	switch result {
+	case exchange.ResultServed, exchange.ResultRefused, exchange.ResultFaulty:
+		known.answered(attempt.begun)
+	}
 	known.judge(result, now)
 }
 
+// answered notes that the server answered what was sent at a time, unless another
+// incarnation did so in its place.
+func (state *state) answered(sent time.Time) {
+	if state.goneUntil.IsZero() && sent.After(state.answeredSent) {
+		state.answeredSent = sent
+	}
+}
+
+// AnsweredSince reports whether a server, named by its ServerKey, has answered anything that
+// was sent after a time: it had not ended then.
+func (set *Set) AnsweredSince(server uint64, since time.Time) bool {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	known := set.byKey[server]
+	return known != nil && known.answeredSent.After(since)
+}
+
 func (state *state) judge(result exchange.Result, now time.Time) {
 	switch result {
 	case exchange.ResultServed, exchange.ResultRefused, exchange.ResultFaulty:
@@ -101,7 +124,7 @@
 	case exchange.ResultUnreached:
 		state.breaker.Failed(unreachedBreaker, now)
 		state.failures.note(1, now)
-	case exchange.ResultFaulty, exchange.ResultBroken, exchange.ResultSilent:
+	case exchange.ResultFaulty, exchange.ResultBroken, exchange.ResultCutOff, exchange.ResultSilent:
 		state.breaker.Failed(brokenBreaker, now)
 		state.failures.note(1, now)
 	default:
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -79,8 +79,10 @@
 	inFlight  int
 	// deferred counts those of them that let others go first and have not started.
 	deferred int
-	// heardAt is when the server last answered anything.
+	// heardAt is when the server last answered anything, and answeredSent when the latest
+	// attempt was sent that it has answered.
 	heardAt      time.Time
+	answeredSent time.Time
 	queuedTokens int
 	busyUntil    time.Time
 	// load is the move that it is making, if any.
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -272,7 +272,7 @@
 			tell(message{event: Ended{}, result: ResultServed})
 			return
 		case err != nil:
-			tell(message{event: Broken{Reason: err.Error()}, result: ResultBroken})
+			tell(failed(err))
 			return
 		}
 		raw := append([]byte(nil), next.Raw...)
@@ -292,11 +292,14 @@
 func failed(err error) message {
 	var refused *ErrRefused
 	var unreached *ErrUnreached
+	var cutOff *ErrCutOff
 	switch {
 	case errors.As(err, &refused):
 		return message{event: Refused{Reason: refused.Reason}, result: ResultRefused}
 	case errors.As(err, &unreached):
 		return message{event: Unreached{Reason: unreached.Reason}, result: ResultUnreached}
+	case errors.As(err, &cutOff):
+		return message{event: Broken{Reason: err.Error()}, result: ResultCutOff}
 	default:
 		return message{event: Broken{Reason: err.Error()}, result: ResultBroken}
 	}
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -44,6 +44,9 @@
 	ResultRefused
 	ResultUnreached
 	ResultBroken
+	// ResultCutOff says that the server closed the connection before its whole answer, as
+	// one that ends does.
+	ResultCutOff
 	ResultSilent
 )
 
@@ -66,6 +69,12 @@
 // Error shows the reason.
 func (unreached *ErrUnreached) Error() string { return "not reached: " + unreached.Reason }
 
+// ErrCutOff says that the server closed the connection before its whole answer.
+type ErrCutOff struct{ Reason string }
+
+// Error shows the reason.
+func (c *ErrCutOff) Error() string { return c.Reason }
+
 // Placement is a chosen server, on which the attempt counts as in flight.
 type Placement interface {
 	// Server names the server's incarnation.
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -34,6 +34,7 @@
 	KindUnknownOutcome   Kind = "unknown_outcome"
 	KindUnavailable      Kind = "unavailable"
 	KindCallerLeft       Kind = "caller_left"
+	KindHeldOff          Kind = "held_off"
 )
 
 // Outcome says whether the back end ran the request.
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -178,6 +178,9 @@
 func (placement *placement) End(result exchange.Result) {
 	now := time.Now()
 	placement.attempt.End(result, now)
+	if result == exchange.ResultCutOff {
+		placement.placer.proxy.suspect(placement.placer.admitted, placement.chosen.Endpoint, now)
+	}
 	if result == exchange.ResultServed && placement.started && placement.placer.prompt() != nil {
 		placement.placer.proxy.slotTime.measure(now.Sub(placement.startedAt) + placement.readingTime())
 	}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -101,6 +101,9 @@
 // Place filters, scores and picks among the servers known now.
 func (placer *placer) Place(excluded []string) (exchange.Placement, *exchange.Unplaced) {
 	now := time.Now()
+	if verdict := placer.proxy.heldOff(placer.admitted, now); verdict.Held {
+		return nil, &exchange.Unplaced{Reason: heldOffProblem(verdict), Lasting: true}
+	}
 	candidates := placer.proxy.set.Candidates(nil, placer.query(now), now)
 	if len(candidates) == 0 {
 		return nil, &exchange.Unplaced{Reason: "no server is known"}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/pause"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/quota"
 	"github.com/cloverrail/cloverrail/internal/residency"
 )
@@ -142,6 +143,7 @@
 	slotTime *slotTime
 	ledger   *residency.Ledger
 	limiter  *quota.Limiter
+	requests *quarantine.Ledger
 	stopping chan struct{}
 	open     atomic.Int64
 	refusing atomic.Bool
@@ -158,6 +160,8 @@
 	Recorder Recorder
 	Ledger   *residency.Ledger
 	Limiter  *quota.Limiter
+	// Requests is what requests have done to servers.
+	Requests *quarantine.Ledger
 }
 
 // New returns a proxy.
@@ -172,6 +176,7 @@
 		recorder: options.Recorder,
 		ledger:   options.Ledger,
 		limiter:  options.Limiter,
+		requests: options.Requests,
 		started:  time.Now(),
 		pace:     newPace(),
 		slotTime: newSlotTime(),
@@ -222,6 +227,8 @@
 	service  *catalog.Service
 	tenant   *catalog.Tenant
 	deadline time.Time
+	// print is the request's fingerprint, or 0 while nobody has asked for it.
+	print quarantine.Fingerprint
 }
 
 // Serve carries a request to its end. The context ends when the caller leaves.
@@ -229,6 +236,9 @@
 	proxy.open.Add(1)
 	defer proxy.open.Add(-1)
 	admitted, refusal := proxy.admit(request, time.Now())
+	if refusal == nil {
+		refusal = proxy.checkQuarantine(admitted, time.Now())
+	}
 	if refusal == nil {
 		refusal = proxy.checkLimit(admitted, time.Now())
 	}
@@ -241,6 +251,9 @@
 	bounded, cancel := context.WithDeadline(ctx, admitted.deadline)
 	defer cancel()
 	outcome := exchange.Run(bounded, proxy.exchange(admitted, caller))
+	if outcome.Failure == nil {
+		proxy.served(admitted, time.Now())
+	}
 	proxy.settleLimit(admitted, outcome, time.Now())
 	proxy.recorder.Request(request, admitted.route, admitted.belief.Snapshot.Version, outcome)
 	return outcome
--- /dev/null
+++ b/internal/proxy/quarantine.go
@@ -0,0 +1,85 @@
+package proxy
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
+)
+
+// settleTime is how long a server that closed a connection before its whole answer has to
+// answer something that was sent later. Servers do many times a second while they are in
+// use; the rest of the time until the whole fleet knows is the way between nodes.
+const settleTime = 500 * time.Millisecond
+
+// Suspicion is a server that may have ended under a request.
+type Suspicion struct {
+	Fingerprint quarantine.Fingerprint
+	Server      string
+	// Ended is false if the server has answered what was sent later.
+	Ended bool
+	// After is the time in which that was settled.
+	After time.Duration
+}
+
+// fingerprint is the same for all tries of the request.
+func (admitted *admitted) fingerprint() quarantine.Fingerprint {
+	if admitted.print == 0 {
+		request := admitted.request
+		identity := quarantine.Identity{Method: request.Method, Host: request.Host, Target: request.Target, Body: request.Body}
+		if admitted.tenant != nil {
+			identity.Caller = admitted.tenant.Name
+		}
+		admitted.print = identity.Fingerprint()
+	}
+	return admitted.print
+}
+
+// heldOff returns the verdict on a request. While nothing is suspected, it costs nothing.
+func (proxy *Proxy) heldOff(admitted *admitted, now time.Time) quarantine.Verdict {
+	if !proxy.requests.Active() {
+		return quarantine.Verdict{}
+	}
+	return proxy.requests.Judge(admitted.fingerprint(), proxy.set.AnsweredSince, now)
+}
+
+// checkQuarantine refuses a request under which servers have ended. It is refused as not
+// run, with the time at which it may be tried again: that servers ended is no proof, and
+// an answer that forbids to come back would be wrong for those that only ran beside.
+func (proxy *Proxy) checkQuarantine(admitted *admitted, now time.Time) *failure.Failure {
+	verdict := proxy.heldOff(admitted, now)
+	if !verdict.Held {
+		return nil
+	}
+	proxy.recorder.HeldOff(admitted.request, admitted.fingerprint(), verdict)
+	return failure.New(failure.KindHeldOff, heldOffProblem(verdict), "change the request, or send it again after the time given").
+		WithRetryAfter(verdict.Until.Sub(now))
+}
+
+func heldOffProblem(verdict quarantine.Verdict) string {
+	if verdict.Ends == 0 {
+		return "servers have ended while they ran this request"
+	}
+	return fmt.Sprintf("%d servers have ended while they ran this request", verdict.Ends)
+}
+
+// suspect takes that a server closed the connection before its whole answer to a request.
+func (proxy *Proxy) suspect(admitted *admitted, server string, at time.Time) {
+	fingerprint, key := admitted.fingerprint(), backend.ServerKey(server)
+	proxy.requests.Suspect(fingerprint)
+	time.AfterFunc(settleTime, func() {
+		now := time.Now()
+		ended := !proxy.set.AnsweredSince(key, at)
+		proxy.requests.Settle(fingerprint, key, at, ended, now)
+		proxy.recorder.Settled(Suspicion{Fingerprint: fingerprint, Server: server, Ended: ended, After: now.Sub(at)})
+	})
+}
+
+// served takes that a request had a whole answer.
+func (proxy *Proxy) served(admitted *admitted, now time.Time) {
+	if proxy.requests.Active() && proxy.requests.Served(admitted.fingerprint(), now) {
+		proxy.recorder.Cleared(admitted.request, admitted.fingerprint())
+	}
+}
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -31,6 +31,12 @@
 	// Attempt hears of each event of an attempt. The fingerprint is that of the request if
 	// the attempt broke, and else 0.
 	Attempt(request *Request, server string, event exchange.Event, fingerprint quarantine.Fingerprint)
+	// HeldOff hears of a request that is refused for the servers that ended under it.
+	HeldOff(request *Request, fingerprint quarantine.Fingerprint, verdict quarantine.Verdict)
+	// Settled hears whether a server ended under a request.
+	Settled(suspicion Suspicion)
+	// Cleared hears of a request that was suspected and has had a whole answer.
+	Cleared(request *Request, fingerprint quarantine.Fingerprint)
 	// Request hears of the end of a request. The route is nil if none was found.
 	Request(request *Request, route *catalog.Route, version int64, outcome exchange.Outcome)
 }
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -22,6 +22,9 @@
 func (unheeded) Placed(*Request, Choice)                                          {}
 func (unheeded) Limited(*Request, string, quota.Limit, quota.Decision)            {}
 func (unheeded) Attempt(*Request, string, exchange.Event, quarantine.Fingerprint) {}
+func (unheeded) HeldOff(*Request, quarantine.Fingerprint, quarantine.Verdict)     {}
+func (unheeded) Settled(Suspicion)                                                {}
+func (unheeded) Cleared(*Request, quarantine.Fingerprint)                         {}
 func (unheeded) Request(*Request, *catalog.Route, int64, exchange.Outcome)        {}
 
 // placing returns a placer of a prompt with 1,000 shared tokens and some of its
@@ -43,7 +46,7 @@
 	}
 	set.Update(list, time.Now())
 	prompt := &Prompt{Model: "m", Tokens: 1000 + own, Parts: []Part{{ID: "a", Tokens: 1000}, {ID: "b", Tokens: own}}}
-	return newPlacer(New(Options{Belief: holder, Distance: func(string) int { return 0 }, Set: set, Ledger: residency.NewLedger(), Recorder: unheeded{}}), &admitted{
+	return newPlacer(New(Options{Belief: holder, Distance: func(string) int { return 0 }, Set: set, Ledger: residency.NewLedger(), Recorder: unheeded{}, Requests: quarantine.NewLedger()}), &admitted{
 		request: &Request{Prompt: prompt}, belief: holder.Load(), route: &catalog.Route{}, service: snapshot.Service("s"),
 	})
 }
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -9,6 +9,7 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/fleet"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/workshare"
 )
@@ -44,6 +45,10 @@
 	Others workshare.Report
 	// Kept is the news of cached parts, or nil if there is none.
 	Kept []byte
+	// Suspicions is what requests have done to servers, as far as the follower lacks it, and
+	// SuspicionsPlace from where to read on. The place is 0 if there is nothing new.
+	Suspicions      []quarantine.Item
+	SuspicionsPlace int64
 }
 
 // Question asks a node for what has changed since a place in its feed.
@@ -66,6 +71,10 @@
 	Own workshare.Report
 	// Kept is up to where the follower has heard the other's news of cached parts.
 	Kept residency.Place
+	// Suspicions is what the follower found out of requests and has not told yet, and
+	// SuspicionsPlace up to where it has heard the feed's.
+	Suspicions      []quarantine.Item
+	SuspicionsPlace int64
 }
 
 // goneKept bounds the vanished servers that a feed remembers.
@@ -79,6 +88,7 @@
 	registry *fleet.Registry
 	work     *workshare.Board
 	kept     *residency.Ledger
+	requests *quarantine.Ledger
 
 	mutex   sync.Mutex
 	changed chan struct{}
@@ -99,11 +109,13 @@
 }
 
 // NewFeed returns an empty feed with a name that no other has.
-func NewFeed(name string, belief *catalog.Holder, registry *fleet.Registry, work *workshare.Board, kept *residency.Ledger) *Feed {
-	return &Feed{
-		name: name, belief: belief, registry: registry, work: work, kept: kept,
+func NewFeed(name string, belief *catalog.Holder, registry *fleet.Registry, work *workshare.Board, kept *residency.Ledger, requests *quarantine.Ledger) *Feed {
+	f := &Feed{
+		name: name, belief: belief, registry: registry, work: work, kept: kept, requests: requests,
 		changed: make(chan struct{}), servers: map[string]placedServer{}, gone: map[string]int64{},
 	}
+	requests.Changed = f.Wake
+	return f
 }
 
 // Take takes a whole list as it was read at a time.
@@ -200,7 +212,12 @@
 	if !question.Relay {
 		f.work.TakeFollower(question.Node, question.Own, time.Now())
 	}
+	if question.Feed != f.name {
+		question.SuspicionsPlace = 0
+	}
+	f.requests.Take(question.Suspicions, question.Node, time.Now())
 	delta := f.await(ctx, question)
+	f.addSuspicions(&delta, question, time.Now())
 	f.addBelief(&delta, question, time.Now())
 	delta.Fleet = f.registry.NewerThan(question.Fleet)
 	if question.Reader {
@@ -213,6 +230,14 @@
 	return delta
 }
 
+// addSuspicions adds what requests have done to servers.
+func (f *Feed) addSuspicions(delta *Delta, question Question, now time.Time) {
+	items, next := f.requests.Since(question.SuspicionsPlace, question.Node, quarantine.All, now)
+	if next != question.SuspicionsPlace {
+		delta.Suspicions, delta.SuspicionsPlace = items, next
+	}
+}
+
 // addBelief adds what this node believes.
 func (f *Feed) addBelief(delta *Delta, question Question, now time.Time) {
 	delta.BeliefAge, delta.DisturbedAgo = -1, -1
@@ -233,10 +258,10 @@
 	}
 }
 
-// await returns what has changed in the list of servers.
+// await returns what has changed in the list of servers, at once if there is other news.
 func (f *Feed) await(ctx context.Context, question Question) Delta {
 	delta, changed := f.since(question)
-	if delta.Place != question.Place || delta.Whole {
+	if delta.Place != question.Place || delta.Whole || f.requests.Place() != question.SuspicionsPlace {
 		return delta
 	}
 	select {
--- a/internal/reflector/feed_test.go
+++ b/internal/reflector/feed_test.go
@@ -13,13 +13,14 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/property"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/workshare"
 )
 
 // newFeed returns a feed of a node that believes nothing and has no work.
 func newFeed(name string) *Feed {
-	return NewFeed(name, &catalog.Holder{}, &fleet.Registry{}, workshare.New(func() workshare.Report { return workshare.Report{} }), residency.NewLedger())
+	return NewFeed(name, &catalog.Holder{}, &fleet.Registry{}, workshare.New(func() workshare.Report { return workshare.Report{} }), residency.NewLedger(), quarantine.NewLedger())
 }
 
 func TestACopyEqualsTheListWhateverItMissed(t *testing.T) {
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -11,6 +11,7 @@
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/pause"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/residency"
 )
 
@@ -99,6 +100,7 @@
 // next one when there is no answer, or when what it hears is old.
 func (r *Reflector) follow(ctx context.Context) {
 	copied := &Copy{}
+	told := &telling{}
 	turn := 0
 	changedAt := time.Time{}
 	var left error
@@ -115,7 +117,7 @@
 			changedAt = time.Now()
 		}
 		begun := time.Now()
-		left = r.ask(ctx, node, copied)
+		left = r.ask(ctx, node, copied, told)
 		switch {
 		case left == nil:
 			pause.For(ctx, r.askPause()-time.Since(begun))
@@ -138,15 +140,18 @@
 
 // ask takes one delta, and returns why the node is not worth following, if it is not.
 // What a node that believes old things tells of all else counts all the same.
-func (r *Reflector) ask(ctx context.Context, node string, copied *Copy) error {
+func (r *Reflector) ask(ctx context.Context, node string, copied *Copy, told *telling) error {
 	ctx, cancel := context.WithTimeout(ctx, askWait+askMargin)
 	defer cancel()
 	sentAt := time.Now()
 	question := r.question(node, copied, sentAt)
+	toldUpTo := r.tell(&question, node, told, sentAt)
 	delta, err := r.Peers.Ask(ctx, node, question)
 	if err != nil {
 		return err
 	}
+	told.answered(delta, toldUpTo)
+	r.Quarantine.Take(delta.Suspicions, node, time.Now())
 	readAt := sentAt.Add(-delta.Age)
 	if list, changed := copied.Apply(delta, readAt); changed {
 		r.takeList(list, readAt)
@@ -177,6 +182,40 @@
 	return nil
 }
 
+// telling is how far a node has exchanged with a feed what requests have done to servers.
+type telling struct {
+	feed string
+	// heard is a place in the feed's ledger, told one in this node's own.
+	heard int64
+	told  int64
+}
+
+// tell adds to a question what the asker has found out of requests, and returns up to which
+// place of its own ledger. Relays pass on what they were told, too.
+func (r *Reflector) tell(question *Question, node string, told *telling, now time.Time) int64 {
+	which := quarantine.Own
+	if question.Relay {
+		which = quarantine.All
+	}
+	question.SuspicionsPlace = told.heard
+	items, next := r.Quarantine.Since(told.told, node, which, now)
+	question.Suspicions = items
+	return next
+}
+
+// answered notes that a question was answered that told all up to a place. A feed that did
+// not hear the questions before is told everything anew.
+func (t *telling) answered(delta Delta, upTo int64) {
+	if t.feed != delta.Feed {
+		*t = telling{feed: delta.Feed}
+	} else {
+		t.told = upTo
+	}
+	if delta.SuspicionsPlace != 0 {
+		t.heard = delta.SuspicionsPlace
+	}
+}
+
 // TakeLoads takes how far the roll-out of weights is, and passes it on.
 func (r *Reflector) TakeLoads(loads backend.Loads) {
 	if r.Feed.TakeLoads(loads) {
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -13,6 +13,7 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/fleet"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/workshare"
 )
@@ -60,9 +61,11 @@
 	belief, set := &catalog.Holder{}, backend.NewSet()
 	work := workshare.New(func() workshare.Report { return workshare.Report{} })
 	ledger := residency.NewLedger()
+	requests := quarantine.NewLedger()
 	return &Reflector{
 		Source: source, Peers: peers, Belief: belief, Set: set, Registry: registry, Recorder: silent{}, Bound: 2 * time.Second,
-		Work: work, TakeReport: func(others workshare.Report, now time.Time) { set.TakeWork(others.Work, now) }, Feed: NewFeed("follower", belief, registry, work, ledger), Kept: residency.NewHearer(ledger),
+		Work: work, TakeReport: func(others workshare.Report, now time.Time) { set.TakeWork(others.Work, now) }, Feed: NewFeed("follower", belief, registry, work, ledger, requests), Kept: residency.NewHearer(ledger),
+		Quarantine: requests, TakeHeld: func([]coordination.Entry) {},
 	}
 }
 
@@ -77,11 +80,11 @@
 	kept.Replace("store", []residency.Key{7})
 	reader := &answering{feed: NewFeed("reader", belief, registry, workshare.New(func() workshare.Report {
 		return workshare.Report{Work: []backend.Work{{Server: backend.ServerKey("i-1"), Running: 4}}}
-	}), kept)}
+	}), kept, quarantine.NewLedger())}
 	reader.feed.Take([]backend.Server{{Instance: "i-1", Service: "s"}}, time.Now())
 	follower := newFollower(&counting{}, reader)
 
-	require.NoError(t, follower.ask(context.Background(), "reader", &Copy{}))
+	require.NoError(t, follower.ask(context.Background(), "reader", &Copy{}, &telling{}))
 	heard := follower.Belief.Load()
 	require.Equal(t, int64(7), heard.Snapshot.Version)
 	require.NotNil(t, heard.Snapshot.TenantOf("k"))
@@ -95,7 +98,7 @@
 
 	disturbed := time.Now().Add(-100 * time.Millisecond)
 	belief.Store(catalog.Disturb(belief.Load(), disturbed))
-	require.NoError(t, follower.ask(context.Background(), "reader", &Copy{}))
+	require.NoError(t, follower.ask(context.Background(), "reader", &Copy{}, &telling{}))
 	require.WithinDuration(t, disturbed, follower.Belief.Load().Disturbed, 50*time.Millisecond)
 	require.False(t, follower.Belief.Load().Disturbed.After(disturbed))
 }
@@ -184,10 +187,10 @@
 	work := workshare.New(func() workshare.Report {
 		return workshare.Report{Work: []backend.Work{{Server: backend.ServerKey("i-1"), Running: 4}}}
 	})
-	feed := NewFeed("relay", belief, &fleet.Registry{Resized: func(int) {}}, work, residency.NewLedger())
+	feed := NewFeed("relay", belief, &fleet.Registry{Resized: func(int) {}}, work, residency.NewLedger(), quarantine.NewLedger())
 	feed.Take([]backend.Server{{Instance: "i-1", Service: "s"}}, time.Now())
 	follower := newFollower(&counting{}, &answering{feed: feed})
-	require.Equal(t, errStale, follower.ask(context.Background(), "relay", &Copy{}))
+	require.Equal(t, errStale, follower.ask(context.Background(), "relay", &Copy{}, &telling{}))
 	candidates := follower.Set.Candidates(nil, backend.Query{Service: "s", Distance: func(string) int { return 0 }}, time.Now())
 	require.Equal(t, 4, candidates[0].Running)
 	require.Equal(t, int64(1), follower.Belief.Load().Snapshot.Version)
@@ -222,13 +225,13 @@
 func TestAFollowerIsUpToDateAfterEveryAnswer(t *testing.T) {
 	belief := &catalog.Holder{}
 	belief.Store(catalog.Advance(nil, catalog.Reading{SentAt: time.Now(), Declaration: &catalog.Declaration{Version: 1}}))
-	feed := NewFeed("reader", belief, &fleet.Registry{Resized: func(int) {}}, workshare.New(func() workshare.Report { return workshare.Report{} }), residency.NewLedger())
+	feed := NewFeed("reader", belief, &fleet.Registry{Resized: func(int) {}}, workshare.New(func() workshare.Report { return workshare.Report{} }), residency.NewLedger(), quarantine.NewLedger())
 	feed.Take([]backend.Server{{Instance: "i-1", Service: "s"}}, time.Now())
 	follower := newFollower(&counting{}, &answering{feed: feed})
 	copied := &Copy{}
-	require.NoError(t, follower.ask(context.Background(), "reader", copied))
+	require.NoError(t, follower.ask(context.Background(), "reader", copied, &telling{}))
 	feed.TakeLoads(backend.Loads{Mark: backend.LoadsMark{Fence: 1}, Loading: []backend.Load{{Instance: "i-1", Model: "m", Version: 2}}})
-	require.NoError(t, follower.ask(context.Background(), "reader", copied))
+	require.NoError(t, follower.ask(context.Background(), "reader", copied, &telling{}))
 	delta, _ := feed.since(copied.Question(0))
 	require.Equal(t, copied.place, delta.Place, "there is nothing that it lacks")
 	require.Nil(t, delta.Loads)
@@ -238,14 +241,14 @@
 func TestReadersHearOfDuties(t *testing.T) {
 	registry := &fleet.Registry{Resized: func(int) {}}
 	registry.ObserveDuties([]coordination.Entry{{Key: "holder", Revision: 4}}, time.Now())
-	feed := NewFeed("first", &catalog.Holder{}, registry, workshare.New(func() workshare.Report { return workshare.Report{} }), residency.NewLedger())
+	feed := NewFeed("first", &catalog.Holder{}, registry, workshare.New(func() workshare.Report { return workshare.Report{} }), residency.NewLedger(), quarantine.NewLedger())
 	for part, fits := range map[string]func(*fleet.Registry) bool{
 		"reader": func(r *fleet.Registry) bool { return r.Rank() == 1 },
 		"relay":  func(r *fleet.Registry) bool { return r.Relaying() && !r.Reading() },
 	} {
 		node := newFollower(&counting{}, &answering{feed: feed})
 		settleAs(node.Registry, fits)
-		_ = node.ask(context.Background(), "first", &Copy{})
+		_ = node.ask(context.Background(), "first", &Copy{}, &telling{})
 		require.Equal(t, part == "reader", node.Registry.Exists("holder"))
 		require.Equal(t, part == "reader", !node.Registry.FirstSeen("holder", 4).IsZero())
 	}
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -20,6 +20,7 @@
 	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/pause"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/workshare"
 )
@@ -32,6 +33,8 @@
 	// nodes, which is nil if they were left out.
 	Duties []coordination.Entry
 	Nodes  []coordination.Entry
+	// Held holds the entries of requests that are held off.
+	Held []coordination.Entry
 }
 
 // Source reads the store. Its readings are linearizable unless it is said otherwise.
@@ -116,7 +119,11 @@
 	// TakeReport takes what all other nodes have under way and use. It must not block.
 	TakeReport func(others workshare.Report, now time.Time)
 	Kept       *residency.Hearer
-	Recorder   Recorder
+	// Quarantine is what requests have done to servers.
+	Quarantine *quarantine.Ledger
+	// TakeHeld takes the requests that the store holds off. It must not block.
+	TakeHeld func(held []coordination.Entry)
+	Recorder Recorder
 	// Bound is the age that what a node knows must never reach.
 	Bound time.Duration
 
@@ -248,6 +255,7 @@
 	}
 	r.takeList(observation.Servers, begun)
 	r.Registry.ObserveDuties(observation.Duties, time.Now())
+	r.TakeHeld(observation.Held)
 	if observation.Nodes != nil {
 		r.Registry.ObserveNodes(observation.Nodes, time.Now())
 		r.nodesAt.store(begun)
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -15,6 +15,7 @@
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/coordination"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/quota"
 	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/workshare"
@@ -60,14 +61,26 @@
 	Work        []backend.Work
 	Quota       []byte
 	Kept        residency.Place
+	// Suspicions is encoded apart, and nil mostly.
+	Suspicions      []byte
+	SuspicionsPlace int64
 }
 
 // encode writes a question.
 func (q Question) encode(w io.Writer) error {
-	return errors.Trace(gob.NewEncoder(w).Encode(wireQuestion{
+	wired := wireQuestion{
 		Feed: q.Feed, Place: q.Place, Wait: q.Wait, Node: q.Node, Declaration: q.Declaration, Fleet: q.Fleet,
 		Relay: q.Relay, Reader: q.Reader, Work: q.Own.Work, Quota: q.Own.Quota.Encode(), Kept: q.Kept,
-	}))
+		SuspicionsPlace: q.SuspicionsPlace,
+	}
+	if q.Suspicions != nil {
+		encoded, err := encodeApart(q.Suspicions)
+		if err != nil {
+			return err
+		}
+		wired.Suspicions = encoded
+	}
+	return errors.Trace(gob.NewEncoder(w).Encode(wired))
 }
 
 // decodeQuestion reads a question.
@@ -76,11 +89,18 @@
 	if err := gob.NewDecoder(r).Decode(&w); err != nil {
 		return Question{}, errors.Trace(err)
 	}
-	used, err := quota.DecodeReport(w.Quota)
-	return Question{
+	q := Question{
 		Feed: w.Feed, Place: w.Place, Wait: w.Wait, Node: w.Node, Declaration: w.Declaration, Fleet: w.Fleet,
-		Relay: w.Relay, Reader: w.Reader, Own: workshare.Report{Work: w.Work, Quota: used}, Kept: w.Kept,
-	}, err
+		Relay: w.Relay, Reader: w.Reader, Kept: w.Kept, SuspicionsPlace: w.SuspicionsPlace,
+	}
+	if w.Suspicions != nil {
+		if err := gob.NewDecoder(bytes.NewReader(w.Suspicions)).Decode(&q.Suspicions); err != nil {
+			return Question{}, errors.Trace(err)
+		}
+	}
+	used, err := quota.DecodeReport(w.Quota)
+	q.Own = workshare.Report{Work: w.Work, Quota: used}
+	return q, err
 }
 
 // wireDelta is a Delta on the wire. What is needed only now and then is encoded apart, in
@@ -107,10 +127,14 @@
 	Declaration *catalog.Declaration
 	Fleet       []coordination.Entry
 	Duties      []coordination.Entry
+
+	Suspicions      []quarantine.Item
+	SuspicionsPlace int64
 }
 
 func (r wireRest) empty() bool {
-	return !r.Whole && r.Changed == nil && r.Gone == nil && r.Loads == nil && r.Declaration == nil && r.Fleet == nil && r.Duties == nil
+	return !r.Whole && r.Changed == nil && r.Gone == nil && r.Loads == nil && r.Declaration == nil && r.Fleet == nil &&
+		r.Duties == nil && r.SuspicionsPlace == 0
 }
 
 // encode writes a delta.
@@ -122,6 +146,7 @@
 	rest := wireRest{
 		Whole: d.Whole, Changed: d.Changed, Gone: d.Gone, Loads: d.Loads,
 		Declaration: d.Declaration, Fleet: d.Fleet, Duties: d.Duties,
+		Suspicions: d.Suspicions, SuspicionsPlace: d.SuspicionsPlace,
 	}
 	if !rest.empty() {
 		encoded, err := encodeApart(rest)
@@ -150,6 +175,7 @@
 		Weights: w.Weights, Others: workshare.Report{Work: w.Work, Quota: used}, Kept: w.Kept,
 		Whole: rest.Whole, Changed: rest.Changed, Gone: rest.Gone, Loads: rest.Loads,
 		Declaration: rest.Declaration, Fleet: rest.Fleet, Duties: rest.Duties,
+		Suspicions: rest.Suspicions, SuspicionsPlace: rest.SuspicionsPlace,
 	}, nil
 }
 
--- a/internal/reflector/transport_test.go
+++ b/internal/reflector/transport_test.go
@@ -15,6 +15,7 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/fleet"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/quota"
 	"github.com/cloverrail/cloverrail/internal/residency"
 	"github.com/cloverrail/cloverrail/internal/workshare"
@@ -25,7 +26,7 @@
 	board.TakeFollower("f", workshare.Report{Work: []backend.Work{{Server: 1, Running: 3, Suspects: 1}}}, time.Now())
 	recorder := httptest.NewRecorder()
 	kept := residency.NewLedger()
-	feed := NewFeed("relay", &catalog.Holder{}, &fleet.Registry{}, board, kept)
+	feed := NewFeed("relay", &catalog.Holder{}, &fleet.Registry{}, board, kept, quarantine.NewLedger())
 	WorkHandler(feed)(recorder, httptest.NewRequest(http.MethodGet, PathWork, nil))
 	require.Less(t, recorder.Body.Len(), 200)
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -21,6 +21,9 @@
 	replaced        prometheus.Counter
 	limited         prometheus.Counter
 	deferred        prometheus.Counter
+	heldOff         prometheus.Counter
+	suspicions      *prometheus.CounterVec
+	cleared         prometheus.Counter
 	garbled         prometheus.Counter
 	follows         prometheus.Counter
 	storeCalls      *prometheus.CounterVec
@@ -62,6 +65,15 @@
 		deferred: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_deferred_total", Help: "Placements of requests that will be late and let others go first.",
 		}),
+		heldOff: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_held_off_total", Help: "Requests refused since servers ended while they ran them.",
+		}),
+		suspicions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_suspicions_total", Help: "Connections that servers closed before their whole answer, by whether the server had ended.",
+		}, []string{"outcome"}),
+		cleared: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_cleared_total", Help: "Whole answers that cleared a request under which servers had ended.",
+		}),
 		garbled: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_garbled_news_total", Help: "Answers of other nodes about cached parts that could not be read.",
 		}),
@@ -87,6 +99,6 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstAnswer, metrics.reads,
-		metrics.orders, metrics.connections, metrics.replaced, metrics.limited, metrics.deferred, metrics.garbled, metrics.follows, metrics.storeCalls, metrics.version, metrics.suppressedLines, age)
+		metrics.orders, metrics.connections, metrics.replaced, metrics.limited, metrics.deferred, metrics.heldOff, metrics.suspicions, metrics.cleared, metrics.garbled, metrics.follows, metrics.storeCalls, metrics.version, metrics.suppressedLines, age)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -100,6 +100,35 @@
 		Dur("retry_after", decision.RetryAfter).Msg("limited")
 }
 
+// HeldOff hears of a request that is refused for the servers that ended under it.
+func (recorder *Recorder) HeldOff(request *proxy.Request, fingerprint quarantine.Fingerprint, verdict quarantine.Verdict) {
+	recorder.metrics.heldOff.Inc()
+	recorder.line(zerolog.InfoLevel).Str("id", request.ID).Stringer("fingerprint", fingerprint).Int("ended", verdict.Ends).
+		Float64("weight", verdict.Weight).Bool("stored", verdict.Stored).Time("until", verdict.Until).Msg("held off")
+}
+
+// Settled hears whether a server ended under a request.
+func (recorder *Recorder) Settled(suspicion proxy.Suspicion) {
+	outcome := "lives"
+	if suspicion.Ended {
+		outcome = "ended"
+	}
+	recorder.metrics.suspicions.WithLabelValues(outcome).Inc()
+	recorder.line(zerolog.InfoLevel).Stringer("fingerprint", suspicion.Fingerprint).Str("server", suspicion.Server).
+		Str("outcome", outcome).Dur("after", suspicion.After).Msg("a server closed a connection before its whole answer")
+}
+
+// Cleared hears of a request that was suspected and has had a whole answer.
+func (recorder *Recorder) Cleared(request *proxy.Request, fingerprint quarantine.Fingerprint) {
+	recorder.metrics.cleared.Inc()
+	recorder.line(zerolog.InfoLevel).Str("id", request.ID).Stringer("fingerprint", fingerprint).Msg("cleared")
+}
+
+// Kept hears of what is written of requests that are held off into the shared store.
+func (recorder *Recorder) Kept(fingerprint quarantine.Fingerprint, held bool, err error) {
+	recorder.log.Info().Stringer("fingerprint", fingerprint).Bool("held", held).Err(err).Msg("the store is told of a request that is held off")
+}
+
 // costs writes the terms of a cost in milliseconds of engine time.
 func costs(terms []routing.Term) *zerolog.Event {
 	all := zerolog.Dict()
