--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/lease"
@@ -90,12 +91,12 @@
 		Ratio:  given.Bounds.RetryRatio,
 		Extra:  given.Bounds.RetryExtra,
 		Window: given.Bounds.RetryWindow,
-	}, time.Now())
+	}, boottime.Now())
 	process.limiter = quota.New(quota.Bounds{
 		Window:    given.Bounds.QuotaWindow,
 		Overshoot: given.Bounds.QuotaOvershoot,
 		Slack:     given.Bounds.QuotaSlack,
-	}, rand.Float64, time.Now())
+	}, rand.Float64, boottime.Now())
 	process.ledger = residency.NewLedger()
 	process.requests = quarantine.NewLedger()
 	process.proxy = proxy.New(proxy.Options{
@@ -129,7 +130,7 @@
 		Resized: process.resize,
 	}
 	process.work = workshare.New(func() workshare.Report {
-		now := time.Now()
+		now := boottime.Now()
 		return workshare.Report{Work: process.set.Work(now), Quota: process.limiter.Report(now)}
 	})
 	process.feed = reflector.NewFeed(given.Name+" "+life, process.belief, process.registry, process.work, process.ledger, process.requests)
@@ -218,7 +219,7 @@
 		Turn: func() time.Duration {
 			return time.Duration(process.registry.Rank()) * keepTurn
 		},
-		Now: time.Now,
+		Now: boottime.Now,
 	}
 }
 
@@ -262,7 +263,7 @@
 
 // engines returns the servers that hold models.
 func (process *process) engines() []backend.Server {
-	servers := process.set.Servers(time.Now())
+	servers := process.set.Servers(boottime.Now())
 	return slices.DeleteFunc(servers, func(s backend.Server) bool { return len(s.Versions) == 0 })
 }
 
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/urfave/cli/v3"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/platform"
 )
@@ -76,7 +77,7 @@
 	keeping, handBack := context.WithCancel(ctx)
 	defer handBack()
 	handedBack := process.keep(keeping)
-	ready := func() bool { return !process.stopping.Load() && process.proxy.Ready(time.Now()) }
+	ready := func() bool { return !process.stopping.Load() && process.proxy.Ready(boottime.Now()) }
 	if _, err := serve(given.ReadinessAddress, platform.ReadinessHandler(ready)); err != nil {
 		return err
 	}
--- a/internal/admission/places.go
+++ b/internal/admission/places.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/failure"
 )
 
@@ -42,14 +43,14 @@
 // estimated wait is longer than that is refused at once. The returned function
 // gives the place back.
 func (places *Places) Acquire(ctx context.Context, ticket Ticket) (release func(), err error) {
-	admitted, id, refusal := places.enter(time.Now(), ticket)
+	admitted, id, refusal := places.enter(boottime.Now(), ticket)
 	if refusal != nil {
 		return nil, refusal
 	}
 	if admitted == nil {
 		return places.releaser(), nil
 	}
-	timer := time.NewTimer(time.Until(ticket.Until))
+	timer := time.NewTimer(boottime.Until(ticket.Until))
 	defer timer.Stop()
 	select {
 	case <-admitted:
@@ -101,11 +102,11 @@
 }
 
 func (places *Places) releaser() func() {
-	taken := time.Now()
+	taken := boottime.Now()
 	return sync.OnceFunc(func() {
 		places.mutex.Lock()
 		defer places.mutex.Unlock()
-		places.service += serviceMemory * (time.Since(taken).Seconds() - places.service)
+		places.service += serviceMemory * (boottime.Since(taken).Seconds() - places.service)
 		places.taken--
 		places.fill()
 	})
--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/engineapi"
 	"github.com/cloverrail/cloverrail/internal/failure"
 )
@@ -113,7 +114,7 @@
 }
 
 func (run *run) step(event Event) {
-	run.queue = append(run.queue, run.machine.Step(time.Now(), event)...)
+	run.queue = append(run.queue, run.machine.Step(boottime.Now(), event)...)
 }
 
 func (run *run) perform(ctx context.Context, action Action) {
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/failure"
 )
 
@@ -42,7 +43,7 @@
 // Run carries a request to its end. The context ends with the caller or with
 // the request's time.
 func Run(ctx context.Context, request Request) Outcome {
-	started := time.Now()
+	started := boottime.Now()
 	run := &run{
 		request: request,
 		machine: NewMachine(request.Rules, request.Budget, request.ResumeAfter),
@@ -79,7 +80,7 @@
 		}
 		run.request.Observe(server, event)
 	}
-	run.queue = append(run.queue, run.machine.Step(time.Now(), event)...)
+	run.queue = append(run.queue, run.machine.Step(boottime.Now(), event)...)
 }
 
 // await waits for the next thing that happens.
@@ -124,7 +125,7 @@
 
 // doubt decides on an attempt that has been silent for long.
 func (run *run) doubt() {
-	if !run.placement.Doubtful(time.Since(run.heardAt)) {
+	if !run.placement.Doubtful(boottime.Since(run.heardAt)) {
 		run.silence.Reset(run.patience)
 		return
 	}
@@ -136,7 +137,7 @@
 
 func (run *run) listen(patience time.Duration) {
 	run.silence.Stop()
-	run.patience, run.heardAt = patience, time.Now()
+	run.patience, run.heardAt = patience, boottime.Now()
 	if patience > 0 {
 		run.silence.Reset(patience)
 	}
@@ -157,7 +158,7 @@
 		run.deliver()
 	case Open:
 		run.outcome.Status = run.reply.Status
-		run.outcome.FirstAfter = time.Since(run.started)
+		run.outcome.FirstAfter = boottime.Since(run.started)
 		run.give(run.request.Caller.Open(run.reply.Status, run.reply.Header))
 	case Forward:
 		run.give(run.request.Caller.Forward(run.raw))
@@ -184,7 +185,7 @@
 		run.release(run.result)
 	}
 	run.outcome.Status = answer.Status
-	run.outcome.FirstAfter = time.Since(run.started)
+	run.outcome.FirstAfter = boottime.Since(run.started)
 	if run.request.Caller.Answer(answer) != nil {
 		run.outcome.Failure = failure.New(failure.KindCallerLeft, "the caller left before the end", "send it again").WithOutcome(failure.Ran)
 	}
@@ -219,7 +220,7 @@
 	run.inbox = make(chan message)
 	run.listen(run.request.Patience.First)
 	if by := run.placement.StartBy(); !by.IsZero() {
-		run.late.Reset(time.Until(by))
+		run.late.Reset(boottime.Until(by))
 	}
 	go perform(attempt, run.placement, action, run.inbox)
 }
--- a/internal/keepalive/client.go
+++ b/internal/keepalive/client.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/boottime"
 )
 
 const (
@@ -175,7 +177,7 @@
 func (c *Client) limit(address string, once bool) time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	life := c.life(address).At(time.Now())
+	life := c.life(address).At(boottime.Now())
 	limit := max(life/2, life-crossing)
 	if once {
 		limit = min(limit, time.Duration(onceShare*float64(life)))
@@ -196,5 +198,5 @@
 func (c *Client) closed(address string, rested time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.life(address).Closed(rested, time.Now())
+	c.life(address).Closed(rested, boottime.Now())
 }
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/boottime"
 )
 
 // errRested says that a kept connection has rested for too long to be used: its
@@ -39,7 +41,7 @@
 	defer c.mutex.Unlock()
 	c.uses++
 	c.written = false
-	c.refused = refused || !c.restsSince.IsZero() && time.Since(c.restsSince) > limit
+	c.refused = refused || !c.restsSince.IsZero() && boottime.Since(c.restsSince) > limit
 	c.restsSince = time.Time{}
 	if c.expiry != nil {
 		c.expiry.Stop()
@@ -55,7 +57,7 @@
 	if use != c.uses {
 		return
 	}
-	c.restsSince = time.Now()
+	c.restsSince = boottime.Now()
 	c.expiry = time.AfterFunc(life, func() { c.expire(use) })
 }
 
@@ -99,7 +101,7 @@
 	}
 	c.mutex.Unlock()
 	if !since.IsZero() && !expired {
-		c.closed(time.Since(since))
+		c.closed(boottime.Since(since))
 	}
 	return c.Conn.Close()
 }
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/pause"
 )
@@ -153,7 +154,7 @@
 	var granted coordination.Lease
 	var asked time.Time
 	err := persist(ctx, func(ctx context.Context) (err error) {
-		asked = time.Now()
+		asked = boottime.Now()
 		granted, err = keeper.Store.Grant(ctx, keeper.Life)
 		return err
 	})
@@ -174,8 +175,8 @@
 	}
 	// One machine is one holder, whatever became of its process.
 	another := found && !keeper.Duty.Own(state.Value)
-	settled := SettledAt(another, last, time.Now(), keeper.Settling)
-	keeper.Recorder.Acquired(fence, time.Until(settled))
+	settled := SettledAt(another, last, boottime.Now(), keeper.Settling)
+	keeper.Recorder.Acquired(fence, boottime.Until(settled))
 	return &holding{
 		tenure:   NewTenure(fence, asked, granted.Life, granted.Life/marginPart, settled),
 		lease:    granted,
@@ -245,7 +246,7 @@
 			keeper.handBack(held)
 			return "another node has a higher fencing token"
 		}
-		now := time.Now()
+		now := boottime.Now()
 		if now.Sub(held.renewed) >= held.renewInterval() {
 			held.renewed = now
 			go func() { renewed <- keeper.renew(ctx, held.lease.ID, now) }()
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cloverrail/cloverrail/internal/lab/storestub"
+	"github.com/cloverrail/cloverrail/internal/lab/suspension"
 	"github.com/cloverrail/cloverrail/internal/property"
 )
 
@@ -173,6 +174,37 @@
 	})
 }
 
+// A machine that is suspended for as long as its lease lives does not order on waking: its
+// steady clock says that no time has passed, and another holder may be at work.
+func TestAHolderThatWasSuspendedOrdersNothingUntilItsLeaseIsRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		machine, restore := suspension.Begin()
+		defer restore()
+		refuses := atomic.Bool{}
+		fleet := &fleet{}
+		fleet.store = storestub.New(time.Now, func(string) storestub.Fault {
+			if refuses.Load() {
+				return storestub.Refused
+			}
+			return storestub.None
+		})
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		fleet.start(ctx, "a", nil)
+		time.Sleep(time.Second)
+		require.Equal(t, "a", fleet.last().node)
+		refuses.Store(true)
+		synctest.Wait()
+		machine.Suspend(life)
+		woken := time.Now()
+		time.Sleep(life / 2)
+		require.False(t, fleet.last().at.After(woken))
+		refuses.Store(false)
+		time.Sleep(time.Second)
+		require.True(t, fleet.last().at.After(woken), "the lease never lapsed")
+	})
+}
+
 func TestAMachineThatComesBackNeedNotWaitForItself(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := &fleet{}
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/claim"
 	"github.com/cloverrail/cloverrail/internal/configuration"
 	"github.com/cloverrail/cloverrail/internal/failure"
@@ -76,13 +77,13 @@
 	if request.Roster != claim.RosterName(claims.roster) {
 		return wire.ClaimAnswer{Answer: claim.Answer{Verdict: claim.Abstained}}
 	}
-	return wire.ClaimAnswer{Answer: claims.holder.Claim(time.Now(), request.Key, request.Owner)}
+	return wire.ClaimAnswer{Answer: claims.holder.Claim(boottime.Now(), request.Key, request.Owner)}
 }
 
 func (claims *claims) conclude(request wire.ConcludeRequest) {
 	claims.mutex.Lock()
 	defer claims.mutex.Unlock()
-	claims.holder.Conclude(time.Now(), request.Key, request.Owner, request.Status)
+	claims.holder.Conclude(boottime.Now(), request.Key, request.Owner, request.Status)
 }
 
 func (claims *claims) records(request wire.ClaimsRequest) wire.ClaimsAnswer {
@@ -91,7 +92,7 @@
 	if request.Roster != claim.RosterName(claims.roster) {
 		return wire.ClaimsAnswer{}
 	}
-	now := time.Now()
+	now := boottime.Now()
 	return wire.ClaimsAnswer{
 		Adopted:      true,
 		Joined:       claims.holder.Joined(),
@@ -123,7 +124,7 @@
 		return nil, failure.New(failure.KindClaimUnavailable, "no claim holders are declared", "declare claims.holders")
 	}
 	key := claim.Key{Tenant: tenant, Value: value}
-	if refusal := claim.Check(config, time.Now(), key); refusal != nil {
+	if refusal := claim.Check(config, boottime.Now(), key); refusal != nil {
 		return nil, refusal
 	}
 	claimed := &Claimed{node: node, key: key, owner: uuid.NewString(), holders: claim.HoldersOf(key, roster)}
@@ -155,7 +156,7 @@
 }
 
 func (node *Node) runRound(ctx context.Context, config claim.Config, roster string, claimed *Claimed) (claim.Decision, claim.Status) {
-	round := claim.NewRound(config, time.Now(), claimed.holders)
+	round := claim.NewRound(config, boottime.Now(), claimed.holders)
 	ctx, cancel := context.WithTimeout(ctx, config.RoundLimit)
 	defer cancel()
 	answers := make(chan holderAnswer, len(claimed.holders))
@@ -174,9 +175,9 @@
 	for range claimed.holders {
 		received := <-answers
 		if received.err != nil {
-			decision = round.Lost(time.Now(), received.holder)
+			decision = round.Lost(boottime.Now(), received.holder)
 		} else {
-			decision = round.Receive(time.Now(), received.holder, received.answer)
+			decision = round.Receive(boottime.Now(), received.holder, received.answer)
 		}
 		if decision != claim.Undecided {
 			break
--- a/internal/node/completion.go
+++ b/internal/node/completion.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cloverrail/cloverrail/internal/admission"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/configuration"
 	"github.com/cloverrail/cloverrail/internal/dispatch"
 	"github.com/cloverrail/cloverrail/internal/endpoint"
@@ -84,7 +85,7 @@
 	}
 	defer release()
 	budget := retry.All{node.limits.tenant(completion.Tenant.Name).budget, node.retries}
-	node.retries.Deposit(time.Now())
+	node.retries.Deposit(boottime.Now())
 	return node.driver.Run(ctx, dispatch.Call{
 		Path:   completion.Path,
 		Body:   place.body,
@@ -105,7 +106,7 @@
 		Weight:   completion.Tenant.Weight,
 		Priority: priorityOf(completion),
 		Cost:     float64(promptBytes) / bytesPerToken / pool.PrefillTokensPerSecond,
-		Until:    time.Now().Add(completion.Class.QueueTimeout),
+		Until:    boottime.Now().Add(completion.Class.QueueTimeout),
 	})
 }
 
@@ -175,7 +176,7 @@
 		return true
 	}
 	for _, pool := range place.pools {
-		for _, candidate := range place.node.table.Candidates(nil, pool.Name, "", "", time.Now()) {
+		for _, candidate := range place.node.table.Candidates(nil, pool.Name, "", "", boottime.Now()) {
 			if candidate.Loading && !candidate.Down && !candidate.Leaving {
 				return true
 			}
@@ -192,7 +193,7 @@
 		place.salt = salt
 		place.chain = prefix.Chain(salt, place.prompt, pool.BlockBytes)
 		if len(place.chain) > 0 {
-			place.node.hot.add(place.chain[0], identity.Tenant, identity.Model, time.Now())
+			place.node.hot.add(place.chain[0], identity.Tenant, identity.Model, boottime.Now())
 		}
 	}
 }
@@ -209,7 +210,7 @@
 // sent to it.
 func (place *placement) choose(ctx context.Context, snapshot *configuration.Snapshot, model *configuration.Model, excluded []string) (*dispatch.Target, routing.Reason) {
 	node := place.node
-	now := time.Now()
+	now := boottime.Now()
 	depths := node.expected.Lookup(now, node.lookup(ctx, place.chain), place.chain)
 	memory := scratches.Get().(*scratch)
 	defer scratches.Put(memory)
@@ -280,7 +281,7 @@
 		result = "failed"
 	}
 	node.metrics.Attempts.WithLabelValues(endpoint, result).Inc()
-	node.table.End(endpoint, failed, time.Now())
+	node.table.End(endpoint, failed, boottime.Now())
 }
 
 // Alive implements dispatch.Placer.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/endpoint"
 	"github.com/cloverrail/cloverrail/internal/membership"
 	"github.com/cloverrail/cloverrail/internal/metrics"
@@ -24,8 +25,8 @@
 	datagrams *peer.Datagrams[membership.Message]
 	changed   func(membership.Change)
 	metrics   *metrics.Set
-	// ticked is when the machine last ticked, in nanoseconds.
-	ticked atomic.Int64
+	// ticked is when the machine last ticked, with its steady reading; nil before that.
+	ticked atomic.Pointer[time.Time]
 	// live caches the addresses of usable nodes.
 	live atomic.Pointer[[]membership.Member]
 }
@@ -50,13 +51,14 @@
 // run ticks and receives until the context ends.
 func (gossip *gossip) run(ctx context.Context) {
 	go gossip.datagrams.Receive(func(message membership.Message) {
-		gossip.do(func(machine *membership.Machine) membership.Output { return machine.Receive(time.Now(), message) })
+		gossip.do(func(machine *membership.Machine) membership.Output { return machine.Receive(boottime.Now(), message) })
 	})
 	ticker := time.NewTicker(membership.TickInterval)
 	defer ticker.Stop()
 	for {
-		gossip.do(func(machine *membership.Machine) membership.Output { return machine.Tick(time.Now()) })
-		gossip.ticked.Store(time.Now().UnixNano())
+		gossip.do(func(machine *membership.Machine) membership.Output { return machine.Tick(boottime.Now()) })
+		now := boottime.Now()
+		gossip.ticked.Store(&now)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -68,7 +70,8 @@
 // paused reports whether this process stood still for so long that others may
 // have declared it dead, and has not noticed yet.
 func (gossip *gossip) paused() bool {
-	return time.Since(time.Unix(0, gossip.ticked.Load())) > membership.DefaultConfig.PauseLimit
+	ticked := gossip.ticked.Load()
+	return ticked == nil || boottime.Since(*ticked) > membership.DefaultConfig.PauseLimit
 }
 
 func (gossip *gossip) do(step func(*membership.Machine) membership.Output) {
@@ -132,7 +135,9 @@
 }
 
 func (gossip *gossip) merge(members []membership.Member, items []membership.Item) {
-	gossip.do(func(machine *membership.Machine) membership.Output { return machine.Merge(time.Now(), members, items) })
+	gossip.do(func(machine *membership.Machine) membership.Output {
+		return machine.Merge(boottime.Now(), members, items)
+	})
 }
 
 func (gossip *gossip) offer(record endpoint.Record) {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/claim"
 	"github.com/cloverrail/cloverrail/internal/wire"
 )
@@ -28,7 +29,7 @@
 		roster:     claims.roster,
 		previous:   claims.previous,
 		joined:     claims.holder.Joined(),
-		due:        claims.holder.RecoveryDue(time.Now()),
+		due:        claims.holder.RecoveryDue(boottime.Now()),
 		generation: claims.holder.Started(),
 	}
 }
@@ -86,7 +87,7 @@
 	if claim.RosterName(node.claims.roster) != claim.RosterName(state.roster) {
 		return
 	}
-	node.claims.holder.Join(time.Now(), records, knowing >= len(state.previous)-1)
+	node.claims.holder.Join(boottime.Now(), records, knowing >= len(state.previous)-1)
 	node.log.Info().Int("claims", len(records)).Msg("claims taken over from the holders before")
 }
 
@@ -111,7 +112,7 @@
 	if !unchanged || node.claims.holder.Started() != state.generation {
 		return
 	}
-	node.claims.holder.Recover(time.Now(), records)
+	node.claims.holder.Recover(boottime.Now(), records)
 	node.log.Info().Int("claims", len(records)).Msg("claims recovered from the other holders")
 }
 
--- a/internal/node/home.go
+++ b/internal/node/home.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/engineapi"
 	"github.com/cloverrail/cloverrail/internal/prefix"
 	"github.com/cloverrail/cloverrail/internal/prefixindex"
@@ -110,7 +111,7 @@
 	owner := prefix.Owner(chain[0], addresses)
 	answer := node.ask(ctx, owner, wire.LookupRequest{Chain: prefixindex.Anchors(chain)})
 	depths := make([]prefixindex.Depth, 0, len(answer.Holdings))
-	now := time.Now()
+	now := boottime.Now()
 	for _, holding := range answer.Holdings {
 		depths = append(depths, prefixindex.Depth{Holder: holding.Holder, Blocks: prefixindex.AnchorDepth(holding.Blocks)})
 		if owner != node.settings.PeerAddress {
@@ -137,12 +138,12 @@
 
 // serveLookup answers for the chains whose home is here.
 func (node *Node) serveLookup(request wire.LookupRequest) wire.LookupAnswer {
-	return node.home.lookup(request.Chain, time.Now(), wire.MaximumHoldings)
+	return node.home.lookup(request.Chain, boottime.Now(), wire.MaximumHoldings)
 }
 
 // applyUpdate takes a reader's update for this node's part of the index.
 func (node *Node) applyUpdate(update wire.IndexUpdate) wire.IndexAnswer {
-	now := time.Now()
+	now := boottime.Now()
 	node.table.Report(update.Update.Holder.Endpoint, update.Load, now)
 	return node.home.apply(update, now)
 }
--- a/internal/node/hot.go
+++ b/internal/node/hot.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/prefix"
 )
 
@@ -32,7 +33,7 @@
 }
 
 func newHotCounter() *hotCounter {
-	return &hotCounter{counts: map[prefix.Hash]*HotPrefix{}, decayed: time.Now()}
+	return &hotCounter{counts: map[prefix.Hash]*HotPrefix{}, decayed: boottime.Now()}
 }
 
 func (counter *hotCounter) add(root prefix.Hash, tenant, model string, now time.Time) {
@@ -65,7 +66,7 @@
 func (counter *hotCounter) top(limit int) []HotPrefix {
 	counter.mutex.Lock()
 	defer counter.mutex.Unlock()
-	counter.decay(time.Now())
+	counter.decay(boottime.Now())
 	list := make([]HotPrefix, 0, len(counter.counts))
 	for _, known := range counter.counts {
 		list = append(list, *known)
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -5,13 +5,14 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/wire"
 )
 
 // join looks for the fleet at once, and again from time to time, so that what
 // gossip lost is made up for.
 func (node *Node) join(ctx context.Context) {
-	started := time.Now()
+	started := boottime.Now()
 	for ctx.Err() == nil {
 		node.synchronize(ctx)
 		node.acquainted()
@@ -19,7 +20,7 @@
 		if node.catalog.revision() == 0 {
 			// The zone's watchers read the service. The others hear from them; only
 			// if that takes long does each try for itself.
-			if time.Since(started) > ownReadAfter {
+			if boottime.Since(started) > ownReadAfter {
 				_ = node.catalog.read(ctx)
 			}
 			pause = startInterval
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/failure"
 )
 
@@ -30,7 +31,7 @@
 	defer lifecycle.mutex.Unlock()
 	switch {
 	case lifecycle.refusing:
-		lifecycle.refusedAt = time.Now()
+		lifecycle.refusedAt = boottime.Now()
 		return nil, failure.New(failure.KindStopping, "this node is stopping", "send the request to another node").WithRetryAfter(time.Second)
 	case lifecycle.suspended:
 		return nil, failure.New(failure.KindUnavailable, "this node was paused and is catching up", "send the request to another node").WithRetryAfter(time.Second)
@@ -90,7 +91,7 @@
 func (lifecycle *lifecycle) quiet(while time.Duration) bool {
 	lifecycle.mutex.Lock()
 	defer lifecycle.mutex.Unlock()
-	return time.Since(lifecycle.refusedAt) >= while
+	return boottime.Since(lifecycle.refusedAt) >= while
 }
 
 // wait returns when no request is open, or with the context.
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/admission"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/configuration"
 	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/prefix"
@@ -49,10 +50,10 @@
 	defer limits.mutex.Unlock()
 	use, found := limits.tenants[name]
 	if !found {
-		use = &tenantUse{share: admission.NewShare(), budget: retry.NewBudget(retry.DefaultBudget, time.Now())}
+		use = &tenantUse{share: admission.NewShare(), budget: retry.NewBudget(retry.DefaultBudget, boottime.Now())}
 		limits.tenants[name] = use
 	}
-	use.usedAt = time.Now()
+	use.usedAt = boottime.Now()
 	return use
 }
 
@@ -93,7 +94,7 @@
 // here rather than being refused for want of an engine, and forgets idle tenants.
 func (node *Node) resizePlaces(ctx context.Context) {
 	every(ctx, resizeInterval, func() {
-		node.limits.forget(time.Now())
+		node.limits.forget(boottime.Now())
 		snapshot := node.catalog.snapshot.Load()
 		if snapshot == nil {
 			return
@@ -118,7 +119,7 @@
 func (limits *limits) take(tenant string, limit admission.Rate, want int) int {
 	limits.mutex.Lock()
 	defer limits.mutex.Unlock()
-	return limits.ledger.Take(time.Now(), tenant, limit, want)
+	return limits.ledger.Take(boottime.Now(), tenant, limit, want)
 }
 
 // Admit checks the tenant's rate and open streams. The returned function ends
@@ -135,7 +136,7 @@
 		return nil, failure.New(failure.KindRateLimited, "the tenant has too many open requests", "wait for some to end").WithRetryAfter(time.Second)
 	}
 	use.streams++
-	use.budget.Deposit(time.Now())
+	use.budget.Deposit(boottime.Now())
 	node.metrics.OpenStreams.Inc()
 	return sync.OnceFunc(func() {
 		use.mutex.Lock()
@@ -149,7 +150,7 @@
 // is at hand. A ledger that does not answer leaves this node's even part.
 func (node *Node) spend(ctx context.Context, tenant *configuration.Tenant, use *tenantUse) bool {
 	use.mutex.Lock()
-	if use.share.Spend(time.Now()) {
+	if use.share.Spend(boottime.Now()) {
 		use.mutex.Unlock()
 		return true
 	}
@@ -158,7 +159,7 @@
 	tokens, err := node.takeTokens(ctx, tenant, want)
 	use.mutex.Lock()
 	defer use.mutex.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	if err != nil {
 		limit := admission.Rate{PerSecond: tenant.Limits.RequestsPerSecond, Burst: tenant.Limits.Burst}
 		return use.share.SpendFallback(now, limit, len(node.gossip.members()))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/configstore"
 	"github.com/cloverrail/cloverrail/internal/configuration"
 	"github.com/cloverrail/cloverrail/internal/dispatch"
@@ -95,7 +96,7 @@
 		return nil, err
 	}
 	set := metrics.New()
-	now := time.Now()
+	now := boottime.Now()
 	node := &Node{
 		settings:   given,
 		key:        given.Key(),
@@ -138,7 +139,7 @@
 func (node *Node) configure(snapshot *configuration.Snapshot) {
 	node.table.Configure(snapshot)
 	node.limits.configure(snapshot)
-	node.claims.configure(snapshot.Declaration.Claims, time.Now())
+	node.claims.configure(snapshot.Declaration.Claims, boottime.Now())
 	_, items := node.gossip.all()
 	node.takeItems(items)
 }
@@ -240,7 +241,7 @@
 func (node *Node) resumed() {
 	node.log.Warn().Msg("this process was paused; it starts over as a member")
 	node.lifecycle.suspend()
-	node.claims.restart(time.Now())
+	node.claims.restart(boottime.Now())
 	node.home.reset()
 	go func() {
 		node.synchronize(context.Background())
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/configuration"
 	"github.com/cloverrail/cloverrail/internal/endpoint"
 	"github.com/cloverrail/cloverrail/internal/engineapi"
@@ -166,10 +167,10 @@
 	change := observer.reader.Take(batch)
 	node.metrics.CacheEvents.Add(float64(change.Events))
 	reset := false
-	if observer.reader.SnapshotDue(time.Now()) {
+	if observer.reader.SnapshotDue(boottime.Now()) {
 		if snapshot, err := node.engines.Snapshot(ctx, observer.backend.Address); err == nil {
 			node.metrics.CacheGaps.Inc()
-			change = observer.reader.Reset(time.Now(), snapshot)
+			change = observer.reader.Reset(boottime.Now(), snapshot)
 			reset = true
 		}
 	}
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/configuration"
 	"github.com/cloverrail/cloverrail/internal/endpoint"
 	"github.com/cloverrail/cloverrail/internal/kvservice"
@@ -57,7 +58,7 @@
 	if err != nil || held.ModRevision != 0 {
 		return 0, 0, since, false
 	}
-	since = time.Now()
+	since = boottime.Now()
 	lease, err = service.GrantLease(ctx, issuerLease)
 	if err != nil {
 		return 0, 0, since, false
@@ -74,19 +75,19 @@
 	issuer := order.NewIssuer()
 	issuer.Hold(token, since.Add(issuerLease))
 	// What the engines do is known to this node only after its first look.
-	start := time.Now().Add(firstOrderWait)
+	start := boottime.Now().Add(firstOrderWait)
 	renewed := since
 	settled := since
 	ticker := time.NewTicker(orderInterval)
 	defer ticker.Stop()
-	for issuer.Holds(time.Now()) {
+	for issuer.Holds(boottime.Now()) {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
-		if time.Since(renewed) >= renewInterval {
-			asked := time.Now()
+		if boottime.Since(renewed) >= renewInterval {
+			asked := boottime.Now()
 			renewed = asked
 			if alive, err := node.catalog.service.KeepAlive(ctx, lease); err == nil && !alive {
 				return
@@ -94,11 +95,11 @@
 				issuer.Hold(token, asked.Add(issuerLease))
 			}
 		}
-		if time.Now().After(start) {
+		if boottime.Now().After(start) {
 			node.sendOrders(ctx, issuer)
 		}
-		if time.Since(settled) >= settleInterval {
-			settled = time.Now()
+		if boottime.Since(settled) >= settleInterval {
+			settled = boottime.Now()
 			node.settleHolders(ctx)
 		}
 	}
@@ -109,7 +110,7 @@
 	if snapshot == nil {
 		return
 	}
-	for _, send := range issuer.Step(time.Now(), wantedOf(snapshot), enginesOf(snapshot, node.table.Views())) {
+	for _, send := range issuer.Step(boottime.Now(), wantedOf(snapshot), enginesOf(snapshot, node.table.Views())) {
 		address := node.table.Address(send.Engine)
 		go func() {
 			bounded, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/retry"
 )
 
@@ -56,13 +57,13 @@
 // lately did not answer fails at once.
 func call[Answer any](ctx context.Context, node *Node, address string, request any) (Answer, error) {
 	var none Answer
-	if !node.peerHealth.allows(address, time.Now()) {
+	if !node.peerHealth.allows(address, boottime.Now()) {
 		return none, errors.Errorf("%s did not answer lately", address)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	received, err := node.caller.Call(ctx, address, request)
-	node.peerHealth.note(address, err != nil, time.Now())
+	node.peerHealth.note(address, err != nil, boottime.Now())
 	if err != nil {
 		return none, err
 	}
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/configstore"
 	"github.com/cloverrail/cloverrail/internal/configuration"
 	"github.com/cloverrail/cloverrail/internal/endpoint"
@@ -67,7 +68,7 @@
 
 // Choose implements plain.Chooser.
 func (chooser *chooser) Choose(excluded []string) (plain.Server, *failure.Failure) {
-	now := time.Now()
+	now := boottime.Now()
 	candidates := chooser.node.table.Candidates(nil, chooser.service, "", "", now)
 	scheduler := routing.NewScheduler(routing.LoadScorer{})
 	scheduler.Annotate(candidates, chooser.key, nil, "")
@@ -92,7 +93,7 @@
 func (node *Node) Forward(ctx context.Context, tenant *configuration.Tenant, service *configuration.Service, request plain.Request, idempotencyKey string) (*plain.Answer, error) {
 	choose := &chooser{node: node, service: service.Name, key: prefix.KeyOf(tenant.Name + idempotencyKey + request.Path)}
 	budget := retry.All{node.limits.tenant(tenant.Name).budget, node.retries}
-	node.retries.Deposit(time.Now())
+	node.retries.Deposit(boottime.Now())
 	if request.Repeatable || idempotencyKey == "" {
 		return node.forwarder.Forward(ctx, request, choose, budget)
 	}
@@ -138,7 +139,7 @@
 // new work.
 func (node *Node) UsableEngines(pool string) int {
 	count := 0
-	for _, candidate := range node.table.Candidates(nil, pool, "", "", time.Now()) {
+	for _, candidate := range node.table.Candidates(nil, pool, "", "", boottime.Now()) {
 		if candidate.Epoch != "" && !candidate.Down && !candidate.Leaving {
 			count++
 		}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/membership"
 )
 
@@ -31,7 +32,7 @@
 // close there should be nobody on the way.
 func (node *Node) linger() {
 	time.Sleep(lingerTime)
-	for limit := time.Now().Add(lingerLimit); !node.lifecycle.quiet(lingerTime) && time.Now().Before(limit); {
+	for limit := boottime.Now().Add(lingerLimit); !node.lifecycle.quiet(lingerTime) && boottime.Now().Before(limit); {
 		time.Sleep(lingerPoll)
 	}
 }
--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cloverrail/cloverrail/internal/boottime"
 )
 
 const (
@@ -18,11 +20,11 @@
 // are refused as not run and the open ones are waited for; what is still open
 // shortly before the grace is over is ended.
 func (proxy *Proxy) Drain(ctx context.Context, grace time.Duration) {
-	begun := time.Now()
+	begun := boottime.Now()
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
 	for {
-		elapsed := time.Since(begun)
+		elapsed := boottime.Since(begun)
 		if elapsed >= noticeTime {
 			proxy.refusing.Store(true)
 			if proxy.Open() == 0 {
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/routing"
@@ -66,7 +67,7 @@
 		return
 	}
 	if refused.AnotherInstance {
-		placement.placer.proxy.set.Gone(placement.chosen.Endpoint, time.Now())
+		placement.placer.proxy.set.Gone(placement.chosen.Endpoint, boottime.Now())
 		return
 	}
 	if dispatch.Version != 0 && refused.LoadedVersion != 0 {
@@ -98,7 +99,7 @@
 	if placement.started {
 		return
 	}
-	now := time.Now()
+	now := boottime.Now()
 	placement.started, placement.startedAt = true, now
 	placement.attempt.Started(now)
 	if placement.placer.prompt() == nil {
@@ -139,9 +140,9 @@
 	}
 	target := placement.placer.admitted.route.TargetLatency
 	if placement.deferred && !placement.started {
-		return !placement.attempt.HeardSince(time.Now().Add(-silent)) && silent >= target/2
+		return !placement.attempt.HeardSince(boottime.Now().Add(-silent)) && silent >= target/2
 	}
-	if placement.attempt.HeardSince(time.Now().Add(-silent)) {
+	if placement.attempt.HeardSince(boottime.Now().Add(-silent)) {
 		return silent >= time.Duration(lastDoubt*float64(target))
 	}
 	return silent >= target/2
@@ -176,7 +177,7 @@
 
 // End says that the attempt is over.
 func (placement *placement) End(result exchange.Result) {
-	now := time.Now()
+	now := boottime.Now()
 	placement.attempt.End(result, now)
 	if result == exchange.ResultCutOff {
 		placement.placer.proxy.suspect(placement.placer.admitted, placement.chosen.Endpoint, now)
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/prefix"
@@ -100,10 +101,14 @@
 
 // Place filters, scores and picks among the servers known now.
 func (placer *placer) Place(excluded []string) (exchange.Placement, *exchange.Unplaced) {
-	now := time.Now()
+	now := boottime.Now()
 	if verdict := placer.proxy.heldOff(placer.admitted, now); verdict.Held {
 		return nil, &exchange.Unplaced{Reason: heldOffProblem(verdict), Lasting: true}
 	}
+	// A suspension stops the timer that would have ended the request.
+	if !now.Before(placer.admitted.deadline) {
+		return nil, &exchange.Unplaced{Reason: "the request's time is over", Lasting: true}
+	}
 	candidates := placer.proxy.set.Candidates(nil, placer.query(now), now)
 	if len(candidates) == 0 {
 		return nil, &exchange.Unplaced{Reason: "no server is known"}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/failure"
@@ -177,7 +178,7 @@
 		ledger:   options.Ledger,
 		limiter:  options.Limiter,
 		requests: options.Requests,
-		started:  time.Now(),
+		started:  boottime.Now(),
 		pace:     newPace(),
 		slotTime: newSlotTime(),
 		stopping: make(chan struct{}),
@@ -193,7 +194,7 @@
 // AwaitFirst waits until a node that has just started knows its declaration, but not
 // for long: callers reach it before it has read anything.
 func (proxy *Proxy) AwaitFirst(ctx context.Context) {
-	for proxy.unread() && ctx.Err() == nil && time.Since(proxy.started) < firstWait {
+	for proxy.unread() && ctx.Err() == nil && boottime.Since(proxy.started) < firstWait {
 		pause.For(ctx, firstLook)
 	}
 }
@@ -235,26 +236,26 @@
 func (proxy *Proxy) Serve(ctx context.Context, request *Request, caller exchange.Caller) exchange.Outcome {
 	proxy.open.Add(1)
 	defer proxy.open.Add(-1)
-	admitted, refusal := proxy.admit(request, time.Now())
+	admitted, refusal := proxy.admit(request, boottime.Now())
 	if refusal == nil {
-		refusal = proxy.checkQuarantine(admitted, time.Now())
+		refusal = proxy.checkQuarantine(admitted, boottime.Now())
 	}
 	if refusal == nil {
-		refusal = proxy.checkLimit(admitted, time.Now())
+		refusal = proxy.checkLimit(admitted, boottime.Now())
 	}
 	if refusal != nil {
 		outcome := exchange.Outcome{Failure: refusal}
 		proxy.recorder.Request(request, nil, 0, outcome)
 		return outcome
 	}
-	proxy.retries.Deposit(admitted.service.Name, time.Now())
-	bounded, cancel := context.WithDeadline(ctx, admitted.deadline)
+	proxy.retries.Deposit(admitted.service.Name, boottime.Now())
+	bounded, cancel := context.WithTimeout(ctx, boottime.Until(admitted.deadline))
 	defer cancel()
 	outcome := exchange.Run(bounded, proxy.exchange(admitted, caller))
 	if outcome.Failure == nil {
-		proxy.served(admitted, time.Now())
+		proxy.served(admitted, boottime.Now())
 	}
-	proxy.settleLimit(admitted, outcome, time.Now())
+	proxy.settleLimit(admitted, outcome, boottime.Now())
 	proxy.recorder.Request(request, admitted.route, admitted.belief.Snapshot.Version, outcome)
 	return outcome
 }
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
 )
@@ -70,7 +71,7 @@
 	fingerprint, key := admitted.fingerprint(), backend.ServerKey(server)
 	proxy.requests.Suspect(fingerprint)
 	time.AfterFunc(settleTime, func() {
-		now := time.Now()
+		now := boottime.Now()
 		ended := !proxy.set.AnsweredSince(key, at)
 		proxy.requests.Settle(fingerprint, key, at, ended, now)
 		proxy.recorder.Settled(Suspicion{Fingerprint: fingerprint, Server: server, Ended: ended, After: now.Sub(at)})
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -48,6 +48,7 @@
 	prompt := &Prompt{Model: "m", Tokens: 1000 + own, Parts: []Part{{ID: "a", Tokens: 1000}, {ID: "b", Tokens: own}}}
 	return newPlacer(New(Options{Belief: holder, Distance: func(string) int { return 0 }, Set: set, Ledger: residency.NewLedger(), Recorder: unheeded{}, Requests: quarantine.NewLedger()}), &admitted{
 		request: &Request{Prompt: prompt}, belief: holder.Load(), route: &catalog.Route{}, service: snapshot.Service("s"),
+		deadline: time.Now().Add(time.Hour),
 	})
 }
 
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/fleet"
@@ -210,21 +211,21 @@
 // nothing has.
 func (f *Feed) Answer(ctx context.Context, question Question) Delta {
 	if !question.Relay {
-		f.work.TakeFollower(question.Node, question.Own, time.Now())
+		f.work.TakeFollower(question.Node, question.Own, boottime.Now())
 	}
 	if question.Feed != f.name {
 		question.SuspicionsPlace = 0
 	}
-	f.requests.Take(question.Suspicions, question.Node, time.Now())
+	f.requests.Take(question.Suspicions, question.Node, boottime.Now())
 	delta := f.await(ctx, question)
-	f.addSuspicions(&delta, question, time.Now())
-	f.addBelief(&delta, question, time.Now())
+	f.addSuspicions(&delta, question, boottime.Now())
+	f.addBelief(&delta, question, boottime.Now())
 	delta.Fleet = f.registry.NewerThan(question.Fleet)
 	if question.Reader {
 		delta.Duties = f.registry.Duties()
 	}
 	if !question.Relay {
-		delta.Others = f.work.Others(question.Node, time.Now())
+		delta.Others = f.work.Others(question.Node, boottime.Now())
 		delta.Kept = f.kept.News(question.Kept, false)
 	}
 	return delta
@@ -276,7 +277,7 @@
 func (f *Feed) since(question Question) (Delta, <-chan struct{}) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	delta := Delta{Feed: f.name, Place: f.place, Age: time.Since(f.readAt)}
+	delta := Delta{Feed: f.name, Place: f.place, Age: boottime.Since(f.readAt)}
 	delta.Whole = question.Feed != f.name || question.Place < f.oldest
 	if !delta.Whole && question.Place == f.place {
 		return delta, f.changed
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/pause"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
@@ -70,7 +71,7 @@
 	switch {
 	case !r.Registry.Settled():
 		return r.others(r.Registry.RelayAddresses())
-	case r.leads() && r.knows(r.age(otherReadPart), time.Now()):
+	case r.leads() && r.knows(r.age(otherReadPart), boottime.Now()):
 		return nil
 	case r.Reads():
 		// The first reader asks the others while it cannot read itself.
@@ -114,15 +115,15 @@
 		if node != r.Upstream() {
 			r.upstream.Store(&node)
 			r.Recorder.Follows(node, left)
-			changedAt = time.Now()
+			changedAt = boottime.Now()
 		}
-		begun := time.Now()
+		begun := boottime.Now()
 		left = r.ask(ctx, node, copied, told)
 		switch {
 		case left == nil:
-			pause.For(ctx, r.askPause()-time.Since(begun))
-		case left == errStale && time.Since(changedAt) < staleRest:
-			pause.For(ctx, r.askInterval()-time.Since(begun))
+			pause.For(ctx, r.askPause()-boottime.Since(begun))
+		case left == errStale && boottime.Since(changedAt) < staleRest:
+			pause.For(ctx, r.askInterval()-boottime.Since(begun))
 		default:
 			turn++
 			pause.For(ctx, idlePause)
@@ -143,7 +144,7 @@
 func (r *Reflector) ask(ctx context.Context, node string, copied *Copy, told *telling) error {
 	ctx, cancel := context.WithTimeout(ctx, askWait+askMargin)
 	defer cancel()
-	sentAt := time.Now()
+	sentAt := boottime.Now()
 	question := r.question(node, copied, sentAt)
 	toldUpTo := r.tell(&question, node, told, sentAt)
 	delta, err := r.Peers.Ask(ctx, node, question)
@@ -151,7 +152,7 @@
 		return err
 	}
 	told.answered(delta, toldUpTo)
-	r.Quarantine.Take(delta.Suspicions, node, time.Now())
+	r.Quarantine.Take(delta.Suspicions, node, boottime.Now())
 	readAt := sentAt.Add(-delta.Age)
 	if list, changed := copied.Apply(delta, readAt); changed {
 		r.takeList(list, readAt)
@@ -163,14 +164,14 @@
 		r.TakeLoads(*delta.Loads)
 	}
 	if delta.Fleet != nil {
-		r.Registry.ObserveNodes(delta.Fleet, time.Now())
+		r.Registry.ObserveNodes(delta.Fleet, boottime.Now())
 	}
 	r.nodesAt.store(sentAt)
 	if question.Reader {
-		r.Registry.ObserveDuties(delta.Duties, time.Now())
+		r.Registry.ObserveDuties(delta.Duties, boottime.Now())
 	}
 	if !question.Relay {
-		r.TakeReport(delta.Others, time.Now())
+		r.TakeReport(delta.Others, boottime.Now())
 		r.hear(node, question.Kept, delta.Kept)
 	}
 	if delta.BeliefAge >= 0 {
@@ -219,17 +220,17 @@
 // TakeLoads takes how far the roll-out of weights is, and passes it on.
 func (r *Reflector) TakeLoads(loads backend.Loads) {
 	if r.Feed.TakeLoads(loads) {
-		r.Set.Load(loads, time.Now())
+		r.Set.Load(loads, boottime.Now())
 	}
 }
 
 // hear takes a node's news of cached parts, and forgets those of nodes that are
 // not heard any more.
 func (r *Reflector) hear(node string, since residency.Place, news []byte) {
-	if err := r.Kept.Take(node, since, news, time.Now()); err != nil {
+	if err := r.Kept.Take(node, since, news, boottime.Now()); err != nil {
 		r.Recorder.Garbled(node, err)
 	}
-	r.Kept.Expire(time.Now())
+	r.Kept.Expire(boottime.Now())
 }
 
 // question asks a node for what this one lacks. Relays tell each other of their work
@@ -265,13 +266,13 @@
 // shareWork hears of the work of other relays' groups while this node is a relay.
 func (r *Reflector) shareWork(ctx context.Context) {
 	for ctx.Err() == nil {
-		begun := time.Now()
+		begun := boottime.Now()
 		if r.Relays() {
 			r.askRelays(ctx)
-			r.TakeReport(r.Work.Others("", time.Now()), time.Now())
+			r.TakeReport(r.Work.Others("", boottime.Now()), boottime.Now())
 		}
 		if r.Relays() {
-			pause.For(ctx, r.askInterval()-time.Since(begun))
+			pause.For(ctx, r.askInterval()-boottime.Since(begun))
 		} else {
 			pause.For(ctx, settledPoll)
 		}
@@ -295,7 +296,7 @@
 	if err != nil {
 		return
 	}
-	r.Work.TakeGroup(relay, group.Report, time.Now())
+	r.Work.TakeGroup(relay, group.Report, boottime.Now())
 	if group.Loads != nil {
 		r.TakeLoads(*group.Loads)
 	}
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/failure"
@@ -141,12 +142,18 @@
 	upstream atomic.Pointer[string]
 }
 
-// atomicTime is a time that goroutines share.
-type atomicTime struct{ nanoseconds atomic.Int64 }
+// atomicTime is a time that goroutines share. It keeps its steady reading: an age must not
+// jump with the time of day.
+type atomicTime struct{ at atomic.Pointer[time.Time] }
 
-func (t *atomicTime) load() time.Time { return time.Unix(0, t.nanoseconds.Load()) }
+func (t *atomicTime) load() time.Time {
+	if at := t.at.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
 
-func (t *atomicTime) store(at time.Time) { t.nanoseconds.Store(at.UnixNano()) }
+func (t *atomicTime) store(at time.Time) { t.at.Store(&at) }
 
 // Run reads until the context ends, and soon again after a failure.
 func (r *Reflector) Run(ctx context.Context) {
@@ -157,8 +164,8 @@
 	r.awaitRelay(ctx)
 	for ctx.Err() == nil {
 		switch {
-		case !r.due(time.Now()):
-			pause.For(ctx, r.untilDue(time.Now()))
+		case !r.due(boottime.Now()):
+			pause.For(ctx, r.untilDue(boottime.Now()))
 		case r.read(ctx) != nil:
 			pause.For(ctx, r.failurePause())
 		default:
@@ -190,12 +197,12 @@
 // from the relays that stand in it.
 func (r *Reflector) gather(ctx context.Context) {
 	for old := true; ctx.Err() == nil && !r.Registry.Settled(); old = false {
-		begun := time.Now()
+		begun := boottime.Now()
 		rest := gatherPause
 		if err := r.bounded(ctx, func(ctx context.Context) error { return r.readNodes(ctx, old) }); err != nil {
 			rest = r.failurePause()
 		}
-		for ctx.Err() == nil && !r.Registry.Settled() && time.Since(begun) < rest {
+		for ctx.Err() == nil && !r.Registry.Settled() && boottime.Since(begun) < rest {
 			pause.For(ctx, startPoll)
 		}
 	}
@@ -203,8 +210,8 @@
 
 // awaitRelay gives the relays a moment to tell a node that has just started.
 func (r *Reflector) awaitRelay(ctx context.Context) {
-	for begun := time.Now(); ctx.Err() == nil && time.Since(begun) < firstHearing; {
-		if r.leads() || r.knows(r.Bound, time.Now()) {
+	for begun := boottime.Now(); ctx.Err() == nil && boottime.Since(begun) < firstHearing; {
+		if r.leads() || r.knows(r.Bound, boottime.Now()) {
 			return
 		}
 		pause.For(ctx, startPoll)
@@ -215,10 +222,10 @@
 func (r *Reflector) bounded(ctx context.Context, read func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	begun := time.Now()
+	begun := boottime.Now()
 	err := read(ctx)
-	r.Recorder.Read(time.Since(begun), err)
-	r.judge(err, time.Now())
+	r.Recorder.Read(boottime.Since(begun), err)
+	r.judge(err, boottime.Now())
 	return err
 }
 
@@ -247,17 +254,17 @@
 
 // observe reads all.
 func (r *Reflector) observe(ctx context.Context) error {
-	begun := time.Now()
+	begun := boottime.Now()
 	withNodes := begun.Sub(r.nodesAt.load()) >= nodesInterval
 	observation, err := r.Source.Observe(ctx, withNodes)
 	if err != nil {
 		return err
 	}
 	r.takeList(observation.Servers, begun)
-	r.Registry.ObserveDuties(observation.Duties, time.Now())
+	r.Registry.ObserveDuties(observation.Duties, boottime.Now())
 	r.TakeHeld(observation.Held)
 	if observation.Nodes != nil {
-		r.Registry.ObserveNodes(observation.Nodes, time.Now())
+		r.Registry.ObserveNodes(observation.Nodes, boottime.Now())
 		r.nodesAt.store(begun)
 	}
 	r.advance(observation.Declared)
@@ -266,7 +273,7 @@
 
 // takeList takes a whole list of servers that was read at a time, and passes it on.
 func (r *Reflector) takeList(list []backend.Server, readAt time.Time) {
-	r.Recorder.Listed(r.Set.Update(list, time.Now()))
+	r.Recorder.Listed(r.Set.Update(list, boottime.Now()))
 	r.Feed.Take(list, readAt)
 	r.listedAt.store(readAt)
 }
@@ -278,19 +285,19 @@
 		return err
 	}
 	r.advance(declared)
-	if time.Since(r.nodesAt.load()) < nodesInterval {
+	if boottime.Since(r.nodesAt.load()) < nodesInterval {
 		return nil
 	}
 	return r.readNodes(ctx, false)
 }
 
 func (r *Reflector) readNodes(ctx context.Context, old bool) error {
-	begun := time.Now()
+	begun := boottime.Now()
 	entries, err := r.Source.Nodes(ctx, old)
 	if err != nil {
 		return err
 	}
-	r.Registry.ObserveNodes(entries, time.Now())
+	r.Registry.ObserveNodes(entries, boottime.Now())
 	r.nodesAt.store(begun)
 	return nil
 }
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
@@ -268,7 +269,7 @@
 func WorkHandler(feed *Feed) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		plainHeader(w)
-		_ = feed.Group(groupQuestion(r), time.Now()).encode(w)
+		_ = feed.Group(groupQuestion(r), boottime.Now()).encode(w)
 	}
 }
 
--- a/internal/residency/follower.go
+++ b/internal/residency/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/pause"
 )
 
@@ -160,7 +161,7 @@
 	}
 	life, next := all.Life, all.Next
 	// Changes that never came add up: after a time all is asked for anew.
-	for begun := time.Now(); ctx.Err() == nil && time.Since(begun) < renewAfter; {
+	for begun := boottime.Now(); ctx.Err() == nil && boottime.Since(begun) < renewAfter; {
 		batch, err := f.changes(ctx, next)
 		if err != nil {
 			return err
--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/lease"
 )
@@ -69,7 +70,7 @@
 
 // Wanted reports whether a server is behind.
 func (duty *Duty) Wanted() bool {
-	return Behind(duty.targets(), duty.Set.Servers(time.Now()), time.Now())
+	return Behind(duty.targets(), duty.Set.Servers(boottime.Now()), boottime.Now())
 }
 
 // Lost forgets the orders of a tenure that is over.
@@ -83,7 +84,7 @@
 // published before act is called, which tells the nodes of the loads before it sends
 // an order: they then keep new requests from servers that are about to load.
 func (duty *Duty) Step() (state []byte, act func(ctx context.Context, tenure *lease.Tenure)) {
-	now := time.Now()
+	now := boottime.Now()
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
 	if duty.machine == nil {
@@ -103,19 +104,19 @@
 // tell tells the nodes of loads if these have changed, or go on for long.
 func (duty *Duty) tell(loads backend.Loads, fence int64) {
 	same := slices.Equal(duty.told.Loading, loads.Loading) && slices.Equal(duty.told.Loaded, loads.Loaded)
-	fresh := len(loads.Loading) == 0 || time.Since(duty.toldAt) < retellAfter
+	fresh := len(loads.Loading) == 0 || boottime.Since(duty.toldAt) < retellAfter
 	if same && fresh && duty.told.Mark.Fence == fence {
 		return
 	}
 	loads.Mark = backend.LoadsMark{Fence: fence, Sequence: duty.told.Mark.Sequence + 1}
-	duty.told, duty.toldAt = loads, time.Now()
+	duty.told, duty.toldAt = loads, boottime.Now()
 	duty.Tell(loads)
 }
 
 func (duty *Duty) act(ctx context.Context, tenure *lease.Tenure, actions []Action) {
 	for _, action := range actions {
 		// A freeze may lie between the decision and the sending.
-		if !tenure.MayAct(time.Now()) {
+		if !tenure.MayAct(boottime.Now()) {
 			return
 		}
 		switch action := action.(type) {
@@ -158,7 +159,7 @@
 	if result == ResultFenced {
 		tenure.Supersede()
 	}
-	duty.do(func(machine *Machine) { machine.Answered(time.Now(), order.Server.Instance, result) })
+	duty.do(func(machine *Machine) { machine.Answered(boottime.Now(), order.Server.Instance, result) })
 }
 
 func (duty *Duty) inspect(ctx context.Context, inspect Inspect) {
@@ -167,9 +168,9 @@
 	instance := inspect.Server.Instance
 	report, err := duty.Servers.Report(ctx, inspect.Server)
 	if err != nil {
-		duty.do(func(machine *Machine) { machine.Unheard(time.Now(), instance) })
+		duty.do(func(machine *Machine) { machine.Unheard(boottime.Now(), instance) })
 		return
 	}
 	duty.Set.Learn(instance, report.Versions)
-	duty.do(func(machine *Machine) { machine.Inspected(time.Now(), instance, report) })
+	duty.do(func(machine *Machine) { machine.Inspected(boottime.Now(), instance, report) })
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -1,10 +1,9 @@
 package telemetry
 
 import (
-	"time"
-
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 )
 
@@ -94,7 +93,7 @@
 		Name: "cloverrail_proxy_declaration_age_seconds", Help: "Time since the declaration was certainly current.",
 	}, func() float64 {
 		if known := belief.Load(); known != nil && known.Snapshot != nil {
-			return time.Since(known.AsOf).Seconds()
+			return boottime.Since(known.AsOf).Seconds()
 		}
 		return -1
 	})
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/proxy"
@@ -104,7 +105,7 @@
 func (recorder *Recorder) HeldOff(request *proxy.Request, fingerprint quarantine.Fingerprint, verdict quarantine.Verdict) {
 	recorder.metrics.heldOff.Inc()
 	recorder.line(zerolog.InfoLevel).Str("id", request.ID).Stringer("fingerprint", fingerprint).Int("ended", verdict.Ends).
-		Float64("weight", verdict.Weight).Bool("stored", verdict.Stored).Time("until", verdict.Until).Msg("held off")
+		Float64("weight", verdict.Weight).Bool("stored", verdict.Stored).Dur("for", boottime.Until(verdict.Until)).Msg("held off")
 }
 
 // Settled hears whether a server ended under a request.
@@ -176,7 +177,7 @@
 	if fingerprint != 0 {
 		line.Stringer("fingerprint", fingerprint)
 	}
-	line.Dur("after", time.Since(request.Arrived)).Msg("attempt")
+	line.Dur("after", boottime.Since(request.Arrived)).Msg("attempt")
 }
 
 // Request hears of the end of a request.
@@ -195,7 +196,7 @@
 		recorder.metrics.firstAnswer.WithLabelValues(name).Observe(outcome.FirstAfter.Seconds())
 	}
 	line.Str("result", result).Int("status", outcome.Status).Int("sends", outcome.Sends).Int("runs", outcome.Runs).
-		Dur("first", outcome.FirstAfter).Dur("took", time.Since(request.Arrived)).Msg("request")
+		Dur("first", outcome.FirstAfter).Dur("took", boottime.Since(request.Arrived)).Msg("request")
 }
 
 // StoreCalled hears of each call of the shared store.
