Show who is held off and who is served: one node, the fleet, nodes that start, are cut off or suspended

Cause: the mend had one test, on three nodes that all lived throughout. Change: tests of one node alone, of a node that starts later, of a fleet of which all nodes are replaced, of a node that was cut off and suspended meanwhile, of what runs beside ends of servers (a popular request too), of servers that live; properties of the ledger. Conclusion: held off at every node in the time of contact; nobody else is refused.

--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -11,9 +11,11 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/lab/faultwire"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/platform"
 	"github.com/cloverrail/cloverrail/platform/standin"
@@ -40,6 +42,40 @@
 	version  int64
 	// kill ends the node as far as others can tell.
 	kill func()
+	// ways are the node's to the store and the others' to the node; cutOff says that it
+	// does not reach others either.
+	ways   []*faultwire.Wire
+	cutOff atomic.Bool
+}
+
+// cut takes the node's ways to the store and to other nodes, or gives them back.
+func (fixture *fixture) cut(off bool) {
+	mode := faultwire.Sound
+	if off {
+		mode = faultwire.Reset
+	}
+	for _, way := range fixture.ways {
+		way.Set(mode)
+	}
+	fixture.cutOff.Store(off)
+}
+
+var errCutOff = errors.New("the node is cut off")
+
+// RoundTrip calls other nodes, unless the node is cut off.
+func (fixture *fixture) RoundTrip(request *http.Request) (*http.Response, error) {
+	if fixture.cutOff.Load() {
+		return nil, errCutOff
+	}
+	return http.DefaultTransport.RoundTrip(request)
+}
+
+// way returns a wire to an address.
+func (fixture *fixture) way(address string) string {
+	wire, err := faultwire.New(address)
+	require.NoError(fixture.t, err)
+	fixture.ways = append(fixture.ways, wire)
+	return wire.Address()
 }
 
 const keptAddress = "127.0.0.1:9"
@@ -91,8 +127,8 @@
 	given := settings.ProxyDefaults()
 	given.Name, given.Zone = name, "a"
 	given.Zones = map[string]string{"a": "r", "b": "r"}
-	given.StoreAddress = storeAddress
-	given.PeerAddress = peers.Listener.Addr().String()
+	given.StoreAddress = fixture.way(storeAddress)
+	given.PeerAddress = fixture.way(peers.Listener.Addr().String())
 	given.StoreLeastLease = 500 * time.Millisecond
 	given.Bounds.Configuration = 250 * time.Millisecond
 	given.Bounds.Revocation = 2 * time.Second
@@ -102,6 +138,7 @@
 	var err error
 	fixture.process, err = newProcess(given)
 	require.NoError(t, err)
+	fixture.process.peers.Transport = fixture
 	ctx, cancel := context.WithCancel(context.Background())
 	fixture.kill = func() {
 		cancel()
--- a/cmd/cloverrail/quarantine_test.go
+++ b/cmd/cloverrail/quarantine_test.go
@@ -1,16 +1,23 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/lab/suspension"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
+	"github.com/cloverrail/cloverrail/platform"
 	"github.com/cloverrail/cloverrail/platform/standin"
 )
 
@@ -45,7 +52,9 @@
 	store        *standin.Store
 	storeAddress string
 	nodes        []*fixture
-	machines     []*standin.Machine
+	// living counts the nodes that were not killed.
+	living   int
+	machines []*standin.Machine
 }
 
 // newFleet starts nodes and, for each of the two services, a number of machines.
@@ -70,6 +79,7 @@
 func (f *fleetFixture) join() *fixture {
 	n := newNode(f.t, f.store, f.storeAddress, fmt.Sprint("node-", len(f.nodes)))
 	f.nodes = append(f.nodes, n)
+	f.living++
 	return n
 }
 
@@ -78,7 +88,7 @@
 	n.until(func() bool {
 		belief := n.process.belief.Load()
 		return belief != nil && belief.Snapshot != nil && n.process.registry.Settled() &&
-			n.process.registry.Nodes() >= len(f.nodes) && len(n.process.set.Servers(time.Now())) >= len(f.machines)
+			n.process.registry.Nodes() >= f.living && len(n.process.set.Servers(time.Now())) >= len(f.machines)
 	})
 }
 
@@ -141,6 +151,168 @@
 	require.LessOrEqual(f.t, late, fewMore, "of %d servers that ended in all", len(begun))
 }
 
+// requireNoMore sends the body to a node some times and checks that hardly a try reaches a
+// server, and that the last one is refused as not run.
+func (f *fleetFixture) requireNoMore(n *fixture, kind, body string) {
+	before, last := len(f.ends(body)), answer{}
+	for range 3 * fewMore {
+		last = n.send(http.MethodPost, "/"+kind+"/x", body, kinds[kind])
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.LessOrEqual(f.t, len(f.ends(body))-before, fewMore)
+	require.Equal(f.t, http.StatusServiceUnavailable, last.status)
+	require.Contains(f.t, last.body, string(failure.KindHeldOff))
+}
+
+func TestOneNodeAloneHoldsOffWhatEndsServers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 6)
+	f.comeAgain("fixed", deadly, f.nodes)
+	f.requireHeldOff(deadly)
+}
+
+// What a request has done outlives the nodes that saw it: one that starts later hears it
+// from others, and a fleet of which all nodes are replaced finds it in the store.
+func TestWhatARequestHasDoneOutlivesTheNodesThatSawIt(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 8)
+	f.comeAgain("fixed", deadly, f.nodes)
+	f.requireHeldOff(deadly)
+	later := f.join()
+	f.await(later)
+	f.requireNoMore(later, "fixed", deadly)
+	f.nodes[0].until(func() bool { return len(f.store.Keys(platform.PrefixHeld)) == 1 })
+	for _, n := range f.nodes {
+		n.kill()
+		f.living--
+	}
+	for range 2 {
+		f.await(f.join())
+	}
+	f.requireNoMore(f.nodes[len(f.nodes)-1], "fixed", deadly)
+	f.requireNoMore(f.nodes[len(f.nodes)-2], "fixed", deadly)
+}
+
+// A node that was cut off, and suspended besides, while the others found out hears it when
+// it is back.
+func TestANodeThatWasCutOffAndSuspendedHearsWhatARequestHasDone(t *testing.T) {
+	machine, restore := suspension.Begin()
+	f := newFleet(t, 3, 8)
+	t.Cleanup(restore)
+	away := f.nodes[2]
+	away.cut(true)
+	f.comeAgain("fixed", deadly, f.nodes[:2])
+	f.requireHeldOff(deadly)
+	machine.Suspend(20 * time.Second)
+	away.cut(false)
+	time.Sleep(contact)
+	f.requireNoMore(away, "fixed", deadly)
+	f.requireNoMore(f.nodes[0], "fixed", deadly)
+}
+
+// Requests that run beside the ends of servers are served in the end, and a popular one
+// that always runs beside some end is never held off.
+func TestWhatRunsBesideTheEndsOfServersIsServed(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 8)
+	for _, m := range f.machines {
+		if m.Model != "" {
+			m.Manner = standin.Paced(8, 30*time.Millisecond, "token")
+		}
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var served, unserved, wrongly atomic.Int64
+	callers := sync.WaitGroup{}
+	for caller := range 6 {
+		callers.Go(func() {
+			for request := 0; ctx.Err() == nil; request++ {
+				// Half of them send one popular request, the others each time another.
+				body := "popular"
+				if caller%2 == 0 {
+					body = fmt.Sprintf("request %d of %d", request, caller)
+				}
+				whole := false
+				for try := 0; try < 6 && !whole; try++ {
+					got := f.nodes[(caller+try)%len(f.nodes)].send(http.MethodPost, "/fixed/x", body, prompt)
+					whole = got.err == nil && got.status == http.StatusOK
+					if !whole {
+						// Some longer than a refusal asks for.
+						time.Sleep(200 * time.Millisecond)
+					}
+					if strings.Contains(got.body, string(failure.KindHeldOff)) {
+						wrongly.Add(1)
+					}
+				}
+				if whole {
+					served.Add(1)
+				} else {
+					unserved.Add(1)
+				}
+			}
+		})
+	}
+	for i := range 3 {
+		f.comeAgain("fixed", fmt.Sprint(deadly, i), f.nodes)
+		f.requireHeldOff(fmt.Sprint(deadly, i))
+	}
+	stop()
+	callers.Wait()
+	require.Zero(t, wrongly.Load(), "held off, and harmless")
+	require.Zero(t, unserved.Load())
+	require.Greater(t, served.Load(), int64(50))
+}
+
+// A request that the store holds off and that is answered whole after all, since it was
+// under way, is cleared there too.
+func TestAClearedRequestLeavesTheStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 4)
+	n := f.nodes[0]
+	n.until(func() bool { return n.process.reflector.Reads() })
+	fingerprint := quarantine.Fingerprint(42)
+	for server := range uint64(enoughEnds) {
+		n.process.requests.Suspect(fingerprint)
+		n.process.requests.Settle(fingerprint, server, time.Now(), true, time.Now())
+	}
+	kept := func() int { return len(f.store.Keys(platform.PrefixHeld)) }
+	n.until(func() bool { return kept() == 1 })
+	other := f.nodes[1].process.requests
+	f.nodes[1].until(func() bool {
+		return other.Judge(fingerprint, f.nodes[1].process.set.AnsweredSince, time.Now()).Held
+	})
+	require.True(t, other.Served(fingerprint, time.Now()))
+	n.until(func() bool { return kept() == 0 })
+	require.False(t, n.process.requests.Judge(fingerprint, n.process.set.AnsweredSince, time.Now()).Held)
+}
+
+// Connections may break while their servers live: a server that goes on to answer has not
+// ended, and a request that broke there is served as soon as that is known.
+func TestConnectionsThatBreakHoldOffNothingWhileServersLive(t *testing.T) {
+	t.Parallel()
+	breaks := atomic.Bool{}
+	breaks.Store(true)
+	manner := func(server *standin.Server, w http.ResponseWriter, r *http.Request) {
+		if body, _ := io.ReadAll(r.Body); string(body) == "turn" && breaks.Load() {
+			standin.Dies(server, w, r)
+		}
+		standin.Answers(http.StatusOK, "done")(server, w, r)
+	}
+	fixture := newFixture(t).serve(plainServer("i-1", manner), plainServer("i-2", manner), plainServer("i-3", manner), plainServer("i-4", manner))
+	for range 8 {
+		fixture.send(http.MethodPost, "/once/", "turn", nil)
+		for range 6 {
+			require.Equal(t, http.StatusOK, fixture.send(http.MethodPost, "/once/", "other", nil).status)
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	breaks.Store(false)
+	fixture.until(func() bool {
+		fixture.send(http.MethodPost, "/once/", "other", nil)
+		return fixture.send(http.MethodPost, "/once/", "turn", nil).status == http.StatusOK
+	})
+	fixture.until(func() bool { return len(fixture.store.Keys(platform.PrefixHeld)) == 0 })
+}
+
 // A request that ends the servers that run it is held off over the whole fleet, whatever
 // kind of route it takes, and its callers get a final answer at once that is true.
 func TestARequestThatEndsServersIsHeldOff(t *testing.T) {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -121,7 +121,7 @@
 		due[f] = at
 	}
 	for f := range k.stored {
-		if !k.Ledger.Cleared(f) {
+		if !k.Ledger.Cleared(f, k.Lives, now) {
 			continue
 		}
 		if at := k.due[f]; now.Before(at) {
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -1,6 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +30,8 @@
 	// mostRequests bounds the requests that are remembered, some 1 MB: as many as the
 	// loss of a zone of 250 servers with 16 runs each makes suspect at once.
 	mostRequests = 4096
+	// droppedPart is the part, one in so many, of them that is dropped when there are more.
+	droppedPart = 4
 	// mostEnds bounds the servers that are remembered for one request.
 	mostEnds = 16
 	// forgetInterval is the least time between two looks for what is too old.
@@ -248,34 +253,33 @@
 	l.count()
 }
 
-// makeRoom drops the request that matters least if too many are remembered: the one with
-// the fewest ends, and among these the one that was heard of first.
+// makeRoom drops the requests that matter least if too many are remembered: those with the
+// fewest ends, and among these the ones that were heard of first. It drops many at once,
+// since each time all are looked at.
 func (l *Ledger) makeRoom() {
 	if len(l.histories) < mostRequests {
 		return
 	}
-	var least Fingerprint
-	var drop *history
-	for f, h := range l.histories {
-		if drop == nil || h.before(drop) {
-			least, drop = f, h
+	ranked := slices.Collect(maps.Keys(l.histories))
+	slices.SortFunc(ranked, func(a, b Fingerprint) int { return l.histories[a].compare(l.histories[b]) })
+	for _, f := range ranked[:mostRequests/droppedPart] {
+		h := l.histories[f]
+		for server := range h.ends {
+			l.forgetEnd(f, h, server)
 		}
+		delete(l.histories, f)
 	}
-	for server := range drop.ends {
-		l.forgetEnd(least, drop, server)
-	}
-	delete(l.histories, least)
 }
 
-// before reports whether h matters less than other.
-func (h *history) before(other *history) bool {
+// compare orders histories by how much they matter, those that matter least first.
+func (h *history) compare(other *history) int {
 	if h.held.known() != other.held.known() {
-		return other.held.known()
-	}
-	if len(h.ends) != len(other.ends) {
-		return len(h.ends) < len(other.ends)
+		if h.held.known() {
+			return 1
+		}
+		return -1
 	}
-	return h.latest().place < other.latest().place
+	return cmp.Or(cmp.Compare(len(h.ends), len(other.ends)), cmp.Compare(h.latest().place, other.latest().place))
 }
 
 // latest is the fact that was heard of last.
--- /dev/null
+++ b/internal/quarantine/ledger_test.go
@@ -0,0 +1,235 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cloverrail/cloverrail/internal/property"
+)
+
+var begin = time.Unix(1000, 0)
+
+// ended says of no server that it has answered since.
+func ended(uint64, time.Time) bool { return false }
+
+// end lets a server end under requests.
+func end(l *Ledger, server uint64, at time.Time, requests ...Fingerprint) {
+	for _, f := range requests {
+		l.Suspect(f)
+		l.Settle(f, server, at, true, at)
+	}
+}
+
+func TestARequestIsHeldOffAfterEnoughServersHaveEnded(t *testing.T) {
+	l := NewLedger()
+	require.False(t, l.Active())
+	for server := range uint64(enoughEnds) {
+		require.False(t, l.Judge(7, ended, begin).Held)
+		end(l, server, begin, 7)
+		end(l, server, begin, 7)
+	}
+	verdict := l.Judge(7, ended, begin)
+	require.Equal(t, Verdict{Held: true, Ends: enoughEnds, Weight: enoughEnds, Until: begin.Add(HoldLife)}, verdict)
+	require.False(t, l.Judge(8, ended, begin).Held, "another request")
+	later := begin.Add(HoldLife)
+	require.False(t, l.Judge(7, ended, later).Held, "it may be tried again")
+	end(l, 9, later, 7)
+	require.True(t, l.Judge(7, ended, later).Held, "one more server is enough then")
+	require.False(t, l.Judge(7, ended, later.Add(endLife+1)).Held)
+	end(l, 10, later.Add(3*endLife), 8)
+	require.Equal(t, int64(1), l.active.Load(), "what is too old is forgotten")
+}
+
+func TestAServerThatAnswersLaterRequestsHasNotEnded(t *testing.T) {
+	l := NewLedger()
+	for server := range uint64(enoughEnds) {
+		end(l, server, begin, 7)
+	}
+	lives := func(server uint64, since time.Time) bool { return server == 1 && since.Equal(begin) }
+	require.False(t, l.Judge(7, lives, begin).Held)
+	l.TakeStored([]Fingerprint{7}, begin)
+	require.False(t, l.Judge(7, lives, begin).Held, "the store does not know better")
+	require.True(t, l.Cleared(7, lives, begin))
+	require.False(t, l.Cleared(7, ended, begin))
+	require.Empty(t, l.HeldOff(lives, begin))
+	require.Equal(t, []Fingerprint{7}, l.HeldOff(ended, begin))
+}
+
+func TestAServerThatWasFoundToLiveCountsForNothing(t *testing.T) {
+	l := NewLedger()
+	l.Suspect(7)
+	require.True(t, l.Active())
+	l.Settle(7, 1, begin, false, begin)
+	require.False(t, l.Active())
+}
+
+// A whole answer clears a request, also of ends that are told later.
+func TestAWholeAnswerClearsARequest(t *testing.T) {
+	l := NewLedger()
+	require.False(t, l.Served(7, begin), "nothing to clear")
+	end(l, 1, begin, 7)
+	end(l, 2, begin, 7)
+	require.True(t, l.Served(7, begin.Add(time.Second)))
+	require.False(t, l.Served(7, begin.Add(2*time.Second)), "that is known")
+	for server := range uint64(10) {
+		end(l, 10+server, begin.Add(3*time.Second), 7)
+	}
+	require.False(t, l.Judge(7, ended, begin.Add(3*time.Second)).Held)
+	later := begin.Add(time.Second + servedLife)
+	for server := range uint64(enoughEnds) {
+		end(l, 20+server, later, 7)
+	}
+	require.True(t, l.Judge(7, ended, later).Held, "it may have become harmful")
+}
+
+// What ran beside a request that ends servers is served, though it ran beside three ends.
+func TestARequestThatRanBesideAnotherIsNotHeldOff(t *testing.T) {
+	l := NewLedger()
+	for server := range uint64(enoughEnds) {
+		end(l, server, begin, 7, 8)
+	}
+	end(l, 99, begin, 7)
+	require.True(t, l.Judge(7, ended, begin).Held)
+	require.False(t, l.Judge(8, ended, begin).Held)
+	// But one that goes on to end servers alone is held off soon.
+	end(l, 100, begin, 8)
+	end(l, 101, begin, 8)
+	require.True(t, l.Judge(8, ended, begin).Held)
+}
+
+func TestWhatTheStoreHoldsOffIsHeldOffUntilItIsCleared(t *testing.T) {
+	l := NewLedger()
+	l.TakeStored([]Fingerprint{7}, begin)
+	place := l.Place()
+	l.TakeStored([]Fingerprint{7}, begin.Add(time.Second))
+	require.Equal(t, place, l.Place(), "that is no news")
+	verdict := l.Judge(7, ended, begin)
+	require.True(t, verdict.Held && verdict.Stored)
+	require.Empty(t, l.HeldOff(ended, begin), "nothing that this node would write")
+	require.True(t, l.Served(7, begin.Add(time.Second)))
+	require.True(t, l.Cleared(7, ended, begin.Add(time.Second)))
+	l.TakeStored([]Fingerprint{7}, begin.Add(2*time.Second))
+	require.False(t, l.Judge(7, ended, begin.Add(2*time.Second)).Held, "the key is not removed yet")
+}
+
+// Whatever order facts come in, and however often, nodes that have heard them all agree.
+func TestNodesThatHaveHeardTheSameAgree(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		var items []Item
+		for range rapid.IntRange(1, 40).Draw(t, "facts") {
+			item := Item{
+				Kind:        rapid.SampledFrom([]Kind{Ended, Ended, Ended, Served, Held}).Draw(t, "kind"),
+				Fingerprint: Fingerprint(rapid.IntRange(1, 4).Draw(t, "request")),
+				Age:         time.Duration(rapid.IntRange(0, 90).Draw(t, "age")) * time.Second,
+			}
+			if item.Kind == Ended {
+				item.Server = uint64(rapid.IntRange(1, 8).Draw(t, "server"))
+				// One end has one time, whoever tells of it.
+				item.Age = time.Duration(item.Server) * 11 * time.Second
+			}
+			if item.Age < item.Kind.life() {
+				items = append(items, item)
+			}
+		}
+		one, other := NewLedger(), NewLedger()
+		one.Take(items, "a", begin)
+		mixed := rapid.Permutation(append(slices.Clone(items), items...)).Draw(t, "order")
+		other.Take(mixed, "b", begin)
+		for f := range Fingerprint(5) {
+			require.Equal(t, one.Judge(f, ended, begin), other.Judge(f, ended, begin))
+		}
+	})
+}
+
+// A ledger that tells another all that it knows in pieces leaves out nothing, and tells
+// nobody what it heard from there.
+func TestEverythingIsToldOnceAndInPieces(t *testing.T) {
+	one, other := NewLedger(), NewLedger()
+	for f := range Fingerprint(3 * mostTold) {
+		end(one, uint64(f), begin, f+1)
+	}
+	place := int64(0)
+	for place != one.Place() {
+		items, next := one.Since(place, "other", All, begin)
+		require.LessOrEqual(t, len(items), mostTold)
+		require.Greater(t, next, place)
+		other.Take(items, "one", begin)
+		place = next
+	}
+	require.Len(t, other.histories, 3*mostTold)
+	back, next := other.Since(0, "one", All, begin)
+	require.Empty(t, back)
+	require.Equal(t, other.Place(), next)
+	own, _ := other.Since(0, "third", Own, begin)
+	require.Empty(t, own, "nothing that it found itself")
+	third, _ := other.Since(0, "third", All, begin)
+	require.Len(t, third, mostTold)
+}
+
+// What is remembered is bounded, and what matters most stays.
+func TestMemoryIsBoundedAndWhatIsHeldOffStays(t *testing.T) {
+	l := NewLedger()
+	for server := range uint64(enoughEnds) {
+		end(l, server, begin, 1)
+	}
+	l.TakeStored([]Fingerprint{2}, begin)
+	for f := range Fingerprint(2 * mostRequests) {
+		end(l, uint64(1000+f), begin, f+3)
+	}
+	require.LessOrEqual(t, len(l.histories), mostRequests)
+	require.LessOrEqual(t, len(l.byServer), mostRequests+enoughEnds)
+	require.True(t, l.Judge(1, ended, begin).Held)
+	require.True(t, l.Judge(2, ended, begin).Held)
+	for server := range uint64(10 * mostEnds) {
+		end(l, server, begin.Add(time.Duration(server)*time.Second), 1)
+	}
+	require.Len(t, l.histories[1].ends, mostEnds)
+	require.Equal(t, begin.Add((10*mostEnds-1)*time.Second).Add(HoldLife), l.Judge(1, ended, begin).Until, "the latest end counts")
+}
+
+// With servers that end under a few requests, each running beside others that come again,
+// those requests are held off after a bounded number of ends, and no other is held off
+// that is ever answered whole.
+func TestOnlyTheRequestsThatEndServersAreHeldOff(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		guilty := rapid.IntRange(1, 3).Draw(t, "guilty")
+		beside := rapid.IntRange(0, 15).Draw(t, "beside")
+		popular := rapid.IntRange(0, 2).Draw(t, "popular")
+		l := NewLedger()
+		ends := map[Fingerprint]int{}
+		now, next, server := begin, Fingerprint(1000), uint64(0)
+		for range 40 {
+			now = now.Add(time.Duration(random.IntN(1000)) * time.Millisecond)
+			f := Fingerprint(1 + random.IntN(guilty))
+			if l.Judge(f, ended, now).Held {
+				continue
+			}
+			server++
+			ends[f]++
+			running := []Fingerprint{f}
+			for range beside {
+				next++
+				running = append(running, next)
+			}
+			for p := range popular {
+				running = append(running, Fingerprint(100+p))
+			}
+			end(l, server, now, running...)
+			// What ran beside comes again and is answered, popular requests many times.
+			for _, other := range running[1:] {
+				require.False(t, l.Judge(other, ended, now).Held, fmt.Sprint(other))
+				l.Served(other, now.Add(time.Millisecond))
+			}
+		}
+		for f, n := range ends {
+			require.LessOrEqual(t, n, enoughEnds, "request %d", f)
+		}
+	})
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -26,11 +26,9 @@
 		return Verdict{}
 	}
 	v := l.weigh(f, known, lives, now)
-	if until := known.held.at.Add(HoldLife); known.held.known() && until.After(now) {
-		v.Held, v.Stored = true, true
-		if until.After(v.Until) {
-			v.Until = until
-		}
+	// Who knows the ends of the servers judges by them: some may have answered since.
+	if until := known.held.at.Add(HoldLife); known.held.known() && len(known.ends) < enoughEnds && until.After(now) {
+		v.Held, v.Stored, v.Until = true, true, until
 	}
 	return v
 }
@@ -84,10 +82,14 @@
 	return held
 }
 
-// Cleared reports whether a whole answer of a request is known.
-func (l *Ledger) Cleared(f Fingerprint) bool {
+// Cleared reports whether a request is known to need no holding off: it had a whole answer,
+// or of the servers that had ended under it enough have answered since.
+func (l *Ledger) Cleared(f Fingerprint, lives func(server uint64, since time.Time) bool, now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	known := l.histories[f]
-	return known != nil && known.served.known()
+	if known == nil {
+		return false
+	}
+	return known.served.known() || len(known.ends) >= enoughEnds && !l.weigh(f, known, lives, now).Held
 }
