--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -57,6 +57,14 @@
 	NextCosts map[string]int64 `json:"next_costs"`
 	// Deferred says that the request was placed to let others go first.
 	Deferred bool `json:"deferred"`
+	// Fingerprint is the same for all tries of a request under which a server may have ended.
+	Fingerprint string `json:"fingerprint"`
+	// Settled says whether the server had ended.
+	Settled string `json:"settled"`
+	// The figures of a refusal for the servers that ended under a request.
+	Ended  int     `json:"ended"`
+	Weight float64 `json:"weight"`
+	Stored bool    `json:"stored"`
 	// The figures of a refusal for a tenant's limit.
 	Tenant     string  `json:"tenant"`
 	Limit      float64 `json:"limit"`
@@ -87,7 +95,8 @@
 		Usage:     "say what became of one request of a proxy",
 		ArgsUsage: "ID < LOG",
 		Description: `Reads the logs of all nodes from the standard input, puts the lines of one
-request in order, and says what they mean.
+request in order, and says what they mean. A fingerprint in place of the id shows
+what is known of all tries of a request under which servers ended.
 
 Example:
   cat node-*.log | cloverrail explain 9c41d07be2a35f68`,
@@ -123,7 +132,7 @@
 }
 
 // linesOf returns the lines of a request in the order of their time, and how many
-// lines the log says were left out.
+// lines the log says were left out. The request is named by its id or its fingerprint.
 func linesOf(log io.Reader, id string) (lines []logLine, suppressed int, err error) {
 	scanner := bufio.NewScanner(log)
 	scanner.Buffer(nil, longestLine)
@@ -136,7 +145,7 @@
 			continue
 		}
 		suppressed += line.Suppressed
-		if line.ID == id {
+		if line.ID == id || line.Fingerprint == id {
 			lines = append(lines, line)
 		}
 	}
@@ -156,9 +165,18 @@
 		if line.Reason != "" {
 			meaning += " (" + line.Reason + ")"
 		}
+		if line.Fingerprint != "" {
+			meaning += ", request " + line.Fingerprint
+		}
 		return fmt.Sprintf("at server %s %s", line.Server, meaning)
 	case "limited":
 		return line.limited()
+	case "held off":
+		return line.heldOff()
+	case "cleared":
+		return fmt.Sprintf("a whole answer, which clears request %s", line.Fingerprint)
+	case "suspicion":
+		return line.suspicion()
 	case "request":
 		return line.ended()
 	default:
@@ -190,6 +208,21 @@
 		line.Tenant, line.Asked, line.Limit, line.Level, 100*line.Share, line.Nodes, line.Age, line.RetryAfter)
 }
 
+func (line logLine) heldOff() string {
+	known := fmt.Sprintf("%d servers have ended under it, which counts %.1f", line.Ended, line.Weight)
+	if line.Stored {
+		known = "the store says that servers have ended under it"
+	}
+	return fmt.Sprintf("held off: %s; to come back after %.0f ms; see all of its tries by its fingerprint, %s", known, line.RetryAfter, line.Fingerprint)
+}
+
+func (line logLine) suspicion() string {
+	if line.Settled == "ended" {
+		return fmt.Sprintf("server %s closed a connection before its whole answer and has answered nothing since: it counts against request %s", line.Server, line.Fingerprint)
+	}
+	return fmt.Sprintf("server %s closed a connection before its whole answer and goes on to answer: that counts for nothing", line.Server)
+}
+
 // costText shows a cost with its terms, the greatest first.
 func costText(costs map[string]int64) string {
 	sum := int64(0)
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -41,6 +41,28 @@
 	require.Contains(t, text.String(), "it will be late there, so that others go first")
 }
 
+// From the id of a request that was refused to the servers that ended under its other tries.
+func TestExplainFindsTheTriesOfARequestThatIsHeldOff(t *testing.T) {
+	log := `{"node":"a","id":"r1","server":"i-7","event":"broken","reason":"EOF","fingerprint":"002a","message":"attempt","time":"2000-01-01T00:00:01Z"}
+{"node":"a","fingerprint":"002a","server":"i-7","settled":"ended","message":"suspicion","time":"2000-01-01T00:00:02Z"}
+{"node":"b","fingerprint":"002a","server":"i-8","settled":"lives","message":"suspicion","time":"2000-01-01T00:00:03Z"}
+{"node":"b","id":"r9","fingerprint":"002a","ended":3,"weight":2.5,"stored":false,"retry_after":600000,"message":"held off","time":"2000-01-01T00:00:04Z"}
+{"node":"b","id":"r10","fingerprint":"002a","stored":true,"retry_after":600000,"message":"held off","time":"2000-01-01T00:00:05Z"}
+{"node":"b","id":"r11","fingerprint":"002a","message":"cleared","time":"2000-01-01T00:00:06Z"}`
+	text := strings.Builder{}
+	require.NoError(t, explain(strings.NewReader(log), &text, "r9"))
+	require.Contains(t, text.String(), "held off: 3 servers have ended under it, which counts 2.5; to come back after 600000 ms; see all of its tries by its fingerprint, 002a")
+	text.Reset()
+	require.NoError(t, explain(strings.NewReader(log), &text, "002a"))
+	lines := strings.Split(strings.TrimSpace(text.String()), "\n")
+	require.Len(t, lines, 6)
+	require.Contains(t, lines[0], "at server i-7 the attempt broke after it was sent: it may have run (EOF), request 002a")
+	require.Contains(t, lines[1], "server i-7 closed a connection before its whole answer and has answered nothing since")
+	require.Contains(t, lines[2], "goes on to answer")
+	require.Contains(t, lines[4], "the store says that servers have ended under it")
+	require.Contains(t, lines[5], "clears request 002a")
+}
+
 func TestExplainSaysWhyThereIsNothing(t *testing.T) {
 	err := explain(strings.NewReader(explainLog), &strings.Builder{}, "r9")
 	require.ErrorContains(t, err, "5 that the nodes left out")
--- a/internal/proxy/pace.go
+++ b/internal/proxy/pace.go
@@ -41,3 +41,8 @@
 	defer pace.mutex.Unlock()
 	return pace.speed
 }
+
+// timeOf is how long an engine takes to read a number of tokens if it does nothing else.
+func (pace *pace) timeOf(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / pace.tokensPerSecond() * float64(time.Second))
+}
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -164,15 +164,7 @@
 	if placement.placer.prompt() == nil {
 		return 0
 	}
-	tokens := float64(placement.chosen.QueuedTokens + placement.tokens)
-	seconds := readingAllowance * tokens / placement.placer.proxy.pace.tokensPerSecond()
-	return time.Duration(seconds * float64(time.Second))
-}
-
-// readingTime is how long the server takes to read the prompt if it does nothing else.
-func (placement *placement) readingTime() time.Duration {
-	seconds := float64(placement.tokens) / placement.placer.proxy.pace.tokensPerSecond()
-	return time.Duration(seconds * float64(time.Second))
+	return readingAllowance * placement.placer.proxy.pace.timeOf(placement.chosen.QueuedTokens+placement.tokens)
 }
 
 // End says that the attempt is over.
@@ -183,6 +175,7 @@
 		placement.placer.proxy.suspect(placement.placer.admitted, placement.chosen.Endpoint, now)
 	}
 	if result == exchange.ResultServed && placement.started && placement.placer.prompt() != nil {
-		placement.placer.proxy.slotTime.measure(now.Sub(placement.startedAt) + placement.readingTime())
+		reading := placement.placer.proxy.pace.timeOf(placement.tokens)
+		placement.placer.proxy.slotTime.measure(now.Sub(placement.startedAt) + reading)
 	}
 }
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -29,7 +29,7 @@
 	hash := sha256.New()
 	for _, part := range []string{i.Caller, i.Method, i.Host, i.Target} {
 		// The length keeps parts apart: "a" and "bc" are not "ab" and "c".
-		_ = binary.Write(hash, binary.LittleEndian, uint64(len(part)))
+		_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, uint64(len(part))))
 		_, _ = io.WriteString(hash, part)
 	}
 	_, _ = hash.Write(i.Body)
--- a/internal/reflector/transport_test.go
+++ b/internal/reflector/transport_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"encoding/gob"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -94,3 +97,44 @@
 		require.Equal(t, question, read)
 	}
 }
+
+// What requests have done to servers comes through whole in both directions, and costs
+// little while there is nothing to tell.
+func TestSuspicionsAreToldBothWays(t *testing.T) {
+	items := []quarantine.Item{{Kind: quarantine.Ended, Fingerprint: 7, Server: 9, Age: time.Second}, {Kind: quarantine.Served, Fingerprint: 8}}
+	size := func(encode func(io.Writer) error) int {
+		text := bytes.Buffer{}
+		require.NoError(t, encode(&text))
+		return text.Len()
+	}
+	question := Question{Feed: "f", Node: "n", SuspicionsPlace: 4}
+	quiet := size(question.encode)
+	question.Suspicions = items
+	text := bytes.Buffer{}
+	require.NoError(t, question.encode(&text))
+	decoded, err := decodeQuestion(&text)
+	require.NoError(t, err)
+	require.Equal(t, question, decoded)
+
+	delta := Delta{Feed: "f", SuspicionsPlace: 6, Suspicions: items}
+	text.Reset()
+	require.NoError(t, delta.encode(&text))
+	var wired wireDelta
+	require.NoError(t, gob.NewDecoder(&text).Decode(&wired))
+	told, err := wired.delta()
+	require.NoError(t, err)
+	require.Equal(t, delta.Suspicions, told.Suspicions)
+	require.Equal(t, delta.SuspicionsPlace, told.SuspicionsPlace)
+
+	question.Suspicions = nil
+	question.SuspicionsPlace = 0
+	require.LessOrEqual(t, quiet-size(question.encode), 4, "bytes of a question for the place heard")
+	many := make([]quarantine.Item, 1000)
+	for i := range many {
+		many[i] = quarantine.Item{Kind: quarantine.Ended, Fingerprint: quarantine.Fingerprint(rand.Uint64()), Server: rand.Uint64(), Age: time.Duration(rand.Int64N(int64(time.Minute)))}
+	}
+	delta.Suspicions = many
+	each := size(delta.encode) / len(many)
+	t.Logf("%d bytes an item", each)
+	require.LessOrEqual(t, each, 40)
+}
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -105,7 +105,7 @@
 func (recorder *Recorder) HeldOff(request *proxy.Request, fingerprint quarantine.Fingerprint, verdict quarantine.Verdict) {
 	recorder.metrics.heldOff.Inc()
 	recorder.line(zerolog.InfoLevel).Str("id", request.ID).Stringer("fingerprint", fingerprint).Int("ended", verdict.Ends).
-		Float64("weight", verdict.Weight).Bool("stored", verdict.Stored).Dur("for", boottime.Until(verdict.Until)).Msg("held off")
+		Float64("weight", verdict.Weight).Bool("stored", verdict.Stored).Dur("retry_after", boottime.Until(verdict.Until)).Msg("held off")
 }
 
 // Settled hears whether a server ended under a request.
@@ -116,7 +116,7 @@
 	}
 	recorder.metrics.suspicions.WithLabelValues(outcome).Inc()
 	recorder.line(zerolog.InfoLevel).Stringer("fingerprint", suspicion.Fingerprint).Str("server", suspicion.Server).
-		Str("outcome", outcome).Dur("after", suspicion.After).Msg("a server closed a connection before its whole answer")
+		Str("settled", outcome).Dur("after", suspicion.After).Msg("suspicion")
 }
 
 // Cleared hears of a request that was suspected and has had a whole answer.
