Tell a node that has started anew what its life before had told

Cause: found by a property written for it (TestAllNodesHearWhatARequestHasDone): a fact was not told to the node from which it had come, by its address. When the first reader started anew with no memory, its followers left out all that had come through its life before, and it stayed without. Change: a teller is one life of a process, by the name of its feed; a feed leaves out nothing. The property plays 1 to 40 nodes that see ends, are cut off and start anew; another test plays 340. Conclusion: as a declaration does, a fact reaches whoever starts or comes back.

--- a/internal/quarantine/item.go
+++ b/internal/quarantine/item.go
@@ -49,8 +49,9 @@
 	Own
 )
 
-// Since returns the facts after a place but for those that a node has told, in their order
-// and mostTold at most, and from which place to read on.
+// Since returns the facts after a place but for those that a teller has told, in their order
+// and mostTold at most, and from which place to read on. A teller is one life of a process:
+// the next one knows nothing of what the one before has told.
 func (l *Ledger) Since(place int64, except string, scope Scope, now time.Time) (items []Item, next int64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -183,6 +184,13 @@
 		end(l, uint64(1000+f), begin, f+3)
 	}
 	require.LessOrEqual(t, len(l.histories), mostRequests)
+	t.Logf("a full ledger takes %d kB", bytesOf(func() any {
+		full := NewLedger()
+		for f := range Fingerprint(mostRequests - 1) {
+			end(full, uint64(f/16), begin, f)
+		}
+		return full
+	})/1000)
 	require.LessOrEqual(t, len(l.byServer), mostRequests+enoughEnds)
 	require.True(t, l.Judge(1, ended, begin).Held)
 	require.True(t, l.Judge(2, ended, begin).Held)
@@ -193,6 +201,18 @@
 	require.Equal(t, begin.Add((10*mostEnds-1)*time.Second).Add(HoldLife), l.Judge(1, ended, begin).Until, "the latest end counts")
 }
 
+// bytesOf is the memory that something takes.
+func bytesOf(build func() any) uint64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	built := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(built)
+	return after.HeapAlloc - before.HeapAlloc
+}
+
 // With servers that end under a few requests, each running beside others that come again,
 // those requests are held off after a bounded number of ends, and no other is held off
 // that is ever answered whole.
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -231,9 +231,13 @@
 	return delta
 }
 
+// everybody is who may hear all that a feed knows: also a follower hears what it told, since
+// it may have started anew.
+const everybody = ""
+
 // addSuspicions adds what requests have done to servers.
 func (f *Feed) addSuspicions(delta *Delta, question Question, now time.Time) {
-	items, next := f.requests.Since(question.SuspicionsPlace, question.Node, quarantine.All, now)
+	items, next := f.requests.Since(question.SuspicionsPlace, everybody, quarantine.All, now)
 	if next != question.SuspicionsPlace {
 		delta.Suspicions, delta.SuspicionsPlace = items, next
 	}
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -146,13 +146,13 @@
 	defer cancel()
 	sentAt := boottime.Now()
 	question := r.question(node, copied, sentAt)
-	toldUpTo := r.tell(&question, node, told, sentAt)
+	toldUpTo := r.tell(&question, told, sentAt)
 	delta, err := r.Peers.Ask(ctx, node, question)
 	if err != nil {
 		return err
 	}
 	told.answered(delta, toldUpTo)
-	r.Quarantine.Take(delta.Suspicions, node, boottime.Now())
+	r.Quarantine.Take(delta.Suspicions, delta.Feed, boottime.Now())
 	readAt := sentAt.Add(-delta.Age)
 	if list, changed := copied.Apply(delta, readAt); changed {
 		r.takeList(list, readAt)
@@ -192,14 +192,14 @@
 }
 
 // tell adds to a question what the asker has found out of requests, and returns up to which
-// place of its own ledger. Relays pass on what they were told, too.
-func (r *Reflector) tell(question *Question, node string, told *telling, now time.Time) int64 {
+// place of its own ledger. Relays pass on what they were told, too, but by the feed itself.
+func (r *Reflector) tell(question *Question, told *telling, now time.Time) int64 {
 	scope := quarantine.Own
 	if question.Relay {
 		scope = quarantine.All
 	}
 	question.SuspicionsPlace = told.heard
-	items, next := r.Quarantine.Since(told.told, node, scope, now)
+	items, next := r.Quarantine.Since(told.told, told.feed, scope, now)
 	question.Suspicions = items
 	return next
 }
