Correct what a full ledger takes

Cause: the comment said some 1 MB, an estimate. Measured: 2,947 kB (go test ./internal/quarantine -run Memory -v). Change: the comment alone.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -27,8 +27,8 @@
 	// servedLife is how long a whole answer clears a request, whatever ends beside it. It
 	// covers many times the way of a fact through the fleet, which is under a second.
 	servedLife = 30 * time.Second
-	// mostRequests bounds the requests that are remembered, some 1 MB: as many as the
-	// loss of a zone of 250 servers with 16 runs each makes suspect at once.
+	// mostRequests bounds the requests that are remembered, 3 MB when there are so many: as
+	// many as the loss of a zone of 250 servers with 16 runs each makes suspect at once.
 	mostRequests = 4096
 	// droppedPart is the part, one in so many, of them that is dropped when there are more.
 	droppedPart = 4
