--- a/cmd/cloverrail/quarantine_test.go
+++ b/cmd/cloverrail/quarantine_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/lab/suspension"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
@@ -262,6 +263,50 @@
 	require.Greater(t, served.Load(), int64(50))
 }
 
+// That another instance answers at an engine's address is no sign of life of the one that was
+// asked, whatever weights either has.
+func TestAnotherInstanceIsNoSignOfLife(t *testing.T) {
+	t.Parallel()
+	other := engine("i-other", standin.Streams(1, 0))
+	fixture := newFixture(t).serve(other)
+	server, _ := fixture.known("i-other")
+	fixture.store.Put(standin.PrefixServers+"i-gone", engine("i-gone", nil).Entry("engines", server.Address, "a", "ready"))
+	fixture.store.Remove(standin.PrefixServers + "i-other")
+	fixture.until(func() bool { _, found := fixture.known("i-gone"); return found })
+	before := time.Now()
+	require.Equal(t, http.StatusServiceUnavailable, fixture.send(http.MethodPost, "/fixed/x", "prompt", prompt).status)
+	require.False(t, fixture.process.set.AnsweredSince(backend.ServerKey("i-gone"), before))
+	require.Zero(t, other.Runs())
+}
+
+// A server may be back at its address before anybody has settled whether it ended: that
+// another instance answers there is no sign of life of the one before.
+func TestServersThatAreBackAtOnceHaveEndedAllTheSame(t *testing.T) {
+	for _, kind := range []string{"once", "fixed"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 3, 8)
+			for _, m := range f.machines {
+				m.Down, m.Lag = 0, 400*time.Millisecond
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			callers := sync.WaitGroup{}
+			for _, n := range f.nodes {
+				callers.Go(func() {
+					for ctx.Err() == nil {
+						n.send(http.MethodPost, "/"+kind+"/x", "harmless", kinds[kind])
+						time.Sleep(5 * time.Millisecond)
+					}
+				})
+			}
+			f.comeAgain(kind, deadly, f.nodes)
+			stop()
+			callers.Wait()
+			f.requireHeldOff(deadly)
+		})
+	}
+}
+
 // A request that the store holds off and that is answered whole after all, since it was
 // under way, is cleared there too.
 func TestAClearedRequestLeavesTheStore(t *testing.T) {
