Allow for the way up in the time until an end counts

Cause: read, no run: twice the time in which a change is heard counts the way down twice, and a fact waits longer on its way up, for the next question. Figures: go test ./cmd/cloverrail of the tests of requests that end servers passed once. Conclusion: nodes begin to count when all can know.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -232,8 +232,7 @@
 // had the time to hear what else ran there, it has answered what was sent later, or it stands
 // in the list though its entry would have lapsed.
 func (process *process) unsure(server uint64, at time.Time) bool {
-	// Facts go up to the first reader, and down from it.
-	heard := at.Add(proxy.SettleTime + 2*process.reflector.HearTime())
+	heard := at.Add(proxy.SettleTime + process.reflector.TellTime())
 	lapsed := at.Add(lapseBeats * process.settings.Heartbeat)
 	return boottime.Now().Before(heard) || process.set.AnsweredSince(server, at) ||
 		process.set.Listed(server) && process.reflector.ListedSince(lapsed, at)
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -55,11 +55,21 @@
 // HearTime is the time in which all nodes hear of a change that this one takes while all
 // is well: relays ask this node, and followers the relays.
 func (r *Reflector) HearTime() time.Duration {
-	hop := r.askPause() + transit
+	return r.hops() * (r.askPause() + transit)
+}
+
+// TellTime is the time in which all nodes hear of what any of them has found out: it goes up
+// with the next question, which may have to wait for the answer to the one before.
+func (r *Reflector) TellTime() time.Duration {
+	return r.hops()*(askWait+r.askPause()+transit) + r.HearTime()
+}
+
+// hops is how many nodes news pass on their way from the first reader to all.
+func (r *Reflector) hops() time.Duration {
 	if r.Registry.Nodes() > r.Registry.Relays() {
-		return 2 * hop
+		return 2
 	}
-	return hop
+	return 1
 }
 
 // askPause is the time between an answer and the next question.
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -261,3 +261,11 @@
 	require.False(t, node.Registry.Settled())
 	require.Equal(t, []string{"address"}, node.sources())
 }
+
+// News goes up with the next question and down with the answer to one that waits.
+func TestTheTimeToTellAllCountsTheWayUp(t *testing.T) {
+	node := newFollower(&counting{}, &answering{lost: true})
+	node.Registry.ObserveNodes([]coordination.Entry{{Key: "nodes/other/1", Value: []byte("address z")}}, time.Now())
+	require.Equal(t, leastAskPause+transit, node.HearTime())
+	require.Equal(t, askWait+2*(leastAskPause+transit), node.TellTime())
+}
