Ask for a sign of the end of a server that had not begun to answer

Suspected: servers reset connections beyond their number, which they are short of when all nodes come back; each reset counted as the end of the server unless it answered this node soon, so that plain requests were held off. Change: who had begun to answer ends unless it answers something later, as before. Of one that had not, a sign is asked for: a connection that is refused (asked once in 0.5 s a server), another instance, or its entry gone once it would have lapsed.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -122,6 +122,7 @@
 		Limiter:  process.limiter,
 		Requests: process.requests,
 		Unsure:   process.unsure,
+		Lapse:    lapseBeats * given.Heartbeat,
 	})
 	life := uuid.NewString()
 	process.registry = &fleet.Registry{
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -122,6 +122,7 @@
 		state.breaker.Abandoned()
 		state.busyUntil = now.Add(refusalRest)
 	case exchange.ResultUnreached:
+		state.unreachedAt = now
 		state.breaker.Failed(unreachedBreaker, now)
 		state.failures.note(1, now)
 	case exchange.ResultFaulty, exchange.ResultBroken, exchange.ResultCutOff, exchange.ResultSilent:
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -83,6 +83,8 @@
 	// attempt was sent that it has answered.
 	heardAt      time.Time
 	answeredSent time.Time
+	// unreachedAt is when a connection to it failed last to come up.
+	unreachedAt time.Time
 	queuedTokens int
 	busyUntil    time.Time
 	// load is the move that it is making, if any.
@@ -186,6 +188,15 @@
 	return known != nil && known.listed
 }
 
+// Ended reports whether there is a sign that a server has ended since a time: no connection to
+// it came up, another incarnation answered in its place, or it vanished from the list.
+func (set *Set) Ended(server uint64, since time.Time) bool {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	known := set.byKey[server]
+	return known == nil || !known.listed || !known.goneUntil.IsZero() || known.unreachedAt.After(since)
+}
+
 // Equal reports whether two descriptions say the same.
 func (server Server) Equal(other Server) bool {
 	same := maps.Equal(server.Versions, other.Versions)
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -180,7 +180,7 @@
 	now := boottime.Now()
 	placement.attempt.End(result, now)
 	if result == exchange.ResultCutOff && placement.tellsOfServer() {
-		placement.placer.proxy.suspect(placement.placer.admitted, placement.chosen.Endpoint, now)
+		placement.placer.proxy.suspect(placement.placer.admitted, placement.chosen, placement.started, now)
 	}
 	if result == exchange.ResultServed && placement.started && placement.placer.prompt() != nil {
 		reading := placement.placer.proxy.pace.timeOf(placement.tokens)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -90,6 +91,8 @@
 // Servers sends attempts. Its errors are those of package exchange.
 type Servers interface {
 	Send(ctx context.Context, dispatch Dispatch) (*exchange.Reply, error)
+	// Refuses reports whether nothing takes connections at an address, for certain.
+	Refuses(address string) bool
 }
 
 // Bounds are the promises that the proxy keeps, in time.
@@ -146,6 +149,10 @@
 	limiter  *quota.Limiter
 	requests *quarantine.Ledger
 	unsure   quarantine.Unsure
+	lapse    time.Duration
+	asking   sync.Mutex
+	// asked is when a server was asked last whether it takes connections, by address.
+	asked    map[string]time.Time
 	stopping chan struct{}
 	open     atomic.Int64
 	refusing atomic.Bool
@@ -166,6 +173,8 @@
 	// servers, which are named by their backend.ServerKey.
 	Requests *quarantine.Ledger
 	Unsure   quarantine.Unsure
+	// Lapse is the time after which the entry of a server that has ended is gone.
+	Lapse time.Duration
 }
 
 // New returns a proxy.
@@ -182,6 +191,8 @@
 		limiter:  options.Limiter,
 		requests: options.Requests,
 		unsure:   options.Unsure,
+		lapse:    options.Lapse,
+		asked:    map[string]time.Time{},
 		started:  boottime.Now(),
 		pace:     newPace(),
 		slotTime: newSlotTime(),
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -8,6 +8,7 @@
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
+	"github.com/cloverrail/cloverrail/internal/routing"
 )
 
 // SettleTime is how long a server that closed a connection before its whole answer has to
@@ -15,6 +16,10 @@
 // use; the rest of the time until the whole fleet knows is the way between nodes.
 const SettleTime = 500 * time.Millisecond
 
+// mostAsked bounds the servers that are remembered for having been asked. Above it, all are
+// forgotten.
+const mostAsked = 1024
+
 // Suspicion is a server that may have ended under a request.
 type Suspicion struct {
 	Fingerprint quarantine.Fingerprint
@@ -67,17 +72,47 @@
 }
 
 // suspect takes that a server closed the connection before its whole answer to a request.
-func (proxy *Proxy) suspect(admitted *admitted, server string, at time.Time) {
-	fingerprint, key := admitted.fingerprint(), backend.ServerKey(server)
-	proxy.requests.Suspect(fingerprint)
-	time.AfterFunc(SettleTime, func() {
+// One that had begun to answer has ended unless it answers something later. One that had not
+// may only have had too many connections: a sign of its end is asked for, now and once its
+// entry has lapsed.
+func (proxy *Proxy) suspect(admitted *admitted, server routing.Candidate, began bool, at time.Time) {
+	fingerprint, key := admitted.fingerprint(), backend.ServerKey(server.Endpoint)
+	settle := func(ended bool) {
 		now := boottime.Now()
-		ended := !proxy.set.AnsweredSince(key, at)
 		proxy.requests.Settle(fingerprint, key, at, ended, now)
-		proxy.recorder.Settled(Suspicion{Fingerprint: fingerprint, Server: server, Ended: ended, After: now.Sub(at)})
+		proxy.recorder.Settled(Suspicion{Fingerprint: fingerprint, Server: server.Endpoint, Ended: ended, After: now.Sub(at)})
+	}
+	proxy.requests.Suspect(fingerprint)
+	time.AfterFunc(SettleTime, func() {
+		answered := proxy.set.AnsweredSince(key, at)
+		switch {
+		case began || answered:
+			settle(!answered)
+		case proxy.set.Ended(key, at) || proxy.refuses(server.Address):
+			settle(true)
+		default:
+			time.AfterFunc(proxy.lapse-SettleTime, func() { settle(proxy.set.Ended(key, at)) })
+		}
 	})
 }
 
+// refuses reports whether a server refuses connections. One server is asked once in
+// SettleTime at most: one that is short of connections must not be asked for each of them.
+func (proxy *Proxy) refuses(address string) bool {
+	now := boottime.Now()
+	proxy.asking.Lock()
+	last, asked := proxy.asked[address]
+	recent := asked && now.Sub(last) < SettleTime
+	if !recent {
+		if len(proxy.asked) >= mostAsked {
+			clear(proxy.asked)
+		}
+		proxy.asked[address] = now
+	}
+	proxy.asking.Unlock()
+	return !recent && proxy.servers.Refuses(address)
+}
+
 // served takes that a request had a whole answer.
 func (proxy *Proxy) served(admitted *admitted, now time.Time) {
 	if proxy.requests.Active() && proxy.requests.Served(admitted.fingerprint(), now) {
