--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -84,7 +84,7 @@
 	heardAt      time.Time
 	answeredSent time.Time
 	// unreachedAt is when a connection to it failed last to come up.
-	unreachedAt time.Time
+	unreachedAt  time.Time
 	queuedTokens int
 	busyUntil    time.Time
 	// load is the move that it is making, if any.
