Tell of many changes of the list of servers in one line

Cause: the first list of a node wrote a line for each server: 33,000 lines of 107 nodes in the first seconds of the whole fleet, some ten million over all. Change: above 64 changes one line with their number.

--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -243,8 +243,17 @@
 	}
 }
 
+// mostChanges is how many changes of the list of servers have a line each. Those of more,
+// such as the first list that a node hears, are told in one line by their number: at 10,000
+// servers, a line each took a node longer to write than all else at its start.
+const mostChanges = 64
+
 // Listed hears of changes to the list of servers.
 func (recorder *Recorder) Listed(changes []backend.Change) {
+	if len(changes) > mostChanges {
+		recorder.listedMany(changes)
+		return
+	}
 	for _, change := range changes {
 		server := change.Server
 		recorder.log.Info().Str("server", server.Instance).Str("service", server.Service).Str("address", server.Address).
@@ -252,6 +261,19 @@
 	}
 }
 
+func (recorder *Recorder) listedMany(changes []backend.Change) {
+	draining, gone := 0, 0
+	for _, change := range changes {
+		switch {
+		case change.Gone:
+			gone++
+		case change.Server.Draining:
+			draining++
+		}
+	}
+	recorder.log.Info().Int("changes", len(changes)).Int("draining", draining).Int("gone", gone).Msg("many servers changed")
+}
+
 // Resized hears of the number of nodes in the fleet.
 func (recorder *Recorder) Resized(nodes int) {
 	recorder.mutex.Lock()
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/proxy"
@@ -103,3 +104,16 @@
 	recorder.Read(time.Second, nil)
 	require.Len(t, page.lines(), 2)
 }
+
+// The first list of a large fleet takes one line, few changes one each.
+func TestTheLinesOfAListAreBounded(t *testing.T) {
+	written := &bytes.Buffer{}
+	recorder := NewRecorder(zerolog.New(written), NewMetrics(&catalog.Holder{}))
+	changes := make([]backend.Change, 10_000)
+	changes[3].Gone, changes[4].Server.Draining = true, true
+	recorder.Listed(changes)
+	require.JSONEq(t, `{"level":"info","changes":10000,"draining":1,"gone":1,"message":"many servers changed"}`, written.String())
+	written.Reset()
+	recorder.Listed(changes[:mostChanges])
+	require.Equal(t, mostChanges, bytes.Count(written.Bytes(), []byte("a server changed")))
+}
