Let a request choose among the servers near its prompt, and keep dealings with few servers alone

Cause: a candidate list, and what a node keeps, were linear in the fleet's servers: 18 MB a node at 9,998, and 2.9 MB for each request. Ruled out: ever more tuning of the scan, which stays linear.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -24,12 +24,13 @@
 	if !found {
 		return &Attempt{set: set}
 	}
-	known.inFlight++
-	known.queuedTokens += tokens
+	dealings := set.deal(known)
+	dealings.inFlight++
+	dealings.queuedTokens += tokens
 	if deferred {
-		known.deferred++
+		dealings.deferred++
 	}
-	known.breaker.Sent(now)
+	dealings.breaker.Sent(now)
 	return &Attempt{set: set, state: known, tokens: tokens, deferred: deferred, begun: now}
 }
 
@@ -106,7 +107,7 @@
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	known := set.byKey[server]
-	return known != nil && known.answeredSent.After(since)
+	return known != nil && known.dealt().answeredSent.After(since)
 }
 
 func (state *state) judge(result exchange.Result, now time.Time) {
--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -38,19 +38,24 @@
 func (set *Set) Load(loads Loads, now time.Time) {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
-	loading := make(map[string]Load, len(loads.Loading))
-	for _, load := range loads.Loading {
-		loading[load.Instance] = load
+	for _, known := range set.loading {
+		known.load = nil
 	}
-	for instance, known := range set.servers {
-		known.load, known.loadingUntil = loading[instance], now.Add(loadingLife)
+	set.loading = nil
+	for _, load := range loads.Loading {
+		if known := set.servers[load.Instance]; known != nil {
+			known.load = &load
+			set.loading = append(set.loading, known)
+		}
 	}
+	set.loadingUntil = now.Add(loadingLife)
 	for _, load := range loads.Loaded {
 		set.learn(load.Instance, load.Model, load.Version)
 	}
 }
 
-// loads reports whether the server is busy loading weights of the model.
-func (state *state) loads(model string, now time.Time) bool {
-	return state.load.Model == model && state.server.Versions[model] < state.load.Version && now.Before(state.loadingUntil)
+// loads reports whether a server is busy loading weights of the model.
+func (set *Set) loads(known *state, model string, now time.Time) bool {
+	load := known.load
+	return load != nil && load.Model == model && known.server.Versions[model] < load.Version && now.Before(set.loadingUntil)
 }
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -5,7 +5,6 @@
 
 import (
 	"maps"
-	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -25,8 +24,12 @@
 	Slots    int
 	Draining bool
 	// Versions is the loaded version of each model. It is not changed once it is set:
-	// a change makes a copy.
+	// a change makes a copy. Servers may share it.
 	Versions map[string]int64
+	// Revision is the shared store's at which this was written, and Created that at which the
+	// server came into the list; 0 says that it is not known.
+	Revision int64
+	Created  int64
 }
 
 const (
@@ -57,22 +60,41 @@
 
 // Set holds all servers. It is safe for concurrent use.
 type Set struct {
-	mutex     sync.Mutex
-	servers   map[string]*state
-	byService map[string][]*state
-	byKey     map[uint64]*state
-	// othersUntil is how long what other nodes told of their work counts.
-	othersUntil time.Time
+	mutex   sync.Mutex
+	servers map[string]*state
+	// rings holds the servers of each service in the order of their keys.
+	rings map[string]ring
+	byKey map[uint64]*state
+	// unlisted holds the servers that have vanished from the list, dealt those that this
+	// node has had to do with, and told those at which others have work under way: a node
+	// has to do with few of all servers.
+	unlisted map[*state]bool
+	dealt    map[*state]bool
+	told     []*state
+	// othersUntil is how long what other nodes told of their work counts, and loadingUntil
+	// what the holder of the roll-out told of loads.
+	othersUntil  time.Time
+	loading      []*state
+	loadingUntil time.Time
 }
 
 type state struct {
-	server Server
+	server *Server
 	key    uint64
 	// others is what other nodes have under way.
 	others Work
 	// listed is false once the server has vanished from the list.
 	listed     bool
 	unlistedAt time.Time
+	// load is the move that it is making, or nil.
+	load *Load
+	// dealings is nil until this node has had to do with the server.
+	*dealings
+}
+
+// dealings is what this node has had to do with one server. It is most of what is known of
+// one, and there for few.
+type dealings struct {
 	// goneUntil is how long the word counts that another incarnation answers in its
 	// place.
 	goneUntil time.Time
@@ -87,16 +109,16 @@
 	unreachedAt  time.Time
 	queuedTokens int
 	busyUntil    time.Time
-	// load is the move that it is making, if any.
-	load         Load
-	loadingUntil time.Time
 	breaker      retry.Breaker
 	failures     failureShare
 }
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{servers: map[string]*state{}, byService: map[string][]*state{}}
+	return &Set{
+		servers: map[string]*state{}, rings: map[string]ring{}, byKey: map[uint64]*state{},
+		unlisted: map[*state]bool{}, dealt: map[*state]bool{},
+	}
 }
 
 // Change is one difference between two lists, for the log.
@@ -108,55 +130,124 @@
 
 // Update takes a whole list of servers, and returns what is new in it.
 func (set *Set) Update(list []Server, now time.Time) []Change {
+	seen := make(map[string]bool, len(list))
+	changed := make([]*Server, len(list))
+	for i := range list {
+		seen[list[i].Instance] = true
+		changed[i] = &list[i]
+	}
+	set.mutex.Lock()
+	var gone []string
+	for instance, known := range set.servers {
+		if known.listed && !seen[instance] {
+			gone = append(gone, instance)
+		}
+	}
+	set.mutex.Unlock()
+	return set.Apply(changed, gone, now)
+}
+
+// Apply takes servers that are new or have changed, and the instances of those that have
+// vanished from the list. It returns what is new, and keeps the servers, which must not be
+// changed any more.
+func (set *Set) Apply(changed []*Server, gone []string, now time.Time) []Change {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
-	changes := []Change{}
-	seen := make(map[string]bool, len(list))
-	for _, server := range list {
-		seen[server.Instance] = true
+	var changes []Change
+	var joined []*state
+	for _, server := range changed {
 		known, found := set.servers[server.Instance]
 		if !found {
 			known = &state{key: ServerKey(server.Instance)}
 			set.servers[server.Instance] = known
+			set.byKey[known.key] = known
+			joined = append(joined, known)
 		}
 		if !found || known.server.Draining != server.Draining {
-			changes = append(changes, Change{Server: server})
+			changes = append(changes, Change{Server: *server})
 		}
-		known.take(server.clone())
+		known.take(server)
+		delete(set.unlisted, known)
 	}
-	for instance, known := range set.servers {
-		if seen[instance] {
-			continue
-		}
-		if known.listed {
+	set.join(joined)
+	for _, instance := range gone {
+		if known := set.servers[instance]; known != nil && known.listed {
 			known.listed, known.unlistedAt = false, now
-			changes = append(changes, Change{Server: known.server, Gone: true})
-		}
-		if now.Sub(known.unlistedAt) > unlistedLife && known.inFlight == 0 {
-			delete(set.servers, instance)
+			set.unlisted[known] = true
+			changes = append(changes, Change{Server: *known.server, Gone: true})
 		}
 	}
-	set.index()
+	set.forget(now)
 	return changes
 }
 
+// forget drops the servers that vanished long ago and have nothing under way.
+func (set *Set) forget(now time.Time) {
+	var left []*state
+	for known := range set.unlisted {
+		if now.Sub(known.unlistedAt) > unlistedLife && known.underWay() == 0 {
+			left = append(left, known)
+		}
+	}
+	for _, known := range left {
+		delete(set.unlisted, known)
+		delete(set.dealt, known)
+		delete(set.servers, known.server.Instance)
+		delete(set.byKey, known.key)
+	}
+	set.part(left)
+}
+
+// underWay counts this node's attempts at the server.
+func (state *state) underWay() int {
+	if state.dealings == nil {
+		return 0
+	}
+	return state.inFlight
+}
+
 // take follows the server's word of itself. The list lags behind what answers
 // have shown, and the weights of one incarnation only grow newer.
-func (state *state) take(server Server) {
-	for model, version := range state.server.Versions {
-		server.Versions[model] = max(version, server.Versions[model])
+func (state *state) take(server *Server) {
+	before := state.server
+	state.server, state.listed = server, true
+	if before == nil {
+		return
+	}
+	for model, version := range before.Versions {
+		state.learn(model, version)
 	}
-	state.server = server
-	state.listed = true
 }
 
-func (set *Set) index() {
-	set.byService = map[string][]*state{}
-	set.byKey = make(map[uint64]*state, len(set.servers))
-	for _, known := range set.servers {
-		set.byKey[known.key] = known
-		set.byService[known.server.Service] = append(set.byService[known.server.Service], known)
+// learn takes a version of a model's weights that the server has, unless it is known to
+// have a newer one.
+func (state *state) learn(model string, version int64) {
+	if state.server.Versions[model] >= version {
+		return
 	}
+	server := state.server.clone()
+	server.Versions[model] = version
+	state.server = &server
+}
+
+// deal returns what this node has had to do with a server, for a change.
+func (set *Set) deal(known *state) *dealings {
+	if known.dealings == nil {
+		known.dealings = &dealings{}
+		set.dealt[known] = true
+	}
+	return known.dealings
+}
+
+// none is what this node has had to do with servers that it never met. It is not changed.
+var none dealings
+
+// dealt returns what this node has had to do with the server, to be read only.
+func (state *state) dealt() *dealings {
+	if state.dealings == nil {
+		return &none
+	}
+	return state.dealings
 }
 
 // Servers returns the listed servers that are not known to be gone.
@@ -165,8 +256,8 @@
 	defer set.mutex.Unlock()
 	servers := make([]Server, 0, len(set.servers))
 	for _, known := range set.servers {
-		if known.listed && !now.Before(known.goneUntil) {
-			servers = append(servers, known.server)
+		if known.listed && !now.Before(known.dealt().goneUntil) {
+			servers = append(servers, *known.server)
 		}
 	}
 	return servers
@@ -194,14 +285,19 @@
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	known := set.byKey[server]
-	return known == nil || !known.listed || !known.goneUntil.IsZero() || known.unreachedAt.After(since)
+	if known == nil || !known.listed {
+		return true
+	}
+	dealings := known.dealt()
+	return !dealings.goneUntil.IsZero() || dealings.unreachedAt.After(since)
 }
 
-// Equal reports whether two descriptions say the same.
+// Equal reports whether two descriptions say the same, whenever they were written. A server
+// that left the list and came back is another one in this.
 func (server Server) Equal(other Server) bool {
-	same := maps.Equal(server.Versions, other.Versions)
-	server.Versions, other.Versions = nil, nil
-	return same && reflect.DeepEqual(server, other)
+	return server.Instance == other.Instance && server.Service == other.Service && server.Address == other.Address &&
+		server.Zone == other.Zone && server.Slots == other.Slots && server.Draining == other.Draining && server.Created == other.Created &&
+		maps.Equal(server.Versions, other.Versions)
 }
 
 func (server Server) clone() Server {
@@ -217,7 +313,7 @@
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	if known, found := set.servers[instance]; found {
-		known.goneUntil = now.Add(goneLife)
+		set.deal(known).goneUntil = now.Add(goneLife)
 	}
 }
 
@@ -231,12 +327,9 @@
 }
 
 func (set *Set) learn(instance, model string, version int64) {
-	known, found := set.servers[instance]
-	if !found || known.server.Versions[model] >= version {
-		return
+	if known, found := set.servers[instance]; found {
+		known.learn(model, version)
 	}
-	known.server = known.server.clone()
-	known.server.Versions[model] = version
 }
 
 // Distance returns how far a server's zone is from here, 0 being the same zone.
@@ -250,31 +343,41 @@
 	Model          string
 	MinimumVersion int64
 	Distance       Distance
+	// Near and Most choose Most servers of a large service, those whose keys follow Near.
+	// All nodes find the same ones for the same Near. If Most is 0, all are meant.
+	Near uint64
+	Most int
 }
 
 // Candidates appends the servers of a service as routing sees them.
 func (set *Set) Candidates(candidates []routing.Candidate, query Query, now time.Time) []routing.Candidate {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
-	anyListed := false
-	candidates = slices.Grow(candidates, len(set.byService[query.Service]))
-	for _, known := range set.byService[query.Service] {
-		anyListed = anyListed || (known.listed && !known.server.Draining)
+	around := set.rings[query.Service]
+	anyListed := slices.ContainsFunc(around, func(s *state) bool { return s.listed && !s.server.Draining })
+	most := len(around)
+	if query.Most > 0 {
+		most = min(most, query.Most)
 	}
-	for _, known := range set.byService[query.Service] {
-		if now.Before(known.goneUntil) || (!known.listed && (anyListed || known.server.Draining)) {
+	candidates = slices.Grow(candidates, most)
+	first, found := around.after(query.Near), 0
+	for i := 0; i < len(around) && found < most; i++ {
+		known := around[(first+i)%len(around)]
+		if now.Before(known.dealt().goneUntil) || (!known.listed && (anyListed || known.server.Draining)) {
 			continue
 		}
-		candidates = append(candidates, known.candidate(query, set.othersAt(known, now), now))
+		found++
+		candidates = append(candidates, known.candidate(query, set.othersAt(known, now), set.loads(known, query.Model, now), now))
 	}
 	return candidates
 }
 
 // running counts the attempts that others have to wait for.
-func (state *state) running() int { return state.inFlight - state.deferred }
+func (d *dealings) running() int { return d.inFlight - d.deferred }
 
-func (state *state) candidate(query Query, others Work, now time.Time) routing.Candidate {
+func (state *state) candidate(query Query, others Work, loading bool, now time.Time) routing.Candidate {
 	version := state.server.Versions[query.Model]
+	dealings := state.dealt()
 	return routing.Candidate{
 		Endpoint:     state.server.Instance,
 		Address:      state.server.Address,
@@ -282,16 +385,16 @@
 		Pool:         state.server.Service,
 		Epoch:        state.server.Instance,
 		Version:      version,
-		Ready:        query.Model == "" || (version > 0 && version >= query.MinimumVersion && !state.loads(query.Model, now)),
+		Ready:        query.Model == "" || (version > 0 && version >= query.MinimumVersion && !loading),
 		Leaving:      state.server.Draining,
-		Loading:      state.loads(query.Model, now),
-		Resting:      !state.breaker.Allows(now) || others.Suspects >= enoughSuspects,
-		Busy:         now.Before(state.busyUntil),
-		InFlight:     state.inFlight,
-		Running:      state.running() + others.Running,
+		Loading:      loading,
+		Resting:      !dealings.breaker.Allows(now) || others.Suspects >= enoughSuspects,
+		Busy:         now.Before(dealings.busyUntil),
+		InFlight:     dealings.inFlight,
+		Running:      dealings.running() + others.Running,
 		Slots:        state.server.Slots,
-		QueuedTokens: state.queuedTokens + others.QueuedTokens,
+		QueuedTokens: dealings.queuedTokens + others.QueuedTokens,
 		Distance:     query.Distance(state.server.Zone),
-		FailureShare: state.failures.at(now),
+		FailureShare: dealings.failures.at(now),
 	}
 }
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -39,7 +39,7 @@
 	defer set.mutex.Unlock()
 	var all []Work
 	resting := 0
-	for _, s := range set.servers {
+	for s := range set.dealt {
 		w := Work{Server: s.key, Running: s.running(), QueuedTokens: s.queuedTokens}
 		if !s.breaker.Allows(now) {
 			w.Suspects = 1
@@ -77,8 +77,8 @@
 	defer set.mutex.Unlock()
 	uses := make(map[string]Use, len(set.servers))
 	for instance, s := range set.servers {
-		others := set.othersAt(s, now)
-		uses[instance] = Use{Running: s.running() + others.Running, QueuedTokens: s.queuedTokens + others.QueuedTokens}
+		others, own := set.othersAt(s, now), s.dealt()
+		uses[instance] = Use{Running: own.running() + others.Running, QueuedTokens: own.queuedTokens + others.QueuedTokens}
 	}
 	return uses
 }
@@ -87,12 +87,14 @@
 func (set *Set) TakeWork(others []Work, now time.Time) {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
-	for _, s := range set.servers {
+	for _, s := range set.told {
 		s.others = Work{}
 	}
+	set.told = set.told[:0]
 	for _, w := range others {
 		if s := set.byKey[w.Server]; s != nil {
 			s.others = w
+			set.told = append(set.told, s)
 		}
 	}
 	set.othersUntil = now.Add(workLife)
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -109,17 +109,11 @@
 	if !now.Before(placer.admitted.deadline) {
 		return nil, &exchange.Unplaced{Reason: "the request's time is over", Lasting: true}
 	}
-	candidates := placer.proxy.set.Candidates(nil, placer.query(now), now)
+	scheduler, request := routing.NewScheduler(placer.scorers()...), placer.routingRequest()
+	candidates, decision := placer.choose(scheduler, request, excluded, now)
 	if len(candidates) == 0 {
 		return nil, &exchange.Unplaced{Reason: "no server is known"}
 	}
-	routing.Exclude(candidates, excluded)
-	if placer.prompt() != nil {
-		placer.annotate(candidates, now)
-	}
-	request := placer.routingRequest()
-	scheduler := routing.NewScheduler(placer.scorers()...)
-	decision := schedule(scheduler, request, candidates)
 	if decision.Index < 0 {
 		return nil, &exchange.Unplaced{Reason: "every server is " + string(decision.Refused)}
 	}
@@ -134,6 +128,38 @@
 	return placer.begin(*chosen, choice.Deferred, now), nil
 }
 
+const (
+	// neighbourhood is how many servers of a large service a request chooses from. The best
+	// of 64 that are drawn by its prompt is as good as the best of thousands while a few in a
+	// hundred are busy: of five zones each has a dozen in it, and a third of all may be dark
+	// at once without a neighbourhood that is all dark (1 in 10^30). To look at all of 10,000
+	// takes 6 ms, to look at 64 some 40 us (BenchmarkPlace).
+	neighbourhood = 64
+	// widening is by how much the neighbourhood grows if none of it takes the request.
+	widening = 4
+)
+
+// choose returns the servers that were looked at, and which of them is best. It looks at the
+// neighbourhood of the prompt, which is the same for all nodes, and further only if nothing
+// there takes the request.
+func (placer *placer) choose(scheduler *routing.Scheduler, request *routing.Request, excluded []string, now time.Time) ([]routing.Candidate, routing.Decision) {
+	query := placer.query(now)
+	for query.Most = neighbourhood; ; query.Most *= widening {
+		candidates := placer.proxy.set.Candidates(nil, query, now)
+		routing.Exclude(candidates, excluded)
+		if placer.prompt() != nil {
+			placer.annotate(candidates, now)
+		}
+		decision := scheduler.Schedule(request, candidates)
+		switch {
+		case decision.Index >= 0:
+			return candidates, decision
+		case len(candidates) < query.Most:
+			return candidates, schedule(scheduler, request, candidates)
+		}
+	}
+}
+
 // annotate adds what is known of the prompt's parts at each server.
 func (placer *placer) annotate(candidates []routing.Candidate, now time.Time) {
 	key := placer.affinityKey()
@@ -163,19 +189,12 @@
 	return p
 }
 
-// schedule prefers servers that were not tried and do not rest; a server that
-// rests or was tried is better than none.
+// schedule takes a server that rests if there is no other: it is better than none.
 func schedule(scheduler *routing.Scheduler, request *routing.Request, candidates []routing.Candidate) routing.Decision {
-	decision := scheduler.Schedule(request, candidates)
-	if decision.Index >= 0 {
-		return decision
-	}
-	relaxed := make([]routing.Candidate, len(candidates))
-	copy(relaxed, candidates)
-	for index := range relaxed {
-		relaxed[index].Resting = false
+	for index := range candidates {
+		candidates[index].Resting = false
 	}
-	return scheduler.Schedule(request, relaxed)
+	return scheduler.Schedule(request, candidates)
 }
 
 func (placer *placer) scorers() []routing.Scorer {
@@ -226,8 +245,10 @@
 	query := backend.Query{Service: placer.admitted.service.Name, Distance: placer.proxy.distance}
 	prompt := placer.prompt()
 	if prompt == nil {
+		query.Near = uint64(prefix.KeyOf(placer.admitted.request.ID))
 		return query
 	}
+	query.Near = uint64(placer.affinityKey())
 	query.Model = prompt.Model
 	query.MinimumVersion = placer.proxy.minimumVersion(prompt.Model, now)
 	return query
