--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -263,8 +263,9 @@
 		return nil
 	}
 	var addresses []string
+	ownership := process.registry.Ownership()
 	own := func(address, zone string) {
-		if process.registry.Owns(address, zone) {
+		if ownership.Owns(address, zone) {
 			addresses = append(addresses, address)
 		}
 	}
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -10,8 +10,9 @@
 	"github.com/cloverrail/cloverrail/internal/prefix"
 )
 
-// rank orders the nodes alike on all that see the same fleet.
-func (r *Registry) rank() {
+// rank orders the nodes that are known, alike on all that see the same fleet.
+func (r *Registry) rank(places map[string]place) {
+	r.places = places
 	largest := 0.0
 	for _, place := range r.places {
 		largest = max(largest, place.room)
@@ -42,7 +43,11 @@
 func (r *Registry) Relays() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	nodes := max(1, len(r.names))
+	return r.relays()
+}
+
+func (r *Registry) relays() int {
+	nodes := r.size()
 	wanted := min(nodes, max(fewestRelays, int(math.Ceil(math.Sqrt(float64(nodes))))))
 	if r.roomy < wanted && 2*r.roomy >= wanted {
 		return r.roomy
@@ -51,7 +56,11 @@
 }
 
 // Relaying reports whether this node is a relay.
-func (r *Registry) Relaying() bool { return r.Rank() < r.Relays() }
+func (r *Registry) Relaying() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.ownRank < r.relays()
+}
 
 // Reading reports whether this node is one of the few relays that read the store for
 // the fleet.
@@ -68,19 +77,22 @@
 // RelayAddresses returns where the relays are reached, those of this node's zone before
 // others. Each node begins with another one of them.
 func (r *Registry) RelayAddresses() []string {
-	relays := r.Relays()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	near, far := []string{}, []string{}
-	for _, name := range r.first(relays) {
+	for _, name := range r.first(r.relays()) {
 		if place := r.places[name]; place.zone == r.Zone {
 			near = append(near, place.address)
 		} else {
 			far = append(far, place.address)
 		}
 	}
-	rank := max(0, slices.Index(r.names, r.Name))
-	return append(rotate(near, rank), rotate(far, rank)...)
+	turn := r.ownRank
+	if turn >= len(r.names) {
+		// Its rank is not known, and another one's may be the same.
+		turn = int(uint32(prefix.KeyOf(r.Name)))
+	}
+	return append(rotate(near, turn), rotate(far, turn)...)
 }
 
 // ReaderAddresses returns where the readers are reached, in the same order on all nodes:
@@ -98,26 +110,40 @@
 // first returns the names of the first nodes.
 func (r *Registry) first(most int) []string { return r.names[:min(most, len(r.names))] }
 
-// Owns reports whether this node is the one among the relays that does what one must do
-// for a thing in a zone: one of that zone if there is any. Nodes that see the same
-// fleet agree.
-func (r *Registry) Owns(thing, zone string) bool {
-	relays := r.Relays()
+// Ownership says which of the relays does what one must do for a thing in a zone. Nodes
+// that see the same fleet agree.
+type Ownership struct {
+	self string
+	// relays are all relays, and near those of each zone.
+	relays []string
+	near   map[string][]string
+}
+
+// Ownership returns who does what at the last observation.
+func (r *Registry) Ownership() Ownership {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	first := r.first(relays)
-	near := []string{}
-	for _, name := range first {
-		if r.places[name].zone == zone {
-			near = append(near, name)
-		}
+	o := Ownership{self: r.Name, relays: r.first(r.relays()), near: map[string][]string{}}
+	for _, name := range o.relays {
+		zone := r.places[name].zone
+		o.near[zone] = append(o.near[zone], name)
 	}
-	if len(near) == 0 {
-		near = first
+	return o
+}
+
+// Owns reports whether this node is the one for a thing in a zone: one of that zone if it
+// has any relay.
+func (o Ownership) Owns(thing, zone string) bool {
+	candidates := o.near[zone]
+	if len(candidates) == 0 {
+		candidates = o.relays
 	}
-	return prefix.Owner(prefix.KeyOf(thing), near) == r.Name
+	return prefix.Owner(prefix.KeyOf(thing), candidates) == o.self
 }
 
+// Owns is that of the present Ownership.
+func (r *Registry) Owns(thing, zone string) bool { return r.Ownership().Owns(thing, zone) }
+
 // rotate moves the first elements of a list behind the others.
 func rotate(list []string, by int) []string {
 	if len(list) == 0 {
@@ -132,5 +158,5 @@
 func (r *Registry) Rank() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return max(0, slices.Index(r.names, r.Name))
+	return r.ownRank
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/prefix"
 )
@@ -31,6 +33,9 @@
 	// fewestRelays is the size up to which all nodes of a fleet ask each other: fewer
 	// hops make what they know younger, and 90 questions each 150 ms cost little.
 	fewestRelays = 10
+	// viewRelays is how many times as many nodes as there are relays are told of: who comes
+	// next when relays are lost.
+	viewRelays = 2
 	// roomyShare is the share of the largest node's processor time from which a node
 	// counts as one with room.
 	roomyShare = 0.5
@@ -53,23 +58,40 @@
 	Resized func(nodes int)
 
 	mutex sync.Mutex
-	// names holds all nodes, those with room first and each kind in the order of a
-	// hash, which spreads the first ones over the zones; places holds where they are
-	// reached, and roomy how many have room.
+	// names holds the nodes that are known, those with room first and each kind in the
+	// order of a hash, which spreads the first ones over the zones; places holds where they
+	// are reached. They are all nodes, or the first ones alone.
 	names  []string
 	places map[string]place
-	roomy  int
+	// nodes is how many nodes there are, or 0 if that is not known, and roomy how many of
+	// them have room. ownRank is this node's place among all.
+	nodes   int
+	roomy   int
+	ownRank int
 	// begun is when the fleet was first observed; settled, that the places in it
 	// may be relied on.
 	begun   time.Time
 	settled bool
 	seen    map[string]sighting
 	duties  []coordination.Entry
-	// entries are those of the nodes at the last observation, and digest is theirs.
-	entries []coordination.Entry
-	digest  uint64
+	// view is what other nodes are told of the fleet, and digest is its own.
+	view   View
+	digest uint64
 }
 
+// View is what nodes tell each other of the fleet. Only its first nodes are asked by others,
+// so that nobody needs to know all.
+type View struct {
+	// Nodes is how many nodes there are, and Roomy how many of them have room.
+	Nodes int
+	Roomy int
+	// First holds the entries of the first nodes, in the order of their ranks.
+	First []coordination.Entry
+}
+
+// whole reports whether the view holds all nodes.
+func (v View) whole() bool { return len(v.First) >= v.Nodes }
+
 // place is where a node is reached, and the processor time that it has, in cores.
 type place struct {
 	address string
@@ -153,22 +175,131 @@
 // ObserveNodes takes the entries of all nodes as they were read at a time.
 func (r *Registry) ObserveNodes(entries []coordination.Entry, now time.Time) {
 	places := make(map[string]place, len(entries)+1)
+	byName := make(map[string]coordination.Entry, len(entries))
 	for _, entry := range entries {
-		name, _, _ := strings.Cut(strings.TrimPrefix(entry.Key, r.Prefix), "/")
-		places[name] = parsePlace(string(entry.Value))
+		name := r.nameOf(entry.Key)
+		places[name], byName[name] = parsePlace(string(entry.Value)), entry
 	}
 	// An entry of an earlier life of this node may tell of another place.
 	places[r.Name] = r.place()
 	r.mutex.Lock()
-	r.places = places
-	r.entries, r.digest = entries, digestOf(entries)
 	r.settle(entries, now)
-	r.rank()
-	nodes := len(r.names)
+	r.rank(places)
+	r.nodes = len(r.names)
+	r.ownRank = slices.Index(r.names, r.Name)
+	r.look(byName)
+	nodes := r.nodes
 	r.mutex.Unlock()
 	r.Resized(nodes)
 }
 
+// look makes the view of all nodes that others are told. A node that is not registered
+// itself is not in it.
+func (r *Registry) look(entries map[string]coordination.Entry) {
+	r.view = View{Nodes: len(entries), Roomy: r.roomy}
+	for _, name := range r.first(viewRelays * r.relays()) {
+		if entry, registered := entries[name]; registered {
+			r.view.First = append(r.view.First, entry)
+		}
+	}
+	r.digest = r.view.digest()
+}
+
+// ObserveFirst takes the first entries of a list of nodes that goes on. They stand in the
+// order of their keys, in which those with the most room come first. How many nodes there
+// are is still not known; a node that finds itself among the first relays of so many can
+// rely on that.
+func (r *Registry) ObserveFirst(entries []coordination.Entry, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.nodes > 0 {
+		// Others have told of the whole fleet, or this node has read it.
+		return
+	}
+	places := make(map[string]place, len(entries))
+	for _, entry := range entries {
+		places[r.nameOf(entry.Key)] = parsePlace(string(entry.Value))
+	}
+	r.rank(places)
+	r.ownRank = r.rankOf(r.Name)
+	if r.begun.IsZero() {
+		r.begun = now
+	}
+	r.settled = r.settled || r.ownRank < r.relays() || now.Sub(r.begun) >= longestGathering
+}
+
+// ObserveView takes what another node told of the fleet: a view, or nil if it is the one
+// that this node has, and how many nodes there are. It reports whether that node knew.
+func (r *Registry) ObserveView(view *View, nodes int) bool {
+	switch {
+	case nodes == 0:
+		return false
+	case view == nil:
+		r.count(nodes)
+	case view.whole():
+		r.ObserveNodes(view.First, boottime.Now())
+	default:
+		r.adopt(*view)
+	}
+	return true
+}
+
+// count takes how many nodes there are, if others know more of them than this node.
+func (r *Registry) count(nodes int) {
+	r.mutex.Lock()
+	known := len(r.names) == r.nodes
+	if !known {
+		r.nodes = nodes
+	}
+	r.mutex.Unlock()
+	if !known {
+		r.Resized(nodes)
+	}
+}
+
+// adopt takes another node's view of a fleet that is larger than it.
+func (r *Registry) adopt(view View) {
+	names := make([]string, 0, len(view.First))
+	places := make(map[string]place, len(view.First))
+	for _, entry := range view.First {
+		name := r.nameOf(entry.Key)
+		names = append(names, name)
+		places[name] = parsePlace(string(entry.Value))
+	}
+	r.mutex.Lock()
+	r.names, r.places, r.nodes, r.roomy = names, places, view.Nodes, view.Roomy
+	r.ownRank = r.rankOf(r.Name)
+	r.settled = true
+	r.view, r.digest = view, view.digest()
+	r.mutex.Unlock()
+	r.Resized(view.Nodes)
+}
+
+// rankOf returns a node's place among all; who is not among the known first ones comes
+// after them.
+func (r *Registry) rankOf(name string) int {
+	if at := slices.Index(r.names, name); at >= 0 {
+		return at
+	}
+	return max(len(r.names), r.nodes-1)
+}
+
+// nameOf returns the name of the node that a key registers.
+func (r *Registry) nameOf(key string) string {
+	name, _ := r.parseKey(key)
+	return name
+}
+
+// parseKey returns the name of the node that a key registers, and that of its life. What
+// comes before them in the key only gives it its place among all.
+func (r *Registry) parseKey(key string) (name, life string) {
+	parts := strings.Split(strings.TrimPrefix(key, r.Prefix), "/")
+	if len(parts) < 2 {
+		return parts[0], ""
+	}
+	return parts[len(parts)-2], parts[len(parts)-1]
+}
+
 // ObserveDuties notes the keys under which nodes hold duties.
 func (r *Registry) ObserveDuties(entries []coordination.Entry, now time.Time) {
 	r.mutex.Lock()
@@ -192,31 +323,38 @@
 	return r.duties
 }
 
-// digestOf returns a number that tells two sets of nodes apart.
-func digestOf(entries []coordination.Entry) uint64 {
-	digest := uint64(len(entries))
-	for _, entry := range entries {
+// digest returns a number that tells two views apart.
+func (v View) digest() uint64 {
+	digest := uint64(len(v.First)) + uint64(v.Roomy)<<32
+	for _, entry := range v.First {
 		digest += uint64(prefix.KeyOf(entry.Key + " " + string(entry.Value)))
 	}
 	return digest
 }
 
-// Digest tells the nodes of the last observation apart from other sets of nodes.
+// Digest tells the view that this node has apart from others.
 func (r *Registry) Digest() uint64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.digest
 }
 
-// NewerThan returns the entries of the nodes if their digest is another one, for
-// Observe on another node, and else nil.
-func (r *Registry) NewerThan(digest uint64) []coordination.Entry {
+// NewerThan returns this node's view if its digest is another one, for ObserveView on
+// another node, and how many nodes there are. It returns 0 if this node does not know.
+func (r *Registry) NewerThan(digest uint64) (view *View, nodes int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if r.view.Nodes == 0 {
+		return nil, 0
+	}
+	own := r.view
+	if !own.whole() {
+		own.Nodes = r.nodes
+	}
 	if r.digest == digest {
-		return nil
+		return nil, own.Nodes
 	}
-	return r.entries
+	return &own, own.Nodes
 }
 
 // settle decides whether the places in the fleet may be relied on. When all nodes
@@ -229,9 +367,7 @@
 	if r.begun.IsZero() {
 		r.begun = now
 	}
-	own := slices.ContainsFunc(entries, func(entry coordination.Entry) bool {
-		return strings.HasPrefix(entry.Key, r.Prefix+r.Name+"/")
-	})
+	own := slices.ContainsFunc(entries, func(entry coordination.Entry) bool { return r.nameOf(entry.Key) == r.Name })
 	waited := now.Sub(r.begun)
 	r.settled = own && (r.fromBefore(entries) || waited >= gathering) || waited >= longestGathering
 }
@@ -239,12 +375,20 @@
 // fromBefore reports whether an entry of this node is not of this life.
 func (r *Registry) fromBefore(entries []coordination.Entry) bool {
 	return slices.ContainsFunc(entries, func(entry coordination.Entry) bool {
-		return strings.HasPrefix(entry.Key, r.Prefix+r.Name+"/") && entry.Key != r.key()
+		name, life := r.parseKey(entry.Key)
+		return name == r.Name && life != r.Life
 	})
 }
 
+// mostRoom is the processor time, in thousandths of a core, above which nodes are alike in
+// the order of keys.
+const mostRoom = 999_999
+
+// key registers this node. In the order of keys those with the most room come first, and
+// among equals a hash decides: the first page of a long list shows who the relays are.
 func (r *Registry) key() string {
-	return r.Prefix + r.Name + "/" + r.Life
+	room := min(mostRoom, int(1000*r.Room))
+	return fmt.Sprintf("%s%06d-%016x/%s/%s", r.Prefix, mostRoom-room, uint64(prefix.KeyOf(r.Name)), r.Name, r.Life)
 }
 
 // Settled reports whether the places in the fleet may be relied on.
@@ -262,11 +406,21 @@
 	return found
 }
 
-// Nodes returns the number of nodes at the last observation.
+// Nodes returns the number of nodes at the last observation, at least as many as are known
+// by name.
 func (r *Registry) Nodes() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return max(1, len(r.names))
+	return r.size()
+}
+
+func (r *Registry) size() int { return max(1, len(r.names), r.nodes) }
+
+// Partial reports whether this node knows relays to ask, but not how many nodes there are.
+func (r *Registry) Partial() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.nodes == 0 && len(r.names) > 0
 }
 
 // FirstSeen returns when a key was first seen at the revision, or zero.
--- /dev/null
+++ b/internal/fleet/view_test.go
@@ -0,0 +1,132 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cloverrail/cloverrail/internal/coordination"
+	"github.com/cloverrail/cloverrail/internal/property"
+)
+
+// newMember returns the registry of one node of a drawn fleet.
+func newMember(name, zone string, cores float64) *Registry {
+	return &Registry{Prefix: "f/nodes/", Name: name, Life: "1", Zone: zone, Address: "at-" + name, Room: cores, Resized: func(int) {}}
+}
+
+// drawFleet returns nodes of one or two sizes in three zones, and their entries in the order
+// of their keys.
+func drawFleet(t *rapid.T) (nodes []*Registry, entries []coordination.Entry) {
+	for i := range rapid.IntRange(1, 300).Draw(t, "nodes") {
+		cores := 0.2
+		if rapid.IntRange(0, 9).Draw(t, "size") == 0 {
+			cores = 0.8
+		}
+		node := newMember(fmt.Sprint("n", i), string(rune('a'+i%3)), cores)
+		nodes = append(nodes, node)
+		entries = append(entries, coordination.Entry{Key: node.key(), Value: []byte(node.place().String())})
+	}
+	slices.SortFunc(entries, func(a, b coordination.Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return nodes, entries
+}
+
+// A node that knows the first nodes alone has the same part in the fleet as if it knew all,
+// and asks the same ones.
+func TestTheViewOfTheFirstNodesIsEnough(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		nodes, entries := drawFleet(t)
+		reader := newMember(nodes[0].Name, nodes[0].Zone, nodes[0].Room)
+		reader.ObserveNodes(entries, time.Unix(1000, 0))
+		view, count := reader.NewerThan(0)
+		require.Equal(t, len(entries), count)
+		node := rapid.SampledFrom(nodes).Draw(t, "node")
+		all := newMember(node.Name, node.Zone, node.Room)
+		all.ObserveNodes(entries, time.Unix(1000, 0))
+		require.False(t, node.ObserveView(nil, 0), "who asks a node that knows nothing hears nothing")
+		require.True(t, node.ObserveView(view, count))
+		require.Equal(t, all.Nodes(), node.Nodes())
+		require.Equal(t, all.Relays(), node.Relays())
+		require.Equal(t, all.Relaying(), node.Relaying())
+		require.Equal(t, all.Reading(), node.Reading())
+		require.Equal(t, all.ReaderAddresses(), node.ReaderAddresses())
+		require.ElementsMatch(t, all.RelayAddresses(), node.RelayAddresses())
+		if all.Relaying() {
+			require.Equal(t, all.Rank(), node.Rank())
+			require.Equal(t, all.Ownership(), node.Ownership())
+		}
+		passed, _ := node.NewerThan(0)
+		require.Equal(t, view.First, passed.First, "it is passed on as it was heard")
+		same, count := reader.NewerThan(node.Digest())
+		require.Nil(t, same, "nothing is told twice")
+		require.Equal(t, len(entries), count)
+	})
+}
+
+// The first page of a long list shows a starting node the relays, and the first readers that
+// they are such; all others wait to be told.
+func TestTheFirstPageShowsTheRelays(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		nodes, entries := drawFleet(t)
+		page := entries[:min(len(entries), rapid.IntRange(40, 200).Draw(t, "page"))]
+		if len(page) == len(entries) {
+			return
+		}
+		begin := time.Unix(1000, 0)
+		for _, node := range nodes {
+			all := newMember(node.Name, node.Zone, node.Room)
+			all.ObserveNodes(entries, begin)
+			node.ObserveFirst(page, begin)
+			require.True(t, node.Partial())
+			require.Subset(t, all.RelayAddresses(), node.RelayAddresses())
+			require.NotEmpty(t, node.RelayAddresses())
+			require.Equal(t, all.Reading(), node.Settled() && node.Reading())
+			if node.Settled() {
+				require.True(t, all.Relaying())
+				require.Equal(t, all.Rank(), node.Rank())
+			}
+		}
+	})
+}
+
+// What nodes tell each other of the fleet grows with its root: at 1,000 and at 2,000 nodes
+// some 10 kB, where all entries were 100 kB and more to each node at each change.
+func TestTheViewGrowsWithTheRootOfTheFleet(t *testing.T) {
+	size := func(count int) int {
+		var entries []coordination.Entry
+		for i := range count {
+			node := newMember(fmt.Sprint("node-", i), "a", 0.2)
+			entries = append(entries, coordination.Entry{Key: node.key(), Value: []byte(node.place().String())})
+		}
+		reader := newMember("node-0", "a", 0.2)
+		reader.ObserveNodes(entries, time.Unix(1000, 0))
+		view, _ := reader.NewerThan(0)
+		bytes := 0
+		for _, entry := range view.First {
+			bytes += len(entry.Key) + len(entry.Value)
+		}
+		t.Logf("%d nodes: %d entries, %d bytes", count, len(view.First), bytes)
+		return bytes
+	}
+	small, large := size(1000), size(2000)
+	require.Less(t, large, 10_000)
+	require.Less(t, float64(large), 1.5*float64(small))
+}
+
+func TestAnEntryOfAnEarlierVersionIsRead(t *testing.T) {
+	registry := newMember("a", "z", 0.2)
+	for key, parts := range map[string][2]string{
+		"f/nodes/b/7":                  {"b", "7"},
+		"f/nodes/999799-00ff/b/7":      {"b", "7"},
+		newMember("c", "z", 0.2).key(): {"c", "1"},
+		"f/nodes/b":                    {"b", ""},
+		newMember("c", "z", 1e9).key(): {"c", "1"},
+	} {
+		name, life := registry.parseKey(key)
+		require.Equal(t, parts, [2]string{name, life}, key)
+	}
+}
--- /dev/null
+++ b/internal/reflector/directory.go
@@ -0,0 +1,187 @@
+package reflector
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+)
+
+// logKept bounds the changes of the list of servers that a node remembers. Whoever lacks
+// more than these is told the whole list. A fleet of 10,000 servers that replaces half of
+// them makes as many.
+const logKept = 16384
+
+// listing is what one node has read or heard of the list of servers: all of it, or what has
+// changed in it since a revision of the shared store.
+type listing struct {
+	// Whole says that Changed holds all servers.
+	whole   bool
+	changed []backend.Server
+	gone    []string
+	// revision is the store's up to which this reaches, and readAt when that was certainly
+	// not in the past.
+	revision int64
+	readAt   time.Time
+	// sum is that of the whole list at the revision, or 0 if it is not known.
+	sum uint64
+}
+
+// directory is the list of servers as one node knows it, and its last changes. Its place is
+// a revision of the shared store, which is the same at all nodes: who has heard one node up
+// to a place goes on from there with any other. It is not safe for concurrent use.
+type directory struct {
+	servers  map[string]*backend.Server
+	revision int64
+	readAt   time.Time
+	// sum tells the servers apart from other sets of them. If another node that knows the
+	// same place has another sum, this one has missed something, and is to be told all.
+	sum     uint64
+	differs bool
+	// log holds the last changes in the order of their revisions. Those up to forgotten are
+	// not in it.
+	log       []logged
+	forgotten int64
+}
+
+// logged is one change: a server was written, or has vanished.
+type logged struct {
+	revision int64
+	instance string
+}
+
+// emptySum is the sum of no servers: 0 says that a sum is not known.
+const emptySum = 1
+
+func newDirectory() *directory { return &directory{servers: map[string]*backend.Server{}, sum: emptySum} }
+
+// take takes a listing, and returns what it changes. A listing that is older than what is
+// known changes nothing: servers that have left would be back in it.
+func (d *directory) take(l listing) (changed []*backend.Server, gone []string) {
+	if l.revision < d.revision {
+		return nil, nil
+	}
+	left := l.gone
+	if l.whole {
+		left = d.missing(l.changed)
+	}
+	fresh := len(d.servers) == 0 && l.whole
+	for i := range l.changed {
+		server := &l.changed[i]
+		known, found := d.servers[server.Instance]
+		if found && known.Equal(*server) {
+			// A server wrote the same again.
+			continue
+		}
+		changed = append(changed, server)
+		if found {
+			d.sum -= sumOf(known)
+		}
+		d.servers[server.Instance] = server
+		d.sum += sumOf(server)
+		if !fresh {
+			d.note(logged{revision: server.Revision, instance: server.Instance})
+		}
+	}
+	for _, instance := range left {
+		if known, found := d.servers[instance]; found {
+			d.sum -= sumOf(known)
+			delete(d.servers, instance)
+			gone = append(gone, instance)
+		}
+		// Who heard of it from others may not know yet that it has gone.
+		d.note(logged{revision: l.revision, instance: instance})
+	}
+	d.differs = l.sum != 0 && l.sum != d.sum
+	if fresh {
+		d.forgotten = l.revision
+	}
+	d.revision = l.revision
+	if l.readAt.After(d.readAt) {
+		d.readAt = l.readAt
+	}
+	return changed, gone
+}
+
+// sumOf tells a server apart from others, and from itself before a change.
+func sumOf(server *backend.Server) uint64 {
+	sum := backend.ServerKey(server.Instance) + uint64(server.Created)
+	if server.Draining {
+		sum ^= 1 << 63
+	}
+	for _, version := range server.Versions {
+		sum += uint64(version) << 32
+	}
+	return sum
+}
+
+// place is from where this node is to be told. It is 0 for one that is to be told all.
+func (d *directory) place() int64 {
+	if d.differs {
+		return 0
+	}
+	return d.revision
+}
+
+func (d *directory) has(instance string) bool {
+	_, found := d.servers[instance]
+	return found
+}
+
+// missing returns the instances of the known servers that a whole list does not hold.
+func (d *directory) missing(list []backend.Server) []string {
+	present := make(map[string]bool, len(list))
+	for _, server := range list {
+		present[server.Instance] = true
+	}
+	var gone []string
+	for instance := range d.servers {
+		if !present[instance] {
+			gone = append(gone, instance)
+		}
+	}
+	return gone
+}
+
+// note remembers a change, and forgets the oldest ones.
+func (d *directory) note(change logged) {
+	at := sort.Search(len(d.log), func(i int) bool { return d.log[i].revision > change.revision })
+	d.log = slices.Insert(d.log, at, change)
+	if len(d.log) > logKept {
+		dropped := len(d.log) - logKept/2
+		d.forgotten = max(d.forgotten, d.log[dropped-1].revision)
+		d.log = slices.Clone(d.log[dropped:])
+	}
+}
+
+// since returns what has changed since a place, which is 0 for who knows nothing. Who knows
+// more than this node hears of no change, and keeps its place.
+func (d *directory) since(place int64) listing {
+	l := listing{revision: max(place, d.revision), readAt: d.readAt}
+	if place > d.revision || d.revision == 0 {
+		return l
+	}
+	l.sum = d.sum
+	if place == 0 || place < d.forgotten {
+		l.whole, l.changed = true, make([]backend.Server, 0, len(d.servers))
+		for _, server := range d.servers {
+			l.changed = append(l.changed, *server)
+		}
+		return l
+	}
+	at := sort.Search(len(d.log), func(i int) bool { return d.log[i].revision > place })
+	told := map[string]bool{}
+	for _, change := range d.log[at:] {
+		if told[change.instance] {
+			continue
+		}
+		told[change.instance] = true
+		if server, found := d.servers[change.instance]; found {
+			l.changed = append(l.changed, *server)
+		} else {
+			l.gone = append(l.gone, change.instance)
+		}
+	}
+	return l
+}
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -17,14 +17,17 @@
 
 // Delta is what the asker lacks of what a node knows.
 type Delta struct {
-	// Feed names the process of the node that tells; Place is from where to read on.
+	// Feed names the process of the node that tells. Place is from where to read on in the
+	// list of servers, with whichever node: it is a revision of the shared store.
 	Feed  string
 	Place int64
 	// Whole says that Changed is the whole list.
 	Whole   bool
 	Changed []backend.Server
 	Gone    []string
-	// Loads is how far the roll-out of weights is; nil says that it is as before.
+	// Sum is that of all servers at the place, or 0 if the teller does not reach it.
+	Sum uint64
+	// Loads is how far the roll-out of weights is; nil says that the asker knows it.
 	Loads *backend.Loads
 	// Age is how old that node's list of servers is, and BeliefAge how long ago the
 	// call was sent that proved its declaration and weights current. It is negative
@@ -38,8 +41,10 @@
 	// newest named version of each model.
 	Declaration *catalog.Declaration
 	Weights     map[string]int64
-	// Fleet is nil if the follower has it.
-	Fleet []coordination.Entry
+	// Fleet is what the asker needs to know of the fleet, or nil if it does. Nodes is how
+	// many there are, or 0 if that is not known.
+	Fleet *fleet.View
+	Nodes int
 	// Duties holds the entries of the duties, for other readers.
 	Duties []coordination.Entry
 	// Others is what all nodes but the follower have under way and use.
@@ -52,11 +57,14 @@
 	SuspicionsPlace int64
 }
 
-// Question asks a node for what has changed since a place in its feed.
+// Question asks a node for what has changed since a place in the list of servers.
 type Question struct {
+	// Feed is that of the last answer.
 	Feed  string
 	Place int64
 	Wait  time.Duration
+	// Loads is how far the asker knows the roll-out of weights.
+	Loads backend.LoadsMark
 	// Node names who asks.
 	Node string
 	// Declaration is the version that the follower has, and Fleet the digest of its
@@ -78,9 +86,6 @@
 	SuspicionsPlace int64
 }
 
-// goneKept bounds the vanished servers that a feed remembers.
-const goneKept = 4096
-
 // Feed passes what a node knows on to nodes that do not read the store. What a
 // server writes anew without a change is not passed on, which is nearly all.
 type Feed struct {
@@ -93,72 +98,37 @@
 
 	mutex   sync.Mutex
 	changed chan struct{}
-	place   int64
-	// oldest is the place before which vanished servers are forgotten.
-	oldest  int64
-	readAt  time.Time
-	servers map[string]placedServer
-	gone    map[string]int64
-	// loads was set at loadsPlace.
-	loads      backend.Loads
-	loadsPlace int64
-}
-
-type placedServer struct {
-	server backend.Server
-	place  int64
+	servers *directory
+	loads   backend.Loads
 }
 
 // NewFeed returns an empty feed with a name that no other has.
 func NewFeed(name string, belief *catalog.Holder, registry *fleet.Registry, work *workshare.Board, kept *residency.Ledger, requests *quarantine.Ledger) *Feed {
 	f := &Feed{
 		name: name, belief: belief, registry: registry, work: work, kept: kept, requests: requests,
-		changed: make(chan struct{}), servers: map[string]placedServer{}, gone: map[string]int64{},
+		changed: make(chan struct{}), servers: newDirectory(),
 	}
 	requests.Changed = f.Wake
 	return f
 }
 
-// Take takes a whole list as it was read at a time.
-func (f *Feed) Take(list []backend.Server, readAt time.Time) {
+// take takes a listing of servers, and returns what it changes.
+func (f *Feed) take(l listing) (changed []*backend.Server, gone []string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	before := f.place
-	f.readAt = readAt
-	present := make(map[string]bool, len(list))
-	for _, server := range list {
-		present[server.Instance] = true
-		known, found := f.servers[server.Instance]
-		if found && known.server.Equal(server) {
-			continue
-		}
-		f.place++
-		f.servers[server.Instance] = placedServer{server: server, place: f.place}
-		delete(f.gone, server.Instance)
-	}
-	for instance := range f.servers {
-		if !present[instance] {
-			f.place++
-			delete(f.servers, instance)
-			f.gone[instance] = f.place
-		}
-	}
-	if len(f.gone) > goneKept {
-		f.gone = map[string]int64{}
-		f.oldest = f.place
-	}
-	if f.place != before {
+	changed, gone = f.servers.take(l)
+	if len(changed)+len(gone) > 0 {
 		f.wake()
 	}
+	return changed, gone
 }
 
-// Confirm notes that the list was found unchanged by a reading at a time.
-func (f *Feed) Confirm(readAt time.Time) {
+// place is from where this node is to be told of servers, and readAt when its list was
+// certainly not in the past.
+func (f *Feed) place() (place int64, readAt time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if readAt.After(f.readAt) {
-		f.readAt = readAt
-	}
+	return f.servers.place(), f.servers.readAt
 }
 
 // TakeLoads takes how far the roll-out of weights is, and reports whether that is newer
@@ -169,8 +139,7 @@
 	if !f.loads.Mark.Before(loads.Mark) {
 		return false
 	}
-	f.place++
-	f.loads, f.loadsPlace = loads, f.place
+	f.loads = loads
 	f.wake()
 	return true
 }
@@ -194,6 +163,11 @@
 	return group
 }
 
+// listing is what a delta tells of servers, by an answer to a question sent at a time.
+func (d *Delta) listing(sentAt time.Time) listing {
+	return listing{whole: d.Whole, changed: d.Changed, gone: d.Gone, revision: d.Place, readAt: sentAt.Add(-d.Age), sum: d.Sum}
+}
+
 // Wake lets waiting questions look again, after a change of the belief.
 func (f *Feed) Wake() {
 	f.mutex.Lock()
@@ -220,7 +194,7 @@
 	delta := f.await(ctx, question)
 	f.addSuspicions(&delta, question, boottime.Now())
 	f.addBelief(&delta, question, boottime.Now())
-	delta.Fleet = f.registry.NewerThan(question.Fleet)
+	delta.Fleet, delta.Nodes = f.registry.NewerThan(question.Fleet)
 	if question.Reader {
 		delta.Duties = f.registry.Duties()
 	}
@@ -263,10 +237,11 @@
 	}
 }
 
-// await returns what has changed in the list of servers, at once if there is other news.
+// await returns what has changed in the list of servers and in the roll-out, at once if
+// there is other news.
 func (f *Feed) await(ctx context.Context, question Question) Delta {
 	delta, changed := f.since(question)
-	if delta.Place != question.Place || delta.Whole || f.requests.Place() != question.SuspicionsPlace {
+	if !delta.bare() || f.requests.Place() != question.SuspicionsPlace {
 		return delta
 	}
 	select {
@@ -278,77 +253,20 @@
 	return delta
 }
 
+// bare reports whether a delta tells of no server and no load.
+func (d *Delta) bare() bool { return !d.Whole && len(d.Changed)+len(d.Gone) == 0 && d.Loads == nil }
+
 func (f *Feed) since(question Question) (Delta, <-chan struct{}) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	delta := Delta{Feed: f.name, Place: f.place, Age: boottime.Since(f.readAt)}
-	delta.Whole = question.Feed != f.name || question.Place < f.oldest
-	if !delta.Whole && question.Place == f.place {
-		return delta, f.changed
+	l := f.servers.since(question.Place)
+	delta := Delta{
+		Feed: f.name, Place: l.revision, Age: boottime.Since(l.readAt),
+		Whole: l.whole, Changed: l.changed, Gone: l.gone, Sum: l.sum,
 	}
-	for _, known := range f.servers {
-		if delta.Whole || known.place > question.Place {
-			delta.Changed = append(delta.Changed, known.server)
-		}
-	}
-	if delta.Whole && f.loadsPlace > 0 || f.loadsPlace > question.Place {
+	if question.Loads.Before(f.loads.Mark) {
 		loads := f.loads
 		delta.Loads = &loads
 	}
-	for instance, place := range f.gone {
-		if !delta.Whole && place > question.Place {
-			delta.Gone = append(delta.Gone, instance)
-		}
-	}
 	return delta, f.changed
 }
-
-// Copy is a follower's copy of the list of servers.
-type Copy struct {
-	feed    string
-	place   int64
-	servers map[string]backend.Server
-	// asOf is when the list was read that was returned last.
-	asOf time.Time
-	// pending says that the copy holds what was not returned yet.
-	pending bool
-}
-
-// Question asks for what the copy lacks.
-func (c *Copy) Question(wait time.Duration) Question {
-	return Question{Feed: c.feed, Place: c.place, Wait: wait}
-}
-
-// Apply takes a delta of a list that was read at a time, and returns the whole list if
-// that has changed. The delta's place may be later without that: not every change is
-// one of servers. A list of another feed that is older than the one returned last
-// waits until it has caught up: servers that have left would be back in it.
-func (c *Copy) Apply(delta Delta, readAt time.Time) (list []backend.Server, changed bool) {
-	same := c.feed == delta.Feed && !c.pending
-	if delta.Whole || c.servers == nil {
-		c.servers = map[string]backend.Server{}
-	}
-	c.feed, c.place = delta.Feed, delta.Place
-	c.pending = c.pending || delta.Whole || len(delta.Changed)+len(delta.Gone) > 0
-	for _, server := range delta.Changed {
-		c.servers[server.Instance] = server
-	}
-	for _, instance := range delta.Gone {
-		delete(c.servers, instance)
-	}
-	if !same && readAt.Before(c.asOf) {
-		return nil, false
-	}
-	if readAt.After(c.asOf) {
-		c.asOf = readAt
-	}
-	if !c.pending {
-		return nil, false
-	}
-	c.pending = false
-	list = make([]backend.Server, 0, len(c.servers))
-	for _, server := range c.servers {
-		list = append(list, server)
-	}
-	return list, true
-}
--- a/internal/reflector/feed_test.go
+++ b/internal/reflector/feed_test.go
@@ -23,28 +23,86 @@
 	return NewFeed(name, &catalog.Holder{}, &fleet.Registry{}, workshare.New(func() workshare.Report { return workshare.Report{} }), residency.NewLedger(), quarantine.NewLedger())
 }
 
-func TestACopyEqualsTheListWhateverItMissed(t *testing.T) {
+// history is the list of servers as the shared store has held it, revision by revision.
+type history struct {
+	revision int64
+	servers  map[string]backend.Server
+}
+
+// change writes a server anew, or takes it away.
+func (h *history) change(t *rapid.T) {
+	h.revision++
+	instance := fmt.Sprint("i-", rapid.IntRange(0, 7).Draw(t, "server"))
+	if rapid.Bool().Draw(t, "leaves") {
+		delete(h.servers, instance)
+		return
+	}
+	created := h.revision
+	if known, found := h.servers[instance]; found {
+		created = known.Created
+	}
+	h.servers[instance] = backend.Server{
+		Instance: instance, Draining: rapid.Bool().Draw(t, "draining"), Revision: h.revision, Created: created,
+		Versions: map[string]int64{"m": rapid.Int64Range(1, 3).Draw(t, "version")},
+	}
+}
+
+func (h *history) list() []backend.Server {
+	list := []backend.Server{}
+	for _, server := range h.servers {
+		list = append(list, server)
+	}
+	return list
+}
+
+// descriptions are servers without when they were written: who writes the same again has
+// not changed.
+func descriptions(servers map[string]*backend.Server) []backend.Server {
+	list := []backend.Server{}
+	for _, server := range servers {
+		plain := *server
+		plain.Revision = 0
+		list = append(list, plain)
+	}
+	return list
+}
+
+// Whichever of two nodes it asks, and whatever these missed, a node has the list as the
+// store held it up to its place, its place never goes back, and it is told the whole list
+// only at first.
+func TestANodeHasTheListUpToItsPlaceWhoeverItAsks(t *testing.T) {
 	property.Check(t, func(t *rapid.T) {
+		store := &history{revision: 1, servers: map[string]backend.Server{}}
+		at := map[int64][]backend.Server{}
 		feeds := []*Feed{newFeed("one"), newFeed("two")}
-		copied := &Copy{}
-		var got []backend.Server
-		for range rapid.IntRange(1, 30).Draw(t, "steps") {
-			list := []backend.Server{}
-			for number := range 8 {
-				if rapid.Bool().Draw(t, "present") {
-					version := rapid.Int64Range(1, 3).Draw(t, "version")
-					list = append(list, backend.Server{
-						Instance: fmt.Sprint("i-", number), Draining: rapid.Bool().Draw(t, "draining"), Versions: map[string]int64{"m": version},
-					})
-				}
+		own := newDirectory()
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			store.change(t)
+			plain := store.list()
+			for i := range plain {
+				plain[i].Revision = 0
 			}
+			at[store.revision] = plain
 			feed := feeds[rapid.IntRange(0, 1).Draw(t, "feed")]
-			feed.Take(list, time.Now())
-			if rapid.IntRange(0, 2).Draw(t, "asks") == 0 {
-				if whole, changed := copied.Apply(feed.Answer(context.Background(), copied.Question(0)), time.Now()); changed {
-					got = whole
+			if rapid.Bool().Draw(t, "reads") {
+				feed.take(wholeList(store.list(), store.revision, time.Now()))
+			}
+			if rapid.Bool().Draw(t, "asks") {
+				before := own.revision
+				delta := feed.Answer(context.Background(), Question{Place: own.place()})
+				own.take(delta.listing(time.Now()))
+				require.GreaterOrEqual(t, own.revision, before)
+				require.False(t, delta.Whole && before > 0 && feed.servers.forgotten <= before, "nothing was missing")
+				if own.differs {
+					// Two readings of that node missed a server that came and went.
+					delta, _ := feed.since(Question{Place: own.place()})
+					require.True(t, delta.Whole)
+					own.take(delta.listing(time.Now()))
+					require.False(t, own.differs)
+				}
+				if own.revision > 0 {
+					require.ElementsMatch(t, at[own.revision], descriptions(own.servers))
 				}
-				require.ElementsMatch(t, list, got)
 			}
 		}
 	})
@@ -52,39 +110,50 @@
 
 func TestABeatIsNoChange(t *testing.T) {
 	feed := newFeed("one")
-	list := []backend.Server{{Instance: "i-1", Versions: map[string]int64{"m": 1}}}
-	feed.Take(list, time.Now())
-	copied := &Copy{}
-	copied.Apply(feed.Answer(context.Background(), copied.Question(0)), time.Now())
-	feed.Take(list, time.Now())
-	delta := feed.Answer(context.Background(), copied.Question(0))
+	list := []backend.Server{{Instance: "i-1", Revision: 1, Versions: map[string]int64{"m": 1}}}
+	feed.take(wholeList(list, 1, time.Now()))
+	feed.take(wholeList([]backend.Server{{Instance: "i-1", Revision: 2, Versions: map[string]int64{"m": 1}}}, 2, time.Now()))
+	delta := feed.Answer(context.Background(), Question{Place: 1})
 	require.False(t, delta.Whole)
 	require.Empty(t, delta.Changed)
-	feed.Take(nil, time.Now())
-	require.Equal(t, []string{"i-1"}, feed.Answer(context.Background(), copied.Question(time.Hour)).Gone, "it does not wait for what is there")
+	require.Equal(t, int64(2), delta.Place)
+	feed.take(wholeList(nil, 3, time.Now()))
+	require.Equal(t, []string{"i-1"}, feed.Answer(context.Background(), Question{Place: 1, Wait: time.Hour}).Gone, "it does not wait for what is there")
 }
 
 func TestWhoLoadsIsPassedOnOnce(t *testing.T) {
 	feed := newFeed("one")
-	copied := &Copy{}
-	copied.Apply(feed.Answer(context.Background(), copied.Question(0)), time.Now())
 	loads := backend.Loads{Mark: backend.LoadsMark{Fence: 1, Sequence: 1}, Loading: []backend.Load{{Instance: "i-1", Model: "m", Version: 2}}}
 	feed.TakeLoads(loads)
-	delta := feed.Answer(context.Background(), copied.Question(time.Hour))
+	delta := feed.Answer(context.Background(), Question{Wait: time.Hour})
 	require.Equal(t, &loads, delta.Loads)
-	copied.Apply(delta, time.Now())
-	require.Nil(t, feed.Answer(context.Background(), copied.Question(0)).Loads)
+	require.Nil(t, feed.Answer(context.Background(), Question{Loads: delta.Loads.Mark}).Loads)
 }
 
 func TestAForgottenPastIsMadeUpForByTheWholeList(t *testing.T) {
 	feed := newFeed("one")
-	copied := &Copy{}
-	copied.Apply(feed.Answer(context.Background(), copied.Question(0)), time.Now())
-	many := []backend.Server{}
-	for number := range goneKept + 1 {
-		many = append(many, backend.Server{Instance: fmt.Sprint("i-", number)})
+	feed.take(wholeList([]backend.Server{{Instance: "stays", Revision: 1}}, 1, time.Now()))
+	require.False(t, feed.Answer(context.Background(), Question{Place: 1}).Whole)
+	for number := range int64(logKept + 1) {
+		feed.take(listing{changed: []backend.Server{{Instance: fmt.Sprint("i-", number), Revision: 2 + number}}, revision: 2 + number, readAt: time.Now()})
 	}
-	feed.Take(many, time.Now())
-	feed.Take(nil, time.Now())
-	require.True(t, feed.Answer(context.Background(), copied.Question(0)).Whole)
+	require.True(t, feed.Answer(context.Background(), Question{Place: 1}).Whole)
+	require.Len(t, feed.servers.log, logKept/2)
+	require.False(t, feed.Answer(context.Background(), Question{Place: feed.servers.forgotten}).Whole)
+}
+
+// Who leaves one node for another is told what has changed, and not all servers again.
+func TestAnotherNodeGoesOnWhereTheOneBeforeEnded(t *testing.T) {
+	one, two := newFeed("one"), newFeed("two")
+	list := []backend.Server{{Instance: "i-1", Revision: 1}, {Instance: "i-2", Revision: 2}}
+	one.take(wholeList(list, 2, time.Now()))
+	two.take(wholeList(list, 2, time.Now()))
+	place := one.Answer(context.Background(), Question{}).Place
+	two.take(listing{changed: []backend.Server{{Instance: "i-3", Revision: 3}}, gone: []string{"i-1"}, revision: 4, readAt: time.Now()})
+	delta := two.Answer(context.Background(), Question{Place: place})
+	require.False(t, delta.Whole)
+	require.Equal(t, "i-3", delta.Changed[0].Instance)
+	require.Len(t, delta.Changed, 1)
+	require.Equal(t, []string{"i-1"}, delta.Gone)
+	require.Equal(t, int64(4), delta.Place)
 }
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -110,7 +110,6 @@
 // follow takes all from another node unless this one reads for all. It goes on to the
 // next one when there is no answer, or when what it hears is old.
 func (r *Reflector) follow(ctx context.Context) {
-	copied := &Copy{}
 	told := &telling{}
 	turn := 0
 	changedAt := time.Time{}
@@ -128,7 +127,7 @@
 			changedAt = boottime.Now()
 		}
 		begun := boottime.Now()
-		left = r.ask(ctx, node, copied, told)
+		left = r.ask(ctx, node, told)
 		switch {
 		case left == nil:
 			pause.For(ctx, r.askPause()-boottime.Since(begun))
@@ -151,11 +150,9 @@
 
 // ask takes one delta, and returns why the node is not worth following, if it is not.
 // What a node that believes old things tells of all else counts all the same.
-func (r *Reflector) ask(ctx context.Context, node string, copied *Copy, told *telling) error {
-	ctx, cancel := context.WithTimeout(ctx, askWait+askMargin)
-	defer cancel()
+func (r *Reflector) ask(ctx context.Context, node string, told *telling) error {
 	sentAt := boottime.Now()
-	question := r.question(node, copied, sentAt)
+	question := r.question(node, told)
 	toldUpTo := r.tell(&question, told, sentAt)
 	delta, err := r.Peers.Ask(ctx, node, question)
 	if err != nil {
@@ -163,20 +160,13 @@
 	}
 	told.answered(delta, toldUpTo)
 	r.Quarantine.Take(delta.Suspicions, delta.Feed, boottime.Now())
-	readAt := sentAt.Add(-delta.Age)
-	if list, changed := copied.Apply(delta, readAt); changed {
-		r.takeList(list, readAt)
-	} else if copied.asOf.Equal(readAt) {
-		r.Feed.Confirm(readAt)
-		r.listedAt.store(readAt)
-	}
+	r.takeServers(delta.listing(sentAt))
 	if delta.Loads != nil {
 		r.TakeLoads(*delta.Loads)
 	}
-	if delta.Fleet != nil {
-		r.Registry.ObserveNodes(delta.Fleet, boottime.Now())
+	if r.Registry.ObserveView(delta.Fleet, delta.Nodes) {
+		r.nodesAt.store(sentAt)
 	}
-	r.nodesAt.store(sentAt)
 	if question.Reader {
 		r.Registry.ObserveDuties(delta.Duties, boottime.Now())
 	}
@@ -245,10 +235,9 @@
 
 // question asks a node for what this one lacks. Relays tell each other of their work
 // and of cached parts in questions of their own.
-func (r *Reflector) question(node string, copied *Copy, now time.Time) Question {
-	question := copied.Question(askWait)
-	question.Node = r.Registry.Name
-	question.Fleet = r.Registry.Digest()
+func (r *Reflector) question(node string, told *telling) Question {
+	question := Question{Feed: told.feed, Wait: askWait, Node: r.Registry.Name, Fleet: r.Registry.Digest(), Loads: r.Feed.LoadsMark()}
+	question.Place, _ = r.Feed.place()
 	if belief := r.Belief.Load(); belief != nil && belief.Snapshot != nil {
 		question.Declaration = belief.Snapshot.Version
 	}
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -39,7 +39,7 @@
 // counting is a store that counts readings.
 type counting struct{ observed, declared, nodes int }
 
-func (c *counting) Observe(context.Context, bool) (Observation, error) {
+func (c *counting) Observe(context.Context) (Observation, error) {
 	c.observed++
 	return Observation{Declared: catalog.Reading{SentAt: time.Now()}}, nil
 }
@@ -47,14 +47,19 @@
 	c.declared++
 	return catalog.Reading{SentAt: time.Now()}, nil
 }
-func (c *counting) Nodes(context.Context, bool) ([]coordination.Entry, error) {
+func (c *counting) Nodes(context.Context, bool) ([]coordination.Entry, bool, error) {
 	c.nodes++
-	return nil, nil
+	return nil, true, nil
 }
 func (c *counting) AwaitDeclared(_ context.Context, after int64, _ time.Duration) (bool, int64, error) {
 	return false, after, nil
 }
 
+// wholeList is a list that was read at a time and a revision of the store.
+func wholeList(list []backend.Server, revision int64, at time.Time) listing {
+	return listing{whole: true, changed: list, revision: revision, readAt: at}
+}
+
 // newFollower returns a reflector of a node that is no reader.
 func newFollower(source Source, peers Peers) *Reflector {
 	registry := &fleet.Registry{Prefix: "nodes/", Name: "follower", Resized: func(int) {}}
@@ -81,10 +86,10 @@
 	reader := &answering{feed: NewFeed("reader", belief, registry, workshare.New(func() workshare.Report {
 		return workshare.Report{Work: []backend.Work{{Server: backend.ServerKey("i-1"), Running: 4}}}
 	}), kept, quarantine.NewLedger())}
-	reader.feed.Take([]backend.Server{{Instance: "i-1", Service: "s"}}, time.Now())
+	reader.feed.take(wholeList([]backend.Server{{Instance: "i-1", Service: "s"}}, 1, time.Now()))
 	follower := newFollower(&counting{}, reader)
 
-	require.NoError(t, follower.ask(context.Background(), "reader", &Copy{}, &telling{}))
+	require.NoError(t, follower.ask(context.Background(), "reader", &telling{}))
 	heard := follower.Belief.Load()
 	require.Equal(t, int64(7), heard.Snapshot.Version)
 	require.NotNil(t, heard.Snapshot.TenantOf("k"))
@@ -98,7 +103,7 @@
 
 	disturbed := time.Now().Add(-100 * time.Millisecond)
 	belief.Store(catalog.Disturb(belief.Load(), disturbed))
-	require.NoError(t, follower.ask(context.Background(), "reader", &Copy{}, &telling{}))
+	require.NoError(t, follower.ask(context.Background(), "reader", &telling{}))
 	require.WithinDuration(t, disturbed, follower.Belief.Load().Disturbed, 50*time.Millisecond)
 	require.False(t, follower.Belief.Load().Disturbed.After(disturbed))
 }
@@ -188,9 +193,9 @@
 		return workshare.Report{Work: []backend.Work{{Server: backend.ServerKey("i-1"), Running: 4}}}
 	})
 	feed := NewFeed("relay", belief, &fleet.Registry{Resized: func(int) {}}, work, residency.NewLedger(), quarantine.NewLedger())
-	feed.Take([]backend.Server{{Instance: "i-1", Service: "s"}}, time.Now())
+	feed.take(wholeList([]backend.Server{{Instance: "i-1", Service: "s"}}, 1, time.Now()))
 	follower := newFollower(&counting{}, &answering{feed: feed})
-	require.Equal(t, errStale, follower.ask(context.Background(), "relay", &Copy{}, &telling{}))
+	require.Equal(t, errStale, follower.ask(context.Background(), "relay", &telling{}))
 	candidates := follower.Set.Candidates(nil, backend.Query{Service: "s", Distance: func(string) int { return 0 }}, time.Now())
 	require.Equal(t, 4, candidates[0].Running)
 	require.Equal(t, int64(1), follower.Belief.Load().Snapshot.Version)
@@ -200,24 +205,23 @@
 func TestAnOlderListOfAnotherNodeWaitsUntilItHasCaughtUp(t *testing.T) {
 	begin := time.Unix(1000, 0)
 	young, old := newFeed("young"), newFeed("old")
-	both := []backend.Server{{Instance: "i-1"}, {Instance: "i-2"}}
-	young.Take(both[:1], begin)
-	old.Take(both, begin.Add(-time.Second))
-	copied := &Copy{}
-	ask := func(feed *Feed, readAt time.Time) ([]backend.Server, bool) {
-		return copied.Apply(feed.Answer(context.Background(), copied.Question(0)), readAt)
+	both := []backend.Server{{Instance: "i-1", Revision: 1}, {Instance: "i-2", Revision: 2}}
+	young.take(wholeList(both[:1], 3, begin))
+	old.take(wholeList(both, 2, begin.Add(-time.Second)))
+	own := newDirectory()
+	ask := func(feed *Feed) bool {
+		delta := feed.Answer(context.Background(), Question{Place: own.revision})
+		changed, gone := own.take(delta.listing(begin))
+		return len(changed)+len(gone) > 0
 	}
-	list, changed := ask(young, begin)
-	require.True(t, changed)
-	require.Len(t, list, 1)
-	_, changed = ask(old, begin.Add(-time.Second))
-	require.False(t, changed)
-	_, changed = ask(old, begin.Add(-time.Second))
-	require.False(t, changed)
-	old.Take(both[:1], begin.Add(time.Second))
-	list, changed = ask(old, begin.Add(time.Second))
-	require.True(t, changed)
-	require.Len(t, list, 1)
+	require.True(t, ask(young))
+	require.Len(t, own.servers, 1)
+	require.False(t, ask(old))
+	require.False(t, ask(old))
+	old.take(wholeList([]backend.Server{both[0], {Instance: "i-3", Revision: 4}}, 4, begin.Add(time.Second)))
+	require.True(t, ask(old))
+	require.Len(t, own.servers, 2)
+	require.True(t, own.has("i-3"))
 }
 
 // A follower that does not know where a change of the roll-out stands asks again at
@@ -226,14 +230,14 @@
 	belief := &catalog.Holder{}
 	belief.Store(catalog.Advance(nil, catalog.Reading{SentAt: time.Now(), Declaration: &catalog.Declaration{Version: 1}}))
 	feed := NewFeed("reader", belief, &fleet.Registry{Resized: func(int) {}}, workshare.New(func() workshare.Report { return workshare.Report{} }), residency.NewLedger(), quarantine.NewLedger())
-	feed.Take([]backend.Server{{Instance: "i-1", Service: "s"}}, time.Now())
+	feed.take(wholeList([]backend.Server{{Instance: "i-1", Service: "s"}}, 1, time.Now()))
 	follower := newFollower(&counting{}, &answering{feed: feed})
-	copied := &Copy{}
-	require.NoError(t, follower.ask(context.Background(), "reader", copied, &telling{}))
+	require.NoError(t, follower.ask(context.Background(), "reader", &telling{}))
 	feed.TakeLoads(backend.Loads{Mark: backend.LoadsMark{Fence: 1}, Loading: []backend.Load{{Instance: "i-1", Model: "m", Version: 2}}})
-	require.NoError(t, follower.ask(context.Background(), "reader", copied, &telling{}))
-	delta, _ := feed.since(copied.Question(0))
-	require.Equal(t, copied.place, delta.Place, "there is nothing that it lacks")
+	require.NoError(t, follower.ask(context.Background(), "reader", &telling{}))
+	question := follower.question("reader", &telling{})
+	delta, _ := feed.since(question)
+	require.Equal(t, question.Place, delta.Place, "there is nothing that it lacks")
 	require.Nil(t, delta.Loads)
 }
 
@@ -248,7 +252,7 @@
 	} {
 		node := newFollower(&counting{}, &answering{feed: feed})
 		settleAs(node.Registry, fits)
-		_ = node.ask(context.Background(), "first", &Copy{}, &telling{})
+		_ = node.ask(context.Background(), "first", &telling{})
 		require.Equal(t, part == "reader", node.Registry.Exists("holder"))
 		require.Equal(t, part == "reader", !node.Registry.FirstSeen("holder", 4).IsZero())
 	}
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -26,12 +26,18 @@
 	"github.com/cloverrail/cloverrail/internal/workshare"
 )
 
-// Observation is all that one reading found.
+// Observation is what one reading found.
 type Observation struct {
 	Declared catalog.Reading
-	Servers  []backend.Server
+	// Whole says that Servers is the whole list. Otherwise it is what has changed in it
+	// since the reading before, and Gone names those that have vanished since.
+	Whole   bool
+	Servers []backend.Server
+	Gone    []string
+	// Revision is the store's up to which all this reaches.
+	Revision int64
 	// Duties holds the entries of the duties that nodes hold, and Nodes those of the
-	// nodes, which is nil if they were left out.
+	// nodes, which is nil if they are as they were.
 	Duties []coordination.Entry
 	Nodes  []coordination.Entry
 	// Held holds the entries of requests that are held off.
@@ -41,13 +47,14 @@
 // Source reads the store. Its readings are linearizable unless it is said otherwise.
 // It is safe for concurrent use.
 type Source interface {
-	// Observe reads all. The nodes may be left out unless they are asked for.
-	Observe(ctx context.Context, nodes bool) (Observation, error)
+	// Observe reads all that has changed since it was called last.
+	Observe(ctx context.Context) (Observation, error)
 	// Declared reads only what operators wrote.
 	Declared(ctx context.Context) (catalog.Reading, error)
-	// Nodes reads only the entries of the nodes. If they may be old, seconds old, the
+	// Nodes reads only the entries of the nodes, in the order of their keys, and of many
+	// the first ones: all says that there are no more. If they may be old, seconds old, the
 	// reading costs a tenth.
-	Nodes(ctx context.Context, old bool) ([]coordination.Entry, error)
+	Nodes(ctx context.Context, old bool) (entries []coordination.Entry, all bool, err error)
 	// AwaitDeclared waits for a change of what operators wrote after a revision of the
 	// store. It returns whether there was one, and the revision to wait on from.
 	AwaitDeclared(ctx context.Context, after int64, wait time.Duration) (changed bool, at int64, err error)
@@ -86,6 +93,8 @@
 	// gatherPause is the wait between readings while the fleet gathers. It is longer than
 	// a fleet takes to gather, so that two readings mostly do.
 	gatherPause = 550 * time.Millisecond
+	// hearingPause is the longest wait for the word of relays that were found in the store.
+	hearingPause = 2 * time.Second
 	// nodesInterval is the time between readings of the nodes' entries where these cost
 	// a call of their own. A node that died is listed for longer than that anyway.
 	nodesInterval = 4 * time.Second
@@ -134,6 +143,10 @@
 	// list of servers was read that this node has.
 	nodesAt  atomicTime
 	listedAt atomicTime
+	// observing is held while all is read: a reading goes on from the one before. listing is
+	// held while the list of servers is changed, in the feed and in the set alike.
+	observing sync.Mutex
+	listing   sync.Mutex
 	// failures counts the readings that have failed in a row.
 	failures atomic.Int64
 	// revision is the store's at the last reading of the declaration.
@@ -199,8 +212,14 @@
 	for old := true; ctx.Err() == nil && !r.Registry.Settled(); old = false {
 		begun := boottime.Now()
 		rest := gatherPause
-		if err := r.bounded(ctx, func(ctx context.Context) error { return r.readNodes(ctx, old) }); err != nil {
+		err := r.bounded(ctx, func(ctx context.Context) error { return r.readNodes(ctx, old) })
+		switch {
+		case err != nil:
 			rest = r.failurePause()
+		case r.Registry.Partial():
+			// In a large fleet, a node that is none of the first hears from them of its
+			// place. Were it to ask the store again, so would hundreds.
+			rest = hearingPause
 		}
 		for ctx.Err() == nil && !r.Registry.Settled() && boottime.Since(begun) < rest {
 			pause.For(ctx, startPoll)
@@ -252,29 +271,38 @@
 	return r.bounded(ctx, r.readAlone)
 }
 
-// observe reads all.
+// observe reads all that has changed.
 func (r *Reflector) observe(ctx context.Context) error {
+	r.observing.Lock()
+	defer r.observing.Unlock()
 	begun := boottime.Now()
-	withNodes := begun.Sub(r.nodesAt.load()) >= nodesInterval
-	observation, err := r.Source.Observe(ctx, withNodes)
+	observation, err := r.Source.Observe(ctx)
 	if err != nil {
 		return err
 	}
-	r.takeList(observation.Servers, begun)
+	r.takeServers(listing{
+		whole: observation.Whole, changed: observation.Servers, gone: observation.Gone,
+		revision: observation.Revision, readAt: begun,
+	})
 	r.Registry.ObserveDuties(observation.Duties, boottime.Now())
 	r.TakeHeld(observation.Held)
 	if observation.Nodes != nil {
 		r.Registry.ObserveNodes(observation.Nodes, boottime.Now())
-		r.nodesAt.store(begun)
 	}
+	r.nodesAt.store(begun)
 	r.advance(observation.Declared)
 	return nil
 }
 
-// takeList takes a whole list of servers that was read at a time, and passes it on.
-func (r *Reflector) takeList(list []backend.Server, readAt time.Time) {
-	r.Recorder.Listed(r.Set.Update(list, boottime.Now()))
-	r.Feed.Take(list, readAt)
+// takeServers takes what was read or heard of the list of servers, and passes it on.
+func (r *Reflector) takeServers(l listing) {
+	r.listing.Lock()
+	defer r.listing.Unlock()
+	changed, gone := r.Feed.take(l)
+	if len(changed)+len(gone) > 0 {
+		r.Recorder.Listed(r.Set.Apply(changed, gone, boottime.Now()))
+	}
+	_, readAt := r.Feed.place()
 	r.listedAt.store(readAt)
 }
 
@@ -293,11 +321,15 @@
 
 func (r *Reflector) readNodes(ctx context.Context, old bool) error {
 	begun := boottime.Now()
-	entries, err := r.Source.Nodes(ctx, old)
+	entries, all, err := r.Source.Nodes(ctx, old)
 	if err != nil {
 		return err
 	}
-	r.Registry.ObserveNodes(entries, boottime.Now())
+	if all {
+		r.Registry.ObserveNodes(entries, boottime.Now())
+	} else {
+		r.Registry.ObserveFirst(entries, boottime.Now())
+	}
 	r.nodesAt.store(begun)
 	return nil
 }
@@ -318,7 +350,7 @@
 		changed, at, err := r.awaitDeclared(ctx, after)
 		after = at
 		if err == nil && changed {
-			err = r.bounded(ctx, r.readDeclared)
+			err = r.bounded(ctx, r.observe)
 		}
 		if err != nil {
 			after = 0
@@ -333,15 +365,6 @@
 	return r.Source.AwaitDeclared(ctx, after, watchWait)
 }
 
-func (r *Reflector) readDeclared(ctx context.Context) error {
-	declared, err := r.Source.Declared(ctx)
-	if err != nil {
-		return err
-	}
-	r.advance(declared)
-	return nil
-}
-
 // advance takes a reading, this node's or one that another node passed on.
 func (r *Reflector) advance(reading catalog.Reading) {
 	r.advancing.Lock()
--- a/internal/reflector/reflector_test.go
+++ b/internal/reflector/reflector_test.go
@@ -18,14 +18,14 @@
 // refusing is a store that refuses every reading.
 type refusing struct{ err error }
 
-func (refusing refusing) Observe(context.Context, bool) (Observation, error) {
+func (refusing refusing) Observe(context.Context) (Observation, error) {
 	return Observation{}, refusing.err
 }
 func (refusing refusing) Declared(context.Context) (catalog.Reading, error) {
 	return catalog.Reading{}, refusing.err
 }
-func (refusing refusing) Nodes(context.Context, bool) ([]coordination.Entry, error) {
-	return nil, refusing.err
+func (refusing refusing) Nodes(context.Context, bool) ([]coordination.Entry, bool, error) {
+	return nil, false, refusing.err
 }
 func (refusing refusing) AwaitDeclared(context.Context, int64, time.Duration) (bool, int64, error) {
 	return false, 0, refusing.err
@@ -77,7 +77,7 @@
 	calls int
 }
 
-func (d *downStore) Nodes(ctx context.Context, old bool) ([]coordination.Entry, error) {
+func (d *downStore) Nodes(ctx context.Context, old bool) ([]coordination.Entry, bool, error) {
 	d.calls++
 	return d.refusing.Nodes(ctx, old)
 }
--- a/internal/reflector/suspicions_test.go
+++ b/internal/reflector/suspicions_test.go
@@ -43,10 +43,9 @@
 // crowdNode is one node, and its exchange with the node that it asks.
 type crowdNode struct {
 	*Reflector
-	copied *Copy
-	told   *telling
-	turn   int
-	cut    bool
+	told *telling
+	turn int
+	cut  bool
 }
 
 func newCrowd(t require.TestingT, size int, seed uint64) *crowd {
@@ -71,7 +70,7 @@
 	r.Registry.ObserveNodes(c.entries, begun)
 	r.Registry.ObserveNodes(c.entries, begun.Add(time.Minute))
 	require.True(c.t, r.Registry.Settled())
-	c.nodes[name] = &crowdNode{Reflector: r, copied: &Copy{}, told: &telling{}}
+	c.nodes[name] = &crowdNode{Reflector: r, told: &telling{}}
 }
 
 // crowdPeers asks other nodes of the crowd.
@@ -111,7 +110,7 @@
 		if len(sources) == 0 {
 			continue
 		}
-		err := node.ask(context.Background(), sources[node.turn%len(sources)], node.copied, node.told)
+		err := node.ask(context.Background(), sources[node.turn%len(sources)], node.told)
 		if err != nil && err != errStale {
 			node.turn++
 		}
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -16,6 +16,7 @@
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/coordination"
+	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/quota"
 	"github.com/cloverrail/cloverrail/internal/residency"
@@ -30,9 +31,13 @@
 	PathWork = "/work"
 	// maximumQuestion bounds a question in bytes.
 	maximumQuestion = 64 << 10
-	// maximumAnswer bounds an answer in bytes: a whole list of 3,000 servers takes 0.4 MB,
+	// maximumAnswer bounds an answer in bytes: a whole list of 10,000 servers takes 0.4 MB,
 	// a declaration of 31,000 tenants some 2 MB.
 	maximumAnswer = 16 << 20
+	// silence is the longest time without a byte of an answer, and longestAnswer the longest
+	// time for all of it: a whole list takes as long as its bytes do on the slowest link.
+	silence       = askWait + askMargin
+	longestAnswer = 10 * time.Second
 )
 
 // Handler answers other nodes' questions for a feed.
@@ -54,6 +59,7 @@
 	Feed        string
 	Place       int64
 	Wait        time.Duration
+	Loads       backend.LoadsMark
 	Node        string
 	Declaration int64
 	Fleet       uint64
@@ -70,7 +76,7 @@
 // encode writes a question.
 func (q Question) encode(w io.Writer) error {
 	wired := wireQuestion{
-		Feed: q.Feed, Place: q.Place, Wait: q.Wait, Node: q.Node, Declaration: q.Declaration, Fleet: q.Fleet,
+		Feed: q.Feed, Place: q.Place, Wait: q.Wait, Loads: q.Loads, Node: q.Node, Declaration: q.Declaration, Fleet: q.Fleet,
 		Relay: q.Relay, Reader: q.Reader, Work: q.Own.Work, Quota: q.Own.Quota.Encode(), Kept: q.Kept,
 		SuspicionsPlace: q.SuspicionsPlace,
 	}
@@ -91,7 +97,7 @@
 		return Question{}, errors.Trace(err)
 	}
 	q := Question{
-		Feed: w.Feed, Place: w.Place, Wait: w.Wait, Node: w.Node, Declaration: w.Declaration, Fleet: w.Fleet,
+		Feed: w.Feed, Place: w.Place, Wait: w.Wait, Loads: w.Loads, Node: w.Node, Declaration: w.Declaration, Fleet: w.Fleet,
 		Relay: w.Relay, Reader: w.Reader, Kept: w.Kept, SuspicionsPlace: w.SuspicionsPlace,
 	}
 	if w.Suspicions != nil {
@@ -113,6 +119,8 @@
 	BeliefAge    time.Duration
 	DisturbedAgo time.Duration
 	Weights      map[string]int64
+	Nodes        int
+	Sum          uint64
 	Work         []backend.Work
 	Quota        []byte
 	Kept         []byte
@@ -122,11 +130,11 @@
 // wireRest is the rest of a Delta.
 type wireRest struct {
 	Whole       bool
-	Changed     []backend.Server
+	Changed     backend.Packed
 	Gone        []string
 	Loads       *backend.Loads
 	Declaration *catalog.Declaration
-	Fleet       []coordination.Entry
+	Fleet       *fleet.View
 	Duties      []coordination.Entry
 
 	Suspicions      []quarantine.Item
@@ -134,7 +142,7 @@
 }
 
 func (r wireRest) empty() bool {
-	return !r.Whole && r.Changed == nil && r.Gone == nil && r.Loads == nil && r.Declaration == nil && r.Fleet == nil &&
+	return !r.Whole && r.Changed.Empty() && r.Gone == nil && r.Loads == nil && r.Declaration == nil && r.Fleet == nil &&
 		r.Duties == nil && r.SuspicionsPlace == 0
 }
 
@@ -142,10 +150,10 @@
 func (d Delta) encode(w io.Writer) error {
 	wired := wireDelta{
 		Feed: d.Feed, Place: d.Place, Age: d.Age, BeliefAge: d.BeliefAge, DisturbedAgo: d.DisturbedAgo,
-		Weights: d.Weights, Work: d.Others.Work, Quota: d.Others.Quota.Encode(), Kept: d.Kept,
+		Weights: d.Weights, Nodes: d.Nodes, Sum: d.Sum, Work: d.Others.Work, Quota: d.Others.Quota.Encode(), Kept: d.Kept,
 	}
 	rest := wireRest{
-		Whole: d.Whole, Changed: d.Changed, Gone: d.Gone, Loads: d.Loads,
+		Whole: d.Whole, Changed: backend.Pack(d.Changed), Gone: d.Gone, Loads: d.Loads,
 		Declaration: d.Declaration, Fleet: d.Fleet, Duties: d.Duties,
 		Suspicions: d.Suspicions, SuspicionsPlace: d.SuspicionsPlace,
 	}
@@ -167,14 +175,18 @@
 			return Delta{}, errors.Trace(err)
 		}
 	}
+	changed, err := rest.Changed.Unpack()
+	if err != nil {
+		return Delta{}, err
+	}
 	used, err := quota.DecodeReport(w.Quota)
 	if err != nil {
 		return Delta{}, err
 	}
 	return Delta{
 		Feed: w.Feed, Place: w.Place, Age: w.Age, BeliefAge: w.BeliefAge, DisturbedAgo: w.DisturbedAgo,
-		Weights: w.Weights, Others: workshare.Report{Work: w.Work, Quota: used}, Kept: w.Kept,
-		Whole: rest.Whole, Changed: rest.Changed, Gone: rest.Gone, Loads: rest.Loads,
+		Weights: w.Weights, Nodes: w.Nodes, Sum: w.Sum, Others: workshare.Report{Work: w.Work, Quota: used}, Kept: w.Kept,
+		Whole: rest.Whole, Changed: changed, Gone: rest.Gone, Loads: rest.Loads,
 		Declaration: rest.Declaration, Fleet: rest.Fleet, Duties: rest.Duties,
 		Suspicions: rest.Suspicions, SuspicionsPlace: rest.SuspicionsPlace,
 	}, nil
@@ -312,6 +324,10 @@
 // do sends a request and decodes the answer. An empty name of the client is not sent.
 func (c *Caller) do(ctx context.Context, request *http.Request, answer any) error {
 	request.Header.Set("User-Agent", "")
+	ctx, cancel := context.WithTimeout(ctx, longestAnswer)
+	defer cancel()
+	quiet := time.AfterFunc(silence, cancel)
+	defer quiet.Stop()
 	response, err := c.Client.Do(request.WithContext(ctx))
 	if err != nil {
 		return errors.Trace(err)
@@ -320,5 +336,21 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.Errorf("node %s answered with status %d; run the same version on all nodes", request.URL.Host, response.StatusCode)
 	}
-	return errors.Trace(gob.NewDecoder(io.LimitReader(response.Body, maximumAnswer)).Decode(answer))
+	body := &heard{Reader: io.LimitReader(response.Body, maximumAnswer), quiet: quiet}
+	return errors.Trace(gob.NewDecoder(body).Decode(answer))
+}
+
+// heard is an answer that may take long as long as bytes of it come.
+type heard struct {
+	io.Reader
+	quiet *time.Timer
+}
+
+// Read puts the end for silence off.
+func (h *heard) Read(p []byte) (int, error) {
+	n, err := h.Reader.Read(p)
+	if n > 0 {
+		h.quiet.Reset(silence)
+	}
+	return n, err
 }
