Choose among the servers near the first shared part, follow the engines in use, and let a fleet that starts wait for its relays' word

Change: the neighbourhood follows from the first shared part, and widens while slots are scarce; of more engines than relays can ask in 150 ms those used in the last 20 s are followed, and what was sent counts for as long as their word takes; two readings of a starting node are old ones, and who is none of the first waits for the word of relays; relays begin with the first reader; a lease lasts 18 s; changes of servers are told apart from what is longer.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"os"
 	"reflect"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +46,10 @@
 	// the store what that one should have written: longer than a reading of it is old.
 	keepTurn = time.Second
 
+	// followedLife is for how long after its last use an engine is asked for what it holds,
+	// where there are more than can be asked in time.
+	followedLife = 20 * time.Second
+
 	connectTimeout = 300 * time.Millisecond
 	silenceTimeout = 1500 * time.Millisecond
 )
@@ -259,7 +262,12 @@
 // cache, that this node is to ask for what they have.
 func (process *process) ownHolders() []string {
 	belief := process.belief.Load()
-	if belief == nil || belief.Snapshot == nil || !process.reflector.Relays() {
+	if belief == nil || belief.Snapshot == nil {
+		return nil
+	}
+	relays, engines := process.registry.Relays(), process.followedEngines()
+	process.ledger.Lags(residency.WordTime(len(engines)/relays) + process.reflector.HearTime())
+	if !process.reflector.Relays() {
 		return nil
 	}
 	var addresses []string
@@ -272,16 +280,17 @@
 	for _, store := range belief.Snapshot.Stores() {
 		own(store.Address, store.Zone)
 	}
-	for _, engine := range process.engines() {
+	for _, engine := range engines {
 		own(engine.Address, engine.Zone)
 	}
 	return addresses
 }
 
-// engines returns the servers that hold models.
-func (process *process) engines() []backend.Server {
-	servers := process.set.Servers(boottime.Now())
-	return slices.DeleteFunc(servers, func(s backend.Server) bool { return len(s.Versions) == 0 })
+// followedEngines returns the engines that the fleet asks for what they hold: all of them,
+// or of more than the relays can ask in time those that were used of late.
+func (process *process) followedEngines() []backend.Server {
+	most := residency.MostHolders * process.registry.Relays()
+	return process.set.Engines(most, followedLife, boottime.Now())
 }
 
 // keep starts the duties that nodes share. The returned channel is closed when
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -31,6 +31,7 @@
 		dealings.deferred++
 	}
 	dealings.breaker.Sent(now)
+	set.use(known, now)
 	return &Attempt{set: set, state: known, tokens: tokens, deferred: deferred, begun: now}
 }
 
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -71,6 +71,8 @@
 	unlisted map[*state]bool
 	dealt    map[*state]bool
 	told     []*state
+	// used holds the servers at which any node had work of late.
+	used map[*state]bool
 	// othersUntil is how long what other nodes told of their work counts, and loadingUntil
 	// what the holder of the roll-out told of loads.
 	othersUntil  time.Time
@@ -88,6 +90,8 @@
 	unlistedAt time.Time
 	// load is the move that it is making, or nil.
 	load *Load
+	// usedAt is when a node was last known to have work there.
+	usedAt time.Time
 	// dealings is nil until this node has had to do with the server.
 	*dealings
 }
@@ -117,7 +121,7 @@
 func NewSet() *Set {
 	return &Set{
 		servers: map[string]*state{}, rings: map[string]ring{}, byKey: map[uint64]*state{},
-		unlisted: map[*state]bool{}, dealt: map[*state]bool{},
+		unlisted: map[*state]bool{}, dealt: map[*state]bool{}, used: map[*state]bool{},
 	}
 }
 
@@ -192,6 +196,7 @@
 	for _, known := range left {
 		delete(set.unlisted, known)
 		delete(set.dealt, known)
+		delete(set.used, known)
 		delete(set.servers, known.server.Instance)
 		delete(set.byKey, known.key)
 	}
@@ -263,6 +268,50 @@
 	return servers
 }
 
+// Engines returns the listed servers that hold models: all, or if there are more than most,
+// those at which any node had work within a time before now.
+func (set *Set) Engines(most int, within time.Duration, now time.Time) []Server {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	var rings []ring
+	all := 0
+	for _, r := range set.rings {
+		// The servers of a service hold models, or none of them does.
+		if len(r) > 0 && len(r[0].server.Versions) > 0 {
+			rings = append(rings, r)
+			all += len(r)
+		}
+	}
+	var servers []Server
+	take := func(known *state) {
+		if known.listed && !now.Before(known.dealt().goneUntil) && len(known.server.Versions) > 0 {
+			servers = append(servers, *known.server)
+		}
+	}
+	if all > most {
+		for known := range set.used {
+			if now.Sub(known.usedAt) > within {
+				delete(set.used, known)
+			} else {
+				take(known)
+			}
+		}
+		return servers
+	}
+	for _, r := range rings {
+		for _, known := range r {
+			take(known)
+		}
+	}
+	return servers
+}
+
+// use notes that a node has work at a server.
+func (set *Set) use(known *state, now time.Time) {
+	known.usedAt = now
+	set.used[known] = true
+}
+
 // Stays reports whether a server is listed and has not said that it leaves.
 func (set *Set) Stays(instance string) bool {
 	set.mutex.Lock()
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -94,6 +94,7 @@
 	for _, w := range others {
 		if s := set.byKey[w.Server]; s != nil {
 			s.others = w
+			set.use(s, now)
 			set.told = append(set.told, s)
 		}
 	}
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -17,23 +16,38 @@
 	for _, place := range r.places {
 		largest = max(largest, place.room)
 	}
-	roomy := func(name string) bool { return r.places[name].room >= roomyShare*largest }
+	ranked := make([]ranking, 0, len(places))
 	r.roomy = 0
-	for name := range r.places {
-		if roomy(name) {
+	for name, place := range places {
+		one := ranking{name: name, hash: prefix.KeyOf(name), roomy: place.room >= roomyShare*largest}
+		if one.roomy {
 			r.roomy++
 		}
+		ranked = append(ranked, one)
 	}
-	r.names = slices.SortedFunc(maps.Keys(r.places), func(first, second string) int {
-		switch {
-		case roomy(first) == roomy(second):
-			return byHash(first, second)
-		case roomy(first):
+	slices.SortFunc(ranked, ranking.compare)
+	r.names = make([]string, len(ranked))
+	for i, one := range ranked {
+		r.names[i] = one.name
+	}
+}
+
+// ranking is what decides on a node's rank.
+type ranking struct {
+	name  string
+	hash  prefix.Hash
+	roomy bool
+}
+
+// compare orders nodes alike on all: those with room first, and then by hash.
+func (r ranking) compare(other ranking) int {
+	if r.roomy != other.roomy {
+		if r.roomy {
 			return -1
-		default:
-			return 1
 		}
-	})
+		return 1
+	}
+	return cmp.Or(cmp.Compare(r.hash, other.hash), strings.Compare(r.name, other.name))
 }
 
 // Relays returns how many of the first nodes relay to the others what they know.
@@ -66,14 +80,6 @@
 // the fleet.
 func (r *Registry) Reading() bool { return r.Rank() < Readers }
 
-// byHash orders names alike on all nodes.
-func byHash(first, second string) int {
-	if order := cmp.Compare(prefix.KeyOf(first), prefix.KeyOf(second)); order != 0 {
-		return order
-	}
-	return strings.Compare(first, second)
-}
-
 // RelayAddresses returns where the relays are reached, those of this node's zone before
 // others. Each node begins with another one of them.
 func (r *Registry) RelayAddresses() []string {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -18,8 +18,10 @@
 
 const (
 	// registrationLife is how long a node that died is still counted. Whoever asks it
-	// meanwhile goes on to the next one; the count is for shares of a budget.
-	registrationLife = 9 * time.Second
+	// meanwhile goes on to the next one within a second; the count is for shares of a
+	// budget, which are smaller for it. Half of it would cost as much again in renewals,
+	// 0.005 of what the requests of 985 nodes are worth.
+	registrationLife = 18 * time.Second
 	// renewals a life gives a node several tries before it is forgotten.
 	renewals    = 3
 	callTimeout = time.Second
@@ -174,6 +176,16 @@
 
 // ObserveNodes takes the entries of all nodes as they were read at a time.
 func (r *Registry) ObserveNodes(entries []coordination.Entry, now time.Time) {
+	r.observe(entries, now, false)
+}
+
+// ObserveOldNodes takes the entries of all nodes as they may have been seconds before. They
+// settle the place of a node that has started again, and of no other.
+func (r *Registry) ObserveOldNodes(entries []coordination.Entry, now time.Time) {
+	r.observe(entries, now, true)
+}
+
+func (r *Registry) observe(entries []coordination.Entry, now time.Time, old bool) {
 	places := make(map[string]place, len(entries)+1)
 	byName := make(map[string]coordination.Entry, len(entries))
 	for _, entry := range entries {
@@ -183,7 +195,12 @@
 	// An entry of an earlier life of this node may tell of another place.
 	places[r.Name] = r.place()
 	r.mutex.Lock()
-	r.settle(entries, now)
+	if r.begun.IsZero() {
+		r.begun = now
+	}
+	if !old || r.fromBefore(entries) {
+		r.settle(entries, now)
+	}
 	r.rank(places)
 	r.nodes = len(r.names)
 	r.ownRank = slices.Index(r.names, r.Name)
@@ -206,20 +223,20 @@
 }
 
 // ObserveFirst takes the first entries of a list of nodes that goes on. They stand in the
-// order of their keys, in which those with the most room come first. How many nodes there
-// are is still not known; a node that finds itself among the first relays of so many can
-// rely on that.
+// order of their keys, in which those with the most room come first. They do not show how
+// many nodes there are; a node that finds itself among the first relays of so many can rely
+// on that.
 func (r *Registry) ObserveFirst(entries []coordination.Entry, now time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.nodes > 0 {
-		// Others have told of the whole fleet, or this node has read it.
-		return
-	}
 	places := make(map[string]place, len(entries))
 	for _, entry := range entries {
 		places[r.nameOf(entry.Key)] = parsePlace(string(entry.Value))
 	}
+	if !r.settled {
+		// What it saw before was a part of the fleet, too.
+		r.nodes, r.view, r.digest = 0, View{}, 0
+	}
 	r.rank(places)
 	r.ownRank = r.rankOf(r.Name)
 	if r.begun.IsZero() {
@@ -364,9 +381,6 @@
 	if r.settled {
 		return
 	}
-	if r.begun.IsZero() {
-		r.begun = now
-	}
 	own := slices.ContainsFunc(entries, func(entry coordination.Entry) bool { return r.nameOf(entry.Key) == r.Name })
 	waited := now.Sub(r.begun)
 	r.settled = own && (r.fromBefore(entries) || waited >= gathering) || waited >= longestGathering
@@ -416,11 +430,12 @@
 
 func (r *Registry) size() int { return max(1, len(r.names), r.nodes) }
 
-// Partial reports whether this node knows relays to ask, but not how many nodes there are.
-func (r *Registry) Partial() bool {
+// Outer reports whether this node knows relays to ask, and is none of those that may come
+// to relay.
+func (r *Registry) Outer() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.nodes == 0 && len(r.names) > 0
+	return r.ownRank >= viewRelays*r.relays()
 }
 
 // FirstSeen returns when a key was first seen at the revision, or zero.
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -192,3 +192,20 @@
 	require.Equal(t, place{}, parsePlace(""))
 	require.Equal(t, place{address: "x", zone: "a"}, parsePlace("x a much"))
 }
+
+// The time in which a fleet gathers counts from the first reading, even if that was old, and
+// an old one settles only who started again.
+func TestAnOldReadingBeginsTheGathering(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	node := newMember("b", "z", 0.2)
+	entries := []coordination.Entry{{Key: node.key(), Value: []byte("at-b z 0.2")}, {Key: "f/nodes/a/1", Value: []byte("at-a z")}}
+	node.ObserveOldNodes(nil, begin)
+	node.ObserveOldNodes(entries, begin.Add(gathering))
+	require.False(t, node.Settled(), "others may have registered since")
+	node.ObserveNodes(entries, begin.Add(gathering))
+	require.True(t, node.Settled())
+	again := newMember("b", "z", 0.2)
+	again.Life = "2"
+	again.ObserveOldNodes(entries, begin)
+	require.True(t, again.Settled())
+}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -141,7 +141,7 @@
 
 // choose returns the servers that were looked at, and which of them is best. It looks at the
 // neighbourhood of the prompt, which is the same for all nodes, and further only if nothing
-// there takes the request.
+// there takes the request or if slots are scarce there.
 func (placer *placer) choose(scheduler *routing.Scheduler, request *routing.Request, excluded []string, now time.Time) ([]routing.Candidate, routing.Decision) {
 	query := placer.query(now)
 	for query.Most = neighbourhood; ; query.Most *= widening {
@@ -151,10 +151,11 @@
 			placer.annotate(candidates, now)
 		}
 		decision := scheduler.Schedule(request, candidates)
+		all := len(candidates) < query.Most
 		switch {
-		case decision.Index >= 0:
+		case decision.Index >= 0 && (all || !routing.Scarce(candidates)):
 			return candidates, decision
-		case len(candidates) < query.Most:
+		case all:
 			return candidates, schedule(scheduler, request, candidates)
 		}
 	}
@@ -248,7 +249,7 @@
 		query.Near = uint64(prefix.KeyOf(placer.admitted.request.ID))
 		return query
 	}
-	query.Near = uint64(placer.affinityKey())
+	query.Near = uint64(placer.neighbourhoodKey())
 	query.Model = prompt.Model
 	query.MinimumVersion = placer.proxy.minimumVersion(prompt.Model, now)
 	return query
--- a/internal/proxy/prompt.go
+++ b/internal/proxy/prompt.go
@@ -56,6 +56,16 @@
 	return prefix.KeyOf(placer.wall() + "/" + shared[len(shared)-1].ID)
 }
 
+// neighbourhoodKey is the first shared part: requests that share it choose from the same
+// servers, so that it is read in few places and fetched from near ones.
+func (placer *placer) neighbourhoodKey() prefix.Hash {
+	shared := placer.shared()
+	if len(shared) == 0 {
+		return placer.affinityKey()
+	}
+	return prefix.KeyOf(placer.wall() + "/" + shared[0].ID)
+}
+
 // wall is the tenant's name if nothing that is cached for it may be shared.
 func (placer *placer) wall() string {
 	tenant := placer.admitted.tenant
--- a/internal/reflector/directory.go
+++ b/internal/reflector/directory.go
@@ -54,7 +54,9 @@
 // emptySum is the sum of no servers: 0 says that a sum is not known.
 const emptySum = 1
 
-func newDirectory() *directory { return &directory{servers: map[string]*backend.Server{}, sum: emptySum} }
+func newDirectory() *directory {
+	return &directory{servers: map[string]*backend.Server{}, sum: emptySum}
+}
 
 // take takes a listing, and returns what it changes. A listing that is older than what is
 // known changes nothing: servers that have left would be back in it.
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -112,9 +112,14 @@
 func (r *Reflector) follow(ctx context.Context) {
 	told := &telling{}
 	turn := 0
+	role := r.part()
 	changedAt := time.Time{}
 	var left error
 	for ctx.Err() == nil {
+		if now := r.part(); now != role {
+			// It asks others now, whose first one hears of a change in the fewest steps.
+			role, turn = now, 0
+		}
 		sources := r.sources()
 		if len(sources) == 0 {
 			pause.For(ctx, idlePause)
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
@@ -273,3 +274,36 @@
 	require.Equal(t, leastAskPause+transit, node.HearTime())
 	require.Equal(t, askWait+2*(leastAskPause+transit), node.TellTime())
 }
+
+// asked notes whom a node asks, and answers nothing new.
+type asked struct {
+	answering
+	addresses []string
+}
+
+func (a *asked) Ask(ctx context.Context, address string, question Question) (Delta, error) {
+	a.addresses = append(a.addresses, address)
+	return a.answering.Ask(ctx, address, question)
+}
+
+// A relay that finds its place begins with the first reader, whomever it asked before: the
+// others hear later than that one.
+func TestARelayThatFindsItsPlaceAsksTheFirstReaderFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := &asked{answering: answering{lost: true}}
+		relay := newFollower(&counting{}, peers)
+		relay.Registry.Name, relay.Registry.Address = "none yet", "own"
+		relay.Registry.ObserveOldNodes([]coordination.Entry{{Key: "nodes/other/1", Value: []byte("other z")}, {Key: "nodes/third/1", Value: []byte("third z")}}, time.Now())
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go relay.follow(ctx)
+		time.Sleep(3 * idlePause / 2)
+		synctest.Wait()
+		require.Len(t, peers.addresses, 2, "nobody has answered")
+		settleAs(relay.Registry, func(r *fleet.Registry) bool { return r.Relaying() && !r.Reading() })
+		peers.addresses = nil
+		time.Sleep(idlePause)
+		synctest.Wait()
+		require.Equal(t, relay.Registry.ReaderAddresses()[0], peers.addresses[0])
+	})
+}
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -93,6 +93,9 @@
 	// gatherPause is the wait between readings while the fleet gathers. It is longer than
 	// a fleet takes to gather, so that two readings mostly do.
 	gatherPause = 550 * time.Millisecond
+	// oldReadings is how many readings of the nodes may be old, which cost a tenth, before a
+	// current one.
+	oldReadings = 2
 	// hearingPause is the longest wait for the word of relays that were found in the store.
 	hearingPause = 2 * time.Second
 	// nodesInterval is the time between readings of the nodes' entries where these cost
@@ -100,8 +103,9 @@
 	nodesInterval = 4 * time.Second
 	// firstHearing is how long a node that has just started waits for the word of another
 	// one before it reads the store itself: the first reader may have started last, and
-	// reads once the fleet has gathered.
-	firstHearing = 500 * time.Millisecond
+	// reads once the fleet has gathered, which takes the longer the more servers there are.
+	// Were it shorter than that, each node of a fleet would ask the store for the same.
+	firstHearing = 2 * time.Second
 	// enoughFailures in a row, with nothing heard of others for disturbedPart of the bound,
 	// show that the store is not sound. By then all nodes were due to read.
 	enoughFailures = 2
@@ -207,18 +211,19 @@
 
 // gather reads the nodes' entries until this node knows its place among them. A node
 // that starts again finds its former entry in an old reading, or hears of its new one
-// from the relays that stand in it.
+// from the relays that stand in it. One of a fleet that starts for the first time finds the
+// relays in the second old reading; only who finds none asks for a current one.
 func (r *Reflector) gather(ctx context.Context) {
-	for old := true; ctx.Err() == nil && !r.Registry.Settled(); old = false {
+	for readings := 0; ctx.Err() == nil && !r.Registry.Settled(); readings++ {
 		begun := boottime.Now()
-		rest := gatherPause
+		rest, old := gatherPause, readings < oldReadings
 		err := r.bounded(ctx, func(ctx context.Context) error { return r.readNodes(ctx, old) })
 		switch {
 		case err != nil:
 			rest = r.failurePause()
-		case r.Registry.Partial():
-			// In a large fleet, a node that is none of the first hears from them of its
-			// place. Were it to ask the store again, so would hundreds.
+		case r.Registry.Outer():
+			// A node that is none of the first hears from them of its place. Were it to ask
+			// the store again, so would hundreds.
 			rest = hearingPause
 		}
 		for ctx.Err() == nil && !r.Registry.Settled() && boottime.Since(begun) < rest {
@@ -325,10 +330,13 @@
 	if err != nil {
 		return err
 	}
-	if all {
-		r.Registry.ObserveNodes(entries, boottime.Now())
-	} else {
-		r.Registry.ObserveFirst(entries, boottime.Now())
+	switch now := boottime.Now(); {
+	case !all:
+		r.Registry.ObserveFirst(entries, now)
+	case old:
+		r.Registry.ObserveOldNodes(entries, now)
+	default:
+		r.Registry.ObserveNodes(entries, now)
 	}
 	r.nodesAt.store(begun)
 	return nil
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -124,14 +124,20 @@
 	Work         []backend.Work
 	Quota        []byte
 	Kept         []byte
+	Servers      []byte
 	Rest         []byte
 }
 
+// wireServers is what a Delta tells of servers. It comes and goes often, and is encoded
+// apart from what is longer.
+type wireServers struct {
+	Whole   bool
+	Changed backend.Packed
+	Gone    []string
+}
+
 // wireRest is the rest of a Delta.
 type wireRest struct {
-	Whole       bool
-	Changed     backend.Packed
-	Gone        []string
 	Loads       *backend.Loads
 	Declaration *catalog.Declaration
 	Fleet       *fleet.View
@@ -142,7 +148,7 @@
 }
 
 func (r wireRest) empty() bool {
-	return !r.Whole && r.Changed.Empty() && r.Gone == nil && r.Loads == nil && r.Declaration == nil && r.Fleet == nil &&
+	return r.Loads == nil && r.Declaration == nil && r.Fleet == nil &&
 		r.Duties == nil && r.SuspicionsPlace == 0
 }
 
@@ -152,8 +158,15 @@
 		Feed: d.Feed, Place: d.Place, Age: d.Age, BeliefAge: d.BeliefAge, DisturbedAgo: d.DisturbedAgo,
 		Weights: d.Weights, Nodes: d.Nodes, Sum: d.Sum, Work: d.Others.Work, Quota: d.Others.Quota.Encode(), Kept: d.Kept,
 	}
+	if d.Whole || len(d.Changed)+len(d.Gone) > 0 {
+		encoded, err := encodeApart(wireServers{Whole: d.Whole, Changed: backend.Pack(d.Changed), Gone: d.Gone})
+		if err != nil {
+			return err
+		}
+		wired.Servers = encoded
+	}
 	rest := wireRest{
-		Whole: d.Whole, Changed: backend.Pack(d.Changed), Gone: d.Gone, Loads: d.Loads,
+		Loads:       d.Loads,
 		Declaration: d.Declaration, Fleet: d.Fleet, Duties: d.Duties,
 		Suspicions: d.Suspicions, SuspicionsPlace: d.SuspicionsPlace,
 	}
@@ -175,7 +188,13 @@
 			return Delta{}, errors.Trace(err)
 		}
 	}
-	changed, err := rest.Changed.Unpack()
+	var servers wireServers
+	if w.Servers != nil {
+		if err := gob.NewDecoder(bytes.NewReader(w.Servers)).Decode(&servers); err != nil {
+			return Delta{}, errors.Trace(err)
+		}
+	}
+	changed, err := servers.Changed.Unpack()
 	if err != nil {
 		return Delta{}, err
 	}
@@ -186,7 +205,7 @@
 	return Delta{
 		Feed: w.Feed, Place: w.Place, Age: w.Age, BeliefAge: w.BeliefAge, DisturbedAgo: w.DisturbedAgo,
 		Weights: w.Weights, Nodes: w.Nodes, Sum: w.Sum, Others: workshare.Report{Work: w.Work, Quota: used}, Kept: w.Kept,
-		Whole: rest.Whole, Changed: changed, Gone: rest.Gone, Loads: rest.Loads,
+		Whole: servers.Whole, Changed: changed, Gone: servers.Gone, Loads: rest.Loads,
 		Declaration: rest.Declaration, Fleet: rest.Fleet, Duties: rest.Duties,
 		Suspicions: rest.Suspicions, SuspicionsPlace: rest.SuspicionsPlace,
 	}, nil
--- a/internal/residency/follower.go
+++ b/internal/residency/follower.go
@@ -43,6 +43,8 @@
 	// asks many lets each gather for longer.
 	askInterval = 20 * time.Millisecond
 	askTimeout  = 400 * time.Millisecond
+	// changesLag is how late holders tell of a change, with a question and its answer.
+	changesLag = 200 * time.Millisecond
 	// renewAfter is how long changes are taken before all is asked for anew.
 	renewAfter = time.Minute
 	downPause  = 300 * time.Millisecond
@@ -76,11 +78,17 @@
 	return &Follower{holder: holder, source: source, ledger: ledger, recorder: recorder, gather: func() time.Duration { return gatherTime }}
 }
 
-// gatherFor returns how long a node that asks so many holders lets each gather.
-func gatherFor(holders int) time.Duration {
+// GatherTime is how long a node that asks so many holders lets the changes of each gather.
+func GatherTime(holders int) time.Duration {
 	return max(gatherTime, time.Duration(holders)*askInterval)
 }
 
+// MostHolders is how many holders a node can ask without hearing of each the later for it.
+const MostHolders = int(gatherTime / askInterval)
+
+// WordTime is the time in which the word of a holder reaches a node that asks so many.
+func WordTime(holders int) time.Duration { return GatherTime(holders) + changesLag }
+
 // FollowAll runs a follower for each of the holders, as these come and go.
 func FollowAll(ctx context.Context, holders func() []string, follow func(holder string) *Follower) {
 	stops := map[string]context.CancelFunc{}
@@ -93,7 +101,7 @@
 				following, stop := context.WithCancel(ctx)
 				stops[holder] = stop
 				follower := follow(holder)
-				follower.gather = func() time.Duration { return gatherFor(int(count.Load())) }
+				follower.gather = func() time.Duration { return GatherTime(int(count.Load())) }
 				go follower.Run(following)
 			}
 		}
--- a/internal/residency/ledger.go
+++ b/internal/residency/ledger.go
@@ -30,8 +30,8 @@
 	sureShare = 0.6
 	// longestLife is how long a part is remembered without being used.
 	longestLife = time.Minute
-	// untoldLife is how long what this node sent to a followed holder counts: by then
-	// the holder's own word of it has come, if it has the part.
+	// untoldLife is the least time for which what this node sent to a followed holder
+	// counts: by then the holder's own word of it has come, if it has the part.
 	untoldLife = time.Second
 	// sweepAbove is the number of parts of one holder above which old ones are
 	// looked for and forgotten.
@@ -68,12 +68,14 @@
 	mutex    sync.Mutex
 	holdings map[string]*holding
 	nodes    int64
-	news     news
+	// untold is for how long what this node sent to a followed holder counts.
+	untold time.Duration
+	news   news
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{holdings: map[string]*holding{}, nodes: 1, news: news{resting: true}}
+	return &Ledger{holdings: map[string]*holding{}, nodes: 1, untold: untoldLife, news: news{resting: true}}
 }
 
 // Resize follows the number of nodes: others write about as much as this one.
@@ -83,6 +85,13 @@
 	l.nodes = int64(max(1, nodes))
 }
 
+// Lags takes how late the word of a holder reaches this node.
+func (l *Ledger) Lags(by time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.untold = max(untoldLife, by)
+}
+
 // Held returns how many leading tokens of the pieces the holder has. What was sent
 // to another incarnation of it does not count.
 func (l *Ledger) Held(holder, incarnation string, pieces []Piece, now time.Time) int {
@@ -110,7 +119,7 @@
 		return false
 	}
 	if known.followed {
-		return now.Sub(mark.used) < untoldLife
+		return now.Sub(mark.used) < l.untold
 	}
 	return !l.gone(known, mark, now)
 }
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -55,7 +55,7 @@
 		}
 	}
 	rank(candidates, scheduler.accepted)
-	if request.Draw != 0 && SlotsTaken(candidates) > spareSlots {
+	if request.Draw != 0 && Scarce(candidates) {
 		scheduler.accepted = sample(request.Draw, candidates, scheduler.accepted)
 	}
 	for _, index := range scheduler.accepted {
--- a/internal/routing/slots.go
+++ b/internal/routing/slots.go
@@ -18,3 +18,6 @@
 	}
 	return float64(running) / float64(slots)
 }
+
+// Scarce reports whether slots are scarce at the endpoints.
+func Scarce(candidates []Candidate) bool { return SlotsTaken(candidates) > spareSlots }
