Keep a question of a node that knows nothing open until its relay hears, and show the age of lists

Change: such a question waits up to 0.8 s and is answered when the relay hears; a newer declaration is told at once; metrics tell the age and the length of a node's list, and the sizes of answers. A count of nodes follows others' word unless the node's own view holds all.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -143,11 +143,27 @@
 		return workshare.Report{Work: process.set.Work(now), Quota: process.limiter.Report(now)}
 	})
 	process.feed = reflector.NewFeed(given.Name+" "+life, process.belief, process.registry, process.work, process.ledger, process.requests)
+	process.gauges()
 	process.quarantine = process.newQuarantine()
 	process.reflector = process.newReflector()
 	return process, nil
 }
 
+// gauges adds to the metrics what this node knows, and how old that is.
+func (process *process) gauges() {
+	process.metrics.Gauge("cloverrail_proxy_servers_known", "Servers in the list that this node has.", func() float64 {
+		servers, _ := process.feed.Servers(boottime.Now())
+		return float64(servers)
+	})
+	process.metrics.Gauge("cloverrail_proxy_servers_age_seconds", "Time since the list of servers was certainly current; negative if there is none.", func() float64 {
+		_, age := process.feed.Servers(boottime.Now())
+		return age.Seconds()
+	})
+	process.metrics.Gauge("cloverrail_proxy_fleet_nodes", "Nodes of the fleet, as far as this one knows.", func() float64 {
+		return float64(process.registry.Nodes())
+	})
+}
+
 // reload reads the settings again. The level of the log takes effect at once; all
 // else is bound to sockets and duties, and takes effect at the next start.
 func (process *process) reload(file string) {
@@ -198,7 +214,7 @@
 	bounds := process.settings.Bounds
 	return &reflector.Reflector{
 		Source:   platform.NewSource(process.store, process.recorder.Unreadable),
-		Peers:    &reflector.Caller{Client: process.peers},
+		Peers:    &reflector.Caller{Client: process.peers, Heard: process.recorder.Heard},
 		Belief:   process.belief,
 		Set:      process.set,
 		Registry: process.registry,
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -92,7 +92,7 @@
 }
 
 // whole reports whether the view holds all nodes.
-func (v View) whole() bool { return len(v.First) >= v.Nodes }
+func (v View) whole() bool { return v.Nodes > 0 && len(v.First) >= v.Nodes }
 
 // place is where a node is reached, and the processor time that it has, in cores.
 type place struct {
@@ -264,12 +264,12 @@
 // count takes how many nodes there are, if others know more of them than this node.
 func (r *Registry) count(nodes int) {
 	r.mutex.Lock()
-	known := len(r.names) == r.nodes
-	if !known {
+	changed := !r.view.whole() && r.nodes != nodes
+	if changed {
 		r.nodes = nodes
 	}
 	r.mutex.Unlock()
-	if !known {
+	if changed {
 		r.Resized(nodes)
 	}
 }
--- a/internal/proxy/placer_bench_test.go
+++ b/internal/proxy/placer_bench_test.go
@@ -7,7 +7,7 @@
 
 // BenchmarkPlace is the time and the allocations of one placement among so many servers.
 func BenchmarkPlace(b *testing.B) {
-	for _, servers := range []int{24, 90, 240, 720} {
+	for _, servers := range []int{24, 90, 240, 720, 10_000} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
 			placer := placing(500, servers, 3)
 			b.ReportAllocs()
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -131,6 +131,17 @@
 	return f.servers.place(), f.servers.readAt
 }
 
+// Servers returns how many servers this node knows, and how old its list is; the age is
+// negative if it has none.
+func (f *Feed) Servers(now time.Time) (servers int, age time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.servers.readAt.IsZero() {
+		return 0, -1
+	}
+	return len(f.servers.servers), now.Sub(f.servers.readAt)
+}
+
 // TakeLoads takes how far the roll-out of weights is, and reports whether that is newer
 // than what was known.
 func (f *Feed) TakeLoads(loads backend.Loads) bool {
@@ -241,7 +252,7 @@
 // there is other news.
 func (f *Feed) await(ctx context.Context, question Question) Delta {
 	delta, changed := f.since(question)
-	if !delta.bare() || f.requests.Place() != question.SuspicionsPlace {
+	if !delta.bare() || f.requests.Place() != question.SuspicionsPlace || f.declares(question) {
 		return delta
 	}
 	select {
@@ -253,6 +264,12 @@
 	return delta
 }
 
+// declares reports whether this node knows a newer declaration than the asker.
+func (f *Feed) declares(question Question) bool {
+	belief := f.belief.Load()
+	return belief != nil && belief.Snapshot != nil && belief.Snapshot.Version > question.Declaration
+}
+
 // bare reports whether a delta tells of no server and no load.
 func (d *Delta) bare() bool { return !d.Whole && len(d.Changed)+len(d.Gone) == 0 && d.Loads == nil }
 
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -23,6 +23,10 @@
 	// busy, and to leave one costs a whole list.
 	askWait   = 150 * time.Millisecond
 	askMargin = 850 * time.Millisecond
+	// newcomerWait is how long a node that knows nothing keeps a question open: it waits
+	// at one node for the word to come there, and asks again at once, rather than to ask
+	// every node in turn. It ends before the silence does at which a node is left.
+	newcomerWait = 800 * time.Millisecond
 	// leastAskPause is the least time between two questions: changes that come soon
 	// after one another are heard together.
 	leastAskPause = 50 * time.Millisecond
@@ -33,7 +37,10 @@
 	// staleRest is the least time between two changes to another node because the one
 	// before believed what is old: during an outage of the store all do.
 	staleRest = time.Second
-	idlePause = 100 * time.Millisecond
+	// newcomerRest is the same for a node that knows nothing: as all start at once, those
+	// that it may ask know nothing either, and hear one after the other.
+	newcomerRest = 3 * time.Second
+	idlePause    = 100 * time.Millisecond
 	// relayStale and followerStale are the ages of another node's knowledge, as parts of
 	// the bound, from which it is left: below those at which this node reads itself.
 	relayStale    = 0.45
@@ -93,6 +100,13 @@
 	}
 }
 
+// newcomer reports whether this node knows no declaration, or no list of servers.
+func (r *Reflector) newcomer() bool {
+	belief := r.Belief.Load()
+	place, _ := r.Feed.place()
+	return belief == nil || belief.Snapshot == nil || place == 0
+}
+
 // others returns the addresses without this node's own.
 func (r *Reflector) others(addresses []string) []string {
 	return slices.DeleteFunc(addresses, func(address string) bool { return address == r.Registry.Address })
@@ -136,6 +150,8 @@
 		switch {
 		case left == nil:
 			pause.For(ctx, r.askPause()-boottime.Since(begun))
+		case left == errStale && r.newcomer() && boottime.Since(changedAt) < newcomerRest:
+			pause.For(ctx, leastAskPause)
 		case left == errStale && boottime.Since(changedAt) < staleRest:
 			pause.For(ctx, r.askInterval()-boottime.Since(begun))
 		default:
@@ -243,6 +259,9 @@
 func (r *Reflector) question(node string, told *telling) Question {
 	question := Question{Feed: told.feed, Wait: askWait, Node: r.Registry.Name, Fleet: r.Registry.Digest(), Loads: r.Feed.LoadsMark()}
 	question.Place, _ = r.Feed.place()
+	if r.newcomer() {
+		question.Wait = newcomerWait
+	}
 	if belief := r.Belief.Load(); belief != nil && belief.Snapshot != nil {
 		question.Declaration = belief.Snapshot.Version
 	}
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -307,3 +307,49 @@
 		require.Equal(t, relay.Registry.ReaderAddresses()[0], peers.addresses[0])
 	})
 }
+
+// A node that knows nothing hears as soon as the node that it asks does, and stays with that
+// one meanwhile: after a restart of all, nobody knows anything for a time, and whoever goes
+// from one to the next waits at each of them.
+func TestANodeThatKnowsNothingHearsAsSoonAsItsRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		belief := &catalog.Holder{}
+		feed := NewFeed("relay", belief, &fleet.Registry{Resized: func(int) {}}, workshare.New(func() workshare.Report { return workshare.Report{} }), residency.NewLedger(), quarantine.NewLedger())
+		peers := &waiting{feed: feed}
+		node := newFollower(&counting{}, peers)
+		node.Registry.ObserveOldNodes([]coordination.Entry{{Key: "nodes/other/1", Value: []byte("other z")}, {Key: "nodes/third/1", Value: []byte("third z")}}, time.Now())
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go node.follow(ctx)
+		time.Sleep(2100 * time.Millisecond)
+		require.Len(t, peers.addresses, 3, "it waits at the node that it asks")
+		feed.take(wholeList([]backend.Server{{Instance: "i-1", Service: "s", Revision: 1}}, 1, time.Now()))
+		belief.Store(catalog.Advance(nil, catalog.Reading{SentAt: time.Now(), Declaration: &catalog.Declaration{Version: 1}}))
+		time.Sleep(time.Millisecond)
+		require.Len(t, node.Set.Servers(time.Now()), 1)
+		time.Sleep(leastAskPause)
+		require.False(t, node.newcomer())
+		require.Equal(t, map[string]bool{peers.addresses[0]: true}, peers.distinct())
+	})
+}
+
+// waiting is a fleet of one relay under each address, which answers when it has news.
+type waiting struct {
+	feed      *Feed
+	addresses []string
+}
+
+func (w *waiting) Ask(ctx context.Context, address string, question Question) (Delta, error) {
+	w.addresses = append(w.addresses, address)
+	return w.feed.Answer(ctx, question), nil
+}
+
+func (w *waiting) Group(context.Context, string, GroupQuestion) (Group, error) { return Group{}, nil }
+
+func (w *waiting) distinct() map[string]bool {
+	all := map[string]bool{}
+	for _, address := range w.addresses {
+		all[address] = true
+	}
+	return all
+}
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -48,7 +49,7 @@
 			writer.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		question.Wait = min(question.Wait, askWait)
+		question.Wait = min(question.Wait, newcomerWait)
 		plainHeader(writer)
 		_ = f.Answer(request.Context(), question).encode(writer)
 	}
@@ -307,6 +308,9 @@
 // Caller asks other nodes over HTTP.
 type Caller struct {
 	Client *http.Client
+	// Heard, if set, hears of the size of each answer to a call, which is named by its path.
+	// It must not block.
+	Heard func(call string, bytes int)
 }
 
 // Ask asks a node for what has changed in its list of servers.
@@ -356,19 +360,25 @@
 		return errors.Errorf("node %s answered with status %d; run the same version on all nodes", request.URL.Host, response.StatusCode)
 	}
 	body := &heard{Reader: io.LimitReader(response.Body, maximumAnswer), quiet: quiet}
-	return errors.Trace(gob.NewDecoder(body).Decode(answer))
+	err = gob.NewDecoder(body).Decode(answer)
+	if c.Heard != nil {
+		c.Heard(strings.TrimPrefix(request.URL.Path, "/"), body.bytes)
+	}
+	return errors.Trace(err)
 }
 
 // heard is an answer that may take long as long as bytes of it come.
 type heard struct {
 	io.Reader
 	quiet *time.Timer
+	bytes int
 }
 
 // Read puts the end for silence off.
 func (h *heard) Read(p []byte) (int, error) {
 	n, err := h.Reader.Read(p)
 	if n > 0 {
+		h.bytes += n
 		h.quiet.Reset(silence)
 	}
 	return n, err
--- a/internal/reflector/transport_test.go
+++ b/internal/reflector/transport_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -138,3 +139,72 @@
 	t.Logf("%d bytes an item", each)
 	require.LessOrEqual(t, each, 40)
 }
+
+// slowly is a way on which answers come in pieces, with a pause before each.
+type slowly struct {
+	answer Delta
+	pieces int
+	pause  time.Duration
+}
+
+func (s *slowly) RoundTrip(request *http.Request) (*http.Response, error) {
+	encoded := bytes.Buffer{}
+	if err := s.answer.encode(&encoded); err != nil {
+		return nil, err
+	}
+	body := &slowBody{done: request.Context().Done(), data: encoded.Bytes(), each: (encoded.Len() + s.pieces - 1) / s.pieces, pause: s.pause}
+	return &http.Response{StatusCode: http.StatusOK, Body: body}, nil
+}
+
+type slowBody struct {
+	done  <-chan struct{}
+	data  []byte
+	each  int
+	pause time.Duration
+}
+
+func (b *slowBody) Close() error { return nil }
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if len(b.data) == 0 {
+		return 0, io.EOF
+	}
+	select {
+	case <-time.After(b.pause):
+	case <-b.done:
+		return 0, context.Canceled
+	}
+	n := copy(p[:min(len(p), b.each)], b.data)
+	b.data = b.data[n:]
+	return n, nil
+}
+
+// A whole list may take as long as its bytes do on a slow link; a node that falls silent is
+// left.
+func TestAnAnswerMayTakeAsLongAsItsBytesCome(t *testing.T) {
+	for name, one := range map[string]struct {
+		pieces int
+		pause  time.Duration
+		comes  bool
+	}{
+		"at once":              {1, 0, true},
+		"slowly":               {8, 900 * time.Millisecond, true},
+		"silent":               {2, silence + time.Millisecond, false},
+		"for longer than ever": {40, 500 * time.Millisecond, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			way := &slowly{answer: Delta{Feed: "f", Whole: true, Changed: manyServers(300)}, pieces: one.pieces, pause: one.pause}
+			size := 0
+			caller := &Caller{Client: &http.Client{Transport: way}, Heard: func(call string, bytes int) {
+				require.Equal(t, "servers", call)
+				size = bytes
+			}}
+			delta, err := caller.Ask(context.Background(), "relay", Question{})
+			require.Equal(t, one.comes, err == nil, name)
+			if one.comes {
+				require.Len(t, delta.Changed, 300)
+				require.Greater(t, size, 300*20, name)
+			}
+		})
+	}
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -26,6 +26,7 @@
 	garbled         prometheus.Counter
 	follows         prometheus.Counter
 	storeCalls      *prometheus.CounterVec
+	heardBytes      *prometheus.HistogramVec
 	version         prometheus.Gauge
 	suppressedLines prometheus.Counter
 }
@@ -33,6 +34,15 @@
 // firstAnswerBuckets reach from 5 ms to 10 s.
 var firstAnswerBuckets = prometheus.ExponentialBuckets(0.005, 2, 12)
 
+// heardBuckets reach from an answer without news, some 200 bytes, to the whole list of a large
+// fleet.
+var heardBuckets = prometheus.ExponentialBuckets(256, 4, 8)
+
+// Gauge adds a value that is asked for when the metrics are read.
+func (metrics *Metrics) Gauge(name, help string, value func() float64) {
+	metrics.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+}
+
 // NewMetrics registers all metrics. Belief gives the age of the declaration.
 func NewMetrics(belief *catalog.Holder) *Metrics {
 	metrics := &Metrics{
@@ -82,6 +92,9 @@
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_store_calls_total", Help: "Calls of the shared store by purpose and by call.",
 		}, []string{"purpose", "call"}),
+		heardBytes: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cloverrail_proxy_heard_bytes", Help: "Size of other nodes' answers by call.", Buckets: heardBuckets,
+		}, []string{"call"}),
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cloverrail_proxy_declaration_version", Help: "Version of the declaration in force.",
 		}),
@@ -98,6 +111,6 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstAnswer, metrics.reads,
-		metrics.orders, metrics.connections, metrics.replaced, metrics.limited, metrics.deferred, metrics.heldOff, metrics.suspicions, metrics.cleared, metrics.garbled, metrics.follows, metrics.storeCalls, metrics.version, metrics.suppressedLines, age)
+		metrics.orders, metrics.connections, metrics.replaced, metrics.limited, metrics.deferred, metrics.heldOff, metrics.suspicions, metrics.cleared, metrics.garbled, metrics.follows, metrics.storeCalls, metrics.heardBytes, metrics.version, metrics.suppressedLines, age)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -223,6 +223,11 @@
 	}
 }
 
+// Heard hears of the size of another node's answer to a call.
+func (recorder *Recorder) Heard(call string, bytes int) {
+	recorder.metrics.heardBytes.WithLabelValues(call).Observe(float64(bytes))
+}
+
 // Follows hears which node this one asks, and why it left the one before.
 func (recorder *Recorder) Follows(node string, left error) {
 	recorder.metrics.follows.Inc()
