--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -139,7 +139,7 @@
 		Zone:    given.Zone,
 		Room:    given.ProcessorShare,
 		Resized: process.resize,
-		Publish: process.source.WriteView,
+		Publish: process.publish,
 	}
 	process.work = workshare.New(func() workshare.Report {
 		now := boottime.Now()
@@ -195,6 +195,13 @@
 	process.ledger.Resize(nodes)
 }
 
+// publish writes the view of the fleet for nodes that start.
+func (process *process) publish(ctx context.Context, view []byte) error {
+	err := process.source.WriteView(ctx, view)
+	process.recorder.Published(err)
+	return err
+}
+
 // distance is 0 within the zone, 1 within the region, and 2 beyond.
 func (process *process) distance(zone string) int {
 	zones := process.settings.Zones
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -83,6 +83,9 @@
 			all.ObserveNodes(entries, begin)
 			// The first one of a start finds nobody yet.
 			node.ObserveOldNodes(nil, begin)
+			told, count := node.NewerThan(1)
+			require.Nil(t, told, "what may be old is not told")
+			require.Zero(t, count)
 			node.ObserveFirst(page, begin)
 			require.Equal(t, node.Rank() >= viewRelays*node.Relays(), node.Outer())
 			require.Subset(t, all.RelayAddresses(), node.RelayAddresses())
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -279,6 +279,12 @@
 	recorder.log.Info().Int("changes", len(changes)).Int("draining", draining).Int("gone", gone).Msg("many servers changed")
 }
 
+// Published hears that this node has written the view of the fleet for nodes that start, or
+// that this failed.
+func (recorder *Recorder) Published(err error) {
+	recorder.log.Info().Err(err).Msg("the view of the fleet is published")
+}
+
 // Resized hears of the number of nodes in the fleet.
 func (recorder *Recorder) Resized(nodes int) {
 	recorder.mutex.Lock()
