Forget vanished servers also while the list does not change

Cause: a set forgot them with its next change only, which may never come; a list that was read anew used to do it. Test: TestVanishedServersAreForgottenWithoutAnotherChange fails without it.

--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -354,3 +354,19 @@
 	}
 	return all
 }
+
+// Servers that have vanished are forgotten in time, also if the list does not change any more.
+func TestVanishedServersAreForgottenWithoutAnotherChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node := newFollower(&counting{}, &answering{lost: true})
+		node.takeServers(wholeList([]backend.Server{{Instance: "i-1", Service: "s", Revision: 1}}, 1, time.Now()))
+		node.takeServers(listing{gone: []string{"i-1"}, revision: 2, readAt: time.Now()})
+		candidates := func() int {
+			return len(node.Set.Candidates(nil, backend.Query{Service: "s", Distance: func(string) int { return 0 }}, time.Now()))
+		}
+		require.Equal(t, 1, candidates(), "the list may have lost it")
+		time.Sleep(time.Minute)
+		node.takeServers(listing{revision: 2, readAt: time.Now()})
+		require.Zero(t, candidates())
+	})
+}
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -261,9 +261,8 @@
 	r.listing.Lock()
 	defer r.listing.Unlock()
 	changed, gone := r.Feed.take(l)
-	if len(changed)+len(gone) > 0 {
-		r.Recorder.Listed(r.Set.Apply(changed, gone, boottime.Now()))
-	}
+	// Also without a change, servers that vanished long ago are forgotten.
+	r.Recorder.Listed(r.Set.Apply(changed, gone, boottime.Now()))
 	_, readAt := r.Feed.place()
 	r.listedAt.store(readAt)
 }
