--- a/internal/reflector/transport_bench_test.go
+++ b/internal/reflector/transport_bench_test.go
@@ -32,3 +32,33 @@
 		}
 	}
 }
+
+// BenchmarkWholeList is the time to write, and to read, the whole list of 10,000 servers, as a
+// relay does for each of its followers when all nodes start, and each follower once.
+func BenchmarkWholeList(b *testing.B) {
+	delta := Delta{Feed: "relay 1", Place: 7, Whole: true, Changed: manyServers(10_000)}
+	encoded := bytes.Buffer{}
+	if err := delta.encode(&encoded); err != nil {
+		b.Fatal(err)
+	}
+	b.Run("write", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if err := delta.encode(&bytes.Buffer{}); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("read", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			var answer wireDelta
+			if err := gob.NewDecoder(bytes.NewReader(encoded.Bytes())).Decode(&answer); err != nil {
+				b.Fatal(err)
+			}
+			if _, err := answer.delta(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
