Count the engines in use where only their number is wanted; drop what nothing calls

Cause, read in the whole change: every node copied all engines in use each 0.3 s, 240 kB at 2,300 of them (worked out), where all but the relays want their number; directory.has was called by a test alone, GatherTime by its own package alone. Change: Set.CountEngines beside Engines, over one walk. Test: TestOfManyEnginesThoseInUseAreReturned.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -291,8 +291,12 @@
 	if belief == nil || belief.Snapshot == nil {
 		return nil
 	}
-	relays, engines := process.registry.Relays(), process.followedEngines()
-	process.ledger.Lags(residency.WordTime(len(engines)/relays) + process.reflector.HearTime())
+	// The fleet asks all engines for what they hold, or of more than the relays can ask in
+	// time those that were used of late.
+	relays, now := process.registry.Relays(), boottime.Now()
+	most := residency.MostHolders * relays
+	asked := process.set.CountEngines(most, followedLife, now)
+	process.ledger.Lags(residency.WordTime(asked/relays) + process.reflector.HearTime())
 	if !process.reflector.Relays() {
 		return nil
 	}
@@ -306,19 +310,12 @@
 	for _, store := range belief.Snapshot.Stores() {
 		own(store.Address, store.Zone)
 	}
-	for _, engine := range engines {
+	for _, engine := range process.set.Engines(most, followedLife, now) {
 		own(engine.Address, engine.Zone)
 	}
 	return addresses
 }
 
-// followedEngines returns the engines that the fleet asks for what they hold: all of them,
-// or of more than the relays can ask in time those that were used of late.
-func (process *process) followedEngines() []backend.Server {
-	most := residency.MostHolders * process.registry.Relays()
-	return process.set.Engines(most, followedLife, boottime.Now())
-}
-
 // keep starts the duties that nodes share. The returned channel is closed when
 // they have been handed back after the context's end.
 func (process *process) keep(ctx context.Context) <-chan struct{} {
--- a/internal/backend/ring_test.go
+++ b/internal/backend/ring_test.go
@@ -72,6 +72,28 @@
 	require.Zero(t, none, "what is shared is not changed")
 }
 
+// Of more engines than are wanted, those that were used of late are returned and counted.
+func TestOfManyEnginesThoseInUseAreReturned(t *testing.T) {
+	set := NewSet()
+	var list []Server
+	for i := range 20 {
+		list = append(list, Server{Instance: fmt.Sprint("i-", i), Service: "s", Versions: map[string]int64{"m": 1}})
+	}
+	list = append(list, Server{Instance: "plain", Service: "p"})
+	set.Update(list, begin)
+	set.Begin("i-3", 0, begin)
+	set.TakeWork([]Work{{Server: ServerKey("i-4"), Running: 1}, {Server: ServerKey("plain"), Running: 1}}, begin.Add(time.Second))
+	check := func(most, want int, now time.Time) {
+		require.Len(t, set.Engines(most, time.Minute, now), want)
+		require.Equal(t, want, set.CountEngines(most, time.Minute, now))
+	}
+	check(20, 20, begin)
+	check(19, 2, begin.Add(time.Second))
+	check(19, 1, begin.Add(time.Minute+time.Millisecond))
+	check(19, 0, begin.Add(2*time.Minute))
+	check(20, 20, begin.Add(2*time.Minute))
+}
+
 // The memory of a set grows by at most so many bytes a server, since hundreds of nodes keep
 // thousands of servers of which they use few.
 func TestASetOfManyServersIsSmall(t *testing.T) {
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -273,6 +273,22 @@
 func (set *Set) Engines(most int, within time.Duration, now time.Time) []Server {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
+	var servers []Server
+	set.eachEngine(most, within, now, func(known *state) { servers = append(servers, *known.server) })
+	return servers
+}
+
+// CountEngines returns how many servers Engines would.
+func (set *Set) CountEngines(most int, within time.Duration, now time.Time) int {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	count := 0
+	set.eachEngine(most, within, now, func(*state) { count++ })
+	return count
+}
+
+// eachEngine calls a function for each server that Engines returns.
+func (set *Set) eachEngine(most int, within time.Duration, now time.Time, take func(known *state)) {
 	var rings []ring
 	all := 0
 	for _, r := range set.rings {
@@ -282,10 +298,9 @@
 			all += len(r)
 		}
 	}
-	var servers []Server
-	take := func(known *state) {
+	takeListed := func(known *state) {
 		if known.listed && !now.Before(known.dealt().goneUntil) && len(known.server.Versions) > 0 {
-			servers = append(servers, *known.server)
+			take(known)
 		}
 	}
 	if all > most {
@@ -293,17 +308,16 @@
 			if now.Sub(known.usedAt) > within {
 				delete(set.used, known)
 			} else {
-				take(known)
+				takeListed(known)
 			}
 		}
-		return servers
+		return
 	}
 	for _, r := range rings {
 		for _, known := range r {
-			take(known)
+			takeListed(known)
 		}
 	}
-	return servers
 }
 
 // use notes that a node has work at a server.
--- a/internal/reflector/directory.go
+++ b/internal/reflector/directory.go
@@ -126,11 +126,6 @@
 	return d.revision
 }
 
-func (d *directory) has(instance string) bool {
-	_, found := d.servers[instance]
-	return found
-}
-
 // missing returns the instances of the known servers that a whole list does not hold.
 func (d *directory) missing(list []backend.Server) []string {
 	present := make(map[string]bool, len(list))
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -223,7 +223,7 @@
 	old.take(wholeList([]backend.Server{both[0], {Instance: "i-3", Revision: 4}}, 4, begin.Add(time.Second)))
 	require.True(t, ask(old))
 	require.Len(t, own.servers, 2)
-	require.True(t, own.has("i-3"))
+	require.Contains(t, own.servers, "i-3")
 }
 
 // A follower that does not know where a change of the roll-out stands asks again at
--- a/internal/residency/follower.go
+++ b/internal/residency/follower.go
@@ -78,8 +78,8 @@
 	return &Follower{holder: holder, source: source, ledger: ledger, recorder: recorder, gather: func() time.Duration { return gatherTime }}
 }
 
-// GatherTime is how long a node that asks so many holders lets the changes of each gather.
-func GatherTime(holders int) time.Duration {
+// gatherFor is how long a node that asks so many holders lets the changes of each gather.
+func gatherFor(holders int) time.Duration {
 	return max(gatherTime, time.Duration(holders)*askInterval)
 }
 
@@ -87,7 +87,7 @@
 const MostHolders = int(gatherTime / askInterval)
 
 // WordTime is the time in which the word of a holder reaches a node that asks so many.
-func WordTime(holders int) time.Duration { return GatherTime(holders) + changesLag }
+func WordTime(holders int) time.Duration { return gatherFor(holders) + changesLag }
 
 // FollowAll runs a follower for each of the holders, as these come and go.
 func FollowAll(ctx context.Context, holders func() []string, follow func(holder string) *Follower) {
@@ -101,7 +101,7 @@
 				following, stop := context.WithCancel(ctx)
 				stops[holder] = stop
 				follower := follow(holder)
-				follower.gather = func() time.Duration { return GatherTime(int(count.Load())) }
+				follower.gather = func() time.Duration { return gatherFor(int(count.Load())) }
 				go follower.Run(following)
 			}
 		}
