Show what servers say of themselves beside their answers

Cause: no line named Server-Leaving, nor the time of a 503, so that the logs of the incident could not tell whether a node knew of either. Nothing is decided by it yet.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -94,7 +94,12 @@
 	process.metrics = telemetry.NewMetrics(process.belief)
 	process.recorder = telemetry.NewRecorder(process.log, process.metrics)
 	process.store = platform.NewStore(given.StoreAddress, process.recorder.StoreCalled)
-	process.servers = platform.NewServers(platform.Connections{Connect: connectTimeout, Silence: silenceTimeout, Used: process.recorder.Connected})
+	process.servers = platform.NewServers(platform.Connections{
+		Connect: connectTimeout,
+		Silence: silenceTimeout,
+		Used:    process.recorder.Connected,
+		Noticed: process.recorder.Noticed,
+	})
 	process.retries = proxy.NewRetries(proxy.RetryBounds{
 		Ratio:  given.Bounds.RetryRatio,
 		Extra:  given.Bounds.RetryExtra,
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -23,6 +23,7 @@
 	heldOff         prometheus.Counter
 	suspicions      *prometheus.CounterVec
 	cleared         prometheus.Counter
+	notices         *prometheus.CounterVec
 	garbled         prometheus.Counter
 	follows         prometheus.Counter
 	storeCalls      *prometheus.CounterVec
@@ -83,6 +84,9 @@
 		cleared: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_cleared_total", Help: "Whole answers that cleared a request under which servers had ended.",
 		}),
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_server_notices_total", Help: "Answers in which servers say that they leave, ask for rest, or say what cannot be read.",
+		}, []string{"notice"}),
 		garbled: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_garbled_news_total", Help: "Answers of other nodes about cached parts that could not be read.",
 		}),
@@ -111,6 +115,6 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstAnswer, metrics.reads,
-		metrics.orders, metrics.connections, metrics.replaced, metrics.limited, metrics.deferred, metrics.heldOff, metrics.suspicions, metrics.cleared, metrics.garbled, metrics.follows, metrics.storeCalls, metrics.heardBytes, metrics.version, metrics.suppressedLines, age)
+		metrics.orders, metrics.connections, metrics.replaced, metrics.limited, metrics.deferred, metrics.heldOff, metrics.suspicions, metrics.cleared, metrics.notices, metrics.garbled, metrics.follows, metrics.storeCalls, metrics.heardBytes, metrics.version, metrics.suppressedLines, age)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -130,6 +130,22 @@
 	recorder.log.Info().Stringer("fingerprint", fingerprint).Bool("held", held).Err(err).Msg("the store is told of a request that is held off")
 }
 
+// Noticed hears what a server says of itself beside an answer, and what of it cannot be read.
+func (recorder *Recorder) Noticed(server string, notice backend.Notice, unreadable error) {
+	if unreadable != nil {
+		recorder.metrics.notices.WithLabelValues("unreadable").Inc()
+		recorder.line(zerolog.WarnLevel).Str("server", server).Err(unreadable).Msg("a server's word of itself is passed over")
+	}
+	if notice.Leaving {
+		recorder.metrics.notices.WithLabelValues("leaving").Inc()
+		recorder.line(zerolog.InfoLevel).Str("server", server).Msg("a server says that it leaves")
+	}
+	if notice.Rest > 0 {
+		recorder.metrics.notices.WithLabelValues("rest").Inc()
+		recorder.line(zerolog.InfoLevel).Str("server", server).Dur("rest", notice.Rest).Msg("a server asks for rest")
+	}
+}
+
 // costs writes the terms of a cost in milliseconds of engine time.
 func costs(terms []routing.Term) *zerolog.Event {
 	all := zerolog.Dict()
