--- a/cmd/cloverrail-lab/soak.go
+++ b/cmd/cloverrail-lab/soak.go
@@ -45,15 +45,15 @@
 		}
 		folder = made
 	}
-	seeds := []uint64{command.Uint64("seed")}
+	seeds := []soak.Known{{Seed: command.Uint64("seed")}}
 	if command.Bool("known") {
 		seeds = soak.KnownSeeds()
 	}
 	violated := false
 	for _, seed := range seeds {
-		fmt.Printf("seed %d, %s; logs in %s\n", seed, command.Duration("duration"), folder)
+		fmt.Printf("seed %d, %s; logs in %s\n", seed.Seed, command.Duration("duration"), folder)
 		verdicts, err := soak.Run(ctx, soak.Config{
-			Program: command.String("program"), Seed: seed, Duration: command.Duration("duration"),
+			Program: command.String("program"), Seed: seed.Seed, Faults: seed.Faults, Duration: command.Duration("duration"),
 			Nodes: command.Int("nodes"), Engines: command.Int("engines"), Plain: command.Int("plain"), Callers: command.Int("callers"),
 			RetryExtra: 1000, Folder: folder, Output: os.Stdout,
 		})
