--- a/cmd/cloverrail/era_test.go
+++ b/cmd/cloverrail/era_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -108,3 +109,18 @@
 	fleet.until(func(*fixture) bool { return len(fleet.store.Keys(platform.PrefixNodes)) == len(fleet.nodes) })
 }
 
+func TestAnAnswerOfAnEarlierEraChangesNothing(t *testing.T) {
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Answers(http.StatusOK, "done")))
+	copied := fixture.store.Copy()
+	fixture.store.GoBack(copied)
+	fixture.until(func() bool { return fixture.process.eras.Current() == 2 })
+	for _, told := range []string{"1", "0", "-7", "soon", "", "2.5"} {
+		fixture.store.TellEra(told)
+		fixture.store.Put(standin.PrefixServers+fmt.Sprint("i-late", told), plainServer("x", nil).Entry("plain", "127.0.0.1:9", "a", "ready"))
+		time.Sleep(300 * time.Millisecond)
+		require.EqualValues(t, 2, fixture.process.eras.Current())
+		require.Equal(t, http.StatusOK, fixture.make(again).status)
+	}
+	fixture.store.TellEra("3")
+	fixture.until(func() bool { return fixture.process.eras.Current() == 3 })
+}
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -17,6 +17,7 @@
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/lease"
 	"github.com/cloverrail/cloverrail/internal/proxy"
@@ -61,6 +62,7 @@
 	belief   *catalog.Holder
 	set      *backend.Set
 	store    *platform.Store
+	eras     *coordination.Eras
 	source   *platform.Source
 	servers  *platform.Servers
 	metrics  *telemetry.Metrics
@@ -93,7 +95,8 @@
 	process.log = zerolog.New(telemetry.NewWriter(os.Stdout)).With().Timestamp().Str("node", given.Name).Logger()
 	process.metrics = telemetry.NewMetrics(process.belief)
 	process.recorder = telemetry.NewRecorder(process.log, process.metrics)
-	process.store = platform.NewStore(given.StoreAddress, process.recorder.StoreCalled)
+	process.eras = &coordination.Eras{Changed: process.recorder.WentBack, Ignored: process.recorder.EraIgnored}
+	process.store = platform.NewStore(given.StoreAddress, process.recorder.StoreCalled, process.eras)
 	process.servers = platform.NewServers(platform.Connections{
 		Connect: connectTimeout,
 		Silence: silenceTimeout,
@@ -144,6 +147,7 @@
 		Zone:    given.Zone,
 		Room:    given.ProcessorShare,
 		Resized: process.resize,
+		Eras:    process.eras,
 		Publish: process.publish,
 	}
 	process.work = workshare.New(func() workshare.Report {
@@ -173,6 +177,9 @@
 	process.metrics.Gauge("cloverrail_proxy_servers_resting", "Servers that have asked this node for rest that is not over.", func() float64 {
 		return float64(len(process.set.Resting(boottime.Now())))
 	})
+	process.metrics.Gauge("cloverrail_proxy_store_era", "Era of the shared store; it rises when the store comes back from an older copy. 0 if it is not known.", func() float64 {
+		return float64(process.eras.Current())
+	})
 	process.metrics.Gauge("cloverrail_proxy_fleet_nodes", "Nodes of the fleet, as far as this one knows.", func() float64 {
 		return float64(process.registry.Nodes())
 	})
@@ -257,6 +264,7 @@
 		Quarantine: process.requests,
 		TakeHeld:   process.quarantine.Observe,
 		Recorder:   process.recorder,
+		Eras:       process.eras,
 		Bound:      min(bounds.Configuration, bounds.Drain),
 	}
 }
@@ -366,6 +374,7 @@
 		Eligible:  process.reflector.Reads,
 		Exists:    process.registry.Exists,
 		FirstSeen: process.registry.FirstSeen,
+		Eras:      process.eras,
 	}
 	handedBack.Go(func() { keeper.Run(ctx) })
 	done := make(chan struct{})
--- a/internal/catalog/belief.go
+++ b/internal/catalog/belief.go
@@ -4,6 +4,8 @@
 	"maps"
 	"sync/atomic"
 	"time"
+
+	"github.com/cloverrail/cloverrail/internal/coordination"
 )
 
 // Naming is one version of a model's weights that operators named.
@@ -92,8 +94,8 @@
 type Reading struct {
 	// SentAt is when the look's first call was sent.
 	SentAt time.Time
-	// Revision is the store's at that look, or 0 if it is not known.
-	Revision int64
+	// At is where the store was at that look, or zero if it is not known.
+	At coordination.Position
 	// Declaration is nil when it is the one of the reading before.
 	Declaration *Declaration
 	// Weights holds the named version of each model.
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -5,13 +5,16 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/coordination"
+	"github.com/cloverrail/cloverrail/internal/pause"
 	"github.com/cloverrail/cloverrail/internal/prefix"
 )
 
@@ -24,6 +27,8 @@
 	// renewals a life gives a node several tries before it is forgotten.
 	renewals    = 3
 	callTimeout = time.Second
+	// eraPoll is the time between two looks at whether the store has gone back.
+	eraPoll = 500 * time.Millisecond
 	// gathering is how long nodes wait for each other at the first start, and
 	// longestGathering how long a node waits that cannot register.
 	gathering        = 500 * time.Millisecond
@@ -57,6 +62,8 @@
 	Room float64
 	// Resized hears of the number of nodes after each observation.
 	Resized func(nodes int)
+	// Eras follows the era of the store.
+	Eras *coordination.Eras
 	// Publish, if set, writes the view of the fleet where nodes that start find it.
 	Publish func(ctx context.Context, view []byte) error
 
@@ -76,7 +83,11 @@
 	begun   time.Time
 	settled bool
 	seen    map[string]sighting
-	duties  []coordination.Entry
+	// entries holds those of all nodes as they were observed last, and registered the era in
+	// which this node's own was written.
+	entries    map[string]coordination.Entry
+	registered int64
+	duties     []coordination.Entry
 	// view is what other nodes are told of the fleet, and digest is its own.
 	view   View
 	digest uint64
@@ -109,27 +120,40 @@
 	return p
 }
 
-// sighting is when a key was first seen at a revision.
+// sighting is when a key was first seen where it was written.
 type sighting struct {
-	revision int64
+	position coordination.Position
 	at       time.Time
 }
 
 // Run keeps this node's key alive, writes it anew if it was lost, and takes it
 // back when the context ends.
 func (r *Registry) Run(ctx context.Context) {
-	ticker := time.NewTicker(registrationLife / renewals)
-	defer ticker.Stop()
 	lease := int64(0)
-	for {
+	for ctx.Err() == nil {
 		lease = r.renew(ctx, lease)
 		r.publish(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			r.leave(lease)
+		r.rest(ctx)
+	}
+	r.leave(lease)
+}
+
+// rest waits until the registration is to be renewed. After the store has gone back it is to
+// be written again, by all nodes in the same moment: they spread that over the time between two
+// renewals, so that 1,000 nodes write 170 times a second.
+func (r *Registry) rest(ctx context.Context) {
+	until := boottime.Now().Add(registrationLife / renewals)
+	for ctx.Err() == nil {
+		if era, since := r.Eras.State(); era != r.registered && r.registered != 0 && !since.IsZero() {
+			again := since.Add(time.Duration(rand.Int64N(int64(registrationLife / renewals))))
+			pause.For(ctx, again.Sub(boottime.Now()))
 			return
 		}
+		left := until.Sub(boottime.Now())
+		if left <= 0 {
+			return
+		}
+		pause.For(ctx, min(left, eraPoll))
 	}
 }
 
@@ -146,7 +170,8 @@
 func (r *Registry) renew(ctx context.Context, lease int64) int64 {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if lease != 0 {
+	// A lease of another era is gone, or somebody else's.
+	if era, _ := r.Eras.State(); lease != 0 && era == r.registered {
 		alive, err := r.Store.Renew(ctx, lease)
 		if err != nil || alive {
 			return lease
@@ -156,12 +181,36 @@
 	if err != nil {
 		return 0
 	}
-	if _, _, err := r.Store.Create(ctx, r.key(), []byte(r.place().String()), granted.ID); err != nil {
+	era, _ := r.Eras.State()
+	// The key may be there, under a lease of the store's copy that nobody renews.
+	if written, err := r.Store.Write(ctx, r.key(), []byte(r.place().String()), granted.ID); err != nil || !written {
 		return 0
 	}
+	r.registered = era
 	return granted.ID
 }
 
+// withLost adds to the observed entries those of nodes that were there when the store went back
+// and have not had the time to register again. Were they taken for lost, those that have would
+// take their parts of what the fleet may do.
+func (r *Registry) withLost(entries []coordination.Entry, now time.Time) []coordination.Entry {
+	_, since := r.Eras.State()
+	if since.IsZero() || now.Sub(since) > registrationLife {
+		return entries
+	}
+	present := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		present[r.nameOf(entry.Key)] = true
+	}
+	entries = slices.Clone(entries)
+	for name, entry := range r.entries {
+		if !present[name] {
+			entries = append(entries, entry)
+		}
+	}
+	return entries
+}
+
 // place is this node's own.
 func (r *Registry) place() place { return place{address: r.Address, zone: r.Zone, room: r.Room} }
 
@@ -177,6 +226,9 @@
 }
 
 func (r *Registry) observe(entries []coordination.Entry, now time.Time, old bool) {
+	r.mutex.Lock()
+	entries = r.withLost(entries, now)
+	r.mutex.Unlock()
 	places := make(map[string]place, len(entries)+1)
 	byName := make(map[string]coordination.Entry, len(entries))
 	for _, entry := range entries {
@@ -196,6 +248,7 @@
 	r.nodes = len(r.names)
 	r.ownRank = slices.Index(r.names, r.Name)
 	r.look(byName)
+	r.entries = byName
 	if old {
 		// Others are not told what may be old.
 		r.view, r.digest = View{}, 0
@@ -237,8 +290,8 @@
 	seen := map[string]sighting{}
 	for _, entry := range entries {
 		known := r.seen[entry.Key]
-		if known.revision != entry.Revision {
-			known = sighting{revision: entry.Revision, at: now}
+		if known.position != entry.Position() {
+			known = sighting{position: entry.Position(), at: now}
 		}
 		seen[entry.Key] = known
 	}
@@ -317,11 +370,11 @@
 	return r.ownRank >= viewRelays*r.relays()
 }
 
-// FirstSeen returns when a key was first seen at the revision, or zero.
-func (r *Registry) FirstSeen(key string, revision int64) time.Time {
+// FirstSeen returns when a key was first seen where it was written, or zero.
+func (r *Registry) FirstSeen(key string, position coordination.Position) time.Time {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if known := r.seen[key]; known.revision == revision {
+	if known := r.seen[key]; known.position == position {
 		return known.at
 	}
 	return time.Time{}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -60,8 +60,9 @@
 	entry := coordination.Entry{Key: "f/state", Revision: 4}
 	registry.ObserveDuties([]coordination.Entry{entry}, begin)
 	registry.ObserveDuties([]coordination.Entry{entry}, begin.Add(time.Second))
-	require.Equal(t, begin, registry.FirstSeen("f/state", 4))
-	require.Zero(t, registry.FirstSeen("f/state", 5))
+	require.Equal(t, begin, registry.FirstSeen("f/state", entry.Position()))
+	require.Zero(t, registry.FirstSeen("f/state", coordination.Position{Revision: 5}))
+	require.Zero(t, registry.FirstSeen("f/state", coordination.Position{Era: 1, Revision: 4}), "the revision was given out again")
 	require.True(t, registry.Exists("f/state"))
 	registry.ObserveDuties(nil, begin)
 	require.False(t, registry.Exists("f/state"))
--- a/internal/lab/storestub/store.go
+++ b/internal/lab/storestub/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -39,6 +40,7 @@
 	mutex    sync.Mutex
 	now      func() time.Time
 	fault    func(call string) Fault
+	era      int64
 	revision int64
 	leases   map[int64]*lease
 	entries  map[string]entry
@@ -55,7 +57,44 @@
 	if fault == nil {
 		fault = func(string) Fault { return None }
 	}
-	return &Store{now: now, fault: fault, leases: map[int64]*lease{}, entries: map[string]entry{}}
+	return &Store{now: now, fault: fault, era: 1, leases: map[int64]*lease{}, entries: map[string]entry{}}
+}
+
+// Era returns the era of the store.
+func (store *Store) Era() int64 {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.era
+}
+
+// Copy is what a store held at some moment.
+type Copy struct {
+	revision int64
+	leases   map[int64]lease
+	entries  map[string]entry
+}
+
+// Copy returns what the store holds now.
+func (store *Store) Copy() Copy {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.expire()
+	c := Copy{revision: store.revision, leases: map[int64]lease{}, entries: maps.Clone(store.entries)}
+	for id, held := range store.leases {
+		c.leases[id] = *held
+	}
+	return c
+}
+
+// GoBack lets the store come back from a copy, in the next era. The copy's leases count from now.
+func (store *Store) GoBack(c Copy) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.era++
+	store.revision, store.entries, store.leases = c.revision, maps.Clone(c.entries), map[int64]*lease{}
+	for id, held := range c.leases {
+		store.leases[id] = &lease{life: held.life, until: store.now().Add(held.life)}
+	}
 }
 
 // run performs one call under its fault.
@@ -120,26 +159,37 @@
 }
 
 // Create writes a key that does not exist.
-func (store *Store) Create(_ context.Context, key string, value []byte, leaseID int64) (revision int64, created bool, err error) {
+func (store *Store) Create(_ context.Context, key string, value []byte, leaseID int64) (at coordination.Position, created bool, err error) {
 	err = store.run("create", func() {
 		_, exists := store.entries[key]
 		if created = !exists && store.leases[leaseID] != nil; created {
-			revision = store.put(key, value, leaseID)
+			at = store.put(key, value, leaseID)
 		}
 	})
-	return revision, created, err
+	return at, created, err
 }
 
-func (store *Store) put(key string, value []byte, leaseID int64) int64 {
+func (store *Store) put(key string, value []byte, leaseID int64) coordination.Position {
 	store.revision++
-	store.entries[key] = entry{Entry: coordination.Entry{Key: key, Value: value, Revision: store.revision}, lease: leaseID}
-	return store.revision
+	written := coordination.Entry{Key: key, Value: value, Revision: store.revision, Era: store.era}
+	store.entries[key] = entry{Entry: written, lease: leaseID}
+	return written.Position()
+}
+
+// Write writes a key, whatever it holds.
+func (store *Store) Write(_ context.Context, key string, value []byte, leaseID int64) (written bool, err error) {
+	err = store.run("write", func() {
+		if written = store.leases[leaseID] != nil; written {
+			store.put(key, value, leaseID)
+		}
+	})
+	return written, err
 }
 
 // WriteGuarded writes a key if the guard is still at its revision.
-func (store *Store) WriteGuarded(_ context.Context, key string, value []byte, guard string, revision int64) (written bool, err error) {
+func (store *Store) WriteGuarded(_ context.Context, key string, value []byte, guard string, at coordination.Position) (written bool, err error) {
 	err = store.run("write", func() {
-		if written = store.entries[guard].Revision == revision; written {
+		if written = store.entries[guard].Position() == at; written {
 			store.put(key, value, 0)
 		}
 	})
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -74,14 +74,21 @@
 	Eligible func() bool
 	// Exists reports whether a key was there when this node looked last.
 	Exists func(key string) bool
-	// FirstSeen returns when this node first saw a key at a revision, or zero.
-	FirstSeen func(key string, revision int64) time.Time
+	// FirstSeen returns when this node first saw a key where it was written, or zero.
+	FirstSeen func(key string, position coordination.Position) time.Time
+	// Eras follows the era of the store.
+	Eras *coordination.Eras
+
+	// heldInto is the era into which the store went back while this node held the duty.
+	heldInto int64
 }
 
 // holding is a tenure with its lease.
 type holding struct {
 	tenure *Tenure
 	lease  coordination.Lease
+	// key is where the duty's key was written.
+	key coordination.Position
 	// renewed is when the last renewal was asked for, and answered the last one that was
 	// answered.
 	renewed  time.Time
@@ -161,7 +168,7 @@
 	if err != nil {
 		return nil, false
 	}
-	fence, created, err := keeper.create(ctx, granted.ID)
+	key, created, err := keeper.create(ctx, granted.ID)
 	if err != nil || !created {
 		return nil, err == nil
 	}
@@ -171,34 +178,50 @@
 	}
 	last := time.Time{}
 	if found && keeper.Duty.Resting(state.Value) {
-		last = keeper.FirstSeen(keeper.KeyState, state.Revision)
+		last = keeper.FirstSeen(keeper.KeyState, state.Position())
 	}
 	// One machine is one holder, whatever became of its process.
 	another := found && !keeper.Duty.Own(state.Value)
-	settled := SettledAt(another, last, boottime.Now(), keeper.Settling)
-	keeper.Recorder.Acquired(fence, boottime.Until(settled))
+	settled := keeper.settleEra(SettledAt(another, last, boottime.Now(), keeper.Settling), key)
+	keeper.Recorder.Acquired(key.Token(), boottime.Until(settled))
 	return &holding{
-		tenure:   NewTenure(fence, asked, granted.Life, granted.Life/marginPart, settled),
+		tenure:   NewTenure(key.Token(), asked, granted.Life, granted.Life/marginPart, settled),
 		lease:    granted,
+		key:      key,
 		renewed:  asked,
 		answered: asked,
 		state:    state.Value,
 	}, false
 }
 
+// settleEra returns when a new holder may begin, by when it could if the store had lost nothing.
+// After the store has gone back, its copy does not show a holder that came later than it: that
+// one may act until it hears of the era or its lease ends. Who held the duty last itself need
+// not wait for that.
+func (keeper *Keeper) settleEra(settled time.Time, key coordination.Position) time.Time {
+	_, since := keeper.Eras.State()
+	if since.IsZero() || keeper.heldInto == key.Era {
+		return settled
+	}
+	if after := since.Add(keeper.Settling); after.After(settled) {
+		return after
+	}
+	return settled
+}
+
 // create writes the duty's key if nobody has. An answer that was lost is settled
 // by reading the key: its value is unique to this try.
-func (keeper *Keeper) create(ctx context.Context, lease int64) (fence int64, created bool, err error) {
+func (keeper *Keeper) create(ctx context.Context, lease int64) (at coordination.Position, created bool, err error) {
 	value := []byte(keeper.Name + " " + uuid.NewString())
 	err = persist(ctx, func(ctx context.Context) error {
-		fence, created, err = keeper.Store.Create(ctx, keeper.Key, value, lease)
+		at, created, err = keeper.Store.Create(ctx, keeper.Key, value, lease)
 		return err
 	})
 	if err == nil && created {
-		return fence, true, nil
+		return at, true, nil
 	}
 	entry, found, err := keeper.read(ctx, keeper.Key)
-	return entry.Revision, found && bytes.Equal(entry.Value, value), err
+	return entry.Position(), found && bytes.Equal(entry.Value, value), err
 }
 
 // makeWay lets the machine that held the duty last come first: it alone need not
@@ -242,6 +265,11 @@
 			keeper.handBack(held)
 			return "this node stops"
 		}
+		if era, _ := keeper.Eras.State(); era != held.key.Era {
+			// Its key and its lease are gone, or somebody else's.
+			keeper.heldInto = era
+			return "the store has gone back"
+		}
 		if held.tenure.Superseded() {
 			keeper.handBack(held)
 			return "another node has a higher fencing token"
@@ -290,7 +318,7 @@
 func (keeper *Keeper) publish(ctx context.Context, held *holding, state []byte) bool {
 	written := false
 	err := persist(ctx, func(ctx context.Context) (err error) {
-		written, err = keeper.Store.WriteGuarded(ctx, keeper.KeyState, state, keeper.Key, held.tenure.Fence)
+		written, err = keeper.Store.WriteGuarded(ctx, keeper.KeyState, state, keeper.Key, held.key)
 		return err
 	})
 	if err == nil && !written {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/lab/storestub"
 	"github.com/cloverrail/cloverrail/internal/lab/suspension"
 	"github.com/cloverrail/cloverrail/internal/property"
@@ -82,17 +84,51 @@
 	return fleet.acts[len(fleet.acts)-1]
 }
 
+// telling is a store whose answers tell its era.
+type telling struct {
+	*storestub.Store
+	eras *coordination.Eras
+}
+
+func (s telling) Grant(ctx context.Context, life time.Duration) (coordination.Lease, error) {
+	defer func() { s.eras.Observe(s.Era()) }()
+	return s.Store.Grant(ctx, life)
+}
+
+func (s telling) Renew(ctx context.Context, id int64) (bool, error) {
+	defer func() { s.eras.Observe(s.Era()) }()
+	return s.Store.Renew(ctx, id)
+}
+
+func (s telling) Create(ctx context.Context, key string, value []byte, lease int64) (coordination.Position, bool, error) {
+	defer func() { s.eras.Observe(s.Era()) }()
+	return s.Store.Create(ctx, key, value, lease)
+}
+
+func (s telling) WriteGuarded(ctx context.Context, key string, value []byte, guard string, at coordination.Position) (bool, error) {
+	defer func() { s.eras.Observe(s.Era()) }()
+	return s.Store.WriteGuarded(ctx, key, value, guard, at)
+}
+
+func (s telling) Read(ctx context.Context, key string) (coordination.Entry, bool, error) {
+	defer func() { s.eras.Observe(s.Era()) }()
+	return s.Store.Read(ctx, key)
+}
+
 // start runs a keeper until its context ends.
 func (fleet *fleet) start(ctx context.Context, name string, seen map[int64]time.Time) *duty {
 	duty := &duty{node: name, fleet: fleet}
 	duty.wanted.Store(true)
+	// As a node that runs does, it knows the era.
+	eras := &coordination.Eras{}
+	eras.Observe(fleet.store.Era())
 	keeper := &Keeper{
-		Store: fleet.store, Duty: duty, Recorder: silent{}, Name: name, Key: "holder", KeyState: "state",
+		Store: telling{fleet.store, eras}, Eras: eras, Duty: duty, Recorder: silent{}, Name: name, Key: "holder", KeyState: "state",
 		Life: life, Settling: settling,
 		Delay:     func() time.Duration { return time.Duration(name[0]%7) * time.Millisecond },
 		Eligible:  func() bool { return true },
 		Exists:    func(string) bool { return len(fleet.store.Entries("holder")) > 0 },
-		FirstSeen: func(_ string, revision int64) time.Time { return seen[revision] },
+		FirstSeen: func(_ string, position coordination.Position) time.Time { return seen[position.Revision] },
 	}
 	go keeper.Run(ctx)
 	return duty
@@ -107,6 +143,7 @@
 		before, after := fleet.acts[index-1], fleet.acts[index]
 		require.GreaterOrEqual(t, after.fence, before.fence)
 		if before.node != after.node {
+			require.Greater(t, after.fence, before.fence, "no two holders have one token")
 			require.GreaterOrEqual(t, after.at.Sub(before.at), settling)
 		}
 	}
@@ -148,6 +185,50 @@
 	time.Sleep(40 * time.Second)
 }
 
+// The store comes back from copies that are some seconds old, while holders die, and in moments
+// in which it has a holder, none, or another one. Tokens still grow, no two holders have one,
+// nobody orders within the settling time of another, and somebody orders again in time.
+func TestHoldersOutliveAStoreThatGoesBack(test *testing.T) {
+	property.Check(test, func(t *rapid.T) {
+		deaths := rapid.SliceOfN(rapid.IntRange(500, 30_000), 2, 2).Draw(t, "deaths")
+		// Each time: the copy's age, and the time until then.
+		times := rapid.SliceOfN(rapid.IntRange(200, 8000), 1, 6).Draw(t, "times")
+		ages := rapid.SliceOfN(rapid.IntRange(0, 5000), len(times), len(times)).Draw(t, "ages")
+		fleet := &fleet{}
+		// quiet is the last time at which the store went back or a holder died.
+		quiet := time.Time{}
+		synctest.Test(test, func(*testing.T) {
+			fleet.store = storestub.New(time.Now, nil)
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			begun := time.Now()
+			for number, after := range deaths {
+				one, kill := context.WithCancel(ctx)
+				fleet.start(one, string(rune('a'+number)), nil)
+				time.AfterFunc(time.Duration(after)*time.Millisecond, kill)
+			}
+			fleet.start(ctx, "survivor", nil)
+			for i, wait := range times {
+				age := min(ages[i], wait)
+				time.Sleep(time.Duration(wait-age) * time.Millisecond)
+				copied := fleet.store.Copy()
+				time.Sleep(time.Duration(age) * time.Millisecond)
+				fleet.store.GoBack(copied)
+			}
+			quiet = time.Now()
+			if last := begun.Add(time.Duration(slices.Max(deaths)) * time.Millisecond); last.After(quiet) {
+				quiet = last
+			}
+			time.Sleep(80 * time.Second)
+		})
+		fleet.check(t)
+		require.Equal(t, "survivor", fleet.last().node)
+		first := slices.IndexFunc(fleet.acts, func(a act) bool { return a.at.After(quiet) })
+		// The copy's lease has to lapse, the next holder to settle.
+		require.Less(t, fleet.acts[first].at.Sub(quiet), 2*life+settling+time.Second)
+	})
+}
+
 func TestANodeThatSawTheDutyRestTakesItOverAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := &fleet{}
--- a/internal/lease/tenure.go
+++ b/internal/lease/tenure.go
@@ -1,5 +1,6 @@
 // Package lease lets one node of the fleet at a time hold a duty. The holder's
-// fencing token is the revision of the key that it created: it only ever grows.
+// fencing token is that of the position of the key that it created: it only ever grows,
+// also when the store has gone back.
 package lease
 
 import (
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -25,7 +25,7 @@
 // Store is what the keeper needs of the shared store.
 type Store interface {
 	Grant(ctx context.Context, life time.Duration) (coordination.Lease, error)
-	Create(ctx context.Context, key string, value []byte, lease int64) (revision int64, created bool, err error)
+	Create(ctx context.Context, key string, value []byte, lease int64) (at coordination.Position, created bool, err error)
 	Remove(ctx context.Context, key string) error
 }
 
--- a/internal/reflector/directory.go
+++ b/internal/reflector/directory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/coordination"
 )
 
 // logKept bounds the changes of the list of servers that a node remembers. Whoever lacks
@@ -14,40 +15,49 @@
 const logKept = 16384
 
 // listing is what one node has read or heard of the list of servers: all of it, or what has
-// changed in it since a revision of the shared store.
+// changed in it since a place.
 type listing struct {
 	// Whole says that Changed holds all servers.
 	whole   bool
 	changed []backend.Server
 	gone    []string
-	// revision is the store's up to which this reaches, and readAt when that was certainly
-	// not in the past.
-	revision int64
-	readAt   time.Time
-	// sum is that of the whole list at the revision, or 0 if it is not known.
+	// at is up to where in the store this reaches, and readAt when that was certainly not in
+	// the past.
+	at     coordination.Position
+	readAt time.Time
+	// sum is that of the whole list there, or 0 if it is not known.
 	sum uint64
 }
 
+// written is where a server of the listing was written. What was written before the store
+// went back is new in the era in which it is read again.
+func (l listing) written(server *backend.Server) coordination.Position {
+	return coordination.Position{Era: l.at.Era, Revision: server.Revision}
+}
+
 // directory is the list of servers as one node knows it, and its last changes. Its place is
-// a revision of the shared store, which is the same at all nodes: who has heard one node up
-// to a place goes on from there with any other. It is not safe for concurrent use.
+// a position in the shared store, which is the same at all nodes: who has heard one node up
+// to a place goes on from there with any other. A store that has gone back is in another era:
+// its list is read anew, and what differs from the one before are changes of the new era, so
+// that others need not hear it whole. What they knew beside it the sum shows. It is not safe
+// for concurrent use.
 type directory struct {
-	servers  map[string]*backend.Server
-	revision int64
-	readAt   time.Time
+	servers map[string]*backend.Server
+	at      coordination.Position
+	readAt  time.Time
 	// sum tells the servers apart from other sets of them. If another node that knows the
 	// same place has another sum, this one has missed something, and is to be told all.
 	sum     uint64
 	differs bool
-	// log holds the last changes in the order of their revisions. Those up to forgotten are
+	// log holds the last changes in the order of their places. Those up to forgotten are
 	// not in it.
 	log       []logged
-	forgotten int64
+	forgotten coordination.Position
 }
 
 // logged is one change: a server was written, or has vanished.
 type logged struct {
-	revision int64
+	at       coordination.Position
 	instance string
 }
 
@@ -61,7 +71,7 @@
 // take takes a listing, and returns what it changes. A listing that is older than what is
 // known changes nothing: servers that have left would be back in it.
 func (d *directory) take(l listing) (changed []*backend.Server, gone []string) {
-	if l.revision < d.revision {
+	if l.at.Before(d.at) {
 		return nil, nil
 	}
 	left := l.gone
@@ -83,7 +93,7 @@
 		d.servers[server.Instance] = server
 		d.sum += sumOf(server)
 		if !fresh {
-			d.note(logged{revision: server.Revision, instance: server.Instance})
+			d.note(logged{at: l.written(server), instance: server.Instance})
 		}
 	}
 	for _, instance := range left {
@@ -93,13 +103,17 @@
 			gone = append(gone, instance)
 		}
 		// Who heard of it from others may not know yet that it has gone.
-		d.note(logged{revision: l.revision, instance: instance})
+		d.note(logged{at: l.at, instance: instance})
 	}
 	d.differs = l.sum != 0 && l.sum != d.sum
 	if fresh {
-		d.forgotten = l.revision
+		d.forgotten = l.at
+	}
+	if l.at.Era != d.at.Era && !l.whole && !d.at.IsZero() {
+		// What the store has lost is in none of its changes.
+		d.differs = d.differs || l.sum == 0
 	}
-	d.revision = l.revision
+	d.at = l.at
 	if l.readAt.After(d.readAt) {
 		d.readAt = l.readAt
 	}
@@ -118,12 +132,12 @@
 	return sum
 }
 
-// place is from where this node is to be told. It is 0 for one that is to be told all.
-func (d *directory) place() int64 {
+// place is from where this node is to be told. It is zero for one that is to be told all.
+func (d *directory) place() coordination.Position {
 	if d.differs {
-		return 0
+		return coordination.Position{}
 	}
-	return d.revision
+	return d.at
 }
 
 // missing returns the instances of the known servers that a whole list does not hold.
@@ -143,31 +157,31 @@
 
 // note remembers a change, and forgets the oldest ones.
 func (d *directory) note(change logged) {
-	at := sort.Search(len(d.log), func(i int) bool { return d.log[i].revision > change.revision })
+	at := sort.Search(len(d.log), func(i int) bool { return change.at.Before(d.log[i].at) })
 	d.log = slices.Insert(d.log, at, change)
 	if len(d.log) > logKept {
 		dropped := len(d.log) - logKept/2
-		d.forgotten = max(d.forgotten, d.log[dropped-1].revision)
+		d.forgotten = d.forgotten.Later(d.log[dropped-1].at)
 		d.log = slices.Clone(d.log[dropped:])
 	}
 }
 
-// since returns what has changed since a place, which is 0 for who knows nothing. Who knows
+// since returns what has changed since a place, which is zero for who knows nothing. Who knows
 // more than this node hears of no change, and keeps its place.
-func (d *directory) since(place int64) listing {
-	l := listing{revision: max(place, d.revision), readAt: d.readAt}
-	if place > d.revision || d.revision == 0 {
+func (d *directory) since(place coordination.Position) listing {
+	l := listing{at: d.at.Later(place), readAt: d.readAt}
+	if d.at.Before(place) || d.at.IsZero() {
 		return l
 	}
 	l.sum = d.sum
-	if place == 0 || place < d.forgotten {
+	if place.IsZero() || place.Before(d.forgotten) {
 		l.whole, l.changed = true, make([]backend.Server, 0, len(d.servers))
 		for _, server := range d.servers {
 			l.changed = append(l.changed, *server)
 		}
 		return l
 	}
-	at := sort.Search(len(d.log), func(i int) bool { return d.log[i].revision > place })
+	at := sort.Search(len(d.log), func(i int) bool { return place.Before(d.log[i].at) })
 	told := map[string]bool{}
 	for _, change := range d.log[at:] {
 		if told[change.instance] {
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -18,9 +18,9 @@
 // Delta is what the asker lacks of what a node knows.
 type Delta struct {
 	// Feed names the process of the node that tells. Place is from where to read on in the
-	// list of servers, with whichever node: it is a revision of the shared store.
+	// list of servers, with whichever node. A place without an era is that of a former build.
 	Feed  string
-	Place int64
+	Place coordination.Position
 	// Whole says that Changed is the whole list.
 	Whole   bool
 	Changed []backend.Server
@@ -61,7 +61,7 @@
 type Question struct {
 	// Feed is that of the last answer.
 	Feed  string
-	Place int64
+	Place coordination.Position
 	Wait  time.Duration
 	// Loads is how far the asker knows the roll-out of weights.
 	Loads backend.LoadsMark
@@ -125,7 +125,7 @@
 
 // place is from where this node is to be told of servers, and readAt when its list was
 // certainly not in the past.
-func (f *Feed) place() (place int64, readAt time.Time) {
+func (f *Feed) place() (place coordination.Position, readAt time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.servers.place(), f.servers.readAt
@@ -176,7 +176,7 @@
 
 // listing is what a delta tells of servers, by an answer to a question sent at a time.
 func (d *Delta) listing(sentAt time.Time) listing {
-	return listing{whole: d.Whole, changed: d.Changed, gone: d.Gone, revision: d.Place, readAt: sentAt.Add(-d.Age), sum: d.Sum}
+	return listing{whole: d.Whole, changed: d.Changed, gone: d.Gone, at: d.Place, readAt: sentAt.Add(-d.Age), sum: d.Sum}
 }
 
 // Wake lets waiting questions look again, after a change of the belief.
@@ -201,6 +201,9 @@
 	if question.Feed != f.name {
 		question.SuspicionsPlace = 0
 	}
+	if place, _ := f.place(); question.Place.Era == 0 && question.Place.Revision != 0 {
+		question.Place.Era = place.Era
+	}
 	f.requests.Take(question.Suspicions, question.Node, boottime.Now())
 	delta := f.await(ctx, question)
 	f.addSuspicions(&delta, question, boottime.Now())
@@ -278,7 +281,7 @@
 	defer f.mutex.Unlock()
 	l := f.servers.since(question.Place)
 	delta := Delta{
-		Feed: f.name, Place: l.revision, Age: boottime.Since(l.readAt),
+		Feed: f.name, Place: l.at, Age: boottime.Since(l.readAt),
 		Whole: l.whole, Changed: l.changed, Gone: l.gone, Sum: l.sum,
 	}
 	if question.Loads.Before(f.loads.Mark) {
--- a/internal/reflector/feed_test.go
+++ b/internal/reflector/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/property"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
@@ -25,12 +27,35 @@
 
 // history is the list of servers as the shared store has held it, revision by revision.
 type history struct {
+	era      int64
 	revision int64
 	servers  map[string]backend.Server
+	// past holds what the store held at each revision of this era.
+	past map[int64]map[string]backend.Server
+}
+
+// at is a place in a store that has never gone back.
+func at(revision int64) coordination.Position {
+	return coordination.Position{Era: 1, Revision: revision}
+}
+
+// place is where the store is.
+func (h *history) place() coordination.Position {
+	return coordination.Position{Era: h.era, Revision: h.revision}
+}
+
+// goBack lets the store come back as it was some revisions ago.
+func (h *history) goBack(t *rapid.T) {
+	h.past[h.revision] = maps.Clone(h.servers)
+	h.era++
+	h.revision = max(1, h.revision-rapid.Int64Range(0, 12).Draw(t, "back"))
+	h.servers = maps.Clone(h.past[h.revision])
+	maps.DeleteFunc(h.past, func(revision int64, _ map[string]backend.Server) bool { return revision > h.revision })
 }
 
 // change writes a server anew, or takes it away.
 func (h *history) change(t *rapid.T) {
+	h.past[h.revision] = maps.Clone(h.servers)
 	h.revision++
 	instance := fmt.Sprint("i-", rapid.IntRange(0, 7).Draw(t, "server"))
 	if rapid.Bool().Draw(t, "leaves") {
@@ -69,30 +94,34 @@
 
 // Whichever of two nodes it asks, and whatever these missed, a node has the list as the
 // store held it up to its place, its place never goes back, and it is told the whole list
-// only at first.
+// only at first. That holds though the store itself may go back.
 func TestANodeHasTheListUpToItsPlaceWhoeverItAsks(t *testing.T) {
 	property.Check(t, func(t *rapid.T) {
-		store := &history{revision: 1, servers: map[string]backend.Server{}}
-		at := map[int64][]backend.Server{}
+		store := &history{era: 1, revision: 1, servers: map[string]backend.Server{}, past: map[int64]map[string]backend.Server{}}
+		held := map[coordination.Position][]backend.Server{}
 		feeds := []*Feed{newFeed("one"), newFeed("two")}
 		own := newDirectory()
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			store.change(t)
+			if rapid.IntRange(0, 7).Draw(t, "goes back") == 0 {
+				store.goBack(t)
+			} else {
+				store.change(t)
+			}
 			plain := store.list()
 			for i := range plain {
 				plain[i].Revision = 0
 			}
-			at[store.revision] = plain
+			held[store.place()] = plain
 			feed := feeds[rapid.IntRange(0, 1).Draw(t, "feed")]
 			if rapid.Bool().Draw(t, "reads") {
-				feed.take(wholeList(store.list(), store.revision, time.Now()))
+				feed.take(listing{whole: true, changed: store.list(), at: store.place(), readAt: time.Now()})
 			}
 			if rapid.Bool().Draw(t, "asks") {
-				before := own.revision
+				before := own.at
 				delta := feed.Answer(context.Background(), Question{Place: own.place()})
 				own.take(delta.listing(time.Now()))
-				require.GreaterOrEqual(t, own.revision, before)
-				require.False(t, delta.Whole && before > 0 && feed.servers.forgotten <= before, "nothing was missing")
+				require.False(t, own.at.Before(before))
+				require.False(t, delta.Whole && !before.IsZero() && !before.Before(feed.servers.forgotten), "nothing was missing")
 				if own.differs {
 					// Two readings of that node missed a server that came and went.
 					delta, _ := feed.since(Question{Place: own.place()})
@@ -100,8 +129,8 @@
 					own.take(delta.listing(time.Now()))
 					require.False(t, own.differs)
 				}
-				if own.revision > 0 {
-					require.ElementsMatch(t, at[own.revision], descriptions(own.servers))
+				if !own.at.IsZero() {
+					require.ElementsMatch(t, held[own.at], descriptions(own.servers))
 				}
 			}
 		}
@@ -113,12 +142,12 @@
 	list := []backend.Server{{Instance: "i-1", Revision: 1, Versions: map[string]int64{"m": 1}}}
 	feed.take(wholeList(list, 1, time.Now()))
 	feed.take(wholeList([]backend.Server{{Instance: "i-1", Revision: 2, Versions: map[string]int64{"m": 1}}}, 2, time.Now()))
-	delta := feed.Answer(context.Background(), Question{Place: 1})
+	delta := feed.Answer(context.Background(), Question{Place: at(1)})
 	require.False(t, delta.Whole)
 	require.Empty(t, delta.Changed)
-	require.Equal(t, int64(2), delta.Place)
+	require.Equal(t, at(2), delta.Place)
 	feed.take(wholeList(nil, 3, time.Now()))
-	require.Equal(t, []string{"i-1"}, feed.Answer(context.Background(), Question{Place: 1, Wait: time.Hour}).Gone, "it does not wait for what is there")
+	require.Equal(t, []string{"i-1"}, feed.Answer(context.Background(), Question{Place: at(1), Wait: time.Hour}).Gone, "it does not wait for what is there")
 }
 
 func TestWhoLoadsIsPassedOnOnce(t *testing.T) {
@@ -133,11 +162,11 @@
 func TestAForgottenPastIsMadeUpForByTheWholeList(t *testing.T) {
 	feed := newFeed("one")
 	feed.take(wholeList([]backend.Server{{Instance: "stays", Revision: 1}}, 1, time.Now()))
-	require.False(t, feed.Answer(context.Background(), Question{Place: 1}).Whole)
+	require.False(t, feed.Answer(context.Background(), Question{Place: at(1)}).Whole)
 	for number := range int64(logKept + 1) {
-		feed.take(listing{changed: []backend.Server{{Instance: fmt.Sprint("i-", number), Revision: 2 + number}}, revision: 2 + number, readAt: time.Now()})
+		feed.take(listing{changed: []backend.Server{{Instance: fmt.Sprint("i-", number), Revision: 2 + number}}, at: at(2 + number), readAt: time.Now()})
 	}
-	require.True(t, feed.Answer(context.Background(), Question{Place: 1}).Whole)
+	require.True(t, feed.Answer(context.Background(), Question{Place: at(1)}).Whole)
 	require.Len(t, feed.servers.log, logKept/2)
 	require.False(t, feed.Answer(context.Background(), Question{Place: feed.servers.forgotten}).Whole)
 }
@@ -149,11 +178,11 @@
 	one.take(wholeList(list, 2, time.Now()))
 	two.take(wholeList(list, 2, time.Now()))
 	place := one.Answer(context.Background(), Question{}).Place
-	two.take(listing{changed: []backend.Server{{Instance: "i-3", Revision: 3}}, gone: []string{"i-1"}, revision: 4, readAt: time.Now()})
+	two.take(listing{changed: []backend.Server{{Instance: "i-3", Revision: 3}}, gone: []string{"i-1"}, at: at(4), readAt: time.Now()})
 	delta := two.Answer(context.Background(), Question{Place: place})
 	require.False(t, delta.Whole)
 	require.Equal(t, "i-3", delta.Changed[0].Instance)
 	require.Len(t, delta.Changed, 1)
 	require.Equal(t, []string{"i-1"}, delta.Gone)
-	require.Equal(t, int64(4), delta.Place)
+	require.Equal(t, at(4), delta.Place)
 }
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -104,7 +104,7 @@
 func (r *Reflector) newcomer() bool {
 	belief := r.Belief.Load()
 	place, _ := r.Feed.place()
-	return belief == nil || belief.Snapshot == nil || place == 0
+	return belief == nil || belief.Snapshot == nil || place.IsZero()
 }
 
 // others returns the addresses without this node's own.
@@ -180,8 +180,11 @@
 		return err
 	}
 	told.answered(delta, toldUpTo)
+	foreign := !r.takeEra(&delta)
 	r.Quarantine.Take(delta.Suspicions, delta.Feed, boottime.Now())
-	r.takeServers(delta.listing(sentAt))
+	if !foreign {
+		r.takeServers(delta.listing(sentAt))
+	}
 	if delta.Loads != nil {
 		r.TakeLoads(*delta.Loads)
 	}
@@ -198,12 +201,25 @@
 	if delta.BeliefAge >= 0 {
 		r.believe(delta, sentAt)
 	}
-	if stale := r.stale(); delta.Age > stale || delta.BeliefAge < 0 || delta.BeliefAge > stale {
+	if stale := r.stale(); foreign || delta.Age > stale || delta.BeliefAge < 0 || delta.BeliefAge > stale {
 		return errStale
 	}
 	return nil
 }
 
+// takeEra takes the era in which another node's list was read, and reports whether that list
+// can be followed. A build that knows no eras is taken to be in this node's, until the store is
+// known to have gone back: from then on such a build keeps the list that it had.
+func (r *Reflector) takeEra(delta *Delta) bool {
+	era, since := r.Eras.State()
+	if delta.Place.Era != 0 {
+		r.Eras.Observe(delta.Place.Era)
+		return true
+	}
+	delta.Place.Era = era
+	return since.IsZero() || delta.Place.Revision == 0
+}
+
 // telling is how far a node has exchanged with a feed what requests have done to servers.
 type telling struct {
 	feed string
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -53,13 +53,13 @@
 	return nil, true, nil
 }
 func (c *counting) View(context.Context) ([]byte, error) { return nil, nil }
-func (c *counting) AwaitDeclared(_ context.Context, after int64, _ time.Duration) (bool, int64, error) {
+func (c *counting) AwaitDeclared(_ context.Context, after coordination.Position, _ time.Duration) (bool, coordination.Position, error) {
 	return false, after, nil
 }
 
 // wholeList is a list that was read at a time and a revision of the store.
-func wholeList(list []backend.Server, revision int64, at time.Time) listing {
-	return listing{whole: true, changed: list, revision: revision, readAt: at}
+func wholeList(list []backend.Server, revision int64, readAt time.Time) listing {
+	return listing{whole: true, changed: list, at: at(revision), readAt: readAt}
 }
 
 // newFollower returns a reflector of a node that is no reader.
@@ -212,7 +212,7 @@
 	old.take(wholeList(both, 2, begin.Add(-time.Second)))
 	own := newDirectory()
 	ask := func(feed *Feed) bool {
-		delta := feed.Answer(context.Background(), Question{Place: own.revision})
+		delta := feed.Answer(context.Background(), Question{Place: own.at})
 		changed, gone := own.take(delta.listing(begin))
 		return len(changed)+len(gone) > 0
 	}
@@ -256,7 +256,7 @@
 		settleAs(node.Registry, fits)
 		_ = node.ask(context.Background(), "first", &telling{})
 		require.Equal(t, part == "reader", node.Registry.Exists("holder"))
-		require.Equal(t, part == "reader", !node.Registry.FirstSeen("holder", 4).IsZero())
+		require.Equal(t, part == "reader", !node.Registry.FirstSeen("holder", coordination.Position{Revision: 4}).IsZero())
 	}
 }
 
@@ -360,13 +360,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		node := newFollower(&counting{}, &answering{lost: true})
 		node.takeServers(wholeList([]backend.Server{{Instance: "i-1", Service: "s", Revision: 1}}, 1, time.Now()))
-		node.takeServers(listing{gone: []string{"i-1"}, revision: 2, readAt: time.Now()})
+		node.takeServers(listing{gone: []string{"i-1"}, at: at(2), readAt: time.Now()})
 		candidates := func() int {
 			return len(node.Set.Candidates(nil, backend.Query{Service: "s", Distance: func(string) int { return 0 }}, time.Now()))
 		}
 		require.Equal(t, 1, candidates(), "the list may have lost it")
 		time.Sleep(time.Minute)
-		node.takeServers(listing{revision: 2, readAt: time.Now()})
+		node.takeServers(listing{at: at(2), readAt: time.Now()})
 		require.Zero(t, candidates())
 	})
 }
--- a/internal/reflector/growth_test.go
+++ b/internal/reflector/growth_test.go
@@ -90,7 +90,7 @@
 
 		rest := int(c.perRound(2))
 		reader := c.first()
-		reader.takeServers(listing{gone: []string{"i-0000000003"}, revision: servers + 1, readAt: time.Now()})
+		reader.takeServers(listing{gone: []string{"i-0000000003"}, at: at(servers + 1), readAt: time.Now()})
 		turns := c.rounds()
 		costs.change = c.sum()/nodes - turns*rest
 
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -34,8 +34,8 @@
 	Whole   bool
 	Servers []backend.Server
 	Gone    []string
-	// Revision is the store's up to which all this reaches.
-	Revision int64
+	// At is up to where all this reaches in the store.
+	At coordination.Position
 	// Duties holds the entries of the duties that nodes hold, and Nodes those of the
 	// nodes, which is nil if they are as they were.
 	Duties []coordination.Entry
@@ -58,9 +58,9 @@
 	// View reads what a first node has published of the fleet, as it may have been seconds
 	// before, or nil. It costs a tenth.
 	View(ctx context.Context) ([]byte, error)
-	// AwaitDeclared waits for a change of what operators wrote after a revision of the
-	// store. It returns whether there was one, and the revision to wait on from.
-	AwaitDeclared(ctx context.Context, after int64, wait time.Duration) (changed bool, at int64, err error)
+	// AwaitDeclared waits for a change of what operators wrote after a position. It returns
+	// whether there was one, and the position to wait on from.
+	AwaitDeclared(ctx context.Context, after coordination.Position, wait time.Duration) (changed bool, at coordination.Position, err error)
 }
 
 // Peers asks other nodes for what they know.
@@ -128,6 +128,8 @@
 	// TakeHeld takes the requests that the store holds off. It must not block.
 	TakeHeld func(held []coordination.Entry)
 	Recorder Recorder
+	// Eras follows the era of the store, which others may hear of before this node does.
+	Eras *coordination.Eras
 	// Bound is the age that what a node knows must never reach.
 	Bound time.Duration
 
@@ -143,8 +145,8 @@
 	listing   sync.Mutex
 	// failures counts the readings that have failed in a row.
 	failures atomic.Int64
-	// revision is the store's at the last reading of the declaration.
-	revision atomic.Int64
+	// readUpTo is where the store was at the last reading of the declaration.
+	readUpTo atomic.Pointer[coordination.Position]
 	// upstream is the address of the node that is followed.
 	upstream atomic.Pointer[string]
 }
@@ -244,7 +246,7 @@
 	}
 	r.takeServers(listing{
 		whole: observation.Whole, changed: observation.Servers, gone: observation.Gone,
-		revision: observation.Revision, readAt: begun,
+		at: observation.At, readAt: begun,
 	})
 	r.Registry.ObserveDuties(observation.Duties, boottime.Now())
 	r.TakeHeld(observation.Held)
@@ -283,13 +285,13 @@
 // watch lets the first reader read what operators wrote as soon as it has changed. What
 // a watch misses is found by the next reading.
 func (r *Reflector) watch(ctx context.Context) {
-	after := int64(0)
+	after := coordination.Position{}
 	for ctx.Err() == nil {
-		if after == 0 {
-			after = r.revision.Load()
+		if read := r.readUpTo.Load(); after.IsZero() && read != nil {
+			after = *read
 		}
-		if !r.leads() || after == 0 {
-			after = 0
+		if !r.leads() || after.IsZero() {
+			after = coordination.Position{}
 			pause.For(ctx, settledPoll)
 			continue
 		}
@@ -299,13 +301,13 @@
 			err = r.bounded(ctx, r.observe)
 		}
 		if err != nil {
-			after = 0
+			after = coordination.Position{}
 			pause.For(ctx, watchPause)
 		}
 	}
 }
 
-func (r *Reflector) awaitDeclared(ctx context.Context, after int64) (changed bool, at int64, err error) {
+func (r *Reflector) awaitDeclared(ctx context.Context, after coordination.Position) (changed bool, at coordination.Position, err error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
 	defer cancel()
 	return r.Source.AwaitDeclared(ctx, after, watchWait)
@@ -318,7 +320,9 @@
 	before := r.Belief.Load()
 	after := catalog.Advance(before, reading)
 	r.Belief.Store(after)
-	r.revision.Store(max(r.revision.Load(), reading.Revision))
+	if read := r.readUpTo.Load(); read == nil || read.Before(reading.At) {
+		r.readUpTo.Store(&reading.At)
+	}
 	r.Recorder.Declared(before, after)
 	if before == nil || before.Snapshot != after.Snapshot || !before.SameWeights(after) {
 		r.Feed.Wake()
--- a/internal/reflector/reflector_test.go
+++ b/internal/reflector/reflector_test.go
@@ -28,8 +28,8 @@
 	return nil, false, refusing.err
 }
 func (refusing refusing) View(context.Context) ([]byte, error) { return nil, refusing.err }
-func (refusing refusing) AwaitDeclared(context.Context, int64, time.Duration) (bool, int64, error) {
-	return false, 0, refusing.err
+func (refusing refusing) AwaitDeclared(context.Context, coordination.Position, time.Duration) (bool, coordination.Position, error) {
+	return false, coordination.Position{}, refusing.err
 }
 
 type silent struct{}
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -57,8 +57,10 @@
 
 // wireQuestion is a Question on the wire.
 type wireQuestion struct {
-	Feed        string
-	Place       int64
+	Feed  string
+	Place int64
+	// Era is that of Place; 0 comes from builds that know none.
+	Era         int64
 	Wait        time.Duration
 	Loads       backend.LoadsMark
 	Node        string
@@ -77,7 +79,7 @@
 // encode writes a question.
 func (q Question) encode(w io.Writer) error {
 	wired := wireQuestion{
-		Feed: q.Feed, Place: q.Place, Wait: q.Wait, Loads: q.Loads, Node: q.Node, Declaration: q.Declaration, Fleet: q.Fleet,
+		Feed: q.Feed, Place: q.Place.Revision, Era: q.Place.Era, Wait: q.Wait, Loads: q.Loads, Node: q.Node, Declaration: q.Declaration, Fleet: q.Fleet,
 		Relay: q.Relay, Reader: q.Reader, Work: q.Own.Work, Quota: q.Own.Quota.Encode(), Kept: q.Kept,
 		SuspicionsPlace: q.SuspicionsPlace,
 	}
@@ -98,7 +100,7 @@
 		return Question{}, errors.Trace(err)
 	}
 	q := Question{
-		Feed: w.Feed, Place: w.Place, Wait: w.Wait, Loads: w.Loads, Node: w.Node, Declaration: w.Declaration, Fleet: w.Fleet,
+		Feed: w.Feed, Place: coordination.Position{Era: w.Era, Revision: w.Place}, Wait: w.Wait, Loads: w.Loads, Node: w.Node, Declaration: w.Declaration, Fleet: w.Fleet,
 		Relay: w.Relay, Reader: w.Reader, Kept: w.Kept, SuspicionsPlace: w.SuspicionsPlace,
 	}
 	if w.Suspicions != nil {
@@ -116,6 +118,7 @@
 type wireDelta struct {
 	Feed         string
 	Place        int64
+	Era          int64
 	Age          time.Duration
 	BeliefAge    time.Duration
 	DisturbedAgo time.Duration
@@ -156,7 +159,7 @@
 // encode writes a delta.
 func (d Delta) encode(w io.Writer) error {
 	wired := wireDelta{
-		Feed: d.Feed, Place: d.Place, Age: d.Age, BeliefAge: d.BeliefAge, DisturbedAgo: d.DisturbedAgo,
+		Feed: d.Feed, Place: d.Place.Revision, Era: d.Place.Era, Age: d.Age, BeliefAge: d.BeliefAge, DisturbedAgo: d.DisturbedAgo,
 		Weights: d.Weights, Nodes: d.Nodes, Sum: d.Sum, Work: d.Others.Work, Quota: d.Others.Quota.Encode(), Kept: d.Kept,
 	}
 	if d.Whole || len(d.Changed)+len(d.Gone) > 0 {
@@ -204,7 +207,7 @@
 		return Delta{}, err
 	}
 	return Delta{
-		Feed: w.Feed, Place: w.Place, Age: w.Age, BeliefAge: w.BeliefAge, DisturbedAgo: w.DisturbedAgo,
+		Feed: w.Feed, Place: coordination.Position{Era: w.Era, Revision: w.Place}, Age: w.Age, BeliefAge: w.BeliefAge, DisturbedAgo: w.DisturbedAgo,
 		Weights: w.Weights, Nodes: w.Nodes, Sum: w.Sum, Others: workshare.Report{Work: w.Work, Quota: used}, Kept: w.Kept,
 		Whole: servers.Whole, Changed: changed, Gone: servers.Gone, Loads: rest.Loads,
 		Declaration: rest.Declaration, Fleet: rest.Fleet, Duties: rest.Duties,
--- a/internal/reflector/transport_bench_test.go
+++ b/internal/reflector/transport_bench_test.go
@@ -12,7 +12,7 @@
 // BenchmarkDelta is the time to write and read a usual answer among 295 nodes before 240
 // servers: nothing has changed but the work.
 func BenchmarkDelta(b *testing.B) {
-	delta := Delta{Feed: "relay 1", Place: 7, Age: time.Second, BeliefAge: time.Second, DisturbedAgo: -1, Weights: map[string]int64{"m": 3}, Kept: make([]byte, 1000)}
+	delta := Delta{Feed: "relay 1", Place: at(7), Age: time.Second, BeliefAge: time.Second, DisturbedAgo: -1, Weights: map[string]int64{"m": 3}, Kept: make([]byte, 1000)}
 	for number := range 240 {
 		delta.Others.Work = append(delta.Others.Work, backend.Work{Server: backend.ServerKey(string(rune(number))), Running: number % 5, QueuedTokens: number})
 	}
@@ -36,7 +36,7 @@
 // BenchmarkWholeList is the time to write, and to read, the whole list of 10,000 servers, as a
 // relay does for each of its followers when all nodes start, and each follower once.
 func BenchmarkWholeList(b *testing.B) {
-	delta := Delta{Feed: "relay 1", Place: 7, Whole: true, Changed: manyServers(10_000)}
+	delta := Delta{Feed: "relay 1", Place: at(7), Whole: true, Changed: manyServers(10_000)}
 	encoded := bytes.Buffer{}
 	if err := delta.encode(&encoded); err != nil {
 		b.Fatal(err)
--- a/internal/reflector/transport_test.go
+++ b/internal/reflector/transport_test.go
@@ -62,13 +62,13 @@
 
 func TestADeltaIsReadAsItWasWritten(t *testing.T) {
 	whole := Delta{
-		Feed: "f", Place: 3, Whole: true, Changed: []backend.Server{{Instance: "i", Address: "a", Revision: 3, Versions: map[string]int64{"m": 1}}}, Gone: []string{"g"},
+		Feed: "f", Place: at(3), Whole: true, Changed: []backend.Server{{Instance: "i", Address: "a", Revision: 3, Versions: map[string]int64{"m": 1}}}, Gone: []string{"g"},
 		Loads: &backend.Loads{Mark: backend.LoadsMark{Fence: 1, Sequence: 2}}, Age: 4, BeliefAge: 5, DisturbedAgo: 6,
 		Declaration: &catalog.Declaration{Version: 7}, Weights: map[string]int64{"m": 2},
 		Fleet: &fleet.View{Nodes: 9, Roomy: 2, First: []coordination.Entry{{Key: "n", Value: []byte("v"), Revision: 8}}}, Nodes: 9, Sum: 12, Duties: []coordination.Entry{{Key: "d"}},
 		Others: workshare.Report{Work: []backend.Work{{Server: 9, Running: 1}}}, Kept: []byte{1},
 	}
-	usual := Delta{Feed: "f", Place: 3, BeliefAge: 1, DisturbedAgo: -1, Others: whole.Others}
+	usual := Delta{Feed: "f", Place: at(3), BeliefAge: 1, DisturbedAgo: -1, Others: whole.Others}
 	for _, delta := range []Delta{whole, usual} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			require.NoError(t, delta.encode(w))
@@ -83,7 +83,7 @@
 
 func TestAQuestionIsReadAsItWasWritten(t *testing.T) {
 	whole := Question{
-		Feed: "f", Place: 3, Wait: 4, Loads: backend.LoadsMark{Fence: 2, Sequence: 1}, Node: "n", Declaration: 5, Fleet: 6, Relay: true, Reader: true,
+		Feed: "f", Place: at(3), Wait: 4, Loads: backend.LoadsMark{Fence: 2, Sequence: 1}, Node: "n", Declaration: 5, Fleet: 6, Relay: true, Reader: true,
 		Own: workshare.Report{
 			Work:  []backend.Work{{Server: 1, Running: 2}},
 			Quota: quota.Report{Nodes: 1, Uses: []quota.Use{{Tenant: 7, Asked: 8, Admitted: 9}}},
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -24,6 +24,7 @@
 	suspicions      *prometheus.CounterVec
 	cleared         prometheus.Counter
 	notices         *prometheus.CounterVec
+	wentBack        prometheus.Counter
 	garbled         prometheus.Counter
 	follows         prometheus.Counter
 	storeCalls      *prometheus.CounterVec
@@ -87,6 +88,9 @@
 		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_server_notices_total", Help: "Answers in which servers say that they leave, ask for rest, or say what cannot be read.",
 		}, []string{"notice"}),
+		wentBack: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_store_went_back_total", Help: "Times that the shared store came back from an older copy.",
+		}),
 		garbled: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_garbled_news_total", Help: "Answers of other nodes about cached parts that could not be read.",
 		}),
@@ -115,6 +119,6 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstAnswer, metrics.reads,
-		metrics.orders, metrics.connections, metrics.replaced, metrics.limited, metrics.deferred, metrics.heldOff, metrics.suspicions, metrics.cleared, metrics.notices, metrics.garbled, metrics.follows, metrics.storeCalls, metrics.heardBytes, metrics.version, metrics.suppressedLines, age)
+		metrics.orders, metrics.connections, metrics.replaced, metrics.limited, metrics.deferred, metrics.heldOff, metrics.suspicions, metrics.cleared, metrics.notices, metrics.wentBack, metrics.garbled, metrics.follows, metrics.storeCalls, metrics.heardBytes, metrics.version, metrics.suppressedLines, age)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -13,6 +13,7 @@
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/proxy"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
@@ -370,7 +371,18 @@
 	recorder.log.Warn().Str("from", node).Err(err).Msg("news of cached parts are dropped")
 }
 
+// WentBack hears that the shared store has come back from an older copy.
+func (recorder *Recorder) WentBack(before, after int64) {
+	recorder.metrics.wentBack.Inc()
+	recorder.log.Warn().Int64("before", before).Int64("era", after).Msg("the store has gone back")
+}
+
+// EraIgnored hears of what an answer of the store, or a node, tells of its era and is passed over.
+func (recorder *Recorder) EraIgnored(told string, current int64) {
+	recorder.line(zerolog.WarnLevel).Str("told", told).Int64("era", current).Msg("an era of the store is passed over")
+}
+
 // Unreadable hears of an entry of the store that is skipped.
-func (recorder *Recorder) Unreadable(key string, revision int64, err error) {
-	recorder.log.Warn().Str("key", key).Int64("revision", revision).Err(err).Msg("an entry cannot be read and is skipped")
+func (recorder *Recorder) Unreadable(key string, at coordination.Position, err error) {
+	recorder.log.Warn().Str("key", key).Int64("revision", at.Revision).Err(err).Msg("an entry cannot be read and is skipped")
 }
