Let builds run side by side: formats of messages, golden messages, a soak that replaces nodes

Cause: nodes tell each other by gob with no word of their format, and no test held two builds together; the soak's store lost nothing, its servers got new ids, and nobody else wrote entries. Change: questions and answers name their format; one that is not known is refused whole, with an error that names both, which the asker's log shows. Messages of the former landing are kept as files and read by this build, and its own by copies of the former types. Nodes of the former build are excused from what it does not know.

--- a/cmd/cloverrail-lab/soak.go
+++ b/cmd/cloverrail-lab/soak.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"text/tabwriter"
 	"time"
 
@@ -23,6 +25,7 @@
   go run ./cmd/cloverrail-lab soak --program target/cloverrail --known`,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "program", Value: "target/cloverrail", Usage: "`PATH` of the program under test"},
+			&cli.StringFlag{Name: "former", Usage: "`COMMIT` of another build, by which nodes are replaced and back"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the faults"},
 			&cli.BoolFlag{Name: "known", Usage: "play all seeds that once failed"},
 			&cli.DurationFlag{Name: "duration", Value: time.Minute, Usage: "how long faults go on"},
@@ -49,11 +52,19 @@
 	if command.Bool("known") {
 		seeds = soak.KnownSeeds()
 	}
+	former := ""
+	if commit := command.String("former"); commit != "" {
+		built, err := buildFormer(ctx, commit, folder)
+		if err != nil {
+			return err
+		}
+		former = built
+	}
 	violated := false
 	for _, seed := range seeds {
 		fmt.Printf("seed %d, %s; logs in %s\n", seed.Seed, command.Duration("duration"), folder)
 		verdicts, err := soak.Run(ctx, soak.Config{
-			Program: command.String("program"), Seed: seed.Seed, Faults: seed.Faults, Duration: command.Duration("duration"),
+			Program: command.String("program"), Former: former, Seed: seed.Seed, Faults: seed.Faults, Duration: command.Duration("duration"),
 			Nodes: command.Int("nodes"), Engines: command.Int("engines"), Plain: command.Int("plain"), Callers: command.Int("callers"),
 			RetryExtra: 1000, Folder: folder, Output: os.Stdout,
 		})
@@ -68,6 +79,21 @@
 	return nil
 }
 
+// buildFormer builds the program of a commit of this repository's history, and returns its path.
+func buildFormer(ctx context.Context, commit, folder string) (string, error) {
+	tree, program := filepath.Join(folder, "former"), filepath.Join(folder, "cloverrail-former")
+	for _, step := range [][]string{
+		{"git", "worktree", "add", "--detach", tree, commit},
+		{"go", "-C", tree, "build", "-o", program, "./cmd/cloverrail"},
+		{"git", "worktree", "remove", "--force", tree},
+	} {
+		if output, err := exec.CommandContext(ctx, step[0], step[1:]...).CombinedOutput(); err != nil {
+			return "", errors.Annotatef(err, "commit %s cannot be built, by %v; name one of this repository's: %s", commit, step, output)
+		}
+	}
+	return program, nil
+}
+
 // printVerdicts prints a table, and reports whether a promise was broken.
 func printVerdicts(verdicts []soak.Verdict) bool {
 	violated := false
--- /dev/null
+++ b/internal/reflector/former_test.go
@@ -0,0 +1,224 @@
+package reflector
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/coordination"
+	"github.com/cloverrail/cloverrail/internal/fleet"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
+	"github.com/cloverrail/cloverrail/internal/residency"
+	"github.com/cloverrail/cloverrail/internal/workshare"
+)
+
+// Builds run side by side while nodes are replaced. The files under testdata/former are messages
+// of the build that knew no eras, no starts of servers and no formats; the types named former…
+// are copies of its types.
+
+type formerQuestion struct {
+	Feed            string
+	Place           int64
+	Wait            time.Duration
+	Loads           backend.LoadsMark
+	Node            string
+	Declaration     int64
+	Fleet           uint64
+	Relay           bool
+	Reader          bool
+	Work            []formerWork
+	Quota           []byte
+	Kept            residency.Place
+	Suspicions      []byte
+	SuspicionsPlace int64
+}
+
+type formerWork struct {
+	Server       uint64
+	Running      int
+	QueuedTokens int
+	Suspects     int
+}
+
+type formerDelta struct {
+	Feed         string
+	Place        int64
+	Age          time.Duration
+	BeliefAge    time.Duration
+	DisturbedAgo time.Duration
+	Weights      map[string]int64
+	Nodes        int
+	Sum          uint64
+	Work         []formerWork
+	Quota        []byte
+	Kept         []byte
+	Servers      []byte
+	Rest         []byte
+}
+
+type formerServers struct {
+	Whole   bool
+	Changed formerPacked
+	Gone    []string
+}
+
+type formerPacked struct {
+	Kinds    []formerServer
+	Kind     []int
+	Instance []string
+	Address  []string
+	Revision []int64
+	Created  []int64
+}
+
+type formerServer struct {
+	Instance, Service, Address, Zone string
+	Slots                            int
+	Draining                         bool
+	Versions                         map[string]int64
+	Revision, Created                int64
+}
+
+type formerRest struct {
+	Loads           *backend.Loads
+	Declaration     *catalog.Declaration
+	Fleet           *formerView
+	Duties          []formerEntry
+	Suspicions      []quarantine.Item
+	SuspicionsPlace int64
+}
+
+type formerView struct {
+	Nodes, Roomy int
+	First        []formerEntry
+}
+
+type formerEntry struct {
+	Key      string
+	Value    []byte
+	Revision int64
+}
+
+func golden(t *testing.T, name string) []byte {
+	data, err := os.ReadFile(filepath.Join("testdata", "former", name))
+	require.NoError(t, err)
+	return data
+}
+
+func formerWorkReport() workshare.Report {
+	return workshare.Report{Work: []backend.Work{{Server: 9, Running: 2, QueuedTokens: 40, Suspects: 1}}}
+}
+
+func TestMessagesOfTheFormerBuildAreRead(t *testing.T) {
+	question, err := decodeQuestion(bytes.NewReader(golden(t, "question.gob")))
+	require.NoError(t, err)
+	require.Equal(t, coordination.Position{Revision: 3}, question.Place, "its era is not known")
+	require.Equal(t, "n", question.Node)
+	require.Equal(t, formerWorkReport().Work, question.Own.Work)
+	require.Len(t, question.Suspicions, 1)
+
+	var wired wireDelta
+	require.NoError(t, gob.NewDecoder(bytes.NewReader(golden(t, "delta.gob"))).Decode(&wired))
+	delta, err := wired.delta()
+	require.NoError(t, err)
+	require.Equal(t, coordination.Position{Revision: 3}, delta.Place)
+	require.Equal(t, []backend.Server{{Instance: "i", Service: "s", Address: "a", Zone: "z", Slots: 4, Draining: true, Revision: 3, Created: 2, Versions: map[string]int64{"m": 1}}}, delta.Changed)
+	require.Equal(t, []coordination.Entry{{Key: "d", Revision: 4}}, delta.Duties)
+	require.Equal(t, 9, delta.Fleet.Nodes)
+	require.EqualValues(t, 7, delta.Declaration.Version)
+
+	var group wireGroup
+	require.NoError(t, gob.NewDecoder(bytes.NewReader(golden(t, "group.gob"))).Decode(&group))
+	read, err := group.group()
+	require.NoError(t, err)
+	require.Equal(t, formerWorkReport().Work, read.Report.Work)
+	require.EqualValues(t, 3, read.Loads.Loading[0].Version)
+
+	registry := &fleet.Registry{Name: "n", Prefix: "nodes/", Resized: func(int) {}}
+	require.NoError(t, registry.ObservePublished(golden(t, "view.gob"), time.Now()))
+	require.Equal(t, 9, registry.Nodes())
+}
+
+func TestTheFormerBuildReadsMessages(t *testing.T) {
+	encoded := &bytes.Buffer{}
+	question := Question{Feed: "f", Place: at(3), Node: "n", Declaration: 5, Reader: true, Own: formerWorkReport()}
+	require.NoError(t, question.encode(encoded))
+	var asked formerQuestion
+	require.NoError(t, gob.NewDecoder(encoded).Decode(&asked))
+	require.EqualValues(t, 3, asked.Place)
+	require.Equal(t, []formerWork{{Server: 9, Running: 2, QueuedTokens: 40, Suspects: 1}}, asked.Work)
+
+	encoded.Reset()
+	delta := Delta{
+		Feed: "f", Place: at(3), Whole: true, Changed: []backend.Server{{Instance: "i", Born: 17, Service: "s", Address: "a", Revision: 3, Versions: map[string]int64{"m": 1}}},
+		Fleet: &fleet.View{Nodes: 9, First: []coordination.Entry{{Key: "n", Revision: 8, Era: 1}}}, Duties: []coordination.Entry{{Key: "d", Revision: 4, Era: 1}}, Others: formerWorkReport(),
+	}
+	require.NoError(t, delta.encode(encoded))
+	var told formerDelta
+	require.NoError(t, gob.NewDecoder(encoded).Decode(&told))
+	require.EqualValues(t, 3, told.Place)
+	var servers formerServers
+	require.NoError(t, gob.NewDecoder(bytes.NewReader(told.Servers)).Decode(&servers))
+	require.Equal(t, []string{"i"}, servers.Changed.Instance, "it calls servers by their ids")
+	var rest formerRest
+	require.NoError(t, gob.NewDecoder(bytes.NewReader(told.Rest)).Decode(&rest))
+	require.Equal(t, []formerEntry{{Key: "d", Revision: 4}}, rest.Duties)
+	require.Equal(t, 9, rest.Fleet.Nodes)
+}
+
+// A follower of another build goes on with it while the store is as it was, and leaves it once
+// the store has gone back: that build keeps the list that it had.
+func TestANodeOfTheFormerBuildIsFollowedUntilTheStoreGoesBack(t *testing.T) {
+	former := Delta{Place: coordination.Position{Revision: 5}, Whole: true, Changed: []backend.Server{{Instance: "i-1", Service: "s", Revision: 5}}, BeliefAge: 0}
+	node := newFollower(&counting{}, &fixedAnswer{former})
+	node.Eras = &coordination.Eras{}
+	node.Eras.Observe(1)
+	require.NoError(t, node.ask(context.Background(), "former", &telling{}))
+	place, _ := node.Feed.place()
+	require.Equal(t, at(5), place)
+	node.Eras.Observe(2)
+	former.Place.Revision, former.Changed = 9, nil
+	node.Peers = &fixedAnswer{former}
+	require.Equal(t, errStale, node.ask(context.Background(), "former", &telling{}))
+	place, _ = node.Feed.place()
+	require.Equal(t, at(5), place, "what it tells of servers counts no more")
+}
+
+// fixedAnswer answers each question alike.
+type fixedAnswer struct{ delta Delta }
+
+func (f *fixedAnswer) Ask(context.Context, string, Question) (Delta, error) { return f.delta, nil }
+func (f *fixedAnswer) Group(context.Context, string, GroupQuestion) (Group, error) {
+	return Group{}, nil
+}
+
+func TestAMessageOfAnUnknownFormatIsRefusedWhole(t *testing.T) {
+	encoded := &bytes.Buffer{}
+	require.NoError(t, gob.NewEncoder(encoded).Encode(wireQuestion{Format: messageFormat + 1, Node: "n"}))
+	server := httptest.NewServer(Handler(newFeed("one")))
+	defer server.Close()
+	response, err := http.Post(server.URL, "", encoded)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusBadRequest, response.StatusCode)
+	_, err = wireDelta{Format: messageFormat + 1}.delta()
+	require.ErrorContains(t, err, "format 2, and this node reads up to 1")
+	newer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, checkFormat(messageFormat+1).Error(), http.StatusBadRequest)
+	}))
+	defer newer.Close()
+	caller := &Caller{Client: newer.Client()}
+	_, err = caller.Ask(context.Background(), strings.TrimPrefix(newer.URL, "http://"), Question{})
+	require.ErrorContains(t, err, "format 2")
+}
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -30,6 +30,12 @@
 	// PathWork is where a relay tells other relays of its group's work. It is apart
 	// from PathServers since the description of a Delta alone is longer than most work.
 	PathWork = "/work"
+	// messageFormat is that of questions and answers, which name it; 0 stands for builds that
+	// name none. Within a format fields are only added: who does not know one passes it over,
+	// and 0 or nothing in a new one means what was so before there was one.
+	messageFormat = 1
+	// mostRefusal bounds what is read of why another node refused, in bytes.
+	mostRefusal = 256
 	// maximumQuestion bounds a question in bytes.
 	maximumQuestion = 64 << 10
 	// maximumAnswer bounds an answer in bytes: a whole list of 10,000 servers takes 0.4 MB,
@@ -46,7 +52,7 @@
 	return func(writer http.ResponseWriter, request *http.Request) {
 		question, err := decodeQuestion(io.LimitReader(request.Body, maximumQuestion))
 		if err != nil {
-			writer.WriteHeader(http.StatusBadRequest)
+			http.Error(writer, err.Error(), http.StatusBadRequest)
 			return
 		}
 		question.Wait = min(question.Wait, newcomerWait)
@@ -55,10 +61,19 @@
 	}
 }
 
+// checkFormat refuses a message whole that this build cannot understand.
+func checkFormat(told int) error {
+	if told < 0 || told > messageFormat {
+		return errors.Errorf("the message has format %d, and this node reads up to %d; replace this node by one of the newer build", told, messageFormat)
+	}
+	return nil
+}
+
 // wireQuestion is a Question on the wire.
 type wireQuestion struct {
-	Feed  string
-	Place int64
+	Format int
+	Feed   string
+	Place  int64
 	// Era is that of Place; 0 comes from builds that know none.
 	Era         int64
 	Wait        time.Duration
@@ -79,7 +94,8 @@
 // encode writes a question.
 func (q Question) encode(w io.Writer) error {
 	wired := wireQuestion{
-		Feed: q.Feed, Place: q.Place.Revision, Era: q.Place.Era, Wait: q.Wait, Loads: q.Loads, Node: q.Node, Declaration: q.Declaration, Fleet: q.Fleet,
+		Format: messageFormat,
+		Feed:   q.Feed, Place: q.Place.Revision, Era: q.Place.Era, Wait: q.Wait, Loads: q.Loads, Node: q.Node, Declaration: q.Declaration, Fleet: q.Fleet,
 		Relay: q.Relay, Reader: q.Reader, Work: q.Own.Work, Quota: q.Own.Quota.Encode(), Kept: q.Kept,
 		SuspicionsPlace: q.SuspicionsPlace,
 	}
@@ -99,6 +115,9 @@
 	if err := gob.NewDecoder(r).Decode(&w); err != nil {
 		return Question{}, errors.Trace(err)
 	}
+	if err := checkFormat(w.Format); err != nil {
+		return Question{}, err
+	}
 	q := Question{
 		Feed: w.Feed, Place: coordination.Position{Era: w.Era, Revision: w.Place}, Wait: w.Wait, Loads: w.Loads, Node: w.Node, Declaration: w.Declaration, Fleet: w.Fleet,
 		Relay: w.Relay, Reader: w.Reader, Kept: w.Kept, SuspicionsPlace: w.SuspicionsPlace,
@@ -116,6 +135,7 @@
 // wireDelta is a Delta on the wire. What is needed only now and then is encoded apart, in
 // Rest: the description of its types is longer than most answers.
 type wireDelta struct {
+	Format       int
 	Feed         string
 	Place        int64
 	Era          int64
@@ -159,7 +179,8 @@
 // encode writes a delta.
 func (d Delta) encode(w io.Writer) error {
 	wired := wireDelta{
-		Feed: d.Feed, Place: d.Place.Revision, Era: d.Place.Era, Age: d.Age, BeliefAge: d.BeliefAge, DisturbedAgo: d.DisturbedAgo,
+		Format: messageFormat,
+		Feed:   d.Feed, Place: d.Place.Revision, Era: d.Place.Era, Age: d.Age, BeliefAge: d.BeliefAge, DisturbedAgo: d.DisturbedAgo,
 		Weights: d.Weights, Nodes: d.Nodes, Sum: d.Sum, Work: d.Others.Work, Quota: d.Others.Quota.Encode(), Kept: d.Kept,
 	}
 	if d.Whole || len(d.Changed)+len(d.Gone) > 0 {
@@ -186,6 +207,9 @@
 
 // delta reads a delta.
 func (w wireDelta) delta() (Delta, error) {
+	if err := checkFormat(w.Format); err != nil {
+		return Delta{}, err
+	}
 	var rest wireRest
 	if w.Rest != nil {
 		if err := gob.NewDecoder(bytes.NewReader(w.Rest)).Decode(&rest); err != nil {
@@ -360,7 +384,8 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return errors.Errorf("node %s answered with status %d; run the same version on all nodes", request.URL.Host, response.StatusCode)
+		why, _ := io.ReadAll(io.LimitReader(response.Body, mostRefusal))
+		return errors.Errorf("node %s answered with status %d (%s); run builds that know each other's messages", request.URL.Host, response.StatusCode, bytes.TrimSpace(why))
 	}
 	body := &heard{Reader: io.LimitReader(response.Body, maximumAnswer), quiet: quiet}
 	err = gob.NewDecoder(body).Decode(answer)
