--- /dev/null
+++ b/internal/fleet/era_test.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/coordination"
+	"github.com/cloverrail/cloverrail/internal/lab/storestub"
+)
+
+// writes counts what is written in each second.
+type writes struct {
+	*storestub.Store
+	mutex *sync.Mutex
+	each  map[int64]int
+}
+
+func (w writes) Write(ctx context.Context, key string, value []byte, lease int64) (bool, error) {
+	w.mutex.Lock()
+	w.each[time.Now().Unix()]++
+	w.mutex.Unlock()
+	return w.Store.Write(ctx, key, value, lease)
+}
+
+// The store loses the registrations of all nodes at once. Each is written again within its
+// lease, not all in one second, also where the copy still has a key under a lease that nobody
+// renews; and meanwhile nobody is taken for lost.
+func TestAFleetRegistersAgainAfterTheStoreWentBack(t *testing.T) {
+	for _, nodes := range []int{7, 985} {
+		synctest.Test(t, func(t *testing.T) {
+			store := storestub.New(time.Now, nil)
+			counted := writes{Store: store, mutex: &sync.Mutex{}, each: map[int64]int{}}
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			var all []*Registry
+			start := func(n int) {
+				eras := &coordination.Eras{}
+				eras.Observe(1)
+				r := &Registry{Store: counted, Prefix: "nodes/", Name: fmt.Sprint("n", n), Life: "1", Address: "a", Zone: "z", Eras: eras, Resized: func(int) {}}
+				all = append(all, r)
+				go r.Run(ctx)
+			}
+			start(0)
+			time.Sleep(time.Second)
+			copied := store.Copy()
+			for n := 1; n < nodes; n++ {
+				start(n)
+			}
+			time.Sleep(10 * time.Second)
+			require.Len(t, store.Entries("nodes/"), nodes)
+			reader := all[0]
+			reader.ObserveNodes(store.Entries("nodes/"), time.Now())
+			store.GoBack(copied)
+			clear(counted.each)
+			for _, r := range all {
+				r.Eras.Observe(2)
+			}
+			for went := time.Now(); time.Since(went) < registrationLife-time.Second; time.Sleep(100 * time.Millisecond) {
+				reader.ObserveNodes(store.Entries("nodes/"), time.Now())
+				require.Equal(t, nodes, reader.Nodes(), "nobody is taken for lost")
+			}
+			require.Len(t, store.Entries("nodes/"), nodes, "each is registered again within its lease")
+			most := 0
+			for _, n := range counted.each {
+				most = max(most, n)
+			}
+			require.LessOrEqual(t, most, 3+2*nodes/int((registrationLife/renewals).Seconds()), "they do not come in one second")
+			time.Sleep(2 * registrationLife)
+			require.Len(t, store.Entries("nodes/"), nodes, "and stays so")
+			reader.ObserveNodes(store.Entries("nodes/")[:nodes-1], time.Now())
+			require.Equal(t, nodes-1, reader.Nodes(), "who is lost later is")
+		})
+	}
+}
