Publish the view of the fleet again after the store went back

Cause: the first node wrote it only when it had changed; a store that came back from a copy had none, or an old one, without any call having failed. Test: red without the change (published 1 of 2), green with it.

--- a/internal/fleet/era_test.go
+++ b/internal/fleet/era_test.go
@@ -78,3 +78,26 @@
 		})
 	}
 }
+
+// The view for nodes that start is written again, though it has not changed.
+func TestTheViewIsPublishedAgainAfterTheStoreWentBack(t *testing.T) {
+	eras, published := &coordination.Eras{}, 0
+	eras.Observe(1)
+	r := &Registry{Prefix: "nodes/", Name: "n", Address: "a", Zone: "z", Eras: eras, Resized: func(int) {}, Publish: func(context.Context, []byte) error {
+		published++
+		return nil
+	}}
+	begin := time.Now()
+	entries := []coordination.Entry{{Key: "nodes/n/1", Value: []byte("a z 1")}}
+	r.ObserveNodes(entries, begin)
+	r.ObserveNodes(entries, begin.Add(time.Minute))
+	for range 3 {
+		r.publish(t.Context())
+	}
+	require.Equal(t, 1, published)
+	eras.Observe(2)
+	for range 3 {
+		r.publish(t.Context())
+	}
+	require.Equal(t, 2, published)
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -91,8 +91,10 @@
 	// view is what other nodes are told of the fleet, and digest is its own.
 	view   View
 	digest uint64
-	// published is the digest of the view that this node has written last.
-	published uint64
+	// published is the digest of the view that this node has written last, and publishedIn the
+	// era of the store in which that was.
+	published   uint64
+	publishedIn int64
 }
 
 // place is where a node is reached, and the processor time that it has, in cores.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -39,11 +39,13 @@
 }
 
 // publish writes the view of the fleet for nodes that start, if this is the first node and
-// the view has changed. What cannot be written is tried again with the next renewal.
+// the view has changed, or the store may have lost it. What cannot be written is tried again with the next renewal.
 func (r *Registry) publish(ctx context.Context) {
+	era, _ := r.Eras.State()
 	r.mutex.Lock()
 	view, digest := r.view, r.digest
-	due := r.settled && r.ownRank == 0 && view.Nodes > 0 && digest != r.published && r.Publish != nil
+	news := digest != r.published || era != r.publishedIn
+	due := r.settled && r.ownRank == 0 && view.Nodes > 0 && news && r.Publish != nil
 	r.mutex.Unlock()
 	if !due {
 		return
@@ -56,7 +58,7 @@
 		return
 	}
 	r.mutex.Lock()
-	r.published = digest
+	r.published, r.publishedIn = digest, era
 	r.mutex.Unlock()
 }
 
