--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -4,38 +4,13 @@
 package backend
 
 import (
-	"maps"
 	"math/rand/v2"
-	"slices"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/retry"
-	"github.com/cloverrail/cloverrail/internal/routing"
 )
 
-// Server is one incarnation of a server, as it tells of itself.
-type Server struct {
-	// Instance is its id, and Born the Unix millisecond of its start, or 0 if it does not tell
-	// it: another incarnation may start under the same id. See Incarnation.
-	Instance string
-	Born     int64
-	Service  string
-	Address  string
-	Zone     string
-	// Slots is how many requests it runs at once.
-	Slots    int
-	Draining bool
-	// Versions is the loaded version of each model. It is not changed once it is set:
-	// a change makes a copy. Servers may share it.
-	Versions map[string]int64
-	// Revision is the shared store's at which this was written, and Created that at which the
-	// server came into the list; 0 says that it is not known.
-	Revision int64
-	Created  int64
-}
-
 const (
 	// refusalRest is how long a server that refused is passed over while others
 	// have room. It is about the time in which a full queue moves on.
@@ -142,14 +117,6 @@
 	}
 }
 
-// Incarnation names one life of a server.
-func (server Server) Incarnation() string {
-	if server.Born == 0 {
-		return server.Instance
-	}
-	return server.Instance + "@" + strconv.FormatInt(server.Born, 10)
-}
-
 // find returns the incarnation of a name, or the latest one of an id; nil if there is none.
 func (set *Set) find(name string) *state {
 	if known := set.servers[name]; known != nil {
@@ -332,64 +299,6 @@
 	return servers
 }
 
-// Engines returns the listed servers that hold models: all, or if there are more than most,
-// those at which any node had work within a time before now.
-func (set *Set) Engines(most int, within time.Duration, now time.Time) []Server {
-	set.mutex.Lock()
-	defer set.mutex.Unlock()
-	var servers []Server
-	set.eachEngine(most, within, now, func(known *state) { servers = append(servers, *known.server) })
-	return servers
-}
-
-// CountEngines returns how many servers Engines would.
-func (set *Set) CountEngines(most int, within time.Duration, now time.Time) int {
-	set.mutex.Lock()
-	defer set.mutex.Unlock()
-	count := 0
-	set.eachEngine(most, within, now, func(*state) { count++ })
-	return count
-}
-
-// eachEngine calls a function for each server that Engines returns.
-func (set *Set) eachEngine(most int, within time.Duration, now time.Time, take func(known *state)) {
-	var rings []ring
-	all := 0
-	for _, r := range set.rings {
-		// The servers of a service hold models, or none of them does.
-		if len(r) > 0 && len(r[0].server.Versions) > 0 {
-			rings = append(rings, r)
-			all += len(r)
-		}
-	}
-	takeListed := func(known *state) {
-		if known.listed && !now.Before(known.dealt().goneUntil) && len(known.server.Versions) > 0 {
-			take(known)
-		}
-	}
-	if all > most {
-		for known := range set.used {
-			if now.Sub(known.usedAt) > within {
-				delete(set.used, known)
-			} else {
-				takeListed(known)
-			}
-		}
-		return
-	}
-	for _, r := range rings {
-		for _, known := range r {
-			takeListed(known)
-		}
-	}
-}
-
-// use notes that a node has work at a server.
-func (set *Set) use(known *state, now time.Time) {
-	known.usedAt = now
-	set.used[known] = true
-}
-
 // Stays reports whether a server is listed and has not said that it leaves.
 func (set *Set) Stays(instance string) bool {
 	set.mutex.Lock()
@@ -419,21 +328,6 @@
 	return !dealings.goneUntil.IsZero() || dealings.unreachedAt.After(since)
 }
 
-// Equal reports whether two descriptions say the same, whenever they were written. A server
-// that left the list and came back is another one in this.
-func (server Server) Equal(other Server) bool {
-	return server.Instance == other.Instance && server.Born == other.Born && server.Service == other.Service && server.Address == other.Address &&
-		server.Zone == other.Zone && server.Slots == other.Slots && server.Draining == other.Draining && server.Created == other.Created &&
-		maps.Equal(server.Versions, other.Versions)
-}
-
-func (server Server) clone() Server {
-	versions := make(map[string]int64, len(server.Versions))
-	maps.Copy(versions, server.Versions)
-	server.Versions = versions
-	return server
-}
-
 // Gone notes that another incarnation answered in a server's place. The list goes on
 // to name it until its entry lapses.
 func (set *Set) Gone(instance string, now time.Time) {
@@ -458,71 +352,3 @@
 		known.learn(model, version)
 	}
 }
-
-// Distance returns how far a server's zone is from here, 0 being the same zone.
-type Distance func(zone string) int
-
-// Query says which servers a request may go to.
-type Query struct {
-	Service string
-	// Model is empty for plain services; MinimumVersion is the oldest version of
-	// its weights that may still serve.
-	Model          string
-	MinimumVersion int64
-	Distance       Distance
-	// Near and Most choose Most servers of a large service, those whose keys follow Near.
-	// All nodes find the same ones for the same Near. If Most is 0, all are meant.
-	Near uint64
-	Most int
-}
-
-// Candidates appends the servers of a service as routing sees them.
-func (set *Set) Candidates(candidates []routing.Candidate, query Query, now time.Time) []routing.Candidate {
-	set.mutex.Lock()
-	defer set.mutex.Unlock()
-	around := set.rings[query.Service]
-	anyListed := slices.ContainsFunc(around, func(s *state) bool { return s.listed && !s.leaving() })
-	most := len(around)
-	if query.Most > 0 {
-		most = min(most, query.Most)
-	}
-	candidates = slices.Grow(candidates, most)
-	first, found := around.after(query.Near), 0
-	for i := 0; i < len(around) && found < most; i++ {
-		known := around[(first+i)%len(around)]
-		if now.Before(known.dealt().goneUntil) || (!known.listed && (anyListed || known.leaving())) {
-			continue
-		}
-		found++
-		candidates = append(candidates, known.candidate(query, set.othersAt(known, now), set.loads(known, query.Model, now), now))
-	}
-	return candidates
-}
-
-// running counts the attempts that others have to wait for.
-func (d *dealings) running() int { return d.inFlight - d.deferred }
-
-func (state *state) candidate(query Query, others Work, loading bool, now time.Time) routing.Candidate {
-	version := state.server.Versions[query.Model]
-	dealings := state.dealt()
-	return routing.Candidate{
-		Endpoint:     state.server.Incarnation(),
-		Address:      state.server.Address,
-		Zone:         state.server.Zone,
-		Pool:         state.server.Service,
-		Epoch:        state.server.Instance,
-		Version:      version,
-		Ready:        query.Model == "" || (version > 0 && version >= query.MinimumVersion && !loading),
-		Leaving:      state.leaving(),
-		RestLeft:     dealings.rest.left(now),
-		Loading:      loading,
-		Resting:      !dealings.breaker.Allows(now) || others.Suspects >= enoughSuspects,
-		Busy:         now.Before(dealings.busyUntil) || dealings.rest.full(dealings.running()+others.Running, state.server.Slots),
-		InFlight:     dealings.inFlight,
-		Running:      dealings.running() + others.Running,
-		Slots:        state.server.Slots,
-		QueuedTokens: dealings.queuedTokens + others.QueuedTokens,
-		Distance:     query.Distance(state.server.Zone),
-		FailureShare: dealings.failures.at(now),
-	}
-}
--- a/internal/coordination/position.go
+++ b/internal/coordination/position.go
@@ -61,6 +61,10 @@
 
 	mutex   sync.Mutex
 	current int64
+	// ignored is what was passed over last, since an answer counted; nil if nothing was.
+	ignored *string
+	// next is closed at the next change.
+	next chan struct{}
 	// since is when the store was first known to have gone back to the era.
 	since time.Time
 }
@@ -82,10 +86,27 @@
 	return e.current, e.since
 }
 
+// Next returns a channel that is closed when the store has gone back the next time.
+func (e *Eras) Next() <-chan struct{} {
+	if e == nil {
+		return nil
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.next == nil {
+		e.next = make(chan struct{})
+	}
+	return e.next
+}
+
 // Ignore takes what an answer tells of its era if that is none. A store that never named one
-// need not.
+// need not, and one that goes on to tell the same is named once.
 func (e *Eras) Ignore(told string) {
-	if current := e.Current(); (current != 0 || told != "") && e.Ignored != nil {
+	e.mutex.Lock()
+	current, news := e.current, e.ignored == nil || *e.ignored != told
+	e.ignored = &told
+	e.mutex.Unlock()
+	if news && (current != 0 || told != "") && e.Ignored != nil {
 		e.Ignored(told, current)
 	}
 }
@@ -100,9 +121,16 @@
 	before := e.current
 	counts = era >= before
 	changed := era > before && before != 0
+	if counts {
+		e.ignored = nil
+	}
 	e.current = max(before, era)
 	if changed {
 		e.since = boottime.Now()
+		if e.next != nil {
+			close(e.next)
+			e.next = nil
+		}
 	}
 	e.mutex.Unlock()
 	switch {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -39,7 +39,8 @@
 }
 
 // publish writes the view of the fleet for nodes that start, if this is the first node and
-// the view has changed, or the store may have lost it. What cannot be written is tried again with the next renewal.
+// the view has changed, or the store may have lost it. What cannot be written is tried again
+// with the next renewal.
 func (r *Registry) publish(ctx context.Context) {
 	era, _ := r.Eras.State()
 	r.mutex.Lock()
