Tell a limit that is not known from one that is used up

The node of the tenant's ledger had just started: without a configuration it gave no tokens, and the asker took that for a rate that is used up. Change: such a node answers that it does not know; the asker grants its own even part, as when there is no answer.

--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/cloverrail/cloverrail/internal/admission"
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/configuration"
@@ -180,19 +182,27 @@
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
 	answer, err := call[wire.TakeAnswer](ctx, node, owner, wire.TakeRequest{Tenant: tenant.Name, Want: want})
+	if err == nil && answer.Unknown {
+		err = errUnknownTenant
+	}
 	return answer.Tokens, err
 }
 
-// serveTake answers for the tenants whose ledger is here.
+// serveTake answers for the tenants whose ledger is here. A node that has no configuration yet,
+// or an older one, does not know the limit. Were it to give no tokens, the asker would refuse
+// what is within the limit; so it grants its own even part.
 func (node *Node) serveTake(request wire.TakeRequest) wire.TakeAnswer {
 	snapshot := node.catalog.snapshot.Load()
 	if snapshot == nil {
-		return wire.TakeAnswer{}
+		return wire.TakeAnswer{Unknown: true}
 	}
 	tenant, found := snapshot.Tenant(request.Tenant)
 	if !found {
-		return wire.TakeAnswer{}
+		return wire.TakeAnswer{Unknown: true}
 	}
 	limit := admission.Rate{PerSecond: tenant.Limits.RequestsPerSecond, Burst: tenant.Limits.Burst}
 	return wire.TakeAnswer{Tokens: node.limits.take(tenant.Name, limit, request.Want)}
 }
+
+// errUnknownTenant says that the node of a tenant's ledger does not know the tenant yet.
+var errUnknownTenant = errors.New("the tenant's ledger does not know it yet; wait until all nodes have the configuration")
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -132,6 +132,9 @@
 // TakeAnswer is how many were given.
 type TakeAnswer struct {
 	Tokens int
+	// Unknown says that the node does not know the tenant's limit yet: none given does not mean
+	// that it is used up.
+	Unknown bool
 }
 
 // Names of messages are short, since they travel with each one.
