Check a placement again in the step that counts it

What callers saw: requests that are placed at one moment may all go to the same server.

Cause: Set.Candidates shows the servers under one hold of the set's lock, and Set.Begin counts the attempt under another. All that look in between decide the same: the slow-start window after a backoff, the probe of a breaker, the slots and the queue that the wait is estimated from. The lock's own fairness does it: once it is waited for longer than a millisecond, it goes to those that wait in turn, and all looks that wait go before the first count. Besides, an attempt that went out before a breaker opened and ended without a word let a second probe out.

Change: Begin takes a claim. It makes the candidate anew from the state that it is about to count in, and asks the same filter and scorers whether the choice stands: the server takes the request, and costs no more than the second best did. Otherwise the placement looks again; from the second look on placements take turns, and the fourth asks the filter alone. The probe of a breaker is known by its attempt.

Why it holds: the check and the count are one critical section, so that of any order of looks each attempt sees all that were counted before it. It is not a shorter time between two steps. Limits of servers are taken after the claim, which is given back if there is none.

Ruled out: one lock over look, scores and count (all placements of a node one after the other); a check of the window after a backoff alone (the same fault stays for probes, slots and queues).

--- /dev/null
+++ b/cmd/cloverrail/herd_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/platform/standin"
+)
+
+const (
+	// herdWindow and herdMost bound what one node sends to a server that it only probes: so many
+	// requests within a window from the first one on.
+	herdWindow = 50 * time.Millisecond
+	herdMost   = 2
+	// burst is how many requests are placed at one moment.
+	burst = 60
+)
+
+// slowly answers as a sound server once a window is over.
+func slowly(c call) standin.Manner {
+	return func(server *standin.Server, w http.ResponseWriter, r *http.Request) {
+		time.Sleep(herdWindow + 10*time.Millisecond)
+		soundly(c)(server, w, r)
+	}
+}
+
+// togetherAfter returns how many arrivals a window holds from the first one after a moment on.
+func togetherAfter(server *standin.Server, moment time.Time) int {
+	first, together := time.Time{}, 0
+	for _, arrival := range server.Arrivals() {
+		if arrival.At.Before(moment) {
+			continue
+		}
+		if first.IsZero() {
+			first = arrival.At
+		}
+		if arrival.At.Sub(first) < herdWindow {
+			together++
+		}
+	}
+	return together
+}
+
+// Guards against a herd at the end of a server's backoff: requests that are placed at one moment
+// must not all see it unprobed.
+func TestBackoffEndAdmitsOneProbe(t *testing.T) {
+	for name, c := range allCalls {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tired := instanceOf(c, "i-1", soundly(c))
+			fixture := newFixture(t).serve(tired)
+			for round := range 2 {
+				tired.SetManner(standin.Rests("0.3"))
+				fixture.reach(c, tired)
+				arrivals := tired.Arrivals()
+				rested := arrivals[len(arrivals)-1].At
+				tired.SetManner(slowly(c))
+				fixture.until(func() bool {
+					fixture.makeMany(c, burst)
+					arrivals := tired.Arrivals()
+					return arrivals[len(arrivals)-1].At.After(rested.Add(time.Millisecond))
+				})
+				require.LessOrEqual(t, togetherAfter(tired, rested.Add(time.Millisecond)), herdMost, "round %d", round)
+				fixture.until(func() bool {
+					for _, got := range fixture.makeMany(c, 8) {
+						if got.status != http.StatusOK {
+							return false
+						}
+					}
+					return true
+				})
+			}
+		})
+	}
+}
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -4,35 +4,52 @@
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/routing"
 )
 
-// Begin counts an attempt in flight, with the prompt tokens that it brings.
-func (set *Set) Begin(instance string, tokens int, now time.Time) *Attempt {
-	return set.begin(instance, tokens, false, now)
+// Claim is what an attempt brings to a server, and what its choice relied on.
+type Claim struct {
+	// Query is the one by which the server became a candidate, and Chosen the candidate as the
+	// choice saw it.
+	Query  Query
+	Chosen routing.Candidate
+	// Tokens are the prompt tokens that the server has to read.
+	Tokens int
+	// Deferred says that the attempt lets all others go first: until it has started it is no
+	// work that they would wait for.
+	Deferred bool
+	// Holds reports whether the choice stands for the server as it is now. It is called under
+	// the set's lock and must not call the set.
+	Holds func(current *routing.Candidate) bool
 }
 
-// BeginDeferred counts an attempt that lets all others go first: until it has started it is
-// no work that they would wait for.
-func (set *Set) BeginDeferred(instance string, now time.Time) *Attempt {
-	return set.begin(instance, 0, true, now)
-}
-
-func (set *Set) begin(instance string, tokens int, deferred bool, now time.Time) *Attempt {
+// Begin counts an attempt in flight if its choice still stands. The check and the count are one
+// critical section: of many that chose a server at the same moment, each sees those before it.
+// The attempt is nil if the choice does not stand.
+func (set *Set) Begin(claim Claim, now time.Time) *Attempt {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
-	known := set.find(instance)
-	if known == nil {
-		return &Attempt{set: set}
+	known := set.servers[claim.Chosen.Endpoint]
+	if known == nil || now.Before(known.dealt().goneUntil) {
+		return nil
+	}
+	current := claim.Chosen
+	set.refresh(known, &current, &claim.Query, now)
+	if !claim.Holds(&current) {
+		return nil
 	}
 	dealings := set.deal(known)
 	dealings.inFlight++
-	dealings.queuedTokens += tokens
-	if deferred {
+	if claim.Deferred {
 		dealings.deferred++
+		claim.Tokens = 0
 	}
-	dealings.breaker.Sent(now)
+	dealings.queuedTokens += claim.Tokens
 	set.use(known, now)
-	return &Attempt{set: set, state: known, tokens: tokens, deferred: deferred, trial: dealings.rest.sent(now), begun: now}
+	return &Attempt{
+		set: set, state: known, tokens: claim.Tokens, deferred: claim.Deferred,
+		trial: dealings.rest.sent(now), probe: dealings.breaker.Sent(now), begun: now,
+	}
 }
 
 // Attempt is one attempt in flight.
@@ -46,7 +63,9 @@
 	// that the server has begun to answer it.
 	trial    int
 	admitted bool
-	begun    time.Time
+	// probe says that it is the one that probes the server after its breaker opened.
+	probe bool
+	begun time.Time
 }
 
 // Started says that the server has read the prompt.
@@ -110,7 +129,7 @@
 	case exchange.ResultServed, exchange.ResultRefused, exchange.ResultFaulty:
 		known.answered(attempt.begun)
 	}
-	known.judge(result, now)
+	known.judge(result, attempt.probe, now)
 }
 
 // answered notes that the server answered what was sent at a time, unless another
@@ -130,7 +149,7 @@
 	return known != nil && known.dealt().answeredSent.After(since)
 }
 
-func (state *state) judge(result exchange.Result, now time.Time) {
+func (state *state) judge(result exchange.Result, probe bool, now time.Time) {
 	switch result {
 	case exchange.ResultServed, exchange.ResultRefused, exchange.ResultFaulty:
 		state.heardAt = now
@@ -140,7 +159,7 @@
 		state.breaker.Succeeded()
 		state.failures.note(0, now)
 	case exchange.ResultRefused:
-		state.breaker.Abandoned()
+		state.abandon(probe)
 		state.busyUntil = now.Add(refusalRest)
 	case exchange.ResultUnreached:
 		state.unreachedAt = now
@@ -150,6 +169,13 @@
 		state.breaker.Failed(brokenBreaker, now)
 		state.failures.note(1, now)
 	default:
+		state.abandon(probe)
+	}
+}
+
+// abandon lets another attempt probe the server if this one was the probe.
+func (state *state) abandon(probe bool) {
+	if probe {
 		state.breaker.Abandoned()
 	}
 }
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -41,8 +41,9 @@
 		if now.Before(known.dealt().goneUntil) || (!known.listed && (anyListed || known.leaving())) {
 			continue
 		}
+		candidates = append(candidates, routing.Candidate{})
+		set.refresh(known, &candidates[len(candidates)-1], &query, now)
 		found++
-		candidates = append(candidates, known.candidate(query, set.othersAt(known, now), set.loads(known, query.Model, now), now))
 	}
 	return candidates
 }
@@ -50,27 +51,21 @@
 // running counts the attempts that others have to wait for.
 func (d *dealings) running() int { return d.inFlight - d.deferred }
 
-func (state *state) candidate(query Query, others Work, loading bool, now time.Time) routing.Candidate {
-	version := state.server.Versions[query.Model]
-	dealings := state.dealt()
-	return routing.Candidate{
-		Endpoint:     state.name,
-		Address:      state.server.Address,
-		Zone:         state.server.Zone,
-		Pool:         state.server.Service,
-		Epoch:        state.server.Instance,
-		Version:      version,
-		Ready:        query.Model == "" || (version > 0 && version >= query.MinimumVersion && !loading),
-		Leaving:      state.leaving(),
-		RestLeft:     dealings.rest.left(now),
-		Loading:      loading,
-		Resting:      !dealings.breaker.Allows(now) || others.Suspects >= enoughSuspects,
-		Busy:         now.Before(dealings.busyUntil) || dealings.rest.full(dealings.running()+others.Running, state.server.Slots),
-		InFlight:     dealings.inFlight,
-		Running:      dealings.running() + others.Running,
-		Slots:        state.server.Slots,
-		QueuedTokens: dealings.queuedTokens + others.QueuedTokens,
-		Distance:     query.Distance(state.server.Zone),
-		FailureShare: dealings.failures.at(now),
-	}
+// refresh fills in what the set knows of a server, and leaves the rest of the candidate.
+func (set *Set) refresh(known *state, c *routing.Candidate, query *Query, now time.Time) {
+	server, dealings, others := known.server, known.dealt(), set.othersAt(known, now)
+	c.Endpoint, c.Address, c.Zone, c.Pool, c.Epoch = known.name, server.Address, server.Zone, server.Service, server.Instance
+	c.Distance = query.Distance(server.Zone)
+	c.Version = server.Versions[query.Model]
+	c.Loading = set.loads(known, query.Model, now)
+	c.Ready = query.Model == "" || (c.Version > 0 && c.Version >= query.MinimumVersion && !c.Loading)
+	c.Leaving = known.leaving()
+	c.RestLeft = dealings.rest.left(now)
+	c.Resting = !dealings.breaker.Allows(now) || others.Suspects >= enoughSuspects
+	c.Busy = now.Before(dealings.busyUntil) || dealings.rest.full(dealings.running()+others.Running, server.Slots)
+	c.InFlight = dealings.inFlight
+	c.Running = dealings.running() + others.Running
+	c.Slots = server.Slots
+	c.QueuedTokens = dealings.queuedTokens + others.QueuedTokens
+	c.FailureShare = dealings.failures.at(now)
 }
--- a/internal/backend/incarnation_test.go
+++ b/internal/backend/incarnation_test.go
@@ -18,7 +18,7 @@
 	set := NewSet()
 	first, second := lifeOf(1, map[string]int64{"m": 7}), lifeOf(2, map[string]int64{"m": 5})
 	set.Update([]Server{first}, begin)
-	running := set.Begin(first.Incarnation(), 100, begin)
+	running := send(set, first.Incarnation(), 100, begin)
 	set.Notice("i", Notice{Leaving: true, Rest: time.Minute}, begin)
 	set.Gone("i", begin)
 	changes := set.Apply([]*Server{&second}, nil, begin)
--- a/internal/backend/notice_test.go
+++ b/internal/backend/notice_test.go
@@ -75,7 +75,7 @@
 				}
 			case 1, 2:
 				if c.RestLeft == 0 && !c.Busy {
-					open = append(open, set.Begin("i-0", 0, now))
+					open = append(open, send(set, "i-0", 0, now))
 				}
 			case 3:
 				if len(open) > 0 {
@@ -96,7 +96,7 @@
 			var sent []*Attempt
 			for range 40 {
 				if c := candidate(set, "i-0", now); c.RestLeft == 0 && !c.Busy {
-					sent = append(sent, set.Begin("i-0", 0, now))
+					sent = append(sent, send(set, "i-0", 0, now))
 				}
 			}
 			if 2*most < unknownSlots {
@@ -114,11 +114,11 @@
 
 func TestALongStreamDoesNotKeepAServerFromBeingTried(t *testing.T) {
 	set := alike(1, begin)
-	stream := set.Begin("i-0", 0, begin)
+	stream := send(set, "i-0", 0, begin)
 	set.Notice("i-0", Notice{Rest: time.Second}, begin)
 	after := begin.Add(2 * time.Second)
 	require.False(t, candidate(set, "i-0", after).Busy, "it began before the rest")
-	trial := set.Begin("i-0", 0, after)
+	trial := send(set, "i-0", 0, after)
 	require.True(t, candidate(set, "i-0", after).Busy)
 	trial.Started(after)
 	require.False(t, candidate(set, "i-0", after).Busy, "the server works on the first")
@@ -174,7 +174,7 @@
 				if c.RestLeft > 0 || c.Busy || now.After(begin.Add(3*time.Second+answer)) {
 					break
 				}
-				running[set.Begin("i-0", 0, now)] = now.Add(answer)
+				running[send(set, "i-0", 0, now)] = now.Add(answer)
 			}
 		}
 		most = max(most, len(running))
--- a/internal/backend/ring_test.go
+++ b/internal/backend/ring_test.go
@@ -65,7 +65,7 @@
 // What a node has had to do with servers is kept for those alone.
 func TestANodeRemembersItsDealingsWithFewServers(t *testing.T) {
 	set := alike(100, begin)
-	set.Begin("i-3", 10, begin)
+	send(set, "i-3", 10, begin)
 	set.Gone("i-4", begin)
 	require.Len(t, set.dealt, 2)
 	require.Equal(t, []Work{{Server: ServerKey("i-3"), Running: 1, QueuedTokens: 10}}, set.Work(begin))
@@ -81,7 +81,7 @@
 	}
 	list = append(list, Server{Instance: "plain", Service: "p"})
 	set.Update(list, begin)
-	set.Begin("i-3", 0, begin)
+	send(set, "i-3", 0, begin)
 	set.TakeWork([]Work{{Server: ServerKey("i-4"), Running: 1}, {Server: ServerKey("plain"), Running: 1}}, begin.Add(time.Second))
 	check := func(most, want int, now time.Time) {
 		require.Len(t, set.Engines(most, time.Minute, now), want)
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -106,7 +106,7 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			if len(open) == 0 || rapid.Bool().Draw(t, "begins") {
-				open = append(open, set.Begin("x", 100, begin))
+				open = append(open, send(set, "x", 100, begin))
 				continue
 			}
 			index := rapid.IntRange(0, len(open)-1).Draw(t, "which")
@@ -129,15 +129,15 @@
 func TestAnUnreachedServerRestsAndIsProbedOnce(t *testing.T) {
 	set := NewSet()
 	set.Update([]Server{server("x")}, begin)
-	set.Begin("x", 0, begin).End(exchange.ResultUnreached, begin)
+	send(set, "x", 0, begin).End(exchange.ResultUnreached, begin)
 	require.True(t, only(t, set, query, begin, "x").Resting)
 	later := begin.Add(unreachedBreaker.Rest)
 	require.False(t, only(t, set, query, later, "x").Resting)
-	probe := set.Begin("x", 0, later)
+	probe := send(set, "x", 0, later)
 	require.True(t, only(t, set, query, later, "x").Resting, "one probe at a time")
 	probe.End(exchange.ResultNeutral, later)
 	require.False(t, only(t, set, query, later, "x").Resting, "the probe said nothing")
-	set.Begin("x", 0, later).End(exchange.ResultServed, later)
+	send(set, "x", 0, later).End(exchange.ResultServed, later)
 	require.False(t, only(t, set, query, later, "x").Resting)
 }
 
@@ -146,7 +146,7 @@
 	set.Update([]Server{server("x")}, begin)
 	require.Zero(t, only(t, set, query, begin, "x").FailureShare)
 	for range 4 {
-		set.Begin("x", 0, begin).End(exchange.ResultFaulty, begin)
+		send(set, "x", 0, begin).End(exchange.ResultFaulty, begin)
 	}
 	fresh := only(t, set, query, begin, "x").FailureShare
 	require.InDelta(t, 4.0/(4+priorAttempts), fresh, 1e-9)
@@ -156,7 +156,7 @@
 func TestAnAnswerToAnyoneShowsThatAServerLives(t *testing.T) {
 	set := NewSet()
 	set.Update([]Server{server("x")}, begin)
-	waiting, other := set.Begin("x", 0, begin), set.Begin("x", 0, begin)
+	waiting, other := send(set, "x", 0, begin), send(set, "x", 0, begin)
 	require.False(t, waiting.HeardSince(begin))
 	other.Started(begin.Add(time.Second))
 	require.True(t, waiting.HeardSince(begin))
@@ -217,7 +217,7 @@
 		require.Zero(t, candidates[0].QueuedTokens)
 		return candidates[0].Running
 	}
-	deferred, other := set.BeginDeferred("x", begin), set.BeginDeferred("x", begin)
+	deferred, other := sendDeferred(set, "x", begin), sendDeferred(set, "x", begin)
 	require.Zero(t, running())
 	require.Empty(t, set.Work(begin))
 	deferred.Started(begin)
--- a/internal/backend/work_test.go
+++ b/internal/backend/work_test.go
@@ -34,7 +34,7 @@
 func TestTheWorkOfOtherNodesCountsWhileItIsRenewed(t *testing.T) {
 	now := time.Unix(1000, 0)
 	set := alike(2, now)
-	set.Begin("i-0", 100, now)
+	send(set, "i-0", 100, now)
 	require.Equal(t, []Work{{Server: ServerKey("i-0"), Running: 1, QueuedTokens: 100}}, set.Work(now))
 	set.TakeWork([]Work{{Server: ServerKey("i-0"), Running: 4, QueuedTokens: 900}, {Server: 7, Running: 1}}, now)
 	seen := candidate(set, "i-0", now)
@@ -67,7 +67,7 @@
 		return sum
 	}
 	for i := range 9 {
-		set.Begin(fmt.Sprint("i-", i), 0, now).End(exchange.ResultUnreached, now)
+		send(set, fmt.Sprint("i-", i), 0, now).End(exchange.ResultUnreached, now)
 		if i < 3 {
 			require.Equal(t, i+1, suspects())
 		} else {
--- /dev/null
+++ b/internal/proxy/contention_test.go
@@ -0,0 +1,216 @@
+package proxy
+
+import (
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/routing"
+)
+
+// burst is how many requests are placed at one moment.
+const burst = 60
+
+// kinds are placers of a request with a prompt and of one without, before servers with 8 slots.
+var kinds = map[string]func(servers int) *placer{
+	"prompt": func(servers int) *placer { return placing(500, servers, 0) },
+	"plain": func(servers int) *placer {
+		p := placing(500, 0, 0)
+		var list []backend.Server
+		for i := range servers {
+			list = append(list, backend.Server{Instance: fmt.Sprint("i-", i), Service: "s", Slots: 8})
+		}
+		p.proxy.set.Update(list, time.Now())
+		p.admitted.request.Prompt = nil
+		return p
+	},
+}
+
+// sibling returns a placer of another request of the same kind.
+func (p *placer) sibling(number int) *placer {
+	other, request := *p.admitted, *p.admitted.request
+	request.ID = fmt.Sprint("request-", number)
+	other.request = &request
+	return newPlacer(p.proxy, &other)
+}
+
+// placeTogether places a burst of requests that have all looked at the servers before the first
+// of them begins.
+func (p *placer) placeTogether() (placed []*placement, refused int) {
+	now := time.Now()
+	placers, choices := make([]*placer, burst), make([]*choice, burst)
+	for i := range placers {
+		placers[i] = p.sibling(i)
+		query := placers[i].query(now)
+		query.Most = neighbourhood
+		c := &choice{scheduler: routing.NewScheduler(placers[i].scorers()...), request: placers[i].routingRequest(), strict: true}
+		c.candidates = placers[i].look(query, nil, now)
+		if placers[i].decide(c, true) {
+			choices[i] = c
+		}
+	}
+	for i, c := range choices {
+		if c != nil {
+			if began := placers[i].begin(c, placers[i].query(now), now); began != nil {
+				placed = append(placed, began)
+				continue
+			}
+		}
+		if again, unplaced := placers[i].Place(nil); unplaced == nil {
+			placed = append(placed, again.(*placement))
+		} else {
+			refused++
+		}
+	}
+	return placed, refused
+}
+
+// placeAtOnce places a burst of requests from goroutines of their own.
+func (p *placer) placeAtOnce() (placed []*placement, refused int) {
+	var mutex sync.Mutex
+	var ready, done sync.WaitGroup
+	start := make(chan struct{})
+	for i := range burst {
+		ready.Add(1)
+		done.Go(func() {
+			sibling := p.sibling(i)
+			ready.Done()
+			<-start
+			began, unplaced := sibling.Place(nil)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if unplaced != nil {
+				refused++
+				return
+			}
+			placed = append(placed, began.(*placement))
+		})
+	}
+	ready.Wait()
+	close(start)
+	done.Wait()
+	return placed, refused
+}
+
+// bursts are the ways in which many requests are placed at one moment.
+var bursts = map[string]func(p *placer) ([]*placement, int){
+	"all look first":  (*placer).placeTogether,
+	"busy processors": (*placer).placeAtOnce,
+}
+
+// keepProcessorsBusy runs three goroutines a processor that do nothing but count.
+func keepProcessorsBusy(t *testing.T) {
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	for range 3 * runtime.GOMAXPROCS(0) {
+		go func() {
+			for count := 0; ; count++ {
+				if count%1024 == 0 {
+					select {
+					case <-done:
+						return
+					default:
+					}
+				}
+			}
+		}()
+	}
+}
+
+// eachBurst runs a check for each kind of request and each way to place many at one moment.
+func eachBurst(t *testing.T, check func(t *testing.T, placing func(servers int) *placer, burst func(p *placer) ([]*placement, int))) {
+	for kind, placing := range kinds {
+		for way, burst := range bursts {
+			t.Run(kind+", "+way, func(t *testing.T) {
+				if way == "busy processors" {
+					keepProcessorsBusy(t)
+				}
+				for range 5 {
+					check(t, placing, burst)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a herd on a server whose backoff is over: one of many requests that see it so at
+// one moment probes it, and the others go to the server beside it, or are refused if there is none.
+func TestOneRequestOfABurstProbesAServerAfterItsBackoff(t *testing.T) {
+	eachBurst(t, func(t *testing.T, placing func(int) *placer, burst func(*placer) ([]*placement, int)) {
+		for servers := range 3 {
+			p := placing(servers + 1)
+			for i := range servers + 1 {
+				p.proxy.set.Notice(fmt.Sprint("i-", i), backend.Notice{Rest: time.Millisecond}, time.Now().Add(-time.Minute))
+			}
+			placed, refused := burst(p)
+			require.Len(t, placed, servers+1, "one at each")
+			require.Equal(t, 60, len(placed)+refused)
+		}
+	})
+}
+
+// Guards against a herd on a server whose breaker lets a probe through beside a sound one.
+func TestOneRequestOfABurstProbesAServerThatFailed(t *testing.T) {
+	eachBurst(t, func(t *testing.T, placing func(int) *placer, burst func(*placer) ([]*placement, int)) {
+		p := placing(2)
+		ago := time.Now().Add(-time.Minute)
+		all := p.look(p.query(time.Now()), nil, time.Now())
+		for _, c := range all {
+			if c.Endpoint == "i-0" {
+				p.fail(c, ago)
+			}
+		}
+		placed, refused := burst(p)
+		require.Zero(t, refused)
+		probes := 0
+		for _, at := range placed {
+			if at.Server() == "i-0" {
+				probes++
+			}
+		}
+		require.LessOrEqual(t, probes, 1)
+	})
+}
+
+// fail lets an attempt at a candidate fail to connect.
+func (p *placer) fail(c routing.Candidate, at time.Time) {
+	claim := backend.Claim{Query: p.query(at), Chosen: c, Holds: func(*routing.Candidate) bool { return true }}
+	p.proxy.set.Begin(claim, at).End(exchange.ResultUnreached, at)
+}
+
+// Guards against a queue at one server while others stand idle: requests that are placed at one
+// moment are spread as those that are placed one after the other.
+func TestABurstIsSpreadAsRequestsOneAfterTheOther(t *testing.T) {
+	eachBurst(t, func(t *testing.T, placing func(int) *placer, burst func(*placer) ([]*placement, int)) {
+		longest := func(placed []*placement) int {
+			most, at := 0, map[string]int{}
+			for _, p := range placed {
+				at[p.Server()]++
+				most = max(most, at[p.Server()])
+			}
+			return most
+		}
+		p := placing(12)
+		p.admitted.route = &catalog.Route{TargetLatency: time.Minute}
+		p.admitted.request.Arrived = time.Now()
+		var inTurn []*placement
+		for i := range 60 {
+			placed, unplaced := p.sibling(i).Place(nil)
+			require.Nil(t, unplaced)
+			inTurn = append(inTurn, placed.(*placement))
+		}
+		for _, placed := range inTurn {
+			placed.attempt.End(exchange.ResultNeutral, time.Now())
+		}
+		together, refused := burst(p)
+		require.Zero(t, refused)
+		require.LessOrEqual(t, longest(together), longest(inTurn)+1)
+	})
+}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -114,22 +114,22 @@
 		return nil, &exchange.Unplaced{Reason: "the request's time is over", Lasting: true}
 	}
 	scheduler, request := routing.NewScheduler(placer.scorers()...), placer.routingRequest()
-	candidates, decision := placer.choose(scheduler, request, excluded, now)
-	if len(candidates) == 0 {
-		return nil, &exchange.Unplaced{Reason: "no server is known"}
-	}
-	if decision.Index < 0 {
-		return nil, placer.unplaced(candidates, decision, now)
-	}
-	chosen := &candidates[decision.Index]
-	choice := Choice{Chosen: *chosen, Terms: scheduler.Terms(request, chosen), PassedOver: passedOver(candidates)}
-	if decision.Next >= 0 {
-		next := &candidates[decision.Next]
-		choice.Next, choice.NextTerms = next.Endpoint, scheduler.Terms(request, next)
-	}
-	choice.Deferred = placer.deferred(request, chosen, now)
-	placer.proxy.recorder.Placed(placer.admitted.request, choice)
-	return placer.begin(*chosen, choice.Deferred, now), nil
+	for look := 1; look <= mostLooks; look++ {
+		if look == 2 {
+			placer.proxy.replacing.Lock()
+			defer placer.proxy.replacing.Unlock()
+		}
+		choice := &choice{scheduler: scheduler, request: request, strict: look < mostLooks}
+		placed, unplaced := placer.choose(choice, excluded, boottime.Now())
+		if placed != nil {
+			placer.proxy.recorder.Placed(placer.admitted.request, placer.explain(choice, placed))
+			return placed, nil
+		}
+		if unplaced != nil {
+			return nil, unplaced
+		}
+	}
+	return nil, &exchange.Unplaced{Reason: "servers fill up faster than the request is placed"}
 }
 
 const (
@@ -141,43 +141,109 @@
 	neighbourhood = 64
 	// widening is by how much the neighbourhood grows if none of it takes the request.
 	widening = 4
+	// mostLooks is how often a placement looks at the servers if others are placed at the one that
+	// it chose before it is. From the second look on, placements take turns, so that they lose
+	// to first looks only; the last look asks only whether the server takes the request.
+	mostLooks = 4
 )
 
-// choose returns the servers that were looked at, and which of them is best. It looks at the
-// neighbourhood of the prompt, which is the same for all nodes, and further only if nothing
-// there takes the request or if slots are scarce there.
-func (placer *placer) choose(scheduler *routing.Scheduler, request *routing.Request, excluded []string, now time.Time) ([]routing.Candidate, routing.Decision) {
+// choice is one look at the servers, and what was decided by it.
+type choice struct {
+	scheduler  *routing.Scheduler
+	request    *routing.Request
+	candidates []routing.Candidate
+	decision   routing.Decision
+	// strict says that the chosen server must still be the best when the attempt begins there, and
+	// not only take the request.
+	strict bool
+	// lastResort says that all servers that are left rest after failures.
+	lastResort bool
+}
+
+// schedule chooses among the candidates.
+func (c *choice) schedule() { c.decision = c.scheduler.Schedule(c.request, c.candidates) }
+
+// chosen is the chosen candidate.
+func (c *choice) chosen() *routing.Candidate { return &c.candidates[c.decision.Index] }
+
+// stands reports whether the choice would be the same with the chosen server as it is now.
+func (c *choice) stands(current *routing.Candidate) bool {
+	if current.Version != c.chosen().Version {
+		return false
+	}
+	if c.lastResort {
+		current.Resting = false
+	}
+	if routing.Filter(c.request, current) != routing.Accepted {
+		return false
+	}
+	if !c.strict || c.decision.Next < 0 {
+		return true
+	}
+	return c.scheduler.Cost(c.request, current) <= c.scheduler.Cost(c.request, &c.candidates[c.decision.Next])
+}
+
+// choose looks at the servers and begins at the best of them. It looks at the neighbourhood of
+// the prompt, which is the same for all nodes, and further only if nothing there takes the request
+// or if slots are scarce there. Without a placement and a reason, the choice did not stand.
+func (placer *placer) choose(choice *choice, excluded []string, now time.Time) (*placement, *exchange.Unplaced) {
 	query := placer.query(now)
 	for query.Most = neighbourhood; ; query.Most *= widening {
-		candidates := placer.proxy.set.Candidates(nil, query, now)
-		routing.Exclude(candidates, excluded)
-		placer.limit(candidates, now)
-		if placer.prompt() != nil {
-			placer.annotate(candidates, now)
+		choice.candidates = placer.look(query, excluded, now)
+		all := len(choice.candidates) < query.Most
+		for placer.decide(choice, all) {
+			placed := placer.begin(choice, query, now)
+			if placed == nil || placer.mayTake(choice.chosen(), now) {
+				return placed, nil
+			}
+			placed.attempt.End(exchange.ResultNeutral, now)
 		}
-		placer.separate(candidates)
-		all := len(candidates) < query.Most
-		if decision, found := placer.among(scheduler, request, candidates, all, now); found || all {
-			return candidates, decision
+		if len(choice.candidates) == 0 {
+			return nil, &exchange.Unplaced{Reason: "no server is known"}
+		}
+		if all {
+			return nil, placer.unplaced(choice.candidates, choice.decision, now)
 		}
 	}
 }
 
-// among returns which of the candidates is best, and whether there is one. If they are all that
-// there are, also one that rests is better than none.
-func (placer *placer) among(scheduler *routing.Scheduler, request *routing.Request, candidates []routing.Candidate, all bool, now time.Time) (decision routing.Decision, found bool) {
-	for {
-		decision = scheduler.Schedule(request, candidates)
-		if !all && (decision.Index < 0 || routing.Scarce(candidates)) {
-			return decision, false
-		}
-		if decision.Index < 0 {
-			decision = schedule(scheduler, request, candidates)
-		}
-		if decision.Index < 0 || placer.mayTake(&candidates[decision.Index], now) {
-			return decision, decision.Index >= 0
+// look returns the servers as they are now, with what is known of the prompt at each.
+func (placer *placer) look(query backend.Query, excluded []string, now time.Time) []routing.Candidate {
+	candidates := placer.proxy.set.Candidates(nil, query, now)
+	routing.Exclude(candidates, excluded)
+	placer.limit(candidates, now)
+	if placer.prompt() != nil {
+		placer.annotate(candidates, now)
+	}
+	placer.separate(candidates)
+	return candidates
+}
+
+// decide reports whether one of the candidates is best. If they are all that there are, also one
+// that rests is better than none.
+func (placer *placer) decide(choice *choice, all bool) bool {
+	choice.schedule()
+	if !all && (choice.decision.Index < 0 || routing.Scarce(choice.candidates)) {
+		return false
+	}
+	if choice.decision.Index < 0 {
+		choice.lastResort = true
+		for i := range choice.candidates {
+			choice.candidates[i].Resting = false
 		}
+		choice.schedule()
 	}
+	return choice.decision.Index >= 0
+}
+
+// explain says what decided the placement.
+func (placer *placer) explain(c *choice, placed *placement) Choice {
+	explained := Choice{Chosen: placed.chosen, Terms: c.scheduler.Terms(c.request, &placed.chosen), Deferred: placed.deferred, PassedOver: passedOver(c.candidates)}
+	if c.decision.Next >= 0 {
+		next := &c.candidates[c.decision.Next]
+		explained.Next, explained.NextTerms = next.Endpoint, c.scheduler.Terms(c.request, next)
+	}
+	return explained
 }
 
 // returnSpread is the part of a rest over which the callers that were refused for it spread
@@ -237,27 +303,23 @@
 	placer.annotateSources(candidates, now)
 }
 
-// begin counts the attempt at the chosen server.
-func (placer *placer) begin(chosen routing.Candidate, deferred bool, now time.Time) *placement {
-	tokens := 0
+// begin counts the attempt at the chosen server, or returns nil if the choice does not stand.
+func (placer *placer) begin(choice *choice, query backend.Query, now time.Time) *placement {
+	chosen := *choice.chosen()
+	deferred, tokens := placer.deferred(choice.request, &chosen, now), 0
 	if prompt := placer.prompt(); prompt != nil {
 		tokens = max(0, prompt.Tokens-max(chosen.HitBlocks, chosen.ImportBlocks))
 	}
-	p := &placement{placer: placer, chosen: chosen, tokens: tokens, deferred: deferred, begun: now, suspended: boottime.Suspended()}
-	if deferred {
-		p.attempt = placer.proxy.set.BeginDeferred(chosen.Endpoint, now)
-	} else {
-		p.attempt = placer.proxy.set.Begin(chosen.Endpoint, tokens, now)
-	}
-	return p
-}
-
-// schedule takes a server that rests if there is no other: it is better than none.
-func schedule(scheduler *routing.Scheduler, request *routing.Request, candidates []routing.Candidate) routing.Decision {
-	for index := range candidates {
-		candidates[index].Resting = false
+	claim := backend.Claim{Query: query, Chosen: chosen, Tokens: tokens, Deferred: deferred, Holds: func(current *routing.Candidate) bool {
+		stands := choice.stands(current)
+		chosen = *current
+		return stands
+	}}
+	attempt := placer.proxy.set.Begin(claim, now)
+	if attempt == nil {
+		return nil
 	}
-	return scheduler.Schedule(request, candidates)
+	return &placement{placer: placer, chosen: chosen, attempt: attempt, tokens: tokens, deferred: deferred, begun: now, suspended: boottime.Suspended()}
 }
 
 func (placer *placer) scorers() []routing.Scorer {
--- a/internal/proxy/placer_bench_test.go
+++ b/internal/proxy/placer_bench_test.go
@@ -22,3 +22,23 @@
 		})
 	}
 }
+
+// BenchmarkPlaceOnAllProcessors is the time of one placement, while all processors place requests
+// with the same prompt among so many servers.
+func BenchmarkPlaceOnAllProcessors(b *testing.B) {
+	for _, servers := range []int{12, 9_998} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			p := placing(500, servers, 3)
+			b.RunParallel(func(each *testing.PB) {
+				for number := 0; each.Next(); number++ {
+					placement, unplaced := p.sibling(number).Place(nil)
+					if unplaced != nil {
+						b.Error(unplaced.Reason)
+						return
+					}
+					placement.End(0)
+				}
+			})
+		})
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -152,7 +152,9 @@
 	requests *quarantine.Ledger
 	unsure   quarantine.Unsure
 	lapse    time.Duration
-	asking   sync.Mutex
+	// replacing is held by a placement whose choice did not stand.
+	replacing sync.Mutex
+	asking    sync.Mutex
 	// asked is how a server was asked last whether it takes connections, by address.
 	asked    map[string]*question
 	stopping chan struct{}
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -61,6 +61,14 @@
 	return all
 }
 
+// beginAt begins an attempt at a candidate.
+func (p *placer) beginAt(c routing.Candidate) *placement {
+	now := time.Now()
+	choice := &choice{scheduler: routing.NewScheduler(p.scorers()...), request: p.routingRequest(), candidates: []routing.Candidate{c}}
+	choice.schedule()
+	return p.begin(choice, p.query(now), now)
+}
+
 func TestSharedPartsAreTakenFromTheFirstServerIfNoStoreHasThem(t *testing.T) {
 	p := placing(10, 5, 1)
 	all := p.candidates()
@@ -114,7 +122,7 @@
 func TestOnlyWhatIsMostlySharedIsSaved(t *testing.T) {
 	for own, saves := range map[int]bool{10: true, 1000: true, 1001: false} {
 		p := placing(own, 1, 1)
-		placed := p.begin(p.candidates()[0], false, time.Now())
+		placed := p.beginAt(p.candidates()[0])
 		dispatch := Dispatch{}
 		placed.addSources(&dispatch)
 		require.Equal(t, saves, dispatch.SaveTo == "store-0", own)
@@ -122,7 +130,7 @@
 	p := placing(10, 1, 1)
 	p.proxy.ledger.Replace("store-0", []residency.Key{p.named(1)[0].Key})
 	dispatch := Dispatch{}
-	p.begin(p.candidates()[0], false, time.Now()).addSources(&dispatch)
+	p.beginAt(p.candidates()[0]).addSources(&dispatch)
 	require.Empty(t, dispatch.SaveTo, "the store has it")
 	require.Equal(t, "store-0", dispatch.FetchFrom)
 }
@@ -176,7 +184,10 @@
 	first.End(exchange.ResultServed)
 	queued := int(p.proxy.pace.tokensPerSecond())
 	for _, name := range []string{"i-0", "i-1"} {
-		p.proxy.set.Begin(name, queued, time.Now())
+		p.proxy.set.Begin(backend.Claim{
+			Query: p.query(time.Now()), Chosen: routing.Candidate{Endpoint: name}, Tokens: queued,
+			Holds: func(*routing.Candidate) bool { return true },
+		}, time.Now())
 	}
 	late := place()
 	require.True(t, late.deferred)
--- a/internal/retry/breaker.go
+++ b/internal/retry/breaker.go
@@ -32,15 +32,15 @@
 	return !now.Before(breaker.until) && !breaker.probing
 }
 
-// Sent notes that an attempt went out.
-func (breaker *Breaker) Sent(now time.Time) {
-	if !breaker.until.IsZero() && !now.Before(breaker.until) {
-		breaker.probing = true
-	}
+// Sent notes that an attempt went out, and reports whether it probes the endpoint.
+func (breaker *Breaker) Sent(now time.Time) (probe bool) {
+	probe = !breaker.until.IsZero() && breaker.Allows(now)
+	breaker.probing = breaker.probing || probe
+	return probe
 }
 
-// Abandoned says that an attempt ended without a word on the endpoint, so that
-// the next one may probe it.
+// Abandoned says that the probe ended without a word on the endpoint, so that
+// the next attempt may probe it.
 func (breaker *Breaker) Abandoned() {
 	breaker.probing = false
 }
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -59,11 +59,7 @@
 		scheduler.accepted = sample(request.Draw, candidates, scheduler.accepted)
 	}
 	for _, index := range scheduler.accepted {
-		cost := 0.0
-		for _, scorer := range scheduler.scorers {
-			cost += scorer.Score(request, &candidates[index])
-		}
-		scheduler.costs = append(scheduler.costs, cost)
+		scheduler.costs = append(scheduler.costs, scheduler.Cost(request, &candidates[index]))
 	}
 	decision.Index = Pick(candidates, scheduler.accepted, scheduler.costs)
 	decision.Next = scheduler.next(candidates, decision.Index)
@@ -81,6 +77,16 @@
 	return Pick(candidates, scheduler.accepted[:last], scheduler.costs[:last])
 }
 
+// Cost is what it costs to serve the request at a candidate whose affinity rank is filled in, in
+// seconds of engine time.
+func (scheduler *Scheduler) Cost(request *Request, candidate *Candidate) float64 {
+	cost := 0.0
+	for _, scorer := range scheduler.scorers {
+		cost += scorer.Score(request, candidate)
+	}
+	return cost
+}
+
 // Term is one part of the cost of a candidate, in seconds of engine time.
 type Term struct {
 	Name    string
