Probe servers that have all failed by one request each

What callers saw: where all servers of a service had failed, every request of a burst was sent to them all the same. With two that end each connection, of which one was sound again, the other got up to 60 requests of 60 within 50 ms; those that may not be repeated were lost.

Cause: servers whose breaker is open are used where no other is left, and this last resort asked neither whether a probe is under way nor what others had just done. Besides, failures of attempts that had gone out before cleared the mark of a probe under way, and a probe that hung kept all others off for as long as its own deadline.

Change: a server whose breaker is open takes one attempt at a time, its probe, also before its rest is over if nothing else is left; the others are refused as not run and come back. An answer that begins closes the breaker until the next failure. Failures beside the probe leave it, and one that lasts longer than the rest is followed by another.

Why it holds: the probe is marked where it is counted, under the claim.

--- a/cmd/cloverrail/herd_test.go
+++ b/cmd/cloverrail/herd_test.go
@@ -76,3 +76,34 @@
 		})
 	}
 }
+
+// Guards against a herd on a server that goes on to fail beside one that is sound again.
+func TestServerThatFailsBesideASoundOneIsOnlyProbed(t *testing.T) {
+	for name, c := range map[string]call{"once": once, "again": again} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			failing, sound := instanceOf(c, "i-1", standin.Dies), instanceOf(c, "i-2", standin.Dies)
+			fixture := newFixture(t).serve(failing, sound)
+			fixture.makeMany(c, burst)
+			sound.SetManner(soundly(c))
+			recovered := time.Now()
+			for time.Since(recovered) < time.Second {
+				fixture.makeMany(c, burst)
+			}
+			most, first := 0, 0
+			var reached []time.Time
+			for _, arrival := range failing.Arrivals() {
+				if arrival.At.After(recovered) {
+					reached = append(reached, arrival.At)
+				}
+			}
+			for i, at := range reached {
+				for at.Sub(reached[first]) >= herdWindow {
+					first++
+				}
+				most = max(most, i-first+1)
+			}
+			require.LessOrEqual(t, most, herdMost, "%d in all", len(reached))
+		})
+	}
+}
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/retry"
 	"github.com/cloverrail/cloverrail/internal/routing"
 )
 
@@ -77,6 +78,10 @@
 	defer attempt.set.mutex.Unlock()
 	attempt.unqueue()
 	attempt.admit()
+	if attempt.probe {
+		attempt.probe = false
+		attempt.state.breaker.Answered()
+	}
 	attempt.state.heardAt = now
 	attempt.state.answered(attempt.begun)
 }
@@ -163,16 +168,24 @@
 		state.busyUntil = now.Add(refusalRest)
 	case exchange.ResultUnreached:
 		state.unreachedAt = now
-		state.breaker.Failed(unreachedBreaker, now)
-		state.failures.note(1, now)
+		state.fail(unreachedBreaker, probe, now)
 	case exchange.ResultFaulty, exchange.ResultBroken, exchange.ResultCutOff, exchange.ResultSilent:
-		state.breaker.Failed(brokenBreaker, now)
-		state.failures.note(1, now)
+		state.fail(brokenBreaker, probe, now)
 	default:
 		state.abandon(probe)
 	}
 }
 
+// fail counts a failure.
+func (state *state) fail(config retry.BreakerConfig, probe bool, now time.Time) {
+	state.failures.note(1, now)
+	if probe {
+		state.breaker.Failed(config, now)
+		return
+	}
+	state.breaker.FailedBeside(config, now)
+}
+
 // abandon lets another attempt probe the server if this one was the probe.
 func (state *state) abandon(probe bool) {
 	if probe {
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -62,6 +62,7 @@
 	c.Leaving = known.leaving()
 	c.RestLeft = dealings.rest.left(now)
 	c.Resting = !dealings.breaker.Allows(now) || others.Suspects >= enoughSuspects
+	c.Probing = dealings.breaker.Probing(now)
 	c.Busy = now.Before(dealings.busyUntil) || dealings.rest.full(dealings.running()+others.Running, server.Slots)
 	c.InFlight = dealings.inFlight
 	c.Running = dealings.running() + others.Running
--- a/internal/proxy/contention_test.go
+++ b/internal/proxy/contention_test.go
@@ -179,6 +179,25 @@
 	})
 }
 
+// Guards against a herd where all servers have failed: each is probed by one request, and the
+// others are refused instead of failing with it. Once a probe is answered, all are placed.
+func TestOneRequestOfABurstProbesEachServerIfAllHaveFailed(t *testing.T) {
+	eachBurst(t, func(t *testing.T, placing func(int) *placer, burst func(*placer) ([]*placement, int)) {
+		p := placing(2)
+		for _, c := range p.look(p.query(time.Now()), nil, time.Now()) {
+			p.fail(c, time.Now())
+		}
+		placed, refused := burst(p)
+		require.Len(t, placed, 2)
+		require.Equal(t, 60, len(placed)+refused)
+		require.NotEqual(t, placed[0].Server(), placed[1].Server())
+		placed[0].End(exchange.ResultServed)
+		placed, refused = burst(p)
+		require.Len(t, placed, 60)
+		require.Zero(t, refused)
+	})
+}
+
 // fail lets an attempt at a candidate fail to connect.
 func (p *placer) fail(c routing.Candidate, at time.Time) {
 	claim := backend.Claim{Query: p.query(at), Chosen: c, Holds: func(*routing.Candidate) bool { return true }}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -219,8 +219,8 @@
 	return candidates
 }
 
-// decide reports whether one of the candidates is best. If they are all that there are, also one
-// that rests is better than none.
+// decide reports whether one of the candidates is best. If they are all that there are, one that
+// rests is better than none, but it is only probed: all that come at once would fail with it.
 func (placer *placer) decide(choice *choice, all bool) bool {
 	choice.schedule()
 	if !all && (choice.decision.Index < 0 || routing.Scarce(choice.candidates)) {
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -57,6 +57,37 @@
 	})
 }
 
+// Guards against an endpoint that is lost for as long as its probe hangs.
+func TestAProbeThatHangsIsFollowedByAnother(t *testing.T) {
+	now := time.Unix(0, 0)
+	breaker := &Breaker{}
+	require.False(t, breaker.Sent(now), "a closed breaker needs no probe")
+	for range DefaultBreaker.Failures {
+		breaker.Failed(DefaultBreaker, now)
+	}
+	now = now.Add(DefaultBreaker.Rest)
+	require.True(t, breaker.Sent(now))
+	require.False(t, breaker.Sent(now.Add(DefaultBreaker.Rest-1)))
+	now = now.Add(DefaultBreaker.Rest)
+	require.True(t, breaker.Allows(now))
+	require.True(t, breaker.Sent(now))
+}
+
+func TestAnAnsweredProbeClosesTheBreakerUntilTheNextFailure(t *testing.T) {
+	now := time.Unix(0, 0)
+	breaker := &Breaker{}
+	for range DefaultBreaker.Failures {
+		breaker.Failed(DefaultBreaker, now)
+	}
+	require.True(t, breaker.Sent(now), "where nothing else is left, it is probed before the end of its rest")
+	breaker.FailedBeside(DefaultBreaker, now)
+	require.True(t, breaker.Probing(now), "what failed beside the probe does not end it")
+	breaker.Answered()
+	require.True(t, breaker.Allows(now))
+	breaker.Failed(DefaultBreaker, now)
+	require.False(t, breaker.Allows(now))
+}
+
 func TestAllBudgetsMustPermit(t *testing.T) {
 	now := time.Unix(0, 0)
 	empty := NewBudget(BudgetConfig{}, now)
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -16,10 +16,13 @@
 	// Ready says that the model is loaded at the version in force.
 	Ready bool
 	// Loading says that it is busy loading weights.
-	Loading  bool
-	Leaving  bool
-	Down     bool
+	Loading bool
+	Leaving bool
+	Down    bool
+	// Resting says that it is passed over since attempts on it have failed, and Probing that an
+	// attempt is under way that shows whether it still fails.
 	Resting  bool
+	Probing  bool
 	Excluded bool
 	// RestLeft is for how long the endpoint wants no requests of this node, by its own word.
 	RestLeft time.Duration
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -33,7 +33,7 @@
 		return ReasonLimited
 	case !candidate.Ready:
 		return ReasonNotReady
-	case candidate.Resting:
+	case candidate.Resting, candidate.Probing:
 		return ReasonResting
 	case candidate.Busy:
 		return ReasonBusy
