Give a silent attempt up only for another server

What callers saw: a request that may be repeated was cancelled when its server had been silent for half of the route's target, and ended with 502, outcome unknown, where no other server took it. The server, slow or alone, would have answered. A service with one server slower than that served nothing at all.

Cause: the doubt asks whether the retry budget and the number of attempts allow another one, and not whether a server takes it.

Evidence: found by TestBackoffEndAdmitsOneProbe with answers after 100 ms on busy processors, whose server did not come back in 20 s: its probes were cancelled before they were admitted, all with "every server is excluded".

Change: an attempt is doubtful only if a look at the servers, without those that were tried, finds one that takes the request. It is asked again after the same silence.

Why it holds: what is given up for nothing is never better than what may still come; the caller's deadline and the route's time-out bound the wait as before.

Ruled out: asking the machine after the cancelling, as now; placing first and cancelling then (two attempts would run at once, and what is counted as run with them).

--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -135,10 +135,16 @@
 	}
 }
 
-// Doubtful reports whether a silent attempt is better tried elsewhere: soon if
-// its server has answered nobody meanwhile, and later if it only has much to do.
-// The time to read the prompt, and those before it, is allowed for.
+// Doubtful reports whether a silent attempt is better tried elsewhere: only if another server
+// takes it now, since a server that is slow is better than none.
 func (placement *placement) Doubtful(silent time.Duration) bool {
+	return placement.doubtful(silent) && placement.placer.elsewhere(placement.chosen.Endpoint)
+}
+
+// doubtful reports whether an attempt has been silent for too long: soon if its server has
+// answered nobody meanwhile, and later if it only has much to do. The time to read the prompt, and
+// those before it, is allowed for.
+func (placement *placement) doubtful(silent time.Duration) bool {
 	if !placement.started {
 		silent -= placement.reading()
 	}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
@@ -97,6 +98,8 @@
 	// comeBack is when the caller is to come back that meets the limits of all servers; zero if it
 	// has not met them.
 	comeBack time.Time
+	// excluded names the servers that have been tried.
+	excluded []string
 }
 
 func newPlacer(proxy *Proxy, admitted *admitted) *placer {
@@ -105,6 +108,7 @@
 
 // Place filters, scores and picks among the servers known now.
 func (placer *placer) Place(excluded []string) (exchange.Placement, *exchange.Unplaced) {
+	placer.excluded = excluded
 	now := boottime.Now()
 	if verdict := placer.proxy.heldOff(placer.admitted, now); verdict.Held {
 		return nil, &exchange.Unplaced{Reason: heldOffProblem(verdict), Lasting: true}
@@ -207,6 +211,18 @@
 	}
 }
 
+// elsewhere reports whether a server takes the request now that has not been tried and is not the
+// given one.
+func (placer *placer) elsewhere(server string) bool {
+	now := boottime.Now()
+	choice := &choice{scheduler: routing.NewScheduler(placer.scorers()...), request: placer.routingRequest()}
+	query := placer.query(now)
+	excluded := append(slices.Clone(placer.excluded), server)
+	choice.candidates = placer.look(query, excluded, now)
+	choice.schedule()
+	return choice.decision.Index >= 0
+}
+
 // look returns the servers as they are now, with what is known of the prompt at each.
 func (placer *placer) look(query backend.Query, excluded []string, now time.Time) []routing.Candidate {
 	candidates := placer.proxy.set.Candidates(nil, query, now)
