Tell in logs and metrics that a choice did not stand, or was a probe

A placement that looked at the servers again, and one that probes a server since all that are left have failed, could not be told from any other. The line "placed" has looks and last_resort, explain says both in words, and the counter cloverrail_proxy_placement_conflicts_total counts choices that did not stand.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -74,6 +74,9 @@
 	Servers    int     `json:"servers"`
 	Shortest   float64 `json:"shortest"`
 	PassedOver int     `json:"passed_over"`
+	// Looks is how often the servers were looked at, and LastResort says that all had failed.
+	Looks      int     `json:"looks"`
+	LastResort bool    `json:"last_resort"`
 	Level      float64 `json:"level"`
 	Share      float64 `json:"share"`
 	Nodes      int     `json:"nodes"`
@@ -204,6 +207,12 @@
 	if line.PassedOver > 0 {
 		text += fmt.Sprintf("; %d servers were passed over for the limits that they name", line.PassedOver)
 	}
+	if line.Looks > 1 {
+		text += fmt.Sprintf("; chosen at look %d, as others were placed first where it was to be", line.Looks)
+	}
+	if line.LastResort {
+		text += "; all servers that were left had failed, so that it probes this one"
+	}
 	if len(line.Costs) > 0 {
 		text += "; its cost was " + costText(line.Costs)
 	}
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -70,6 +70,14 @@
 	require.ErrorContains(t, err, "all nodes")
 }
 
+func TestExplainSaysWhyAPlacementWasMadeAgain(t *testing.T) {
+	log := `{"node":"b","id":"r1","server":"i-7","looks":3,"last_resort":true,"message":"placed"}`
+	text := strings.Builder{}
+	require.NoError(t, explain(strings.NewReader(log), &text, "r1"))
+	require.Contains(t, text.String(), "chosen at look 3, as others were placed first where it was to be")
+	require.Contains(t, text.String(), "all servers that were left had failed, so that it probes this one")
+}
+
 func TestExplainSaysThatServersAreLimited(t *testing.T) {
 	log := `{"node":"b","id":"r1","service":"s","servers":3,"shortest":420.5,"retry_after":900,"message":"over the limits of servers"}
 {"node":"b","id":"r2","server":"i-7","passed_over":2,"message":"placed"}`
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -126,7 +126,7 @@
 		choice := &choice{scheduler: scheduler, request: request, strict: look < mostLooks}
 		placed, unplaced := placer.choose(choice, excluded, boottime.Now())
 		if placed != nil {
-			placer.proxy.recorder.Placed(placer.admitted.request, placer.explain(choice, placed))
+			placer.proxy.recorder.Placed(placer.admitted.request, placer.explain(choice, placed, look))
 			return placed, nil
 		}
 		if unplaced != nil {
@@ -253,8 +253,11 @@
 }
 
 // explain says what decided the placement.
-func (placer *placer) explain(c *choice, placed *placement) Choice {
-	explained := Choice{Chosen: placed.chosen, Terms: c.scheduler.Terms(c.request, &placed.chosen), Deferred: placed.deferred, PassedOver: passedOver(c.candidates)}
+func (placer *placer) explain(c *choice, placed *placement, looks int) Choice {
+	explained := Choice{
+		Chosen: placed.chosen, Terms: c.scheduler.Terms(c.request, &placed.chosen), Deferred: placed.deferred,
+		PassedOver: passedOver(c.candidates), Looks: looks, LastResort: c.lastResort,
+	}
 	if c.decision.Next >= 0 {
 		next := &c.candidates[c.decision.Next]
 		explained.Next, explained.NextTerms = next.Endpoint, c.scheduler.Terms(c.request, next)
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -22,6 +22,11 @@
 	Deferred bool
 	// PassedOver is how many servers were passed over for the limits that they name.
 	PassedOver int
+	// Looks is how often the servers were looked at: once, and again each time that other requests
+	// were placed in between where this one was to be.
+	Looks int
+	// LastResort says that all servers that are left have failed, so that this request probes one.
+	LastResort bool
 }
 
 // OverLimits is what decided that no server takes a request, by the limits that they name.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -21,6 +21,7 @@
 	limited         prometheus.Counter
 	overLimits      *prometheus.CounterVec
 	deferred        prometheus.Counter
+	conflicts       prometheus.Counter
 	heldOff         prometheus.Counter
 	suspicions      *prometheus.CounterVec
 	cleared         prometheus.Counter
@@ -82,6 +83,9 @@
 		deferred: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_deferred_total", Help: "Placements of requests that will be late and let others go first.",
 		}),
+		conflicts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_placement_conflicts_total", Help: "Choices of servers that did not stand since other requests were placed there first.",
+		}),
 		heldOff: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_held_off_total", Help: "Requests refused since servers ended while they ran them.",
 		}),
@@ -131,6 +135,6 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstAnswer, metrics.reads,
-		metrics.orders, metrics.connections, metrics.replaced, metrics.limited, metrics.overLimits, metrics.deferred, metrics.heldOff, metrics.suspicions, metrics.cleared, metrics.notices, metrics.wentBack, metrics.unreadable, metrics.garbled, metrics.follows, metrics.storeCalls, metrics.serverCalls, metrics.heardBytes, metrics.version, metrics.suppressedLines, age)
+		metrics.orders, metrics.connections, metrics.replaced, metrics.limited, metrics.overLimits, metrics.deferred, metrics.conflicts, metrics.heldOff, metrics.suspicions, metrics.cleared, metrics.notices, metrics.wentBack, metrics.unreadable, metrics.garbled, metrics.follows, metrics.storeCalls, metrics.serverCalls, metrics.heardBytes, metrics.version, metrics.suppressedLines, age)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -92,6 +92,13 @@
 	if choice.PassedOver > 0 {
 		line.Int("passed_over", choice.PassedOver)
 	}
+	if choice.Looks > 1 {
+		recorder.metrics.conflicts.Add(float64(choice.Looks - 1))
+		line.Int("looks", choice.Looks)
+	}
+	if choice.LastResort {
+		line.Bool("last_resort", true)
+	}
 	line.Dict("costs", costs(choice.Terms))
 	if choice.Next != "" {
 		line.Str("next", choice.Next).Dict("next_costs", costs(choice.NextTerms))
