Use a server again when its backoff is over, whatever it refused

Cause: a refusal that names a backoff counted in the share of refusals as well. It outlives the backoff by some seconds, and where engines cost next to nothing even a share of a thousandth decides.

Change: a refusal counts only if its server asked for no backoff: one that says when to come back is not asked in the meantime anyway, and comes back by the slow-start window.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -167,7 +167,10 @@
 	case exchange.ResultRefused:
 		state.abandon(probe)
 		state.busyUntil = now.Add(refusalRest)
-		state.refusals.note(1, now)
+		if state.rest.left(now) == 0 {
+			// A server that says when to come back is not asked in the meantime anyway.
+			state.refusals.note(1, now)
+		}
 	case exchange.ResultUnreached:
 		state.unreachedAt = now
 		state.fail(unreachedBreaker, probe, now)
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -176,6 +176,12 @@
 	require.Less(t, share(begin), 1.0)
 
 	later := begin.Add(time.Minute)
+	before := share(later)
+	set.Notice("x", Notice{Rest: time.Second}, later)
+	refuse(later)
+	require.Equal(t, before, share(later), "a server that says when to come back is used again then")
+
+	later = later.Add(time.Minute)
 	refuse(later)
 	require.Positive(t, share(later))
 	set.Learn("x", map[string]int64{"m": 2})
