Look for another server than a silent one in the neighbourhood alone

A silent attempt asks whether another server takes its request. It looked at all servers of the service, which takes 9.8 ms among 10,000, again after each silence; a placement looks at 64 of them (BenchmarkPlace). Where a service has up to 64 servers, nothing changes. Read, not measured: what a doubt costs has no benchmark.

--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -211,12 +211,13 @@
 	}
 }
 
-// elsewhere reports whether a server takes the request now that has not been tried and is not the
-// given one.
+// elsewhere reports whether a server of the neighbourhood takes the request now that has not been
+// tried and is not the given one.
 func (placer *placer) elsewhere(server string) bool {
 	now := boottime.Now()
 	choice := &choice{scheduler: routing.NewScheduler(placer.scorers()...), request: placer.routingRequest()}
 	query := placer.query(now)
+	query.Most = neighbourhood
 	excluded := append(slices.Clone(placer.excluded), server)
 	choice.candidates = placer.look(query, excluded, now)
 	choice.schedule()
