Prepare shared code for the parts of load control

Several parts add fields to backend.Work and rows to quota reports. Work.Plus sums one entry in one place, and the row kinds of tenants and services by rank are reserved, so that builds side by side agree on them. No behaviour changes: go test of quota, workshare, backend and proxy passes.

--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -19,6 +19,16 @@
 	Suspects int
 }
 
+// Plus returns the sum of the work of two sets of nodes on the same server.
+func (w Work) Plus(other Work) Work {
+	return Work{
+		Server:       other.Server,
+		Running:      w.Running + other.Running,
+		QueuedTokens: w.QueuedTokens + other.QueuedTokens,
+		Suspects:     w.Suspects + other.Suspects,
+	}
+}
+
 // drainingSuspects marks a draining server in Work.Suspects; no fleet has as many nodes. The
 // mark takes no extra bytes in this field, is sent first where reports are truncated, and makes
 // builds that do not know it skip the server too.
--- a/internal/quota/row.go
+++ b/internal/quota/row.go
@@ -28,9 +28,23 @@
 	// loweredRow describes a server that recently lowered its limit. Requested is the sum of the
 	// lowered limits advertised to nodes, and Admitted the number of these nodes.
 	loweredRow rowKind = 0x5e7a04
+	// tenantRankRow plus an urgency rank describes a tenant with a limit: the demand of its requests
+	// of that rank, and the admitted part of it, in the limit's unit per second.
+	tenantRankRow rowKind = 0x5e7b00
+	// tenantPromisedRow describes a tenant with a limit. Requested is the amount promised to refused
+	// callers that has not expired, and Admitted the part of it that has been redeemed.
+	tenantPromisedRow rowKind = 0x5e7b10
+	// serviceRankRow plus an urgency rank describes a service: the demand of its requests of that
+	// rank, and the admitted part of it, in prompt tokens per second.
+	serviceRankRow rowKind = 0x5e7c00
+	// servicePromisedRow describes a service, with the same meanings as tenantPromisedRow.
+	servicePromisedRow rowKind = 0x5e7c10
 )
 
-// maxRows bounds the rows of one report, to 3 kB. Services, which are few, go first.
+// rankCount is the number of urgency ranks; 0 is the most urgent.
+const rankCount = 10
+
+// maxRows bounds the rows of one report, to 3 kB. Services, which are few, go first, then tenants.
 const maxRows = 192
 
 // rowKey returns the key of a row of a kind on the service or server with the given hash.
@@ -38,23 +52,33 @@
 
 // isRow reports whether a key belongs to a row rather than to a tenant.
 func isRow(key uint64) bool {
-	switch rowKind(key) & kindMask {
-	case requestedRow, limitRow, sentRow, loweredRow:
+	switch k := rowKind(key) & kindMask; k {
+	case requestedRow, limitRow, sentRow, loweredRow, tenantPromisedRow, servicePromisedRow:
 		return true
+	default:
+		return isRankRow(k, tenantRankRow) || isRankRow(k, serviceRankRow)
 	}
-	return false
 }
 
+// isRankRow reports whether a kind is that of a row by rank, whose first kind is given.
+func isRankRow(k, first rowKind) bool { return k >= first && k < first+rankCount }
+
 // TruncateRows returns the first maxRows rows in a stable order.
 func TruncateRows(rows []Usage) []Usage {
-	sortGroup := func(row Usage) int {
-		if rowKind(row.Key)&kindMask == requestedRow {
-			return 0
-		}
-		return 1
-	}
 	slices.SortFunc(rows, func(a, b Usage) int {
-		return cmp.Or(cmp.Compare(sortGroup(a), sortGroup(b)), cmp.Compare(a.Key, b.Key))
+		return cmp.Or(cmp.Compare(sortGroup(a.Key), sortGroup(b.Key)), cmp.Compare(a.Key, b.Key))
 	})
 	return rows[:min(len(rows), maxRows)]
 }
+
+// sortGroup returns the position of a row's group in a report.
+func sortGroup(key uint64) int {
+	switch k := rowKind(key) & kindMask; {
+	case k == requestedRow, k == servicePromisedRow, isRankRow(k, serviceRankRow):
+		return 0
+	case k == tenantPromisedRow, isRankRow(k, tenantRankRow):
+		return 1
+	default:
+		return 2
+	}
+}
--- a/internal/workshare/aggregator.go
+++ b/internal/workshare/aggregator.go
@@ -108,12 +108,7 @@
 func (t *totals) add(report Report) {
 	t.nodes += report.Quota.Nodes
 	for _, w := range report.Work {
-		sum := t.work[w.Server]
-		sum.Server = w.Server
-		sum.Running += w.Running
-		sum.QueuedTokens += w.QueuedTokens
-		sum.Suspects += w.Suspects
-		t.work[w.Server] = sum
+		t.work[w.Server] = t.work[w.Server].Plus(w)
 	}
 	for _, usage := range report.Quota.Usages {
 		t.usages[usage.Key] = t.usages[usage.Key].Plus(usage)
