Report votes on prefill rates with the work of a node

Cause: each node measures few servers, and a restarted node none, while others know their rates.

Change: backend.Work gets the field Prefill, summed per lane. A relay drops more than one vote of a follower on the same server. The wire types use a named slice of Work, whose shorter gob type name makes up for the new field.

A build without the field decodes the message (TestLegacyBuildDecodesMessages).

--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -57,6 +57,8 @@
 	drainingServers drainingSet
 	// random returns a random number from 0 to 1.
 	random func() float64
+	// vote is nil if this node does not vote.
+	vote Vote
 	// peerWorkUntil is when the work reported by other nodes expires, and loadingUntil when the
 	// loading state reported by the rollout holder expires.
 	peerWorkUntil time.Time
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cloverrail/cloverrail/internal/capacity"
 )
 
 // Work is the work that one or more nodes have in flight on a server.
@@ -17,6 +19,8 @@
 	// Suspects is the number of nodes whose breaker for the server is open. A node that the server
 	// has told that it is shutting down counts as drainingSuspects.
 	Suspects int
+	// Prefill holds the votes of the nodes on the prefill rate of the server.
+	Prefill capacity.Votes
 }
 
 // Plus returns the sum of the work of two sets of nodes on the same server.
@@ -26,6 +30,7 @@
 		Running:      w.Running + other.Running,
 		QueuedTokens: w.QueuedTokens + other.QueuedTokens,
 		Suspects:     w.Suspects + other.Suspects,
+		Prefill:      w.Prefill.Plus(other.Prefill),
 	}
 }
 
@@ -67,7 +72,8 @@
 			w.Suspects = 1
 			suspected++
 		}
-		if w.Running != 0 || w.QueuedTokens != 0 || w.Suspects != 0 {
+		w.Prefill = set.voteOn(s, now)
+		if w.Running != 0 || w.QueuedTokens != 0 || w.Suspects != 0 || w.Prefill != 0 {
 			all = append(all, w)
 		}
 	}
--- a/internal/reflector/legacy_test.go
+++ b/internal/reflector/legacy_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/capacity"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/fleet"
@@ -152,7 +153,9 @@
 
 func TestLegacyBuildDecodesMessages(t *testing.T) {
 	encoded := &bytes.Buffer{}
-	request := PollRequest{Feed: "f", Place: at(3), Node: "n", Declaration: 5, Reader: true, Own: legacyWorkReport()}
+	own := legacyWorkReport()
+	own.Work[0].Prefill = capacity.VoteFor(50_000)
+	request := PollRequest{Feed: "f", Place: at(3), Node: "n", Declaration: 5, Reader: true, Own: own}
 	require.NoError(t, request.encode(encoded))
 	var decodedRequest legacyQuestion
 	require.NoError(t, gob.NewDecoder(encoded).Decode(&decodedRequest))
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -70,6 +70,10 @@
 	return nil
 }
 
+// works is the work on several servers. Gob sends the name of a slice type with each message, and
+// that of an unnamed one is longer.
+type works []backend.Work
+
 // wireQuestion is the gob encoding of a PollRequest. Gob sends the names of types too, so
 // those of the wire types stay as they are.
 type wireQuestion struct {
@@ -85,7 +89,7 @@
 	Fleet       uint64
 	Relay       bool
 	Reader      bool
-	Work        []backend.Work
+	Work        works
 	Quota       []byte
 	Kept        residency.Place
 	// Suspicions is gob-encoded on its own, and mostly nil.
@@ -147,7 +151,7 @@
 	Weights      map[string]int64
 	Nodes        int
 	Sum          uint64
-	Work         []backend.Work
+	Work         works
 	Quota        []byte
 	Kept         []byte
 	Servers      []byte
@@ -266,7 +270,7 @@
 // wireGroup is the gob encoding of a Group. Loads are encoded on their own, since their gob
 // type descriptions are longer than most groups and rarely needed.
 type wireGroup struct {
-	Work  []backend.Work
+	Work  works
 	Quota []byte
 	Loads []byte
 	Kept  []byte
--- a/internal/workshare/aggregator.go
+++ b/internal/workshare/aggregator.go
@@ -57,11 +57,21 @@
 
 // SetFollower sets the report of a follower.
 func (a *Aggregator) SetFollower(node string, report Report, now time.Time) {
+	report.Work = singleVotes(report.Work)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.followers[node] = timedReport{Report: report, at: now}
 }
 
+// singleVotes returns the work of one node without votes that no single node casts.
+func singleVotes(work []backend.Work) []backend.Work {
+	work = slices.Clone(work)
+	for i := range work {
+		work[i].Prefill = work[i].Prefill.Single()
+	}
+	return work
+}
+
 // SetGroup sets the report of another relay's group.
 func (a *Aggregator) SetGroup(relay string, report Report, now time.Time) {
 	a.mutex.Lock()
--- a/internal/workshare/aggregator_test.go
+++ b/internal/workshare/aggregator_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/capacity"
 	"github.com/cloverrail/cloverrail/internal/property"
 	"github.com/cloverrail/cloverrail/internal/quota"
 )
@@ -103,3 +104,14 @@
 	require.Equal(t, uint64(9999), reported[0].Server)
 	require.Equal(t, 2*maxReportedServers-1, reported[1].QueuedTokens)
 }
+
+// Guards against a faulty follower that reports more than one vote on a server.
+func TestFollowerVotesAtMostOnce(t *testing.T) {
+	relay, vote := newNode("relay"), capacity.VoteFor(50_000)
+	relay.aggregator.SetFollower("honest", Report{Work: []backend.Work{{Server: 1, Prefill: vote}}}, start)
+	relay.aggregator.SetFollower("second", Report{Work: []backend.Work{{Server: 1, Prefill: vote}}}, start)
+	relay.aggregator.SetFollower("faulty", Report{Work: []backend.Work{{Server: 1, Prefill: 15}}}, start)
+	require.Equal(t, vote.Plus(vote), relay.aggregator.Others("", start).Work[0].Prefill)
+	relay.aggregator.SetGroup("other relay", Report{Work: []backend.Work{{Server: 1, Prefill: vote.Plus(vote)}}}, start)
+	require.Equal(t, vote.Plus(vote).Plus(vote).Plus(vote), relay.aggregator.Others("", start).Work[0].Prefill)
+}
