Tell which services routes of different priority share

Cause: load control may change only services that requests of different urgency compete for.

Result: go test ./internal/catalog passes.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -137,6 +137,8 @@
 	stores       []*PrefixStore
 	tenants      map[uint64][]tenantKey
 	requiresKeys bool
+	// mixed holds the services that routes of different priority share.
+	mixed map[string]bool
 }
 
 type tenantKey struct {
@@ -154,6 +156,7 @@
 		services:     map[string]*Service{},
 		tenants:      map[uint64][]tenantKey{},
 		requiresKeys: len(declaration.Tenants) > 0,
+		mixed:        mixedServices(declaration.Routes),
 	}
 	for index := range declaration.Routes {
 		route := &declaration.Routes[index]
