Prefer candidates that are predicted to meet the target

Cause: an urgent prompt of 21,259 tokens was placed on an engine with 32,024 queued tokens, because the copy term outweighed the wait, and its first token took 3,040 ms against a target of 800 ms.

Rank orders candidates: those that meet Request.TargetSeconds by cost, then the others by delay. A sample without a candidate that meets the target gets up to two of them. Without a target, the order is that of the costs, as before.

--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -64,6 +64,10 @@
 	ImportFrom   string
 	// ImportTokensPerSecond is the import rate; 0 means that of the Request.
 	ImportTokensPerSecond float64
+	// PrefillTokensPerSecond is the endpoint's prefill rate, and SlotSeconds the average time for
+	// which a sequence occupies a slot there; 0 means those of the Request.
+	PrefillTokensPerSecond float64
+	SlotSeconds            float64
 	// Affinity is the endpoint's rendezvous weight for the prompt's affinity key.
 	Affinity uint64
 	// AffinityRank is the endpoint's rank by Affinity among the accepted candidates,
@@ -91,6 +95,12 @@
 	SampleSeed uint64
 	// SlotSeconds is the average time for which a sequence occupies a slot.
 	SlotSeconds float64
+	// BaseSeconds is the part of the time to the first token that depends neither on the prompt nor
+	// on other requests.
+	BaseSeconds float64
+	// TargetSeconds is what is left of the target time to the first token, negative if the request
+	// is late. 0 means that candidates are chosen by their cost alone.
+	TargetSeconds float64
 	// ConcurrencyCost is the delay in seconds that each running request adds to the next
 	// one, on servers of plain services.
 	ConcurrencyCost float64
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -1,16 +1,15 @@
 package routing
 
-// Pick returns the index of the cheapest accepted candidate, or -1 if there is none.
+// Pick returns the index of the accepted candidate with the first rank, or -1 if there is none.
 // Ties are broken by the higher rendezvous weight, so that all nodes choose alike.
-func Pick(candidates []Candidate, accepted []int, costs []float64) int {
+func Pick(candidates []Candidate, accepted []int, ranks []Rank) int {
 	best := -1
-	lowest := 0.0
+	var first Rank
 	for position, index := range accepted {
-		cost := costs[position]
-		cheaper := best < 0 || cost < lowest
-		tied := best >= 0 && cost == lowest && candidates[index].Affinity > candidates[best].Affinity
-		if cheaper || tied {
-			best, lowest = index, cost
+		rank := ranks[position]
+		tied := best >= 0 && rank == first && candidates[index].Affinity > candidates[best].Affinity
+		if best < 0 || rank.Less(first) || tied {
+			best, first = index, rank
 		}
 	}
 	return best
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -15,12 +15,12 @@
 	Score(request *Request, candidate *Candidate) float64
 }
 
-// Scheduler filters and scores candidates and picks the cheapest. It reuses buffers
+// Scheduler filters and scores candidates and picks the one with the first rank. It reuses buffers
 // between decisions and is not safe for concurrent use.
 type Scheduler struct {
 	scorers    []Scorer
 	accepted   []int
-	costs      []float64
+	ranks      []Rank
 	heldBlocks map[prefixindex.Holder]int
 }
 
@@ -35,7 +35,7 @@
 
 // Decision is the outcome of one placement.
 type Decision struct {
-	// Index is the index of the chosen candidate, and Next that of the next cheapest; -1
+	// Index is the index of the chosen candidate, and Next that of the next in rank; -1
 	// if there is none.
 	Index int
 	Next  int
@@ -48,7 +48,7 @@
 func (scheduler *Scheduler) Schedule(request *Request, candidates []Candidate) Decision {
 	decision := Decision{Index: -1, Next: -1}
 	scheduler.accepted = scheduler.accepted[:0]
-	scheduler.costs = scheduler.costs[:0]
+	scheduler.ranks = scheduler.ranks[:0]
 	for index := range candidates {
 		reason := Filter(request, &candidates[index])
 		if reason == Accepted {
@@ -59,25 +59,26 @@
 	}
 	assignAffinityRanks(candidates, scheduler.accepted)
 	if request.SampleSeed != 0 && SlotsScarce(candidates) {
-		scheduler.accepted = sampleCandidates(request.SampleSeed, candidates, scheduler.accepted)
+		sampled := sampleCandidates(request.SampleSeed, candidates, scheduler.accepted)
+		scheduler.accepted = keepTimely(request, candidates, scheduler.accepted, sampled)
 	}
 	for _, index := range scheduler.accepted {
-		scheduler.costs = append(scheduler.costs, scheduler.Cost(request, &candidates[index]))
+		scheduler.ranks = append(scheduler.ranks, scheduler.Rank(request, &candidates[index]))
 	}
-	decision.Index = Pick(candidates, scheduler.accepted, scheduler.costs)
-	decision.Next = scheduler.nextCheapest(candidates, decision.Index)
+	decision.Index = Pick(candidates, scheduler.accepted, scheduler.ranks)
+	decision.Next = scheduler.nextInRank(candidates, decision.Index)
 	return decision
 }
 
-// nextCheapest returns the cheapest accepted candidate other than the chosen one, or -1.
-func (scheduler *Scheduler) nextCheapest(candidates []Candidate, chosen int) int {
+// nextInRank returns the first accepted candidate in rank other than the chosen one, or -1.
+func (scheduler *Scheduler) nextInRank(candidates []Candidate, chosen int) int {
 	position := slices.Index(scheduler.accepted, chosen)
 	if position < 0 {
 		return -1
 	}
 	last := len(scheduler.accepted) - 1
-	scheduler.accepted[position], scheduler.costs[position] = scheduler.accepted[last], scheduler.costs[last]
-	return Pick(candidates, scheduler.accepted[:last], scheduler.costs[:last])
+	scheduler.accepted[position], scheduler.ranks[position] = scheduler.accepted[last], scheduler.ranks[last]
+	return Pick(candidates, scheduler.accepted[:last], scheduler.ranks[:last])
 }
 
 // Cost returns the cost of serving the request on a candidate, in seconds of engine time. The
--- a/internal/routing/score_wait.go
+++ b/internal/routing/score_wait.go
@@ -1,8 +1,6 @@
 package routing
 
-// decodeShare is the fraction of an engine's time that the decoding of one running
-// sequence takes from the prefill of others.
-const decodeShare = 0.004
+import "github.com/cloverrail/cloverrail/internal/capacity"
 
 // WaitScorer estimates the time to the first token: the prefill queued before the
 // request, slowed down by decoding sequences, or the time until a slot is free if that
@@ -14,9 +12,14 @@
 
 // Score returns seconds.
 func (WaitScorer) Score(request *Request, candidate *Candidate) float64 {
+	return request.WaitWeight * (StartDelay(request, candidate) + ownPrefill(request, candidate))
+}
+
+// ownPrefill returns the estimated time that the endpoint takes for the request's own prompt, in
+// seconds.
+func ownPrefill(request *Request, candidate *Candidate) float64 {
 	recompute, imported := MissingTokens(request, candidate)
-	own := prefillSeconds(request, candidate, recompute, imported)
-	return request.WaitWeight * (StartDelay(request, candidate) + own*slowdown(candidate))
+	return prefillSeconds(request, candidate, recompute, imported) * slowdown(candidate)
 }
 
 // StartDelay returns the estimated time until the endpoint starts the request, in seconds.
@@ -26,7 +29,7 @@
 }
 
 // slowdown returns the factor by which decoding sequences slow down prefill.
-func slowdown(candidate *Candidate) float64 { return 1 + decodeShare*float64(candidate.Running) }
+func slowdown(candidate *Candidate) float64 { return capacity.Slowdown(candidate.Running) }
 
 // slotWait returns the estimated time until a slot is free for the request. Requests with
 // short prompts and answers wait for slots rather than for the prefill of others.
@@ -34,6 +37,10 @@
 	if candidate.Slots <= 0 {
 		return 0
 	}
+	slotSeconds := request.SlotSeconds
+	if candidate.SlotSeconds > 0 {
+		slotSeconds = candidate.SlotSeconds
+	}
 	excess := max(0, candidate.Running+1-candidate.Slots)
-	return float64(excess) / float64(candidate.Slots) * request.SlotSeconds
+	return float64(excess) / float64(candidate.Slots) * slotSeconds
 }
--- a/internal/routing/score_wait_test.go
+++ b/internal/routing/score_wait_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/capacity"
 )
 
 func TestWaitScorerIncludesSlotWait(t *testing.T) {
@@ -11,8 +13,8 @@
 	free := Candidate{Slots: 16, Running: 15}
 	full := Candidate{Slots: 16, Running: 23}
 	unknown := Candidate{Running: 23}
-	require.InDelta(t, 0.01*(1+decodeShare*15), WaitScorer{}.Score(request, &free), 1e-9)
-	require.InDelta(t, 1+0.01*(1+decodeShare*23), WaitScorer{}.Score(request, &full), 1e-9)
+	require.InDelta(t, 0.01*capacity.Slowdown(15), WaitScorer{}.Score(request, &free), 1e-9)
+	require.InDelta(t, 1+0.01*capacity.Slowdown(23), WaitScorer{}.Score(request, &full), 1e-9)
 	require.Less(t, WaitScorer{}.Score(request, &unknown), 0.02)
 	full.QueuedTokens = 50_000
 	require.Greater(t, WaitScorer{}.Score(request, &full), 5.0, "queued prefill counts if it takes longer")
--- a/internal/routing/score_work.go
+++ b/internal/routing/score_work.go
@@ -17,7 +17,7 @@
 // it must compute and those that it can import.
 func MissingTokens(request *Request, candidate *Candidate) (recompute, imported int) {
 	covered := candidate.HitBlocks
-	if importRate(request, candidate) > request.PrefillTokensPerSecond && candidate.ImportBlocks > covered {
+	if importRate(request, candidate) > prefillRate(request, candidate) && candidate.ImportBlocks > covered {
 		imported = (candidate.ImportBlocks - covered) * request.BlockTokens
 		covered = candidate.ImportBlocks
 	}
@@ -32,8 +32,16 @@
 	return request.ImportTokensPerSecond
 }
 
+// prefillRate returns how many tokens per second the candidate can compute.
+func prefillRate(request *Request, candidate *Candidate) float64 {
+	if candidate.PrefillTokensPerSecond > 0 {
+		return candidate.PrefillTokensPerSecond
+	}
+	return request.PrefillTokensPerSecond
+}
+
 func prefillSeconds(request *Request, candidate *Candidate, recompute, imported int) float64 {
-	total := float64(recompute) / request.PrefillTokensPerSecond
+	total := float64(recompute) / prefillRate(request, candidate)
 	if imported > 0 {
 		total += float64(imported) / importRate(request, candidate)
 	}
