Weigh samples of the prefill rate by the attempt's own share

The server has processed part of what counts as queued, and urgent short prompts overtake a queue, so that rates behind queues come out too high; the server then gets an even longer queue.

Change: Measurement.Queued tells the queued tokens apart. A sample weighs by the square of the own share, and short prompts behind queued ones teach nothing. Votes of peers replace the prior of a server's own samples, so that one sample and one vote that agree suffice. Typical returns what is known of a service.

--- a/internal/capacity/estimator.go
+++ b/internal/capacity/estimator.go
@@ -24,7 +24,9 @@
 	Server  uint64
 	// Tokens is the number of prompt tokens that the server had to process before the first event:
 	// those known to be queued when the attempt was sent, and the attempt's own.
-	Tokens  int
+	Tokens int
+	// Queued is the part of Tokens that was queued.
+	Queued  int
 	Elapsed time.Duration
 	// Running is the number of sequences known to run on the server.
 	Running int
@@ -61,7 +63,7 @@
 
 // Observe learns from one attempt.
 func (e *Estimator) Observe(m Measurement, now time.Time) {
-	if m.Tokens < 0 || m.Elapsed <= 0 {
+	if m.Queued < 0 || m.Tokens < m.Queued || m.Elapsed <= 0 {
 		return
 	}
 	e.mutex.Lock()
@@ -123,9 +125,18 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	s := e.service(service, now)
-	s.use(server, now)
+	found := s.use(server, now)
 	s.refreshIfDue(e.peers, now)
-	return s.estimate(server)
+	return s.estimate(found)
+}
+
+// Typical returns what is known of a service: the estimate of a server without samples or votes.
+func (e *Estimator) Typical(service string, now time.Time) Estimate {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	s := e.service(service, now)
+	s.refreshIfDue(e.peers, now)
+	return s.typical()
 }
 
 // service returns the state of a service, and adds it if it is new.
--- a/internal/capacity/histogram.go
+++ b/internal/capacity/histogram.go
@@ -103,13 +103,13 @@
 }
 
 // medianNear returns the median of the samples and of the typical value, which counts as a sample
-// of priorWeight. Without samples, and without a typical value, it returns the typical value.
-func (h *histogram) medianNear(typical float64, scale scale, now time.Time) float64 {
+// of the given weight. Without samples, or without a typical value, it returns the typical value.
+func (h *histogram) medianNear(typical, typicalWeight float64, scale scale, now time.Time) float64 {
 	if typical <= 0 || h.weight(now) == 0 {
 		return typical
 	}
 	prior := scale.bin(typical)
-	position := h.median(now, prior, priorWeight)
+	position := h.median(now, prior, typicalWeight)
 	if int(position) == prior {
 		return typical
 	}
--- a/internal/capacity/server.go
+++ b/internal/capacity/server.go
@@ -38,26 +38,27 @@
 	s.slots.add(bin, 1, now)
 }
 
-// refresh derives the values of the server from its samples and votes. It returns its rate for the
-// comparison with other servers, or 0 if too little is known of it.
+// refresh derives the values of the server from its samples and votes: the lane of the median vote,
+// with its own samples deciding within the lane. It returns a rate for the comparison with other
+// servers that differs from the typical rate no more than the votes show, or 0 if too little is
+// known of the server.
 func (s *server) refresh(peers *peerVotes, typicalRate, typicalSlot float64, now time.Time) float64 {
-	s.slot = s.slots.medianNear(typicalSlot, timeScale, now)
-	own, ownWeight := s.rates.medianNear(typicalRate, rateScale, now), s.rates.weight(now)
+	s.slot = s.slots.medianNear(typicalSlot, priorWeight, timeScale, now)
+	votes, ownWeight := peers.weight(now), s.rates.weight(now)
+	// Votes replace the prior, so that few samples and few votes suffice together.
+	own := s.rates.medianNear(typicalRate, max(0, priorWeight-votes), rateScale, now)
 	s.rate = own
-	votes := peers.weight(now)
 	if votes == 0 {
 		return comparableRate(own, ownWeight)
 	}
 	b := ballot{}
 	b.addPeers(peers, now)
 	b.addOwn(own)
-	lane, median := b.median(laneOf(own))
-	nearest := laneClamp(own, lane)
-	s.rate = nearest
-	if ownWeight == 0 && lane != laneOf(own) {
-		s.rate = median
+	lane, voted := b.median(laneOf(own))
+	if lane != laneOf(own) {
+		s.rate = laneClamp(s.rates.medianNear(voted, priorWeight, rateScale, now), lane)
 	}
-	return comparableRate(nearest, ownWeight+votes)
+	return comparableRate(laneClamp(own, lane), ownWeight+votes)
 }
 
 // comparableRate returns a rate if its weight is enough to compare servers by it, and else 0.
--- a/internal/capacity/service.go
+++ b/internal/capacity/service.go
@@ -44,12 +44,16 @@
 	compared []float64
 }
 
-// observe learns the base time from a short prompt, and the prefill rate from a longer one.
+// observe learns the base time from a short prompt, and the prefill rate from a longer one. A short
+// prompt behind queued ones teaches nothing: if it is urgent, the server processes it first.
 func (s *service) observe(m Measurement, now time.Time) {
 	if m.Tokens < shortPrompt {
 		s.observeBase(m, now)
 		return
 	}
+	if m.Tokens-m.Queued < shortPrompt {
+		return
+	}
 	base := s.baseSeconds(now)
 	elapsed := m.Elapsed.Seconds()
 	prefill := max(elapsed-base, minPrefillShare*elapsed)
@@ -60,6 +64,7 @@
 		expected := float64(m.Tokens) / s.typicalRate
 		weight = expected / (expected + base)
 	}
+	weight *= ownShare(m)
 	bin := rateScale.bin(rate)
 	s.rates.add(bin, weight, now)
 	if server := s.use(m.Server, now); server != nil {
@@ -67,6 +72,14 @@
 	}
 }
 
+// ownShare returns the weight of a measurement by the share of the attempt's own tokens. The server
+// has already processed some of the queued tokens, and it may process a more urgent attempt before
+// the others, so that the rate over a long queue is overestimated.
+func ownShare(m Measurement) float64 {
+	share := float64(m.Tokens-m.Queued) / float64(m.Tokens)
+	return share * share
+}
+
 func (s *service) observeBase(m Measurement, now time.Time) {
 	seconds := m.Elapsed.Seconds()
 	if s.typicalRate > 0 {
@@ -105,18 +118,22 @@
 	return timeScale.value(s.bases.median(now, 0, 0))
 }
 
-// estimate returns the derived values of a server.
-func (s *service) estimate(key uint64) Estimate {
-	e := Estimate{
-		PrefillTokensPerSecond: s.typicalRate, SlotSeconds: s.typicalSlot, BaseSeconds: s.base, Known: s.typicalRate > 0,
+// typical returns the derived values of the service.
+func (s *service) typical() Estimate {
+	return Estimate{PrefillTokensPerSecond: s.typicalRate, SlotSeconds: s.typicalSlot, BaseSeconds: s.base, Known: s.typicalRate > 0}
+}
+
+// estimate returns the derived values of a server, or those of the service if it is nil.
+func (s *service) estimate(server *server) Estimate {
+	e := s.typical()
+	if server == nil || !s.differ {
+		return e
 	}
-	if server := s.servers[key]; server != nil && s.differ {
-		if server.rate > 0 {
-			e.PrefillTokensPerSecond = server.rate
-		}
-		if server.slot > 0 {
-			e.SlotSeconds = server.slot
-		}
+	if server.rate > 0 {
+		e.PrefillTokensPerSecond = server.rate
+	}
+	if server.slot > 0 {
+		e.SlotSeconds = server.slot
 	}
 	return e
 }
