Place requests of shared services by estimated capacity and target

Cause: the proxy predicted waits by one rate for all servers, which was far too low at first, took requests for late that were not, and placed urgent prompts where they missed their target.

Change: for services that routes of different priority share, the estimator replaces prefillRate and slotTime: it learns from every attempt that did not wait for a slot, fills in the candidates' rates, and sets what is left of the target. deferred, the check at the sending, and the silence allowance use the same prediction. Nodes exchange votes with their work. The line "placed" shows the prediction, the target and whether it is met, and first_token_error_seconds its error. Other services keep prefillRate and slotTime.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -16,6 +16,7 @@
 
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/capacity"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/fleet"
@@ -72,6 +73,7 @@
 	tenantLimiter    *quota.Limiter
 	serverLimits     *quota.ServerLimits
 	quarantineLedger *quarantine.Ledger
+	capacity         *capacity.Estimator
 	proxy            *proxy.Proxy
 	registry         *fleet.Registry
 	feed             *reflector.Feed
@@ -118,6 +120,8 @@
 	process.serverLimits = quota.NewServerLimits(process.serverSet.Contains, rand.Float64)
 	process.cacheLedger = residency.NewLedger()
 	process.quarantineLedger = quarantine.NewLedger()
+	process.capacity = capacity.NewEstimator()
+	process.serverSet.SetVote(process.capacity.Vote)
 	process.proxy = proxy.New(proxy.Options{
 		Replica: process.replica,
 		Set:     process.serverSet,
@@ -138,6 +142,7 @@
 		ServerLimits: process.serverLimits,
 		Quarantine:   process.quarantineLedger,
 		Unconfirmed:  process.crashUnconfirmed,
+		Capacity:     process.capacity,
 		EntryTTL:     entryExpiryHeartbeats * config.Heartbeat,
 	})
 	incarnation := uuid.NewString()
@@ -262,6 +267,7 @@
 			for _, instance := range process.serverSet.ApplyPeerWork(others.Work, now) {
 				process.recorder.PeerDraining(instance)
 			}
+			process.capacity.SetPeerVotes(prefillVotes(others.Work), now)
 			process.tenantLimiter.SetPeerUsage(others.Quota, now)
 			process.recordPeerLimits(process.serverLimits.SetPeerRows(others.Quota.Rows, now))
 		},
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -18,6 +18,8 @@
 	placer  *placer
 	chosen  routing.Candidate
 	attempt *backend.Attempt
+	// request is the request by which the server was chosen.
+	request *routing.Request
 	// prefillTokens is the estimated number of prompt tokens that the server must
 	// compute because they are neither in its cache nor importable.
 	prefillTokens int
@@ -117,6 +119,7 @@
 	if placement.chosen.Running == 0 {
 		placement.placer.proxy.prefillRate.observe(placement.prefillTokens, now.Sub(placement.placedAt))
 	}
+	placement.learnFirstEvent(now)
 	placement.recordResidency(now)
 }
 
@@ -180,6 +183,9 @@
 	if placement.placer.prompt() == nil {
 		return 0
 	}
+	if placement.placer.estimatesCapacity() {
+		return seconds(prefillAllowanceFactor * routing.FirstTokenDelay(placement.request, &placement.chosen))
+	}
 	return prefillAllowanceFactor * placement.placer.proxy.prefillRate.timeFor(placement.chosen.QueuedTokens+placement.prefillTokens)
 }
 
@@ -200,5 +206,6 @@
 	if result == exchange.ResultServed && placement.responding && placement.placer.prompt() != nil {
 		prefill := placement.placer.proxy.prefillRate.timeFor(placement.prefillTokens)
 		placement.placer.proxy.slotTime.observe(now.Sub(placement.respondingSince) + prefill)
+		placement.learnSlot(now)
 	}
 }
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -160,7 +160,7 @@
 	request    *routing.Request
 	candidates []routing.Candidate
 	decision   routing.Decision
-	// strict requires that the chosen server is still the cheapest when the attempt begins,
+	// strict requires that the chosen server is still the first in rank when the attempt begins,
 	// and not only that it still accepts the request.
 	strict bool
 	// lastResort is set if the circuit breakers of all remaining servers are open.
@@ -187,7 +187,8 @@
 	if !s.strict || s.decision.Next < 0 {
 		return true
 	}
-	return s.scheduler.Cost(s.request, current) <= s.scheduler.Cost(s.request, &s.candidates[s.decision.Next])
+	next := s.scheduler.Rank(s.request, &s.candidates[s.decision.Next])
+	return !next.Less(s.scheduler.Rank(s.request, current))
 }
 
 // selectAndBegin begins an attempt on the cheapest server of the prompt's subset, which is the
@@ -236,6 +237,9 @@
 	if placer.prompt() != nil {
 		placer.annotate(candidates, now)
 	}
+	if placer.estimatesCapacity() {
+		placer.annotateCapacity(candidates, now)
+	}
 	placer.isolateSuspect(candidates)
 	return candidates
 }
@@ -262,7 +266,7 @@
 func (placer *placer) describe(s *selection, placed *placement, rounds int) PlacementDecision {
 	decision := PlacementDecision{
 		Chosen: placed.chosen, Terms: s.scheduler.Terms(s.request, &placed.chosen), Deferred: placed.deferred,
-		OverLimit: countLimited(s.candidates), Rounds: rounds, LastResort: s.lastResort,
+		OverLimit: countLimited(s.candidates), Rounds: rounds, LastResort: s.lastResort, Prediction: placed.prediction(),
 	}
 	if s.decision.Next >= 0 {
 		next := &s.candidates[s.decision.Next]
@@ -344,5 +348,5 @@
 	if attempt == nil {
 		return nil
 	}
-	return &placement{placer: placer, chosen: chosen, attempt: attempt, prefillTokens: tokens, deferred: deferred, placedAt: now, suspendedAtPlacement: boottime.Suspended()}
+	return &placement{placer: placer, request: selection.request, chosen: chosen, attempt: attempt, prefillTokens: tokens, deferred: deferred, placedAt: now, suspendedAtPlacement: boottime.Suspended()}
 }
--- a/internal/proxy/placer_bench_test.go
+++ b/internal/proxy/placer_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 // BenchmarkPlace measures the time and the allocations of one placement by number of servers.
@@ -42,3 +43,27 @@
 		})
 	}
 }
+
+// BenchmarkPlaceByTarget measures one placement among 72 servers by their cost alone, and by the
+// estimated capacity and a target.
+func BenchmarkPlaceByTarget(b *testing.B) {
+	var servers []string
+	for i := range 72 {
+		servers = append(servers, fmt.Sprint("i-", i))
+	}
+	for name, mixed := range map[string]bool{"cost": false, "target": true} {
+		b.Run(name, func(b *testing.B) {
+			placer := newSharedPlacer(500, len(servers), time.Hour, mixed)
+			placer.teach(servers, 50_000)
+			b.ReportAllocs()
+			for b.Loop() {
+				clear(placer.pieces)
+				placement, unplaced := placer.Place(nil)
+				if unplaced != nil {
+					b.Fatal(unplaced.Reason)
+				}
+				placement.End(0)
+			}
+		})
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,6 +12,7 @@
 
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/capacity"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/failure"
@@ -150,6 +151,7 @@
 	splitter     splitter
 	prefillRate  *prefillRate
 	slotTime     *slotTime
+	capacity     *capacity.Estimator
 	ledger       *residency.Ledger
 	limiter      *quota.Limiter
 	serverLimits *quota.ServerLimits
@@ -184,12 +186,18 @@
 	// backend.ServerKey.
 	Quarantine  *quarantine.Ledger
 	Unconfirmed quarantine.Unconfirmed
+	// Capacity estimates the capacity of the servers of services that routes of different
+	// priority share; nil for a new estimator.
+	Capacity *capacity.Estimator
 	// EntryTTL is the time after which the registration of a crashed server has expired.
 	EntryTTL time.Duration
 }
 
 // New returns a Proxy with the given options.
 func New(options Options) *Proxy {
+	if options.Capacity == nil {
+		options.Capacity = capacity.NewEstimator()
+	}
 	return &Proxy{
 		replica:      options.Replica,
 		set:          options.Set,
@@ -208,6 +216,7 @@
 		started:      boottime.Now(),
 		prefillRate:  newPrefillRate(),
 		slotTime:     newSlotTime(),
+		capacity:     options.Capacity,
 		stopping:     make(chan struct{}),
 	}
 }
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -28,6 +28,8 @@
 	// LastResort is set if the circuit breakers of all remaining servers were open, so that this
 	// request probes one of them.
 	LastResort bool
+	// Prediction is that of the chosen server.
+	Prediction Prediction
 }
 
 // OverLimits records that no server accepts a request because of the servers' request limits.
@@ -45,6 +47,9 @@
 type Recorder interface {
 	// Placed records a placement.
 	Placed(request *Request, choice PlacementDecision)
+	// FirstTokenPredicted records the predicted and the actual time from the placement to the first
+	// token of a request.
+	FirstTokenPredicted(predicted, actual time.Duration)
 	// RateLimited records a request that was refused because of its tenant's rate limit.
 	RateLimited(request *Request, tenant string, limit quota.Limit, decision quota.Decision)
 	// OverLimits records, once per request, that all servers were at their request limits.
--- a/internal/proxy/routing_request.go
+++ b/internal/proxy/routing_request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/prefix"
 	"github.com/cloverrail/cloverrail/internal/routing"
@@ -35,6 +36,9 @@
 	request.PrefillTokensPerSecond = placer.proxy.prefillRate.tokensPerSecond()
 	request.SampleSeed = uint64(prefix.HashName(placer.admitted.request.ID))
 	request.SlotSeconds = placer.proxy.slotTime.seconds()
+	if placer.estimatesCapacity() {
+		placer.setCapacity(request, boottime.Now())
+	}
 	request.ImportTokensPerSecond = storeImportRate(placer.admitted.service.Engine, placer.store())
 	return request
 }
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -26,6 +26,7 @@
 func (nopRecorder) OverLimits(*Request, OverLimits)                                         {}
 func (nopRecorder) RequestQuarantined(*Request, quarantine.Fingerprint, quarantine.Verdict) {}
 func (nopRecorder) SuspicionResolved(Suspicion)                                             {}
+func (nopRecorder) FirstTokenPredicted(time.Duration, time.Duration)                        {}
 func (nopRecorder) SuspicionCleared(*Request, quarantine.Fingerprint)                       {}
 func (nopRecorder) Request(*Request, *catalog.Route, int64, exchange.Outcome)               {}
 
--- a/internal/proxy/urgency.go
+++ b/internal/proxy/urgency.go
@@ -21,11 +21,24 @@
 	if placer.prompt() == nil {
 		return false
 	}
+	if placer.estimatesCapacity() {
+		return placer.missesTarget(request, chosen, now)
+	}
 	wait := routing.StartDelay(request, chosen)
 	expected := now.Sub(placer.admitted.request.Arrived) + time.Duration(wait*float64(time.Second))
 	return expected > placer.admitted.route.TargetLatency
 }
 
+// missesTarget reports whether the request is late, or is predicted to be on the chosen server. It
+// is not predicted to be late while nothing is known of the servers.
+func (placer *placer) missesTarget(request *routing.Request, chosen *routing.Candidate, now time.Time) bool {
+	if request.TargetSeconds != 0 {
+		return !routing.MeetsTarget(request, chosen)
+	}
+	target := placer.admitted.route.TargetLatency
+	return target > 0 && now.Sub(placer.admitted.request.Arrived) > target
+}
+
 // urgency returns the urgency of the attempt at its server.
 func (placement *placement) urgency() int {
 	rank := urgency(placement.placer.admitted)
--- a/internal/routing/score_work.go
+++ b/internal/routing/score_work.go
@@ -24,6 +24,13 @@
 	return max(0, request.PromptTokens-covered*request.BlockTokens), imported
 }
 
+// ImportSeconds returns the estimated time that the endpoint takes to import the blocks that it does
+// not compute.
+func ImportSeconds(request *Request, candidate *Candidate) float64 {
+	_, imported := MissingTokens(request, candidate)
+	return prefillSeconds(request, candidate, 0, imported)
+}
+
 // importRate returns how many tokens per second the candidate can import.
 func importRate(request *Request, candidate *Candidate) float64 {
 	if candidate.ImportTokensPerSecond > 0 {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -13,6 +13,7 @@
 	requests           *prometheus.CounterVec
 	attempts           *prometheus.CounterVec
 	firstResponse      *prometheus.HistogramVec
+	predictionErrors   *prometheus.HistogramVec
 	storeReads         *prometheus.CounterVec
 	orders             *prometheus.CounterVec
 	connections        *prometheus.CounterVec
@@ -62,6 +63,9 @@
 		firstResponse: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "cloverrail_proxy_first_answer_seconds", Help: "Time to the head of the answer.", Buckets: firstResponseBuckets,
 		}, []string{"route"}),
+		predictionErrors: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cloverrail_proxy_first_token_error_seconds", Help: "Difference between the predicted and the actual time to the first token, by whether it came early or late.", Buckets: firstResponseBuckets,
+		}, []string{"direction"}),
 		storeReads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_store_reads_total", Help: "Readings of the shared store by result.",
 		}, []string{"result"}),
@@ -134,7 +138,7 @@
 		}
 		return -1
 	})
-	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstResponse, metrics.storeReads,
+	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstResponse, metrics.predictionErrors, metrics.storeReads,
 		metrics.orders, metrics.connections, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.deferred, metrics.placementConflicts, metrics.quarantined, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.storeCalls, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -98,6 +98,9 @@
 	if choice.LastResort {
 		line.Bool("last_resort", true)
 	}
+	if prediction := choice.Prediction; prediction.Known {
+		line.Dur("predicted", prediction.FirstToken).Dur("target", prediction.Target).Bool("meets", prediction.Met)
+	}
 	line.Dict("costs", costDict(choice.Terms))
 	if choice.Next != "" {
 		line.Str("next", choice.Next).Dict("next_costs", costDict(choice.NextTerms))
@@ -105,6 +108,16 @@
 	line.Msg("placed")
 }
 
+// FirstTokenPredicted records by how much the first token of a request came earlier or later than
+// predicted.
+func (recorder *Recorder) FirstTokenPredicted(predicted, actual time.Duration) {
+	direction := "late"
+	if actual < predicted {
+		direction = "early"
+	}
+	recorder.metrics.predictionErrors.WithLabelValues(direction).Observe((actual - predicted).Abs().Seconds())
+}
+
 // RateLimited records a request that exceeds its tenant's limit.
 func (recorder *Recorder) RateLimited(request *proxy.Request, tenant string, limit quota.Limit, decision quota.Decision) {
 	recorder.metrics.rateLimited.Inc()
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -140,3 +140,32 @@
 	require.Len(t, output.lines(), maxUnknownHeaders)
 	require.Equal(t, float64(3+3*maxUnknownHeaders), testutil.ToFloat64(metrics.notices.WithLabelValues("unknown")))
 }
+
+func TestPlacementLogsPrediction(t *testing.T) {
+	logBuffer := &logBuffer{}
+	recorder := NewRecorder(zerolog.New(logBuffer), NewMetrics(&catalog.AtomicReplica{}))
+	prediction := proxy.Prediction{Known: true, FirstToken: 120 * time.Millisecond, Target: 790 * time.Millisecond, Met: true}
+	recorder.Placed(&proxy.Request{ID: "a"}, proxy.PlacementDecision{Prediction: prediction})
+	recorder.Placed(&proxy.Request{ID: "b"}, proxy.PlacementDecision{})
+	lines := logBuffer.lines()
+	require.Contains(t, lines[0], `"predicted":120,"target":790,"meets":true`)
+	require.NotContains(t, lines[1], "predicted")
+}
+
+func TestPredictionErrorsAreCountedByDirection(t *testing.T) {
+	metrics := NewMetrics(&catalog.AtomicReplica{})
+	recorder := NewRecorder(zerolog.New(&logBuffer{}), metrics)
+	recorder.FirstTokenPredicted(100*time.Millisecond, 160*time.Millisecond)
+	recorder.FirstTokenPredicted(100*time.Millisecond, 90*time.Millisecond)
+	families, err := metrics.Registry.Gather()
+	require.NoError(t, err)
+	sums := map[string]float64{}
+	for _, family := range families {
+		if family.GetName() == "cloverrail_proxy_first_token_error_seconds" {
+			for _, metric := range family.GetMetric() {
+				sums[metric.GetLabel()[0].GetValue()] = metric.GetHistogram().GetSampleSum()
+			}
+		}
+	}
+	require.InDeltaMapValues(t, map[string]float64{"late": 0.06, "early": 0.01}, sums, 1e-9)
+}
