Explain the predicted first token of a placement

Cause: a placement by target could not be followed from the log.

Change: cloverrail explain prints the prediction, what is left of the target, and whether it is predicted to be met.

Result: go test ./internal/command passes.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -57,6 +57,12 @@
 	NextCosts map[string]int64 `json:"next_costs"`
 	// Deferred says that the request will be late and yields to others.
 	Deferred bool `json:"deferred"`
+	// Predicted is the predicted time to the first token, and Target what is left of the target, in
+	// milliseconds; nil if there is no prediction. Meets says whether the target is predicted to be
+	// met.
+	Predicted *float64 `json:"predicted"`
+	Target    float64  `json:"target"`
+	Meets     bool     `json:"meets"`
 	// Fingerprint is the same for all retries of a request. It is set if a server may have crashed
 	// while running the request.
 	Fingerprint string `json:"fingerprint"`
@@ -205,6 +211,9 @@
 		text += fmt.Sprintf("; weights %d, prompt of %d tokens, %d held there, %d in the store, %d waiting before it",
 			line.Version, line.Prompt, line.CachedTokens, line.InStore, line.Queued)
 	}
+	if line.Predicted != nil {
+		text += "; " + line.predictionText()
+	}
 	if line.Deferred {
 		text += "; it will be late there, so that others go first"
 	}
@@ -226,6 +235,14 @@
 	return text
 }
 
+func (line logLine) predictionText() string {
+	verdict := "is missed"
+	if line.Meets {
+		verdict = "is met"
+	}
+	return fmt.Sprintf("the first token is predicted after %.0f ms, with %.0f ms left of the target, which %s", *line.Predicted, line.Target, verdict)
+}
+
 func (line logLine) tenantLimitText() string {
 	return fmt.Sprintf("beyond the limit of tenant %s: %.0f a second are asked where %.0f are allowed, %.0f may be admitted at once, so %.0f %% of the requests are; known of %d nodes %.0f ms ago; to come back after %.0f ms",
 		line.Tenant, line.Requested, line.Limit, line.Level, 100*line.AdmitRatio, line.Nodes, line.Age, line.RetryAfter)
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -30,6 +30,21 @@
 	require.Contains(t, text.String(), "its cost was 200 ms (work 160, wait 40), that of the next best, i-8, 520 ms (replaced 480, wait 20, work 20)")
 }
 
+func TestExplainShowsPrediction(t *testing.T) {
+	log := `{"node":"b","id":"r1","server":"i-7","predicted":120.4,"target":790,"meets":true,"message":"placed"}
+{"node":"b","id":"r2","server":"i-7","predicted":120.4,"target":-35,"meets":false,"message":"placed"}
+{"node":"b","id":"r3","server":"i-7","message":"placed"}`
+	text := strings.Builder{}
+	require.NoError(t, explain(strings.NewReader(log), &text, "r1"))
+	require.Contains(t, text.String(), "the first token is predicted after 120 ms, with 790 ms left of the target, which is met")
+	text.Reset()
+	require.NoError(t, explain(strings.NewReader(log), &text, "r2"))
+	require.Contains(t, text.String(), "with -35 ms left of the target, which is missed")
+	text.Reset()
+	require.NoError(t, explain(strings.NewReader(log), &text, "r3"))
+	require.NotContains(t, text.String(), "predicted")
+}
+
 func TestExplainShowsTenantLimit(t *testing.T) {
 	log := `{"node":"b","id":"r1","tenant":"t7","limit":20,"asked":50,"level":-3,"share":0.36,"nodes":79,"age":140.2,"retry_after":900,"message":"limited"}
 {"node":"b","id":"r2","server":"i-7","prompt":10,"deferred":true,"message":"placed"}`
