--- a/internal/routing/score_work.go
+++ b/internal/routing/score_work.go
@@ -17,13 +17,20 @@
 // it must compute and those that it can import.
 func MissingTokens(request *Request, candidate *Candidate) (recompute, imported int) {
 	covered := candidate.HitBlocks
-	if importRate(request, candidate) > request.PrefillTokensPerSecond && candidate.ImportBlocks > covered {
+	if importRate(request, candidate) > prefillRate(request, candidate) && candidate.ImportBlocks > covered {
 		imported = (candidate.ImportBlocks - covered) * request.BlockTokens
 		covered = candidate.ImportBlocks
 	}
 	return max(0, request.PromptTokens-covered*request.BlockTokens), imported
 }
 
+// ImportSeconds returns the estimated time that the endpoint takes to import the blocks that it does
+// not compute.
+func ImportSeconds(request *Request, candidate *Candidate) float64 {
+	_, imported := MissingTokens(request, candidate)
+	return prefillSeconds(request, candidate, 0, imported)
+}
+
 // importRate returns how many tokens per second the candidate can import.
 func importRate(request *Request, candidate *Candidate) float64 {
 	if candidate.ImportTokensPerSecond > 0 {
@@ -32,8 +39,16 @@
 	return request.ImportTokensPerSecond
 }
 
+// prefillRate returns how many tokens per second the candidate can compute.
+func prefillRate(request *Request, candidate *Candidate) float64 {
+	if candidate.PrefillTokensPerSecond > 0 {
+		return candidate.PrefillTokensPerSecond
+	}
+	return request.PrefillTokensPerSecond
+}
+
 func prefillSeconds(request *Request, candidate *Candidate, recompute, imported int) float64 {
-	total := float64(recompute) / request.PrefillTokensPerSecond
+	total := float64(recompute) / prefillRate(request, candidate)
 	if imported > 0 {
 		total += float64(imported) / importRate(request, candidate)
 	}
