Keep silent attempts on servers that answer other nodes

Cause: only responses to this node counted as evidence that a server is busy rather than dark. On deployment B, 343 of 690 attempts cancelled as silent were on engines that answered other nodes meanwhile; the prompt is then read a second time elsewhere.

Change: Work.AnswerAge reports the time since a server last responded to a node, relative, so that clocks need not agree; the time that a report waits at a relay adds to it. For services that routes of different priority share, an attempt on a server that others hear has the long silence limit (2.5 times the target). Where they heard it so recently that a report may still be on its way, the short limit is extended by the propagation delay of the fleet, and the attempt is checked every 50 ms. Evidence of others does not count while this node cannot connect to the server. Other services are as before.

Measured in virtual time, target 400 ms, reports up to 400 ms late, an engine with 13 answers/s to others: given up after 1 s instead of 200 ms, both beside the allowance for the prefill. A server that no other node hears: 200 ms as before; one that goes dark as the request is sent: 600 ms.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -139,6 +139,8 @@
 		Quarantine:   process.quarantineLedger,
 		Unconfirmed:  process.crashUnconfirmed,
 		EntryTTL:     entryExpiryHeartbeats * config.Heartbeat,
+
+		PropagationDelay: func() time.Duration { return process.reflector.FleetPropagationDelay() },
 	})
 	incarnation := uuid.NewString()
 	process.source = platform.NewSource(process.store, process.recorder.EntryUnreadable)
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -95,17 +95,6 @@
 	}
 }
 
-// ServerRespondedSince reports whether the server has responded to any attempt since a given
-// time.
-func (attempt *Attempt) ServerRespondedSince(since time.Time) bool {
-	if attempt.entry == nil {
-		return false
-	}
-	attempt.set.mutex.Lock()
-	defer attempt.set.mutex.Unlock()
-	return attempt.entry.lastResponseAt.After(since)
-}
-
 func (attempt *Attempt) dequeue() {
 	attempt.entry.queuedTokens -= attempt.tokens
 	attempt.tokens = 0
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -72,6 +72,8 @@
 	key  uint64
 	// peerWork is the work that other nodes have in flight on the server.
 	peerWork Work
+	// peerAnsweredAt is when the server last responded to another node, as far as reported.
+	peerAnsweredAt time.Time
 	// listed is false once the server has been removed from the list, at unlistedAt.
 	listed     bool
 	unlistedAt time.Time
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -17,6 +17,9 @@
 	// Suspects is the number of nodes whose breaker for the server is open. A node that the server
 	// has told that it is shutting down counts as drainingSuspects.
 	Suspects int
+	// AnswerAge is the time since the server last responded to any of the nodes, or 0 if it has not
+	// within 2 s.
+	AnswerAge time.Duration
 }
 
 // Plus returns the sum of the work of two sets of nodes on the same server.
@@ -26,6 +29,7 @@
 		Running:      w.Running + other.Running,
 		QueuedTokens: w.QueuedTokens + other.QueuedTokens,
 		Suspects:     w.Suspects + other.Suspects,
+		AnswerAge:    smallestAge(w.AnswerAge, other.AnswerAge),
 	}
 }
 
@@ -59,7 +63,7 @@
 	var all []Work
 	suspected := 0
 	for s := range set.withLocalState {
-		w := Work{Server: s.key, Running: s.running(), QueuedTokens: s.queuedTokens}
+		w := Work{Server: s.key, Running: s.running(), QueuedTokens: s.queuedTokens, AnswerAge: s.answerAge(now)}
 		switch {
 		case s.drainingAnnounced:
 			w.Suspects = drainingSuspects
@@ -67,7 +71,7 @@
 			w.Suspects = 1
 			suspected++
 		}
-		if w.Running != 0 || w.QueuedTokens != 0 || w.Suspects != 0 {
+		if w != (Work{Server: s.key}) {
 			all = append(all, w)
 		}
 	}
@@ -124,6 +128,7 @@
 		}
 		if s != nil {
 			s.peerWork = w
+			s.observePeerAnswer(w.AnswerAge, now)
 			set.markUsed(s, now)
 			set.withPeerWork = append(set.withPeerWork, s)
 		}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -202,6 +202,35 @@
 // Service returns a service, or nil.
 func (snapshot *Snapshot) Service(name string) *Service { return snapshot.services[name] }
 
+// SharesPriorities reports whether routes of different priority share a service with engines.
+func (snapshot *Snapshot) SharesPriorities(service string) bool {
+	if declared := snapshot.services[service]; declared == nil || declared.Engine == nil {
+		return false
+	}
+	first, found := 0, false
+	for index := range snapshot.declaration.Routes {
+		route := &snapshot.declaration.Routes[index]
+		if !route.uses(service) {
+			continue
+		}
+		if found && route.Priority != first {
+			return true
+		}
+		first, found = route.Priority, true
+	}
+	return false
+}
+
+// uses reports whether a share of the route's traffic goes to a service.
+func (route *Route) uses(service string) bool {
+	for _, share := range route.Split {
+		if share.Service == service && share.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Declaration returns the declaration of the snapshot. It must not be modified.
 func (snapshot *Snapshot) Declaration() *Declaration { return snapshot.declaration }
 
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -86,6 +86,8 @@
 	Nodes      int     `json:"nodes"`
 	Age        float64 `json:"age"`
 	RetryAfter float64 `json:"retry_after"`
+	// Silent is how long a kept attempt had been silent, in milliseconds.
+	Silent float64 `json:"silent"`
 }
 
 // eventTexts maps the events of attempts to their explanations.
@@ -181,6 +183,8 @@
 			meaning += ", request " + line.Fingerprint
 		}
 		return fmt.Sprintf("at server %s %s", line.Server, meaning)
+	case "kept":
+		return fmt.Sprintf("server %s was silent for %.0f ms but answers other nodes: the attempt goes on", line.Server, line.Silent)
 	case "limited":
 		return line.tenantLimitText()
 	case "over the limits of servers":
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -126,7 +127,7 @@
 // checkSilence reports a silent attempt to the machine if its placement has stalled.
 func (driver *driver) checkSilence() {
 	if !driver.placement.Stalled(boottime.Since(driver.lastActivity)) {
-		driver.silenceTimer.Reset(driver.silenceTimeout)
+		driver.silenceTimer.Reset(cmp.Or(driver.request.SilenceTimeouts.Recheck, driver.silenceTimeout))
 		return
 	}
 	driver.step(Silent{})
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -123,6 +123,9 @@
 	// the gap between events. Zero means no bound.
 	FirstEvent    time.Duration
 	BetweenEvents time.Duration
+	// Recheck is the interval at which Placement.Stalled is consulted again while an attempt stays
+	// silent; zero means the bound itself.
+	Recheck time.Duration
 }
 
 // Request is a request to process with Run.
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -30,6 +30,8 @@
 	// respondingSince is when the response began.
 	respondingSince time.Time
 	savesToStore    bool
+	// kept is set once the attempt has been kept because other nodes hear its server.
+	kept bool
 }
 
 // Server returns the name of the server's incarnation.
@@ -143,26 +145,6 @@
 	return placement.exceedsSilenceLimit(silent) && placement.placer.hasAlternative(placement.chosen.Endpoint)
 }
 
-// exceedsSilenceLimit reports whether an attempt has been silent for too long, not counting the
-// expected prefill of its prompt and of those queued before it. The limit is shorter if the server
-// has not answered any request meanwhile, and longer if it is merely busy.
-func (placement *placement) exceedsSilenceLimit(silent time.Duration) bool {
-	if !placement.responding {
-		silent -= placement.prefillAllowance()
-	}
-	if silent <= 0 {
-		return false
-	}
-	target := placement.placer.admitted.route.TargetLatency
-	if placement.deferred && !placement.responding {
-		return !placement.attempt.ServerRespondedSince(boottime.Now().Add(-silent)) && silent >= target/2
-	}
-	if placement.attempt.ServerRespondedSince(boottime.Now().Add(-silent)) {
-		return silent >= time.Duration(maxSilenceFactor*float64(target))
-	}
-	return silent >= target/2
-}
-
 // StartDeadline returns the time by which the response must have begun if the server does
 // not have the newest weights: the request may wait in the server's queue until those
 // weights may no longer serve.
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -47,7 +47,7 @@
 
 // exchangeRequest returns the exchange.Request for an admitted request.
 func (proxy *Proxy) exchangeRequest(admitted *admitted, caller exchange.Caller) exchange.Request {
-	route := admitted.route
+	route, placer := admitted.route, newPlacer(proxy, admitted)
 	return exchange.Request{
 		Rules: exchange.Rules{
 			Repeatable:    route.Retryable(),
@@ -57,9 +57,9 @@
 			RetryAfter:    retryAfter(route),
 		},
 		Budget:          proxy.retryBudgets.ForService(admitted.service.Name),
-		SilenceTimeouts: silenceTimeouts(route),
+		SilenceTimeouts: placer.silenceTimeouts(),
 		ResumeAfter:     admitted.request.ResumeAfter,
-		Placer:          newPlacer(proxy, admitted),
+		Placer:          placer,
 		Caller:          caller,
 		Stopping:        proxy.stopping,
 		Observe: func(server string, event exchange.Event) {
@@ -72,14 +72,20 @@
 	}
 }
 
-func silenceTimeouts(route *catalog.Route) exchange.SilenceTimeouts {
+// silenceTimeouts returns the bounds on the silence of attempts.
+func (placer *placer) silenceTimeouts() exchange.SilenceTimeouts {
+	route := placer.admitted.route
 	if !route.Retryable() {
 		return exchange.SilenceTimeouts{}
 	}
-	return exchange.SilenceTimeouts{
+	timeouts := exchange.SilenceTimeouts{
 		FirstEvent:    time.Duration(firstEventTimeoutFactor * float64(route.TargetLatency)),
 		BetweenEvents: max(minEventGapTimeout, eventGapTimeoutFactor*route.GapTarget),
 	}
+	if placer.sharesPriorities() {
+		timeouts.Recheck = silenceRecheckInterval
+	}
+	return timeouts
 }
 
 // retryAfter returns the retry delay for refused callers: short enough that a retry can
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -156,6 +156,8 @@
 	quarantine   *quarantine.Ledger
 	unconfirmed  quarantine.Unconfirmed
 	entryTTL     time.Duration
+	// propagationDelay is that of Options.
+	propagationDelay func() time.Duration
 	// conflictMutex serializes placements that lost their first round to another placement.
 	conflictMutex sync.Mutex
 	probesMutex   sync.Mutex
@@ -186,6 +188,9 @@
 	Unconfirmed quarantine.Unconfirmed
 	// EntryTTL is the time after which the registration of a crashed server has expired.
 	EntryTTL time.Duration
+	// PropagationDelay returns the time in which an observation of any node reaches all nodes; nil
+	// means that there are no other nodes.
+	PropagationDelay func() time.Duration
 }
 
 // New returns a Proxy with the given options.
@@ -204,11 +209,13 @@
 		quarantine:   options.Quarantine,
 		unconfirmed:  options.Unconfirmed,
 		entryTTL:     options.EntryTTL,
-		probes:       map[string]*connectionProbe{},
-		started:      boottime.Now(),
-		prefillRate:  newPrefillRate(),
-		slotTime:     newSlotTime(),
-		stopping:     make(chan struct{}),
+
+		propagationDelay: options.PropagationDelay,
+		probes:           map[string]*connectionProbe{},
+		started:          boottime.Now(),
+		prefillRate:      newPrefillRate(),
+		slotTime:         newSlotTime(),
+		stopping:         make(chan struct{}),
 	}
 }
 
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -52,6 +52,9 @@
 	// Attempt records an event of an attempt. The fingerprint is that of the request if the
 	// attempt broke, and else 0.
 	Attempt(request *Request, server string, event exchange.Event, fingerprint quarantine.Fingerprint)
+	// AttemptKept records, once per attempt, that a silent attempt is not given up because other
+	// nodes hear its server.
+	AttemptKept(request *Request, server string, silent time.Duration)
 	// RequestQuarantined records a request that was refused because servers crashed while running it.
 	RequestQuarantined(request *Request, fingerprint quarantine.Fingerprint, verdict quarantine.Verdict)
 	// SuspicionResolved records whether a server crashed while running a request.
--- /dev/null
+++ b/internal/proxy/silence.go
@@ -0,0 +1,108 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/boottime"
+)
+
+// silenceRecheckInterval is the interval at which a silent attempt is checked again, where reports
+// of other nodes may show that its server answers: at most that of the reports.
+const silenceRecheckInterval = 50 * time.Millisecond
+
+// serverEvidence is what is known of the server of a silent attempt.
+type serverEvidence int
+
+const (
+	// serverSilent means that the server has not responded to any node, as far as known.
+	serverSilent serverEvidence = iota
+	// evidencePending means that other nodes heard the server so recently that their report of a
+	// response during the silence may still be on its way.
+	evidencePending
+	// heardByPeers means that the server has responded to another node during the silence, and
+	// heardHere that it has responded to this node.
+	heardByPeers
+	heardHere
+)
+
+// exceedsSilenceLimit reports whether an attempt has been silent for too long, not counting the
+// expected prefill of its prompt and of those queued before it. The limit is shorter if the server
+// has not answered any request meanwhile, and longer if it is merely busy.
+func (placement *placement) exceedsSilenceLimit(silent time.Duration) bool {
+	return placement.exceedsSilenceLimitAt(silent, boottime.Now())
+}
+
+func (placement *placement) exceedsSilenceLimitAt(silent time.Duration, now time.Time) bool {
+	if !placement.responding {
+		silent -= placement.prefillAllowance()
+	}
+	target := placement.placer.admitted.route.TargetLatency
+	if silent <= 0 || silent < target/2 {
+		return false
+	}
+	evidence := placement.serverEvidence(silent, now)
+	if evidence == serverSilent {
+		return true
+	}
+	// A deferred request yields to others for as long as the server serves these.
+	yields := placement.deferred && !placement.responding
+	exceeds := !yields && silent >= time.Duration(maxSilenceFactor*float64(target))
+	if !exceeds && evidence != heardHere {
+		placement.recordKept(silent)
+	}
+	return exceeds
+}
+
+// serverEvidence returns what is known of the server after a silence. It considers the reports of
+// other nodes only for services that routes of different priority share.
+func (placement *placement) serverEvidence(silent time.Duration, now time.Time) serverEvidence {
+	since := now.Add(-silent)
+	switch {
+	case placement.attempt.ServerRespondedHereSince(since):
+		return heardHere
+	case !placement.placer.sharesPriorities():
+		return serverSilent
+	case placement.attempt.ServerRespondedSince(since):
+		return heardByPeers
+	case placement.evidencePending(now):
+		return evidencePending
+	default:
+		return serverSilent
+	}
+}
+
+// evidencePending reports whether other nodes may hear the server although no report shows it yet.
+// A server counts as silent towards them once the shorter silence limit has passed since they last
+// heard it, and also the time that a report takes. A server that no other node has heard recently
+// has no such extra time.
+func (placement *placement) evidencePending(now time.Time) bool {
+	at, heard := placement.attempt.PeersHeardServer(now)
+	if !heard {
+		return false
+	}
+	limit := placement.placer.admitted.route.TargetLatency / 2
+	return now.Sub(at) < limit+placement.placer.proxy.reportDelay()
+}
+
+// recordKept records, once per attempt, that it is kept because other nodes hear its server.
+func (placement *placement) recordKept(silent time.Duration) {
+	if placement.kept {
+		return
+	}
+	placement.kept = true
+	placement.placer.proxy.recorder.AttemptKept(placement.placer.admitted.request, placement.chosen.Endpoint, silent)
+}
+
+// sharesPriorities reports whether routes of different priority share the request's service.
+func (placer *placer) sharesPriorities() bool {
+	snapshot := placer.admitted.replica.Snapshot
+	return snapshot != nil && snapshot.SharesPriorities(placer.admitted.service.Name)
+}
+
+// reportDelay returns the time in which other nodes' reports reach this node.
+func (proxy *Proxy) reportDelay() time.Duration {
+	if proxy.propagationDelay == nil {
+		return 0
+	}
+	return proxy.propagationDelay()
+}
--- /dev/null
+++ b/internal/proxy/silence_test.go
@@ -0,0 +1,140 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/property"
+	"github.com/cloverrail/cloverrail/internal/routing"
+)
+
+const (
+	// testReportDelay is the time in which other nodes' observations are known: reports arrive every
+	// testReportInterval, and say what was so testReportAge before.
+	testReportDelay    = testReportAge + testReportInterval
+	testReportAge      = 200 * time.Millisecond
+	testReportInterval = 200 * time.Millisecond
+)
+
+// sharedServicePlacer returns a placer of the route "urgent" of a service that a route of another
+// priority shares, with targets of 400 ms, the given prompt and servers with a KV cache of the given
+// size.
+func sharedServicePlacer(own, servers, cacheTokens int) *placer {
+	p := newTestPlacer(own, servers, 0)
+	engine := *p.admitted.service.Engine
+	engine.CacheTokens = cacheTokens
+	share := []catalog.Share{{Service: "s", Weight: 1}}
+	snapshot := catalog.New(catalog.Declaration{
+		Version: 1, Services: []catalog.Service{{Name: "s", Engine: &engine}},
+		Routes: []catalog.Route{
+			{Name: "urgent", Priority: 0, TargetLatency: 400 * time.Millisecond, Split: share},
+			{Name: "long", Priority: 1, TargetLatency: 800 * time.Millisecond, Split: share},
+		},
+	})
+	p.proxy.replica.Store(&catalog.Replica{Snapshot: snapshot, AsOf: time.Now()})
+	p.proxy.propagationDelay = func() time.Duration { return testReportDelay }
+	p.admitted.replica, p.admitted.service = p.proxy.replica.Load(), snapshot.Service("s")
+	p.admitted.route = &snapshot.Declaration().Routes[0]
+	return p
+}
+
+// silentPlacement returns an attempt on a server that begins at a given time.
+func (p *placer) silentPlacement(server string, at time.Time) *placement {
+	chosen := routing.Candidate{Endpoint: server}
+	attempt := p.proxy.set.Begin(backend.Placement{
+		Query: p.query(at), Chosen: chosen, StillValid: func(*routing.Candidate) bool { return true },
+	}, at)
+	return &placement{placer: p, chosen: chosen, attempt: attempt, placedAt: at}
+}
+
+// givenUpAfter returns how long after sending an attempt is given up. The function answered returns
+// the server's last answer to other nodes at a time.
+func (p *placer) givenUpAfter(sent time.Time, answered func(at time.Time) time.Time) time.Duration {
+	attempt := p.silentPlacement("i-0", sent)
+	defer attempt.attempt.End(exchange.ResultNeutral, sent)
+	for elapsed := -2 * time.Second; elapsed <= 5*time.Second; elapsed += 10 * time.Millisecond {
+		now := sent.Add(elapsed)
+		if elapsed%testReportInterval == 0 {
+			work := backend.Work{Server: backend.ServerKey("i-0")}
+			if last := answered(now.Add(-testReportAge)); !last.IsZero() {
+				work.AnswerAge = max(1, now.Sub(last))
+			}
+			p.proxy.set.ApplyPeerWork([]backend.Work{work}, now)
+		}
+		if elapsed > 0 && attempt.exceedsSilenceLimitAt(elapsed, now) {
+			return elapsed
+		}
+	}
+	return -1
+}
+
+// Load: deployment B. An engine answers 13 requests/s of other nodes; this node has one request of
+// 400 ms target in its queue, and knows of answers up to 400 ms late. Guards against cancelling the attempt
+// as silent after 200 ms, which reads the prompt again on another engine.
+func TestAttemptIsKeptWhileServerAnswersOtherNodes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	answers := func(at time.Time) time.Time { return at.Truncate(75 * time.Millisecond) }
+	p := sharedServicePlacer(100, 2, 0)
+	tokens := p.silentPlacement("i-0", now).prefillAllowance()
+	require.Equal(t, time.Second+tokens, p.givenUpAfter(now, answers), "2.5 times the target, as for one that answers here")
+
+	unshared := newTestPlacer(100, 2, 0)
+	unshared.admitted.route = p.admitted.route
+	require.Equal(t, 200*time.Millisecond+tokens, unshared.givenUpAfter(now, answers), "a service of one priority is as before")
+}
+
+// Guards against holding on to a dark server: where no other node hears it, or this node receives
+// no reports, it is given up as early as without reports; after its last answer to others, once that
+// limit and the delay of reports have passed.
+func TestDarkServerIsGivenUpWithoutEvidence(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := sharedServicePlacer(100, 2, 0)
+	target := p.admitted.route.TargetLatency
+	never := func(time.Time) time.Time { return time.Time{} }
+	require.Equal(t, target/2, p.givenUpAfter(now, never))
+	dark := func(since time.Time) func(at time.Time) time.Time {
+		return func(at time.Time) time.Time {
+			if at.After(since) {
+				return since
+			}
+			return at
+		}
+	}
+	require.Equal(t, target/2, sharedServicePlacer(100, 2, 0).givenUpAfter(now, dark(now.Add(-testReportDelay))))
+	require.Equal(t, target/2+testReportDelay, sharedServicePlacer(100, 2, 0).givenUpAfter(now, dark(now)), "it went dark as the request was sent")
+
+	partitioned := sharedServicePlacer(100, 2, 0)
+	partitioned.proxy.set.ApplyPeerWork([]backend.Work{{Server: backend.ServerKey("i-0"), AnswerAge: 1}}, now.Add(-1100*time.Millisecond))
+	require.True(t, partitioned.silentPlacement("i-0", now).exceedsSilenceLimitAt(target/2, now.Add(target/2)), "its last report has expired")
+
+	unreachable := sharedServicePlacer(100, 2, 0)
+	unreachable.silentPlacement("i-0", now).attempt.End(exchange.ResultUnreached, now)
+	unreachable.proxy.set.ApplyPeerWork([]backend.Work{{Server: backend.ServerKey("i-0"), AnswerAge: 1}}, now.Add(100*time.Millisecond))
+	require.True(t, unreachable.silentPlacement("i-0", now).exceedsSilenceLimitAt(target/2, now.Add(target/2)), "others hear it, but this node cannot connect to it")
+}
+
+// Whatever peers report, an attempt is given up no earlier than at the short limit and no later than
+// at the long one.
+func TestSilenceLimitsHoldWhateverPeersReport(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		p := sharedServicePlacer(100, 2, 0)
+		start := time.Unix(1000, 0)
+		target := p.admitted.route.TargetLatency
+		attempt := p.silentPlacement("i-0", start)
+		for elapsed := 20 * time.Millisecond; elapsed < 2*target; elapsed += 20 * time.Millisecond {
+			age := time.Duration(rapid.Int64Range(-1e9, 4e9).Draw(t, "age"))
+			p.proxy.set.ApplyPeerWork([]backend.Work{{Server: backend.ServerKey("i-0"), AnswerAge: age}}, start.Add(elapsed))
+			if attempt.exceedsSilenceLimitAt(elapsed, start.Add(elapsed)) {
+				require.GreaterOrEqual(t, elapsed, target/2)
+			}
+		}
+		longest := 5*target/2 + attempt.prefillAllowance()
+		require.True(t, attempt.exceedsSilenceLimitAt(longest, start.Add(longest)))
+	})
+}
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -272,8 +272,37 @@
 	Kept  []byte
 }
 
+// wireBasicGroup is a wireGroup without loads, of a group whose work has only the values of all
+// builds: gob type descriptions of the others are as long as a response of an idle fleet.
+type wireBasicGroup struct {
+	Work  []work
+	Quota []byte
+	Kept  []byte
+}
+
+// work is the part of backend.Work that all builds have.
+type work struct {
+	Server                          uint64
+	Running, QueuedTokens, Suspects int
+}
+
+// basicWork returns work in its basic form, and false if that form does not cover it.
+func basicWork(all []backend.Work) ([]work, bool) {
+	basic := make([]work, 0, len(all))
+	for _, w := range all {
+		if w != (backend.Work{Server: w.Server, Running: w.Running, QueuedTokens: w.QueuedTokens, Suspects: w.Suspects}) {
+			return nil, false
+		}
+		basic = append(basic, work{Server: w.Server, Running: w.Running, QueuedTokens: w.QueuedTokens, Suspects: w.Suspects})
+	}
+	return basic, true
+}
+
 // encode writes the group to w.
 func (g Group) encode(w io.Writer) error {
+	if work, basic := basicWork(g.Report.Work); basic && g.Loads == nil {
+		return errors.Trace(gob.NewEncoder(w).Encode(wireBasicGroup{Work: work, Quota: g.Report.Quota.Encode(), Kept: g.Kept}))
+	}
 	wired := wireGroup{Work: g.Report.Work, Quota: g.Report.Quota.Encode(), Kept: g.Kept}
 	if g.Loads != nil {
 		loads, err := encodeNested(g.Loads)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -21,6 +21,7 @@
 	overServerLimits   *prometheus.CounterVec
 	deferred           prometheus.Counter
 	placementConflicts prometheus.Counter
+	keptAttempts       prometheus.Counter
 	quarantined        prometheus.Counter
 	suspicions         *prometheus.CounterVec
 	clearedSuspicions  prometheus.Counter
@@ -86,6 +87,9 @@
 		placementConflicts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_placement_conflicts_total", Help: "Choices of servers that did not stand since other requests were placed there first.",
 		}),
+		keptAttempts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_kept_attempts_total", Help: "Silent attempts that were not given up because other nodes hear the server.",
+		}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_held_off_total", Help: "Requests refused since servers ended while they ran them.",
 		}),
@@ -135,6 +139,6 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstResponse, metrics.storeReads,
-		metrics.orders, metrics.connections, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.deferred, metrics.placementConflicts, metrics.quarantined, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.storeCalls, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
+		metrics.orders, metrics.connections, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.deferred, metrics.placementConflicts, metrics.keptAttempts, metrics.quarantined, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.storeCalls, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -121,6 +121,12 @@
 		Dur("shortest", over.Shortest).Dur("retry_after", over.RetryAfter).Msg("over the limits of servers")
 }
 
+// AttemptKept records a silent attempt that is not given up because other nodes hear its server.
+func (recorder *Recorder) AttemptKept(request *proxy.Request, server string, silent time.Duration) {
+	recorder.metrics.keptAttempts.Inc()
+	recorder.limitedLine(zerolog.InfoLevel).Str("id", request.ID).Str("server", server).Dur("silent", silent).Msg("kept")
+}
+
 // RequestQuarantined records a request that is rejected because servers crashed while running it.
 func (recorder *Recorder) RequestQuarantined(request *proxy.Request, fingerprint quarantine.Fingerprint, verdict quarantine.Verdict) {
 	recorder.metrics.quarantined.Inc()
--- a/internal/workshare/aggregator.go
+++ b/internal/workshare/aggregator.go
@@ -105,10 +105,13 @@
 	return &totals{work: map[uint64]backend.Work{}, usages: map[uint64]quota.Usage{}, rows: map[uint64]quota.Usage{}}
 }
 
-func (t *totals) add(report Report) {
+func (t *totals) add(report Report) { t.addAged(report, 0) }
+
+// addAged adds a report that arrived a given time ago.
+func (t *totals) addAged(report Report, age time.Duration) {
 	t.nodes += report.Quota.Nodes
 	for _, w := range report.Work {
-		t.work[w.Server] = t.work[w.Server].Plus(w)
+		t.work[w.Server] = t.work[w.Server].PlusAged(w, age)
 	}
 	for _, usage := range report.Quota.Usages {
 		t.usages[usage.Key] = t.usages[usage.Key].Plus(usage)
@@ -125,7 +128,7 @@
 		case now.Sub(r.at) > reportTTL:
 			delete(reports, node)
 		case node != except:
-			t.add(r.Report)
+			t.addAged(r.Report, now.Sub(r.at))
 		}
 	}
 }
