Let orders to load weights wait until the server's queue has drained

New requests stop once the planned load is broadcast, but the order followed after the propagation delay, whatever still waited.

Change: an order is held back while prompts are queued at its server, for at most as long as a load takes, only while the load can still finish by the deadline for it, and never beyond the order's deadline. The plan counts the mean wait like the propagation delay, so that as many servers load as before. Orders that have waited and whose queues drain at the same time are spread, so that no more servers load at the same time than without waiting. A leader that receives no reports sees no queues of others and orders as before.

--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -49,6 +49,9 @@
 	Expected int64
 	// InFlight determines the treatment of requests that are in flight.
 	InFlight InFlightPolicy
+	// Waited is how long the order was held back until the queue of the server had drained. It is 0
+	// for a repeated order.
+	Waited time.Duration
 }
 
 // InFlightPolicy is the treatment of requests in flight at a server that loads weights.
@@ -122,6 +125,11 @@
 	sequences   map[string]int64
 	contactedAt map[string]time.Time
 	loadTime    time.Duration
+	// queueWait is the moving average of Order.Waited.
+	queueWait time.Duration
+	// loadLimits holds, by service, the number of servers that may load at the same time when orders
+	// are sent after waiting.
+	loadLimits map[string]int
 	// loaded holds the loads that have finished since the rollout began.
 	loaded map[string]backend.Load
 }
@@ -134,13 +142,24 @@
 	sentAt      time.Time
 	firstSentAt time.Time
 	// orderBy is the deadline for sending the order.
-	orderBy  time.Time
-	accepted bool
+	orderBy time.Time
+	// waitUntil bounds the wait for the queue of the server, and waited is set once there was one.
+	waitUntil time.Time
+	waited    bool
+	accepted  bool
 }
 
 // sent reports whether the order has been sent.
 func (p *pendingLoad) sent() bool { return !p.firstSentAt.IsZero() }
 
+// sentCount returns 1 if the order has been sent, and else 0.
+func (p *pendingLoad) sentCount() int {
+	if p.sent() {
+		return 1
+	}
+	return 0
+}
+
 // NewMachine returns a machine without orders.
 func NewMachine() *Machine {
 	return &Machine{
@@ -149,6 +168,7 @@
 		sequences:    map[string]int64{},
 		contactedAt:  map[string]time.Time{},
 		loadTime:     defaultLoadTime,
+		loadLimits:   map[string]int{},
 		loaded:       map[string]backend.Load{},
 	}
 }
@@ -206,17 +226,21 @@
 
 func (machine *Machine) stepService(now time.Time, targets Targets, servers []backend.Server) []Action {
 	actions := []Action{}
-	loading := 0
-	stale := []staleServer{}
+	loading, sent := 0, 0
+	stale, planned := []staleServer{}, []backend.Server{}
 	for _, server := range servers {
 		if pending := machine.pending[server.Incarnation()]; pending != nil {
 			if machine.inProgress(now, pending, server) {
 				if !machine.overdue(now, pending) {
 					loading++
+					sent += pending.sentCount()
 				}
-				if !targets.inBackoff(server, pending.orderBy, now) {
-					actions = append(actions, machine.sendIfDue(now, server)...)
+				switch {
+				case targets.inBackoff(server, pending.orderBy, now):
+				case pending.sent():
 					actions = append(actions, machine.followUp(now, targets, pending, server)...)
+				default:
+					planned = append(planned, server)
 				}
 				continue
 			}
@@ -231,7 +255,19 @@
 		}
 	}
 	sortByUrgency(stale, targets.Uses)
-	slots := machine.includingPropagation(machine.concurrency(now, stale, loading, len(servers)), targets.PropagationDelay) - loading
+	concurrent := machine.concurrency(now, stale, loading, len(servers))
+	if len(stale) > 0 {
+		machine.loadLimits[stale[0].server.Service] = machine.includingWaits(concurrent, targets.PropagationDelay)
+	}
+	send := func(server backend.Server) {
+		order := machine.sendIfDue(now, targets, server, sent < machine.loadLimits[server.Service])
+		sent += len(order)
+		actions = append(actions, order...)
+	}
+	for _, server := range planned {
+		send(server)
+	}
+	slots := machine.includingWaits(concurrent, targets.PropagationDelay+machine.queueWait) - loading
 	for _, candidate := range stale {
 		expected, reported := machine.sequences[candidate.server.Incarnation()]
 		switch {
@@ -240,35 +276,60 @@
 		case slots > 0 || !now.Before(candidate.orderBy):
 			slots--
 			machine.plan(now, targets, candidate, expected)
-			actions = append(actions, machine.sendIfDue(now, candidate.server)...)
+			send(candidate.server)
 		}
 	}
 	return actions
 }
 
 // plan adds a load. It is broadcast from now on, and its order is sent after the propagation
-// delay if the deadline permits.
+// delay if the deadline permits, and after the queue of the server has drained: at most for as long
+// as a load takes, and only while the load can still finish by the deadline for it.
 func (machine *Machine) plan(now time.Time, targets Targets, candidate staleServer, expected int64) {
 	order := Order{Server: candidate.server, Model: candidate.model, Version: candidate.version, Expected: expected, InFlight: ContinueInFlight}
 	sendAt := now.Add(targets.PropagationDelay)
 	if sendAt.After(candidate.orderBy) {
 		sendAt = now
 	}
-	machine.pending[candidate.server.Incarnation()] = &pendingLoad{order: order, sendAt: sendAt, orderBy: candidate.orderBy}
+	waitUntil := sendAt.Add(machine.loadTime)
+	if latest := candidate.deadline.Add(-machine.loadTime); latest.Before(waitUntil) {
+		waitUntil = latest
+	}
+	machine.pending[candidate.server.Incarnation()] = &pendingLoad{order: order, sendAt: sendAt, orderBy: candidate.orderBy, waitUntil: waitUntil}
 }
 
-// sendIfDue returns the order of a load if it is due.
-func (machine *Machine) sendIfDue(now time.Time, server backend.Server) []Action {
+// sendIfDue returns the order of a load if it is due. The flag room reports whether fewer servers
+// load than may at the same time.
+func (machine *Machine) sendIfDue(now time.Time, targets Targets, server backend.Server, room bool) []Action {
 	pending := machine.pending[server.Incarnation()]
-	if pending.sent() || now.Before(pending.sendAt) {
+	if pending.sent() || now.Before(pending.sendAt) || pending.awaitsQueue(now, targets.Uses[server.Incarnation()], room) {
 		return nil
 	}
 	pending.order.Server = server
+	if pending.waited {
+		pending.order.Waited = now.Sub(pending.sendAt)
+	}
+	machine.queueWait += time.Duration(loadTimeGain * float64(pending.order.Waited-machine.queueWait))
 	pending.sentAt, pending.firstSentAt = now, now
 	machine.contactedAt[server.Incarnation()] = now
 	return []Action{pending.order}
 }
 
+// awaitsQueue reports whether an order is held back because requests wait at the server, which
+// refuses these when it begins to load. Orders that have waited for queues that drain at the same
+// time are held back further while no more servers may load at the same time. None is held back
+// beyond its deadline.
+func (p *pendingLoad) awaitsQueue(now time.Time, use backend.Use, room bool) bool {
+	if !now.Before(p.orderBy) {
+		return false
+	}
+	if use.QueuedTokens > 0 && now.Before(p.waitUntil) {
+		p.waited = true
+		return true
+	}
+	return p.waited && !room
+}
+
 // inspect queries the status of a server, unless it was contacted recently.
 func (machine *Machine) inspect(now time.Time, targets Targets, server backend.Server) []Action {
 	if now.Sub(machine.contactedAt[server.Incarnation()]) < targets.minInterval(server, inspectInterval) {
@@ -312,7 +373,7 @@
 	}
 	if !pending.accepted && now.Sub(pending.sentAt) >= targets.minInterval(server, resendAfter) {
 		pending.sentAt = now
-		pending.order.Server = server
+		pending.order.Server, pending.order.Waited = server, 0
 		return []Action{pending.order}
 	}
 	return machine.inspect(now, targets, server)
@@ -333,11 +394,11 @@
 	return min(max(least, wanted), most)
 }
 
-// includingPropagation returns the number of planned and ongoing loads that keep the given
-// number of servers loading. It is higher, since a planned load waits for its propagation delay
-// before its order is sent.
-func (machine *Machine) includingPropagation(loading int, delay time.Duration) int {
-	return int(float64(loading) * (1 + delay.Seconds()/machine.loadTime.Seconds()))
+// includingWaits returns the number of planned and ongoing loads that keep the given number of
+// servers loading. It is higher, since a planned load waits for its propagation delay and for the
+// queue of its server before its order is sent.
+func (machine *Machine) includingWaits(loading int, wait time.Duration) int {
+	return int(float64(loading) * (1 + wait.Seconds()/machine.loadTime.Seconds()))
 }
 
 // OrderAnswered records a server's answer to an order.
--- a/internal/rollout/targets.go
+++ b/internal/rollout/targets.go
@@ -23,8 +23,9 @@
 	// PropagationDelay is how long before its order a server is broadcast as loading, so that
 	// nodes that learn of it late do not send it requests that it would reject.
 	PropagationDelay time.Duration
-	// Uses holds the requests in flight at each instance. Those with the fewest go first, since
-	// a load begins when these have ended.
+	// Uses holds the requests in flight at each incarnation, as far as known. Those with the fewest go
+	// first, and an order waits until no prompts are queued, since a server refuses the requests
+	// that wait when it begins to load.
 	Uses map[string]backend.Use
 	// ServersInBackoff holds the servers that have asked this node to back off, with the end of
 	// the backoff.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -15,6 +15,7 @@
 	firstResponse      *prometheus.HistogramVec
 	storeReads         *prometheus.CounterVec
 	orders             *prometheus.CounterVec
+	waitedOrders       prometheus.Counter
 	connections        *prometheus.CounterVec
 	replacedPlacements prometheus.Counter
 	rateLimited        prometheus.Counter
@@ -69,6 +70,9 @@
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_orders_total", Help: "Orders to servers by result.",
 		}, []string{"result"}),
+		waitedOrders: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_waited_orders_total", Help: "Orders that waited until the queue of their server had drained.",
+		}),
 		connections: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_connections_total", Help: "Requests to servers by whether their connection was kept or new.",
 		}, []string{"kind"}),
@@ -139,6 +143,6 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstResponse, metrics.storeReads,
-		metrics.orders, metrics.connections, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.deferred, metrics.placementConflicts, metrics.keptAttempts, metrics.quarantined, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.storeCalls, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
+		metrics.orders, metrics.waitedOrders, metrics.connections, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.deferred, metrics.placementConflicts, metrics.keptAttempts, metrics.quarantined, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.storeCalls, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -420,8 +420,11 @@
 func (recorder *Recorder) Ordered(order rollout.Order, fence int64, result rollout.Result, err error) {
 	name := orderResults[result]
 	recorder.metrics.orders.WithLabelValues(name).Inc()
+	if order.Waited > 0 {
+		recorder.metrics.waitedOrders.Inc()
+	}
 	recorder.log.Info().Str("server", order.Server.Instance).Str("model", order.Model).Int64("version", order.Version).
-		Int64("fence", fence).Int64("expected", order.Expected).Str("result", name).Err(err).Msg("order")
+		Int64("fence", fence).Int64("expected", order.Expected).Dur("waited", order.Waited).Str("result", name).Err(err).Msg("order")
 }
 
 // Loaded records that a server has loaded the weights that it was ordered to.
