Place prompts where the KV cache memory of servers has room

Placement counted slots and queued prefill only, so that 138 requests were preempted for memory and read again.

Change: Work.ResidentTokens reports the prompt and output tokens of attempts in flight that are theirs alone, and Work.SharedPrefixes the parts that others may share, as 16 lanes of 4 bits that are merged by maximum: a prefix counts once per server however many nodes run requests with it. Where a prompt does not fit, its start delay is at least the expected time until it does, and the term "memory" charges the second reading of as many tokens as exceed the capacity.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -17,6 +17,9 @@
 	Chosen routing.Candidate
 	// Tokens is the number of prompt tokens that the server has to process.
 	Tokens int
+	// ResidentTokens is the number of prompt and output tokens that the attempt shares with no other,
+	// apart from those of Query.Shared.
+	ResidentTokens int
 	// Deferred marks an attempt that yields to all others: until it has started, it does not count
 	// as work that delays them.
 	Deferred bool
@@ -48,8 +51,12 @@
 	}
 	local.queuedTokens += placement.Tokens
 	set.markUsed(e, now)
+	resident := residentUse{tokens: placement.ResidentTokens, shared: placement.Query.Shared}
+	if !placement.Deferred {
+		resident.begin(local)
+	}
 	return &Attempt{
-		set: set, entry: e, tokens: placement.Tokens, deferred: placement.Deferred,
+		resident: resident, set: set, entry: e, tokens: placement.Tokens, deferred: placement.Deferred,
 		slowStartRound: local.backoff.sent(now), probe: local.breaker.Sent(now), sentAt: now,
 	}
 }
@@ -68,6 +75,8 @@
 	// probe reports that this attempt probes the server after its breaker opened.
 	probe  bool
 	sentAt time.Time
+	// resident is what the attempt holds in the memory of the server.
+	resident residentUse
 }
 
 // ResponseStarted records that the server has processed the prompt and begun to answer.
@@ -78,6 +87,7 @@
 	attempt.set.mutex.Lock()
 	defer attempt.set.mutex.Unlock()
 	attempt.dequeue()
+	attempt.resident.begin(attempt.entry.localState)
 	attempt.markAdmitted()
 	if attempt.probe {
 		attempt.probe = false
@@ -95,6 +105,7 @@
 	}
 }
 
+// dequeue records that the attempt no longer waits.
 func (attempt *Attempt) dequeue() {
 	attempt.entry.queuedTokens -= attempt.tokens
 	attempt.tokens = 0
@@ -112,6 +123,7 @@
 	attempt.set.mutex.Lock()
 	defer attempt.set.mutex.Unlock()
 	attempt.dequeue()
+	attempt.resident.end(attempt.entry.localState)
 	if result == exchange.ResultServed {
 		attempt.markAdmitted()
 	}
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -22,6 +22,9 @@
 	// service; 0 means all servers. All nodes get the same subset for the same HashPoint.
 	HashPoint uint64
 	Limit     int
+	// Shared holds the parts of the prompt that other requests share, in prompt order, if the memory
+	// of the servers matters.
+	Shared []Prefix
 }
 
 // Candidates appends the servers of a service as routing candidates. It omits servers that are
@@ -72,5 +75,6 @@
 	c.Running = local.running() + peers.Running
 	c.Slots = server.Slots
 	c.QueuedTokens = local.queuedTokens + peers.QueuedTokens
+	e.fillOccupancy(c, query, peers)
 	c.FailureRate = 1 - (1-local.failures.estimate(now))*(1-local.refusals.estimate(now))
 }
--- a/internal/backend/occupancy.go
+++ b/internal/backend/occupancy.go
@@ -1,11 +1,43 @@
 package backend
 
-import "time"
+import (
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/routing"
+)
 
 // answerEvidenceTTL is how long after its last response to a node a server is reported as
 // answering. It exceeds the longest delay of a report between two nodes.
 const answerEvidenceTTL = 2 * time.Second
 
+// reportOccupancy sets the values of a report that tell how occupied the server is.
+func (local *localState) reportOccupancy(w *Work, now time.Time) {
+	w.AnswerAge = local.answerAge(now)
+	w.ResidentTokens, w.SharedPrefixes = local.residents.tokens, local.residents.lanes
+}
+
+// observeOccupancy records what the latest report of other nodes tells of the server. It replaces
+// values that no build reports, which would only be of a malformed message.
+func (entry *entry) observeOccupancy(now time.Time) {
+	entry.observePeerAnswer(entry.peerWork.AnswerAge, now)
+	entry.peerWork.ResidentTokens = max(0, entry.peerWork.ResidentTokens)
+}
+
+// fillOccupancy sets the fields of a candidate that tell how occupied the server is.
+func (entry *entry) fillOccupancy(c *routing.Candidate, query *Query, peers Work) {
+	resident, prefixes := entry.local().residents.total(peers)
+	c.ResidentTokens, c.SharedResidentTokens = resident, 0
+	if prefixes == 0 {
+		return
+	}
+	for _, p := range query.Shared {
+		if !prefixes.contains(p) {
+			break
+		}
+		c.SharedResidentTokens += p.Tokens
+	}
+}
+
 // aged returns the work as it is known a given time after it was reported. Ages are relative, so
 // that the clocks of nodes need not agree; the time that a report spends at a relay adds to them.
 func (w Work) aged(by time.Duration) Work {
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -103,6 +103,7 @@
 	// lastConnectFailureAt is when a connection to the server last failed to establish.
 	lastConnectFailureAt time.Time
 	queuedTokens         int
+	residents            residents
 	refusedUntil         time.Time
 	backoff              backoff
 	// drainingAnnounced reports that the server told this node directly that it is shutting down.
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -20,6 +20,10 @@
 	// AnswerAge is the time since the server last responded to any of the nodes, or 0 if it has not
 	// within 2 s.
 	AnswerAge time.Duration
+	// ResidentTokens is the number of prompt and output tokens of attempts in flight that no other
+	// attempt shares, and SharedPrefixes are those parts of their prompts that others may share.
+	ResidentTokens int
+	SharedPrefixes PrefixSet
 }
 
 // Plus returns the sum of the work of two sets of nodes on the same server.
@@ -30,6 +34,9 @@
 		QueuedTokens: w.QueuedTokens + other.QueuedTokens,
 		Suspects:     w.Suspects + other.Suspects,
 		AnswerAge:    smallestAge(w.AnswerAge, other.AnswerAge),
+
+		ResidentTokens: w.ResidentTokens + other.ResidentTokens,
+		SharedPrefixes: w.SharedPrefixes.Merge(other.SharedPrefixes),
 	}
 }
 
@@ -63,7 +70,8 @@
 	var all []Work
 	suspected := 0
 	for s := range set.withLocalState {
-		w := Work{Server: s.key, Running: s.running(), QueuedTokens: s.queuedTokens, AnswerAge: s.answerAge(now)}
+		w := Work{Server: s.key, Running: s.running(), QueuedTokens: s.queuedTokens}
+		s.reportOccupancy(&w, now)
 		switch {
 		case s.drainingAnnounced:
 			w.Suspects = drainingSuspects
@@ -128,7 +136,7 @@
 		}
 		if s != nil {
 			s.peerWork = w
-			s.observePeerAnswer(w.AnswerAge, now)
+			s.observeOccupancy(now)
 			set.markUsed(s, now)
 			set.withPeerWork = append(set.withPeerWork, s)
 		}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -105,6 +105,8 @@
 	// retryAt is when the caller is told to retry because all servers were at their request
 	// limits; zero if that has not happened.
 	retryAt time.Time
+	// resident caches the result of residentPrefixes.
+	resident []backend.Prefix
 	// excluded lists the servers that were already tried.
 	excluded []string
 }
@@ -241,6 +243,7 @@
 	placer.markLimited(candidates, now)
 	if placer.prompt() != nil {
 		placer.annotate(candidates, now)
+		placer.annotateOccupancy(candidates)
 	}
 	placer.isolateSuspect(candidates)
 	return candidates
@@ -341,7 +344,7 @@
 	if prompt := placer.prompt(); prompt != nil {
 		tokens = max(0, prompt.Tokens-max(chosen.HitBlocks, chosen.ImportBlocks))
 	}
-	proposed := backend.Placement{Query: query, Chosen: chosen, Tokens: tokens, Deferred: deferred, StillValid: func(current *routing.Candidate) bool {
+	proposed := backend.Placement{Query: query, Chosen: chosen, Tokens: tokens, ResidentTokens: placer.privateTokens(), Deferred: deferred, StillValid: func(current *routing.Candidate) bool {
 		valid := selection.stillValid(current)
 		chosen = *current
 		return valid
--- a/internal/proxy/routing_request.go
+++ b/internal/proxy/routing_request.go
@@ -13,7 +13,7 @@
 	if placer.prompt() == nil {
 		return []routing.Scorer{routing.ConcurrencyScorer{}, routing.DistanceScorer{}, routing.FailureScorer{}, routing.IsolationScorer{}}
 	}
-	return []routing.Scorer{routing.WorkScorer{}, routing.WaitScorer{}, routing.CopyScorer{}, routing.DistanceScorer{}, routing.FailureScorer{}, routing.ReplacedScorer{}, routing.IsolationScorer{}}
+	return []routing.Scorer{routing.WorkScorer{}, routing.WaitScorer{}, routing.CopyScorer{}, routing.DistanceScorer{}, routing.FailureScorer{}, routing.MemoryScorer{}, routing.ReplacedScorer{}, routing.IsolationScorer{}}
 }
 
 func (placer *placer) routingRequest() *routing.Request {
@@ -29,7 +29,7 @@
 	if prompt == nil {
 		return request
 	}
-	request.PromptTokens = prompt.Tokens
+	request.PromptTokens, request.OutputTokens = prompt.Tokens, prompt.Output
 	request.BlockTokens = 1
 	request.Blocks = placer.sharedTokens()
 	request.PrefillTokensPerSecond = placer.proxy.prefillRate.tokensPerSecond()
@@ -63,5 +63,6 @@
 	query.HashPoint = uint64(placer.subsetKey())
 	query.Model = prompt.Model
 	query.MinimumVersion = placer.proxy.minimumVersion(prompt.Model, now)
+	query.Shared = placer.residentPrefixes()
 	return query
 }
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -56,6 +56,12 @@
 	Slots int
 	// QueuedTokens counts the prompt tokens known to wait for prefill.
 	QueuedTokens int
+	// CacheTokens is the capacity of the endpoint's KV cache, or 0 if it does not matter.
+	// ResidentTokens counts the tokens that requests in flight hold there, and SharedResidentTokens
+	// those of them that this request shares.
+	CacheTokens          int
+	ResidentTokens       int
+	SharedResidentTokens int
 	// HitBlocks is the number of leading blocks of the prompt that the endpoint holds.
 	HitBlocks int
 	// ImportBlocks is the number of leading blocks that the endpoint can probably import,
@@ -74,6 +80,8 @@
 // Request holds the properties of a request that a decision depends on.
 type Request struct {
 	PromptTokens int
+	// OutputTokens is the greatest length of the answer.
+	OutputTokens int
 	BlockTokens  int
 	// Blocks is the number of whole blocks of the prompt.
 	Blocks int
--- a/internal/routing/score_wait.go
+++ b/internal/routing/score_wait.go
@@ -22,7 +22,7 @@
 // StartDelay returns the estimated time until the endpoint starts the request, in seconds.
 func StartDelay(request *Request, candidate *Candidate) float64 {
 	queued := prefillSeconds(request, candidate, candidate.QueuedTokens, 0) * slowdown(candidate)
-	return max(queued, slotWait(request, candidate))
+	return max(queued, slotWait(request, candidate), memoryWait(request, candidate))
 }
 
 // slowdown returns the factor by which decoding sequences slow down prefill.
--- a/internal/workshare/aging_test.go
+++ b/internal/workshare/aging_test.go
@@ -37,3 +37,14 @@
 	reported := aggregator.Others("", start.Add(200*time.Millisecond)).Work
 	require.Equal(t, []backend.Work{{Server: 1, Running: 1}, {Server: 2}}, reported)
 }
+
+// Guards against memory that is counted several times at relays: tokens of single requests are summed,
+// prefixes that requests of several nodes share are not, and a build whose reports lack both takes
+// nothing away.
+func TestResidentTokensAreSummedAndPrefixesMerged(t *testing.T) {
+	relay := newNode("relay")
+	relay.work = []backend.Work{{Server: 1, ResidentTokens: 100, SharedPrefixes: 0x30}}
+	relay.aggregator.SetFollower("a", Report{Work: []backend.Work{{Server: 1, ResidentTokens: 50, SharedPrefixes: 0x23}}}, start)
+	relay.aggregator.SetFollower("older", Report{Work: []backend.Work{{Server: 1, Running: 3}}}, start)
+	require.Equal(t, []backend.Work{{Server: 1, Running: 3, ResidentTokens: 150, SharedPrefixes: 0x33}}, relay.aggregator.Group(start).Work)
+}
