Avoid servers that have refused other nodes for lack of capacity

Cause: a server that refuses because its queue or memory is full looks idle, and each node learned of it by a refusal of its own.

Change: Work.Full reports the number of nodes that a server has refused within 500 ms and not answered since; refusals while it loads, drains, or has other weights or another incarnation than known do not count. For services that routes of different priority share, such a server counts as busy until it answers the node again or the report is 500 ms old, but only while another server accepts the request.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -56,7 +56,7 @@
 		resident.begin(local)
 	}
 	return &Attempt{
-		resident: resident, set: set, entry: e, tokens: placement.Tokens, deferred: placement.Deferred,
+		resident: resident, server: e.server, set: set, entry: e, tokens: placement.Tokens, deferred: placement.Deferred,
 		slowStartRound: local.backoff.sent(now), probe: local.breaker.Sent(now), sentAt: now,
 	}
 }
@@ -75,8 +75,10 @@
 	// probe reports that this attempt probes the server after its breaker opened.
 	probe  bool
 	sentAt time.Time
-	// resident is what the attempt holds in the memory of the server.
+	// resident is what the attempt holds in the memory of the server, and server the server as the
+	// attempt was sent.
 	resident residentUse
+	server   *Server
 }
 
 // ResponseStarted records that the server has processed the prompt and begun to answer.
@@ -93,7 +95,7 @@
 		attempt.probe = false
 		attempt.entry.breaker.ProbeAnswered()
 	}
-	attempt.entry.lastResponseAt = now
+	attempt.entry.lastResponseAt, attempt.entry.lastAcceptedAt = now, now
 	attempt.entry.recordAnswered(attempt.sentAt)
 }
 
@@ -137,6 +139,12 @@
 	case exchange.ResultServed, exchange.ResultRefused, exchange.ResultFaulty:
 		e.recordAnswered(attempt.sentAt)
 	}
+	switch result {
+	case exchange.ResultServed:
+		e.lastAcceptedAt = now
+	case exchange.ResultRefused:
+		attempt.recordRefusal(e, now)
+	}
 	e.recordResult(result, attempt.probe, now)
 }
 
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -75,6 +75,6 @@
 	c.Running = local.running() + peers.Running
 	c.Slots = server.Slots
 	c.QueuedTokens = local.queuedTokens + peers.QueuedTokens
-	e.fillOccupancy(c, query, peers)
+	set.fillOccupancy(e, c, query, peers, now)
 	c.FailureRate = 1 - (1-local.failures.estimate(now))*(1-local.refusals.estimate(now))
 }
--- a/internal/backend/occupancy.go
+++ b/internal/backend/occupancy.go
@@ -10,21 +10,41 @@
 // answering. It exceeds the longest delay of a report between two nodes.
 const answerEvidenceTTL = 2 * time.Second
 
+// fullTTL is how long after a refusal a server is reported as full, and how long a report of that
+// counts unless it is renewed.
+const fullTTL = 500 * time.Millisecond
+
 // reportOccupancy sets the values of a report that tell how occupied the server is.
 func (local *localState) reportOccupancy(w *Work, now time.Time) {
 	w.AnswerAge = local.answerAge(now)
 	w.ResidentTokens, w.SharedPrefixes = local.residents.tokens, local.residents.lanes
+	if local.full(now) {
+		w.Full = 1
+	}
+}
+
+// peerState is what other nodes have reported of a server.
+type peerState struct {
+	// work is the work that they have in flight on it.
+	work Work
+	// answeredAt is when it last responded to any of them.
+	answeredAt time.Time
 }
 
-// observeOccupancy records what the latest report of other nodes tells of the server. It replaces
-// values that no build reports, which would only be of a malformed message.
-func (entry *entry) observeOccupancy(now time.Time) {
-	entry.observePeerAnswer(entry.peerWork.AnswerAge, now)
-	entry.peerWork.ResidentTokens = max(0, entry.peerWork.ResidentTokens)
+// observeOccupancy records the latest report of other nodes on the server. Negative values, which
+// only a malformed message has, count as 0.
+func (entry *entry) observeOccupancy(w Work, now time.Time) {
+	if entry.peers == nil {
+		entry.peers = &peerState{}
+	}
+	w.ResidentTokens, w.Full = max(0, w.ResidentTokens), max(0, w.Full)
+	entry.peers.work = w
+	entry.peers.observeAnswer(w.AnswerAge, now)
 }
 
 // fillOccupancy sets the fields of a candidate that tell how occupied the server is.
-func (entry *entry) fillOccupancy(c *routing.Candidate, query *Query, peers Work) {
+func (set *Set) fillOccupancy(entry *entry, c *routing.Candidate, query *Query, peers Work, now time.Time) {
+	c.FullNodes = set.fullNodes(entry, peers, now)
 	resident, prefixes := entry.local().residents.total(peers)
 	c.ResidentTokens, c.SharedResidentTokens = resident, 0
 	if prefixes == 0 {
@@ -38,6 +58,30 @@
 	}
 }
 
+// recordRefusal records that the server refused an attempt, unless that may have another reason than
+// lack of capacity: it is loading, draining or another incarnation, or has other weights than known.
+func (attempt *Attempt) recordRefusal(e *entry, now time.Time) {
+	if e.load == nil && e.replacedUntil.IsZero() && !e.isDraining() && e.server == attempt.server {
+		e.lastRefusedAt = now
+	}
+}
+
+// full reports whether the server has refused this node for lack of capacity within fullTTL, and has
+// not answered it since.
+func (local *localState) full(now time.Time) bool {
+	return local.lastRefusedAt.After(local.lastAcceptedAt) && now.Sub(local.lastRefusedAt) <= fullTTL
+}
+
+// fullNodes returns the number of other nodes that the server refuses for lack of capacity, unless
+// it has answered this node since the report.
+func (set *Set) fullNodes(e *entry, peers Work, now time.Time) int {
+	reportedAt := set.peerWorkUntil.Add(-peerWorkTTL)
+	if peers.Full == 0 || now.Sub(reportedAt) > fullTTL || e.local().lastAcceptedAt.After(reportedAt) {
+		return 0
+	}
+	return peers.Full
+}
+
 // aged returns the work as it is known a given time after it was reported. Ages are relative, so
 // that the clocks of nodes need not agree; the time that a report spends at a relay adds to them.
 func (w Work) aged(by time.Duration) Work {
@@ -47,6 +91,9 @@
 	if w.AnswerAge < 0 || w.AnswerAge > answerEvidenceTTL {
 		w.AnswerAge = 0
 	}
+	if by > fullTTL {
+		w.Full = 0
+	}
 	return w
 }
 
@@ -72,13 +119,13 @@
 	return max(age, 1)
 }
 
-// observePeerAnswer records the latest response of a server that other nodes have reported.
-func (entry *entry) observePeerAnswer(age time.Duration, now time.Time) {
+// observeAnswer records the latest response of a server to other nodes.
+func (peers *peerState) observeAnswer(age time.Duration, now time.Time) {
 	if age <= 0 || age > answerEvidenceTTL {
 		return
 	}
-	if at := now.Add(-age); at.After(entry.peerAnsweredAt) {
-		entry.peerAnsweredAt = at
+	if at := now.Add(-age); at.After(peers.answeredAt) {
+		peers.answeredAt = at
 	}
 }
 
@@ -121,8 +168,8 @@
 // node's path to it works.
 func (entry *entry) peersHeard() time.Time {
 	local := entry.local()
-	if local.lastConnectFailureAt.After(local.lastResponseAt) {
+	if entry.peers == nil || local.lastConnectFailureAt.After(local.lastResponseAt) {
 		return time.Time{}
 	}
-	return entry.peerAnsweredAt
+	return entry.peers.answeredAt
 }
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -70,10 +70,9 @@
 	// name is the incarnation name, and key its ServerKey.
 	name string
 	key  uint64
-	// peerWork is the work that other nodes have in flight on the server.
-	peerWork Work
-	// peerAnsweredAt is when the server last responded to another node, as far as reported.
-	peerAnsweredAt time.Time
+	// peers is what other nodes have reported of the server, or nil. It is allocated only for servers
+	// that they use.
+	peers *peerState
 	// listed is false once the server has been removed from the list, at unlistedAt.
 	listed     bool
 	unlistedAt time.Time
@@ -104,8 +103,12 @@
 	lastConnectFailureAt time.Time
 	queuedTokens         int
 	residents            residents
-	refusedUntil         time.Time
-	backoff              backoff
+	// lastRefusedAt is when the server last refused an attempt for lack of capacity, and
+	// lastAcceptedAt when it last began or completed a response to one.
+	lastRefusedAt  time.Time
+	lastAcceptedAt time.Time
+	refusedUntil   time.Time
+	backoff        backoff
 	// drainingAnnounced reports that the server told this node directly that it is shutting down.
 	drainingAnnounced bool
 	breaker           retry.Breaker
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -24,6 +24,9 @@
 	// attempt shares, and SharedPrefixes are those parts of their prompts that others may share.
 	ResidentTokens int
 	SharedPrefixes PrefixSet
+	// Full is the number of nodes that the server refused for lack of capacity since its last answer to
+	// them, within 500 ms.
+	Full int
 }
 
 // Plus returns the sum of the work of two sets of nodes on the same server.
@@ -37,6 +40,7 @@
 
 		ResidentTokens: w.ResidentTokens + other.ResidentTokens,
 		SharedPrefixes: w.SharedPrefixes.Merge(other.SharedPrefixes),
+		Full:           w.Full + other.Full,
 	}
 }
 
@@ -126,7 +130,7 @@
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	for _, s := range set.withPeerWork {
-		s.peerWork = Work{}
+		s.peers.work = Work{}
 	}
 	set.withPeerWork = set.withPeerWork[:0]
 	for _, w := range work {
@@ -135,8 +139,7 @@
 			draining = append(draining, s.name)
 		}
 		if s != nil {
-			s.peerWork = w
-			s.observeOccupancy(now)
+			s.observeOccupancy(w, now)
 			set.markUsed(s, now)
 			set.withPeerWork = append(set.withPeerWork, s)
 		}
@@ -148,8 +151,8 @@
 // peerWorkAt returns the work of other nodes on a server, or zero if the last report has
 // expired.
 func (set *Set) peerWorkAt(s *entry, now time.Time) Work {
-	if now.After(set.peerWorkUntil) {
+	if s.peers == nil || now.After(set.peerWorkUntil) {
 		return Work{}
 	}
-	return s.peerWork
+	return s.peers.work
 }
--- a/internal/proxy/occupancy_test.go
+++ b/internal/proxy/occupancy_test.go
@@ -104,3 +104,30 @@
 	require.Greater(t, without, 30, "by slots and prefixes alone")
 	require.Less(t, with, without/5)
 }
+
+// Guards against refusals of a node's own while all servers have refused other nodes: servers that are
+// reported as full are avoided only while others accept the request.
+func TestFullServersAreUsedWhereNoneIsLeft(t *testing.T) {
+	p := sharedServicePlacer(100, 3, 0)
+	report := func(names ...string) {
+		var work []backend.Work
+		for _, name := range names {
+			work = append(work, backend.Work{Server: backend.ServerKey(name), Full: 1})
+		}
+		p.proxy.set.ApplyPeerWork(work, time.Now())
+	}
+	report("i-0", "i-2")
+	for number := range 20 {
+		placed, unplaced := p.withRequestID(number).Place(nil)
+		require.Nil(t, unplaced)
+		require.Equal(t, "i-1", placed.Server())
+		placed.End(exchange.ResultNeutral)
+	}
+	report("i-0", "i-1", "i-2")
+	_, unplaced := p.withRequestID(1).Place(nil)
+	require.Nil(t, unplaced)
+
+	unshared := newTestPlacer(100, 1, 0)
+	unshared.proxy.set.ApplyPeerWork([]backend.Work{{Server: backend.ServerKey("i-0"), Full: 1}}, time.Now())
+	require.False(t, unshared.routingRequest().AvoidFull, "a service of one priority is as before")
+}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -257,6 +257,11 @@
 	if !all && (selection.decision.Index < 0 || routing.SlotsScarce(selection.candidates)) {
 		return false
 	}
+	if selection.decision.Index < 0 && selection.request.AvoidFull {
+		// A server that refuses other nodes may still accept this request, and no other one does.
+		selection.request.AvoidFull = false
+		selection.schedule()
+	}
 	if selection.decision.Index < 0 {
 		selection.lastResort = true
 		for i := range selection.candidates {
--- a/internal/proxy/routing_request.go
+++ b/internal/proxy/routing_request.go
@@ -29,6 +29,7 @@
 	if prompt == nil {
 		return request
 	}
+	request.AvoidFull = placer.sharesPriorities()
 	request.PromptTokens, request.OutputTokens = prompt.Tokens, prompt.Output
 	request.BlockTokens = 1
 	request.Blocks = placer.sharedTokens()
--- a/internal/reflector/occupancy_test.go
+++ b/internal/reflector/occupancy_test.go
@@ -25,7 +25,7 @@
 func TestGroupsWithAndWithoutOccupancyAreRead(t *testing.T) {
 	basic := backend.Work{Server: 9, Running: 2, QueuedTokens: 40, Suspects: 1}
 	full := basic
-	full.AnswerAge = 70 * time.Millisecond
+	full.AnswerAge, full.ResidentTokens, full.SharedPrefixes, full.Full = 70*time.Millisecond, 5000, 0x30, 2
 	for _, reported := range []backend.Work{basic, full} {
 		for _, loads := range []*backend.Loads{nil, {Mark: backend.LoadsMark{Fence: 1}}} {
 			encoded := &bytes.Buffer{}
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -37,6 +37,8 @@
 	LimitWait time.Duration
 	// Busy is set if the endpoint has recently refused a request for lack of capacity.
 	Busy bool
+	// FullNodes counts the other nodes that the endpoint has recently refused for lack of capacity.
+	FullNodes int
 	// Distance is 0 for an endpoint in the same zone, 1 in the same region, and 2 in
 	// another region.
 	Distance int
@@ -97,6 +99,8 @@
 	// SampleSeed selects the random sample of endpoints that this request chooses from
 	// while slots are scarce. 0 means that it always chooses from all endpoints.
 	SampleSeed uint64
+	// AvoidFull rejects endpoints that have refused other nodes for lack of capacity.
+	AvoidFull bool
 	// SlotSeconds is the average time for which a sequence occupies a slot.
 	SlotSeconds float64
 	// ConcurrencyCost is the delay in seconds that each running request adds to the next
--- a/internal/workshare/aging_test.go
+++ b/internal/workshare/aging_test.go
@@ -48,3 +48,14 @@
 	relay.aggregator.SetFollower("older", Report{Work: []backend.Work{{Server: 1, Running: 3}}}, start)
 	require.Equal(t, []backend.Work{{Server: 1, Running: 3, ResidentTokens: 150, SharedPrefixes: 0x33}}, relay.aggregator.Group(start).Work)
 }
+
+// Guards against refusals that count forever because relays keep reports: one counts for 500 ms after
+// it was reported, and those of several nodes are summed.
+func TestFullNodesAreSummedAndExpireAtRelays(t *testing.T) {
+	aggregator := New(func() Report { return Report{} })
+	aggregator.SetFollower("a", Report{Work: []backend.Work{{Server: 1, Running: 1, Full: 1}}}, start)
+	aggregator.SetFollower("older", Report{Work: []backend.Work{{Server: 1, Running: 1}}}, start)
+	aggregator.SetGroup("r", Report{Work: []backend.Work{{Server: 1, Running: 1, Full: 2}}}, start.Add(300*time.Millisecond))
+	require.Equal(t, 3, aggregator.Others("", start.Add(400*time.Millisecond)).Work[0].Full)
+	require.Equal(t, 2, aggregator.Others("", start.Add(600*time.Millisecond)).Work[0].Full)
+}
