Spread requests between two reports over servers that may be equal

Cause: nodes that decide between two reports know nothing of each other's choices, and all chose the server that looked idle at the report.

Change: the work that other nodes are expected to have sent since the report (demand of the service x age of the report / servers) is the margin within which servers count as equal; the hash of the request selects one of those that are no farther away than the cheapest. The demand follows from the requests that others run and the mean slot time, so that no message is added. The margin is at most an eighth of the target, the time for which a request may wait for a placement. It is 0 for services of one priority, and for a node that receives no reports.

--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -195,7 +195,7 @@
 	if !s.strict || s.decision.Next < 0 {
 		return true
 	}
-	return s.scheduler.Cost(s.request, current) <= s.scheduler.Cost(s.request, &s.candidates[s.decision.Next])
+	return s.scheduler.Cost(s.request, current) <= s.scheduler.Cost(s.request, &s.candidates[s.decision.Next])+s.request.EqualMargin
 }
 
 // selectAndBegin begins an attempt on the cheapest server of the prompt's subset, which is the
@@ -206,6 +206,7 @@
 	query := placer.query(now)
 	for query.Limit = subsetSize; ; query.Limit *= subsetGrowth {
 		selection.candidates = placer.loadCandidates(query, excluded, now)
+		selection.request.EqualMargin = placer.equalMargin(selection, now)
 		all := len(selection.candidates) < query.Limit
 		for placer.selectCandidate(selection, all) {
 			placed := placer.begin(selection, query, now)
@@ -358,5 +359,6 @@
 	if attempt == nil {
 		return nil
 	}
+	placer.proxy.meanPrefill.observe(placer.proxy.prefillRate.timeFor(tokens))
 	return &placement{placer: placer, chosen: chosen, attempt: attempt, prefillTokens: tokens, deferred: deferred, placedAt: now, suspendedAtPlacement: boottime.Suspended()}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -150,6 +150,7 @@
 	splitter     splitter
 	prefillRate  *prefillRate
 	slotTime     *slotTime
+	meanPrefill  *meanPrefill
 	ledger       *residency.Ledger
 	limiter      *quota.Limiter
 	serverLimits *quota.ServerLimits
@@ -215,6 +216,7 @@
 		started:          boottime.Now(),
 		prefillRate:      newPrefillRate(),
 		slotTime:         newSlotTime(),
+		meanPrefill:      &meanPrefill{},
 		stopping:         make(chan struct{}),
 	}
 }
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -64,7 +64,8 @@
 	for _, index := range scheduler.accepted {
 		scheduler.costs = append(scheduler.costs, scheduler.Cost(request, &candidates[index]))
 	}
-	decision.Index = Pick(candidates, scheduler.accepted, scheduler.costs)
+	cheapest := Pick(candidates, scheduler.accepted, scheduler.costs)
+	decision.Index = pickEqual(request, candidates, scheduler.accepted, scheduler.costs, cheapest)
 	decision.Next = scheduler.nextCheapest(candidates, decision.Index)
 	return decision
 }
