--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -88,6 +88,13 @@
 	RetryAfter float64 `json:"retry_after"`
 	// Silent is how long a kept attempt had been silent, in milliseconds.
 	Silent float64 `json:"silent"`
+	// Resident is the number of tokens that requests held at the chosen server, and Memory its capacity.
+	// Full is the number of nodes that it refused, and Margin the difference in cost, in milliseconds,
+	// up to which servers counted as equal.
+	Resident int     `json:"resident"`
+	Memory   int     `json:"memory"`
+	Full     int     `json:"full"`
+	Margin   float64 `json:"margin"`
 }
 
 // eventTexts maps the events of attempts to their explanations.
@@ -209,6 +216,7 @@
 		text += fmt.Sprintf("; weights %d, prompt of %d tokens, %d held there, %d in the store, %d waiting before it",
 			line.Version, line.Prompt, line.CachedTokens, line.InStore, line.Queued)
 	}
+	text += line.occupancyText()
 	if line.Deferred {
 		text += "; it will be late there, so that others go first"
 	}
@@ -230,6 +238,21 @@
 	return text
 }
 
+// occupancyText says what was known of the occupancy of the chosen server.
+func (line logLine) occupancyText() string {
+	text := ""
+	if line.Memory > 0 {
+		text += fmt.Sprintf("; requests held %d of the %d tokens of its memory", line.Resident, line.Memory)
+	}
+	if line.Full > 0 {
+		text += fmt.Sprintf("; it had just refused %d other nodes, as all servers had", line.Full)
+	}
+	if line.Margin > 0 {
+		text += fmt.Sprintf("; servers whose costs differ by up to %.0f ms counted as equal, for what others may have sent since they reported", line.Margin)
+	}
+	return text
+}
+
 func (line logLine) tenantLimitText() string {
 	return fmt.Sprintf("beyond the limit of tenant %s: %.0f a second are asked where %.0f are allowed, %.0f may be admitted at once, so %.0f %% of the requests are; known of %d nodes %.0f ms ago; to come back after %.0f ms",
 		line.Tenant, line.Requested, line.Limit, line.Level, 100*line.AdmitRatio, line.Nodes, line.Age, line.RetryAfter)
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -277,7 +277,7 @@
 func (placer *placer) describe(s *selection, placed *placement, rounds int) PlacementDecision {
 	decision := PlacementDecision{
 		Chosen: placed.chosen, Terms: s.scheduler.Terms(s.request, &placed.chosen), Deferred: placed.deferred,
-		OverLimit: countLimited(s.candidates), Rounds: rounds, LastResort: s.lastResort,
+		OverLimit: countLimited(s.candidates), Rounds: rounds, LastResort: s.lastResort, EqualMargin: s.request.EqualMargin,
 	}
 	if s.decision.Next >= 0 {
 		next := &s.candidates[s.decision.Next]
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -84,6 +84,7 @@
 		line.Int64("version", chosen.Version).Int("prompt", prompt.Tokens).Int("held", chosen.HitBlocks).
 			Int("in_store", chosen.ImportBlocks).Int("queued", chosen.QueuedTokens).Int("rank", chosen.AffinityRank)
 	}
+	addOccupancy(line, choice)
 	if choice.Deferred {
 		recorder.metrics.deferred.Inc()
 		line.Bool("deferred", true)
@@ -105,6 +106,19 @@
 	line.Msg("placed")
 }
 
+// addOccupancy adds what the placement knew of the occupancy of the chosen server, where it mattered.
+func addOccupancy(line *zerolog.Event, choice proxy.PlacementDecision) {
+	if chosen := choice.Chosen; chosen.CacheTokens > 0 {
+		line.Int("resident", chosen.ResidentTokens).Int("memory", chosen.CacheTokens)
+	}
+	if choice.Chosen.FullNodes > 0 {
+		line.Int("full", choice.Chosen.FullNodes)
+	}
+	if choice.EqualMargin > 0 {
+		line.Float64("margin", 1000*choice.EqualMargin)
+	}
+}
+
 // RateLimited records a request that exceeds its tenant's limit.
 func (recorder *Recorder) RateLimited(request *proxy.Request, tenant string, limit quota.Limit, decision quota.Decision) {
 	recorder.metrics.rateLimited.Inc()
