--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -104,3 +104,26 @@
 	require.True(t, replica.Weights["m"][0].UnreleasedAt.IsZero(), "the time of the release is unknown")
 	require.Equal(t, failedAt.Add(time.Second), replica.AsOf)
 }
+
+// Guards against new placement rules for services that do not need them: only routes of different
+// priority that send traffic to a service with engines share it in that sense.
+func TestSharesPriorities(t *testing.T) {
+	route := func(name string, priority int, shares ...Share) Route {
+		return Route{Name: name, Priority: priority, Split: shares}
+	}
+	to := func(service string, weight int) Share { return Share{Service: service, Weight: weight} }
+	snapshot := New(Declaration{
+		Services: []Service{
+			{Name: "shared", Engine: &Engine{}}, {Name: "equal", Engine: &Engine{}}, {Name: "former", Engine: &Engine{}}, {Name: "plain"},
+		},
+		Routes: []Route{
+			route("a", 0, to("shared", 1), to("equal", 1), to("plain", 1), to("former", 0)),
+			route("b", 0, to("equal", 2)),
+			route("c", 2, to("shared", 1), to("plain", 1), to("former", 1)),
+		},
+	})
+	require.True(t, snapshot.SharesPriorities("shared"))
+	for _, name := range []string{"equal", "former", "plain", "unknown"} {
+		require.False(t, snapshot.SharesPriorities(name), name)
+	}
+}
--- a/internal/exchange/driver_test.go
+++ b/internal/exchange/driver_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
@@ -207,6 +208,26 @@
 	require.Equal(t, []Result{ResultSilent, ResultServed}, fakePlacer.results)
 }
 
+// Guards against a dark server that is given up only at the next multiple of the silence timeout: where
+// a recheck interval is set, an attempt that stays silent is checked again after it.
+func TestSilentAttemptIsCheckedAgainAfterRecheckInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var checkedAt []time.Duration
+		started := time.Now()
+		fakePlacer := &placer{servers: []fakeServer{hangs, respondsWith(200, "done")}}
+		fakePlacer.stalled = func(time.Duration) bool {
+			checkedAt = append(checkedAt, time.Since(started))
+			return len(checkedAt) == 3
+		}
+		outcome := Run(context.Background(), Request{
+			Rules: twoRuns, Budget: &fixedBudget{remaining: 1}, Placer: fakePlacer, Caller: &recorder{},
+			SilenceTimeouts: SilenceTimeouts{FirstEvent: 400 * time.Millisecond, Recheck: 50 * time.Millisecond},
+		})
+		require.Nil(t, outcome.Failure)
+		require.Equal(t, []time.Duration{400 * time.Millisecond, 450 * time.Millisecond, 500 * time.Millisecond}, checkedAt)
+	})
+}
+
 func TestAttemptIsCancelledAtStartDeadline(t *testing.T) {
 	for _, rules := range []Rules{singleRun, twoRuns} {
 		ended := make(chan struct{})
