--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -144,6 +144,8 @@
 		Unconfirmed:  process.crashUnconfirmed,
 		Capacity:     process.capacity,
 		EntryTTL:     entryExpiryHeartbeats * config.Heartbeat,
+
+		PropagationDelay: func() time.Duration { return process.reflector.FleetPropagationDelay() },
 	})
 	incarnation := uuid.NewString()
 	process.source = platform.NewSource(process.store, process.recorder.EntryUnreadable)
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -17,6 +17,9 @@
 	Chosen routing.Candidate
 	// Tokens is the number of prompt tokens that the server has to process.
 	Tokens int
+	// ResidentTokens is the number of prompt and output tokens that the attempt shares with no other,
+	// apart from those of Query.Shared.
+	ResidentTokens int
 	// Deferred marks an attempt that yields to all others: until it has started, it does not count
 	// as work that delays them.
 	Deferred bool
@@ -48,8 +51,12 @@
 	}
 	local.queuedTokens += placement.Tokens
 	set.markUsed(e, now)
+	resident := residentUse{tokens: placement.ResidentTokens, shared: placement.Query.Shared}
+	if !placement.Deferred {
+		resident.begin(local)
+	}
 	return &Attempt{
-		set: set, entry: e, tokens: placement.Tokens, deferred: placement.Deferred,
+		resident: resident, server: e.server, set: set, entry: e, tokens: placement.Tokens, deferred: placement.Deferred,
 		slowStartRound: local.backoff.sent(now), probe: local.breaker.Sent(now), sentAt: now,
 	}
 }
@@ -68,6 +75,10 @@
 	// probe reports that this attempt probes the server after its breaker opened.
 	probe  bool
 	sentAt time.Time
+	// resident is what the attempt holds in the memory of the server, and server the server as the
+	// attempt was sent.
+	resident residentUse
+	server   *Server
 }
 
 // ResponseStarted records that the server has processed the prompt and begun to answer.
@@ -78,12 +89,13 @@
 	attempt.set.mutex.Lock()
 	defer attempt.set.mutex.Unlock()
 	attempt.dequeue()
+	attempt.resident.begin(attempt.entry.localState)
 	attempt.markAdmitted()
 	if attempt.probe {
 		attempt.probe = false
 		attempt.entry.breaker.ProbeAnswered()
 	}
-	attempt.entry.lastResponseAt = now
+	attempt.entry.lastResponseAt, attempt.entry.lastAcceptedAt = now, now
 	attempt.entry.recordAnswered(attempt.sentAt)
 }
 
@@ -95,17 +107,7 @@
 	}
 }
 
-// ServerRespondedSince reports whether the server has responded to any attempt since a given
-// time.
-func (attempt *Attempt) ServerRespondedSince(since time.Time) bool {
-	if attempt.entry == nil {
-		return false
-	}
-	attempt.set.mutex.Lock()
-	defer attempt.set.mutex.Unlock()
-	return attempt.entry.lastResponseAt.After(since)
-}
-
+// dequeue records that the attempt no longer waits.
 func (attempt *Attempt) dequeue() {
 	attempt.entry.queuedTokens -= attempt.tokens
 	attempt.tokens = 0
@@ -123,6 +125,7 @@
 	attempt.set.mutex.Lock()
 	defer attempt.set.mutex.Unlock()
 	attempt.dequeue()
+	attempt.resident.end(attempt.entry.localState)
 	if result == exchange.ResultServed {
 		attempt.markAdmitted()
 	}
@@ -136,6 +139,12 @@
 	case exchange.ResultServed, exchange.ResultRefused, exchange.ResultFaulty:
 		e.recordAnswered(attempt.sentAt)
 	}
+	switch result {
+	case exchange.ResultServed:
+		e.lastAcceptedAt = now
+	case exchange.ResultRefused:
+		attempt.recordRefusal(e, now)
+	}
 	e.recordResult(result, attempt.probe, now)
 }
 
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -72,8 +72,9 @@
 	// name is the incarnation name, and key its ServerKey.
 	name string
 	key  uint64
-	// peerWork is the work that other nodes have in flight on the server.
-	peerWork Work
+	// peers is what other nodes have reported of the server, or nil. It is allocated only for servers
+	// that they use.
+	peers *peerState
 	// listed is false once the server has been removed from the list, at unlistedAt.
 	listed     bool
 	unlistedAt time.Time
@@ -103,8 +104,13 @@
 	// lastConnectFailureAt is when a connection to the server last failed to establish.
 	lastConnectFailureAt time.Time
 	queuedTokens         int
-	refusedUntil         time.Time
-	backoff              backoff
+	residents            residents
+	// lastRefusedAt is when the server last refused an attempt for lack of capacity, and
+	// lastAcceptedAt when it last began or completed a response to one.
+	lastRefusedAt  time.Time
+	lastAcceptedAt time.Time
+	refusedUntil   time.Time
+	backoff        backoff
 	// drainingAnnounced reports that the server told this node directly that it is shutting down.
 	drainingAnnounced bool
 	breaker           retry.Breaker
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -21,6 +21,16 @@
 	Suspects int
 	// Prefill holds the votes of the nodes on the prefill rate of the server.
 	Prefill capacity.Votes
+	// AnswerAge is the time since the server last responded to any of the nodes, or 0 if it has not
+	// within 2 s.
+	AnswerAge time.Duration
+	// ResidentTokens is the number of prompt and output tokens of attempts in flight that no other
+	// attempt shares, and SharedPrefixes are those parts of their prompts that others may share.
+	ResidentTokens int
+	SharedPrefixes PrefixSet
+	// Full is the number of nodes that the server refused for lack of capacity since its last answer to
+	// them, within 500 ms.
+	Full int
 }
 
 // Plus returns the sum of the work of two sets of nodes on the same server.
@@ -31,6 +41,11 @@
 		QueuedTokens: w.QueuedTokens + other.QueuedTokens,
 		Suspects:     w.Suspects + other.Suspects,
 		Prefill:      w.Prefill.Plus(other.Prefill),
+		AnswerAge:    smallestAge(w.AnswerAge, other.AnswerAge),
+
+		ResidentTokens: w.ResidentTokens + other.ResidentTokens,
+		SharedPrefixes: w.SharedPrefixes.Merge(other.SharedPrefixes),
+		Full:           w.Full + other.Full,
 	}
 }
 
@@ -65,6 +80,7 @@
 	suspected := 0
 	for s := range set.withLocalState {
 		w := Work{Server: s.key, Running: s.running(), QueuedTokens: s.queuedTokens}
+		s.reportOccupancy(&w, now)
 		switch {
 		case s.drainingAnnounced:
 			w.Suspects = drainingSuspects
@@ -73,7 +89,7 @@
 			suspected++
 		}
 		w.Prefill = set.voteOn(s, now)
-		if w.Running != 0 || w.QueuedTokens != 0 || w.Suspects != 0 || w.Prefill != 0 {
+		if w != (Work{Server: s.key}) {
 			all = append(all, w)
 		}
 	}
@@ -120,7 +136,7 @@
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	for _, s := range set.withPeerWork {
-		s.peerWork = Work{}
+		s.peers.work = Work{}
 	}
 	set.withPeerWork = set.withPeerWork[:0]
 	for _, w := range work {
@@ -129,7 +145,7 @@
 			draining = append(draining, s.name)
 		}
 		if s != nil {
-			s.peerWork = w
+			s.observeOccupancy(w, now)
 			set.markUsed(s, now)
 			set.withPeerWork = append(set.withPeerWork, s)
 		}
@@ -141,8 +157,8 @@
 // peerWorkAt returns the work of other nodes on a server, or zero if the last report has
 // expired.
 func (set *Set) peerWorkAt(s *entry, now time.Time) Work {
-	if now.After(set.peerWorkUntil) {
+	if s.peers == nil || now.After(set.peerWorkUntil) {
 		return Work{}
 	}
-	return s.peerWork
+	return s.peers.work
 }
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -47,7 +47,7 @@
 
 // exchangeRequest returns the exchange.Request for an admitted request.
 func (proxy *Proxy) exchangeRequest(admitted *admitted, caller exchange.Caller) exchange.Request {
-	route := admitted.route
+	route, placer := admitted.route, newPlacer(proxy, admitted)
 	return exchange.Request{
 		Rules: exchange.Rules{
 			Repeatable:    route.Retryable(),
@@ -57,9 +57,9 @@
 			RetryAfter:    retryAfter(route),
 		},
 		Budget:          proxy.retryBudgets.ForService(admitted.service.Name),
-		SilenceTimeouts: silenceTimeouts(route),
+		SilenceTimeouts: placer.silenceTimeouts(),
 		ResumeAfter:     admitted.request.ResumeAfter,
-		Placer:          newPlacer(proxy, admitted),
+		Placer:          placer,
 		Caller:          caller,
 		Stopping:        proxy.stopping,
 		Observe: func(server string, event exchange.Event) {
@@ -72,14 +72,20 @@
 	}
 }
 
-func silenceTimeouts(route *catalog.Route) exchange.SilenceTimeouts {
+// silenceTimeouts returns the bounds on the silence of attempts.
+func (placer *placer) silenceTimeouts() exchange.SilenceTimeouts {
+	route := placer.admitted.route
 	if !route.Retryable() {
 		return exchange.SilenceTimeouts{}
 	}
-	return exchange.SilenceTimeouts{
+	timeouts := exchange.SilenceTimeouts{
 		FirstEvent:    time.Duration(firstEventTimeoutFactor * float64(route.TargetLatency)),
 		BetweenEvents: max(minEventGapTimeout, eventGapTimeoutFactor*route.GapTarget),
 	}
+	if placer.sharesPriorities() {
+		timeouts.Recheck = silenceRecheckInterval
+	}
+	return timeouts
 }
 
 // retryAfter returns the retry delay for refused callers: short enough that a retry can
@@ -99,6 +105,8 @@
 	// retryAt is when the caller is told to retry because all servers were at their request
 	// limits; zero if that has not happened.
 	retryAt time.Time
+	// resident caches the result of residentPrefixes.
+	resident []backend.Prefix
 	// excluded lists the servers that were already tried.
 	excluded []string
 }
@@ -188,7 +196,7 @@
 		return true
 	}
 	next := s.scheduler.Rank(s.request, &s.candidates[s.decision.Next])
-	return !next.Less(s.scheduler.Rank(s.request, current))
+	return !next.LessBy(s.request.EqualMargin, s.scheduler.Rank(s.request, current))
 }
 
 // selectAndBegin begins an attempt on the cheapest server of the prompt's subset, which is the
@@ -199,6 +207,7 @@
 	query := placer.query(now)
 	for query.Limit = subsetSize; ; query.Limit *= subsetGrowth {
 		selection.candidates = placer.loadCandidates(query, excluded, now)
+		selection.request.EqualMargin = placer.equalMargin(selection, now)
 		all := len(selection.candidates) < query.Limit
 		for placer.selectCandidate(selection, all) {
 			placed := placer.begin(selection, query, now)
@@ -236,6 +245,7 @@
 	placer.markLimited(candidates, now)
 	if placer.prompt() != nil {
 		placer.annotate(candidates, now)
+		placer.annotateOccupancy(candidates)
 	}
 	if placer.estimatesCapacity() {
 		placer.annotateCapacity(candidates, now)
@@ -252,6 +262,11 @@
 	if !all && (selection.decision.Index < 0 || routing.SlotsScarce(selection.candidates)) {
 		return false
 	}
+	if selection.decision.Index < 0 && selection.request.AvoidFull {
+		// A server that refuses other nodes may still accept this request, and no other one does.
+		selection.request.AvoidFull = false
+		selection.schedule()
+	}
 	if selection.decision.Index < 0 {
 		selection.lastResort = true
 		for i := range selection.candidates {
@@ -266,7 +281,7 @@
 func (placer *placer) describe(s *selection, placed *placement, rounds int) PlacementDecision {
 	decision := PlacementDecision{
 		Chosen: placed.chosen, Terms: s.scheduler.Terms(s.request, &placed.chosen), Deferred: placed.deferred,
-		OverLimit: countLimited(s.candidates), Rounds: rounds, LastResort: s.lastResort, Prediction: placed.prediction(),
+		OverLimit: countLimited(s.candidates), Rounds: rounds, LastResort: s.lastResort, Prediction: placed.prediction(), EqualMargin: s.request.EqualMargin,
 	}
 	if s.decision.Next >= 0 {
 		next := &s.candidates[s.decision.Next]
@@ -339,7 +354,7 @@
 	if prompt := placer.prompt(); prompt != nil {
 		tokens = max(0, prompt.Tokens-max(chosen.HitBlocks, chosen.ImportBlocks))
 	}
-	proposed := backend.Placement{Query: query, Chosen: chosen, Tokens: tokens, Deferred: deferred, StillValid: func(current *routing.Candidate) bool {
+	proposed := backend.Placement{Query: query, Chosen: chosen, Tokens: tokens, ResidentTokens: placer.privateTokens(), Deferred: deferred, StillValid: func(current *routing.Candidate) bool {
 		valid := selection.stillValid(current)
 		chosen = *current
 		return valid
@@ -348,5 +363,6 @@
 	if attempt == nil {
 		return nil
 	}
+	placer.proxy.meanPrefill.observe(placer.proxy.prefillRate.timeFor(tokens))
 	return &placement{placer: placer, request: selection.request, chosen: chosen, attempt: attempt, prefillTokens: tokens, deferred: deferred, placedAt: now, suspendedAtPlacement: boottime.Suspended()}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -152,12 +152,15 @@
 	prefillRate  *prefillRate
 	slotTime     *slotTime
 	capacity     *capacity.Estimator
+	meanPrefill  *meanPrefill
 	ledger       *residency.Ledger
 	limiter      *quota.Limiter
 	serverLimits *quota.ServerLimits
 	quarantine   *quarantine.Ledger
 	unconfirmed  quarantine.Unconfirmed
 	entryTTL     time.Duration
+	// propagationDelay is that of Options.
+	propagationDelay func() time.Duration
 	// conflictMutex serializes placements that lost their first round to another placement.
 	conflictMutex sync.Mutex
 	probesMutex   sync.Mutex
@@ -191,6 +194,9 @@
 	Capacity *capacity.Estimator
 	// EntryTTL is the time after which the registration of a crashed server has expired.
 	EntryTTL time.Duration
+	// PropagationDelay returns the time in which an observation of any node reaches all nodes; nil
+	// means that there are no other nodes.
+	PropagationDelay func() time.Duration
 }
 
 // New returns a Proxy with the given options.
@@ -212,12 +218,15 @@
 		quarantine:   options.Quarantine,
 		unconfirmed:  options.Unconfirmed,
 		entryTTL:     options.EntryTTL,
-		probes:       map[string]*connectionProbe{},
-		started:      boottime.Now(),
-		prefillRate:  newPrefillRate(),
-		slotTime:     newSlotTime(),
-		capacity:     options.Capacity,
-		stopping:     make(chan struct{}),
+
+		propagationDelay: options.PropagationDelay,
+		probes:           map[string]*connectionProbe{},
+		started:          boottime.Now(),
+		prefillRate:      newPrefillRate(),
+		slotTime:         newSlotTime(),
+		meanPrefill:      &meanPrefill{},
+		capacity:         options.Capacity,
+		stopping:         make(chan struct{}),
 	}
 }
 
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -18,6 +18,8 @@
 	// Next is the name of the next cheapest server; "" if there was none.
 	Next      string
 	NextTerms []routing.Term
+	// EqualMargin is the difference in cost, in seconds, up to which servers counted as equal.
+	EqualMargin float64
 	// Deferred is set if the request will be late and yields to others.
 	Deferred bool
 	// OverLimit is the number of servers that were skipped because of their request limits.
@@ -57,6 +59,9 @@
 	// Attempt records an event of an attempt. The fingerprint is that of the request if the
 	// attempt broke, and else 0.
 	Attempt(request *Request, server string, event exchange.Event, fingerprint quarantine.Fingerprint)
+	// AttemptKept records, once per attempt, that a silent attempt is not given up because other
+	// nodes hear its server.
+	AttemptKept(request *Request, server string, silent time.Duration)
 	// RequestQuarantined records a request that was refused because servers crashed while running it.
 	RequestQuarantined(request *Request, fingerprint quarantine.Fingerprint, verdict quarantine.Verdict)
 	// SuspicionResolved records whether a server crashed while running a request.
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -37,6 +37,8 @@
 	LimitWait time.Duration
 	// Busy is set if the endpoint has recently refused a request for lack of capacity.
 	Busy bool
+	// FullNodes counts the other nodes that the endpoint has recently refused for lack of capacity.
+	FullNodes int
 	// Distance is 0 for an endpoint in the same zone, 1 in the same region, and 2 in
 	// another region.
 	Distance int
@@ -52,10 +54,18 @@
 	InFlight int
 	// Running counts the sequences known to run on the endpoint.
 	Running int
+	// PeersRunning counts those of them that other nodes have reported.
+	PeersRunning int
 	// Slots is the number of sequences that the endpoint runs concurrently; 0 if unknown.
 	Slots int
 	// QueuedTokens counts the prompt tokens known to wait for prefill.
 	QueuedTokens int
+	// CacheTokens is the capacity of the endpoint's KV cache, or 0 if it does not matter.
+	// ResidentTokens counts the tokens that requests in flight hold there, and SharedResidentTokens
+	// those of them that this request shares.
+	CacheTokens          int
+	ResidentTokens       int
+	SharedResidentTokens int
 	// HitBlocks is the number of leading blocks of the prompt that the endpoint holds.
 	HitBlocks int
 	// ImportBlocks is the number of leading blocks that the endpoint can probably import,
@@ -78,6 +88,8 @@
 // Request holds the properties of a request that a decision depends on.
 type Request struct {
 	PromptTokens int
+	// OutputTokens is the greatest length of the answer.
+	OutputTokens int
 	BlockTokens  int
 	// Blocks is the number of whole blocks of the prompt.
 	Blocks int
@@ -93,6 +105,11 @@
 	// SampleSeed selects the random sample of endpoints that this request chooses from
 	// while slots are scarce. 0 means that it always chooses from all endpoints.
 	SampleSeed uint64
+	// AvoidFull rejects endpoints that have refused other nodes for lack of capacity.
+	AvoidFull bool
+	// EqualMargin is the difference in cost, in seconds, up to which endpoints count as equal, so that
+	// the hash of the request selects one of them.
+	EqualMargin float64
 	// SlotSeconds is the average time for which a sequence occupies a slot.
 	SlotSeconds float64
 	// BaseSeconds is the part of the time to the first token that depends neither on the prompt nor
