--- a/internal/backend/occupancy.go
+++ b/internal/backend/occupancy.go
@@ -44,7 +44,7 @@
 
 // fillOccupancy sets the fields of a candidate that tell how occupied the server is.
 func (set *Set) fillOccupancy(entry *entry, c *routing.Candidate, query *Query, peers Work, now time.Time) {
-	c.FullNodes, c.PeersRunning = set.fullNodes(entry, peers, now), peers.Running
+	c.FullNodes = set.fullNodes(entry, peers, now)
 	resident, prefixes := entry.local().residents.total(peers)
 	c.ResidentTokens, c.SharedResidentTokens = resident, 0
 	if prefixes == 0 {
@@ -66,17 +66,6 @@
 	}
 }
 
-// PeerWorkAge returns the time since other nodes' work was last reported, and false if there is no
-// report that counts.
-func (set *Set) PeerWorkAge(now time.Time) (age time.Duration, reported bool) {
-	set.mutex.Lock()
-	defer set.mutex.Unlock()
-	if now.After(set.peerWorkUntil) {
-		return 0, false
-	}
-	return now.Sub(set.peerWorkUntil.Add(-peerWorkTTL)), true
-}
-
 // full reports whether the server has refused this node for lack of capacity within fullTTL, and has
 // not answered it since.
 func (local *localState) full(now time.Time) bool {
--- a/internal/backend/votes.go
+++ b/internal/backend/votes.go
@@ -11,14 +11,6 @@
 // while they have work.
 const voteAfterResponse = 2 * time.Second
 
-// votePeriod is the period in which a node reports each of its votes once, in one of voteTurns parts.
-// Votes change slowly and receivers average them over seconds, so that they need not be part of every
-// report.
-const (
-	votePeriod = time.Second
-	voteTurns  = 4
-)
-
 // Vote returns this node's vote on the prefill rate of the server with the given ServerKey, or 0.
 type Vote func(server uint64, now time.Time) capacity.Votes
 
@@ -32,8 +24,7 @@
 
 // voteOn returns this node's vote on a server on which it has or recently had work.
 func (set *Set) voteOn(s *entry, now time.Time) capacity.Votes {
-	turn := uint64(now.UnixNano()) / uint64(votePeriod/voteTurns)
-	if set.vote == nil || (turn+s.key)%voteTurns != 0 || s.inFlight == 0 && now.Sub(s.lastResponseAt) > voteAfterResponse {
+	if set.vote == nil || s.inFlight == 0 && now.Sub(s.lastResponseAt) > voteAfterResponse {
 		return 0
 	}
 	return set.vote(s.key, now)
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -95,12 +95,10 @@
 	// Silent is how long a kept attempt had been silent, in milliseconds.
 	Silent float64 `json:"silent"`
 	// Resident is the number of tokens that requests held at the chosen server, and Memory its capacity.
-	// Full is the number of nodes that it refused, and Margin the difference in cost, in milliseconds,
-	// up to which servers counted as equal.
-	Resident int     `json:"resident"`
-	Memory   int     `json:"memory"`
-	Full     int     `json:"full"`
-	Margin   float64 `json:"margin"`
+	// Full is the number of nodes that it refused.
+	Resident int `json:"resident"`
+	Memory   int `json:"memory"`
+	Full     int `json:"full"`
 }
 
 // eventTexts maps the events of attempts to their explanations.
@@ -264,9 +262,6 @@
 	if line.Full > 0 {
 		text += fmt.Sprintf("; it had just refused %d other nodes, as all servers had", line.Full)
 	}
-	if line.Margin > 0 {
-		text += fmt.Sprintf("; servers whose costs differ by up to %.0f ms counted as equal, for what others may have sent since they reported", line.Margin)
-	}
 	return text
 }
 
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -196,7 +196,7 @@
 		return true
 	}
 	next := s.scheduler.Rank(s.request, &s.candidates[s.decision.Next])
-	return !next.LessBy(s.request.EqualMargin, s.scheduler.Rank(s.request, current))
+	return !next.Less(s.scheduler.Rank(s.request, current))
 }
 
 // selectAndBegin begins an attempt on the cheapest server of the prompt's subset, which is the
@@ -207,7 +207,6 @@
 	query := placer.query(now)
 	for query.Limit = subsetSize; ; query.Limit *= subsetGrowth {
 		selection.candidates = placer.loadCandidates(query, excluded, now)
-		selection.request.EqualMargin = placer.equalMargin(selection, now)
 		all := len(selection.candidates) < query.Limit
 		for placer.selectCandidate(selection, all) {
 			placed := placer.begin(selection, query, now)
@@ -281,7 +280,7 @@
 func (placer *placer) describe(s *selection, placed *placement, rounds int) PlacementDecision {
 	decision := PlacementDecision{
 		Chosen: placed.chosen, Terms: s.scheduler.Terms(s.request, &placed.chosen), Deferred: placed.deferred,
-		OverLimit: countLimited(s.candidates), Rounds: rounds, LastResort: s.lastResort, Prediction: placed.prediction(), EqualMargin: s.request.EqualMargin,
+		OverLimit: countLimited(s.candidates), Rounds: rounds, LastResort: s.lastResort, Prediction: placed.prediction(),
 	}
 	if s.decision.Next >= 0 {
 		next := &s.candidates[s.decision.Next]
@@ -363,6 +362,5 @@
 	if attempt == nil {
 		return nil
 	}
-	placer.proxy.meanPrefill.observe(placer.proxy.prefillRate.timeFor(tokens))
 	return &placement{placer: placer, request: selection.request, chosen: chosen, attempt: attempt, prefillTokens: tokens, deferred: deferred, placedAt: now, suspendedAtPlacement: boottime.Suspended()}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -152,7 +152,6 @@
 	prefillRate  *prefillRate
 	slotTime     *slotTime
 	capacity     *capacity.Estimator
-	meanPrefill  *meanPrefill
 	ledger       *residency.Ledger
 	limiter      *quota.Limiter
 	serverLimits *quota.ServerLimits
@@ -224,7 +223,6 @@
 		started:          boottime.Now(),
 		prefillRate:      newPrefillRate(),
 		slotTime:         newSlotTime(),
-		meanPrefill:      &meanPrefill{},
 		capacity:         options.Capacity,
 		stopping:         make(chan struct{}),
 	}
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -18,8 +18,6 @@
 	// Next is the name of the next cheapest server; "" if there was none.
 	Next      string
 	NextTerms []routing.Term
-	// EqualMargin is the difference in cost, in seconds, up to which servers counted as equal.
-	EqualMargin float64
 	// Deferred is set if the request will be late and yields to others.
 	Deferred bool
 	// OverLimit is the number of servers that were skipped because of their request limits.
--- a/internal/reflector/work_encoding.go
+++ b/internal/reflector/work_encoding.go
@@ -22,7 +22,7 @@
 
 // The flags of an entry of the details say which values follow: the age of the last answer in
 // milliseconds, the resident tokens and the number of nodes refused for lack of capacity as
-// variable-length integers, and the shared prefixes and the votes as 8 bytes each.
+// variable-length integers, and the shared prefixes and the votes as lanes; see appendLanes.
 const (
 	hasAnswerAge byte = 1 << iota
 	hasResidentTokens
@@ -61,7 +61,7 @@
 	lanes := func(flag byte, value uint64) {
 		if value != 0 {
 			details[at] |= flag
-			details = binary.LittleEndian.AppendUint64(details, value)
+			details = appendLanes(details, value)
 		}
 	}
 	// An age under a millisecond must not become 0, which means that there is none.
@@ -130,13 +130,52 @@
 	return int(value)
 }
 
+// allLanes marks lanes that are encoded as one number. Few lanes, which are usual, are encoded as
+// their number and one byte each: the position of the lane and its value, of 4 bits each.
+const (
+	allLanes  = 0xff
+	laneCount = 16
+	laneBits  = 4
+	laneMask  = 1<<laneBits - 1
+	// lanesBytes is the size of all lanes as one number, and so the most that are encoded one by one.
+	lanesBytes = 8
+)
+
+func appendLanes(details []byte, value uint64) []byte {
+	var few [laneCount]byte
+	n := 0
+	for lane := range laneCount {
+		if v := value >> (lane * laneBits) & laneMask; v != 0 {
+			few[n] = byte(lane<<laneBits) | byte(v)
+			n++
+		}
+	}
+	if n >= lanesBytes {
+		return binary.LittleEndian.AppendUint64(append(details, allLanes), value)
+	}
+	return append(append(details, byte(n)), few[:n]...)
+}
+
 func (r *detailsReader) lanes() uint64 {
-	const size = 8
-	if len(r.rest) < size {
+	if len(r.rest) == 0 {
+		r.malformed = true
+		return 0
+	}
+	n := int(r.rest[0])
+	r.rest = r.rest[1:]
+	if n == allLanes && len(r.rest) >= lanesBytes {
+		value := binary.LittleEndian.Uint64(r.rest)
+		r.rest = r.rest[lanesBytes:]
+		return value
+	}
+	if n >= lanesBytes || n > len(r.rest) {
 		r.malformed, r.rest = true, nil
 		return 0
 	}
-	value := binary.LittleEndian.Uint64(r.rest)
-	r.rest = r.rest[size:]
+	value := uint64(0)
+	for _, lane := range r.rest[:n] {
+		value |= uint64(lane&laneMask) << (lane >> laneBits * laneBits)
+	}
+	r.rest = r.rest[n:]
 	return value
 }
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -54,8 +54,6 @@
 	InFlight int
 	// Running counts the sequences known to run on the endpoint.
 	Running int
-	// PeersRunning counts those of them that other nodes have reported.
-	PeersRunning int
 	// Slots is the number of sequences that the endpoint runs concurrently; 0 if unknown.
 	Slots int
 	// QueuedTokens counts the prompt tokens known to wait for prefill.
@@ -107,9 +105,6 @@
 	SampleSeed uint64
 	// AvoidFull rejects endpoints that have refused other nodes for lack of capacity.
 	AvoidFull bool
-	// EqualMargin is the difference in cost, in seconds, up to which endpoints count as equal, so that
-	// the hash of the request selects one of them.
-	EqualMargin float64
 	// SlotSeconds is the average time for which a sequence occupies a slot.
 	SlotSeconds float64
 	// BaseSeconds is the part of the time to the first token that depends neither on the prompt nor
--- a/internal/routing/rank.go
+++ b/internal/routing/rank.go
@@ -24,19 +24,6 @@
 	}
 }
 
-// LessBy reports whether the candidate of rank r is preferred to that of rank other by more than a
-// margin in seconds. Whether the target is met has no margin.
-func (r Rank) LessBy(margin float64, other Rank) bool {
-	switch {
-	case r.Late != other.Late:
-		return other.Late
-	case r.Late:
-		return r.Delay+margin < other.Delay
-	default:
-		return r.Cost+margin < other.Cost
-	}
-}
-
 // Rank returns the rank of a candidate. The candidate's affinity rank must be filled in.
 func (scheduler *Scheduler) Rank(request *Request, candidate *Candidate) Rank {
 	rank := Rank{Cost: scheduler.Cost(request, candidate)}
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -65,8 +65,7 @@
 	for _, index := range scheduler.accepted {
 		scheduler.ranks = append(scheduler.ranks, scheduler.Rank(request, &candidates[index]))
 	}
-	first := Pick(candidates, scheduler.accepted, scheduler.ranks)
-	decision.Index = pickEqual(request, candidates, scheduler.accepted, scheduler.ranks, first)
+	decision.Index = Pick(candidates, scheduler.accepted, scheduler.ranks)
 	decision.Next = scheduler.nextInRank(candidates, decision.Index)
 	return decision
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -127,9 +127,6 @@
 	if choice.Chosen.FullNodes > 0 {
 		line.Int("full", choice.Chosen.FullNodes)
 	}
-	if choice.EqualMargin > 0 {
-		line.Float64("margin", 1000*choice.EqualMargin)
-	}
 }
 
 // RateLimited records a request that exceeds its tenant's limit.
