--- a/internal/backend/votes_test.go
+++ b/internal/backend/votes_test.go
@@ -20,14 +20,25 @@
 		}
 		return vote
 	})
-	require.Empty(t, set.Work(now), "no votes on servers that this node has not used")
+	// votes returns the votes in the report at a time, by server.
+	votes := func(now time.Time) map[uint64]capacity.Votes {
+		byServer := map[uint64]capacity.Votes{}
+		for _, w := range set.Work(now) {
+			if w.Prefill != 0 {
+				byServer[w.Server] = w.Prefill
+			}
+		}
+		return byServer
+	}
+	require.Empty(t, votes(now), "no votes on servers that this node has not used")
 	attempt := send(set, "i-0", 100, now)
 	send(set, "i-2", 0, now).End(exchange.ResultServed, now)
-	require.Equal(t, []Work{{Server: ServerKey("i-0"), Running: 1, QueuedTokens: 100, Prefill: vote}}, set.Work(now))
+	voted := map[uint64]capacity.Votes{ServerKey("i-0"): vote}
+	require.Equal(t, voted, votes(now))
 	attempt.ResponseStarted(now)
 	attempt.End(exchange.ResultServed, now)
-	require.Equal(t, []Work{{Server: ServerKey("i-0"), Prefill: vote}}, set.Work(now.Add(voteAfterResponse)))
-	require.Empty(t, set.Work(now.Add(voteAfterResponse+1)))
+	require.Equal(t, voted, votes(now.Add(voteAfterResponse)))
+	require.Empty(t, votes(now.Add(voteAfterResponse+1)))
 }
 
 func TestWorkPlusAddsVotes(t *testing.T) {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -156,7 +156,6 @@
 		services:     map[string]*Service{},
 		tenants:      map[uint64][]tenantKey{},
 		requiresKeys: len(declaration.Tenants) > 0,
-		mixed:        mixedServices(declaration.Routes),
 	}
 	for index := range declaration.Routes {
 		route := &declaration.Routes[index]
@@ -173,6 +172,7 @@
 			snapshot.stores = append(snapshot.stores, service.Store)
 		}
 	}
+	snapshot.mixed = mixedServices(declaration.Routes, snapshot.services)
 	for index := range declaration.Tenants {
 		tenantKeys := &declaration.Tenants[index]
 		for _, key := range tenantKeys.Keys {
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -92,6 +92,13 @@
 	Nodes      int     `json:"nodes"`
 	Age        float64 `json:"age"`
 	RetryAfter float64 `json:"retry_after"`
+	// Silent is how long a kept attempt had been silent, in milliseconds.
+	Silent float64 `json:"silent"`
+	// Resident is the number of tokens that requests held at the chosen server, and Memory its capacity.
+	// Full is the number of nodes that it refused.
+	Resident int `json:"resident"`
+	Memory   int `json:"memory"`
+	Full     int `json:"full"`
 }
 
 // eventTexts maps the events of attempts to their explanations.
@@ -187,6 +194,8 @@
 			meaning += ", request " + line.Fingerprint
 		}
 		return fmt.Sprintf("at server %s %s", line.Server, meaning)
+	case "kept":
+		return fmt.Sprintf("server %s was silent for %.0f ms but answers other nodes: the attempt goes on", line.Server, line.Silent)
 	case "limited":
 		return line.tenantLimitText()
 	case "over the limits of servers":
@@ -214,6 +223,7 @@
 	if line.Predicted != nil {
 		text += "; " + line.predictionText()
 	}
+	text += line.occupancyText()
 	if line.Deferred {
 		text += "; it will be late there, so that others go first"
 	}
@@ -243,6 +253,18 @@
 	return fmt.Sprintf("the first token is predicted after %.0f ms, with %.0f ms left of the target, which %s", *line.Predicted, line.Target, verdict)
 }
 
+// occupancyText says what was known of the occupancy of the chosen server.
+func (line logLine) occupancyText() string {
+	text := ""
+	if line.Memory > 0 {
+		text += fmt.Sprintf("; requests held %d of the %d tokens of its memory", line.Resident, line.Memory)
+	}
+	if line.Full > 0 {
+		text += fmt.Sprintf("; it had just refused %d other nodes, as all servers had", line.Full)
+	}
+	return text
+}
+
 func (line logLine) tenantLimitText() string {
 	return fmt.Sprintf("beyond the limit of tenant %s: %.0f a second are asked where %.0f are allowed, %.0f may be admitted at once, so %.0f %% of the requests are; known of %d nodes %.0f ms ago; to come back after %.0f ms",
 		line.Tenant, line.Requested, line.Limit, line.Level, 100*line.AdmitRatio, line.Nodes, line.Age, line.RetryAfter)
--- a/internal/proxy/capacity.go
+++ b/internal/proxy/capacity.go
@@ -30,7 +30,7 @@
 // estimatesCapacity reports whether the request is placed by the estimated capacity of servers:
 // it has a prompt, and routes of different priority share its service.
 func (placer *placer) estimatesCapacity() bool {
-	return placer.prompt() != nil && placer.admitted.replica.Snapshot.SharedByPriorities(placer.admitted.service.Name)
+	return placer.prompt() != nil && placer.admitted.replica.Snapshot.SharesPriorities(placer.admitted.service.Name)
 }
 
 // setCapacity sets the fields of the request that depend on the estimated capacity of the service.
--- a/internal/proxy/capacity_load_test.go
+++ b/internal/proxy/capacity_load_test.go
@@ -68,7 +68,7 @@
 		declaration.Routes = append(declaration.Routes, route)
 	}
 	snapshot := catalog.New(declaration)
-	require.Equal(t, mixed, snapshot.SharedByPriorities("s"))
+	require.Equal(t, mixed, snapshot.SharesPriorities("s"))
 	replica := &catalog.AtomicReplica{}
 	replica.Store(&catalog.Replica{Snapshot: snapshot, AsOf: f.time.now})
 	for i, speed := range speeds {
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -47,7 +47,7 @@
 
 // exchangeRequest returns the exchange.Request for an admitted request.
 func (proxy *Proxy) exchangeRequest(admitted *admitted, caller exchange.Caller) exchange.Request {
-	route := admitted.route
+	route, placer := admitted.route, newPlacer(proxy, admitted)
 	return exchange.Request{
 		Rules: exchange.Rules{
 			Repeatable:    route.Retryable(),
@@ -57,9 +57,9 @@
 			RetryAfter:    retryAfter(route),
 		},
 		Budget:          proxy.retryBudgets.ForService(admitted.service.Name),
-		SilenceTimeouts: silenceTimeouts(route),
+		SilenceTimeouts: placer.silenceTimeouts(),
 		ResumeAfter:     admitted.request.ResumeAfter,
-		Placer:          newPlacer(proxy, admitted),
+		Placer:          placer,
 		Caller:          caller,
 		Stopping:        proxy.stopping,
 		Observe: func(server string, event exchange.Event) {
@@ -72,14 +72,20 @@
 	}
 }
 
-func silenceTimeouts(route *catalog.Route) exchange.SilenceTimeouts {
+// silenceTimeouts returns the bounds on the silence of attempts.
+func (placer *placer) silenceTimeouts() exchange.SilenceTimeouts {
+	route := placer.admitted.route
 	if !route.Retryable() {
 		return exchange.SilenceTimeouts{}
 	}
-	return exchange.SilenceTimeouts{
+	timeouts := exchange.SilenceTimeouts{
 		FirstEvent:    time.Duration(firstEventTimeoutFactor * float64(route.TargetLatency)),
 		BetweenEvents: max(minEventGapTimeout, eventGapTimeoutFactor*route.GapTarget),
 	}
+	if placer.sharesPriorities() {
+		timeouts.Recheck = silenceRecheckInterval
+	}
+	return timeouts
 }
 
 // retryAfter returns the retry delay for refused callers: short enough that a retry can
@@ -99,6 +105,8 @@
 	// retryAt is when the caller is told to retry because all servers were at their request
 	// limits; zero if that has not happened.
 	retryAt time.Time
+	// resident caches the result of residentPrefixes.
+	resident []backend.Prefix
 	// excluded lists the servers that were already tried.
 	excluded []string
 }
@@ -236,6 +244,7 @@
 	placer.markLimited(candidates, now)
 	if placer.prompt() != nil {
 		placer.annotate(candidates, now)
+		placer.annotateOccupancy(candidates)
 	}
 	if placer.estimatesCapacity() {
 		placer.annotateCapacity(candidates, now)
@@ -252,6 +261,11 @@
 	if !all && (selection.decision.Index < 0 || routing.SlotsScarce(selection.candidates)) {
 		return false
 	}
+	if selection.decision.Index < 0 && selection.request.AvoidFull {
+		// A server that refuses other nodes may still accept this request, and no other one does.
+		selection.request.AvoidFull = false
+		selection.schedule()
+	}
 	if selection.decision.Index < 0 {
 		selection.lastResort = true
 		for i := range selection.candidates {
@@ -339,7 +353,7 @@
 	if prompt := placer.prompt(); prompt != nil {
 		tokens = max(0, prompt.Tokens-max(chosen.HitBlocks, chosen.ImportBlocks))
 	}
-	proposed := backend.Placement{Query: query, Chosen: chosen, Tokens: tokens, Deferred: deferred, StillValid: func(current *routing.Candidate) bool {
+	proposed := backend.Placement{Query: query, Chosen: chosen, Tokens: tokens, ResidentTokens: placer.privateTokens(), Deferred: deferred, StillValid: func(current *routing.Candidate) bool {
 		valid := selection.stillValid(current)
 		chosen = *current
 		return valid
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -70,10 +70,6 @@
 	return nil
 }
 
-// works is the work on several servers. Gob sends the name of a slice type with each message, and
-// that of an unnamed one is longer.
-type works []backend.Work
-
 // wireQuestion is the gob encoding of a PollRequest. Gob sends the names of types too, so
 // those of the wire types stay as they are.
 type wireQuestion struct {
@@ -90,8 +86,10 @@
 	Relay       bool
 	Reader      bool
 	Work        works
-	Quota       []byte
-	Kept        residency.Place
+	// Details are those of Work; see packWork.
+	Details []byte
+	Quota   []byte
+	Kept    residency.Place
 	// Suspicions is gob-encoded on its own, and mostly nil.
 	Suspicions      []byte
 	SuspicionsPlace int64
@@ -99,10 +97,11 @@
 
 // encode writes the request to w.
 func (q PollRequest) encode(w io.Writer) error {
+	packed, details := packWork(q.Own.Work)
 	wired := wireQuestion{
 		Format: messageFormat,
 		Feed:   q.Feed, Place: q.Place.Revision, Era: q.Place.Era, Wait: q.Wait, Loads: q.Loads, Node: q.Node, Declaration: q.Declaration, Fleet: q.Fleet,
-		Relay: q.Relay, Reader: q.Reader, Work: q.Own.Work, Quota: q.Own.Quota.Encode(), Kept: q.Kept,
+		Relay: q.Relay, Reader: q.Reader, Work: packed, Details: details, Quota: q.Own.Quota.Encode(), Kept: q.Kept,
 		SuspicionsPlace: q.SuspicionsPlace,
 	}
 	if q.Suspicions != nil {
@@ -134,7 +133,7 @@
 		}
 	}
 	used, err := quota.DecodeReport(w.Quota)
-	q.Own = workshare.Report{Work: w.Work, Quota: used}
+	q.Own = workshare.Report{Work: unpackWork(w.Work, w.Details), Quota: used}
 	return q, err
 }
 
@@ -152,10 +151,12 @@
 	Nodes        int
 	Sum          uint64
 	Work         works
-	Quota        []byte
-	Kept         []byte
-	Servers      []byte
-	Rest         []byte
+	// Details are those of Work; see packWork.
+	Details []byte
+	Quota   []byte
+	Kept    []byte
+	Servers []byte
+	Rest    []byte
 }
 
 // wireServers holds the server changes of a Delta. They are present more often than the
@@ -184,10 +185,11 @@
 
 // encode writes the delta to w.
 func (d Delta) encode(w io.Writer) error {
+	packed, details := packWork(d.Others.Work)
 	wired := wireDelta{
 		Format: messageFormat,
 		Feed:   d.Feed, Place: d.Place.Revision, Era: d.Place.Era, Age: d.Age, BeliefAge: d.BeliefAge, DisturbedAgo: d.DisturbedAgo,
-		Weights: d.Weights, Nodes: d.Nodes, Sum: d.Sum, Work: d.Others.Work, Quota: d.Others.Quota.Encode(), Kept: d.Kept,
+		Weights: d.Weights, Nodes: d.Nodes, Sum: d.Sum, Work: packed, Details: details, Quota: d.Others.Quota.Encode(), Kept: d.Kept,
 	}
 	if d.Whole || len(d.Changed)+len(d.Gone) > 0 {
 		encoded, err := encodeNested(wireServers{Whole: d.Whole, Changed: backend.Pack(d.Changed), Gone: d.Gone})
@@ -238,7 +240,7 @@
 	}
 	return Delta{
 		Feed: w.Feed, Place: coordination.Position{Era: w.Era, Revision: w.Place}, Age: w.Age, BeliefAge: w.BeliefAge, DisturbedAgo: w.DisturbedAgo,
-		Weights: w.Weights, Nodes: w.Nodes, Sum: w.Sum, Others: workshare.Report{Work: w.Work, Quota: used}, Kept: w.Kept,
+		Weights: w.Weights, Nodes: w.Nodes, Sum: w.Sum, Others: workshare.Report{Work: unpackWork(w.Work, w.Details), Quota: used}, Kept: w.Kept,
 		Whole: servers.Whole, Changed: changed, Gone: servers.Gone, Loads: rest.Loads,
 		Declaration: rest.Declaration, Fleet: rest.Fleet, Duties: rest.Duties,
 		Suspicions: rest.Suspicions, SuspicionsPlace: rest.SuspicionsPlace,
@@ -270,15 +272,18 @@
 // wireGroup is the gob encoding of a Group. Loads are encoded on their own, since their gob
 // type descriptions are longer than most groups and rarely needed.
 type wireGroup struct {
-	Work  works
-	Quota []byte
-	Loads []byte
-	Kept  []byte
+	Work works
+	// Details are those of Work; see packWork.
+	Details []byte
+	Quota   []byte
+	Loads   []byte
+	Kept    []byte
 }
 
 // encode writes the group to w.
 func (g Group) encode(w io.Writer) error {
-	wired := wireGroup{Work: g.Report.Work, Quota: g.Report.Quota.Encode(), Kept: g.Kept}
+	packed, details := packWork(g.Report.Work)
+	wired := wireGroup{Work: packed, Details: details, Quota: g.Report.Quota.Encode(), Kept: g.Kept}
 	if g.Loads != nil {
 		loads, err := encodeNested(g.Loads)
 		if err != nil {
@@ -295,7 +300,7 @@
 	if err != nil {
 		return Group{}, err
 	}
-	g := Group{Report: workshare.Report{Work: w.Work, Quota: used}, Kept: w.Kept}
+	g := Group{Report: workshare.Report{Work: unpackWork(w.Work, w.Details), Quota: used}, Kept: w.Kept}
 	if w.Loads == nil {
 		return g, nil
 	}
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -84,6 +84,7 @@
 		line.Int64("version", chosen.Version).Int("prompt", prompt.Tokens).Int("held", chosen.HitBlocks).
 			Int("in_store", chosen.ImportBlocks).Int("queued", chosen.QueuedTokens).Int("rank", chosen.AffinityRank)
 	}
+	addOccupancy(line, choice)
 	if choice.Deferred {
 		recorder.metrics.deferred.Inc()
 		line.Bool("deferred", true)
@@ -118,6 +119,16 @@
 	recorder.metrics.predictionErrors.WithLabelValues(direction).Observe((actual - predicted).Abs().Seconds())
 }
 
+// addOccupancy adds what the placement knew of the occupancy of the chosen server, where it mattered.
+func addOccupancy(line *zerolog.Event, choice proxy.PlacementDecision) {
+	if chosen := choice.Chosen; chosen.CacheTokens > 0 {
+		line.Int("resident", chosen.ResidentTokens).Int("memory", chosen.CacheTokens)
+	}
+	if choice.Chosen.FullNodes > 0 {
+		line.Int("full", choice.Chosen.FullNodes)
+	}
+}
+
 // RateLimited records a request that exceeds its tenant's limit.
 func (recorder *Recorder) RateLimited(request *proxy.Request, tenant string, limit quota.Limit, decision quota.Decision) {
 	recorder.metrics.rateLimited.Inc()
@@ -134,6 +145,12 @@
 		Dur("shortest", over.Shortest).Dur("retry_after", over.RetryAfter).Msg("over the limits of servers")
 }
 
+// AttemptKept records a silent attempt that is not given up because other nodes hear its server.
+func (recorder *Recorder) AttemptKept(request *proxy.Request, server string, silent time.Duration) {
+	recorder.metrics.keptAttempts.Inc()
+	recorder.limitedLine(zerolog.InfoLevel).Str("id", request.ID).Str("server", server).Dur("silent", silent).Msg("kept")
+}
+
 // RequestQuarantined records a request that is rejected because servers crashed while running it.
 func (recorder *Recorder) RequestQuarantined(request *proxy.Request, fingerprint quarantine.Fingerprint, verdict quarantine.Verdict) {
 	recorder.metrics.quarantined.Inc()
@@ -427,8 +444,11 @@
 func (recorder *Recorder) Ordered(order rollout.Order, fence int64, result rollout.Result, err error) {
 	name := orderResults[result]
 	recorder.metrics.orders.WithLabelValues(name).Inc()
+	if order.Waited > 0 {
+		recorder.metrics.waitedOrders.Inc()
+	}
 	recorder.log.Info().Str("server", order.Server.Instance).Str("model", order.Model).Int64("version", order.Version).
-		Int64("fence", fence).Int64("expected", order.Expected).Str("result", name).Err(err).Msg("order")
+		Int64("fence", fence).Int64("expected", order.Expected).Dur("waited", order.Waited).Str("result", name).Err(err).Msg("order")
 }
 
 // Loaded records that a server has loaded the weights that it was ordered to.
