--- a/internal/routing/rank.go
+++ b/internal/routing/rank.go
@@ -19,9 +19,11 @@
 	return r.Cost < other.Cost
 }
 
-// Rank returns the rank of a candidate. The candidate's affinity rank must be filled in.
+// Rank returns the rank of a candidate, by the state of the candidates at the last decision. The
+// candidate's affinity rank must be filled in. While slots are scarce, only the cost counts: a prompt
+// that moves away from its prefix then takes engine time that others need, so that more are late.
 func (scheduler *Scheduler) Rank(request *Request, candidate *Candidate) Rank {
 	rank := Rank{Cost: scheduler.Cost(request, candidate)}
-	rank.Late = request.TargetSeconds != 0 && !MeetsTarget(request, candidate)
+	rank.Late = !scheduler.scarce && request.TargetSeconds != 0 && !MeetsTarget(request, candidate)
 	return rank
 }
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -18,9 +18,11 @@
 // Scheduler filters and scores candidates and picks the one with the first rank. It reuses buffers
 // between decisions and is not safe for concurrent use.
 type Scheduler struct {
-	scorers    []Scorer
-	accepted   []int
-	ranks      []Rank
+	scorers  []Scorer
+	accepted []int
+	ranks    []Rank
+	// scarce reports whether the candidates of the last decision were short of free slots.
+	scarce     bool
 	heldBlocks map[prefixindex.Holder]int
 }
 
@@ -58,9 +60,9 @@
 		}
 	}
 	assignAffinityRanks(candidates, scheduler.accepted)
-	if request.SampleSeed != 0 && SlotsScarce(candidates) {
-		sampled := sampleCandidates(request.SampleSeed, candidates, scheduler.accepted)
-		scheduler.accepted = keepTimely(request, candidates, scheduler.accepted, sampled)
+	scheduler.scarce = SlotsScarce(candidates)
+	if request.SampleSeed != 0 && scheduler.scarce {
+		scheduler.accepted = sampleCandidates(request.SampleSeed, candidates, scheduler.accepted)
 	}
 	for _, index := range scheduler.accepted {
 		scheduler.ranks = append(scheduler.ranks, scheduler.Rank(request, &candidates[index]))
