Count probes of a failing server from when the proxy knows a healthy one

TestFailingServerIsOnlyProbedWhileAnotherIsHealthy failed once beside load with 5 requests at the failing server within 50 ms of each other, where 2 are allowed.

Cause: the test counted from the moment at which the other server recovered, which the proxy cannot know before that server has answered. Until then the breakers of both servers are open, each request is placed as a last resort, and each server is probed by one request at a time, one probe after another (docs/decisions/routing.md). Under load, the response of the recovered server takes tens of milliseconds, while the failing server ends probes in 1 ms or less. Arrivals after the recovery in two of the 4 failures of 60 subtests (load average 9 or more), failing server first:

2.26 2.52 3.34 4.63 ms healthy: 4.72 ms 1.63 12.59 14.37 14.64 17.32 19.02 42.15 ms healthy: 8.40 ms, then from 39.1 ms on

No two of them overlap, their placed lines have last_resort set, and all but the last one of the second row precede the first response of the recovered server.

Change: the bound of 2 within 50 ms applies from the first complete response on. Before and after it, the failing server, which now holds each request for 10 ms so that a herd overlaps, may have one request at a time. The recovered server must have answered within half a second.

--- a/cmd/cloverrail/herd_test.go
+++ b/cmd/cloverrail/herd_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +19,9 @@
 	maxProbes   = 2
 	// burstSize is the number of requests that are sent concurrently.
 	burstSize = 60
+	// holdTime is how long a counted handler holds each request, so that requests that are sent
+	// together overlap.
+	holdTime = probeWindow / 5
 )
 
 // succeedsAfterWindow responds as a healthy server does, but only after probeWindow.
@@ -78,7 +83,49 @@
 	}
 }
 
-// Guards against a thundering herd on a server that keeps failing while another has recovered.
+// concurrencyCounter runs a handler and records the largest number of its concurrent runs.
+type concurrencyCounter struct {
+	handler       standin.Handler
+	running, peak atomic.Int64
+}
+
+// handle runs the handler after holdTime.
+func (c *concurrencyCounter) handle(server *standin.Server, w http.ResponseWriter, r *http.Request) {
+	running := c.running.Add(1)
+	// Runs before an aborted connection is closed, so that the proxy cannot send the next probe earlier.
+	defer c.running.Add(-1)
+	for peak := c.peak.Load(); running > peak && !c.peak.CompareAndSwap(peak, running); peak = c.peak.Load() {
+	}
+	time.Sleep(holdTime)
+	c.handler(server, w, r)
+}
+
+// firstServedAt sends bursts of requests for a duration, and returns when the first complete response
+// arrived; zero if there was none.
+func (fixture *fixture) firstServedAt(c routeCall, duration time.Duration) time.Time {
+	var mutex sync.Mutex
+	var first time.Time
+	for start := time.Now(); time.Since(start) < duration; {
+		var sent sync.WaitGroup
+		for range burstSize {
+			sent.Go(func() {
+				served := fixture.make(c).status == http.StatusOK
+				mutex.Lock()
+				defer mutex.Unlock()
+				if served && first.IsZero() {
+					first = time.Now()
+				}
+			})
+		}
+		sent.Wait()
+	}
+	return first
+}
+
+// Guards against a thundering herd on a server that keeps failing while another has recovered. Until
+// the proxy has seen a response of the recovered server, all servers have failed as far as it knows, and
+// it probes each with one request at a time. From then on, it probes the failing server only when
+// the open duration of its breaker has passed.
 func TestFailingServerIsOnlyProbedWhileAnotherIsHealthy(t *testing.T) {
 	for name, c := range map[string]routeCall{"once": nonIdempotent, "again": idempotent} {
 		t.Run(name, func(t *testing.T) {
@@ -86,12 +133,15 @@
 			failing, healthy := newInstance(c, "i-1", standin.AbortConnection), newInstance(c, "i-2", standin.AbortConnection)
 			fixture := newFixture(t).serve(failing, healthy)
 			fixture.makeMany(c, burstSize)
+			probes := &concurrencyCounter{handler: standin.AbortConnection}
+			failing.SetHandler(probes.handle)
 			healthy.SetHandler(succeeds(c))
 			recovered := time.Now()
-			for time.Since(recovered) < time.Second {
-				fixture.makeMany(c, burstSize)
-			}
-			require.LessOrEqual(t, failing.PeakReceived(probeWindow, recovered), maxProbes, "%d in all", len(failing.ReceivedSince(recovered)))
+			servedAt := fixture.firstServedAt(c, time.Second)
+			require.False(t, servedAt.IsZero(), "the recovered server was not used")
+			require.Less(t, servedAt.Sub(recovered), time.Second/2, "the recovered server was probed late")
+			require.LessOrEqual(t, probes.peak.Load(), int64(1), "concurrent probes")
+			require.LessOrEqual(t, failing.PeakReceived(probeWindow, servedAt), maxProbes, "%d in all", len(failing.ReceivedSince(servedAt)))
 		})
 	}
 }
