--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -23,6 +23,7 @@
 	KindRateLimited      Kind = "rate_limited"
 	KindQueueFull        Kind = "queue_full"
 	KindQueueTimeout     Kind = "queue_timeout"
+	KindMemory           Kind = "memory_exhausted"
 	KindNoEndpoint       Kind = "no_endpoint"
 	KindNotConfigured    Kind = "not_configured"
 	KindStopping         Kind = "stopping"
