--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -24,6 +24,9 @@
 	// ProcessorShare is the CPU time that this node may use, in cores; 0 means unknown. Nodes
 	// with a large share relay for the others.
 	ProcessorShare float64 `yaml:"processorShare" validate:"min=0"`
+	// MemoryMegabytes is the memory that this node may use, in units of 1,000,000 bytes; 0 means
+	// unknown. Requests may hold a share of it.
+	MemoryMegabytes float64 `yaml:"memoryMegabytes" validate:"min=0,max=1e9"`
 	// PeerAddress serves other nodes.
 	PeerAddress string `yaml:"peerAddress" validate:"tcp_addr"`
 	// StoreAddress is the address of the shared store.
@@ -95,6 +98,14 @@
 	}
 }
 
+// bytesPerMegabyte converts MemoryMegabytes.
+const bytesPerMegabyte = 1_000_000
+
+// MemoryBytes returns the memory that this node may use, in bytes; 0 means unknown.
+func (settings *Proxy) MemoryBytes() int64 {
+	return int64(settings.MemoryMegabytes * bytesPerMegabyte)
+}
+
 // ReadProxy parses and validates the settings file of a proxy.
 func ReadProxy(path string) (Proxy, error) {
 	settings := ProxyDefaults()
