Test that a slow reader of a stream holds one event ahead

The memory budget counts no events of streams, because a node passes them on one at a time. The test guards that: beside the event that is being written to the client, at most one has been read from the server.

--- /dev/null
+++ b/internal/exchange/slow_reader_test.go
@@ -0,0 +1,46 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// countingCaller takes one event at a time, and records how many events were read ahead of it.
+type countingCaller struct {
+	recorder
+	read      *atomic.Int64
+	forwarded int64
+	maxAhead  int64
+}
+
+func (caller *countingCaller) Forward(event []byte) error {
+	caller.forwarded++
+	caller.maxAhead = max(caller.maxAhead, caller.read.Load()-caller.forwarded)
+	return caller.recorder.Forward(event)
+}
+
+// Guards against buffering a stream for a client that reads slowly, which no memory budget counts: beside the
+// event that is being forwarded, at most one has been read.
+func TestSlowReaderHoldsOneEventAhead(t *testing.T) {
+	const events = 1000
+	var read atomic.Int64
+	server := func(context.Context, bool, int64) (*Reply, error) {
+		return &Reply{Status: http.StatusOK, Close: func() {}, Next: func() (StreamEvent, error) {
+			if read.Load() == events {
+				return StreamEvent{}, io.EOF
+			}
+			id := read.Add(1)
+			return StreamEvent{Raw: make([]byte, 64), ID: id, HasID: true}, nil
+		}}, nil
+	}
+	caller := &countingCaller{read: &read}
+	outcome := Run(context.Background(), Request{Rules: singleRun, Budget: &fixedBudget{}, Placer: &placer{servers: []fakeServer{server}}, Caller: caller})
+	require.Nil(t, outcome.Failure)
+	require.Equal(t, int64(events), caller.forwarded)
+	require.LessOrEqual(t, caller.maxAhead, int64(1))
+}
