Refuse requests beyond the memory budget before their bodies are read

Change: the ingress reserves the bytes of headers and body before it reads a body, charges a body of unknown length as it is read, and returns all of them when the request has ended, however it ends. A log line, a counter and two gauges tell of refusals, and explain reads the line.

--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -17,7 +17,6 @@
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/lab/faultwire"
 	"github.com/cloverrail/cloverrail/internal/settings"
-	"github.com/cloverrail/cloverrail/platform"
 	"github.com/cloverrail/cloverrail/platform/standin"
 )
 
@@ -150,7 +149,7 @@
 	peers.Start()
 	go fixture.process.reflector.Run(ctx)
 	fixture.process.runBackgroundTasks(ctx)
-	fixture.frontend = httptest.NewServer(&platform.Ingress{Proxy: fixture.process.proxy, Stopping: fixture.process.stopping.Load})
+	fixture.frontend = httptest.NewServer(fixture.process.ingress())
 	t.Cleanup(fixture.frontend.Close)
 	return fixture
 }
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/cloverrail/cloverrail/internal/admission"
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
@@ -80,6 +81,8 @@
 	peerClient *http.Client
 	// quarantinePersister writes quarantined requests to the store.
 	quarantinePersister *quarantine.Persister
+	// memory bounds the bytes that requests hold.
+	memory *admission.MemoryBudget
 	// reflector reads the store, or polls a node that does.
 	reflector *reflector.Reflector
 	stopping  atomic.Bool
@@ -96,6 +99,7 @@
 	process.log = zerolog.New(telemetry.NewWriter(os.Stdout)).With().Timestamp().Str("node", config.Name).Logger()
 	process.metrics = telemetry.NewMetrics(process.replica)
 	process.recorder = telemetry.NewRecorder(process.log, process.metrics)
+	process.memory = admission.NewMemoryBudget(config.MemoryBytes())
 	process.eras = &coordination.EraTracker{OnChange: process.recorder.StoreRestored, OnIgnored: process.recorder.EraIgnored}
 	process.store = platform.NewStore(config.StoreAddress, process.recorder.StoreCall, process.eras)
 	process.serverClient = platform.NewServerClient(platform.ConnectionOptions{
@@ -167,6 +171,16 @@
 	return process, nil
 }
 
+// ingress returns the handler of clients' requests. It must be called at most once.
+func (process *process) ingress() *platform.Ingress {
+	return &platform.Ingress{
+		Proxy:           process.proxy,
+		Stopping:        process.stopping.Load,
+		Memory:          process.memory,
+		OnMemoryRefused: telemetry.NewMemoryRecorder(process.recorder, process.memory).Refused,
+	}
+}
+
 // registerGauges registers gauges for the size and age of what this node knows.
 func (process *process) registerGauges() {
 	process.metrics.Gauge("cloverrail_proxy_servers_known", "Servers in the list that this node has.", func() float64 {
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -89,7 +89,7 @@
 			return err
 		}
 	}
-	clientServer, err := serve(config.CallerAddress, &platform.Ingress{Proxy: process.proxy, Stopping: process.stopping.Load})
+	clientServer, err := serve(config.CallerAddress, process.ingress())
 	if err != nil {
 		return err
 	}
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -86,6 +86,10 @@
 	Nodes      int     `json:"nodes"`
 	Age        float64 `json:"age"`
 	RetryAfter float64 `json:"retry_after"`
+	// WantedBytes, HeldBytes and LimitBytes describe a rejection because of the node's memory.
+	WantedBytes int64 `json:"wanted_bytes"`
+	HeldBytes   int64 `json:"held_bytes"`
+	LimitBytes  int64 `json:"limit_bytes"`
 }
 
 // eventTexts maps the events of attempts to their explanations.
@@ -187,6 +191,8 @@
 		return line.serverLimitsText()
 	case "held off":
 		return line.quarantineText()
+	case "memory budget exceeded":
+		return line.memoryText()
 	case "cleared":
 		return fmt.Sprintf("a whole answer, which clears request %s", line.Fingerprint)
 	case "suspicion":
@@ -236,6 +242,11 @@
 		line.Servers, line.Service, line.Shortest, line.RetryAfter)
 }
 
+func (line logLine) memoryText() string {
+	return fmt.Sprintf("refused, not run: the node held %d of the %d bytes that it may hold for requests, and this one needed %d more; to come back after %.0f ms",
+		line.HeldBytes, line.LimitBytes, line.WantedBytes, line.RetryAfter)
+}
+
 func (line logLine) quarantineText() string {
 	known := fmt.Sprintf("%d servers have ended under it, which counts %.1f", line.Crashes, line.Weight)
 	if line.Stored {
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -89,3 +89,10 @@
 	require.NoError(t, explain(strings.NewReader(log), &text, "r2"))
 	require.Contains(t, text.String(), "2 servers were passed over for the limits that they name")
 }
+
+func TestExplainShowsMemoryRefusal(t *testing.T) {
+	log := `{"node":"b","id":"r1","wanted_bytes":68000,"held_bytes":45990000,"limit_bytes":46000000,"retry_after":250,"message":"memory budget exceeded"}`
+	text := strings.Builder{}
+	require.NoError(t, explain(strings.NewReader(log), &text, "r1"))
+	require.Contains(t, text.String(), "refused, not run: the node held 45990000 of the 46000000 bytes that it may hold for requests, and this one needed 68000 more; to come back after 250 ms")
+}
