Let bystanders of crashes retry until all nodes can know of the crashes

TestBystandersOfCrashesAreServed failed once beside load: one harmless request was not served within six tries.

Cause: the test's clients gave up after six tries 200 ms apart, that is after 1.2 s in the worst case, but a request that crashes servers is retried, and crashes one about every 123 ms, until all nodes know of it. That may take propagationTime (3 s). Requests that share a prompt go to the engine where it is cached until they are known as suspects, so that a bystander meets crash after crash.

Change: a client retries until propagationTime and a second have passed, as the retries of the crashing request do, instead of six times. In exchange each failed try must coincide with a crash or the time in which the crashed server is down.

--- a/cmd/cloverrail/quarantine_test.go
+++ b/cmd/cloverrail/quarantine_test.go
@@ -35,6 +35,9 @@
 	// maxLateAttempts may still reach a server more than propagationTime after that.
 	crashThreshold  = 3
 	maxLateAttempts = 3
+	// bystanderPatience is how long a bystander of crashes retries: until all nodes know of them, and
+	// a second for the crashes up to the threshold and for a response.
+	bystanderPatience = propagationTime + time.Second
 )
 
 // crashTimes returns the start times of the runs of a body that crashed a server.
@@ -145,8 +148,9 @@
 	f.requireRejected(f.nodes[0], "fixed", crashingBody)
 }
 
-// Guards against quarantining bystanders: requests that run on a crashing server are served
-// eventually, and a popular one that is running at almost every crash is never quarantined.
+// Guards against quarantining bystanders: requests that run on a crashing server are served once
+// all nodes can know of the crashes, fail only while servers crash, and a popular one that is running at
+// almost every crash is never quarantined.
 func TestBystandersOfCrashesAreServed(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 3, 8)
@@ -157,6 +161,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	var served, unserved, falselyQuarantined atomic.Int64
+	failures := failedTries{}
 	callers := sync.WaitGroup{}
 	for caller := range 6 {
 		callers.Go(func() {
@@ -166,11 +171,13 @@
 				if caller%2 == 0 {
 					body = fmt.Sprintf("request %d of %d", request, caller)
 				}
-				complete := false
-				for try := 0; try < 6 && !complete; try++ {
+				complete, firstSentAt := false, time.Now()
+				for try := 0; !complete && time.Since(firstSentAt) < bystanderPatience; try++ {
+					sentAt := time.Now()
 					got := f.nodes[(caller+try)%len(f.nodes)].send(http.MethodPost, "/fixed/x", body, setPromptHeaders)
 					complete = got.err == nil && got.status == http.StatusOK
 					if !complete {
+						failures.add(failedTry{sentAt, time.Now(), fmt.Sprint(got.status, " ", got.err)})
 						// Slightly longer than the Retry-After of a rejection.
 						time.Sleep(200 * time.Millisecond)
 					}
@@ -194,9 +201,42 @@
 	callers.Wait()
 	require.Zero(t, falselyQuarantined.Load(), "a harmless request was quarantined")
 	require.Zero(t, unserved.Load())
+	for _, try := range failures.tries {
+		require.True(t, f.anyCrashed(try.sentAt.Add(-f.machines[0].Downtime), try.endedAt), "no server was down during a try that failed with %s", try.result)
+	}
 	require.Greater(t, served.Load(), int64(50))
 }
 
+// failedTry is a try of a bystander that was not served.
+type failedTry struct {
+	sentAt, endedAt time.Time
+	result          string
+}
+
+// failedTries collects failed tries. It is safe for concurrent use.
+type failedTries struct {
+	mutex sync.Mutex
+	tries []failedTry
+}
+
+func (failures *failedTries) add(try failedTry) {
+	failures.mutex.Lock()
+	defer failures.mutex.Unlock()
+	failures.tries = append(failures.tries, try)
+}
+
+// anyCrashed reports whether a run that crashed a server began within a time.
+func (f *fleetFixture) anyCrashed(from, to time.Time) bool {
+	for _, m := range f.machines {
+		for _, crash := range m.Crashes() {
+			if !crash.StartedAt.Before(from) && !crash.StartedAt.After(to) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Guards against quarantining a long harmless request that shares its prompt with a crashing one.
 // Prompt affinity sends both to the same engine, and the harmless one never completes and clears
 // itself before the crash, so both reach the same crash count. Unless they are told apart, both
