--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -104,3 +104,24 @@
 	require.True(t, replica.Weights["m"][0].UnreleasedAt.IsZero(), "the time of the release is unknown")
 	require.Equal(t, failedAt.Add(time.Second), replica.AsOf)
 }
+
+// Guards against overload control of services whose requests all have the same priority.
+func TestSharesPrioritiesComparesRoutesOfService(t *testing.T) {
+	to := func(services ...string) (split []Share) {
+		for _, service := range services {
+			split = append(split, Share{Service: service, Weight: 1})
+		}
+		return split
+	}
+	snapshot := New(Declaration{Routes: []Route{
+		{Name: "a", Priority: 0, Split: to("shared", "alone")},
+		{Name: "b", Priority: 2, Split: to("shared")},
+		{Name: "c", Priority: 1, Split: to("equal")},
+		{Name: "d", Priority: 1, Split: to("equal")},
+		{Name: "e", Priority: 3, Split: []Share{{Service: "equal", Weight: 0}}},
+	}})
+	require.True(t, snapshot.SharesPriorities("shared"))
+	require.False(t, snapshot.SharesPriorities("alone"))
+	require.False(t, snapshot.SharesPriorities("equal"), "a route with weight 0 sends nothing")
+	require.False(t, snapshot.SharesPriorities("unknown"))
+}
--- a/internal/overload/controller.go
+++ b/internal/overload/controller.go
@@ -40,12 +40,16 @@
 	return &Controller{subject: subject, promises: promises, demand: demand{nodes: max(1, nodes)}}
 }
 
+// Promised reports whether callers of the service are promised a return, so that a request may be
+// one of them.
+func (c *Controller) Promised(now time.Time) bool { return c.promises.Outstanding(c.subject, now) > 0 }
+
 // Admit decides whether a request is sent now.
 //
 //  1. A request whose first token is predicted after its deadline is refused.
 //  2. Under pressure, a request that would miss its target, or whose capacity is reserved for more
 //     urgent ones, is refused if its caller can return at a time at which it can be on time.
-//     Otherwise it is sent.
+//     Otherwise it is sent and yields to all others.
 //  3. A caller that returns at its appointment is not refused for pressure again.
 //
 // A request is never refused while the service is idle.
@@ -74,6 +78,9 @@
 	}
 	if verdict.Refused == 0 {
 		c.demand.ranks[r.Rank].admitted.add(r.Tokens, now)
+		if verdict.Returning {
+			c.demand.ranks[r.Rank].returned.add(r.Tokens, now)
+		}
 	}
 	return verdict
 }
@@ -99,7 +106,7 @@
 
 // redeem reports whether the request is a return at its appointment.
 func (c *Controller) redeem(r *Request, now time.Time) bool {
-	if r.Caller == 0 || c.promises.Outstanding(c.subject, now) <= 0 {
+	if r.Caller == 0 || !c.Promised(now) {
 		return false
 	}
 	return c.promises.Redeem(c.subject, r.Caller, r.Tokens, r.Shortened, now)
@@ -146,7 +153,7 @@
 func (c *Controller) observe(r *Request, expected time.Duration, idle bool, now time.Time) bool {
 	if c.pressure.advance(now) > 0 {
 		for rank := range c.reservations {
-			c.reservations[rank].adapt(c.pressure.missShare(rank) >= enterShare)
+			c.reservations[rank].adapt(c.pressure.missShare(rank) >= enterShare, now)
 		}
 	}
 	c.pressure.count(r.Rank, expected > r.Target)
@@ -171,5 +178,7 @@
 		// The caller is told when there will be room, which is later than it waits.
 		verdict.Refused = reason
 		verdict.RetryAfter = max(delay, time.Duration(maxWaitShare*float64(r.Remaining))+r.MinRetryAfter)
+	default:
+		verdict.Deferred = true
 	}
 }
--- a/internal/overload/demand.go
+++ b/internal/overload/demand.go
@@ -35,10 +35,11 @@
 
 // rankDemand is the demand of one rank: at this node, and as last reported by all others.
 type rankDemand struct {
-	// tokens and admitted are in prompt tokens per second, and slots in occupied slots.
-	tokens, admitted, slots rate
-	peerTokens              float64
-	peerAdmitted            float64
+	// tokens, admitted and returned are in prompt tokens per second, and slots in occupied slots.
+	// returned counts the admitted requests of callers that return at their appointments.
+	tokens, admitted, returned, slots rate
+	// peerTokens is the demand at all other nodes.
+	peerTokens float64
 }
 
 // demand is the demand for a service by rank.
@@ -88,6 +89,16 @@
 	return load
 }
 
+// returnedLoad returns the load by callers of all nodes that return at their appointments, of the
+// ranks up to the given one, as a share of the service's prefill rate.
+func (d *demand) returnedLoad(rank int, r *Request, now time.Time) float64 {
+	tokens := 0.0
+	for i := range rank + 1 {
+		tokens += d.ranks[i].returned.perSecond(now)
+	}
+	return tokens / d.ownShare() / r.TokensPerSecond
+}
+
 // ownShare returns this node's share of the fleet's demand.
 func (d *demand) ownShare() float64 {
 	if d.share > 0 {
@@ -97,11 +108,11 @@
 }
 
 // setPeers replaces the demand at all other nodes.
-func (d *demand) setPeers(requested, admitted [RankCount]float64, now time.Time) {
+func (d *demand) setPeers(requested [RankCount]float64, now time.Time) {
 	d.heardAt = now
 	own, peers := 0.0, 0.0
 	for rank := range d.ranks {
-		d.ranks[rank].peerTokens, d.ranks[rank].peerAdmitted = requested[rank], admitted[rank]
+		d.ranks[rank].peerTokens = requested[rank]
 		own += d.ranks[rank].tokens.perSecond(now)
 		peers += requested[rank]
 	}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -106,6 +106,9 @@
 	// it, so that the return counts as an appointment.
 	RetryAfter time.Duration
 	Promised   bool
+	// Deferred is set for a request that is sent although it would miss its target, or although
+	// capacity is reserved for more urgent ones: it yields to all others at its server.
+	Deferred bool
 	// Returning is set if the request is the return of a refused caller at its appointment.
 	Returning bool
 	// Expected is the predicted time to the first token, with the work of promised returns that
--- a/internal/overload/pressure.go
+++ b/internal/overload/pressure.go
@@ -9,8 +9,8 @@
 	// enterShare is the share of missed targets of a class from which on a service is under
 	// pressure, and leaveShare the share below which it no longer is. The difference keeps the
 	// state from alternating.
-	enterShare = 0.2
-	leaveShare = 0.1
+	enterShare = 0.1
+	leaveShare = 0.05
 )
 
 // bucketLength is the length of a bucket of the window.
@@ -75,16 +75,16 @@
 	return worst
 }
 
-// update sets the state, and reports whether it has changed. An idle service leaves pressure at
-// once. Otherwise it stays under pressure for at least missWindow, and a service comes under
-// pressure at most once per missWindow, so that the state changes at most twice in that time.
+// update sets the state, and reports whether it has changed. A service stays under pressure for at
+// least missWindow, so that the state changes at most twice in that time. An idle service does not
+// come under pressure, and leaves it without regard to earlier misses.
 func (p *pressure) update(idle bool, now time.Time) bool {
 	settled := now.Sub(p.enteredAt) >= missWindow
 	switch {
-	case p.state == Normal && !idle && settled && p.worstShare() >= enterShare:
+	case p.state == Normal && !idle && p.worstShare() >= enterShare:
 		p.state, p.enteredAt = Pressure, now
 		return true
-	case p.state == Pressure && (idle || settled && p.worstShare() < leaveShare):
+	case p.state == Pressure && settled && (idle || p.worstShare() < leaveShare):
 		p.state = Normal
 		return true
 	}
--- a/internal/overload/promises.go
+++ b/internal/overload/promises.go
@@ -51,14 +51,17 @@
 type LocalPromises struct {
 	mutex    sync.Mutex
 	promises map[promiseKey]promise
+	// expiring lists the promises by the time at which they expire, in steps of expiryStep;
+	// expired numbers the last step that was removed.
+	expiring map[int64][]promiseKey
+	expired  int64
 	own      map[uint64]totals
 	peers    map[uint64]totals
-	sweptAt  time.Time
 }
 
 // NewLocalPromises returns an instance without promises.
 func NewLocalPromises() *LocalPromises {
-	return &LocalPromises{promises: map[promiseKey]promise{}, own: map[uint64]totals{}, peers: map[uint64]totals{}}
+	return &LocalPromises{promises: map[promiseKey]promise{}, expiring: map[int64][]promiseKey{}, own: map[uint64]totals{}, peers: map[uint64]totals{}}
 }
 
 // Promise implements Promises. Beyond maxPromises, new promises are not recorded, so that the
@@ -75,6 +78,8 @@
 		return
 	}
 	l.promises[key] = promise{amount: amount, due: due}
+	step := expiryOf(due)
+	l.expiring[step] = append(l.expiring[step], key)
 	sum := l.own[subject]
 	sum.promised += amount
 	l.own[subject] = sum
@@ -129,20 +134,39 @@
 	l.peers[subject] = totals{promised: promised, redeemed: redeemed, at: now}
 }
 
-// sweepInterval is the time between two sweeps of expired promises.
-const sweepInterval = 100 * time.Millisecond
+// expiryStep is the precision with which promises expire.
+const expiryStep = 50 * time.Millisecond
 
-// expire removes the promises that can no longer be redeemed.
+// expiryOf returns the step at whose end a promise that is due at a time can no longer be redeemed.
+func expiryOf(due time.Time) int64 { return due.Add(promiseGrace).UnixNano() / int64(expiryStep) }
+
+// expire removes the promises that can no longer be redeemed. Each promise is visited once.
 func (l *LocalPromises) expire(now time.Time) {
-	if now.Sub(l.sweptAt) < sweepInterval {
+	last := now.UnixNano()/int64(expiryStep) - 1
+	if last <= l.expired {
 		return
 	}
-	l.sweptAt = now
-	for key, p := range l.promises {
-		if now.After(p.due.Add(promiseGrace)) {
+	if last-l.expired > int64(len(l.expiring)) {
+		for step := range l.expiring {
+			if step <= last {
+				l.expireStep(step)
+			}
+		}
+	} else {
+		for step := l.expired + 1; step <= last; step++ {
+			l.expireStep(step)
+		}
+	}
+	l.expired = last
+}
+
+func (l *LocalPromises) expireStep(step int64) {
+	for _, key := range l.expiring[step] {
+		if p, found := l.promises[key]; found && expiryOf(p.due) == step {
 			l.remove(key, p)
 		}
 	}
+	delete(l.expiring, step)
 }
 
 func (l *LocalPromises) remove(key promiseKey, p promise) {
--- a/internal/overload/report.go
+++ b/internal/overload/report.go
@@ -56,10 +56,17 @@
 	return rows
 }
 
-func (c *Controller) setPeers(requested, admitted [RankCount]float64, now time.Time) {
+// FleetDemand returns the demand of a rank at all nodes, in prompt tokens per second.
+func (c *Controller) FleetDemand(rank int, now time.Time) float64 {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.demand.setPeers(requested, admitted, now)
+	return c.demand.fleetTokens(min(max(rank, 0), RankCount-1), now)
+}
+
+func (c *Controller) setPeers(requested [RankCount]float64, now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.demand.setPeers(requested, now)
 }
 
 // currentState returns the state of the service. Without requests it is not under pressure.
--- a/internal/overload/reservation.go
+++ b/internal/overload/reservation.go
@@ -41,13 +41,17 @@
 	v.tensionAt = now
 }
 
-// adapt changes the factor at the end of a part of the window.
-func (v *reservation) adapt(missing bool) {
-	if missing {
+// adapt changes the factor at the end of a part of the window. A rank without requests needs no
+// more than its demand.
+func (v *reservation) adapt(missing bool, now time.Time) {
+	switch {
+	case missing:
 		v.factor = min(maxReserve, max(1, v.factor)*reserveGrowth)
-		return
+	case now.Sub(v.tensionAt) > missWindow:
+		v.factor = 1
+	default:
+		v.factor = max(1, v.factor*reserveDecline)
 	}
-	v.factor = max(1, v.factor*reserveDecline)
 }
 
 // lends reports whether the capacity reserved for the rank is lent: its requests are predicted to
@@ -72,9 +76,10 @@
 }
 
 // hasRoom reports whether the predicted use by more urgent ranks leaves room for the request. Of a
-// rank whose demand exceeds the room, it admits the share that fits.
+// rank whose demand exceeds the room, it admits the share that fits. Capacity that is not used at
+// the moment is lent.
 func (c *Controller) hasRoom(r *Request, now time.Time) bool {
-	if c.allLend(r, now) {
+	if r.Waiting == 0 && !c.demand.alone(now) || c.allLend(r, now) {
 		return true
 	}
 	urgent := c.moreUrgentLoad(r, true, now)
@@ -82,8 +87,9 @@
 	if urgent <= 0 || urgent+own <= 1 {
 		return true
 	}
+	room := 1 - urgent - c.demand.returnedLoad(r.Rank, r, now)
 	v := &c.reservations[r.Rank]
-	v.credit = min(1, v.credit+max(0, 1-urgent)/own)
+	v.credit = min(1, v.credit+max(0, room)/own)
 	if v.credit < 1 {
 		return false
 	}
--- a/internal/overload/schedule.go
+++ b/internal/overload/schedule.go
@@ -10,7 +10,7 @@
 	maxWaitShare = 1.0 / 3
 	// promisedShare is the share of the capacity left by more urgent ranks that may be promised.
 	// The rest serves new requests, and absorbs errors of the prediction.
-	promisedShare = 0.5
+	promisedShare = 0.75
 	// minSpare is the least share of capacity by which a backlog is assumed to drain: while it
 	// exceeds the target, new requests of the rank are refused as well.
 	minSpare = 0.1
@@ -45,7 +45,7 @@
 // target: the backlog beyond the target drains by what more urgent ranks leave.
 func (c *Controller) drainTime(r *Request, expected time.Duration, now time.Time) time.Duration {
 	spare := max(minSpare, 1-c.moreUrgentLoad(r, false, now))
-	return time.Duration(float64(max(0, expected-r.FullTarget)) / spare)
+	return time.Duration(float64(max(0, expected-r.FullTarget/2)) / spare)
 }
 
 // appointment returns the delay after which the request can be served on time, and whether the
--- a/internal/overload/services.go
+++ b/internal/overload/services.go
@@ -90,7 +90,7 @@
 func (s *Services) SetPeerRows(rows []quota.Usage, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	requested, admitted := map[uint64]*[RankCount]float64{}, map[uint64]*[RankCount]float64{}
+	requested := map[uint64][RankCount]float64{}
 	promised := map[uint64]quota.ServiceRow{}
 	for _, u := range rows {
 		row, ok := quota.ParseServiceRow(u)
@@ -101,18 +101,13 @@
 		case row.Promised:
 			promised[row.Subject] = row
 		default:
-			if requested[row.Subject] == nil {
-				requested[row.Subject], admitted[row.Subject] = &[RankCount]float64{}, &[RankCount]float64{}
-			}
-			requested[row.Subject][row.Rank], admitted[row.Subject][row.Rank] = row.Requested, row.Admitted
+			ranks := requested[row.Subject]
+			ranks[row.Rank] = row.Requested
+			requested[row.Subject] = ranks
 		}
 	}
-	none := &[RankCount]float64{}
 	for subject, c := range s.controllers {
-		if requested[subject] == nil {
-			requested[subject], admitted[subject] = none, none
-		}
-		c.setPeers(*requested[subject], *admitted[subject], now)
+		c.setPeers(requested[subject], now)
 		s.promises.SetPeers(subject, promised[subject].Requested, promised[subject].Admitted, now)
 	}
 }
