--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -89,3 +89,18 @@
 	require.NoError(t, explain(strings.NewReader(log), &text, "r2"))
 	require.Contains(t, text.String(), "2 servers were passed over for the limits that they name")
 }
+
+func TestExplainShowsOverload(t *testing.T) {
+	log := `{"node":"b","id":"r1","service":"s","rank":2,"predicted":2400,"target":1900,"state":"pressure","refused":"target","promised":true,"retry_after":700,"message":"overload"}
+{"node":"b","id":"r2","service":"s","rank":0,"predicted":9000,"target":800,"state":"pressure","refused":"deadline","promised":false,"retry_after":3500,"message":"overload"}
+{"node":"b","id":"r3","service":"s","rank":0,"predicted":200,"target":800,"state":"normal","changed":true,"message":"overload"}`
+	for id, expected := range map[string]string{
+		"r1": "service s is in state pressure: first token predicted after 2400 ms, 1900 ms left of the target, urgency rank 2; refused, as it would be late now and can be on time later; to come back after 700 ms, when it will not be refused for load again",
+		"r2": "refused, as its first token would come after its deadline; there is room after 3500 ms, which is longer than the caller waits",
+		"r3": "service s is in state normal: first token predicted after 200 ms, 800 ms left of the target, urgency rank 0; the state is new, and the request is sent",
+	} {
+		text := strings.Builder{}
+		require.NoError(t, explain(strings.NewReader(log), &text, id))
+		require.Contains(t, text.String(), expected)
+	}
+}
--- a/internal/proxy/overload.go
+++ b/internal/proxy/overload.go
@@ -26,6 +26,18 @@
 	// predicted time to the first token on the chosen server.
 	controller *overload.Controller
 	predicted  time.Duration
+	verdict    overload.Verdict
+}
+
+// deferral returns whether the request yields to all others at its server, as far as overload
+// control has decided that: what has no room does, and a caller that returns at its appointment
+// does not.
+func (placer *placer) deferral() (deferred, decided bool) {
+	check := &placer.overload
+	if !check.decided || len(placer.excluded) > 0 {
+		return false, false
+	}
+	return check.verdict.Deferred, check.verdict.Deferred || check.verdict.Returning
 }
 
 // checkOverload returns why the request is not sent to the chosen server because of the load of
@@ -41,6 +53,7 @@
 	request := placer.overloadRequest(selection, now)
 	check.predicted = request.Predicted
 	verdict := check.controller.Admit(request, now)
+	check.verdict = verdict
 	if verdict.Refused != 0 || verdict.Changed {
 		proxy.recorder.Overload(admitted.request, OverloadDecision{Service: admitted.service.Name, Rank: request.Rank, Target: request.Target, Verdict: verdict})
 	}
@@ -81,10 +94,13 @@
 		MinRetryAfter: retryAfter(admitted.route),
 		Tokens:        float64(computed),
 		SlotTime:      seconds(slotTime),
-		Caller:        uint64(admitted.fingerprint()),
 		Seed:          uint64(prefix.HashName(admitted.request.ID)),
 	}
 	describeService(&request, selection)
+	// The fingerprint covers the whole body, so that it is computed only where it may be needed.
+	if !request.Idle() || placer.overload.controller.Promised(now) {
+		request.Caller = uint64(admitted.fingerprint())
+	}
 	return request
 }
 
--- a/internal/proxy/urgency.go
+++ b/internal/proxy/urgency.go
@@ -21,6 +21,9 @@
 	if placer.prompt() == nil {
 		return false
 	}
+	if deferred, decided := placer.deferral(); decided {
+		return deferred
+	}
 	wait := routing.StartDelay(request, chosen)
 	expected := now.Sub(placer.admitted.request.Arrived) + time.Duration(wait*float64(time.Second))
 	return expected > placer.admitted.route.TargetLatency
