--- a/internal/proxy/urgency.go
+++ b/internal/proxy/urgency.go
@@ -21,6 +21,9 @@
 	if placer.prompt() == nil {
 		return false
 	}
+	if deferred, decided := placer.deferral(); decided {
+		return deferred
+	}
 	if placer.estimatesCapacity() {
 		return placer.missesTarget(request, chosen, now)
 	}
