Merge overload control, which the setting overloadControl switches on

Cause: a request that cannot be on time is sent anyway and waits at a server, and nothing keeps capacity for urgent requests. Measured: tests of overload, proxy, settings, command and telemetry pass.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -103,6 +103,13 @@
 	WantedBytes int64 `json:"wanted_bytes"`
 	HeldBytes   int64 `json:"held_bytes"`
 	LimitBytes  int64 `json:"limit_bytes"`
+	// Rank, State, Refused and Promised describe a decision of overload control, beside Predicted and
+	// Target: the urgency rank, the state of the service, why the request was refused, and whether the
+	// caller can return at the given time.
+	Rank     int    `json:"rank"`
+	State    string `json:"state"`
+	Refused  string `json:"refused"`
+	Promised bool   `json:"promised"`
 }
 
 // eventTexts maps the events of attempts to their explanations.
@@ -204,6 +211,8 @@
 		return line.tenantLimitText()
 	case "over the limits of servers":
 		return line.serverLimitsText()
+	case "overload":
+		return line.overloadText()
 	case "held off":
 		return line.quarantineText()
 	case "memory budget exceeded":
@@ -256,7 +265,7 @@
 	if line.Meets {
 		verdict = "is met"
 	}
-	return fmt.Sprintf("the first token is predicted after %.0f ms, with %.0f ms left of the target, which %s", *line.Predicted, line.Target, verdict)
+	return fmt.Sprintf("the first token is predicted after %.0f ms, with %.0f ms left of the target, which %s", line.predicted(), line.Target, verdict)
 }
 
 // occupancyText says what was known of the occupancy of the chosen server.
@@ -286,6 +295,34 @@
 		line.HeldBytes, line.LimitBytes, line.WantedBytes, line.RetryAfter)
 }
 
+// overloadReasons maps the reasons of refusals for overload to their explanations.
+var overloadReasons = map[string]string{
+	"deadline": "its first token would come after its deadline",
+	"target":   "it would be late now and can be on time later",
+	"reserved": "the capacity is needed for more urgent requests, and it can be on time later",
+}
+
+// predicted returns the predicted time to the first token in milliseconds, or 0 if there is none.
+func (line logLine) predicted() float64 {
+	if line.Predicted == nil {
+		return 0
+	}
+	return *line.Predicted
+}
+
+func (line logLine) overloadText() string {
+	text := fmt.Sprintf("service %s is in state %s: first token predicted after %.0f ms, %.0f ms left of the target, urgency rank %d",
+		line.Service, line.State, line.predicted(), line.Target, line.Rank)
+	if line.Refused == "" {
+		return text + "; the state is new, and the request is sent"
+	}
+	text += "; refused, as " + overloadReasons[line.Refused]
+	if line.Promised {
+		return text + fmt.Sprintf("; to come back after %.0f ms, when it will not be refused for load again", line.RetryAfter)
+	}
+	return text + fmt.Sprintf("; there is room after %.0f ms, which is longer than the caller waits", line.RetryAfter)
+}
+
 func (line logLine) quarantineText() string {
 	known := fmt.Sprintf("%d servers have ended under it, which counts %.1f", line.Crashes, line.Weight)
 	if line.Stored {
--- a/internal/proxy/capacity.go
+++ b/internal/proxy/capacity.go
@@ -130,5 +130,7 @@
 	placer.proxy.capacity.ObserveSlot(placer.admitted.service.Name, backend.ServerKey(chosen.Endpoint), occupied, now)
 }
 
-// seconds returns a number of seconds as a duration.
-func seconds(number float64) time.Duration { return time.Duration(number * float64(time.Second)) }
+// seconds returns a number of seconds as a duration of at most an hour.
+func seconds(number float64) time.Duration {
+	return time.Duration(min(number, time.Hour.Seconds()) * float64(time.Second))
+}
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -25,6 +25,7 @@
 func (nopRecorder) Attempt(*Request, string, exchange.Event, quarantine.Fingerprint)        {}
 func (nopRecorder) OverLimits(*Request, OverLimits)                                         {}
 func (nopRecorder) AttemptKept(*Request, string, time.Duration)                             {}
+func (nopRecorder) Overload(*Request, OverloadDecision)                                     {}
 func (nopRecorder) RequestQuarantined(*Request, quarantine.Fingerprint, quarantine.Verdict) {}
 func (nopRecorder) SuspicionResolved(Suspicion)                                             {}
 func (nopRecorder) FirstTokenPredicted(time.Duration, time.Duration)                        {}
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -24,6 +24,9 @@
 	// ProcessorShare is the CPU time that this node may use, in cores; 0 means unknown. Nodes
 	// with a large share relay for the others.
 	ProcessorShare float64 `yaml:"processorShare" validate:"min=0"`
+	// OverloadControl refuses requests of overloaded services that can be served in time later, with
+	// the time at which they can. It applies to services that routes of different priority share.
+	OverloadControl bool `yaml:"overloadControl"`
 	// MemoryMegabytes is the memory that this node may use, in units of 1,000,000 bytes; 0 means
 	// unknown. Requests may hold a share of it.
 	MemoryMegabytes float64 `yaml:"memoryMegabytes" validate:"min=0,max=1e9"`
