--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -26,10 +26,10 @@
 	ProcessorShare float64 `yaml:"processorShare" validate:"min=0"`
 	// OverloadControl refuses requests of overloaded services that can be served in time later, with
 	// the time at which they can. It applies to services that routes of different priority share.
-	OverloadControl bool `yaml:"overloadControl"`
+	OverloadControl bool `yaml:"overloadControl,omitempty"`
 	// MemoryMegabytes is the memory that this node may use, in units of 1,000,000 bytes; 0 means
 	// unknown. Requests may hold a share of it.
-	MemoryMegabytes float64 `yaml:"memoryMegabytes" validate:"min=0,max=1e9"`
+	MemoryMegabytes float64 `yaml:"memoryMegabytes,omitempty" validate:"min=0,max=1e9"`
 	// PeerAddress serves other nodes.
 	PeerAddress string `yaml:"peerAddress" validate:"tcp_addr"`
 	// StoreAddress is the address of the shared store.
