--- a/internal/backend/occupancy.go
+++ b/internal/backend/occupancy.go
@@ -137,7 +137,7 @@
 	}
 	attempt.set.mutex.Lock()
 	defer attempt.set.mutex.Unlock()
-	return attempt.entry.lastResponseAt.After(since) || attempt.entry.peersHeard().After(since)
+	return attempt.entry.lastResponseAt.After(since) || attempt.entry.peersAnsweredAt().After(since)
 }
 
 // ServerRespondedHereSince reports whether the server has responded to any attempt of this node
@@ -151,22 +151,22 @@
 	return attempt.entry.lastResponseAt.After(since)
 }
 
-// PeersHeardServer returns when other nodes last heard a response of the server, as far as reported.
+// PeersAnsweredAt returns when other nodes last heard a response of the server, as far as reported.
 // It returns false if they did not, or if this node receives no reports now.
-func (attempt *Attempt) PeersHeardServer(now time.Time) (at time.Time, heard bool) {
+func (attempt *Attempt) PeersAnsweredAt(now time.Time) (at time.Time, found bool) {
 	if attempt.entry == nil {
 		return time.Time{}, false
 	}
 	attempt.set.mutex.Lock()
 	defer attempt.set.mutex.Unlock()
-	at = attempt.entry.peersHeard()
+	at = attempt.entry.peersAnsweredAt()
 	return at, !at.IsZero() && !now.After(attempt.set.peerWorkUntil)
 }
 
-// peersHeard returns when other nodes last heard a response of the server, or zero. Their evidence
+// peersAnsweredAt returns when other nodes last heard a response of the server, or zero. Their evidence
 // does not count while this node cannot connect: it shows that the server runs, but not that this
 // node's path to it works.
-func (entry *entry) peersHeard() time.Time {
+func (entry *entry) peersAnsweredAt() time.Time {
 	local := entry.local()
 	if entry.peers == nil || local.lastConnectFailureAt.After(local.lastResponseAt) {
 		return time.Time{}
--- a/internal/overload/demand.go
+++ b/internal/overload/demand.go
@@ -45,8 +45,8 @@
 // demand is the demand for a service by rank.
 type demand struct {
 	ranks [RankCount]rankDemand
-	// heardAt is when the last report of peers arrived.
-	heardAt time.Time
+	// reportedAt is when the last report of peers arrived.
+	reportedAt time.Time
 	// nodes is the number of nodes in the fleet, and share this node's share of the demand
 	// according to the last report.
 	nodes int
@@ -55,7 +55,7 @@
 
 // alone reports whether the reports of other nodes are missing or outdated.
 func (d *demand) alone(now time.Time) bool {
-	return d.nodes > 1 && now.Sub(d.heardAt) > peerTTL
+	return d.nodes > 1 && now.Sub(d.reportedAt) > peerTTL
 }
 
 // request records the demand of a request.
@@ -109,7 +109,7 @@
 
 // setPeers replaces the demand at all other nodes.
 func (d *demand) setPeers(requested [RankCount]float64, now time.Time) {
-	d.heardAt = now
+	d.reportedAt = now
 	own, peers := 0.0, 0.0
 	for rank := range d.ranks {
 		d.ranks[rank].peerTokens = requested[rank]
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -19,10 +19,10 @@
 	// evidencePending means that other nodes heard the server so recently that their report of a
 	// response during the silence may still be on its way.
 	evidencePending
-	// heardByPeers means that the server has responded to another node during the silence, and
-	// heardHere that it has responded to this node.
-	heardByPeers
-	heardHere
+	// answeredPeers means that the server has responded to another node during the silence, and
+	// answeredHere that it has responded to this node.
+	answeredPeers
+	answeredHere
 )
 
 // exceedsSilenceLimit reports whether an attempt has been silent for too long, not counting the
@@ -47,7 +47,7 @@
 	// A deferred request yields to others for as long as the server serves these.
 	yields := placement.deferred && !placement.responding
 	exceeds := !yields && silent >= time.Duration(maxSilenceFactor*float64(target))
-	if !exceeds && evidence != heardHere {
+	if !exceeds && evidence != answeredHere {
 		placement.recordKept(silent)
 	}
 	return exceeds
@@ -59,11 +59,11 @@
 	since := now.Add(-silent)
 	switch {
 	case placement.attempt.ServerRespondedHereSince(since):
-		return heardHere
+		return answeredHere
 	case !placement.placer.sharesPriorities():
 		return serverSilent
 	case placement.attempt.ServerRespondedSince(since):
-		return heardByPeers
+		return answeredPeers
 	case placement.evidencePending(now):
 		return evidencePending
 	default:
@@ -76,8 +76,8 @@
 // heard it, and also the time that a report takes. A server that no other node has heard recently
 // has no such extra time.
 func (placement *placement) evidencePending(now time.Time) bool {
-	at, heard := placement.attempt.PeersHeardServer(now)
-	if !heard {
+	at, found := placement.attempt.PeersAnsweredAt(now)
+	if !found {
 		return false
 	}
 	limit := placement.placer.admitted.route.TargetLatency / 2
