Use a tenant's level before refusing, and admit overload at the limit's rate

The level now counts what peers have probably admitted since their reports, a surge at one node counts as one at all nodes in proportion to their usual demand, debt is limited to 0.7 s of the rate, and at least 0.85 of the rate is admitted while the window has room. A bucket starts with the burst of the nodes it covers unless reports show that the limit is in use. Requests are admitted at even distances in place of independent draws.

--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,17 +33,25 @@
 // simFleet is a fleet in virtual time. Each node receives the reports of the others after a
 // delay; partitioned nodes neither send nor receive any.
 type simFleet struct {
-	nodes []*simNode
-	limit Limit
-	// delay is the age of received reports.
-	delay  time.Duration
-	random *rand.Rand
-	now    time.Time
+	nodes  []*simNode
+	limit  Limit
+	bounds Bounds
+	// delay is the age of received reports; maxDelay, if set, is the highest age, and each exchange
+	// draws its own.
+	delay    time.Duration
+	maxDelay time.Duration
+	// cost returns the cost of a random request, and meanCost its mean.
+	cost     func() float64
+	meanCost float64
+	random   *rand.Rand
+	now      time.Time
 	// demandRate is the demand on the fleet, in tokens per second.
 	demandRate float64
 	admissions []admission
-	refused    float64
-	requested  float64
+	// reference is the bucket of the whole fleet that gets the same requests.
+	reference referenceBucket
+	refused   float64
+	requested float64
 }
 
 type admission struct {
@@ -65,7 +75,8 @@
 
 // newSimFleet returns a fleet whose nodes receive uneven fractions of the demand.
 func newSimFleet(size int, limit Limit, seed uint64) *simFleet {
-	s := &simFleet{limit: limit, delay: 250 * time.Millisecond, random: rand.New(rand.NewPCG(seed, 1)), now: start}
+	s := &simFleet{limit: limit, bounds: bounds, delay: 250 * time.Millisecond, random: rand.New(rand.NewPCG(seed, 1)), now: start, meanCost: meanCost}
+	s.cost = s.randomCost
 	total := 0.0
 	for range size {
 		n := &simNode{weight: math.Pow(s.random.Float64(), 3)}
@@ -81,7 +92,7 @@
 
 // restart clears the state of a node, except for the size of the fleet.
 func (s *simFleet) restart(n *simNode) {
-	n.limiter = New(bounds, s.random.Float64, s.now)
+	n.limiter = New(s.bounds, s.random.Float64, s.now)
 	n.limiter.Resize(len(s.nodes))
 	n.tenantLimiter, n.history = n.limiter, nil
 }
@@ -110,13 +121,14 @@
 
 // sendRequests sends random requests to a node.
 func (s *simFleet) sendRequests(n *simNode) {
-	expected := s.demandRate * n.weight / meanCost * tick.Seconds()
+	expected := s.demandRate * n.weight / s.meanCost * tick.Seconds()
 	for ; expected > 0; expected-- {
 		if s.random.Float64() >= expected {
 			continue
 		}
-		cost := s.randomCost()
+		cost := s.cost()
 		s.requested += cost
+		s.reference.admit(s.limit, cost, s.now)
 		if n.Admit(tenant, s.limit, cost, s.now).Admitted {
 			s.admissions = append(s.admissions, admission{s.now, cost})
 		} else {
@@ -133,11 +145,16 @@
 	}
 	sum := Report{}
 	usage := Usage{}
+	rows := map[uint64]Usage{}
+	delay := s.delay
+	if s.maxDelay > delay {
+		delay += time.Duration(s.random.Int64N(int64(s.maxDelay - delay)))
+	}
 	for _, peer := range s.nodes {
 		if peer == n || peer.partitioned {
 			continue
 		}
-		report, found := peer.reportBefore(s.now.Add(-s.delay))
+		report, found := peer.reportBefore(s.now.Add(-delay))
 		if !found {
 			continue
 		}
@@ -145,8 +162,11 @@
 		for _, peerUsage := range report.Usages {
 			usage = usage.Plus(peerUsage)
 		}
+		for _, row := range report.Rows {
+			rows[row.Key] = rows[row.Key].Plus(row)
+		}
 	}
-	sum.Usages = []Usage{usage}
+	sum.Usages, sum.Rows = []Usage{usage}, slices.Collect(maps.Values(rows))
 	n.limiter.SetPeerUsage(sum, s.now)
 }
 
@@ -165,7 +185,7 @@
 	largest, sum, first := 0.0, 0.0, 0
 	for _, admission := range s.admissions {
 		sum += admission.cost
-		for ; admission.at.Sub(s.admissions[first].at) >= bounds.Window; first++ {
+		for ; admission.at.Sub(s.admissions[first].at) >= s.bounds.Window; first++ {
 			sum -= s.admissions[first].cost
 		}
 		largest = max(largest, sum)
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -58,7 +58,7 @@
 // overshootFraction is the fraction of the permitted overshoot that is added to the burst, so
 // that demand within the limit is not refused because of late peer reports. The rest absorbs
 // usage not yet reported.
-const overshootFraction = 0.25
+const overshootFraction = 0.1
 
 // allowed returns the largest cost that may be admitted within a window.
 func (b Bounds) allowed(l Limit) float64 {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -78,12 +78,13 @@
 	b, v := l.bucket(TenantKey(tenant), now), l.visibility(now)
 	b.limit = limit
 	b.advance(v, now)
-	b.requestedRate.add(cost, now)
-	decision := Decision{AdmitRatio: b.admitRatio(v, now), Requested: b.fleetRequested(now), Level: b.level, VisibleNodes: l.visibleNodes(now), PeersAge: -1}
+	// The request itself says nothing about the demand on other nodes.
+	decision := Decision{AdmitRatio: b.admitRatio(cost, v, now), Requested: b.fleetRequested(v, now), Level: b.available(v, now), VisibleNodes: l.visibleNodes(now), PeersAge: -1}
 	if !l.heardAt.IsZero() {
 		decision.PeersAge = now.Sub(l.heardAt)
 	}
-	if l.draw() < decision.AdmitRatio {
+	b.demand(cost, now)
+	if b.take(decision.AdmitRatio) {
 		decision.Admitted = true
 		b.charge(cost, now)
 		return decision
@@ -115,7 +116,7 @@
 	b := l.buckets[key]
 	if b == nil {
 		b = newTenantBucket(l.bounds, l.started, now)
-		b.peers = l.peerUsage[key]
+		b.peers, b.carry = l.peerUsage[key], 1-l.draw()
 		l.buckets[key] = b
 	}
 	if l.peersStale(now) {
@@ -187,7 +188,7 @@
 	for key, b := range l.buckets {
 		// Until now the previous report applied.
 		b.advance(v, now)
-		b.peers = l.peerUsage[key]
+		b.setPeers(l.peerUsage[key], now)
 	}
 	l.reportedNodes, l.heardAt = peers.Nodes+1, now
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -120,7 +120,7 @@
 
 func TestSlidingWindowSumsRecentAmounts(t *testing.T) {
 	property.Check(t, func(t *rapid.T) {
-		w := slidingWindow{length: 8 * time.Second}
+		w := newSlidingWindow(8*time.Second, tenantWindowSlots)
 		now := start
 		var added []admission
 		for range rapid.IntRange(1, 50).Draw(t, "steps") {
@@ -133,7 +133,7 @@
 				if now.Sub(s.at) < w.length {
 					within += s.cost
 				}
-				if now.Sub(s.at) < w.length*(windowSlots+1)/(windowSlots-1) {
+				if now.Sub(s.at) < w.length*(tenantWindowSlots+1)/(tenantWindowSlots-1) {
 					withinSlack += s.cost
 				}
 			}
--- a/internal/quota/server_bucket.go
+++ b/internal/quota/server_bucket.go
@@ -81,8 +81,8 @@
 		at:        now,
 		peersAt:   now,
 		sentRate:  decayingRate{decay: sentDecay},
-		ownSent:   slidingWindow{length: serverWindow},
-		peersSent: slidingWindow{length: serverWindow},
+		ownSent:   newSlidingWindow(serverWindow, serverWindowSlots),
+		peersSent: newSlidingWindow(serverWindow, serverWindowSlots),
 	}
 }
 
@@ -158,7 +158,7 @@
 func (b *serverBucket) wait(s share, now time.Time) time.Duration {
 	b.advance(s, now)
 	if b.windowFull(now) {
-		return serverWindow / windowSlots
+		return serverWindow / serverWindowSlots
 	}
 	missing := b.quantum(s, now) - b.level
 	// Ignore shortfalls caused by rounding.
--- a/internal/quota/tenant_bucket.go
+++ b/internal/quota/tenant_bucket.go
@@ -6,13 +6,26 @@
 )
 
 const (
-	// correctionHorizon is the time over which the remaining capacity is spread once a tenant
-	// exceeds its limit. It is several times the age of peer reports, so that nodes do not
-	// overshoot alternately.
-	correctionHorizon = 1500 * time.Millisecond
+	// reportLag is the time by which reported admissions trail the real ones: the age of reports
+	// and the decay time of the reported rate.
+	reportLag = 600 * time.Millisecond
+	// debtHorizon is the time over which amounts admitted beyond the limit are recovered. It is
+	// several times reportLag, so that nodes do not correct alternately.
+	debtHorizon = 1000 * time.Millisecond
+	// maxDebtTime is the greatest debt, as the time in which the limit's rate amounts to it.
+	maxDebtTime = 700 * time.Millisecond
+	// minRateFraction is the fraction of the limit's rate that is admitted whatever was admitted
+	// beyond the limit before, as long as the window has room for it.
+	minRateFraction = 0.85
 	// windowFraction is the fraction of the window's upper bound that is admitted. The rest
-	// absorbs usage that nodes have not yet reported to each other.
+	// absorbs variance of the random draws.
 	windowFraction = 0.93
+	// windowHorizon is the time over which the rest of a window is spread once it limits admission.
+	windowHorizon = time.Second
+	// shareReports is the number of reports by which a node's own demand is held back when it is
+	// compared with the reported one, and shareGain the weight of one comparison.
+	shareReports = 4
+	shareGain    = 0.1
 )
 
 // tenantBucket is one node's view of a tenant's usage of its limit.
@@ -20,17 +33,30 @@
 	limit         Limit
 	bounds        Bounds
 	requestedRate decayingRate
-	admittedRate  decayingRate
+	// surge is the demand of this node over a short time.
+	surge        surge
+	admittedRate decayingRate
 	// peers is the last reported usage of all other nodes.
 	peers Usage
-	// level is the amount that may be admitted at once, as of at. It is negative after
-	// over-admission.
+	// level is the amount that may be admitted at once, as of at, apart from what unreported
+	// holds. It is negative after over-admission.
 	level float64
 	at    time.Time
+	// fraction is the fraction of the limit that the level covers.
+	fraction float64
+	// unreported is the estimated rate of peers' admissions; over its decay time, which is
+	// reportLag, it amounts to what peers have admitted and not reported yet.
+	unreported decayingRate
 	// ownAdmitted and peersAdmitted are the amounts admitted within the window by this node and,
 	// as far as reported, by its peers.
 	ownAdmitted   slidingWindow
 	peersAdmitted slidingWindow
+	// share is the usual fraction of the demand that arrives at this node; 0 if it is not known.
+	// Peers report with a delay, so that it compares their demand with an earlier one of this node.
+	share   float64
+	earlier [shareReports]float64
+	// carry is the sum of the admitted fractions of requests, less the requests admitted.
+	carry float64
 }
 
 // visibility describes how much of the fleet's usage a node knows.
@@ -48,16 +74,18 @@
 // then.
 func (v visibility) fraction() float64 { return v.ownShare + (v.reportedShare-v.ownShare)*v.freshness }
 
-// newTenantBucket returns an empty bucket: a node that has just started does not know what its
-// peers have admitted. The argument since is the node's start time.
+// newTenantBucket returns a bucket that covers no part of the limit yet. The argument since is the
+// node's start time.
 func newTenantBucket(bounds Bounds, since, now time.Time) *tenantBucket {
 	return &tenantBucket{
 		bounds:        bounds,
 		requestedRate: decayingRate{decay: requestedDecay, since: since},
+		surge:         newSurge(),
 		admittedRate:  decayingRate{decay: admittedDecay},
+		unreported:    decayingRate{decay: reportLag},
 		at:            now,
-		ownAdmitted:   slidingWindow{length: bounds.Window},
-		peersAdmitted: slidingWindow{length: bounds.Window},
+		ownAdmitted:   newSlidingWindow(bounds.Window, tenantWindowSlots),
+		peersAdmitted: newSlidingWindow(bounds.Window, tenantWindowSlots),
 	}
 }
 
@@ -65,38 +93,129 @@
 // rate.
 func (b *tenantBucket) advance(v visibility, now time.Time) {
 	elapsed := max(0, now.Sub(b.at).Seconds())
-	b.at = now
+	b.cover(v.fraction())
+	if elapsed == 0 {
+		return
+	}
 	peersCost := b.peers.Admitted * elapsed
 	b.peersAdmitted.add(peersCost, now)
-	b.level += b.limit.PerSecond*v.fraction()*elapsed - peersCost
+	b.unreported.add(b.peersAdmissible(v, now)*elapsed, now)
+	b.at = now
+	rate := b.limit.PerSecond * v.fraction()
+	b.level += rate*elapsed - peersCost
 	b.level = min(b.level, b.bounds.capacity(b.limit)*v.fraction())
-	// Amounts admitted more than a window ago no longer count, so the deficit is bounded by one
-	// window.
-	b.level = max(b.level, -b.limit.PerSecond*v.fraction()*b.bounds.Window.Seconds())
+	// More debt is forgiven: the window bounds what is admitted, and a long debt would starve callers.
+	b.level = max(b.level, b.unreportedAmount(v, now)-maxDebtTime.Seconds()*rate)
+}
+
+// cover sets the fraction of the limit that the level covers. Nodes that become visible bring their
+// part of the burst, unless the reports show that the limit is in use.
+func (b *tenantBucket) cover(fraction float64) {
+	if fraction > b.fraction {
+		idle := min(1, max(0, 2-2*b.peers.Admitted/b.limit.PerSecond))
+		b.level += (fraction - b.fraction) * b.limit.Burst * idle
+	}
+	b.fraction = fraction
+}
+
+// available returns the amount that may be admitted at once: the level less what peers may have
+// admitted since their reports.
+func (b *tenantBucket) available(v visibility, now time.Time) float64 {
+	return b.level - b.unreportedAmount(v, now)
+}
+
+// unreportedAmount returns what peers may have admitted and not reported yet.
+func (b *tenantBucket) unreportedAmount(v visibility, now time.Time) float64 {
+	return b.unreported.remaining(now) * v.freshness
+}
+
+// admissibleRate returns the rate at which the known nodes may admit requests, in the limit's
+// unit per second. What is available is used up within the time that reports need.
+func (b *tenantBucket) admissibleRate(v visibility, now time.Time) float64 {
+	rate, available := b.limit.PerSecond*v.fraction(), b.available(v, now)
+	sustained := rate + available/reportLag.Seconds()
+	if available < 0 {
+		sustained = max(minRateFraction*rate, rate+available/debtHorizon.Seconds())
+	}
+	return max(0, min(sustained, b.windowRemaining(v, now)/windowHorizon.Seconds()))
+}
+
+// peersAdmissible returns the estimated rate at which peers admit requests now.
+func (b *tenantBucket) peersAdmissible(v visibility, now time.Time) float64 {
+	own, peers := b.requestedRate.estimate(now), b.peersRequested(v, now)
+	if peers <= 0 {
+		return 0
+	}
+	return min(peers, b.admissibleRate(v, now)*peers/(own+peers))
 }
 
-// admitRatio returns the fraction of the current demand that may be admitted, from 0 to 1.
-func (b *tenantBucket) admitRatio(v visibility, now time.Time) float64 {
-	requested := b.fleetRequested(now)
-	if requested <= 0 {
+// admitRatio returns the fraction of the current demand that may be admitted, from 0 to 1, for a
+// request of the given cost.
+func (b *tenantBucket) admitRatio(cost float64, v visibility, now time.Time) float64 {
+	reserved := b.peersRequested(v, now) * reportLag.Seconds()
+	if remaining := min(b.available(v, now), b.windowRemaining(v, now)); remaining >= cost+reserved {
+		return 1
+	}
+	requested := b.fleetRequested(v, now)
+	admissible := b.admissibleRate(v, now)
+	if requested <= admissible {
 		return 1
 	}
-	sustained := b.limit.PerSecond*v.fraction() + b.level/correctionHorizon.Seconds()
-	admissible := min(sustained, b.windowRemaining(v, now)/correctionHorizon.Seconds())
-	return min(1, max(0, admissible/requested))
+	return admissible / requested
 }
 
 // fleetRequested returns the known demand on all nodes, in the limit's unit per second.
-func (b *tenantBucket) fleetRequested(now time.Time) float64 {
-	return b.requestedRate.estimate(now) + b.peers.Requested
+func (b *tenantBucket) fleetRequested(v visibility, now time.Time) float64 {
+	return b.ownRequested(now) + b.peersRequested(v, now)
+}
+
+// ownRequested returns the demand on this node.
+func (b *tenantBucket) ownRequested(now time.Time) float64 {
+	return max(b.requestedRate.estimate(now), b.surge.perSecond(now))
+}
+
+// peersRequested returns the estimated demand on the other known nodes. A surge at this node
+// counts as one at all nodes, in proportion to their demand before: peers report it only later.
+func (b *tenantBucket) peersRequested(v visibility, now time.Time) float64 {
+	share := max(b.share, v.ownShare/max(v.ownShare, v.fraction()))
+	surge := b.surge.perSecond(now) * (1 - share) / share * v.freshness
+	return max(b.peers.Requested, surge)
+}
+
+// setPeers replaces the reported usage of all other nodes.
+func (b *tenantBucket) setPeers(peers Usage, now time.Time) {
+	own := b.earlier[0]
+	copy(b.earlier[:], b.earlier[1:])
+	b.earlier[shareReports-1] = b.requestedRate.estimate(now)
+	b.peers = peers
+	if own+peers.Requested > 0 {
+		b.share += shareGain * (own/(own+peers.Requested) - b.share)
+	}
 }
 
 // windowRemaining returns the amount that may still be admitted within the window ending now.
 func (b *tenantBucket) windowRemaining(v visibility, now time.Time) float64 {
-	admitted := b.ownAdmitted.at(now) + b.peersAdmitted.at(now)*v.freshness
+	admitted := b.ownAdmitted.at(now) + b.peersAdmitted.at(now)*v.freshness + b.unreportedAmount(v, now)
 	return windowFraction*b.bounds.allowed(b.limit)*v.fraction() - admitted
 }
 
+// take reports whether a request is admitted, given the fraction of requests to admit. Requests
+// are admitted at even distances, which varies less than independent draws do.
+func (b *tenantBucket) take(fraction float64) bool {
+	b.carry += fraction
+	if b.carry < 1 {
+		return false
+	}
+	b.carry--
+	return true
+}
+
+// demand records the demand of a request.
+func (b *tenantBucket) demand(cost float64, now time.Time) {
+	b.requestedRate.add(cost, now)
+	b.surge.add(cost, now)
+}
+
 // charge records an admitted amount; a negative cost refunds it.
 func (b *tenantBucket) charge(cost float64, now time.Time) {
 	b.admittedRate.add(cost, now)
@@ -107,7 +226,7 @@
 // refillTime returns the time after which the fleet may admit a request of the given cost again.
 func (b *tenantBucket) refillTime(cost float64, v visibility, now time.Time) time.Duration {
 	refillRate := b.limit.PerSecond * v.fraction()
-	missing := cost + max(0, -b.level, -b.windowRemaining(v, now))
+	missing := cost + max(0, -b.available(v, now), -b.windowRemaining(v, now))
 	seconds := math.Min(missing/refillRate, maxRetryAfter.Seconds())
 	return time.Duration(seconds * float64(time.Second))
 }
--- a/internal/quota/usage.go
+++ b/internal/quota/usage.go
@@ -38,8 +38,8 @@
 	// requestedDecay and admittedDecay are the decay time constants of the measured rates.
 	// Demand changes slowly and consists of few large requests, so it is averaged for longer. The
 	// admitted rate must be known quickly.
-	requestedDecay = time.Second
-	admittedDecay  = 500 * time.Millisecond
+	requestedDecay = 1000 * time.Millisecond
+	admittedDecay  = 250 * time.Millisecond
 	// minReportedFraction is the fraction of a node's even share of a limit above which its
 	// usage is reported: all unreported usage adds up to a twentieth of the limit at most.
 	minReportedFraction = 0.05
