Admit requests within a tenant's limit by urgency

Each request of a tenant was admitted with the same probability, so that urgent requests were refused while less urgent ones of the same tenant were served.

Admission takes the request's rank. Nodes report demand and admitted rate by rank for tenants whose demand is at least 0.7 of their limit, and admit what is left after the demand of more urgent ranks; only the rank that fits partly is admitted in part. Requests with a rank or cost out of range are refused with an error of the type NotValid, and malformed rows are dropped and counted.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -157,7 +157,7 @@
 	process.workReports = workshare.New(func() workshare.Report {
 		now := boottime.Now()
 		report := workshare.Report{Work: process.serverSet.Work(now), Quota: process.tenantLimiter.Report(now)}
-		report.Quota.Rows = process.serverLimits.Report(now)
+		report.Quota.Rows = quota.TruncateRows(append(report.Quota.Rows, process.serverLimits.Report(now)...))
 		return report
 	})
 	process.feed = reflector.NewFeed(config.Name+" "+incarnation, process.replica, process.registry, process.workReports, process.cacheLedger, process.quarantineLedger)
--- a/internal/proxy/limit.go
+++ b/internal/proxy/limit.go
@@ -18,6 +18,11 @@
 	return limit.Cost(prompt.Tokens+prompt.Output, true)
 }
 
+// quotaRequest returns what the admission within the tenant's limit depends on.
+func (admitted *admitted) quotaRequest() quota.Request {
+	return quota.Request{Cost: admitted.cost(), Rank: urgency(admitted)}
+}
+
 // rateLimited reports whether the request counts against a rate limit.
 func (admitted *admitted) rateLimited() bool {
 	return admitted.tenant != nil && admitted.tenant.Limit.Limited()
@@ -29,7 +34,10 @@
 		return nil
 	}
 	tenant := admitted.tenant
-	decision := proxy.limiter.Admit(tenant.Name, tenant.Limit, admitted.cost(), now)
+	decision, err := proxy.limiter.Admit(tenant.Name, tenant.Limit, admitted.quotaRequest(), now)
+	if err != nil {
+		return failure.New(failure.KindInvalidRequest, err.Error(), "correct the declared size of the request")
+	}
 	if decision.Admitted {
 		return nil
 	}
@@ -44,6 +52,6 @@
 // refundRateLimit returns the cost of a request that did not run to its tenant.
 func (proxy *Proxy) refundRateLimit(admitted *admitted, outcome exchange.Outcome, now time.Time) {
 	if admitted.rateLimited() && outcome.Failure != nil && outcome.Failure.Outcome == failure.NotRun {
-		proxy.limiter.Refund(admitted.tenant.Name, admitted.cost(), now)
+		proxy.limiter.Refund(admitted.tenant.Name, admitted.quotaRequest(), now)
 	}
 }
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -30,6 +30,17 @@
 	Admit(tenant string, limit Limit, cost float64, now time.Time) Decision
 }
 
+// oneRank passes all requests to a limiter with the same rank.
+type oneRank struct{ *Limiter }
+
+func (o oneRank) Admit(tenant string, limit Limit, cost float64, now time.Time) Decision {
+	decision, err := o.Limiter.Admit(tenant, limit, Request{Cost: cost}, now)
+	if err != nil {
+		panic(err)
+	}
+	return decision
+}
+
 // simFleet is a fleet in virtual time. Each node receives the reports of the others after a
 // delay; partitioned nodes neither send nor receive any.
 type simFleet struct {
@@ -43,8 +54,10 @@
 	// cost returns the cost of a random request, and meanCost its mean.
 	cost     func() float64
 	meanCost float64
-	random   *rand.Rand
-	now      time.Time
+	// rank returns the urgency of a request of the given cost; nil if all have the same.
+	rank   func(cost float64) int
+	random *rand.Rand
+	now    time.Time
 	// demandRate is the demand on the fleet, in tokens per second.
 	demandRate float64
 	admissions []admission
@@ -94,7 +107,7 @@
 func (s *simFleet) restart(n *simNode) {
 	n.limiter = New(s.bounds, s.random.Float64, s.now)
 	n.limiter.Resize(len(s.nodes))
-	n.tenantLimiter, n.history = n.limiter, nil
+	n.tenantLimiter, n.history = oneRank{n.limiter}, nil
 }
 
 // randomCost returns the cost of a request: a third are large.
@@ -129,7 +142,7 @@
 		cost := s.cost()
 		s.requested += cost
 		s.reference.admit(s.limit, cost, s.now)
-		if n.Admit(tenant, s.limit, cost, s.now).Admitted {
+		if s.admit(n, cost) {
 			s.admissions = append(s.admissions, admission{s.now, cost})
 		} else {
 			s.refused += cost
@@ -137,6 +150,15 @@
 	}
 }
 
+// admit sends a request to a node.
+func (s *simFleet) admit(n *simNode, cost float64) bool {
+	if s.rank == nil {
+		return n.Admit(tenant, s.limit, cost, s.now).Admitted
+	}
+	decision, err := n.limiter.Admit(tenant, s.limit, Request{Cost: cost, Rank: s.rank(cost)}, s.now)
+	return err == nil && decision.Admitted
+}
+
 // exchangeReports publishes a node's report and delivers the delayed reports of its peers to it.
 func (s *simFleet) exchangeReports(n *simNode) {
 	n.history = append(n.history, timedReport{s.now, n.limiter.Report(s.now)})
@@ -286,14 +308,14 @@
 func (e *evenSplit) Admit(_ string, limit Limit, cost float64, now time.Time) Decision {
 	even := visibility{ownShare: 1 / float64(e.nodes), reportedShare: 1 / float64(e.nodes)}
 	if e.bucket == nil {
-		e.bucket = newTenantBucket(bounds, now, now)
+		e.bucket = newTenantBucket(bounds, 0, now, now)
 	}
 	e.bucket.limit = limit
 	e.bucket.advance(even, now)
 	if e.bucket.level < 0 {
 		return Decision{}
 	}
-	e.bucket.charge(cost, now)
+	e.bucket.charge(0, cost, now)
 	return Decision{Admitted: true}
 }
 
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 const (
@@ -37,6 +39,10 @@
 	buckets map[uint64]*tenantBucket
 	// peerUsage is the last reported usage of all other nodes, by tenant.
 	peerUsage map[uint64]Usage
+	// peerRanks is the same by rank, for tenants near their limits, by rowSubject.
+	peerRanks map[uint64]rankUsage
+	// malformedRows is the number of reported rows that were dropped.
+	malformedRows int
 	// nodes is the size of the fleet, and reportedNodes the number of nodes that the last peer
 	// report covers, this one included.
 	nodes         int
@@ -68,10 +74,33 @@
 	PeersAge     time.Duration
 }
 
-// Admit decides whether a request of a tenant with the given cost is admitted.
-func (l *Limiter) Admit(tenant string, limit Limit, cost float64, now time.Time) Decision {
+// Request is what the admission of a request depends on.
+type Request struct {
+	// Cost is in the limit's unit.
+	Cost float64
+	// Rank is the urgency, from 0, the most urgent, to 9.
+	Rank int
+}
+
+// validate returns an error of the type errors.NotValid if the request is malformed.
+func (r Request) validate() error {
+	if r.Rank < 0 || r.Rank >= rankCount {
+		return errors.NotValidf("urgency rank %d; pass one from 0 to %d: it", r.Rank, rankCount-1)
+	}
+	if !validRate(r.Cost) {
+		return errors.NotValidf("cost %v; pass a finite one that is not negative: it", r.Cost)
+	}
+	return nil
+}
+
+// Admit decides whether a request of a tenant is admitted. It returns an error of the type
+// errors.NotValid, and admits nothing, if the request is malformed.
+func (l *Limiter) Admit(tenant string, limit Limit, request Request, now time.Time) (Decision, error) {
+	if err := request.validate(); err != nil {
+		return Decision{}, err
+	}
 	if !limit.Limited() {
-		return Decision{Admitted: true, AdmitRatio: 1}
+		return Decision{Admitted: true, AdmitRatio: 1}, nil
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -79,31 +108,38 @@
 	b.limit = limit
 	b.advance(v, now)
 	// The request itself says nothing about the demand on other nodes.
-	decision := Decision{AdmitRatio: b.admitRatio(cost, v, now), Requested: b.fleetRequested(v, now), Level: b.available(v, now), VisibleNodes: l.visibleNodes(now), PeersAge: -1}
+	decision := Decision{AdmitRatio: b.admitRatio(request.Rank, request.Cost, v, now), Requested: b.fleetRequested(v, now), Level: b.available(v, now), VisibleNodes: l.visibleNodes(now), PeersAge: -1}
 	if !l.heardAt.IsZero() {
 		decision.PeersAge = now.Sub(l.heardAt)
 	}
-	b.demand(cost, now)
-	if b.take(decision.AdmitRatio) {
+	b.demand(request.Rank, request.Cost, now)
+	if b.ranks.take(request.Rank, decision.AdmitRatio) {
 		decision.Admitted = true
-		b.charge(cost, now)
-		return decision
+		b.charge(request.Rank, request.Cost, now)
+		return decision, nil
 	}
 	// Randomize the delay, so that callers refused together do not retry together.
-	wait := time.Duration((0.5 + l.draw()) * float64(b.refillTime(cost, v, now)))
+	wait := time.Duration((0.5 + l.draw()) * float64(b.refillTime(request.Cost, v, now)))
 	decision.RetryAfter = max(minRetryAfter, wait)
-	return decision
+	return decision, nil
 }
 
 // Refund returns the cost of an admitted request that did not run.
-func (l *Limiter) Refund(tenant string, cost float64, now time.Time) {
+func (l *Limiter) Refund(tenant string, request Request, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if b := l.buckets[TenantKey(tenant)]; b != nil {
-		b.charge(-cost, now)
+	if b := l.buckets[TenantKey(tenant)]; b != nil && request.validate() == nil {
+		b.charge(request.Rank, -request.Cost, now)
 	}
 }
 
+// MalformedRows returns the number of reported rows that were dropped since the start.
+func (l *Limiter) MalformedRows() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.malformedRows
+}
+
 // Resize sets the number of nodes in the fleet.
 func (l *Limiter) Resize(nodes int) {
 	l.mutex.Lock()
@@ -115,12 +151,12 @@
 func (l *Limiter) bucket(key uint64, now time.Time) *tenantBucket {
 	b := l.buckets[key]
 	if b == nil {
-		b = newTenantBucket(l.bounds, l.started, now)
-		b.peers, b.carry = l.peerUsage[key], 1-l.draw()
+		b = newTenantBucket(l.bounds, 1-l.draw(), l.started, now)
+		b.peers, b.ranks.peers = l.peerUsage[key], l.peerRanks[rowSubject(key)]
 		l.buckets[key] = b
 	}
 	if l.peersStale(now) {
-		b.peers = Usage{}
+		b.peers, b.ranks.peers = Usage{}, rankUsage{}
 	}
 	return b
 }
@@ -157,9 +193,12 @@
 		usage := Usage{Key: key, Requested: b.requestedRate.estimate(now), Admitted: b.admittedRate.perSecond(now)}
 		if usage.Requested >= minReportedFraction*b.limit.PerSecond/float64(l.nodes) {
 			report.Usages = append(report.Usages, usage)
+			if b.nearLimit(now) {
+				report.Rows = append(report.Rows, b.ranks.rows(key, now)...)
+			}
 		}
 	}
-	report.Usages = TopUsages(report.Usages)
+	report.Usages, report.Rows = TopUsages(report.Usages), TruncateRows(report.Rows)
 	return report
 }
 
@@ -185,14 +224,34 @@
 	for _, usage := range peers.Usages {
 		l.peerUsage[usage.Key] = usage
 	}
+	l.setPeerRows(peers.Rows)
 	for key, b := range l.buckets {
 		// Until now the previous report applied.
 		b.advance(v, now)
 		b.setPeers(l.peerUsage[key], now)
+		b.ranks.peers = l.peerRanks[rowSubject(key)]
 	}
 	l.reportedNodes, l.heardAt = peers.Nodes+1, now
 }
 
+// setPeerRows replaces the reported usage by rank of all other nodes. Malformed rows are dropped.
+func (l *Limiter) setPeerRows(rows []Usage) {
+	l.peerRanks = map[uint64]rankUsage{}
+	for _, row := range rows {
+		kind := rowKind(row.Key) & kindMask
+		if !isRankRow(kind, tenantRankRow) {
+			continue
+		}
+		if !validRow(row) {
+			l.malformedRows++
+			continue
+		}
+		usage := l.peerRanks[rowSubject(row.Key)]
+		usage[kind-tenantRankRow] = row
+		l.peerRanks[rowSubject(row.Key)] = usage
+	}
+}
+
 // TopUsages returns the usages with the highest demand, up to maxReportedTenants, in a stable
 // order.
 func TopUsages(usages []Usage) []Usage {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -55,7 +55,7 @@
 func TestUnlimitedTenantIsAdmitted(t *testing.T) {
 	l := New(bounds, drawMax, start)
 	for range 1000 {
-		require.True(t, l.Admit(tenant, Limit{Unit: Tokens}, 1e6, start).Admitted)
+		require.True(t, oneRank{l}.Admit(tenant, Limit{Unit: Tokens}, 1e6, start).Admitted)
 	}
 	require.Empty(t, l.Report(start).Usages)
 }
@@ -64,7 +64,7 @@
 func newSingleNodeLimiter(draw func() float64) *Limiter {
 	l := New(bounds, draw, start.Add(-time.Minute))
 	l.Resize(1)
-	l.Admit(tenant, tokenLimit(10_000), 0, start.Add(-30*time.Second))
+	oneRank{l}.Admit(tenant, tokenLimit(10_000), 0, start.Add(-30*time.Second))
 	return l
 }
 
@@ -72,8 +72,8 @@
 	l := newSingleNodeLimiter(drawZero)
 	for i := range 1000 {
 		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
-		require.True(t, l.Admit(tenant, tokenLimit(10_000), 5000, now).Admitted, i)
-		l.Refund(tenant, 5000, now)
+		require.True(t, oneRank{l}.Admit(tenant, tokenLimit(10_000), 5000, now).Admitted, i)
+		l.Refund(tenant, Request{Cost: 5000}, now)
 	}
 }
 
@@ -81,21 +81,21 @@
 	l := newSingleNodeLimiter(drawZero)
 	refused := Decision{Admitted: true}
 	for refused.Admitted {
-		refused = l.Admit(tenant, tokenLimit(10_000), 5000, start)
+		refused = oneRank{l}.Admit(tenant, tokenLimit(10_000), 5000, start)
 	}
 	require.GreaterOrEqual(t, refused.RetryAfter, minRetryAfter)
 	require.LessOrEqual(t, refused.RetryAfter, maxRetryAfter*3/2)
-	require.True(t, l.Admit(tenant, tokenLimit(10_000), 5000, start.Add(20*time.Second)).Admitted)
+	require.True(t, oneRank{l}.Admit(tenant, tokenLimit(10_000), 5000, start.Add(20*time.Second)).Admitted)
 }
 
 // A lowered limit must apply at once to requests that are still to be admitted.
 func TestLoweredLimitAppliesImmediately(t *testing.T) {
 	l := newSingleNodeLimiter(drawZero)
-	require.Equal(t, 1.0, l.Admit(tenant, tokenLimit(1_000_000), 50_000, start).AdmitRatio)
+	require.Equal(t, 1.0, oneRank{l}.Admit(tenant, tokenLimit(1_000_000), 50_000, start).AdmitRatio)
 	for i := range 2000 {
-		l.Admit(tenant, tokenLimit(10_000), 5000, start.Add(time.Duration(i)*10*time.Millisecond))
+		oneRank{l}.Admit(tenant, tokenLimit(10_000), 5000, start.Add(time.Duration(i)*10*time.Millisecond))
 	}
-	require.Less(t, l.Admit(tenant, tokenLimit(10_000), 5000, start.Add(20*time.Second)).AdmitRatio, 0.2)
+	require.Less(t, oneRank{l}.Admit(tenant, tokenLimit(10_000), 5000, start.Add(20*time.Second)).AdmitRatio, 0.2)
 }
 
 // Peer reports count for a while; after that only this node's own share is left.
--- a/internal/quota/tenant_bucket.go
+++ b/internal/quota/tenant_bucket.go
@@ -55,8 +55,7 @@
 	// Peers report with a delay, so that it compares their demand with an earlier one of this node.
 	share   float64
 	earlier [shareReports]float64
-	// carry is the sum of the admitted fractions of requests, less the requests admitted.
-	carry float64
+	ranks   rankDemand
 }
 
 // visibility describes how much of the fleet's usage a node knows.
@@ -75,13 +74,14 @@
 func (v visibility) fraction() float64 { return v.ownShare + (v.reportedShare-v.ownShare)*v.freshness }
 
 // newTenantBucket returns a bucket that covers no part of the limit yet. The argument since is the
-// node's start time.
-func newTenantBucket(bounds Bounds, since, now time.Time) *tenantBucket {
+// node's start time; carry, from 0 to 1, staggers the nodes of a fleet.
+func newTenantBucket(bounds Bounds, carry float64, since, now time.Time) *tenantBucket {
 	return &tenantBucket{
 		bounds:        bounds,
 		requestedRate: decayingRate{decay: requestedDecay, since: since},
 		surge:         newSurge(),
 		admittedRate:  decayingRate{decay: admittedDecay},
+		ranks:         newRankDemand(since, carry),
 		unreported:    decayingRate{decay: reportLag},
 		at:            now,
 		ownAdmitted:   newSlidingWindow(bounds.Window, tenantWindowSlots),
@@ -149,19 +149,21 @@
 	return min(peers, b.admissibleRate(v, now)*peers/(own+peers))
 }
 
-// admitRatio returns the fraction of the current demand that may be admitted, from 0 to 1, for a
-// request of the given cost.
-func (b *tenantBucket) admitRatio(cost float64, v visibility, now time.Time) float64 {
-	reserved := b.peersRequested(v, now) * reportLag.Seconds()
+// admitRatio returns the fraction of the current demand of a rank that may be admitted, from 0 to 1,
+// for a request of the given cost. More urgent ranks go first.
+func (b *tenantBucket) admitRatio(rank int, cost float64, v visibility, now time.Time) float64 {
+	peers := b.peersRequested(v, now)
+	reserved := (peers + b.ranks.ownBefore(rank, now)) * reportLag.Seconds()
 	if remaining := min(b.available(v, now), b.windowRemaining(v, now)); remaining >= cost+reserved {
 		return 1
 	}
-	requested := b.fleetRequested(v, now)
-	admissible := b.admissibleRate(v, now)
-	if requested <= admissible {
+	before, same := b.ranks.split(rank, b.peers.Requested, now)
+	if before+same <= 0 {
 		return 1
 	}
-	return admissible / requested
+	// Estimates by rank follow a surge as the sum does.
+	surge := (b.ownRequested(now) + peers) / max(b.requestedRate.estimate(now)+b.peers.Requested, math.SmallestNonzeroFloat32)
+	return min(1, max(0, (b.admissibleRate(v, now)-surge*before)/max(surge*same, math.SmallestNonzeroFloat32)))
 }
 
 // fleetRequested returns the known demand on all nodes, in the limit's unit per second.
@@ -199,30 +201,26 @@
 	return windowFraction*b.bounds.allowed(b.limit)*v.fraction() - admitted
 }
 
-// take reports whether a request is admitted, given the fraction of requests to admit. Requests
-// are admitted at even distances, which varies less than independent draws do.
-func (b *tenantBucket) take(fraction float64) bool {
-	b.carry += fraction
-	if b.carry < 1 {
-		return false
-	}
-	b.carry--
-	return true
-}
-
 // demand records the demand of a request.
-func (b *tenantBucket) demand(cost float64, now time.Time) {
+func (b *tenantBucket) demand(rank int, cost float64, now time.Time) {
 	b.requestedRate.add(cost, now)
 	b.surge.add(cost, now)
+	b.ranks.requested[rank].add(cost, now)
 }
 
 // charge records an admitted amount; a negative cost refunds it.
-func (b *tenantBucket) charge(cost float64, now time.Time) {
+func (b *tenantBucket) charge(rank int, cost float64, now time.Time) {
 	b.admittedRate.add(cost, now)
+	b.ranks.admitted[rank].add(cost, now)
 	b.ownAdmitted.add(cost, now)
 	b.level -= cost
 }
 
+// nearLimit reports whether the known demand comes near the limit.
+func (b *tenantBucket) nearLimit(now time.Time) bool {
+	return b.ownRequested(now)+b.peers.Requested >= nearLimitFraction*b.limit.PerSecond
+}
+
 // refillTime returns the time after which the fleet may admit a request of the given cost again.
 func (b *tenantBucket) refillTime(cost float64, v visibility, now time.Time) time.Duration {
 	refillRate := b.limit.PerSecond * v.fraction()
