Tell refused callers a time at which they will be admitted

Retry-After was at least 250 ms and independent of the backlog, so that most retries were refused again, and each retry counted again in the demand.

A quarter of the rate that more urgent ranks leave is promised to refused callers, in the order of refusal at each node and in proportion to its demand. A caller gets an appointment if it waits at most a third of its remaining time and the rest suffices for the route's target latency. Others are told when the queue would admit them. Returns go before others of their rank and are refused only for the window. The node that refused a caller recognises it by its fingerprint; other nodes recognise callers with less time than first tries on the route have, at most as much as peers have promised that is due (row kind 0x5e7b11). A caller counts once in the demand. The line "limited" and explain show rank, return and appointment; metrics count refusals by rank and appointments.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -186,6 +186,18 @@
 	process.metrics.Gauge("cloverrail_proxy_servers_limited", "Servers that name a limit to this node or to others.", func() float64 {
 		return float64(process.serverLimits.LimitedCount())
 	})
+	process.metrics.Gauge("cloverrail_proxy_appointments_given", "Refused callers that this node has told a time at which they will be admitted, since its start.", func() float64 {
+		return float64(process.tenantLimiter.Appointments().Given)
+	})
+	process.metrics.Gauge("cloverrail_proxy_appointments_kept", "Requests that this node has recognised as returns at their appointment, since its start.", func() float64 {
+		return float64(process.tenantLimiter.Appointments().Kept)
+	})
+	process.metrics.Gauge("cloverrail_proxy_appointments_missed", "Appointments of this node whose callers did not return to it in time, since its start; they may have returned to another node.", func() float64 {
+		return float64(process.tenantLimiter.Appointments().Missed)
+	})
+	process.metrics.Gauge("cloverrail_proxy_malformed_quota_rows", "Rows on tenants' limits from other nodes that were dropped, since the start.", func() float64 {
+		return float64(process.tenantLimiter.MalformedRows())
+	})
 	process.metrics.Gauge("cloverrail_proxy_store_era", "Era of the shared store; it rises when the store comes back from an older copy. 0 if it is not known.", func() float64 {
 		return float64(process.eras.Current())
 	})
--- a/internal/appointment/book.go
+++ b/internal/appointment/book.go
@@ -17,6 +17,8 @@
 	maxSubjects = 1024
 	// sweepInterval is the least time between two searches for expired entries of a subject.
 	sweepInterval = 100 * time.Millisecond
+	// peersExpiry is how long the report of peers counts unless it is replaced.
+	peersExpiry = time.Second
 )
 
 // Row is what one or more nodes know of a subject's appointments, in the subject's unit.
@@ -39,6 +41,8 @@
 	subjects map[uint64]*subject
 	promises int
 	counts   Counts
+	// peersAt is when peers last reported.
+	peersAt time.Time
 }
 
 // Counts are totals since the start of the node.
@@ -201,6 +205,7 @@
 	for _, s := range b.subjects {
 		s.peers = Row{}
 	}
+	b.peersAt = now
 	for _, row := range rows {
 		if s := b.subject(row.Subject); s != nil {
 			s.peers = row
@@ -233,6 +238,9 @@
 		return
 	}
 	s.sweptAt = now
+	if now.Sub(b.peersAt) > peersExpiry {
+		s.peers = Row{}
+	}
 	for caller, p := range s.promises {
 		if now.After(p.due.Add(expiry)) {
 			b.remove(s, caller, p)
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -86,6 +86,12 @@
 	Nodes      int     `json:"nodes"`
 	Age        float64 `json:"age"`
 	RetryAfter float64 `json:"retry_after"`
+	// Urgency is the rank of a request refused for its tenant's limit; builds without ranks log none.
+	// Returns says that it came at the time of an earlier refusal, and Appointment that RetryAfter is
+	// a time at which it will be admitted.
+	Urgency     *int `json:"urgency"`
+	Returns     bool `json:"returns"`
+	Appointment bool `json:"appointment"`
 }
 
 // eventTexts maps the events of attempts to their explanations.
@@ -227,8 +233,18 @@
 }
 
 func (line logLine) tenantLimitText() string {
-	return fmt.Sprintf("beyond the limit of tenant %s: %.0f a second are asked where %.0f are allowed, %.0f may be admitted at once, so %.0f %% of the requests are; known of %d nodes %.0f ms ago; to come back after %.0f ms",
+	text := fmt.Sprintf("beyond the limit of tenant %s: %.0f a second are asked where %.0f are allowed, %.0f may be admitted at once, so %.0f %% of the requests are; known of %d nodes %.0f ms ago; to come back after %.0f ms",
 		line.Tenant, line.Requested, line.Limit, line.Level, 100*line.AdmitRatio, line.Nodes, line.Age, line.RetryAfter)
+	if line.Appointment {
+		text += ", when it will be admitted"
+	}
+	if line.Urgency != nil {
+		text += fmt.Sprintf("; urgency %d", *line.Urgency)
+	}
+	if line.Returns {
+		text += "; it came at the time of an appointment, and the bounds had no room"
+	}
+	return text
 }
 
 func (line logLine) serverLimitsText() string {
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -41,6 +41,18 @@
 	require.Contains(t, text.String(), "it will be late there, so that others go first")
 }
 
+// Guards against a log line of which explain drops the rank or the appointment.
+func TestExplainShowsRankAndAppointment(t *testing.T) {
+	log := `{"node":"b","id":"r1","tenant":"t7","retry_after":900,"urgency":0,"returns":false,"appointment":true,"message":"limited"}
+{"node":"b","id":"r2","tenant":"t7","retry_after":900,"urgency":2,"returns":true,"appointment":false,"message":"limited"}`
+	text := strings.Builder{}
+	require.NoError(t, explain(strings.NewReader(log), &text, "r1"))
+	require.Contains(t, text.String(), "to come back after 900 ms, when it will be admitted; urgency 0")
+	text.Reset()
+	require.NoError(t, explain(strings.NewReader(log), &text, "r2"))
+	require.Contains(t, text.String(), "to come back after 900 ms; urgency 2; it came at the time of an appointment, and the bounds had no room")
+}
+
 // The id of a rejected request leads to its fingerprint, and from there to the servers that crashed
 // while running its other attempts.
 func TestExplainFindsRetriesByFingerprint(t *testing.T) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -150,12 +150,14 @@
 	splitter     splitter
 	prefillRate  *prefillRate
 	slotTime     *slotTime
-	ledger       *residency.Ledger
-	limiter      *quota.Limiter
-	serverLimits *quota.ServerLimits
-	quarantine   *quarantine.Ledger
-	unconfirmed  quarantine.Unconfirmed
-	entryTTL     time.Duration
+	// firstTimeouts tells returns from first tries of routes whose tenants have limits.
+	firstTimeouts *firstTimeouts
+	ledger        *residency.Ledger
+	limiter       *quota.Limiter
+	serverLimits  *quota.ServerLimits
+	quarantine    *quarantine.Ledger
+	unconfirmed   quarantine.Unconfirmed
+	entryTTL      time.Duration
 	// conflictMutex serializes placements that lost their first round to another placement.
 	conflictMutex sync.Mutex
 	probesMutex   sync.Mutex
@@ -191,24 +193,25 @@
 // New returns a Proxy with the given options.
 func New(options Options) *Proxy {
 	return &Proxy{
-		replica:      options.Replica,
-		set:          options.Set,
-		servers:      options.Servers,
-		bounds:       options.Bounds,
-		retryBudgets: options.RetryBudgets,
-		distance:     options.Distance,
-		recorder:     options.Recorder,
-		ledger:       options.Ledger,
-		limiter:      options.Limiter,
-		serverLimits: options.ServerLimits,
-		quarantine:   options.Quarantine,
-		unconfirmed:  options.Unconfirmed,
-		entryTTL:     options.EntryTTL,
-		probes:       map[string]*connectionProbe{},
-		started:      boottime.Now(),
-		prefillRate:  newPrefillRate(),
-		slotTime:     newSlotTime(),
-		stopping:     make(chan struct{}),
+		replica:       options.Replica,
+		set:           options.Set,
+		servers:       options.Servers,
+		bounds:        options.Bounds,
+		retryBudgets:  options.RetryBudgets,
+		distance:      options.Distance,
+		recorder:      options.Recorder,
+		ledger:        options.Ledger,
+		limiter:       options.Limiter,
+		serverLimits:  options.ServerLimits,
+		quarantine:    options.Quarantine,
+		unconfirmed:   options.Unconfirmed,
+		entryTTL:      options.EntryTTL,
+		probes:        map[string]*connectionProbe{},
+		started:       boottime.Now(),
+		prefillRate:   newPrefillRate(),
+		slotTime:      newSlotTime(),
+		firstTimeouts: newFirstTimeouts(),
+		stopping:      make(chan struct{}),
 	}
 }
 
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -46,7 +46,7 @@
 	// Placed records a placement.
 	Placed(request *Request, choice PlacementDecision)
 	// RateLimited records a request that was refused because of its tenant's rate limit.
-	RateLimited(request *Request, tenant string, limit quota.Limit, decision quota.Decision)
+	RateLimited(request *Request, tenant string, limit quota.Limit, rank int, decision quota.Decision)
 	// OverLimits records, once per request, that all servers were at their request limits.
 	OverLimits(request *Request, over OverLimits)
 	// Attempt records an event of an attempt. The fingerprint is that of the request if the
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -21,7 +21,7 @@
 type nopRecorder struct{}
 
 func (nopRecorder) Placed(*Request, PlacementDecision)                                      {}
-func (nopRecorder) RateLimited(*Request, string, quota.Limit, quota.Decision)               {}
+func (nopRecorder) RateLimited(*Request, string, quota.Limit, int, quota.Decision)          {}
 func (nopRecorder) Attempt(*Request, string, exchange.Event, quarantine.Fingerprint)        {}
 func (nopRecorder) OverLimits(*Request, OverLimits)                                         {}
 func (nopRecorder) RequestQuarantined(*Request, quarantine.Fingerprint, quarantine.Verdict) {}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/appointment"
 )
 
 const (
@@ -34,9 +36,11 @@
 	// draw returns a random number in [0, 1).
 	draw    func() float64
 	started time.Time
+	book    *appointment.Book
 
 	mutex   sync.Mutex
 	buckets map[uint64]*tenantBucket
+	refused refusedCallers
 	// peerUsage is the last reported usage of all other nodes, by tenant.
 	peerUsage map[uint64]Usage
 	// peerRanks is the same by rank, for tenants near their limits, by rowSubject.
@@ -54,7 +58,7 @@
 // New returns a limiter for a node that has just started. The function draw returns random
 // numbers in [0, 1).
 func New(bounds Bounds, draw func() float64, now time.Time) *Limiter {
-	return &Limiter{bounds: bounds, draw: draw, started: now, buckets: map[uint64]*tenantBucket{}, nodes: defaultFleetSize}
+	return &Limiter{bounds: bounds, draw: draw, started: now, buckets: map[uint64]*tenantBucket{}, nodes: defaultFleetSize, book: appointment.New(promisePropagation)}
 }
 
 // Decision is the outcome of an admission check, with its inputs.
@@ -62,6 +66,10 @@
 	Admitted bool
 	// RetryAfter is when a refused caller should retry.
 	RetryAfter time.Duration
+	// Returning is set if the request returns at its appointment, and Appointment if RetryAfter is
+	// the time of a new one.
+	Returning   bool
+	Appointment bool
 	// AdmitRatio is the fraction of the current demand that is admitted, from 0 to 1. Requested
 	// is the demand on all known nodes in the limit's unit per second; Level is the amount that
 	// may be admitted at once, in the limit's unit.
@@ -80,6 +88,14 @@
 	Cost float64
 	// Rank is the urgency, from 0, the most urgent, to 9.
 	Rank int
+	// Caller returns a hash of the request that is the same for all of its tries, on all nodes. It
+	// is called only if the request may return or is refused. Without it there are no appointments.
+	Caller func() uint64
+	// Remaining is the time that the caller has left, and AnswerTime the time that an answer takes.
+	Remaining  time.Duration
+	AnswerTime time.Duration
+	// Shortened is set if the caller states less time than others do on their first try.
+	Shortened bool
 }
 
 // validate returns an error of the type errors.NotValid if the request is malformed.
@@ -102,28 +118,72 @@
 	if !limit.Limited() {
 		return Decision{Admitted: true, AdmitRatio: 1}, nil
 	}
+	key := TenantKey(tenant)
+	subject := rowSubject(key)
+	caller := l.returningCaller(subject, request, now)
+	returning := caller != 0 && l.book.Redeem(subject, caller, request.Cost, request.Shortened, now)
+	promised := l.book.Outstanding(subject, now) / promiseLife.Seconds()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	b, v := l.bucket(TenantKey(tenant), now), l.visibility(now)
-	b.limit = limit
+	b, v := l.bucket(key, now), l.visibility(now)
+	b.limit, b.promisedRate = limit, min(promised, promisedFraction*limit.PerSecond)
 	b.advance(v, now)
 	// The request itself says nothing about the demand on other nodes.
-	decision := Decision{AdmitRatio: b.admitRatio(request.Rank, request.Cost, v, now), Requested: b.fleetRequested(v, now), Level: b.available(v, now), VisibleNodes: l.visibleNodes(now), PeersAge: -1}
+	decision := Decision{Returning: returning, Requested: b.fleetRequested(v, now), Level: b.available(v, now), VisibleNodes: l.visibleNodes(now), PeersAge: -1}
 	if !l.heardAt.IsZero() {
 		decision.PeersAge = now.Sub(l.heardAt)
 	}
-	b.demand(request.Rank, request.Cost, now)
-	if b.ranks.take(request.Rank, decision.AdmitRatio) {
-		decision.Admitted = true
+	// A caller counts once in the demand.
+	again := returning || request.Shortened && promised > 0 || l.refused.contains(caller, now)
+	decision.AdmitRatio = b.admitRatio(request.Rank, request.Cost, v, now)
+	if !again {
+		b.demand(request.Rank, request.Cost, now)
+	}
+	if returning {
+		// Only the bounds may break a promise.
+		decision.Admitted = b.windowRemaining(v, now) >= request.Cost
+	} else {
+		decision.Admitted = b.ranks.take(request.Rank, decision.AdmitRatio)
+	}
+	if decision.Admitted {
 		b.charge(request.Rank, request.Cost, now)
 		return decision, nil
 	}
-	// Randomize the delay, so that callers refused together do not retry together.
-	wait := time.Duration((0.5 + l.draw()) * float64(b.refillTime(request.Cost, v, now)))
-	decision.RetryAfter = max(minRetryAfter, wait)
+	decision.RetryAfter, decision.Appointment = l.refuse(b, subject, caller, again, request, v, now)
 	return decision, nil
 }
 
+// returningCaller returns the caller of a request that may be a retry, or 0.
+func (l *Limiter) returningCaller(subject uint64, request Request, now time.Time) uint64 {
+	if request.Caller == nil {
+		return 0
+	}
+	l.mutex.Lock()
+	recent := l.refused.recent(now)
+	l.mutex.Unlock()
+	if !recent && l.book.Outstanding(subject, now) <= 0 {
+		return 0
+	}
+	return request.Caller()
+}
+
+// refuse returns when a refused caller should retry, and whether it is an appointment. A caller
+// that was refused before gets none.
+func (l *Limiter) refuse(b *tenantBucket, subject, caller uint64, again bool, request Request, v visibility, now time.Time) (time.Duration, bool) {
+	if request.Caller == nil {
+		// Randomize the delay, so that callers refused together do not retry together.
+		wait := time.Duration((0.5 + l.draw()) * float64(b.refillTime(request.Cost, v, now)))
+		return max(minRetryAfter, wait), false
+	}
+	if caller == 0 {
+		caller = request.Caller()
+	}
+	l.refused.add(caller, now)
+	wait, follows := l.appointment(b, subject, request, v, now)
+	promised := follows && !again && l.book.Promise(subject, caller, request.Cost, now.Add(wait), now)
+	return wait, promised
+}
+
 // Refund returns the cost of an admitted request that did not run.
 func (l *Limiter) Refund(tenant string, request Request, now time.Time) {
 	l.mutex.Lock()
@@ -198,6 +258,7 @@
 			}
 		}
 	}
+	report.Rows = append(report.Rows, l.promiseRows(now)...)
 	report.Usages, report.Rows = TopUsages(report.Usages), TruncateRows(report.Rows)
 	return report
 }
@@ -225,6 +286,7 @@
 		l.peerUsage[usage.Key] = usage
 	}
 	l.setPeerRows(peers.Rows)
+	l.book.SetPeerRows(promisesOf(peers.Rows), now)
 	for key, b := range l.buckets {
 		// Until now the previous report applied.
 		b.advance(v, now)
--- a/internal/quota/row.go
+++ b/internal/quota/row.go
@@ -34,6 +34,9 @@
 	// tenantPromisedRow describes a tenant with a limit. Requested is the amount promised to refused
 	// callers that has not expired, and Admitted the part of it that has been redeemed.
 	tenantPromisedRow rowKind = 0x5e7b10
+	// tenantDueRow describes a tenant with a limit. Requested is the part of the promised amount
+	// that is due by the time at which other nodes learn of it.
+	tenantDueRow rowKind = 0x5e7b11
 	// serviceRankRow plus an urgency rank describes a service: the demand of its requests of that
 	// rank, and the admitted part of it, in prompt tokens per second.
 	serviceRankRow rowKind = 0x5e7c00
@@ -53,7 +56,7 @@
 // isRow reports whether a key belongs to a row rather than to a tenant.
 func isRow(key uint64) bool {
 	switch k := rowKind(key) & kindMask; k {
-	case requestedRow, limitRow, sentRow, loweredRow, tenantPromisedRow, servicePromisedRow:
+	case requestedRow, limitRow, sentRow, loweredRow, tenantPromisedRow, tenantDueRow, servicePromisedRow:
 		return true
 	default:
 		return isRankRow(k, tenantRankRow) || isRankRow(k, serviceRankRow)
@@ -76,7 +79,7 @@
 	switch k := rowKind(key) & kindMask; {
 	case k == requestedRow, k == servicePromisedRow, isRankRow(k, serviceRankRow):
 		return 0
-	case k == tenantPromisedRow, isRankRow(k, tenantRankRow):
+	case k == tenantPromisedRow, k == tenantDueRow, isRankRow(k, tenantRankRow):
 		return 1
 	default:
 		return 2
--- a/internal/quota/tenant_bucket.go
+++ b/internal/quota/tenant_bucket.go
@@ -56,6 +56,9 @@
 	share   float64
 	earlier [shareReports]float64
 	ranks   rankDemand
+	// promisedRate is the rate at which refused callers are expected to return, in the limit's
+	// unit per second.
+	promisedRate float64
 }
 
 // visibility describes how much of the fleet's usage a node knows.
@@ -153,7 +156,7 @@
 // for a request of the given cost. More urgent ranks go first.
 func (b *tenantBucket) admitRatio(rank int, cost float64, v visibility, now time.Time) float64 {
 	peers := b.peersRequested(v, now)
-	reserved := (peers + b.ranks.ownBefore(rank, now)) * reportLag.Seconds()
+	reserved := (peers + b.ranks.ownBefore(rank, now) + b.promisedRate) * reportLag.Seconds()
 	if remaining := min(b.available(v, now), b.windowRemaining(v, now)); remaining >= cost+reserved {
 		return 1
 	}
@@ -163,7 +166,7 @@
 	}
 	// Estimates by rank follow a surge as the sum does.
 	surge := (b.ownRequested(now) + peers) / max(b.requestedRate.estimate(now)+b.peers.Requested, math.SmallestNonzeroFloat32)
-	return min(1, max(0, (b.admissibleRate(v, now)-surge*before)/max(surge*same, math.SmallestNonzeroFloat32)))
+	return min(1, max(0, (b.admissibleRate(v, now)-b.promisedRate*v.fraction()-surge*before)/max(surge*same, math.SmallestNonzeroFloat32)))
 }
 
 // fleetRequested returns the known demand on all nodes, in the limit's unit per second.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -18,6 +18,7 @@
 	connections        *prometheus.CounterVec
 	replacedPlacements prometheus.Counter
 	rateLimited        prometheus.Counter
+	rateLimitedByRank  *prometheus.CounterVec
 	overServerLimits   *prometheus.CounterVec
 	deferred           prometheus.Counter
 	placementConflicts prometheus.Counter
@@ -77,6 +78,9 @@
 		rateLimited: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_limited_total", Help: "Requests refused since their tenant asks for more than its limit.",
 		}),
+		rateLimitedByRank: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_limited_by_rank_total", Help: "Requests refused for their tenant's limit, by urgency rank; 0 is the most urgent.",
+		}, []string{"rank"}),
 		overServerLimits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_over_limits_total", Help: "Requests that met the limits of all servers of their service.",
 		}, []string{"service"}),
@@ -135,6 +139,6 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstResponse, metrics.storeReads,
-		metrics.orders, metrics.connections, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.deferred, metrics.placementConflicts, metrics.quarantined, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.storeCalls, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
+		metrics.orders, metrics.connections, metrics.replacedPlacements, metrics.rateLimited, metrics.rateLimitedByRank, metrics.overServerLimits, metrics.deferred, metrics.placementConflicts, metrics.quarantined, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.storeCalls, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -106,12 +107,14 @@
 }
 
 // RateLimited records a request that exceeds its tenant's limit.
-func (recorder *Recorder) RateLimited(request *proxy.Request, tenant string, limit quota.Limit, decision quota.Decision) {
+func (recorder *Recorder) RateLimited(request *proxy.Request, tenant string, limit quota.Limit, rank int, decision quota.Decision) {
 	recorder.metrics.rateLimited.Inc()
+	recorder.metrics.rateLimitedByRank.WithLabelValues(strconv.Itoa(rank)).Inc()
 	recorder.limitedLine(zerolog.InfoLevel).Str("id", request.ID).Str("tenant", tenant).Float64("limit", limit.PerSecond).
 		Float64("asked", math.Round(decision.Requested)).Float64("level", math.Round(decision.Level)).
 		Float64("share", decision.AdmitRatio).Int("nodes", decision.VisibleNodes).Dur("age", decision.PeersAge).
-		Dur("retry_after", decision.RetryAfter).Msg("limited")
+		Dur("retry_after", decision.RetryAfter).Int("urgency", rank).Bool("returns", decision.Returning).
+		Bool("appointment", decision.Appointment).Msg("limited")
 }
 
 // OverLimits records a request that no server accepts because of their advertised rate limits.
