Let starting nodes know the fleet's size and tenants' recent use

After a power loss of all nodes a node knows 1 to 5 others, or no size at all, and refuses requests within a limit that nobody is using.

The published view contains the recent usage of limited tenants (written at most every 30 s for that alone) and the number of nodes before some were lost together, which a first publication after a power loss keeps for 15 s. For 15 s a starting node divides limits by that number, and while it does not hear from all nodes it may use its part of what the window's bound leaves beside the limit's rate; the first request of a tenant whose demand was within the limit is admitted. Without the store the safe share applies, and after 15 s the number of nodes that report.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -143,16 +143,20 @@
 	incarnation := uuid.NewString()
 	process.source = platform.NewSource(process.store, process.recorder.EntryUnreadable)
 	process.registry = &fleet.Registry{
-		Store:       process.store.WithPurpose("registration"),
-		Prefix:      platform.PrefixNodes,
-		Name:        config.Name,
-		Incarnation: incarnation,
-		Address:     config.PeerAddress,
-		Zone:        config.Zone,
-		Cores:       config.ProcessorShare,
-		OnResize:    process.resize,
-		Eras:        process.eras,
-		PublishView: process.publishView,
+		Store:        process.store.WithPurpose("registration"),
+		Prefix:       platform.PrefixNodes,
+		Name:         config.Name,
+		Incarnation:  incarnation,
+		Address:      config.PeerAddress,
+		Zone:         config.Zone,
+		Cores:        config.ProcessorShare,
+		OnResize:     process.resize,
+		Eras:         process.eras,
+		PublishView:  process.publishView,
+		RecentUsages: process.tenantLimiter.FleetUsages,
+		OnRecover: func(recovery fleet.Recovery) {
+			process.tenantLimiter.Recover(recovery.Nodes, recovery.Usages)
+		},
 	}
 	process.workReports = workshare.New(func() workshare.Report {
 		now := boottime.Now()
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/coordination"
+	"github.com/cloverrail/cloverrail/internal/quota"
 )
 
 const (
@@ -58,6 +59,10 @@
 	Eras *coordination.EraTracker
 	// PublishView, if set, writes the view of the fleet to where starting nodes read it.
 	PublishView func(ctx context.Context, view []byte) error
+	// RecentUsages, if set, returns the usage of limited tenants that published views contain, and
+	// OnRecover, if set, is called with what a published view says.
+	RecentUsages func(now time.Time) []quota.Usage
+	OnRecover    func(Recovery)
 
 	mutex sync.Mutex
 	// ranked holds the names of the known nodes in rank order: the large ones first, and each
@@ -89,6 +94,11 @@
 	// publishedEra the era of the store in which it did so.
 	publishedDigest uint64
 	publishedEra    int64
+	// usagesAt is when usages of tenants were last published.
+	usagesAt time.Time
+	// recoveredNodes is the size of the fleet by the last published view, read at recoveredAt.
+	recoveredNodes int
+	recoveredAt    time.Time
 }
 
 // keySighting is when a key was first observed at its position.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -11,6 +11,7 @@
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/prefix"
+	"github.com/cloverrail/cloverrail/internal/quota"
 )
 
 // View is the description of the fleet that nodes send each other. Only the first nodes by rank
@@ -21,6 +22,10 @@
 	Roomy int
 	// First holds the registrations of the first nodes, in rank order.
 	First []coordination.Entry
+	// RecentNodes is the number of nodes before some may have been lost together, and Usages the
+	// recent usage of limited tenants by the whole fleet. Only published views contain them.
+	RecentNodes int
+	Usages      []quota.Usage
 }
 
 // complete reports whether the view contains all nodes.
@@ -43,9 +48,10 @@
 // after the next renewal.
 func (r *Registry) publishIfChanged(ctx context.Context) {
 	era, _ := r.Eras.State()
+	usages, now := r.recentUsages(), boottime.Now()
 	r.mutex.Lock()
-	view, digest := r.view, r.digest
-	changed := digest != r.publishedDigest || era != r.publishedEra
+	view, digest := r.published(usages, now), r.digest
+	changed := digest != r.publishedDigest || era != r.publishedEra || len(usages) > 0 && now.Sub(r.usagesAt) >= usageInterval
 	due := r.bootstrapped && r.ownRank == 0 && view.Nodes > 0 && changed && r.PublishView != nil
 	r.mutex.Unlock()
 	if !due {
@@ -59,7 +65,7 @@
 		return
 	}
 	r.mutex.Lock()
-	r.publishedDigest, r.publishedEra = digest, era
+	r.publishedDigest, r.publishedEra, r.usagesAt = digest, era, now
 	r.mutex.Unlock()
 }
 
@@ -74,6 +80,7 @@
 	if view.Nodes <= 0 || len(view.First) == 0 {
 		return nil
 	}
+	r.observeRecovery(view, now)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.bootstrapped {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -51,6 +51,7 @@
 	// report covers, this one included.
 	nodes         int
 	reportedNodes int
+	recovered     recovered
 	heardAt       time.Time
 	sweptAt       time.Time
 }
@@ -135,7 +136,7 @@
 	}
 	// A caller counts once in the demand.
 	again := returning || request.Shortened && promised > 0 || l.refused.contains(caller, now)
-	decision.AdmitRatio = b.admitRatio(request.Rank, request.Cost, v, now)
+	decision.AdmitRatio = max(b.admitRatio(request.Rank, request.Cost, v, now), l.startRatio(b, key, request.Cost, now))
 	if !again {
 		b.demand(request.Rank, request.Cost, now)
 	}
@@ -205,6 +206,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.nodes = max(1, nodes)
+	l.recovered.sized = true
 }
 
 // bucket returns the bucket of a tenant.
@@ -226,7 +228,7 @@
 	if l.peersStale(now) {
 		return 1
 	}
-	return min(max(1, l.reportedNodes), l.nodes)
+	return min(max(1, l.reportedNodes), l.fleetSize(now))
 }
 
 // peersStale reports whether the last peer report has expired.
@@ -235,7 +237,7 @@
 // visibility returns how much of the fleet's usage this node knows. Expired peer reports do not
 // count.
 func (l *Limiter) visibility(now time.Time) visibility {
-	v := visibility{ownShare: 1 / float64(l.nodes), freshness: 1}
+	v := visibility{ownShare: 1 / float64(l.fleetSize(now)), freshness: 1}
 	v.reportedShare = float64(l.visibleNodes(now)) * v.ownShare
 	if age := now.Sub(l.heardAt); age > peerFreshAge {
 		v.freshness = (peerMaxAge - min(age, peerMaxAge)).Seconds() / (peerMaxAge - peerFreshAge).Seconds()
