--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -25,6 +25,9 @@
 	// maxReportedTenants bounds the tenants of one report. Those with the highest demand go
 	// first.
 	maxReportedTenants = 256
+	// maxTenantRows bounds the rows on tenants in a report, so that they leave room for those on
+	// servers.
+	maxTenantRows = maxRows / 2
 	// idleExpiry is how long an unused bucket is kept.
 	idleExpiry = time.Minute
 )
@@ -255,16 +258,25 @@
 		usage := Usage{Key: key, Requested: b.requestedRate.estimate(now), Admitted: b.admittedRate.perSecond(now)}
 		if usage.Requested >= minReportedFraction*b.limit.PerSecond/float64(l.nodes) {
 			report.Usages = append(report.Usages, usage)
-			if b.nearLimit(now) {
-				report.Rows = append(report.Rows, b.ranks.rows(key, now)...)
-			}
 		}
 	}
-	report.Rows = append(report.Rows, l.promiseRows(now)...)
-	report.Usages, report.Rows = TopUsages(report.Usages), TruncateRows(report.Rows)
+	report.Usages = TopUsages(report.Usages)
+	report.Rows = append(l.rankRows(report.Usages, now), l.promiseRows(now)...)
+	report.Rows = report.Rows[:min(len(report.Rows), maxTenantRows)]
 	return report
 }
 
+// rankRows returns the rows by rank of tenants near their limits, in the order of the usages.
+func (l *Limiter) rankRows(usages []Usage, now time.Time) []Usage {
+	var rows []Usage
+	for _, usage := range usages {
+		if b := l.buckets[usage.Key]; b.nearLimit(now) {
+			rows = append(rows, b.ranks.rows(usage.Key, now)...)
+		}
+	}
+	return rows
+}
+
 // evictIdle removes buckets that have not been used for idleExpiry.
 func (l *Limiter) evictIdle(now time.Time) {
 	if now.Sub(l.sweptAt) < idleExpiry {
--- a/internal/quota/recovery.go
+++ b/internal/quota/recovery.go
@@ -5,8 +5,8 @@
 // recoveryTime is how long after its start a node relies on the last published state of the fleet.
 const recoveryTime = 15 * time.Second
 
-// belowLimitFraction is the fraction of a limit up to which recent demand counts as within it.
-const belowLimitFraction = 0.9
+// recentDemandMargin is the factor by which the published demand may have grown until the start.
+const recentDemandMargin = 1.1
 
 // recovered is what a starting node knows of the fleet before it hears from all of it.
 type recovered struct {
@@ -68,22 +68,25 @@
 }
 
 // startRatio returns the fraction of requests that a starting node may admit although it does not
-// hear of all nodes yet. Each node may use its part of what the window's bound leaves beside the
-// limit's rate, which the fleet may have used before. If the recent demand was within the limit, the
-// first request of a tenant is admitted even if it is larger than that.
+// hear of all nodes yet. Each node may use its part of what the window's bound leaves beside what
+// the fleet may have admitted before.
 func (l *Limiter) startRatio(b *tenantBucket, key uint64, cost float64, now time.Time) float64 {
 	size := l.fleetSize(now)
-	if !l.recovering(now) || l.recovered.nodes == 0 || l.visibleNodes(now) >= size || l.bounds.Window <= 0 {
+	if !l.recovering(now) || l.recovered.nodes == 0 || l.visibleNodes(now) >= size {
 		return 0
 	}
-	admitted := b.ownAdmitted.at(now)
-	usage, known := l.recovered.usages[key]
-	if admitted == 0 && known && usage.Requested <= belowLimitFraction*b.limit.PerSecond {
-		return 1
+	used := b.limit.PerSecond
+	if usage, known := l.recovered.usages[key]; known {
+		used = min(used, recentDemandMargin*usage.Requested)
 	}
-	budget := windowFraction * (l.bounds.allowed(b.limit) - b.limit.PerSecond*l.bounds.Window.Seconds()) / float64(size)
-	if cost <= 0 {
+	budget := windowFraction * (l.bounds.allowed(b.limit) - used*l.bounds.Window.Seconds()) / float64(size)
+	return fitRatio(budget-b.ownAdmitted.at(now), cost)
+}
+
+// fitRatio returns the fraction of requests of a cost that fit into an amount, from 0 to 1.
+func fitRatio(amount, cost float64) float64 {
+	if amount >= cost {
 		return 1
 	}
-	return min(1, max(0, (budget-admitted)/cost))
+	return max(0, amount) / cost
 }
--- a/internal/quota/recovery_test.go
+++ b/internal/quota/recovery_test.go
@@ -80,3 +80,36 @@
 	l.Recover(74, []Usage{{Key: 1, Requested: -1}})
 	require.Equal(t, 1, l.MalformedRows())
 }
+
+// Guards against a restart of all nodes that uses up the window twice, beside a surge.
+func TestRestartOfAllNodesInSurgeKeepsBound(t *testing.T) {
+	for _, cost := range []float64{400, 17_000} {
+		for _, size := range []int{16, 74} {
+			for seed := range uint64(5) {
+				limit := tokenLimit(140_000)
+				s := newSimFleet(size, limit, seed)
+				s.bounds, s.delay, s.maxDelay = overloadBounds, 150*time.Millisecond, 400*time.Millisecond
+				s.cost, s.meanCost = func() float64 { return cost }, cost
+				s.demandRate = 0.7 * limit.PerSecond
+				for _, n := range s.nodes {
+					s.restart(n)
+				}
+				s.run(9 * time.Second)
+				for _, n := range s.nodes {
+					s.restart(n)
+					n.limiter.Resize(3)
+					n.limiter.Recover(size, []Usage{{Key: TenantKey(tenant), Requested: s.demandRate, Admitted: s.demandRate}})
+					n.partitioned = true
+				}
+				s.demandRate = 5 * limit.PerSecond
+				s.run(2 * time.Second)
+				for _, n := range s.nodes {
+					n.partitioned = false
+					n.limiter.Resize(size)
+				}
+				s.run(8 * time.Second)
+				require.LessOrEqual(t, s.peakInWindow(), overloadBounds.allowed(limit), "%d nodes, requests of %.0f, seed %d", size, cost, seed)
+			}
+		}
+	}
+}
--- a/internal/quota/tenant_bucket.go
+++ b/internal/quota/tenant_bucket.go
@@ -162,7 +162,8 @@
 	}
 	before, same := b.ranks.split(rank, b.peers.Requested, now)
 	if before+same <= 0 {
-		return 1
+		// A node that knows of no demand keeps to its part of the window.
+		return fitRatio(b.windowRemaining(v, now), cost)
 	}
 	// Estimates by rank follow a surge as the sum does.
 	surge := (b.ownRequested(now) + peers) / max(b.requestedRate.estimate(now)+b.peers.Requested, math.SmallestNonzeroFloat32)
