Admit requests without cost whatever the window holds

The fraction of such a request to admit was not a number if its tenant's window was full, which would have stopped all admissions of its rank at the node. TestRequestWithoutCostLeavesEstimatesValid guards against it.

--- a/internal/quota/rank_test.go
+++ b/internal/quota/rank_test.go
@@ -99,3 +99,16 @@
 	require.Equal(t, 1, l.MalformedRows())
 	require.Equal(t, 5.0, l.peerRanks[rowSubject(key)][1].Requested)
 }
+
+// Guards against a request without cost beyond the window, whose fraction is not a number and would
+// stop all admissions of its rank.
+func TestRequestWithoutCostLeavesEstimatesValid(t *testing.T) {
+	l := New(bounds, drawZero, start)
+	l.Resize(74)
+	for _, cost := range []float64{1e6, 0, 0, 1} {
+		oneRank{l}.Admit(tenant, tokenLimit(10_000), cost, start)
+	}
+	b := l.buckets[TenantKey(tenant)]
+	require.False(t, math.IsNaN(b.ranks.carry[0]))
+	require.False(t, math.IsNaN(b.level))
+}
--- a/internal/quota/recovery.go
+++ b/internal/quota/recovery.go
@@ -85,7 +85,7 @@
 
 // fitRatio returns the fraction of requests of a cost that fit into an amount, from 0 to 1.
 func fitRatio(amount, cost float64) float64 {
-	if amount >= cost {
+	if cost <= 0 || amount >= cost {
 		return 1
 	}
 	return max(0, amount) / cost
