Bring no burst to a node that started within the window

A starting node now takes the burst of others only if the published demand was within the limit. The greatest debt is 1 s of the rate.

--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -130,6 +130,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	b, v := l.bucket(key, now), l.visibility(now)
+	b.idleBefore = l.recovered.idle(key, limit)
 	b.limit, b.promisedRate = limit, min(promised, promisedFraction*limit.PerSecond)
 	b.advance(v, now)
 	// The request itself says nothing about the demand on other nodes.
--- a/internal/quota/recovery.go
+++ b/internal/quota/recovery.go
@@ -17,6 +17,12 @@
 	sized bool
 }
 
+// idle reports whether the published demand of a tenant was within its limit.
+func (r *recovered) idle(key uint64, limit Limit) bool {
+	usage, known := r.usages[key]
+	return known && recentDemandMargin*usage.Requested <= limit.PerSecond
+}
+
 // Recover sets the last published size of the fleet and the recent usage of tenants, as of before
 // the start of this node.
 func (l *Limiter) Recover(nodes int, usages []Usage) {
--- a/internal/quota/tenant_bucket.go
+++ b/internal/quota/tenant_bucket.go
@@ -13,7 +13,7 @@
 	// several times reportLag, so that nodes do not correct alternately.
 	debtHorizon = 1000 * time.Millisecond
 	// maxDebtTime is the greatest debt, as the time in which the limit's rate amounts to it.
-	maxDebtTime = 700 * time.Millisecond
+	maxDebtTime = time.Second
 	// minRateFraction is the fraction of the limit's rate that is admitted whatever was admitted
 	// beyond the limit before, as long as the window has room for it.
 	minRateFraction = 0.85
@@ -44,6 +44,8 @@
 	at    time.Time
 	// fraction is the fraction of the limit that the level covers.
 	fraction float64
+	// idleBefore is set if the published demand from before the start was within the limit.
+	idleBefore bool
 	// unreported is the estimated rate of peers' admissions; over its decay time, which is
 	// reportLag, it amounts to what peers have admitted and not reported yet.
 	unreported decayingRate
@@ -96,7 +98,7 @@
 // rate.
 func (b *tenantBucket) advance(v visibility, now time.Time) {
 	elapsed := max(0, now.Sub(b.at).Seconds())
-	b.cover(v.fraction())
+	b.cover(v.fraction(), now)
 	if elapsed == 0 {
 		return
 	}
@@ -112,9 +114,10 @@
 }
 
 // cover sets the fraction of the limit that the level covers. Nodes that become visible bring their
-// part of the burst, unless the reports show that the limit is in use.
-func (b *tenantBucket) cover(fraction float64) {
-	if fraction > b.fraction {
+// part of the burst, unless the reports show that the limit is in use. Within a window after the
+// start of a node the burst may just have been used, before a restart of all nodes.
+func (b *tenantBucket) cover(fraction float64, now time.Time) {
+	if fraction > b.fraction && (b.idleBefore || now.Sub(b.requestedRate.since) >= b.bounds.Window) {
 		idle := min(1, max(0, 2-2*b.peers.Admitted/b.limit.PerSecond))
 		b.level += (fraction - b.fraction) * b.limit.Burst * idle
 	}
