--- a/internal/quota/tenant_bucket.go
+++ b/internal/quota/tenant_bucket.go
@@ -17,6 +17,8 @@
 	// minRateFraction is the fraction of the limit's rate that is admitted whatever was admitted
 	// beyond the limit before, as long as the window has room for it.
 	minRateFraction = 0.85
+	// unsureBurstFraction is the fraction of the burst that a node which has just started counts on.
+	unsureBurstFraction = 0.5
 	// windowFraction is the fraction of the window's upper bound that is admitted. The rest
 	// absorbs variance of the random draws.
 	windowFraction = 0.93
@@ -115,10 +117,14 @@
 
 // cover sets the fraction of the limit that the level covers. Nodes that become visible bring their
 // part of the burst, unless the reports show that the limit is in use. Within a window after the
-// start of a node the burst may just have been used, before a restart of all nodes.
+// start of a node the burst may just have been used, before a restart of all nodes: only a part of it
+// fits into the window's bound besides.
 func (b *tenantBucket) cover(fraction float64, now time.Time) {
-	if fraction > b.fraction && (b.idleBefore || now.Sub(b.requestedRate.since) >= b.bounds.Window) {
+	if fraction > b.fraction {
 		idle := min(1, max(0, 2-2*b.peers.Admitted/b.limit.PerSecond))
+		if !b.idleBefore && now.Sub(b.requestedRate.since) < b.bounds.Window {
+			idle *= unsureBurstFraction
+		}
 		b.level += (fraction - b.fraction) * b.limit.Burst * idle
 	}
 	b.fraction = fraction
