--- a/internal/backend/resident_test.go
+++ b/internal/backend/resident_test.go
@@ -19,7 +19,7 @@
 
 // Guards against memory that is far over- or underestimated because prefixes are counted once per
 // node or because two share a lane: however many nodes run requests with each of up to nine long
-// prefixes, as many as fit into an engine of deployment B, the mean error is small.
+// prefixes, as many as fit into an engine of 151,820 cached tokens, the mean error is small.
 func TestSharedPrefixesAreEstimated(t *testing.T) {
 	for prefixes := 1; prefixes <= 9; prefixes++ {
 		sum, squares := 0.0, 0.0
--- a/internal/proxy/occupancy_test.go
+++ b/internal/proxy/occupancy_test.go
@@ -13,13 +13,13 @@
 )
 
 const (
-	// sharedTokensB, ownTokensB and cacheTokensB are of the long prompts and engines of deployment B.
+	// sharedTokensB, ownTokensB and cacheTokensB are the sizes of long prompts, and of an engine that nine of them fit into.
 	sharedTokensB = 13_300
 	ownTokensB    = 3_720
 	cacheTokensB  = 151_820
 )
 
-// longPromptPlacer returns a placer for long prompts of deployment B on the given number of engines.
+// longPromptPlacer returns a placer for such long prompts on the given number of engines.
 func longPromptPlacer(engines, cacheTokens int) *placer {
 	p := sharedServicePlacer(ownTokensB, 0, cacheTokens)
 	var list []backend.Server
@@ -93,7 +93,7 @@
 	return overfull
 }
 
-// Load: deployment B, scaled to 8 engines with 16 slots and memory for nine long prompts each. 80 long
+// Load: 8 engines with 16 slots and memory for nine long prompts each. 80 long
 // prompts of 80 tenants run at a time, which fit, since those of a tenant share a prefix. Guards
 // against engines that are chosen for their free slots and the prefixes that they hold although
 // prompts do not fit, so that they preempt running requests and read these again.
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -85,7 +85,7 @@
 	return -1
 }
 
-// Load: deployment B. An engine answers 13 requests/s of other nodes; this node has one request of
+// Load: an engine answers 13 requests/s of other nodes; this node has one request of
 // 400 ms target in its queue, and knows of answers up to 400 ms late. Guards against cancelling the attempt
 // as silent after 200 ms, which reads the prompt again on another engine.
 func TestAttemptIsKeptWhileServerAnswersOtherNodes(t *testing.T) {
--- a/internal/rollout/queue_test.go
+++ b/internal/rollout/queue_test.go
@@ -119,7 +119,7 @@
 	return i
 }
 
-// Load: deployment B. 72 engines with queues that take 0 to 500 ms to drain, loads of 0.57 s, and
+// Load: 72 engines with queues that take 0 to 500 ms to drain, loads of 0.57 s, and
 // queues that are known 300 ms late. Guards against orders that make engines refuse the requests that
 // wait there, and against a rollout that takes longer or loads more servers at a time for it.
 func TestOrdersWaitForQueues(t *testing.T) {
--- a/internal/routing/memory_test.go
+++ b/internal/routing/memory_test.go
@@ -6,12 +6,12 @@
 	"github.com/stretchr/testify/require"
 )
 
-// longPromptOfB is a long prompt of deployment B.
+// longPromptOfB is a long prompt, of which nine fit into an engine of 151,820 cached tokens.
 var longPromptOfB = &Request{
 	PromptTokens: 17_020, OutputTokens: 20, BlockTokens: 1, Blocks: 13_300, PrefillTokensPerSecond: 49_600, WaitWeight: 1, WorkWeight: 4, SlotSeconds: 0.9,
 }
 
-// Load: an engine of deployment B runs eight long prompts of different prefixes on 16 slots. Guards
+// Load: an engine with memory for nine long prompts runs eight of different prefixes on 16 slots. Guards
 // against a ninth that is expected to start at once although it does not fit beside them.
 func TestPromptWaitsForMemory(t *testing.T) {
 	full := Candidate{Slots: 16, Running: 8, CacheTokens: 151_820, ResidentTokens: 8 * 17_040}
