Fail tests where streams mix two software versions

What callers saw: a stream that breaks, or that they take up at another node, goes on at a server of another software version.

--- a/cmd/cloverrail/fleet_test.go
+++ b/cmd/cloverrail/fleet_test.go
@@ -69,3 +69,10 @@
 	f.t.Cleanup(m.Stop)
 	f.machines = append(f.machines, m)
 }
+
+// crash ends a node at once: its callers' connections, its calls and what it answers other nodes.
+func (fixture *fixture) crash() {
+	fixture.setIsolated(true)
+	fixture.frontend.CloseClientConnections()
+	fixture.kill()
+}
--- a/cmd/cloverrail/restart_test.go
+++ b/cmd/cloverrail/restart_test.go
@@ -27,6 +27,17 @@
 
 // start starts the next incarnation under the same id and address, and writes its entry.
 func (r *restartableServer) start(model string, version int64, handler standin.Handler) *standin.Server {
+	return r.startServer(standin.NewServer("i-1", model, version, handler))
+}
+
+// startSoftware starts the next incarnation as an engine of a software version.
+func (r *restartableServer) startSoftware(software string, handler standin.Handler) *standin.Server {
+	server := engine("i-1", handler)
+	server.Software = software
+	return r.startServer(server)
+}
+
+func (r *restartableServer) startServer(server *standin.Server) *standin.Server {
 	if r.httpServer != nil {
 		_ = r.httpServer.Close()
 	}
@@ -37,7 +48,7 @@
 	listener, err := net.Listen("tcp", listen)
 	require.NoError(r.fixture.t, err)
 	r.address = listener.Addr().String()
-	r.server = standin.NewServer("i-1", model, version, handler)
+	r.server = server
 	r.server.Born = time.Now().UnixMilli()
 	r.httpServer = &http.Server{Handler: r.server}
 	go func(httpServer *http.Server) { _ = httpServer.Serve(listener) }(r.httpServer)
