--- /dev/null
+++ b/cmd/cloverrail/origins.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"reflect"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/fleet"
+	"github.com/cloverrail/cloverrail/internal/origin"
+	"github.com/cloverrail/cloverrail/internal/pause"
+)
+
+const (
+	// originCheckInterval is the longest interval at which this node checks whether its records of
+	// streams must be sent to other nodes. A new software version makes it check at once.
+	originCheckInterval = time.Second
+	// softwareReadInterval and maxSoftwareReadInterval bound the time between two reads of the recorded
+	// software versions by a node that has started and found none.
+	softwareReadInterval    = time.Second
+	maxSoftwareReadInterval = 8 * time.Second
+	softwareReadTimeout     = 2 * time.Second
+	// softwareCheckInterval is the interval at which the readers of the store check whether the software
+	// versions must be recorded anew.
+	softwareCheckInterval = 500 * time.Millisecond
+	// registrationHeartbeats is the number of heartbeats within which a server that has started has
+	// written its entry.
+	registrationHeartbeats = 2
+)
+
+// newOriginHolders returns the client of the nodes that hold the records of streams.
+func (process *process) newOriginHolders() *origin.Client {
+	known := func() []fleet.Node { return process.registry.OtherNodes() }
+	return origin.NewClient(process.peerDirectory.Nodes, known, process.peerClient)
+}
+
+// reportBorn asks a server for its start time.
+func (process *process) reportBorn(ctx context.Context, server backend.Server) (int64, error) {
+	report, err := process.serverClient.Report(ctx, server)
+	return report.Born, err
+}
+
+// publishOrigins sends records of streams to other nodes once their services have several software
+// versions, until the context ends.
+func (process *process) publishOrigins(ctx context.Context) {
+	var last backend.SoftwareVersions
+	for ctx.Err() == nil {
+		process.readMissingSoftware(ctx)
+		if published := process.proxy.PublishOrigins(ctx); published > 0 {
+			process.recorder.OriginsPublished(published)
+		}
+		if len(process.serverSet.MixedServices(boottime.Now())) > 0 {
+			process.refreshPeers(ctx)
+		}
+		if versions, _ := process.serverSet.Software(boottime.Now()); !reflect.DeepEqual(versions, last) {
+			last = versions
+			process.recorder.SoftwareChanged(versions)
+		}
+		select {
+		case <-process.serverSet.SoftwareAdded():
+		case <-time.After(originCheckInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// readMissingSoftware reads the software versions that this node lacks: nodes of former builds do not
+// pass them on.
+func (process *process) readMissingSoftware(ctx context.Context) {
+	if !process.serverSet.LacksSoftware() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, softwareReadTimeout)
+	defer cancel()
+	servers, err := process.source.ReadServers(ctx)
+	if err == nil {
+		process.serverSet.SetSoftware(servers, boottime.Now())
+	}
+	process.recorder.MissingSoftwareRead(len(servers), err)
+}
+
+// keepSoftwareHistory reads which software versions were in use before this node started, and records
+// them for nodes that start later, until the context ends.
+func (process *process) keepSoftwareHistory(ctx context.Context) {
+	process.readSoftwareHistory(ctx)
+	var recorded backend.SoftwareVersions
+	recordedEra, changedAt := int64(0), time.Time{}
+	for ; ctx.Err() == nil; pause.For(ctx, softwareCheckInterval) {
+		now, era := boottime.Now(), process.eras.Current()
+		versions, _ := process.serverSet.Software(now)
+		if len(versions) == 0 || process.serverSet.LacksSoftware() || reflect.DeepEqual(versions, recorded) && era == recordedEra {
+			changedAt = now
+			continue
+		}
+		if !process.reflector.Reads() || now.Sub(changedAt) < time.Duration(process.registry.Rank())*writeDelayPerRank {
+			continue
+		}
+		if process.recordSoftware(ctx, versions) {
+			recorded, _ = process.serverSet.Software(boottime.Now())
+			recordedEra = era
+		}
+	}
+}
+
+// readSoftwareHistory reads the recorded software versions. Until any are recorded it tries again, as
+// long as this node does not know all of them itself.
+func (process *process) readSoftwareHistory(ctx context.Context) {
+	for interval := softwareReadInterval; ctx.Err() == nil; interval = min(2*interval, maxSoftwareReadInterval) {
+		versions, err := process.source.ReadSoftware(ctx)
+		if versions != nil || err != nil {
+			process.recorder.SoftwareHistoryRead(versions, err)
+		}
+		if versions != nil {
+			process.serverSet.AddSoftware(versions, boottime.Now())
+			return
+		}
+		if _, complete := process.serverSet.Software(boottime.Now()); complete {
+			return
+		}
+		if err == nil && process.reflector.Reads() {
+			// Nothing is recorded yet: this node does so.
+			return
+		}
+		pause.For(ctx, interval)
+	}
+}
+
+// recordSoftware records the software versions of the services, with those that were recorded before. It
+// returns whether they are recorded.
+func (process *process) recordSoftware(ctx context.Context, versions backend.SoftwareVersions) bool {
+	former, err := process.source.ReadSoftware(ctx)
+	if err != nil {
+		return false
+	}
+	if _, complete := process.serverSet.Software(boottime.Now()); !complete {
+		process.serverSet.AddSoftware(former, boottime.Now())
+	}
+	versions, _ = process.serverSet.Software(boottime.Now())
+	if reflect.DeepEqual(versions, former) {
+		return true
+	}
+	err = process.source.WriteSoftware(ctx, versions)
+	process.recorder.SoftwareHistoryWritten(err)
+	return err == nil
+}
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -24,6 +24,7 @@
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/forward"
 	"github.com/cloverrail/cloverrail/internal/lease"
+	"github.com/cloverrail/cloverrail/internal/origin"
 	"github.com/cloverrail/cloverrail/internal/overload"
 	"github.com/cloverrail/cloverrail/internal/prefix"
 	"github.com/cloverrail/cloverrail/internal/proxy"
@@ -87,9 +88,11 @@
 	forwarder        *forward.Client
 	// peerDirectory lists the nodes through which attempts may be sent.
 	peerDirectory *forward.Directory
-	registry      *fleet.Registry
-	feed          *reflector.Feed
-	workReports   *workshare.Aggregator
+	// origins records what began each stream.
+	origins     *origin.Ledger
+	registry    *fleet.Registry
+	feed        *reflector.Feed
+	workReports *workshare.Aggregator
 	// peerClient calls other nodes.
 	peerClient *http.Client
 	// quarantinePersister writes quarantined requests to the store.
@@ -135,6 +138,7 @@
 		Slack:     config.Bounds.QuotaSlack,
 	}, rand.Float64, boottime.Now())
 	process.forwarder = process.newForwarder()
+	process.origins = origin.NewLedger()
 	process.serverLimits = quota.NewServerLimits(process.serverSet.Contains, rand.Float64)
 	process.serverRooms = quota.NewServerRooms(rand.Float64)
 	process.overload = overload.NewServices(overload.NewLocalPromises())
@@ -166,7 +170,13 @@
 		Quarantine:   process.quarantineLedger,
 		Unconfirmed:  process.crashUnconfirmed,
 		Capacity:     process.capacity,
-		EntryTTL:     entryExpiryHeartbeats * config.Heartbeat,
+
+		Origins:           process.origins,
+		OriginHolders:     process.newOriginHolders(),
+		ReportBorn:        process.reportBorn,
+		RegistrationDelay: registrationHeartbeats * config.Heartbeat,
+
+		EntryTTL: entryExpiryHeartbeats * config.Heartbeat,
 
 		PropagationDelay: func() time.Duration { return process.reflector.FleetPropagationDelay() },
 	})
@@ -243,6 +253,12 @@
 	process.metrics.Gauge("cloverrail_proxy_isolated_seconds", "For how long this node has been unable to connect to any server; 0 if it is able.", func() float64 {
 		return process.serverSet.IsolatedFor(boottime.Now()).Seconds()
 	})
+	process.metrics.Gauge("cloverrail_proxy_mixed_services", "Services whose servers have, or had of late, several software versions.", func() float64 {
+		return float64(len(process.serverSet.MixedServices(boottime.Now())))
+	})
+	process.metrics.Gauge("cloverrail_proxy_stream_records", "Records of what began streams that this node holds.", func() float64 {
+		return float64(process.origins.Len())
+	})
 	process.metrics.OverloadGauges(func() map[string]overload.State { return process.overload.States(boottime.Now()) }, process.overload.Invalid)
 	process.metrics.Gauge("cloverrail_proxy_store_era", "Era of the shared store; it rises when the store comes back from an older copy. 0 if it is not known.", func() float64 {
 		return float64(process.eras.Current())
@@ -393,6 +409,8 @@
 	mux.HandleFunc("POST "+reflector.PathServers, reflector.Handler(process.feed))
 	mux.HandleFunc("GET "+reflector.PathWork, reflector.WorkHandler(process.feed))
 	mux.HandleFunc("POST "+forward.Path, process.forwardHandler())
+	mux.HandleFunc("POST "+origin.PathRecords, origin.RecordsHandler(process.origins))
+	mux.HandleFunc("POST "+origin.PathLookup, origin.LookupHandler(process.origins))
 	return mux
 }
 
@@ -436,6 +454,8 @@
 	tasks.Go(func() { process.registry.Run(ctx) })
 	tasks.Go(func() { process.quarantinePersister.Run(ctx) })
 	tasks.Go(func() { process.probePaths(ctx) })
+	tasks.Go(func() { process.publishOrigins(ctx) })
+	tasks.Go(func() { process.keepSoftwareHistory(ctx) })
 	elector := &lease.Elector{
 		Store: process.store.WithPurpose("duty"),
 		Task: &rollout.Controller{
--- a/cmd/cloverrail/software_test.go
+++ b/cmd/cloverrail/software_test.go
@@ -49,11 +49,21 @@
 		f.addNode()
 	}
 	for _, n := range f.nodes {
-		f.awaitReady(n)
+		f.awaitHistory(n)
 	}
 	return f
 }
 
+// awaitHistory waits until a node is ready and knows which software versions were in use before it
+// started.
+func (f *softwareFleet) awaitHistory(n *fixture) {
+	f.awaitReady(n)
+	n.waitUntil(func() bool {
+		_, complete := n.process.serverSet.Software(time.Now())
+		return complete
+	})
+}
+
 func (f *softwareFleet) addEngine(version string) *standin.Machine {
 	m := &standin.Machine{Name: fmt.Sprint("s", len(f.machines)), Service: "engines", Model: model, Software: version, Handler: f.handle}
 	f.startMachine(m)
@@ -97,6 +107,7 @@
 	request.Header.Set(standin.HeaderDeadline, "10000")
 	request.Header.Set("Authorization", "Bearer "+key)
 	setPromptHeaders(request)
+	request.Header.Set(standin.HeaderPromptPrefix, fmt.Sprintf("5c1e:800,%x:410,e440:250", softwareTries.Load()))
 	if s.events > 0 {
 		request.Header.Set(standin.HeaderResumes, s.first)
 		request.Header.Set(standin.HeaderLastEventID, strconv.Itoa(s.events))
@@ -261,9 +272,13 @@
 			began.Wait()
 			f.addEngine("v2")
 			f.addEngine("v2")
-			for _, n := range f.nodes {
-				f.awaitReady(n)
-			}
+			f.nodes[0].waitUntil(func() bool {
+				records := 0
+				for _, n := range f.nodes[1:] {
+					records += n.process.origins.Len()
+				}
+				return records >= softwareStreams
+			})
 			f.nodes[0].crash()
 			close(came)
 		}()
@@ -292,7 +307,7 @@
 		}
 		f.running = 0
 		next := f.addNode()
-		f.awaitReady(next)
+		f.awaitHistory(next)
 		for _, s := range streams {
 			s.try(next, streamLength, nil)
 			s.requireRefused(t)
@@ -357,7 +372,10 @@
 	for _, n := range f.nodes {
 		f.awaitReady(n)
 	}
-	f.nodes[0].requestUntilReached(resumableStream, former)
+	f.nodes[0].waitUntil(func() bool {
+		(&callerStream{}).try(f.nodes[0], streamLength, nil)
+		return former.Runs() > 0
+	})
 	// The next incarnation serves with other software before its entry is written.
 	entry := former.Entry("engines", r.address, "a", "ready")
 	next := r.startSoftware("v2", f.handle)
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -18,6 +18,8 @@
 	Model          string
 	MinimumVersion int64
 	Distance       Distance
+	// Software, if set, is the only software version that may serve the request.
+	Software string
 	// Limit bounds the candidates to the servers whose keys follow HashPoint on the ring of the
 	// service; 0 means all servers. All nodes get the same subset for the same HashPoint.
 	HashPoint uint64
@@ -43,6 +45,9 @@
 	first, found := members.search(query.HashPoint), 0
 	for i := 0; i < len(members) && found < limit; i++ {
 		e := members[(first+i)%len(members)]
+		if query.Software != "" && e.server.Software != query.Software {
+			continue
+		}
 		if now.Before(e.local().replacedUntil) || (!e.listed && (anyListed || e.isDraining())) {
 			continue
 		}
@@ -62,6 +67,7 @@
 func (set *Set) fillCandidate(e *entry, c *routing.Candidate, query *Query, now time.Time) {
 	server, local, peers := e.server, e.local(), set.peerWorkAt(e, now)
 	c.Endpoint, c.Address, c.Zone, c.Pool, c.Epoch = e.name, server.Address, server.Zone, server.Service, server.Instance
+	c.Software = server.Software
 	c.Distance = query.Distance(server.Zone)
 	c.Version = server.Versions[query.Model]
 	c.Loading = set.isLoading(e, query.Model, now)
--- a/internal/backend/packed.go
+++ b/internal/backend/packed.go
@@ -50,14 +50,14 @@
 
 // kindKey indexes kinds by all shared properties but the model versions.
 type kindKey struct {
-	service, zone string
-	slots         int
-	draining      bool
+	service, zone, software string
+	slots                   int
+	draining                bool
 }
 
 // kindOf returns the index of the kind of a server, adding the kind if it is new.
 func (p *Packed) kindOf(server Server, kinds map[kindKey][]int) int {
-	key := kindKey{service: server.Service, zone: server.Zone, slots: server.Slots, draining: server.Draining}
+	key := kindKey{service: server.Service, zone: server.Zone, software: server.Software, slots: server.Slots, draining: server.Draining}
 	for _, kind := range kinds[key] {
 		if maps.Equal(p.Kinds[kind].Versions, server.Versions) {
 			return kind
--- a/internal/backend/packed_test.go
+++ b/internal/backend/packed_test.go
@@ -19,6 +19,7 @@
 			server := Server{
 				Instance: fmt.Sprint("i-", i), Service: rapid.SampledFrom([]string{"s", "t"}).Draw(t, "service"),
 				Address: fmt.Sprint("a-", i), Zone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), Slots: rapid.IntRange(0, 2).Draw(t, "slots"),
+				Software: rapid.SampledFrom([]string{"", "v1", "v2"}).Draw(t, "software"),
 				Draining: rapid.Bool().Draw(t, "draining"), Revision: rapid.Int64Range(0, 99).Draw(t, "revision"), Created: rapid.Int64Range(0, 9).Draw(t, "created"),
 			}
 			if rapid.Bool().Draw(t, "holds a model") {
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -14,6 +14,9 @@
 	Service  string
 	Address  string
 	Zone     string
+	// Software is the version of the server's software, not of its weights; "" if unknown. What two
+	// versions write does not fit together.
+	Software string
 	// Slots is the number of requests the server runs concurrently; 0 if unknown.
 	Slots    int
 	Draining bool
@@ -39,7 +42,7 @@
 // server that was removed from the list and registered again is not equal to its former entry.
 func (server Server) Equal(other Server) bool {
 	return server.Instance == other.Instance && server.Born == other.Born && server.Service == other.Service && server.Address == other.Address &&
-		server.Zone == other.Zone && server.Slots == other.Slots && server.Draining == other.Draining && server.Created == other.Created &&
+		server.Zone == other.Zone && server.Software == other.Software && server.Slots == other.Slots && server.Draining == other.Draining && server.Created == other.Created &&
 		maps.Equal(server.Versions, other.Versions)
 }
 
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -68,6 +68,10 @@
 	random func() float64
 	// vote is nil if this node does not vote.
 	vote Vote
+	// software is the history of the servers' software versions, and listReadAt a time at which the
+	// list of servers was still current.
+	software   softwareHistory
+	listReadAt time.Time
 	// peerWorkUntil is when the work reported by other nodes expires, and loadingUntil when the
 	// loading state reported by the rollout holder expires.
 	peerWorkUntil time.Time
@@ -120,6 +124,9 @@
 	lastAcceptedAt time.Time
 	refusedUntil   time.Time
 	backoff        backoff
+	// confirmedAt is when the last report was requested in which the server gave the start time of this
+	// incarnation.
+	confirmedAt time.Time
 	// drainingAnnounced reports that the server told this node directly that it is shutting down.
 	drainingAnnounced bool
 	breaker           retry.Breaker
@@ -139,7 +146,8 @@
 		servers: map[string]*entry{}, latest: map[string]*entry{}, rings: map[string]ring{}, byKey: map[uint64]*entry{},
 		unlisted: map[*entry]bool{}, withLocalState: map[*entry]bool{}, recentlyUsed: map[*entry]bool{},
 		brokenPaths: map[*entry]bool{}, suspectedPaths: map[*entry]bool{},
-		random: rand.Float64,
+		software: newSoftwareHistory(),
+		random:   rand.Float64,
 	}
 }
 
@@ -207,7 +215,9 @@
 		if !found || e.server.Draining != server.Draining {
 			changes = append(changes, Change{Server: *server})
 		}
+		listed := e.listedServer()
 		e.update(server)
+		set.software.change(listed, e.server, now)
 		delete(set.unlisted, e)
 	}
 	set.addToRings(added)
@@ -235,6 +245,7 @@
 	if !e.listed {
 		return nil
 	}
+	set.software.change(e.server, nil, now)
 	e.listed, e.unlistedAt = false, now
 	set.unlisted[e] = true
 	return []Change{{Server: *e.server, Gone: true}}
@@ -264,6 +275,14 @@
 	set.removeFromRings(expired)
 }
 
+// listedServer returns the server if it is listed, or nil.
+func (entry *entry) listedServer() *Server {
+	if !entry.listed {
+		return nil
+	}
+	return entry.server
+}
+
 // attempts returns the number of this node's attempts in flight on the server.
 func (entry *entry) attempts() int {
 	if entry.localState == nil {
@@ -281,11 +300,25 @@
 	if previous == nil {
 		return
 	}
+	if server.Software == "" {
+		entry.keepSoftware(previous.Software)
+	}
 	for model, version := range previous.Versions {
 		entry.observeVersion(model, version)
 	}
 }
 
+// keepSoftware sets the software version of a server if it is unknown: nodes of former builds do not
+// pass it on.
+func (entry *entry) keepSoftware(software string) {
+	if entry.server.Software != "" || software == "" {
+		return
+	}
+	server := *entry.server
+	server.Software = software
+	entry.server = &server
+}
+
 // observeVersion records a model version that the server has loaded, unless it is known to have
 // a newer one. It resets the refusal rate, since earlier refusals may have been due to loading.
 func (entry *entry) observeVersion(model string, version int64) {
--- /dev/null
+++ b/internal/backend/software_test.go
@@ -0,0 +1,134 @@
+package backend
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cloverrail/cloverrail/internal/property"
+)
+
+// A service counts as mixed while a second version is listed and for the retention after that, and
+// nobody concludes on a single version before the history is complete.
+func TestSoftwareHistoryCoversRetention(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		set, now := NewSet(), time.Unix(1000, 0)
+		begin := now
+		lastListed := map[string]time.Time{}
+		listed := map[string]string{}
+		complete := false
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "seconds")) * time.Second)
+			for _, software := range listed {
+				lastListed[software] = now
+			}
+			instance := fmt.Sprint("i-", rapid.IntRange(0, 3).Draw(t, "instance"))
+			if software := rapid.SampledFrom([]string{"v1", "v2", "gone"}).Draw(t, "change"); software == "gone" {
+				set.Apply(nil, []string{instance}, now)
+				delete(listed, instance)
+			} else {
+				set.Apply([]*Server{{Instance: instance, Service: "s", Software: software}}, nil, now)
+				listed[instance], lastListed[software] = software, now
+				if begin.Equal(time.Unix(1000, 0)) {
+					begin = now
+				}
+			}
+			if rapid.IntRange(0, 20).Draw(t, "recorded") == 0 {
+				set.AddSoftware(SoftwareVersions{"s": {"v3"}}, now)
+				complete = true
+				lastListed["v3"] = now
+			}
+			recent := 0
+			for _, at := range lastListed {
+				if now.Sub(at) <= SoftwareRetention {
+					recent++
+				}
+			}
+			require.Equal(t, recent > 1, set.MixesSoftware("s", now))
+			require.Equal(t, recent > 1, set.MixedServices(now)["s"])
+			only, known := set.OnlySoftware("s", now)
+			if known {
+				require.Equal(t, 1, recent)
+				require.True(t, complete || now.Sub(begin) >= SoftwareRetention)
+				require.LessOrEqual(t, now.Sub(lastListed[only]), SoftwareRetention)
+			}
+			for _, software := range []string{"v1", "v2"} {
+				found := false
+				for _, other := range listed {
+					found = found || other == software
+				}
+				require.Equal(t, found, set.ListsSoftware("s", software))
+			}
+		}
+	})
+}
+
+// Nodes of former builds pass on no software versions. Those that were read from the store are kept,
+// and new ones are missed.
+func TestMissingSoftwareIsKept(t *testing.T) {
+	set, now := NewSet(), time.Unix(1000, 0)
+	server := Server{Instance: "i", Born: 5, Service: "s"}
+	set.Apply([]*Server{&server}, nil, now)
+	require.True(t, set.LacksSoftware())
+	require.True(t, set.MixesSoftware("s", now), "an unknown version may be any")
+	known := server
+	known.Software = "v1"
+	set.SetSoftware([]Server{known, {Instance: "other", Software: "v2"}}, now)
+	require.False(t, set.LacksSoftware())
+	require.False(t, set.MixesSoftware("s", now))
+	draining := server
+	draining.Draining = true
+	set.Apply([]*Server{&draining}, nil, now)
+	require.False(t, set.LacksSoftware())
+	require.Equal(t, "v1", set.SoftwareOf("i@5"))
+	restarted := server
+	restarted.Born = 6
+	set.Apply([]*Server{&restarted}, nil, now)
+	require.True(t, set.LacksSoftware(), "the next incarnation may have other software")
+	require.Empty(t, set.SoftwareOf("i@5"), "the former incarnation is gone")
+}
+
+// Guards against the version of a former incarnation being taken for that of a process that has
+// started since.
+func TestIncarnationIsCertainOnlyWithEvidence(t *testing.T) {
+	const delay = time.Second
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	set := NewSet()
+	set.Apply([]*Server{{Instance: "i", Born: 5, Service: "s", Software: "v1"}, {Instance: "unborn", Service: "s"}}, nil, start)
+	require.True(t, set.IsIncarnation("unborn", time.Time{}, delay), "its ID is its own")
+	require.False(t, set.IsIncarnation("i@5", time.Time{}, delay), "the connection may be of any age")
+	require.False(t, set.IsIncarnation("i@5", at(0), delay))
+	set.ObserveListRead(at(0.9))
+	require.False(t, set.IsIncarnation("i@5", at(0), delay), "a process that has started since may not be listed yet")
+	set.ObserveListRead(at(1.1))
+	require.True(t, set.IsIncarnation("i@5", at(0), delay))
+	require.False(t, set.IsIncarnation("i@5", at(0.5), delay))
+	require.True(t, set.ObserveBorn("i@5", 5, at(0.6)))
+	require.True(t, set.IsIncarnation("i@5", at(0.5), delay))
+	require.False(t, set.IsIncarnation("i@5", at(0.7), delay))
+	require.False(t, set.ObserveBorn("i@5", 6, at(2)), "another process has answered")
+	set.Apply([]*Server{{Instance: "i", Born: 6, Service: "s", Software: "v2"}}, nil, at(3))
+	require.False(t, set.IsIncarnation("i@5", at(0), delay))
+	require.Equal(t, "v2", set.SoftwareOf("i@6"))
+}
+
+func TestCandidatesOfOneSoftwareVersion(t *testing.T) {
+	set, now := NewSet(), time.Unix(1000, 0)
+	var servers []*Server
+	for i := range 20 {
+		servers = append(servers, &Server{Instance: fmt.Sprint("i", i), Service: "s", Software: fmt.Sprint("v", i%4)})
+	}
+	set.Apply(servers, nil, now)
+	query := Query{Service: "s", Distance: func(string) int { return 0 }, Software: "v2", Limit: 4}
+	candidates := set.Candidates(nil, query, now)
+	require.Len(t, candidates, 4, "the limit counts servers of the version")
+	for _, c := range candidates {
+		require.Equal(t, "v2", c.Software)
+	}
+	query.Limit = 0
+	require.Len(t, set.Candidates(nil, query, now), 5)
+}
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -162,6 +162,7 @@
 		driver.outcome.TimeToHead = boottime.Since(driver.started)
 		driver.checkWrite(driver.request.Caller.Open(driver.reply.Status, driver.reply.Header))
 	case Forward:
+		driver.placement.Forwarding()
 		driver.checkWrite(driver.request.Caller.Forward(driver.rawEvent))
 	case Finish:
 		driver.endAttempt(ResultServed)
--- a/internal/exchange/driver_test.go
+++ b/internal/exchange/driver_test.go
@@ -43,6 +43,8 @@
 
 func (placement *placement) Server() string   { return fmt.Sprint(placement.number) }
 func (placement *placement) ResponseStarted() {}
+func (placement *placement) Forwarding()      {}
+
 func (placement *placement) Stalled(silent time.Duration) bool {
 	return placement.placer.stalled != nil && placement.placer.stalled(silent)
 }
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -19,6 +19,8 @@
 	Permanent bool
 	// RetryAfter is the retry delay for the caller; 0 if unknown.
 	RetryAfter time.Duration
+	// Refusal, if set, is the failure of the request, unless a response of a server has begun.
+	Refusal *failure.Failure
 }
 
 // Refused reports that the server stated that it did not and will not run the attempt.
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -156,6 +156,9 @@
 	if !event.Permanent && now.Sub(machine.placingSince) < machine.rules.PlacementWait {
 		return []Action{Place{Excluded: machine.excluded, Delay: placementRetryDelay}}
 	}
+	if event.Refusal != nil {
+		return machine.refuse(event.Refusal)
+	}
 	machine.retryAfter = event.RetryAfter
 	return machine.fail(failure.KindNoEndpoint, "no server can accept the request: "+event.Reason, "send the request again, or add servers")
 }
@@ -250,8 +253,13 @@
 }
 
 func (machine *Machine) fail(kind failure.Kind, problem, remedy string) []Action {
+	return machine.refuse(failure.New(kind, problem, remedy).WithRetryAfter(max(machine.rules.RetryAfter, machine.retryAfter)))
+}
+
+// refuse ends the request with a failure.
+func (machine *Machine) refuse(refusal *failure.Failure) []Action {
 	machine.phase = finished
-	final := failure.New(kind, problem, remedy).WithOutcome(machine.outcome()).WithRetryAfter(max(machine.rules.RetryAfter, machine.retryAfter))
+	final := refusal.WithOutcome(machine.outcome())
 	if machine.headSent {
 		return []Action{Cut{Failure: final}}
 	}
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -23,6 +23,12 @@
 	Complete *Answer
 	Next     func() (StreamEvent, error)
 	Close    func()
+	// ConnectedAt is when the connection was established on which the response arrives; zero if
+	// unknown.
+	ConnectedAt time.Time
+	// ConfirmedByPeer is set if another node passes the response on and is certain of the incarnation
+	// that responds.
+	ConfirmedByPeer bool
 }
 
 // StreamEvent is one complete event of a stream.
@@ -92,6 +98,9 @@
 	Send(ctx context.Context, resumes bool, after int64) (*Reply, error)
 	// ResponseStarted is called for each event of the response; only the first call counts.
 	ResponseStarted()
+	// Forwarding is called before an event of the response is written to the caller; only the first
+	// call counts.
+	Forwarding()
 	// Stalled reports whether an attempt that has been silent for the given time should
 	// be retried on another server.
 	Stalled(silent time.Duration) bool
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -37,6 +37,9 @@
 	KindUnavailable      Kind = "unavailable"
 	KindCallerLeft       Kind = "caller_left"
 	KindQuarantined      Kind = "held_off"
+	// KindOtherSoftware is that of a stream that cannot go on: no server of the software version that
+	// began it is left, or that version is not known.
+	KindOtherSoftware Kind = "other_software"
 )
 
 // Outcome states whether the backend ran the request.
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -49,6 +49,7 @@
 	Resumes    bool
 	After      int64
 	Repeatable bool
+	Confirm    bool
 	// Remaining is the time until the deadline.
 	Remaining time.Duration
 }
@@ -58,7 +59,7 @@
 		Format: messageFormat, Node: node,
 		ID: d.Request.ID, Method: d.Request.Method, Host: d.Request.Host, Target: d.Request.Target, Header: d.Request.Header, Body: d.Request.Body,
 		Instance: d.Instance, Server: d.Server, Address: d.Address, Stream: d.Stream, Tenant: d.Tenant, Urgency: d.Urgency, Version: d.Version,
-		Salt: d.Salt, FetchFrom: d.FetchFrom, SaveTo: d.SaveTo, Resumes: d.Resumes, After: d.After, Repeatable: d.Repeatable,
+		Salt: d.Salt, FetchFrom: d.FetchFrom, SaveTo: d.SaveTo, Resumes: d.Resumes, After: d.After, Repeatable: d.Repeatable, Confirm: d.Confirm,
 		Remaining: boottime.Until(d.Deadline),
 	}
 }
@@ -71,7 +72,7 @@
 	return proxy.Dispatch{
 		Request:  &proxy.Request{ID: w.ID, Method: w.Method, Host: w.Host, Target: w.Target, Header: w.Header, Body: w.Body, Arrived: arrived},
 		Instance: w.Instance, Server: w.Server, Address: w.Address, Stream: w.Stream, Tenant: w.Tenant, Urgency: w.Urgency, Version: w.Version,
-		Salt: w.Salt, FetchFrom: w.FetchFrom, SaveTo: w.SaveTo, Resumes: w.Resumes, After: w.After, Repeatable: w.Repeatable,
+		Salt: w.Salt, FetchFrom: w.FetchFrom, SaveTo: w.SaveTo, Resumes: w.Resumes, After: w.After, Repeatable: w.Repeatable, Confirm: w.Confirm,
 		Deadline: arrived.Add(w.Remaining),
 	}
 }
@@ -151,6 +152,8 @@
 	// Body is the whole body unless Stream is set.
 	Body   []byte
 	Stream bool
+	// Confirmed is set if the intended incarnation certainly responded, if the attempt asks for that.
+	Confirmed bool
 	// Notices are what servers reported of themselves in their responses to the attempt.
 	Notices []wireNotice
 }
--- a/internal/keepalive/client.go
+++ b/internal/keepalive/client.go
@@ -66,7 +66,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: plain, serverClosed: func(idle time.Duration) { c.serverClosed(address, idle) }}, nil
+			return &conn{Conn: plain, connectedAt: boottime.Now(), serverClosed: func(idle time.Duration) { c.serverClosed(address, idle) }}, nil
 		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerServer,
@@ -86,19 +86,25 @@
 //
 // ErrUnsent and dial errors guarantee that nothing was sent.
 func (c *Client) Do(build func() *http.Request, atMostOnce bool) (*http.Response, error) {
+	response, _, err := c.DoOn(build, atMostOnce)
+	return response, err
+}
+
+// DoOn is like Do, and also returns when the connection was established on which the response arrives.
+func (c *Client) DoOn(build func() *http.Request, atMostOnce bool) (response *http.Response, connectedAt time.Time, err error) {
 	for attempt := 1; ; attempt++ {
 		request := build()
 		u := &use{client: c, address: request.URL.Host, atMostOnce: atMostOnce, needsNewConnection: atMostOnce && replayable(request)}
 		traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: u.acquire, PutIdleConn: u.finish})
-		response, err := c.client.Do(request.WithContext(traced))
+		response, err = c.client.Do(request.WithContext(traced))
 		switch {
 		case err == nil:
 			c.observeHeader(u.address, response.Header.Get("Keep-Alive"))
-			return response, nil
+			return response, u.connectedAt(), nil
 		case !u.unsent() || request.Context().Err() != nil:
-			return nil, err
+			return nil, time.Time{}, err
 		case attempt == maxAttempts:
-			return nil, errors.Annotate(ErrUnsent, err.Error())
+			return nil, time.Time{}, errors.Annotate(ErrUnsent, err.Error())
 		}
 	}
 }
@@ -153,6 +159,16 @@
 	}
 }
 
+// connectedAt returns when the connection was established, or zero if there is none.
+func (u *use) connectedAt() time.Time {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.conn == nil {
+		return time.Time{}
+	}
+	return u.conn.connectedAt
+}
+
 // unsent reports whether the request got a connection and no byte was sent on it.
 func (u *use) unsent() bool {
 	u.mutex.Lock()
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -18,6 +18,7 @@
 // conn is a connection to a server that tracks how long it has been idle.
 type conn struct {
 	net.Conn
+	connectedAt time.Time
 	// serverClosed is called if the server closes the connection while it is idle.
 	serverClosed func(rested time.Duration)
 
--- a/internal/plain/forwarder.go
+++ b/internal/plain/forwarder.go
@@ -156,6 +156,9 @@
 // ResponseStarted does nothing, since plain answers are not streamed.
 func (placement *placement) ResponseStarted() {}
 
+// Forwarding does nothing, since plain answers are not streamed.
+func (placement *placement) Forwarding() {}
+
 // Stalled returns false: a silent server is not abandoned before the request's
 // deadline.
 func (placement *placement) Stalled(time.Duration) bool { return false }
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -83,6 +83,9 @@
 	}
 	dispatch.OnNotice = onNotice
 	reply, err = proxy.servers.Send(ctx, dispatch)
+	if err == nil && dispatch.Confirm && reply.Next != nil {
+		reply.ConfirmedByPeer = proxy.confirmIncarnation(ctx, dispatch.Server, reply.ConnectedAt) == incarnationConfirmed
+	}
 	return reply, done, err
 }
 
--- /dev/null
+++ b/internal/proxy/origin.go
@@ -0,0 +1,370 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/origin"
+)
+
+const (
+	// originSendTimeout bounds how long the first event of a stream is held until another node has the
+	// record of what began it.
+	originSendTimeout = 25 * time.Millisecond
+	// originFindTimeout bounds the search for what began a stream.
+	originFindTimeout = 600 * time.Millisecond
+	// originRetryAfter is when a caller may resume a stream of which the holders could not be asked.
+	originRetryAfter = time.Second
+	// reportTimeout bounds the question for the start time of a server.
+	reportTimeout = 100 * time.Millisecond
+	// reregistrationTime is how long after a disruption of the store servers may still be missing from
+	// the list.
+	reregistrationTime = 5 * time.Second
+	// requiredHolders is the number of other nodes that must have no record of a stream for it to count
+	// as unrecorded, if there are that many.
+	requiredHolders = 2
+)
+
+// StreamOrigin is what is recorded when a stream begins.
+type StreamOrigin struct {
+	Server string
+	Origin origin.Origin
+	// Sent reports that the record was sent to other nodes, and Held that one of them had it before the
+	// first event was passed on. Waited is how long that event was held.
+	Sent   bool
+	Held   bool
+	Waited time.Duration
+}
+
+// OriginSource is how the origin of a resumed stream was determined.
+type OriginSource string
+
+// The sources. They are labels of metrics.
+const (
+	OriginRecorded    OriginSource = "recorded"
+	OriginFound       OriginSource = "found"
+	OriginOnlyVersion OriginSource = "only_version"
+	OriginUnknown     OriginSource = "unknown"
+	// OriginMoved means that the route no longer leads to the service that began the stream.
+	OriginMoved OriginSource = "moved"
+)
+
+// Resumption is the result of the search for what began a stream that a caller resumes.
+type Resumption struct {
+	Key     origin.Key
+	Resumes string
+	Origin  origin.Origin
+	Source  OriginSource
+	// Asked is the number of other nodes that answered, and Failed that of those that did not.
+	Asked  int
+	Failed int
+	Took   time.Duration
+}
+
+// originKey returns the key of the stream that the caller's try with an ID began.
+func (admitted *admitted) originKey(requestID string) origin.Key {
+	tenant := ""
+	if admitted.tenant != nil {
+		tenant = admitted.tenant.Name
+	}
+	return origin.NewKey(tenant, requestID)
+}
+
+// resumes reports whether the caller resumes a stream.
+func (admitted *admitted) resumes() bool {
+	request := admitted.request
+	return admitted.route.Kind == catalog.Stream && (request.ResumeAfter != nil || request.Resumes != "")
+}
+
+// resolveOrigin determines what began the stream that the caller resumes, and refuses the request if
+// that is not known: servers would continue a stream of another version without noticing.
+func (proxy *Proxy) resolveOrigin(ctx context.Context, admitted *admitted) *failure.Failure {
+	if proxy.origins == nil || !admitted.resumes() {
+		return nil
+	}
+	startedAt := boottime.Now()
+	resumption := Resumption{Key: admitted.originKey(admitted.request.Resumes), Resumes: admitted.request.Resumes}
+	proxy.findOrigin(ctx, admitted, &resumption)
+	refusal := admitted.adoptOrigin(&resumption)
+	resumption.Took = boottime.Since(startedAt)
+	proxy.recorder.StreamResumed(admitted.request, resumption)
+	return refusal
+}
+
+// findOrigin searches this node's records, then those of other nodes. A stream without a record began
+// at the only version if there was no other one.
+func (proxy *Proxy) findOrigin(ctx context.Context, admitted *admitted, resumption *Resumption) {
+	now := boottime.Now()
+	resumption.Source = OriginUnknown
+	if resumption.Resumes != "" {
+		found, known := proxy.origins.Lookup(resumption.Key, now)
+		if known {
+			resumption.Source, resumption.Origin = OriginRecorded, found
+			return
+		}
+	}
+	finding := proxy.askHolders(ctx, resumption.Key)
+	resumption.Asked, resumption.Failed = finding.Answered(), finding.Failed
+	if resumption.Resumes != "" && finding.Found {
+		resumption.Source, resumption.Origin = OriginFound, finding.Origin
+		proxy.origins.Learn(resumption.Key, finding.Origin, now)
+		return
+	}
+	if len(admitted.route.Split) > 1 || !proxy.unrecorded(admitted, finding) {
+		return
+	}
+	if software, known := proxy.set.OnlySoftware(admitted.service.Name, now); known {
+		resumption.Source, resumption.Origin = OriginOnlyVersion, origin.Origin{Service: admitted.service.Name, Software: software}
+	}
+}
+
+func (proxy *Proxy) askHolders(ctx context.Context, key origin.Key) origin.Finding {
+	if proxy.originHolders == nil {
+		return origin.Finding{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, originFindTimeout)
+	defer cancel()
+	return proxy.originHolders.Find(ctx, key)
+}
+
+// unrecorded reports whether it is certain that no node has recorded the stream: its holders say so, or
+// the list of servers, by which nodes decide what to record, was read after the caller had the stream.
+func (proxy *Proxy) unrecorded(admitted *admitted, finding origin.Finding) bool {
+	others := 0
+	if proxy.originHolders != nil {
+		others = len(proxy.originHolders.Nodes())
+	}
+	return finding.Answered() >= min(requiredHolders, others) || proxy.set.ListReadSince(admitted.request.Arrived)
+}
+
+// adoptOrigin binds the request to what began the stream, or returns why it cannot be served.
+func (admitted *admitted) adoptOrigin(resumption *Resumption) *failure.Failure {
+	if !resumption.Origin.Known() {
+		refusal := failure.New(failure.KindOtherSoftware, "it is not known which software version began the stream", restartStream)
+		if resumption.Failed > 0 {
+			return refusal.WithRetryAfter(originRetryAfter)
+		}
+		return refusal
+	}
+	if !admitted.bindService(resumption.Origin.Service) {
+		resumption.Source = OriginMoved
+		return failure.New(failure.KindOtherSoftware, "the route no longer leads to the service that began the stream", restartStream)
+	}
+	admitted.origin = &resumption.Origin
+	return nil
+}
+
+// restartStream is the remedy for streams that cannot go on.
+const restartStream = "send the request again from its beginning, without the events that were received"
+
+// bindService makes a service of the route serve the request. It returns false if the route has no such
+// service.
+func (admitted *admitted) bindService(name string) bool {
+	if admitted.service.Name == name {
+		return true
+	}
+	for _, share := range admitted.route.Split {
+		if share.Service == name {
+			if service := admitted.replica.Snapshot.Service(name); service != nil {
+				admitted.service = service
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mixesOrigins reports whether what began a stream on the route can be told only by a record.
+func (proxy *Proxy) mixesOrigins(admitted *admitted, now time.Time) bool {
+	return len(admitted.route.Split) > 1 || proxy.set.MixesSoftware(admitted.service.Name, now)
+}
+
+// keepsOrigin reports whether the attempt's stream may be resumed later.
+func (placement *placement) keepsOrigin() bool {
+	admitted := placement.placer.admitted
+	return placement.placer.proxy.origins != nil && admitted.route.Kind == catalog.Stream && admitted.route.Resumable
+}
+
+// checkIncarnation decides what to do with a stream that a server has begun to send. A stream that
+// continues another one is rejected if the server may have started again with other software. For one
+// that begins, the software version is recorded before the first event is passed on.
+func (placement *placement) checkIncarnation(ctx context.Context, reply *exchange.Reply) (*exchange.Reply, error) {
+	if reply.Next == nil || !placement.keepsOrigin() {
+		return reply, nil
+	}
+	if placement.continues {
+		if err := placement.requireIncarnation(ctx, reply); err != nil {
+			reply.Close()
+			return nil, err
+		}
+		return reply, nil
+	}
+	next, first := reply.Next, true
+	reply.Next = func() (exchange.StreamEvent, error) {
+		event, err := next()
+		if err == nil && first {
+			first = false
+			placement.recordOrigin(ctx, reply)
+		}
+		return event, err
+	}
+	return reply, nil
+}
+
+// incarnationEvidence is what is known of the incarnation that sends a response.
+type incarnationEvidence int
+
+const (
+	incarnationUnconfirmed incarnationEvidence = iota
+	incarnationConfirmed
+	incarnationReplaced
+)
+
+// incarnation returns what is known of the incarnation that sends a response. It asks the server if the
+// connection is too young for the list to show a restart.
+func (placement *placement) incarnation(ctx context.Context, reply *exchange.Reply) incarnationEvidence {
+	if placement.placer.proxy.set.SoftwareOf(placement.chosen.Endpoint) != placement.chosen.Software {
+		return incarnationReplaced
+	}
+	if placement.detour {
+		if reply.ConfirmedByPeer {
+			return incarnationConfirmed
+		}
+		return incarnationUnconfirmed
+	}
+	return placement.placer.proxy.confirmIncarnation(ctx, placement.chosen.Endpoint, reply.ConnectedAt)
+}
+
+// confirmIncarnation returns whether an incarnation accepted a connection that was established at a time.
+func (proxy *Proxy) confirmIncarnation(ctx context.Context, name string, connectedAt time.Time) incarnationEvidence {
+	if proxy.set.IsIncarnation(name, connectedAt, proxy.registrationDelay) {
+		return incarnationConfirmed
+	}
+	server, found := proxy.set.Server(name)
+	if proxy.reportBorn == nil || !found {
+		return incarnationUnconfirmed
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	sentAt := boottime.Now()
+	born, err := proxy.reportBorn(ctx, server)
+	switch {
+	case err != nil:
+		return incarnationUnconfirmed
+	case !proxy.set.ObserveBorn(name, born, sentAt):
+		return incarnationReplaced
+	case !proxy.set.IsIncarnation(name, connectedAt, proxy.registrationDelay):
+		return incarnationUnconfirmed
+	default:
+		return incarnationConfirmed
+	}
+}
+
+// requireIncarnation returns an error unless the server that continues a stream is the intended
+// incarnation. While there is only one software version, lack of evidence is accepted.
+func (placement *placement) requireIncarnation(ctx context.Context, reply *exchange.Reply) error {
+	proxy, admitted := placement.placer.proxy, placement.placer.admitted
+	switch placement.incarnation(ctx, reply) {
+	case incarnationConfirmed:
+		return nil
+	case incarnationReplaced:
+		return errors.New("the server has started again, and may have other software")
+	}
+	if !proxy.mixesOrigins(admitted, boottime.Now()) {
+		return nil
+	}
+	return errors.New("the server may have started again with other software")
+}
+
+// recordOrigin records what began the stream. While several versions serve, it sends the record to other
+// nodes, so that the stream can go on if this node fails.
+func (placement *placement) recordOrigin(ctx context.Context, reply *exchange.Reply) {
+	proxy, admitted := placement.placer.proxy, placement.placer.admitted
+	now := boottime.Now()
+	mixed := proxy.mixesOrigins(admitted, now)
+	placement.origin = origin.Origin{Service: admitted.service.Name, Software: placement.chosen.Software}
+	if mixed && placement.incarnation(ctx, reply) != incarnationConfirmed {
+		placement.origin.Software = ""
+	}
+	key := admitted.originKey(admitted.request.ID)
+	proxy.origins.Begin(key, placement.origin, mixed, now)
+	if !mixed {
+		return
+	}
+	began := StreamOrigin{Server: placement.chosen.Endpoint, Origin: placement.origin}
+	if proxy.originHolders != nil {
+		bounded, cancel := context.WithTimeout(ctx, originSendTimeout)
+		began.Sent, began.Held = true, proxy.originHolders.Send(bounded, key, placement.origin)
+		cancel()
+	}
+	began.Waited = boottime.Since(now)
+	proxy.recorder.StreamBegan(admitted.request, began)
+}
+
+// Forwarding binds the request to the software version of the attempt: the caller gets its first event.
+func (placement *placement) Forwarding() {
+	if placement.placer.admitted.origin == nil && placement.keepsOrigin() {
+		placement.placer.admitted.origin = &placement.origin
+	}
+}
+
+// checkOrigin returns why the stream cannot be continued by any server, or nil.
+func (placer *placer) checkOrigin() *exchange.Unplaced {
+	began := placer.admitted.origin
+	problem := ""
+	switch {
+	case began == nil:
+		return nil
+	case !began.Known():
+		problem = "it is not known which software version began the stream"
+	case !placer.proxy.set.ListsSoftware(began.Service, began.Software):
+		problem = "no server of the software version that began the stream is left"
+	default:
+		return nil
+	}
+	return placer.cannotGoOn(problem)
+}
+
+// cannotGoOn refuses a stream that no server can continue. Entries that lapsed during a disruption of
+// the store are written again after it.
+func (placer *placer) cannotGoOn(problem string) *exchange.Unplaced {
+	refusal := failure.New(failure.KindOtherSoftware, problem, restartStream)
+	replica := placer.proxy.replica.Load()
+	if replica != nil && boottime.Since(replica.DisruptedAt) < reregistrationTime {
+		refusal = refusal.WithRetryAfter(originRetryAfter)
+	}
+	return &exchange.Unplaced{Reason: problem, Permanent: true, Refusal: refusal}
+}
+
+// PublishOrigins sends the records of streams that began while their services had one software version
+// to other nodes, once there are several. It returns how many there were.
+func (proxy *Proxy) PublishOrigins(ctx context.Context) int {
+	now := boottime.Now()
+	if proxy.origins == nil || proxy.originHolders == nil {
+		return 0
+	}
+	mixed := proxy.set.MixedServices(now)
+	if len(mixed) == 0 {
+		return 0
+	}
+	records := proxy.origins.TakeUnsent(mixed, maxPublishedOrigins, now)
+	count := 0
+	for _, keys := range records {
+		count += len(keys)
+	}
+	proxy.originHolders.SendAll(ctx, records)
+	return count
+}
+
+// maxPublishedOrigins bounds the records that are sent at once.
+const maxPublishedOrigins = 4096
+
+// ReportBorn asks a server for its start time.
+type ReportBorn func(ctx context.Context, server backend.Server) (born int64, err error)
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -10,6 +10,7 @@
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/origin"
 	"github.com/cloverrail/cloverrail/internal/routing"
 )
 
@@ -32,6 +33,10 @@
 	// respondingSince is when the response began.
 	respondingSince time.Time
 	savesToStore    bool
+	// continues is set if the attempt continues a stream of which the caller has events, and origin is
+	// what began the stream if not.
+	continues bool
+	origin    origin.Origin
 	// detour is set if the attempt was sent through another node.
 	detour bool
 	// kept is set once the attempt has been kept because other nodes hear its server.
@@ -67,12 +72,16 @@
 	}
 	if placement.placer.prompt() != nil {
 		dispatch.Version = placement.chosen.Version
-		dispatch.Salt = placement.placer.salt(placement.chosen.Version)
+		dispatch.Salt = placement.placer.salt(cacheBuildOf(&placement.chosen))
 		placement.addKVSources(&dispatch)
 	}
+	dispatch.Confirm = placement.keepsOrigin() && (placement.continues || placement.placer.proxy.mixesOrigins(admitted, boottime.Now()))
 	reply, err := placement.sendAttempt(ctx, dispatch)
 	placement.learnFromRefusal(dispatch, err)
-	return reply, err
+	if err != nil {
+		return nil, err
+	}
+	return placement.checkIncarnation(ctx, reply)
 }
 
 // learnFromRefusal updates the server set from a refusal, which can show that the
@@ -102,7 +111,7 @@
 		return
 	}
 	shared := placement.placer.sharedTokens()
-	missing := shared - placement.placer.tokensInStore(placement.chosen.Version, placement.placedAt)
+	missing := shared - placement.placer.tokensInStore(cacheBuildOf(&placement.chosen), placement.placedAt)
 	if own := placement.placer.prompt().Tokens - shared; missing > 0 && missing >= own {
 		dispatch.SaveTo = store.Address
 		placement.savesToStore = true
@@ -132,7 +141,7 @@
 func (placement *placement) recordResidency(now time.Time) {
 	placer := placement.placer
 	ledger := placer.proxy.ledger
-	pieces := placer.piecesAt(placement.chosen.Version)
+	pieces := placer.piecesAt(cacheBuildOf(&placement.chosen))
 	capacity := placer.admitted.service.Engine.CacheTokens
 	ledger.RecordSent(placement.chosen.Address, placement.chosen.Endpoint, pieces, placement.prefillTokens, capacity, now)
 	store := placer.store()
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -98,10 +98,10 @@
 type placer struct {
 	proxy    *Proxy
 	admitted *admitted
-	// pieces caches the keys of the prompt's shared parts by version of the weights.
-	pieces map[int64][]residency.Piece
-	// storedTokens caches how many shared tokens the KV cache store holds, by version.
-	storedTokens map[int64]int
+	// pieces caches the keys of the prompt's shared parts by the build of the servers.
+	pieces map[cacheBuild][]residency.Piece
+	// storedTokens caches how many shared tokens the KV cache store holds, by build.
+	storedTokens map[cacheBuild]int
 	// retryAt is when the caller is told to retry because all servers were at their request
 	// limits; zero if that has not happened.
 	retryAt time.Time
@@ -115,7 +115,7 @@
 }
 
 func newPlacer(proxy *Proxy, admitted *admitted) *placer {
-	return &placer{proxy: proxy, admitted: admitted, pieces: map[int64][]residency.Piece{}, storedTokens: map[int64]int{}}
+	return &placer{proxy: proxy, admitted: admitted, pieces: map[cacheBuild][]residency.Piece{}, storedTokens: map[cacheBuild]int{}}
 }
 
 // Place chooses the cheapest available server and begins an attempt on it.
@@ -129,6 +129,9 @@
 	if !now.Before(placer.admitted.deadline) {
 		return nil, &exchange.Unplaced{Reason: "the request's deadline has passed", Permanent: true}
 	}
+	if unplaced := placer.checkOrigin(); unplaced != nil {
+		return nil, unplaced
+	}
 	scheduler, request := routing.NewScheduler(placer.scorers()...), placer.routingRequest()
 	for round := 1; round <= maxPlacementRounds; round++ {
 		if round == 2 {
@@ -186,7 +189,7 @@
 
 // stillValid reports whether the decision holds with the current state of the chosen server.
 func (s *selection) stillValid(current *routing.Candidate) bool {
-	if current.Version != s.chosen().Version {
+	if current.Version != s.chosen().Version || current.Software != s.chosen().Software {
 		return false
 	}
 	if s.lastResort {
@@ -304,6 +307,9 @@
 // RetryAfter is the end of the shortest one, plus jitter, since servers accept few requests at
 // first after a backoff. If no node reaches them, it is the time of the next attempt to reach one.
 func (placer *placer) unplaced(candidates []routing.Candidate, decision routing.Decision, now time.Time) *exchange.Unplaced {
+	if placer.admitted.origin != nil && allLeaving(candidates) {
+		return placer.cannotGoOn("all servers of the software version that began the stream are shutting down")
+	}
 	unplaced := &exchange.Unplaced{Reason: "no server is eligible: " + string(decision.LastRejection), Permanent: true}
 	tried := false
 	var limited []uint64
@@ -342,6 +348,11 @@
 	return unplaced
 }
 
+// allLeaving reports whether all candidates are shutting down.
+func allLeaving(candidates []routing.Candidate) bool {
+	return !slices.ContainsFunc(candidates, func(c routing.Candidate) bool { return !c.Leaving })
+}
+
 // hashFraction maps a request ID to a number from 0 to 1.
 func hashFraction(id string) float64 { return float64(prefix.HashName(id)) / math.MaxUint64 }
 
@@ -352,7 +363,7 @@
 	for index := range candidates {
 		candidate := &candidates[index]
 		candidate.Affinity = prefix.Weight(key, candidate.Endpoint)
-		pieces := placer.piecesAt(candidate.Version)
+		pieces := placer.piecesAt(cacheBuildOf(candidate))
 		candidate.HitBlocks = placer.proxy.ledger.CachedTokens(candidate.Address, candidate.Endpoint, pieces, now)
 		candidate.ReplacedLoss = placer.proxy.replacedLoss(placer.prompt().Model, candidate.Version, now)
 	}
@@ -377,5 +388,5 @@
 	if attempt == nil {
 		return nil
 	}
-	return &placement{placer: placer, request: selection.request, chosen: chosen, attempt: attempt, prefillTokens: tokens, deferred: deferred, placedAt: now, suspendedAtPlacement: boottime.Suspended()}
+	return &placement{placer: placer, continues: placer.admitted.origin != nil, request: selection.request, chosen: chosen, attempt: attempt, prefillTokens: tokens, deferred: deferred, placedAt: now, suspendedAtPlacement: boottime.Suspended()}
 }
--- a/internal/proxy/prompt.go
+++ b/internal/proxy/prompt.go
@@ -5,6 +5,7 @@
 
 	"github.com/cloverrail/cloverrail/internal/prefix"
 	"github.com/cloverrail/cloverrail/internal/residency"
+	"github.com/cloverrail/cloverrail/internal/routing"
 )
 
 // prompt returns the request's prompt, or nil for requests to plain services.
@@ -15,17 +16,24 @@
 	return placer.admitted.request.Prompt
 }
 
-// piecesAt returns the cache keys of the shared parts at a version of the weights.
-func (placer *placer) piecesAt(version int64) []residency.Piece {
-	if pieces, found := placer.pieces[version]; found {
+// cacheBuild is what must be equal for servers to use the same KV cache: the version of the weights.
+type cacheBuild struct{ weights int64 }
+
+func cacheBuildOf(c *routing.Candidate) cacheBuild {
+	return cacheBuild{weights: c.Version}
+}
+
+// piecesAt returns the cache keys of the shared parts at servers of a build.
+func (placer *placer) piecesAt(build cacheBuild) []residency.Piece {
+	if pieces, found := placer.pieces[build]; found {
 		return pieces
 	}
-	salt := placer.salt(version)
+	salt := placer.salt(build)
 	pieces := []residency.Piece{}
 	for _, part := range placer.sharedParts() {
 		pieces = append(pieces, residency.Piece{Key: residency.NewKey(salt, part.ID), Tokens: part.Tokens})
 	}
-	placer.pieces[version] = pieces
+	placer.pieces[build] = pieces
 	return pieces
 }
 
@@ -79,11 +87,11 @@
 }
 
 // salt returns the salt that separates cached prefixes of different cache scopes, models
-// and versions.
-func (placer *placer) salt(version int64) string {
+// and builds.
+func (placer *placer) salt(build cacheBuild) string {
 	return prefix.Salt(nil, prefix.Identity{
 		Tenant:  placer.cacheScope(),
 		Model:   placer.prompt().Model,
-		Version: strconv.FormatInt(version, 10),
+		Version: strconv.FormatInt(build.weights, 10),
 	})
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/origin"
 	"github.com/cloverrail/cloverrail/internal/overload"
 	"github.com/cloverrail/cloverrail/internal/pause"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
@@ -62,6 +63,9 @@
 	// ResumeAfter is the ID of the last event that the caller received of an earlier
 	// response, or nil.
 	ResumeAfter *int64
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream which this
+	// one continues, or "".
+	Resumes string
 }
 
 // Dispatch is one attempt as it is sent to a server.
@@ -95,6 +99,9 @@
 	// OnNotice, if set, is called with what a server reports of itself in its response, beside the
 	// callback for all responses. It must not block.
 	OnNotice func(notice ServerNotice)
+	// Confirm asks a node that sends the attempt for another one to check that the responding
+	// incarnation is the intended one.
+	Confirm bool
 }
 
 // Servers sends attempts. Send returns the error types of package exchange.
@@ -165,7 +172,12 @@
 	overload     *overload.Services
 	quarantine   *quarantine.Ledger
 	unconfirmed  quarantine.Unconfirmed
-	entryTTL     time.Duration
+	// origins holds what began each stream, and originHolders asks other nodes; nil if there are none.
+	origins           *origin.Ledger
+	originHolders     *origin.Client
+	reportBorn        ReportBorn
+	registrationDelay time.Duration
+	entryTTL          time.Duration
 	// propagationDelay is that of Options.
 	propagationDelay func() time.Duration
 	// conflictMutex serializes placements that lost their first round to another placement.
@@ -206,6 +218,14 @@
 	// Capacity estimates the capacity of the servers of services that routes of different
 	// priority share; nil for a new estimator.
 	Capacity *capacity.Estimator
+	// Origins records what began each stream, and OriginHolders sends the records to other nodes and
+	// asks these; nil if there are none.
+	Origins       *origin.Ledger
+	OriginHolders *origin.Client
+	// ReportBorn asks a server for its start time; nil if servers cannot be asked. RegistrationDelay is
+	// the time in which a server that has started writes its entry.
+	ReportBorn        ReportBorn
+	RegistrationDelay time.Duration
 	// EntryTTL is the time after which the registration of a crashed server has expired.
 	EntryTTL time.Duration
 	// PropagationDelay returns the time in which an observation of any node reaches all nodes; nil
@@ -237,7 +257,12 @@
 		overload:     options.Overload,
 		quarantine:   options.Quarantine,
 		unconfirmed:  options.Unconfirmed,
-		entryTTL:     options.EntryTTL,
+		origins:      options.Origins,
+
+		originHolders:     options.OriginHolders,
+		reportBorn:        options.ReportBorn,
+		registrationDelay: options.RegistrationDelay,
+		entryTTL:          options.EntryTTL,
 
 		propagationDelay: options.PropagationDelay,
 		probes:           map[string]*connectionProbe{},
@@ -295,6 +320,8 @@
 	deadline time.Time
 	// print caches the request's fingerprint; 0 if it has not been computed.
 	print quarantine.Fingerprint
+	// origin is what began the stream that the caller has; nil if the caller has no event yet.
+	origin *origin.Origin
 }
 
 // Serve processes a request to completion. The context must end when the caller
@@ -306,6 +333,9 @@
 	if refusal == nil {
 		refusal = proxy.checkQuarantine(admitted, boottime.Now())
 	}
+	if refusal == nil {
+		refusal = proxy.resolveOrigin(ctx, admitted)
+	}
 	if refusal == nil {
 		refusal = proxy.checkRateLimit(admitted, boottime.Now())
 	}
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -75,6 +75,10 @@
 	SuspicionResolved(suspicion Suspicion)
 	// SuspicionCleared records that a suspected request got a complete response.
 	SuspicionCleared(request *Request, fingerprint quarantine.Fingerprint)
+	// StreamBegan records what began a stream of a service with several software versions.
+	StreamBegan(request *Request, began StreamOrigin)
+	// StreamResumed records what is known of the origin of a stream that a caller resumes.
+	StreamResumed(request *Request, resumption Resumption)
 	// Request records the outcome of a request. The route is nil if none was found.
 	Request(request *Request, route *catalog.Route, version int64, outcome exchange.Outcome)
 }
--- a/internal/proxy/routing_request.go
+++ b/internal/proxy/routing_request.go
@@ -60,6 +60,9 @@
 // query returns the server query for the request.
 func (placer *placer) query(now time.Time) backend.Query {
 	query := backend.Query{Service: placer.admitted.service.Name, Distance: placer.proxy.distance}
+	if began := placer.admitted.origin; began != nil {
+		query.Software = began.Software
+	}
 	prompt := placer.prompt()
 	if prompt == nil {
 		query.HashPoint = uint64(prefix.HashName(placer.admitted.request.ID))
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -8,8 +8,8 @@
 	"github.com/cloverrail/cloverrail/internal/routing"
 )
 
-// topTwo holds the two candidates with the highest scores among those with the same version of
-// the weights.
+// topTwo holds the two candidates with the highest scores among those with the same weights
+// and software.
 type topTwo struct{ first, second *routing.Candidate }
 
 // excluding returns the best candidate other than c, or nil.
@@ -20,44 +20,44 @@
 	return pair.first
 }
 
-// topTwoByVersion returns the two usable candidates with the highest scores for each version.
-func topTwoByVersion(candidates []routing.Candidate, usable func(c *routing.Candidate) bool, score func(c *routing.Candidate) uint64) map[int64]topTwo {
-	best := map[int64]topTwo{}
+// topTwoByBuild returns the two usable candidates with the highest scores for each build.
+func topTwoByBuild(candidates []routing.Candidate, usable func(c *routing.Candidate) bool, score func(c *routing.Candidate) uint64) map[cacheBuild]topTwo {
+	best := map[cacheBuild]topTwo{}
 	for i := range candidates {
 		c := &candidates[i]
 		if !usable(c) {
 			continue
 		}
-		pair := best[c.Version]
+		pair := best[cacheBuildOf(c)]
 		switch {
 		case pair.first == nil || score(c) > score(pair.first):
 			pair.first, pair.second = c, pair.first
 		case pair.second == nil || score(c) > score(pair.second):
 			pair.second = c
 		}
-		best[c.Version] = pair
+		best[cacheBuildOf(c)] = pair
 	}
 	return best
 }
 
-// preferredByVersion returns the first two usable servers in rendezvous order for each
-// version. Requests prefer these servers, so they may hold the shared parts even if that
+// preferredByBuild returns the first two usable servers in rendezvous order for each
+// build. Requests prefer these servers, so they may hold the shared parts even if that
 // has not been observed.
-func preferredByVersion(candidates []routing.Candidate) map[int64]topTwo {
+func preferredByBuild(candidates []routing.Candidate) map[cacheBuild]topTwo {
 	usable := func(c *routing.Candidate) bool {
 		return c.Ready && !c.Leaving && !c.Down && !c.BreakerOpen && !c.Excluded && c.BackoffLeft == 0 && c.LimitWait == 0
 	}
-	return topTwoByVersion(candidates, usable, func(c *routing.Candidate) uint64 { return c.Affinity })
+	return topTwoByBuild(candidates, usable, func(c *routing.Candidate) uint64 { return c.Affinity })
 }
 
-// holdersByVersion returns the two servers that hold most of the shared parts for each
-// version. A server that accepts no requests may still serve imports, unless it is down,
+// holdersByBuild returns the two servers that hold most of the shared parts for each
+// build. A server that accepts no requests may still serve imports, unless it is down,
 // its circuit breaker is open, it loads other weights, or it has requested a backoff.
-func holdersByVersion(candidates []routing.Candidate) map[int64]topTwo {
+func holdersByBuild(candidates []routing.Candidate) map[cacheBuild]topTwo {
 	usable := func(c *routing.Candidate) bool {
 		return c.HitBlocks > 0 && !c.Down && !c.BreakerOpen && !c.Loading && c.BackoffLeft == 0
 	}
-	return topTwoByVersion(candidates, usable, func(c *routing.Candidate) uint64 { return uint64(c.HitBlocks) })
+	return topTwoByBuild(candidates, usable, func(c *routing.Candidate) uint64 { return uint64(c.HitBlocks) })
 }
 
 // annotateSources sets where each candidate can import missing shared parts from, and how
@@ -67,19 +67,19 @@
 // order, without any expected blocks. The first server itself uses the second, which
 // replaces it while it is away.
 func (p *placer) annotateSources(candidates []routing.Candidate, now time.Time) {
-	preferred, holders := preferredByVersion(candidates), holdersByVersion(candidates)
+	preferred, holders := preferredByBuild(candidates), holdersByBuild(candidates)
 	shared, store := p.sharedTokens(), p.store()
 	for i := range candidates {
 		c := &candidates[i]
 		if store != nil {
-			c.ImportFrom, c.ImportBlocks = store.Address, p.tokensInStore(c.Version, now)
+			c.ImportFrom, c.ImportBlocks = store.Address, p.tokensInStore(cacheBuildOf(c), now)
 		}
-		if peer := holders[c.Version].excluding(c); peer != nil && peer.HitBlocks >= c.ImportBlocks {
+		if peer := holders[cacheBuildOf(c)].excluding(c); peer != nil && peer.HitBlocks >= c.ImportBlocks {
 			c.ImportFrom, c.ImportBlocks = peer.Address, peer.HitBlocks
 			c.ImportTokensPerSecond = peerImportRate(p.admitted.service.Engine, peer.Zone == c.Zone)
 			continue
 		}
-		if peer := preferred[c.Version].excluding(c); peer != nil && c.ImportBlocks < shared {
+		if peer := preferred[cacheBuildOf(c)].excluding(c); peer != nil && c.ImportBlocks < shared {
 			c.ImportFrom = peer.Address
 		}
 	}
@@ -120,16 +120,16 @@
 }
 
 // tokensInStore returns how many leading tokens of the shared parts the KV cache store
-// holds for a version.
-func (p *placer) tokensInStore(version int64, now time.Time) int {
-	if tokens, cached := p.storedTokens[version]; cached {
+// holds for a build.
+func (p *placer) tokensInStore(build cacheBuild, now time.Time) int {
+	if tokens, cached := p.storedTokens[build]; cached {
 		return tokens
 	}
 	store := p.store()
 	if store == nil {
 		return 0
 	}
-	tokens := p.proxy.ledger.CachedTokens(store.Address, "", p.piecesAt(version), now)
-	p.storedTokens[version] = tokens
+	tokens := p.proxy.ledger.CachedTokens(store.Address, "", p.piecesAt(build), now)
+	p.storedTokens[build] = tokens
 	return tokens
 }
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -21,6 +21,8 @@
 type nopRecorder struct{}
 
 func (nopRecorder) Placed(*Request, PlacementDecision)                                      {}
+func (nopRecorder) StreamBegan(*Request, StreamOrigin)                                      {}
+func (nopRecorder) StreamResumed(*Request, Resumption)                                      {}
 func (nopRecorder) RateLimited(*Request, string, quota.Limit, quota.Decision)               {}
 func (nopRecorder) Attempt(*Request, string, exchange.Event, quarantine.Fingerprint)        {}
 func (nopRecorder) NoRoom(string)                                                           {}
@@ -77,7 +79,7 @@
 func TestImportFallsBackToPreferredServer(t *testing.T) {
 	p := newTestPlacer(10, 5, 1)
 	all := p.candidates()
-	preferred := preferredByVersion(all)[1]
+	preferred := preferredByBuild(all)[cacheBuild{weights: 1}]
 	for i := range all {
 		c := &all[i]
 		if c == preferred.first {
@@ -88,7 +90,7 @@
 		require.Equal(t, preferred.first.Address, c.ImportFrom)
 		require.Zero(t, c.ImportBlocks, "no blocks are known to be there")
 	}
-	p.proxy.ledger.Replace("store-0", []residency.Key{p.piecesAt(1)[0].Key})
+	p.proxy.ledger.Replace("store-0", []residency.Key{p.piecesAt(cacheBuild{weights: 1})[0].Key})
 	for _, c := range p.candidates() {
 		require.Equal(t, "store-0", c.ImportFrom)
 		require.Equal(t, 1000, c.ImportBlocks)
@@ -97,7 +99,7 @@
 
 func TestUnavailableServersAreNotImportSources(t *testing.T) {
 	p := newTestPlacer(10, 3, 0)
-	first := preferredByVersion(p.candidates())[1].first.Endpoint
+	first := preferredByBuild(p.candidates())[cacheBuild{weights: 1}].first.Endpoint
 	p.proxy.set.ApplyPeerWork([]backend.Work{{Server: backend.ServerKey(first), Suspects: 2}}, time.Now())
 	for _, c := range p.candidates() {
 		require.NotEqual(t, "at "+first, c.ImportFrom)
@@ -133,7 +135,7 @@
 		require.Equal(t, saves, dispatch.SaveTo == "store-0", own)
 	}
 	p := newTestPlacer(10, 1, 1)
-	p.proxy.ledger.Replace("store-0", []residency.Key{p.piecesAt(1)[0].Key})
+	p.proxy.ledger.Replace("store-0", []residency.Key{p.piecesAt(cacheBuild{weights: 1})[0].Key})
 	dispatch := Dispatch{}
 	p.beginAt(p.candidates()[0]).addKVSources(&dispatch)
 	require.Empty(t, dispatch.SaveTo, "the store already has the shared part")
@@ -143,7 +145,7 @@
 func TestImportPrefersServerHoldingMostBlocks(t *testing.T) {
 	p := newTestPlacer(10, 5, 1)
 	all := p.candidates()
-	preferred := preferredByVersion(all)[1]
+	preferred := preferredByBuild(all)[cacheBuild{weights: 1}]
 	var holder, other *routing.Candidate
 	for i := range all {
 		if c := &all[i]; c != preferred.first && holder == nil {
@@ -152,7 +154,7 @@
 			other = c
 		}
 	}
-	p.proxy.ledger.Replace(holder.Address, []residency.Key{p.piecesAt(1)[0].Key})
+	p.proxy.ledger.Replace(holder.Address, []residency.Key{p.piecesAt(cacheBuild{weights: 1})[0].Key})
 	for _, c := range p.candidates() {
 		if c.Endpoint != holder.Endpoint {
 			require.Equal(t, holder.Address, c.ImportFrom)
@@ -161,7 +163,7 @@
 		}
 	}
 	// A store that has as much is not used, since all engines share its link.
-	p.proxy.ledger.Replace("store-0", []residency.Key{p.piecesAt(1)[0].Key})
+	p.proxy.ledger.Replace("store-0", []residency.Key{p.piecesAt(cacheBuild{weights: 1})[0].Key})
 	for _, c := range p.candidates() {
 		if c.Endpoint == other.Endpoint {
 			require.Equal(t, holder.Address, c.ImportFrom)
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -280,6 +280,7 @@
 	r.Recorder.ServersChanged(r.Set.Apply(changed, gone, boottime.Now()))
 	_, readAt := r.Feed.cursor()
 	r.serversReadAt.store(readAt)
+	r.Set.ObserveListRead(readAt)
 }
 
 // readFollowerState reads the declaration, and the node registrations if these are due. A
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -16,6 +16,8 @@
 	Epoch string
 	// Version is the loaded version of the model, if versions are numeric.
 	Version int64
+	// Software is the version of the endpoint's software, if known.
+	Software string
 	// Ready is set if the model is loaded at a version that may serve.
 	Ready bool
 	// Loading is set while the endpoint loads weights.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -20,6 +20,7 @@
 	connections        *prometheus.CounterVec
 	connectionTimeouts prometheus.Counter
 	paths              *pathMetrics
+	origins            *originMetrics
 	replacedPlacements prometheus.Counter
 	rateLimited        prometheus.Counter
 	overServerLimits   *prometheus.CounterVec
@@ -153,8 +154,10 @@
 		}),
 		overload: newOverloadMetrics(),
 		paths:    newPathMetrics(),
+		origins:  newOriginMetrics(),
 	}
 	metrics.Registry.MustRegister(metrics.overload.refusals, metrics.overload.promises)
+	metrics.Registry.MustRegister(metrics.origins.began, metrics.origins.resumed)
 	metrics.Registry.MustRegister(metrics.paths.changes, metrics.paths.forwarded, metrics.paths.forwardedForPeers)
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "cloverrail_proxy_declaration_age_seconds", Help: "Time since the declaration was certainly current.",
--- /dev/null
+++ b/internal/telemetry/origins.go
@@ -0,0 +1,88 @@
+package telemetry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/proxy"
+)
+
+// originMetrics are the metrics of the software versions that began streams.
+type originMetrics struct {
+	began   *prometheus.CounterVec
+	resumed *prometheus.CounterVec
+}
+
+func newOriginMetrics() *originMetrics {
+	return &originMetrics{
+		began: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_recorded_streams_total", Help: "Streams that began while their service had several software versions, by whether another node had the record before the first event was passed on, or the version was uncertain.",
+		}, []string{"record"}),
+		resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_resumed_streams_total", Help: "Streams that callers resumed, by how the software version that began them was determined.",
+		}, []string{"source"}),
+	}
+}
+
+// StreamBegan records what began a stream of a service with several software versions.
+func (recorder *Recorder) StreamBegan(request *proxy.Request, began proxy.StreamOrigin) {
+	record := "local"
+	switch {
+	case !began.Origin.Known():
+		record = "uncertain"
+	case began.Held:
+		record = "held"
+	}
+	recorder.metrics.origins.began.WithLabelValues(record).Inc()
+	recorder.limitedLine(zerolog.InfoLevel).Str("id", request.ID).Str("server", began.Server).Str("software", began.Origin.Software).
+		Str("record", record).Dur("waited", began.Waited).Msg("stream began")
+}
+
+// StreamResumed records what is known of the origin of a stream that a caller resumes.
+func (recorder *Recorder) StreamResumed(request *proxy.Request, resumption proxy.Resumption) {
+	recorder.metrics.origins.resumed.WithLabelValues(string(resumption.Source)).Inc()
+	recorder.limitedLine(zerolog.InfoLevel).Str("id", request.ID).Stringer("stream", resumption.Key).Str("resumes", truncate(resumption.Resumes)).
+		Str("source", string(resumption.Source)).Str("service", resumption.Origin.Service).Str("software", resumption.Origin.Software).
+		Int("asked", resumption.Asked).Int("failed", resumption.Failed).Dur("took", resumption.Took).Msg("stream resumed")
+}
+
+// maxLoggedID bounds an ID of a caller in a log line.
+const maxLoggedID = 64
+
+func truncate(id string) string {
+	if len(id) > maxLoggedID {
+		return id[:maxLoggedID]
+	}
+	return id
+}
+
+// OriginsPublished records that records of streams were sent to other nodes, since their services have
+// several software versions now.
+func (recorder *Recorder) OriginsPublished(streams int) {
+	recorder.log.Info().Int("streams", streams).Msg("sent the software versions of streams to other nodes")
+}
+
+// SoftwareChanged records that the software versions of the services' servers have changed.
+func (recorder *Recorder) SoftwareChanged(versions backend.SoftwareVersions) {
+	recorder.log.Info().Interface("services", versions).Msg("software versions of services")
+}
+
+// MissingSoftwareRead records a read of the servers' software versions that other nodes did not pass on.
+func (recorder *Recorder) MissingSoftwareRead(servers int, err error) {
+	recorder.log.Info().Int("servers", servers).Err(err).Msg("read the software versions that a node of another build does not pass on")
+}
+
+// SoftwareHistoryRead records a read of the software versions that other nodes have recorded.
+func (recorder *Recorder) SoftwareHistoryRead(versions backend.SoftwareVersions, err error) {
+	if err != nil {
+		recorder.log.Warn().Err(err).Msg("cannot read the recorded software versions; streams that other nodes began are resumed by records alone")
+		return
+	}
+	recorder.log.Info().Interface("services", versions).Msg("read the recorded software versions")
+}
+
+// SoftwareHistoryWritten records a write of the software versions for nodes that start.
+func (recorder *Recorder) SoftwareHistoryWritten(err error) {
+	recorder.log.Info().Err(err).Msg("wrote the software versions for nodes that start")
+}
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -79,7 +79,7 @@
 		recorder.metrics.replacedPlacements.Inc()
 	}
 	line := recorder.limitedLine(zerolog.InfoLevel).Str("id", request.ID).Str("server", chosen.Endpoint).
-		Int("distance", chosen.Distance).Int("in_flight", chosen.InFlight).Float64("failures", chosen.FailureRate)
+		Str("software", chosen.Software).Int("distance", chosen.Distance).Int("in_flight", chosen.InFlight).Float64("failures", chosen.FailureRate)
 	if prompt := request.Prompt; prompt != nil {
 		line.Int64("version", chosen.Version).Int("prompt", prompt.Tokens).Int("held", chosen.HitBlocks).
 			Int("in_store", chosen.ImportBlocks).Int("queued", chosen.QueuedTokens).Int("rank", chosen.AffinityRank)
