Keep KV cache of software versions apart

What callers would see: an engine reads KV cache that another software version wrote, fetched from its server or from the store; servers check neither.

Cause: the salt of cached parts named the tenant, the model and the version of the weights alone, and import sources were chosen by these. The same class as mixed streams: what two software versions write was taken for one thing.

Change: the salt and the choice of sources name the software version too. While builds run side by side the former one uses other salts: parts are read again.

Result: TestCacheIsNotSharedBetweenSoftwareVersions failed before (a server of another version counted 1,000 tokens as held) and passes. Not measured: what the parts that are read again cost in a rollout of servers.

--- a/internal/proxy/prompt.go
+++ b/internal/proxy/prompt.go
@@ -16,11 +16,15 @@
 	return placer.admitted.request.Prompt
 }
 
-// cacheBuild is what must be equal for servers to use the same KV cache: the version of the weights.
-type cacheBuild struct{ weights int64 }
+// cacheBuild is what must be equal for servers to use the same KV cache: the version of the weights and
+// that of the software.
+type cacheBuild struct {
+	weights  int64
+	software string
+}
 
 func cacheBuildOf(c *routing.Candidate) cacheBuild {
-	return cacheBuild{weights: c.Version}
+	return cacheBuild{weights: c.Version, software: c.Software}
 }
 
 // piecesAt returns the cache keys of the shared parts at servers of a build.
@@ -92,6 +96,6 @@
 	return prefix.Salt(nil, prefix.Identity{
 		Tenant:  placer.cacheScope(),
 		Model:   placer.prompt().Model,
-		Version: strconv.FormatInt(build.weights, 10),
+		Version: strconv.FormatInt(build.weights, 10) + " " + build.software,
 	})
 }
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -208,3 +208,38 @@
 	late.End(exchange.ResultServed)
 	require.True(t, place().deferred, "the target latency has already passed")
 }
+
+// Guards against KV cache that one software version wrote being used by another: a server of another
+// version imports from servers of its own and finds nothing in the store.
+func TestCacheIsNotSharedBetweenSoftwareVersions(t *testing.T) {
+	p := newTestPlacer(10, 6, 1)
+	now := time.Now()
+	var servers []*backend.Server
+	for i, server := range p.proxy.set.Servers(now) {
+		server.Software = fmt.Sprint("v", i%2)
+		servers = append(servers, &server)
+	}
+	p.proxy.set.Apply(servers, nil, now)
+	software := map[string]string{}
+	for _, c := range p.candidates() {
+		software[c.Address] = c.Software
+	}
+	all := p.candidates()
+	writer := all[0]
+	p.beginAt(writer).ResponseStarted()
+	p.proxy.ledger.Replace("store-0", []residency.Key{p.piecesAt(cacheBuildOf(&writer))[0].Key})
+	clear(p.storedTokens)
+	for _, c := range p.candidates() {
+		if c.Software == writer.Software {
+			require.NotEmpty(t, c.ImportFrom)
+			require.Equal(t, 1000, c.ImportBlocks)
+			continue
+		}
+		require.Zero(t, c.HitBlocks, c.Endpoint)
+		require.Zero(t, c.ImportBlocks, c.Endpoint)
+		if c.ImportFrom != "" {
+			require.Equal(t, c.Software, software[c.ImportFrom], "%s would import from another version", c.Endpoint)
+		}
+	}
+	require.NotEqual(t, p.salt(cacheBuildOf(&routing.Candidate{Version: 1, Software: "v0"})), p.salt(cacheBuildOf(&routing.Candidate{Version: 1, Software: "v1"})))
+}
