--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/lab/faultwire"
+	"github.com/cloverrail/cloverrail/internal/origin"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/platform/standin"
 )
@@ -45,6 +46,8 @@
 	// cuts the node's own calls to other nodes.
 	links    []*faultwire.Forwarder
 	isolated atomic.Bool
+	// keepNoOrigins makes the node answer other nodes as a build that keeps no origins of streams.
+	keepNoOrigins atomic.Bool
 }
 
 // setIsolated cuts or restores the node's connections to the store and to other nodes.
@@ -145,7 +148,14 @@
 		peers.Close()
 	}
 	t.Cleanup(fixture.kill)
-	peers.Config.Handler = fixture.process.peerHandler()
+	handler := fixture.process.peerHandler()
+	peers.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if fixture.keepNoOrigins.Load() && (r.URL.Path == origin.PathRecords || r.URL.Path == origin.PathLookup) {
+			http.NotFound(w, r)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
 	peers.Start()
 	go fixture.process.reflector.Run(ctx)
 	fixture.process.runBackgroundTasks(ctx)
--- a/cmd/cloverrail/origins.go
+++ b/cmd/cloverrail/origins.go
@@ -16,17 +16,14 @@
 	// originCheckInterval is the longest interval at which this node checks whether its records of
 	// streams must be sent to other nodes. A new software version makes it check at once.
 	originCheckInterval = time.Second
-	// softwareReadInterval and maxSoftwareReadInterval bound the time between two reads of the recorded
-	// software versions by a node that has started and found none.
+	// softwareReadInterval and maxSoftwareReadInterval bound the time between two reads of software
+	// versions that this node lacks, and softwareReadTimeout bounds each of them.
 	softwareReadInterval    = time.Second
 	maxSoftwareReadInterval = 8 * time.Second
 	softwareReadTimeout     = 2 * time.Second
 	// softwareCheckInterval is the interval at which the readers of the store check whether the software
 	// versions must be recorded anew.
 	softwareCheckInterval = 500 * time.Millisecond
-	// registrationHeartbeats is the number of heartbeats within which a server that has started has
-	// written its entry.
-	registrationHeartbeats = 2
 )
 
 // newOriginHolders returns the client of the nodes that hold the records of streams.
@@ -45,8 +42,14 @@
 // versions, until the context ends.
 func (process *process) publishOrigins(ctx context.Context) {
 	var last backend.SoftwareVersions
+	nextRead, interval := time.Time{}, softwareReadInterval
 	for ctx.Err() == nil {
-		process.readMissingSoftware(ctx)
+		if now := boottime.Now(); process.serverSet.LacksSoftware() && !now.Before(nextRead) {
+			process.readMissingSoftware(ctx)
+			nextRead, interval = now.Add(interval), min(2*interval, maxSoftwareReadInterval)
+		} else if !process.serverSet.LacksSoftware() {
+			interval = softwareReadInterval
+		}
 		if published := process.proxy.PublishOrigins(ctx); published > 0 {
 			process.recorder.OriginsPublished(published)
 		}
@@ -68,9 +71,6 @@
 // readMissingSoftware reads the software versions that this node lacks: nodes of former builds do not
 // pass them on.
 func (process *process) readMissingSoftware(ctx context.Context) {
-	if !process.serverSet.LacksSoftware() {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, softwareReadTimeout)
 	defer cancel()
 	servers, err := process.source.ReadServers(ctx)
@@ -103,25 +103,19 @@
 	}
 }
 
-// readSoftwareHistory reads the recorded software versions. Until any are recorded it tries again, as
-// long as this node does not know all of them itself.
+// readSoftwareHistory reads the software versions that other nodes have recorded, until that succeeds or
+// this node knows all of them itself. Where none are recorded, no node of this build has run before.
 func (process *process) readSoftwareHistory(ctx context.Context) {
 	for interval := softwareReadInterval; ctx.Err() == nil; interval = min(2*interval, maxSoftwareReadInterval) {
 		versions, err := process.source.ReadSoftware(ctx)
-		if versions != nil || err != nil {
-			process.recorder.SoftwareHistoryRead(versions, err)
-		}
-		if versions != nil {
+		process.recorder.SoftwareHistoryRead(versions, err)
+		if err == nil {
 			process.serverSet.AddSoftware(versions, boottime.Now())
 			return
 		}
 		if _, complete := process.serverSet.Software(boottime.Now()); complete {
 			return
 		}
-		if err == nil && process.reflector.Reads() {
-			// Nothing is recorded yet: this node does so.
-			return
-		}
 		pause.For(ctx, interval)
 	}
 }
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -171,10 +171,9 @@
 		Unconfirmed:  process.crashUnconfirmed,
 		Capacity:     process.capacity,
 
-		Origins:           process.origins,
-		OriginHolders:     process.newOriginHolders(),
-		ReportBorn:        process.reportBorn,
-		RegistrationDelay: registrationHeartbeats * config.Heartbeat,
+		Origins:       process.origins,
+		OriginHolders: process.newOriginHolders(),
+		ReportBorn:    process.reportBorn,
 
 		EntryTTL: entryExpiryHeartbeats * config.Heartbeat,
 
--- a/cmd/cloverrail/software_test.go
+++ b/cmd/cloverrail/software_test.go
@@ -107,7 +107,7 @@
 	request.Header.Set(standin.HeaderDeadline, "10000")
 	request.Header.Set("Authorization", "Bearer "+key)
 	setPromptHeaders(request)
-	request.Header.Set(standin.HeaderPromptPrefix, fmt.Sprintf("5c1e:800,%x:410,e440:250", softwareTries.Load()))
+	request.Header.Set(standin.HeaderPromptPrefix, fmt.Sprintf("%[1]x:800,%[1]xa:410,e440:250", softwareTries.Load()))
 	if s.events > 0 {
 		request.Header.Set(standin.HeaderResumes, s.first)
 		request.Header.Set(standin.HeaderLastEventID, strconv.Itoa(s.events))
@@ -362,28 +362,124 @@
 }
 
 // Guards against the version of a server's former incarnation being taken for that of the process
-// that wrote the first event.
+// that wrote the first event, or that continues a stream.
 func TestStreamOfRestartedServerKeepsItsVersion(t *testing.T) {
+	for _, entryWritten := range []bool{true, false} {
+		t.Run(fmt.Sprint("entry written before the streams are resumed: ", entryWritten), func(t *testing.T) {
+			t.Parallel()
+			f := newSoftwareFleet(t, 2, "v1", "v2")
+			r := &restartableServer{fixture: f.nodes[0]}
+			former := r.startSoftware("v1", f.handle)
+			f.machines = append(f.machines, nil)
+			for _, n := range f.nodes {
+				f.awaitReady(n)
+				n.waitUntil(func() bool {
+					before := former.Runs()
+					(&callerStream{}).try(n, streamLength, nil)
+					return former.Runs() > before
+				})
+			}
+			// The next incarnation serves with other software before its entry is written.
+			entry := former.Entry("engines", r.address, "a", "ready")
+			next := r.startSoftware("v2", f.handle)
+			f.store.Put(standin.PrefixServers+"i-1", entry)
+			streams := runStreams(func(i int, s *callerStream) { s.try(f.nodes[i%2], 1, nil) })
+			if entryWritten {
+				f.nodes[0].registerServer(next, r.address, "ready")
+			}
+			var done sync.WaitGroup
+			for i, s := range streams {
+				done.Go(func() { s.try(f.nodes[(i+1)%2], streamLength, nil) })
+			}
+			done.Wait()
+			requireOneVersion(t, streams)
+			f.breaks.Store(true)
+			requireOneVersion(t, runStreams(func(i int, s *callerStream) {
+				s.try(f.nodes[i%2], streamLength, nil)
+				s.try(f.nodes[(i+1)%2], streamLength, nil)
+			}))
+		})
+	}
+}
+
+// Guards against a stream that goes on at another version, or is given up, where its node reaches the
+// servers through other nodes only.
+func TestStreamGoesOnAtItsVersionThroughPeers(t *testing.T) {
 	t.Parallel()
-	f := newSoftwareFleet(t, 2, "v1", "v2")
-	r := &restartableServer{fixture: f.nodes[0]}
-	former := r.startSoftware("v1", f.handle)
-	f.machines = append(f.machines, nil)
+	f := newSoftwareFleet(t, 3, "v1", "v2")
+	links := newServerLinks(f.nodes[0])
 	for _, n := range f.nodes {
-		f.awaitReady(n)
+		n.waitUntil(func() bool { return countServed(n.makeMany(resumableStream, 8)) == 8 })
 	}
-	f.nodes[0].waitUntil(func() bool {
-		(&callerStream{}).try(f.nodes[0], streamLength, nil)
-		return former.Runs() > 0
+	links.set(linksReset)
+	f.nodes[0].waitUntil(func() bool { return countServed(f.nodes[0].makeMany(resumableStream, 8)) == 8 })
+	f.breaks.Store(true)
+	requireContinued(t, runStreams(func(_ int, s *callerStream) { s.try(f.nodes[0], streamLength, nil) }), minContinued)
+	f.breaks.Store(false)
+	requireContinued(t, runStreams(func(i int, s *callerStream) {
+		s.try(f.nodes[i%2], 1, nil)
+		s.try(f.nodes[1-i%2], streamLength, nil)
+	}), minContinued)
+}
+
+// Guards against a node that guesses because it cannot ask: it continues what it began itself, and
+// refuses what it does not know.
+func TestNodeOutOfTouchContinuesOnlyWhatItKnows(t *testing.T) {
+	t.Parallel()
+	f := newSoftwareFleet(t, 3, "v1")
+	own, foreign := &callerStream{}, &callerStream{}
+	own.try(f.nodes[0], 1, nil)
+	foreign.try(f.nodes[1], 1, nil)
+	f.nodes[0].setIsolated(true)
+	own.try(f.nodes[0], streamLength, nil)
+	requireContinued(t, []*callerStream{own}, 1)
+	foreign.try(f.nodes[0], streamLength, nil)
+	foreign.requireRefused(t)
+	f.addEngine("v2")
+	f.addEngine("v2")
+	f.nodes[1].waitUntil(func() bool { return f.nodes[1].process.serverSet.MixesSoftware("engines", time.Now()) })
+	other := &callerStream{}
+	f.nodes[1].waitUntil(func() bool {
+		other = &callerStream{}
+		other.try(f.nodes[1], 1, nil)
+		return slices.Contains(other.versions, "v2")
 	})
-	// The next incarnation serves with other software before its entry is written.
-	entry := former.Entry("engines", r.address, "a", "ready")
-	next := r.startSoftware("v2", f.handle)
-	f.store.Put(standin.PrefixServers+"i-1", entry)
-	streams := runStreams(func(i int, s *callerStream) { s.try(f.nodes[i%2], 1, nil) })
-	f.nodes[0].registerServer(next, r.address, "ready")
-	for i, s := range streams {
-		s.try(f.nodes[(i+1)%2], streamLength, nil)
+	for _, s := range []*callerStream{other, foreign} {
+		s.try(f.nodes[0], streamLength, nil)
+		// By now the node may not be able to verify keys either.
+		require.Equal(t, http.StatusServiceUnavailable, s.status, s.refusal)
+		require.Contains(t, s.refusal, "not-run")
+	}
+	f.nodes[0].setIsolated(false)
+	for _, s := range []*callerStream{other, foreign} {
+		f.nodes[0].waitUntil(func() bool {
+			s.try(f.nodes[0], streamLength, nil)
+			return s.complete
+		})
+	}
+	requireOneVersion(t, []*callerStream{own, other, foreign})
+}
+
+// Guards against a version that is concluded beside nodes of a build that keeps no records: with two
+// versions their streams are refused, with one they go on.
+func TestStreamsOfFormerBuildsAreNotGuessed(t *testing.T) {
+	t.Parallel()
+	for _, versions := range [][]string{{"v1"}, {"v1", "v2"}} {
+		f := newSoftwareFleet(t, 3, versions...)
+		f.nodes[1].keepNoOrigins.Store(true)
+		f.nodes[2].keepNoOrigins.Store(true)
+		// What a former build begins is recorded nowhere.
+		s := &callerStream{events: 2, first: "try-of-former-build"}
+		s.try(f.nodes[0], streamLength, nil)
+		if len(versions) > 1 {
+			s.requireRefused(t)
+		} else {
+			requireContinued(t, []*callerStream{s}, 1)
+		}
+		// What this build begins goes on at the same node.
+		own := &callerStream{}
+		own.try(f.nodes[0], 1, nil)
+		own.try(f.nodes[0], streamLength, nil)
+		requireContinued(t, []*callerStream{own}, 1)
 	}
-	requireOneVersion(t, streams)
 }
--- a/internal/backend/software.go
+++ b/internal/backend/software.go
@@ -54,6 +54,7 @@
 // change replaces the listed server before, if any, by after, if any.
 func (h *softwareHistory) change(before, after *Server, now time.Time) {
 	if h.completeAt.IsZero() {
+		// Until then this node may not have known a version that is not listed any more.
 		h.completeAt = now.Add(SoftwareRetention)
 	}
 	if after != nil {
@@ -243,9 +244,9 @@
 
 // IsIncarnation reports whether it is certain that an incarnation accepted a connection that was
 // established at a time, and not one that has started since under the same instance ID and that the
-// list lacks. Incarnations without a start time have instance IDs of their own. A server that starts
-// writes its entry within the registration delay.
-func (set *Set) IsIncarnation(name string, connectedAt time.Time, registrationDelay time.Duration) bool {
+// list lacks. Incarnations without a start time have instance IDs of their own. The entry of a former
+// incarnation is replaced or has expired after entryTTL.
+func (set *Set) IsIncarnation(name string, connectedAt time.Time, entryTTL time.Duration) bool {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	e := set.servers[name]
@@ -257,6 +258,6 @@
 	case connectedAt.IsZero():
 		return false
 	default:
-		return !e.local().confirmedAt.Before(connectedAt) || e.listed && connectedAt.Add(registrationDelay).Before(set.listReadAt)
+		return !e.local().confirmedAt.Before(connectedAt) || e.listed && connectedAt.Add(entryTTL).Before(set.listReadAt)
 	}
 }
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -244,7 +244,7 @@
 
 // confirmIncarnation returns whether an incarnation accepted a connection that was established at a time.
 func (proxy *Proxy) confirmIncarnation(ctx context.Context, name string, connectedAt time.Time) incarnationEvidence {
-	if proxy.set.IsIncarnation(name, connectedAt, proxy.registrationDelay) {
+	if proxy.set.IsIncarnation(name, connectedAt, proxy.entryTTL) {
 		return incarnationConfirmed
 	}
 	server, found := proxy.set.Server(name)
@@ -260,7 +260,7 @@
 		return incarnationUnconfirmed
 	case !proxy.set.ObserveBorn(name, born, sentAt):
 		return incarnationReplaced
-	case !proxy.set.IsIncarnation(name, connectedAt, proxy.registrationDelay):
+	case !proxy.set.IsIncarnation(name, connectedAt, proxy.entryTTL):
 		return incarnationUnconfirmed
 	default:
 		return incarnationConfirmed
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -173,11 +173,10 @@
 	quarantine   *quarantine.Ledger
 	unconfirmed  quarantine.Unconfirmed
 	// origins holds what began each stream, and originHolders asks other nodes; nil if there are none.
-	origins           *origin.Ledger
-	originHolders     *origin.Client
-	reportBorn        ReportBorn
-	registrationDelay time.Duration
-	entryTTL          time.Duration
+	origins       *origin.Ledger
+	originHolders *origin.Client
+	reportBorn    ReportBorn
+	entryTTL      time.Duration
 	// propagationDelay is that of Options.
 	propagationDelay func() time.Duration
 	// conflictMutex serializes placements that lost their first round to another placement.
@@ -222,10 +221,8 @@
 	// asks these; nil if there are none.
 	Origins       *origin.Ledger
 	OriginHolders *origin.Client
-	// ReportBorn asks a server for its start time; nil if servers cannot be asked. RegistrationDelay is
-	// the time in which a server that has started writes its entry.
-	ReportBorn        ReportBorn
-	RegistrationDelay time.Duration
+	// ReportBorn asks a server for its start time; nil if servers cannot be asked.
+	ReportBorn ReportBorn
 	// EntryTTL is the time after which the registration of a crashed server has expired.
 	EntryTTL time.Duration
 	// PropagationDelay returns the time in which an observation of any node reaches all nodes; nil
@@ -259,10 +256,9 @@
 		unconfirmed:  options.Unconfirmed,
 		origins:      options.Origins,
 
-		originHolders:     options.OriginHolders,
-		reportBorn:        options.ReportBorn,
-		registrationDelay: options.RegistrationDelay,
-		entryTTL:          options.EntryTTL,
+		originHolders: options.OriginHolders,
+		reportBorn:    options.ReportBorn,
+		entryTTL:      options.EntryTTL,
 
 		propagationDelay: options.PropagationDelay,
 		probes:           map[string]*connectionProbe{},
