--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -58,6 +58,12 @@
 	For     string `json:"for"`
 	Detour  bool   `json:"detour"`
 	NoRoom  int    `json:"no_room"`
+	// Software is the version of a server's software, Record says who has the record of what began a
+	// stream, Source how the origin of a resumed one was determined, and Resumes which try began it.
+	Software string `json:"software"`
+	Record   string `json:"record"`
+	Source   string `json:"source"`
+	Resumes  string `json:"resumes"`
 	// Costs and NextCosts hold the cost terms of the chosen server and of Next, the second
 	// cheapest, in milliseconds of engine time.
 	Costs     map[string]int64 `json:"costs"`
@@ -215,6 +221,10 @@
 		return fmt.Sprintf("at server %s %s", line.Server, meaning)
 	case "forwarded", "forwarded for another node":
 		return line.forwardedText()
+	case "stream began":
+		return line.streamBeganText()
+	case "stream resumed":
+		return line.streamResumedText()
 	case "kept":
 		return fmt.Sprintf("server %s was silent for %.0f ms but answers other nodes: the attempt goes on", line.Server, line.Silent)
 	case "limited":
@@ -289,6 +299,33 @@
 	return text
 }
 
+// recordTexts and sourceTexts map the values of the fields record and source to their explanations.
+var (
+	recordTexts = map[string]string{
+		"held":      "another node has that record",
+		"local":     "no other node had that record in time: the stream may be lost with this one",
+		"uncertain": "it may have started again with other software, so that the stream cannot go on if it breaks",
+	}
+	sourceTexts = map[string]string{
+		"recorded":     "by this node's record",
+		"found":        "by another node's record",
+		"only_version": "as the service had only one",
+		"moved":        "but the route no longer leads to that service",
+	}
+)
+
+func (line logLine) streamBeganText() string {
+	return fmt.Sprintf("server %s of software version %q wrote the first event: %s", line.Server, line.Software, recordTexts[line.Record])
+}
+
+func (line logLine) streamResumedText() string {
+	text := fmt.Sprintf("the caller resumes the stream that try %q began", line.Resumes)
+	if line.Source == "unknown" {
+		return text + ": which software version that was is not known"
+	}
+	return text + fmt.Sprintf(", at software version %q of service %s, %s", line.Software, line.Service, sourceTexts[line.Source])
+}
+
 func (line logLine) predictionText() string {
 	verdict := "is missed"
 	if line.Meets {
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -138,3 +138,18 @@
 	require.Contains(t, text.String(), "the attempt at server i-7 was offered to node b, the 1. that was asked: unavailable (stopping)")
 	require.Contains(t, text.String(), "node a offered the attempt at server i-7 to this node: answered")
 }
+
+func TestExplainShowsStreamOrigin(t *testing.T) {
+	log := `{"node":"a","id":"r1","server":"i-7","software":"v1","record":"held","message":"stream began"}
+{"node":"b","id":"r2","resumes":"r1","source":"found","service":"s","software":"v1","message":"stream resumed"}
+{"node":"b","id":"r3","resumes":"x","source":"unknown","message":"stream resumed"}`
+	for id, want := range map[string]string{
+		"r1": `server i-7 of software version "v1" wrote the first event: another node has that record`,
+		"r2": `the caller resumes the stream that try "r1" began, at software version "v1" of service s, by another node's record`,
+		"r3": `the caller resumes the stream that try "x" began: which software version that was is not known`,
+	} {
+		text := strings.Builder{}
+		require.NoError(t, explain(strings.NewReader(log), &text, id))
+		require.Contains(t, text.String(), want)
+	}
+}
