Hand over records of streams before a node stops

What callers would see: after a roll-out of the nodes themselves a stream of which all holders were replaced in turn is refused, as its origin is not known.

Change: a node that stops sends the records that it holds to the nodes that come next.

--- a/cmd/cloverrail/origins.go
+++ b/cmd/cloverrail/origins.go
@@ -21,6 +21,8 @@
 	softwareReadInterval    = time.Second
 	maxSoftwareReadInterval = 8 * time.Second
 	softwareReadTimeout     = 2 * time.Second
+	// handOverTimeout bounds the time in which a node that stops sends its records of streams to others.
+	handOverTimeout = 200 * time.Millisecond
 	// softwareCheckInterval is the interval at which the readers of the store check whether the software
 	// versions must be recorded anew.
 	softwareCheckInterval = 500 * time.Millisecond
@@ -68,6 +70,15 @@
 	}
 }
 
+// handOverOrigins sends the records of streams that this node holds to other nodes, before it stops.
+func (process *process) handOverOrigins(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if streams := process.proxy.HandOverOrigins(ctx); streams > 0 {
+		process.recorder.OriginsPublished(streams)
+	}
+}
+
 // readMissingSoftware reads the software versions that this node lacks: nodes of former builds do not
 // pass them on.
 func (process *process) readMissingSoftware(ctx context.Context) {
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -107,6 +107,7 @@
 	// Background tasks continue while open requests drain: a change of leader is more expensive
 	// for the fleet than a late one.
 	process.proxy.Drain(ctx, config.Grace)
+	process.handOverOrigins(ctx)
 	stopTasks()
 	shutdownContext, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
--- a/cmd/cloverrail/software_test.go
+++ b/cmd/cloverrail/software_test.go
@@ -289,6 +289,23 @@
 			s.try(f.nodes[1+i%3], streamLength, nil)
 		}), minContinued)
 	})
+	t.Run("after a roll-out of the nodes", func(t *testing.T) {
+		t.Parallel()
+		f := newSoftwareFleet(t, 4, "v1", "v2", "v3")
+		streams := runStreams(func(_ int, s *callerStream) { s.try(f.nodes[0], 1, nil) })
+		// All nodes that can know the streams stop gracefully, one after the other.
+		for _, n := range f.nodes[:4] {
+			next := f.addNode()
+			f.awaitHistory(next)
+			n.process.handOverOrigins(t.Context())
+			n.crash()
+			f.running--
+		}
+		for i, s := range streams {
+			s.try(f.nodes[4+i%4], streamLength, nil)
+		}
+		requireContinued(t, streams, minContinued)
+	})
 	t.Run("of the only version, without a record", func(t *testing.T) {
 		t.Parallel()
 		f := newSoftwareFleet(t, 2, "v1")
--- a/internal/origin/ledger.go
+++ b/internal/origin/ledger.go
@@ -166,6 +166,27 @@
 	return unsent
 }
 
+// Held returns up to limit streams of which the record was sent to other nodes, or came from them: they
+// began while their services had several software versions.
+func (l *Ledger) Held(limit int, now time.Time) map[Origin][]Key {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.rotate(now)
+	held, count := map[Origin][]Key{}, 0
+	for _, generation := range []map[Key]record{l.current, l.former} {
+		for key, r := range generation {
+			if count == limit {
+				return held
+			}
+			if !r.own || r.sent {
+				held[*r.origin] = append(held[*r.origin], key)
+				count++
+			}
+		}
+	}
+	return held
+}
+
 // Len returns the number of records.
 func (l *Ledger) Len() int {
 	l.mutex.Lock()
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -354,7 +354,19 @@
 	if len(mixed) == 0 {
 		return 0
 	}
-	records := proxy.origins.TakeUnsent(mixed, maxPublishedOrigins, now)
+	return proxy.sendOrigins(ctx, proxy.origins.TakeUnsent(mixed, maxPublishedOrigins, now))
+}
+
+// HandOverOrigins sends the records of streams that this node holds to other nodes, before it stops. It
+// returns how many there were.
+func (proxy *Proxy) HandOverOrigins(ctx context.Context) int {
+	if proxy.origins == nil || proxy.originHolders == nil {
+		return 0
+	}
+	return proxy.sendOrigins(ctx, proxy.origins.Held(maxPublishedOrigins, boottime.Now()))
+}
+
+func (proxy *Proxy) sendOrigins(ctx context.Context, records map[origin.Origin][]origin.Key) int {
 	count := 0
 	for _, keys := range records {
 		count += len(keys)
--- a/internal/telemetry/origins.go
+++ b/internal/telemetry/origins.go
@@ -58,7 +58,7 @@
 }
 
 // OriginsPublished records that records of streams were sent to other nodes, since their services have
-// several software versions now.
+// several software versions now, or this node stops.
 func (recorder *Recorder) OriginsPublished(streams int) {
 	recorder.log.Info().Int("streams", streams).Msg("sent the software versions of streams to other nodes")
 }
