Check the incarnation of each stream that begins

Cause: while a service had one version its new connections were not checked, and the list showed the restart up to 0.7 s later; a stream that the new process had begun was continued at the former version, without a record by others.

Change: each stream that begins is checked. A connection is also certain if a later attempt was answered on one that is, so that busy servers are asked seldom. An uncertain origin is sent to the holders, as a stream without a record counts as one of the only version.

--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -124,6 +124,11 @@
 
 // newNode starts one node of a fleet and serves its peer address.
 func newNode(t testing.TB, store *standin.Store, storeAddress, name string) *fixture {
+	return newNodeWith(t, store, storeAddress, name, func(*settings.Proxy) {})
+}
+
+// newNodeWith starts a node with changed settings.
+func newNodeWith(t testing.TB, store *standin.Store, storeAddress, name string, change func(config *settings.Proxy)) *fixture {
 	fixture := &fixture{t: t, store: store}
 	peers := httptest.NewUnstartedServer(nil)
 	config := settings.ProxyDefaults()
@@ -138,6 +143,7 @@
 	config.Bounds.LeaderHandover = time.Second
 	config.Bounds.RetryExtra = 1e6
 	config.LogLevel = "error"
+	change(&config)
 	var err error
 	fixture.process, err = newProcess(config)
 	require.NoError(t, err)
--- a/cmd/cloverrail/fleet_test.go
+++ b/cmd/cloverrail/fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/platform/standin"
 )
 
@@ -44,8 +45,11 @@
 }
 
 // addNode starts one more node.
-func (f *fleetFixture) addNode() *fixture {
-	n := newNode(f.t, f.store, f.storeAddress, fmt.Sprint("node-", len(f.nodes)))
+func (f *fleetFixture) addNode() *fixture { return f.addNodeWith(func(*settings.Proxy) {}) }
+
+// addNodeWith starts one more node with changed settings.
+func (f *fleetFixture) addNodeWith(change func(config *settings.Proxy)) *fixture {
+	n := newNodeWith(f.t, f.store, f.storeAddress, fmt.Sprint("node-", len(f.nodes)), change)
 	f.nodes = append(f.nodes, n)
 	f.running++
 	return n
--- a/cmd/cloverrail/software_test.go
+++ b/cmd/cloverrail/software_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/platform/standin"
 )
 
@@ -95,8 +96,17 @@
 var softwareTries atomic.Int64
 
 // try sends the stream's next try to a node, and reads events until the stream has limit events or
-// ends.
+// ends. As callers do, it comes back to a node that has not heard from the store for some time.
 func (s *callerStream) try(n *fixture, limit int, change func(*http.Request)) {
+	for deadline := time.Now().Add(waitTimeout); ; time.Sleep(50 * time.Millisecond) {
+		s.tryOnce(n, limit, change)
+		if !strings.Contains(s.refusal, string(failure.KindNotConfigured)) || n.isolated.Load() || time.Now().After(deadline) {
+			return
+		}
+	}
+}
+
+func (s *callerStream) tryOnce(n *fixture, limit int, change func(*http.Request)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	id := fmt.Sprint("try-", softwareTries.Add(1))
@@ -381,10 +391,18 @@
 // Guards against the version of a server's former incarnation being taken for that of the process
 // that wrote the first event, or that continues a stream.
 func TestStreamOfRestartedServerKeepsItsVersion(t *testing.T) {
-	for _, entryWritten := range []bool{true, false} {
-		t.Run(fmt.Sprint("entry written before the streams are resumed: ", entryWritten), func(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions     []string
+		entryWritten bool
+	}{
+		"beside other versions, before its entry":       {[]string{"v1", "v2"}, false},
+		"beside other versions, after its entry":        {[]string{"v1", "v2"}, true},
+		"as the first of its version, before its entry": {[]string{"v1"}, false},
+		"as the first of its version, after its entry":  {[]string{"v1"}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := newSoftwareFleet(t, 2, "v1", "v2")
+			f := newSoftwareFleet(t, 2, c.versions...)
 			r := &restartableServer{fixture: f.nodes[0]}
 			former := r.startSoftware("v1", f.handle)
 			f.machines = append(f.machines, nil)
@@ -401,7 +419,7 @@
 			next := r.startSoftware("v2", f.handle)
 			f.store.Put(standin.PrefixServers+"i-1", entry)
 			streams := runStreams(func(i int, s *callerStream) { s.try(f.nodes[i%2], 1, nil) })
-			if entryWritten {
+			if c.entryWritten {
 				f.nodes[0].registerServer(next, r.address, "ready")
 			}
 			var done sync.WaitGroup
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -124,8 +124,8 @@
 	lastAcceptedAt time.Time
 	refusedUntil   time.Time
 	backoff        backoff
-	// confirmedAt is when the last report was requested in which the server gave the start time of this
-	// incarnation.
+	// confirmedAt is when this incarnation certainly still ran: the server gave its start time in answer
+	// to a later request, or answered a later attempt on a connection to this incarnation.
 	confirmedAt time.Time
 	// drainingAnnounced reports that the server told this node directly that it is shutting down.
 	drainingAnnounced bool
--- a/internal/backend/software.go
+++ b/internal/backend/software.go
@@ -242,6 +242,20 @@
 	return true
 }
 
+// ObserveAnswer records that an attempt, sent at a time, was answered on a connection that was
+// established earlier. If an incarnation certainly accepted that connection, it still ran then.
+func (set *Set) ObserveAnswer(name string, connectedAt, sentAt time.Time, entryTTL time.Duration) {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	e := set.servers[name]
+	if e == nil || e.server.Born == 0 || !set.isIncarnation(e, connectedAt, entryTTL) {
+		return
+	}
+	if local := set.ensureLocalState(e); sentAt.After(local.confirmedAt) {
+		local.confirmedAt = sentAt
+	}
+}
+
 // IsIncarnation reports whether it is certain that an incarnation accepted a connection that was
 // established at a time, and not one that has started since under the same instance ID and that the
 // list lacks. Incarnations without a start time have instance IDs of their own. The entry of a former
@@ -250,8 +264,12 @@
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	e := set.servers[name]
+	return e != nil && set.isIncarnation(e, connectedAt, entryTTL)
+}
+
+func (set *Set) isIncarnation(e *entry, connectedAt time.Time, entryTTL time.Duration) bool {
 	switch {
-	case e == nil || set.latest[e.server.Instance] != e:
+	case set.latest[e.server.Instance] != e:
 		return false
 	case e.server.Born == 0:
 		return true
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -6,6 +6,7 @@
 	"encoding/gob"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -88,32 +89,64 @@
 	results <- false
 }
 
+// maxSendRounds bounds how often records are sent to other nodes in place of those that did not answer.
+const maxSendRounds = 3
+
 // SendAll sends the origins of streams to their holders, in few messages.
 func (c *Client) SendAll(ctx context.Context, streams map[Origin][]Key) {
-	nodes := c.Nodes()
 	for o, keys := range streams {
-		byHolder := map[fleet.Node][]Key{}
-		for _, key := range keys {
-			for _, holder := range c.order(rankHolders(key, nodes, holdersPerStream)) {
-				byHolder[holder] = append(byHolder[holder], key)
+		accepted := map[Key][]fleet.Node{}
+		for range maxSendRounds {
+			if keys = c.sendRound(ctx, o, keys, accepted); len(keys) == 0 {
+				break
 			}
 		}
-		var done sync.WaitGroup
-		for holder, held := range byHolder {
-			done.Go(func() { c.sendKeys(ctx, holder, o, held) })
+	}
+}
+
+// sendRound sends streams of one origin to holders that have not accepted them yet, and returns those that
+// have too few holders after it. Nodes that do not answer are tried last in the next round.
+func (c *Client) sendRound(ctx context.Context, o Origin, keys []Key, accepted map[Key][]fleet.Node) (unheld []Key) {
+	nodes, byHolder := c.Nodes(), map[fleet.Node][]Key{}
+	for _, key := range keys {
+		missing := holdersPerStream - len(accepted[key])
+		for _, holder := range c.order(rankHolders(key, nodes, maxHoldersTried)) {
+			if missing > 0 && !slices.Contains(accepted[key], holder) {
+				byHolder[holder] = append(byHolder[holder], key)
+				missing--
+			}
 		}
-		done.Wait()
 	}
+	var mutex sync.Mutex
+	var done sync.WaitGroup
+	for holder, held := range byHolder {
+		done.Go(func() {
+			if !c.sendKeys(ctx, holder, o, held) {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			for _, key := range held {
+				accepted[key] = append(accepted[key], holder)
+			}
+		})
+	}
+	done.Wait()
+	return slices.DeleteFunc(keys, func(key Key) bool { return len(accepted[key]) >= min(holdersPerStream, len(nodes)) })
 }
 
-func (c *Client) sendKeys(ctx context.Context, holder fleet.Node, o Origin, keys []Key) {
-	for len(keys) > 0 {
-		count := min(len(keys), maxKeysPerMessage)
-		if body, err := (records{o, keys[:count]}).encode(); err == nil {
-			_, _ = c.call(ctx, holder, PathRecords, body)
+// sendKeys sends streams of one origin to a node, and returns whether it has accepted all.
+func (c *Client) sendKeys(ctx context.Context, holder fleet.Node, o Origin, keys []Key) bool {
+	for sent := range slices.Chunk(keys, maxKeysPerMessage) {
+		body, err := (records{o, sent}).encode()
+		if err != nil {
+			return false
+		}
+		if _, err := c.call(ctx, holder, PathRecords, body); err != nil {
+			return false
 		}
-		keys = keys[count:]
 	}
+	return true
 }
 
 // Finding is the result of asking the holders of a stream.
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -283,19 +283,19 @@
 	return errors.New("the server may have started again with other software")
 }
 
-// recordOrigin records what began the stream. While several versions serve, it sends the record to other
-// nodes, so that the stream can go on if this node fails.
+// recordOrigin records what began the stream. While several versions serve, or if the version is not
+// certain, it sends the record to other nodes, for callers who resume the stream there.
 func (placement *placement) recordOrigin(ctx context.Context, reply *exchange.Reply) {
-	proxy, admitted := placement.placer.proxy, placement.placer.admitted
-	now := boottime.Now()
-	mixed := proxy.mixesOrigins(admitted, now)
+	proxy, admitted, startedAt := placement.placer.proxy, placement.placer.admitted, boottime.Now()
 	placement.origin = origin.Origin{Service: admitted.service.Name, Software: placement.chosen.Software}
-	if mixed && placement.incarnation(ctx, reply) != incarnationConfirmed {
+	if placement.incarnation(ctx, reply) != incarnationConfirmed {
 		placement.origin.Software = ""
 	}
-	key := admitted.originKey(admitted.request.ID)
-	proxy.origins.Begin(key, placement.origin, mixed, now)
-	if !mixed {
+	key, now := admitted.originKey(admitted.request.ID), boottime.Now()
+	// Other nodes take a stream without a record for one of the only version.
+	shared := !placement.origin.Known() || proxy.mixesOrigins(admitted, now)
+	proxy.origins.Begin(key, placement.origin, shared, now)
+	if !shared {
 		return
 	}
 	began := StreamOrigin{Server: placement.chosen.Endpoint, Origin: placement.origin}
@@ -304,7 +304,7 @@
 		began.Sent, began.Held = true, proxy.originHolders.Send(bounded, key, placement.origin)
 		cancel()
 	}
-	began.Waited = boottime.Since(now)
+	began.Waited = boottime.Since(startedAt)
 	proxy.recorder.StreamBegan(admitted.request, began)
 }
 
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -75,12 +75,16 @@
 		dispatch.Salt = placement.placer.salt(cacheBuildOf(&placement.chosen))
 		placement.addKVSources(&dispatch)
 	}
-	dispatch.Confirm = placement.keepsOrigin() && (placement.continues || placement.placer.proxy.mixesOrigins(admitted, boottime.Now()))
+	dispatch.Confirm = placement.keepsOrigin()
+	sentAt := boottime.Now()
 	reply, err := placement.sendAttempt(ctx, dispatch)
 	placement.learnFromRefusal(dispatch, err)
 	if err != nil {
 		return nil, err
 	}
+	if !placement.detour {
+		placement.placer.proxy.set.ObserveAnswer(placement.chosen.Endpoint, reply.ConnectedAt, sentAt, placement.placer.proxy.entryTTL)
+	}
 	return placement.checkIncarnation(ctx, reply)
 }
 
