--- a/cmd/cloverrail/origins.go
+++ b/cmd/cloverrail/origins.go
@@ -107,7 +107,7 @@
 		if !process.reflector.Reads() || now.Sub(changedAt) < time.Duration(process.registry.Rank())*writeDelayPerRank {
 			continue
 		}
-		if process.recordSoftware(ctx, versions) {
+		if process.recordSoftware(ctx) {
 			recorded, _ = process.serverSet.Software(boottime.Now())
 			recordedEra = era
 		}
@@ -133,7 +133,7 @@
 
 // recordSoftware records the software versions of the services, with those that were recorded before. It
 // returns whether they are recorded.
-func (process *process) recordSoftware(ctx context.Context, versions backend.SoftwareVersions) bool {
+func (process *process) recordSoftware(ctx context.Context) bool {
 	former, err := process.source.ReadSoftware(ctx)
 	if err != nil {
 		return false
@@ -141,7 +141,7 @@
 	if _, complete := process.serverSet.Software(boottime.Now()); !complete {
 		process.serverSet.AddSoftware(former, boottime.Now())
 	}
-	versions, _ = process.serverSet.Software(boottime.Now())
+	versions, _ := process.serverSet.Software(boottime.Now())
 	if reflect.DeepEqual(versions, former) {
 		return true
 	}
--- a/internal/origin/client_test.go
+++ b/internal/origin/client_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,8 +26,6 @@
 	node   fleet.Node
 	ledger *Ledger
 	server *httptest.Server
-	// bytes counts the bytes of requests and responses, without the headers of TCP and IP.
-	bytes atomic.Int64
 }
 
 func newPeer(t *testing.T, name, zone string) *peer {
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -36,9 +36,8 @@
 type StreamOrigin struct {
 	Server string
 	Origin origin.Origin
-	// Sent reports that the record was sent to other nodes, and Held that one of them had it before the
-	// first event was passed on. Waited is how long that event was held.
-	Sent   bool
+	// Held reports that another node had the record before the first event was passed on. Waited is how
+	// long that event was held.
 	Held   bool
 	Waited time.Duration
 }
@@ -301,7 +300,7 @@
 	began := StreamOrigin{Server: placement.chosen.Endpoint, Origin: placement.origin}
 	if proxy.originHolders != nil {
 		bounded, cancel := context.WithTimeout(ctx, originSendTimeout)
-		began.Sent, began.Held = true, proxy.originHolders.Send(bounded, key, placement.origin)
+		began.Held = proxy.originHolders.Send(bounded, key, placement.origin)
 		cancel()
 	}
 	began.Waited = boottime.Since(startedAt)
