--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -133,8 +133,9 @@
 	return proxy.originHolders.Find(ctx, key)
 }
 
-// unrecorded reports whether it is certain that no node has recorded the stream: its holders say so, or
-// the list of servers, by which nodes decide what to record, was read after the caller had the stream.
+// unrecorded reports whether the stream counts as one that no node has recorded: its holders answer that
+// they have no record, or the list of servers was read after the caller came back. Nodes decide by that
+// list what to record.
 func (proxy *Proxy) unrecorded(admitted *admitted, finding origin.Finding) bool {
 	others := 0
 	if proxy.originHolders != nil {
