Review, case 3: streams of two software versions are refused after all nodes were killed

What began a stream is kept in the memory of three nodes alone (internal/origin). When all nodes are killed at once while servers of two software versions serve, the nodes refuse every stream that a client takes up again, also once they are in touch. docs/GUARANTEES.md names this; the rule LOST makes no such exception.

Change: review/3 is a script for it. The script of case 1 also plays a store that resets connections (TROUBLE=reset), whose cause is another one: failed reads of the software versions are repeated after up to 8 s.

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -39,15 +39,16 @@
 
 // scenarios holds the cases by name.
 var scenarios = map[string]scenario{
-	"streams": {playStreams, []string{"1", "0", "kill"}},
-	"leaving": {playLeaving, []string{"1", "0", "one"}},
+	"streams":  {playStreams, []string{"1", "0", "kill", "reset"}},
+	"versions": {playVersions, []string{"1", "0", "kill"}},
+	"leaving":  {playLeaving, []string{"1", "0", "one"}},
 }
 
 func main() {
 	name := flag.String("case", "", "the `NAME` of the case: streams or leaving")
 	program := flag.String("program", "target/cloverrail", "the built program `FILE`")
 	record := flag.String("record", "record.txt", "the `FILE` that what was sent, answered and run is written to")
-	trouble := flag.String("trouble", "1", "0 to leave out the disruption; kill (streams) or one (leaving) for a part of it")
+	trouble := flag.String("trouble", "1", "0 to leave out the disruption; kill or reset (streams) and one (leaving) for a part of it or another one")
 	flag.Parse()
 	os.Exit(play(*name, *program, *record, *trouble))
 }
--- a/review/_cases/store.go
+++ b/review/_cases/store.go
@@ -12,39 +12,53 @@
 	*standin.Store
 	rec *recorder
 
-	mutex sync.Mutex
-	// silent says that the store is down and says nothing. A connection on which an answer is lost says nothing more, also
-	// once the store is back.
-	silent bool
-	// heldCalls counts the calls that were not answered.
-	heldCalls int
+	mutex  sync.Mutex
+	outage outage
+	// failedCalls counts the calls that were not done.
+	failedCalls int
 }
 
-func (s *store) setSilent(silent bool) {
+// An outage is how the store is down.
+type outage int
+
+const (
+	// outageNone means that the store is up.
+	outageNone outage = iota
+	// outageSilent means that calls get no answer. Their connections say nothing more, also once the store is back.
+	outageSilent
+	// outageReset means that connections are reset.
+	outageReset
+)
+
+func (s *store) setOutage(o outage) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.silent = silent
+	s.outage = o
 }
 
-// held returns the number of calls that got no answer.
-func (s *store) held() int {
+// failed returns the number of calls that were not done.
+func (s *store) failed() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.heldCalls
+	return s.failedCalls
 }
 
-// ServeHTTP serves one call. While the store is down, it is not done and its connection stays without an answer for good.
+// ServeHTTP serves one call.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mutex.Lock()
-	silent := s.silent
-	if silent {
-		s.heldCalls++
+	o := s.outage
+	if o != outageNone {
+		s.failedCalls++
 	}
 	s.mutex.Unlock()
-	if silent {
+	switch o {
+	case outageNone:
+		s.Store.ServeHTTP(w, r)
+	case outageSilent:
 		s.rec.notef("store: %s %s gets no answer", r.Method, r.URL.RequestURI())
 		<-r.Context().Done()
-		return
+	case outageReset:
+		s.rec.notef("store: %s %s is reset", r.Method, r.URL.RequestURI())
+		panic(http.ErrAbortHandler)
 	}
-	s.Store.ServeHTTP(w, r)
 }
--- a/review/_cases/streams.go
+++ b/review/_cases/streams.go
@@ -21,8 +21,10 @@
 	// verdictEvents is the number of events of a stream, and verdictPause the time between two of them.
 	verdictEvents = 20
 	verdictPause  = 150 * time.Millisecond
-	// silence is how long the store is down and says nothing.
+	// silence is how long the store is down after the restart of the nodes, while it says nothing, and resets the same
+	// while it resets connections.
 	silence = 5 * time.Second
+	resets  = 7200 * time.Millisecond
 	// streamsAtNode is the number of streams that clients have open at the node that is killed.
 	streamsAtNode = 24
 	// leastResumed is the number of streams from which on the rule holds.
@@ -31,8 +33,8 @@
 
 // playStreams checks the rule LOST on streams that clients take up again. While the store is silent, all nodes are killed
 // and start again. Once the store has been sound again for longer than contact_ms, one node is killed, and the clients
-// take up their streams at the others. Trouble "kill" is without the silence of the store, and 0 also without the restart
-// of the nodes.
+// take up their streams at the others. Trouble "reset" has the store reset connections instead. Trouble "kill" is without
+// the outage of the store, and 0 also without the restart of the nodes.
 func playStreams(f *fleet, trouble string) (verdict, error) {
 	f.declare(document())
 	for i := range streamEngines {
@@ -45,7 +47,7 @@
 	}
 	time.Sleep(4 * time.Second)
 	if trouble != "0" {
-		if err := f.restartNodes(trouble != "kill"); err != nil {
+		if err := f.restartNodes(trouble); err != nil {
 			return verdict{}, err
 		}
 	}
@@ -58,10 +60,15 @@
 	return f.takeUpStreams()
 }
 
-// restartNodes kills all nodes at once, while the store is silent if that is set, and starts them again.
-func (f *fleet) restartNodes(silent bool) error {
-	if silent {
-		f.store.setSilent(true)
+// restartNodes kills all nodes at once, while the store is down unless the trouble is "kill", and starts them again.
+func (f *fleet) restartNodes(trouble string) error {
+	switch trouble {
+	case "reset":
+		f.store.setOutage(outageReset)
+		f.rec.logf("store: down, resets connections")
+	case "kill":
+	default:
+		f.store.setOutage(outageSilent)
 		f.rec.logf("store: down, says nothing")
 	}
 	for _, n := range f.nodes {
@@ -74,9 +81,16 @@
 			return err
 		}
 	}
-	time.Sleep(silence)
-	f.store.setSilent(false)
-	f.rec.logf("store: sound again; %d calls got no answer", f.store.held())
+	switch trouble {
+	case "reset":
+		time.Sleep(resets)
+	case "kill":
+		time.Sleep((contactMS + 300) * time.Millisecond)
+	default:
+		time.Sleep(silence)
+	}
+	f.store.setOutage(outageNone)
+	f.rec.logf("store: sound again; %d calls were not done", f.store.failed())
 	return nil
 }
 
@@ -134,8 +148,11 @@
 // judgeStreams checks the rule: of 12 or more streams that clients take up again, the share that goes on is under half of
 // the share of new streams that begin.
 func (f *fleet) judgeStreams(streams []stream, fresh []*try) (verdict, error) {
-	resumed, wentOn, began := 0, 0, 0
+	resumed, wentOn, began, broke := 0, 0, 0, 0
 	for _, s := range streams {
+		if !s.first.whole {
+			broke++
+		}
 		if s.second == nil {
 			continue
 		}
@@ -159,6 +176,9 @@
 	f.recordArrivals()
 	f.rec.logf("%d streams were taken up again, %d of them went on; %d of %d new streams began", resumed, wentOn, began, len(fresh))
 	if resumed < leastResumed {
+		if broke == 0 {
+			return verdict{reason: "LOST: no stream broke off, so that none was taken up again"}, nil
+		}
 		return verdict{}, errors.Errorf("only %d streams were taken up again", resumed)
 	}
 	reason := fmt.Sprintf("LOST: %d of %d streams went on that clients took up again at machines in touch, and %d of %d new streams began", wentOn, resumed, began, len(fresh))
