End each call to the store, to servers and to other nodes

Cause: a read without a bound. The same holds for recordSoftware and for each call whose caller forgets a bound. The reads of the reflector, leases and quarantine had one.

Ruled out: the backoff alone.

Change: internal/outbound makes the clients, and its transport ends each call, body included; what is meant to last longer (watches, attempts, streams) names its own time.

--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -17,6 +17,7 @@
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/lab/faultwire"
 	"github.com/cloverrail/cloverrail/internal/origin"
+	"github.com/cloverrail/cloverrail/internal/outbound"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/platform/standin"
 )
@@ -147,7 +148,7 @@
 	var err error
 	fixture.process, err = newProcess(config)
 	require.NoError(t, err)
-	fixture.process.peerClient.Transport = fixture
+	fixture.process.peerClient.Transport = &outbound.Transport{Base: fixture, Timeout: peerTimeout}
 	ctx, cancel := context.WithCancel(context.Background())
 	fixture.kill = func() {
 		cancel()
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -25,6 +25,7 @@
 	"github.com/cloverrail/cloverrail/internal/forward"
 	"github.com/cloverrail/cloverrail/internal/lease"
 	"github.com/cloverrail/cloverrail/internal/origin"
+	"github.com/cloverrail/cloverrail/internal/outbound"
 	"github.com/cloverrail/cloverrail/internal/overload"
 	"github.com/cloverrail/cloverrail/internal/prefix"
 	"github.com/cloverrail/cloverrail/internal/proxy"
@@ -59,6 +60,8 @@
 	engineIdleLimit = 20 * time.Second
 
 	connectTimeout = 300 * time.Millisecond
+	// peerTimeout bounds each call to another node; most callers set shorter ones.
+	peerTimeout = 10 * time.Second
 	// silenceTolerance is how long a server or a node may acknowledge nothing before connections to it
 	// may break. Sound ones are silent for a second or so.
 	silenceTolerance = 1500 * time.Millisecond
@@ -66,12 +69,14 @@
 
 // process holds the components of a running proxy.
 type process struct {
-	settings         settings.Proxy
-	log              zerolog.Logger
-	replica          *catalog.AtomicReplica
-	serverSet        *backend.Set
-	store            *platform.Store
-	eras             *coordination.EraTracker
+	settings  settings.Proxy
+	log       zerolog.Logger
+	replica   *catalog.AtomicReplica
+	serverSet *backend.Set
+	store     *platform.Store
+	eras      *coordination.EraTracker
+	// outage tracks whether the store answers.
+	outage           *coordination.Outage
 	source           *platform.Source
 	serverClient     *platform.ServerClient
 	metrics          *telemetry.Metrics
@@ -110,14 +115,15 @@
 		return nil, errors.Trace(err)
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	process := &process{settings: config, replica: &catalog.AtomicReplica{}, serverSet: backend.NewSet(), peerClient: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+	process := &process{settings: config, replica: &catalog.AtomicReplica{}, serverSet: backend.NewSet(), peerClient: outbound.NewClient(peerTimeout)}
 	zerolog.SetGlobalLevel(level)
 	process.log = zerolog.New(telemetry.NewWriter(os.Stdout)).With().Timestamp().Str("node", config.Name).Logger()
 	process.metrics = telemetry.NewMetrics(process.replica)
 	process.recorder = telemetry.NewRecorder(process.log, process.metrics)
 	process.memory = admission.NewMemoryBudget(config.MemoryBytes())
 	process.eras = &coordination.EraTracker{OnChange: process.recorder.StoreRestored, OnIgnored: process.recorder.EraIgnored}
-	process.store = platform.NewStore(config.StoreAddress, process.recorder.StoreCall, process.eras)
+	process.outage = &coordination.Outage{}
+	process.store = platform.NewStore(config.StoreAddress, process.recorder.StoreCall, process.eras, process.outage)
 	process.serverClient = platform.NewServerClient(platform.ConnectionOptions{
 		ConnectTimeout:   connectTimeout,
 		SilenceTolerance: silenceTolerance,
--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/operator"
+	"github.com/cloverrail/cloverrail/internal/outbound"
 )
 
 const requestTimeout = 30 * time.Second
@@ -43,14 +44,12 @@
 
 func send[Answer any](ctx context.Context, command *cli.Command, call *sling.Sling) (Answer, error) {
 	var answer Answer
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
 	request, err := call.Set("Authorization", "Bearer "+command.String("key")).Request()
 	if err != nil {
 		return answer, errors.Trace(err)
 	}
 	var refusal operator.ErrorResponse
-	response, err := sling.New().Do(request.WithContext(ctx), &answer, &refusal)
+	response, err := sling.New().Client(outbound.NewClient(requestTimeout)).Do(request.WithContext(ctx), &answer, &refusal)
 	if err != nil {
 		return answer, failure.New(failure.KindUnavailable, "call to the node failed: "+err.Error(), "choose another node with --node").WithOutcome(failure.Unknown)
 	}
--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -13,11 +13,15 @@
 	"github.com/dghubble/sling"
 	"github.com/juju/errors"
 	"github.com/tmaxmax/go-sse"
+
+	"github.com/cloverrail/cloverrail/internal/outbound"
 )
 
 const (
-	connectTimeout  = 500 * time.Millisecond
-	controlTimeout  = time.Second
+	connectTimeout = 500 * time.Millisecond
+	controlTimeout = time.Second
+	// streamTimeout bounds a stream of answers or of cache events; callers end most of them earlier.
+	streamTimeout   = time.Hour
 	headerTimeout   = 750 * time.Millisecond
 	maxEventBytes   = 1 << 20
 	readBufferBytes = 2 << 10
@@ -84,7 +88,7 @@
 		ReadBufferSize:     readBufferBytes,
 		DisableCompression: true,
 	}
-	return &Client{httpClient: &http.Client{Transport: transport}}
+	return &Client{httpClient: outbound.Wrap(transport, controlTimeout)}
 }
 
 // Stream is an open response stream. Close releases its connection.
@@ -120,7 +124,7 @@
 }
 
 func (client *Client) openStream(request *http.Request) (*Stream, error) {
-	response, err := client.httpClient.Do(request)
+	response, err := client.httpClient.Do(request.WithContext(outbound.WithTimeout(request.Context(), streamTimeout)))
 	if err != nil {
 		var operation *net.OpError
 		if errors.As(err, &operation) && operation.Op == "dial" {
@@ -184,9 +188,7 @@
 
 // Cancel stops an attempt on the engine. It is best effort.
 func (client *Client) Cancel(address, attempt string) {
-	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+PathStreams+attempt, nil)
+	request, err := http.NewRequest(http.MethodDelete, "http://"+address+PathStreams+attempt, nil)
 	if err != nil {
 		return
 	}
@@ -217,7 +219,7 @@
 	}
 	watchdog := time.AfterFunc(silenceTimeout, cancel)
 	defer watchdog.Stop()
-	response, err := client.httpClient.Do(request.WithContext(ctx))
+	response, err := client.httpClient.Do(request.WithContext(outbound.WithTimeout(ctx, streamTimeout)))
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -251,8 +253,6 @@
 
 func callControl[Result any](ctx context.Context, client *Client, call *sling.Sling) (Result, error) {
 	var result Result
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
 	request, err := call.Request()
 	if err != nil {
 		return result, errors.Trace(err)
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -15,6 +15,7 @@
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/keepalive"
+	"github.com/cloverrail/cloverrail/internal/outbound"
 	"github.com/cloverrail/cloverrail/internal/proxy"
 )
 
@@ -23,6 +24,10 @@
 	maxPeersPerAttempt = 3
 	// maxResponseBytes bounds the head of a response, with a buffered body.
 	maxResponseBytes = 32 << 20
+	// defaultTimeout bounds a call to another node that is not an attempt with a deadline.
+	defaultTimeout = time.Second
+	// deadlineMargin is added to the deadline of an attempt, which its caller ends by itself.
+	deadlineMargin = time.Second
 )
 
 // Client sends attempts through other nodes.
@@ -48,7 +53,7 @@
 // NewClient returns the client of a node. dial opens the connections to other nodes. onNotice is called with what servers report of themselves,
 // and onResult with the result of each offer. They must not block.
 func NewClient(node string, peers *Peers, dial func(ctx context.Context, network, address string) (net.Conn, error), onNotice func(proxy.ServerNotice), onResult func(Result)) *Client {
-	return &Client{node: node, peers: peers, client: keepalive.New(keepalive.Options{Dial: dial}), onNotice: onNotice, onResult: onResult}
+	return &Client{node: node, peers: peers, client: keepalive.New(keepalive.Options{Dial: dial, Timeout: defaultTimeout}), onNotice: onNotice, onResult: onResult}
 }
 
 // Forward sends an attempt on a server in a zone through another node. It returns the errors of
@@ -59,6 +64,7 @@
 	if err := gob.NewEncoder(&body).Encode(newWireAttempt(c.node, dispatch)); err != nil {
 		return nil, &exchange.ErrWithdrawn{Reason: err.Error()}
 	}
+	ctx = outbound.WithTimeout(ctx, boottime.Until(dispatch.Deadline)+deadlineMargin)
 	var excluded []string
 	reason := "no other node is available"
 	for offered := 1; offered <= maxPeersPerAttempt && ctx.Err() == nil; offered++ {
--- a/internal/keepalive/client.go
+++ b/internal/keepalive/client.go
@@ -18,6 +18,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/outbound"
 )
 
 const (
@@ -41,6 +42,9 @@
 // Options configures a Client.
 type Options struct {
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Timeout bounds each request, and must be positive. Those with a context of outbound.WithTimeout have
+	// their own bound.
+	Timeout time.Duration
 	// BufferSize is the size of each connection's read and write buffers in bytes.
 	BufferSize int
 	// OnConnection, if set, is called for each request with whether it reused a connection. It
@@ -73,10 +77,8 @@
 		ReadBufferSize:      options.BufferSize,
 		WriteBufferSize:     options.BufferSize,
 	}
-	c.client = &http.Client{
-		Transport:     transport,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	c.client = outbound.Wrap(transport, options.Timeout)
+	c.client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return c
 }
 
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -116,7 +116,7 @@
 		synctest.Test(outer, func(*testing.T) {
 			next := 0
 			s := &server{idleTimeout: idle, header: header, requests: map[string]int{}, fails: func() bool { next++; return broken[next%20] }}
-			c := New(Options{Dial: s.dial})
+			c := New(Options{Timeout: time.Minute, Dial: s.dial})
 			for i := range 20 {
 				id := fmt.Sprint("r", i)
 				extra := http.Header{}
@@ -144,7 +144,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &server{idleTimeout: 3 * time.Second, header: "timeout=3", requests: map[string]int{}}
 		reused := []bool{}
-		c := New(Options{Dial: s.dial, OnConnection: func(k bool) { reused = append(reused, k) }})
+		c := New(Options{Timeout: time.Minute, Dial: s.dial, OnConnection: func(k bool) { reused = append(reused, k) }})
 		for i, idle := range []time.Duration{0, 100 * time.Millisecond, 2500 * time.Millisecond, 2900 * time.Millisecond, time.Second} {
 			time.Sleep(idle)
 			require.NoError(t, send(c, http.MethodPost, fmt.Sprint(i), "b", nil, false))
@@ -161,7 +161,7 @@
 func TestEarlyCloseShortensIdleTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &server{idleTimeout: 300 * time.Millisecond, header: "timeout=5", requests: map[string]int{}}
-		c := New(Options{Dial: s.dial})
+		c := New(Options{Timeout: time.Minute, Dial: s.dial})
 		for i := range 5 {
 			require.NoError(t, send(c, http.MethodPost, fmt.Sprint(i), "b", nil, false))
 			time.Sleep(time.Second)
--- a/internal/kvservice/client.go
+++ b/internal/kvservice/client.go
@@ -12,11 +12,15 @@
 	"github.com/juju/errors"
 
 	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/outbound"
 )
 
 // RequestTimeout bounds one call. A call that times out may have taken effect.
 const RequestTimeout = 2 * time.Second
 
+// watchTimeout bounds one watch.
+const watchTimeout = 10 * time.Minute
+
 // Client calls the key-value service.
 type Client struct {
 	base       string
@@ -25,15 +29,13 @@
 
 // NewClient returns a client for the service at an IP address and port.
 func NewClient(address string) *Client {
-	return &Client{base: "http://" + address, httpClient: &http.Client{}}
+	return &Client{base: "http://" + address, httpClient: outbound.NewClient(RequestTimeout)}
 }
 
 // call posts one request and decodes the response into result. If the exchange
 // fails, the error is a failure.Failure, whose outcome is failure.NotRun only if
 // the service itself rejected the request.
 func (client *Client) call(ctx context.Context, path string, body, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, RequestTimeout)
-	defer cancel()
 	request, err := sling.New().Base(client.base).Post(path).BodyJSON(body).Request()
 	if err != nil {
 		return errors.Trace(err)
@@ -95,7 +97,7 @@
 }
 
 // Watch calls onChange for each new revision of the key, starting at
-// startRevision, until the watch or the context ends. It does not reconnect:
+// startRevision, until the watch or the context ends, at most for watchTimeout. It does not reconnect:
 // callers read the key again and open a new watch.
 func (client *Client) Watch(ctx context.Context, key string, startRevision int64, onChange func(KeyValue)) error {
 	message := WatchRequest{CreateRequest: WatchCreateRequest{Key: []byte(key), StartRevision: startRevision}}
@@ -103,7 +105,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	response, err := client.httpClient.Do(request.WithContext(ctx))
+	response, err := client.httpClient.Do(request.WithContext(outbound.WithTimeout(ctx, watchTimeout)))
 	if err != nil {
 		return errors.Annotate(err, "cannot open the watch; it will be retried")
 	}
--- a/internal/node/machinelist.go
+++ b/internal/node/machinelist.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/dghubble/sling"
 
 	"github.com/cloverrail/cloverrail/internal/endpoint"
+	"github.com/cloverrail/cloverrail/internal/outbound"
 )
 
 // machine is one entry of the platform's machine list.
@@ -27,7 +27,7 @@
 	if node.settings.MachineListAddress == "" {
 		return
 	}
-	client := &http.Client{Timeout: machineListInterval}
+	client := outbound.NewClient(machineListInterval)
 	runPeriodically(ctx, machineListInterval, func() {
 		var machines []machine
 		_, err := sling.New().Client(client).Get("http://"+node.settings.MachineListAddress+"/machines").Receive(&machines, nil)
--- /dev/null
+++ b/internal/outbound/outbound.go
@@ -0,0 +1,71 @@
+// Package outbound bounds the calls that this process makes to others: the shared store, servers and
+// other nodes. The bound is part of the transport, so that no call can be made without one.
+package outbound
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Transport ends each call after a timeout, which includes connecting and reading the body of the
+// response. A context that ends earlier ends the call earlier; only one made by WithTimeout allows it to
+// last longer.
+type Transport struct {
+	// Base sends the requests.
+	Base http.RoundTripper
+	// Timeout bounds a call; it must be positive.
+	Timeout time.Duration
+}
+
+// NewClient returns an HTTP client whose calls end after a timeout. Its connections are not shared with
+// other clients.
+func NewClient(timeout time.Duration) *http.Client {
+	dialer := &net.Dialer{Timeout: timeout}
+	return Wrap(&http.Transport{DialContext: dialer.DialContext, DisableCompression: true}, timeout)
+}
+
+// Wrap returns an HTTP client that sends requests with a transport, and whose calls end after a timeout.
+func Wrap(base http.RoundTripper, timeout time.Duration) *http.Client {
+	return &http.Client{Transport: &Transport{Base: base, Timeout: timeout}}
+}
+
+type timeoutKey struct{}
+
+// WithTimeout returns a context whose calls end after a timeout in place of the transport's. It is meant
+// for calls whose purpose is to last, such as watches and requests of callers.
+func WithTimeout(ctx context.Context, timeout time.Duration) context.Context {
+	return context.WithValue(ctx, timeoutKey{}, timeout)
+}
+
+// RoundTrip sends a request. Reading the body of the response fails with context.DeadlineExceeded once
+// the time is over.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	timeout, longer := request.Context().Value(timeoutKey{}).(time.Duration)
+	if !longer {
+		timeout = t.Timeout
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), timeout)
+	response, err := t.Base.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	response.Body = &body{ReadCloser: response.Body, cancel: cancel}
+	return response, nil
+}
+
+// body is the body of a response. Closing it releases the call's timer.
+type body struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the body.
+func (b *body) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel()
+	return err
+}
--- a/internal/plain/forwarder.go
+++ b/internal/plain/forwarder.go
@@ -17,10 +17,13 @@
 	"github.com/cloverrail/cloverrail/internal/engineapi"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/outbound"
 )
 
 const (
 	connectTimeout = 500 * time.Millisecond
+	// attemptTimeout bounds an attempt; the caller's deadline ends most of them earlier.
+	attemptTimeout = 10 * time.Minute
 	// maxAnswerBytes bounds an answer. Answers are buffered in full before they are
 	// forwarded, so that a truncated one never reaches the caller.
 	maxAnswerBytes = 16 << 20
@@ -82,10 +85,9 @@
 }
 
 func newClient(transport *http.Transport) *http.Client {
-	return &http.Client{
-		Transport:     transport,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	client := outbound.Wrap(transport, attemptTimeout)
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return client
 }
 
 // Forward sends the request, with retries, until it is answered or fails. Package
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -40,7 +40,7 @@
 	unreadableEntries   *prometheus.CounterVec
 	malformedUpdates    prometheus.Counter
 	upstreamChanges     prometheus.Counter
-	storeCalls          *prometheus.CounterVec
+	storeCalls          *storeCallMetrics
 	serverCalls         *prometheus.CounterVec
 	peerResponseBytes   *prometheus.HistogramVec
 	declarationVersion  prometheus.Gauge
@@ -149,9 +149,7 @@
 		upstreamChanges: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_follows_total", Help: "Changes of the node that this one asks for what it believes.",
 		}),
-		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "cloverrail_proxy_store_calls_total", Help: "Calls of the shared store by purpose and by call.",
-		}, []string{"purpose", "call"}),
+		storeCalls: newStoreCallMetrics(),
 		serverCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_server_calls_total", Help: "Calls that this node makes to servers on its own, by call.",
 		}, []string{"call"}),
@@ -180,6 +178,7 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstResponse, metrics.predictionErrors, metrics.storeReads,
-		metrics.orders, metrics.waitedOrders, metrics.connections, metrics.connectionTimeouts, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.noRoom, metrics.roomRejections, metrics.deferred, metrics.placementConflicts, metrics.keptAttempts, metrics.quarantined, metrics.trials, metrics.turnedAway, metrics.endedWithConnection, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.storeCalls, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
+		metrics.orders, metrics.waitedOrders, metrics.connections, metrics.connectionTimeouts, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.noRoom, metrics.roomRejections, metrics.deferred, metrics.placementConflicts, metrics.keptAttempts, metrics.quarantined, metrics.trials, metrics.turnedAway, metrics.endedWithConnection, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
+	metrics.Registry.MustRegister(metrics.storeCalls.collectors()...)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -39,6 +39,7 @@
 	mutex        sync.Mutex
 	suppressed   int
 	storeFailing bool
+	storeCalls   storeCallLog
 	nodes        int
 	// unknownHeaders holds the unknown server headers that have been logged.
 	unknownHeaders map[string]bool
@@ -376,11 +377,6 @@
 		Dur("first", outcome.TimeToHead).Dur("took", boottime.Since(request.Arrived)).Msg("request")
 }
 
-// StoreCall records a call to the shared store.
-func (recorder *Recorder) StoreCall(purpose, call string) {
-	recorder.metrics.storeCalls.WithLabelValues(purpose, call).Inc()
-}
-
 // ReadDone records a read of the shared store. It logs only the start and the end of an outage.
 func (recorder *Recorder) ReadDone(took time.Duration, err error) {
 	result := "ok"
