Count the latest registration of a node

Callers saw: in the seconds after a node was killed and started again at another address, a resumed stream was refused at other nodes, since the holders of its record did not answer.

Cause: a killed node's registration outlives it by up to 18 s, and of two registrations under one name the last in key order counted, which is that of either incarnation.

Change: the registration with the later position counts. TestLatestRegistrationOfNodeCounts.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -56,6 +56,8 @@
 	OnResize func(nodes int)
 	// Eras tracks the era of the store.
 	Eras *coordination.EraTracker
+	// Outage tracks whether the store answers.
+	Outage *coordination.Outage
 	// PublishView, if set, writes the view of the fleet to where starting nodes read it.
 	PublishView func(ctx context.Context, view []byte) error
 
@@ -116,6 +118,10 @@
 	byName := make(map[string]coordination.Entry, len(entries))
 	for _, entry := range entries {
 		name := r.nodeName(entry.Key)
+		if known, found := byName[name]; found && entry.Position().Before(known.Position()) {
+			// The registration of an earlier incarnation, which has not expired yet.
+			continue
+		}
 		infos[name], byName[name] = parseNodeInfo(string(entry.Value)), entry
 	}
 	// A registration by an earlier incarnation of this node may have another address.
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -210,3 +210,16 @@
 	restarted.ObserveStaleNodes(entries, begin)
 	require.True(t, restarted.Bootstrapped())
 }
+
+// Guards against a node that was killed and started again at another address being called at its former
+// address until its former registration expires.
+func TestLatestRegistrationOfNodeCounts(t *testing.T) {
+	former := coordination.Entry{Key: "f/nodes/b/2", Value: []byte("former z 1"), Era: 1, Revision: 5}
+	latest := coordination.Entry{Key: "f/nodes/b/1", Value: []byte("latest z 1"), Era: 1, Revision: 9}
+	for _, entries := range [][]coordination.Entry{{former, latest}, {latest, former}} {
+		registry := newTestRegistry("a", "z", 1)
+		registry.ObserveNodes(entries, time.Unix(1000, 0))
+		require.Equal(t, []Node{{Name: "b", Address: "latest", Zone: "z"}}, registry.OtherNodes())
+		require.Equal(t, 2, registry.Nodes())
+	}
+}
