Take up what an outage of the store put off when the outage ends

Nodes that had started in the outage stayed unregistered for up to 6 s, so that ranks and shares of budgets were wrong.

Cause: delays that know nothing of the outage's end. Reads of the software versions backed off to 8 s; a registration was tried again after 6 s, the published view with it; the trial of a quarantined part after 15 s; a quarantine's write after 2 s; the directory of a large fleet after 30 s; a starting node counted failed reads as the stale ones that it should make first.

The quarantine, trials and the directory have short delays after a failure.

--- a/cmd/cloverrail/fleet_test.go
+++ b/cmd/cloverrail/fleet_test.go
@@ -49,7 +49,11 @@
 
 // addNodeWith starts one more node with changed settings.
 func (f *fleetFixture) addNodeWith(change func(config *settings.Proxy)) *fixture {
-	n := newNodeWith(f.t, f.store, f.storeAddress, fmt.Sprint("node-", len(f.nodes)), change)
+	return f.addNamedNode(fmt.Sprint("node-", len(f.nodes)), change)
+}
+
+func (f *fleetFixture) addNamedNode(name string, change func(config *settings.Proxy)) *fixture {
+	n := newNodeWith(f.t, f.store, f.storeAddress, name, change)
 	f.nodes = append(f.nodes, n)
 	f.running++
 	return n
--- a/cmd/cloverrail/origins.go
+++ b/cmd/cloverrail/origins.go
@@ -16,11 +16,10 @@
 	// originCheckInterval is the longest interval at which this node checks whether its records of
 	// streams must be sent to other nodes. A new software version makes it check at once.
 	originCheckInterval = time.Second
-	// softwareReadInterval and maxSoftwareReadInterval bound the time between two reads of software
-	// versions that this node lacks, and softwareReadTimeout bounds each of them.
-	softwareReadInterval    = time.Second
-	maxSoftwareReadInterval = 8 * time.Second
-	softwareReadTimeout     = 2 * time.Second
+	// softwareReadInterval is the time between two reads of software versions that this node lacks, and
+	// softwareReadTimeout bounds each of them.
+	softwareReadInterval = time.Second
+	softwareReadTimeout  = 2 * time.Second
 	// handOverTimeout bounds the time in which a node that stops sends its records of streams to others.
 	handOverTimeout = 200 * time.Millisecond
 	// softwareCheckInterval is the interval at which the readers of the store check whether the software
@@ -44,13 +43,11 @@
 // versions, until the context ends.
 func (process *process) publishOrigins(ctx context.Context) {
 	var last backend.SoftwareVersions
-	nextRead, interval := time.Time{}, softwareReadInterval
+	nextRead := time.Time{}
 	for ctx.Err() == nil {
 		if now := boottime.Now(); process.serverSet.LacksSoftware() && !now.Before(nextRead) {
 			process.readMissingSoftware(ctx)
-			nextRead, interval = now.Add(interval), min(2*interval, maxSoftwareReadInterval)
-		} else if !process.serverSet.LacksSoftware() {
-			interval = softwareReadInterval
+			nextRead = now.Add(softwareReadInterval)
 		}
 		if published := process.proxy.PublishOrigins(ctx); published > 0 {
 			process.recorder.OriginsPublished(published)
@@ -117,7 +114,7 @@
 // readSoftwareHistory reads the software versions that other nodes have recorded, until that succeeds or
 // this node knows all of them itself. Where none are recorded, no node of this build has run before.
 func (process *process) readSoftwareHistory(ctx context.Context) {
-	for interval := softwareReadInterval; ctx.Err() == nil; interval = min(2*interval, maxSoftwareReadInterval) {
+	for ctx.Err() == nil {
 		versions, err := process.source.ReadSoftware(ctx)
 		process.recorder.SoftwareHistoryRead(versions, err)
 		if err == nil {
@@ -127,7 +124,7 @@
 		if _, complete := process.serverSet.Software(boottime.Now()); complete {
 			return
 		}
-		pause.For(ctx, interval)
+		process.outage.AwaitRetry(ctx)
 	}
 }
 
--- /dev/null
+++ b/cmd/cloverrail/outage_test.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/fleet"
+	"github.com/cloverrail/cloverrail/internal/lab/faultwire"
+	"github.com/cloverrail/cloverrail/internal/settings"
+	"github.com/cloverrail/cloverrail/platform"
+	"github.com/cloverrail/cloverrail/platform/standin"
+)
+
+// These tests guard against what an outage of the store put off being put off further once the store
+// answers again.
+
+const (
+	// shortOutage ends before a store call times out, and longOutage after any delay between two
+	// attempts has reached its maximum.
+	shortOutage = 700 * time.Millisecond
+	longOutage  = 7 * time.Second
+)
+
+// outageKinds holds the ways in which a store fails that executes no call, or whose answers are of no use.
+var outageKinds = []standin.Fault{
+	standin.FaultNoResponse, standin.FaultReset, standin.FaultUnavailable, standin.FaultRateLimited, standin.FaultSlow, standin.FaultStalledResponse,
+}
+
+// disrupt makes all calls to the store fail in one way.
+func (f *fleetFixture) disrupt(fault standin.Fault) {
+	f.store.SetFault(func(*http.Request) standin.Fault { return fault })
+}
+
+// replaceNodes kills all nodes at once, and starts as many others.
+func (f *softwareFleet) replaceNodes() {
+	killed := f.nodes
+	for _, n := range killed {
+		n.crash()
+	}
+	f.nodes = nil
+	f.running = 0
+	for range killed {
+		f.addNode()
+	}
+}
+
+// contact returns the time after an outage within which a node must have caught up.
+func (fixture *fixture) contact() time.Duration { return fixture.process.settings.Bounds.StartupGrace }
+
+// behind returns what a node has not caught up with; "" if nothing.
+func (f *softwareFleet) behind(n *fixture) string {
+	process := n.process
+	_, complete := process.serverSet.Software(boottime.Now())
+	registered := false
+	for _, key := range f.store.Keys(platform.PrefixNodes) {
+		registered = registered || strings.Contains(key, "/"+process.settings.Name+"/"+process.registry.Incarnation)
+	}
+	switch {
+	case !process.proxy.Ready(boottime.Now()):
+		return "the configuration"
+	case len(process.serverSet.Servers(boottime.Now())) < len(f.machines):
+		return "the list of servers"
+	case !complete:
+		return "the software versions"
+	case !registered:
+		return "its registration"
+	case !process.registry.Bootstrapped():
+		return "its rank"
+	case process.registry.Nodes() < f.running:
+		return "the size of the fleet"
+	case !f.knowsOthers(n):
+		return "the addresses of other nodes"
+	default:
+		return ""
+	}
+}
+
+// knowsOthers reports whether a node knows the addresses of all others.
+func (f *softwareFleet) knowsOthers(n *fixture) bool {
+	for _, other := range f.nodes {
+		address := other.process.settings.PeerAddress
+		if other != n && !slices.ContainsFunc(n.process.registry.OtherNodes(), func(known fleet.Node) bool { return known.Address == address }) {
+			return false
+		}
+	}
+	return true
+}
+
+// requireCaughtUp checks that all nodes catch up within the contact time.
+func (f *softwareFleet) requireCaughtUp(t *testing.T, since time.Time) {
+	t.Helper()
+	for {
+		lacking := []string{}
+		for _, n := range f.nodes {
+			if what := f.behind(n); what != "" {
+				lacking = append(lacking, n.process.settings.Name+" lacks "+what)
+			}
+		}
+		if len(lacking) == 0 {
+			return
+		}
+		if time.Since(since) > f.nodes[0].contact() {
+			require.Empty(t, lacking, "%s after the store is back", f.nodes[0].contact())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// resumeBegun resumes streams that other nodes began.
+func (f *softwareFleet) resumeBegun(streams []*callerStream) {
+	for i, s := range streams {
+		s.try(f.nodes[i%len(f.nodes)], streamLength, nil)
+	}
+}
+
+// begin begins streams at all nodes.
+func (f *softwareFleet) begin() []*callerStream {
+	return runStreams(func(i int, s *callerStream) { s.try(f.nodes[i%len(f.nodes)], 1, nil) })
+}
+
+// Guards against nodes that are started in an outage of the store and do not learn, after it, which
+// software versions are in use: they refused all streams that callers resumed.
+func TestFleetStartedInOutageCatchesUp(t *testing.T) {
+	for _, kind := range outageKinds {
+		for _, length := range []time.Duration{shortOutage, longOutage} {
+			t.Run(fmt.Sprint(kind, " for ", length), func(t *testing.T) {
+				t.Parallel()
+				f := newSoftwareFleet(t, 3, "v1")
+				streams := f.begin()
+				f.disrupt(kind)
+				f.replaceNodes()
+				time.Sleep(length)
+				f.store.SetFault(nil)
+				f.requireCaughtUp(t, time.Now())
+				f.resumeBegun(streams)
+				requireContinued(t, streams, softwareStreams)
+			})
+		}
+	}
+}
+
+// restartNode kills one node, and starts it again.
+func (f *softwareFleet) restartNode() *fixture {
+	killed := f.nodes[0]
+	killed.crash()
+	f.running--
+	f.nodes = f.nodes[1:]
+	return f.addNamedNode(killed.process.settings.Name, func(*settings.Proxy) {})
+}
+
+// Guards against one node that is started in an outage, and that stays behind the others after it.
+func TestNodeStartedInOutageCatchesUp(t *testing.T) {
+	for _, kind := range outageKinds {
+		t.Run(kind.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newSoftwareFleet(t, 3, "v1")
+			streams := f.begin()
+			f.disrupt(kind)
+			f.restartNode()
+			time.Sleep(longOutage)
+			f.store.SetFault(nil)
+			f.requireCaughtUp(t, time.Now())
+			f.resumeBegun(streams)
+			requireContinued(t, streams, softwareStreams)
+		})
+	}
+}
+
+// Guards against a node that starts while it alone is cut off from the store: no other node sees an outage
+// or its end.
+func TestNodeStartedCutOffFromStoreCatchesUp(t *testing.T) {
+	for _, mode := range []faultwire.Mode{faultwire.ModeReset, faultwire.ModeBlackhole, faultwire.ModeHoldResponses, faultwire.ModeRefuse} {
+		t.Run(mode.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newSoftwareFleet(t, 3, "v1")
+			streams := f.begin()
+			link := f.restartNode().links[0]
+			link.SetMode(mode)
+			time.Sleep(longOutage)
+			link.SetMode(faultwire.ModeForward)
+			f.requireCaughtUp(t, time.Now())
+			f.resumeBegun(streams)
+			requireContinued(t, streams, softwareStreams)
+		})
+	}
+}
+
+// Guards against the end of a first outage using up what the end of the next one needs.
+func TestFleetStartedInSecondOutageCatchesUp(t *testing.T) {
+	for i, kind := range outageKinds {
+		next := outageKinds[(i+1)%len(outageKinds)]
+		t.Run(fmt.Sprint(kind, ", then ", next), func(t *testing.T) {
+			t.Parallel()
+			f := newSoftwareFleet(t, 3, "v1")
+			streams := f.begin()
+			f.disrupt(kind)
+			f.replaceNodes()
+			time.Sleep(longOutage / 2)
+			f.store.SetFault(nil)
+			time.Sleep(shortOutage)
+			f.disrupt(next)
+			time.Sleep(longOutage / 2)
+			f.store.SetFault(nil)
+			f.requireCaughtUp(t, time.Now())
+			f.resumeBegun(streams)
+			requireContinued(t, streams, softwareStreams)
+		})
+	}
+}
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -198,6 +198,7 @@
 		Cores:       config.ProcessorShare,
 		OnResize:    process.resize,
 		Eras:        process.eras,
+		Outage:      process.outage,
 		PublishView: process.publishView,
 	}
 	process.workReports = workshare.New(func() workshare.Report {
@@ -369,6 +370,7 @@
 		OnQuarantined: process.quarantinePersister.Observe,
 		Recorder:      process.recorder,
 		Eras:          process.eras,
+		Outage:        process.outage,
 		MaxStaleness:  min(bounds.Configuration, bounds.Drain),
 	}
 }
--- a/internal/fleet/registration.go
+++ b/internal/fleet/registration.go
@@ -40,13 +40,19 @@
 }
 
 // Run keeps this node registered, registers it again if the registration is lost, and
-// deregisters it when the context ends.
+// deregisters it when the context ends. What an outage of the store prevents is repeated when the
+// outage ends.
 func (r *Registry) Run(ctx context.Context) {
 	lease := int64(0)
 	for ctx.Err() == nil {
-		lease = r.renew(ctx, lease)
-		r.publishIfChanged(ctx)
-		r.awaitRenewal(ctx)
+		var renewed, published bool
+		lease, renewed = r.renew(ctx, lease)
+		published = r.publishIfChanged(ctx)
+		if renewed && published {
+			r.awaitRenewal(ctx)
+		} else {
+			r.Outage.AwaitRetry(ctx)
+		}
 	}
 	r.deregister(lease)
 }
@@ -79,29 +85,29 @@
 	_ = r.Store.Revoke(ctx, lease)
 }
 
-// renew renews the registration or registers the node again, and returns the lease of the
-// registration, or 0 if there is none.
-func (r *Registry) renew(ctx context.Context, lease int64) int64 {
+// renew renews the registration or registers the node again. It returns the lease of the
+// registration, or 0 if there is none, and whether the registration is renewed.
+func (r *Registry) renew(ctx context.Context, lease int64) (renewedLease int64, renewed bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	// A lease of another era is gone, or belongs to another client.
 	if era, _ := r.Eras.State(); lease != 0 && era == r.registeredEra {
 		alive, err := r.Store.Renew(ctx, lease)
 		if err != nil || alive {
-			return lease
+			return lease, err == nil
 		}
 	}
 	granted, err := r.Store.Grant(ctx, registrationTTL)
 	if err != nil {
-		return 0
+		return 0, false
 	}
 	era, _ := r.Eras.State()
 	// The key may exist already, under a lease from the restored backup that no node renews.
 	if written, err := r.Store.Write(ctx, r.registrationKey(), []byte(r.ownInfo().String()), granted.ID); err != nil || !written {
-		return 0
+		return 0, false
 	}
 	r.registeredEra = era
-	return granted.ID
+	return granted.ID, true
 }
 
 // withPreRestoreEntries adds to the observed entries those of nodes that were registered before
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -39,9 +39,9 @@
 }
 
 // publishIfChanged writes the view to where starting nodes read it, if this is the node of rank
-// 0 and the view has changed or a restored store may have lost it. A failed write is retried
-// after the next renewal.
-func (r *Registry) publishIfChanged(ctx context.Context) {
+// 0 and the view has changed or a restored store may have lost it. It returns false if it must be
+// written and the write failed.
+func (r *Registry) publishIfChanged(ctx context.Context) bool {
 	era, _ := r.Eras.State()
 	r.mutex.Lock()
 	view, digest := r.view, r.digest
@@ -49,18 +49,19 @@
 	due := r.bootstrapped && r.ownRank == 0 && view.Nodes > 0 && changed && r.PublishView != nil
 	r.mutex.Unlock()
 	if !due {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	encoded := bytes.Buffer{}
 	if gob.NewEncoder(&encoded).Encode(view) != nil || r.PublishView(ctx, encoded.Bytes()) != nil {
 		// PublishView reports its own failure, and encoding a view does not fail.
-		return
+		return false
 	}
 	r.mutex.Lock()
 	r.publishedDigest, r.publishedEra = digest, era
 	r.mutex.Unlock()
+	return true
 }
 
 // ObservePublishedView applies a view that the node of rank 0 published at some time. A node
--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -11,6 +11,9 @@
 // directoryTTL is how long nodes that were read from the store are used before they are read again.
 const directoryTTL = 30 * time.Second
 
+// failedReadDelay is how long after a failed read the nodes are read again.
+const failedReadDelay = time.Second
+
 // Directory lists the nodes through which attempts may be sent. In a large fleet a node knows only the
 // first ones by rank, which could not carry the load of a whole zone; while it needs others, it reads
 // more from the store.
@@ -21,9 +24,9 @@
 	// Read reads the first page of the registrations of all nodes.
 	Read func(ctx context.Context) ([]fleet.Node, error)
 
-	mutex  sync.Mutex
-	read   []fleet.Node
-	readAt time.Time
+	mutex    sync.Mutex
+	read     []fleet.Node
+	nextRead time.Time
 }
 
 // Nodes returns the nodes.
@@ -42,9 +45,9 @@
 func (d *Directory) Refresh(ctx context.Context, now time.Time) error {
 	whole := len(d.Known())+1 >= d.Fleet()
 	d.mutex.Lock()
-	due := !whole && (d.readAt.IsZero() || now.Sub(d.readAt) >= directoryTTL)
+	due := !whole && !now.Before(d.nextRead)
 	if due {
-		d.readAt = now
+		d.nextRead = now.Add(directoryTTL)
 	}
 	if whole {
 		d.read = nil
@@ -54,11 +57,12 @@
 		return nil
 	}
 	nodes, err := d.Read(ctx)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	if err != nil {
+		d.nextRead = now.Add(failedReadDelay)
 		return err
 	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
 	d.read = nodes
 	return nil
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -385,3 +385,21 @@
 		require.LessOrEqual(t, count, 15, "node %s, where 5 is the mean", name)
 	}
 }
+
+// Guards against a node that knows too few others for as long as a read lasts, after a read that failed.
+func TestDirectoryReadsAgainAfterFailure(t *testing.T) {
+	now, err := time.Unix(1000, 0), errors.New("outage")
+	reads := 0
+	d := &Directory{
+		Known: func() []fleet.Node { return nil }, Fleet: func() int { return 9 },
+		Read: func(context.Context) ([]fleet.Node, error) { reads++; return []fleet.Node{{Name: "a"}}, err },
+	}
+	require.Error(t, d.Refresh(t.Context(), now))
+	require.NoError(t, d.Refresh(t.Context(), now))
+	require.Equal(t, 1, reads)
+	err = nil
+	require.NoError(t, d.Refresh(t.Context(), now.Add(failedReadDelay)))
+	require.Len(t, d.Nodes(), 1)
+	require.NoError(t, d.Refresh(t.Context(), now.Add(directoryTTL)))
+	require.Equal(t, 2, reads)
+}
--- a/internal/quarantine/persister.go
+++ b/internal/quarantine/persister.go
@@ -17,8 +17,9 @@
 	persistInterval = 250 * time.Millisecond
 	callTimeout     = time.Second
 	// persistRetryDelay is the delay before another attempt to write or remove a key that is still
-	// out of date.
+	// out of date, and failureRetryDelay the same after a call that failed.
 	persistRetryDelay = 2 * time.Second
+	failureRetryDelay = 500 * time.Millisecond
 	// fingerprintBase is the number base of fingerprints in store keys.
 	fingerprintBase = 16
 	// requestValue and partValue are the values of the keys of requests and parts.
@@ -94,13 +95,27 @@
 	now := p.Now()
 	missing, cleared := p.diff(now)
 	for f, part := range missing {
-		p.Recorder.QuarantinePersisted(f, part, true, p.write(ctx, f, part))
+		err := p.write(ctx, f, part)
+		p.Recorder.QuarantinePersisted(f, part, true, err)
+		p.retryIfFailed(f, err)
 	}
 	for f, part := range cleared {
-		p.Recorder.QuarantinePersisted(f, part, false, p.remove(ctx, f))
+		err := p.remove(ctx, f)
+		p.Recorder.QuarantinePersisted(f, part, false, err)
+		p.retryIfFailed(f, err)
 	}
 }
 
+// retryIfFailed makes a call that failed due again soon: the outage of the store may be over.
+func (p *Persister) retryIfFailed(f Fingerprint, err error) {
+	if err == nil {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.writeAt[f] = p.Now().Add(failureRetryDelay)
+}
+
 // diff returns the suspects whose keys are missing in the store and due to be written by this
 // node, and those whose keys should be removed.
 func (p *Persister) diff(now time.Time) (missing, cleared Suspected) {
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -12,6 +12,8 @@
 	trialLease = 15 * time.Second
 	// maxClaimWait bounds the time that a request waits for the claim of a trial.
 	maxClaimWait = 250 * time.Millisecond
+	// failedClaimDelay is how long after a failed call the store is called again for the same part.
+	failedClaimDelay = time.Second
 	// maxClaims bounds the remembered claims. When it is reached, all are forgotten; the store still excludes others.
 	maxClaims = 1024
 )
@@ -32,11 +34,16 @@
 }
 
 // Claim reports whether the calling request is the one to be tried. It calls the store at most once in trialLease for
-// each part, and waits at most maxClaimWait for it. The error is that of the store.
+// each part unless the call fails, and waits at most maxClaimWait for it. The error is that of the store.
 func (t *Trials) Claim(ctx context.Context, part Fingerprint) (claimed bool, err error) {
 	if !t.begin(part) {
 		return false, nil
 	}
+	defer func() {
+		if err != nil {
+			t.retryAfter(part, failedClaimDelay)
+		}
+	}()
 	ctx, cancel := context.WithTimeout(ctx, maxClaimWait)
 	defer cancel()
 	lease, err := t.Store.Grant(ctx, trialLease)
@@ -47,6 +54,13 @@
 	return claimed && err == nil, err
 }
 
+// retryAfter allows this node to call the store for the trial of a part after a delay.
+func (t *Trials) retryAfter(part Fingerprint, delay time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.nextClaim[part] = t.Now().Add(delay)
+}
+
 // begin reports whether this node may call the store for the trial of a part now.
 func (t *Trials) begin(part Fingerprint) bool {
 	now := t.Now()
--- a/internal/reflector/bootstrap.go
+++ b/internal/reflector/bootstrap.go
@@ -36,10 +36,13 @@
 	if err := r.readWithTimeout(ctx, r.readView); err == nil && r.Registry.Nodes() > 1 {
 		r.awaitRank(ctx, relayRankWait)
 	}
-	for reads := 0; ctx.Err() == nil && !r.Registry.Bootstrapped(); reads++ {
+	for reads := 0; ctx.Err() == nil && !r.Registry.Bootstrapped(); {
 		startedAt := boottime.Now()
 		wait, stale := bootstrapReadInterval, reads < staleReads
 		err := r.readWithTimeout(ctx, func(ctx context.Context) error { return r.readNodes(ctx, stale) })
+		if err == nil {
+			reads++
+		}
 		switch {
 		case err != nil:
 			wait = r.failureDelay()
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -302,6 +302,7 @@
 // the request was sent, so counting its age from the sending never makes it look newer than
 // it is.
 func (r *Reflector) applyReplica(delta Delta, sentAt time.Time) {
+	r.Outage.ObserveAnswer(sentAt.Add(-delta.BeliefAge))
 	r.applyReading(catalog.ReadResult{
 		SentAt:      sentAt.Add(-delta.BeliefAge),
 		Declaration: delta.Declaration,
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,6 +140,8 @@
 	// Eras tracks the era of the store. Other nodes may learn of a new one before this node
 	// does.
 	Eras *coordination.EraTracker
+	// Outage tracks whether the store answers this node or others.
+	Outage *coordination.Outage
 	// MaxStaleness is the age that this node's replica must never reach.
 	MaxStaleness time.Duration
 
@@ -194,12 +197,12 @@
 	}
 }
 
-// failureDelay returns the wait after a failed read.
+// failureDelay returns the wait after a failed read. Nodes that start together spread their reads.
 func (r *Reflector) failureDelay() time.Duration {
 	if r.Reads() {
 		return readerRetryDelay
 	}
-	return retryDelay
+	return retryDelay + rand.N(retryDelay/5)
 }
 
 // isFirstReader reports whether this node is the first reader.
--- a/internal/telemetry/storecalls_test.go
+++ b/internal/telemetry/storecalls_test.go
@@ -26,7 +26,9 @@
 			synctest.Wait()
 			return strings.Count(log.String(), `"message":"`+message+`"`)
 		}
-		waiting := func() float64 { return testutil.ToFloat64(metrics.storeCalls.waiting.WithLabelValues("software", "read")) }
+		waiting := func() float64 {
+			return testutil.ToFloat64(metrics.storeCalls.waiting.WithLabelValues("software", "read"))
+		}
 		results := func(result coordination.CallResult) float64 {
 			return testutil.ToFloat64(metrics.storeCalls.results.WithLabelValues("software", string(result)))
 		}
