Begin no resumable stream at a software version that is not recorded

Callers saw (found by a test, not yet by a caller): events of two software versions in one stream. A version began streams as soon as its servers were listed.

Change: a version begins streams that may be resumed only while it is in the record. So the record holds every version that can have begun one, and a node that has read it knows them, however many nodes were lost. The record goes with the list of servers: relays find it in the changes that they read anyway, others get it with the list from the node that they poll, so that a node that starts beside sound ones does not read the store for it. It is written at once when a new version is listed, by the first relay that can, on the condition that it is still the one that was read: of two writers, or of a write that is done late, none undoes the other. A request that finds no recorded version waits as for a free server, and is then refused as not run.

Ruled out: marking the record with a time or a position up to which it is complete. It would have to be renewed all the time, and between two renewals nothing is known.

--- a/cmd/cloverrail/origins.go
+++ b/cmd/cloverrail/origins.go
@@ -9,7 +9,6 @@
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/origin"
-	"github.com/cloverrail/cloverrail/internal/pause"
 )
 
 const (
@@ -22,9 +21,6 @@
 	softwareReadTimeout  = 2 * time.Second
 	// handOverTimeout bounds the time in which a node that stops sends its records of streams to others.
 	handOverTimeout = 200 * time.Millisecond
-	// softwareCheckInterval is the interval at which the readers of the store check whether the software
-	// versions must be recorded anew.
-	softwareCheckInterval = 500 * time.Millisecond
 )
 
 // newOriginHolders returns the client of the nodes that hold the records of streams.
@@ -87,62 +83,3 @@
 	}
 	process.recorder.MissingSoftwareRead(len(servers), err)
 }
-
-// keepSoftwareHistory reads which software versions were in use before this node started, and records
-// them for nodes that start later, until the context ends.
-func (process *process) keepSoftwareHistory(ctx context.Context) {
-	process.readSoftwareHistory(ctx)
-	var recorded backend.SoftwareVersions
-	recordedEra, changedAt := int64(0), time.Time{}
-	for ; ctx.Err() == nil; pause.For(ctx, softwareCheckInterval) {
-		now, era := boottime.Now(), process.eras.Current()
-		versions, _ := process.serverSet.Software(now)
-		if len(versions) == 0 || process.serverSet.LacksSoftware() || reflect.DeepEqual(versions, recorded) && era == recordedEra {
-			changedAt = now
-			continue
-		}
-		if !process.reflector.Reads() || now.Sub(changedAt) < time.Duration(process.registry.Rank())*writeDelayPerRank {
-			continue
-		}
-		if process.recordSoftware(ctx) {
-			recorded, _ = process.serverSet.Software(boottime.Now())
-			recordedEra = era
-		}
-	}
-}
-
-// readSoftwareHistory reads the software versions that other nodes have recorded, until that succeeds or
-// this node knows all of them itself. Where none are recorded, no node of this build has run before.
-func (process *process) readSoftwareHistory(ctx context.Context) {
-	for ctx.Err() == nil {
-		versions, err := process.source.ReadSoftware(ctx)
-		process.recorder.SoftwareHistoryRead(versions, err)
-		if err == nil {
-			process.serverSet.AddSoftware(versions, boottime.Now())
-			return
-		}
-		if _, complete := process.serverSet.Software(boottime.Now()); complete {
-			return
-		}
-		process.outage.AwaitRetry(ctx)
-	}
-}
-
-// recordSoftware records the software versions of the services, with those that were recorded before. It
-// returns whether they are recorded.
-func (process *process) recordSoftware(ctx context.Context) bool {
-	former, err := process.source.ReadSoftware(ctx)
-	if err != nil {
-		return false
-	}
-	if _, complete := process.serverSet.Software(boottime.Now()); !complete {
-		process.serverSet.AddSoftware(former, boottime.Now())
-	}
-	versions, _ := process.serverSet.Software(boottime.Now())
-	if reflect.DeepEqual(versions, former) {
-		return true
-	}
-	err = process.source.WriteSoftware(ctx, versions)
-	process.recorder.SoftwareHistoryWritten(err)
-	return err == nil
-}
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -463,7 +463,7 @@
 	tasks.Go(func() { process.quarantinePersister.Run(ctx) })
 	tasks.Go(func() { process.probePaths(ctx) })
 	tasks.Go(func() { process.publishOrigins(ctx) })
-	tasks.Go(func() { process.keepSoftwareHistory(ctx) })
+	tasks.Go(func() { process.keepSoftwareRecord(ctx) })
 	elector := &lease.Elector{
 		Store: process.store.WithPurpose("duty"),
 		Task: &rollout.Controller{
--- /dev/null
+++ b/cmd/cloverrail/softwarerecord.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"reflect"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
+)
+
+const (
+	// softwareCheckInterval is the interval at which a node checks the record of software versions. A
+	// version that was not recorded before makes it check at once.
+	softwareCheckInterval = 250 * time.Millisecond
+	// recordDelayPerRank is how long a relay waits, for each node of a better rank, before it writes a
+	// record that such a node should have written.
+	recordDelayPerRank = 300 * time.Millisecond
+	// recordReadDelay is how long a node that knows servers waits for another node to send the record of
+	// their versions, before it reads the record itself. Nodes of former builds send none.
+	recordReadDelay = time.Second
+)
+
+// softwareRecorder keeps the record of software versions in the store.
+type softwareRecorder struct {
+	process *process
+	// dueSince is since when the record differs from the versions that this node knows, and missingSince
+	// since when this node lacks a record of listed versions; zero if neither is the case.
+	dueSince     time.Time
+	missingSince time.Time
+}
+
+// keepSoftwareRecord records the software versions for nodes that start, until the context ends.
+func (process *process) keepSoftwareRecord(ctx context.Context) {
+	recorder := &softwareRecorder{process: process}
+	for ctx.Err() == nil {
+		if !recorder.step(ctx, boottime.Now()) {
+			process.outage.AwaitRetry(ctx)
+			continue
+		}
+		select {
+		case <-process.serverSet.SoftwareUnrecorded():
+		case <-time.After(softwareCheckInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// step writes or reads the record if that is due. It returns false if the store did not answer.
+func (r *softwareRecorder) step(ctx context.Context, now time.Time) bool {
+	set := r.process.serverSet
+	record := set.SoftwareRecord()
+	versions, complete := set.Software(now)
+	differs := record != nil && complete && !set.LacksSoftware() && !reflect.DeepEqual(versions, record.Versions)
+	r.dueSince = since(r.dueSince, differs, now)
+	r.missingSince = since(r.missingSince, len(versions) > 0 && (record == nil || len(set.UnrecordedSoftware()) > 0), now)
+	delay := time.Duration(r.process.registry.Rank()) * recordDelayPerRank
+	switch {
+	case differs && r.process.reflector.Relays() && now.Sub(r.dueSince) >= delay:
+		return r.write(ctx, versions, *record)
+	case !r.missingSince.IsZero() && now.Sub(r.missingSince) >= recordReadDelay:
+		r.missingSince = now
+		return r.read(ctx)
+	default:
+		return true
+	}
+}
+
+// since returns since when a condition holds, or zero if it does not.
+func since(former time.Time, holds bool, now time.Time) time.Time {
+	switch {
+	case !holds:
+		return time.Time{}
+	case former.IsZero():
+		return now
+	default:
+		return former
+	}
+}
+
+// write replaces the record. If another node has changed it meanwhile, it reads what that node wrote.
+func (r *softwareRecorder) write(ctx context.Context, versions backend.SoftwareVersions, former backend.SoftwareRecord) bool {
+	record, written, err := r.process.source.WriteSoftware(ctx, versions, former)
+	r.process.recorder.SoftwareRecordWritten(versions, written, err)
+	if written {
+		r.process.reflector.ApplySoftware(record)
+		return true
+	}
+	// The write may have been done although it was not answered.
+	return r.read(ctx)
+}
+
+func (r *softwareRecorder) read(ctx context.Context) bool {
+	record, err := r.process.source.ReadSoftware(ctx)
+	r.process.recorder.SoftwareRecordRead(err)
+	if err != nil {
+		return false
+	}
+	r.process.reflector.ApplySoftware(record)
+	return true
+}
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -20,6 +20,8 @@
 	Distance       Distance
 	// Software, if set, is the only software version that may serve the request.
 	Software string
+	// BeginsStream excludes servers whose software version is not recorded.
+	BeginsStream bool
 	// Limit bounds the candidates to the servers whose keys follow HashPoint on the ring of the
 	// service; 0 means all servers. All nodes get the same subset for the same HashPoint.
 	HashPoint uint64
@@ -48,6 +50,9 @@
 		if query.Software != "" && e.server.Software != query.Software {
 			continue
 		}
+		if query.BeginsStream && !set.software.mayBegin(query.Service, e.server.Software) {
+			continue
+		}
 		if now.Before(e.local().replacedUntil) || (!e.listed && (anyListed || e.isDraining())) {
 			continue
 		}
--- a/internal/backend/software.go
+++ b/internal/backend/software.go
@@ -29,10 +29,14 @@
 	completeAt time.Time
 	// changed has an element after a version was added.
 	changed chan struct{}
+	// unrecorded has an element after a version was listed that is not recorded.
+	unrecorded chan struct{}
+	// record is the latest record that this node knows, or nil.
+	record *SoftwareRecord
 }
 
 func newSoftwareHistory() softwareHistory {
-	return softwareHistory{services: map[string]map[string]*softwareUse{}, changed: make(chan struct{}, 1)}
+	return softwareHistory{services: map[string]map[string]*softwareUse{}, changed: make(chan struct{}, 1), unrecorded: make(chan struct{}, 1)}
 }
 
 func (h *softwareHistory) use(service, software string) *softwareUse {
@@ -59,6 +63,12 @@
 	}
 	if after != nil {
 		h.use(after.Service, after.Software).listed++
+		if !h.mayBegin(after.Service, after.Software) {
+			select {
+			case h.unrecorded <- struct{}{}:
+			default:
+			}
+		}
 	}
 	if before != nil {
 		use := h.use(before.Service, before.Software)
@@ -135,20 +145,6 @@
 	return versions, !set.software.completeAt.IsZero() && !now.Before(set.software.completeAt)
 }
 
-// AddSoftware adds the versions that other nodes have recorded. The history is complete with them.
-func (set *Set) AddSoftware(recorded SoftwareVersions, now time.Time) {
-	set.mutex.Lock()
-	defer set.mutex.Unlock()
-	for service, versions := range recorded {
-		for _, software := range versions {
-			if use := set.software.use(service, software); use.listed == 0 {
-				use.lastListedAt = now
-			}
-		}
-	}
-	set.software.completeAt = now
-}
-
 // LacksSoftware reports whether the software version of a listed server is unknown.
 func (set *Set) LacksSoftware() bool {
 	set.mutex.Lock()
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -187,9 +187,12 @@
 }
 
 // keepsOrigin reports whether the attempt's stream may be resumed later.
-func (placement *placement) keepsOrigin() bool {
-	admitted := placement.placer.admitted
-	return placement.placer.proxy.origins != nil && admitted.route.Kind == catalog.Stream && admitted.route.Resumable
+func (placement *placement) keepsOrigin() bool { return placement.placer.beginsResumableStream() }
+
+// beginsResumableStream reports whether the request's route has streams that may be resumed later.
+func (placer *placer) beginsResumableStream() bool {
+	route := placer.admitted.route
+	return placer.proxy.origins != nil && route.Kind == catalog.Stream && route.Resumable
 }
 
 // checkIncarnation decides what to do with a stream that a server has begun to send. A stream that
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -225,6 +225,9 @@
 			}
 			placed.attempt.End(exchange.ResultNeutral, now)
 		}
+		if len(selection.candidates) == 0 && query.BeginsStream && placer.proxy.set.ListsUnrecordedSoftware(query.Service) {
+			return nil, &exchange.Unplaced{Reason: "the software versions of the service's servers are not recorded in the store yet"}
+		}
 		if len(selection.candidates) == 0 {
 			return nil, &exchange.Unplaced{Reason: "no server of the service is registered"}
 		}
--- a/internal/proxy/routing_request.go
+++ b/internal/proxy/routing_request.go
@@ -62,6 +62,8 @@
 	query := backend.Query{Service: placer.admitted.service.Name, Distance: placer.proxy.distance}
 	if began := placer.admitted.origin; began != nil {
 		query.Software = began.Software
+	} else {
+		query.BeginsStream = placer.beginsResumableStream()
 	}
 	prompt := placer.prompt()
 	if prompt == nil {
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -31,6 +31,8 @@
 	// Loads is the state of the weight rollout, or nil if it is not newer than the
 	// requesting node's.
 	Loads *backend.Loads
+	// Software is the record of software versions, or nil if the requesting node has the same one.
+	Software *backend.SoftwareRecord
 	// Age is the age of the responding node's list of servers. BeliefAge is the time since
 	// the call was sent that showed its declaration and weights to be current, and negative
 	// if there was none.
@@ -71,6 +73,8 @@
 	Loads backend.LoadsMark
 	// Node is the sender's name.
 	Node string
+	// Software is the digest of the sender's record of software versions; 0 if its build has none.
+	Software uint64
 	// Declaration is the version of the sender's declaration, and Fleet the digest of its
 	// view of the fleet.
 	Declaration int64
@@ -104,13 +108,16 @@
 	changed chan struct{}
 	servers *serverList
 	loads   backend.Loads
+	// software is the record of software versions, or nil, and digest that of the record.
+	software *backend.SoftwareRecord
+	digest   uint64
 }
 
 // NewFeed returns an empty feed. The name must be unique to this process.
 func NewFeed(name string, replica *catalog.AtomicReplica, registry *fleet.Registry, work *workshare.Aggregator, cache *residency.Ledger, suspicions *quarantine.Ledger) *Feed {
 	f := &Feed{
 		name: name, replica: replica, registry: registry, work: work, cache: cache, quarantine: suspicions,
-		changed: make(chan struct{}), servers: newServerList(),
+		changed: make(chan struct{}), servers: newServerList(), digest: backend.NoSoftwareDigest,
 	}
 	suspicions.Changed = f.Notify
 	return f
@@ -160,6 +167,32 @@
 	return true
 }
 
+// ApplySoftware applies a record of software versions.
+func (f *Feed) ApplySoftware(record *backend.SoftwareRecord) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.software, f.digest = record, record.Digest()
+	f.notifyLocked()
+}
+
+// softwareDigest returns the digest of this node's record of software versions.
+func (f *Feed) softwareDigest() uint64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.digest
+}
+
+// softwareFor returns the record of software versions, or nil if the requesting node has the same one or
+// its build has none.
+func (f *Feed) softwareFor(request PollRequest) *backend.SoftwareRecord {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if request.Software == 0 || request.Software == f.digest {
+		return nil
+	}
+	return f.software
+}
+
 // LoadsMark identifies the known state of the weight rollout.
 func (f *Feed) LoadsMark() backend.LoadsMark {
 	f.mutex.Lock()
@@ -211,6 +244,8 @@
 	}
 	f.quarantine.Apply(request.Suspicions, request.Node, boottime.Now())
 	delta := f.awaitChanges(ctx, request)
+	// The record is at least as recent as the list of servers.
+	delta.Software = f.softwareFor(request)
 	f.addSuspicions(&delta, request, boottime.Now())
 	f.addReplica(&delta, request, boottime.Now())
 	delta.Fleet, delta.Nodes = f.registry.ViewIfChanged(request.Fleet)
@@ -260,7 +295,7 @@
 // wait if there are other changes to send.
 func (f *Feed) awaitChanges(ctx context.Context, request PollRequest) Delta {
 	delta, changed := f.changesSince(request)
-	if !delta.hasNoServerOrRolloutChanges() || f.quarantine.Position() != request.SuspicionsPlace || f.hasNewerDeclaration(request) {
+	if !delta.hasNoServerOrRolloutChanges() || f.quarantine.Position() != request.SuspicionsPlace || f.hasNewerDeclaration(request) || f.softwareFor(request) != nil {
 		return delta
 	}
 	select {
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -188,6 +188,9 @@
 	exchange.advance(delta, sentUpTo)
 	incompatible := !r.reconcileEra(&delta)
 	r.Quarantine.Apply(delta.Suspicions, delta.Feed, boottime.Now())
+	if delta.Software != nil {
+		r.ApplySoftware(*delta.Software)
+	}
 	if !incompatible {
 		r.applyServers(delta.serverUpdate(sentAt))
 	}
@@ -270,6 +273,14 @@
 	}
 }
 
+// ApplySoftware applies a record of software versions, and makes it available to other nodes.
+func (r *Reflector) ApplySoftware(record backend.SoftwareRecord) {
+	if r.Set.SetSoftwareRecord(record, boottime.Now()) {
+		r.Recorder.SoftwareRecordChanged(record)
+		r.Feed.ApplySoftware(r.Set.SoftwareRecord())
+	}
+}
+
 // applyCacheUpdates applies a node's cache updates, and removes those of nodes that no longer
 // send any.
 func (r *Reflector) applyCacheUpdates(node string, cursor residency.Place, updates []byte) {
@@ -282,7 +293,7 @@
 // request returns the poll request for what this node lacks. Relays exchange work and cache
 // updates among each other in group requests instead.
 func (r *Reflector) request(node string, exchange *suspicionExchange) PollRequest {
-	request := PollRequest{Feed: exchange.feed, Wait: pollWait, Node: r.Registry.Name, Fleet: r.Registry.ViewDigest(), Loads: r.Feed.LoadsMark()}
+	request := PollRequest{Feed: exchange.feed, Wait: pollWait, Node: r.Registry.Name, Fleet: r.Registry.ViewDigest(), Loads: r.Feed.LoadsMark(), Software: r.Feed.softwareDigest()}
 	request.Place, _ = r.Feed.cursor()
 	if r.uninitialized() {
 		request.Wait = initialPollWait
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -45,6 +45,8 @@
 	Nodes  []coordination.Entry
 	// Quarantined holds the entries of quarantined requests.
 	Quarantined []coordination.Entry
+	// Software is the record of software versions, or nil if it cannot be read.
+	Software *backend.SoftwareRecord
 }
 
 // Source reads the store. Its reads are linearizable unless stated otherwise. It is safe
@@ -86,6 +88,8 @@
 	// UpstreamChanged is called with the node that is polled from now on, and with the
 	// error for which the previous one was left.
 	UpstreamChanged(node string, left error)
+	// SoftwareRecordChanged is called with the record of software versions when it has changed.
+	SoftwareRecordChanged(record backend.SoftwareRecord)
 	// CacheUpdatesRejected is called when a node's cache updates cannot be decoded.
 	CacheUpdatesRejected(node string, err error)
 }
@@ -258,6 +262,10 @@
 	if err != nil {
 		return err
 	}
+	// The record comes first: it holds all versions that may have begun streams when the list was read.
+	if observation.Software != nil {
+		r.ApplySoftware(*observation.Software)
+	}
 	r.applyServers(serverUpdate{
 		whole: observation.Whole, changed: observation.Servers, gone: observation.Gone,
 		position: observation.At, readAt: sentAt,
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -93,6 +93,8 @@
 	// Suspicions is gob-encoded on its own, and mostly nil.
 	Suspicions      []byte
 	SuspicionsPlace int64
+	// Software is the digest of the sender's record of software versions; builds without records send 0.
+	Software uint64
 }
 
 // encode writes the request to w.
@@ -102,7 +104,7 @@
 		Format: messageFormat,
 		Feed:   q.Feed, Place: q.Place.Revision, Era: q.Place.Era, Wait: q.Wait, Loads: q.Loads, Node: q.Node, Declaration: q.Declaration, Fleet: q.Fleet,
 		Relay: q.Relay, Reader: q.Reader, Work: packed, Details: details, Quota: q.Own.Quota.Encode(), Kept: q.Kept,
-		SuspicionsPlace: q.SuspicionsPlace,
+		SuspicionsPlace: q.SuspicionsPlace, Software: q.Software,
 	}
 	if q.Suspicions != nil {
 		encoded, err := encodeNested(q.Suspicions)
@@ -125,7 +127,7 @@
 	}
 	q := PollRequest{
 		Feed: w.Feed, Place: coordination.Position{Era: w.Era, Revision: w.Place}, Wait: w.Wait, Loads: w.Loads, Node: w.Node, Declaration: w.Declaration, Fleet: w.Fleet,
-		Relay: w.Relay, Reader: w.Reader, Kept: w.Kept, SuspicionsPlace: w.SuspicionsPlace,
+		Relay: w.Relay, Reader: w.Reader, Kept: w.Kept, SuspicionsPlace: w.SuspicionsPlace, Software: w.Software,
 	}
 	if w.Suspicions != nil {
 		if err := gob.NewDecoder(bytes.NewReader(w.Suspicions)).Decode(&q.Suspicions); err != nil {
@@ -176,11 +178,13 @@
 
 	Suspicions      []quarantine.Item
 	SuspicionsPlace int64
+
+	Software *backend.SoftwareRecord
 }
 
 func (r wireRest) empty() bool {
 	return r.Loads == nil && r.Declaration == nil && r.Fleet == nil &&
-		r.Duties == nil && r.SuspicionsPlace == 0
+		r.Duties == nil && r.SuspicionsPlace == 0 && r.Software == nil
 }
 
 // encode writes the delta to w.
@@ -201,7 +205,7 @@
 	rest := wireRest{
 		Loads:       d.Loads,
 		Declaration: d.Declaration, Fleet: d.Fleet, Duties: d.Duties,
-		Suspicions: d.Suspicions, SuspicionsPlace: d.SuspicionsPlace,
+		Suspicions: d.Suspicions, SuspicionsPlace: d.SuspicionsPlace, Software: d.Software,
 	}
 	if !rest.empty() {
 		encoded, err := encodeNested(rest)
@@ -243,7 +247,7 @@
 		Weights: w.Weights, Nodes: w.Nodes, Sum: w.Sum, Others: workshare.Report{Work: unpackWork(w.Work, w.Details), Quota: used}, Kept: w.Kept,
 		Whole: servers.Whole, Changed: changed, Gone: servers.Gone, Loads: rest.Loads,
 		Declaration: rest.Declaration, Fleet: rest.Fleet, Duties: rest.Duties,
-		Suspicions: rest.Suspicions, SuspicionsPlace: rest.SuspicionsPlace,
+		Suspicions: rest.Suspicions, SuspicionsPlace: rest.SuspicionsPlace, Software: rest.Software,
 	}, nil
 }
 
--- a/internal/telemetry/origins.go
+++ b/internal/telemetry/origins.go
@@ -73,16 +73,23 @@
 	recorder.log.Info().Int("servers", servers).Err(err).Msg("read the software versions that a node of another build does not pass on")
 }
 
-// SoftwareHistoryRead records a read of the software versions that other nodes have recorded.
-func (recorder *Recorder) SoftwareHistoryRead(versions backend.SoftwareVersions, err error) {
+// SoftwareRecordRead records a read of the software versions that are recorded in the store, by a node that
+// no other one has sent them.
+func (recorder *Recorder) SoftwareRecordRead(err error) {
 	if err != nil {
 		recorder.log.Warn().Err(err).Msg("cannot read the recorded software versions; streams that other nodes began are resumed by records alone")
 		return
 	}
-	recorder.log.Info().Interface("services", versions).Msg("read the recorded software versions")
+	recorder.log.Info().Msg("read the recorded software versions")
 }
 
-// SoftwareHistoryWritten records a write of the software versions for nodes that start.
-func (recorder *Recorder) SoftwareHistoryWritten(err error) {
-	recorder.log.Info().Err(err).Msg("wrote the software versions for nodes that start")
+// SoftwareRecordChanged records that this node knows another record of software versions.
+func (recorder *Recorder) SoftwareRecordChanged(record backend.SoftwareRecord) {
+	recorder.log.Info().Interface("services", record.Versions).Int64("revision", record.Revision).Msg("software versions are recorded")
+}
+
+// SoftwareRecordWritten records a write of the software versions; written is false if another node has
+// changed the record meanwhile.
+func (recorder *Recorder) SoftwareRecordWritten(versions backend.SoftwareVersions, written bool, err error) {
+	recorder.log.Info().Interface("services", versions).Bool("written", written).Err(err).Msg("wrote the software versions")
 }
