Learn the fleet's state from seeds while the store does not answer a starting node

Callers saw: a node that was started in an outage of the store refused all requests until the store answered, although the other nodes served on; streams of a killed node could not go on there.

Cause: a node finds the others in the store alone.

Change: a setting names the peer addresses of some other nodes. A starting node to which the store has shown no other node for 1 s polls them as any upstream, and goes on with the relays that they name. From them it has the configuration, the list of servers, the record of software versions, quarantines and ranks. The wait keeps a starting fleet from overloading the seeds; seeds without state are polled every 0.5 to 1.5 s.

--- a/cmd/cloverrail/outage_test.go
+++ b/cmd/cloverrail/outage_test.go
@@ -60,10 +60,6 @@
 func (f *softwareFleet) behind(n *fixture) string {
 	process := n.process
 	_, complete := process.serverSet.Software(boottime.Now())
-	registered := false
-	for _, key := range f.store.Keys(platform.PrefixNodes) {
-		registered = registered || strings.Contains(key, "/"+process.settings.Name+"/"+process.registry.Incarnation)
-	}
 	switch {
 	case !process.proxy.Ready(boottime.Now()):
 		return "the configuration"
@@ -71,7 +67,7 @@
 		return "the list of servers"
 	case !complete:
 		return "the software versions"
-	case !registered:
+	case !f.registered(n):
 		return "its registration"
 	case !process.registry.Bootstrapped():
 		return "its rank"
@@ -84,6 +80,12 @@
 	}
 }
 
+// registered reports whether the store holds the registration of a node.
+func (f *softwareFleet) registered(n *fixture) bool {
+	name := "/" + n.process.settings.Name + "/" + n.process.registry.Incarnation
+	return slices.ContainsFunc(f.store.Keys(platform.PrefixNodes), func(key string) bool { return strings.HasSuffix(key, name) })
+}
+
 // knowsOthers reports whether a node knows the addresses of all others.
 func (f *softwareFleet) knowsOthers(n *fixture) bool {
 	for _, other := range f.nodes {
@@ -216,3 +218,47 @@
 		})
 	}
 }
+
+// startWithSeeds starts a node that knows the peer addresses of all others.
+func (f *softwareFleet) startWithSeeds() *fixture {
+	seeds := []string{}
+	for _, n := range f.nodes {
+		seeds = append(seeds, n.process.settings.PeerAddress)
+	}
+	return f.addNamedNode("late", func(config *settings.Proxy) { config.Seeds = seeds })
+}
+
+// Guards against a node that starts beside sound ones, and that waits for the store to learn what they know:
+// it refused all requests for as long as the store was down, and resumed streams longer.
+func TestNodeStartedInOutageLearnsFromOtherNodes(t *testing.T) {
+	for _, kind := range outageKinds {
+		t.Run(kind.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newSoftwareFleet(t, 3, "v1")
+			streams := f.begin()
+			f.disrupt(kind)
+			late := f.startWithSeeds()
+			startedAt := time.Now()
+			late.waitUntil(func() bool {
+				replica := late.process.replica.Load()
+				return replica != nil && replica.Snapshot != nil && late.knows(len(f.machines)) && late.onlySoftware() != ""
+			})
+			require.Less(t, time.Since(startedAt), late.contact())
+			require.Equal(t, "v1", late.onlySoftware())
+			require.False(t, f.registered(late), "the store is still down")
+			f.store.SetFault(nil)
+			f.requireCaughtUp(t, time.Now())
+			for _, s := range streams {
+				s.try(late, streamLength, nil)
+			}
+			requireContinued(t, streams, softwareStreams)
+		})
+	}
+}
+
+// onlySoftware returns the only software version that may have begun streams, or "" if a node does not
+// know that there is only one.
+func (fixture *fixture) onlySoftware() string {
+	software, _ := fixture.process.serverSet.OnlySoftware("engines", boottime.Now())
+	return software
+}
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -371,6 +371,7 @@
 		Recorder:      process.recorder,
 		Eras:          process.eras,
 		Outage:        process.outage,
+		Seeds:         process.settings.Seeds,
 		MaxStaleness:  min(bounds.Configuration, bounds.Drain),
 	}
 }
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -41,6 +42,11 @@
 	// once, its possible upstreams are uninitialized too, and receive state one by one.
 	initialSwitchInterval = 3 * time.Second
 	upstreamRetryDelay    = 100 * time.Millisecond
+	// seedDelay is how long a starting node waits for the store to show it the relays before it polls
+	// seeds. A starting fleet would overload these. seedPollInterval is the time between two polls of
+	// seeds that have no state.
+	seedDelay        = time.Second
+	seedPollInterval = time.Second
 	// relayStaleFraction and followerStaleFraction are the ages, as fractions of
 	// MaxStaleness, from which an upstream's state counts as stale for a relay or a follower.
 	// They are below the ages at which these read the store themselves.
@@ -92,7 +98,10 @@
 func (r *Reflector) upstreams() []string {
 	switch {
 	case !r.Registry.Bootstrapped():
-		return r.withoutSelf(r.Registry.RelayAddresses())
+		if relays := r.withoutSelf(r.Registry.RelayAddresses()); len(relays) > 0 {
+			return relays
+		}
+		return r.seeds()
 	case r.isFirstReader() && r.isFresh(r.maxAge(readerFraction), boottime.Now()):
 		return nil
 	case r.Reads():
@@ -105,6 +114,19 @@
 	}
 }
 
+// seeds returns the seeds if this node may poll them: the store has shown it no other node for seedDelay.
+func (r *Reflector) seeds() []string {
+	if boottime.Since(r.startedAt.load()) < seedDelay {
+		return nil
+	}
+	return r.withoutSelf(slices.Clone(r.Seeds))
+}
+
+// isSeed reports whether a node is polled as a seed.
+func (r *Reflector) isSeed(node string) bool {
+	return !r.Registry.Bootstrapped() && slices.Contains(r.Seeds, node) && len(r.withoutSelf(r.Registry.RelayAddresses())) == 0
+}
+
 // uninitialized reports whether this node has no declaration or no list of servers.
 func (r *Reflector) uninitialized() bool {
 	replica := r.Replica.Load()
@@ -155,6 +177,9 @@
 		switch {
 		case cause == nil:
 			pause.For(ctx, r.pollPause()-boottime.Since(startedAt))
+		case r.isSeed(node):
+			next++
+			pause.For(ctx, seedPollInterval/2+rand.N(seedPollInterval))
 		case cause == errStaleUpstream && r.uninitialized() && boottime.Since(changedAt) < initialSwitchInterval:
 			pause.For(ctx, minPollPause)
 		case cause == errStaleUpstream && boottime.Since(changedAt) < staleSwitchInterval:
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -146,6 +146,8 @@
 	Eras *coordination.EraTracker
 	// Outage tracks whether the store answers this node or others.
 	Outage *coordination.Outage
+	// Seeds are addresses of other nodes, which a starting node polls if the store does not show it any.
+	Seeds []string
 	// MaxStaleness is the age that this node's replica must never reach.
 	MaxStaleness time.Duration
 
@@ -164,6 +166,8 @@
 	consecutiveFailures atomic.Int64
 	// declarationPosition is the store's position at the last read of the declaration.
 	declarationPosition atomic.Pointer[coordination.Position]
+	// startedAt is when the reflector was started.
+	startedAt atomicTime
 	// upstream is the address of the node that is polled.
 	upstream atomic.Pointer[string]
 }
@@ -183,6 +187,7 @@
 
 // Run keeps the replica current until the context ends.
 func (r *Reflector) Run(ctx context.Context) {
+	r.startedAt.store(boottime.Now())
 	go r.followUpstream(ctx)
 	go r.exchangeWithRelays(ctx)
 	go r.watch(ctx)
