Test what else an outage of the store could leave behind at nodes that start in it

The configuration, a quarantine, the era and the rollout's leadership change during an outage (silent, 503, stalled after the head; with and without a restore of the store), and are in force within the contact time of its end, the weights within the handover delay after that. The view for starting nodes is published within it.

--- a/cmd/cloverrail/outage_test.go
+++ b/cmd/cloverrail/outage_test.go
@@ -13,6 +13,7 @@
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/lab/faultwire"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/platform"
 	"github.com/cloverrail/cloverrail/platform/standin"
@@ -262,3 +263,58 @@
 	software, _ := fixture.process.serverSet.OnlySoftware("engines", boottime.Now())
 	return software
 }
+
+// storedSuspect is a request whose quarantine is in the store.
+const storedSuspect = quarantine.Fingerprint(0x5eed)
+
+// Guards against state that a node reads only at its start, or behind a delay of its own, and that is not in
+// force after the outage in which the node has started: the configuration, quarantines, the era, and the
+// leadership by which weights roll out. All change during the outage.
+func TestStateIsInForceAfterOutage(t *testing.T) {
+	for _, kind := range []standin.Fault{standin.FaultNoResponse, standin.FaultUnavailable, standin.FaultStalledResponse} {
+		for _, restored := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, store restored: %t", kind, restored), func(t *testing.T) {
+				t.Parallel()
+				f := newSoftwareFleet(t, 3, "v1")
+				snapshot := f.store.TakeSnapshot()
+				f.disrupt(kind)
+				f.replaceNodes()
+				time.Sleep(mediumOutage)
+				if restored {
+					f.store.Restore(snapshot)
+				}
+				f.store.Put(standin.KeyConfiguration, newDocument(7, "new-key"))
+				f.store.Put(platform.PrefixQuarantine+storedSuspect.String(), "held")
+				f.store.ReleaseVersion(model, 2)
+				f.store.SetFault(nil)
+				endedAt := time.Now()
+				f.requireCaughtUp(t, endedAt)
+				for _, n := range f.nodes {
+					n.requireInForce(t, endedAt, n.contact(), "the configuration", func() bool { return n.process.replica.Load().Snapshot.Version == 7 })
+					n.requireInForce(t, endedAt, n.contact(), "the quarantine", func() bool {
+						verdict := n.process.quarantineLedger.Evaluate(quarantine.Suspects{Request: storedSuspect}, n.process.crashUnconfirmed, boottime.Now())
+						return verdict.Quarantined
+					})
+					n.requireInForce(t, endedAt, n.contact(), "the era", func() bool { return (n.process.eras.Current() > 1) == restored })
+				}
+				// A new leader waits for the former one to have ended.
+				handover := f.nodes[0].process.settings.Bounds.LeaderHandover
+				for _, m := range f.machines {
+					f.nodes[0].requireInForce(t, endedAt, f.nodes[0].contact()+handover, "the weights", func() bool {
+						incarnations := m.Incarnations()
+						return incarnations[len(incarnations)-1].Version() == 2
+					})
+				}
+			})
+		}
+	}
+}
+
+// requireInForce checks that a condition holds by a time after an outage.
+func (fixture *fixture) requireInForce(t *testing.T, endedAt time.Time, within time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for !holds() {
+		require.Less(t, time.Since(endedAt), within, "%s at %s", what, fixture.process.settings.Name)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -130,3 +130,32 @@
 		}
 	}
 }
+
+// Guards against a published view that stays outdated after an outage: starting nodes would poll nodes that
+// are gone.
+func TestViewIsPublishedWhenOutageEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := storestub.New(time.Now, nil)
+		outage := &coordination.Outage{}
+		down, published := true, false
+		r := &Registry{Store: store, Prefix: "nodes/", Name: "n", Incarnation: "1", Address: "a", Zone: "z", Outage: outage, OnResize: func(int) {}}
+		r.PublishView = func(context.Context, []byte) error {
+			if down {
+				return errOutage
+			}
+			published = true
+			return nil
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		go r.Run(ctx)
+		time.Sleep(time.Second)
+		r.ObserveNodes(store.Entries("nodes/"), time.Now())
+		time.Sleep(maxBootstrapWait)
+		r.ObserveNodes(store.Entries("nodes/"), time.Now())
+		time.Sleep(2 * registrationTTL)
+		down = false
+		time.Sleep(contact)
+		require.True(t, published)
+	})
+}
