--- a/internal/backend/software_test.go
+++ b/internal/backend/software_test.go
@@ -137,3 +137,49 @@
 	query.Limit = 0
 	require.Len(t, set.Candidates(nil, query, now), 5)
 }
+
+// Streams that may be resumed begin only at versions of the latest record, whatever nodes send each other in
+// which order, and the history covers all versions of that record.
+func TestStreamsBeginAtRecordedVersions(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		set, now := NewSet(), time.Unix(1000, 0)
+		query := Query{Service: "s", Distance: func(string) int { return 0 }, BeginsStream: true}
+		var latest *SoftwareRecord
+		listed := map[string]string{}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			software := rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "software")
+			if rapid.Bool().Draw(t, "lists") {
+				instance := "i-" + software
+				set.Apply([]*Server{{Instance: instance, Service: "s", Software: software}}, nil, now)
+				listed[instance] = software
+			} else {
+				versions := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"v1", "v2", "v3"}), 0, 3, rapid.ID).Draw(t, "versions")
+				record := SoftwareRecord{Versions: SoftwareVersions{"s": versions}, AsOf: coordination.Position{Era: rapid.Int64Range(1, 2).Draw(t, "era"), Revision: rapid.Int64Range(1, 9).Draw(t, "revision")}}
+				set.SetSoftwareRecord(record, now)
+				if latest == nil || !record.AsOf.Before(latest.AsOf) {
+					latest = &record
+				}
+			}
+			begins, unrecorded := map[string]bool{}, false
+			for _, c := range set.Candidates(nil, query, now) {
+				begins[c.Software] = true
+			}
+			for _, software := range listed {
+				recorded := latest != nil && latest.contains("s", software)
+				require.Equal(t, recorded, begins[software])
+				unrecorded = unrecorded || !recorded
+			}
+			require.Equal(t, unrecorded, set.ListsUnrecordedSoftware("s"))
+			require.Equal(t, unrecorded, len(set.UnrecordedSoftware()) > 0)
+			_, complete := set.Software(now)
+			require.Equal(t, latest != nil, complete)
+			if latest != nil {
+				versions, _ := set.Software(now)
+				for _, software := range latest.Versions["s"] {
+					require.Contains(t, versions["s"], software)
+				}
+			}
+		}
+	})
+}
