Serve seeds at an address of their own

Change: nodes meet at the peer address of before, also beside former builds; where the platform gives a control address, a node serves other nodes there too, as the seeds name it, and leaves itself out of its seeds.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -371,11 +371,17 @@
 		Recorder:      process.recorder,
 		Eras:          process.eras,
 		Outage:        process.outage,
-		Seeds:         process.settings.Seeds,
+		Seeds:         process.otherSeeds(),
 		MaxStaleness:  min(bounds.Configuration, bounds.Drain),
 	}
 }
 
+// otherSeeds returns the seeds without this node itself.
+func (process *process) otherSeeds() []string {
+	own := []string{process.settings.SeedAddress, process.settings.PeerAddress}
+	return slices.DeleteFunc(slices.Clone(process.settings.Seeds), func(seed string) bool { return slices.Contains(own, seed) })
+}
+
 // newQuarantinePersister returns the persister that writes quarantined requests to the store.
 func (process *process) newQuarantinePersister() *quarantine.Persister {
 	return &quarantine.Persister{
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -93,6 +93,11 @@
 	if _, err := serve(config.PeerAddress, process.peerHandler()); err != nil {
 		return err
 	}
+	if config.SeedAddress != "" {
+		if _, err := serve(config.SeedAddress, process.peerHandler()); err != nil {
+			return err
+		}
+	}
 	if config.MetricsAddress != "" {
 		if _, err := serve(config.MetricsAddress, promhttp.HandlerFor(process.metrics.Registry, promhttp.HandlerOpts{})); err != nil {
 			return err
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -119,7 +119,7 @@
 	if boottime.Since(r.startedAt.load()) < seedDelay {
 		return nil
 	}
-	return r.withoutSelf(slices.Clone(r.Seeds))
+	return r.Seeds
 }
 
 // isSeed reports whether a node is polled as a seed.
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -146,7 +146,7 @@
 	Eras *coordination.EraTracker
 	// Outage tracks whether the store answers this node or others.
 	Outage *coordination.Outage
-	// Seeds are addresses of other nodes, which a starting node polls if the store does not show it any.
+	// Seeds are addresses of other nodes. A starting node polls them if the store does not show it any.
 	Seeds []string
 	// MaxStaleness is the age that this node's replica must never reach.
 	MaxStaleness time.Duration
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -35,8 +35,10 @@
 	Descriptors int `yaml:"descriptors,omitempty" validate:"min=0"`
 	// PeerAddress serves other nodes.
 	PeerAddress string `yaml:"peerAddress" validate:"tcp_addr"`
-	// Seeds are peer addresses of some other nodes, which may be down. A node that starts while the store
-	// does not answer learns the fleet's state from them.
+	// SeedAddress serves other nodes too, if it is set: those whose seeds name it.
+	SeedAddress string `yaml:"seedAddress,omitempty" validate:"omitempty,tcp_addr"`
+	// Seeds are seed or peer addresses of some nodes, which may be down. A node that starts while the
+	// store does not answer learns the fleet's state from them.
 	Seeds []string `yaml:"seeds,omitempty" validate:"dive,tcp_addr"`
 	// StoreAddress is the address of the shared store.
 	StoreAddress string `yaml:"storeAddress" validate:"tcp_addr"`
