Send nothing to servers that a sound store has shown as gone

Cause: with no listed server of a service left, servers that had been removed from the list within 15 s were used as a last resort, whatever had removed them. That is meant for entries that lapse in an outage of the store.

Change: a server that leaves the list is a last resort only if its entry may be missing: a read of the store had failed on the node that read the list, the store was disrupted, or it was restored from an older copy, less than 5 s before; and only until 5 s after that. Nodes pass on for how long entries may be missing, beside the list. A server that had left before an outage is not brought back by it.

TestUnlistedServerIsLastResort and TestRemovedServersExpireWithoutFurtherChanges expected a last resort without any disruption: the first marks one now and checks its bounds too, the second looks for the entry itself.

Left: a node that had alone been cut off from the store, and reads it again, makes others count entries as missing for up to 5 s.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -121,7 +121,7 @@
 	process.metrics = telemetry.NewMetrics(process.replica)
 	process.recorder = telemetry.NewRecorder(process.log, process.metrics)
 	process.memory = admission.NewMemoryBudget(config.MemoryBytes())
-	process.eras = &coordination.EraTracker{OnChange: process.recorder.StoreRestored, OnIgnored: process.recorder.EraIgnored}
+	process.eras = &coordination.EraTracker{OnChange: process.handleRestore, OnIgnored: process.recorder.EraIgnored}
 	process.outage = &coordination.Outage{}
 	process.store = platform.NewStore(config.StoreAddress, process.recorder.StoreCall, process.eras, process.outage)
 	process.serverClient = platform.NewServerClient(platform.ConnectionOptions{
@@ -208,6 +208,7 @@
 		return report
 	})
 	process.feed = reflector.NewFeed(config.Name+" "+incarnation, process.replica, process.registry, process.workReports, process.cacheLedger, process.quarantineLedger)
+	process.feed.EntriesMissingUntil = process.serverSet.EntriesMissingUntil
 	process.registerGauges()
 	process.quarantinePersister = process.newQuarantinePersister()
 	process.reflector = process.newReflector()
@@ -376,6 +377,12 @@
 	}
 }
 
+// handleRestore records that the store was restored from an older copy, which may lack entries.
+func (process *process) handleRestore(before, after int64) {
+	process.recorder.StoreRestored(before, after)
+	process.serverSet.ObserveMissingEntries(boottime.Now().Add(backend.ReregistrationTime))
+}
+
 // otherSeeds returns the seeds without this node itself.
 func (process *process) otherSeeds() []string {
 	own := []string{process.settings.SeedAddress, process.settings.PeerAddress}
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -32,8 +32,8 @@
 }
 
 // Candidates appends the servers of a service as routing candidates. It omits servers that are
-// known to be replaced, and unlisted ones unless no listed server is left; of the unlisted ones,
-// it always omits those that are draining.
+// known to be replaced, and unlisted ones unless no listed server is left and a disruption of the store may
+// have removed them from the list.
 func (set *Set) Candidates(candidates []routing.Candidate, query Query, now time.Time) []routing.Candidate {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
@@ -53,7 +53,7 @@
 		if query.BeginsStream && !set.software.mayBegin(query.Service, e.server.Software) {
 			continue
 		}
-		if now.Before(e.local().replacedUntil) || (!e.listed && (anyListed || e.isDraining())) {
+		if now.Before(e.local().replacedUntil) || !e.listed && (anyListed || !set.mayServeUnlisted(e, now)) {
 			continue
 		}
 		candidates = append(candidates, routing.Candidate{})
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -72,6 +72,8 @@
 	// list of servers was still current.
 	software   softwareHistory
 	listReadAt time.Time
+	// entriesMissingUntil is until when the list may lack servers that live, after a disruption of the store.
+	entriesMissingUntil time.Time
 	// peerWorkUntil is when the work reported by other nodes expires, and loadingUntil when the
 	// loading state reported by the rollout holder expires.
 	peerWorkUntil time.Time
@@ -91,6 +93,9 @@
 	// listed is false once the server has been removed from the list, at unlistedAt.
 	listed     bool
 	unlistedAt time.Time
+	// mayReturn is set if the server was removed from the list while entries of live servers could be
+	// missing.
+	mayReturn bool
 	// draining is set once the server has announced to any node that it is shutting down.
 	draining bool
 	// load is the model load in progress, or nil.
@@ -246,7 +251,7 @@
 		return nil
 	}
 	set.software.change(e.server, nil, now)
-	e.listed, e.unlistedAt = false, now
+	e.listed, e.unlistedAt, e.mayReturn = false, now, set.mayMissEntries(now)
 	set.unlisted[e] = true
 	return []Change{{Server: *e.server, Gone: true}}
 }
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -39,12 +39,39 @@
 	changes := set.Update([]Server{server("y")}, begin)
 	require.Equal(t, []Change{{Server: server("x"), Gone: true}}, changes)
 	require.Len(t, set.Candidates(nil, query, begin), 1)
+	set.ObserveMissingEntries(begin.Add(-time.Second).Add(ReregistrationTime))
 	set.Update(nil, begin)
-	require.Len(t, set.Candidates(nil, query, begin), 2, "the list may have lost its entries")
+	require.Empty(t, unlistedCandidates(set, "x", begin), "it left before the disruption")
+	require.Len(t, unlistedCandidates(set, "y", begin), 1, "the list may have lost its entry")
+	set.ObserveMissingEntries(begin.Add(ReregistrationTime))
+	require.Len(t, unlistedCandidates(set, "y", begin.Add(ReregistrationTime-1)), 1)
+	require.Empty(t, unlistedCandidates(set, "y", begin.Add(ReregistrationTime)), "it has not come back")
+	set.ObserveMissingEntries(begin.Add(ReregistrationTime + time.Second).Add(ReregistrationTime))
+	require.Empty(t, unlistedCandidates(set, "x", begin.Add(ReregistrationTime+time.Second)), "a later disruption brings nothing back")
 	set.Update(nil, begin.Add(unlistedRetention+time.Second))
 	require.Empty(t, set.Candidates(nil, query, begin))
 }
 
+// unlistedCandidates returns the candidates with the name of an instance.
+func unlistedCandidates(set *Set, instance string, now time.Time) (found []routing.Candidate) {
+	for _, c := range set.Candidates(nil, query, now) {
+		if c.Endpoint == instance {
+			found = append(found, c)
+		}
+	}
+	return found
+}
+
+// Guards against requests to a server that a sound store has shown as gone, since no other one is left.
+func TestServerThatLeftIsNoLastResort(t *testing.T) {
+	set := NewSet()
+	set.Update([]Server{server("x")}, begin)
+	set.Update(nil, begin)
+	require.Empty(t, set.Candidates(nil, query, begin))
+	set.Update([]Server{server("x")}, begin.Add(time.Second))
+	require.Len(t, set.Candidates(nil, query, begin.Add(time.Second)), 1, "it is listed again")
+}
+
 func TestDrainingServerIsNeverReused(t *testing.T) {
 	set := NewSet()
 	draining := server("x")
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -24,9 +24,6 @@
 	originRetryAfter = time.Second
 	// reportTimeout bounds the question for the start time of a server.
 	reportTimeout = 100 * time.Millisecond
-	// reregistrationTime is how long after a disruption of the store servers may still be missing from
-	// the list.
-	reregistrationTime = 5 * time.Second
 	// requiredHolders is the number of other nodes that must have no record of a stream for it to count
 	// as unrecorded, if there are that many.
 	requiredHolders = 2
@@ -340,7 +337,7 @@
 func (placer *placer) cannotGoOn(problem string) *exchange.Unplaced {
 	refusal := failure.New(failure.KindOtherSoftware, problem, restartStream)
 	replica := placer.proxy.replica.Load()
-	if replica != nil && boottime.Since(replica.DisruptedAt) < reregistrationTime {
+	if replica != nil && boottime.Since(replica.DisruptedAt) < backend.ReregistrationTime {
 		refusal = refusal.WithRetryAfter(originRetryAfter)
 	}
 	return &exchange.Unplaced{Reason: problem, Permanent: true, Refusal: refusal}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -229,7 +229,7 @@
 			return nil, &exchange.Unplaced{Reason: "the software versions of the service's servers are not recorded in the store yet"}
 		}
 		if len(selection.candidates) == 0 {
-			return nil, &exchange.Unplaced{Reason: "no server of the service is registered"}
+			return nil, placer.noServer(query.Service)
 		}
 		if all {
 			return nil, placer.unplaced(selection.candidates, selection.decision, now)
@@ -237,6 +237,22 @@
 	}
 }
 
+// noServerRetryAfter is when callers may come back to a service without servers. Servers take seconds to
+// start.
+const noServerRetryAfter = time.Second
+
+// noServer returns the refusal of a request whose service has no server. It waits only until this node has a
+// list of servers.
+func (placer *placer) noServer(service string) *exchange.Unplaced {
+	unplaced := &exchange.Unplaced{Reason: "no server of the service is registered"}
+	if !placer.proxy.set.ListReadSince(time.Time{}) {
+		return unplaced
+	}
+	unplaced.Permanent = true
+	unplaced.RetryAfter = noServerRetryAfter + time.Duration(retryJitter*hashFraction(placer.admitted.request.ID)*float64(noServerRetryAfter))
+	return unplaced
+}
+
 // hasAlternative reports whether the subset has another server that was not yet tried and
 // accepts the request now.
 func (placer *placer) hasAlternative(server string) bool {
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -41,6 +41,9 @@
 	// DisturbedAgo is the time since the store was last disrupted, and negative if it never
 	// was.
 	DisturbedAgo time.Duration
+	// EntriesMissingFor is for how much longer the list may lack servers that live, since the store could
+	// not be read; 0 if it does not.
+	EntriesMissingFor time.Duration
 	// Declaration is nil if it is not newer than the requesting node's. Weights holds the
 	// newest released version of each model.
 	Declaration *catalog.Declaration
@@ -97,9 +100,12 @@
 // Feed serves a node's state to nodes that do not read the store. Rewrites of a server's
 // entry without a change are not propagated; nearly all writes are of that kind.
 type Feed struct {
-	name       string
-	replica    *catalog.AtomicReplica
-	registry   *fleet.Registry
+	name     string
+	replica  *catalog.AtomicReplica
+	registry *fleet.Registry
+	// EntriesMissingUntil, if set, returns until when the list may lack servers that live.
+	EntriesMissingUntil func() time.Time
+
 	work       *workshare.Aggregator
 	cache      *residency.Ledger
 	quarantine *quarantine.Ledger
@@ -248,6 +254,9 @@
 	delta.Software = f.softwareFor(request)
 	f.addSuspicions(&delta, request, boottime.Now())
 	f.addReplica(&delta, request, boottime.Now())
+	if f.EntriesMissingUntil != nil {
+		delta.EntriesMissingFor = max(0, boottime.Until(f.EntriesMissingUntil()))
+	}
 	delta.Fleet, delta.Nodes = f.registry.ViewIfChanged(request.Fleet)
 	if request.Reader {
 		delta.Duties = f.registry.Duties()
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -213,6 +213,13 @@
 	exchange.advance(delta, sentUpTo)
 	incompatible := !r.reconcileEra(&delta)
 	r.Quarantine.Apply(delta.Suspicions, delta.Feed, boottime.Now())
+	// The disruption comes first: it decides whether servers that are gone from the list may live.
+	if delta.BeliefAge >= 0 && delta.DisturbedAgo >= 0 {
+		r.markDisrupted(sentAt.Add(-delta.DisturbedAgo))
+	}
+	if delta.EntriesMissingFor > 0 {
+		r.Set.ObserveMissingEntries(sentAt.Add(delta.EntriesMissingFor))
+	}
 	if delta.Software != nil {
 		r.ApplySoftware(*delta.Software)
 	}
@@ -344,9 +351,6 @@
 		Declaration: delta.Declaration,
 		Weights:     delta.Weights,
 	})
-	if delta.DisturbedAgo >= 0 {
-		r.markDisrupted(sentAt.Add(-delta.DisturbedAgo))
-	}
 }
 
 // exchangeWithRelays fetches the work of other relays' groups while this node is a relay.
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -365,12 +365,13 @@
 		node := newFollower(&countingSource{}, &feedPeers{unreachable: true})
 		node.applyServers(fullUpdate([]backend.Server{{Instance: "i-1", Service: "s", Revision: 1}}, 1, time.Now()))
 		node.applyServers(serverUpdate{gone: []string{"i-1"}, position: at(2), readAt: time.Now()})
-		candidates := func() int {
-			return len(node.Set.Candidates(nil, backend.Query{Service: "s", Distance: func(string) int { return 0 }}, time.Now()))
+		known := func() bool {
+			_, found := node.Set.Server("i-1")
+			return found
 		}
-		require.Equal(t, 1, candidates(), "a removed server is kept for a while, since its entry may be missing by mistake")
+		require.True(t, known(), "a removed server is kept for a while, since its entry may be missing by mistake")
 		time.Sleep(time.Minute)
 		node.applyServers(serverUpdate{position: at(2), readAt: time.Now()})
-		require.Zero(t, candidates())
+		require.False(t, known())
 	})
 }
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -164,6 +164,8 @@
 	serversMutex sync.Mutex
 	// consecutiveFailures counts the failed reads since the last successful one.
 	consecutiveFailures atomic.Int64
+	// readFailedAt is when a read of the store last failed.
+	readFailedAt atomicTime
 	// declarationPosition is the store's position at the last read of the declaration.
 	declarationPosition atomic.Pointer[coordination.Position]
 	// startedAt is when the reflector was started.
@@ -240,6 +242,9 @@
 // path to it, counts as disrupted only if several reads have failed and no other node has
 // delivered recent state either.
 func (r *Reflector) detectDisruption(err error, now time.Time) {
+	if err != nil {
+		r.readFailedAt.store(now)
+	}
 	// A store that only limits the rate of calls is available.
 	if err == nil || failure.Is(err, failure.KindRateLimited) {
 		r.consecutiveFailures.Store(0)
@@ -267,6 +272,7 @@
 	if err != nil {
 		return err
 	}
+	r.noteInterruption()
 	// The record comes first: it holds all versions that may have begun streams when the list was read.
 	if observation.Software != nil {
 		r.ApplySoftware(*observation.Software)
@@ -285,6 +291,14 @@
 	return nil
 }
 
+// noteInterruption records, before a list of servers that was read is applied, that reads before it have
+// failed: entries may have expired in that time.
+func (r *Reflector) noteInterruption() {
+	if failedAt := r.readFailedAt.load(); !failedAt.IsZero() {
+		r.Set.ObserveMissingEntries(failedAt.Add(backend.ReregistrationTime))
+	}
+}
+
 // applyServers applies an update that was read or received to the list of servers, and
 // makes it available to other nodes.
 func (r *Reflector) applyServers(update serverUpdate) {
@@ -362,6 +376,9 @@
 
 // markDisrupted records that the store, or the network path to it, was disrupted at a time.
 func (r *Reflector) markDisrupted(at time.Time) {
+	if r.Set != nil {
+		r.Set.ObserveMissingEntries(at.Add(backend.ReregistrationTime))
+	}
 	r.replicaMutex.Lock()
 	defer r.replicaMutex.Unlock()
 	r.Replica.Store(catalog.MarkDisrupted(r.Replica.Load(), at))
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -159,6 +159,8 @@
 	Kept    []byte
 	Servers []byte
 	Rest    []byte
+	// Missing is for how long the list may lack servers that live.
+	Missing time.Duration
 }
 
 // wireServers holds the server changes of a Delta. They are present more often than the
@@ -193,7 +195,7 @@
 	wired := wireDelta{
 		Format: messageFormat,
 		Feed:   d.Feed, Place: d.Place.Revision, Era: d.Place.Era, Age: d.Age, BeliefAge: d.BeliefAge, DisturbedAgo: d.DisturbedAgo,
-		Weights: d.Weights, Nodes: d.Nodes, Sum: d.Sum, Work: packed, Details: details, Quota: d.Others.Quota.Encode(), Kept: d.Kept,
+		Weights: d.Weights, Nodes: d.Nodes, Sum: d.Sum, Work: packed, Details: details, Quota: d.Others.Quota.Encode(), Kept: d.Kept, Missing: d.EntriesMissingFor,
 	}
 	if d.Whole || len(d.Changed)+len(d.Gone) > 0 {
 		encoded, err := encodeNested(wireServers{Whole: d.Whole, Changed: backend.Pack(d.Changed), Gone: d.Gone})
@@ -245,7 +247,7 @@
 	return Delta{
 		Feed: w.Feed, Place: coordination.Position{Era: w.Era, Revision: w.Place}, Age: w.Age, BeliefAge: w.BeliefAge, DisturbedAgo: w.DisturbedAgo,
 		Weights: w.Weights, Nodes: w.Nodes, Sum: w.Sum, Others: workshare.Report{Work: unpackWork(w.Work, w.Details), Quota: used}, Kept: w.Kept,
-		Whole: servers.Whole, Changed: changed, Gone: servers.Gone, Loads: rest.Loads,
+		EntriesMissingFor: w.Missing, Whole: servers.Whole, Changed: changed, Gone: servers.Gone, Loads: rest.Loads,
 		Declaration: rest.Declaration, Fleet: rest.Fleet, Duties: rest.Duties,
 		Suspicions: rest.Suspicions, SuspicionsPlace: rest.SuspicionsPlace, Software: rest.Software,
 	}, nil
