Replace the rollout's state only where it was read

A write "no orders are under way" that gets no answer and is done seconds later replaces the newer "orders are under way" of the same holder, and the next holder does not wait.

Cause: the write depended on the holder's key alone.

Change: it also depends on the position of the state that it replaces. A holder whose write got no answer, or was rejected, writes the state anew before it acts, so that the late one finds another position; it gives up the leadership only if its key is another's.

Tests: TestLateWriteOfStateDoesNotShortenHandover (property, virtual time: writes lost, done unanswered or late, a holder that idles and fails). Teeth: without the condition it fails; without the repeated write it fails with actions of two holders 750 ms apart. TestLeadersActHandoverDelayApart draws late calls too. Not played over sockets.

--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -41,8 +41,10 @@
 	Create(ctx context.Context, key string, value []byte, lease int64) (at Position, created bool, err error)
 	// Write writes a key unconditionally, and reports whether the lease still existed.
 	Write(ctx context.Context, key string, value []byte, lease int64) (written bool, err error)
-	// WriteGuarded writes a key if the guard key is still at the given position.
-	WriteGuarded(ctx context.Context, key string, value []byte, guard string, at Position) (written bool, err error)
+	// WriteGuarded writes a key without a lease if the key and the guard key are still at the given
+	// positions; the revision 0 means that the key does not exist. It returns where the key was written.
+	// A call that is done late therefore never undoes a later write.
+	WriteGuarded(ctx context.Context, key string, value []byte, at Position, guard string, guardAt Position) (writtenAt Position, written bool, err error)
 	// Read returns the current entry of a key, and whether it exists.
 	Read(ctx context.Context, key string) (Entry, bool, error)
 }
--- a/internal/lab/storestub/store.go
+++ b/internal/lab/storestub/store.go
@@ -25,8 +25,13 @@
 	FaultUnavailable
 	// FaultLostResponse executes the call and returns an error.
 	FaultLostResponse
+	// FaultLate returns an error, and executes the call lateDelay later.
+	FaultLate
 )
 
+// lateDelay is longer than callers repeat a call.
+const lateDelay = 2 * time.Second
+
 var errUnavailable = errors.New("store did not respond")
 
 // lease is a lease with its time to live and expiry.
@@ -44,6 +49,8 @@
 	revision int64
 	leases   map[int64]*lease
 	entries  map[string]entry
+	// writtenAt holds when each revision was written.
+	writtenAt map[int64]time.Time
 }
 
 type entry struct {
@@ -57,7 +64,7 @@
 	if faultOf == nil {
 		faultOf = func(string) Fault { return FaultNone }
 	}
-	return &Store{now: now, faultOf: faultOf, era: 1, leases: map[int64]*lease{}, entries: map[string]entry{}}
+	return &Store{now: now, faultOf: faultOf, era: 1, leases: map[int64]*lease{}, entries: map[string]entry{}, writtenAt: map[int64]time.Time{}}
 }
 
 // Era returns the current era of the store.
@@ -103,7 +110,16 @@
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	fault := store.faultOf(operation)
-	if fault == FaultUnavailable {
+	switch fault {
+	case FaultUnavailable:
+		return errUnavailable
+	case FaultLate:
+		time.AfterFunc(lateDelay, func() {
+			store.mutex.Lock()
+			defer store.mutex.Unlock()
+			store.expire()
+			perform()
+		})
 		return errUnavailable
 	}
 	store.expire()
@@ -172,6 +188,7 @@
 
 func (store *Store) put(key string, value []byte, leaseID int64) coordination.Position {
 	store.revision++
+	store.writtenAt[store.revision] = store.now()
 	written := coordination.Entry{Key: key, Value: value, Revision: store.revision, Era: store.era}
 	store.entries[key] = entry{Entry: written, lease: leaseID}
 	return written.Position()
@@ -187,14 +204,30 @@
 	return written, err
 }
 
-// WriteGuarded writes a key if the guard key is still at the given position.
-func (store *Store) WriteGuarded(_ context.Context, key string, value []byte, guard string, at coordination.Position) (written bool, err error) {
+// WriteGuarded writes a key if the key and the guard key are still at the given positions.
+func (store *Store) WriteGuarded(_ context.Context, key string, value []byte, at coordination.Position, guard string, guardAt coordination.Position) (writtenAt coordination.Position, written bool, err error) {
 	err = store.call("write", func() {
-		if written = store.entries[guard].Position() == at; written {
-			store.put(key, value, 0)
+		if written = store.entries[guard].Position() == guardAt && store.isAt(key, at); written {
+			writtenAt = store.put(key, value, 0)
 		}
 	})
-	return written, err
+	return writtenAt, written, err
+}
+
+// WrittenAt returns when a revision of an entry was written.
+func (store *Store) WrittenAt(revision int64) time.Time {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.writtenAt[revision]
+}
+
+// isAt reports whether a key is at a position; the revision 0 means that it does not exist.
+func (store *Store) isAt(key string, at coordination.Position) bool {
+	current, exists := store.entries[key]
+	if at.Revision == 0 {
+		return !exists
+	}
+	return exists && current.Revision == at.Revision && store.era == at.Era
 }
 
 // Read returns the current entry of a key.
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -106,8 +106,12 @@
 	// that succeeded was sent.
 	renewalSentAt      time.Time
 	renewalConfirmedAt time.Time
-	// publishedState is the state that was published last.
+	// publishedState is the state that was published last, and statePosition where it was written.
 	publishedState []byte
+	statePosition  coordination.Position
+	// stateUncertain is set while a write of the state has no known result. It may still be done, and must
+	// be superseded before this leader acts.
+	stateUncertain bool
 }
 
 // Run campaigns and leads until the context ends, and then resigns.
@@ -204,6 +208,7 @@
 		renewalSentAt:      sentAt,
 		renewalConfirmedAt: sentAt,
 		publishedState:     state.Value,
+		statePosition:      coordination.Position{Era: position.Era, Revision: state.Revision},
 	}, false
 }
 
@@ -329,7 +334,7 @@
 // fails, the next leader knows that it must wait.
 func (elector *Elector) step(ctx context.Context, leader *leaderState) {
 	state, act := elector.Task.Step()
-	if !bytes.Equal(state, leader.publishedState) {
+	if leader.stateUncertain || !bytes.Equal(state, leader.publishedState) {
 		if !elector.publishState(ctx, leader, state) {
 			return
 		}
@@ -338,18 +343,41 @@
 	act(ctx, leader.leadership)
 }
 
-// publishState writes the task's state, guarded by the leader's key. A rejected write shows
-// that the key is no longer this leader's.
+// publishState writes the task's state, if it is still where this leader has read or written it, guarded by
+// the leader's key. Otherwise an earlier write of this leader was done without an answer, or the key is no
+// longer its own.
 func (elector *Elector) publishState(ctx context.Context, leader *leaderState, state []byte) bool {
+	var at coordination.Position
 	written := false
 	err := retryCall(ctx, func(ctx context.Context) (err error) {
-		written, err = elector.Store.WriteGuarded(ctx, elector.StateKey, state, elector.Key, leader.keyPosition)
+		at, written, err = elector.Store.WriteGuarded(ctx, elector.StateKey, state, leader.statePosition, elector.Key, leader.keyPosition)
 		return err
 	})
-	if err == nil && !written {
+	if err == nil && written {
+		leader.statePosition, leader.stateUncertain = at, false
+		return true
+	}
+	leader.stateUncertain = true
+	if err == nil {
+		elector.locateState(ctx, leader)
+	}
+	return false
+}
+
+// locateState reads where the state is after a write was rejected, and ends the leadership if its key is
+// another's.
+func (elector *Elector) locateState(ctx context.Context, leader *leaderState) {
+	key, found, err := elector.read(ctx, elector.Key)
+	if err != nil {
+		return
+	}
+	if !found || key.Position() != leader.keyPosition {
 		leader.leadership.Supersede()
+		return
+	}
+	if state, _, err := elector.read(ctx, elector.StateKey); err == nil {
+		leader.statePosition = coordination.Position{Era: leader.keyPosition.Era, Revision: state.Revision}
 	}
-	return err == nil && written
 }
 
 // resign revokes the lease, so that the next leader need not wait for it to expire.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -105,9 +105,9 @@
 	return s.Store.Create(ctx, key, value, lease)
 }
 
-func (s eraObservingStore) WriteGuarded(ctx context.Context, key string, value []byte, guard string, at coordination.Position) (bool, error) {
+func (s eraObservingStore) WriteGuarded(ctx context.Context, key string, value []byte, at coordination.Position, guard string, guardAt coordination.Position) (coordination.Position, bool, error) {
 	defer func() { s.eras.Observe(s.Era()) }()
-	return s.Store.WriteGuarded(ctx, key, value, guard, at)
+	return s.Store.WriteGuarded(ctx, key, value, at, guard, guardAt)
 }
 
 func (s eraObservingStore) Read(ctx context.Context, key string) (coordination.Entry, bool, error) {
@@ -157,7 +157,7 @@
 func TestLeadersActHandoverDelayApart(test *testing.T) {
 	property.Check(test, func(t *rapid.T) {
 		faults := rapid.SliceOfN(rapid.SampledFrom([]storestub.Fault{
-			storestub.FaultNone, storestub.FaultNone, storestub.FaultNone, storestub.FaultUnavailable, storestub.FaultLostResponse,
+			storestub.FaultNone, storestub.FaultNone, storestub.FaultNone, storestub.FaultUnavailable, storestub.FaultLostResponse, storestub.FaultLate,
 		}), 40, 40).Draw(t, "faults")
 		failureTimes := rapid.SliceOfN(rapid.IntRange(500, 6000), 3, 3).Draw(t, "deaths")
 		fleet := &fleet{}
@@ -436,3 +436,65 @@
 		require.Equal(t, "survivor", fleet.last().node)
 	})
 }
+
+// Leaders that are idle at times and fail at times, before a store whose calls are lost, done twice or done
+// late: the actions of two leaders stay the handover delay apart. A write "idle" that is done after the leader
+// has begun to act again must not tell the next one that it need not wait.
+func TestLateWriteOfStateDoesNotShortenHandover(test *testing.T) {
+	property.Check(test, func(t *rapid.T) {
+		faults := rapid.SliceOfN(rapid.SampledFrom([]storestub.Fault{
+			storestub.FaultNone, storestub.FaultNone, storestub.FaultNone, storestub.FaultUnavailable, storestub.FaultLostResponse, storestub.FaultLate, storestub.FaultLate,
+		}), 300, 300).Draw(t, "faults")
+		idleTimes := rapid.SliceOfN(rapid.IntRange(100, 4000), 8, 8).Draw(t, "times between work and idleness")
+		failsAt := rapid.IntRange(3000, 12_000).Draw(t, "failure")
+		fleet := &fleet{}
+		synctest.Test(test, func(*testing.T) { fleet.runIdlingLeaders(faults, idleTimes, failsAt) })
+		fleet.checkActions(t)
+		require.NotEmpty(t, fleet.actions)
+		require.Equal(t, "b", fleet.last().node, "the survivor acts")
+	})
+}
+
+func (fleet *fleet) runIdlingLeaders(faults []storestub.Fault, idleTimes []int, failsAt int) {
+	writes := 0
+	fleet.store = storestub.New(time.Now, func(call string) storestub.Fault {
+		if call != "write" || writes == len(faults) {
+			return storestub.FaultNone
+		}
+		writes++
+		return faults[writes-1]
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	nodeCtx, kill := context.WithCancel(ctx)
+	first := fleet.startObserving(nodeCtx, "a")
+	second := fleet.startObserving(ctx, "b")
+	second.hasWork.Store(false)
+	after := time.Duration(0)
+	for _, millis := range idleTimes {
+		after += time.Duration(millis) * time.Millisecond
+		time.AfterFunc(after, func() { first.hasWork.Store(!first.hasWork.Load()) })
+	}
+	time.Sleep(time.Duration(failsAt) * time.Millisecond)
+	kill()
+	second.hasWork.Store(true)
+	time.Sleep(15 * time.Second)
+}
+
+// startObserving starts an elector that knows when it first saw each revision of the state.
+func (fleet *fleet) startObserving(ctx context.Context, name string) *task {
+	task := &task{node: name, fleet: fleet}
+	task.hasWork.Store(true)
+	eras := &coordination.EraTracker{}
+	eras.Observe(fleet.store.Era())
+	elector := &Elector{
+		Store: eraObservingStore{fleet.store, eras}, Eras: eras, Task: task, Recorder: nopRecorder{}, Name: name, Key: "holder", StateKey: "state",
+		TTL: ttl, HandoverDelay: handoverDelay, CampaignDelay: func() time.Duration { return 0 }, Eligible: func() bool { return true },
+		Exists: func(string) bool { return len(fleet.store.Entries("holder")) > 0 },
+		FirstSeen: func(_ string, position coordination.Position) time.Time {
+			return fleet.store.WrittenAt(position.Revision)
+		},
+	}
+	go elector.Run(ctx)
+	return task
+}
