Repeat an unanswered registration under the same lease

Seen by a test, while writes that are done late were looked for: a node that renews its registration, and is not registered, until it is replaced.

Cause: after a write without an answer the node took another lease and wrote again. The first write, done late, put the key under the former lease, which nobody renews; 18 s later the key was gone, while the node renewed the present one.

Change: the write is repeated under the lease that was granted for it, so that a late one changes nothing.

--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -159,3 +159,31 @@
 		require.True(t, published)
 	})
 }
+
+// Guards against a registration that ends although its node renews it: a write under a former lease was done
+// late, after the one under the present lease.
+func TestLateWriteOfRegistrationDoesNotEndIt(t *testing.T) {
+	for _, fault := range []storestub.Fault{storestub.FaultLate, storestub.FaultLostResponse, storestub.FaultUnavailable} {
+		synctest.Test(t, func(t *testing.T) {
+			writes := 0
+			store := storestub.New(time.Now, func(call string) storestub.Fault {
+				if call != "write" {
+					return storestub.FaultNone
+				}
+				if writes++; writes <= 2 {
+					return fault
+				}
+				return storestub.FaultNone
+			})
+			r := &Registry{Store: store, Prefix: "nodes/", Name: "n", Incarnation: "1", Address: "a", Zone: "z", OnResize: func(int) {}}
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			go r.Run(ctx)
+			time.Sleep(contact)
+			for range 5 {
+				require.Len(t, store.Entries("nodes/"), 1)
+				time.Sleep(registrationTTL)
+			}
+		})
+	}
+}
--- a/internal/fleet/registration.go
+++ b/internal/fleet/registration.go
@@ -86,28 +86,39 @@
 }
 
 // renew renews the registration or registers the node again. It returns the lease of the
-// registration, or 0 if there is none, and whether the registration is renewed.
-func (r *Registry) renew(ctx context.Context, lease int64) (renewedLease int64, renewed bool) {
+// registration, or 0 if there is none, and whether the node is registered.
+func (r *Registry) renew(ctx context.Context, lease int64) (currentLease int64, registered bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	// A lease of another era is gone, or belongs to another client.
-	if era, _ := r.Eras.State(); lease != 0 && era == r.registeredEra {
+	if era, _ := r.Eras.State(); lease != 0 && era == r.leaseEra {
 		alive, err := r.Store.Renew(ctx, lease)
-		if err != nil || alive {
-			return lease, err == nil
+		if err != nil {
+			return lease, false
+		}
+		if alive {
+			return lease, r.registered || r.register(ctx, lease)
 		}
 	}
 	granted, err := r.Store.Grant(ctx, registrationTTL)
 	if err != nil {
 		return 0, false
 	}
-	era, _ := r.Eras.State()
+	r.leaseEra, _ = r.Eras.State()
+	r.registered = false
+	return granted.ID, r.register(ctx, granted.ID)
+}
+
+// register writes the registration under a lease, and returns whether it is written. An unanswered write is
+// repeated under the same lease: done late, one under another lease would end the registration with that.
+func (r *Registry) register(ctx context.Context, lease int64) bool {
 	// The key may exist already, under a lease from the restored backup that no node renews.
-	if written, err := r.Store.Write(ctx, r.registrationKey(), []byte(r.ownInfo().String()), granted.ID); err != nil || !written {
-		return 0, false
+	written, err := r.Store.Write(ctx, r.registrationKey(), []byte(r.ownInfo().String()), lease)
+	r.registered = err == nil && written
+	if r.registered {
+		r.registeredEra = r.leaseEra
 	}
-	r.registeredEra = era
-	return granted.ID, true
+	return r.registered
 }
 
 // withPreRestoreEntries adds to the observed entries those of nodes that were registered before
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -83,7 +83,11 @@
 	// the era in which this node's own one was written.
 	lastEntries   map[string]coordination.Entry
 	registeredEra int64
-	duties        []coordination.Entry
+	// leaseEra is the era in which the lease of the registration was granted, and registered reports whether
+	// the registration was written under it.
+	leaseEra   int64
+	registered bool
+	duties     []coordination.Entry
 	// view is the view of the fleet that other nodes receive, and digest the view's digest.
 	view   View
 	digest uint64
