Pass on a record of software versions with its latest position

Seen while the change was read: two nodes could keep different records and exchange them at each poll without a wait. A node whose record had the same versions as of a later position passed on the earlier one, which a node with others as of a position between refuses.

Change: the feed has the record as of its latest position. TestLatestSoftwareRecordReachesFollower fails without it.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -264,6 +264,12 @@
 	process.metrics.Gauge("cloverrail_proxy_mixed_services", "Services whose servers have, or had of late, several software versions.", func() float64 {
 		return float64(len(process.serverSet.MixedServices(boottime.Now())))
 	})
+	process.metrics.Gauge("cloverrail_proxy_unrecorded_services", "Services that list a software version which is not recorded, and which begins no streams.", func() float64 {
+		return float64(len(process.serverSet.UnrecordedSoftware()))
+	})
+	process.metrics.Gauge("cloverrail_proxy_entries_missing_seconds", "For how much longer the list may lack servers that live, after a disruption of the store; 0 if it does not.", func() float64 {
+		return max(0, boottime.Until(process.serverSet.EntriesMissingUntil()).Seconds())
+	})
 	process.metrics.Gauge("cloverrail_proxy_stream_records", "Records of what began streams that this node holds.", func() float64 {
 		return float64(process.origins.Len())
 	})
--- a/internal/fleet/registration.go
+++ b/internal/fleet/registration.go
@@ -45,10 +45,9 @@
 func (r *Registry) Run(ctx context.Context) {
 	lease := int64(0)
 	for ctx.Err() == nil {
-		var renewed, published bool
-		lease, renewed = r.renew(ctx, lease)
-		published = r.publishIfChanged(ctx)
-		if renewed && published {
+		var registered bool
+		lease, registered = r.renew(ctx, lease)
+		if r.publishIfChanged(ctx) && registered {
 			r.awaitRenewal(ctx)
 		} else {
 			r.Outage.AwaitRetry(ctx)
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -229,7 +229,7 @@
 			return nil, &exchange.Unplaced{Reason: "the software versions of the service's servers are not recorded in the store yet"}
 		}
 		if len(selection.candidates) == 0 {
-			return nil, placer.noServer(query.Service)
+			return nil, placer.noServer()
 		}
 		if all {
 			return nil, placer.unplaced(selection.candidates, selection.decision, now)
@@ -243,7 +243,7 @@
 
 // noServer returns the refusal of a request whose service has no server. It waits only until this node has a
 // list of servers.
-func (placer *placer) noServer(service string) *exchange.Unplaced {
+func (placer *placer) noServer() *exchange.Unplaced {
 	unplaced := &exchange.Unplaced{Reason: "no server of the service is registered"}
 	if !placer.proxy.set.ListReadSince(time.Time{}) {
 		return unplaced
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -100,12 +100,12 @@
 // Feed serves a node's state to nodes that do not read the store. Rewrites of a server's
 // entry without a change are not propagated; nearly all writes are of that kind.
 type Feed struct {
-	name     string
-	replica  *catalog.AtomicReplica
-	registry *fleet.Registry
 	// EntriesMissingUntil, if set, returns until when the list may lack servers that live.
 	EntriesMissingUntil func() time.Time
 
+	name       string
+	replica    *catalog.AtomicReplica
+	registry   *fleet.Registry
 	work       *workshare.Aggregator
 	cache      *residency.Ledger
 	quarantine *quarantine.Ledger
@@ -173,12 +173,16 @@
 	return true
 }
 
-// ApplySoftware applies a record of software versions.
+// ApplySoftware applies the record of software versions that this node knows now.
 func (f *Feed) ApplySoftware(record *backend.SoftwareRecord) {
+	digest := record.Digest()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.software, f.digest = record, record.Digest()
-	f.notifyLocked()
+	changed := f.digest != digest
+	f.software, f.digest = record, digest
+	if changed {
+		f.notifyLocked()
+	}
 }
 
 // softwareDigest returns the digest of this node's record of software versions.
--- a/internal/reflector/feed_test.go
+++ b/internal/reflector/feed_test.go
@@ -186,3 +186,29 @@
 	require.Equal(t, []string{"i-1"}, delta.Gone)
 	require.Equal(t, at(4), delta.Place)
 }
+
+// Guards against two nodes that keep different records of software versions: one has not seen the versions in
+// between, and has the same ones as before as of a later position.
+func TestLatestSoftwareRecordReachesFollower(t *testing.T) {
+	record := func(revision int64, versions ...string) backend.SoftwareRecord {
+		return backend.SoftwareRecord{Versions: backend.SoftwareVersions{"s": versions}, Revision: revision, AsOf: at(revision)}
+	}
+	upstream := newFollower(&countingSource{}, nil)
+	follower := newFollower(&countingSource{}, &feedPeers{feed: upstream.Feed})
+	poll := func() { _ = follower.poll(context.Background(), "upstream", &suspicionExchange{}) }
+	poll()
+	require.Nil(t, follower.Set.SoftwareRecord())
+	upstream.ApplySoftware(record(1, "v1"))
+	poll()
+	require.Equal(t, []string{"v1"}, follower.Set.SoftwareRecord().Versions["s"])
+	follower.ApplySoftware(record(2, "v1", "v2"))
+	poll()
+	require.Equal(t, []string{"v1", "v2"}, follower.Set.SoftwareRecord().Versions["s"], "the upstream's record is older")
+	upstream.ApplySoftware(record(3, "v1"))
+	poll()
+	require.Equal(t, []string{"v1"}, follower.Set.SoftwareRecord().Versions["s"])
+	request := follower.request("upstream", &suspicionExchange{})
+	require.Nil(t, upstream.Feed.softwareFor(request), "the same record is not sent again")
+	request.Software = 0
+	require.Nil(t, upstream.Feed.softwareFor(request), "a former build is sent none")
+}
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -309,8 +309,9 @@
 func (r *Reflector) ApplySoftware(record backend.SoftwareRecord) {
 	if r.Set.SetSoftwareRecord(record, boottime.Now()) {
 		r.Recorder.SoftwareRecordChanged(record)
-		r.Feed.ApplySoftware(r.Set.SoftwareRecord())
 	}
+	// The same versions as of a later position must reach nodes that have others as of one between.
+	r.Feed.ApplySoftware(r.Set.SoftwareRecord())
 }
 
 // applyCacheUpdates applies a node's cache updates, and removes those of nodes that no longer
