Keep what a reader has read of the fleet against older views of other nodes

Callers saw nothing yet; a node that had started in an outage was not counted by the others, for as long as no other node came or went: shares of budgets were too large, and it got no records of streams.

The others read its registration, found it first by rank, polled it, and took over its older view. The next reads of the store show changes alone, so that nothing corrected it; the started node got the older view back from them in turn.

Change: a reader that has received another node's view applies the registrations that it has read itself with its next read. TestReaderRestoresWhatItHasRead.

--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -232,6 +232,9 @@
 	if r.Registry.ObserveView(delta.Fleet, delta.Nodes) {
 		r.nodesReadAt.store(sentAt)
 	}
+	if delta.Fleet != nil {
+		r.viewReceived.Store(true)
+	}
 	if request.Reader {
 		r.Registry.ObserveDuties(delta.Duties, boottime.Now())
 	}
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -375,3 +375,35 @@
 		require.False(t, known())
 	})
 }
+
+// nodesSource returns node registrations only when they have changed, as a source that reads changes does.
+type nodesSource struct {
+	countingSource
+	nodes []coordination.Entry
+}
+
+func (s *nodesSource) Observe(context.Context) (Observation, error) {
+	nodes := s.nodes
+	s.nodes = nil
+	return Observation{Declared: catalog.ReadResult{SentAt: time.Now()}, Nodes: nodes}, nil
+}
+
+// Guards against two readers that overwrite each other's fleet with older views, one of which has just
+// started, and whose reads of the store show no change any more.
+func TestReaderRestoresWhatItHasRead(t *testing.T) {
+	entry := func(name string) coordination.Entry {
+		return coordination.Entry{Key: "nodes/" + name + "/1", Value: []byte(name + " z")}
+	}
+	replica := &catalog.AtomicReplica{}
+	older := &fleet.Registry{Prefix: "nodes/", Name: "started", OnResize: func(int) {}}
+	older.ObserveNodes([]coordination.Entry{entry("follower")}, time.Now())
+	started := &feedPeers{feed: NewFeed("started", replica, older, workshare.New(func() workshare.Report { return workshare.Report{} }), residency.NewLedger(), quarantine.NewLedger())}
+	source := &nodesSource{nodes: []coordination.Entry{entry("follower"), entry("other"), entry("started")}}
+	reader := newFollower(source, started)
+	require.NoError(t, reader.observe(context.Background()))
+	require.Equal(t, 3, reader.Registry.Nodes())
+	_ = reader.poll(context.Background(), "started", &suspicionExchange{})
+	require.Less(t, reader.Registry.Nodes(), 3, "the older view")
+	require.NoError(t, reader.observe(context.Background()))
+	require.Equal(t, 3, reader.Registry.Nodes())
+}
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -164,6 +164,10 @@
 	serversMutex sync.Mutex
 	// consecutiveFailures counts the failed reads since the last successful one.
 	consecutiveFailures atomic.Int64
+	// readNodeEntries holds the registrations that this node last read with Source.Observe, and
+	// viewReceived reports that it has received another node's view since.
+	readNodeEntries []coordination.Entry
+	viewReceived    atomic.Bool
 	// readFailedAt is when a read of the store last failed.
 	readFailedAt atomicTime
 	// declarationPosition is the store's position at the last read of the declaration.
@@ -283,14 +287,24 @@
 	})
 	r.Registry.ObserveDuties(observation.Duties, boottime.Now())
 	r.OnQuarantined(observation.Quarantined)
-	if observation.Nodes != nil {
-		r.Registry.ObserveNodes(observation.Nodes, boottime.Now())
-	}
+	r.observeNodes(observation.Nodes)
 	r.nodesReadAt.store(sentAt)
 	r.applyReading(observation.Declared)
 	return nil
 }
 
+// observeNodes applies the registrations that were read, or those of the last read if they have not changed
+// since and another node's view, which may be older, has replaced them. The caller holds observeMutex.
+func (r *Reflector) observeNodes(changed []coordination.Entry) {
+	replaced := r.viewReceived.Swap(false)
+	if changed != nil {
+		r.readNodeEntries = changed
+	}
+	if changed != nil || replaced && r.readNodeEntries != nil {
+		r.Registry.ObserveNodes(r.readNodeEntries, boottime.Now())
+	}
+}
+
 // noteInterruption records, before a list of servers that was read is applied, that reads before it have
 // failed: entries may have expired in that time.
 func (r *Reflector) noteInterruption() {
