Keep what began open streams in the store while versions are mixed

Cause: what began a stream was held by the node that began it and by two others alone. A run of the case before the change shows what is left after the kill: the new nodes' three holders answer that they have no record ("asked" 3, "failed" 0, source "unknown" in the lines "stream resumed"), and the list has two versions, so that nothing else is evidence.

Change: the relays of the fleet write the origins of open streams to the store, each one entry under a lease, at most ten times a second, and only while a service has several versions. Other nodes report theirs to a relay within 50 ms. A node reads all entries when a caller resumes a stream of which no node has a record. No stream waits for a write. A write is done only if the entry is as this process left it, so that late or doubled ones undo nothing; after one without an answer the next entry has another key and lease. A missing record says nothing: the stream is refused.

The check that streams are refused once no node knows them now asks for a store without their records as well: with them they must go on.

--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -157,7 +158,7 @@
 	t.Cleanup(fixture.kill)
 	handler := fixture.process.peerHandler()
 	peers.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if fixture.keepNoOrigins.Load() && (r.URL.Path == origin.PathRecords || r.URL.Path == origin.PathLookup) {
+		if fixture.keepNoOrigins.Load() && slices.Contains([]string{origin.PathRecords, origin.PathLookup, origin.PathOpen}, r.URL.Path) {
 			http.NotFound(w, r)
 			return
 		}
--- a/cmd/cloverrail/origins.go
+++ b/cmd/cloverrail/origins.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/origin"
+	"github.com/cloverrail/cloverrail/platform"
 )
 
 const (
@@ -29,6 +31,29 @@
 	return origin.NewClient(process.peerDirectory.Nodes, known, process.peerClient)
 }
 
+// newArchive returns the archive of the streams of this process.
+func (process *process) newArchive(incarnation string) *origin.Archive {
+	return &origin.Archive{
+		Store:       process.store.WithPurpose("origins"),
+		Prefix:      platform.PrefixOrigins,
+		Incarnation: incarnation,
+		Open:        process.openStreams,
+		Ledger:      process.origins,
+		Mixed:       process.serverSet.MixedServices,
+		IsRelay:     func() bool { return process.registry.IsRelay() },
+		Nodes:       func() int { return process.registry.Nodes() },
+		Report:      process.reportOpenStreams,
+		Recorder:    process.recorder,
+	}
+}
+
+// reportOpenStreams sends a report of open streams to a relay, and returns whether one has accepted it.
+func (process *process) reportOpenStreams(ctx context.Context, report []byte) bool {
+	own := process.settings.PeerAddress
+	relays := slices.DeleteFunc(process.registry.RelayAddresses(), func(address string) bool { return address == own })
+	return process.originClient.Report(ctx, relays, report)
+}
+
 // reportBorn asks a server for its start time.
 func (process *process) reportBorn(ctx context.Context, server backend.Server) (int64, error) {
 	report, err := process.serverClient.Report(ctx, server)
@@ -53,6 +78,7 @@
 		}
 		if versions, _ := process.serverSet.Software(boottime.Now()); !reflect.DeepEqual(versions, last) {
 			last = versions
+			process.archive.Wake()
 			process.recorder.SoftwareChanged(versions)
 		}
 		select {
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -94,10 +94,15 @@
 	// peerDirectory lists the nodes through which attempts may be sent.
 	peerDirectory *forward.Directory
 	// origins records what began each stream.
-	origins     *origin.Ledger
-	registry    *fleet.Registry
-	feed        *reflector.Feed
-	workReports *workshare.Aggregator
+	origins *origin.Ledger
+	// originClient sends records of streams to other nodes, openStreams tracks the streams of this node, and
+	// archive keeps their records in the store.
+	originClient *origin.Client
+	openStreams  *origin.OpenStreams
+	archive      *origin.Archive
+	registry     *fleet.Registry
+	feed         *reflector.Feed
+	workReports  *workshare.Aggregator
 	// peerClient calls other nodes.
 	peerClient *http.Client
 	// quarantinePersister writes quarantined requests to the store.
@@ -144,7 +149,11 @@
 		Slack:     config.Bounds.QuotaSlack,
 	}, rand.Float64, boottime.Now())
 	process.forwarder = process.newForwarder()
+	incarnation := uuid.NewString()
 	process.origins = origin.NewLedger()
+	process.originClient = process.newOriginHolders()
+	process.openStreams = origin.NewOpenStreams()
+	process.archive = process.newArchive(incarnation)
 	process.serverLimits = quota.NewServerLimits(process.serverSet.Contains, rand.Float64)
 	process.serverRooms = quota.NewServerRooms(rand.Float64)
 	process.overload = overload.NewServices(overload.NewLocalPromises())
@@ -179,14 +188,15 @@
 		Capacity:     process.capacity,
 
 		Origins:       process.origins,
-		OriginHolders: process.newOriginHolders(),
+		OriginHolders: process.originClient,
+		OpenStreams:   process.openStreams,
+		Archive:       process.archive,
 		ReportBorn:    process.reportBorn,
 
 		EntryTTL: entryExpiryHeartbeats * config.Heartbeat,
 
 		PropagationDelay: func() time.Duration { return process.reflector.FleetPropagationDelay() },
 	})
-	incarnation := uuid.NewString()
 	process.source = platform.NewSource(process.store, process.recorder.EntryUnreadable)
 	process.registry = &fleet.Registry{
 		Store:       process.store.WithPurpose("registration"),
@@ -273,6 +283,9 @@
 	process.metrics.Gauge("cloverrail_proxy_stream_records", "Records of what began streams that this node holds.", func() float64 {
 		return float64(process.origins.Len())
 	})
+	process.metrics.Gauge("cloverrail_proxy_open_streams", "Streams of this node that callers may still resume.", func() float64 {
+		return float64(process.openStreams.Len())
+	})
 	process.metrics.OverloadGauges(func() map[string]overload.State { return process.overload.States(boottime.Now()) }, process.overload.Invalid)
 	process.metrics.Gauge("cloverrail_proxy_store_era", "Era of the shared store; it rises when the store comes back from an older copy. 0 if it is not known.", func() float64 {
 		return float64(process.eras.Current())
@@ -439,6 +452,7 @@
 	mux.HandleFunc("POST "+forward.Path, process.forwardHandler())
 	mux.HandleFunc("POST "+origin.PathRecords, origin.RecordsHandler(process.origins))
 	mux.HandleFunc("POST "+origin.PathLookup, origin.LookupHandler(process.origins))
+	mux.HandleFunc("POST "+origin.PathOpen, process.archive.OpenHandler())
 	return mux
 }
 
@@ -483,6 +497,7 @@
 	tasks.Go(func() { process.quarantinePersister.Run(ctx) })
 	tasks.Go(func() { process.probePaths(ctx) })
 	tasks.Go(func() { process.publishOrigins(ctx) })
+	tasks.Go(func() { process.archive.Run(ctx) })
 	tasks.Go(func() { process.keepSoftwareRecord(ctx) })
 	elector := &lease.Elector{
 		Store: process.store.WithPurpose("duty"),
--- a/cmd/cloverrail/software_test.go
+++ b/cmd/cloverrail/software_test.go
@@ -36,10 +36,15 @@
 	*fleetFixture
 	// engines counts the engines that were started.
 	engines int
-	// breaks is set while engines break off each stream that they began after its second event.
+	// breaks is set while engines break off each stream that they began after its second event, and slow
+	// while their events are slowEvent apart.
 	breaks atomic.Bool
+	slow   atomic.Bool
 }
 
+// slowEvent is the time between two events of a slow stream.
+const slowEvent = 400 * time.Millisecond
+
 // newSoftwareFleet starts nodes, and two engines of each software version.
 func newSoftwareFleet(t *testing.T, nodes int, versions ...string) *softwareFleet {
 	f := &softwareFleet{fleetFixture: newFleet(t, 0, 0)}
@@ -80,7 +85,11 @@
 		standin.StreamSoftware(2, 5*time.Millisecond)(s, w, r)
 		panic(http.ErrAbortHandler)
 	}
-	standin.StreamSoftware(streamLength, 5*time.Millisecond)(s, w, r)
+	pause := 5 * time.Millisecond
+	if f.slow.Load() {
+		pause = slowEvent
+	}
+	standin.StreamSoftware(streamLength, pause)(s, w, r)
 }
 
 // callerStream is a stream as its caller has received it, over several tries.
@@ -94,6 +103,8 @@
 	header   http.Header
 	complete bool
 	took     time.Duration
+	// onEvent is called after each event; nil if nothing is to be done.
+	onEvent func()
 }
 
 var softwareTries atomic.Int64
@@ -161,6 +172,9 @@
 			s.first = id
 		}
 		s.events++
+		if s.onEvent != nil {
+			s.onEvent()
+		}
 	}
 	s.complete = s.events == streamLength
 }
@@ -328,13 +342,20 @@
 			requireContinued(t, []*callerStream{s}, 1)
 		}
 	})
-	t.Run("without any node that knew it", func(t *testing.T) {
+	t.Run("without any node that knew it, and without its record in the store", func(t *testing.T) {
 		t.Parallel()
 		f := newSoftwareFleet(t, 2, "v1", "v2")
+		f.store.SetFault(func(r *http.Request) standin.Fault {
+			if r.Method == http.MethodPost {
+				return standin.FaultUnavailable
+			}
+			return standin.FaultNone
+		})
 		streams := runStreams(func(i int, s *callerStream) { s.try(f.nodes[i%2], 1, nil) })
 		for _, n := range f.nodes {
 			n.crash()
 		}
+		f.store.SetFault(nil)
 		f.running = 0
 		next := f.addNode()
 		f.awaitHistory(next)
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -89,6 +89,25 @@
 	results <- false
 }
 
+// maxRelaysTried bounds the relays to which a report is sent until one accepts it.
+const maxRelaysTried = 3
+
+// Report sends a report of open streams to the first of the relays that accepts it, by addresses in the order of
+// preference. It returns whether one has.
+func (c *Client) Report(ctx context.Context, relays []string, body []byte) bool {
+	nodes := make([]fleet.Node, len(relays))
+	for i, address := range relays {
+		nodes[i] = fleet.Node{Name: address, Address: address}
+	}
+	nodes = c.order(nodes)
+	for _, node := range nodes[:min(maxRelaysTried, len(nodes))] {
+		if _, err := c.call(ctx, node, PathOpen, body); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // maxSendRounds bounds how often records are sent to other nodes in place of those that did not answer.
 const maxSendRounds = 3
 
--- a/internal/origin/ledger.go
+++ b/internal/origin/ledger.go
@@ -84,6 +84,16 @@
 // Learn records a stream of which another node has reported the origin.
 func (l *Ledger) Learn(key Key, o Origin, now time.Time) { l.put(key, o, record{}, now) }
 
+// LearnArchived records streams that were read from the archive. Records that this node has already keep what is
+// known of their holders.
+func (l *Ledger) LearnArchived(streams map[Key]Origin, now time.Time) {
+	for key, o := range streams {
+		if known, found := l.Lookup(key, now); !found || known != o {
+			l.Learn(key, o, now)
+		}
+	}
+}
+
 func (l *Ledger) put(key Key, o Origin, r record, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -20,6 +20,8 @@
 	originSendTimeout = 25 * time.Millisecond
 	// originFindTimeout bounds the search for what began a stream.
 	originFindTimeout = 600 * time.Millisecond
+	// archiveReadTimeout bounds how long a request waits for a read of the archive.
+	archiveReadTimeout = 400 * time.Millisecond
 	// originRetryAfter is when a caller may resume a stream of which the holders could not be asked.
 	originRetryAfter = time.Second
 	// reportTimeout bounds the question for the start time of a server.
@@ -46,6 +48,7 @@
 const (
 	OriginRecorded    OriginSource = "recorded"
 	OriginFound       OriginSource = "found"
+	OriginArchived    OriginSource = "archived"
 	OriginOnlyVersion OriginSource = "only_version"
 	OriginUnknown     OriginSource = "unknown"
 	// OriginMoved means that the route no longer leads to the service that began the stream.
@@ -61,7 +64,9 @@
 	// Asked is the number of other nodes that answered, and Failed that of those that did not.
 	Asked  int
 	Failed int
-	Took   time.Duration
+	// ArchiveError is why the archive could not be read; nil if it was read, or not needed.
+	ArchiveError error
+	Took         time.Duration
 }
 
 // originKey returns the key of the stream that the caller's try with an ID began.
@@ -113,11 +118,28 @@
 		proxy.origins.Learn(resumption.Key, finding.Origin, now)
 		return
 	}
-	if len(admitted.route.Split) > 1 || !proxy.unrecorded(admitted, finding) {
+	if len(admitted.route.Split) <= 1 && proxy.unrecorded(admitted, finding) {
+		if software, known := proxy.set.OnlySoftware(admitted.service.Name, now); known {
+			resumption.Source, resumption.Origin = OriginOnlyVersion, origin.Origin{Service: admitted.service.Name, Software: software}
+			return
+		}
+	}
+	proxy.findArchived(ctx, resumption)
+}
+
+// findArchived searches the archive, for the case that all nodes with a record of the stream are lost.
+func (proxy *Proxy) findArchived(ctx context.Context, resumption *Resumption) {
+	if proxy.archive == nil || resumption.Resumes == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, archiveReadTimeout)
+	defer cancel()
+	if err := proxy.archive.Read(ctx); err != nil {
+		resumption.ArchiveError = err
 		return
 	}
-	if software, known := proxy.set.OnlySoftware(admitted.service.Name, now); known {
-		resumption.Source, resumption.Origin = OriginOnlyVersion, origin.Origin{Service: admitted.service.Name, Software: software}
+	if found, known := proxy.origins.Lookup(resumption.Key, boottime.Now()); known {
+		resumption.Source, resumption.Origin = OriginArchived, found
 	}
 }
 
@@ -145,7 +167,7 @@
 func (admitted *admitted) adoptOrigin(resumption *Resumption) *failure.Failure {
 	if !resumption.Origin.Known() {
 		refusal := failure.New(failure.KindOtherSoftware, "it is not known which software version began the stream", restartStream)
-		if resumption.Failed > 0 {
+		if resumption.Failed > 0 || resumption.ArchiveError != nil {
 			return refusal.WithRetryAfter(originRetryAfter)
 		}
 		return refusal
@@ -154,10 +176,30 @@
 		resumption.Source = OriginMoved
 		return failure.New(failure.KindOtherSoftware, "the route no longer leads to the service that began the stream", restartStream)
 	}
-	admitted.origin = &resumption.Origin
+	admitted.origin, admitted.streamKey = &resumption.Origin, resumption.Key
 	return nil
 }
 
+// trackStream makes the stream of a request count as open, whose caller may resume it.
+func (proxy *Proxy) trackStream(admitted *admitted, began origin.Origin) {
+	if proxy.openStreams != nil {
+		proxy.openStreams.Begin(admitted.streamKey, began, len(admitted.route.Split) > 1)
+		admitted.tracked = true
+	}
+}
+
+// untrackStream makes the stream of a request, if it has one, count as ended.
+func (proxy *Proxy) untrackStream(admitted *admitted, outcome exchange.Outcome, now time.Time) {
+	if !admitted.tracked {
+		return
+	}
+	resumableUntil := now.Add(defaultTimeout)
+	if timeout := admitted.request.CallerTimeout; timeout > 0 {
+		resumableUntil = admitted.request.Arrived.Add(timeout)
+	}
+	proxy.openStreams.End(admitted.streamKey, outcome.Failure == nil, resumableUntil, now)
+}
+
 // restartStream is the remedy for streams that cannot go on.
 const restartStream = "send the request again from its beginning, without the events that were received"
 
@@ -292,6 +334,8 @@
 		placement.origin.Software = ""
 	}
 	key, now := admitted.originKey(admitted.request.ID), boottime.Now()
+	admitted.streamKey = key
+	proxy.trackStream(admitted, placement.origin)
 	// Other nodes take a stream without a record for one of the only version.
 	shared := !placement.origin.Known() || proxy.mixesOrigins(admitted, now)
 	proxy.origins.Begin(key, placement.origin, shared, now)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -176,8 +176,11 @@
 	// origins holds what began each stream, and originHolders asks other nodes; nil if there are none.
 	origins       *origin.Ledger
 	originHolders *origin.Client
-	reportBorn    ReportBorn
-	entryTTL      time.Duration
+	// openStreams tracks the streams of this node, and archive reads those of lost nodes; nil if there are none.
+	openStreams *origin.OpenStreams
+	archive     *origin.Archive
+	reportBorn  ReportBorn
+	entryTTL    time.Duration
 	// propagationDelay is that of Options.
 	propagationDelay func() time.Duration
 	// conflictMutex serializes placements that lost their first round to another placement.
@@ -224,6 +227,9 @@
 	// asks these; nil if there are none.
 	Origins       *origin.Ledger
 	OriginHolders *origin.Client
+	// OpenStreams tracks the streams of this node, and Archive reads those of lost nodes; nil if there are none.
+	OpenStreams *origin.OpenStreams
+	Archive     *origin.Archive
 	// ReportBorn asks a server for its start time; nil if servers cannot be asked.
 	ReportBorn ReportBorn
 	// EntryTTL is the time after which the registration of a crashed server has expired.
@@ -261,6 +267,8 @@
 		origins:      options.Origins,
 
 		originHolders: options.OriginHolders,
+		openStreams:   options.OpenStreams,
+		archive:       options.Archive,
 		reportBorn:    options.ReportBorn,
 		entryTTL:      options.EntryTTL,
 
@@ -330,6 +338,9 @@
 	unverified *unverifiedEnd
 	// origin is what began the stream that the caller has; nil if the caller has no event yet.
 	origin *origin.Origin
+	// streamKey identifies that stream, and tracked reports that openStreams has it.
+	streamKey origin.Key
+	tracked   bool
 }
 
 // Serve processes a request to completion. The context must end when the caller
@@ -361,7 +372,11 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, boottime.Until(admitted.deadline))
 	defer cancel()
+	if admitted.origin != nil {
+		proxy.trackStream(admitted, *admitted.origin)
+	}
 	outcome := exchange.Run(bounded, proxy.exchangeRequest(admitted, caller))
+	proxy.untrackStream(admitted, outcome, boottime.Now())
 	if end := admitted.unverified; end != nil && outcome.Failure == nil {
 		proxy.recorder.ResponseEndedWithConnection()
 		proxy.verifyEnd(admitted, *end, outcome)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -167,7 +167,7 @@
 		origins:  newOriginMetrics(),
 	}
 	metrics.Registry.MustRegister(metrics.overload.refusals, metrics.overload.promises)
-	metrics.Registry.MustRegister(metrics.origins.began, metrics.origins.resumed)
+	metrics.Registry.MustRegister(metrics.origins.collectors()...)
 	metrics.Registry.MustRegister(metrics.paths.changes, metrics.paths.forwarded, metrics.paths.forwardedForPeers)
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "cloverrail_proxy_declaration_age_seconds", Help: "Time since the declaration was certainly current.",
--- a/internal/telemetry/origins.go
+++ b/internal/telemetry/origins.go
@@ -1,10 +1,15 @@
 package telemetry
 
 import (
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/proxy"
 )
 
@@ -12,6 +17,12 @@
 type originMetrics struct {
 	began   *prometheus.CounterVec
 	resumed *prometheus.CounterVec
+	// writes and written count the writes of the archive and their bytes, and reads its reads.
+	writes  *prometheus.CounterVec
+	written prometheus.Counter
+	reads   *prometheus.CounterVec
+	// archiveFailing is set while the latest write of the archive has failed.
+	archiveFailing atomic.Bool
 }
 
 func newOriginMetrics() *originMetrics {
@@ -22,9 +33,23 @@
 		resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_resumed_streams_total", Help: "Streams that callers resumed, by how the software version that began them was determined.",
 		}, []string{"source"}),
+		writes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_stream_archive_writes_total", Help: "Writes of the software versions of open streams to the store, by result.",
+		}, []string{"result"}),
+		written: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_stream_archive_bytes_total", Help: "Bytes of the software versions of open streams that were written to the store, before their encoding.",
+		}),
+		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_stream_archive_reads_total", Help: "Reads of the software versions of open streams from the store, by result.",
+		}, []string{"result"}),
 	}
 }
 
+// collectors returns all metrics.
+func (m *originMetrics) collectors() []prometheus.Collector {
+	return []prometheus.Collector{m.began, m.resumed, m.writes, m.written, m.reads}
+}
+
 // StreamBegan records what began a stream of a service with several software versions.
 func (recorder *Recorder) StreamBegan(request *proxy.Request, began proxy.StreamOrigin) {
 	record := "local"
@@ -44,7 +69,44 @@
 	recorder.metrics.origins.resumed.WithLabelValues(string(resumption.Source)).Inc()
 	recorder.limitedLine(zerolog.InfoLevel).Str("id", request.ID).Stringer("stream", resumption.Key).Str("resumes", truncate(resumption.Resumes)).
 		Str("source", string(resumption.Source)).Str("service", resumption.Origin.Service).Str("software", resumption.Origin.Software).
-		Int("asked", resumption.Asked).Int("failed", resumption.Failed).Dur("took", resumption.Took).Msg("stream resumed")
+		Int("asked", resumption.Asked).Int("failed", resumption.Failed).AnErr("archive_error", resumption.ArchiveError).Dur("took", resumption.Took).Msg("stream resumed")
+}
+
+// callResult returns the metrics label of a call.
+func callResult(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "done"
+}
+
+// ArchiveWritten records a write of the software versions of open streams. Failures are logged when they begin
+// and end.
+func (recorder *Recorder) ArchiveWritten(streams, bytes int, took time.Duration, err error) {
+	metrics := recorder.metrics.origins
+	metrics.writes.WithLabelValues(callResult(err)).Inc()
+	if err == nil {
+		metrics.written.Add(float64(bytes))
+	}
+	if failed := err != nil; metrics.archiveFailing.Swap(failed) == failed {
+		return
+	}
+	if err != nil {
+		recorder.log.Warn().Int("streams", streams).Dur("took", took).Err(err).Msg("cannot write the software versions of open streams; callers cannot resume them if all nodes are lost now")
+		return
+	}
+	recorder.log.Info().Int("streams", streams).Dur("took", took).Msg("writing the software versions of open streams again")
+}
+
+// ArchiveRead records a read of the software versions of open streams, for a stream that no node has a record of.
+func (recorder *Recorder) ArchiveRead(entries, streams int, took time.Duration, err error) {
+	recorder.metrics.origins.reads.WithLabelValues(callResult(err)).Inc()
+	recorder.limitedLine(zerolog.InfoLevel).Int("entries", entries).Int("streams", streams).Dur("took", took).Err(err).Msg("read the software versions of open streams")
+}
+
+// ArchiveEntryUnreadable records an entry of the archive that was skipped.
+func (recorder *Recorder) ArchiveEntryUnreadable(key string, at coordination.Position, err error) {
+	recorder.EntryUnreadable(key, at, errors.Annotate(err, "remove the key, or run builds that support each other's formats"))
 }
 
 // maxLoggedID bounds an ID of a caller in a log line.
