Count nodes whose registrations have lapsed when bounds are shared

Cause: each node spends its share of the budget, which is divided by the number of registrations. After the outage every node reads the store, finds none but its own ("fleet size changed", 8 to 1) and takes the whole share, until the others have registered again: for 5 to 6 s on, where they do so at their next renewal, and for 0.6 s since nodes register when the outage ends.

Change: bounds of the fleet are divided by the largest number of registrations of the last ten seconds, by when a node that lives has registered again. A raised limit of a budget no longer counts for the time before it was set, and a node that starts shares retries once it knows the fleet.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -27,6 +27,7 @@
 	"github.com/cloverrail/cloverrail/internal/origin"
 	"github.com/cloverrail/cloverrail/internal/outbound"
 	"github.com/cloverrail/cloverrail/internal/overload"
+	"github.com/cloverrail/cloverrail/internal/pause"
 	"github.com/cloverrail/cloverrail/internal/prefix"
 	"github.com/cloverrail/cloverrail/internal/proxy"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
@@ -55,6 +56,9 @@
 	// a quarantine entry that such a node should have written. It exceeds the age of a store read.
 	writeDelayPerRank = time.Second
 
+	// shareInterval is the interval at which the shares of the fleet's bounds follow its size.
+	shareInterval = 250 * time.Millisecond
+
 	// engineIdleLimit is how long after its last use an engine's cache is watched if there are more
 	// engines than can be polled in time.
 	engineIdleLimit = 20 * time.Second
@@ -101,8 +105,10 @@
 	openStreams  *origin.OpenStreams
 	archive      *origin.Archive
 	registry     *fleet.Registry
-	feed         *reflector.Feed
-	workReports  *workshare.Aggregator
+	// sharedSize is the number of nodes by which the bounds of the fleet are divided.
+	sharedSize  *fleet.SharedSize
+	feed        *reflector.Feed
+	workReports *workshare.Aggregator
 	// peerClient calls other nodes.
 	peerClient *http.Client
 	// quarantinePersister writes quarantined requests to the store.
@@ -120,7 +126,7 @@
 		return nil, errors.Trace(err)
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	process := &process{settings: config, replica: &catalog.AtomicReplica{}, serverSet: backend.NewSet(), peerClient: outbound.NewClient(peerTimeout)}
+	process := &process{settings: config, replica: &catalog.AtomicReplica{}, serverSet: backend.NewSet(), sharedSize: &fleet.SharedSize{}, peerClient: outbound.NewClient(peerTimeout)}
 	zerolog.SetGlobalLevel(level)
 	process.log = zerolog.New(telemetry.NewWriter(os.Stdout)).With().Timestamp().Str("node", config.Name).Logger()
 	process.metrics = telemetry.NewMetrics(process.replica)
@@ -293,6 +299,9 @@
 	process.metrics.Gauge("cloverrail_proxy_fleet_nodes", "Nodes of the fleet, as far as this one knows.", func() float64 {
 		return float64(process.registry.Nodes())
 	})
+	process.metrics.Gauge("cloverrail_proxy_sharing_nodes", "Nodes by which the bounds of the fleet are divided: those whose registrations have just lapsed count as well.", func() float64 {
+		return float64(process.sharedSize.Nodes(boottime.Now()))
+	})
 }
 
 // reload reads the settings file again. Only the log level takes effect immediately; all other
@@ -315,15 +324,33 @@
 	process.log.Info().Str("log_level", config.LogLevel).Bool("takes_a_restart", changed).Msg("settings reloaded")
 }
 
-// resize applies a new number of nodes in the fleet.
+// resize applies a new number of registered nodes.
 func (process *process) resize(nodes int) {
 	process.recorder.FleetResized(nodes)
-	process.retryBudgets.Resize(nodes)
+	process.cacheLedger.Resize(nodes)
+	process.shareBounds(process.sharedSize.Observe(nodes, boottime.Now()))
+}
+
+// shareBounds divides the bounds of the whole fleet by a number of nodes.
+func (process *process) shareBounds(nodes int) {
+	// A node that has just started sees only some of the registrations of a fleet that starts with it.
+	if process.registry.Bootstrapped() {
+		process.retryBudgets.Resize(nodes, boottime.Now())
+	}
 	process.tenantLimiter.Resize(nodes)
 	process.serverLimits.Resize(nodes)
 	process.overload.Resize(nodes)
 	process.serverRooms.Resize(nodes, process.roomRank(nodes), process.reflector.FleetPropagationDelay())
-	process.cacheLedger.Resize(nodes)
+}
+
+// updateShares divides the bounds of the fleet anew when nodes count as lost, until the context ends.
+func (process *process) updateShares(ctx context.Context) {
+	for ctx.Err() == nil {
+		if nodes := process.sharedSize.Nodes(boottime.Now()); nodes > 0 {
+			process.shareBounds(nodes)
+		}
+		pause.For(ctx, shareInterval)
+	}
 }
 
 // roomRank returns this node's rank, or a hashed one if the node knows only the first nodes of a large fleet
@@ -494,6 +521,7 @@
 	bounds := process.settings.Bounds
 	tasks := sync.WaitGroup{}
 	tasks.Go(func() { process.registry.Run(ctx) })
+	tasks.Go(func() { process.updateShares(ctx) })
 	tasks.Go(func() { process.quarantinePersister.Run(ctx) })
 	tasks.Go(func() { process.probePaths(ctx) })
 	tasks.Go(func() { process.publishOrigins(ctx) })
--- a/internal/lab/storestub/store.go
+++ b/internal/lab/storestub/store.go
@@ -139,6 +139,15 @@
 	}
 }
 
+// ExpireLeases ends all leases at once.
+func (store *Store) ExpireLeases() {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	for id := range store.leases {
+		store.revoke(id)
+	}
+}
+
 func (store *Store) revoke(id int64) {
 	delete(store.leases, id)
 	for key, current := range store.entries {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -20,7 +20,7 @@
 		nodes := make([]*RetryBudgets, rapid.IntRange(1, 30).Draw(t, "nodes"))
 		for index := range nodes {
 			nodes[index] = NewRetryBudgets(bounds, start)
-			nodes[index].Resize(len(nodes))
+			nodes[index].Resize(len(nodes), start)
 		}
 		step := 100 * time.Millisecond
 		// Servers fail either continuously, or intermittently so that retries are saved in between.
@@ -39,7 +39,7 @@
 			}
 			failing := tick%failingEvery < failingFor
 			for _, node := range nodes {
-				node.Resize(len(nodes))
+				node.Resize(len(nodes), now)
 				for failing && node.ForService("s").Withdraw(now) {
 					retryCount++
 				}
--- a/internal/proxy/retries.go
+++ b/internal/proxy/retries.go
@@ -46,8 +46,8 @@
 	return &RetryBudgets{bounds: bounds, started: now, nodes: assumedFleetSize, budgets: map[string]*retry.Budget{}}
 }
 
-// Resize sets the number of nodes in the fleet.
-func (budgets *RetryBudgets) Resize(nodes int) {
+// Resize sets the number of nodes in the fleet from a time on.
+func (budgets *RetryBudgets) Resize(nodes int, now time.Time) {
 	budgets.mutex.Lock()
 	defer budgets.mutex.Unlock()
 	if nodes = max(1, nodes); nodes == budgets.nodes {
@@ -55,7 +55,7 @@
 	}
 	budgets.nodes = nodes
 	for _, budget := range budgets.budgets {
-		budget.SetLimits(budgets.capacity(), budgets.perSecond())
+		budget.SetLimits(budgets.capacity(), budgets.perSecond(), now)
 	}
 }
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -57,10 +57,11 @@
 	return budget.config.Capacity + budget.config.BurstShare*budget.recentlyEarned
 }
 
-// SetLimits changes the Capacity and PerSecond of the budget.
-func (budget *Budget) SetLimits(capacity, perSecond float64) {
+// SetLimits changes the Capacity and PerSecond of the budget from a time on.
+func (budget *Budget) SetLimits(capacity, perSecond float64, now time.Time) {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
+	budget.refill(now)
 	budget.config.Capacity, budget.config.PerSecond = capacity, perSecond
 	budget.tokens = math.Min(budget.tokens, budget.capacity())
 }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -118,3 +118,15 @@
 	require.False(t, All{full, empty}.Withdraw(now))
 	require.True(t, All{full, full}.Withdraw(now))
 }
+
+// Guards against limits that count for the time before they were set.
+func TestRaisedLimitsCountFromNowOn(t *testing.T) {
+	start := time.Unix(1000, 0)
+	budget := NewBudget(BudgetConfig{PerSecond: 0.1, Capacity: 1}, start)
+	budget.Drain()
+	now := start.Add(5 * time.Second)
+	budget.SetLimits(20, 10, now)
+	require.False(t, budget.Withdraw(now), "half a retry was earned")
+	require.True(t, budget.Withdraw(now.Add(50*time.Millisecond)))
+	require.False(t, budget.Withdraw(now.Add(60*time.Millisecond)))
+}
