Admit requests together that have waited for the token issuer together

Cause: requests whose token issuer does not answer within 50 ms share the node's even part of the rate, by a bucket that holds one token. Those that waited together come in the same moment, and all but one were refused.

Change: the bucket holds what the even part gives in those 50 ms.

TestFallbackAdmitsRequestsThatWaitedTogether guards it, with the bound over the fleet.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -92,6 +92,28 @@
 	require.LessOrEqual(t, granted, nodes+int(limit.PerSecond*10))
 }
 
+// Guards against requests within a tenant's rate that are refused because the token issuer did not answer them in
+// time, all at the same moment.
+func TestFallbackAdmitsRequestsThatWaitedTogether(t *testing.T) {
+	const nodes, waiting = 2, 12
+	limit := Rate{PerSecond: 10_000, Burst: 10_000}
+	now := time.Unix(0, 0)
+	leases := []*TokenLease{NewTokenLease(), NewTokenLease()}
+	for range waiting {
+		require.True(t, leases[0].SpendFallback(now, limit, nodes))
+	}
+	granted, start := waiting, now
+	for range 1000 {
+		for _, lease := range leases {
+			for lease.SpendFallback(now, limit, nodes) {
+				granted++
+			}
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	require.LessOrEqual(t, float64(granted), limit.PerSecond*(now.Sub(start).Seconds()+fallbackSeconds)+nodes)
+}
+
 // p99Latency simulates tenants' arrivals at the rate limit and the fair queue of a pool in
 // virtual time, where the first tenant sends factor times its rate. It returns the 99th
 // percentile of the other tenants' latencies.
--- a/internal/admission/tokens.go
+++ b/internal/admission/tokens.go
@@ -63,6 +63,9 @@
 	leaseSeconds = 0.2
 	// usageGain is the weight of the newest measurement of the usage rate.
 	usageGain = 0.2
+	// fallbackSeconds is the span of the even share that SpendFallback grants at once: requests that have waited for
+	// the issuer together are admitted together.
+	fallbackSeconds = 0.05
 )
 
 // NewTokenLease returns a lease without tokens.
@@ -97,8 +100,9 @@
 func (lease *TokenLease) SpendFallback(now time.Time, limit Rate, nodes int) bool {
 	evenShare := rate.Limit(limit.PerSecond / float64(max(1, nodes)))
 	if lease.fallback == nil {
-		lease.fallback = rate.NewLimiter(evenShare, 1)
+		lease.fallback = rate.NewLimiter(evenShare, max(1, int(fallbackSeconds*float64(evenShare))))
 	}
 	lease.fallback.SetLimitAt(now, evenShare)
+	lease.fallback.SetBurstAt(now, max(1, int(fallbackSeconds*float64(evenShare))))
 	return lease.fallback.AllowN(now, 1)
 }
