Do not wake up for streams whose records nobody needs

With one software version each stream that began woke up the archive, which found nothing to do. It is woken up only while records are needed; a write that failed is repeated without waiting for the next stream. Shares of the fleet's bounds are set when the number of nodes changes, or this node has learned of the fleet, in place of four times a second (TestNodeSharesRetriesOnceItKnowsFleet).

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -57,7 +57,7 @@
 	writeDelayPerRank = time.Second
 
 	// shareInterval is the interval at which the shares of the fleet's bounds follow its size.
-	shareInterval = 250 * time.Millisecond
+	shareInterval = 500 * time.Millisecond
 
 	// engineIdleLimit is how long after its last use an engine's cache is watched if there are more
 	// engines than can be polled in time.
@@ -343,11 +343,19 @@
 	process.serverRooms.Resize(nodes, process.roomRank(nodes), process.reflector.FleetPropagationDelay())
 }
 
-// updateShares divides the bounds of the fleet anew when nodes count as lost, until the context ends.
+// updateShares divides the bounds of the fleet anew when nodes count as lost, and once this node knows the fleet,
+// until the context ends.
 func (process *process) updateShares(ctx context.Context) {
+	type state struct {
+		nodes        int
+		bootstrapped bool
+	}
+	last := state{}
 	for ctx.Err() == nil {
-		if nodes := process.sharedSize.Nodes(boottime.Now()); nodes > 0 {
-			process.shareBounds(nodes)
+		current := state{process.sharedSize.Nodes(boottime.Now()), process.registry.Bootstrapped()}
+		if current != last && current.nodes > 0 {
+			process.shareBounds(current.nodes)
+			last = current
 		}
 		pause.For(ctx, shareInterval)
 	}
--- a/cmd/cloverrail/shares_test.go
+++ b/cmd/cloverrail/shares_test.go
@@ -42,3 +42,13 @@
 		})
 	}
 }
+
+// Guards against a node that keeps the share of a node that does not know the fleet: it registers before it takes part
+// in the fleet's retries, and no other node comes after it.
+func TestNodeSharesRetriesOnceItKnowsFleet(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 1)
+	n := f.nodes[0]
+	n.waitUntil(n.process.registry.Bootstrapped)
+	n.waitUntil(func() bool { return n.process.retryBudgets.Nodes() == 1 })
+}
--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -109,7 +109,11 @@
 // overlap.
 func (a *Archive) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause.For(ctx, a.delayAfter(a.save(ctx)))
+		result := a.save(ctx)
+		pause.For(ctx, a.delayAfter(result))
+		if a.unfinished(result) {
+			continue
+		}
 		select {
 		case <-a.Open.Began():
 		case <-a.reports.changed():
@@ -140,10 +144,15 @@
 	savedAtRelay
 )
 
+// unfinished reports whether streams must be saved again although no other one has begun.
+func (a *Archive) unfinished(result saveResult) bool {
+	return result == saveFailed || result == savedAtRelay && a.IsRelay()
+}
+
 // delayAfter returns how long after a save the next one may follow.
 func (a *Archive) delayAfter(result saveResult) time.Duration {
 	w, relay := &a.writer, a.IsRelay()
-	if result == saveFailed || relay && result == savedAtRelay {
+	if a.unfinished(result) {
 		w.retryDelay = min(max(2*w.retryDelay, minArchiveRetryDelay), coordination.MaxRetryDelay)
 		return w.retryDelay
 	}
--- a/internal/origin/open.go
+++ b/internal/origin/open.go
@@ -18,7 +18,9 @@
 type OpenStreams struct {
 	mutex   sync.Mutex
 	streams map[Key]openStream
-	began   chan struct{}
+	// mixed reports that records of some service were needed at the last call of Streams.
+	mixed bool
+	began chan struct{}
 }
 
 // openStream is one stream. Always reports that its record is needed whatever software versions there are.
@@ -48,6 +50,9 @@
 		o = Origin{}
 	}
 	s.streams[key] = openStream{origin: o, always: always || known.always}
+	if !always && !s.mixed {
+		return
+	}
 	select {
 	case s.began <- struct{}{}:
 	default:
@@ -73,13 +78,15 @@
 	s.streams[key] = stream
 }
 
-// Began returns a channel that has an element after a stream has begun. It is for one receiver.
+// Began returns a channel that has an element after a stream has begun whose record may be needed. It is for one
+// receiver.
 func (s *OpenStreams) Began() <-chan struct{} { return s.began }
 
 // Streams returns the streams whose records are needed: those of the given services, and those that always are.
 func (s *OpenStreams) Streams(services map[string]bool, now time.Time) map[Key]Origin {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.mixed = len(services) > 0
 	needed := map[Key]Origin{}
 	for key, stream := range s.streams {
 		switch {
--- a/internal/proxy/retries.go
+++ b/internal/proxy/retries.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// Nodes returns the number of nodes by which the bounds are divided.
+func (budgets *RetryBudgets) Nodes() int {
+	budgets.mutex.Lock()
+	defer budgets.mutex.Unlock()
+	return budgets.nodes
+}
+
 // capacity returns how many retries one node may save. Half of Extra can be saved, and
 // the other half is earned over a window.
 func (budgets *RetryBudgets) capacity() float64 {
