Keep refused reports from changing where records of streams go

A relay that could not write to the store refused reports with 503, and the same client then took it for a node that does not answer: records of new streams went to other holders than those that a node asks. Found by reading; reports have a client of their own now. A stream that was begun under one ID with two origins stays in the entry as one that cannot be resumed.

--- a/cmd/cloverrail/origins.go
+++ b/cmd/cloverrail/origins.go
@@ -42,16 +42,20 @@
 		Mixed:       process.serverSet.MixedServices,
 		IsRelay:     func() bool { return process.registry.IsRelay() },
 		Nodes:       func() int { return process.registry.Nodes() },
-		Report:      process.reportOpenStreams,
+		Report:      process.reportOpenStreams(),
 		Recorder:    process.recorder,
 	}
 }
 
-// reportOpenStreams sends a report of open streams to a relay, and returns whether one has accepted it.
-func (process *process) reportOpenStreams(ctx context.Context, report []byte) bool {
-	own := process.settings.PeerAddress
-	relays := slices.DeleteFunc(process.registry.RelayAddresses(), func(address string) bool { return address == own })
-	return process.originClient.Report(ctx, relays, report)
+// reportOpenStreams returns a function that sends a report of open streams to a relay, and returns whether one has
+// accepted it. Relays that refuse reports still answer for the records that they hold, so that the function has a
+// client of its own.
+func (process *process) reportOpenStreams() func(ctx context.Context, report []byte) bool {
+	client, own := origin.NewClient(nil, nil, process.peerClient), process.settings.PeerAddress
+	return func(ctx context.Context, report []byte) bool {
+		relays := slices.DeleteFunc(process.registry.RelayAddresses(), func(address string) bool { return address == own })
+		return client.Report(ctx, relays, report)
+	}
 }
 
 // reportBorn asks a server for its start time.
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -99,12 +99,10 @@
 	peerDirectory *forward.Directory
 	// origins records what began each stream.
 	origins *origin.Ledger
-	// originClient sends records of streams to other nodes, openStreams tracks the streams of this node, and
-	// archive keeps their records in the store.
-	originClient *origin.Client
-	openStreams  *origin.OpenStreams
-	archive      *origin.Archive
-	registry     *fleet.Registry
+	// openStreams tracks the streams of this node, and archive keeps their records in the store.
+	openStreams *origin.OpenStreams
+	archive     *origin.Archive
+	registry    *fleet.Registry
 	// sharedSize is the number of nodes by which the bounds of the fleet are divided.
 	sharedSize  *fleet.SharedSize
 	feed        *reflector.Feed
@@ -157,7 +155,6 @@
 	process.forwarder = process.newForwarder()
 	incarnation := uuid.NewString()
 	process.origins = origin.NewLedger()
-	process.originClient = process.newOriginHolders()
 	process.openStreams = origin.NewOpenStreams()
 	process.archive = process.newArchive(incarnation)
 	process.serverLimits = quota.NewServerLimits(process.serverSet.Contains, rand.Float64)
@@ -194,7 +191,7 @@
 		Capacity:     process.capacity,
 
 		Origins:       process.origins,
-		OriginHolders: process.originClient,
+		OriginHolders: process.newOriginHolders(),
 		OpenStreams:   process.openStreams,
 		Archive:       process.archive,
 		ReportBorn:    process.reportBorn,
--- a/internal/origin/open.go
+++ b/internal/origin/open.go
@@ -47,7 +47,7 @@
 	}
 	if found && known.origin != o {
 		// Two tries of the caller had the same ID.
-		o = Origin{}
+		o.Software = ""
 	}
 	s.streams[key] = openStream{origin: o, always: always || known.always}
 	if !always && !s.mixed {
