Track no stream whose request has ended, nor one without a name

An attempt may read the first event of a stream while its request ends. The stream then counted as open for good, and its record was written again and again. A resumed stream whose caller does not say which try began it has no key and is not tracked. Found by reading.

--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -176,28 +177,51 @@
 		resumption.Source = OriginMoved
 		return failure.New(failure.KindOtherSoftware, "the route no longer leads to the service that began the stream", restartStream)
 	}
-	admitted.origin, admitted.streamKey = &resumption.Origin, resumption.Key
+	admitted.origin = &resumption.Origin
 	return nil
 }
 
-// trackStream makes the stream of a request count as open, whose caller may resume it.
-func (proxy *Proxy) trackStream(admitted *admitted, began origin.Origin) {
-	if proxy.openStreams != nil {
-		proxy.openStreams.Begin(admitted.streamKey, began, len(admitted.route.Split) > 1)
-		admitted.tracked = true
+// trackedStream is the stream of a request among the open streams of this node. An attempt may begin it while the
+// request ends.
+type trackedStream struct {
+	mutex sync.Mutex
+	key   origin.Key
+	begun bool
+	ended bool
+}
+
+// beginStream makes a stream of the request count as open, whose caller may resume it.
+func (proxy *Proxy) beginStream(admitted *admitted, key origin.Key, began origin.Origin) {
+	if proxy.openStreams == nil {
+		return
 	}
+	s := admitted.stream
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.ended {
+		return
+	}
+	proxy.openStreams.Begin(key, began, len(admitted.route.Split) > 1)
+	s.key, s.begun = key, true
 }
 
-// untrackStream makes the stream of a request, if it has one, count as ended.
-func (proxy *Proxy) untrackStream(admitted *admitted, outcome exchange.Outcome, now time.Time) {
-	if !admitted.tracked {
+// endStream makes the stream of the request, if it has one, count as ended.
+func (proxy *Proxy) endStream(admitted *admitted, outcome exchange.Outcome, now time.Time) {
+	if proxy.openStreams == nil {
+		return
+	}
+	s := admitted.stream
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.ended = true
+	if !s.begun {
 		return
 	}
 	resumableUntil := now.Add(defaultTimeout)
 	if timeout := admitted.request.CallerTimeout; timeout > 0 {
 		resumableUntil = admitted.request.Arrived.Add(timeout)
 	}
-	proxy.openStreams.End(admitted.streamKey, outcome.Failure == nil, resumableUntil, now)
+	proxy.openStreams.End(s.key, outcome.Failure == nil, resumableUntil, now)
 }
 
 // restartStream is the remedy for streams that cannot go on.
@@ -334,8 +358,7 @@
 		placement.origin.Software = ""
 	}
 	key, now := admitted.originKey(admitted.request.ID), boottime.Now()
-	admitted.streamKey = key
-	proxy.trackStream(admitted, placement.origin)
+	proxy.beginStream(admitted, key, placement.origin)
 	// Other nodes take a stream without a record for one of the only version.
 	shared := !placement.origin.Known() || proxy.mixesOrigins(admitted, now)
 	proxy.origins.Begin(key, placement.origin, shared, now)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -338,9 +338,7 @@
 	unverified *unverifiedEnd
 	// origin is what began the stream that the caller has; nil if the caller has no event yet.
 	origin *origin.Origin
-	// streamKey identifies that stream, and tracked reports that openStreams has it.
-	streamKey origin.Key
-	tracked   bool
+	stream *trackedStream
 }
 
 // Serve processes a request to completion. The context must end when the caller
@@ -372,11 +370,11 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, boottime.Until(admitted.deadline))
 	defer cancel()
-	if admitted.origin != nil {
-		proxy.trackStream(admitted, *admitted.origin)
+	if admitted.origin != nil && request.Resumes != "" {
+		proxy.beginStream(admitted, admitted.originKey(request.Resumes), *admitted.origin)
 	}
 	outcome := exchange.Run(bounded, proxy.exchangeRequest(admitted, caller))
-	proxy.untrackStream(admitted, outcome, boottime.Now())
+	proxy.endStream(admitted, outcome, boottime.Now())
 	if end := admitted.unverified; end != nil && outcome.Failure == nil {
 		proxy.recorder.ResponseEndedWithConnection()
 		proxy.verifyEnd(admitted, *end, outcome)
@@ -414,7 +412,7 @@
 	if service == nil {
 		return nil, failure.New(failure.KindNoEndpoint, "the route's service is not declared", "declare the service").WithRetryAfter(time.Second)
 	}
-	return &admitted{request: request, replica: replica, route: route, service: service, tenant: tenant, deadline: deadline(request, route)}, nil
+	return &admitted{request: request, replica: replica, route: route, service: service, tenant: tenant, deadline: deadline(request, route), stream: &trackedStream{}}, nil
 }
 
 func (proxy *Proxy) authenticate(request *Request, replica *catalog.Replica, route *catalog.Route, now time.Time, current bool) (*catalog.Tenant, *failure.Failure) {
