--- a/internal/origin/archive_test.go
+++ b/internal/origin/archive_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -323,9 +324,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newArchiveFleet(rapid.IntRange(1, 14).Draw(rt, "nodes"))
 			faults := rapid.SliceOfN(rapid.IntRange(0, int(archiveFaults)-1), 1, 20).Draw(rt, "faults")
-			call, sound := 0, false
+			call, sound := 0, atomic.Bool{}
 			f.store.fault = func() archiveFault {
-				if sound {
+				if sound.Load() {
 					return archiveSound
 				}
 				call++
@@ -347,7 +348,7 @@
 					require.Equal(rt, origins[archived], o)
 				}
 			}
-			sound = true
+			sound.Store(true)
 			// The retry delay, a report, and a write.
 			time.Sleep(2 * time.Second)
 			archived := f.store.archived(rt)
