Wait in a test until the streams have begun that it resumes

The caller had no event, and its next try was a new stream, which a node that is cut off may serve. The test now waits until both streams have begun.

--- a/cmd/cloverrail/software_test.go
+++ b/cmd/cloverrail/software_test.go
@@ -487,8 +487,9 @@
 	t.Parallel()
 	f := newSoftwareFleet(t, 3, "v1")
 	own, foreign := &callerStream{}, &callerStream{}
-	own.try(f.nodes[0], 1, nil)
-	foreign.try(f.nodes[1], 1, nil)
+	// A node begins no stream before it knows that the version is recorded.
+	f.nodes[0].waitUntil(func() bool { own.try(f.nodes[0], 1, nil); return own.events == 1 })
+	f.nodes[1].waitUntil(func() bool { foreign.try(f.nodes[1], 1, nil); return foreign.events == 1 })
 	f.nodes[0].setIsolated(true)
 	own.try(f.nodes[0], streamLength, nil)
 	requireContinued(t, []*callerStream{own}, 1)
