Count granted retries and log whether a node is registered

What could not be told apart of the hypotheses on retries beyond the budget: whether the budget had granted the retries, and whether a node that took the fleet for small was in the list itself. cloverrail_proxy_retries_total counts what the budget grants and denies, fleet size changed says whether the node is registered, and cloverrail_proxy_registered shows it.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -296,6 +296,12 @@
 	process.metrics.Gauge("cloverrail_proxy_fleet_nodes", "Nodes of the fleet, as far as this one knows.", func() float64 {
 		return float64(process.registry.Nodes())
 	})
+	process.metrics.Gauge("cloverrail_proxy_registered", "Whether the store certainly has this node's registration: 1, or 0.", func() float64 {
+		if process.registry.Registered(boottime.Now()) {
+			return 1
+		}
+		return 0
+	})
 	process.metrics.Gauge("cloverrail_proxy_sharing_nodes", "Nodes by which the bounds of the fleet are divided: those whose registrations have just lapsed count as well.", func() float64 {
 		return float64(process.sharedSize.Nodes(boottime.Now()))
 	})
@@ -323,7 +329,7 @@
 
 // resize applies a new number of registered nodes.
 func (process *process) resize(nodes int) {
-	process.recorder.FleetResized(nodes)
+	process.recorder.FleetResized(nodes, process.registry.Registered(boottime.Now()))
 	process.cacheLedger.Resize(nodes)
 	process.shareBounds(process.sharedSize.Observe(nodes, boottime.Now()))
 }
--- a/internal/fleet/registration.go
+++ b/internal/fleet/registration.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/pause"
 	"github.com/cloverrail/cloverrail/internal/prefix"
@@ -75,6 +76,14 @@
 	pause.For(ctx, time.Duration(rand.Int64N(int64(registrationTTL/renewalsPerTTL))))
 }
 
+// Registered reports whether the store certainly has this node's registration: the lease, which counts from the arrival
+// of the call that renewed it, has not ended.
+func (r *Registry) Registered(now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return !r.renewedAt.IsZero() && now.Sub(r.renewedAt) < registrationTTL
+}
+
 func (r *Registry) deregister(lease int64) {
 	if lease == 0 {
 		return
@@ -89,6 +98,17 @@
 func (r *Registry) renew(ctx context.Context, lease int64) (currentLease int64, registered bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := boottime.Now()
+	lease, registered = r.renewOrRegister(ctx, lease)
+	if registered {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		r.renewedAt = sentAt
+	}
+	return lease, registered
+}
+
+func (r *Registry) renewOrRegister(ctx context.Context, lease int64) (currentLease int64, registered bool) {
 	// A lease of another era is gone, or belongs to another client.
 	if era, _ := r.Eras.State(); lease != 0 && era == r.leaseEra {
 		alive, err := r.Store.Renew(ctx, lease)
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -88,6 +88,8 @@
 	leaseEra   int64
 	registered bool
 	duties     []coordination.Entry
+	// renewedAt is when the call was sent that last registered this node or renewed its registration.
+	renewedAt time.Time
 	// view is the view of the fleet that other nodes receive, and digest the view's digest.
 	view   View
 	digest uint64
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -56,7 +56,7 @@
 			PlacementWait: route.TargetLatency / placementWaitDivisor,
 			RetryAfter:    retryAfter(route),
 		},
-		Budget:          proxy.retryBudgets.ForService(admitted.service.Name),
+		Budget:          recordedBudget{proxy.retryBudgets.ForService(admitted.service.Name), proxy.recorder, admitted.service.Name},
 		SilenceTimeouts: placer.silenceTimeouts(),
 		ResumeAfter:     admitted.request.ResumeAfter,
 		Placer:          placer,
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -65,6 +65,8 @@
 	RejectedForRoom(rejection Rejection)
 	// Attempt records an event of an attempt. The suspects are set if the attempt broke.
 	Attempt(request *Request, server string, event exchange.Event, suspects quarantine.Suspects)
+	// Retry records whether the fleet's retry budget of a service had a retry that a request asked for.
+	Retry(service string, granted bool)
 	// AttemptKept records, once per attempt, that a silent attempt is not given up because other
 	// nodes hear its server.
 	AttemptKept(request *Request, server string, silent time.Duration)
--- a/internal/proxy/retries.go
+++ b/internal/proxy/retries.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/retry"
 )
 
@@ -96,6 +97,20 @@
 	return budget
 }
 
+// recordedBudget is the retry budget of a service that records what it grants.
+type recordedBudget struct {
+	exchange.Budget
+	recorder Recorder
+	service  string
+}
+
+// Withdraw takes one retry from the budget and reports whether one was available.
+func (b recordedBudget) Withdraw(now time.Time) bool {
+	granted := b.Budget.Withdraw(now)
+	b.recorder.Retry(b.service, granted)
+	return granted
+}
+
 // Deposit records a first attempt at a service, which earns part of a retry.
 func (budgets *RetryBudgets) Deposit(service string, now time.Time) {
 	budgets.budget(service).Deposit(now)
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -25,6 +25,7 @@
 func (nopRecorder) StreamResumed(*Request, Resumption)                                   {}
 func (nopRecorder) RateLimited(*Request, string, quota.Limit, quota.Decision)            {}
 func (nopRecorder) Attempt(*Request, string, exchange.Event, quarantine.Suspects)        {}
+func (nopRecorder) Retry(string, bool)                                                   {}
 func (nopRecorder) NoRoom(string)                                                        {}
 func (nopRecorder) RejectedForRoom(Rejection)                                            {}
 func (nopRecorder) OverLimits(*Request, OverLimits)                                      {}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -12,6 +12,7 @@
 	Registry            *prometheus.Registry
 	requests            *prometheus.CounterVec
 	attempts            *prometheus.CounterVec
+	retries             *prometheus.CounterVec
 	firstResponse       *prometheus.HistogramVec
 	predictionErrors    *prometheus.HistogramVec
 	storeReads          *prometheus.CounterVec
@@ -71,6 +72,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_attempts_total", Help: "Events of attempts at servers by kind.",
 		}, []string{"event"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_retries_total", Help: "Retries that requests asked for, by service and by whether this node's share of the fleet's budget had one.",
+		}, []string{"service", "result"}),
 		firstResponse: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "cloverrail_proxy_first_answer_seconds", Help: "Time to the head of the answer.", Buckets: firstResponseBuckets,
 		}, []string{"route"}),
@@ -177,7 +181,7 @@
 		}
 		return -1
 	})
-	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstResponse, metrics.predictionErrors, metrics.storeReads,
+	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.retries, metrics.firstResponse, metrics.predictionErrors, metrics.storeReads,
 		metrics.orders, metrics.waitedOrders, metrics.connections, metrics.connectionTimeouts, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.noRoom, metrics.roomRejections, metrics.deferred, metrics.placementConflicts, metrics.keptAttempts, metrics.quarantined, metrics.trials, metrics.turnedAway, metrics.endedWithConnection, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
 	metrics.Registry.MustRegister(metrics.storeCalls.collectors()...)
 	return metrics
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -458,14 +458,24 @@
 	recorder.log.Info().Err(err).Msg("store write of the fleet view finished")
 }
 
-// FleetResized records the number of nodes in the fleet, and logs it if it has changed.
-func (recorder *Recorder) FleetResized(nodes int) {
+// Retry counts a retry that the budget of a service granted or denied.
+func (recorder *Recorder) Retry(service string, granted bool) {
+	result := "denied"
+	if granted {
+		result = "granted"
+	}
+	recorder.metrics.retries.WithLabelValues(service, result).Inc()
+}
+
+// FleetResized records the number of nodes in the fleet, and logs it if it has changed, with whether the store has
+// this node's registration.
+func (recorder *Recorder) FleetResized(nodes int, registered bool) {
 	recorder.mutex.Lock()
 	before := recorder.nodes
 	recorder.nodes = nodes
 	recorder.mutex.Unlock()
 	if before != nodes {
-		recorder.log.Info().Int("nodes", nodes).Int("before", before).Msg("fleet size changed")
+		recorder.log.Info().Int("nodes", nodes).Int("before", before).Bool("registered", registered).Msg("fleet size changed")
 	}
 }
 
