Keep what all nodes have saved for retries within the fleet's part

Callers: after a quiet time a service that fails may get more retries than the fleet's budget, if there are hundreds of nodes. A node now saves its share alone. Until a node knows the fleet, it has what its own requests earn.

TestSavedRetriesStayWithinFleetsPart, 1, 8, 340, 985 and 2,000 nodes, 40 rounds each: the mean of the saved retries is within a fifth of the part, and no window exceeds the bound. With few nodes nothing changes but that the share is no longer rounded up to 1.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -146,7 +146,7 @@
 		Ratio:  config.Bounds.RetryRatio,
 		Extra:  config.Bounds.RetryExtra,
 		Window: config.Bounds.RetryWindow,
-	}, boottime.Now())
+	}, rand.Float64, boottime.Now())
 	process.tenantLimiter = quota.New(quota.Bounds{
 		Window:    config.Bounds.QuotaWindow,
 		Overshoot: config.Bounds.QuotaOvershoot,
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,9 +18,10 @@
 	property.Check(t, func(t *rapid.T) {
 		bounds := RetryBounds{Ratio: 0.2, Extra: 54, Window: 10 * time.Second}
 		start := time.Unix(1000, 0)
+		draw := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)).Float64
 		nodes := make([]*RetryBudgets, rapid.IntRange(1, 30).Draw(t, "nodes"))
 		for index := range nodes {
-			nodes[index] = NewRetryBudgets(bounds, start)
+			nodes[index] = NewRetryBudgets(bounds, draw, start)
 			nodes[index].Resize(len(nodes), start)
 		}
 		step := 100 * time.Millisecond
@@ -31,7 +33,7 @@
 			now := start.Add(time.Duration(tick) * step)
 			if rapid.IntRange(0, 40).Draw(t, "restart") == 0 {
 				which := rapid.IntRange(0, len(nodes)-1).Draw(t, "which")
-				nodes[which] = NewRetryBudgets(bounds, now)
+				nodes[which] = NewRetryBudgets(bounds, draw, now)
 			}
 			requestCount, retryCount := rapid.IntRange(0, 2*len(nodes)).Draw(t, "requests"), 0
 			for number := range requestCount {
@@ -59,6 +61,63 @@
 	})
 }
 
+// Guards against the retries that all nodes of a large fleet have saved exceeding the part of the budget that may be
+// saved, and against fleets that cannot use it.
+func TestSavedRetriesStayWithinFleetsPart(t *testing.T) {
+	bounds := RetryBounds{Ratio: 0.2, Extra: 56, Window: 10 * time.Second}
+	start := time.Unix(1000, 0)
+	const rounds = 40
+	for _, nodes := range []int{1, 8, 340, 985, 2000} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			draw := rand.New(rand.NewPCG(uint64(nodes), 1)).Float64
+			saved, largest, part := 0, 0, 0.0
+			for range rounds {
+				inWindow := 0
+				for range nodes {
+					budgets := NewRetryBudgets(bounds, draw, start)
+					budgets.Resize(nodes, start)
+					part = budgets.capacity() * float64(nodes)
+					// The service is quiet for a minute, and then fails for a window.
+					budget := budgets.ForService("s")
+					now := start.Add(time.Minute)
+					for budget.Withdraw(now) {
+						saved++
+						inWindow++
+					}
+					for range bounds.Window / time.Second {
+						now = now.Add(time.Second)
+						for budget.Withdraw(now) {
+							inWindow++
+						}
+					}
+				}
+				largest = max(largest, inWindow)
+			}
+			require.InDelta(t, part, float64(saved)/rounds, part/5, "retries saved, on average")
+			require.GreaterOrEqual(t, part, bounds.Extra/4)
+			require.LessOrEqual(t, float64(largest), bounds.Extra, "retries within a window")
+		})
+	}
+}
+
+// Guards against a node that spends a share of the fleet's retries which the others do not count: it has what its own
+// requests earn.
+func TestNodeWithoutShareRetriesByItsOwnRequests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	budgets := NewRetryBudgets(RetryBounds{Ratio: 0.2, Extra: 56, Window: 10 * time.Second}, rand.New(rand.NewPCG(1, 1)).Float64, now)
+	require.False(t, budgets.ForService("s").Withdraw(now.Add(time.Hour)), "it has earned none")
+	const requests = 10_000
+	retries := 0
+	for range requests {
+		now = now.Add(100 * time.Millisecond)
+		budgets.Deposit("s", now)
+		if budgets.ForService("s").Withdraw(now) {
+			retries++
+		}
+	}
+	require.InEpsilon(t, ratioShare*0.2*requests, retries, 0.1)
+}
+
 func sum(numbers []int) int {
 	total := 0
 	for _, number := range numbers {
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -22,6 +22,10 @@
 	Capacity   float64
 	BurstShare float64
 	Window     time.Duration
+	// Draw returns random numbers in [0, 1). If less than one retry can be accumulated, it decides whether a
+	// request may be retried, with the accumulated part of a retry as the probability: many budgets together
+	// then grant what they have earned. Without it, such a budget grants none.
+	Draw func() float64
 }
 
 // DefaultBudget permits one retry per five first attempts, plus two per second.
@@ -78,11 +82,16 @@
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	budget.refill(now)
-	if budget.tokens < 1 {
+	if budget.tokens >= 1 {
+		budget.tokens--
+		return true
+	}
+	if budget.config.Draw == nil || budget.capacity() >= 1 {
 		return false
 	}
-	budget.tokens--
-	return true
+	probability := budget.tokens
+	budget.tokens = 0
+	return budget.config.Draw() < probability
 }
 
 func (budget *Budget) refill(now time.Time) {
