Spend only shares of the fleet's bounds that other nodes leave

Callers: while the store refuses registrations and serves reads, services got up to 393 retries in 10 s of 136 allowed with 16 nodes, and 239 with 8; six nodes admitted 916 requests of a tenant of 198 allowed, and a server that accepts 20 a second got 466 in 4 s of 125.

Cause: each bound is divided by the number of registrations, and a node believed a list without its own. Such a list says that registrations cannot be made, not that nobody lives. Evidence: the log of each such node says nodes 1, registered false; all retries were granted and charged.

Change: until a node has seen its own registration for as long as others need to register, lists add to the fleet that it knew before, from the view that starting nodes read, too; it keeps polling those nodes, so that shares by reported demand stay right. A node that is missing beside others follows them. One that knows nobody, and is not registered, counts as one of an unknown fleet. The part of the retries that does not depend on requests is spent unasked, and needs more: a node takes its share once it has read the registrations after all could register beside it, and only until the others may cease to count it, 10 s after a list that may lack it, and 28 s after its last renewal. The shares then never add up to more than 1.

In virtual time, at 8, 16, 340, 985 and 2,000 nodes, nine situations: the largest sum of the shares is 1.

--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -129,7 +130,7 @@
 	return newNodeWith(t, store, storeAddress, name, func(*settings.Proxy) {})
 }
 
-// newNodeWith starts a node with changed settings.
+// newNodeWith starts a node with changed settings. At a peer address of their own, other nodes reach it without a link.
 func newNodeWith(t testing.TB, store *standin.Store, storeAddress, name string, change func(config *settings.Proxy)) *fixture {
 	fixture := &fixture{t: t, store: store}
 	peers := httptest.NewUnstartedServer(nil)
@@ -145,8 +146,14 @@
 	config.Bounds.LeaderHandover = time.Second
 	config.Bounds.RetryExtra = 1e6
 	config.LogLevel = "error"
+	linked := config.PeerAddress
 	change(&config)
 	var err error
+	if config.PeerAddress != linked {
+		_ = peers.Listener.Close()
+		peers.Listener, err = net.Listen("tcp", config.PeerAddress)
+		require.NoError(t, err)
+	}
 	fixture.process, err = newProcess(config)
 	require.NoError(t, err)
 	fixture.process.peerClient.Transport = &outbound.Transport{Base: fixture, Timeout: peerTimeout}
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -296,6 +296,9 @@
 	process.metrics.Gauge("cloverrail_proxy_fleet_nodes", "Nodes of the fleet, as far as this one knows.", func() float64 {
 		return float64(process.registry.Nodes())
 	})
+	process.metrics.Gauge("cloverrail_proxy_retry_sharing_nodes", "Nodes that share the part of the fleet's retries that does not depend on requests; 0 if this node has no share, since the others may not count it.", func() float64 {
+		return float64(process.retryBudgets.Nodes())
+	})
 	process.metrics.Gauge("cloverrail_proxy_registered", "Whether the store certainly has this node's registration: 1, or 0.", func() float64 {
 		if process.registry.Registered(boottime.Now()) {
 			return 1
@@ -327,18 +330,38 @@
 	process.log.Info().Str("log_level", config.LogLevel).Bool("takes_a_restart", changed).Msg("settings reloaded")
 }
 
-// resize applies a new number of registered nodes.
+// resize applies a new number of nodes. A node that knows of no other one, and cannot register itself, keeps the shares
+// of a node that does not know the fleet.
 func (process *process) resize(nodes int) {
 	process.recorder.FleetResized(nodes, process.registry.Registered(boottime.Now()))
 	process.cacheLedger.Resize(nodes)
-	process.shareBounds(process.sharedSize.Observe(nodes, boottime.Now()))
+	if process.registry.KnowsFleet(boottime.Now()) {
+		process.sharedSize.Observe(nodes, boottime.Now())
+		process.shareBounds(process.currentShares())
+	}
+}
+
+// shares is what decides this node's shares of the bounds of the whole fleet.
+type shares struct {
+	// nodes is the number of nodes that share them, and holdsOwn reports that the others certainly count this one.
+	nodes    int
+	holdsOwn bool
 }
 
-// shareBounds divides the bounds of the whole fleet by a number of nodes.
-func (process *process) shareBounds(nodes int) {
-	// A node that has just started sees only some of the registrations of a fleet that starts with it.
-	if process.registry.Bootstrapped() {
-		process.retryBudgets.Resize(nodes, boottime.Now())
+func (process *process) currentShares() shares {
+	now := boottime.Now()
+	return shares{nodes: process.sharedSize.Nodes(now), holdsOwn: process.registry.HoldsShare(now)}
+}
+
+// shareBounds divides the bounds of the whole fleet. Those of retries are spent without learning what other nodes
+// spend, so that only a node which the others count takes its share. The others follow the reports of other nodes.
+func (process *process) shareBounds(s shares) {
+	nodes, retrySharers := s.nodes, 0
+	if s.holdsOwn {
+		retrySharers = nodes
+	}
+	if process.retryBudgets.Resize(retrySharers, boottime.Now()) {
+		process.recorder.RetryShareChanged(retrySharers)
 	}
 	process.tenantLimiter.Resize(nodes)
 	process.serverLimits.Resize(nodes)
@@ -346,18 +369,13 @@
 	process.serverRooms.Resize(nodes, process.roomRank(nodes), process.reflector.FleetPropagationDelay())
 }
 
-// updateShares divides the bounds of the fleet anew when nodes count as lost, and once this node knows the fleet,
-// until the context ends.
+// updateShares divides the bounds of the fleet anew when nodes count as lost, and when the others begin or cease to
+// count this one, until the context ends.
 func (process *process) updateShares(ctx context.Context) {
-	type state struct {
-		nodes        int
-		bootstrapped bool
-	}
-	last := state{}
+	last := shares{}
 	for ctx.Err() == nil {
-		current := state{process.sharedSize.Nodes(boottime.Now()), process.registry.Bootstrapped()}
-		if current != last && current.nodes > 0 {
-			process.shareBounds(current.nodes)
+		if current := process.currentShares(); current != last && current.nodes > 0 {
+			process.shareBounds(current)
 			last = current
 		}
 		pause.For(ctx, shareInterval)
--- a/internal/fleet/era_test.go
+++ b/internal/fleet/era_test.go
@@ -74,10 +74,10 @@
 			require.LessOrEqual(t, peak, 3+2*nodes/int((registrationTTL/renewalsPerTTL).Seconds()), "registrations are spread over time")
 			time.Sleep(2 * registrationTTL)
 			require.Len(t, store.Entries("nodes/"), nodes, "the registrations are kept")
-			// Remove a node other than the reader, which counts itself in any case.
-			others := slices.DeleteFunc(store.Entries("nodes/"), func(e coordination.Entry) bool { return e.Key == reader.registrationKey() })
-			require.Len(t, others, nodes-1)
-			reader.ObserveNodes(others[1:], time.Now())
+			// Remove a node other than the reader, without which the list would not show the whole fleet.
+			remaining := store.Entries("nodes/")
+			lost := slices.IndexFunc(remaining, func(e coordination.Entry) bool { return e.Key != reader.registrationKey() })
+			reader.ObserveNodes(slices.Delete(remaining, lost, lost+1), time.Now())
 			require.Equal(t, nodes-1, reader.Nodes(), "a node that is lost later is not counted")
 		})
 	}
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -73,11 +73,15 @@
 func (r *Registry) IsRelay() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.ownRank < r.relays()
+	return !r.follows && r.ownRank < r.relays()
 }
 
 // IsReader reports whether this node is one of the relays that read the store for the fleet.
-func (r *Registry) IsReader() bool { return r.Rank() < ReaderCount }
+func (r *Registry) IsReader() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return !r.follows && r.ownRank < ReaderCount
+}
 
 // RelayAddresses returns the addresses of the relays, those of this node's zone first. Each node
 // starts at another offset in each group, which spreads the load.
--- a/internal/fleet/registration.go
+++ b/internal/fleet/registration.go
@@ -76,15 +76,11 @@
 	pause.For(ctx, time.Duration(rand.Int64N(int64(registrationTTL/renewalsPerTTL))))
 }
 
-// Registered reports whether the store certainly has this node's registration: the lease, which counts from the arrival
-// of the call that renewed it, has not ended.
-func (r *Registry) Registered(now time.Time) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return !r.renewedAt.IsZero() && now.Sub(r.renewedAt) < registrationTTL
-}
-
 func (r *Registry) deregister(lease int64) {
+	r.mutex.Lock()
+	r.standing.end(boottime.Now())
+	r.deregistered = true
+	r.mutex.Unlock()
 	if lease == 0 {
 		return
 	}
@@ -103,7 +99,7 @@
 	if registered {
 		r.mutex.Lock()
 		defer r.mutex.Unlock()
-		r.renewedAt = sentAt
+		r.standing.renew(sentAt, boottime.Now())
 	}
 	return lease, registered
 }
@@ -153,7 +149,7 @@
 		present[r.nodeName(entry.Key)] = true
 	}
 	entries = slices.Clone(entries)
-	for name, entry := range r.lastEntries {
+	for name, entry := range r.formerEntries {
 		if !present[name] {
 			entries = append(entries, entry)
 		}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -79,17 +79,27 @@
 	// sightings holds the leader-election keys of the last observation, and duties their
 	// entries.
 	sightings map[string]keySighting
-	// lastEntries holds the registrations at the last observation, by name, and registeredEra
-	// the era in which this node's own one was written.
-	lastEntries   map[string]coordination.Entry
+	// formerEntries holds the registrations at the last observation, by name, and formerNodes the number of nodes.
+	formerEntries map[string]coordination.Entry
+	formerNodes   int
+	// registeredEra is the era in which this node's own registration was written.
 	registeredEra int64
 	// leaseEra is the era in which the lease of the registration was granted, and registered reports whether
 	// the registration was written under it.
 	leaseEra   int64
 	registered bool
 	duties     []coordination.Entry
-	// renewedAt is when the call was sent that last registered this node or renewed its registration.
-	renewedAt time.Time
+	// standing is that of this node's own registration, and deregistered reports that the node has ended it.
+	standing     standing
+	deregistered bool
+	// listed reports whether the last list contained this node's registration, and listedSince is since when that is so.
+	// settled reports that the last list showed the whole fleet, and unsettledSince is since when none has.
+	listed         bool
+	listedSince    time.Time
+	settled        bool
+	unsettledSince time.Time
+	// follows reports that this node is not registered while others are, so that it has no rank among them.
+	follows bool
 	// view is the view of the fleet that other nodes receive, and digest the view's digest.
 	view   View
 	digest uint64
@@ -118,9 +128,35 @@
 
 func (r *Registry) observe(entries []coordination.Entry, now time.Time, stale bool) {
 	r.mutex.Lock()
+	if !stale {
+		r.updateSettled(entries, now)
+	}
 	entries = r.withPreRestoreEntries(entries, now)
+	if r.firstObservedAt.IsZero() {
+		r.firstObservedAt = now
+	}
+	if !stale || r.hasEarlierIncarnation(entries) {
+		r.updateBootstrapped(entries, now)
+	}
+	listed := r.latestByName(entries)
+	known := listed
+	if !r.settled || stale {
+		known = r.withFormerEntries(listed)
+	}
+	r.follows = !stale && !r.deregistered && r.cannotRegister(listed, now)
+	r.updateRole(listed, known)
+	r.updateView(known)
+	nodes := r.reportedNodes
+	if stale {
+		// Stale data is not passed on to other nodes.
+		r.view, r.digest = View{}, 0
+	}
 	r.mutex.Unlock()
-	infos := make(map[string]nodeInfo, len(entries)+1)
+	r.OnResize(nodes)
+}
+
+// latestByName returns the latest registration of each node.
+func (r *Registry) latestByName(entries []coordination.Entry) map[string]coordination.Entry {
 	byName := make(map[string]coordination.Entry, len(entries))
 	for _, entry := range entries {
 		name := r.nodeName(entry.Key)
@@ -128,29 +164,33 @@
 			// The registration of an earlier incarnation, which has not expired yet.
 			continue
 		}
-		infos[name], byName[name] = parseNodeInfo(string(entry.Value)), entry
+		byName[name] = entry
 	}
-	// A registration by an earlier incarnation of this node may have another address.
-	infos[r.Name] = r.ownInfo()
-	r.mutex.Lock()
-	if r.firstObservedAt.IsZero() {
-		r.firstObservedAt = now
+	return byName
+}
+
+// updateRole ranks this node among the nodes that are known, or behind those that are listed if it follows them, and
+// counts the nodes.
+func (r *Registry) updateRole(listed, known map[string]coordination.Entry) {
+	ranked := known
+	if r.follows {
+		ranked = listed
 	}
-	if !stale || r.hasEarlierIncarnation(entries) {
-		r.updateBootstrapped(entries, now)
+	infos := make(map[string]nodeInfo, len(ranked)+1)
+	for name, entry := range ranked {
+		infos[name] = parseNodeInfo(string(entry.Value))
+	}
+	if !r.follows {
+		// A registration by an earlier incarnation of this node may have another address.
+		infos[r.Name] = r.ownInfo()
 	}
 	r.updateRanking(infos)
-	r.reportedNodes = len(r.ranked)
-	r.ownRank = slices.Index(r.ranked, r.Name)
-	r.updateView(byName)
-	r.lastEntries = byName
-	if stale {
-		// Stale data is not passed on to other nodes.
-		r.view, r.digest = View{}, 0
+	r.rememberFleet(known)
+	r.reportedNodes = max(len(r.ranked), r.formerNodes)
+	if _, registered := known[r.Name]; !registered {
+		r.reportedNodes = max(r.reportedNodes, len(known)+1)
 	}
-	nodes := r.reportedNodes
-	r.mutex.Unlock()
-	r.OnResize(nodes)
+	r.ownRank = r.rankOf(r.Name)
 }
 
 // rankOf returns a node's rank. A node that is not among the known first ones ranks after them.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -26,10 +26,10 @@
 // complete reports whether the view contains all nodes.
 func (v View) complete() bool { return v.Nodes > 0 && len(v.First) >= v.Nodes }
 
-// updateView builds the view that other nodes receive from a full list. A node that is not
+// updateView builds the view that other nodes receive from the registrations that this node knows. A node that is not
 // registered is not in it.
 func (r *Registry) updateView(entries map[string]coordination.Entry) {
-	r.view = View{Nodes: len(entries), Roomy: r.large}
+	r.view = View{Nodes: r.formerNodes, Roomy: r.large}
 	for _, name := range r.firstNodes(viewRelayFactor * r.relays()) {
 		if entry, registered := entries[name]; registered {
 			r.view.First = append(r.view.First, entry)
@@ -104,6 +104,7 @@
 		r.reportedNodes, r.view, r.digest = 0, View{}, 0
 	}
 	r.updateRanking(infos)
+	r.follows = false
 	r.ownRank = r.rankOf(r.Name)
 	if r.firstObservedAt.IsZero() {
 		r.firstObservedAt = now
@@ -145,7 +146,7 @@
 func (r *Registry) replaceView(view View) {
 	r.mutex.Lock()
 	r.applyView(view)
-	r.bootstrapped = true
+	r.bootstrapped, r.settled = true, true
 	r.view, r.digest = view, view.digest()
 	r.mutex.Unlock()
 	r.OnResize(view.Nodes)
@@ -161,6 +162,8 @@
 		infos[name] = parseNodeInfo(string(entry.Value))
 	}
 	r.ranked, r.infos, r.reportedNodes, r.large = ranked, infos, view.Nodes, view.Roomy
+	r.formerEntries, r.formerNodes, r.follows = r.latestByName(view.First), view.Nodes, false
+	r.listed, r.listedSince = false, time.Time{}
 	r.ownRank = r.rankOf(r.Name)
 }
 
--- a/internal/reflector/bootstrap.go
+++ b/internal/reflector/bootstrap.go
@@ -94,6 +94,7 @@
 		r.Registry.ObserveStaleNodes(entries, now)
 	default:
 		r.Registry.ObserveNodes(entries, now)
+		r.Registry.Confirm(sentAt)
 	}
 	r.nodesReadAt.store(sentAt)
 	return nil
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -230,6 +230,7 @@
 		r.ApplyLoads(*delta.Loads)
 	}
 	if r.Registry.ObserveView(delta.Fleet, delta.Nodes) {
+		r.Registry.Confirm(sentAt.Add(-delta.Age))
 		r.nodesReadAt.store(sentAt)
 	}
 	if delta.Fleet != nil {
--- a/internal/reflector/follow_test.go
+++ b/internal/reflector/follow_test.go
@@ -138,11 +138,20 @@
 	for number := range 29 {
 		entries = append(entries, coordination.Entry{Key: fmt.Sprint("nodes/node-", number, "/1"), Value: []byte(fmt.Sprint("address-", number))})
 	}
-	registry.Address = "own"
-	for first := true; first || !hasRole(registry); first = false {
-		registry.Name += "z"
-		entries[0].Key = "nodes/" + registry.Name + "/old"
+	for name := registry.Name; ; {
+		name += "z"
+		entries[0].Key = "nodes/" + name + "/old"
+		candidate := &fleet.Registry{Prefix: registry.Prefix, Name: name, OnResize: func(int) {}}
+		candidate.ObserveNodes(entries, time.Now())
+		if !hasRole(candidate) {
+			continue
+		}
+		registry.Name, registry.Address = name, "own"
 		registry.ObserveNodes(entries, time.Now())
+		// Its rank is another one if the registry knew nodes that are not listed.
+		if hasRole(registry) {
+			return
+		}
 	}
 }
 
@@ -273,7 +282,7 @@
 // one.
 func TestFleetPropagationDelayIncludesUpstreamHops(t *testing.T) {
 	node := newFollower(&countingSource{}, &feedPeers{unreachable: true})
-	node.Registry.ObserveNodes([]coordination.Entry{{Key: "nodes/other/1", Value: []byte("address z")}}, time.Now())
+	node.Registry.ObserveNodes([]coordination.Entry{{Key: "nodes/other/1", Value: []byte("address z")}, {Key: "nodes/follower/1"}}, time.Now())
 	require.Equal(t, minPollPause+transitDelay, node.DownstreamDelay())
 	require.Equal(t, pollWait+2*(minPollPause+transitDelay), node.FleetPropagationDelay())
 }
@@ -388,9 +397,19 @@
 	return Observation{Declared: catalog.ReadResult{SentAt: time.Now()}, Nodes: nodes}, nil
 }
 
+// awaitSettled reads the store until a node that is registered believes that all nodes are.
+func awaitSettled(t *testing.T, reader *Reflector) {
+	for !reader.Registry.Settled() {
+		time.Sleep(time.Second)
+		require.NoError(t, reader.observe(context.Background()))
+	}
+}
+
 // Guards against two readers that overwrite each other's fleet with older views, one of which has just
 // started, and whose reads of the store show no change any more.
-func TestReaderRestoresWhatItHasRead(t *testing.T) {
+func TestReaderRestoresWhatItHasRead(t *testing.T) { synctest.Test(t, testReaderRestoresWhatItHasRead) }
+
+func testReaderRestoresWhatItHasRead(t *testing.T) {
 	entry := func(name string) coordination.Entry {
 		return coordination.Entry{Key: "nodes/" + name + "/1", Value: []byte(name + " z")}
 	}
@@ -400,8 +419,10 @@
 	started := &feedPeers{feed: NewFeed("started", replica, older, workshare.New(func() workshare.Report { return workshare.Report{} }), residency.NewLedger(), quarantine.NewLedger())}
 	source := &nodesSource{nodes: []coordination.Entry{entry("follower"), entry("other"), entry("started")}}
 	reader := newFollower(source, started)
+	reader.Registry.Incarnation = "1"
 	require.NoError(t, reader.observe(context.Background()))
 	require.Equal(t, 3, reader.Registry.Nodes())
+	awaitSettled(t, reader)
 	_ = reader.poll(context.Background(), "started", &suspicionExchange{})
 	require.Less(t, reader.Registry.Nodes(), 3, "the older view")
 	require.NoError(t, reader.observe(context.Background()))
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -288,19 +288,21 @@
 	r.Registry.ObserveDuties(observation.Duties, boottime.Now())
 	r.OnQuarantined(observation.Quarantined)
 	r.observeNodes(observation.Nodes)
+	r.Registry.Confirm(sentAt)
 	r.nodesReadAt.store(sentAt)
 	r.applyReading(observation.Declared)
 	return nil
 }
 
-// observeNodes applies the registrations that were read, or those of the last read if they have not changed
-// since and another node's view, which may be older, has replaced them. The caller holds observeMutex.
+// observeNodes applies the registrations that were read. Those of the last read, if they have not changed since, are
+// applied again if another node's view, which may be older, has replaced them, or if they could not be believed then.
+// The caller holds observeMutex.
 func (r *Reflector) observeNodes(changed []coordination.Entry) {
 	replaced := r.viewReceived.Swap(false)
 	if changed != nil {
 		r.readNodeEntries = changed
 	}
-	if changed != nil || replaced && r.readNodeEntries != nil {
+	if changed != nil || (replaced || !r.Registry.Settled()) && r.readNodeEntries != nil {
 		r.Registry.ObserveNodes(r.readNodeEntries, boottime.Now())
 	}
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -467,6 +467,12 @@
 	recorder.metrics.retries.WithLabelValues(service, result).Inc()
 }
 
+// RetryShareChanged records the number of nodes that share the part of the fleet's retries which does not depend on
+// requests; 0 if this node has no share of it.
+func (recorder *Recorder) RetryShareChanged(nodes int) {
+	recorder.log.Info().Int("nodes", nodes).Msg("share of retries changed")
+}
+
 // FleetResized records the number of nodes in the fleet, and logs it if it has changed, with whether the store has
 // this node's registration.
 func (recorder *Recorder) FleetResized(nodes int, registered bool) {
