Bound what responses of servers hold

Callers: a server that sends bytes without end, in a head, a body or an event, made a node grow by hundreds of MB, where machines have 88 to 536; such a node is killed, and all its callers lose their requests.

Cause: each try read up to 10 MB of a head, 16 MB of a body or 1 MB of an event, whatever other tries held, and grew its buffers by copies.

Change: heads are bounded to 64 KiB in each transport; bodies, events, answers through other nodes and servers' answers to the node's own calls take memory from an account before they are read, 0.15 of the node's memory beyond 16 KiB each; the store's and other nodes' answers are bounded to 32 MiB. A try beyond a bound ends at once, its line names the bound, and too_large_responses_total counts it. An answer returns its memory when it has been delivered.

--- a/cmd/cloverrail/paths.go
+++ b/cmd/cloverrail/paths.go
@@ -41,7 +41,7 @@
 	}
 	peers := forward.NewPeers(process.settings.Zone, process.peerDirectory.Nodes, process.zoneDistance)
 	dial := keepalive.NewDialer(connectTimeout, silenceTolerance).DialContext
-	return forward.NewClient(process.settings.Name, peers, dial, process.handleForwardedNotice, process.recorder.AttemptOffered)
+	return forward.NewClient(process.settings.Name, peers, dial, process.responseMemory, process.handleForwardedNotice, process.recorder.AttemptOffered)
 }
 
 // handleForwardedNotice applies what a server has told another node in a response to an attempt of
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -111,8 +111,9 @@
 	peerClient *http.Client
 	// quarantinePersister writes quarantined requests to the store.
 	quarantinePersister *quarantine.Persister
-	// memory bounds the bytes that requests hold.
-	memory *admission.MemoryBudget
+	// memory bounds the bytes that requests hold, and responseMemory those that servers' responses do.
+	memory         *admission.MemoryBudget
+	responseMemory *admission.MemoryBudget
 	// reflector reads the store, or polls a node that does.
 	reflector *reflector.Reflector
 	stopping  atomic.Bool
@@ -130,6 +131,7 @@
 	process.metrics = telemetry.NewMetrics(process.replica)
 	process.recorder = telemetry.NewRecorder(process.log, process.metrics)
 	process.memory = admission.NewMemoryBudget(config.MemoryBytes())
+	process.responseMemory = admission.NewResponseBudget(config.MemoryBytes())
 	process.eras = &coordination.EraTracker{OnChange: process.handleRestore, OnIgnored: process.recorder.EraIgnored}
 	process.outage = &coordination.Outage{}
 	process.store = platform.NewStore(config.StoreAddress, process.recorder.StoreCall, process.eras, process.outage)
@@ -141,6 +143,8 @@
 		OnTimeout:        process.recorder.ConnectionTimedOut,
 		OnDial:           process.handleDial,
 		OnOwnCall:        process.chargeOwnCall,
+		Memory:           process.responseMemory,
+		OnTooLarge:       process.recorder.ResponseTooLarge,
 	})
 	process.retryBudgets = proxy.NewRetryBudgets(proxy.RetryBounds{
 		Ratio:  config.Bounds.RetryRatio,
@@ -296,6 +300,9 @@
 	process.metrics.Gauge("cloverrail_proxy_fleet_nodes", "Nodes of the fleet, as far as this one knows.", func() float64 {
 		return float64(process.registry.Nodes())
 	})
+	process.metrics.Gauge("cloverrail_proxy_response_memory_held_bytes", "Bytes that responses of servers hold beyond the first bytes of each.", func() float64 {
+		return float64(process.responseMemory.Held())
+	})
 	process.metrics.Gauge("cloverrail_proxy_retry_sharing_nodes", "Nodes that share the part of the fleet's retries that does not depend on requests; 0 if this node has no share, since the others may not count it.", func() float64 {
 		return float64(process.retryBudgets.Nodes())
 	})
--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -85,8 +85,9 @@
 		// first token. One that does not has crashed or hangs.
 		ResponseHeaderTimeout: headerTimeout,
 		// Events are small, and each open stream has its own buffer.
-		ReadBufferSize:     readBufferBytes,
-		DisableCompression: true,
+		ReadBufferSize:         readBufferBytes,
+		MaxResponseHeaderBytes: outbound.MaxHeaderBytes,
+		DisableCompression:     true,
 	}
 	return &Client{httpClient: outbound.Wrap(transport, controlTimeout)}
 }
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -11,8 +11,8 @@
 	"github.com/juju/errors"
 )
 
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
+// MaxEventBytes bounds the size of one event.
+const MaxEventBytes = 1 << 20
 
 // ErrEventTooLong is returned for an event that exceeds the size limit.
 var ErrEventTooLong = errors.New("event of the stream exceeds 1 MiB")
@@ -29,10 +29,17 @@
 
 // Reader reads events from a stream.
 type Reader struct {
+	// Reserve, if set, is called with the number of bytes of the buffer for an event before it is made, and with 0 when
+	// a large one is not needed any more. Next returns its error.
+	Reserve func(bytes int) error
+
 	source *bufio.Reader
 	raw    []byte
 }
 
+// keptBytes is the size up to which the buffer of an event is kept for the next one.
+const keptBytes = 16 << 10
+
 // NewReader returns a reader with a buffer of the given size in bytes.
 func NewReader(source io.Reader, buffer int) *Reader {
 	return &Reader{source: bufio.NewReaderSize(source, buffer)}
@@ -41,7 +48,9 @@
 // Next returns the next complete event. The error is io.EOF if the stream ended
 // between two events, and io.ErrUnexpectedEOF if it ended within one.
 func (reader *Reader) Next() (Event, error) {
-	reader.raw = reader.raw[:0]
+	if err := reader.reuse(); err != nil {
+		return Event{}, err
+	}
 	event := Event{}
 	for {
 		start := len(reader.raw)
@@ -63,14 +72,48 @@
 	}
 }
 
+// reuse empties the buffer, or drops it if it is large.
+func (reader *Reader) reuse() error {
+	if cap(reader.raw) <= keptBytes {
+		reader.raw = reader.raw[:0]
+		return nil
+	}
+	reader.raw = nil
+	return reader.reserve(0)
+}
+
+func (reader *Reader) reserve(bytes int) error {
+	if reader.Reserve == nil {
+		return nil
+	}
+	return reader.Reserve(bytes)
+}
+
+// append adds bytes to the event.
+func (reader *Reader) append(part []byte) error {
+	size := len(reader.raw) + len(part)
+	if size > MaxEventBytes {
+		return ErrEventTooLong
+	}
+	if size > cap(reader.raw) && size > keptBytes {
+		grown := min(MaxEventBytes, 2*size)
+		if err := reader.reserve(grown); err != nil {
+			return err
+		}
+		reader.raw = append(make([]byte, 0, grown), reader.raw...)
+	}
+	reader.raw = append(reader.raw, part...)
+	return nil
+}
+
 // readLine appends one line, including its terminator, to the raw event.
 func (reader *Reader) readLine() error {
 	for {
 		part, err := reader.source.ReadSlice('\n')
-		reader.raw = append(reader.raw, part...)
+		if tooLarge := reader.append(part); tooLarge != nil {
+			return tooLarge
+		}
 		switch {
-		case len(reader.raw) > maxEventBytes:
-			return ErrEventTooLong
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		default:
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -34,6 +34,8 @@
 	result         Result
 	reply          *Reply
 	stashed        *Answer
+	// received holds all answers whose memory is not returned yet.
+	received       []*Answer
 	rawEvent       []byte
 	silenceTimer   *time.Timer
 	startTimer     *time.Timer
@@ -63,6 +65,9 @@
 		driver.perform(ctx, action)
 	}
 	driver.endAttempt(ResultNeutral)
+	for _, answer := range driver.received {
+		answer.release()
+	}
 	driver.outcome.Runs, driver.outcome.Sends = driver.machine.Runs(), driver.machine.Sends()
 	return driver.outcome
 }
@@ -91,6 +96,7 @@
 		driver.result, driver.rawEvent = update.result, update.rawEvent
 		if update.reply != nil {
 			driver.reply = update.reply
+			driver.received = append(driver.received, update.reply.Complete)
 		}
 		driver.recordActivity(update.event)
 		driver.step(update.event)
@@ -263,7 +269,9 @@
 	}
 	defer reply.Close()
 	if reply.Complete != nil {
-		report(completeUpdate(reply))
+		if !report(completeUpdate(reply)) {
+			reply.Complete.release()
+		}
 		return
 	}
 	if !report(update{event: Opened{}, result: ResultServed, reply: reply}) {
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -13,6 +13,15 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Release, if set, returns the memory of the body, which must not be used afterwards. Further calls have no effect.
+	Release func()
+}
+
+// release returns the memory of the body.
+func (a *Answer) release() {
+	if a != nil && a.Release != nil {
+		a.Release()
+	}
 }
 
 // Reply is the beginning of a server's response. Either Complete is set, or the response is
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cloverrail/cloverrail/internal/admission"
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/keepalive"
@@ -35,6 +36,7 @@
 	node     string
 	peers    *Peers
 	client   *keepalive.Client
+	memory   *admission.MemoryBudget
 	onNotice func(notice proxy.ServerNotice)
 	onResult func(result Result)
 }
@@ -50,10 +52,11 @@
 	Err error
 }
 
-// NewClient returns the client of a node. dial opens the connections to other nodes. onNotice is called with what servers report of themselves,
+// NewClient returns the client of a node. dial opens the connections to other nodes, and memory bounds what their responses
+// hold; nil means no bound. onNotice is called with what servers report of themselves,
 // and onResult with the result of each offer. They must not block.
-func NewClient(node string, peers *Peers, dial func(ctx context.Context, network, address string) (net.Conn, error), onNotice func(proxy.ServerNotice), onResult func(Result)) *Client {
-	return &Client{node: node, peers: peers, client: keepalive.New(keepalive.Options{Dial: dial, Timeout: defaultTimeout}), onNotice: onNotice, onResult: onResult}
+func NewClient(node string, peers *Peers, dial func(ctx context.Context, network, address string) (net.Conn, error), memory *admission.MemoryBudget, onNotice func(proxy.ServerNotice), onResult func(Result)) *Client {
+	return &Client{node: node, peers: peers, memory: memory, client: keepalive.New(keepalive.Options{Dial: dial, Timeout: defaultTimeout}), onNotice: onNotice, onResult: onResult}
 }
 
 // Forward sends an attempt on a server in a zone through another node. It returns the errors of
@@ -132,8 +135,18 @@
 		use.failed(boottime.Now())
 		return nil, &proxy.ErrUnavailable{Reason: "it responded with status " + response.Status}
 	}
-	limited := &io.LimitedReader{R: response.Body, N: maxResponseBytes}
-	decoder := gob.NewDecoder(limited)
+	hold := c.memory.HoldResponse()
+	held := &admission.HeldReader{Source: response.Body, Hold: hold, Limit: maxResponseBytes}
+	reply, err := c.readHeld(response, held, use)
+	if err != nil {
+		hold.Release()
+	}
+	return reply, err
+}
+
+// readHeld reads the head of a response whose bytes are held.
+func (c *Client) readHeld(response *http.Response, held *admission.HeldReader, use *use) (*exchange.Reply, error) {
+	decoder := gob.NewDecoder(held)
 	var head wireHead
 	if err := decoder.Decode(&head); err != nil {
 		return nil, c.failed(response.Request.Context(), use, err)
@@ -154,15 +167,16 @@
 	if !head.Stream {
 		response.Body.Close()
 		use.end()
-		reply.Complete = &exchange.Answer{Status: head.Status, Header: head.Header, Body: head.Body}
+		reply.Complete = &exchange.Answer{Status: head.Status, Header: head.Header, Body: head.Body, Release: held.Hold.Release}
 		return reply, nil
 	}
 	reply.Close = func() {
 		use.end()
 		response.Body.Close()
+		held.Hold.Release()
 	}
 	reply.Next = func() (exchange.StreamEvent, error) {
-		limited.N = maxResponseBytes
+		held.Reset()
 		var event wireEvent
 		if err := decoder.Decode(&event); err != nil {
 			return exchange.StreamEvent{}, c.failed(response.Request.Context(), use, noEOF(err))
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -69,7 +69,7 @@
 		return 1
 	})
 	dialer := net.Dialer{Timeout: time.Second}
-	f.client = NewClient("self", peers, dialer.DialContext, func(n proxy.ServerNotice) { f.notices = append(f.notices, n) }, func(r Result) {
+	f.client = NewClient("self", peers, dialer.DialContext, nil, func(n proxy.ServerNotice) { f.notices = append(f.notices, n) }, func(r Result) {
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
 		f.results = append(f.results, r)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -113,6 +113,9 @@
 	if reply.Complete != nil {
 		head.Body = reply.Complete.Body
 		w.write(head)
+		if reply.Complete.Release != nil {
+			reply.Complete.Release()
+		}
 		return
 	}
 	head.Stream = true
--- a/internal/keepalive/client.go
+++ b/internal/keepalive/client.go
@@ -72,10 +72,11 @@
 			}
 			return &conn{Conn: plain, connectedAt: boottime.Now(), serverClosed: func(idle time.Duration) { c.serverClosed(address, idle) }}, nil
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdlePerServer,
-		ReadBufferSize:      options.BufferSize,
-		WriteBufferSize:     options.BufferSize,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: outbound.MaxHeaderBytes,
+		MaxIdleConnsPerHost:    maxIdlePerServer,
+		ReadBufferSize:         options.BufferSize,
+		WriteBufferSize:        options.BufferSize,
 	}
 	c.client = outbound.Wrap(transport, options.Timeout)
 	c.client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/internal/outbound/calls_test.go
+++ b/internal/outbound/calls_test.go
@@ -77,6 +77,9 @@
 			if isSelector(node.Type, "net", "Dialer") && !hasField(node, "Timeout") {
 				add(node, "net.Dialer has no Timeout")
 			}
+			if isSelector(node.Type, "http", "Transport") && !hasField(node, "MaxResponseHeaderBytes") {
+				add(node, "http.Transport has no MaxResponseHeaderBytes")
+			}
 		case *ast.CallExpr:
 			if usesDefaultClient(node) {
 				add(node, "sling uses the default client, which has no bound")
@@ -136,6 +139,8 @@
 		`func f() { net.Dial("tcp", "a") }`:                     1,
 		`var d = net.Dialer{}`:                                  1,
 		`var d = net.Dialer{Timeout: 1}`:                        0,
+		`var t = &http.Transport{}`:                             1,
+		`var t = &http.Transport{MaxResponseHeaderBytes: 1}`:    0,
 		`func f() { sling.New().Get("a").ReceiveSuccess(nil) }`: 1,
 		`func f() { sling.New().Client(c).Do(r, nil, nil) }`:    0,
 		`func f() { sling.New().Doer(c).Do(r, nil, nil) }`:      0,
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -8,8 +8,20 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/juju/errors"
 )
 
+// MaxHeaderBytes bounds the head of a response, which the library reads whole before it returns the response. It is four
+// times as much as the platform's clients may send.
+const MaxHeaderBytes = 64 << 10
+
+// maxBodyBytes bounds the body of the response to a call of this process's own.
+const maxBodyBytes = 32 << 20
+
+// ErrBodyTooLarge is the error of reading the body of a response beyond its bound.
+var ErrBodyTooLarge = errors.New("the body of the response exceeds the bound of 32 MiB; let the called service send less at a time")
+
 // Transport ends each call after a timeout, which includes connecting and reading the body of the
 // response. A context that ends earlier ends the call earlier; only one made by WithTimeout allows it to
 // last longer.
@@ -18,13 +30,17 @@
 	Base http.RoundTripper
 	// Timeout bounds a call; it must be positive.
 	Timeout time.Duration
+	// MaxBody bounds the body of a response in bytes; 0 means that callers bound what they hold of it.
+	MaxBody int64
 }
 
 // NewClient returns an HTTP client whose calls end after a timeout. Its connections are not shared with
 // other clients.
 func NewClient(timeout time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: timeout}
-	return Wrap(&http.Transport{DialContext: dialer.DialContext, DisableCompression: true}, timeout)
+	client := Wrap(&http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: MaxHeaderBytes}, timeout)
+	client.Transport.(*Transport).MaxBody = maxBodyBytes
+	return client
 }
 
 // Wrap returns an HTTP client that sends requests with a transport, and whose calls end after a timeout.
@@ -53,7 +69,7 @@
 		cancel()
 		return nil, err
 	}
-	response.Body = &body{ReadCloser: response.Body, cancel: cancel}
+	response.Body = &body{ReadCloser: response.Body, cancel: cancel, bounded: t.MaxBody > 0, left: t.MaxBody}
 	return response, nil
 }
 
@@ -61,6 +77,21 @@
 type body struct {
 	io.ReadCloser
 	cancel context.CancelFunc
+	// bounded reports that at most left more bytes may be read.
+	bounded bool
+	left    int64
+}
+
+// Read reads bytes. The error is ErrBodyTooLarge beyond the bound.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !b.bounded {
+		return n, err
+	}
+	if b.left -= int64(n); b.left < 0 {
+		return 0, ErrBodyTooLarge
+	}
+	return n, err
 }
 
 // Close closes the body.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -13,6 +13,7 @@
 	requests            *prometheus.CounterVec
 	attempts            *prometheus.CounterVec
 	retries             *prometheus.CounterVec
+	tooLargeResponses   *prometheus.CounterVec
 	firstResponse       *prometheus.HistogramVec
 	predictionErrors    *prometheus.HistogramVec
 	storeReads          *prometheus.CounterVec
@@ -75,6 +76,9 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_retries_total", Help: "Retries that requests asked for, by service and by whether this node's share of the fleet's budget had one.",
 		}, []string{"service", "result"}),
+		tooLargeResponses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_too_large_responses_total", Help: "Responses of servers that were given up because they exceed a bound (head, body, event, memory).",
+		}, []string{"bound"}),
 		firstResponse: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "cloverrail_proxy_first_answer_seconds", Help: "Time to the head of the answer.", Buckets: firstResponseBuckets,
 		}, []string{"route"}),
@@ -181,7 +185,7 @@
 		}
 		return -1
 	})
-	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.retries, metrics.firstResponse, metrics.predictionErrors, metrics.storeReads,
+	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.retries, metrics.tooLargeResponses, metrics.firstResponse, metrics.predictionErrors, metrics.storeReads,
 		metrics.orders, metrics.waitedOrders, metrics.connections, metrics.connectionTimeouts, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.noRoom, metrics.roomRejections, metrics.deferred, metrics.placementConflicts, metrics.keptAttempts, metrics.quarantined, metrics.trials, metrics.turnedAway, metrics.endedWithConnection, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
 	metrics.Registry.MustRegister(metrics.storeCalls.collectors()...)
 	return metrics
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -458,6 +458,11 @@
 	recorder.log.Info().Err(err).Msg("store write of the fleet view finished")
 }
 
+// ResponseTooLarge counts a response of a server that exceeds a bound. The line of its attempt names the bound.
+func (recorder *Recorder) ResponseTooLarge(bound string) {
+	recorder.metrics.tooLargeResponses.WithLabelValues(bound).Inc()
+}
+
 // Retry counts a retry that the budget of a service granted or denied.
 func (recorder *Recorder) Retry(service string, granted bool) {
 	result := "denied"
