Keep nodes within their memory while servers send without end

Bodies of unknown length are now read into blocks that are used again, and the runtime collects more often as the node's memory comes near three quarters of memoryMegabytes.

--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -24,6 +24,8 @@
 	idleTimeout       = 2 * time.Minute
 	shutdownTimeout   = 400 * time.Millisecond
 	gcPercent         = 50
+	// goMemoryShare is the share of a node's memory that the runtime keeps within by collecting garbage more often.
+	goMemoryShare = 0.75
 )
 
 // proxyCommand returns the command that serves opaque services on the platform.
@@ -72,6 +74,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
+	if memory := config.MemoryBytes(); memory > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(goMemoryShare * float64(memory)))
+	}
 	process, err := newProcess(config)
 	if err != nil {
 		return err
--- a/internal/admission/response.go
+++ b/internal/admission/response.go
@@ -106,12 +106,11 @@
 	return true
 }
 
-const (
-	// firstBlock and maxBlock are the sizes of the blocks into which a body of unknown length is read: each is twice as
-	// large as the one before.
-	firstBlock = 4 << 10
-	maxBlock   = 1 << 20
-)
+// blockSize is the size of the blocks into which a body of unknown length is read beyond FreeResponseBytes.
+const blockSize = 64 << 10
+
+// blocks holds blocks that are not in use, so that bodies which are given up leave no garbage behind.
+var blocks = sync.Pool{New: func() any { return new([blockSize]byte) }}
 
 // ReadResponse reads the body of a response whole, of the given length in bytes or of an unknown one if that is
 // negative. The hold has each buffer before it is made. The error is ResponseTooLarge if a bound is exceeded.
@@ -143,27 +142,35 @@
 
 // readBlocks reads a body of unknown length. It is held twice while its blocks are joined.
 func readBlocks(body io.Reader, hold *ResponseHold) ([]byte, error) {
-	var blocks [][]byte
-	total := int64(0)
-	for size := int64(firstBlock); ; size = min(2*size, maxBlock) {
-		if err := hold.Resize(total + size); err != nil {
-			return nil, err
+	first, err := io.ReadAll(io.LimitReader(body, FreeResponseBytes))
+	if err != nil || len(first) < FreeResponseBytes {
+		return first, err
+	}
+	parts, total := [][]byte{first}, int64(FreeResponseBytes)
+	defer func() {
+		for _, part := range parts[1:] {
+			blocks.Put((*[blockSize]byte)(part[:blockSize]))
 		}
-		block, err := fillBlock(body, make([]byte, size))
-		blocks, total = append(blocks, block), total+int64(len(block))
-		switch {
-		case total > MaxResponseBytes:
+	}()
+	for err == nil {
+		if total > MaxResponseBytes {
 			return nil, &ResponseTooLarge{Bound: BoundBody, Limit: MaxResponseBytes}
-		case err == nil:
-			continue
-		case err != io.EOF:
-			return nil, err
 		}
-		if err := hold.Resize(2 * total); err != nil {
+		if err := hold.Resize(total + blockSize); err != nil {
 			return nil, err
 		}
-		return slices.Concat(blocks...), hold.Resize(total)
+		var part []byte
+		part, err = fillBlock(body, blocks.Get().(*[blockSize]byte)[:])
+		parts, total = append(parts, part), total+int64(len(part))
+	}
+	if err != io.EOF {
+		return nil, err
+	}
+	if err := hold.Resize(2 * total); err != nil {
+		return nil, err
 	}
+	whole := slices.Concat(parts...)
+	return whole, hold.Resize(int64(len(whole)))
 }
 
 // fillBlock reads until the block is full, and returns what it has read. The error is that of the body: unlike
