--- a/internal/fleet/registration.go
+++ b/internal/fleet/registration.go
@@ -104,6 +104,7 @@
 	return lease, registered
 }
 
+// renewOrRegister makes the calls of renew.
 func (r *Registry) renewOrRegister(ctx context.Context, lease int64) (currentLease int64, registered bool) {
 	// A lease of another era is gone, or belongs to another client.
 	if era, _ := r.Eras.State(); lease != 0 && era == r.leaseEra {
--- a/internal/fleet/standing_test.go
+++ b/internal/fleet/standing_test.go
@@ -31,7 +31,7 @@
 	nodes []*shareNode
 }
 
-// refusingStore refuses the writes of a node while it is told to.
+// refusingStore refuses the writes of a node while its refusesWrites is set.
 type refusingStore struct {
 	*storestub.Store
 	node *shareNode
