--- a/cmd/cloverrail/partition_test.go
+++ b/cmd/cloverrail/partition_test.go
@@ -452,16 +452,20 @@
 func TestLocalFailureIsNotTakenForServers(t *testing.T) {
 	t.Parallel()
 	f := newPartitionFixture(t, 2)
-	f.warmUp(nonIdempotent)
 	n := f.nodes[0]
-	dial, exhausted := n.process.serverClient.Dial, atomic.Bool{}
+	dial, exhausted, dialing := n.process.serverClient.Dial, atomic.Bool{}, atomic.Int64{}
 	n.process.serverClient.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialing.Add(1)
+		defer dialing.Add(-1)
 		if exhausted.Load() {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("socket", syscall.EMFILE)}
 		}
 		return dial(ctx, network, address)
 	}
+	f.warmUp(nonIdempotent)
 	exhausted.Store(true)
+	// A connection that is being opened would be kept, and serve a request.
+	n.waitUntil(func() bool { return dialing.Load() == 0 })
 	// Without open connections, each request needs a new one.
 	f.links[0].set(linksReset)
 	f.links[0].set(linksUp)
