Keep the port of a test forwarder from outgoing connections

Cause, by a run: a forwarder that refuses connections closes its port, an outgoing connection may take it, and the forwarder cannot listen again. Forwarders now listen at addresses that outgoing connections do not take, as other test processes do.

--- a/internal/lab/faultwire/forwarder.go
+++ b/internal/lab/faultwire/forwarder.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/lab/address"
 )
 
 // Mode determines how a forwarder treats connections.
@@ -53,9 +55,10 @@
 	connections map[*net.TCPConn]bool
 }
 
-// New starts a forwarder to an address, in ModeForward.
+// New starts a forwarder to an address, in ModeForward. Its own address is one that no outgoing connection takes while the
+// forwarder refuses connections.
 func New(target string) (*Forwarder, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", address.Free())
 	if err != nil {
 		return nil, errors.Annotate(err, "cannot listen on loopback")
 	}
