--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -12,8 +12,7 @@
 	"github.com/juju/errors"
 )
 
-// MaxHeaderBytes bounds the head of a response, which the library reads whole before it returns the response. It is four
-// times as much as the platform's clients may send.
+// MaxHeaderBytes bounds the head of a response in bytes, which the library reads whole before it returns the response.
 const MaxHeaderBytes = 64 << 10
 
 // maxBodyBytes bounds the body of the response to a call of this process's own.
