--- a/review/_stand2/engine.go
+++ b/review/_stand2/engine.go
@@ -42,6 +42,8 @@
 	server                   *http.Server
 	onOrder                  func(order)
 	onUse                    func(use)
+	// onRun, if set, is called with each request that begins to run.
+	onRun func(id, tenant string)
 
 	mutex    sync.Mutex
 	version  int64
@@ -196,6 +198,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if e.onRun != nil {
+		e.onRun(id, r.Header.Get(standin.HeaderTenant))
+	}
 	e.prefill(id, r.Header)
 	time.Sleep(10 * time.Millisecond)
 	w.Header().Set(standin.HeaderStamp, e.id+standin.StampSuffix)
--- a/review/_stand2/wall.go
+++ b/review/_stand2/wall.go
@@ -31,6 +31,7 @@
 			defer mutex.Unlock()
 			uses = append(uses, u)
 		}
+		e.onRun = func(id, tenant string) { p.record.line("%s: runs request %s of %s", e.id, id, tenant) }
 		entries[e.id] = func() any { return e.entry(wallService) }
 	}
 	p.store.write(configuration, wallDocument(1, false))
