--- a/cmd/cloverrail/handover_test.go
+++ b/cmd/cloverrail/handover_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -36,6 +37,8 @@
 	*fleetFixture
 	first, second *standin.Server
 	listener      *standin.StallingListener
+	// links are those of the first node.
+	links *serverLinks
 	// begun gets a value for each request that the first engine begins to work on.
 	begun chan struct{}
 }
@@ -54,10 +57,7 @@
 	for range 2 {
 		f.addNode()
 	}
-	var links *serverLinks
-	if way == wayDetour {
-		links = newServerLinks(f.nodes[0])
-	}
+	f.links = newServerLinks(f.nodes[0])
 	document := newDocument(1, key)
 	document.Routes = append(document.Routes, standin.Route{
 		Name: "brief", Host: host, PathPrefix: briefStream.path, Kind: "streaming", Timeout: 15000, TargetLatency: 800, GapTarget: 100, Service: "engines", MaxAttempts: 3, Resumable: true,
@@ -70,7 +70,7 @@
 	f.second = engine("i-2", standin.StreamPaced(handoverEvents, handoverInterval, "token"))
 	f.listener = f.serveStalling(f.first)
 	if way == wayDetour {
-		links.set(linksReset, f.listener.Addr().String())
+		f.links.set(linksReset, f.listener.Addr().String())
 	}
 	f.awaitServers(1)
 	for _, n := range f.nodes {
@@ -268,3 +268,52 @@
 		})
 	}
 }
+
+// Guards against waiting for a server that cannot notice that a stream was given up, since the connection hangs: once it has
+// responded otherwise for a while, the stream goes on elsewhere.
+func TestStreamOnConnectionThatHangsIsContinued(t *testing.T) {
+	for _, load := range []struct {
+		name    string
+		callers int
+		// maxGap exceeds by 0.3 to 1 s the silence after which a stream is given up, which is longer if its server answers
+		// others.
+		maxGap time.Duration
+	}{{"idle", 0, 2 * time.Second}, {"busy", 4, 2300 * time.Millisecond}} {
+		t.Run(load.name, func(t *testing.T) {
+			t.Parallel()
+			listed, stopped := make(chan struct{}), make(chan struct{})
+			f := newHandoverFixture(t, wayDirect, func(server *standin.Server, w http.ResponseWriter, r *http.Request) {
+				first := len(server.Arrivals()) == 1
+				if first {
+					<-listed
+				}
+				standin.StreamPaced(3, handoverInterval, "token")(server, w, r)
+				if first {
+					close(stopped)
+					<-r.Context().Done()
+				}
+			})
+			result := make(chan receivedStream, 1)
+			go func() { result <- f.stream(briefStream) }()
+			<-f.begun
+			f.serveStalling(f.second)
+			f.awaitServers(2)
+			close(listed)
+			<-stopped
+			f.links.set(linksHang)
+			f.links.set(linksUp)
+			var callers sync.WaitGroup
+			for range load.callers {
+				callers.Go(func() {
+					for len(result) == 0 {
+						f.stream(plainStream)
+					}
+				})
+			}
+			callers.Wait()
+			got := <-result
+			got.requireWhole(t)
+			require.Less(t, got.longestGap, load.maxGap)
+		})
+	}
+}
--- a/cmd/cloverrail/serverlinks_test.go
+++ b/cmd/cloverrail/serverlinks_test.go
@@ -117,6 +117,11 @@
 	links                   *serverLinks
 	closing, hanging, reset sync.Once
 	closed, hung, wasReset  chan struct{}
+
+	mutex sync.Mutex
+	// deadline ends reads of a connection that hangs; nil means that there is none.
+	deadline chan struct{}
+	timer    *time.Timer
 }
 
 func (c *linkConn) hang() { c.hanging.Do(func() { close(c.hung) }) }
@@ -145,8 +150,46 @@
 		}
 	case <-c.hung:
 	}
-	<-c.closed
-	return 0, net.ErrClosed
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	case <-c.readDeadline():
+		return 0, os.ErrDeadlineExceeded
+	}
+}
+
+// SetReadDeadline also ends reads of a connection that hangs, once it is over.
+func (c *linkConn) SetReadDeadline(at time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	over := make(chan struct{})
+	previous := c.deadline
+	c.deadline = over
+	c.timer = time.AfterFunc(time.Until(at), func() { close(over) })
+	if previous != nil && !isDone(previous) && !at.After(time.Now()) {
+		close(previous)
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+func (c *linkConn) readDeadline() <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.deadline == nil {
+		c.deadline = make(chan struct{})
+	}
+	return c.deadline
+}
+
+// CloseWrite is lost on a connection that hangs.
+func (c *linkConn) CloseWrite() error {
+	if isDone(c.hung) {
+		return nil
+	}
+	return c.tcp.CloseWrite()
 }
 
 func isDone(done <-chan struct{}) bool {
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -101,7 +101,7 @@
 		attempt.entry.breaker.ProbeAnswered()
 	}
 	attempt.entry.lastResponseAt, attempt.entry.lastAcceptedAt = now, now
-	attempt.entry.unansweredSince = time.Time{}
+	attempt.entry.unansweredSince, attempt.entry.silentSince = time.Time{}, time.Time{}
 	attempt.entry.recordAnswered(attempt.sentAt)
 }
 
@@ -202,7 +202,11 @@
 func (entry *entry) recordResult(result exchange.Result, probe bool, now time.Time) {
 	switch result {
 	case exchange.ResultServed, exchange.ResultRefused, exchange.ResultFaulty:
-		entry.lastResponseAt, entry.unansweredSince = now, time.Time{}
+		entry.lastResponseAt, entry.unansweredSince, entry.silentSince = now, time.Time{}, time.Time{}
+	case exchange.ResultSilent:
+		if entry.silentSince.IsZero() {
+			entry.silentSince = now
+		}
 	}
 	switch result {
 	case exchange.ResultServed:
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -109,6 +109,8 @@
 	Nodes      int     `json:"nodes"`
 	Age        float64 `json:"age"`
 	RetryAfter float64 `json:"retry_after"`
+	// Waited is how long a request waited for the end of an attempt at its server, in milliseconds.
+	Waited float64 `json:"waited"`
 	// Silent is how long a kept attempt had been silent, in milliseconds.
 	Silent float64 `json:"silent"`
 	// Resident is the number of tokens that requests held at the chosen server, and Memory its capacity.
@@ -142,6 +144,16 @@
 	"stopping":   "the node stopped",
 }
 
+// releaseTexts maps the reasons of releases to their explanations.
+var releaseTexts = map[string]string{
+	"ended":       "the server had ended it",
+	"replaced":    "the server had started again",
+	"unreachable": "this node alone could not connect to the server",
+	"responsive":  "the server answered others, but had not ended it",
+	"unconfirmed": "the connection ended, and it is not known whether the server had ended it",
+	"overdue":     "the caller could wait no longer, and the server may still have worked on it",
+}
+
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
@@ -234,6 +246,8 @@
 		return line.streamResumedText()
 	case "kept":
 		return fmt.Sprintf("server %s was silent for %.0f ms but answers other nodes: the attempt goes on", line.Server, line.Silent)
+	case "released":
+		return fmt.Sprintf("it could go on elsewhere %.0f ms after it was given up at server %s: %s", line.Waited, line.Server, releaseTexts[line.Reason])
 	case "limited":
 		return line.tenantLimitText()
 	case "over the limits of servers":
--- /dev/null
+++ b/internal/command/explain_release_test.go
@@ -0,0 +1,16 @@
+package command
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestExplainShowsRelease(t *testing.T) {
+	log := `{"node":"b","id":"r1","server":"i-7","event":"silent","message":"attempt"}
+{"node":"b","id":"r1","server":"i-7","reason":"overdue","waited":1600.4,"message":"released"}`
+	text := strings.Builder{}
+	require.NoError(t, explain(strings.NewReader(log), &text, "r1"))
+	require.Contains(t, text.String(), "it could go on elsewhere 1600 ms after it was given up at server i-7: the caller could wait no longer")
+}
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -31,9 +31,13 @@
 	placement      Placement
 	updates        chan update
 	cancel         context.CancelFunc
-	result         Result
-	reply          *Reply
-	stashed        *Answer
+	// attemptDone is closed once the goroutine of the latest attempt has returned.
+	attemptDone chan struct{}
+	// ended is the placement of the latest attempt that has ended.
+	ended   Placement
+	result  Result
+	reply   *Reply
+	stashed *Answer
 	// received holds all answers whose memory is not returned yet.
 	received       []*Answer
 	rawEvent       []byte
@@ -81,8 +85,11 @@
 func (driver *driver) step(event Event) {
 	if driver.request.Observe != nil {
 		server := ""
-		if driver.placement != nil {
+		switch {
+		case driver.placement != nil:
 			server = driver.placement.Server()
+		case driver.ended != nil:
+			server = driver.ended.Server()
 		}
 		driver.request.Observe(server, event)
 	}
@@ -158,6 +165,8 @@
 		driver.send(ctx, action)
 	case Cancel:
 		driver.endAttempt(ResultNeutral)
+	case AwaitRelease:
+		driver.awaitRelease(ctx)
 	case Stash:
 		driver.stashed = driver.reply.Complete
 		driver.endAttempt(ResultFaulty)
@@ -220,6 +229,30 @@
 	driver.step(Placed{Server: placement.Server()})
 }
 
+// awaitRelease waits until the latest attempt has been released.
+func (driver *driver) awaitRelease(ctx context.Context) {
+	startedAt := boottime.Now()
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	released := make(chan ReleaseReason, 1)
+	go func() {
+		<-driver.attemptDone
+		released <- driver.ended.AwaitRelease(waitCtx)
+	}()
+	select {
+	case reason := <-released:
+		if ctx.Err() != nil {
+			driver.step(driver.contextEvent(ctx))
+			return
+		}
+		driver.step(Released{Reason: reason, Waited: boottime.Since(startedAt)})
+	case <-ctx.Done():
+		driver.step(driver.contextEvent(ctx))
+	case <-driver.request.Stopping:
+		driver.step(Stopping{})
+	}
+}
+
 func (driver *driver) send(ctx context.Context, action Send) {
 	attemptCtx, cancel := context.WithCancel(ctx)
 	driver.cancel = cancel
@@ -230,7 +263,12 @@
 	if deadline := driver.placement.StartDeadline(); !deadline.IsZero() {
 		driver.startTimer.Reset(boottime.Until(deadline))
 	}
-	go runAttempt(attemptCtx, driver.placement, action, driver.updates)
+	done := make(chan struct{})
+	driver.attemptDone = done
+	go func(placement Placement, updates chan<- update) {
+		defer close(done)
+		runAttempt(attemptCtx, placement, action, updates)
+	}(driver.placement, driver.updates)
 }
 
 // endAttempt ends the current attempt, if any. A result already observed overrides
@@ -248,6 +286,7 @@
 		fallback = driver.result
 	}
 	driver.placement.End(fallback)
+	driver.ended = driver.placement
 	driver.placement, driver.cancel, driver.updates = nil, nil, nil
 }
 
--- a/internal/exchange/driver_test.go
+++ b/internal/exchange/driver_test.go
@@ -26,6 +26,8 @@
 	results     []Result
 	stalled     func(silent time.Duration) bool
 	startWithin time.Duration
+	// awaitRelease, if set, is called when the attempt with a number is to be released.
+	awaitRelease func(ctx context.Context, number int)
 }
 
 func (placer *placer) Place([]string) (Placement, *Unplaced) {
@@ -57,6 +59,12 @@
 func (placement *placement) End(result Result) {
 	placement.placer.results = append(placement.placer.results, result)
 }
+func (placement *placement) AwaitRelease(ctx context.Context) ReleaseReason {
+	if placement.placer.awaitRelease != nil {
+		placement.placer.awaitRelease(ctx, placement.number)
+	}
+	return ReleaseEnded
+}
 func (placement *placement) Send(ctx context.Context, resumes bool, after int64) (*Reply, error) {
 	return placement.placer.servers[placement.number](ctx, resumes, after)
 }
@@ -256,3 +264,51 @@
 	outcome := Run(context.Background(), Request{Rules: singleRun, Budget: &fixedBudget{}, Placer: fakePlacer, Caller: &recorder{}})
 	require.Nil(t, outcome.Failure)
 }
+
+// Guards against two servers that work on one request: the next attempt is sent only once the previous one has been
+// released, and not at all if the caller leaves meanwhile.
+func TestNextAttemptAwaitsRelease(t *testing.T) {
+	for name, leaves := range map[string]bool{"released": false, "the caller leaves": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const silence, releaseTime = 100 * time.Millisecond, 700 * time.Millisecond
+				ctx, leave := context.WithCancel(context.Background())
+				defer leave()
+				var releasedAt, sentAt time.Time
+				second := func(ctx context.Context, resumes bool, after int64) (*Reply, error) {
+					sentAt = time.Now()
+					return streams(2, io.EOF)(ctx, resumes, after)
+				}
+				fakePlacer := &placer{
+					servers: []fakeServer{hangs, second},
+					stalled: func(time.Duration) bool { return true },
+					awaitRelease: func(ctx context.Context, _ int) {
+						select {
+						case <-time.After(releaseTime):
+							releasedAt = time.Now()
+						case <-ctx.Done():
+						}
+					},
+				}
+				if leaves {
+					time.AfterFunc(releaseTime/2, leave)
+				}
+				caller, startedAt := &recorder{}, time.Now()
+				outcome := Run(ctx, Request{
+					Rules: Rules{Repeatable: true, MaxRuns: 2, MaxSends: 6}, Budget: &fixedBudget{remaining: 9}, Placer: fakePlacer, Caller: caller,
+					SilenceTimeouts: SilenceTimeouts{FirstEvent: silence},
+				})
+				if leaves {
+					require.Equal(t, failure.KindCallerLeft, outcome.Failure.Kind)
+					require.Zero(t, sentAt)
+					require.Equal(t, releaseTime/2, time.Since(startedAt))
+					return
+				}
+				require.Nil(t, outcome.Failure)
+				require.Equal(t, "1 2 ", caller.body.String())
+				require.Equal(t, silence+releaseTime, sentAt.Sub(startedAt))
+				require.False(t, sentAt.Before(releasedAt))
+			})
+		})
+	}
+}
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -55,6 +55,14 @@
 // Late reports that the attempt has not begun by its start deadline.
 type Late struct{}
 
+// Released reports that the attempt that was given up no longer runs at its server, as far as is known, or that the
+// request cannot wait any longer for that.
+type Released struct {
+	Reason ReleaseReason
+	// Waited is the time since the attempt was given up.
+	Waited time.Duration
+}
+
 // Expired reports that the request's deadline has passed.
 type Expired struct{}
 
@@ -75,6 +83,7 @@
 func (Broken) event()     {}
 func (Silent) event()     {}
 func (Late) event()       {}
+func (Released) event()   {}
 func (Expired) event()    {}
 func (Stopping) event()   {}
 func (CallerLeft) event() {}
@@ -98,6 +107,9 @@
 // Cancel cancels the current attempt.
 type Cancel struct{}
 
+// AwaitRelease waits until the attempt that was cancelled no longer runs at its server.
+type AwaitRelease struct{}
+
 // Stash keeps the current response for Deliver in case the retry yields no better one.
 type Stash struct{}
 
@@ -119,13 +131,14 @@
 // Fail writes the failure of a request that was given up to the caller.
 type Fail struct{ Failure *failure.Failure }
 
-func (Place) action()   {}
-func (Send) action()    {}
-func (Cancel) action()  {}
-func (Stash) action()   {}
-func (Deliver) action() {}
-func (Open) action()    {}
-func (Forward) action() {}
-func (Finish) action()  {}
-func (Cut) action()     {}
-func (Fail) action()    {}
+func (Place) action()        {}
+func (Send) action()         {}
+func (Cancel) action()       {}
+func (AwaitRelease) action() {}
+func (Stash) action()        {}
+func (Deliver) action()      {}
+func (Open) action()         {}
+func (Forward) action()      {}
+func (Finish) action()       {}
+func (Cut) action()          {}
+func (Fail) action()         {}
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -44,6 +44,8 @@
 	placing phase = iota
 	sent
 	streaming
+	// releasing is the wait until the previous attempt has ended at its server.
+	releasing
 	finished
 )
 
@@ -52,7 +54,7 @@
 // Invariants: an attempt that may have run is retried only if the request is
 // repeatable; at most Rules.MaxRuns attempts may have run; the caller gets one head and
 // one end, and no event twice; a failure states NotRun only if every attempt was refused
-// by its server or never reached one.
+// by its server or never reached one; an attempt that may still run is released before the next one is placed.
 type Machine struct {
 	rules  Rules
 	budget Budget
@@ -111,11 +113,9 @@
 	case Unplaced:
 		return machine.unplaced(now, event)
 	case Refused:
-		machine.runs--
-		return machine.retryOrFail(now, "the server refused the request: "+event.Reason, true)
+		return machine.notRun(now, "the server refused the request: "+event.Reason, true)
 	case Unreached:
-		machine.runs--
-		return machine.retryOrFail(now, "the server cannot be reached: "+event.Reason, false)
+		return machine.notRun(now, "the server cannot be reached: "+event.Reason, false)
 	case Answered:
 		return machine.answered(now, event)
 	case Opened:
@@ -126,11 +126,13 @@
 		machine.phase = finished
 		return []Action{Finish{}}
 	case Broken:
-		return machine.retryOrFail(now, "the attempt failed after it was sent: "+event.Reason, true)
+		return machine.retryOrFail(now, "the attempt failed after it was sent: "+event.Reason)
 	case Silent:
 		return machine.silent(now)
 	case Late:
-		return machine.retryOrFail(now, "the server did not start the request in time", true)
+		return machine.retryOrFail(now, "the server did not start the request in time")
+	case Released:
+		return machine.released(now)
 	case Expired:
 		return machine.abandon(failure.KindDeadline, "the request's deadline has passed", "set a longer timeout, or send the request again")
 	case Stopping:
@@ -166,7 +168,7 @@
 func (machine *Machine) answered(now time.Time, event Answered) []Action {
 	if machine.headSent {
 		// The caller already has the head of another response.
-		return machine.retryOrFail(now, "the server did not resume the stream", true)
+		return machine.retryOrFail(now, "the server did not resume the stream")
 	}
 	if event.Faulty && machine.mayRetry(now, true) {
 		machine.stashed = true
@@ -199,18 +201,48 @@
 
 // silent cancels a silent attempt only if it may be retried.
 func (machine *Machine) silent(now time.Time) []Action {
-	if machine.phase == placing || !machine.mayRetry(now, true) {
+	if !machine.inFlight() || !machine.mayRetry(now, true) {
 		return nil
 	}
-	return append([]Action{Cancel{}}, machine.place(now)...)
+	return machine.release()
 }
 
-// retryOrFail handles a failed attempt. If the attempt reached the server, a retry is
-// charged to the budget.
-func (machine *Machine) retryOrFail(now time.Time, reason string, reachedServer bool) []Action {
+// inFlight reports whether an attempt has been sent and has not been given up.
+func (machine *Machine) inFlight() bool { return machine.phase == sent || machine.phase == streaming }
+
+// release gives up an attempt that its server may still work on. The next one is placed once that has ended, since
+// servers must not work on a request at the same time.
+func (machine *Machine) release() []Action {
+	machine.phase = releasing
+	return []Action{Cancel{}, AwaitRelease{}}
+}
+
+func (machine *Machine) released(now time.Time) []Action {
+	if machine.phase != releasing {
+		return nil
+	}
+	return machine.place(now)
+}
+
+// notRun handles an attempt that certainly did not run. If it reached the server, a retry is charged to the budget.
+func (machine *Machine) notRun(now time.Time, reason string, reachedServer bool) []Action {
+	machine.runs--
 	if machine.mayRetry(now, reachedServer) {
 		return append([]Action{Cancel{}}, machine.place(now)...)
 	}
+	return machine.giveUp(reason)
+}
+
+// retryOrFail handles a failed attempt that may have run, and charges a retry to the budget.
+func (machine *Machine) retryOrFail(now time.Time, reason string) []Action {
+	if machine.mayRetry(now, true) {
+		return machine.release()
+	}
+	return machine.giveUp(reason)
+}
+
+// giveUp ends a request whose last attempt has failed.
+func (machine *Machine) giveUp(reason string) []Action {
 	if machine.stashed {
 		machine.phase = finished
 		return []Action{Cancel{}, Deliver{}}
@@ -246,7 +278,7 @@
 
 // abandon ends the request and cancels its current attempt.
 func (machine *Machine) abandon(kind failure.Kind, problem, remedy string) []Action {
-	if machine.phase == placing {
+	if !machine.inFlight() {
 		return machine.fail(kind, problem, remedy)
 	}
 	return append([]Action{Cancel{}}, machine.fail(kind, problem, remedy)...)
--- a/internal/exchange/machine_test.go
+++ b/internal/exchange/machine_test.go
@@ -30,8 +30,11 @@
 	machine *Machine
 	now     time.Time
 
-	placing      bool
-	inFlight     bool
+	placing  bool
+	inFlight bool
+	// mayRun is set while a server may work on an attempt, and releasing while its end there is awaited.
+	mayRun       bool
+	releasing    bool
 	possibleRuns int
 	sends        int
 	heads        int
@@ -45,8 +48,12 @@
 		require.False(checker.t, checker.ended, "%T after the request has ended", action)
 		switch action := action.(type) {
 		case Place:
+			require.False(checker.t, checker.mayRun, "placed while a server may work on the request")
 			checker.placing, checker.inFlight = true, false
+		case AwaitRelease:
+			checker.releasing, checker.inFlight = true, false
 		case Send:
+			checker.mayRun = true
 			checker.sends++
 			if checker.possibleRuns > 0 {
 				require.True(checker.t, checker.rules.Repeatable, "retried although an attempt may have run")
@@ -83,8 +90,12 @@
 	switch event.(type) {
 	case Refused, Unreached:
 		checker.possibleRuns--
-		checker.inFlight = false
-	case Answered, Ended, Broken, Late:
+		checker.inFlight, checker.mayRun = false, false
+	case Answered, Ended:
+		checker.inFlight, checker.mayRun = false, false
+	case Released:
+		checker.releasing, checker.mayRun = false, false
+	case Broken, Late:
 		checker.inFlight = false
 	}
 	actions := checker.machine.Step(checker.now, event)
@@ -97,6 +108,11 @@
 
 // drawEvent draws an event that is possible in the current state.
 func (checker *checker) drawEvent() Event {
+	if checker.releasing {
+		return rapid.SampledFrom([]Event{
+			Released{Reason: ReleaseEnded}, Released{Reason: ReleaseOverdue}, Silent{}, Expired{}, CallerLeft{}, Stopping{},
+		}).Draw(checker.t, "release")
+	}
 	if checker.placing && !checker.inFlight {
 		checker.placing = false
 		checker.streaming = false
@@ -185,6 +201,18 @@
 	require.Equal(t, []Action{Deliver{}}, lastActions(singleRun, 1, nil, Placed{Server: "a"}, Answered{Faulty: true}), "the attempt may have run")
 }
 
+// Guards against a refusal for lack of free servers because of the time in which the previous server ended its attempt.
+func TestPlacementWaitBeginsWithRelease(t *testing.T) {
+	machine := NewMachine(Rules{Repeatable: true, MaxRuns: 2, MaxSends: 6, PlacementWait: 50 * time.Millisecond}, &fixedBudget{remaining: 1}, nil)
+	now := time.Unix(0, 0)
+	machine.Start(now)
+	machine.Step(now, Placed{Server: "a"})
+	require.Equal(t, []Action{Cancel{}, AwaitRelease{}}, machine.Step(now, Silent{}))
+	now = now.Add(time.Second)
+	require.Equal(t, []Action{Place{Excluded: []string{"a"}}}, machine.Step(now, Released{}))
+	require.Equal(t, []Action{Place{Excluded: []string{"a"}, Delay: placementRetryDelay}}, machine.Step(now.Add(40*time.Millisecond), Unplaced{}))
+}
+
 func TestPlacementWaitIsBounded(t *testing.T) {
 	rules := Rules{MaxRuns: 1, MaxSends: 6, PlacementWait: 50 * time.Millisecond, RetryAfter: time.Second}
 	machine := NewMachine(rules, &fixedBudget{}, nil)
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -110,8 +110,7 @@
 	Send(ctx context.Context, resumes bool, after int64) (*Reply, error)
 	// ResponseStarted is called for each event of the response; only the first call counts.
 	ResponseStarted()
-	// Forwarding is called before an event of the response is written to the caller; only the first
-	// call counts.
+	// Forwarding is called before each event of the response is written to the caller.
 	Forwarding()
 	// Stalled reports whether an attempt that has been silent for the given time should
 	// be retried on another server.
@@ -121,8 +120,33 @@
 	StartDeadline() time.Time
 	// End records the result of the attempt.
 	End(result Result)
+	// AwaitRelease waits, after End, until the attempt no longer runs at its server, until the caller can wait no
+	// longer for another server, or until the context ends. It returns why it has ceased to wait.
+	AwaitRelease(ctx context.Context) ReleaseReason
 }
 
+// ReleaseReason is why an attempt that was given up counts as ended.
+type ReleaseReason string
+
+// The reasons. They are labels of metrics.
+const (
+	// ReleaseNotRequired means that the request may run at two servers at a time.
+	ReleaseNotRequired ReleaseReason = "not_required"
+	// ReleaseEnded means that the server has ended the attempt.
+	ReleaseEnded ReleaseReason = "ended"
+	// ReleaseReplaced means that the server's incarnation no longer exists.
+	ReleaseReplaced ReleaseReason = "replaced"
+	// ReleaseUnreachable means that this node alone cannot connect to the server.
+	ReleaseUnreachable ReleaseReason = "unreachable"
+	// ReleaseResponsive means that the server has answered other requests for longer than it takes to notice that a
+	// connection was closed.
+	ReleaseResponsive ReleaseReason = "responsive"
+	// ReleaseUnconfirmed means that the connection has ended without a sign that the server has ended the attempt.
+	ReleaseUnconfirmed ReleaseReason = "unconfirmed"
+	// ReleaseOverdue means that the caller can wait no longer.
+	ReleaseOverdue ReleaseReason = "overdue"
+)
+
 // Placer chooses servers.
 type Placer interface {
 	// Place begins an attempt on a server that is not excluded, or returns why none is
--- a/internal/keepalive/client.go
+++ b/internal/keepalive/client.go
@@ -56,6 +56,7 @@
 type Client struct {
 	onConnection func(kept bool)
 	client       *http.Client
+	lingerers    lingerers
 
 	mutex        sync.Mutex
 	idleTimeouts map[string]*IdleTimeout
@@ -70,7 +71,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: plain, connectedAt: boottime.Now(), serverClosed: func(idle time.Duration) { c.serverClosed(address, idle) }}, nil
+			return &conn{Conn: plain, connectedAt: boottime.Now(), lingerers: &c.lingerers, serverClosed: func(idle time.Duration) { c.serverClosed(address, idle) }}, nil
 		},
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: outbound.MaxHeaderBytes,
@@ -97,7 +98,7 @@
 func (c *Client) DoOn(build func() *http.Request, atMostOnce bool) (response *http.Response, connectedAt time.Time, err error) {
 	for attempt := 1; ; attempt++ {
 		request := build()
-		u := &use{client: c, address: request.URL.Host, atMostOnce: atMostOnce, needsNewConnection: atMostOnce && replayable(request)}
+		u := &use{client: c, address: request.URL.Host, atMostOnce: atMostOnce, needsNewConnection: atMostOnce && replayable(request), completion: outbound.CompletionOf(request.Context())}
 		traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: u.acquire, PutIdleConn: u.finish})
 		response, err = c.client.Do(request.WithContext(traced))
 		switch {
@@ -133,6 +134,8 @@
 	// needsNewConnection says that the request must not reuse a connection: net/http would resend it
 	// by itself if a reused one failed.
 	needsNewConnection bool
+	// completion, if set, tracks when the server has ended the request.
+	completion *outbound.Completion
 
 	mutex  sync.Mutex
 	conn   *conn
@@ -145,6 +148,9 @@
 		return
 	}
 	number := taken.acquire(u.client.maxIdle(u.address, u.atMostOnce), u.needsNewConnection && got.Reused)
+	if completed := taken.currentCompletion(); u.completion != nil && completed != nil {
+		u.completion.Begin(completed.done, func() bool { return completed.confirmed })
+	}
 	if u.client.onConnection != nil {
 		u.client.onConnection(got.Reused)
 	}
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -15,12 +16,18 @@
 // may be closing it.
 var errIdleTooLong = errors.New("connection was idle for too long")
 
-// conn is a connection to a server that tracks how long it has been idle.
+// conn is a connection to a server that tracks how long it has been idle. If it is closed while the
+// server may work on a request, it lingers: the server reads the end of the connection, and the other
+// direction stays open until the server has closed it, which shows that it has ended the request.
 type conn struct {
 	net.Conn
 	connectedAt time.Time
 	// serverClosed is called if the server closes the connection while it is idle.
 	serverClosed func(rested time.Duration)
+	lingerers    *lingerers
+
+	// readMutex is held during reads.
+	readMutex sync.Mutex
 
 	mutex sync.Mutex
 	// uses counts the requests that used the connection.
@@ -33,8 +40,24 @@
 	refused bool
 	// written says that bytes of the current request may have been sent.
 	written bool
-	// ended says that the server has closed the connection in an orderly way.
-	ended bool
+	// ended says that the server has closed the connection in an orderly way, and broken that reads fail.
+	ended, broken bool
+	// closing says that Close was called.
+	closing bool
+	// completion is that of the current request; nil if there is none.
+	completion *completion
+}
+
+// completion is the end of one request at the server.
+type completion struct {
+	done chan struct{}
+	// confirmed says that the server has ended the request. It is set before done is closed.
+	confirmed bool
+}
+
+func (c *completion) complete(confirmed bool) {
+	c.confirmed = confirmed
+	close(c.done)
 }
 
 // acquire takes the connection for a request. Its writes fail if refused is set or if the
@@ -44,6 +67,9 @@
 	defer c.mutex.Unlock()
 	c.uses++
 	c.written = false
+	// A connection is reused only once its previous request is complete.
+	c.complete(true)
+	c.completion = &completion{done: make(chan struct{})}
 	c.refused = refused || !c.idleSince.IsZero() && boottime.Since(c.idleSince) > limit
 	c.idleSince = time.Time{}
 	if c.expiry != nil {
@@ -52,6 +78,13 @@
 	return c.uses
 }
 
+// currentCompletion returns the completion of the current request.
+func (c *conn) currentCompletion() *completion {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.completion
+}
+
 // release marks the connection as idle after a use, and closes it if it stays idle for the given
 // time. It does nothing if the next use has already begun.
 func (c *conn) release(use int, timeout time.Duration) {
@@ -61,9 +94,18 @@
 		return
 	}
 	c.idleSince = boottime.Now()
+	c.complete(true)
 	c.expiry = time.AfterFunc(timeout, func() { c.expire(use) })
 }
 
+// complete ends the current request, if there is one. The caller holds the mutex.
+func (c *conn) complete(confirmed bool) {
+	if c.completion != nil {
+		c.completion.complete(confirmed)
+		c.completion = nil
+	}
+}
+
 func (c *conn) expire(use int) {
 	c.mutex.Lock()
 	due := use == c.uses && !c.idleSince.IsZero()
@@ -96,25 +138,49 @@
 
 // Read reads from the connection.
 func (c *conn) Read(data []byte) (int, error) {
+	c.readMutex.Lock()
+	defer c.readMutex.Unlock()
+	c.mutex.Lock()
+	closing := c.closing
+	c.mutex.Unlock()
+	if closing {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Read(data)
-	if errors.Is(err, io.EOF) {
+	if err != nil {
 		c.mutex.Lock()
-		c.ended = true
+		c.ended = c.ended || errors.Is(err, io.EOF)
+		c.broken = c.broken || !errors.Is(err, os.ErrDeadlineExceeded)
 		c.mutex.Unlock()
 	}
 	return n, err
 }
 
 // Close closes the connection, and calls serverClosed if the server closed it while idle. One that broke
-// says nothing of how long the server keeps idle connections.
+// says nothing of how long the server keeps idle connections. If the server may work on a request, the
+// connection lingers.
 func (c *conn) Close() error {
 	c.mutex.Lock()
+	if c.closing {
+		c.mutex.Unlock()
+		return nil
+	}
+	c.closing = true
 	since, expired := c.idleSince, c.expired || !c.ended
 	c.idleSince = time.Time{}
 	if c.expiry != nil {
 		c.expiry.Stop()
 	}
+	half, canLinger := c.Conn.(halfCloser)
+	lingers := canLinger && c.completion != nil && c.written && !c.broken && c.lingerers.add()
+	if !lingers {
+		c.complete(c.broken || !c.written)
+	}
 	c.mutex.Unlock()
+	if lingers {
+		go c.linger(half)
+		return nil
+	}
 	if !since.IsZero() && !expired {
 		c.serverClosed(boottime.Since(since))
 	}
--- /dev/null
+++ b/internal/keepalive/linger.go
@@ -0,0 +1,77 @@
+package keepalive
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/boottime"
+)
+
+const (
+	// lingerTimeout bounds how long a connection lingers.
+	lingerTimeout = 5 * time.Second
+	// maxLingering bounds the connections of a client that linger, which hold descriptors.
+	maxLingering = 256
+	// lingerGrace is how long a server may go on to send after its first data on a lingering connection. One that
+	// sends on does not read the end of the connection, and notices only by a reset that it is closed.
+	lingerGrace = 100 * time.Millisecond
+	// maxDiscarded bounds the bytes that are read from a lingering connection.
+	maxDiscarded = 256 << 10
+	// discardBufferSize is the size of the buffer for these bytes.
+	discardBufferSize = 1 << 10
+)
+
+// halfCloser is a connection of which one direction can be closed.
+type halfCloser interface{ CloseWrite() error }
+
+// lingerers counts the lingering connections of a client.
+type lingerers struct{ count atomic.Int32 }
+
+// add reports whether one more connection may linger, which must be passed to remove later.
+func (l *lingerers) add() bool {
+	if l.count.Add(1) > maxLingering {
+		l.count.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (l *lingerers) remove() { l.count.Add(-1) }
+
+// linger closes the direction to the server, waits until the server has closed the other one, and closes the
+// connection.
+func (c *conn) linger(half halfCloser) {
+	defer c.lingerers.remove()
+	closed := half.CloseWrite() == nil && c.awaitPeerClose()
+	_ = c.Conn.Close()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.complete(closed)
+}
+
+// awaitPeerClose reports whether the server has closed or reset the connection.
+func (c *conn) awaitPeerClose() bool {
+	// A read in progress ends, and later ones fail.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	c.readMutex.Lock()
+	defer c.readMutex.Unlock()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	buffer, discarded, firstAt := make([]byte, discardBufferSize), 0, time.Time{}
+	for {
+		n, err := c.Conn.Read(buffer)
+		if err != nil {
+			var failure net.Error
+			return !(errors.As(err, &failure) && failure.Timeout())
+		}
+		now := boottime.Now()
+		if firstAt.IsZero() {
+			firstAt = now
+		}
+		if discarded += n; discarded > maxDiscarded || now.Sub(firstAt) > lingerGrace {
+			return false
+		}
+	}
+}
--- a/internal/plain/forwarder.go
+++ b/internal/plain/forwarder.go
@@ -174,6 +174,11 @@
 	placement.placer.chooser.ReportResult(placement.server, failed)
 }
 
+// AwaitRelease does not wait: requests that may be sent again may run at two servers at a time.
+func (placement *placement) AwaitRelease(context.Context) exchange.ReleaseReason {
+	return exchange.ReleaseNotRequired
+}
+
 // Send sends the attempt.
 func (placement *placement) Send(ctx context.Context, _ bool, _ int64) (*exchange.Reply, error) {
 	answer, err := placement.placer.forwarder.attempt(ctx, placement.placer.request, placement.server)
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -9,6 +9,7 @@
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/outbound"
 )
 
 // Forwarder sends attempts through other nodes, on servers that this node cannot reach.
@@ -62,8 +63,8 @@
 
 // SendForPeer sends an attempt of another node, which cannot reach the server. It never sends it
 // through a third node. Besides the error types of Servers.Send it returns ErrUnavailable. The
-// returned function must be called when the response has been passed on: until then, the attempt
-// counts as an open request of this node.
+// returned function must be called when the response has been passed on: until it returns, the attempt
+// counts as an open request of this node. It returns once the server has ended the attempt.
 func (proxy *Proxy) SendForPeer(ctx context.Context, dispatch Dispatch, onNotice func(ServerNotice)) (reply *exchange.Reply, done func(), err error) {
 	proxy.open.Add(1)
 	ctx, cancel := context.WithCancel(ctx)
@@ -74,21 +75,32 @@
 		case <-ctx.Done():
 		}
 	}()
+	tracked, completion := outbound.TrackCompletion(ctx)
 	done = func() {
 		cancel()
+		// The other node sends the request elsewhere once this one has closed their connection.
+		proxy.awaitCompletion(completion)
 		proxy.open.Add(-1)
 	}
 	if err := proxy.refusePeer(dispatch.Server, onNotice, boottime.Now()); err != nil {
 		return nil, done, err
 	}
 	dispatch.OnNotice = onNotice
-	reply, err = proxy.servers.Send(ctx, dispatch)
+	reply, err = proxy.servers.Send(tracked, dispatch)
 	if err == nil && dispatch.Confirm && reply.Next != nil {
 		reply.ConfirmedByPeer = proxy.confirmIncarnation(ctx, dispatch.Server, reply.ConnectedAt) == incarnationConfirmed
 	}
 	return reply, done, err
 }
 
+// awaitCompletion waits until a server has ended an attempt, or this node must exit. Connections do not linger for ever.
+func (proxy *Proxy) awaitCompletion(completion *outbound.Completion) {
+	select {
+	case <-completion.Done():
+	case <-proxy.stopping:
+	}
+}
+
 // refusePeer returns why an attempt of another node is not sent, or nil. What the server has told this
 // node applies to all that this node sends.
 func (proxy *Proxy) refusePeer(server string, onNotice func(ServerNotice), now time.Time) error {
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -375,8 +375,9 @@
 	proxy.recorder.StreamBegan(admitted.request, began)
 }
 
-// Forwarding binds the request to the software version of the attempt: the caller gets its first event.
+// Forwarding records that the caller gets an event, and binds the request to the software version of the attempt.
 func (placement *placement) Forwarding() {
+	placement.lastEventAt = boottime.Now()
 	if placement.placer.admitted.origin == nil && placement.keepsOrigin() {
 		placement.placer.admitted.origin = &placement.origin
 	}
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -12,6 +12,7 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/origin"
+	"github.com/cloverrail/cloverrail/internal/outbound"
 	"github.com/cloverrail/cloverrail/internal/routing"
 )
 
@@ -33,7 +34,9 @@
 	responding           bool
 	// respondingSince is when the response began.
 	respondingSince time.Time
-	savesToStore    bool
+	// lastEventAt is when an event of the response was last passed on.
+	lastEventAt  time.Time
+	savesToStore bool
 	// continues is set if the attempt continues a stream of which the caller has events, and origin is
 	// what began the stream if not.
 	continues bool
@@ -42,6 +45,8 @@
 	detour bool
 	// endsWithConnection is set if the response ends with its connection.
 	endsWithConnection atomic.Bool
+	// completion tells when the server has ended the attempt; nil if it was not sent.
+	completion *outbound.Completion
 	// kept is set once the attempt has been kept because other nodes hear its server.
 	kept bool
 }
@@ -80,7 +85,7 @@
 	}
 	dispatch.Confirm = placement.keepsOrigin()
 	sentAt := boottime.Now()
-	reply, err := placement.sendAttempt(ctx, dispatch)
+	reply, err := placement.sendAttempt(placement.trackCompletion(ctx), dispatch)
 	placement.learnFromRefusal(dispatch, err)
 	if err != nil {
 		return nil, err
@@ -219,5 +224,6 @@
 		prefill := placement.placer.proxy.prefillRate.timeFor(placement.prefillTokens)
 		placement.placer.proxy.slotTime.observe(now.Sub(placement.respondingSince) + prefill)
 		placement.learnSlot(now)
+		placement.placer.proxy.runTimes.observe(placement.placer.admitted.route.Name, now.Sub(placement.placedAt))
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -173,6 +173,8 @@
 	quarantine   *quarantine.Ledger
 	unconfirmed  quarantine.Unconfirmed
 	trials       *quarantine.Trials
+	closeTimes   *closeTimes
+	runTimes     *runTimes
 	// origins holds what began each stream, and originHolders asks other nodes; nil if there are none.
 	origins       *origin.Ledger
 	originHolders *origin.Client
@@ -264,6 +266,8 @@
 		quarantine:   options.Quarantine,
 		unconfirmed:  options.Unconfirmed,
 		trials:       options.Trials,
+		closeTimes:   newCloseTimes(),
+		runTimes:     newRunTimes(),
 		origins:      options.Origins,
 
 		originHolders: options.OriginHolders,
--- /dev/null
+++ b/internal/proxy/release.go
@@ -0,0 +1,197 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/outbound"
+)
+
+const (
+	// releaseCheckInterval is the interval at which it is checked whether a server still works on an attempt that was
+	// given up, apart from the end of its connection.
+	releaseCheckInterval = 50 * time.Millisecond
+	// serverQuestionInterval is the interval at which a server that does not end an attempt is asked for its state, and
+	// the time that it has to answer: a server that has stopped does not, and one whose connection hangs does.
+	serverQuestionInterval = 200 * time.Millisecond
+	// minCallerIdleTimeout, callerTargetFactor and callerGapFactor determine after which gap callers give a stream
+	// up: the longest of the first, and of these multiples of the target latency and of the target gap.
+	minCallerIdleTimeout = 2 * time.Second
+	callerTargetFactor   = 4
+	callerGapFactor      = 8
+)
+
+// AwaitRelease waits until the attempt, which was given up, no longer runs at its server. A server that has stopped for
+// a moment does not notice meanwhile that its connection was closed, and would go on with a stream that continues at
+// another one.
+func (placement *placement) AwaitRelease(ctx context.Context) exchange.ReleaseReason {
+	if placement.placer.admitted.route.Kind != catalog.Stream || placement.completion == nil {
+		return exchange.ReleaseNotRequired
+	}
+	release := newRelease(placement, boottime.Now())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ticker := time.NewTicker(releaseCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-placement.completion.Done():
+			return release.complete()
+		case <-ctx.Done():
+			return exchange.ReleaseOverdue
+		default:
+		}
+		if reason := release.check(boottime.Now()); reason != "" {
+			return reason
+		}
+		release.askServer(ctx, boottime.Now())
+		select {
+		case <-placement.completion.Done():
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// release is the wait for the end of one attempt at its server.
+type release struct {
+	placement *placement
+	closedAt  time.Time
+	// latest is when another server must get the stream to complete it by its deadline; zero if that is not possible.
+	latest time.Time
+	// responsiveSince is when the server is first known to have responded after closedAt; zero if it has not.
+	responsiveSince time.Time
+	// askedAt is when the server was last asked for its state, and answers gets the times at which it answered.
+	askedAt time.Time
+	answers chan time.Time
+}
+
+func newRelease(placement *placement, now time.Time) *release {
+	r := &release{placement: placement, closedAt: now, answers: make(chan time.Time, 1)}
+	admitted := placement.placer.admitted
+	if latest := admitted.deadline.Add(-placement.placer.proxy.runTimes.estimate(admitted.route.Name)); latest.After(now) {
+		r.latest = latest
+	}
+	return r
+}
+
+// complete returns the reason for the end of the attempt's connection.
+func (r *release) complete() exchange.ReleaseReason {
+	if !r.placement.completion.Confirmed() {
+		return exchange.ReleaseUnconfirmed
+	}
+	r.learnCloseTime(boottime.Now())
+	return exchange.ReleaseEnded
+}
+
+// check returns why the attempt counts as ended although its connection is not, or "".
+func (r *release) check(now time.Time) exchange.ReleaseReason {
+	proxy, server := r.placement.placer.proxy, r.placement.chosen.Endpoint
+	r.observeResponses()
+	switch {
+	case proxy.set.Replaced(server):
+		return exchange.ReleaseReplaced
+	case !r.placement.detour && proxy.set.PathBroken(server) && proxy.set.PartitionedFrom(backend.ServerKey(server), r.closedAt):
+		return exchange.ReleaseUnreachable
+	case !r.responsiveSince.IsZero() && now.Sub(r.responsiveSince) > proxy.closeTimes.estimate(r.service()):
+		go r.observeLateEnd()
+		return exchange.ReleaseResponsive
+	case now.Sub(r.closedAt) > proxy.closeTimes.estimate(r.service()) && r.overdue(now):
+		return exchange.ReleaseOverdue
+	}
+	return ""
+}
+
+// observeResponses records whether the server has responded since the attempt was given up.
+func (r *release) observeResponses() {
+	if !r.responsiveSince.IsZero() {
+		return
+	}
+	if at := r.placement.placer.proxy.set.LastResponseAt(r.placement.chosen.Endpoint); at.After(r.closedAt) {
+		r.responsiveSince = at
+		return
+	}
+	select {
+	case r.responsiveSince = <-r.answers:
+	default:
+	}
+}
+
+// askServer asks a server that takes longer than usual to end the attempt whether it responds at all.
+func (r *release) askServer(ctx context.Context, now time.Time) {
+	proxy, name := r.placement.placer.proxy, r.placement.chosen.Endpoint
+	early := now.Sub(r.closedAt) <= proxy.closeTimes.estimate(r.service()) || now.Sub(r.askedAt) < serverQuestionInterval
+	if early || proxy.reportBorn == nil || r.placement.detour || !r.responsiveSince.IsZero() {
+		return
+	}
+	server, found := proxy.set.Server(name)
+	if !found {
+		return
+	}
+	r.askedAt = now
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, serverQuestionInterval)
+		defer cancel()
+		if _, err := proxy.reportBorn(ctx, server); err != nil {
+			return
+		}
+		select {
+		case r.answers <- boottime.Now():
+		default:
+		}
+	}()
+}
+
+// overdue reports whether the stream must go on elsewhere now: its caller would give it up, or another server could not
+// complete it by its deadline any more.
+func (r *release) overdue(now time.Time) bool {
+	return now.Sub(r.silentSince()) >= r.placement.placer.maxServerSilence() || !r.latest.IsZero() && !now.Before(r.latest)
+}
+
+// silentSince returns since when the server has been silent towards this node, not counting the time allowed for the
+// prefill of the prompt.
+func (r *release) silentSince() time.Time {
+	silent := r.placement.lastEventAt
+	if !r.placement.responding {
+		silent = r.placement.placedAt.Add(r.placement.prefillAllowance())
+	}
+	if at := r.placement.placer.proxy.set.SilentSince(r.placement.chosen.Endpoint); !at.IsZero() && at.Before(silent) {
+		return at
+	}
+	return silent
+}
+
+func (r *release) service() string { return r.placement.placer.admitted.service.Name }
+
+// observeLateEnd learns how long the server takes to end the attempt. Connections do not linger for ever.
+func (r *release) observeLateEnd() {
+	<-r.placement.completion.Done()
+	if r.placement.completion.Confirmed() {
+		r.learnCloseTime(boottime.Now())
+	}
+}
+
+// learnCloseTime records how long the server took to end the attempt, not counting the time in which it was silent.
+func (r *release) learnCloseTime(now time.Time) {
+	if !r.responsiveSince.IsZero() {
+		r.placement.placer.proxy.closeTimes.observe(r.service(), now.Sub(r.responsiveSince))
+	}
+}
+
+// maxServerSilence returns how long a server may be silent until its streams go on at others in any case. Callers then
+// have an event in time if those begin within the target latency.
+func (placer *placer) maxServerSilence() time.Duration {
+	route := placer.admitted.route
+	idleTimeout := max(minCallerIdleTimeout, callerTargetFactor*route.TargetLatency, callerGapFactor*route.GapTarget)
+	return idleTimeout - route.TargetLatency
+}
+
+// trackCompletion returns the context of the attempt's calls.
+func (placement *placement) trackCompletion(ctx context.Context) context.Context {
+	ctx, placement.completion = outbound.TrackCompletion(ctx)
+	return ctx
+}
--- /dev/null
+++ b/internal/proxy/release_test.go
@@ -0,0 +1,190 @@
+package proxy
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/outbound"
+	"github.com/cloverrail/cloverrail/internal/property"
+)
+
+// releaseTest is an attempt of a stream that has been given up.
+type releaseTest struct {
+	placer    *placer
+	placement *placement
+	ended     chan struct{}
+	confirmed bool
+}
+
+// newReleaseTest gives an attempt up that has been silent for some time.
+func newReleaseTest(kind catalog.ExecutionPolicy, silent, left time.Duration) *releaseTest {
+	p := newTestPlacer(10, 2, 0)
+	now := boottime.Now()
+	p.admitted.route = &catalog.Route{Name: "r", Kind: kind, TargetLatency: 800 * time.Millisecond, GapTarget: 100 * time.Millisecond}
+	p.admitted.deadline = now.Add(left)
+	r := &releaseTest{placer: p, ended: make(chan struct{})}
+	r.placement = p.silentPlacement("i-0", now.Add(-silent))
+	r.placement.responding, r.placement.lastEventAt = true, now.Add(-silent)
+	_, r.placement.completion = outbound.TrackCompletion(context.Background())
+	r.placement.completion.Begin(r.ended, func() bool { return r.confirmed })
+	r.placement.End(exchange.ResultSilent)
+	return r
+}
+
+func (r *releaseTest) endAfter(delay time.Duration, confirmed bool) {
+	time.AfterFunc(delay, func() {
+		r.confirmed = confirmed
+		close(r.ended)
+	})
+}
+
+// await returns why the attempt was released, and after how long.
+func (r *releaseTest) await() (exchange.ReleaseReason, time.Duration) {
+	startedAt := boottime.Now()
+	reason := r.placement.AwaitRelease(context.Background())
+	return reason, boottime.Since(startedAt)
+}
+
+// respond makes the server respond to another attempt after a delay.
+func (r *releaseTest) respond(delay time.Duration) {
+	time.AfterFunc(delay, func() {
+		other := r.placer.silentPlacement("i-0", boottime.Now())
+		other.attempt.ResponseStarted(boottime.Now())
+	})
+}
+
+// answerPeers makes other nodes report a response of the server after a delay.
+func (r *releaseTest) answerPeers(delay time.Duration) {
+	time.AfterFunc(delay, func() {
+		r.placer.proxy.set.ApplyPeerWork([]backend.Work{{Server: backend.ServerKey("i-0"), AnswerAge: time.Millisecond}}, boottime.Now())
+	})
+}
+
+func TestAttemptIsReleased(t *testing.T) {
+	const silent, long = time.Second, time.Hour
+	const tick = releaseCheckInterval
+	// The caller gives a stream up after 3.2 s without an event, of which the target latency is left for the next server.
+	const maxSilence = 2400 * time.Millisecond
+	for name, test := range map[string]struct {
+		kind         catalog.ExecutionPolicy
+		left         time.Duration
+		prepare      func(r *releaseTest)
+		reason       exchange.ReleaseReason
+		after, until time.Duration
+	}{
+		"the server ends it":       {catalog.Stream, long, func(r *releaseTest) { r.endAfter(700*time.Millisecond, true) }, exchange.ReleaseEnded, 700 * time.Millisecond, 700 * time.Millisecond},
+		"its connection ends":      {catalog.Stream, long, func(r *releaseTest) { r.endAfter(700*time.Millisecond, false) }, exchange.ReleaseUnconfirmed, 700 * time.Millisecond, 700 * time.Millisecond},
+		"the server never ends it": {catalog.Stream, long, func(*releaseTest) {}, exchange.ReleaseOverdue, maxSilence - silent, maxSilence - silent + tick},
+		"another server would be too late": {catalog.Stream, 3 * time.Second, func(r *releaseTest) {
+			r.placer.proxy.runTimes.observe("r", 1600*time.Millisecond)
+		}, exchange.ReleaseOverdue, 600 * time.Millisecond, 600*time.Millisecond + tick},
+		"another server is too late anyway": {catalog.Stream, 3 * time.Second, func(r *releaseTest) {
+			r.placer.proxy.runTimes.observe("r", 4*time.Second)
+		}, exchange.ReleaseOverdue, maxSilence - silent, maxSilence - silent + tick},
+		"the server responds otherwise": {catalog.Stream, long, func(r *releaseTest) { r.respond(300 * time.Millisecond) }, exchange.ReleaseResponsive, 300*time.Millisecond + defaultCloseTime, 300*time.Millisecond + defaultCloseTime + 2*tick},
+		"the server notices slowly": {catalog.Stream, long, func(r *releaseTest) {
+			r.placer.proxy.closeTimes.observe("s", 600*time.Millisecond)
+			r.respond(300 * time.Millisecond)
+		}, exchange.ReleaseResponsive, 900 * time.Millisecond, 900*time.Millisecond + 2*tick},
+		"the server answers a question": {catalog.Stream, long, func(r *releaseTest) {
+			r.placer.proxy.reportBorn = func(context.Context, backend.Server) (int64, error) { return 1, nil }
+		}, exchange.ReleaseResponsive, 2 * defaultCloseTime, 2*defaultCloseTime + 4*tick},
+		"the server is replaced": {catalog.Stream, long, func(r *releaseTest) {
+			time.AfterFunc(300*time.Millisecond, func() { r.placer.proxy.set.Gone("i-0", boottime.Now()) })
+		}, exchange.ReleaseReplaced, 300 * time.Millisecond, 300*time.Millisecond + tick},
+		"this node alone cannot connect": {catalog.Stream, long, func(r *releaseTest) {
+			time.AfterFunc(300*time.Millisecond, func() {
+				r.placer.proxy.set.ObserveConnect("at i-0", false, boottime.Now(), boottime.Now())
+			})
+			r.answerPeers(600 * time.Millisecond)
+		}, exchange.ReleaseUnreachable, 600 * time.Millisecond, 600*time.Millisecond + tick},
+		"nobody can connect, as to a machine that has stopped": {catalog.Stream, long, func(r *releaseTest) {
+			r.placer.proxy.set.ObserveConnect("at i-0", false, boottime.Now(), boottime.Now())
+		}, exchange.ReleaseOverdue, maxSilence - silent, maxSilence - silent + tick},
+		"the server responds to other nodes": {catalog.Stream, long, func(r *releaseTest) {
+			r.answerPeers(500 * time.Millisecond)
+		}, exchange.ReleaseResponsive, 500 * time.Millisecond, 500*time.Millisecond + defaultCloseTime + 2*tick},
+		"it may run at two servers": {catalog.Idempotent, long, func(*releaseTest) {}, exchange.ReleaseNotRequired, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newReleaseTest(test.kind, silent, test.left)
+				test.prepare(r)
+				reason, waited := r.await()
+				require.Equal(t, test.reason, reason)
+				require.GreaterOrEqual(t, waited, test.after)
+				require.LessOrEqual(t, waited, test.until)
+				time.Sleep(time.Second)
+				if !r.confirmed {
+					r.confirmed = true
+					select {
+					case <-r.ended:
+					default:
+						close(r.ended)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a wait for each stream of a server that hangs: those that come later do not wait again.
+func TestServerThatHangsIsAwaitedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := newReleaseTest(catalog.Stream, time.Second, time.Hour)
+		_, _ = first.await()
+		second := first.placer.silentPlacement("i-0", boottime.Now())
+		second.completion = first.placement.completion
+		time.Sleep(1500 * time.Millisecond)
+		second.End(exchange.ResultSilent)
+		startedAt := boottime.Now()
+		require.Equal(t, exchange.ReleaseOverdue, second.AwaitRelease(context.Background()))
+		require.LessOrEqual(t, boottime.Since(startedAt), defaultCloseTime+releaseCheckInterval)
+	})
+}
+
+func TestCloseTimeEstimateCoversLongestAndForgets(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		c := newCloseTimes()
+		longest := time.Duration(0)
+		for _, ms := range rapid.SliceOfN(rapid.IntRange(0, 3000), 1, 20).Draw(t, "times") {
+			took := time.Duration(ms) * time.Millisecond
+			c.observe("s", took)
+			require.GreaterOrEqual(t, c.estimate("s"), took)
+			longest = max(longest, took)
+		}
+		require.LessOrEqual(t, c.estimate("s"), max(defaultCloseTime, longest))
+		require.Equal(t, defaultCloseTime, c.estimate("another"))
+		for range 6 * closeTimeDecay {
+			c.observe("s", 0)
+		}
+		require.Equal(t, defaultCloseTime, c.estimate("s"), "it forgets")
+	})
+}
+
+func TestRunTimeEstimateConvergesAndForgets(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		r := newRunTimes()
+		require.Zero(t, r.estimate("r"))
+		former := time.Duration(rapid.IntRange(1, 60_000).Draw(t, "former")) * time.Millisecond
+		now := time.Duration(rapid.IntRange(1, 60_000).Draw(t, "now")) * time.Millisecond
+		r.observe("r", former)
+		require.InDelta(t, runTimeFactor*former.Seconds(), r.estimate("r").Seconds(), 1e-3)
+		before := r.estimate("r")
+		r.observe("r", 2*former)
+		require.LessOrEqual(t, r.estimate("r").Seconds(), before.Seconds()*(1+runTimeGain)+1e-6, "one run does not move it far")
+		for range 160 {
+			r.observe("r", now)
+		}
+		require.InDelta(t, runTimeFactor*now.Seconds(), r.estimate("r").Seconds(), 0.01)
+	})
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -31,6 +31,8 @@
 	deferred            prometheus.Counter
 	placementConflicts  prometheus.Counter
 	keptAttempts        prometheus.Counter
+	releases            *prometheus.CounterVec
+	releaseWait         prometheus.Histogram
 	quarantined         *prometheus.CounterVec
 	trials              *prometheus.CounterVec
 	suspicions          *prometheus.CounterVec
@@ -124,6 +126,13 @@
 		keptAttempts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_kept_attempts_total", Help: "Silent attempts that were not given up because other nodes hear the server.",
 		}),
+		releases: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_releases_total", Help: "Attempts that were given up, by why their requests went on at another server.",
+		}, []string{"reason"}),
+		releaseWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "cloverrail_proxy_release_wait_seconds", Help: "Time from giving an attempt up until its request could go on at another server.",
+			Buckets: []float64{0.005, 0.02, 0.1, 0.4, 1, 2, 4},
+		}),
 		quarantined: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_held_off_total", Help: "Requests refused since servers ended while they ran them, or others with a part of their prompts, by which of these.",
 		}, []string{"kind"}),
@@ -186,7 +195,7 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.retries, metrics.tooLargeResponses, metrics.firstResponse, metrics.predictionErrors, metrics.storeReads,
-		metrics.orders, metrics.waitedOrders, metrics.connections, metrics.connectionTimeouts, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.noRoom, metrics.roomRejections, metrics.deferred, metrics.placementConflicts, metrics.keptAttempts, metrics.quarantined, metrics.trials, metrics.turnedAway, metrics.endedWithConnection, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
+		metrics.orders, metrics.waitedOrders, metrics.connections, metrics.connectionTimeouts, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.noRoom, metrics.roomRejections, metrics.deferred, metrics.placementConflicts, metrics.keptAttempts, metrics.releases, metrics.releaseWait, metrics.quarantined, metrics.trials, metrics.turnedAway, metrics.endedWithConnection, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
 	metrics.Registry.MustRegister(metrics.storeCalls.collectors()...)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -348,6 +348,9 @@
 		reason = event.Reason
 	case exchange.Broken:
 		reason = event.Reason
+	case exchange.Released:
+		recorder.recordReleased(request, server, event)
+		return
 	}
 	name := eventName(event)
 	recorder.metrics.attempts.WithLabelValues(name).Inc()
@@ -358,6 +361,17 @@
 	line.Dur("after", boottime.Since(request.Arrived)).Msg("attempt")
 }
 
+// recordReleased records that the request need not wait any longer for its previous server.
+func (recorder *Recorder) recordReleased(request *proxy.Request, server string, event exchange.Released) {
+	recorder.metrics.releases.WithLabelValues(string(event.Reason)).Inc()
+	if event.Reason == exchange.ReleaseNotRequired {
+		return
+	}
+	recorder.metrics.releaseWait.Observe(event.Waited.Seconds())
+	recorder.limitedLine(zerolog.InfoLevel).Str("id", request.ID).Str("server", server).Str("reason", string(event.Reason)).
+		Dur("waited", event.Waited).Msg("released")
+}
+
 // Request records the end of a request.
 func (recorder *Recorder) Request(request *proxy.Request, route *catalog.Route, version int64, outcome exchange.Outcome) {
 	name, result := "", "answered"
