Tell servers that have ended a request from connections that have ended

What callers saw: nothing yet; found by reading the change of handovers.

Cause: a connection that ended without a sign of the server, since too many lingered, counted as the end of the request. A server that had once lost an answer counted as silent until its next response, so that a later stall was not waited for. Each stream that waited asked the server on its own.

Change: the completion of a call has a result: ended, reset while the server sent on, or unknown, and only the first two release a stream. What shows that a server lives stands in one file, an end counts as a sign of life, and a server is asked at most once in 0.5 s by a node. The time that servers take to notice a close includes what other nodes report.

--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -136,9 +136,12 @@
 	drainingAnnounced bool
 	breaker           retry.Breaker
 	path              path
-	// silentSince is when the first attempt was given up as silent since the last response of the server; zero if
-	// there is none.
-	silentSince time.Time
+	// silentSince is when the first attempt was given up as silent since the last sign of life of the server; zero if
+	// there is none. aliveAt is when the server last showed otherwise than by a response to an attempt that it runs,
+	// and questionedAt when it was last asked for such a sign.
+	silentSince  time.Time
+	aliveAt      time.Time
+	questionedAt time.Time
 	// unansweredSince is when the first attempt was sent since the last response of the server; zero if
 	// there is none.
 	unansweredSince time.Time
@@ -415,45 +418,6 @@
 	return !local.replacedUntil.IsZero() || !local.path.detour && local.lastConnectFailureAt.After(since)
 }
 
-// Replaced reports whether another incarnation has answered at the address of a server, or has taken over its instance
-// ID.
-func (set *Set) Replaced(name string) bool {
-	set.mutex.Lock()
-	defer set.mutex.Unlock()
-	e := set.servers[name]
-	return e != nil && !e.local().replacedUntil.IsZero()
-}
-
-// LastResponseAt returns when a server last responded to an attempt of this node, or certainly to one of another node;
-// zero if it never has.
-func (set *Set) LastResponseAt(name string) time.Time {
-	set.mutex.Lock()
-	defer set.mutex.Unlock()
-	e := set.servers[name]
-	if e == nil {
-		return time.Time{}
-	}
-	at := e.local().lastResponseAt
-	if e.peers != nil {
-		if byPeers := e.peers.answeredAt.Add(-peerEvidenceMargin); byPeers.After(at) {
-			return byPeers
-		}
-	}
-	return at
-}
-
-// SilentSince returns when this node first gave up an attempt as silent since the last response of a server; zero if it
-// has given up none.
-func (set *Set) SilentSince(name string) time.Time {
-	set.mutex.Lock()
-	defer set.mutex.Unlock()
-	e := set.servers[name]
-	if e == nil {
-		return time.Time{}
-	}
-	return e.local().silentSince
-}
-
 // Gone records that another incarnation answered at the address of a server. The server
 // is excluded for replacedRetention, since the list includes it until its entry expires.
 func (set *Set) Gone(instance string, now time.Time) {
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -150,7 +150,6 @@
 	"replaced":    "the server had started again",
 	"unreachable": "this node alone could not connect to the server",
 	"responsive":  "the server answered others, but had not ended it",
-	"unconfirmed": "the connection ended, and it is not known whether the server had ended it",
 	"overdue":     "the caller could wait no longer, and the server may still have worked on it",
 }
 
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -138,11 +138,9 @@
 	ReleaseReplaced ReleaseReason = "replaced"
 	// ReleaseUnreachable means that this node alone cannot connect to the server.
 	ReleaseUnreachable ReleaseReason = "unreachable"
-	// ReleaseResponsive means that the server has answered other requests for longer than it takes to notice that a
+	// ReleaseResponsive means that the server has shown signs of life for longer than it takes to notice that a
 	// connection was closed.
 	ReleaseResponsive ReleaseReason = "responsive"
-	// ReleaseUnconfirmed means that the connection has ended without a sign that the server has ended the attempt.
-	ReleaseUnconfirmed ReleaseReason = "unconfirmed"
 	// ReleaseOverdue means that the caller can wait no longer.
 	ReleaseOverdue ReleaseReason = "overdue"
 )
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -3,13 +3,14 @@
 import (
 	"io"
 	"net"
-	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/outbound"
 )
 
 // errIdleTooLong reports that a connection has been idle for too long to be reused: the server
@@ -40,8 +41,8 @@
 	refused bool
 	// written says that bytes of the current request may have been sent.
 	written bool
-	// ended says that the server has closed the connection in an orderly way, and broken that reads fail.
-	ended, broken bool
+	// ended says that the server has closed the connection in an orderly way, and reset that it has reset it.
+	ended, reset bool
 	// closing says that Close was called.
 	closing bool
 	// completion is that of the current request; nil if there is none.
@@ -51,12 +52,12 @@
 // completion is the end of one request at the server.
 type completion struct {
 	done chan struct{}
-	// confirmed says that the server has ended the request. It is set before done is closed.
-	confirmed bool
+	// result is set before done is closed.
+	result outbound.CompletionResult
 }
 
-func (c *completion) complete(confirmed bool) {
-	c.confirmed = confirmed
+func (c *completion) complete(result outbound.CompletionResult) {
+	c.result = result
 	close(c.done)
 }
 
@@ -68,7 +69,7 @@
 	c.uses++
 	c.written = false
 	// A connection is reused only once its previous request is complete.
-	c.complete(true)
+	c.complete(outbound.CompletionEnded)
 	c.completion = &completion{done: make(chan struct{})}
 	c.refused = refused || !c.idleSince.IsZero() && boottime.Since(c.idleSince) > limit
 	c.idleSince = time.Time{}
@@ -94,14 +95,14 @@
 		return
 	}
 	c.idleSince = boottime.Now()
-	c.complete(true)
+	c.complete(outbound.CompletionEnded)
 	c.expiry = time.AfterFunc(timeout, func() { c.expire(use) })
 }
 
 // complete ends the current request, if there is one. The caller holds the mutex.
-func (c *conn) complete(confirmed bool) {
+func (c *conn) complete(result outbound.CompletionResult) {
 	if c.completion != nil {
-		c.completion.complete(confirmed)
+		c.completion.complete(result)
 		c.completion = nil
 	}
 }
@@ -150,7 +151,7 @@
 	if err != nil {
 		c.mutex.Lock()
 		c.ended = c.ended || errors.Is(err, io.EOF)
-		c.broken = c.broken || !errors.Is(err, os.ErrDeadlineExceeded)
+		c.reset = c.reset || errors.Is(err, syscall.ECONNRESET)
 		c.mutex.Unlock()
 	}
 	return n, err
@@ -172,9 +173,14 @@
 		c.expiry.Stop()
 	}
 	half, canLinger := c.Conn.(halfCloser)
-	lingers := canLinger && c.completion != nil && c.written && !c.broken && c.lingerers.add()
-	if !lingers {
-		c.complete(c.broken || !c.written)
+	closed := c.ended || c.reset || !c.written
+	lingers := canLinger && c.completion != nil && !closed && c.lingerers.add()
+	switch {
+	case lingers:
+	case closed:
+		c.complete(outbound.CompletionEnded)
+	default:
+		c.complete(outbound.CompletionUnknown)
 	}
 	c.mutex.Unlock()
 	if lingers {
--- a/internal/keepalive/linger.go
+++ b/internal/keepalive/linger.go
@@ -1,13 +1,15 @@
 package keepalive
 
 import (
-	"net"
+	"io"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/outbound"
 )
 
 const (
@@ -45,15 +47,18 @@
 // connection.
 func (c *conn) linger(half halfCloser) {
 	defer c.lingerers.remove()
-	closed := half.CloseWrite() == nil && c.awaitPeerClose()
+	result := outbound.CompletionUnknown
+	if half.CloseWrite() == nil {
+		result = c.awaitPeerClose()
+	}
 	_ = c.Conn.Close()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.complete(closed)
+	c.complete(result)
 }
 
-// awaitPeerClose reports whether the server has closed or reset the connection.
-func (c *conn) awaitPeerClose() bool {
+// awaitPeerClose waits until the server has closed or reset the connection, or sends on.
+func (c *conn) awaitPeerClose() outbound.CompletionResult {
 	// A read in progress ends, and later ones fail.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	c.readMutex.Lock()
@@ -62,16 +67,18 @@
 	buffer, discarded, firstAt := make([]byte, discardBufferSize), 0, time.Time{}
 	for {
 		n, err := c.Conn.Read(buffer)
-		if err != nil {
-			var failure net.Error
-			return !(errors.As(err, &failure) && failure.Timeout())
+		switch {
+		case errors.Is(err, io.EOF), errors.Is(err, syscall.ECONNRESET):
+			return outbound.CompletionEnded
+		case err != nil:
+			return outbound.CompletionUnknown
 		}
 		now := boottime.Now()
 		if firstAt.IsZero() {
 			firstAt = now
 		}
 		if discarded += n; discarded > maxDiscarded || now.Sub(firstAt) > lingerGrace {
-			return false
+			return outbound.CompletionReset
 		}
 	}
 }
--- a/internal/keepalive/linger_test.go
+++ b/internal/keepalive/linger_test.go
@@ -82,14 +82,14 @@
 	}
 }
 
-func (l *lingerTest) requireComplete(confirmed bool) {
+func (l *lingerTest) requireComplete(result outbound.CompletionResult) {
 	l.t.Helper()
 	select {
 	case <-l.completion.Done():
 	case <-time.After(lingerTimeout / 2):
 		require.Fail(l.t, "the request is not complete")
 	}
-	require.Equal(l.t, confirmed, l.completion.Confirmed())
+	require.Equal(l.t, result, l.completion.Result())
 }
 
 const (
@@ -111,7 +111,7 @@
 				require.NoError(t, l.far.SetLinger(0))
 			}
 			require.NoError(t, l.far.Close())
-			l.requireComplete(true)
+			l.requireComplete(outbound.CompletionEnded)
 		})
 	}
 }
@@ -125,7 +125,7 @@
 		_, err := io.WriteString(l.far, "2\r\nok\r\n")
 		return err != nil
 	}, lingerTimeout/2, 20*time.Millisecond)
-	l.requireComplete(false)
+	l.requireComplete(outbound.CompletionReset)
 }
 
 func TestRequestIsCompleteWithItsResponse(t *testing.T) {
@@ -133,7 +133,7 @@
 	_, err := io.ReadAll(l.response.Body)
 	require.NoError(t, err)
 	l.response.Body.Close()
-	l.requireComplete(true)
+	l.requireComplete(outbound.CompletionEnded)
 }
 
 func TestRequestIsCompleteOnceServerHasBrokenOff(t *testing.T) {
@@ -142,7 +142,7 @@
 	_, err := io.ReadAll(l.response.Body)
 	require.Error(t, err)
 	l.response.Body.Close()
-	l.requireComplete(true)
+	l.requireComplete(outbound.CompletionEnded)
 }
 
 // Guards against descriptors that connections hold for servers that never close them.
@@ -152,7 +152,7 @@
 		require.True(t, l.client.lingerers.add())
 	}
 	l.giveUp()
-	l.requireComplete(false)
+	l.requireComplete(outbound.CompletionUnknown)
 	l.client.lingerers.remove()
 	require.True(t, l.client.lingerers.add())
 	require.False(t, l.client.lingerers.add())
--- a/internal/outbound/completion.go
+++ b/internal/outbound/completion.go
@@ -10,10 +10,22 @@
 type Completion struct {
 	mutex sync.Mutex
 	done  <-chan struct{}
-	// confirmed reports, once done is closed, whether the called party has ended the call.
-	confirmed func() bool
+	// result returns how the call was completed. It is called once done is closed.
+	result func() CompletionResult
 }
 
+// CompletionResult is what is known of the called party once a call is complete.
+type CompletionResult int
+
+const (
+	// CompletionUnknown means that it is not known whether the called party still works on the call.
+	CompletionUnknown CompletionResult = iota
+	// CompletionEnded means that it has ended the call.
+	CompletionEnded
+	// CompletionReset means that it runs, and that its connection was reset.
+	CompletionReset
+)
+
 type completionKey struct{}
 
 // TrackCompletion returns a context whose calls report their completion.
@@ -28,12 +40,11 @@
 	return c
 }
 
-// Begin records that a call has been sent: done is closed once it is complete, and confirmed reports then whether the
-// called party has ended it.
-func (c *Completion) Begin(done <-chan struct{}, confirmed func() bool) {
+// Begin records that a call has been sent: done is closed once it is complete, and result returns how then.
+func (c *Completion) Begin(done <-chan struct{}, result func() CompletionResult) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.done, c.confirmed = done, confirmed
+	c.done, c.result = done, result
 }
 
 // Done returns a channel that is closed once the latest call is complete. It is closed if there is none.
@@ -46,16 +57,19 @@
 	return c.done
 }
 
-// Confirmed reports whether the called party has ended the latest call.
-func (c *Completion) Confirmed() bool {
+// Result returns how the latest call was completed; CompletionUnknown if it is not complete.
+func (c *Completion) Result() CompletionResult {
 	select {
 	case <-c.Done():
 	default:
-		return false
+		return CompletionUnknown
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.confirmed == nil || c.confirmed()
+	if c.result == nil {
+		return CompletionEnded
+	}
+	return c.result()
 }
 
 var closedChannel = func() <-chan struct{} {
--- a/internal/proxy/release.go
+++ b/internal/proxy/release.go
@@ -16,8 +16,10 @@
 	// given up, apart from the end of its connection.
 	releaseCheckInterval = 50 * time.Millisecond
 	// serverQuestionInterval is the interval at which a server that does not end an attempt is asked for its state, and
-	// the time that it has to answer: a server that has stopped does not, and one whose connection hangs does.
-	serverQuestionInterval = 200 * time.Millisecond
+	// serverQuestionTimeout the time that it has to answer. A server that has stopped does not answer, and one whose
+	// connection hangs does.
+	serverQuestionInterval = 500 * time.Millisecond
+	serverQuestionTimeout  = 200 * time.Millisecond
 	// minCallerIdleTimeout, callerTargetFactor and callerGapFactor determine after which gap callers give a stream
 	// up: the longest of the first, and of these multiples of the target latency and of the target gap.
 	minCallerIdleTimeout = 2 * time.Second
@@ -37,22 +39,21 @@
 	defer cancel()
 	ticker := time.NewTicker(releaseCheckInterval)
 	defer ticker.Stop()
+	done := placement.completion.Done()
 	for {
 		select {
-		case <-placement.completion.Done():
-			return release.complete()
+		case <-done:
+			if reason := release.complete(boottime.Now()); reason != "" {
+				return reason
+			}
+			done = nil
 		case <-ctx.Done():
 			return exchange.ReleaseOverdue
-		default:
-		}
-		if reason := release.check(boottime.Now()); reason != "" {
-			return reason
-		}
-		release.askServer(ctx, boottime.Now())
-		select {
-		case <-placement.completion.Done():
-		case <-ctx.Done():
 		case <-ticker.C:
+			if reason := release.check(boottime.Now()); reason != "" {
+				return reason
+			}
+			release.askServer(ctx, boottime.Now())
 		}
 	}
 }
@@ -65,13 +66,10 @@
 	latest time.Time
 	// responsiveSince is when the server is first known to have responded after closedAt; zero if it has not.
 	responsiveSince time.Time
-	// askedAt is when the server was last asked for its state, and answers gets the times at which it answered.
-	askedAt time.Time
-	answers chan time.Time
 }
 
 func newRelease(placement *placement, now time.Time) *release {
-	r := &release{placement: placement, closedAt: now, answers: make(chan time.Time, 1)}
+	r := &release{placement: placement, closedAt: now}
 	admitted := placement.placer.admitted
 	if latest := admitted.deadline.Add(-placement.placer.proxy.runTimes.estimate(admitted.route.Name)); latest.After(now) {
 		r.latest = latest
@@ -79,13 +77,17 @@
 	return r
 }
 
-// complete returns the reason for the end of the attempt's connection.
-func (r *release) complete() exchange.ReleaseReason {
-	if !r.placement.completion.Confirmed() {
-		return exchange.ReleaseUnconfirmed
+// complete returns why the attempt counts as ended once its connection is closed, or "" if that does not show it.
+func (r *release) complete(now time.Time) exchange.ReleaseReason {
+	switch r.placement.completion.Result() {
+	case outbound.CompletionEnded:
+		r.observeEnd(now)
+		return exchange.ReleaseEnded
+	case outbound.CompletionReset:
+		return exchange.ReleaseResponsive
+	default:
+		return ""
 	}
-	r.learnCloseTime(boottime.Now())
-	return exchange.ReleaseEnded
 }
 
 // check returns why the attempt counts as ended although its connection is not, or "".
@@ -108,40 +110,28 @@
 
 // observeResponses records whether the server has responded since the attempt was given up.
 func (r *release) observeResponses() {
-	if !r.responsiveSince.IsZero() {
-		return
-	}
-	if at := r.placement.placer.proxy.set.LastResponseAt(r.placement.chosen.Endpoint); at.After(r.closedAt) {
+	at := r.placement.placer.proxy.set.LastSignOfLife(r.placement.chosen.Endpoint)
+	if r.responsiveSince.IsZero() && at.After(r.closedAt) {
 		r.responsiveSince = at
-		return
-	}
-	select {
-	case r.responsiveSince = <-r.answers:
-	default:
 	}
 }
 
 // askServer asks a server that takes longer than usual to end the attempt whether it responds at all.
 func (r *release) askServer(ctx context.Context, now time.Time) {
 	proxy, name := r.placement.placer.proxy, r.placement.chosen.Endpoint
-	early := now.Sub(r.closedAt) <= proxy.closeTimes.estimate(r.service()) || now.Sub(r.askedAt) < serverQuestionInterval
+	early := now.Sub(r.closedAt) <= proxy.closeTimes.estimate(r.service())
 	if early || proxy.reportBorn == nil || r.placement.detour || !r.responsiveSince.IsZero() {
 		return
 	}
-	server, found := proxy.set.Server(name)
-	if !found {
+	server, due := proxy.set.TakeQuestion(name, serverQuestionInterval, now)
+	if !due {
 		return
 	}
-	r.askedAt = now
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, serverQuestionInterval)
+		ctx, cancel := context.WithTimeout(ctx, serverQuestionTimeout)
 		defer cancel()
-		if _, err := proxy.reportBorn(ctx, server); err != nil {
-			return
-		}
-		select {
-		case r.answers <- boottime.Now():
-		default:
+		if _, err := proxy.reportBorn(ctx, server); err == nil {
+			proxy.set.ObserveSignOfLife(name, boottime.Now())
 		}
 	}()
 }
@@ -170,15 +160,18 @@
 // observeLateEnd learns how long the server takes to end the attempt. Connections do not linger for ever.
 func (r *release) observeLateEnd() {
 	<-r.placement.completion.Done()
-	if r.placement.completion.Confirmed() {
-		r.learnCloseTime(boottime.Now())
+	if r.placement.completion.Result() == outbound.CompletionEnded {
+		r.observeEnd(boottime.Now())
 	}
 }
 
-// learnCloseTime records how long the server took to end the attempt, not counting the time in which it was silent.
-func (r *release) learnCloseTime(now time.Time) {
+// observeEnd records that the server has ended the attempt, and how long it took, not counting the time in which it was
+// silent.
+func (r *release) observeEnd(now time.Time) {
+	proxy := r.placement.placer.proxy
+	proxy.set.ObserveSignOfLife(r.placement.chosen.Endpoint, now)
 	if !r.responsiveSince.IsZero() {
-		r.placement.placer.proxy.closeTimes.observe(r.service(), now.Sub(r.responsiveSince))
+		proxy.closeTimes.observe(r.service(), now.Sub(r.responsiveSince))
 	}
 }
 
--- a/internal/proxy/release_test.go
+++ b/internal/proxy/release_test.go
@@ -22,7 +22,7 @@
 	placer    *placer
 	placement *placement
 	ended     chan struct{}
-	confirmed bool
+	result    outbound.CompletionResult
 }
 
 // newReleaseTest gives an attempt up that has been silent for some time.
@@ -35,14 +35,14 @@
 	r.placement = p.silentPlacement("i-0", now.Add(-silent))
 	r.placement.responding, r.placement.lastEventAt = true, now.Add(-silent)
 	_, r.placement.completion = outbound.TrackCompletion(context.Background())
-	r.placement.completion.Begin(r.ended, func() bool { return r.confirmed })
+	r.placement.completion.Begin(r.ended, func() outbound.CompletionResult { return r.result })
 	r.placement.End(exchange.ResultSilent)
 	return r
 }
 
-func (r *releaseTest) endAfter(delay time.Duration, confirmed bool) {
+func (r *releaseTest) endAfter(delay time.Duration, result outbound.CompletionResult) {
 	time.AfterFunc(delay, func() {
-		r.confirmed = confirmed
+		r.result = result
 		close(r.ended)
 	})
 }
@@ -81,8 +81,9 @@
 		reason       exchange.ReleaseReason
 		after, until time.Duration
 	}{
-		"the server ends it":       {catalog.Stream, long, func(r *releaseTest) { r.endAfter(700*time.Millisecond, true) }, exchange.ReleaseEnded, 700 * time.Millisecond, 700 * time.Millisecond},
-		"its connection ends":      {catalog.Stream, long, func(r *releaseTest) { r.endAfter(700*time.Millisecond, false) }, exchange.ReleaseUnconfirmed, 700 * time.Millisecond, 700 * time.Millisecond},
+		"the server ends it":       {catalog.Stream, long, func(r *releaseTest) { r.endAfter(700*time.Millisecond, outbound.CompletionEnded) }, exchange.ReleaseEnded, 700 * time.Millisecond, 700 * time.Millisecond},
+		"its connection ends":      {catalog.Stream, long, func(r *releaseTest) { r.endAfter(700*time.Millisecond, outbound.CompletionUnknown) }, exchange.ReleaseOverdue, maxSilence - silent, maxSilence - silent + tick},
+		"its connection is reset":  {catalog.Stream, long, func(r *releaseTest) { r.endAfter(700*time.Millisecond, outbound.CompletionReset) }, exchange.ReleaseResponsive, 700 * time.Millisecond, 700 * time.Millisecond},
 		"the server never ends it": {catalog.Stream, long, func(*releaseTest) {}, exchange.ReleaseOverdue, maxSilence - silent, maxSilence - silent + tick},
 		"another server would be too late": {catalog.Stream, 3 * time.Second, func(r *releaseTest) {
 			r.placer.proxy.runTimes.observe("r", 1600*time.Millisecond)
@@ -124,13 +125,10 @@
 				require.GreaterOrEqual(t, waited, test.after)
 				require.LessOrEqual(t, waited, test.until)
 				time.Sleep(time.Second)
-				if !r.confirmed {
-					r.confirmed = true
-					select {
-					case <-r.ended:
-					default:
-						close(r.ended)
-					}
+				select {
+				case <-r.ended:
+				default:
+					close(r.ended)
 				}
 			})
 		})
@@ -152,6 +150,17 @@
 	})
 }
 
+// Guards against taking a server for one that hangs because it has once lost an answer.
+func TestServerThatEndsAttemptIsNotSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := newReleaseTest(catalog.Stream, time.Second, time.Hour)
+		first.endAfter(10*time.Millisecond, outbound.CompletionEnded)
+		_, _ = first.await()
+		time.Sleep(time.Minute)
+		require.Zero(t, first.placer.proxy.set.SilentSince("i-0"))
+	})
+}
+
 func TestCloseTimeEstimateCoversLongestAndForgets(t *testing.T) {
 	property.Check(t, func(t *rapid.T) {
 		c := newCloseTimes()
