--- a/internal/backend/liveness.go
+++ b/internal/backend/liveness.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// LastSignOfLife returns when a server certainly ran: it last responded to an attempt of this node or of another one, or
+// LastAliveAt returns when a server certainly ran: it last responded to an attempt of this node or of another one, or
 // showed it otherwise. It is zero if nothing is known.
-func (set *Set) LastSignOfLife(name string) time.Time {
+func (set *Set) LastAliveAt(name string) time.Time {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	e := set.servers[name]
@@ -23,9 +23,9 @@
 	return last
 }
 
-// ObserveSignOfLife records that a server runs, although it has not responded to an attempt: it has ended one that was
-// given up, or has answered a question.
-func (set *Set) ObserveSignOfLife(name string, now time.Time) {
+// ObserveAlive records that a server runs, although it has not responded to an attempt: it has ended one that was
+// given up, or has passed a liveness check.
+func (set *Set) ObserveAlive(name string, now time.Time) {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	if e := set.servers[name]; e != nil && e.localState != nil {
@@ -45,15 +45,15 @@
 	return e.local().silentSince
 }
 
-// TakeQuestion reports whether a server may be asked for a sign of life, at most once in an interval.
-func (set *Set) TakeQuestion(name string, interval time.Duration, now time.Time) (server Server, due bool) {
+// BeginLivenessCheck reports whether a liveness check of a server is due, at most once in an interval.
+func (set *Set) BeginLivenessCheck(name string, interval time.Duration, now time.Time) (server Server, due bool) {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	e := set.servers[name]
-	if e == nil || e.localState == nil || now.Sub(e.questionedAt) < interval {
+	if e == nil || e.localState == nil || now.Sub(e.livenessCheckedAt) < interval {
 		return Server{}, false
 	}
-	e.questionedAt = now
+	e.livenessCheckedAt = now
 	return *e.server, true
 }
 
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -138,10 +138,10 @@
 	path              path
 	// silentSince is when the first attempt was given up as silent since the last sign of life of the server; zero if
 	// there is none. aliveAt is when the server last showed otherwise than by a response to an attempt that it runs,
-	// and questionedAt when it was last asked for such a sign.
-	silentSince  time.Time
-	aliveAt      time.Time
-	questionedAt time.Time
+	// and livenessCheckedAt when its liveness was last checked.
+	silentSince       time.Time
+	aliveAt           time.Time
+	livenessCheckedAt time.Time
 	// unansweredSince is when the first attempt was sent since the last response of the server; zero if
 	// there is none.
 	unansweredSince time.Time
--- a/internal/proxy/release.go
+++ b/internal/proxy/release.go
@@ -15,11 +15,11 @@
 	// releaseCheckInterval is the interval at which it is checked whether a server still works on an attempt that was
 	// given up, apart from the end of its connection.
 	releaseCheckInterval = 50 * time.Millisecond
-	// serverQuestionInterval is the interval at which a server that does not end an attempt is asked for its state, and
-	// serverQuestionTimeout the time that it has to answer. A server that has stopped does not answer, and one whose
-	// connection hangs does.
-	serverQuestionInterval = 500 * time.Millisecond
-	serverQuestionTimeout  = 200 * time.Millisecond
+	// livenessCheckInterval is the interval of the liveness checks of a server that does not end an attempt, and
+	// livenessCheckTimeout the timeout of one. A server that has stopped fails them, and one to which the connection of
+	// the attempt hangs does not.
+	livenessCheckInterval = 500 * time.Millisecond
+	livenessCheckTimeout  = 200 * time.Millisecond
 	// minCallerIdleTimeout, callerTargetFactor and callerGapFactor determine after which gap callers give a stream
 	// up: the longest of the first, and of these multiples of the target latency and of the target gap.
 	minCallerIdleTimeout = 2 * time.Second
@@ -53,7 +53,7 @@
 			if reason := release.check(boottime.Now()); reason != "" {
 				return reason
 			}
-			release.askServer(ctx, boottime.Now())
+			release.checkLiveness(ctx, boottime.Now())
 		}
 	}
 }
@@ -110,28 +110,28 @@
 
 // observeResponses records whether the server has responded since the attempt was given up.
 func (r *release) observeResponses() {
-	at := r.placement.placer.proxy.set.LastSignOfLife(r.placement.chosen.Endpoint)
+	at := r.placement.placer.proxy.set.LastAliveAt(r.placement.chosen.Endpoint)
 	if r.responsiveSince.IsZero() && at.After(r.closedAt) {
 		r.responsiveSince = at
 	}
 }
 
-// askServer asks a server that takes longer than usual to end the attempt whether it responds at all.
-func (r *release) askServer(ctx context.Context, now time.Time) {
+// checkLiveness starts a liveness check of a server that takes longer than usual to end the attempt.
+func (r *release) checkLiveness(ctx context.Context, now time.Time) {
 	proxy, name := r.placement.placer.proxy, r.placement.chosen.Endpoint
 	early := now.Sub(r.closedAt) <= proxy.closeTimes.estimate(r.service())
 	if early || proxy.reportBorn == nil || r.placement.detour || !r.responsiveSince.IsZero() {
 		return
 	}
-	server, due := proxy.set.TakeQuestion(name, serverQuestionInterval, now)
+	server, due := proxy.set.BeginLivenessCheck(name, livenessCheckInterval, now)
 	if !due {
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, serverQuestionTimeout)
+		ctx, cancel := context.WithTimeout(ctx, livenessCheckTimeout)
 		defer cancel()
 		if _, err := proxy.reportBorn(ctx, server); err == nil {
-			proxy.set.ObserveSignOfLife(name, boottime.Now())
+			proxy.set.ObserveAlive(name, boottime.Now())
 		}
 	}()
 }
@@ -169,7 +169,7 @@
 // silent.
 func (r *release) observeEnd(now time.Time) {
 	proxy := r.placement.placer.proxy
-	proxy.set.ObserveSignOfLife(r.placement.chosen.Endpoint, now)
+	proxy.set.ObserveAlive(r.placement.chosen.Endpoint, now)
 	if !r.responsiveSince.IsZero() {
 		proxy.closeTimes.observe(r.service(), now.Sub(r.responsiveSince))
 	}
--- a/internal/proxy/release_test.go
+++ b/internal/proxy/release_test.go
@@ -96,7 +96,7 @@
 			r.placer.proxy.closeTimes.observe("s", 600*time.Millisecond)
 			r.respond(300 * time.Millisecond)
 		}, exchange.ReleaseResponsive, 900 * time.Millisecond, 900*time.Millisecond + 2*tick},
-		"the server answers a question": {catalog.Stream, long, func(r *releaseTest) {
+		"the server passes a liveness check": {catalog.Stream, long, func(r *releaseTest) {
 			r.placer.proxy.reportBorn = func(context.Context, backend.Server) (int64, error) { return 1, nil }
 		}, exchange.ReleaseResponsive, 2 * defaultCloseTime, 2*defaultCloseTime + 4*tick},
 		"the server is replaced": {catalog.Stream, long, func(r *releaseTest) {
