--- a/internal/exchange/driver_test.go
+++ b/internal/exchange/driver_test.go
@@ -299,6 +299,7 @@
 					SilenceTimeouts: SilenceTimeouts{FirstEvent: silence},
 				})
 				if leaves {
+					require.NotNil(t, outcome.Failure, "the caller has left")
 					require.Equal(t, failure.KindCallerLeft, outcome.Failure.Kind)
 					require.Zero(t, sentAt)
 					require.Equal(t, releaseTime/2, time.Since(startedAt))
