--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -235,10 +235,10 @@
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	released := make(chan ReleaseReason, 1)
-	go func() {
-		<-driver.attemptDone
-		released <- driver.ended.AwaitRelease(waitCtx)
-	}()
+	go func(attempt Placement, attemptDone <-chan struct{}) {
+		<-attemptDone
+		released <- attempt.AwaitRelease(waitCtx)
+	}(driver.ended, driver.attemptDone)
 	select {
 	case reason := <-released:
 		if ctx.Err() != nil {
--- a/internal/keepalive/linger.go
+++ b/internal/keepalive/linger.go
@@ -47,10 +47,9 @@
 // connection.
 func (c *conn) linger(half halfCloser) {
 	defer c.lingerers.remove()
-	result := outbound.CompletionUnknown
-	if half.CloseWrite() == nil {
-		result = c.awaitPeerClose()
-	}
+	// It fails if the server has reset the connection, which the next read shows.
+	_ = half.CloseWrite()
+	result := c.awaitPeerClose()
 	_ = c.Conn.Close()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
