Log why a request ended without a response

Callers saw: nothing; the log could not tell the hypotheses of the incident apart. A request that ends with its connection said caller_left without a reason, requests that are rejected while they are read left no line, and panics of handlers went to standard error as text.

Two lines and two counters are new. No decision changes: a client still counts as gone once net/http has ended the context.

--- a/cmd/cloverrail/connections.go
+++ b/cmd/cloverrail/connections.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"log"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/connlimit"
 	"github.com/cloverrail/cloverrail/internal/pause"
+	"github.com/cloverrail/cloverrail/internal/telemetry"
 )
 
 // delayInterval is the interval between two measurements of the scheduling delay.
@@ -20,9 +24,22 @@
 	process.metrics.Gauge("cloverrail_proxy_client_connections", "Open connections of clients.", func() float64 { return float64(gate.Open()) })
 	process.metrics.Gauge("cloverrail_proxy_client_connections_limit", "Connections of clients that this node can hold; 0 if there is no bound.", func() float64 { return float64(gate.Limit()) })
 	go process.observeDelay(ctx, gate)
-	return &connlimit.Listener{Listener: listener, Gate: gate, OnTurnedAway: func(reason connlimit.Reason) {
+	limited := &connlimit.Listener{Listener: listener, Gate: gate, OnTurnedAway: func(reason connlimit.Reason) {
 		process.recorder.ConnectionTurnedAway(string(reason), gate.Open(), gate.Limit())
 	}}
+	return &clientconn.Listener{Listener: limited}
+}
+
+// newClientServer returns the server of clients' connections, which clientconn.Listener must accept.
+func (process *process) newClientServer() *http.Server {
+	recorder := telemetry.NewClientRecorder(process.recorder)
+	return &http.Server{
+		Handler:           process.ingress(recorder),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		ConnContext:       clientconn.WithConn,
+		ErrorLog:          log.New(recorder, "", 0),
+	}
 }
 
 // observeDelay measures the scheduling delay until the context ends.
--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/lab/faultwire"
 	"github.com/cloverrail/cloverrail/internal/origin"
 	"github.com/cloverrail/cloverrail/internal/outbound"
@@ -174,7 +175,10 @@
 	peers.Start()
 	go fixture.process.reflector.Run(ctx)
 	fixture.process.runBackgroundTasks(ctx)
-	fixture.frontend = httptest.NewServer(fixture.process.ingress())
+	fixture.frontend = httptest.NewUnstartedServer(nil)
+	fixture.frontend.Config = fixture.process.newClientServer()
+	fixture.frontend.Listener = &clientconn.Listener{Listener: fixture.frontend.Listener}
+	fixture.frontend.Start()
 	t.Cleanup(fixture.frontend.Close)
 	return fixture
 }
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -233,12 +233,13 @@
 }
 
 // ingress returns the handler of clients' requests. It must be called at most once.
-func (process *process) ingress() *platform.Ingress {
+func (process *process) ingress(clients *telemetry.ClientRecorder) *platform.Ingress {
 	return &platform.Ingress{
 		Proxy:           process.proxy,
 		Stopping:        process.stopping.Load,
 		Memory:          process.memory,
 		OnMemoryRefused: telemetry.NewMemoryRecorder(process.recorder, process.memory).Refused,
+		OnUnread:        clients.RejectedUnread,
 	}
 }
 
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -55,7 +55,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return serveOn(listener, handler), nil
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
 }
 
 func listen(address string) (net.Listener, error) {
@@ -63,12 +65,6 @@
 	return listener, errors.Annotatef(err, "cannot listen on address %s; choose a free port", address)
 }
 
-func serveOn(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	go func() { _ = server.Serve(listener) }()
-	return server
-}
-
 // runProxy serves until a stop signal arrives, and then shuts down gracefully.
 func runProxy(ctx context.Context, config settings.Proxy, file string) error {
 	if os.Getenv("GOGC") == "" {
@@ -112,7 +108,8 @@
 	if err != nil {
 		return err
 	}
-	clientServer := serveOn(process.limitConnections(ctx, clients), process.ingress())
+	clientServer := process.newClientServer()
+	go func() { _ = clientServer.Serve(process.limitConnections(ctx, clients)) }()
 	process.log.Info().Str("zone", config.Zone).Msg("started")
 	for running := true; running; {
 		select {
--- /dev/null
+++ b/internal/clientconn/conn.go
@@ -0,0 +1,95 @@
+// Package clientconn observes the connections of clients: how a client's side of a connection has ended, and whether a
+// client that sends nothing more still waits for its response.
+package clientconn
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+)
+
+// End is how a client's side of a connection has ended. The values are labels of metrics.
+type End string
+
+const (
+	// EndNone means that it has not ended, as far as is known.
+	EndNone End = "none"
+	// EndOfData means that the client sends nothing more: it has closed the connection, or its direction of it.
+	EndOfData End = "end_of_data"
+	// EndReset means that the connection was reset.
+	EndReset End = "reset"
+	// EndUnwritable means that nothing more can be written to the client.
+	EndUnwritable End = "unwritable"
+)
+
+// Listener accepts connections as Conns.
+type Listener struct {
+	net.Listener
+}
+
+// Accept returns the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: accepted}, nil
+}
+
+// Conn is a connection of a client.
+type Conn struct {
+	net.Conn
+	end atomic.Value
+}
+
+// End returns how the client's side of the connection has ended.
+func (c *Conn) End() End {
+	end, ended := c.end.Load().(End)
+	if !ended {
+		return EndNone
+	}
+	return end
+}
+
+// Read reads from the connection.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	switch {
+	case err == nil, isTimeout(err), errors.Is(err, net.ErrClosed):
+	case errors.Is(err, io.EOF):
+		c.end.CompareAndSwap(nil, EndOfData)
+	default:
+		c.end.Store(EndReset)
+	}
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		c.end.Store(EndUnwritable)
+	}
+	return n, err
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+type connKey struct{}
+
+// WithConn returns a context that holds a connection. It is meant for http.Server.ConnContext.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// fromContext returns the connection that a context holds, or nil.
+func fromContext(ctx context.Context) *Conn {
+	conn, _ := ctx.Value(connKey{}).(*Conn)
+	return conn
+}
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -124,7 +124,7 @@
 		driver.result = ResultSilent
 		return Expired{}
 	}
-	return CallerLeft{}
+	return CallerLeft{Reason: context.Cause(ctx).Error()}
 }
 
 // recordActivity restarts the silence timer after an event of the response.
@@ -178,6 +178,7 @@
 		driver.checkWrite(driver.request.Caller.Open(driver.reply.Status, driver.reply.Header))
 	case Forward:
 		driver.placement.Forwarding()
+		driver.outcome.Events++
 		driver.checkWrite(driver.request.Caller.Forward(driver.rawEvent))
 	case Finish:
 		driver.endAttempt(ResultServed)
@@ -191,7 +192,7 @@
 // checkWrite handles the result of a write to the caller.
 func (driver *driver) checkWrite(err error) {
 	if err != nil {
-		driver.step(CallerLeft{})
+		driver.step(CallerLeft{Reason: err.Error()})
 	}
 }
 
@@ -203,8 +204,8 @@
 	}
 	driver.outcome.Status = answer.Status
 	driver.outcome.TimeToHead = boottime.Since(driver.started)
-	if driver.request.Caller.Answer(answer) != nil {
-		driver.outcome.Failure = failure.New(failure.KindCallerLeft, "the caller disconnected before the response was complete", "send the request again").WithOutcome(failure.Ran)
+	if err := driver.request.Caller.Answer(answer); err != nil {
+		driver.outcome.Failure = failure.New(failure.KindCallerLeft, callerLeft+": "+err.Error(), "send the request again").WithOutcome(failure.Ran)
 	}
 }
 
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -69,8 +69,8 @@
 // Stopping reports that this process is about to exit.
 type Stopping struct{}
 
-// CallerLeft reports that the caller has disconnected.
-type CallerLeft struct{}
+// CallerLeft reports that the caller has disconnected, and how that was noticed.
+type CallerLeft struct{ Reason string }
 
 func (Placed) event()     {}
 func (Unplaced) event()   {}
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -29,6 +29,8 @@
 // DefaultMaxSends is the default for Rules.MaxSends.
 const DefaultMaxSends = 6
 
+const callerLeft = "the caller disconnected before the response was complete"
+
 // placementRetryDelay is the delay between placements while no server has free capacity.
 const placementRetryDelay = 20 * time.Millisecond
 
@@ -138,7 +140,7 @@
 	case Stopping:
 		return machine.abandon(failure.KindStopping, "this node is shutting down", "send the request to another node")
 	case CallerLeft:
-		return machine.abandon(failure.KindCallerLeft, "the caller disconnected before the response was complete", "send the request again")
+		return machine.abandon(failure.KindCallerLeft, callerLeft+": "+event.Reason, "send the request again")
 	default:
 		return nil
 	}
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -193,6 +193,8 @@
 	// Cut is set if the caller's stream had begun and must be aborted.
 	Cut    bool
 	Status int
+	// Events is the number of events of a stream that were passed on to the caller.
+	Events int
 	Runs   int
 	Sends  int
 	// TimeToHead is the time from the start of Run until the head of the response was
--- /dev/null
+++ b/internal/telemetry/clients.go
@@ -0,0 +1,46 @@
+package telemetry
+
+import (
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/cloverrail/cloverrail/internal/failure"
+)
+
+// ClientRecorder logs and counts what ends before a request is admitted.
+type ClientRecorder struct {
+	recorder *Recorder
+	unread   *prometheus.CounterVec
+	errors   prometheus.Counter
+}
+
+// NewClientRecorder registers the metrics of clients' connections and returns a recorder of them.
+func NewClientRecorder(recorder *Recorder) *ClientRecorder {
+	c := &ClientRecorder{
+		recorder: recorder,
+		unread: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_unread_requests_total", Help: "Requests that were rejected before they were read whole, by result.",
+		}, []string{"result"}),
+		errors: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_connection_errors_total", Help: "Errors of the HTTP server that ended a client's connection.",
+		}),
+	}
+	recorder.metrics.Registry.MustRegister(c.unread, c.errors)
+	return c
+}
+
+// RejectedUnread records a request that was rejected before it was read whole.
+func (c *ClientRecorder) RejectedUnread(id string, refusal *failure.Failure) {
+	c.unread.WithLabelValues(string(refusal.Kind)).Inc()
+	c.recorder.limitedLine(zerolog.InfoLevel).Str("id", id).Str("result", string(refusal.Kind)).Str("problem", refusal.Problem).
+		Str("outcome", string(refusal.Outcome)).Msg("request rejected before it was read")
+}
+
+// Write logs an error of the HTTP server, such as a panic of a handler. It implements io.Writer for http.Server.ErrorLog.
+func (c *ClientRecorder) Write(message []byte) (int, error) {
+	c.errors.Inc()
+	c.recorder.limitedLine(zerolog.ErrorLevel).Str("problem", strings.TrimSpace(string(message))).Msg("client connection failed")
+	return len(message), nil
+}
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -16,6 +16,7 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/proxy"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/quota"
@@ -382,12 +383,15 @@
 	if outcome.Failure != nil {
 		result = string(outcome.Failure.Kind)
 		line.Str("problem", outcome.Failure.Problem).Str("outcome", string(outcome.Failure.Outcome))
+		if outcome.Cut || outcome.Failure.Kind == failure.KindCallerLeft {
+			line.Bool("aborted", true)
+		}
 	}
 	recorder.metrics.requests.WithLabelValues(name, result).Inc()
 	if outcome.TimeToHead > 0 {
 		recorder.metrics.firstResponse.WithLabelValues(name).Observe(outcome.TimeToHead.Seconds())
 	}
-	line.Str("result", result).Int("status", outcome.Status).Int("sends", outcome.Sends).Int("runs", outcome.Runs).
+	line.Str("result", result).Int("status", outcome.Status).Int("events", outcome.Events).Int("sends", outcome.Sends).Int("runs", outcome.Runs).
 		Dur("first", outcome.TimeToHead).Dur("took", boottime.Since(request.Arrived)).Msg("request")
 }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -16,6 +16,7 @@
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/proxy"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
 )
@@ -171,3 +172,33 @@
 	}
 	require.InDeltaMapValues(t, map[string]float64{"late": 0.06, "early": 0.01}, sums, 1e-9)
 }
+
+// A request that ended without a response says so in its line, and how many events its caller has.
+func TestRequestLineTellsAbortedResponses(t *testing.T) {
+	output := &logBuffer{}
+	recorder := NewRecorder(zerolog.New(output), NewMetrics(&catalog.AtomicReplica{}))
+	left := failure.New(failure.KindCallerLeft, "the caller disconnected: reset", "send the request again")
+	recorder.Request(&proxy.Request{ID: "r-1"}, nil, 7, exchange.Outcome{Failure: left, Status: 200, Events: 3})
+	recorder.Request(&proxy.Request{ID: "r-2"}, nil, 7, exchange.Outcome{Status: 200})
+	lines := output.lines()
+	require.Contains(t, lines[0], `"aborted":true`)
+	require.Contains(t, lines[0], `"events":3`)
+	require.Contains(t, lines[0], "reset")
+	require.NotContains(t, lines[1], "aborted")
+}
+
+// What ends before a request is admitted leaves a line and is counted.
+func TestUnreadRequestsAndConnectionErrorsAreLogged(t *testing.T) {
+	output := &logBuffer{}
+	recorder := NewRecorder(zerolog.New(output), NewMetrics(&catalog.AtomicReplica{}))
+	clients := NewClientRecorder(recorder)
+	clients.RejectedUnread("r-1", failure.New(failure.KindTooLarge, "request body exceeds the size limit", "send a shorter body"))
+	_, err := clients.Write([]byte("http: panic serving 10.0.0.1:9: index out of range\n"))
+	require.NoError(t, err)
+	lines := output.lines()
+	require.Contains(t, lines[0], `"id":"r-1"`)
+	require.Contains(t, lines[0], string(failure.KindTooLarge))
+	require.Contains(t, lines[1], "panic serving")
+	require.EqualValues(t, 1, testutil.ToFloat64(clients.errors))
+	require.EqualValues(t, 1, testutil.ToFloat64(clients.unread.WithLabelValues(string(failure.KindTooLarge))))
+}
