Answer clients that close their direction of the connection

Cause: net/http cancels a request's context at the end of the client's data, and the ingress aborts what its client has left. The end of sending was taken for the end of waiting; TCP alone does not tell them apart.

Change: until the response begins, a client whose data has ended is probed with interim responses (100).

--- /dev/null
+++ b/cmd/cloverrail/clientclose_test.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/platform/standin"
+)
+
+// These tests guard against requests that were read whole and end without a response.
+
+// closeTestRunTime is how long servers take for a request of these tests.
+const closeTestRunTime = 700 * time.Millisecond
+
+const (
+	// beforeClose is how long a client waits before it closes its connection, and maxWorkAfterClose bounds the work of
+	// servers after that.
+	beforeClose       = 100 * time.Millisecond
+	maxWorkAfterClose = 500 * time.Millisecond
+)
+
+// closePaths are the paths of one route of each kind.
+var closePaths = []string{"/once/", "/again/", "/stream/", "/fixed/"}
+
+// clientConnection is a connection whose ends a client closes one by one.
+type clientConnection struct {
+	t testing.TB
+	*net.TCPConn
+	reader *bufio.Reader
+}
+
+func (fixture *fixture) connect() *clientConnection {
+	connection, err := net.Dial("tcp", fixture.frontend.Listener.Addr().String())
+	require.NoError(fixture.t, err)
+	fixture.t.Cleanup(func() { _ = connection.Close() })
+	return &clientConnection{t: fixture.t, TCPConn: connection.(*net.TCPConn), reader: bufio.NewReader(connection)}
+}
+
+// writeRequest writes a whole request and returns its ID.
+func (c *clientConnection) writeRequest(fixture *fixture, path string) (id string) {
+	id = fmt.Sprint("request-", fixture.requests.Add(1))
+	request, err := http.NewRequest(http.MethodPost, "http://"+host+path, strings.NewReader("body"))
+	require.NoError(c.t, err)
+	request.Header.Set(standin.HeaderRequestID, id)
+	request.Header.Set(standin.HeaderDeadline, "15000")
+	request.Header.Set("Authorization", "Bearer "+key)
+	if strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/fixed/") {
+		setPromptHeaders(request)
+	}
+	require.NoError(c.t, request.Write(c))
+	return id
+}
+
+// readResponse reads the final response and its body.
+func (c *clientConnection) readResponse() clientResult {
+	for {
+		response, err := http.ReadResponse(c.reader, nil)
+		if err != nil {
+			return clientResult{err: err}
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		body, err := io.ReadAll(response.Body)
+		return clientResult{status: response.StatusCode, header: response.Header, closesConnection: response.Close, body: string(body), err: err}
+	}
+}
+
+// respondLate responds after closeTestRunTime, unless the request is cancelled.
+func respondLate(server *standin.Server, w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-time.After(closeTestRunTime):
+		standin.Respond(http.StatusOK, "done")(server, w, r)
+	case <-r.Context().Done():
+	}
+}
+
+// streamLate streams three events after closeTestRunTime, unless the request is cancelled.
+func streamLate(server *standin.Server, w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-time.After(closeTestRunTime):
+		standin.StreamEvents(3, 0)(server, w, r)
+	case <-r.Context().Done():
+	}
+}
+
+// A client that ends its direction of the connection after a whole request still gets the response.
+func TestHalfClosedConnectionGetsResponse(t *testing.T) {
+	fixture := newFixture(t).serve(plainServer("i-1", respondLate), engine("i-2", streamLate))
+	for _, path := range closePaths {
+		t.Run(path, func(t *testing.T) {
+			want := "done"
+			if path == "/stream/" || path == "/fixed/" {
+				want = eventText(3)
+			}
+			client := fixture.connect()
+			client.writeRequest(fixture, path)
+			require.NoError(t, client.CloseWrite())
+			got := client.readResponse()
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, want, got.body)
+		})
+	}
+}
+
+// A client that closes the connection, or resets it, wants no response: its request is cancelled at the server.
+func TestClosedConnectionCancelsRequest(t *testing.T) {
+	ended := make(chan time.Time, 1)
+	hang := func(_ *standin.Server, _ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		ended <- time.Now()
+	}
+	fixture := newFixture(t).serve(plainServer("i-1", hang), engine("i-2", hang))
+	for _, reset := range []bool{false, true} {
+		for _, path := range closePaths {
+			t.Run(fmt.Sprint(path, " reset ", reset), func(t *testing.T) {
+				client := fixture.connect()
+				client.writeRequest(fixture, path)
+				time.Sleep(beforeClose)
+				if reset {
+					require.NoError(t, client.SetLinger(0))
+				}
+				require.NoError(t, client.Close())
+				closedAt := time.Now()
+				require.Less(t, (<-ended).Sub(closedAt), maxWorkAfterClose)
+			})
+		}
+	}
+}
+
+// A client that goes on sending after its response has begun, and then closes the connection, ends its stream at once.
+func TestCloseDuringStreamCancelsIt(t *testing.T) {
+	ended := make(chan time.Time, 1)
+	fixture := newFixture(t).serve(engine("i-1", func(server *standin.Server, w http.ResponseWriter, r *http.Request) {
+		standin.StreamEvents(1, 0)(server, w, r)
+		<-r.Context().Done()
+		ended <- time.Now()
+	}))
+	for _, path := range []string{"/stream/", "/fixed/"} {
+		t.Run(path, func(t *testing.T) {
+			client := fixture.connect()
+			client.writeRequest(fixture, path)
+			response, err := http.ReadResponse(client.reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			require.NoError(t, client.Close())
+			closedAt := time.Now()
+			require.Less(t, (<-ended).Sub(closedAt), maxWorkAfterClose)
+		})
+	}
+}
+
+// A half-closed request that is rejected, fails or is on a kept connection gets its answer, too.
+func TestHalfClosedConnectionGetsFailure(t *testing.T) {
+	fixture := newFixture(t).serve(plainServer("i-1", func(server *standin.Server, w http.ResponseWriter, r *http.Request) {
+		time.Sleep(closeTestRunTime)
+		standin.AbortConnection(server, w, r)
+	}))
+	for path, status := range map[string]int{"/once/": http.StatusBadGateway, "/none/": http.StatusNotFound, "/stream/": http.StatusServiceUnavailable} {
+		t.Run(path, func(t *testing.T) {
+			client := fixture.connect()
+			client.writeRequest(fixture, "/none/")
+			require.Equal(t, http.StatusNotFound, client.readResponse().status)
+			client.writeRequest(fixture, path)
+			require.NoError(t, client.CloseWrite())
+			got := client.readResponse()
+			require.NoError(t, got.err)
+			require.Equal(t, status, got.status)
+		})
+	}
+}
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -240,6 +240,7 @@
 		Memory:          process.memory,
 		OnMemoryRefused: telemetry.NewMemoryRecorder(process.recorder, process.memory).Refused,
 		OnUnread:        clients.RejectedUnread,
+		OnClientEnd:     clients.Ended,
 	}
 }
 
--- a/internal/clientconn/watch.go
+++ b/internal/clientconn/watch.go
@@ -3,9 +3,23 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cloverrail/cloverrail/internal/pause"
 )
 
-// ErrLeft is the cause of the end of a context that a Watch returned: the client has left.
+// interimResponse may precede any final response of HTTP/1.1.
+const interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
+
+// probeDelays are the times after which a client whose data has ended is probed again, and after the last of them counts
+// as waiting. A connection that the client has closed is reset by the first probe, and fails the next one.
+var probeDelays = []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond}
+
+// probeTimeout bounds the write of a probe.
+const probeTimeout = 100 * time.Millisecond
+
+// ErrLeft is the cause of the end of a context that NewWatch returned: the client has left.
 type ErrLeft struct{ End End }
 
 // Error implements the error interface.
@@ -13,35 +27,112 @@
 	return "the client's side of the connection ended: " + string(l.End)
 }
 
-// Watch observes the client of one request.
+// Outcome is what became of a client whose side of the connection ended before its response. The values are labels of
+// metrics.
+type Outcome string
+
+const (
+	// OutcomeLeft means that the client takes no response.
+	OutcomeLeft Outcome = "left"
+	// OutcomeWaits means that the client has closed its direction only, and still waits for the response.
+	OutcomeWaits Outcome = "waits"
+	// OutcomeResponding means that the response began before it was known whether the client waits for it.
+	OutcomeResponding Outcome = "responding"
+)
+
+// Watch observes the client of one request. The end of a client's data does not tell whether it has closed the connection
+// or only its direction; only the former answers data with a reset. Until the response begins, a client whose data has
+// ended is therefore probed with interim responses.
 type Watch struct {
 	conn   *Conn
 	cancel context.CancelCauseFunc
+	// onEnd is called with what became of a client whose side of the connection ended.
+	onEnd func(end End, outcome Outcome)
 	// unregister stops the observation of the request's context.
 	unregister func() bool
+	// takesInterim is set if the client's version of HTTP has interim responses.
+	takesInterim bool
+
+	// mutex is held while anything is written that is not part of the response.
+	mutex sync.Mutex
+	// responding is set once the response has begun or the watch was stopped.
+	responding bool
 }
 
 // NewWatch begins to observe the client of a request. It returns a context for the processing of the request that ends
-// once the client has left. Stop must be called before the request's handler returns.
-func NewWatch(r *http.Request) (*Watch, context.Context) {
+// once the client has left. Stop must be called before the request's handler returns, and BeginResponse before it writes
+// anything.
+func NewWatch(r *http.Request, onEnd func(end End, outcome Outcome)) (*Watch, context.Context) {
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
-	w := &Watch{conn: fromContext(r.Context()), cancel: cancel}
-	w.unregister = context.AfterFunc(r.Context(), w.clientEnded)
+	w := &Watch{conn: fromContext(r.Context()), cancel: cancel, onEnd: onEnd, takesInterim: r.ProtoAtLeast(1, 1)}
+	w.unregister = context.AfterFunc(r.Context(), func() { w.clientEnded(ctx) })
 	return w, ctx
 }
 
 // Stop ends the observation.
 func (w *Watch) Stop() {
 	w.unregister()
+	w.BeginResponse()
 	w.cancel(nil)
 }
 
+// BeginResponse ends the probes. From then on the writes of the response show whether the client still reads, and the end
+// of its data counts as the end of its interest.
+func (w *Watch) BeginResponse() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.responding = true
+}
+
 // clientEnded is called once net/http has ended the request's context.
-func (w *Watch) clientEnded() { w.cancel(&ErrLeft{End: w.end()}) }
+func (w *Watch) clientEnded(ctx context.Context) {
+	end := EndNone
+	if w.conn != nil {
+		end = w.conn.End()
+	}
+	outcome := OutcomeLeft
+	if end == EndOfData && w.takesInterim {
+		outcome = w.probe(ctx)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	w.onEnd(end, outcome)
+	if outcome == OutcomeLeft {
+		w.cancel(&ErrLeft{End: end})
+	}
+}
 
-func (w *Watch) end() End {
-	if w.conn == nil {
-		return EndNone
+// probe finds out whether a client whose data has ended still waits for its response.
+func (w *Watch) probe(ctx context.Context) Outcome {
+	for i := 0; ; i++ {
+		sent, err := w.sendInterim()
+		switch {
+		case !sent && i == 0:
+			return OutcomeLeft
+		case !sent:
+			return OutcomeResponding
+		case err != nil:
+			return OutcomeLeft
+		case i == len(probeDelays):
+			return OutcomeWaits
+		}
+		pause.For(ctx, probeDelays[i])
+	}
+}
+
+// sendInterim writes an interim response, unless the response has begun.
+func (w *Watch) sendInterim() (sent bool, err error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.responding {
+		return false, nil
+	}
+	if err := w.conn.SetWriteDeadline(time.Now().Add(probeTimeout)); err != nil {
+		return true, err
+	}
+	if _, err := w.conn.Write([]byte(interimResponse)); err != nil {
+		return true, err
 	}
-	return w.conn.End()
+	return true, w.conn.SetWriteDeadline(time.Time{})
 }
--- /dev/null
+++ b/internal/clientconn/watch_test.go
@@ -0,0 +1,98 @@
+package clientconn
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const waitTimeout = 20 * time.Second
+
+// watched is what a Watch reported of one request.
+type watched struct {
+	end     End
+	outcome Outcome
+}
+
+// newServer starts a server that watches its clients. Each request takes run, unless its client leaves.
+func newServer(t *testing.T, run time.Duration) (address string, reports <-chan watched) {
+	all := make(chan watched, 1)
+	server := &http.Server{ConnContext: WithConn, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		watch, ctx := NewWatch(r, func(end End, outcome Outcome) { all <- watched{end, outcome} })
+		defer watch.Stop()
+		select {
+		case <-time.After(run):
+		case <-ctx.Done():
+			panic(http.ErrAbortHandler)
+		}
+		watch.BeginResponse()
+		_, _ = io.WriteString(w, "done")
+	})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(&Listener{Listener: listener}) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String(), all
+}
+
+// sendAndClose sends a request of a version of HTTP, and closes the client's direction of the connection.
+func sendAndClose(t *testing.T, address, version string) *net.TCPConn {
+	connection, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	_, err = fmt.Fprintf(connection, "GET / %s\r\nHost: h\r\n\r\n", version)
+	require.NoError(t, err)
+	client := connection.(*net.TCPConn)
+	require.NoError(t, client.CloseWrite())
+	return client
+}
+
+// awaitReport returns the next report of a watch.
+func awaitReport(t *testing.T, reports <-chan watched) watched {
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	select {
+	case report := <-reports:
+		return report
+	case <-ctx.Done():
+		require.Fail(t, "the end of the client's data was not reported")
+		return watched{}
+	}
+}
+
+// A client that closes its direction gets interim responses, which it must pass over, and then its response.
+func TestHalfClosedClientWaits(t *testing.T) {
+	address, reports := newServer(t, time.Second)
+	client := sendAndClose(t, address, "HTTP/1.1")
+	require.Equal(t, watched{EndOfData, OutcomeWaits}, awaitReport(t, reports))
+	reader := bufio.NewReader(client)
+	interim := 0
+	for {
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		if response.StatusCode == http.StatusContinue {
+			interim++
+			continue
+		}
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		break
+	}
+	require.Equal(t, len(probeDelays)+1, interim)
+}
+
+// HTTP/1.0 has no interim responses, so that the end of a client's data is all that is known of it.
+func TestHalfClosedClientOfFormerVersionCountsAsLeft(t *testing.T) {
+	address, reports := newServer(t, waitTimeout)
+	client := sendAndClose(t, address, "HTTP/1.0")
+	require.Equal(t, watched{EndOfData, OutcomeLeft}, awaitReport(t, reports))
+	data, err := io.ReadAll(client)
+	require.NoError(t, err)
+	require.Empty(t, data)
+}
--- a/internal/telemetry/clients.go
+++ b/internal/telemetry/clients.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/failure"
 )
 
@@ -13,6 +14,7 @@
 type ClientRecorder struct {
 	recorder *Recorder
 	unread   *prometheus.CounterVec
+	ends     *prometheus.CounterVec
 	errors   prometheus.Counter
 }
 
@@ -23,11 +25,14 @@
 		unread: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_unread_requests_total", Help: "Requests that were rejected before they were read whole, by result.",
 		}, []string{"result"}),
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_client_ends_total", Help: "Requests whose client's side of the connection ended before the response, by how it ended and whether the client still took the response.",
+		}, []string{"end", "outcome"}),
 		errors: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_connection_errors_total", Help: "Errors of the HTTP server that ended a client's connection.",
 		}),
 	}
-	recorder.metrics.Registry.MustRegister(c.unread, c.errors)
+	recorder.metrics.Registry.MustRegister(c.unread, c.ends, c.errors)
 	return c
 }
 
@@ -38,6 +43,12 @@
 		Str("outcome", string(refusal.Outcome)).Msg("request rejected before it was read")
 }
 
+// Ended records a request whose client's side of the connection ended before its response.
+func (c *ClientRecorder) Ended(id string, end clientconn.End, outcome clientconn.Outcome) {
+	c.ends.WithLabelValues(string(end), string(outcome)).Inc()
+	c.recorder.limitedLine(zerolog.InfoLevel).Str("id", id).Str("end", string(end)).Str("client", string(outcome)).Msg("client's side of the connection ended")
+}
+
 // Write logs an error of the HTTP server, such as a panic of a handler. It implements io.Writer for http.Server.ErrorLog.
 func (c *ClientRecorder) Write(message []byte) (int, error) {
 	c.errors.Inc()
