Pass the head of a stream on with its first event

Cause: the machine passed the head on as soon as a server had sent one. From then on whatever ended the request could be told by aborting the connection only: a timeout, no server that goes on, a stop of the node. What cannot be taken back was committed to before it was needed.

Change: the head goes out with the first event, or with the end of a stream without events. Until then a failure is answered as such (504, 502, 503), and a server's error response that was kept back can still be delivered.

Evidence: TestStreamWithoutEventsGetsFailure fails in 2 of 2 cases before (unexpected end of the connection) and gets 504 with the reason now. The model check of the machine requires an event before an abort; with the former machine it fails ("a response with a head and nothing else was aborted").

--- a/cmd/cloverrail/clientclose_test.go
+++ b/cmd/cloverrail/clientclose_test.go
@@ -178,3 +178,31 @@
 		})
 	}
 }
+
+// streamHeadOnly begins a stream and sends no event of it.
+func streamHeadOnly(server *standin.Server, w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(standin.HeaderStamp, server.Instance+standin.StampSuffix)
+	w.Header().Set("Content-Type", "text/event-stream")
+	_ = http.NewResponseController(w).Flush()
+	<-r.Context().Done()
+}
+
+// A stream whose server has sent a head and no event until the route's timeout gets a failure that says so.
+func TestStreamWithoutEventsGetsFailure(t *testing.T) {
+	fixture := newFixture(t).serve(engine("i-1", streamHeadOnly))
+	document := newDocument(fixture.version+1, key)
+	for i := range document.Routes {
+		document.Routes[i].Timeout = 400
+	}
+	fixture.version++
+	fixture.store.Put(standin.KeyConfiguration, document)
+	fixture.waitUntil(func() bool { return fixture.process.replica.Load().Snapshot.Version == fixture.version })
+	for _, path := range []string{"/stream/", "/fixed/"} {
+		t.Run(path, func(t *testing.T) {
+			got := fixture.send(http.MethodPost, path, "prompt", setPromptHeaders)
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusGatewayTimeout, got.status)
+			require.Contains(t, got.body, "deadline")
+		})
+	}
+}
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -121,12 +121,13 @@
 	case Answered:
 		return machine.answered(now, event)
 	case Opened:
-		return machine.open()
+		machine.phase = streaming
+		return nil
 	case Arrived:
 		return machine.arrived(event)
 	case Ended:
 		machine.phase = finished
-		return []Action{Finish{}}
+		return append(machine.sendHead(), Finish{})
 	case Broken:
 		return machine.retryOrFail(now, "the attempt failed after it was sent: "+event.Reason)
 	case Silent:
@@ -180,8 +181,9 @@
 	return []Action{Deliver{}}
 }
 
-func (machine *Machine) open() []Action {
-	machine.phase = streaming
+// sendHead commits the response to the current attempt's head, unless the caller has one already. A stream that fails
+// before its first event can still be answered with a failure, or with the response of another server.
+func (machine *Machine) sendHead() []Action {
 	if machine.headSent {
 		return nil
 	}
@@ -198,7 +200,7 @@
 		}
 		machine.resumes, machine.lastEventID = true, event.ID
 	}
-	return []Action{Forward{}}
+	return append(machine.sendHead(), Forward{})
 }
 
 // silent cancels a silent attempt only if it may be retried.
--- a/internal/exchange/machine_test.go
+++ b/internal/exchange/machine_test.go
@@ -38,6 +38,7 @@
 	possibleRuns int
 	sends        int
 	heads        int
+	forwards     int
 	lastID       int64
 	ended        bool
 	streaming    bool
@@ -66,6 +67,9 @@
 			}
 		case Open:
 			checker.heads++
+		case Forward:
+			require.Equal(checker.t, 1, checker.heads, "an event without a head")
+			checker.forwards++
 		case Deliver:
 			require.Zero(checker.t, checker.heads, "a second head")
 			checker.heads++
@@ -74,6 +78,7 @@
 			checker.ended = true
 		case Cut:
 			require.Equal(checker.t, 1, checker.heads)
+			require.Positive(checker.t, checker.forwards, "a response with a head and nothing else was aborted")
 			checker.ended = true
 		case Fail:
 			require.Zero(checker.t, checker.heads)
