Follow the declared timeouts of heads and idle connections

Callers saw: a connection that rested for less than the declared idle_timeout_ms was closed, or a head was cut off, wherever the declaration allows more than two minutes or 5 s; connections were kept for two minutes, and slow heads for 5 s, wherever it allows less. A request that is sent just then ends without an answer.

Cause: header_timeout_ms and idle_timeout_ms were parsed and used nowhere. The HTTP server's timeouts are fixed at the start, before there is a declaration.

Change: the connection replaces the deadlines that the server sets for heads and idle connections by the declared ones. A connection that rests while a newer declaration allows more is extended when its deadline passes, since clients go by the newer one.

--- a/cmd/cloverrail/connections.go
+++ b/cmd/cloverrail/connections.go
@@ -11,7 +11,6 @@
 	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/connlimit"
 	"github.com/cloverrail/cloverrail/internal/pause"
-	"github.com/cloverrail/cloverrail/internal/telemetry"
 )
 
 // delayInterval is the interval between two measurements of the scheduling delay.
@@ -27,18 +26,34 @@
 	limited := &connlimit.Listener{Listener: listener, Gate: gate, OnTurnedAway: func(reason connlimit.Reason) {
 		process.recorder.ConnectionTurnedAway(string(reason), gate.Open(), gate.Limit())
 	}}
-	return &clientconn.Listener{Listener: limited}
+	return process.observeClients(limited)
 }
 
-// newClientServer returns the server of clients' connections, which clientconn.Listener must accept.
+// observeClients returns a listener whose connections follow the declared timeouts.
+func (process *process) observeClients(listener net.Listener) net.Listener {
+	return &clientconn.Listener{
+		Listener: listener,
+		Timeouts: func() clientconn.Timeouts {
+			limits, unconfigured := process.proxy.Limits()
+			if unconfigured != nil {
+				return clientconn.Timeouts{}
+			}
+			return clientconn.Timeouts{Head: limits.HeaderTimeout, Idle: limits.IdleTimeout}
+		},
+		OnTimeout: process.clients.TimedOut,
+	}
+}
+
+// newClientServer returns the server of clients' connections, which observeClients must accept. Its timeouts hold where
+// none are declared.
 func (process *process) newClientServer() *http.Server {
-	recorder := telemetry.NewClientRecorder(process.recorder)
 	return &http.Server{
-		Handler:           process.ingress(recorder),
+		Handler:           process.ingress(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		ConnContext:       clientconn.WithConn,
-		ErrorLog:          log.New(recorder, "", 0),
+		ConnState:         clientconn.TrackState,
+		ErrorLog:          log.New(process.clients, "", 0),
 	}
 }
 
--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -17,7 +17,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
-	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/lab/faultwire"
 	"github.com/cloverrail/cloverrail/internal/origin"
 	"github.com/cloverrail/cloverrail/internal/outbound"
@@ -177,7 +176,7 @@
 	fixture.process.runBackgroundTasks(ctx)
 	fixture.frontend = httptest.NewUnstartedServer(nil)
 	fixture.frontend.Config = fixture.process.newClientServer()
-	fixture.frontend.Listener = &clientconn.Listener{Listener: fixture.frontend.Listener}
+	fixture.frontend.Listener = fixture.process.observeClients(fixture.frontend.Listener)
 	fixture.frontend.Start()
 	t.Cleanup(fixture.frontend.Close)
 	return fixture
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -85,6 +85,7 @@
 	serverClient     *platform.ServerClient
 	metrics          *telemetry.Metrics
 	recorder         *telemetry.Recorder
+	clients          *telemetry.ClientRecorder
 	retryBudgets     *proxy.RetryBudgets
 	cacheLedger      *residency.Ledger
 	tenantLimiter    *quota.Limiter
@@ -130,6 +131,7 @@
 	process.log = zerolog.New(telemetry.NewWriter(os.Stdout)).With().Timestamp().Str("node", config.Name).Logger()
 	process.metrics = telemetry.NewMetrics(process.replica)
 	process.recorder = telemetry.NewRecorder(process.log, process.metrics)
+	process.clients = telemetry.NewClientRecorder(process.recorder)
 	process.memory = admission.NewMemoryBudget(config.MemoryBytes())
 	process.responseMemory = admission.NewResponseBudget(config.MemoryBytes())
 	process.eras = &coordination.EraTracker{OnChange: process.handleRestore, OnIgnored: process.recorder.EraIgnored}
@@ -233,14 +235,14 @@
 }
 
 // ingress returns the handler of clients' requests. It must be called at most once.
-func (process *process) ingress(clients *telemetry.ClientRecorder) *platform.Ingress {
+func (process *process) ingress() *platform.Ingress {
 	return &platform.Ingress{
 		Proxy:           process.proxy,
 		Stopping:        process.stopping.Load,
 		Memory:          process.memory,
 		OnMemoryRefused: telemetry.NewMemoryRecorder(process.recorder, process.memory).Refused,
-		OnUnread:        clients.RejectedUnread,
-		OnClientEnd:     clients.Ended,
+		OnUnread:        process.clients.RejectedUnread,
+		OnClientEnd:     process.clients.Ended,
 	}
 }
 
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -1,5 +1,5 @@
-// Package clientconn observes the connections of clients: how a client's side of a connection has ended, and whether a
-// client that sends nothing more still waits for its response.
+// Package clientconn observes the connections of clients: how long they wait for their clients, how a client's side has
+// ended, and whether a client that sends nothing more still waits for its response.
 package clientconn
 
 import (
@@ -28,6 +28,10 @@
 // Listener accepts connections as Conns.
 type Listener struct {
 	net.Listener
+	// Timeouts returns the timeouts in force; nil means that there are none.
+	Timeouts func() Timeouts
+	// OnTimeout, if set, is called for each connection that is closed because its client took too long.
+	OnTimeout func(waiting Waiting)
 }
 
 // Accept returns the next connection.
@@ -36,13 +40,23 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: accepted}, nil
+	c := &Conn{Conn: accepted, timeouts: l.Timeouts, onTimeout: l.OnTimeout}
+	if c.timeouts == nil {
+		c.timeouts = func() Timeouts { return Timeouts{} }
+	}
+	if c.onTimeout == nil {
+		c.onTimeout = func(Waiting) {}
+	}
+	return c, nil
 }
 
 // Conn is a connection of a client.
 type Conn struct {
 	net.Conn
-	end atomic.Value
+	timeouts  func() Timeouts
+	onTimeout func(waiting Waiting)
+	end       atomic.Value
+	wait      wait
 }
 
 // End returns how the client's side of the connection has ended.
@@ -57,6 +71,9 @@
 // Read reads from the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	for isTimeout(err) && c.extendWait() {
+		n, err = c.Conn.Read(p)
+	}
 	switch {
 	case err == nil, isTimeout(err), errors.Is(err, net.ErrClosed):
 	case errors.Is(err, io.EOF):
--- /dev/null
+++ b/internal/clientconn/timeouts.go
@@ -0,0 +1,94 @@
+package clientconn
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Timeouts bound how long a connection waits for its client. Zero means that the timeouts of the http.Server hold.
+type Timeouts struct {
+	// Head bounds the time from the first byte of a request, or from the start of a connection, to the end of its head.
+	Head time.Duration
+	// Idle bounds the time between two requests.
+	Idle time.Duration
+}
+
+// Waiting is what a connection waits for. The values are labels of metrics.
+type Waiting string
+
+const (
+	// WaitingForHead is the wait for the head of a request.
+	WaitingForHead Waiting = "head"
+	// WaitingIdle is the wait for the next request.
+	WaitingIdle Waiting = "idle"
+)
+
+// wait is a connection's current wait for its client.
+type wait struct {
+	mutex sync.Mutex
+	// idle is set between the end of a request and the deadline that http.Server sets for the next one.
+	idle bool
+	// waiting is what the connection waits for, since a time; zero if it waits for neither.
+	waiting Waiting
+	since   time.Time
+}
+
+// TrackState records that a request has ended. It is meant for http.Server.ConnState.
+func TrackState(conn net.Conn, state http.ConnState) {
+	c, isConn := conn.(*Conn)
+	if !isConn {
+		return
+	}
+	c.wait.mutex.Lock()
+	defer c.wait.mutex.Unlock()
+	c.wait.idle = state == http.StateIdle
+}
+
+// SetReadDeadline sets the read deadline. http.Server sets deadlines in the future for heads and idle connections only;
+// they are replaced by the declared ones.
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
+	c.wait.mutex.Lock()
+	defer c.wait.mutex.Unlock()
+	now := time.Now()
+	c.wait.since = time.Time{}
+	if deadline.After(now) {
+		c.wait.waiting, c.wait.since = WaitingForHead, now
+		if c.wait.idle {
+			c.wait.waiting, c.wait.idle = WaitingIdle, false
+		}
+		if timeout := c.declaredTimeout(); timeout > 0 {
+			deadline = now.Add(timeout)
+		}
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// declaredTimeout returns the timeout of the current wait, or zero. The caller holds wait.mutex.
+func (c *Conn) declaredTimeout() time.Duration {
+	switch timeouts := c.timeouts(); c.wait.waiting {
+	case WaitingForHead:
+		return timeouts.Head
+	case WaitingIdle:
+		return timeouts.Idle
+	default:
+		return 0
+	}
+}
+
+// extendWait reports whether the connection may wait on although its deadline has passed, since a longer timeout has
+// been declared meanwhile.
+func (c *Conn) extendWait() bool {
+	c.wait.mutex.Lock()
+	defer c.wait.mutex.Unlock()
+	if c.wait.since.IsZero() {
+		return false
+	}
+	deadline := c.wait.since.Add(c.declaredTimeout())
+	if !deadline.After(time.Now()) {
+		c.onTimeout(c.wait.waiting)
+		return false
+	}
+	return c.Conn.SetReadDeadline(deadline) == nil
+}
--- a/internal/telemetry/clients.go
+++ b/internal/telemetry/clients.go
@@ -15,6 +15,7 @@
 	recorder *Recorder
 	unread   *prometheus.CounterVec
 	ends     *prometheus.CounterVec
+	timeouts *prometheus.CounterVec
 	errors   prometheus.Counter
 }
 
@@ -28,11 +29,14 @@
 		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_client_ends_total", Help: "Requests whose client's side of the connection ended before the response, by how it ended and whether the client still took the response.",
 		}, []string{"end", "outcome"}),
+		timeouts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_client_timeouts_total", Help: "Connections of clients that were closed because no head of a request came in time, or no further request.",
+		}, []string{"waiting"}),
 		errors: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_connection_errors_total", Help: "Errors of the HTTP server that ended a client's connection.",
 		}),
 	}
-	recorder.metrics.Registry.MustRegister(c.unread, c.ends, c.errors)
+	recorder.metrics.Registry.MustRegister(c.unread, c.ends, c.timeouts, c.errors)
 	return c
 }
 
@@ -49,6 +53,14 @@
 	c.recorder.limitedLine(zerolog.InfoLevel).Str("id", id).Str("end", string(end)).Str("client", string(outcome)).Msg("client's side of the connection ended")
 }
 
+// TimedOut records a connection that was closed because its client took too long. Those that rested are only counted.
+func (c *ClientRecorder) TimedOut(waiting clientconn.Waiting) {
+	c.timeouts.WithLabelValues(string(waiting)).Inc()
+	if waiting == clientconn.WaitingForHead {
+		c.recorder.limitedLine(zerolog.InfoLevel).Msg("client sent no whole head in time")
+	}
+}
+
 // Write logs an error of the HTTP server, such as a panic of a handler. It implements io.Writer for http.Server.ErrorLog.
 func (c *ClientRecorder) Write(message []byte) (int, error) {
 	c.errors.Inc()
