Answer requests that are read while a node closes its connections

Callers saw: a request that reached a stopping node on an accepted connection was read whole, and its connection was closed without an answer.

Cause: http.Server drops what it has read once Shutdown was called.

Change: the node closes its listener, ends keep-alive, which closes idle connections, and waits for the open ones. Requests are rejected as not run, as during the drain.

Evidence: TestRequestDuringShutdownIsAnswered fails with Shutdown (unexpected end of the connection) and gets 503 now.

--- a/cmd/cloverrail/clientclose_test.go
+++ b/cmd/cloverrail/clientclose_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -94,6 +95,7 @@
 
 // A client that ends its direction of the connection after a whole request still gets the response.
 func TestHalfClosedConnectionGetsResponse(t *testing.T) {
+	t.Parallel()
 	fixture := newFixture(t).serve(plainServer("i-1", respondLate), engine("i-2", streamLate))
 	for _, path := range closePaths {
 		t.Run(path, func(t *testing.T) {
@@ -114,6 +116,7 @@
 
 // A client that closes the connection, or resets it, wants no response: its request is cancelled at the server.
 func TestClosedConnectionCancelsRequest(t *testing.T) {
+	t.Parallel()
 	ended := make(chan time.Time, 1)
 	hang := func(_ *standin.Server, _ http.ResponseWriter, r *http.Request) {
 		<-r.Context().Done()
@@ -179,6 +182,31 @@
 	}
 }
 
+// A request that arrives on an accepted connection while the node closes its connections is answered.
+func TestRequestDuringShutdownIsAnswered(t *testing.T) {
+	t.Parallel()
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, "done")))
+	client := fixture.connect()
+	idle := fixture.connect()
+	idle.writeRequest(fixture, "/once/")
+	require.Equal(t, http.StatusOK, idle.readResponse().status)
+	fixture.process.proxy.Drain(t.Context(), 4*time.Second)
+	closed := make(chan struct{})
+	go func() {
+		ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+		defer cancel()
+		fixture.clientServer.close(ctx, fixture.frontend.Listener)
+		close(closed)
+	}()
+	idle.awaitClose()
+	client.writeRequest(fixture, "/once/")
+	got := client.readResponse()
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.True(t, got.closesConnection)
+	<-closed
+}
+
 // streamHeadOnly begins a stream and sends no event of it.
 func streamHeadOnly(server *standin.Server, w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(standin.HeaderStamp, server.Instance+standin.StampSuffix)
--- a/cmd/cloverrail/connections.go
+++ b/cmd/cloverrail/connections.go
@@ -5,6 +5,7 @@
 	"log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -13,6 +14,9 @@
 	"github.com/cloverrail/cloverrail/internal/pause"
 )
 
+// closePollInterval is the interval between checks for open connections while they are closed.
+const closePollInterval = 5 * time.Millisecond
+
 // delayInterval is the interval between two measurements of the scheduling delay.
 const delayInterval = 100 * time.Millisecond
 
@@ -44,16 +48,42 @@
 	}
 }
 
+// clientServer serves clients' connections.
+type clientServer struct {
+	http.Server
+	// open is the number of open connections.
+	open atomic.Int64
+}
+
 // newClientServer returns the server of clients' connections, which observeClients must accept. Its timeouts hold where
 // none are declared.
-func (process *process) newClientServer() *http.Server {
-	return &http.Server{
-		Handler:           process.ingress(),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		ConnContext:       clientconn.WithConn,
-		ConnState:         clientconn.TrackState,
-		ErrorLog:          log.New(process.clients, "", 0),
+func (process *process) newClientServer() *clientServer {
+	c := &clientServer{}
+	c.Handler = process.ingress()
+	c.ReadHeaderTimeout, c.IdleTimeout = readHeaderTimeout, idleTimeout
+	c.ConnContext, c.ConnState = clientconn.WithConn, c.trackState
+	c.ErrorLog = log.New(process.clients, "", 0)
+	return c
+}
+
+// trackState records changes of the state of connections.
+func (c *clientServer) trackState(conn net.Conn, state http.ConnState) {
+	clientconn.TrackState(conn, state)
+	switch state {
+	case http.StateNew:
+		c.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.open.Add(-1)
+	}
+}
+
+// close stops accepting connections and closes idle ones, the others after their next response. It returns once all are
+// closed, or when the context ends. Unlike http.Server.Shutdown, it drops no request that has been read.
+func (c *clientServer) close(ctx context.Context, listener net.Listener) {
+	_ = listener.Close()
+	c.SetKeepAlivesEnabled(false)
+	for ctx.Err() == nil && c.open.Load() > 0 {
+		pause.For(ctx, closePollInterval)
 	}
 }
 
--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -41,8 +41,10 @@
 	store    *standin.Store
 	process  *process
 	frontend *httptest.Server
-	requests atomic.Int64
-	version  int64
+	// clientServer is the server that frontend runs.
+	clientServer *clientServer
+	requests     atomic.Int64
+	version      int64
 	// kill stops the node as seen from other nodes.
 	kill func()
 	// links are the connections from the node to the store and from other nodes to it. isolated
@@ -175,7 +177,8 @@
 	go fixture.process.reflector.Run(ctx)
 	fixture.process.runBackgroundTasks(ctx)
 	fixture.frontend = httptest.NewUnstartedServer(nil)
-	fixture.frontend.Config = fixture.process.newClientServer()
+	fixture.clientServer = fixture.process.newClientServer()
+	fixture.frontend.Config = &fixture.clientServer.Server
 	fixture.frontend.Listener = fixture.process.observeClients(fixture.frontend.Listener)
 	fixture.frontend.Start()
 	t.Cleanup(fixture.frontend.Close)
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -108,8 +108,9 @@
 	if err != nil {
 		return err
 	}
+	clients = process.limitConnections(ctx, clients)
 	clientServer := process.newClientServer()
-	go func() { _ = clientServer.Serve(process.limitConnections(ctx, clients)) }()
+	go func() { _ = clientServer.Serve(clients) }()
 	process.log.Info().Str("zone", config.Zone).Msg("started")
 	for running := true; running; {
 		select {
@@ -128,7 +129,7 @@
 	stopTasks()
 	shutdownContext, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
-	_ = clientServer.Shutdown(shutdownContext)
+	clientServer.close(shutdownContext, clients)
 	select {
 	case <-tasksDone:
 	case <-shutdownContext.Done():
