--- a/cmd/cloverrail/clientclose_test.go
+++ b/cmd/cloverrail/clientclose_test.go
@@ -7,12 +7,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverrail/cloverrail/internal/proxy"
+	"github.com/cloverrail/cloverrail/platform"
 	"github.com/cloverrail/cloverrail/platform/standin"
 )
 
@@ -207,6 +210,18 @@
 	<-closed
 }
 
+// A request whose handler panics gets a failure that promises nothing.
+func TestPanicOfHandlerIsAnswered(t *testing.T) {
+	fixture := newFixture(t)
+	fixture.frontend = httptest.NewServer(&platform.Ingress{Proxy: &proxy.Proxy{}, Stopping: fixture.process.stopping.Load})
+	t.Cleanup(fixture.frontend.Close)
+	got := fixture.send(http.MethodPost, "/once/", "turn", nil)
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.Empty(t, got.header.Get("Retry-After"))
+	require.Contains(t, got.body, "unknown")
+}
+
 // streamHeadOnly begins a stream and sends no event of it.
 func streamHeadOnly(server *standin.Server, w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(standin.HeaderStamp, server.Instance+standin.StampSuffix)
