Bound the write of a response by its client's progress

Callers saw: a client that reads 2.5 MB/s, but reads, lost a response of 14 MB: its connection was aborted after 2 s.

Cause: the deadline of a write was set once for the whole response, so that it bounded how fast a client must read, by the size of the response.

Change: a write fails once the client has taken nothing for 2 s. One that takes less than 32 KiB/s of a large response fails too, since the node holds the response meanwhile. The deadline is set where the bytes are written, in clientconn.Conn.

Evidence: TestSlowReaderGetsLargeResponse fails before (both kinds of route, after 9.2 MB) and passes now; TestClientThatDoesNotReadIsGivenUp passes before and after. Not measured: memory with hundreds of slow readers.

--- a/cmd/cloverrail/clientclose_test.go
+++ b/cmd/cloverrail/clientclose_test.go
@@ -222,6 +222,47 @@
 	require.Contains(t, got.body, "unknown")
 }
 
+// A client that reads slowly, but does read, gets the whole of a large response.
+func TestSlowReaderGetsLargeResponse(t *testing.T) {
+	t.Parallel()
+	const (
+		// bodyBytes exceeds what the kernel buffers, and readBytes are read in each readInterval.
+		bodyBytes    = 14 << 20
+		readBytes    = 256 << 10
+		readInterval = 100 * time.Millisecond
+	)
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, strings.Repeat("x", bodyBytes))))
+	for _, path := range []string{"/once/", "/again/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			client := fixture.connect()
+			require.NoError(t, client.SetReadBuffer(readBytes))
+			client.writeRequest(fixture, path)
+			response, err := http.ReadResponse(client.reader, nil)
+			require.NoError(t, err)
+			received := int64(0)
+			for received < bodyBytes {
+				n, err := io.CopyN(io.Discard, response.Body, readBytes)
+				require.NoError(t, err, "after %d bytes", received+n)
+				received += n
+				time.Sleep(readInterval)
+			}
+		})
+	}
+}
+
+// A client that does not read at all is given up.
+func TestClientThatDoesNotReadIsGivenUp(t *testing.T) {
+	t.Parallel()
+	const bodyBytes = 14 << 20
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, strings.Repeat("x", bodyBytes))))
+	client := fixture.connect()
+	require.NoError(t, client.SetReadBuffer(4096))
+	client.writeRequest(fixture, "/once/")
+	fixture.waitUntil(func() bool { return fixture.clientServer.open.Load() == 1 })
+	fixture.waitUntil(func() bool { return fixture.clientServer.open.Load() == 0 })
+}
+
 // streamHeadOnly begins a stream and sends no event of it.
 func streamHeadOnly(server *standin.Server, w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(standin.HeaderStamp, server.Instance+standin.StampSuffix)
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -7,10 +7,19 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 )
 
+const (
+	// stallTimeout is how long a client may take nothing of what is written to it.
+	stallTimeout = 2 * time.Second
+	// minReadRate is the rate, in bytes per second, below which a client may not take a large response: the node holds
+	// it in memory meanwhile.
+	minReadRate = 32 << 10
+)
+
 // End is how a client's side of a connection has ended. The values are labels of metrics.
 type End string
 
@@ -84,13 +93,24 @@
 	return n, err
 }
 
-// Write writes to the connection.
+// Write writes to the connection. It fails once the client has taken nothing for stallTimeout, or takes it too slowly.
 func (c *Conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if err != nil && !errors.Is(err, net.ErrClosed) {
-		c.end.Store(EndUnwritable)
+	written := 0
+	latest := time.Now().Add(stallTimeout + time.Duration(len(p))*time.Second/minReadRate)
+	for {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if n > 0 && isTimeout(err) && time.Now().Before(latest) {
+			continue
+		}
+		if err != nil && !errors.Is(err, net.ErrClosed) {
+			c.end.Store(EndUnwritable)
+		}
+		return written, err
 	}
-	return n, err
 }
 
 func isTimeout(err error) bool {
--- a/internal/clientconn/watch.go
+++ b/internal/clientconn/watch.go
@@ -16,9 +16,6 @@
 // as waiting. A connection that the client has closed is reset by the first probe, and fails the next one.
 var probeDelays = []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond}
 
-// probeTimeout bounds the write of a probe.
-const probeTimeout = 100 * time.Millisecond
-
 // ErrLeft is the cause of the end of a context that NewWatch returned: the client has left.
 type ErrLeft struct{ End End }
 
@@ -128,11 +125,6 @@
 	if w.responding {
 		return false, nil
 	}
-	if err := w.conn.SetWriteDeadline(time.Now().Add(probeTimeout)); err != nil {
-		return true, err
-	}
-	if _, err := w.conn.Write([]byte(interimResponse)); err != nil {
-		return true, err
-	}
-	return true, w.conn.SetWriteDeadline(time.Time{})
+	_, err = w.conn.Write([]byte(interimResponse))
+	return true, err
 }
