Answer callers of the API that close their direction, too

Callers saw: of the OpenAI-style API of a node, a caller that closes its direction after a whole request gets a failure while its request runs, or none. The same cause as at the proxy: the end of its data was taken for its leaving.

Change: clientconn.Handler observes the callers of a handler, and the node serves its API through it. The bound on stalled writes is a setting of the listener, and the node sets none, as before.

Evidence: TestHalfClosedCallerGetsResponse fails before and passes now; TestCallerDisconnectCancelsEngineWork passes before and after.

--- a/cmd/cloverrail/connections.go
+++ b/cmd/cloverrail/connections.go
@@ -14,6 +14,9 @@
 	"github.com/cloverrail/cloverrail/internal/pause"
 )
 
+// stallTimeout is how long a client may take nothing of what is written to it.
+const stallTimeout = 2 * time.Second
+
 // closePollInterval is the interval between checks for open connections while they are closed.
 const closePollInterval = 5 * time.Millisecond
 
@@ -36,7 +39,8 @@
 // observeClients returns a listener whose connections follow the declared timeouts.
 func (process *process) observeClients(listener net.Listener) net.Listener {
 	return &clientconn.Listener{
-		Listener: listener,
+		Listener:     listener,
+		StallTimeout: stallTimeout,
 		Timeouts: func() clientconn.Timeouts {
 			limits, unconfigured := process.proxy.Limits()
 			if unconfigured != nil {
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -12,13 +12,9 @@
 	"github.com/juju/errors"
 )
 
-const (
-	// stallTimeout is how long a client may take nothing of what is written to it.
-	stallTimeout = 2 * time.Second
-	// minReadRate is the rate, in bytes per second, below which a client may not take a large response: the node holds
-	// it in memory meanwhile.
-	minReadRate = 32 << 10
-)
+// minReadRate is the rate, in bytes per second, below which a client may not take a large response: the node holds it in
+// memory meanwhile.
+const minReadRate = 32 << 10
 
 // End is how a client's side of a connection has ended. The values are labels of metrics.
 type End string
@@ -37,6 +33,8 @@
 // Listener accepts connections as Conns.
 type Listener struct {
 	net.Listener
+	// StallTimeout is how long a client may take nothing of what is written to it; 0 means no bound.
+	StallTimeout time.Duration
 	// Timeouts returns the timeouts in force; nil means that there are none.
 	Timeouts func() Timeouts
 	// OnTimeout, if set, is called for each connection that is closed because its client took too long.
@@ -49,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{Conn: accepted, timeouts: l.Timeouts, onTimeout: l.OnTimeout}
+	c := &Conn{Conn: accepted, stallTimeout: l.StallTimeout, timeouts: l.Timeouts, onTimeout: l.OnTimeout}
 	if c.timeouts == nil {
 		c.timeouts = func() Timeouts { return Timeouts{} }
 	}
@@ -62,10 +60,11 @@
 // Conn is a connection of a client.
 type Conn struct {
 	net.Conn
-	timeouts  func() Timeouts
-	onTimeout func(waiting Waiting)
-	end       atomic.Value
-	wait      wait
+	stallTimeout time.Duration
+	timeouts     func() Timeouts
+	onTimeout    func(waiting Waiting)
+	end          atomic.Value
+	wait         wait
 }
 
 // End returns how the client's side of the connection has ended.
@@ -93,23 +92,31 @@
 	return n, err
 }
 
-// Write writes to the connection. It fails once the client has taken nothing for stallTimeout, or takes it too slowly.
+// Write writes to the connection. If stalls are bounded, it fails once the client has taken nothing for that time, or
+// takes it too slowly.
 func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.writeInTime(p)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		c.end.Store(EndUnwritable)
+	}
+	return n, err
+}
+
+func (c *Conn) writeInTime(p []byte) (int, error) {
+	if c.stallTimeout == 0 {
+		return c.Conn.Write(p)
+	}
 	written := 0
-	latest := time.Now().Add(stallTimeout + time.Duration(len(p))*time.Second/minReadRate)
+	latest := time.Now().Add(c.stallTimeout + time.Duration(len(p))*time.Second/minReadRate)
 	for {
-		if err := c.Conn.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.stallTimeout)); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(p[written:])
 		written += n
-		if n > 0 && isTimeout(err) && time.Now().Before(latest) {
-			continue
-		}
-		if err != nil && !errors.Is(err, net.ErrClosed) {
-			c.end.Store(EndUnwritable)
+		if n == 0 || !isTimeout(err) || !time.Now().Before(latest) {
+			return written, err
 		}
-		return written, err
 	}
 }
 
--- a/internal/lab/inprocess/engine_test.go
+++ b/internal/lab/inprocess/engine_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -144,3 +146,30 @@
 		return err == nil && status.Load.Running == 0 && status.Load.Waiting == 0
 	}))
 }
+
+// A caller that closes its direction of the connection after a whole request still gets the response.
+func TestHalfClosedCallerGetsResponse(t *testing.T) {
+	fleet := startFleet(t, Config{Nodes: 1, Engines: 1, StepTime: 20 * time.Millisecond})
+	for _, stream := range []bool{false, true} {
+		connection, err := net.Dial("tcp", strings.TrimPrefix(fleet.URL(0), "http://"))
+		require.NoError(t, err)
+		defer connection.Close()
+		request, err := http.NewRequest(http.MethodPost, fleet.URL(0)+"/v1/completions", bytes.NewReader(completionBody(t, "prompt", 30, stream)))
+		require.NoError(t, err)
+		request.Header.Set("Authorization", "Bearer "+Key(Tenant))
+		require.NoError(t, request.Write(connection))
+		require.NoError(t, connection.(*net.TCPConn).CloseWrite())
+		reader := bufio.NewReader(connection)
+		response, err := http.ReadResponse(reader, request)
+		for err == nil && response.StatusCode == http.StatusContinue {
+			response, err = http.ReadResponse(reader, request)
+		}
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		if stream {
+			text, done := readStream(t, response.Body, nil)
+			require.True(t, done)
+			require.Equal(t, expectedText("prompt", 30), text)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/configstore"
 	"github.com/cloverrail/cloverrail/internal/configuration"
 	"github.com/cloverrail/cloverrail/internal/dispatch"
@@ -154,7 +155,7 @@
 // Run serves until the context ends and then shuts down gracefully: it announces
 // that it is draining, rejects new requests and waits for open ones.
 func (node *Node) Run(ctx context.Context, callers, operators http.Handler) error {
-	callerServer, err := node.listen(node.settings.CallerAddress, callers)
+	callerServer, err := node.listen(node.settings.CallerAddress, clientconn.Handler(callers, node.logClientEnd))
 	if err != nil {
 		return err
 	}
@@ -196,11 +197,16 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "cannot listen on %s; choose a free port", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	go func() { _ = server.Serve(listener) }()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnContext: clientconn.WithConn}
+	go func() { _ = server.Serve(&clientconn.Listener{Listener: listener}) }()
 	return server, nil
 }
 
+// logClientEnd logs what became of a caller whose side of the connection ended before its response.
+func (node *Node) logClientEnd(end clientconn.End, outcome clientconn.Outcome) {
+	node.log.Debug().Str("end", string(end)).Str("client", string(outcome)).Msg("client's side of the connection ended")
+}
+
 // runTasks runs the tasks that membership changes enqueue, outside the gossip loop.
 func (node *Node) runTasks(ctx context.Context) {
 	for {
