Decide what an attempt is sent with before it is sent

What callers saw: a whole process could end, and all of its requests with it, without a response or a failure.

Cause: an attempt is sent on a goroutine of its own, which looked up the placer's maps of prompt parts and of what the KV cache store holds. The request's own goroutine uses the same maps when it checks whether a silent attempt has an alternative. If the sending goroutine gets the processor late, as after the machine was paused or its quota was spent, both run at once, and the runtime ends the process: "fatal error: concurrent map read and map write". Class: state of the placer that is used by two goroutines.

Change: the placer prepares the whole dispatch when it places the attempt; sending it does not use the placer's maps any more.

It was not seen in a running proxy.

--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -37,6 +37,8 @@
 	// lastEventAt is when an event of the response was last passed on.
 	lastEventAt  time.Time
 	savesToStore bool
+	// dispatch is the attempt as it is sent, but for what Send is called with.
+	dispatch Dispatch
 	// continues is set if the attempt continues a stream of which the caller has events, and origin is
 	// what began the stream if not.
 	continues bool
@@ -62,6 +64,24 @@
 	if placement.placer.proxy.set.RejectsTraffic(placement.chosen.Endpoint, boottime.Now()) {
 		return nil, &exchange.ErrWithdrawn{Reason: "the server announced after it was chosen that it is draining or wants no requests for now"}
 	}
+	dispatch := placement.dispatch
+	dispatch.Resumes, dispatch.After = resumes, after
+	sentAt := boottime.Now()
+	reply, err := placement.sendAttempt(placement.trackCompletion(ctx), dispatch)
+	placement.learnFromRefusal(dispatch, err)
+	if err != nil {
+		return nil, err
+	}
+	placement.endsWithConnection.Store(reply.EndsWithConnection)
+	if !placement.detour {
+		placement.placer.proxy.set.ObserveAnswer(placement.chosen.Endpoint, reply.ConnectedAt, sentAt, placement.placer.proxy.entryTTL)
+	}
+	return placement.checkIncarnation(ctx, reply)
+}
+
+// prepareDispatch sets what the attempt is sent with. It is called before the attempt is sent: sending it runs beside the
+// placer, which is not safe for concurrent use.
+func (placement *placement) prepareDispatch() {
 	admitted := placement.placer.admitted
 	dispatch := Dispatch{
 		Request:    admitted.request,
@@ -71,9 +91,8 @@
 		Stream:     admitted.route.Kind == catalog.Stream,
 		Deadline:   admitted.deadline,
 		Urgency:    placement.urgency(),
-		Resumes:    resumes,
-		After:      after,
 		Repeatable: admitted.route.Retryable(),
+		Confirm:    placement.keepsOrigin(),
 	}
 	if admitted.tenant != nil {
 		dispatch.Tenant = admitted.tenant.Name
@@ -83,18 +102,7 @@
 		dispatch.Salt = placement.placer.salt(cacheBuildOf(&placement.chosen))
 		placement.addKVSources(&dispatch)
 	}
-	dispatch.Confirm = placement.keepsOrigin()
-	sentAt := boottime.Now()
-	reply, err := placement.sendAttempt(placement.trackCompletion(ctx), dispatch)
-	placement.learnFromRefusal(dispatch, err)
-	if err != nil {
-		return nil, err
-	}
-	placement.endsWithConnection.Store(reply.EndsWithConnection)
-	if !placement.detour {
-		placement.placer.proxy.set.ObserveAnswer(placement.chosen.Endpoint, reply.ConnectedAt, sentAt, placement.placer.proxy.entryTTL)
-	}
-	return placement.checkIncarnation(ctx, reply)
+	placement.dispatch = dispatch
 }
 
 // learnFromRefusal updates the server set from a refusal, which can show that the
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -142,6 +142,7 @@
 		placed, unplaced := placer.selectAndBegin(selection, excluded, boottime.Now())
 		if placed != nil {
 			placer.admitted.placedAt = placed.placedAt
+			placed.prepareDispatch()
 			placer.proxy.recorder.Placed(placer.admitted.request, placer.describe(selection, placed, round))
 			return placed, nil
 		}
