Keep streams of clients that closed before the response began

Cause: net/http reads the end of data in a goroutine of its own, and whether that comes before or after the first event is up to the scheduler. After it, the end of data counted as the end of the client's interest, although it had arrived before.

Change: when the response begins, the state of the socket tells whether the client's data has ended, whether or not that was read.

The end of data during a response still ends it (TestEndOfDataDuringResponseEndsIt).

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 // End is how a client's side of a connection has ended. The values are labels of metrics.
@@ -68,6 +70,27 @@
 	return end
 }
 
+// dataEnded reports whether the client's data has ended, even if its end has not been read yet.
+func (c *Conn) dataEnded() bool {
+	if end := c.End(); end != EndNone {
+		return end == EndOfData
+	}
+	socket, isSocket := c.Conn.(syscall.Conn)
+	if !isSocket {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ended := false
+	_ = raw.Control(func(descriptor uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		ended = err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT
+	})
+	return ended
+}
+
 // Read reads from the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/clientconn/watch.go
+++ b/internal/clientconn/watch.go
@@ -55,8 +55,10 @@
 
 	// mutex is held while anything is written that is not part of the response.
 	mutex sync.Mutex
-	// responding is set once the response has begun or the watch was stopped.
-	responding bool
+	// responding is set once the response has begun or the watch was stopped, and endedBefore if the client's data had
+	// ended by then.
+	responding  bool
+	endedBefore bool
 }
 
 // NewWatch begins to observe the client of a request. It returns a context for the processing of the request that ends
@@ -81,7 +83,9 @@
 func (w *Watch) BeginResponse() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.responding = true
+	if !w.responding {
+		w.responding, w.endedBefore = true, w.conn != nil && w.conn.dataEnded()
+	}
 }
 
 // clientEnded is called once net/http has ended the request's context.
@@ -108,7 +112,7 @@
 	for i := 0; ; i++ {
 		sent, err := w.sendInterim()
 		switch {
-		case !sent && i == 0:
+		case !sent && i == 0 && !w.endedBefore:
 			return OutcomeLeft
 		case !sent:
 			return OutcomeResponding
--- a/internal/clientconn/watch_test.go
+++ b/internal/clientconn/watch_test.go
@@ -96,3 +96,54 @@
 	require.NoError(t, err)
 	require.Empty(t, data)
 }
+
+// acceptOne returns both ends of a connection.
+func acceptOne(t *testing.T) (server *Conn, client *net.TCPConn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	accepted, err := (&Listener{Listener: listener}).Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = accepted.Close() })
+	return accepted.(*Conn), connection.(*net.TCPConn)
+}
+
+// A stream of a client that closed its direction before the response began is not cut because that is read only later.
+func TestEndOfDataBeforeResponseDoesNotEndIt(t *testing.T) {
+	conn, client := acceptOne(t)
+	requestCtx, endRequest := context.WithCancel(WithConn(t.Context(), conn))
+	request, err := http.NewRequestWithContext(requestCtx, http.MethodGet, "http://h/", nil)
+	require.NoError(t, err)
+	reports := make(chan watched, 1)
+	watch, ctx := NewWatch(request, func(end End, outcome Outcome) { reports <- watched{end, outcome} })
+	defer watch.Stop()
+	require.NoError(t, client.CloseWrite())
+	time.Sleep(100 * time.Millisecond)
+	watch.BeginResponse()
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	endRequest()
+	require.Equal(t, watched{EndOfData, OutcomeResponding}, awaitReport(t, reports))
+	require.NoError(t, ctx.Err())
+}
+
+// The end of a client's data once the response has begun ends the response.
+func TestEndOfDataDuringResponseEndsIt(t *testing.T) {
+	conn, client := acceptOne(t)
+	requestCtx, endRequest := context.WithCancel(WithConn(t.Context(), conn))
+	request, err := http.NewRequestWithContext(requestCtx, http.MethodGet, "http://h/", nil)
+	require.NoError(t, err)
+	reports := make(chan watched, 1)
+	watch, ctx := NewWatch(request, func(end End, outcome Outcome) { reports <- watched{end, outcome} })
+	defer watch.Stop()
+	watch.BeginResponse()
+	require.NoError(t, client.CloseWrite())
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	endRequest()
+	require.Equal(t, watched{EndOfData, OutcomeLeft}, awaitReport(t, reports))
+	<-ctx.Done()
+}
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -3,6 +3,9 @@
 import (
 	"net"
 	"sync"
+	"syscall"
+
+	"github.com/juju/errors"
 )
 
 // Listener accepts the connections that its gate admits, and closes all others without reading from them.
@@ -36,6 +39,17 @@
 	release func()
 }
 
+var _ syscall.Conn = (*conn)(nil)
+
+// SyscallConn returns the raw network connection.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	socket, isSocket := c.Conn.(syscall.Conn)
+	if !isSocket {
+		return nil, errors.NotSupportedf("raw connection of %T", c.Conn)
+	}
+	return socket.SyscallConn()
+}
+
 // Close closes the connection and makes room for another one.
 func (c *conn) Close() error {
 	c.once.Do(c.release)
