Answer requests whose heads are read while a node closes its connections

Cause: SetKeepAlivesEnabled(false) closes all connections that net/http calls idle, and it calls a connection so until the head of its next request has been read whole. The end of one request was taken for the end of the connection's use.

Change: idle connections are ended by their read deadline, which leaves those alone from which something of the next request has been read. Keep-alive ends by the header that a stopping node sets in all responses; a connection whose response began before that is ended as soon as it is idle.

TestRequestDuringShutdownIsAnswered marks the node as stopping, as runProxy does, since net/http no longer sets the header by itself.

--- a/cmd/cloverrail/clientclose_test.go
+++ b/cmd/cloverrail/clientclose_test.go
@@ -193,6 +193,7 @@
 	idle := fixture.connect()
 	idle.writeRequest(fixture, "/once/")
 	require.Equal(t, http.StatusOK, idle.readResponse().status)
+	fixture.process.stopping.Store(true)
 	fixture.process.proxy.Drain(t.Context(), 4*time.Second)
 	closed := make(chan struct{})
 	go func() {
@@ -210,6 +211,37 @@
 	<-closed
 }
 
+// A request on a kept connection whose head is being read while the node closes its connections is answered.
+func TestHeadDuringShutdownIsAnswered(t *testing.T) {
+	t.Parallel()
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, "done")))
+	client := fixture.connect()
+	idle := fixture.connect()
+	for _, connection := range []*clientConnection{client, idle} {
+		connection.writeRequest(fixture, "/once/")
+		require.Equal(t, http.StatusOK, connection.readResponse().status)
+	}
+	_, err := fmt.Fprintf(client, "POST /once/ HTTP/1.1\r\nHost: %s\r\n", host)
+	require.NoError(t, err)
+	time.Sleep(beforeClose)
+	fixture.process.stopping.Store(true)
+	closed := make(chan struct{})
+	go func() {
+		ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+		defer cancel()
+		fixture.clientServer.close(ctx, fixture.frontend.Listener)
+		close(closed)
+	}()
+	idle.awaitClose()
+	_, err = fmt.Fprintf(client, "Authorization: Bearer %s\r\n%s: late\r\nContent-Length: 0\r\n\r\n", key, standin.HeaderRequestID)
+	require.NoError(t, err)
+	got := client.readResponse()
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+	require.True(t, got.closesConnection)
+	<-closed
+}
+
 // A request whose handler panics gets a failure that promises nothing.
 func TestPanicOfHandlerIsAnswered(t *testing.T) {
 	fixture := newFixture(t)
--- a/cmd/cloverrail/connections.go
+++ b/cmd/cloverrail/connections.go
@@ -5,6 +5,7 @@
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -51,8 +52,9 @@
 // clientServer serves clients' connections.
 type clientServer struct {
 	http.Server
-	// open is the number of open connections.
-	open atomic.Int64
+	// open holds the open connections, and count their number.
+	open  sync.Map
+	count atomic.Int64
 }
 
 // newClientServer returns the server of clients' connections, which observeClients must accept. Its timeouts hold where
@@ -71,18 +73,31 @@
 	clientconn.TrackState(conn, state)
 	switch state {
 	case http.StateNew:
-		c.open.Add(1)
+		c.open.Store(conn, nil)
+		c.count.Add(1)
 	case http.StateClosed, http.StateHijacked:
-		c.open.Add(-1)
+		c.open.Delete(conn)
+		c.count.Add(-1)
 	}
 }
 
+// endIdle ends the connections that wait for their next request.
+func (c *clientServer) endIdle() {
+	c.open.Range(func(key, _ any) bool {
+		if conn, isConn := key.(*clientconn.Conn); isConn {
+			conn.EndIdle()
+		}
+		return true
+	})
+}
+
 // close stops accepting connections and closes idle ones, the others after their next response. It returns once all are
-// closed, or when the context ends. Unlike http.Server.Shutdown, it drops no request that has been read.
+// closed, or when the context ends. Unlike http.Server.Shutdown and SetKeepAlivesEnabled, it drops no request that has
+// been read, or is being read.
 func (c *clientServer) close(ctx context.Context, listener net.Listener) {
 	_ = listener.Close()
-	c.SetKeepAlivesEnabled(false)
-	for ctx.Err() == nil && c.open.Load() > 0 {
+	for ctx.Err() == nil && c.count.Load() > 0 {
+		c.endIdle()
 		pause.For(ctx, closePollInterval)
 	}
 }
--- a/internal/clientconn/timeouts.go
+++ b/internal/clientconn/timeouts.go
@@ -92,3 +92,15 @@
 	}
 	return c.Conn.SetReadDeadline(deadline) == nil
 }
+
+// EndIdle ends the connection if it waits for the next request, and nothing of that has been read. Closing it could lose
+// a request that is being read meanwhile.
+func (c *Conn) EndIdle() {
+	c.wait.mutex.Lock()
+	defer c.wait.mutex.Unlock()
+	if c.wait.since.IsZero() || c.wait.waiting != WaitingIdle {
+		return
+	}
+	c.wait.since = time.Time{}
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
