Notice clients that close the connection after their direction

Callers saw: nothing; servers worked on for clients that had gone.

Cause: after four probes a client counted as waiting for good. The end of a connection whose direction is closed already sends nothing; only the answer to further data tells.

Change: a waiting client is probed on at the last interval, 200 ms, until its response begins. Two probes notice a client that has closed the connection.

Evidence: TestHalfClosedClientThatLeavesIsNoticed and TestHalfClosedConnectionThatClosesCancelsRequest fail before (not noticed within 20 s) and pass now.

--- a/cmd/cloverrail/clientclose_test.go
+++ b/cmd/cloverrail/clientclose_test.go
@@ -143,6 +143,28 @@
 	}
 }
 
+// A client that closes its direction, and the connection some time later, wants no response from then on.
+func TestHalfClosedConnectionThatClosesCancelsRequest(t *testing.T) {
+	t.Parallel()
+	ended := make(chan time.Time, 1)
+	hang := func(_ *standin.Server, _ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		ended <- time.Now()
+	}
+	fixture := newFixture(t).serve(plainServer("i-1", hang), engine("i-2", hang))
+	for _, path := range closePaths {
+		t.Run(path, func(t *testing.T) {
+			client := fixture.connect()
+			client.writeRequest(fixture, path)
+			require.NoError(t, client.CloseWrite())
+			time.Sleep(closeTestRunTime)
+			require.NoError(t, client.Close())
+			closedAt := time.Now()
+			require.Less(t, (<-ended).Sub(closedAt), maxWorkAfterClose)
+		})
+	}
+}
+
 // A client that goes on sending after its response has begun, and then closes the connection, ends its stream at once.
 func TestCloseDuringStreamCancelsIt(t *testing.T) {
 	ended := make(chan time.Time, 1)
--- a/internal/clientconn/watch.go
+++ b/internal/clientconn/watch.go
@@ -12,8 +12,9 @@
 // interimResponse may precede any final response of HTTP/1.1.
 const interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 
-// probeDelays are the times after which a client whose data has ended is probed again, and after the last of them counts
-// as waiting. A connection that the client has closed is reset by the first probe, and fails the next one.
+// probeDelays are the times after which a client whose data has ended is probed again. After the last of them it counts
+// as waiting, and is probed on at that interval: it may still close the connection, or its reset may be late. A connection
+// that the client has closed is reset by the first probe, and fails the next one.
 var probeDelays = []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond}
 
 // probeTimeout bounds the write of a probe.
@@ -98,7 +99,7 @@
 	if end == EndOfData && w.takesInterim {
 		outcome = w.probe(ctx)
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || outcome == OutcomeWaits {
 		return
 	}
 	w.onEnd(end, outcome)
@@ -107,21 +108,24 @@
 	}
 }
 
-// probe finds out whether a client whose data has ended still waits for its response.
+// probe finds out whether a client whose data has ended still waits for its response. It reports a client that does, and
+// returns once the response begins or the client has left.
 func (w *Watch) probe(ctx context.Context) Outcome {
 	for i := 0; ; i++ {
 		sent, err := w.sendInterim()
 		switch {
 		case !sent && i == 0 && !w.endedBefore:
 			return OutcomeLeft
+		case !sent && i > len(probeDelays):
+			return OutcomeWaits
 		case !sent:
 			return OutcomeResponding
 		case err != nil:
 			return OutcomeLeft
 		case i == len(probeDelays):
-			return OutcomeWaits
+			w.onEnd(EndOfData, OutcomeWaits)
 		}
-		pause.For(ctx, probeDelays[i])
+		pause.For(ctx, probeDelays[min(i, len(probeDelays)-1)])
 	}
 }
 
