--- a/cmd/cloverrail/clientclose_test.go
+++ b/cmd/cloverrail/clientclose_test.go
@@ -143,6 +143,28 @@
 	}
 }
 
+// A client that closes its direction, and the connection some time later, wants no response from then on.
+func TestHalfClosedConnectionThatClosesCancelsRequest(t *testing.T) {
+	t.Parallel()
+	ended := make(chan time.Time, 1)
+	hang := func(_ *standin.Server, _ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		ended <- time.Now()
+	}
+	fixture := newFixture(t).serve(plainServer("i-1", hang), engine("i-2", hang))
+	for _, path := range closePaths {
+		t.Run(path, func(t *testing.T) {
+			client := fixture.connect()
+			client.writeRequest(fixture, path)
+			require.NoError(t, client.CloseWrite())
+			time.Sleep(closeTestRunTime)
+			require.NoError(t, client.Close())
+			closedAt := time.Now()
+			require.Less(t, (<-ended).Sub(closedAt), maxWorkAfterClose)
+		})
+	}
+}
+
 // A client that goes on sending after its response has begun, and then closes the connection, ends its stream at once.
 func TestCloseDuringStreamCancelsIt(t *testing.T) {
 	ended := make(chan time.Time, 1)
@@ -193,6 +215,7 @@
 	idle := fixture.connect()
 	idle.writeRequest(fixture, "/once/")
 	require.Equal(t, http.StatusOK, idle.readResponse().status)
+	fixture.process.stopping.Store(true)
 	fixture.process.proxy.Drain(t.Context(), 4*time.Second)
 	closed := make(chan struct{})
 	go func() {
@@ -210,6 +233,37 @@
 	<-closed
 }
 
+// A request on a kept connection whose head is being read while the node closes its connections is answered.
+func TestHeadDuringShutdownIsAnswered(t *testing.T) {
+	t.Parallel()
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, "done")))
+	client := fixture.connect()
+	idle := fixture.connect()
+	for _, connection := range []*clientConnection{client, idle} {
+		connection.writeRequest(fixture, "/once/")
+		require.Equal(t, http.StatusOK, connection.readResponse().status)
+	}
+	_, err := fmt.Fprintf(client, "POST /once/ HTTP/1.1\r\nHost: %s\r\n", host)
+	require.NoError(t, err)
+	time.Sleep(beforeClose)
+	fixture.process.stopping.Store(true)
+	closed := make(chan struct{})
+	go func() {
+		ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+		defer cancel()
+		fixture.clientServer.close(ctx, fixture.frontend.Listener)
+		close(closed)
+	}()
+	idle.awaitClose()
+	_, err = fmt.Fprintf(client, "Authorization: Bearer %s\r\n%s: late\r\nContent-Length: 0\r\n\r\n", key, standin.HeaderRequestID)
+	require.NoError(t, err)
+	got := client.readResponse()
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+	require.True(t, got.closesConnection)
+	<-closed
+}
+
 // A request whose handler panics gets a failure that promises nothing.
 func TestPanicOfHandlerIsAnswered(t *testing.T) {
 	fixture := newFixture(t)
@@ -259,8 +313,8 @@
 	client := fixture.connect()
 	require.NoError(t, client.SetReadBuffer(4096))
 	client.writeRequest(fixture, "/once/")
-	fixture.waitUntil(func() bool { return fixture.clientServer.open.Load() == 1 })
-	fixture.waitUntil(func() bool { return fixture.clientServer.open.Load() == 0 })
+	fixture.waitUntil(func() bool { return fixture.clientServer.count.Load() == 1 })
+	fixture.waitUntil(func() bool { return fixture.clientServer.count.Load() == 0 })
 }
 
 // streamHeadOnly begins a stream and sends no event of it.
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 // minReadRate is the rate, in bytes per second, below which a client may not take a large response: the node holds it in
@@ -76,6 +78,27 @@
 	return end
 }
 
+// dataEnded reports whether the client's data has ended, even if its end has not been read yet.
+func (c *Conn) dataEnded() bool {
+	if end := c.End(); end != EndNone {
+		return end == EndOfData
+	}
+	socket, isSocket := c.Conn.(syscall.Conn)
+	if !isSocket {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ended := false
+	_ = raw.Control(func(descriptor uintptr) {
+		n, _, err := unix.Recvfrom(int(descriptor), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		ended = err == nil && n == 0
+	})
+	return ended
+}
+
 // Read reads from the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/clientconn/watch.go
+++ b/internal/clientconn/watch.go
@@ -12,8 +12,9 @@
 // interimResponse may precede any final response of HTTP/1.1.
 const interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 
-// probeDelays are the times after which a client whose data has ended is probed again, and after the last of them counts
-// as waiting. A connection that the client has closed is reset by the first probe, and fails the next one.
+// probeDelays are the times after which a client whose data has ended is probed again. After the last of them it counts
+// as waiting, and is probed on at that interval: it may still close the connection, or its reset may be late. A connection
+// that the client has closed is reset by the first probe, and fails the next one.
 var probeDelays = []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond}
 
 // ErrLeft is the cause of the end of a context that NewWatch returned: the client has left.
@@ -52,8 +53,10 @@
 
 	// mutex is held while anything is written that is not part of the response.
 	mutex sync.Mutex
-	// responding is set once the response has begun or the watch was stopped.
-	responding bool
+	// responding is set once the response has begun or the watch was stopped, and endedBefore if the client's data had
+	// ended by then.
+	responding  bool
+	endedBefore bool
 }
 
 // NewWatch begins to observe the client of a request. It returns a context for the processing of the request that ends
@@ -78,7 +81,9 @@
 func (w *Watch) BeginResponse() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.responding = true
+	if !w.responding {
+		w.responding, w.endedBefore = true, w.conn != nil && w.conn.dataEnded()
+	}
 }
 
 // clientEnded is called once net/http has ended the request's context.
@@ -91,7 +96,7 @@
 	if end == EndOfData && w.takesInterim {
 		outcome = w.probe(ctx)
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || outcome == OutcomeWaits {
 		return
 	}
 	w.onEnd(end, outcome)
@@ -100,21 +105,24 @@
 	}
 }
 
-// probe finds out whether a client whose data has ended still waits for its response.
+// probe finds out whether a client whose data has ended still waits for its response. It reports a client that does, and
+// returns once the response begins or the client has left.
 func (w *Watch) probe(ctx context.Context) Outcome {
 	for i := 0; ; i++ {
 		sent, err := w.sendInterim()
 		switch {
-		case !sent && i == 0:
+		case !sent && i == 0 && !w.endedBefore:
 			return OutcomeLeft
+		case !sent && i > len(probeDelays):
+			return OutcomeWaits
 		case !sent:
 			return OutcomeResponding
 		case err != nil:
 			return OutcomeLeft
 		case i == len(probeDelays):
-			return OutcomeWaits
+			w.onEnd(EndOfData, OutcomeWaits)
 		}
-		pause.For(ctx, probeDelays[i])
+		pause.For(ctx, probeDelays[min(i, len(probeDelays)-1)])
 	}
 }
 
--- a/internal/clientconn/watch_test.go
+++ b/internal/clientconn/watch_test.go
@@ -69,7 +69,7 @@
 
 // A client that closes its direction gets interim responses, which it must pass over, and then its response.
 func TestHalfClosedClientWaits(t *testing.T) {
-	address, reports := newServer(t, time.Second)
+	address, reports := newServer(t, 450*time.Millisecond)
 	client := sendAndClose(t, address, "HTTP/1.1")
 	require.Equal(t, watched{EndOfData, OutcomeWaits}, awaitReport(t, reports))
 	reader := bufio.NewReader(client)
@@ -87,6 +87,17 @@
 	require.Equal(t, len(probeDelays)+1, interim)
 }
 
+// A client that waits at first, and then closes the connection, counts as gone, too.
+func TestHalfClosedClientThatLeavesIsNoticed(t *testing.T) {
+	address, reports := newServer(t, waitTimeout)
+	client := sendAndClose(t, address, "HTTP/1.1")
+	require.Equal(t, watched{EndOfData, OutcomeWaits}, awaitReport(t, reports))
+	require.NoError(t, client.Close())
+	closedAt := time.Now()
+	require.Equal(t, watched{EndOfData, OutcomeLeft}, awaitReport(t, reports))
+	require.Less(t, time.Since(closedAt), 500*time.Millisecond)
+}
+
 // HTTP/1.0 has no interim responses, so that the end of a client's data is all that is known of it.
 func TestHalfClosedClientOfFormerVersionCountsAsLeft(t *testing.T) {
 	address, reports := newServer(t, waitTimeout)
@@ -96,3 +107,54 @@
 	require.NoError(t, err)
 	require.Empty(t, data)
 }
+
+// acceptOne returns both ends of a connection.
+func acceptOne(t *testing.T) (server *Conn, client *net.TCPConn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	accepted, err := (&Listener{Listener: listener}).Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = accepted.Close() })
+	return accepted.(*Conn), connection.(*net.TCPConn)
+}
+
+// A stream of a client that closed its direction before the response began is not cut because that is read only later.
+func TestEndOfDataBeforeResponseDoesNotEndIt(t *testing.T) {
+	conn, client := acceptOne(t)
+	requestCtx, endRequest := context.WithCancel(WithConn(t.Context(), conn))
+	request, err := http.NewRequestWithContext(requestCtx, http.MethodGet, "http://h/", nil)
+	require.NoError(t, err)
+	reports := make(chan watched, 1)
+	watch, ctx := NewWatch(request, func(end End, outcome Outcome) { reports <- watched{end, outcome} })
+	defer watch.Stop()
+	require.NoError(t, client.CloseWrite())
+	time.Sleep(100 * time.Millisecond)
+	watch.BeginResponse()
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	endRequest()
+	require.Equal(t, watched{EndOfData, OutcomeResponding}, awaitReport(t, reports))
+	require.NoError(t, ctx.Err())
+}
+
+// The end of a client's data once the response has begun ends the response.
+func TestEndOfDataDuringResponseEndsIt(t *testing.T) {
+	conn, client := acceptOne(t)
+	requestCtx, endRequest := context.WithCancel(WithConn(t.Context(), conn))
+	request, err := http.NewRequestWithContext(requestCtx, http.MethodGet, "http://h/", nil)
+	require.NoError(t, err)
+	reports := make(chan watched, 1)
+	watch, ctx := NewWatch(request, func(end End, outcome Outcome) { reports <- watched{end, outcome} })
+	defer watch.Stop()
+	watch.BeginResponse()
+	require.NoError(t, client.CloseWrite())
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	endRequest()
+	require.Equal(t, watched{EndOfData, OutcomeLeft}, awaitReport(t, reports))
+	<-ctx.Done()
+}
