Read requests that arrived before their connection's deadline

Callers saw: a node that had stopped for a moment closed connections whose next request had arrived in time, without reading it.

Cause: after a stop the deadline and the data are due at the same time, and the deadline comes first.

Change: a connection whose wait has ended reads on for 20 ms before it is closed.

--- a/internal/clientconn/timeouts.go
+++ b/internal/clientconn/timeouts.go
@@ -25,6 +25,10 @@
 	WaitingIdle Waiting = "idle"
 )
 
+// finalReadTimeout is how long a connection reads on once its wait has ended: a process that was stopped, or short of
+// processor time, may find out that the deadline has passed before it reads what came in time.
+const finalReadTimeout = 20 * time.Millisecond
+
 // wait is a connection's current wait for its client.
 type wait struct {
 	mutex sync.Mutex
@@ -33,6 +37,8 @@
 	// waiting is what the connection waits for, since a time; zero if it waits for neither.
 	waiting Waiting
 	since   time.Time
+	// final is set once the wait has ended, and the connection reads what has arrived.
+	final bool
 }
 
 // TrackState records that a request has ended. It is meant for http.Server.ConnState.
@@ -52,7 +58,7 @@
 	c.wait.mutex.Lock()
 	defer c.wait.mutex.Unlock()
 	now := time.Now()
-	c.wait.since = time.Time{}
+	c.wait.since, c.wait.final = time.Time{}, false
 	if deadline.After(now) {
 		c.wait.waiting, c.wait.since = WaitingForHead, now
 		if c.wait.idle {
@@ -77,18 +83,22 @@
 	}
 }
 
-// extendWait reports whether the connection may wait on although its deadline has passed, since a longer timeout has
-// been declared meanwhile.
+// extendWait reports whether the connection may read on although its deadline has passed: a longer timeout has been
+// declared meanwhile, or something may have arrived in time that was not read.
 func (c *Conn) extendWait() bool {
 	c.wait.mutex.Lock()
 	defer c.wait.mutex.Unlock()
 	if c.wait.since.IsZero() {
 		return false
 	}
+	now := time.Now()
 	deadline := c.wait.since.Add(c.declaredTimeout())
-	if !deadline.After(time.Now()) {
-		c.onTimeout(c.wait.waiting)
-		return false
+	if !deadline.After(now) {
+		if c.wait.final {
+			c.onTimeout(c.wait.waiting)
+			return false
+		}
+		c.wait.final, deadline = true, now.Add(finalReadTimeout)
 	}
 	return c.Conn.SetReadDeadline(deadline) == nil
 }
--- /dev/null
+++ b/internal/clientconn/timeouts_test.go
@@ -0,0 +1,35 @@
+package clientconn
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A request that arrived in time is read, even if the process finds out first that the deadline has passed.
+func TestDataThatArrivedInTimeIsRead(t *testing.T) {
+	for _, waiting := range []Waiting{WaitingForHead, WaitingIdle} {
+		t.Run(string(waiting), func(t *testing.T) {
+			conn, client := acceptOne(t)
+			timedOut := make(chan Waiting, 1)
+			conn.timeouts = func() Timeouts { return Timeouts{Head: 50 * time.Millisecond, Idle: 50 * time.Millisecond} }
+			conn.onTimeout = func(waiting Waiting) { timedOut <- waiting }
+			if waiting == WaitingIdle {
+				TrackState(conn, http.StateIdle)
+			}
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+			_, err := client.Write([]byte("GET"))
+			require.NoError(t, err)
+			time.Sleep(200 * time.Millisecond)
+			buffer := make([]byte, 16)
+			n, err := conn.Read(buffer)
+			require.NoError(t, err)
+			require.Equal(t, "GET", string(buffer[:n]))
+			_, err = conn.Read(buffer)
+			require.True(t, isTimeout(err), err)
+			require.Equal(t, waiting, <-timedOut)
+		})
+	}
+}
