Do not take a write that timed out for a client that has left

Cause: a write fails without being tried if its deadline has passed when it begins. A process that is paused, or short of processor time, between setting the deadline and the write takes a client that waits for one that has left.

Change: a write that has stalled without progress is tried once more, for 250 ms.

Evidence: TestProbeThatTimesOutIsNoSignOfLeaving fails without the second try ("left") and passes with it. go test -race -count=2 ./internal/clientconn: pass.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -18,6 +18,9 @@
 // memory meanwhile.
 const minReadRate = 32 << 10
 
+// finalWriteTimeout is how long a write that has stalled is tried again before it fails.
+const finalWriteTimeout = 250 * time.Millisecond
+
 // End is how a client's side of a connection has ended. The values are labels of metrics.
 type End string
 
@@ -131,14 +134,23 @@
 	}
 	written := 0
 	latest := time.Now().Add(c.stallTimeout + time.Duration(len(p))*time.Second/minReadRate)
+	timeout := c.stallTimeout
 	for {
-		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.stallTimeout)); err != nil {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(p[written:])
 		written += n
-		if n == 0 || !isTimeout(err) || !time.Now().Before(latest) {
+		switch {
+		case !isTimeout(err):
+			return written, err
+		case n > 0 && time.Now().Before(latest):
+			timeout = c.stallTimeout
+		case n > 0 || timeout == finalWriteTimeout:
 			return written, err
+		default:
+			// This process may have been paused, and not the client.
+			timeout = finalWriteTimeout
 		}
 	}
 }
--- a/internal/clientconn/watch_test.go
+++ b/internal/clientconn/watch_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -158,3 +159,35 @@
 	require.Equal(t, watched{EndOfData, OutcomeLeft}, awaitReport(t, reports))
 	<-ctx.Done()
 }
+
+// pausedConn is a connection whose process is paused after it has set its first write deadline.
+type pausedConn struct {
+	net.Conn
+	pause time.Duration
+	once  sync.Once
+}
+
+func (p *pausedConn) SetWriteDeadline(deadline time.Time) error {
+	err := p.Conn.SetWriteDeadline(deadline)
+	p.once.Do(func() { time.Sleep(p.pause) })
+	return err
+}
+
+// A client whose probe could not be written in time, since this process was paused, still counts as waiting.
+func TestProbeThatTimesOutIsNoSignOfLeaving(t *testing.T) {
+	conn, client := acceptOne(t)
+	conn.stallTimeout = 100 * time.Millisecond
+	conn.Conn = &pausedConn{Conn: conn.Conn, pause: 2 * conn.stallTimeout}
+	requestCtx, endRequest := context.WithCancel(WithConn(t.Context(), conn))
+	request, err := http.NewRequestWithContext(requestCtx, http.MethodGet, "http://h/", nil)
+	require.NoError(t, err)
+	reports := make(chan watched, 1)
+	watch, ctx := NewWatch(request, func(end End, outcome Outcome) { reports <- watched{end, outcome} })
+	defer watch.Stop()
+	require.NoError(t, client.CloseWrite())
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	endRequest()
+	require.Equal(t, watched{EndOfData, OutcomeWaits}, awaitReport(t, reports))
+	require.NoError(t, ctx.Err())
+}
