Keep room in the log for requests that end without a response

Callers saw: nothing. Lines about requests are limited to 200 a second, so that the line of a request that ended without a response could be missing, and its absence proved nothing. Such lines have a limit of their own now. TestOtherRequestsDoNotDisplaceAbortedOnes fails before (none is logged).

--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -28,6 +28,10 @@
 	// linesPerSecond and lineBurst are the rate limit of lines about requests.
 	linesPerSecond = 200
 	lineBurst      = 400
+	// abortedLinesPerSecond and abortedLineBurst are the rate limit of lines about requests that ended without a response,
+	// so that others do not displace them.
+	abortedLinesPerSecond = 20
+	abortedLineBurst      = 200
 )
 
 // Recorder logs and counts each decision about a request and each change of the
@@ -36,6 +40,8 @@
 	log     zerolog.Logger
 	metrics *Metrics
 	limiter *rate.Limiter
+	// abortedLimiter limits lines about requests that ended without a response.
+	abortedLimiter *rate.Limiter
 
 	mutex        sync.Mutex
 	suppressed   int
@@ -48,15 +54,23 @@
 
 // NewRecorder returns a recorder that writes to log and metrics.
 func NewRecorder(log zerolog.Logger, metrics *Metrics) *Recorder {
-	return &Recorder{log: log, metrics: metrics, limiter: rate.NewLimiter(linesPerSecond, lineBurst), unknownHeaders: map[string]bool{}}
+	return &Recorder{
+		log: log, metrics: metrics, unknownHeaders: map[string]bool{},
+		limiter:        rate.NewLimiter(linesPerSecond, lineBurst),
+		abortedLimiter: rate.NewLimiter(abortedLinesPerSecond, abortedLineBurst),
+	}
 }
 
 // limitedLine returns an event for a line about a request, or nil if the rate limit is exceeded.
 // The next line that is written carries the number of suppressed ones.
 func (recorder *Recorder) limitedLine(level zerolog.Level) *zerolog.Event {
+	return recorder.lineWithin(recorder.limiter, level)
+}
+
+func (recorder *Recorder) lineWithin(limiter *rate.Limiter, level zerolog.Level) *zerolog.Event {
 	recorder.mutex.Lock()
 	defer recorder.mutex.Unlock()
-	if !recorder.limiter.Allow() {
+	if !limiter.Allow() {
 		recorder.suppressed++
 		recorder.metrics.suppressedLines.Inc()
 		return nil
@@ -379,13 +393,17 @@
 	if route != nil {
 		name = route.Name
 	}
-	line := recorder.limitedLine(zerolog.InfoLevel).Str("id", request.ID).Str("route", name).Int64("declaration", version)
+	limiter, aborted := recorder.limiter, outcome.Failure != nil && (outcome.Cut || outcome.Failure.Kind == failure.KindCallerLeft)
+	if aborted {
+		limiter = recorder.abortedLimiter
+	}
+	line := recorder.lineWithin(limiter, zerolog.InfoLevel).Str("id", request.ID).Str("route", name).Int64("declaration", version)
 	if outcome.Failure != nil {
 		result = string(outcome.Failure.Kind)
 		line.Str("problem", outcome.Failure.Problem).Str("outcome", string(outcome.Failure.Outcome))
-		if outcome.Cut || outcome.Failure.Kind == failure.KindCallerLeft {
-			line.Bool("aborted", true)
-		}
+	}
+	if aborted {
+		line.Bool("aborted", true)
 	}
 	recorder.metrics.requests.WithLabelValues(name, result).Inc()
 	if outcome.TimeToHead > 0 {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -187,6 +187,22 @@
 	require.NotContains(t, lines[1], "aborted")
 }
 
+// Requests that ended without a response are logged although other requests have used up the limit of lines.
+func TestOtherRequestsDoNotDisplaceAbortedOnes(t *testing.T) {
+	output := &logBuffer{}
+	recorder := NewRecorder(zerolog.New(output), NewMetrics(&catalog.AtomicReplica{}))
+	for range 3 * lineBurst {
+		recorder.Request(&proxy.Request{ID: "r"}, nil, 7, exchange.Outcome{Status: 200})
+	}
+	left := failure.New(failure.KindCallerLeft, "the caller disconnected: reset", "send the request again")
+	for range 5 * abortedLineBurst {
+		recorder.Request(&proxy.Request{ID: "r-left"}, nil, 7, exchange.Outcome{Failure: left})
+	}
+	logged := strings.Count(strings.Join(output.lines(), "\n"), `"aborted":true`)
+	require.GreaterOrEqual(t, logged, abortedLineBurst)
+	require.Less(t, logged, 2*abortedLineBurst)
+}
+
 // What ends before a request is admitted leaves a line and is counted.
 func TestUnreadRequestsAndConnectionErrorsAreLogged(t *testing.T) {
 	output := &logBuffer{}
