Pass on no promise that a request did not run unless it is vouched for

Callers saw: a 503 of a server that had run their request, which promises that it did not run; a turn that was sent again was entered twice. The same with 408, 421 and 429, and through other nodes.

Cause: a reply without Cloverrail-Not-Executed was delivered whatever its status, and one put aside during a retry was delivered after all. It was asked what the status is, not who vouches for it.

It is tried at another server as after any faulty reply, within the budget, and ends as a 502 of the node's own without signature and Retry-After, or with the failure that an earlier server gave. Between nodes a kind of error is added, which former builds take for "may have run".

Why it works: a server that vouches makes the attempt a refusal before its status is read, so a reply with such a status has nobody who vouches, whichever way it came. No event delivers it: the machine's invariants check that only answers are delivered.

fixture.send no longer follows redirects, so that tests see the status of the node.

--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/clientconn"
+	"github.com/cloverrail/cloverrail/internal/forward"
 	"github.com/cloverrail/cloverrail/internal/lab/faultwire"
 	"github.com/cloverrail/cloverrail/internal/origin"
 	"github.com/cloverrail/cloverrail/internal/outbound"
@@ -52,6 +53,8 @@
 	isolated atomic.Bool
 	// keepNoOrigins makes the node answer other nodes as a build that keeps no origins of streams.
 	keepNoOrigins atomic.Bool
+	// passesAnyStatus makes the node forward attempts of other nodes as a build that passes on any status of a server.
+	passesAnyStatus atomic.Bool
 }
 
 // setIsolated cuts or restores the node's connections to the store and to other nodes.
@@ -164,12 +167,16 @@
 		peers.Close()
 	}
 	t.Cleanup(fixture.kill)
-	handler := fixture.process.peerHandler()
+	handler, formerForward := fixture.process.peerHandler(), newFormerForwardHandler(fixture.process)
 	peers.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if fixture.keepNoOrigins.Load() && slices.Contains([]string{origin.PathRecords, origin.PathLookup, origin.PathOpen}, r.URL.Path) {
 			http.NotFound(w, r)
 			return
 		}
+		if fixture.passesAnyStatus.Load() && r.URL.Path == forward.Path {
+			formerForward.ServeHTTP(w, r)
+			return
+		}
 		handler.ServeHTTP(w, r)
 	})
 	peers.Start()
@@ -267,7 +274,7 @@
 	if change != nil {
 		change(request)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := http.DefaultTransport.RoundTrip(request)
 	if err != nil {
 		return clientResult{err: err}
 	}
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -346,7 +346,10 @@
 	var unreached *ErrUnreached
 	var withdrawn *ErrWithdrawn
 	var cutOff *ErrCutOff
+	var unvouched *ErrUnvouched
 	switch {
+	case errors.As(err, &unvouched):
+		return update{event: Unvouched{Status: unvouched.Status}, result: ResultFaulty}
 	case errors.As(err, &refused):
 		return update{event: Refused{Reason: refused.Reason}, result: ResultRefused}
 	case errors.As(err, &unreached):
--- a/internal/exchange/driver_test.go
+++ b/internal/exchange/driver_test.go
@@ -166,6 +166,19 @@
 	require.Equal(t, 500, recorder.status)
 }
 
+func TestUnvouchedPromiseCountsAsFailureOfServer(t *testing.T) {
+	recorder := &recorder{}
+	outcome, fakePlacer := runRequest(context.Background(), twoRuns, recorder, fails(&ErrUnvouched{Status: 503}), respondsWith(200, "done"))
+	require.Nil(t, outcome.Failure)
+	require.Equal(t, "done", recorder.body.String())
+	require.Equal(t, []Result{ResultFaulty, ResultServed}, fakePlacer.results)
+	outcome, fakePlacer = runRequest(context.Background(), singleRun, recorder, fails(&ErrUnvouched{Status: 429}))
+	require.Equal(t, failure.KindBackendFailed, outcome.Failure.Kind)
+	require.Equal(t, failure.Unknown, outcome.Failure.Outcome)
+	require.Contains(t, outcome.Failure.Problem, "429")
+	require.Equal(t, []Result{ResultFaulty}, fakePlacer.results)
+}
+
 func TestDeadlineCancelsAttempt(t *testing.T) {
 	ended := make(chan struct{})
 	server := func(ctx context.Context, _ bool, _ int64) (*Reply, error) {
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -34,6 +34,10 @@
 // retry on another server may succeed.
 type Answered struct{ Faulty bool }
 
+// Unvouched reports a complete response whose status promises that the request did not run, although it may have.
+// Such a response is never delivered.
+type Unvouched struct{ Status int }
+
 // Opened reports that the server began a stream.
 type Opened struct{}
 
@@ -77,6 +81,7 @@
 func (Refused) event()    {}
 func (Unreached) event()  {}
 func (Answered) event()   {}
+func (Unvouched) event()  {}
 func (Opened) event()     {}
 func (Arrived) event()    {}
 func (Ended) event()      {}
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -56,7 +56,7 @@
 // Invariants: an attempt that may have run is retried only if the request is
 // repeatable; at most Rules.MaxRuns attempts may have run; the caller gets one head and
 // one end, and no event twice; a failure states NotRun only if every attempt was refused
-// by its server or never reached one; an attempt that may still run is released before the next one is placed.
+// by its server or never reached one, and a response that promises as much is not delivered; an attempt that may still run is released before the next one is placed.
 type Machine struct {
 	rules  Rules
 	budget Budget
@@ -120,6 +120,8 @@
 		return machine.notRun(now, "the server cannot be reached: "+event.Reason, false)
 	case Answered:
 		return machine.answered(now, event)
+	case Unvouched:
+		return machine.unvouched(now, event)
 	case Opened:
 		return machine.open()
 	case Arrived:
@@ -180,6 +182,14 @@
 	return []Action{Deliver{}}
 }
 
+// unvouched handles a response that is not delivered. The attempt has ended at its server, as after any response.
+func (machine *Machine) unvouched(now time.Time, event Unvouched) []Action {
+	if machine.mayRetry(now, true) {
+		return append([]Action{Cancel{}}, machine.place(now)...)
+	}
+	return machine.giveUp(fmt.Sprintf("the server responded with status %d and did not state that the request did not run", event.Status))
+}
+
 func (machine *Machine) open() []Action {
 	machine.phase = streaming
 	if machine.headSent {
--- a/internal/exchange/machine_test.go
+++ b/internal/exchange/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -41,6 +42,8 @@
 	lastID       int64
 	ended        bool
 	streaming    bool
+	// answered is set once a response may be delivered.
+	answered bool
 }
 
 func (checker *checker) checkActions(actions []Action) {
@@ -68,6 +71,7 @@
 			checker.heads++
 		case Deliver:
 			require.Zero(checker.t, checker.heads, "a second head")
+			require.True(checker.t, checker.answered, "no response that may be delivered")
 			checker.heads++
 			checker.ended = true
 		case Finish:
@@ -87,11 +91,15 @@
 }
 
 func (checker *checker) step(event Event) {
+	switch event.(type) {
+	case Answered:
+		checker.answered = true
+	}
 	switch event.(type) {
 	case Refused, Unreached:
 		checker.possibleRuns--
 		checker.inFlight, checker.mayRun = false, false
-	case Answered, Ended:
+	case Answered, Unvouched, Ended:
 		checker.inFlight, checker.mayRun = false, false
 	case Released:
 		checker.releasing, checker.mayRun = false, false
@@ -128,7 +136,7 @@
 		}).Draw(checker.t, "stream")
 	}
 	event := rapid.SampledFrom([]Event{
-		Opened{}, Opened{}, Answered{}, Answered{Faulty: true}, Refused{Reason: "full"}, Unreached{Reason: "dark"},
+		Opened{}, Opened{}, Answered{}, Answered{Faulty: true}, Unvouched{Status: http.StatusServiceUnavailable}, Refused{Reason: "full"}, Unreached{Reason: "dark"},
 		Broken{Reason: "reset"}, Silent{}, Late{}, Expired{}, CallerLeft{}, Stopping{},
 	}).Draw(checker.t, "attempt")
 	_, checker.streaming = event.(Opened)
@@ -201,6 +209,25 @@
 	require.Equal(t, []Action{Deliver{}}, lastActions(singleRun, 1, nil, Placed{Server: "a"}, Answered{Faulty: true}), "the attempt may have run")
 }
 
+// Guards against a promise that nobody gives: a response whose status says that the request did not run, without a
+// statement of its server, is not delivered.
+func TestUnvouchedPromiseIsNotDelivered(t *testing.T) {
+	unvouched := Unvouched{Status: http.StatusServiceUnavailable}
+	failed := lastActions(singleRun, 9, nil, Placed{Server: "a"}, unvouched)
+	require.Equal(t, Cancel{}, failed[0])
+	require.Equal(t, failure.Unknown, failed[1].(Fail).Failure.Outcome)
+	events := []Event{Placed{Server: "a"}, unvouched, Placed{Server: "b"}}
+	require.Equal(t, []Action{Cancel{}, Place{Excluded: []string{"a"}}}, lastActions(twoRuns, 1, nil, events[:2]...), "as after any failure of a server")
+	require.Equal(t, failure.Unknown, lastActions(twoRuns, 0, nil, events[:2]...)[1].(Fail).Failure.Outcome, "no budget")
+	require.Equal(t, failure.Unknown, lastActions(twoRuns, 2, nil, append(events, Refused{}, Unplaced{Permanent: true})...)[0].(Fail).Failure.Outcome, "the first attempt may have run")
+	require.Equal(t, []Action{Deliver{}}, lastActions(twoRuns, 1, nil, append(events, Answered{})...))
+	stashed := []Event{Placed{Server: "a"}, Answered{Faulty: true}, Placed{Server: "b"}, unvouched}
+	require.Equal(t, []Action{Cancel{}, Deliver{}}, lastActions(twoRuns, 1, nil, stashed...), "the failure that the first server gave")
+	stream := []Event{Placed{Server: "a"}, Opened{}, Arrived{ID: 1, HasID: true}, Broken{}, Released{}, Placed{Server: "b"}, unvouched}
+	require.IsType(t, Cut{}, lastActions(twoRuns, 1, nil, stream...)[1], "the caller has the head of a stream")
+	require.Equal(t, []Action{Cancel{}, Place{Excluded: []string{"a", "b"}}}, lastActions(Rules{Repeatable: true, MaxRuns: 3, MaxSends: 6}, 2, nil, stream...))
+}
+
 // Guards against a refusal for lack of free servers because of the time in which the previous server ended its attempt.
 func TestPlacementWaitBeginsWithRelease(t *testing.T) {
 	machine := NewMachine(Rules{Repeatable: true, MaxRuns: 2, MaxSends: 6, PlacementWait: 50 * time.Millisecond}, &fixedBudget{remaining: 1}, nil)
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -101,12 +102,21 @@
 // Error implements the error interface.
 func (c *ErrCutOff) Error() string { return c.Reason }
 
+// ErrUnvouched is returned if the status of a complete response promises that the request did not run, and nobody
+// vouches for that: the server did not state it, so that the attempt may have run.
+type ErrUnvouched struct{ Status int }
+
+// Error implements the error interface.
+func (u *ErrUnvouched) Error() string {
+	return fmt.Sprintf("status %d, without a statement that the request did not run", u.Status)
+}
+
 // Placement is an attempt on a chosen server. It counts as in flight until End is called.
 type Placement interface {
 	// Server returns the name of the server's incarnation.
 	Server() string
 	// Send sends the request. The errors ErrRefused, ErrUnreached and ErrWithdrawn guarantee
-	// that it did not run; after any other error, it may have run.
+	// that it did not run; after any other error, it may have run. The status of a reply promises nothing.
 	Send(ctx context.Context, resumes bool, after int64) (*Reply, error)
 	// ResponseStarted is called for each event of the response; only the first call counts.
 	ResponseStarted()
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -148,6 +148,7 @@
 		"unavailable": {err: &proxy.ErrUnavailable{Reason: "stopping"}, next: true},
 		"withdrawn":   {err: &exchange.ErrWithdrawn{Reason: "draining"}},
 		"cut off":     {err: &exchange.ErrCutOff{Reason: "EOF"}},
+		"unvouched":   {err: &exchange.ErrUnvouched{Status: 503}},
 		"broken":      {err: errors.New("garbled")},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -167,7 +168,7 @@
 			require.Equal(t, 1, asked)
 			var cutOff *exchange.ErrCutOff
 			switch name {
-			case "refused":
+			case "refused", "unvouched":
 				require.Equal(t, c.err, err)
 			case "withdrawn":
 				require.Equal(t, c.err, err)
@@ -180,6 +181,13 @@
 	}
 }
 
+// Guards against "not run" from a kind of error that a later build has added.
+func TestErrorOfUnknownKindMayHaveRun(t *testing.T) {
+	require.EqualError(t, wireError{Kind: errorUnvouched + 1, Reason: "new"}.err(), "new")
+	var refused *exchange.ErrRefused
+	require.False(t, errors.As(wireError{Kind: errorUnvouched + 1}.err(), &refused))
+}
+
 func TestNodesThatDoNotForwardAreSkipped(t *testing.T) {
 	f := newTestFleet(t)
 	f.addNode("a", http.NotFoundHandler())
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -89,6 +89,9 @@
 	errorBroken
 	// errorUnavailable means that the node does not forward attempts now. Nothing was sent.
 	errorUnavailable
+	// errorUnvouched is an exchange.ErrUnvouched. Builds that do not know it take it for errorBroken, as they do any kind
+	// that is added.
+	errorUnvouched
 )
 
 // wireError is the error of an attempt.
@@ -97,6 +100,8 @@
 	Reason          string
 	LoadedVersion   int64
 	AnotherInstance bool
+	// Status is that of an errorUnvouched.
+	Status int
 }
 
 // newWireError returns the message of an error. An error of an unknown type says nothing of whether
@@ -107,7 +112,10 @@
 	var withdrawn *exchange.ErrWithdrawn
 	var cutOff *exchange.ErrCutOff
 	var unavailable *proxy.ErrUnavailable
+	var unvouched *exchange.ErrUnvouched
 	switch {
+	case errors.As(err, &unvouched):
+		return wireError{Kind: errorUnvouched, Reason: err.Error(), Status: unvouched.Status}
 	case errors.As(err, &refused):
 		return wireError{Kind: errorRefused, Reason: refused.Reason, LoadedVersion: refused.LoadedVersion, AnotherInstance: refused.AnotherInstance}
 	case errors.As(err, &unreached):
@@ -138,6 +146,8 @@
 		return &exchange.ErrCutOff{Reason: w.Reason}
 	case errorUnavailable:
 		return &proxy.ErrUnavailable{Reason: w.Reason}
+	case errorUnvouched:
+		return &exchange.ErrUnvouched{Status: w.Status}
 	default:
 		return errors.New(w.Reason)
 	}
--- a/internal/telemetry/paths.go
+++ b/internal/telemetry/paths.go
@@ -39,9 +39,12 @@
 	var unreached *exchange.ErrUnreached
 	var withdrawn *exchange.ErrWithdrawn
 	var unavailable *proxy.ErrUnavailable
+	var unvouched *exchange.ErrUnvouched
 	switch {
 	case err == nil:
 		return "answered"
+	case errors.As(err, &unvouched):
+		return "unvouched"
 	case errors.As(err, &refused):
 		return "refused"
 	case errors.As(err, &unreached):
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -343,6 +344,8 @@
 			return
 		}
 		reason = "the server failed"
+	case exchange.Unvouched:
+		reason = strconv.Itoa(event.Status)
 	case exchange.Refused:
 		reason = event.Reason
 	case exchange.Unreached:
