Answer requests whose server responds with a status below 200

Callers saw: status 101, after which their connection has no further answers, if a server responds so unasked, or the end of the connection without an answer if its status is below 100. With an Upgrade header the node read the connection as a body.

Cause: net/http takes any three digits for a status and 101 for a final response, and a node passed both on. Its writer panics at a status below 100.

Change: a response with a status below 200 is none; the attempt may have run. It is checked before the body is read, and where a node takes a reply from another one.

Why it works: a status that cannot be written never reaches the writer; interim responses are consumed by net/http before.

--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -88,7 +88,7 @@
 	dispatch.OnNotice = onNotice
 	reply, err = proxy.servers.Send(tracked, dispatch)
 	if err == nil {
-		reply, err = rejectPromise(reply)
+		reply, err = checkStatus(reply)
 	}
 	if err == nil && dispatch.Confirm && reply.Next != nil {
 		reply.ConfirmedByPeer = proxy.confirmIncarnation(ctx, dispatch.Server, reply.ConnectedAt) == incarnationConfirmed
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -94,7 +94,7 @@
 	if !placement.detour {
 		placement.placer.proxy.set.ObserveAnswer(placement.chosen.Endpoint, reply.ConnectedAt, sentAt, placement.placer.proxy.entryTTL)
 	}
-	if reply, err = rejectPromise(reply); err != nil {
+	if reply, err = checkStatus(reply); err != nil {
 		return nil, err
 	}
 	return placement.checkIncarnation(ctx, reply)
