Take no version for the only one from a record that a restore may have undone

What callers saw: a stream that they took up after the loss of all nodes was answered 200 and ran to its end at another software version than the one that had begun it.

Cause: the record of software versions in the store was believed to be complete whenever it is read, since a version begins streams only while it is in it. A store that comes back from an older copy has lost what was recorded since, or the whole record. Nodes that lived through the restore write it again; when all are lost before that, or while the store is silent, the next ones read a record that lacks a version, and took the one that is left for the origin of all streams without a record of their own.

Change: the record names, in a field that former builds take for a service without servers, the eras in which a node knew that it is complete. In a later era it may lack versions: a node that starts then concludes nothing from it until a node that knows all versions has written the era, or until it has followed the record and the list for the retention of two minutes itself. Meanwhile all nodes share and archive the records of their streams as with several versions, and publish those that began before, so that what begins, or began at a node that lives, goes on. New versions are added to the record as before. A node that was out of touch for more than 2 s when the store was restored does not claim to know all versions.

Why it works: an era only increases, and an entry that names the present era was written after the last restore by a node that knew all versions; later ones are added before they begin streams.

Tests changed: TestStreamsOutliveNodesAndRestoredStore waited, after its last restore and loss of all nodes at once, until the new nodes claim to know all versions. They cannot; it waits for the record instead. What it checks is as before. TestStreamsBeginAtRecordedVersions draws eras for which the record is complete, and expects a complete history from such records alone.

TestStateIsInForceAfterOutage required that nodes which all start in an outage know the only version after a restore of the store that no node lived through: nobody can. Its three restored cases now require the record, and all six that 20 of 20 streams that begin afterwards go on at another node.

--- a/cmd/cloverrail/archive_test.go
+++ b/cmd/cloverrail/archive_test.go
@@ -240,7 +240,9 @@
 	lost := f.beginAt(3)
 	time.Sleep(youngestAge)
 	f.store.Restore(snapshot)
-	f.loseAll(0)
+	// No node that lived through the restore tells the next ones that the record is complete.
+	f.killAll()
+	f.startNodes(3)
 	f.resume(lost, streamLength)
 	requireOneVersion(t, lost)
 	for _, s := range lost {
--- a/cmd/cloverrail/origins.go
+++ b/cmd/cloverrail/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"reflect"
 	"slices"
 	"time"
@@ -39,7 +40,7 @@
 		Incarnation: incarnation,
 		Open:        process.openStreams,
 		Ledger:      process.origins,
-		Mixed:       process.serverSet.MixedServices,
+		Required:    process.serverSet.ServicesRequiringOrigins,
 		IsRelay:     func() bool { return process.registry.IsRelay() },
 		Nodes:       func() int { return process.registry.Nodes() },
 		Report:      process.reportOpenStreams(),
@@ -64,10 +65,10 @@
 	return report.Born, err
 }
 
-// publishOrigins sends records of streams to other nodes once their services have several software
-// versions, until the context ends.
+// publishOrigins sends records of streams to other nodes once these need them, until the context ends.
 func (process *process) publishOrigins(ctx context.Context) {
 	var last backend.SoftwareVersions
+	lastRequired := map[string]bool{}
 	nextRead := time.Time{}
 	for ctx.Err() == nil {
 		if now := boottime.Now(); process.serverSet.LacksSoftware() && !now.Before(nextRead) {
@@ -77,12 +78,16 @@
 		if published := process.proxy.PublishOrigins(ctx); published > 0 {
 			process.recorder.OriginsPublished(published)
 		}
-		if len(process.serverSet.MixedServices(boottime.Now())) > 0 {
+		required := process.serverSet.ServicesRequiringOrigins(boottime.Now())
+		if len(required) > 0 {
 			process.refreshPeers(ctx)
 		}
+		if !maps.Equal(required, lastRequired) {
+			lastRequired = required
+			process.archive.Wake()
+		}
 		if versions, _ := process.serverSet.Software(boottime.Now()); !reflect.DeepEqual(versions, last) {
 			last = versions
-			process.archive.Wake()
 			process.recorder.SoftwareChanged(versions)
 		}
 		select {
--- a/cmd/cloverrail/outage_test.go
+++ b/cmd/cloverrail/outage_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/lab/faultwire"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
@@ -66,8 +67,10 @@
 		return "the configuration"
 	case len(process.serverSet.Servers(boottime.Now())) < len(f.machines):
 		return "the list of servers"
-	case !complete:
+	case !complete && !f.incomplete:
 		return "the software versions"
+	case process.serverSet.SoftwareRecord() == nil || len(process.serverSet.UnrecordedSoftware()) > 0:
+		return "the record of software versions"
 	case !f.registered(n):
 		return "its registration"
 	case !process.registry.Bootstrapped():
@@ -282,6 +285,7 @@
 				time.Sleep(mediumOutage)
 				if restored {
 					f.store.Restore(snapshot)
+					f.incomplete = true
 				}
 				f.store.Put(standin.KeyConfiguration, newDocument(7, "new-key"))
 				f.store.Put(platform.PrefixQuarantine+storedSuspect.String(), "held")
@@ -305,6 +309,16 @@
 						return incarnations[len(incarnations)-1].Version() == 2
 					})
 				}
+				withNewKey := func(r *http.Request) { r.Header.Set("Authorization", "Bearer new-key") }
+				requireContinued(t, runStreams(func(i int, s *callerStream) {
+					// Servers refuse what asks for weights that they have replaced just now.
+					for ; s.events < 1 && time.Since(endedAt) < waitTimeout; time.Sleep(10 * time.Millisecond) {
+						s.try(f.nodes[i%3], 1, withNewKey)
+					}
+					for ; !s.complete && time.Since(endedAt) < waitTimeout && !strings.Contains(s.refusal, string(failure.KindOtherSoftware)); time.Sleep(10 * time.Millisecond) {
+						s.try(f.nodes[(i+1)%3], streamLength, withNewKey)
+					}
+				}), softwareStreams)
 			})
 		}
 	}
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -282,6 +282,12 @@
 	process.metrics.Gauge("cloverrail_proxy_mixed_services", "Services whose servers have, or had of late, several software versions.", func() float64 {
 		return float64(len(process.serverSet.MixedServices(boottime.Now())))
 	})
+	process.metrics.Gauge("cloverrail_proxy_incomplete_software_record", "1 while the record of software versions may lack some that have begun streams, since the store was restored.", func() float64 {
+		if process.serverSet.LacksCompleteRecord() {
+			return 1
+		}
+		return 0
+	})
 	process.metrics.Gauge("cloverrail_proxy_unrecorded_services", "Services that list a software version which is not recorded, and which begins no streams.", func() float64 {
 		return float64(len(process.serverSet.UnrecordedSoftware()))
 	})
--- a/cmd/cloverrail/restart_test.go
+++ b/cmd/cloverrail/restart_test.go
@@ -38,6 +38,13 @@
 }
 
 func (r *restartableServer) startServer(server *standin.Server) *standin.Server {
+	r.run(server)
+	r.fixture.registerServer(r.server, r.address, "ready")
+	return r.server
+}
+
+// run starts the next incarnation, whose entry is not written.
+func (r *restartableServer) run(server *standin.Server) {
 	if r.httpServer != nil {
 		_ = r.httpServer.Close()
 	}
@@ -53,8 +60,6 @@
 	r.httpServer = &http.Server{Handler: r.server}
 	go func(httpServer *http.Server) { _ = httpServer.Serve(listener) }(r.httpServer)
 	r.fixture.t.Cleanup(func() { _ = r.httpServer.Close() })
-	r.fixture.registerServer(r.server, r.address, "ready")
-	return r.server
 }
 
 // waitForServers writes a declaration, and waits until the node knows a number of servers.
--- a/cmd/cloverrail/software_test.go
+++ b/cmd/cloverrail/software_test.go
@@ -40,6 +40,8 @@
 	// while their events are slowEvent apart.
 	breaks atomic.Bool
 	slow   atomic.Bool
+	// incomplete is set once the store was restored while no node ran that knew all versions: nodes cannot tell.
+	incomplete bool
 }
 
 // slowEvent is the time between two events of a slow stream.
--- a/cmd/cloverrail/softwarerecord.go
+++ b/cmd/cloverrail/softwarerecord.go
@@ -51,13 +51,17 @@
 	set := r.process.serverSet
 	record := set.SoftwareRecord()
 	versions, complete := set.Software(now)
-	differs := record != nil && complete && !set.LacksSoftware() && !reflect.DeepEqual(versions, record.Versions)
+	var replacement backend.SoftwareVersions
+	if record != nil {
+		replacement = record.Replacement(versions, complete)
+	}
+	differs := record != nil && !set.LacksSoftware() && !reflect.DeepEqual(replacement, record.Versions)
 	r.dueSince = since(r.dueSince, differs, now)
 	r.missingSince = since(r.missingSince, len(versions) > 0 && (record == nil || len(set.UnrecordedSoftware()) > 0), now)
 	delay := time.Duration(r.process.registry.Rank()) * recordDelayPerRank
 	switch {
 	case differs && r.process.reflector.Relays() && now.Sub(r.dueSince) >= delay:
-		return r.write(ctx, versions, *record)
+		return r.write(ctx, replacement, *record)
 	case !r.missingSince.IsZero() && now.Sub(r.missingSince) >= recordReadDelay:
 		r.missingSince = now
 		return r.read(ctx)
--- a/internal/backend/software.go
+++ b/internal/backend/software.go
@@ -27,9 +27,10 @@
 	services map[string]map[string]*softwareUse
 	// completeAt is when the history covers SoftwareRetention; zero before the first list.
 	completeAt time.Time
-	// changed has an element after a version was added.
+	// changed has an element after a version was added, or the record turned out not to be complete.
 	changed chan struct{}
-	// unrecorded has an element after a version was listed that is not recorded.
+	// unrecorded has an element after a version was listed that is not recorded, or the record turned out not to be
+	// complete.
 	unrecorded chan struct{}
 	// record is the latest record that this node knows, or nil.
 	record *SoftwareRecord
@@ -39,6 +40,14 @@
 	return softwareHistory{services: map[string]map[string]*softwareUse{}, changed: make(chan struct{}, 1), unrecorded: make(chan struct{}, 1)}
 }
 
+// signal adds an element to a channel that has none.
+func signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
 func (h *softwareHistory) use(service, software string) *softwareUse {
 	versions := h.services[service]
 	if versions == nil {
@@ -47,10 +56,7 @@
 	}
 	if versions[software] == nil {
 		versions[software] = &softwareUse{}
-		select {
-		case h.changed <- struct{}{}:
-		default:
-		}
+		signal(h.changed)
 	}
 	return versions[software]
 }
@@ -64,10 +70,7 @@
 	if after != nil {
 		h.use(after.Service, after.Software).listed++
 		if !h.mayBegin(after.Service, after.Software) {
-			select {
-			case h.unrecorded <- struct{}{}:
-			default:
-			}
+			signal(h.unrecorded)
 		}
 	}
 	if before != nil {
@@ -101,8 +104,27 @@
 	return len(versions) > 1 || slices.Contains(versions, "")
 }
 
-// SoftwareAdded returns a channel that has an element after a software version was added. It is for one
-// receiver.
+// RequiresOrigins reports whether what began a stream of a service can be told only by a record of the stream, at
+// some node at least.
+func (set *Set) RequiresOrigins(service string, now time.Time) bool {
+	return set.MixesSoftware(service, now) || set.LacksCompleteRecord()
+}
+
+// ServicesRequiringOrigins returns the services of which RequiresOrigins is true.
+func (set *Set) ServicesRequiringOrigins(now time.Time) map[string]bool {
+	services := set.MixedServices(now)
+	if set.LacksCompleteRecord() {
+		set.mutex.Lock()
+		defer set.mutex.Unlock()
+		for service := range set.software.services {
+			services[service] = true
+		}
+	}
+	return services
+}
+
+// SoftwareAdded returns a channel that has an element after a software version was added, or the record turned out
+// not to be complete. It is for one receiver.
 func (set *Set) SoftwareAdded() <-chan struct{} { return set.software.changed }
 
 // MixedServices returns the services of which MixesSoftware is true.
--- a/internal/backend/software_test.go
+++ b/internal/backend/software_test.go
@@ -145,9 +145,11 @@
 		set, now := NewSet(), time.Unix(1000, 0)
 		query := Query{Service: "s", Distance: func(string) int { return 0 }, BeginsStream: true}
 		var latest *SoftwareRecord
+		knowsAll := false
 		listed := map[string]string{}
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now = now.Add(time.Second)
+			set.ObserveListRead(now)
 			software := rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "software")
 			if rapid.Bool().Draw(t, "lists") {
 				instance := "i-" + software
@@ -156,9 +158,13 @@
 			} else {
 				versions := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"v1", "v2", "v3"}), 0, 3, rapid.ID).Draw(t, "versions")
 				record := SoftwareRecord{Versions: SoftwareVersions{"s": versions}, AsOf: coordination.Position{Era: rapid.Int64Range(1, 2).Draw(t, "era"), Revision: rapid.Int64Range(1, 9).Draw(t, "revision")}}
+				if era := rapid.Int64Range(0, 2).Draw(t, "complete in era"); era > 0 {
+					record.Versions[completeEraField] = []string{fmt.Sprint(era)}
+				}
 				set.SetSoftwareRecord(record, now)
 				if latest == nil || !record.AsOf.Before(latest.AsOf) {
 					latest = &record
+					knowsAll = knowsAll || record.Complete()
 				}
 			}
 			begins, unrecorded := map[string]bool{}, false
@@ -173,7 +179,7 @@
 			require.Equal(t, unrecorded, set.ListsUnrecordedSoftware("s"))
 			require.Equal(t, unrecorded, len(set.UnrecordedSoftware()) > 0)
 			_, complete := set.Software(now)
-			require.Equal(t, latest != nil, complete)
+			require.Equal(t, knowsAll, complete)
 			if latest != nil {
 				versions, _ := set.Software(now)
 				for _, software := range latest.Versions["s"] {
--- a/internal/backend/softwarerecord.go
+++ b/internal/backend/softwarerecord.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"reflect"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/coordination"
@@ -21,6 +23,50 @@
 	AsOf coordination.Position
 }
 
+// completeEraField is the field of a record that names the eras of the store in which a node knew that the record is
+// complete. No service has that name, so that builds without the field take it for a service without servers. Such
+// builds keep former eras beside the latest for a time.
+const completeEraField = ""
+
+// maxRecordGap is the longest time without the list of servers after which a node still knows all versions that were
+// recorded before the store was restored.
+const maxRecordGap = 2 * time.Second
+
+// Complete reports whether all versions that may have begun a stream are in the record: after a restore of the
+// store, the entry may be one that lacks some.
+func (r *SoftwareRecord) Complete() bool {
+	if eras := r.Versions[completeEraField]; len(eras) > 0 {
+		return slices.Contains(eras, r.era())
+	}
+	return !r.AsOf.MayFollowRestore()
+}
+
+func (r *SoftwareRecord) era() string { return strconv.FormatInt(r.AsOf.Era, 10) }
+
+// Services returns the recorded versions of each service.
+func (r *SoftwareRecord) Services() SoftwareVersions {
+	services := maps.Clone(r.Versions)
+	delete(services, completeEraField)
+	return services
+}
+
+// Replacement returns what is to be written instead of the record's versions, by a node that knows other versions.
+// Complete reports that it knows all.
+func (r *SoftwareRecord) Replacement(versions SoftwareVersions, complete bool) SoftwareVersions {
+	if len(versions) == 0 && len(r.Services()) == 0 {
+		return r.Versions
+	}
+	replacement := maps.Clone(versions)
+	eras, found := r.Versions[completeEraField]
+	switch {
+	case complete && !slices.Contains(eras, r.era()):
+		replacement[completeEraField] = []string{r.era()}
+	case found:
+		replacement[completeEraField] = eras
+	}
+	return replacement
+}
+
 // contains reports whether a version of a service is recorded.
 func (r *SoftwareRecord) contains(service, software string) bool {
 	return slices.Contains(r.Versions[service], software)
@@ -45,7 +91,8 @@
 }
 
 // SetSoftwareRecord applies a record, unless a later one is known. It reports whether the record has
-// changed. With a record, the history is complete.
+// changed. With a complete record, the history is complete. A node that was out of touch when the store was
+// restored may have missed versions.
 func (set *Set) SetSoftwareRecord(record SoftwareRecord, now time.Time) (changed bool) {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
@@ -55,13 +102,22 @@
 	}
 	former := h.record
 	h.record = &record
-	if h.completeAt.IsZero() || h.completeAt.After(now) {
+	complete := record.Complete()
+	switch {
+	case complete && (h.completeAt.IsZero() || h.completeAt.After(now)):
 		h.completeAt = now
+	case complete:
+	case h.completeAt.IsZero(), former != nil && former.AsOf.Era < record.AsOf.Era && now.Sub(set.listReadAt) > maxRecordGap:
+		h.completeAt = now.Add(SoftwareRetention)
 	}
-	if former != nil && reflect.DeepEqual(former.Versions, record.Versions) {
+	if former != nil && former.Complete() == complete && reflect.DeepEqual(former.Versions, record.Versions) {
 		return false
 	}
-	for service, versions := range record.Versions {
+	if !complete {
+		signal(h.changed)
+		signal(h.unrecorded)
+	}
+	for service, versions := range record.Services() {
 		for _, software := range versions {
 			if former != nil && former.contains(service, software) {
 				continue
@@ -81,8 +137,14 @@
 	return set.software.record
 }
 
+// LacksCompleteRecord reports whether the record that this node knows may lack versions that have begun streams.
+func (set *Set) LacksCompleteRecord() bool {
+	record := set.SoftwareRecord()
+	return record != nil && !record.Complete()
+}
+
 // SoftwareUnrecorded returns a channel that has an element after a software version was listed that is not
-// recorded. It is for one receiver.
+// recorded, or the record turned out not to be complete. It is for one receiver.
 func (set *Set) SoftwareUnrecorded() <-chan struct{} { return set.software.unrecorded }
 
 // UnrecordedSoftware returns the services that list a software version which is not recorded.
@@ -105,6 +167,9 @@
 }
 
 func (h *softwareHistory) listsUnrecorded(service string) bool {
+	if service == completeEraField {
+		return false
+	}
 	for software, use := range h.services[service] {
 		if use.listed > 0 && !h.mayBegin(service, software) {
 			return true
--- a/internal/coordination/position.go
+++ b/internal/coordination/position.go
@@ -28,6 +28,9 @@
 // Before reports whether the position is before another one.
 func (p Position) Before(other Position) bool { return p.Compare(other) < 0 }
 
+// MayFollowRestore reports whether the store may have been restored before the position.
+func (p Position) MayFollowRestore() bool { return p.Era > initialEra }
+
 // Later returns the later of two positions.
 func (p Position) Later(other Position) Position {
 	if p.Before(other) {
--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -68,8 +68,8 @@
 	Incarnation string
 	Open        *OpenStreams
 	Ledger      *Ledger
-	// Mixed returns the services that have several software versions.
-	Mixed func(now time.Time) map[string]bool
+	// Required returns the services of which streams need a record.
+	Required func(now time.Time) map[string]bool
 	// IsRelay reports whether this node writes to the store. Report sends a message to one of the relays, and
 	// reports whether one has accepted it.
 	IsRelay func() bool
@@ -166,7 +166,7 @@
 // as they are not saved yet. If that fails it tries the other way.
 func (a *Archive) save(ctx context.Context) saveResult {
 	now := boottime.Now()
-	streams := a.Open.Streams(a.Mixed(now), now)
+	streams := a.Open.Streams(a.Required(now), now)
 	relay := a.IsRelay()
 	if relay {
 		a.reports.addTo(streams, now)
--- a/internal/origin/archive_test.go
+++ b/internal/origin/archive_test.go
@@ -206,8 +206,8 @@
 func (f *archiveFleet) newNode(i int, incarnation string) *Archive {
 	return &Archive{
 		Store: f.store, Prefix: "origins/", Incarnation: incarnation, Open: NewOpenStreams(), Ledger: NewLedger(),
-		Mixed:   func(time.Time) map[string]bool { return map[string]bool{"s": true} },
-		IsRelay: func() bool { return i < f.relays },
+		Required: func(time.Time) map[string]bool { return map[string]bool{"s": true} },
+		IsRelay:  func() bool { return i < f.relays },
 		Report: func(_ context.Context, body []byte) bool {
 			time.Sleep(peerLatency)
 			f.mutex.Lock()
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -246,7 +246,7 @@
 
 // mixesOrigins reports whether what began a stream on the route can be told only by a record.
 func (proxy *Proxy) mixesOrigins(admitted *admitted, now time.Time) bool {
-	return len(admitted.route.Split) > 1 || proxy.set.MixesSoftware(admitted.service.Name, now)
+	return len(admitted.route.Split) > 1 || proxy.set.RequiresOrigins(admitted.service.Name, now)
 }
 
 // keepsOrigin reports whether the attempt's stream may be resumed later.
@@ -412,17 +412,17 @@
 }
 
 // PublishOrigins sends the records of streams that began while their services had one software version
-// to other nodes, once there are several. It returns how many there were.
+// to other nodes, once there are several or other nodes may not know that there was one. It returns how many there were.
 func (proxy *Proxy) PublishOrigins(ctx context.Context) int {
 	now := boottime.Now()
 	if proxy.origins == nil || proxy.originHolders == nil {
 		return 0
 	}
-	mixed := proxy.set.MixedServices(now)
-	if len(mixed) == 0 {
+	services := proxy.set.ServicesRequiringOrigins(now)
+	if len(services) == 0 {
 		return 0
 	}
-	return proxy.sendOrigins(ctx, proxy.origins.TakeUnsent(mixed, maxPublishedOrigins, now))
+	return proxy.sendOrigins(ctx, proxy.origins.TakeUnsent(services, maxPublishedOrigins, now))
 }
 
 // HandOverOrigins sends the records of streams that this node holds to other nodes, before it stops. It
