Begin and continue resumable streams only where the software version is certain

Cause: a server restarts under its ID with other software and begins streams before the list shows it. These were recorded with an unknown origin, at their node and two others. With all nodes lost, nothing was left of that: the version was never listed and never recorded, so that the next nodes took the only version that they knew for the origin. The restore of the store, which was suspected, has no part in it.

Change: where it is not certain which process has begun a stream, or continues it, the attempt is given up for another server, after up to three questions for its start time and before the caller has a head. A server that gives another start time than its entry begins no such streams for 1 s, or until it is listed; other requests are served there. A version that is not known begins none. The next start of a server that the rollout's questions show before the list had the version of the one before; it has none until it is listed. A line and the counter recorded_streams_total{record="uncertain"} tell what was given up.

Why it works: each stream that a caller has an event of began at a version that was in the record at that time, so that the record, where it is complete, holds the version of each stream that no node knows.

Cost: an attempt at a server that has just restarted under its ID uses a retry, or is answered with 502 if the budget has none, until the node has seen it once; before, that stream went on as long as it did not break.

--- a/cmd/cloverrail/unrecorded_version_test.go
+++ b/cmd/cloverrail/unrecorded_version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -171,3 +172,46 @@
 
 // rewriteLimit is the time within which the record is complete again after a restore of the store.
 const rewriteLimit = 2 * time.Second
+
+// Guards against streams that began at a server which had restarted with other software and was not in the list yet:
+// with all nodes lost, no record of them was left, and they went on at the only version that was ever listed.
+func TestUnlistedVersionMixesNoStreamAfterLossOfAllNodes(t *testing.T) {
+	t.Parallel()
+	f := newSoftwareFleet(t, 3, "v1")
+	r := &restartableServer{fixture: f.nodes[0]}
+	former := r.startSoftware("v1", f.handle)
+	f.machines = append(f.machines, nil)
+	for _, n := range f.nodes {
+		f.awaitReady(n)
+		n.awaitRetryShare()
+		n.waitUntil(func() bool {
+			before := former.Runs()
+			(&callerStream{}).try(n, streamLength, nil)
+			return former.Runs() > before
+		})
+	}
+	unlisted := engine("i-1", f.handle)
+	unlisted.Software = "v2"
+	r.run(unlisted)
+	var streams []*callerStream
+	for range 3 {
+		streams = append(streams, f.beginAt(3)...)
+	}
+	began := 0
+	for _, s := range streams {
+		began += s.events
+	}
+	require.GreaterOrEqual(t, began, 3*minContinued, "streams begin at the other servers meanwhile")
+	time.Sleep(youngestAge)
+	f.killAll()
+	r.startSoftware("v1", f.handle)
+	f.startNodes(3)
+	f.resume(streams, streamLength)
+	requireOneVersion(t, streams)
+	for _, s := range streams {
+		require.True(t, s.complete || s.events == 0, "%d %s", s.status, s.refusal)
+	}
+
+	r.startSoftware("v3", f.handle)
+	f.nodes[len(f.nodes)-1].waitUntil(func() bool { return slices.Contains(f.beginAt(3)[0].versions, "v3") })
+}
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -20,7 +20,7 @@
 	Distance       Distance
 	// Software, if set, is the only software version that may serve the request.
 	Software string
-	// BeginsStream excludes servers whose software version is not recorded.
+	// BeginsStream excludes servers whose software version is not recorded, or has changed as it seems.
 	BeginsStream bool
 	// Limit bounds the candidates to the servers whose keys follow HashPoint on the ring of the
 	// service; 0 means all servers. All nodes get the same subset for the same HashPoint.
@@ -50,7 +50,7 @@
 		if query.Software != "" && e.server.Software != query.Software {
 			continue
 		}
-		if query.BeginsStream && !set.software.mayBegin(query.Service, e.server.Software) {
+		if query.BeginsStream && (!set.software.mayBegin(query.Service, e.server.Software) || now.Before(e.local().otherProcessUntil)) {
 			continue
 		}
 		if now.Before(e.local().replacedUntil) || !e.listed && (anyListed || !set.mayServeUnlisted(e, now)) {
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -132,6 +132,9 @@
 	// confirmedAt is when this incarnation certainly still ran: the server gave its start time in answer
 	// to a later request, or answered a later attempt on a connection to this incarnation.
 	confirmedAt time.Time
+	// otherProcessUntil is until when the server counts as replaced by a process that the list lacks: it reported
+	// another start time. Zero if it did not.
+	otherProcessUntil time.Time
 	// drainingAnnounced reports that the server told this node directly that it is shutting down.
 	drainingAnnounced bool
 	breaker           retry.Breaker
@@ -243,10 +246,10 @@
 
 // ObserveRestart records that the server has restarted as a new incarnation, as its own answer
 // shows, with the model versions that it reports. The list will include the new incarnation
-// later.
+// later, and show which software version it has.
 func (set *Set) ObserveRestart(former Server, born int64, versions map[string]int64, now time.Time) []Change {
 	next := former
-	next.Born, next.Versions, next.Draining = born, versions, false
+	next.Born, next.Versions, next.Draining, next.Software = born, versions, false, ""
 	return set.Apply([]*Server{&next}, nil, now)
 }
 
--- a/internal/backend/software.go
+++ b/internal/backend/software.go
@@ -10,6 +10,9 @@
 // as one that may have begun a stream. Callers' tries of one stream end sooner.
 const SoftwareRetention = 2 * time.Minute
 
+// otherProcessRetention is how long a server that reported another start time than its entry counts as replaced.
+const otherProcessRetention = time.Second
+
 // SoftwareVersions holds the software versions of each service. A version is unknown, "", if the
 // node that reported the server does not pass it on.
 type SoftwareVersions map[string][]string
@@ -245,15 +248,21 @@
 }
 
 // ObserveBorn records the start time that a server itself reported in answer to a call sent at a time.
-// It returns whether that is the start time of the incarnation.
+// It returns whether that is the start time of the incarnation. If it is not, the server begins no streams for
+// otherProcessRetention, unless it is listed anew.
 func (set *Set) ObserveBorn(name string, born int64, sentAt time.Time) bool {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	e := set.servers[name]
-	if e == nil || e.server.Born != born {
+	if e == nil {
 		return false
 	}
 	local := set.ensureLocalState(e)
+	if e.server.Born != born {
+		local.otherProcessUntil = sentAt.Add(otherProcessRetention)
+		return false
+	}
+	local.otherProcessUntil = time.Time{}
 	if sentAt.After(local.confirmedAt) {
 		local.confirmedAt = sentAt
 	}
--- a/internal/backend/software_test.go
+++ b/internal/backend/software_test.go
@@ -176,7 +176,7 @@
 				require.Equal(t, recorded, begins[software])
 				unrecorded = unrecorded || !recorded
 			}
-			require.Equal(t, unrecorded, set.ListsUnrecordedSoftware("s"))
+			require.Equal(t, unrecorded, set.ListsUnrecordedSoftware("s", now))
 			require.Equal(t, unrecorded, len(set.UnrecordedSoftware()) > 0)
 			_, complete := set.Software(now)
 			require.Equal(t, knowsAll, complete)
@@ -189,3 +189,41 @@
 		}
 	})
 }
+
+// Guards against the version of a server's former incarnation being taken for that of a process which only the
+// server's own answers have shown.
+func TestRestartedServerBeginsNoStreamBeforeItsVersionIsListed(t *testing.T) {
+	now, query := time.Unix(1000, 0), Query{Service: "s", Distance: func(string) int { return 0 }, BeginsStream: true}
+	newSet := func() *Set {
+		set := NewSet()
+		set.SetSoftwareRecord(SoftwareRecord{Versions: SoftwareVersions{"s": {"v1"}}, AsOf: coordination.Position{Era: 1, Revision: 1}}, now)
+		set.Apply([]*Server{{Instance: "i", Born: 5, Service: "s", Software: "v1"}}, nil, now)
+		require.Len(t, set.Candidates(nil, query, now), 1)
+		require.False(t, set.ListsUnrecordedSoftware("s", now))
+		return set
+	}
+	asked := newSet()
+	require.False(t, asked.ObserveBorn("i@5", 6, now))
+	inspected := newSet()
+	inspected.ObserveRestart(Server{Instance: "i", Born: 5, Service: "s", Software: "v1"}, 6, nil, now)
+	require.Empty(t, inspected.SoftwareOf("i@6"))
+	for _, set := range []*Set{asked, inspected} {
+		require.Empty(t, set.Candidates(nil, query, now))
+		require.True(t, set.ListsUnrecordedSoftware("s", now))
+		others := query
+		others.BeginsStream = false
+		require.Len(t, set.Candidates(nil, others, now), 1, "other requests are served")
+		set.Apply([]*Server{{Instance: "i", Born: 6, Service: "s", Software: "v2"}}, nil, now)
+		require.Empty(t, set.Candidates(nil, query, now), "the version is not recorded")
+		require.Equal(t, "v2", set.SoftwareOf("i@6"))
+		set.SetSoftwareRecord(SoftwareRecord{Versions: SoftwareVersions{"s": {"v1", "v2"}}, AsOf: coordination.Position{Era: 1, Revision: 2}}, now)
+		require.Len(t, set.Candidates(nil, query, now), 1)
+	}
+
+	mistaken := newSet()
+	mistaken.ObserveBorn("i@5", 6, now)
+	require.True(t, mistaken.ObserveBorn("i@5", 5, now))
+	require.Len(t, mistaken.Candidates(nil, query, now), 1)
+	mistaken.ObserveBorn("i@5", 6, now)
+	require.Len(t, mistaken.Candidates(nil, query, now.Add(otherProcessRetention)), 1, "it is asked again")
+}
--- a/internal/backend/softwarerecord.go
+++ b/internal/backend/softwarerecord.go
@@ -159,11 +159,14 @@
 	return services
 }
 
-// ListsUnrecordedSoftware reports whether a service lists a software version that is not recorded.
-func (set *Set) ListsUnrecordedSoftware(service string) bool {
+// ListsUnrecordedSoftware reports whether a service lists a software version that is not recorded, or a server that
+// has been replaced by another process, whose version is not listed yet.
+func (set *Set) ListsUnrecordedSoftware(service string, now time.Time) bool {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
-	return set.software.listsUnrecorded(service)
+	return set.software.listsUnrecorded(service) || slices.ContainsFunc(set.rings[service], func(e *entry) bool {
+		return e.listed && now.Before(e.local().otherProcessUntil)
+	})
 }
 
 func (h *softwareHistory) listsUnrecorded(service string) bool {
@@ -178,8 +181,8 @@
 	return false
 }
 
-// mayBegin reports whether servers of a software version may begin streams. An unknown version is that
-// of an entry that a node of a former build has passed on; its streams have no known origin.
+// mayBegin reports whether servers of a software version may begin streams. An unknown version is that of a server
+// whose restart its own answer has shown, or of an entry that a node of a former build has passed on.
 func (h *softwareHistory) mayBegin(service, software string) bool {
-	return software == "" || h.record != nil && h.record.contains(service, software)
+	return software != "" && h.record != nil && h.record.contains(service, software)
 }
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -239,6 +239,8 @@
 		return fmt.Sprintf("at server %s %s", line.Server, meaning)
 	case "forwarded", "forwarded for another node":
 		return line.forwardedText()
+	case "stream given up, as the software version of its server is not certain":
+		return "gave up the stream of server " + line.Server + ", which may have started again with another software version"
 	case "stream began":
 		return line.streamBeganText()
 	case "stream resumed":
@@ -322,9 +324,8 @@
 // recordTexts and sourceTexts map the values of the fields record and source to their explanations.
 var (
 	recordTexts = map[string]string{
-		"held":      "another node has that record",
-		"local":     "no other node had that record in time: the stream may be lost with this one",
-		"uncertain": "it may have started again with other software, so that the stream cannot go on if it breaks",
+		"held":  "another node has that record",
+		"local": "no other node had that record in time: the stream may be lost with this one",
 	}
 	sourceTexts = map[string]string{
 		"recorded":     "by this node's record",
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -145,11 +145,13 @@
 func TestExplainShowsStreamOrigin(t *testing.T) {
 	log := `{"node":"a","id":"r1","server":"i-7","software":"v1","record":"held","message":"stream began"}
 {"node":"b","id":"r2","resumes":"r1","source":"found","service":"s","software":"v1","message":"stream resumed"}
-{"node":"b","id":"r3","resumes":"x","source":"unknown","message":"stream resumed"}`
+{"node":"b","id":"r3","resumes":"x","source":"unknown","message":"stream resumed"}
+{"node":"b","id":"r4","server":"i-8","replaced":true,"message":"stream given up, as the software version of its server is not certain"}`
 	for id, want := range map[string]string{
 		"r1": `server i-7 of software version "v1" wrote the first event: another node has that record`,
 		"r2": `the caller resumes the stream that try "r1" began, at software version "v1" of service s, by another node's record`,
 		"r3": `the caller resumes the stream that try "x" began: which software version that was is not known`,
+		"r4": `gave up the stream of server i-8, which may have started again with another software version`,
 	} {
 		text := strings.Builder{}
 		require.NoError(t, explain(strings.NewReader(log), &text, id))
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -25,8 +25,10 @@
 	archiveReadTimeout = 400 * time.Millisecond
 	// originRetryAfter is when a caller may resume a stream of which the holders could not be asked.
 	originRetryAfter = time.Second
-	// reportTimeout bounds the question for the start time of a server.
-	reportTimeout = 100 * time.Millisecond
+	// reportTimeout bounds the question for the start time of a server. It is asked up to maxReportQuestions times
+	// before the stream that a server has begun is given up.
+	reportTimeout      = 100 * time.Millisecond
+	maxReportQuestions = 3
 	// requiredHolders is the number of other nodes that must have no record of a stream for it to count
 	// as unrecorded, if there are that many.
 	requiredHolders = 2
@@ -258,18 +260,19 @@
 	return placer.proxy.origins != nil && route.Kind == catalog.Stream && route.Resumable
 }
 
-// checkIncarnation decides what to do with a stream that a server has begun to send. A stream that
-// continues another one is rejected if the server may have started again with other software. For one
-// that begins, the software version is recorded before the first event is passed on.
+// checkIncarnation decides what to do with a stream that a server has begun to send. It is rejected if the server
+// may have started again with other software: one that continues might mix versions, and one that begins would count
+// as one of the listed version once all nodes that know better are lost. The version of one that begins is recorded
+// before its first event is passed on.
 func (placement *placement) checkIncarnation(ctx context.Context, reply *exchange.Reply) (*exchange.Reply, error) {
 	if reply.Next == nil || !placement.keepsOrigin() {
 		return reply, nil
 	}
+	if err := placement.requireKnownVersion(ctx, reply); err != nil {
+		reply.Close()
+		return nil, err
+	}
 	if placement.continues {
-		if err := placement.requireIncarnation(ctx, reply); err != nil {
-			reply.Close()
-			return nil, err
-		}
 		return reply, nil
 	}
 	next, first := reply.Next, true
@@ -277,7 +280,7 @@
 		event, err := next()
 		if err == nil && first {
 			first = false
-			placement.recordOrigin(ctx, reply)
+			placement.recordOrigin(ctx)
 		}
 		return event, err
 	}
@@ -333,34 +336,28 @@
 	}
 }
 
-// requireIncarnation returns an error unless the server that continues a stream is the intended
-// incarnation. While there is only one software version, lack of evidence is accepted.
-func (placement *placement) requireIncarnation(ctx context.Context, reply *exchange.Reply) error {
-	proxy, admitted := placement.placer.proxy, placement.placer.admitted
-	switch placement.incarnation(ctx, reply) {
-	case incarnationConfirmed:
-		return nil
-	case incarnationReplaced:
-		return errors.New("the server has started again, and may have other software")
+// requireKnownVersion returns an error unless it is certain which software version the stream has.
+func (placement *placement) requireKnownVersion(ctx context.Context, reply *exchange.Reply) error {
+	evidence := placement.incarnation(ctx, reply)
+	for question := 1; evidence == incarnationUnconfirmed && question < maxReportQuestions && !placement.detour && ctx.Err() == nil; question++ {
+		evidence = placement.incarnation(ctx, reply)
 	}
-	if !proxy.mixesOrigins(admitted, boottime.Now()) {
+	if evidence == incarnationConfirmed {
 		return nil
 	}
-	return errors.New("the server may have started again with other software")
+	placement.placer.proxy.recorder.StreamOfUncertainVersion(placement.placer.admitted.request, placement.chosen.Endpoint, evidence == incarnationReplaced)
+	return errors.New("the server may have started again, with a software version that is not known yet")
 }
 
-// recordOrigin records what began the stream. While several versions serve, or if the version is not
-// certain, it sends the record to other nodes, for callers who resume the stream there.
-func (placement *placement) recordOrigin(ctx context.Context, reply *exchange.Reply) {
+// recordOrigin records what began the stream. While several versions serve, it sends the record to other nodes, for
+// callers who resume the stream there.
+func (placement *placement) recordOrigin(ctx context.Context) {
 	proxy, admitted, startedAt := placement.placer.proxy, placement.placer.admitted, boottime.Now()
 	placement.origin = origin.Origin{Service: admitted.service.Name, Software: placement.chosen.Software}
-	if placement.incarnation(ctx, reply) != incarnationConfirmed {
-		placement.origin.Software = ""
-	}
 	key, now := admitted.originKey(admitted.request.ID), boottime.Now()
 	proxy.beginStream(admitted, key, placement.origin)
 	// Other nodes take a stream without a record for one of the only version.
-	shared := !placement.origin.Known() || proxy.mixesOrigins(admitted, now)
+	shared := proxy.mixesOrigins(admitted, now)
 	proxy.origins.Begin(key, placement.origin, shared, now)
 	if !shared {
 		return
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -225,7 +225,7 @@
 			}
 			placed.attempt.End(exchange.ResultNeutral, now)
 		}
-		if len(selection.candidates) == 0 && query.BeginsStream && placer.proxy.set.ListsUnrecordedSoftware(query.Service) {
+		if len(selection.candidates) == 0 && query.BeginsStream && placer.proxy.set.ListsUnrecordedSoftware(query.Service, now) {
 			return nil, &exchange.Unplaced{Reason: "the software versions of the service's servers are not recorded in the store yet"}
 		}
 		if len(selection.candidates) == 0 {
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -81,6 +81,9 @@
 	ResponseEndedWithConnection()
 	// SuspicionCleared records that a request got a complete response, which clears a suspect.
 	SuspicionCleared(request *Request, cleared quarantine.Fingerprint)
+	// StreamOfUncertainVersion records that a stream which a server has begun is given up, as it is not certain which
+	// software version it has. Replaced reports that another process than the listed one has begun it.
+	StreamOfUncertainVersion(request *Request, server string, replaced bool)
 	// StreamBegan records what began a stream of a service with several software versions.
 	StreamBegan(request *Request, began StreamOrigin)
 	// StreamResumed records what is known of the origin of a stream that a caller resumes.
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -21,6 +21,7 @@
 type nopRecorder struct{}
 
 func (nopRecorder) Placed(*Request, PlacementDecision)                                   {}
+func (nopRecorder) StreamOfUncertainVersion(*Request, string, bool)                      {}
 func (nopRecorder) StreamBegan(*Request, StreamOrigin)                                   {}
 func (nopRecorder) StreamResumed(*Request, Resumption)                                   {}
 func (nopRecorder) RateLimited(*Request, string, quota.Limit, quota.Decision)            {}
--- a/internal/telemetry/origins.go
+++ b/internal/telemetry/origins.go
@@ -28,7 +28,7 @@
 func newOriginMetrics() *originMetrics {
 	return &originMetrics{
 		began: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "cloverrail_proxy_recorded_streams_total", Help: "Streams that began while their service had several software versions, by whether another node had the record before the first event was passed on, or the version was uncertain.",
+			Name: "cloverrail_proxy_recorded_streams_total", Help: "Streams that began while their service had several software versions, by whether another node had the record before the first event was passed on, and attempts that were given up because the version was uncertain.",
 		}, []string{"record"}),
 		resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_resumed_streams_total", Help: "Streams that callers resumed, by how the software version that began them was determined.",
@@ -50,13 +50,17 @@
 	return []prometheus.Collector{m.began, m.resumed, m.writes, m.written, m.reads}
 }
 
+// StreamOfUncertainVersion records a stream that is given up since its software version is not certain.
+func (recorder *Recorder) StreamOfUncertainVersion(request *proxy.Request, server string, replaced bool) {
+	recorder.metrics.origins.began.WithLabelValues("uncertain").Inc()
+	recorder.limitedLine(zerolog.InfoLevel).Str("id", request.ID).Str("server", server).Bool("replaced", replaced).
+		Msg("stream given up, as the software version of its server is not certain")
+}
+
 // StreamBegan records what began a stream of a service with several software versions.
 func (recorder *Recorder) StreamBegan(request *proxy.Request, began proxy.StreamOrigin) {
 	record := "local"
-	switch {
-	case !began.Origin.Known():
-		record = "uncertain"
-	case began.Held:
+	if began.Held {
 		record = "held"
 	}
 	recorder.metrics.origins.began.WithLabelValues(record).Inc()
