--- a/internal/backend/software.go
+++ b/internal/backend/software.go
@@ -10,6 +10,9 @@
 // as one that may have begun a stream. Callers' tries of one stream end sooner.
 const SoftwareRetention = 2 * time.Minute
 
+// otherProcessRetention is how long a server that reported another start time than its entry counts as replaced.
+const otherProcessRetention = time.Second
+
 // SoftwareVersions holds the software versions of each service. A version is unknown, "", if the
 // node that reported the server does not pass it on.
 type SoftwareVersions map[string][]string
@@ -27,9 +30,10 @@
 	services map[string]map[string]*softwareUse
 	// completeAt is when the history covers SoftwareRetention; zero before the first list.
 	completeAt time.Time
-	// changed has an element after a version was added.
+	// changed has an element after a version was added, or the record turned out not to be complete.
 	changed chan struct{}
-	// unrecorded has an element after a version was listed that is not recorded.
+	// unrecorded has an element after a version was listed that is not recorded, or the record turned out not to be
+	// complete.
 	unrecorded chan struct{}
 	// record is the latest record that this node knows, or nil.
 	record *SoftwareRecord
@@ -39,6 +43,14 @@
 	return softwareHistory{services: map[string]map[string]*softwareUse{}, changed: make(chan struct{}, 1), unrecorded: make(chan struct{}, 1)}
 }
 
+// signal adds an element to a channel that has none.
+func signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
 func (h *softwareHistory) use(service, software string) *softwareUse {
 	versions := h.services[service]
 	if versions == nil {
@@ -47,10 +59,7 @@
 	}
 	if versions[software] == nil {
 		versions[software] = &softwareUse{}
-		select {
-		case h.changed <- struct{}{}:
-		default:
-		}
+		signal(h.changed)
 	}
 	return versions[software]
 }
@@ -64,10 +73,7 @@
 	if after != nil {
 		h.use(after.Service, after.Software).listed++
 		if !h.mayBegin(after.Service, after.Software) {
-			select {
-			case h.unrecorded <- struct{}{}:
-			default:
-			}
+			signal(h.unrecorded)
 		}
 	}
 	if before != nil {
@@ -101,8 +107,27 @@
 	return len(versions) > 1 || slices.Contains(versions, "")
 }
 
-// SoftwareAdded returns a channel that has an element after a software version was added. It is for one
-// receiver.
+// RequiresOrigins reports whether what began a stream of a service can be told only by a record of the stream, at
+// some node at least.
+func (set *Set) RequiresOrigins(service string, now time.Time) bool {
+	return set.MixesSoftware(service, now) || set.LacksCompleteRecord()
+}
+
+// ServicesRequiringOrigins returns the services of which RequiresOrigins is true.
+func (set *Set) ServicesRequiringOrigins(now time.Time) map[string]bool {
+	services := set.MixedServices(now)
+	if set.LacksCompleteRecord() {
+		set.mutex.Lock()
+		defer set.mutex.Unlock()
+		for service := range set.software.services {
+			services[service] = true
+		}
+	}
+	return services
+}
+
+// SoftwareAdded returns a channel that has an element after a software version was added, or the record turned out
+// not to be complete. It is for one receiver.
 func (set *Set) SoftwareAdded() <-chan struct{} { return set.software.changed }
 
 // MixedServices returns the services of which MixesSoftware is true.
@@ -223,15 +248,21 @@
 }
 
 // ObserveBorn records the start time that a server itself reported in answer to a call sent at a time.
-// It returns whether that is the start time of the incarnation.
+// It returns whether that is the start time of the incarnation. If it is not, the server begins no streams for
+// otherProcessRetention, unless it is listed anew.
 func (set *Set) ObserveBorn(name string, born int64, sentAt time.Time) bool {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	e := set.servers[name]
-	if e == nil || e.server.Born != born {
+	if e == nil {
 		return false
 	}
 	local := set.ensureLocalState(e)
+	if e.server.Born != born {
+		local.otherProcessUntil = sentAt.Add(otherProcessRetention)
+		return false
+	}
+	local.otherProcessUntil = time.Time{}
 	if sentAt.After(local.confirmedAt) {
 		local.confirmedAt = sentAt
 	}
--- a/internal/backend/software_test.go
+++ b/internal/backend/software_test.go
@@ -145,9 +145,11 @@
 		set, now := NewSet(), time.Unix(1000, 0)
 		query := Query{Service: "s", Distance: func(string) int { return 0 }, BeginsStream: true}
 		var latest *SoftwareRecord
+		knowsAll := false
 		listed := map[string]string{}
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now = now.Add(time.Second)
+			set.ObserveListRead(now)
 			software := rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "software")
 			if rapid.Bool().Draw(t, "lists") {
 				instance := "i-" + software
@@ -156,9 +158,13 @@
 			} else {
 				versions := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"v1", "v2", "v3"}), 0, 3, rapid.ID).Draw(t, "versions")
 				record := SoftwareRecord{Versions: SoftwareVersions{"s": versions}, AsOf: coordination.Position{Era: rapid.Int64Range(1, 2).Draw(t, "era"), Revision: rapid.Int64Range(1, 9).Draw(t, "revision")}}
+				if era := rapid.Int64Range(0, 2).Draw(t, "complete in era"); era > 0 {
+					record.Versions[completeEraField] = []string{fmt.Sprint(era)}
+				}
 				set.SetSoftwareRecord(record, now)
 				if latest == nil || !record.AsOf.Before(latest.AsOf) {
 					latest = &record
+					knowsAll = knowsAll || record.Complete()
 				}
 			}
 			begins, unrecorded := map[string]bool{}, false
@@ -170,10 +176,10 @@
 				require.Equal(t, recorded, begins[software])
 				unrecorded = unrecorded || !recorded
 			}
-			require.Equal(t, unrecorded, set.ListsUnrecordedSoftware("s"))
+			require.Equal(t, unrecorded, set.ListsUnrecordedSoftware("s", now))
 			require.Equal(t, unrecorded, len(set.UnrecordedSoftware()) > 0)
 			_, complete := set.Software(now)
-			require.Equal(t, latest != nil, complete)
+			require.Equal(t, knowsAll, complete)
 			if latest != nil {
 				versions, _ := set.Software(now)
 				for _, software := range latest.Versions["s"] {
@@ -183,3 +189,41 @@
 		}
 	})
 }
+
+// Guards against the version of a server's former incarnation being taken for that of a process which only the
+// server's own answers have shown.
+func TestRestartedServerBeginsNoStreamBeforeItsVersionIsListed(t *testing.T) {
+	now, query := time.Unix(1000, 0), Query{Service: "s", Distance: func(string) int { return 0 }, BeginsStream: true}
+	newSet := func() *Set {
+		set := NewSet()
+		set.SetSoftwareRecord(SoftwareRecord{Versions: SoftwareVersions{"s": {"v1"}}, AsOf: coordination.Position{Era: 1, Revision: 1}}, now)
+		set.Apply([]*Server{{Instance: "i", Born: 5, Service: "s", Software: "v1"}}, nil, now)
+		require.Len(t, set.Candidates(nil, query, now), 1)
+		require.False(t, set.ListsUnrecordedSoftware("s", now))
+		return set
+	}
+	asked := newSet()
+	require.False(t, asked.ObserveBorn("i@5", 6, now))
+	inspected := newSet()
+	inspected.ObserveRestart(Server{Instance: "i", Born: 5, Service: "s", Software: "v1"}, 6, nil, now)
+	require.Empty(t, inspected.SoftwareOf("i@6"))
+	for _, set := range []*Set{asked, inspected} {
+		require.Empty(t, set.Candidates(nil, query, now))
+		require.True(t, set.ListsUnrecordedSoftware("s", now))
+		others := query
+		others.BeginsStream = false
+		require.Len(t, set.Candidates(nil, others, now), 1, "other requests are served")
+		set.Apply([]*Server{{Instance: "i", Born: 6, Service: "s", Software: "v2"}}, nil, now)
+		require.Empty(t, set.Candidates(nil, query, now), "the version is not recorded")
+		require.Equal(t, "v2", set.SoftwareOf("i@6"))
+		set.SetSoftwareRecord(SoftwareRecord{Versions: SoftwareVersions{"s": {"v1", "v2"}}, AsOf: coordination.Position{Era: 1, Revision: 2}}, now)
+		require.Len(t, set.Candidates(nil, query, now), 1)
+	}
+
+	mistaken := newSet()
+	mistaken.ObserveBorn("i@5", 6, now)
+	require.True(t, mistaken.ObserveBorn("i@5", 5, now))
+	require.Len(t, mistaken.Candidates(nil, query, now), 1)
+	mistaken.ObserveBorn("i@5", 6, now)
+	require.Len(t, mistaken.Candidates(nil, query, now.Add(otherProcessRetention)), 1, "it is asked again")
+}
