Take hangups from the beginning of the proxy command

What callers saw: connections to a node were refused until it was started again, beside a change of its settings file while it started.

Cause: SIGHUP ends a process that has not asked for it, and the proxy asked for it only after it had read its settings and built its components. Class: a signal that a process does not expect yet.

Change: the command asks for SIGHUP before it reads its settings, and reads them again once it runs. What remains is the time until main begins, about 5 ms on an idle machine, which a program cannot close.

--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -41,11 +41,14 @@
 			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true, Sources: cli.EnvVars("CLOVERRAIL_SETTINGS")},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
+			// Without a receiver, the signal would end the process while it starts.
+			hangups := make(chan os.Signal, 1)
+			signal.Notify(hangups, syscall.SIGHUP)
 			config, err := settings.ReadProxy(command.String("settings"))
 			if err != nil {
 				return err
 			}
-			return runProxy(ctx, config, command.String("settings"))
+			return runProxy(ctx, config, command.String("settings"), hangups)
 		},
 	}
 }
@@ -65,8 +68,9 @@
 	return listener, errors.Annotatef(err, "cannot listen on address %s; choose a free port", address)
 }
 
-// runProxy serves until a stop signal arrives, and then shuts down gracefully.
-func runProxy(ctx context.Context, config settings.Proxy, file string) error {
+// runProxy serves until a stop signal arrives, and then shuts down gracefully. At each hangup it reads the settings file
+// again.
+func runProxy(ctx context.Context, config settings.Proxy, file string, hangups <-chan os.Signal) error {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
@@ -80,8 +84,6 @@
 	stopSignal, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go process.reflector.Run(ctx)
 	process.watchHolders(ctx)
 	taskContext, stopTasks := context.WithCancel(ctx)
