Pass on redirects to malformed places

Callers saw: 502, "failed to parse Location header", in place of a server's 302 whose Location cannot be parsed; a request that may be repeated ran at three servers for it.

Cause: http.Client parses Location even if it is told not to follow redirects, and fails the response.

Evidence: TestOddResponsesAreAnswered, "redirect to a malformed place", fails without the change in 12 of 12 subtests (expected 302, got 502).

Change: package keepalive sends by its transport, without an http.Client around it. The errors of attempts lose the prefix with the method and address. A test closed idle connections by the http.Client, which did nothing, since its transport had no such method; it closes them at the transport now.

Why it works: the transport does not look at Location, and never followed redirects.

--- a/cmd/cloverrail/odd_status_test.go
+++ b/cmd/cloverrail/odd_status_test.go
@@ -38,12 +38,13 @@
 	// status is what the caller gets; 0 means that of a request that may have run.
 	status int
 }{
-	"switch of protocols":        {text: "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n" + rawHeaders + "\r\nother bytes"},
-	"101 alone":                  {text: "HTTP/1.1 101 Switching Protocols\r\n" + rawHeaders + "\r\n"},
-	"status below 100":           {text: "HTTP/1.1 099 Odd\r\n" + rawHeaders + "Content-Length: 3\r\n\r\nodd"},
-	"status 0":                   {text: "HTTP/1.1 000 Odd\r\n" + rawHeaders + "Content-Length: 3\r\n\r\nodd"},
-	"interim and final response": {text: "HTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\nHTTP/1.1 404 Not Found\r\n" + rawHeaders + "Content-Length: 3\r\n\r\nodd", status: http.StatusNotFound},
-	"redirect":                   {text: "HTTP/1.1 307 Temporary Redirect\r\nLocation: /once/\r\n" + rawHeaders + "Content-Length: 3\r\n\r\nodd", status: http.StatusTemporaryRedirect},
+	"switch of protocols":           {text: "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n" + rawHeaders + "\r\nother bytes"},
+	"101 alone":                     {text: "HTTP/1.1 101 Switching Protocols\r\n" + rawHeaders + "\r\n"},
+	"status below 100":              {text: "HTTP/1.1 099 Odd\r\n" + rawHeaders + "Content-Length: 3\r\n\r\nodd"},
+	"status 0":                      {text: "HTTP/1.1 000 Odd\r\n" + rawHeaders + "Content-Length: 3\r\n\r\nodd"},
+	"interim and final response":    {text: "HTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\nHTTP/1.1 404 Not Found\r\n" + rawHeaders + "Content-Length: 3\r\n\r\nodd", status: http.StatusNotFound},
+	"redirect":                      {text: "HTTP/1.1 307 Temporary Redirect\r\nLocation: /once/\r\n" + rawHeaders + "Content-Length: 3\r\n\r\nodd", status: http.StatusTemporaryRedirect},
+	"redirect to a malformed place": {text: "HTTP/1.1 302 Found\r\nLocation: http://[::1\r\n" + rawHeaders + "Content-Length: 3\r\n\r\nodd", status: http.StatusFound},
 }
 
 func TestOddResponsesAreAnswered(t *testing.T) {
--- a/internal/keepalive/client.go
+++ b/internal/keepalive/client.go
@@ -55,8 +55,9 @@
 // Client sends requests on persistent connections. It is safe for concurrent use.
 type Client struct {
 	onConnection func(kept bool)
-	client       *http.Client
-	lingerers    lingerers
+	// transport is used without an http.Client, which fails responses with a malformed Location header.
+	transport *outbound.Transport
+	lingerers lingerers
 
 	mutex        sync.Mutex
 	idleTimeouts map[string]*IdleTimeout
@@ -79,8 +80,7 @@
 		ReadBufferSize:         options.BufferSize,
 		WriteBufferSize:        options.BufferSize,
 	}
-	c.client = outbound.Wrap(transport, options.Timeout)
-	c.client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	c.transport = &outbound.Transport{Base: transport, Timeout: options.Timeout}
 	return c
 }
 
@@ -100,7 +100,7 @@
 		request := build()
 		u := &use{client: c, address: request.URL.Host, atMostOnce: atMostOnce, needsNewConnection: atMostOnce && replayable(request), completion: outbound.CompletionOf(request.Context())}
 		traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: u.acquire, PutIdleConn: u.finish})
-		response, err = c.client.Do(request.WithContext(traced))
+		response, err = c.transport.RoundTrip(request.WithContext(traced))
 		switch {
 		case err == nil:
 			c.observeHeader(u.address, response.Header.Get("Keep-Alive"))
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -133,7 +133,7 @@
 				}
 				time.Sleep(time.Duration(idleTimes[i]) * time.Millisecond)
 			}
-			c.client.CloseIdleConnections()
+			c.transport.Base.(*http.Transport).CloseIdleConnections()
 			time.Sleep(time.Minute)
 		})
 		require.Empty(t, wrong)
