Test the eras of the record beside builds that do not know them

The test shows that a complete record is not written in turn by both, and that one whose eras are dropped counts as complete only once a node that knows all versions has written the era again.

--- a/internal/backend/softwarerecord_test.go
+++ b/internal/backend/softwarerecord_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -163,3 +164,21 @@
 		require.True(t, known, "the record is complete for nodes that start")
 	}
 }
+
+// Guards against builds that write the record in turn: one without the field of eras keeps former ones beside the
+// latest, and drops all after a time.
+func TestErasThatFormerBuildsKeepStay(t *testing.T) {
+	services := SoftwareVersions{"s": {"v1"}}
+	for eras, complete := range map[string]bool{"1": false, "2": true, "1 2": true, "2 1": true, "1 3": false} {
+		record := &SoftwareRecord{Versions: SoftwareVersions{"s": {"v1"}, completeEraField: strings.Fields(eras)}, AsOf: coordination.Position{Era: 2, Revision: 9}}
+		require.Equal(t, complete, record.Complete(), eras)
+		require.Equal(t, services, record.Services())
+		require.Equal(t, record.Versions, record.Replacement(services, false), "who does not know all versions leaves the eras as they are")
+		renewed := &SoftwareRecord{Versions: record.Replacement(services, true), AsOf: record.AsOf}
+		require.True(t, renewed.Complete())
+		require.Equal(t, complete, reflect.DeepEqual(record.Versions, renewed.Versions), "a complete record is not written again")
+	}
+	dropped := &SoftwareRecord{Versions: services, AsOf: coordination.Position{Era: 2, Revision: 9}}
+	require.False(t, dropped.Complete())
+	require.Equal(t, services, dropped.Replacement(services, false))
+}
