Name the shared cache scope by the set of isolated tenants

Callers saw: requests of a tenant ran on parts of prompts that another one had made that was isolated by then, for as long as servers kept them.

Cause: the salt of shared parts was the same text before and after a tenant became isolated. The tenant moved to a salt of its own, what it had made stayed.

TestIsolatedTenantsShareNoMemoryWhateverHasChanged and TestTenantsShareMemoryWhileSetOfIsolatedTenantsStays fail without the change.

Change: the salt of who is not isolated includes a digest of the set of isolated tenants; with none it is as it was. The line "declaration is in force" names the digest.

Why it works: a shared scope only holds what tenants made that were not isolated under that set, and only such tenants use it; an isolated tenant's scope holds its own. It needs no state: all nodes with one declaration agree, also after a restart.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,6 +4,10 @@
 package catalog
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -137,6 +141,8 @@
 	stores       []*PrefixStore
 	tenants      map[uint64][]tenantKey
 	requiresKeys bool
+	// isolated identifies the set of isolated tenants; "" if there are none.
+	isolated string
 	// mixed holds the services that routes of different priority share.
 	mixed map[string]bool
 }
@@ -180,9 +186,31 @@
 			snapshot.tenants[digest] = append(snapshot.tenants[digest], tenantKey{key: key, tenant: &tenantKeys.Tenant})
 		}
 	}
+	snapshot.isolated = isolatedDigest(declaration.Tenants)
 	return snapshot
 }
 
+// isolatedDigest returns the same text for the same set of isolated tenants, and another one for any other set.
+func isolatedDigest(tenants []TenantKeys) string {
+	names := []string{}
+	for _, tenant := range tenants {
+		if tenant.Isolated {
+			names = append(names, tenant.Name)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	slices.Sort(names)
+	digest := sha256.New()
+	for _, name := range slices.Compact(names) {
+		// Length prefixes separate the names.
+		_ = binary.Write(digest, binary.BigEndian, uint32(len(name)))
+		digest.Write([]byte(name))
+	}
+	return hex.EncodeToString(digest.Sum(nil))
+}
+
 // FindRoute returns the route of the host with the longest matching prefix of the path, or nil
 // if there is none. The path is used as sent, without the query.
 func (snapshot *Snapshot) FindRoute(host, path string) *Route {
@@ -214,6 +242,9 @@
 // RequiresKeys reports whether routes that are not public require a key.
 func (snapshot *Snapshot) RequiresKeys() bool { return snapshot.requiresKeys }
 
+// IsolatedTenants returns a text that identifies the set of isolated tenants, the same at all nodes; "" if there are none.
+func (snapshot *Snapshot) IsolatedTenants() string { return snapshot.isolated }
+
 // TenantOf returns the tenant that holds the key, or nil.
 func (snapshot *Snapshot) TenantOf(key string) *Tenant {
 	for _, candidate := range snapshot.tenants[xxhash.Sum64String(key)] {
--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -22,6 +22,8 @@
 	Model   string
 	Version string
 	Adapter string
+	// Apart identifies the tenants that have no part in a scope that others share; "" if there are none.
+	Apart string
 }
 
 // Salt returns the secret that engines mix into the hashes of cached blocks. It
@@ -29,7 +31,11 @@
 // no tenant can guess another's.
 func Salt(fleetKey []byte, identity Identity) string {
 	mac := hmac.New(sha256.New, fleetKey)
-	for _, field := range []string{identity.Tenant, identity.Model, identity.Version, identity.Adapter} {
+	fields := []string{identity.Tenant, identity.Model, identity.Version, identity.Adapter}
+	if identity.Apart != "" {
+		fields = append(fields, identity.Apart)
+	}
+	for _, field := range fields {
 		// Length prefixes separate the fields: ("ab","c") differs from ("a","bc").
 		_ = binary.Write(mac, binary.BigEndian, uint32(len(field)))
 		mac.Write([]byte(field))
--- a/internal/proxy/prompt.go
+++ b/internal/proxy/prompt.go
@@ -97,8 +97,15 @@
 // salt returns the salt that separates cached prefixes of different cache scopes, models
 // and builds.
 func (placer *placer) salt(build cacheBuild) string {
+	scope := placer.cacheScope()
+	// What a tenant has made before it was isolated stays in the scope that it shared, which is no longer used then.
+	apart := ""
+	if scope == "" {
+		apart = placer.admitted.replica.Snapshot.IsolatedTenants()
+	}
 	return prefix.Salt(nil, prefix.Identity{
-		Tenant:  placer.cacheScope(),
+		Tenant:  scope,
+		Apart:   apart,
 		Model:   placer.prompt().Model,
 		Version: strconv.FormatInt(build.weights, 10) + " " + build.software,
 	})
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -432,7 +432,7 @@
 func (recorder *Recorder) ConfigurationChanged(before, after *catalog.Replica) {
 	if after.Snapshot != nil && (before == nil || before.Snapshot != after.Snapshot) {
 		recorder.metrics.declarationVersion.Set(float64(after.Snapshot.Version))
-		recorder.log.Info().Int64("declaration", after.Snapshot.Version).Msg("declaration is in force")
+		recorder.log.Info().Int64("declaration", after.Snapshot.Version).Str("isolated", after.Snapshot.IsolatedTenants()).Msg("declaration is in force")
 	}
 	for model, releases := range after.Weights {
 		newest := releases.Newest()
