Write the last lines of the log before a process ends

Callers saw: nothing.

Cause: lines are batched for 50 ms, and the process ended without writing the batch.

Change: the process waits up to 0.1 s until its lines are written.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -75,6 +75,7 @@
 type process struct {
 	settings  settings.Proxy
 	log       zerolog.Logger
+	logWriter *telemetry.Writer
 	replica   *catalog.AtomicReplica
 	serverSet *backend.Set
 	store     *platform.Store
@@ -128,7 +129,8 @@
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	process := &process{settings: config, replica: &catalog.AtomicReplica{}, serverSet: backend.NewSet(), sharedSize: &fleet.SharedSize{}, peerClient: outbound.NewClient(peerTimeout)}
 	zerolog.SetGlobalLevel(level)
-	process.log = zerolog.New(telemetry.NewWriter(os.Stdout)).With().Timestamp().Str("node", config.Name).Logger()
+	process.logWriter = telemetry.NewWriter(os.Stdout)
+	process.log = zerolog.New(process.logWriter).With().Timestamp().Str("node", config.Name).Logger()
 	process.metrics = telemetry.NewMetrics(process.replica)
 	process.recorder = telemetry.NewRecorder(process.log, process.metrics)
 	process.clients = telemetry.NewClientRecorder(process.recorder)
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -23,6 +23,7 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	shutdownTimeout   = 400 * time.Millisecond
+	logFlushTimeout   = 100 * time.Millisecond
 	gcPercent         = 50
 	// goMemoryShare is the share of a node's memory that the runtime keeps within by collecting garbage more often.
 	goMemoryShare = 0.75
@@ -137,5 +138,6 @@
 	case <-shutdownContext.Done():
 	}
 	process.log.Info().Msg("stopped")
+	process.logWriter.Flush(logFlushTimeout)
 	return nil
 }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -42,6 +42,31 @@
 	require.Positive(t, writer.Dropped())
 }
 
+// The last lines of a process are written before it ends.
+func TestFlushWritesQueuedLines(t *testing.T) {
+	output := &logBuffer{}
+	writer := NewWriter(output)
+	line := strings.Repeat("x", flushBytes/100) + "\n"
+	for range maxQueuedLines {
+		_, err := writer.Write([]byte(line))
+		require.NoError(t, err)
+	}
+	writer.Flush(time.Minute)
+	require.Len(t, output.lines(), maxQueuedLines)
+	writer.Flush(time.Minute)
+}
+
+// A process ends even if its output takes nothing.
+func TestFlushOfBlockedOutputEnds(t *testing.T) {
+	output := blocked{released: make(chan struct{})}
+	defer close(output.released)
+	writer := NewWriter(output)
+	_, err := writer.Write([]byte("line\n"))
+	require.NoError(t, err)
+	writer.Flush(2 * flushInterval)
+	writer.Flush(2 * flushInterval)
+}
+
 // logBuffer is an output that is safe for concurrent use.
 type logBuffer struct {
 	mutex sync.Mutex
