--- a/internal/clientconn/watch_test.go
+++ b/internal/clientconn/watch_test.go
@@ -123,62 +123,69 @@
 	return accepted.(*Conn), connection.(*net.TCPConn)
 }
 
+// requestWatch is the Watch of one request on a connection.
+type requestWatch struct {
+	*Watch
+	conn    *Conn
+	ctx     context.Context
+	reports chan watched
+	// endRequest ends the request's context, as net/http does at the end of the client's data.
+	endRequest context.CancelFunc
+}
+
+func watchRequest(t *testing.T, conn *Conn) *requestWatch {
+	w := &requestWatch{conn: conn, reports: make(chan watched, 1)}
+	var requestCtx context.Context
+	requestCtx, w.endRequest = context.WithCancel(WithConn(t.Context(), conn))
+	request, err := http.NewRequestWithContext(requestCtx, http.MethodGet, "http://h/", nil)
+	require.NoError(t, err)
+	w.Watch, w.ctx = NewWatch(request, func(end End, outcome Outcome) { w.reports <- watched{end, outcome} })
+	t.Cleanup(w.Stop)
+	return w
+}
+
+// readEnd reads the end of the client's data.
+func (w *requestWatch) readEnd(t *testing.T) {
+	_, err := w.conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	w.endRequest()
+}
+
 // A stream of a client that closed its direction before the response began is not cut because that is read only later.
 func TestEndOfDataBeforeResponseDoesNotEndIt(t *testing.T) {
 	conn, client := acceptOne(t)
-	requestCtx, endRequest := context.WithCancel(WithConn(t.Context(), conn))
-	request, err := http.NewRequestWithContext(requestCtx, http.MethodGet, "http://h/", nil)
-	require.NoError(t, err)
-	reports := make(chan watched, 1)
-	watch, ctx := NewWatch(request, func(end End, outcome Outcome) { reports <- watched{end, outcome} })
-	defer watch.Stop()
+	watch := watchRequest(t, conn)
 	require.NoError(t, client.CloseWrite())
 	time.Sleep(100 * time.Millisecond)
 	watch.BeginResponse()
-	_, err = conn.Read(make([]byte, 1))
-	require.ErrorIs(t, err, io.EOF)
-	endRequest()
-	require.Equal(t, watched{EndOfData, OutcomeResponding}, awaitReport(t, reports))
-	require.NoError(t, ctx.Err())
+	watch.readEnd(t)
+	require.Equal(t, watched{EndOfData, OutcomeResponding}, awaitReport(t, watch.reports))
+	require.NoError(t, watch.ctx.Err())
 }
 
 // The end of a client's data right after its request does not end the response, even if that begins first.
 func TestEndOfDataAfterQuickResponseDoesNotEndIt(t *testing.T) {
 	conn, client := acceptOne(t)
-	requestCtx, endRequest := context.WithCancel(WithConn(t.Context(), conn))
-	request, err := http.NewRequestWithContext(requestCtx, http.MethodGet, "http://h/", nil)
-	require.NoError(t, err)
-	reports := make(chan watched, 1)
-	watch, ctx := NewWatch(request, func(end End, outcome Outcome) { reports <- watched{end, outcome} })
-	defer watch.Stop()
+	watch := watchRequest(t, conn)
 	time.Sleep(2 * maxEndDelay)
 	watch.RequestRead()
 	watch.BeginResponse()
 	require.NoError(t, client.CloseWrite())
-	_, err = conn.Read(make([]byte, 1))
-	require.ErrorIs(t, err, io.EOF)
-	endRequest()
-	require.Equal(t, watched{EndOfData, OutcomeResponding}, awaitReport(t, reports))
-	require.NoError(t, ctx.Err())
+	watch.readEnd(t)
+	require.Equal(t, watched{EndOfData, OutcomeResponding}, awaitReport(t, watch.reports))
+	require.NoError(t, watch.ctx.Err())
 }
 
 // The end of a client's data once the response has begun ends the response.
 func TestEndOfDataDuringResponseEndsIt(t *testing.T) {
 	conn, client := acceptOne(t)
-	requestCtx, endRequest := context.WithCancel(WithConn(t.Context(), conn))
-	request, err := http.NewRequestWithContext(requestCtx, http.MethodGet, "http://h/", nil)
-	require.NoError(t, err)
-	reports := make(chan watched, 1)
-	watch, ctx := NewWatch(request, func(end End, outcome Outcome) { reports <- watched{end, outcome} })
-	defer watch.Stop()
+	watch := watchRequest(t, conn)
 	watch.BeginResponse()
 	time.Sleep(maxEndDelay)
 	require.NoError(t, client.CloseWrite())
-	_, err = conn.Read(make([]byte, 1))
-	require.ErrorIs(t, err, io.EOF)
-	endRequest()
-	require.Equal(t, watched{EndOfData, OutcomeLeft}, awaitReport(t, reports))
-	<-ctx.Done()
+	watch.readEnd(t)
+	require.Equal(t, watched{EndOfData, OutcomeLeft}, awaitReport(t, watch.reports))
+	<-watch.ctx.Done()
 }
 
 // pausedConn is a connection whose process is paused after it has set its first write deadline.
@@ -199,16 +206,9 @@
 	conn, client := acceptOne(t)
 	conn.stallTimeout = 100 * time.Millisecond
 	conn.Conn = &pausedConn{Conn: conn.Conn, pause: 2 * conn.stallTimeout}
-	requestCtx, endRequest := context.WithCancel(WithConn(t.Context(), conn))
-	request, err := http.NewRequestWithContext(requestCtx, http.MethodGet, "http://h/", nil)
-	require.NoError(t, err)
-	reports := make(chan watched, 1)
-	watch, ctx := NewWatch(request, func(end End, outcome Outcome) { reports <- watched{end, outcome} })
-	defer watch.Stop()
+	watch := watchRequest(t, conn)
 	require.NoError(t, client.CloseWrite())
-	_, err = conn.Read(make([]byte, 1))
-	require.ErrorIs(t, err, io.EOF)
-	endRequest()
-	require.Equal(t, watched{EndOfData, OutcomeWaits}, awaitReport(t, reports))
-	require.NoError(t, ctx.Err())
+	watch.readEnd(t)
+	require.Equal(t, watched{EndOfData, OutcomeWaits}, awaitReport(t, watch.reports))
+	require.NoError(t, watch.ctx.Err())
 }
--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -22,8 +22,8 @@
 	Model   string
 	Version string
 	Adapter string
-	// Apart identifies the tenants that have no part in a scope that others share; "" if there are none.
-	Apart string
+	// Isolated identifies the tenants that have no part in a scope that others share; "" if there are none.
+	Isolated string
 }
 
 // Salt returns the secret that engines mix into the hashes of cached blocks. It
@@ -32,8 +32,8 @@
 func Salt(fleetKey []byte, identity Identity) string {
 	mac := hmac.New(sha256.New, fleetKey)
 	fields := []string{identity.Tenant, identity.Model, identity.Version, identity.Adapter}
-	if identity.Apart != "" {
-		fields = append(fields, identity.Apart)
+	if identity.Isolated != "" {
+		fields = append(fields, identity.Isolated)
 	}
 	for _, field := range fields {
 		// Length prefixes separate the fields: ("ab","c") differs from ("a","bc").
--- a/internal/proxy/prompt.go
+++ b/internal/proxy/prompt.go
@@ -99,14 +99,14 @@
 func (placer *placer) salt(build cacheBuild) string {
 	scope := placer.cacheScope()
 	// What a tenant has made before it was isolated stays in the scope that it shared, which is no longer used then.
-	apart := ""
+	isolated := ""
 	if scope == "" {
-		apart = placer.admitted.replica.Snapshot.IsolatedTenants()
+		isolated = placer.admitted.replica.Snapshot.IsolatedTenants()
 	}
 	return prefix.Salt(nil, prefix.Identity{
-		Tenant:  scope,
-		Apart:   apart,
-		Model:   placer.prompt().Model,
-		Version: strconv.FormatInt(build.weights, 10) + " " + build.software,
+		Tenant:   scope,
+		Isolated: isolated,
+		Model:    placer.prompt().Model,
+		Version:  strconv.FormatInt(build.weights, 10) + " " + build.software,
 	})
 }
