--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -56,7 +56,8 @@
 // Invariants: an attempt that may have run is retried only if the request is
 // repeatable; at most Rules.MaxRuns attempts may have run; the caller gets one head and
 // one end, and no event twice; a failure states NotRun only if every attempt was refused
-// by its server or never reached one, and a response that promises as much is not delivered; an attempt that may still run is released before the next one is placed.
+// by its server or never reached one, and a response that promises as much is not
+// delivered; an attempt that may still run is released before the next one is placed.
 type Machine struct {
 	rules  Rules
 	budget Budget
