Keep a server draining when the list returns to an older copy

Cause: draining by the server's own answers is kept for the incarnation, draining by the list was kept in the entry alone, so the next state of the list replaced it.

Change: the list's word marks the incarnation too, if it has a start time. The line "server list entry changed" names the state that is in force.

Measured: TestDrainingServerIsNotReusedAfterRestore fails without the change (the server is listed as ready again) and passes with it; the tests of internal/backend and internal/telemetry pass.

--- a/internal/backend/notice.go
+++ b/internal/backend/notice.go
@@ -108,9 +108,9 @@
 	return ServerRef{Key: entry.key, Name: entry.name, Service: entry.server.Service}
 }
 
-// markDraining records that an incarnation is draining, and reports whether that is new. Later
-// list updates, which may be older, do not revert it: an incarnation that is shutting down does
-// not return to service.
+// markDraining records that an incarnation is draining, by its own signal or by the list, and reports whether that
+// is new. Later list updates, which may be older, do not revert it: an incarnation that is shutting down does not
+// return to service.
 func (set *Set) markDraining(key uint64) bool {
 	if e := set.byKey[key]; e != nil {
 		e.draining = true
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -226,11 +226,18 @@
 			set.byKey[e.key] = e
 			added = append(added, e)
 		}
-		if !found || e.server.Draining != server.Draining {
-			changes = append(changes, Change{Server: *server})
-		}
+		drained := found && e.isDraining()
 		listed := e.listedServer()
 		e.update(server)
+		// Without a start time, a later process of the same ID would count as draining too.
+		if server.Draining && server.Born != 0 {
+			set.markDraining(e.key)
+		}
+		if draining := e.isDraining(); !found || draining != drained {
+			change := Change{Server: *server}
+			change.Server.Draining = draining
+			changes = append(changes, change)
+		}
 		set.software.change(listed, e.server, now)
 		delete(set.unlisted, e)
 	}
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -82,6 +82,40 @@
 	require.Empty(t, set.Candidates(nil, query, begin), "not even as a last resort once unlisted")
 }
 
+// Guards against requests to a server that drains, after the store came back from a copy in which its entry is ready.
+func TestDrainingServerIsNotReusedAfterRestore(t *testing.T) {
+	set := NewSet()
+	ready := server("x")
+	ready.Born = 1
+	draining := ready
+	draining.Draining = true
+	set.Update([]Server{ready}, begin)
+	set.Update([]Server{draining}, begin)
+	changes := set.Update([]Server{ready}, begin.Add(time.Second))
+	require.Empty(t, changes, "the server drains as before")
+	require.True(t, candidateOf(t, set, query, begin.Add(time.Second), ready.Incarnation()).Leaving)
+	require.False(t, set.InService("x"))
+	set.Update(nil, begin.Add(time.Second))
+	later := begin.Add(2 * time.Second).Add(unlistedRetention)
+	set.Update(nil, later)
+	set.Update([]Server{ready}, later)
+	require.True(t, candidateOf(t, set, query, later, ready.Incarnation()).Leaving, "its entry was removed in between")
+	restarted := ready
+	restarted.Born = 2
+	set.Update([]Server{restarted}, later)
+	require.False(t, candidateOf(t, set, query, later, restarted.Incarnation()).Leaving, "another process has its ID")
+}
+
+// Guards against servers that are never used again, since incarnations without a start time cannot be told apart.
+func TestServerWithoutStartTimeReturnsAfterDraining(t *testing.T) {
+	set := NewSet()
+	draining := server("x")
+	draining.Draining = true
+	set.Update([]Server{draining}, begin)
+	set.Update([]Server{server("x")}, begin)
+	require.False(t, candidateOf(t, set, query, begin, "x").Leaving)
+}
+
 func TestModelVersionNeverDecreases(t *testing.T) {
 	property.Check(t, func(t *rapid.T) {
 		set := NewSet()
