Await the end of a stream that alone stands still at a server

Callers saw: two servers that worked on one stream. A stream stood still for 1.6 s at a server that answered others; it was given up, and went on at another server while the first one, which had not noticed, went on as well.

Cause: signs of life of the server for longer than it takes to notice a close counted as the sign that the attempt's connection hangs. They say nothing of the request: one stream can stand still while others do not.

Change: the connection tells whether the server's host has acknowledged its end (TCP state FIN_WAIT2). If it has, the server notices that as soon as it goes on, and the node waits for it until the caller would give up. If not, the connection hangs, and the stream goes on elsewhere as before. A socket that does not tell counts as before.

TestAttemptIsReleased has two new cases. A server that hangs with one stream for good now holds that stream until its caller would give up (2.4 s after the last event on a route with a target of 0.8 s), as one that hangs whole does.

--- a/cmd/cloverrail/handover_test.go
+++ b/cmd/cloverrail/handover_test.go
@@ -226,6 +226,31 @@
 	}
 }
 
+// Guards against streams on which two servers work: a server that answered others counted as one that had ended the
+// stream, while that stream alone stood still.
+func TestStreamThatAloneStallsIsEndedBeforeItGoesOn(t *testing.T) {
+	for _, s := range stages {
+		for _, way := range []string{wayDirect, wayDetour} {
+			t.Run(s.name+", "+way, func(t *testing.T) {
+				t.Parallel()
+				var once sync.Once
+				f := newHandoverFixture(t, way, stopsAfter(s.events, func() {
+					once.Do(func() { time.Sleep(soundStall) })
+				}))
+				result := make(chan receivedStream, 1)
+				go func() { result <- f.stream(briefStream) }()
+				<-f.begun
+				f.serveStalling(f.second)
+				f.awaitServers(2)
+				got := <-result
+				got.requireWhole(t)
+				require.Less(t, got.longestGap, callerPatience)
+				f.requireHandover()
+			})
+		}
+	}
+}
+
 // Guards against streams that are lost, or for which callers wait in vain, since their server never goes on: they go on
 // elsewhere before callers give them up.
 func TestStreamOfServerThatNeverGoesOnIsContinued(t *testing.T) {
--- a/cmd/cloverrail/serverlinks_test.go
+++ b/cmd/cloverrail/serverlinks_test.go
@@ -192,6 +192,9 @@
 	return c.tcp.CloseWrite()
 }
 
+// SyscallConn gives access to the socket, whose state shows no close that was lost.
+func (c *linkConn) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
+
 func isDone(done <-chan struct{}) bool {
 	select {
 	case <-done:
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -149,7 +149,7 @@
 	"ended":       "the server had ended it",
 	"replaced":    "the server had started again",
 	"unreachable": "this node alone could not connect to the server",
-	"responsive":  "the server answered others, but had not ended it",
+	"responsive":  "the server answered others, and the connection hung or was reset",
 	"overdue":     "the caller could wait no longer, and the server may still have worked on it",
 }
 
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -149,7 +149,7 @@
 	// ReleaseUnreachable means that this node alone cannot connect to the server.
 	ReleaseUnreachable ReleaseReason = "unreachable"
 	// ReleaseResponsive means that the server has shown signs of life for longer than it takes to notice that a
-	// connection was closed.
+	// connection was closed, and that the attempt's connection hangs or was reset.
 	ReleaseResponsive ReleaseReason = "responsive"
 	// ReleaseOverdue means that the caller can wait no longer.
 	ReleaseOverdue ReleaseReason = "overdue"
--- a/internal/keepalive/client.go
+++ b/internal/keepalive/client.go
@@ -149,7 +149,7 @@
 	}
 	number := taken.acquire(u.client.maxIdle(u.address, u.atMostOnce), u.needsNewConnection && got.Reused)
 	if completed := taken.currentCompletion(); u.completion != nil && completed != nil {
-		u.completion.Begin(completed.done, func() outbound.CompletionResult { return completed.result })
+		u.completion.Begin(completed.done, func() outbound.CompletionResult { return completed.result }, taken.closeAcknowledged)
 	}
 	if u.client.onConnection != nil {
 		u.client.onConnection(got.Reused)
--- a/internal/keepalive/linger.go
+++ b/internal/keepalive/linger.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/outbound"
@@ -24,6 +25,8 @@
 	maxDiscarded = 256 << 10
 	// discardBufferSize is the size of the buffer for these bytes.
 	discardBufferSize = 1 << 10
+	// tcpFinWait2 is the state of a TCP connection whose peer has acknowledged that this side is closed.
+	tcpFinWait2 = 5
 )
 
 // halfCloser is a connection of which one direction can be closed.
@@ -56,6 +59,25 @@
 	c.complete(result)
 }
 
+// closeAcknowledged reports whether the server's host has acknowledged that this side of the connection is closed. It is
+// false if the socket does not tell.
+func (c *conn) closeAcknowledged() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	acknowledged := false
+	err = raw.Control(func(descriptor uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		acknowledged = err == nil && info.State == tcpFinWait2
+	})
+	return err == nil && acknowledged
+}
+
 // awaitPeerClose waits until the server has closed or reset the connection, or sends on.
 func (c *conn) awaitPeerClose() outbound.CompletionResult {
 	// A read in progress ends, and later ones fail.
--- a/internal/outbound/completion.go
+++ b/internal/outbound/completion.go
@@ -12,6 +12,8 @@
 	done  <-chan struct{}
 	// result returns how the call was completed. It is called once done is closed.
 	result func() CompletionResult
+	// closeAcknowledged reports whether the called party's host has acknowledged the end of the connection.
+	closeAcknowledged func() bool
 }
 
 // CompletionResult is what is known of the called party once a call is complete.
@@ -41,10 +43,11 @@
 }
 
 // Begin records that a call has been sent: done is closed once it is complete, and result returns how then.
-func (c *Completion) Begin(done <-chan struct{}, result func() CompletionResult) {
+// CloseAcknowledged reports whether the called party's host has acknowledged the end of the connection.
+func (c *Completion) Begin(done <-chan struct{}, result func() CompletionResult, closeAcknowledged func() bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.done, c.result = done, result
+	c.done, c.result, c.closeAcknowledged = done, result, closeAcknowledged
 }
 
 // Done returns a channel that is closed once the latest call is complete. It is closed if there is none.
@@ -57,6 +60,15 @@
 	return c.done
 }
 
+// CloseAcknowledged reports whether the called party's host has acknowledged the end of the latest call's connection: the
+// called party notices it as soon as it reads or writes there.
+func (c *Completion) CloseAcknowledged() bool {
+	c.mutex.Lock()
+	acknowledged := c.closeAcknowledged
+	c.mutex.Unlock()
+	return acknowledged != nil && acknowledged()
+}
+
 // Result returns how the latest call was completed; CompletionUnknown if it is not complete.
 func (c *Completion) Result() CompletionResult {
 	select {
--- a/internal/proxy/release.go
+++ b/internal/proxy/release.go
@@ -99,7 +99,7 @@
 		return exchange.ReleaseReplaced
 	case !r.placement.detour && proxy.set.PathBroken(server) && proxy.set.PartitionedFrom(backend.ServerKey(server), r.closedAt):
 		return exchange.ReleaseUnreachable
-	case !r.responsiveSince.IsZero() && now.Sub(r.responsiveSince) > proxy.closeTimes.estimate(r.service()):
+	case r.connectionHangs(now):
 		go r.observeLateEnd()
 		return exchange.ReleaseResponsive
 	case now.Sub(r.closedAt) > proxy.closeTimes.estimate(r.service()) && r.overdue(now):
@@ -108,6 +108,13 @@
 	return ""
 }
 
+// connectionHangs reports whether the server has shown signs of life for longer than it takes to notice a close, and cannot
+// notice that of the attempt's connection. A server that could, and has not ended the attempt, still works on it.
+func (r *release) connectionHangs(now time.Time) bool {
+	responsive := !r.responsiveSince.IsZero() && now.Sub(r.responsiveSince) > r.placement.placer.proxy.closeTimes.estimate(r.service())
+	return responsive && !r.placement.completion.CloseAcknowledged()
+}
+
 // observeResponses records whether the server has responded since the attempt was given up.
 func (r *release) observeResponses() {
 	at := r.placement.placer.proxy.set.LastAliveAt(r.placement.chosen.Endpoint)
--- a/internal/proxy/release_test.go
+++ b/internal/proxy/release_test.go
@@ -23,6 +23,8 @@
 	placement *placement
 	ended     chan struct{}
 	result    outbound.CompletionResult
+	// acknowledged says that the server's host has acknowledged the end of the attempt's connection.
+	acknowledged bool
 }
 
 // newReleaseTest gives an attempt up that has been silent for some time.
@@ -35,7 +37,7 @@
 	r.placement = p.silentPlacement("i-0", now.Add(-silent))
 	r.placement.responding, r.placement.lastEventAt = true, now.Add(-silent)
 	_, r.placement.completion = outbound.TrackCompletion(context.Background())
-	r.placement.completion.Begin(r.ended, func() outbound.CompletionResult { return r.result })
+	r.placement.completion.Begin(r.ended, func() outbound.CompletionResult { return r.result }, func() bool { return r.acknowledged })
 	r.placement.End(exchange.ResultSilent)
 	return r
 }
@@ -114,6 +116,15 @@
 		"the server responds to other nodes": {catalog.Stream, long, func(r *releaseTest) {
 			r.answerPeers(500 * time.Millisecond)
 		}, exchange.ReleaseResponsive, 500 * time.Millisecond, 500*time.Millisecond + defaultCloseTime + 2*tick},
+		"the server responds otherwise, and can notice the end": {catalog.Stream, long, func(r *releaseTest) {
+			r.acknowledged = true
+			r.respond(300 * time.Millisecond)
+			r.endAfter(time.Second, outbound.CompletionEnded)
+		}, exchange.ReleaseEnded, time.Second, time.Second},
+		"the server responds otherwise, and never notices the end": {catalog.Stream, long, func(r *releaseTest) {
+			r.acknowledged = true
+			r.respond(300 * time.Millisecond)
+		}, exchange.ReleaseOverdue, maxSilence - silent, maxSilence - silent + tick},
 		"it may run at two servers": {catalog.Idempotent, long, func(*releaseTest) {}, exchange.ReleaseNotRequired, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
