Read a request that arrived before a stopping node ends its connection

Callers saw: the end of a kept connection, without a response, for a request that had arrived at a stopping node before that ended its connections at rest.

Cause: the node ends such a connection by a read deadline in the past. A read that has not begun, or whose goroutine has not run yet, then fails without a look at what has arrived. Timeouts of heads and of connections at rest read once more for that reason; this end did not.

Change: the end of a connection at rest reads what has arrived, as its timeouts do.

Evidence: TestDataThatArrivedBeforeEndOfIdleIsRead fails before (i/o timeout) and passes now; go test -race ./internal/clientconn, and the tests of shutdown, timeouts and half-closed connections of cmd/cloverrail: pass. How often it struck running nodes was not measured.

--- a/internal/clientconn/timeouts.go
+++ b/internal/clientconn/timeouts.go
@@ -37,6 +37,8 @@
 	// waiting is what the connection waits for, since a time; zero if it waits for neither.
 	waiting Waiting
 	since   time.Time
+	// ended is set once EndIdle has ended the wait.
+	ended bool
 	// final is set once the wait has ended, and the connection reads what has arrived.
 	final bool
 }
@@ -58,7 +60,7 @@
 	c.wait.mutex.Lock()
 	defer c.wait.mutex.Unlock()
 	now := time.Now()
-	c.wait.since, c.wait.final = time.Time{}, false
+	c.wait.since, c.wait.ended, c.wait.final = time.Time{}, false, false
 	if deadline.After(now) {
 		c.wait.waiting, c.wait.since = WaitingForHead, now
 		if c.wait.idle {
@@ -93,9 +95,11 @@
 	}
 	now := time.Now()
 	deadline := c.wait.since.Add(c.declaredTimeout())
-	if !deadline.After(now) {
+	if c.wait.ended || !deadline.After(now) {
 		if c.wait.final {
-			c.onTimeout(c.wait.waiting)
+			if !c.wait.ended {
+				c.onTimeout(c.wait.waiting)
+			}
 			return false
 		}
 		c.wait.final, deadline = true, now.Add(finalReadTimeout)
@@ -103,14 +107,16 @@
 	return c.Conn.SetReadDeadline(deadline) == nil
 }
 
-// EndIdle ends the connection if it waits for the next request, and nothing of that has been read. Closing it could lose
+// EndIdle ends the connection if it waits for the next request, and nothing of that has arrived. Closing it could lose
 // a request that is being read meanwhile.
 func (c *Conn) EndIdle() {
 	c.wait.mutex.Lock()
 	defer c.wait.mutex.Unlock()
-	if c.wait.since.IsZero() || c.wait.waiting != WaitingIdle {
+	if c.wait.since.IsZero() || c.wait.waiting != WaitingIdle || c.wait.ended {
 		return
 	}
-	c.wait.since = time.Time{}
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	c.wait.ended = true
+	if !c.wait.final {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
 }
--- a/internal/clientconn/timeouts_test.go
+++ b/internal/clientconn/timeouts_test.go
@@ -33,3 +33,22 @@
 		})
 	}
 }
+
+// A request that has arrived on a connection at rest is read, even if the node ends the connection first.
+func TestDataThatArrivedBeforeEndOfIdleIsRead(t *testing.T) {
+	conn, client := acceptOne(t)
+	conn.onTimeout = func(waiting Waiting) { t.Errorf("a connection that the node ended counts as timed out: %s", waiting) }
+	TrackState(conn, http.StateIdle)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err := client.Write([]byte("GET"))
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	conn.EndIdle()
+	buffer := make([]byte, 16)
+	n, err := conn.Read(buffer)
+	require.NoError(t, err)
+	require.Equal(t, "GET", string(buffer[:n]))
+	conn.EndIdle()
+	_, err = conn.Read(buffer)
+	require.True(t, isTimeout(err), err)
+}
