Try a write again that was paused after a part of it was taken

Callers saw: a response that breaks off, with the result caller_left and "i/o timeout", although the client reads, when the process was paused for some seconds in the middle of a small write.

Cause: a write that stalls is tried once more, as this process may have been paused and not the client. A write of which the client had taken a part was not, once its time by the least rate was over: a pause of 2.2 s is longer than that for an event of 4 KiB.

A client that takes less than the least rate is given up by that much later, as one that takes nothing is already.

Evidence: TestWriteThatWasPausedGoesOn fails before (i/o timeout) and passes now; go test -race ./internal/clientconn, TestSlowReaderGetsLargeResponse and TestClientThatDoesNotReadIsGivenUp pass. Seen by reading, not in a running node.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -149,7 +149,7 @@
 			return written, err
 		case n > 0 && time.Now().Before(latest):
 			timeout = c.stallTimeout
-		case n > 0 || timeout == finalWriteTimeout:
+		case timeout == finalWriteTimeout:
 			return written, err
 		default:
 			// This process may have been paused, and not the client.
--- a/internal/clientconn/watch_test.go
+++ b/internal/clientconn/watch_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -212,3 +213,29 @@
 	require.Equal(t, watched{EndOfData, OutcomeWaits}, awaitReport(t, watch.reports))
 	require.NoError(t, watch.ctx.Err())
 }
+
+// partialConn is a connection whose client takes a part of each write until the process is paused once.
+type partialConn struct {
+	net.Conn
+	pause time.Duration
+	once  sync.Once
+}
+
+func (p *partialConn) Write(data []byte) (int, error) {
+	n, err := len(data), error(nil)
+	p.once.Do(func() {
+		time.Sleep(p.pause)
+		n, err = 1, os.ErrDeadlineExceeded
+	})
+	return n, err
+}
+
+// A response is written on after this process was paused for longer than its write may take.
+func TestWriteThatWasPausedGoesOn(t *testing.T) {
+	conn, _ := acceptOne(t)
+	conn.stallTimeout = 50 * time.Millisecond
+	conn.Conn = &partialConn{Conn: conn.Conn, pause: 2 * conn.stallTimeout}
+	n, err := conn.Write([]byte("event"))
+	require.NoError(t, err)
+	require.Equal(t, len("event"), n)
+}
