End the attempt of a request whose response panics

Callers saw: nothing of the one request but a 502; a server that seemed to have one more request running for as long as the node ran, and less memory for the responses of others.

Cause: a panic while a response is written, such as that of a status which cannot be written, is answered by the ingress. It left the driver of the request without ending the current attempt and without returning the memory of the responses that were received.

Change: the driver does both whenever it ends.

Evidence: TestPanicOfCallerEndsAttempt and TestPanicOfCallerEndsStream fail before and pass now; go test -race ./internal/exchange and go test ./internal/proxy pass.

--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -58,6 +58,8 @@
 		silenceTimer: stoppedTimer(),
 		startTimer:   stoppedTimer(),
 	}
+	// Also if the caller panics: an attempt would count as in flight for good.
+	defer driver.release()
 	driver.pendingActions = driver.machine.Start(started)
 	for !driver.machine.Finished() || len(driver.pendingActions) > 0 {
 		if len(driver.pendingActions) == 0 {
@@ -68,12 +70,16 @@
 		driver.pendingActions = driver.pendingActions[1:]
 		driver.perform(ctx, action)
 	}
+	driver.outcome.Runs, driver.outcome.Sends = driver.machine.Runs(), driver.machine.Sends()
+	return driver.outcome
+}
+
+// release ends the current attempt, and returns the memory of all responses.
+func (driver *driver) release() {
 	driver.endAttempt(ResultNeutral)
 	for _, answer := range driver.received {
 		answer.release()
 	}
-	driver.outcome.Runs, driver.outcome.Sends = driver.machine.Runs(), driver.machine.Sends()
-	return driver.outcome
 }
 
 func stoppedTimer() *time.Timer {
--- a/internal/exchange/driver_test.go
+++ b/internal/exchange/driver_test.go
@@ -326,3 +326,36 @@
 		})
 	}
 }
+
+// panickingCaller panics when it is to write the response.
+type panickingCaller struct{ recorder }
+
+func (p *panickingCaller) Answer(*Answer) error { panic("cannot be written") }
+
+// An attempt whose response cannot be written is ended, and its memory returned: it would count as in flight for good.
+func TestPanicOfCallerEndsAttempt(t *testing.T) {
+	released := false
+	list := []fakeServer{func(context.Context, bool, int64) (*Reply, error) {
+		answer := &Answer{Status: http.StatusOK, Release: func() { released = true }}
+		return &Reply{Status: http.StatusOK, Complete: answer, Close: func() {}}, nil
+	}}
+	fakePlacer := &placer{servers: list}
+	require.Panics(t, func() {
+		Run(t.Context(), Request{Rules: Rules{MaxRuns: 1, MaxSends: 1}, Budget: &fixedBudget{}, Placer: fakePlacer, Caller: &panickingCaller{}})
+	})
+	require.Equal(t, []Result{ResultServed}, fakePlacer.results)
+	require.True(t, released)
+}
+
+// panickingStream panics when it is to write an event.
+type panickingStream struct{ recorder }
+
+func (p *panickingStream) Forward([]byte) error { panic("cannot be written") }
+
+func TestPanicOfCallerEndsStream(t *testing.T) {
+	fakePlacer := &placer{servers: []fakeServer{streams(3, io.EOF)}}
+	require.Panics(t, func() {
+		Run(t.Context(), Request{Rules: Rules{MaxRuns: 1, MaxSends: 1}, Budget: &fixedBudget{}, Placer: fakePlacer, Caller: &panickingStream{}})
+	})
+	require.Len(t, fakePlacer.results, 1)
+}
