--- a/internal/clientconn/watch_test.go
+++ b/internal/clientconn/watch_test.go
@@ -239,3 +239,39 @@
 	require.NoError(t, err)
 	require.Equal(t, len("event"), n)
 }
+
+// The end of a client's data right after a body that took long to arrive belongs to the request.
+func TestEndOfDataAfterSlowBodyDoesNotEndResponse(t *testing.T) {
+	began := make(chan struct{})
+	ended := make(chan error, 1)
+	reports := make(chan watched, 1)
+	handler := Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		require.NoError(t, err)
+		w.WriteHeader(http.StatusOK)
+		require.NoError(t, http.NewResponseController(w).Flush())
+		close(began)
+		select {
+		case <-r.Context().Done():
+		case <-time.After(maxEndDelay):
+		}
+		ended <- r.Context().Err()
+	}), func(end End, outcome Outcome) { reports <- watched{end, outcome} })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{ConnContext: WithConn, Handler: handler}
+	go func() { _ = server.Serve(&Listener{Listener: listener}) }()
+	t.Cleanup(func() { _ = server.Close() })
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	_, err = io.WriteString(connection, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo")
+	require.NoError(t, err)
+	time.Sleep(2 * maxEndDelay)
+	_, err = io.WriteString(connection, "dy")
+	require.NoError(t, err)
+	<-began
+	require.NoError(t, connection.(*net.TCPConn).CloseWrite())
+	require.Equal(t, watched{EndOfData, OutcomeResponding}, awaitReport(t, reports))
+	require.NoError(t, <-ended)
+}
