Close a direction of the connection before a response to an unread body may be reset

Callers saw: a reset after the response to a request whose body is too large. A client whose host drops what it has not read at a reset gets no response.

Cause: http.Server closes its direction, waits for half a second and closes the connection then, so that the reset for what it has not read does not overtake the response. It finds out by its method CloseWrite whether a connection can do so; the connections of clients, which wrap those of the network twice, hid it (once already before they were observed).

Change: both have the method.

Reads on Linux returned the response in either case.

--- a/cmd/cloverrail/clientclose_test.go
+++ b/cmd/cloverrail/clientclose_test.go
@@ -43,7 +43,11 @@
 }
 
 func (fixture *fixture) connect() *clientConnection {
-	connection, err := net.Dial("tcp", fixture.frontend.Listener.Addr().String())
+	return fixture.connectTo(fixture.frontend.Listener)
+}
+
+func (fixture *fixture) connectTo(listener net.Listener) *clientConnection {
+	connection, err := net.Dial("tcp", listener.Addr().String())
 	require.NoError(fixture.t, err)
 	fixture.t.Cleanup(func() { _ = connection.Close() })
 	return &clientConnection{t: fixture.t, TCPConn: connection.(*net.TCPConn), reader: bufio.NewReader(connection)}
@@ -299,6 +303,26 @@
 	require.Contains(t, got.body, "unknown")
 }
 
+// A client whose body is not read whole gets the response and then the end of the connection, and no reset, which could
+// overtake the response.
+func TestResponseToUnreadBodyIsFollowedByEnd(t *testing.T) {
+	t.Parallel()
+	const bodyBytes = 600 << 10
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, "done")))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = fixture.clientServer.Serve(fixture.process.limitConnections(t.Context(), listener)) }()
+	client := fixture.connectTo(listener)
+	request, err := http.NewRequest(http.MethodPost, "http://"+host+"/once/", strings.NewReader(strings.Repeat("x", bodyBytes)))
+	require.NoError(t, err)
+	request.Header.Set(standin.HeaderRequestID, "large")
+	request.Header.Set("Authorization", "Bearer "+key)
+	require.NoError(t, request.Write(client))
+	time.Sleep(time.Second)
+	require.Equal(t, http.StatusRequestEntityTooLarge, client.readResponse().status)
+	client.awaitClose()
+}
+
 // A client that reads slowly, but does read, gets the whole of a large response.
 func TestSlowReaderGetsLargeResponse(t *testing.T) {
 	t.Parallel()
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -104,6 +104,16 @@
 	return ended
 }
 
+// CloseWrite closes this side's direction of the connection. http.Server calls it before it closes a connection whose
+// request it has not read whole: a reset could overtake the response.
+func (c *Conn) CloseWrite() error {
+	closer, closes := c.Conn.(interface{ CloseWrite() error })
+	if !closes {
+		return errors.NotSupportedf("closing one direction of %T", c.Conn)
+	}
+	return closer.CloseWrite()
+}
+
 // Read reads from the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -50,6 +50,15 @@
 	return socket.SyscallConn()
 }
 
+// CloseWrite closes this side's direction of the connection.
+func (c *conn) CloseWrite() error {
+	closer, closes := c.Conn.(interface{ CloseWrite() error })
+	if !closes {
+		return errors.NotSupportedf("closing one direction of %T", c.Conn)
+	}
+	return closer.CloseWrite()
+}
+
 // Close closes the connection and makes room for another one.
 func (c *conn) Close() error {
 	c.once.Do(c.release)
