Go on to accept connections after an error of accepting one

Callers would see: refused connections to a node that runs and says it is ready, with no line in its log, until it is started again.

Cause: accept passes on errors of the network and of a lack of memory, such as ENETDOWN, EPROTO and ENOBUFS. http.Server goes on after a lack of descriptors only. After the others it closes its listener and returns, and the error was dropped.

Change: all errors of accepting but the end of the listener are errors after which http.Server goes on. It logs them and waits longer each time, up to a second.

Seen by reading; no node is known to have met one.

--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -20,8 +20,11 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		accepted, err := l.Listener.Accept()
-		if err != nil {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return nil, err
+		case err != nil:
+			return nil, &acceptError{err}
 		}
 		reason, admitted := l.Gate.Admit()
 		if admitted {
@@ -32,6 +35,21 @@
 	}
 }
 
+// acceptError is an error of accepting one connection: the network's, or a lack of a resource. http.Server logs it and goes
+// on, where it would end at another error than that of a lack of descriptors.
+type acceptError struct{ error }
+
+var _ net.Error = (*acceptError)(nil)
+
+// Unwrap returns the error of the network.
+func (a *acceptError) Unwrap() error { return a.error }
+
+// Timeout implements net.Error.
+func (a *acceptError) Timeout() bool { return false }
+
+// Temporary implements net.Error.
+func (a *acceptError) Temporary() bool { return true }
+
 // conn is an accepted connection.
 type conn struct {
 	net.Conn
