Answer requests that arrive while a stopping node of cloverrail node closes its connections

Callers saw: with cloverrail node, the end of a kept connection in place of a response, if the head of the next request arrived in parts while the node stopped.

Cause: http.Server.Shutdown closes connections that have not read a whole head since their last response. The proxy closes its connections otherwise for that reason; cloverrail node did not.

Change: the server of clients' connections of the proxy becomes clientconn.Server, and both use it.

--- a/cmd/cloverrail/clientclose_test.go
+++ b/cmd/cloverrail/clientclose_test.go
@@ -248,7 +248,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 		defer cancel()
-		fixture.clientServer.close(ctx, fixture.frontend.Listener)
+		fixture.clientServer.Drain(ctx, fixture.frontend.Listener)
 		close(closed)
 	}()
 	idle.awaitClose()
@@ -278,7 +278,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 		defer cancel()
-		fixture.clientServer.close(ctx, fixture.frontend.Listener)
+		fixture.clientServer.Drain(ctx, fixture.frontend.Listener)
 		close(closed)
 	}()
 	idle.awaitClose()
@@ -360,8 +360,8 @@
 	client := fixture.connect()
 	require.NoError(t, client.SetReadBuffer(4096))
 	client.writeRequest(fixture, "/once/")
-	fixture.waitUntil(func() bool { return fixture.clientServer.count.Load() == 1 })
-	fixture.waitUntil(func() bool { return fixture.clientServer.count.Load() == 0 })
+	fixture.waitUntil(func() bool { return fixture.clientServer.Open() == 1 })
+	fixture.waitUntil(func() bool { return fixture.clientServer.Open() == 0 })
 }
 
 // streamHeadOnly begins a stream and sends no event of it.
--- a/cmd/cloverrail/connections.go
+++ b/cmd/cloverrail/connections.go
@@ -4,9 +4,6 @@
 	"context"
 	"log"
 	"net"
-	"net/http"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,9 +15,6 @@
 // stallTimeout is how long a client may take nothing of what is written to it.
 const stallTimeout = 2 * time.Second
 
-// closePollInterval is the interval between checks for open connections while they are closed.
-const closePollInterval = 5 * time.Millisecond
-
 // delayInterval is the interval between two measurements of the scheduling delay.
 const delayInterval = 100 * time.Millisecond
 
@@ -53,57 +47,13 @@
 	}
 }
 
-// clientServer serves clients' connections.
-type clientServer struct {
-	http.Server
-	// open holds the open connections, and count their number.
-	open  sync.Map
-	count atomic.Int64
-}
-
 // newClientServer returns the server of clients' connections, which observeClients must accept. Its timeouts hold where
 // none are declared.
-func (process *process) newClientServer() *clientServer {
-	c := &clientServer{}
-	c.Handler = process.ingress()
-	c.ReadHeaderTimeout, c.IdleTimeout = readHeaderTimeout, idleTimeout
-	c.ConnContext, c.ConnState = clientconn.WithConn, c.trackState
-	c.ErrorLog = log.New(process.clients, "", 0)
-	return c
-}
-
-// trackState records changes of the state of connections.
-func (c *clientServer) trackState(conn net.Conn, state http.ConnState) {
-	clientconn.TrackState(conn, state)
-	switch state {
-	case http.StateNew:
-		c.open.Store(conn, nil)
-		c.count.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		c.open.Delete(conn)
-		c.count.Add(-1)
-	}
-}
-
-// endIdle ends the connections that wait for their next request.
-func (c *clientServer) endIdle() {
-	c.open.Range(func(key, _ any) bool {
-		if conn, isConn := key.(*clientconn.Conn); isConn {
-			conn.EndIdle()
-		}
-		return true
-	})
-}
-
-// close stops accepting connections and closes idle ones, the others after their next response. It returns once all are
-// closed, or when the context ends. Unlike http.Server.Shutdown and SetKeepAlivesEnabled, it drops no request that has
-// been read, or is being read.
-func (c *clientServer) close(ctx context.Context, listener net.Listener) {
-	_ = listener.Close()
-	for ctx.Err() == nil && c.count.Load() > 0 {
-		c.endIdle()
-		pause.For(ctx, closePollInterval)
-	}
+func (process *process) newClientServer() *clientconn.Server {
+	server := clientconn.NewServer(process.ingress())
+	server.ReadHeaderTimeout, server.IdleTimeout = readHeaderTimeout, idleTimeout
+	server.ErrorLog = log.New(process.clients, "", 0)
+	return server
 }
 
 // observeDelay measures the scheduling delay until the context ends.
--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/forward"
 	"github.com/cloverrail/cloverrail/internal/lab/faultwire"
 	"github.com/cloverrail/cloverrail/internal/origin"
@@ -43,7 +44,7 @@
 	process  *process
 	frontend *httptest.Server
 	// clientServer is the server that frontend runs.
-	clientServer *clientServer
+	clientServer *clientconn.Server
 	requests     atomic.Int64
 	version      int64
 	// kill stops the node as seen from other nodes.
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -132,7 +132,7 @@
 	stopTasks()
 	shutdownContext, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
-	clientServer.close(shutdownContext, clients)
+	clientServer.Drain(shutdownContext, clients)
 	select {
 	case <-tasksDone:
 	case <-shutdownContext.Done():
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,11 +155,11 @@
 // Run serves until the context ends and then shuts down gracefully: it announces
 // that it is draining, rejects new requests and waits for open ones.
 func (node *Node) Run(ctx context.Context, callers, operators http.Handler) error {
-	callerServer, err := node.listen(node.settings.CallerAddress, clientconn.Handler(callers, node.logClientEnd))
+	callerServer, callerListener, err := node.listen(node.settings.CallerAddress, clientconn.Handler(callers, node.logClientEnd))
 	if err != nil {
 		return err
 	}
-	operatorServer, err := node.listen(node.settings.OperatorAddress, operators)
+	operatorServer, _, err := node.listen(node.settings.OperatorAddress, operators)
 	if err != nil {
 		return err
 	}
@@ -179,7 +179,7 @@
 	go node.resizeSlotPools(running)
 	node.log.Info().Str("callers", node.settings.CallerAddress).Str("peers", node.settings.PeerAddress).Msg("node started")
 	<-ctx.Done()
-	node.drain(callerServer)
+	node.drain(callerServer, callerListener)
 	node.gossip.apply((*membership.Machine).Leave)
 	_ = operatorServer.Close()
 	_ = callerServer.Close()
@@ -192,14 +192,15 @@
 	return nil
 }
 
-func (node *Node) listen(address string, handler http.Handler) (*http.Server, error) {
+func (node *Node) listen(address string, handler http.Handler) (*clientconn.Server, net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, errors.Annotatef(err, "cannot listen on %s; choose a free port", address)
+		return nil, nil, errors.Annotatef(err, "cannot listen on %s; choose a free port", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnContext: clientconn.WithConn}
+	server := clientconn.NewServer(handler)
+	server.ReadHeaderTimeout, server.IdleTimeout = readHeaderTimeout, idleTimeout
 	go func() { _ = server.Serve(&clientconn.Listener{Listener: listener}) }()
-	return server, nil
+	return server, listener, nil
 }
 
 // logClientEnd logs what became of a caller whose side of the connection ended before its response.
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
-	"net/http"
+	"net"
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/membership"
 )
 
-func (node *Node) drain(server *http.Server) {
+func (node *Node) drain(server *clientconn.Server, listener net.Listener) {
 	node.log.Info().Int("open", node.lifecycle.openRequests()).Msg("node draining")
 	node.lifecycle.markUnready()
 	node.gossip.apply((*membership.Machine).Drain)
@@ -22,10 +23,10 @@
 		node.log.Warn().Int("cut", remaining).Msg("the drain deadline passed with requests open; declare a longer drainDeadline")
 	}
 	node.linger()
-	// Flush responses that are already written.
 	flushCtx, stop := context.WithTimeout(context.Background(), callTimeout)
 	defer stop()
-	_ = server.Shutdown(flushCtx)
+	// Requests that are being read are still rejected with a response.
+	server.Drain(flushCtx, listener)
 }
 
 // linger keeps rejecting late requests with a response, so that no request is on its
