--- a/internal/plain/forwarder.go
+++ b/internal/plain/forwarder.go
@@ -213,6 +213,10 @@
 	if reason := response.Header.Get(engineapi.HeaderNotStarted); reason != "" {
 		return nil, &exchange.ErrRefused{Reason: reason}
 	}
+	if response.StatusCode < http.StatusOK {
+		// net/http accepts any three digits, and a switch of protocols, which no request asks for.
+		return nil, errors.Errorf("status %d is not that of a final response", response.StatusCode)
+	}
 	if echoed := response.Header.Get(engineapi.HeaderAttempt); echoed != "" && echoed != attempt {
 		forwarder.onMismatch()
 		return nil, errors.New("the answer belongs to another request")
--- a/internal/plain/forwarder_test.go
+++ b/internal/plain/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -114,3 +115,29 @@
 	require.Positive(t, failure.As(err).RetryAfter)
 	require.Equal(t, 1, reached)
 }
+
+// respondsWithStatus sends a status line as it is, which net/http would not.
+func respondsWithStatus(status string) behavior {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		connection, buffered, err := http.NewResponseController(writer).Hijack()
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		defer connection.Close()
+		fmt.Fprintf(buffered, "HTTP/1.1 %s Odd\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", status, engineapi.HeaderAttempt, request.Header.Get(engineapi.HeaderAttempt))
+		_ = buffered.Flush()
+	}
+}
+
+// Guards against callers that get the end of the connection, as the handler panics that writes such a status.
+func TestStatusOfNoFinalResponseIsFailure(t *testing.T) {
+	for _, status := range []string{"000", "+42", "101"} {
+		_, _, err := forward(t, false, respondsWithStatus(status))
+		var failed *failure.Failure
+		require.ErrorAs(t, err, &failed, status)
+		require.Equal(t, failure.Unknown, failed.Outcome)
+		answer, _, err := forward(t, true, respondsWithStatus(status), respondsWith("done"))
+		require.NoError(t, err)
+		require.Equal(t, "done", string(answer.Body))
+	}
+}
