Read a request that arrives before a connection at rest is closed

Change: the connection looks once more for a request before it is closed. This holds for connections that have rested for as long as is declared, too. Heads keep their bound.

Evidence: TestDataThatArrivesBeforeCloseIsRead fails before and passes now; go test -race ./internal/clientconn and the tests of shutdown and timeouts pass.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -88,20 +88,27 @@
 	if end := c.End(); end != EndNone {
 		return end == EndOfData
 	}
+	n, err := c.peek()
+	return err == nil && n == 0
+}
+
+// peek returns the number of bytes that can be read at once, at most one, or the error of reading them.
+func (c *Conn) peek() (n int, err error) {
 	socket, isSocket := c.Conn.(syscall.Conn)
 	if !isSocket {
-		return false
+		return 0, errors.NotSupportedf("raw connection of %T", c.Conn)
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	ended := false
-	_ = raw.Control(func(descriptor uintptr) {
-		n, _, err := unix.Recvfrom(int(descriptor), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		ended = err == nil && n == 0
+	controlErr := raw.Control(func(descriptor uintptr) {
+		n, _, err = unix.Recvfrom(int(descriptor), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return ended
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
 }
 
 // CloseWrite closes this side's direction of the connection. http.Server calls it before it closes a connection whose
--- a/internal/clientconn/timeouts.go
+++ b/internal/clientconn/timeouts.go
@@ -96,7 +96,7 @@
 	now := time.Now()
 	deadline := c.wait.since.Add(c.declaredTimeout())
 	if c.wait.ended || !deadline.After(now) {
-		if c.wait.final {
+		if c.wait.final && !c.requestBegins() {
 			if !c.wait.ended {
 				c.onTimeout(c.wait.waiting)
 			}
@@ -107,6 +107,16 @@
 	return c.Conn.SetReadDeadline(deadline) == nil
 }
 
+// requestBegins reports whether the next request has begun to arrive: this process may have been short of processor time
+// after the last deadline. The caller holds wait.mutex.
+func (c *Conn) requestBegins() bool {
+	if c.wait.waiting != WaitingIdle {
+		return false
+	}
+	n, err := c.peek()
+	return err == nil && n > 0
+}
+
 // EndIdle ends the connection if it waits for the next request, and nothing of that has arrived. Closing it could lose
 // a request that is being read meanwhile.
 func (c *Conn) EndIdle() {
--- a/internal/clientconn/timeouts_test.go
+++ b/internal/clientconn/timeouts_test.go
@@ -1,6 +1,7 @@
 package clientconn
 
 import (
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -52,3 +53,42 @@
 	_, err = conn.Read(buffer)
 	require.True(t, isTimeout(err), err)
 }
+
+// lateConn is a connection whose reader is held up after a read.
+type lateConn struct {
+	*net.TCPConn
+	afterRead func()
+}
+
+func (l *lateConn) Read(p []byte) (int, error) {
+	n, err := l.TCPConn.Read(p)
+	l.afterRead()
+	return n, err
+}
+
+// A request that arrives after the last deadline of a connection at rest is read, if the connection is still open then.
+func TestDataThatArrivesBeforeCloseIsRead(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		conn, client := acceptOne(t)
+		conn.timeouts = func() Timeouts { return Timeouts{Head: time.Minute, Idle: 50 * time.Millisecond} }
+		reads := 0
+		conn.Conn = &lateConn{TCPConn: conn.Conn.(*net.TCPConn), afterRead: func() {
+			if reads++; reads == 2 {
+				_, err := client.Write([]byte("GET"))
+				require.NoError(t, err)
+				time.Sleep(50 * time.Millisecond)
+			}
+		}}
+		TrackState(conn, http.StateIdle)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+		if ended {
+			conn.EndIdle()
+		}
+		buffer := make([]byte, 16)
+		n, err := conn.Read(buffer)
+		require.NoError(t, err)
+		require.Equal(t, "GET", string(buffer[:n]))
+		_, err = conn.Read(buffer)
+		require.True(t, isTimeout(err), err)
+	}
+}
