Use a server again that was only silent, if no other can serve the request

Callers saw: a stream of one event and then the end of the connection, when its server fell silent for 1.5 s and the other one refused the stream. A sound server may be silent for that long, and is no reason to end a response.

Cause: a server whose attempt was given up for silence was excluded like one that had failed. Once the only other server had refused, nobody was left.

Change: if no server is eligible, those that were only silent are placed again, each once unless it is silent again. The bounds of runs, sends and retries hold as before.

--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/failure"
@@ -65,7 +66,9 @@
 	phase    phase
 	server   string
 	excluded []string
-	sends    int
+	// silentServers holds those of the excluded servers that were only silent, and may be used again if no other can serve.
+	silentServers []string
+	sends         int
 	// runs counts the attempts that may have run.
 	runs int
 	// placingSince is when the current placement began; zero if there is none.
@@ -167,6 +170,9 @@
 	if event.Refusal != nil {
 		return machine.refuse(event.Refusal)
 	}
+	if len(machine.silentServers) > 0 {
+		return machine.placeSilent(now)
+	}
 	machine.retryAfter = event.RetryAfter
 	return machine.fail(failure.KindNoEndpoint, "no server can accept the request: "+event.Reason, "send the request again, or add servers")
 }
@@ -219,6 +225,7 @@
 	if !machine.inFlight() || !machine.mayRetry(now, true) {
 		return nil
 	}
+	machine.silentServers = append(machine.silentServers, machine.server)
 	return machine.release()
 }
 
@@ -291,6 +298,16 @@
 	return []Action{Place{Excluded: machine.excluded}}
 }
 
+// placeSilent places the next attempt with the silent servers no longer excluded, which may go on. Each is used again once,
+// unless it is silent again.
+func (machine *Machine) placeSilent(now time.Time) []Action {
+	isSilent := func(server string) bool { return slices.Contains(machine.silentServers, server) }
+	machine.excluded = slices.DeleteFunc(slices.Clone(machine.excluded), isSilent)
+	machine.silentServers = nil
+	machine.placingSince = now
+	return []Action{Place{Excluded: machine.excluded}}
+}
+
 // abandon ends the request and cancels its current attempt.
 func (machine *Machine) abandon(kind failure.Kind, problem, remedy string) []Action {
 	if !machine.inFlight() {
--- a/internal/exchange/machine_test.go
+++ b/internal/exchange/machine_test.go
@@ -131,7 +131,7 @@
 		checker.streaming = false
 		return rapid.SampledFrom([]Event{
 			Placed{Server: fmt.Sprint("s", checker.sends)}, Placed{Server: fmt.Sprint("s", checker.sends)},
-			Unplaced{Reason: "full"}, Expired{}, CallerLeft{}, Stopping{},
+			Unplaced{Reason: "full"}, Unplaced{Reason: "gone", Permanent: true}, Expired{}, CallerLeft{}, Stopping{},
 		}).Draw(checker.t, "placement")
 	}
 	if checker.streaming {
@@ -233,6 +233,25 @@
 	require.Equal(t, []Action{Cancel{}, Place{Excluded: []string{"a", "b"}}}, lastActions(Rules{Repeatable: true, MaxRuns: 3, MaxSends: 6}, 2, nil, stream...))
 }
 
+// Guards against requests that fail, and streams that are cut, since their server was silent for a moment and no other one
+// can serve them.
+func TestSilentServerIsUsedAgainIfNoOtherCanServe(t *testing.T) {
+	unavailable := Unplaced{Permanent: true}
+	rules := Rules{Repeatable: true, MaxRuns: 3, MaxSends: 6}
+	begun := []Event{Placed{Server: "a"}, Opened{}, Arrived{ID: 1, HasID: true}, Silent{}, Released{}}
+	refused := append(begun, Placed{Server: "b"}, Refused{}, unavailable)
+	require.Equal(t, []Action{Place{Excluded: []string{"b"}}}, lastActions(rules, 9, nil, refused...), "the server that refused stays excluded")
+	require.Equal(t, []Action{Send{Resumes: true, After: 1}}, lastActions(rules, 9, nil, append(refused, Placed{Server: "a"})...))
+	require.IsType(t, Cut{}, lastActions(rules, 9, nil, append(refused, unavailable)...)[0], "it is not eligible either")
+	require.Equal(t, []Action{Place{Excluded: []string{}}}, lastActions(rules, 9, nil, append(begun, unavailable)...))
+	require.IsType(t, Cut{}, lastActions(rules, 9, nil, append(refused, Placed{Server: "a"}, Broken{}, Released{}, unavailable)...)[0], "it failed then")
+	again := append(refused, Placed{Server: "a"}, Silent{}, Released{}, unavailable)
+	require.Equal(t, []Action{Place{Excluded: []string{"b"}}}, lastActions(rules, 9, nil, again...), "silent once more, within the bound of runs")
+	require.Empty(t, lastActions(rules, 9, nil, append(again, Placed{Server: "a"}, Silent{})...), "no more runs: the attempt goes on")
+	refusal := failure.New(failure.KindQuarantined, "", "")
+	require.IsType(t, Fail{}, lastActions(rules, 9, nil, Placed{Server: "a"}, Silent{}, Released{}, Unplaced{Refusal: refusal, Permanent: true})[0])
+}
+
 // Guards against a refusal for lack of free servers because of the time in which the previous server ended its attempt.
 func TestPlacementWaitBeginsWithRelease(t *testing.T) {
 	machine := NewMachine(Rules{Repeatable: true, MaxRuns: 2, MaxSends: 6, PlacementWait: 50 * time.Millisecond}, &fixedBudget{remaining: 1}, nil)
