Keep all servers of a node running after errors of accept, and log what a stop cuts

Callers would see: nodes that do not hear each other, or a readiness question without a response, until the node is started again, after one error of accept for lack of memory or of the network; and the end of a connection whose body was still arriving when the node stopped, with no line in the log.

Cause: only the listener of clients passed such errors on as ones after which http.Server goes on. The line "stopped" said nothing of open connections.

Change: all listeners of cloverrail proxy do; "stopped" has the number of connections of clients that are open then.

Measured: TestServerOutlivesErrorOfAccept covers both listeners, and passes; the tests of hangups, shutdown and of the proxy in cmd/cloverrail pass. Found by a review, by reading.

--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/connlimit"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/platform"
 )
@@ -66,7 +67,10 @@
 
 func listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
-	return listener, errors.Annotatef(err, "cannot listen on address %s; choose a free port", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "cannot listen on address %s; choose a free port", address)
+	}
+	return connlimit.PersistentListener{Listener: listener}, nil
 }
 
 // runProxy serves until a stop signal arrives, and then shuts down gracefully. At each hangup it reads the settings file
@@ -137,7 +141,7 @@
 	case <-tasksDone:
 	case <-shutdownContext.Done():
 	}
-	process.log.Info().Msg("stopped")
+	process.log.Info().Int("connections", clientServer.Open()).Msg("stopped")
 	process.logWriter.Flush(logFlushTimeout)
 	return nil
 }
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -19,12 +19,9 @@
 // Accept returns the next connection that the gate admits.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		accepted, err := l.Listener.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
+		accepted, err := accept(l.Listener)
+		if err != nil {
 			return nil, err
-		case err != nil:
-			return nil, &acceptError{err}
 		}
 		reason, admitted := l.Gate.Admit()
 		if admitted {
@@ -35,6 +32,21 @@
 	}
 }
 
+// PersistentListener is a listener whose errors of accepting one connection do not end an http.Server.
+type PersistentListener struct{ net.Listener }
+
+// Accept returns the next connection.
+func (l PersistentListener) Accept() (net.Conn, error) { return accept(l.Listener) }
+
+// accept returns the next connection of a listener. All errors are an acceptError but that of a closed listener.
+func accept(listener net.Listener) (net.Conn, error) {
+	accepted, err := listener.Accept()
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		return nil, &acceptError{err}
+	}
+	return accepted, err
+}
+
 // acceptError is an error of accepting one connection: the network's, or a lack of a resource. http.Server logs it and goes
 // on, where it would end at another error than that of a lack of descriptors.
 type acceptError struct{ error }
--- a/internal/connlimit/listener_test.go
+++ b/internal/connlimit/listener_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"syscall"
 	"testing"
 
@@ -28,15 +30,21 @@
 
 // A node goes on to serve after an error of accepting one connection.
 func TestServerOutlivesErrorOfAccept(t *testing.T) {
-	for _, err := range []error{syscall.ENETDOWN, syscall.ENOBUFS, syscall.EPROTO, syscall.EMFILE} {
-		t.Run(err.Error(), func(t *testing.T) {
+	for i, err := range slices.Repeat([]error{syscall.ENETDOWN, syscall.ENOBUFS, syscall.EPROTO, syscall.EMFILE}, 2) {
+		limited := i < 4
+		t.Run(fmt.Sprintf("%s, limited %t", err, limited), func(t *testing.T) {
 			listener, listenErr := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, listenErr)
 			logged := &bytes.Buffer{}
 			server := &http.Server{Handler: http.NotFoundHandler(), ErrorLog: log.New(logged, "", 0)}
 			done := make(chan error, 1)
 			go func() {
-				done <- server.Serve(&Listener{Listener: &failingListener{Listener: listener, err: err}, Gate: NewGate(0), OnTurnedAway: func(Reason) {}})
+				failing := &failingListener{Listener: listener, err: err}
+				if limited {
+					done <- server.Serve(&Listener{Listener: failing, Gate: NewGate(0), OnTurnedAway: func(Reason) {}})
+				} else {
+					done <- server.Serve(PersistentListener{failing})
+				}
 			}()
 			response, getErr := http.Get("http://" + listener.Addr().String())
 			require.NoError(t, getErr)
