Log by what evidence a suspicion of a crash is settled

The line said whether a server had ended and after what time, but not why: a partitioned node that takes its own failed connection for a crash could not be told from one that found the registration gone.

Change: suspicions carry their evidence, also in cloverrail explain.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -85,6 +85,8 @@
 	Parts []string `json:"parts"`
 	// Settled says whether a suspected server had crashed.
 	Settled string `json:"settled"`
+	// Evidence is what shows that.
+	Evidence string `json:"evidence"`
 	// Crashes, Weight and Stored describe the rejection of a quarantined request: the number of servers
 	// that crashed while running it, their total weight, and whether the quarantine comes from the store.
 	Crashes int     `json:"ended"`
@@ -419,10 +421,14 @@
 }
 
 func (line logLine) suspicionText() string {
+	text := fmt.Sprintf("server %s closed a connection before its whole answer and goes on to answer: that counts for nothing", line.Server)
 	if line.Settled == "ended" {
-		return fmt.Sprintf("server %s closed a connection before its whole answer and has answered nothing since: it counts against request %s", line.Server, line.Fingerprint)
+		text = fmt.Sprintf("server %s closed a connection before its whole answer and has answered nothing since: it counts against request %s", line.Server, line.Fingerprint)
 	}
-	return fmt.Sprintf("server %s closed a connection before its whole answer and goes on to answer: that counts for nothing", line.Server)
+	if line.Evidence != "" {
+		text += fmt.Sprintf(" (evidence: %s)", line.Evidence)
+	}
+	return text
 }
 
 // costText formats a cost and its terms, the largest first.
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -82,6 +82,16 @@
 	require.Contains(t, text.String(), "at server i-7", "a part leads to the requests that share it")
 }
 
+// What a suspicion was settled by tells a crash from a partition of the node.
+func TestExplainNamesEvidenceOfSuspicion(t *testing.T) {
+	log := `{"node":"a","fingerprint":"002a","server":"i-7","settled":"ended","evidence":"unlisted","message":"suspicion","time":"2000-01-01T00:00:02Z"}
+{"node":"b","fingerprint":"002a","server":"i-8","settled":"lives","evidence":"answer to other nodes","message":"suspicion","time":"2000-01-01T00:00:03Z"}`
+	text := strings.Builder{}
+	require.NoError(t, explain(strings.NewReader(log), &text, "002a"))
+	require.Contains(t, text.String(), "it counts against request 002a (evidence: unlisted)")
+	require.Contains(t, text.String(), "that counts for nothing (evidence: answer to other nodes)")
+}
+
 func TestExplainWithoutMatchingLines(t *testing.T) {
 	err := explain(strings.NewReader(explainLog), &strings.Builder{}, "r9")
 	require.ErrorContains(t, err, "5 that the nodes suppressed")
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -33,10 +33,34 @@
 	// Terminated is false if the server has answered a request that was sent later, or if its
 	// response had not begun and there is no other evidence that it has terminated.
 	Terminated bool
+	Evidence   Evidence
 	// After is the time from the broken connection to the resolution of the suspicion.
 	After time.Duration
 }
 
+// Evidence is what a suspicion was resolved by.
+type Evidence string
+
+const (
+	// EvidenceAnswer is an answer of the server to a request of this node that was sent later.
+	EvidenceAnswer Evidence = "answer"
+	// EvidencePeers is an answer that other nodes got later, from the server or, at an isolated node, from another one.
+	EvidencePeers Evidence = "answer to other nodes"
+	// EvidenceSilence is the lack of an answer since the server had begun one.
+	EvidenceSilence Evidence = "no answer"
+	// EvidenceConnection is a failed connection of this node, or another incarnation in the place of the server.
+	EvidenceConnection Evidence = "failed connection"
+	// EvidenceUnlisted is that the registration of the server is gone, and EvidenceListed that it has outlasted a crash.
+	EvidenceUnlisted Evidence = "unlisted"
+	EvidenceListed   Evidence = "listed"
+)
+
+// conclusion is whether a server has crashed, and what shows it.
+type conclusion struct {
+	crashed  bool
+	evidence Evidence
+}
+
 // minQuarantineRetryAfter is the minimum retry delay of a quarantined request, while another request is being tried.
 const minQuarantineRetryAfter = time.Second
 
@@ -188,28 +212,30 @@
 // node's path to it has failed; an isolated node can tell only by the registration.
 func (proxy *Proxy) suspect(admitted *admitted, server routing.Candidate, responding bool, brokenAt time.Time) {
 	suspects, key := admitted.suspects(), backend.ServerKey(server.Endpoint)
-	resolve := func(crashed bool) {
+	resolve := func(c conclusion) {
 		now := boottime.Now()
-		proxy.quarantine.Resolve(suspects, key, brokenAt, crashed, now)
-		proxy.recorder.SuspicionResolved(Suspicion{Suspects: suspects, Server: server.Endpoint, Terminated: crashed, After: now.Sub(brokenAt)})
+		proxy.quarantine.Resolve(suspects, key, brokenAt, c.crashed, now)
+		proxy.recorder.SuspicionResolved(Suspicion{Suspects: suspects, Server: server.Endpoint, Terminated: c.crashed, Evidence: c.evidence, After: now.Sub(brokenAt)})
 	}
 	proxy.quarantine.Suspect(suspects)
 	time.AfterFunc(LivenessCheckDelay, func() { proxy.settle(server, responding, brokenAt, resolve) })
 }
 
 // settle determines whether a server has crashed at a time, LivenessCheckDelay ago, and passes the result to resolve.
-func (proxy *Proxy) settle(server routing.Candidate, responding bool, brokenAt time.Time, resolve func(crashed bool)) {
+func (proxy *Proxy) settle(server routing.Candidate, responding bool, brokenAt time.Time, resolve func(conclusion)) {
 	key := backend.ServerKey(server.Endpoint)
 	answered := proxy.set.AnsweredSince(key, brokenAt)
 	switch {
 	case proxy.set.PartitionedFrom(key, brokenAt):
-		resolve(false)
-	case !answered && proxy.set.IsolatedSince(brokenAt):
+		resolve(conclusion{evidence: EvidencePeers})
+	case answered:
+		resolve(conclusion{evidence: EvidenceAnswer})
+	case proxy.set.IsolatedSince(brokenAt):
 		proxy.settleByRegistration(key, brokenAt, resolve)
-	case responding || answered:
-		resolve(!answered)
+	case responding:
+		resolve(conclusion{crashed: true, evidence: EvidenceSilence})
 	case proxy.set.Terminated(key, brokenAt) || !proxy.set.NeedsDetour(server.Endpoint) && proxy.refusesConnections(server.Address):
-		resolve(true)
+		resolve(conclusion{crashed: true, evidence: EvidenceConnection})
 	default:
 		proxy.settleByRegistration(key, brokenAt, resolve)
 	}
@@ -217,16 +243,21 @@
 
 // settleByRegistration determines by the registration of a server whether it has crashed at a time: as soon as the
 // registration is gone, or when that of a crashed server must have expired.
-func (proxy *Proxy) settleByRegistration(key uint64, brokenAt time.Time, resolve func(crashed bool)) {
+func (proxy *Proxy) settleByRegistration(key uint64, brokenAt time.Time, resolve func(conclusion)) {
 	time.AfterFunc(LivenessCheckDelay, func() {
 		expired := boottime.Since(brokenAt) >= proxy.entryTTL
+		listed, partitioned := proxy.set.Listed(key), proxy.set.PartitionedFrom(key, brokenAt)
 		switch {
-		case expired:
-			resolve(proxy.set.Terminated(key, brokenAt) && !proxy.set.PartitionedFrom(key, brokenAt))
-		case !proxy.set.Listed(key) && !proxy.set.PartitionedFrom(key, brokenAt):
-			resolve(true)
-		default:
+		case !expired && (listed || partitioned):
 			proxy.settleByRegistration(key, brokenAt, resolve)
+		case partitioned:
+			resolve(conclusion{evidence: EvidencePeers})
+		case !listed:
+			resolve(conclusion{crashed: true, evidence: EvidenceUnlisted})
+		case proxy.set.Terminated(key, brokenAt):
+			resolve(conclusion{crashed: true, evidence: EvidenceConnection})
+		default:
+			resolve(conclusion{evidence: EvidenceListed})
 		}
 	})
 }
@@ -248,14 +279,14 @@
 		}
 		suspects := admitted.suspects()
 		proxy.quarantine.Suspect(suspects)
-		proxy.settle(end.server, false, end.at, func(crashed bool) {
+		proxy.settle(end.server, false, end.at, func(c conclusion) {
 			now := boottime.Now()
-			proxy.quarantine.Resolve(suspects, key, end.at, crashed, now)
-			if !crashed {
+			proxy.quarantine.Resolve(suspects, key, end.at, c.crashed, now)
+			if !c.crashed {
 				proxy.clearSuspicion(admitted, outcome, now)
 				return
 			}
-			proxy.recorder.SuspicionResolved(Suspicion{Suspects: suspects, Server: end.server.Endpoint, Terminated: true, After: now.Sub(end.at)})
+			proxy.recorder.SuspicionResolved(Suspicion{Suspects: suspects, Server: end.server.Endpoint, Terminated: true, Evidence: c.evidence, After: now.Sub(end.at)})
 		})
 	})
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -194,7 +194,7 @@
 	}
 	recorder.metrics.suspicions.WithLabelValues(outcome).Inc()
 	recorder.limitedLine(zerolog.InfoLevel).Stringer("fingerprint", suspicion.Suspects.Request).Strs("parts", suspicion.Suspects.PartNames()).Str("server", suspicion.Server).
-		Str("settled", outcome).Dur("after", suspicion.After).Msg("suspicion")
+		Str("settled", outcome).Str("evidence", string(suspicion.Evidence)).Dur("after", suspicion.After).Msg("suspicion")
 }
 
 // ResponseEndedWithConnection records a response that had neither a length nor chunks.
