Do not settle crashes by connections that an isolated node failed to open

A node that lost its links to all servers reported crashes of servers that lived, under the requests that were cut off there.

Cause: a closed connection is settled by the registration where the node is isolated. A registration that outlasted the wait was then overruled by the node's own failed connection, made just before a second failure showed that the node reaches no server. Only a later request placed at that server would have taken it back.

Change: once the node has been isolated since the break, its failed connections count for nothing; that the registration is gone or another incarnation is in its place counts as before. A node that reaches other servers still counts its failed connection.

Measured: TestFailedConnectionOfIsolatedNodeIsNoCrash failed in 4 of 10 situations.

--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -48,8 +48,10 @@
 	EvidencePeers Evidence = "answer to other nodes"
 	// EvidenceSilence is the lack of an answer since the server had begun one.
 	EvidenceSilence Evidence = "no answer"
-	// EvidenceConnection is a failed connection of this node, or another incarnation in the place of the server.
+	// EvidenceConnection is a failed connection of this node.
 	EvidenceConnection Evidence = "failed connection"
+	// EvidenceReplaced is another incarnation in the place of the server.
+	EvidenceReplaced Evidence = "replaced"
 	// EvidenceUnlisted is that the registration of the server is gone, and EvidenceListed that it has outlasted a crash.
 	EvidenceUnlisted Evidence = "unlisted"
 	EvidenceListed   Evidence = "listed"
@@ -224,37 +226,41 @@
 // settle determines whether a server has crashed at a time, LivenessCheckDelay ago, and passes the result to resolve.
 func (proxy *Proxy) settle(server routing.Candidate, responding bool, brokenAt time.Time, resolve func(conclusion)) {
 	key := backend.ServerKey(server.Endpoint)
-	answered := proxy.set.AnsweredSince(key, brokenAt)
 	switch {
 	case proxy.set.PartitionedFrom(key, brokenAt):
 		resolve(conclusion{evidence: EvidencePeers})
-	case answered:
+	case proxy.set.AnsweredSince(key, brokenAt):
 		resolve(conclusion{evidence: EvidenceAnswer})
 	case proxy.set.IsolatedSince(brokenAt):
-		proxy.settleByRegistration(key, brokenAt, resolve)
+		proxy.settleByRegistration(server, brokenAt, true, resolve)
 	case responding:
 		resolve(conclusion{crashed: true, evidence: EvidenceSilence})
 	case proxy.set.Terminated(key, brokenAt) || !proxy.set.NeedsDetour(server.Endpoint) && proxy.refusesConnections(server.Address):
 		resolve(conclusion{crashed: true, evidence: EvidenceConnection})
 	default:
-		proxy.settleByRegistration(key, brokenAt, resolve)
+		proxy.settleByRegistration(server, brokenAt, false, resolve)
 	}
 }
 
 // settleByRegistration determines by the registration of a server whether it has crashed at a time: as soon as the
-// registration is gone, or when that of a crashed server must have expired.
-func (proxy *Proxy) settleByRegistration(key uint64, brokenAt time.Time, resolve func(conclusion)) {
+// registration is gone, or when that of a crashed server must have expired. If this node was isolated, its own failed
+// connections show nothing of the server.
+func (proxy *Proxy) settleByRegistration(server routing.Candidate, brokenAt time.Time, isolated bool, resolve func(conclusion)) {
 	time.AfterFunc(LivenessCheckDelay, func() {
+		key := backend.ServerKey(server.Endpoint)
+		isolated := isolated || proxy.set.IsolatedSince(brokenAt)
 		expired := boottime.Since(brokenAt) >= proxy.entryTTL
 		listed, partitioned := proxy.set.Listed(key), proxy.set.PartitionedFrom(key, brokenAt)
 		switch {
 		case !expired && (listed || partitioned):
-			proxy.settleByRegistration(key, brokenAt, resolve)
+			proxy.settleByRegistration(server, brokenAt, isolated, resolve)
 		case partitioned:
 			resolve(conclusion{evidence: EvidencePeers})
 		case !listed:
 			resolve(conclusion{crashed: true, evidence: EvidenceUnlisted})
-		case proxy.set.Terminated(key, brokenAt):
+		case proxy.set.Replaced(server.Endpoint):
+			resolve(conclusion{crashed: true, evidence: EvidenceReplaced})
+		case !isolated && proxy.set.Terminated(key, brokenAt):
 			resolve(conclusion{crashed: true, evidence: EvidenceConnection})
 		default:
 			resolve(conclusion{evidence: EvidenceListed})
--- a/internal/proxy/quarantine_test.go
+++ b/internal/proxy/quarantine_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
@@ -27,6 +28,11 @@
 	return true
 }
 
+// acceptingServers are servers that accept connections of a node that asks for one.
+type acceptingServers struct{ refusingServers }
+
+func (*acceptingServers) RefusesConnections(string) bool { return false }
+
 // suspicionRecorder records resolved suspicions.
 type suspicionRecorder struct {
 	nopRecorder
@@ -58,3 +64,105 @@
 	}
 	require.Equal(t, int64(1), servers.probes.Load())
 }
+
+// settleFixture is a node that has used two servers. The first one has closed a connection at brokenAt.
+type settleFixture struct {
+	set      *backend.Set
+	brokenAt time.Time
+}
+
+func newSettleFixture() *settleFixture {
+	f := &settleFixture{set: backend.NewSet(), brokenAt: boottime.Now().Add(-LivenessCheckDelay)}
+	before := f.brokenAt.Add(-LivenessCheckDelay)
+	f.list("i-0", "i-1")
+	for _, server := range []string{"i-0", "i-1"} {
+		f.connect(server, true, before)
+		f.begin(server, before).End(exchange.ResultServed, before)
+	}
+	return f
+}
+
+func (f *settleFixture) list(servers ...string) {
+	var list []backend.Server
+	for _, server := range servers {
+		list = append(list, backend.Server{Instance: server, Address: "at " + server, Service: "s"})
+	}
+	f.set.Update(list, boottime.Now())
+}
+
+func (f *settleFixture) connect(server string, connected bool, now time.Time) {
+	f.set.ObserveConnect("at "+server, connected, now, now)
+}
+
+func (f *settleFixture) begin(server string, now time.Time) *backend.Attempt {
+	placement := backend.Placement{
+		Chosen:     routing.Candidate{Endpoint: server},
+		Query:      backend.Query{Distance: func(string) int { return 0 }},
+		StillValid: func(*routing.Candidate) bool { return true },
+	}
+	return f.set.Begin(placement, now)
+}
+
+// failToConnect fails an attempt for want of a connection.
+func (f *settleFixture) failToConnect(server string) {
+	now := boottime.Now()
+	attempt := f.begin(server, now)
+	f.connect(server, false, now)
+	attempt.End(exchange.ResultUnreached, now)
+}
+
+func (f *settleFixture) isolate() {
+	f.failToConnect("i-0")
+	f.failToConnect("i-1")
+}
+
+// failAlone fails to connect to the server while another one is reached.
+func (f *settleFixture) failAlone() {
+	f.failToConnect("i-0")
+	f.connect("i-1", true, boottime.Now())
+}
+
+// hearOfOther lets other nodes report an answer of the other server.
+func (f *settleFixture) hearOfOther() {
+	now := boottime.Now().Add(LivenessCheckDelay / 2)
+	f.set.ApplyPeerWork([]backend.Work{{Server: backend.ServerKey("i-1"), AnswerAge: 1}}, now)
+}
+
+// Guards against requests that are quarantined since a partitioned node took its own failed connections for crashes of
+// the servers. It failed to connect to a server before it could tell that it reached none, and no later request to that
+// server corrected this.
+func TestFailedConnectionOfIsolatedNodeIsNoCrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		responding bool
+		// before and after happen before and after the liveness check.
+		before, after func(f *settleFixture)
+		want          Evidence
+		crashed       bool
+	}{
+		"isolated":                  {responding: true, before: (*settleFixture).isolate, want: EvidenceListed},
+		"before the response":       {before: (*settleFixture).isolate, want: EvidenceListed},
+		"isolated after the check":  {after: (*settleFixture).isolate, want: EvidenceListed},
+		"isolation ends":            {responding: true, before: (*settleFixture).isolate, after: func(f *settleFixture) { f.connect("i-1", true, boottime.Now()) }, want: EvidenceListed},
+		"other nodes hear the rest": {responding: true, before: (*settleFixture).isolate, after: (*settleFixture).hearOfOther, want: EvidencePeers},
+		"the registration is gone":  {responding: true, before: (*settleFixture).isolate, after: func(f *settleFixture) { f.list("i-1") }, want: EvidenceUnlisted, crashed: true},
+		"another incarnation":       {responding: true, before: (*settleFixture).isolate, after: func(f *settleFixture) { f.set.Gone("i-0", boottime.Now()) }, want: EvidenceReplaced, crashed: true},
+		"not isolated":              {before: (*settleFixture).failAlone, want: EvidenceConnection, crashed: true},
+		"not isolated after":        {after: (*settleFixture).failAlone, want: EvidenceConnection, crashed: true},
+		"not isolated, responding":  {responding: true, before: (*settleFixture).failAlone, want: EvidenceSilence, crashed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newSettleFixture()
+			proxy := New(Options{Servers: &acceptingServers{}, Set: f.set, EntryTTL: LivenessCheckDelay, Replica: &catalog.AtomicReplica{}})
+			settled := make(chan conclusion, 1)
+			if c.before != nil {
+				c.before(f)
+			}
+			proxy.settle(routing.Candidate{Endpoint: "i-0", Address: "at i-0"}, c.responding, f.brokenAt, func(c conclusion) { settled <- c })
+			if c.after != nil {
+				c.after(f)
+			}
+			require.Equal(t, conclusion{crashed: c.crashed, evidence: c.want}, <-settled)
+		})
+	}
+}
