Show in the test of bystanders what a failed try received, and the crashes around it

Change: the message shows the node, the body sent, the response with its Retry-After, and each crash within propagationTime of the try. What is checked is unchanged.

--- a/cmd/cloverrail/quarantine_test.go
+++ b/cmd/cloverrail/quarantine_test.go
@@ -178,7 +178,7 @@
 					got := f.nodes[(caller+try)%len(f.nodes)].send(http.MethodPost, "/fixed/x", body, setPromptHeaders)
 					complete = got.err == nil && got.status == http.StatusOK
 					if !complete {
-						failures.add(failedTry{sentAt, time.Now(), fmt.Sprint(got.status, " ", got.err)})
+						failures.add(failedTry{sentAt: sentAt, endedAt: time.Now(), node: (caller + try) % len(f.nodes), body: body, got: got})
 						// Slightly longer than the Retry-After of a rejection.
 						time.Sleep(200 * time.Millisecond)
 					}
@@ -203,7 +203,7 @@
 	require.Zero(t, falselyQuarantined.Load(), "a harmless request was quarantined")
 	require.Zero(t, unserved.Load())
 	for _, try := range failures.tries {
-		require.True(t, f.anyCrashed(try.sentAt.Add(-f.machines[0].Downtime), try.endedAt), "no server was down during a try that failed with %s", try.result)
+		require.True(t, f.anyCrashed(try.sentAt.Add(-f.machines[0].Downtime), try.endedAt), "no server was down during a try that failed: %s", f.describe(try))
 	}
 	require.Greater(t, served.Load(), int64(50))
 }
@@ -211,7 +211,24 @@
 // failedTry is a try of a bystander that was not served.
 type failedTry struct {
 	sentAt, endedAt time.Time
-	result          string
+	node            int
+	body            string
+	got             clientResult
+}
+
+// describe returns what the caller of a failed try received, and the crashes around it in milliseconds since it was sent.
+func (f *fleetFixture) describe(try failedTry) string {
+	since := func(at time.Time) int64 { return at.Sub(try.sentAt).Milliseconds() }
+	var crashes []string
+	for _, m := range f.machines {
+		for _, crash := range m.Crashes() {
+			if crash.At.After(try.sentAt.Add(-propagationTime)) && crash.StartedAt.Before(try.endedAt.Add(propagationTime)) {
+				crashes = append(crashes, fmt.Sprintf("%s began %d ended %d", crash.Instance, since(crash.StartedAt), since(crash.At)))
+			}
+		}
+	}
+	return fmt.Sprintf("%q at node %d: status %d after %d ms, Retry-After %q, error %v, body %q; crashes: %s",
+		try.body, try.node, try.got.status, since(try.endedAt), try.got.header.Get("Retry-After"), try.got.err, try.got.body, strings.Join(crashes, ", "))
 }
 
 // failedTries collects failed tries. It is safe for concurrent use.
