Show in the tests of crashing parts why a sound request was rejected, and what was served before

TestPartThatCrashesServersIsQuarantined failed with the times of the rejections alone, which name neither the part, nor the crashes counted, nor whether sound requests were served meanwhile.

What is checked is unchanged.

--- a/cmd/cloverrail/crashing_part_test.go
+++ b/cmd/cloverrail/crashing_part_test.go
@@ -106,15 +106,15 @@
 	callers    sync.WaitGroup
 	mutex      sync.Mutex
 	firstTries []soundTry
-	// quarantined holds when requests were rejected as quarantined.
-	quarantined []time.Time
+	// quarantined describes the requests that were rejected as quarantined.
+	quarantined []string
 }
 
 // soundTry is the first try of a sound request.
 type soundTry struct {
-	sentAt time.Time
-	parts  []string
-	served bool
+	sentAt, endedAt time.Time
+	parts           []string
+	served          bool
 }
 
 // conversation returns the name of a part that requests of one conversation share.
@@ -130,10 +130,10 @@
 				parts := []string{"system", conversation(request % 7)}
 				try := soundTry{sentAt: time.Now(), parts: parts}
 				got := s.client.send(nodes[request%len(nodes)], parts...)
-				try.served = got.err == nil && got.status == http.StatusOK
+				try.endedAt, try.served = time.Now(), got.err == nil && got.status == http.StatusOK
 				s.mutex.Lock()
 				if strings.Contains(got.body, string(failure.KindQuarantined)) {
-					s.quarantined = append(s.quarantined, time.Now())
+					s.quarantined = append(s.quarantined, s.describeRejection(request%len(nodes), try, got))
 				}
 				s.firstTries = append(s.firstTries, try)
 				s.mutex.Unlock()
@@ -148,6 +148,27 @@
 	return s
 }
 
+// describeRejection returns what a node rejected a sound request with, and the crashes and the other sound requests in the
+// time before, in milliseconds before it was sent. The caller must hold the mutex.
+func (s *soundTraffic) describeRejection(node int, rejected soundTry, got clientResult) string {
+	before := func(at time.Time) int64 { return rejected.sentAt.Sub(at).Milliseconds() }
+	var crashes, tries []string
+	for _, m := range s.client.fleet.machines {
+		for _, crash := range m.Crashes() {
+			if rejected.sentAt.Sub(crash.At) < 2*propagationTime {
+				crashes = append(crashes, fmt.Sprintf("%s (%s) %d", crash.Instance, crash.Prompt, before(crash.At)))
+			}
+		}
+	}
+	for _, try := range s.firstTries {
+		if rejected.sentAt.Sub(try.endedAt) < 2*propagationTime {
+			tries = append(tries, fmt.Sprintf("%d to %d served %t", before(try.sentAt), before(try.endedAt), try.served))
+		}
+	}
+	return fmt.Sprintf("%v at node %d: Retry-After %q, body %q; crashes: %s; sound requests: %s",
+		rejected.parts, node, got.header.Get("Retry-After"), got.body, strings.Join(crashes, ", "), strings.Join(tries, ", "))
+}
+
 // requireServed stops the traffic and checks that nine in ten requests since a time were served at the first try.
 func (s *soundTraffic) requireServed(since time.Time) {
 	s.stop()
