--- a/cmd/cloverrail/fleet_test.go
+++ b/cmd/cloverrail/fleet_test.go
@@ -28,8 +28,14 @@
 
 // newFleet starts nodes, and a number of machines for each of the two services.
 func newFleet(t *testing.T, nodes, machines int) *fleetFixture {
+	return newFleetInEra(t, 1, nodes, machines)
+}
+
+// newFleetInEra starts a fleet like newFleet, whose store begins in an era.
+func newFleetInEra(t *testing.T, firstEra int64, nodes, machines int) *fleetFixture {
 	f := &fleetFixture{t: t}
 	f.store, f.storeAddress = newStore(t)
+	f.store.BeginInEra(firstEra)
 	for i := range machines {
 		f.startMachine(&standin.Machine{Name: fmt.Sprint("p", i), Service: "plain", Handler: standin.Respond(http.StatusOK, "done")})
 		f.startMachine(&standin.Machine{Name: fmt.Sprint("e", i), Service: "engines", Model: model, Handler: standin.StreamEvents(3, 0)})
--- a/cmd/cloverrail/outage_test.go
+++ b/cmd/cloverrail/outage_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/lab/faultwire"
@@ -299,7 +300,7 @@
 						verdict := n.process.quarantineLedger.Evaluate(quarantine.Suspects{Request: storedSuspect}, n.process.crashUnconfirmed, boottime.Now())
 						return verdict.Quarantined
 					})
-					n.requireInForce(t, endedAt, n.contact(), "the era", func() bool { return (n.process.eras.Current() > 1) == restored })
+					n.requireInForce(t, endedAt, n.contact(), "the era", func() bool { return coordination.EraOf(1).Before(n.process.eras.Current()) == restored })
 				}
 				// A new leader waits for the former one to have ended.
 				handover := f.nodes[0].process.settings.Bounds.LeaderHandover
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -229,6 +229,7 @@
 		return report
 	})
 	process.feed = reflector.NewFeed(config.Name+" "+incarnation, process.replica, process.registry, process.workReports, process.cacheLedger, process.quarantineLedger)
+	process.feed.Eras = process.eras
 	process.feed.EntriesMissingUntil = process.serverSet.EntriesMissingUntil
 	process.registerGauges()
 	process.quarantinePersister = process.newQuarantinePersister()
@@ -306,8 +307,11 @@
 		return float64(process.openStreams.Len())
 	})
 	process.metrics.OverloadGauges(func() map[string]overload.State { return process.overload.States(boottime.Now()) }, process.overload.Invalid)
-	process.metrics.Gauge("cloverrail_proxy_store_era", "Era of the shared store; it rises when the store comes back from an older copy. 0 if it is not known.", func() float64 {
-		return float64(process.eras.Current())
+	process.metrics.Gauge("cloverrail_proxy_store_era", "Era of the shared store; it rises when the store comes back from an older copy. -1 if it is not known.", func() float64 {
+		if era, known := process.eras.Current().Number(); known {
+			return float64(era)
+		}
+		return -1
 	})
 	process.metrics.Gauge("cloverrail_proxy_fleet_nodes", "Nodes of the fleet, as far as this one knows.", func() float64 {
 		return float64(process.registry.Nodes())
@@ -472,7 +476,7 @@
 }
 
 // handleRestore records that the store was restored from an older copy, which may lack entries.
-func (process *process) handleRestore(before, after int64) {
+func (process *process) handleRestore(before, after coordination.Era) {
 	process.recorder.StoreRestored(before, after)
 	process.serverSet.ObserveMissingEntries(boottime.Now().Add(backend.ReregistrationTime))
 }
@@ -583,6 +587,7 @@
 			Servers:          process.serverClient,
 			Recorder:         process.recorder,
 			Holder:           process.settings.Name,
+			Eras:             process.eras,
 			MaxStaleness:     bounds.Weights,
 			PropagationDelay: process.reflector.DownstreamDelay,
 			MinInterval: func(server backend.Server) time.Duration {
--- a/cmd/cloverrail/store_restore_test.go
+++ b/cmd/cloverrail/store_restore_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/platform"
 	"github.com/cloverrail/cloverrail/platform/standin"
 )
@@ -48,7 +49,13 @@
 }
 
 func TestFleetRecoversFromStoreRestore(t *testing.T) {
-	fleet := newFleet(t, 3, 2)
+	for _, firstEra := range []int64{0, 1, 7} {
+		t.Run(fmt.Sprint("first era ", firstEra), func(t *testing.T) { testFleetRecoversFromStoreRestore(t, firstEra) })
+	}
+}
+
+func testFleetRecoversFromStoreRestore(t *testing.T, firstEra int64) {
+	fleet := newFleetInEra(t, firstEra, 3, 2)
 	const removed = "key-that-goes"
 	fleet.store.Put(standin.KeyConfiguration, newDocument(2, key, removed))
 	inForce := func(version int64) func(n *fixture) bool {
@@ -108,14 +115,14 @@
 	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, "done")))
 	backup := fixture.store.TakeSnapshot()
 	fixture.store.Restore(backup)
-	fixture.waitUntil(func() bool { return fixture.process.eras.Current() == 2 })
+	fixture.waitUntil(func() bool { return fixture.process.eras.Current() == coordination.EraOf(2) })
 	for _, era := range []string{"1", "0", "-7", "soon", "", "2.5"} {
 		fixture.store.ReportEra(era)
 		fixture.store.Put(standin.PrefixServers+fmt.Sprint("i-late", era), plainServer("x", nil).Entry("plain", "127.0.0.1:9", "a", "ready"))
 		time.Sleep(300 * time.Millisecond)
-		require.EqualValues(t, 2, fixture.process.eras.Current())
+		require.Equal(t, coordination.EraOf(2), fixture.process.eras.Current())
 		require.Equal(t, http.StatusOK, fixture.make(idempotent).status)
 	}
 	fixture.store.ReportEra("3")
-	fixture.waitUntil(func() bool { return fixture.process.eras.Current() == 3 })
+	fixture.waitUntil(func() bool { return fixture.process.eras.Current() == coordination.EraOf(3) })
 }
--- a/internal/backend/software_test.go
+++ b/internal/backend/software_test.go
@@ -40,9 +40,9 @@
 			if rapid.IntRange(0, 20).Draw(t, "recorded") == 0 {
 				revision++
 				// The record of another node begins to contain the version with this read.
-				set.SetSoftwareRecord(SoftwareRecord{Versions: SoftwareVersions{}, AsOf: coordination.Position{Era: 1, Revision: revision}}, now)
+				set.SetSoftwareRecord(SoftwareRecord{Versions: SoftwareVersions{}, AsOf: coordination.Position{Era: coordination.EraOf(1), Revision: revision}}, now)
 				revision++
-				set.SetSoftwareRecord(SoftwareRecord{Versions: SoftwareVersions{"s": {"v3"}}, AsOf: coordination.Position{Era: 1, Revision: revision}}, now)
+				set.SetSoftwareRecord(SoftwareRecord{Versions: SoftwareVersions{"s": {"v3"}}, AsOf: coordination.Position{Era: coordination.EraOf(1), Revision: revision}}, now)
 				complete = true
 				lastListed["v3"] = now
 			}
@@ -157,7 +157,7 @@
 				listed[instance] = software
 			} else {
 				versions := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"v1", "v2", "v3"}), 0, 3, rapid.ID).Draw(t, "versions")
-				record := SoftwareRecord{Versions: SoftwareVersions{"s": versions}, AsOf: coordination.Position{Era: rapid.Int64Range(1, 2).Draw(t, "era"), Revision: rapid.Int64Range(1, 9).Draw(t, "revision")}}
+				record := SoftwareRecord{Versions: SoftwareVersions{"s": versions}, AsOf: coordination.Position{Era: coordination.EraOf(rapid.Int64Range(1, 2).Draw(t, "era")), Revision: rapid.Int64Range(1, 9).Draw(t, "revision")}}
 				if era := rapid.Int64Range(0, 2).Draw(t, "complete in era"); era > 0 {
 					record.Versions[completeEraField] = []string{fmt.Sprint(era)}
 				}
@@ -196,7 +196,7 @@
 	now, query := time.Unix(1000, 0), Query{Service: "s", Distance: func(string) int { return 0 }, BeginsStream: true}
 	newSet := func() *Set {
 		set := NewSet()
-		set.SetSoftwareRecord(SoftwareRecord{Versions: SoftwareVersions{"s": {"v1"}}, AsOf: coordination.Position{Era: 1, Revision: 1}}, now)
+		set.SetSoftwareRecord(SoftwareRecord{Versions: SoftwareVersions{"s": {"v1"}}, AsOf: coordination.Position{Era: coordination.EraOf(1), Revision: 1}}, now)
 		set.Apply([]*Server{{Instance: "i", Born: 5, Service: "s", Software: "v1"}}, nil, now)
 		require.Len(t, set.Candidates(nil, query, now), 1)
 		require.False(t, set.ListsUnrecordedSoftware("s", now))
@@ -216,7 +216,7 @@
 		set.Apply([]*Server{{Instance: "i", Born: 6, Service: "s", Software: "v2"}}, nil, now)
 		require.Empty(t, set.Candidates(nil, query, now), "the version is not recorded")
 		require.Equal(t, "v2", set.SoftwareOf("i@6"))
-		set.SetSoftwareRecord(SoftwareRecord{Versions: SoftwareVersions{"s": {"v1", "v2"}}, AsOf: coordination.Position{Era: 1, Revision: 2}}, now)
+		set.SetSoftwareRecord(SoftwareRecord{Versions: SoftwareVersions{"s": {"v1", "v2"}}, AsOf: coordination.Position{Era: coordination.EraOf(1), Revision: 2}}, now)
 		require.Len(t, set.Candidates(nil, query, now), 1)
 	}
 
--- a/internal/backend/softwarerecord.go
+++ b/internal/backend/softwarerecord.go
@@ -23,6 +23,29 @@
 	AsOf coordination.Position
 }
 
+// WireSoftwareRecord is the gob encoding of a SoftwareRecord.
+type WireSoftwareRecord struct {
+	Versions SoftwareVersions
+	Revision int64
+	AsOf     coordination.WirePosition
+}
+
+// Wire returns the encoding of the record.
+func (r *SoftwareRecord) Wire() *WireSoftwareRecord {
+	if r == nil {
+		return nil
+	}
+	return &WireSoftwareRecord{Versions: r.Versions, Revision: r.Revision, AsOf: r.AsOf.Wire()}
+}
+
+// Record returns the decoded record.
+func (w *WireSoftwareRecord) Record() *SoftwareRecord {
+	if w == nil {
+		return nil
+	}
+	return &SoftwareRecord{Versions: w.Versions, Revision: w.Revision, AsOf: w.AsOf.Position()}
+}
+
 // completeEraField is the field of a record that names the eras of the store in which a node knew that the record is
 // complete. No service has that name, so that builds without the field take it for a service without servers. Such
 // builds keep former eras beside the latest for a time.
@@ -41,7 +64,12 @@
 	return !r.AsOf.MayFollowRestore()
 }
 
-func (r *SoftwareRecord) era() string { return strconv.FormatInt(r.AsOf.Era, 10) }
+// era returns the name of the era in which the record was read. A store that sends no era is never restored: its
+// records name the era 0.
+func (r *SoftwareRecord) era() string {
+	number, _ := r.AsOf.Era.Number()
+	return strconv.FormatInt(number, 10)
+}
 
 // Services returns the recorded versions of each service.
 func (r *SoftwareRecord) Services() SoftwareVersions {
@@ -107,7 +135,7 @@
 	case complete && (h.completeAt.IsZero() || h.completeAt.After(now)):
 		h.completeAt = now
 	case complete:
-	case h.completeAt.IsZero(), former != nil && former.AsOf.Era < record.AsOf.Era && now.Sub(set.listReadAt) > maxRecordGap:
+	case h.completeAt.IsZero(), former != nil && former.AsOf.Era.Before(record.AsOf.Era) && now.Sub(set.listReadAt) > maxRecordGap:
 		h.completeAt = now.Add(SoftwareRetention)
 	}
 	if former != nil && former.Complete() == complete && reflect.DeepEqual(former.Versions, record.Versions) {
--- a/internal/backend/softwarerecord_test.go
+++ b/internal/backend/softwarerecord_test.go
@@ -83,7 +83,7 @@
 func TestOnlyVersionHasBegunAllStreams(t *testing.T) {
 	concluded := 0
 	property.CheckMany(t, 5000, func(t *rapid.T) {
-		s := &recordStore{now: time.Unix(1000, 0), at: coordination.Position{Era: rapid.Int64Range(0, 1).Draw(t, "first era"), Revision: 1}, versions: SoftwareVersions{}, listed: map[string]bool{"v1": true}, began: map[string]time.Time{}}
+		s := &recordStore{now: time.Unix(1000, 0), at: coordination.Position{Era: coordination.EraOf(rapid.Int64Range(0, 1).Draw(t, "first era")), Revision: 1}, versions: SoftwareVersions{}, listed: map[string]bool{"v1": true}, began: map[string]time.Time{}}
 		start := func() {
 			s.nodes = nil
 			for range 2 {
@@ -92,7 +92,7 @@
 		}
 		start()
 		snapshotAt, snapshot := s.at, s.versions
-		if s.step(); s.at.Era == 0 {
+		if s.step(); s.at.Era == coordination.EraOf(0) {
 			// Whether a store without a record was restored shows in its era alone.
 			snapshotAt, snapshot = s.at, s.versions
 		}
@@ -108,7 +108,8 @@
 				case "copy":
 					snapshotAt, snapshot = s.at, s.versions
 				case "restore":
-					s.at = coordination.Position{Era: s.at.Era + 1, Revision: snapshotAt.Revision}
+					era, _ := s.at.Era.Number()
+					s.at = coordination.Position{Era: coordination.EraOf(era + 1), Revision: snapshotAt.Revision}
 					s.versions = snapshot
 				case "kill":
 					start()
@@ -138,7 +139,7 @@
 
 // Guards against a fleet that refuses resumed streams for good after a restore of the store.
 func TestRecordIsCompleteAgainAfterRetention(t *testing.T) {
-	now, at := time.Unix(1000, 0), coordination.Position{Era: 2, Revision: 7}
+	now, at := time.Unix(1000, 0), coordination.Position{Era: coordination.EraOf(2), Revision: 7}
 	for _, versions := range []SoftwareVersions{{}, {"s": {"v1"}}, {"s": {"v1"}, completeEraField: {"1"}}, {"s": {"v1"}, completeEraField: {}}} {
 		s := &recordStore{now: now, at: at, versions: versions, listed: map[string]bool{"v1": true}, nodes: []*recordNode{{set: NewSet()}}, began: map[string]time.Time{}}
 		s.step()
@@ -170,7 +171,7 @@
 func TestErasThatFormerBuildsKeepStay(t *testing.T) {
 	services := SoftwareVersions{"s": {"v1"}}
 	for eras, complete := range map[string]bool{"1": false, "2": true, "1 2": true, "2 1": true, "1 3": false} {
-		record := &SoftwareRecord{Versions: SoftwareVersions{"s": {"v1"}, completeEraField: strings.Fields(eras)}, AsOf: coordination.Position{Era: 2, Revision: 9}}
+		record := &SoftwareRecord{Versions: SoftwareVersions{"s": {"v1"}, completeEraField: strings.Fields(eras)}, AsOf: coordination.Position{Era: coordination.EraOf(2), Revision: 9}}
 		require.Equal(t, complete, record.Complete(), eras)
 		require.Equal(t, services, record.Services())
 		require.Equal(t, record.Versions, record.Replacement(services, false), "who does not know all versions leaves the eras as they are")
@@ -178,7 +179,7 @@
 		require.True(t, renewed.Complete())
 		require.Equal(t, complete, reflect.DeepEqual(record.Versions, renewed.Versions), "a complete record is not written again")
 	}
-	dropped := &SoftwareRecord{Versions: services, AsOf: coordination.Position{Era: 2, Revision: 9}}
+	dropped := &SoftwareRecord{Versions: services, AsOf: coordination.Position{Era: coordination.EraOf(2), Revision: 9}}
 	require.False(t, dropped.Complete())
 	require.Equal(t, services, dropped.Replacement(services, false))
 }
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -14,7 +14,7 @@
 	// Revision is that of the last change, and Era the era in which the entry was read. The
 	// store's revisions only grow within an era.
 	Revision int64
-	Era      int64
+	Era      Era
 }
 
 // Position returns where the entry was written, in the era in which it was read.
--- a/internal/fleet/era_test.go
+++ b/internal/fleet/era_test.go
@@ -42,7 +42,7 @@
 			var all []*Registry
 			start := func(n int) {
 				eras := &coordination.EraTracker{}
-				eras.Observe(1)
+				eras.Observe(coordination.EraOf(1))
 				r := &Registry{Store: counter, Prefix: "nodes/", Name: fmt.Sprint("n", n), Incarnation: "1", Address: "a", Zone: "z", Eras: eras, OnResize: func(int) {}}
 				all = append(all, r)
 				go r.Run(ctx)
@@ -60,7 +60,7 @@
 			store.Restore(backup)
 			clear(counter.perSecond)
 			for _, r := range all {
-				r.Eras.Observe(2)
+				r.Eras.Observe(coordination.EraOf(2))
 			}
 			for restoredAt := time.Now(); time.Since(restoredAt) < registrationTTL-time.Second; time.Sleep(100 * time.Millisecond) {
 				reader.ObserveNodes(store.Entries("nodes/"), time.Now())
@@ -86,7 +86,7 @@
 // After a restore of the store the view is published again, even if it has not changed.
 func TestViewIsRepublishedAfterStoreRestore(t *testing.T) {
 	eras, published := &coordination.EraTracker{}, 0
-	eras.Observe(1)
+	eras.Observe(coordination.EraOf(1))
 	r := &Registry{Prefix: "nodes/", Name: "n", Address: "a", Zone: "z", Eras: eras, OnResize: func(int) {}, PublishView: func(context.Context, []byte) error {
 		published++
 		return nil
@@ -99,7 +99,7 @@
 		r.publishIfChanged(t.Context())
 	}
 	require.Equal(t, 1, published)
-	eras.Observe(2)
+	eras.Observe(coordination.EraOf(2))
 	for range 3 {
 		r.publishIfChanged(t.Context())
 	}
--- a/internal/fleet/registration.go
+++ b/internal/fleet/registration.go
@@ -62,7 +62,7 @@
 // 1,000 nodes make 170 writes a second.
 func (r *Registry) awaitRenewal(ctx context.Context) {
 	changed := r.Eras.NextChange()
-	if era, _ := r.Eras.State(); era == r.registeredEra || r.registeredEra == 0 {
+	if era, _ := r.Eras.State(); era == r.registeredEra || !r.registeredEra.IsKnown() {
 		timer := time.NewTimer(registrationTTL / renewalsPerTTL)
 		defer timer.Stop()
 		select {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -83,10 +83,10 @@
 	formerEntries map[string]coordination.Entry
 	formerNodes   int
 	// registeredEra is the era in which this node's own registration was written.
-	registeredEra int64
+	registeredEra coordination.Era
 	// leaseEra is the era in which the lease of the registration was granted, and registered reports whether
 	// the registration was written under it.
-	leaseEra   int64
+	leaseEra   coordination.Era
 	registered bool
 	duties     []coordination.Entry
 	// standing is that of this node's own registration, and deregistered reports that the node has ended it.
@@ -106,7 +106,7 @@
 	// publishedDigest is the digest of the view that this node published last, and
 	// publishedEra the era of the store in which it did so.
 	publishedDigest uint64
-	publishedEra    int64
+	publishedEra    coordination.Era
 }
 
 // keySighting is when a key was first observed at its position.
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -62,7 +62,7 @@
 	registry.ObserveDuties([]coordination.Entry{entry}, begin.Add(time.Second))
 	require.Equal(t, begin, registry.FirstSeen("f/state", entry.Position()))
 	require.Zero(t, registry.FirstSeen("f/state", coordination.Position{Revision: 5}))
-	require.Zero(t, registry.FirstSeen("f/state", coordination.Position{Era: 1, Revision: 4}), "the restored store has used the revision again")
+	require.Zero(t, registry.FirstSeen("f/state", coordination.Position{Era: coordination.EraOf(1), Revision: 4}), "the restored store has used the revision again")
 	require.True(t, registry.Exists("f/state"))
 	registry.ObserveDuties(nil, begin)
 	require.False(t, registry.Exists("f/state"))
@@ -214,8 +214,8 @@
 // Guards against a node that was killed and started again at another address being called at its former
 // address until its former registration expires.
 func TestLatestRegistrationOfNodeCounts(t *testing.T) {
-	former := coordination.Entry{Key: "f/nodes/b/2", Value: []byte("former z 1"), Era: 1, Revision: 5}
-	latest := coordination.Entry{Key: "f/nodes/b/1", Value: []byte("latest z 1"), Era: 1, Revision: 9}
+	former := coordination.Entry{Key: "f/nodes/b/2", Value: []byte("former z 1"), Era: coordination.EraOf(1), Revision: 5}
+	latest := coordination.Entry{Key: "f/nodes/b/1", Value: []byte("latest z 1"), Era: coordination.EraOf(1), Revision: 9}
 	for _, entries := range [][]coordination.Entry{{former, latest}, {latest, former}} {
 		registry := newTestRegistry("a", "z", 1)
 		registry.ObserveNodes(entries, time.Unix(1000, 0))
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -23,6 +23,23 @@
 	First []coordination.Entry
 }
 
+// WireView is the gob encoding of a View.
+type WireView struct {
+	Nodes int
+	Roomy int
+	First []coordination.WireEntry
+}
+
+// Wire returns the encoding of the view.
+func (v View) Wire() WireView {
+	return WireView{Nodes: v.Nodes, Roomy: v.Roomy, First: coordination.WireEntries(v.First)}
+}
+
+// View returns the decoded view.
+func (w WireView) View() View {
+	return View{Nodes: w.Nodes, Roomy: w.Roomy, First: coordination.EntriesFromWire(w.First)}
+}
+
 // complete reports whether the view contains all nodes.
 func (v View) complete() bool { return v.Nodes > 0 && len(v.First) >= v.Nodes }
 
@@ -54,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	encoded := bytes.Buffer{}
-	if gob.NewEncoder(&encoded).Encode(view) != nil || r.PublishView(ctx, encoded.Bytes()) != nil {
+	if gob.NewEncoder(&encoded).Encode(view.Wire()) != nil || r.PublishView(ctx, encoded.Bytes()) != nil {
 		// PublishView reports its own failure, and encoding a view does not fail.
 		return false
 	}
@@ -68,10 +85,11 @@
 // that finds itself among its relays relies on its rank; all others learn which nodes to poll. A
 // view that cannot be decoded is ignored.
 func (r *Registry) ObservePublishedView(encoded []byte, now time.Time) error {
-	var view View
-	if err := gob.NewDecoder(bytes.NewReader(encoded)).Decode(&view); err != nil {
+	var wired WireView
+	if err := gob.NewDecoder(bytes.NewReader(encoded)).Decode(&wired); err != nil {
 		return errors.Annotate(err, "cannot decode the published view of the fleet; run the same version on all nodes")
 	}
+	view := wired.View()
 	if view.Nodes <= 0 || len(view.First) == 0 {
 		return nil
 	}
--- a/internal/lab/storestub/store.go
+++ b/internal/lab/storestub/store.go
@@ -58,20 +58,25 @@
 	lease int64
 }
 
-// New returns an empty store. It calls faultOf to choose the fault of each call; nil
+// New returns an empty store in era 1. It calls faultOf to choose the fault of each call; nil
 // means that no call fails.
 func New(now func() time.Time, faultOf func(call string) Fault) *Store {
+	return NewInEra(now, 1, faultOf)
+}
+
+// NewInEra returns a store like New whose first era is another one.
+func NewInEra(now func() time.Time, firstEra int64, faultOf func(call string) Fault) *Store {
 	if faultOf == nil {
 		faultOf = func(string) Fault { return FaultNone }
 	}
-	return &Store{now: now, faultOf: faultOf, era: 1, leases: map[int64]*lease{}, entries: map[string]entry{}, writtenAt: map[int64]time.Time{}}
+	return &Store{now: now, faultOf: faultOf, era: firstEra, leases: map[int64]*lease{}, entries: map[string]entry{}, writtenAt: map[int64]time.Time{}}
 }
 
 // Era returns the current era of the store.
-func (store *Store) Era() int64 {
+func (store *Store) Era() coordination.Era {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	return store.era
+	return coordination.EraOf(store.era)
 }
 
 // Snapshot is the content of a store at some time.
@@ -198,7 +203,7 @@
 func (store *Store) put(key string, value []byte, leaseID int64) coordination.Position {
 	store.revision++
 	store.writtenAt[store.revision] = store.now()
-	written := coordination.Entry{Key: key, Value: value, Revision: store.revision, Era: store.era}
+	written := coordination.Entry{Key: key, Value: value, Revision: store.revision, Era: coordination.EraOf(store.era)}
 	store.entries[key] = entry{Entry: written, lease: leaseID}
 	return written.Position()
 }
@@ -236,7 +241,7 @@
 	if at.Revision == 0 {
 		return !exists
 	}
-	return exists && current.Revision == at.Revision && store.era == at.Era
+	return exists && current.Revision == at.Revision && coordination.EraOf(store.era) == at.Era
 }
 
 // Read returns the current entry of a key.
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -47,6 +47,8 @@
 	Idle(state []byte) bool
 	// OwnState reports whether a state was published by this node, before or after a restart.
 	OwnState(state []byte) bool
+	// BeganAtZero reports whether a published state says that the first era of the store was 0.
+	BeganAtZero(state []byte) bool
 	// LeadershipLost is called when the leadership has ended.
 	LeadershipLost()
 }
@@ -90,9 +92,9 @@
 	Eras *coordination.EraTracker
 
 	// lastLeaderEra is the era that began when the store was restored while this node was
-	// leader, and lastActFrom the time from which that leadership could act. Both are zero if
+	// leader, and lastActFrom the time from which that leadership could act. Both are unset if
 	// this never happened.
-	lastLeaderEra int64
+	lastLeaderEra coordination.Era
 	lastActFrom   time.Time
 }
 
@@ -193,6 +195,10 @@
 	if err != nil {
 		return nil, false
 	}
+	if found && elector.Task.BeganAtZero(state.Value) {
+		elector.Eras.ObserveBeganAtZero()
+	}
+	token := elector.Eras.Token(position)
 	lastIdle := time.Time{}
 	if found && elector.Task.Idle(state.Value) {
 		lastIdle = elector.FirstSeen(elector.StateKey, state.Position())
@@ -200,9 +206,9 @@
 	// A restarted process of the same node counts as the same leader.
 	heldByOther := found && !elector.Task.OwnState(state.Value)
 	actFrom := elector.delayAfterRestore(EarliestAction(heldByOther, lastIdle, boottime.Now(), elector.HandoverDelay), position)
-	elector.Recorder.Acquired(position.Token(), boottime.Until(actFrom))
+	elector.Recorder.Acquired(token, boottime.Until(actFrom))
 	return &leaderState{
-		leadership:         NewLeadership(position.Token(), sentAt, granted.TTL, granted.TTL/marginDivisor, actFrom),
+		leadership:         NewLeadership(token, sentAt, granted.TTL, granted.TTL/marginDivisor, actFrom),
 		lease:              granted,
 		keyPosition:        position,
 		renewalSentAt:      sentAt,
@@ -294,6 +300,10 @@
 			elector.lastLeaderEra, elector.lastActFrom = era, leader.leadership.actFrom
 			return "the store was restored from a backup"
 		}
+		if elector.Eras.Token(leader.keyPosition) != leader.leadership.FencingToken {
+			elector.resign(leader)
+			return "the store began in era 0, in which tokens may have been higher"
+		}
 		if leader.leadership.Superseded() {
 			elector.resign(leader)
 			return "another node has a higher fencing token"
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -38,6 +39,7 @@
 	// rejectedToken is a fencing token that servers reject.
 	rejectedToken atomic.Int64
 	fleet         *fleet
+	eras          *coordination.EraTracker
 }
 
 func (task *task) HasWork() bool { return task.hasWork.Load() }
@@ -46,6 +48,9 @@
 	if task.HasWork() {
 		state = "active"
 	}
+	if task.eras.BeganAtZero() {
+		state += " began at zero"
+	}
 	return []byte(state + " " + task.node), func(_ context.Context, leadership *Leadership) {
 		if task.HasWork() && leadership.MayAct(time.Now()) {
 			if task.rejectedToken.Load() == leadership.FencingToken {
@@ -57,7 +62,10 @@
 }
 func (task *task) Idle(state []byte) bool     { return strings.HasPrefix(string(state), "idle") }
 func (task *task) OwnState(state []byte) bool { return strings.HasSuffix(string(state), " "+task.node) }
-func (task *task) LeadershipLost()            {}
+func (task *task) BeganAtZero(state []byte) bool {
+	return strings.Contains(string(state), "began at zero")
+}
+func (task *task) LeadershipLost() {}
 
 type nopRecorder struct{}
 
@@ -122,10 +130,10 @@
 
 // startWithStore runs an elector with a wrapped store.
 func (fleet *fleet) startWithStore(ctx context.Context, name string, firstSeen map[int64]time.Time, wrap func(coordination.Store) coordination.Store) *task {
-	task := &task{node: name, fleet: fleet}
+	eras := &coordination.EraTracker{}
+	task := &task{node: name, fleet: fleet, eras: eras}
 	task.hasWork.Store(true)
 	// A running node already knows the era.
-	eras := &coordination.EraTracker{}
 	eras.Observe(fleet.store.Era())
 	elector := &Elector{
 		Store: wrap(eraObservingStore{fleet.store, eras}), Eras: eras, Task: task, Recorder: nopRecorder{}, Name: name, Key: "holder", StateKey: "state",
@@ -199,11 +207,12 @@
 		// For each restore: the time until it, and the age of the backup.
 		restoreDelays := rapid.SliceOfN(rapid.IntRange(200, 8000), 1, 6).Draw(t, "times")
 		backupAges := rapid.SliceOfN(rapid.IntRange(0, 5000), len(restoreDelays), len(restoreDelays)).Draw(t, "ages")
+		firstEra := rapid.SampledFrom(firstEras).Draw(t, "first era")
 		fleet := &fleet{}
 		// lastFaultAt is the time of the last restore or node failure.
 		lastFaultAt := time.Time{}
 		synctest.Test(test, func(*testing.T) {
-			fleet.store = storestub.New(time.Now, nil)
+			fleet.store = storestub.NewInEra(time.Now, firstEra, nil)
 			ctx, stop := context.WithCancel(context.Background())
 			defer stop()
 			startedAt := time.Now()
@@ -234,6 +243,107 @@
 	})
 }
 
+// firstEras are eras in which a store may begin. The number of a known era may be 0.
+var firstEras = []int64{0, 1, 7}
+
+// The store is restored from a backup that lacks many revisions, while a leader acts and again later: the tokens
+// of the same node and of one that becomes leader after it grow, whatever the first era is.
+func TestTokensGrowAcrossRestoresInAnyEra(t *testing.T) {
+	for _, firstEra := range firstEras {
+		t.Run(fmt.Sprint("first era ", firstEra), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := &fleet{store: storestub.NewInEra(time.Now, firstEra, nil)}
+				ctx, stop := context.WithCancel(context.Background())
+				defer stop()
+				nodeCtx, kill := context.WithCancel(ctx)
+				backup := fleet.store.Snapshot()
+				loseRevisions(t, fleet.store)
+				fleet.start(nodeCtx, "a", nil)
+				time.Sleep(time.Second)
+				fleet.start(ctx, "survivor", nil)
+				for range 3 {
+					before := fleet.last()
+					fleet.store.Restore(backup)
+					time.Sleep(2*ttl + 2*handoverDelay)
+					require.Greater(t, fleet.last().token, before.token)
+					backup = fleet.store.Snapshot()
+					loseRevisions(t, fleet.store)
+				}
+				before := fleet.last()
+				kill()
+				time.Sleep(2*ttl + 2*handoverDelay)
+				require.Equal(t, "survivor", fleet.last().node)
+				require.GreaterOrEqual(t, fleet.last().token, before.token)
+				fleet.checkActions(t)
+			})
+		})
+	}
+}
+
+// Only the state in the store tells a leader that starts after a restore, beside no other node, that the first era
+// was 0.
+func TestTokensGrowForLeaderThatStartsAfterRestore(t *testing.T) {
+	for _, firstEra := range firstEras {
+		t.Run(fmt.Sprint("first era ", firstEra), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := &fleet{store: storestub.NewInEra(time.Now, firstEra, nil)}
+				ctx, stop := context.WithCancel(context.Background())
+				defer stop()
+				nodeCtx, kill := context.WithCancel(ctx)
+				fleet.start(nodeCtx, "a", nil)
+				time.Sleep(time.Second)
+				backup := fleet.store.Snapshot()
+				kill()
+				time.Sleep(2 * ttl)
+				nodeCtx, kill = context.WithCancel(ctx)
+				loseRevisions(t, fleet.store)
+				fleet.start(nodeCtx, "b", nil)
+				time.Sleep(2 * handoverDelay)
+				require.Equal(t, "b", fleet.last().node)
+				kill()
+				time.Sleep(handoverDelay)
+				for _, name := range []string{"c", "d"} {
+					fleet.store.Restore(backup)
+					before := fleet.last()
+					nodeCtx, kill := context.WithCancel(ctx)
+					fleet.start(nodeCtx, name, nil)
+					time.Sleep(2*ttl + 2*handoverDelay)
+					require.Equal(t, name, fleet.last().node)
+					require.Greater(t, fleet.last().token, before.token)
+					kill()
+					time.Sleep(handoverDelay)
+					backup = fleet.store.Snapshot()
+					loseRevisions(t, fleet.store)
+				}
+			})
+		})
+	}
+}
+
+// A leader that learns only later that the first era was 0 gets a higher token.
+func TestLeaderThatLearnsOfEraZeroGetsHigherToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := &fleet{store: storestub.New(time.Now, nil)}
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		task := fleet.start(ctx, "a", nil)
+		time.Sleep(time.Second)
+		before := fleet.last()
+		task.eras.ObserveBeganAtZero()
+		time.Sleep(time.Second)
+		require.Greater(t, fleet.last().token, before.token)
+		fleet.checkActions(t)
+	})
+}
+
+// loseRevisions makes writes that a restore of an earlier backup loses.
+func loseRevisions(t require.TestingT, store *storestub.Store) {
+	for range 100 {
+		_, err := store.Grant(context.Background(), time.Millisecond)
+		require.NoError(t, err)
+	}
+}
+
 func TestNewLeaderActsAtOnceAfterIdleState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := &fleet{}
@@ -483,9 +593,9 @@
 
 // startObserving starts an elector that knows when it first saw each revision of the state.
 func (fleet *fleet) startObserving(ctx context.Context, name string) *task {
-	task := &task{node: name, fleet: fleet}
-	task.hasWork.Store(true)
 	eras := &coordination.EraTracker{}
+	task := &task{node: name, fleet: fleet, eras: eras}
+	task.hasWork.Store(true)
 	eras.Observe(fleet.store.Era())
 	elector := &Elector{
 		Store: eraObservingStore{fleet.store, eras}, Eras: eras, Task: task, Recorder: nopRecorder{}, Name: name, Key: "holder", StateKey: "state",
--- a/internal/reflector/era_test.go
+++ b/internal/reflector/era_test.go
@@ -26,7 +26,7 @@
 			s := newLargeSimFleet(t, nodes, 7)
 			for _, node := range s.nodes {
 				node.Eras = &coordination.EraTracker{}
-				node.Eras.Observe(1)
+				node.Eras.Observe(coordination.EraOf(1))
 			}
 			list := newServers(servers)
 			s.loadFromStore(list)
@@ -44,9 +44,9 @@
 			}
 			isolated.partitioned = true
 
-			reader.Eras.Observe(2)
+			reader.Eras.Observe(coordination.EraOf(2))
 			restored := append(list[1:len(list):len(list)], backend.Server{Instance: "i-new", Service: "engines", Revision: servers + 1, Created: servers + 1})
-			reader.applyServers(serverUpdate{whole: true, changed: restored, position: coordination.Position{Era: 2, Revision: servers + 1}, readAt: time.Now()})
+			reader.applyServers(serverUpdate{whole: true, changed: restored, position: coordination.Position{Era: coordination.EraOf(2), Revision: servers + 1}, readAt: time.Now()})
 			clear(s.bytes)
 			for range 3 {
 				s.runRound()
@@ -56,7 +56,7 @@
 			require.Less(t, bytesPerNode, 2000, "only the differences are sent")
 			for name, node := range s.nodes {
 				if node != isolated {
-					require.EqualValues(t, 2, node.Eras.Current(), name)
+					require.Equal(t, coordination.EraOf(2), node.Eras.Current(), name)
 					require.Equal(t, reader.Feed.servers.sum, node.Feed.servers.sum, name)
 				}
 			}
--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -63,6 +63,11 @@
 	// cursor from which to continue, or 0 if there is nothing new.
 	Suspicions      []quarantine.Item
 	SuspicionsPlace int64
+	// BeganAtZero reports that the first era of the store was 0.
+	BeganAtZero bool
+	// eraLeftOut reports that Place has no era although the sender's build knows eras: it leaves out an
+	// era of 0.
+	eraLeftOut bool
 }
 
 // PollRequest requests what has changed at a node since the cursors that it carries.
@@ -95,6 +100,11 @@
 	// SuspicionsPlace is its cursor in the feed's suspicions.
 	Suspicions      []quarantine.Item
 	SuspicionsPlace int64
+	// BeganAtZero reports that the first era of the store was 0.
+	BeganAtZero bool
+	// eraLeftOut reports that Place has no era although the sender's build knows eras: it leaves out an
+	// era of 0.
+	eraLeftOut bool
 }
 
 // Feed serves a node's state to nodes that do not read the store. Rewrites of a server's
@@ -102,6 +112,8 @@
 type Feed struct {
 	// EntriesMissingUntil, if set, returns until when the list may lack servers that live.
 	EntriesMissingUntil func() time.Time
+	// Eras, if set, tracks the era of the store.
+	Eras *coordination.EraTracker
 
 	name       string
 	replica    *catalog.AtomicReplica
@@ -249,8 +261,11 @@
 	if request.Feed != f.name {
 		request.SuspicionsPlace = 0
 	}
-	if cursor, _ := f.cursor(); request.Place.Era == 0 && request.Place.Revision != 0 {
-		request.Place.Era = cursor.Era
+	if request.BeganAtZero {
+		f.Eras.ObserveBeganAtZero()
+	}
+	if cursor, _ := f.cursor(); !request.Place.Era.IsKnown() && request.Place.Revision != 0 {
+		request.Place.Era = impliedEra(request.eraLeftOut, cursor.Era)
 	}
 	f.quarantine.Apply(request.Suspicions, request.Node, boottime.Now())
 	delta := f.awaitChanges(ctx, request)
@@ -261,6 +276,7 @@
 	if f.EntriesMissingUntil != nil {
 		delta.EntriesMissingFor = max(0, boottime.Until(f.EntriesMissingUntil()))
 	}
+	delta.BeganAtZero = f.Eras.BeganAtZero()
 	delta.Fleet, delta.Nodes = f.registry.ViewIfChanged(request.Fleet)
 	if request.Reader {
 		delta.Duties = f.registry.Duties()
--- a/internal/reflector/feed_test.go
+++ b/internal/reflector/feed_test.go
@@ -36,12 +36,12 @@
 
 // at returns a position in a store that was never restored.
 func at(revision int64) coordination.Position {
-	return coordination.Position{Era: 1, Revision: revision}
+	return coordination.Position{Era: coordination.EraOf(1), Revision: revision}
 }
 
 // cursor returns the store's current position.
 func (h *storeHistory) cursor() coordination.Position {
-	return coordination.Position{Era: h.era, Revision: h.revision}
+	return coordination.Position{Era: coordination.EraOf(h.era), Revision: h.revision}
 }
 
 // restore takes the store back by some revisions, into a new era.
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -12,6 +12,7 @@
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/pause"
 	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/residency"
@@ -256,13 +257,24 @@
 // list is compatible with this node's. A build without eras is taken to be in this node's era
 // until the store is known to have been restored: after that, such a build keeps its old list.
 func (r *Reflector) reconcileEra(delta *Delta) bool {
-	era, restoredAt := r.Eras.State()
-	if delta.Place.Era != 0 {
+	if delta.BeganAtZero {
+		r.Eras.ObserveBeganAtZero()
+	}
+	if delta.Place.Era.IsKnown() {
 		r.Eras.Observe(delta.Place.Era)
 		return true
 	}
-	delta.Place.Era = era
-	return restoredAt.IsZero() || delta.Place.Revision == 0
+	delta.Place.Era = impliedEra(delta.eraLeftOut, r.Eras.Current())
+	return !r.Eras.WasRestored() || delta.Place.Revision == 0
+}
+
+// impliedEra returns the era of a cursor that another node sent without one, given this node's era. An era
+// that was left out is 0 if the store sends eras. Builds without eras are taken to be in this node's era.
+func impliedEra(leftOut bool, current coordination.Era) coordination.Era {
+	if leftOut && current.IsKnown() {
+		return coordination.EraOf(0)
+	}
+	return current
 }
 
 // suspicionExchange is how far a node and a feed have exchanged suspicions, which are
@@ -338,7 +350,7 @@
 	if replica := r.Replica.Load(); replica != nil && replica.Snapshot != nil {
 		request.Declaration = replica.Snapshot.Version
 	}
-	request.Reader = r.Reads()
+	request.Reader, request.BeganAtZero = r.Reads(), r.Eras.BeganAtZero()
 	if request.Relay = r.Relays(); !request.Relay {
 		request.Own = r.Work.Own()
 		request.Kept = r.Kept.Place(node)
--- a/internal/reflector/legacy_test.go
+++ b/internal/reflector/legacy_test.go
@@ -165,7 +165,7 @@
 	encoded.Reset()
 	delta := Delta{
 		Feed: "f", Place: at(3), Whole: true, Changed: []backend.Server{{Instance: "i", Born: 17, Service: "s", Address: "a", Revision: 3, Versions: map[string]int64{"m": 1}}},
-		Fleet: &fleet.View{Nodes: 9, First: []coordination.Entry{{Key: "n", Revision: 8, Era: 1}}}, Duties: []coordination.Entry{{Key: "d", Revision: 4, Era: 1}}, Others: legacyWorkReport(),
+		Fleet: &fleet.View{Nodes: 9, First: []coordination.Entry{{Key: "n", Revision: 8, Era: coordination.EraOf(1)}}}, Duties: []coordination.Entry{{Key: "d", Revision: 4, Era: coordination.EraOf(1)}}, Others: legacyWorkReport(),
 	}
 	require.NoError(t, delta.encode(encoded))
 	var decodedDelta legacyDelta
@@ -186,11 +186,11 @@
 	legacy := Delta{Place: coordination.Position{Revision: 5}, Whole: true, Changed: []backend.Server{{Instance: "i-1", Service: "s", Revision: 5}}, BeliefAge: 0}
 	node := newFollower(&countingSource{}, &staticPeers{legacy})
 	node.Eras = &coordination.EraTracker{}
-	node.Eras.Observe(1)
+	node.Eras.Observe(coordination.EraOf(1))
 	require.NoError(t, node.poll(context.Background(), "former", &suspicionExchange{}))
 	cursor, _ := node.Feed.cursor()
 	require.Equal(t, at(5), cursor)
-	node.Eras.Observe(2)
+	node.Eras.Observe(coordination.EraOf(2))
 	legacy.Place.Revision, legacy.Changed = 9, nil
 	node.Peers = &staticPeers{legacy}
 	require.Equal(t, errStaleUpstream, node.poll(context.Background(), "former", &suspicionExchange{}))
@@ -198,6 +198,88 @@
 	require.Equal(t, at(5), cursor, "its servers are ignored after the restore")
 }
 
+// formerPlace holds the fields of a place in messages of a build that knows eras, and leaves out an era of 0
+// like one that it does not know.
+type formerPlace struct {
+	Format int
+	Place  int64
+	Era    int64
+}
+
+// A build that does not tell an era of 0 from one that is not known means 0 by a place without an era, if the
+// store sends eras.
+func TestMissingEraOfFormerBuildIsReadAsMeant(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		sent     formerPlace
+		own, era coordination.Era
+	}{
+		{"era 0 before the restore", formerPlace{Format: 1, Place: 5}, coordination.EraOf(0), coordination.EraOf(0)},
+		{"era 0 after the restore", formerPlace{Format: 1, Place: 5}, coordination.EraOf(1), coordination.EraOf(0)},
+		{"era 1", formerPlace{Format: 1, Place: 5, Era: 1}, coordination.EraOf(0), coordination.EraOf(1)},
+		{"a store without eras", formerPlace{Format: 1, Place: 5}, coordination.Era{}, coordination.Era{}},
+		{"a build without eras", formerPlace{Place: 5}, coordination.EraOf(0), coordination.EraOf(0)},
+		{"a build without eras after a start in era 1", formerPlace{Place: 5}, coordination.EraOf(1), coordination.EraOf(1)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			encoded := &bytes.Buffer{}
+			require.NoError(t, gob.NewEncoder(encoded).Encode(test.sent))
+			var wired wireDelta
+			require.NoError(t, gob.NewDecoder(bytes.NewReader(encoded.Bytes())).Decode(&wired))
+			delta, err := wired.delta()
+			require.NoError(t, err)
+			node := newFollower(&countingSource{}, &staticPeers{delta})
+			node.Eras = &coordination.EraTracker{}
+			node.Eras.Observe(test.own)
+			require.True(t, node.reconcileEra(&delta))
+			require.Equal(t, coordination.Position{Era: test.era, Revision: 5}, delta.Place)
+
+			request, err := decodePollRequest(encoded)
+			require.NoError(t, err)
+			feed := newFeed("one")
+			feed.apply(serverUpdate{whole: true, position: coordination.Position{Era: test.own, Revision: 3}})
+			reply := feed.Respond(context.Background(), request)
+			if test.era.Before(test.own) {
+				require.True(t, reply.Whole, "its list is of an earlier era")
+				require.Equal(t, coordination.Position{Era: test.own, Revision: 3}, reply.Place)
+			} else {
+				require.Equal(t, coordination.Position{Era: test.era, Revision: 5}, reply.Place)
+			}
+		})
+	}
+}
+
+// A node in era 0 is told from one that knows no era, and nodes that have started since tell the first era on.
+func TestEraZeroIsSentAsKnown(t *testing.T) {
+	place := coordination.Position{Era: coordination.EraOf(0), Revision: 5}
+	entries := []coordination.Entry{{Key: "k", Value: []byte("v"), Revision: 5, Era: coordination.EraOf(0)}}
+	encoded := &bytes.Buffer{}
+	record := &backend.SoftwareRecord{Versions: backend.SoftwareVersions{"s": {"v1"}}, Revision: 5, AsOf: place}
+	require.NoError(t, Delta{Place: place, Fleet: &fleet.View{Nodes: 1, First: entries}, Duties: entries, Software: record, BeganAtZero: true}.encode(encoded))
+	var wired wireDelta
+	require.NoError(t, gob.NewDecoder(encoded).Decode(&wired))
+	delta, err := wired.delta()
+	require.NoError(t, err)
+	require.Equal(t, place, delta.Place)
+	require.Equal(t, entries, delta.Duties)
+	require.Equal(t, entries, delta.Fleet.First)
+	require.Equal(t, record, delta.Software)
+	started := newFollower(&countingSource{}, &staticPeers{delta})
+	started.Eras = &coordination.EraTracker{}
+	started.Eras.Observe(coordination.EraOf(1))
+	require.NoError(t, started.poll(context.Background(), "other", &suspicionExchange{}))
+	require.True(t, started.Eras.BeganAtZero())
+
+	encoded.Reset()
+	require.NoError(t, started.request("other", &suspicionExchange{}).encode(encoded))
+	request, err := decodePollRequest(encoded)
+	require.NoError(t, err)
+	feed := newFeed("one")
+	feed.Eras = &coordination.EraTracker{}
+	feed.Respond(context.Background(), request)
+	require.True(t, feed.Eras.BeganAtZero())
+}
+
 // staticPeers answers every poll with the same delta.
 type staticPeers struct{ delta Delta }
 
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -70,14 +70,21 @@
 	return nil
 }
 
+// leavesOutEra reports whether a message has a place without an era although its build knows eras. Such a
+// build does not tell an era of 0 from one that is not known.
+func leavesOutEra(format int, place, era int64, zeroEra bool) bool {
+	return format > 0 && place != 0 && era == 0 && !zeroEra
+}
+
 // wireQuestion is the gob encoding of a PollRequest. Gob sends the names of types too, so
 // those of the wire types stay as they are.
 type wireQuestion struct {
 	Format int
 	Feed   string
 	Place  int64
-	// Era is the era of Place; builds without eras send 0.
+	// Era and ZeroEra are the era of Place; builds without eras send neither.
 	Era         int64
+	ZeroEra     bool
 	Wait        time.Duration
 	Loads       backend.LoadsMark
 	Node        string
@@ -94,17 +101,19 @@
 	Suspicions      []byte
 	SuspicionsPlace int64
 	// Software is the digest of the sender's record of software versions; builds without records send 0.
-	Software uint64
+	Software    uint64
+	BeganAtZero bool
 }
 
 // encode writes the request to w.
 func (q PollRequest) encode(w io.Writer) error {
 	packed, details := packWork(q.Own.Work)
+	era, zeroEra := q.Place.Era.Wire()
 	wired := wireQuestion{
 		Format: messageFormat,
-		Feed:   q.Feed, Place: q.Place.Revision, Era: q.Place.Era, Wait: q.Wait, Loads: q.Loads, Node: q.Node, Declaration: q.Declaration, Fleet: q.Fleet,
+		Feed:   q.Feed, Place: q.Place.Revision, Era: era, ZeroEra: zeroEra, Wait: q.Wait, Loads: q.Loads, Node: q.Node, Declaration: q.Declaration, Fleet: q.Fleet,
 		Relay: q.Relay, Reader: q.Reader, Work: packed, Details: details, Quota: q.Own.Quota.Encode(), Kept: q.Kept,
-		SuspicionsPlace: q.SuspicionsPlace, Software: q.Software,
+		SuspicionsPlace: q.SuspicionsPlace, Software: q.Software, BeganAtZero: q.BeganAtZero,
 	}
 	if q.Suspicions != nil {
 		encoded, err := encodeNested(q.Suspicions)
@@ -126,8 +135,8 @@
 		return PollRequest{}, err
 	}
 	q := PollRequest{
-		Feed: w.Feed, Place: coordination.Position{Era: w.Era, Revision: w.Place}, Wait: w.Wait, Loads: w.Loads, Node: w.Node, Declaration: w.Declaration, Fleet: w.Fleet,
-		Relay: w.Relay, Reader: w.Reader, Kept: w.Kept, SuspicionsPlace: w.SuspicionsPlace, Software: w.Software,
+		Feed: w.Feed, Place: coordination.Position{Era: coordination.EraFromWire(w.Era, w.ZeroEra), Revision: w.Place}, Wait: w.Wait, Loads: w.Loads, Node: w.Node, Declaration: w.Declaration, Fleet: w.Fleet,
+		Relay: w.Relay, Reader: w.Reader, Kept: w.Kept, SuspicionsPlace: w.SuspicionsPlace, Software: w.Software, BeganAtZero: w.BeganAtZero, eraLeftOut: leavesOutEra(w.Format, w.Place, w.Era, w.ZeroEra),
 	}
 	if w.Suspicions != nil {
 		if err := gob.NewDecoder(bytes.NewReader(w.Suspicions)).Decode(&q.Suspicions); err != nil {
@@ -146,6 +155,7 @@
 	Feed         string
 	Place        int64
 	Era          int64
+	ZeroEra      bool
 	Age          time.Duration
 	BeliefAge    time.Duration
 	DisturbedAgo time.Duration
@@ -160,7 +170,8 @@
 	Servers []byte
 	Rest    []byte
 	// Missing is for how long the list may lack servers that live.
-	Missing time.Duration
+	Missing     time.Duration
+	BeganAtZero bool
 }
 
 // wireServers holds the server changes of a Delta. They are present more often than the
@@ -175,13 +186,13 @@
 type wireRest struct {
 	Loads       *backend.Loads
 	Declaration *catalog.Declaration
-	Fleet       *fleet.View
-	Duties      []coordination.Entry
+	Fleet       *fleet.WireView
+	Duties      []coordination.WireEntry
 
 	Suspicions      []quarantine.Item
 	SuspicionsPlace int64
 
-	Software *backend.SoftwareRecord
+	Software *backend.WireSoftwareRecord
 }
 
 func (r wireRest) empty() bool {
@@ -192,10 +203,11 @@
 // encode writes the delta to w.
 func (d Delta) encode(w io.Writer) error {
 	packed, details := packWork(d.Others.Work)
+	era, zeroEra := d.Place.Era.Wire()
 	wired := wireDelta{
 		Format: messageFormat,
-		Feed:   d.Feed, Place: d.Place.Revision, Era: d.Place.Era, Age: d.Age, BeliefAge: d.BeliefAge, DisturbedAgo: d.DisturbedAgo,
-		Weights: d.Weights, Nodes: d.Nodes, Sum: d.Sum, Work: packed, Details: details, Quota: d.Others.Quota.Encode(), Kept: d.Kept, Missing: d.EntriesMissingFor,
+		Feed:   d.Feed, Place: d.Place.Revision, Era: era, ZeroEra: zeroEra, Age: d.Age, BeliefAge: d.BeliefAge, DisturbedAgo: d.DisturbedAgo,
+		Weights: d.Weights, Nodes: d.Nodes, Sum: d.Sum, Work: packed, Details: details, Quota: d.Others.Quota.Encode(), Kept: d.Kept, Missing: d.EntriesMissingFor, BeganAtZero: d.BeganAtZero,
 	}
 	if d.Whole || len(d.Changed)+len(d.Gone) > 0 {
 		encoded, err := encodeNested(wireServers{Whole: d.Whole, Changed: backend.Pack(d.Changed), Gone: d.Gone})
@@ -206,8 +218,12 @@
 	}
 	rest := wireRest{
 		Loads:       d.Loads,
-		Declaration: d.Declaration, Fleet: d.Fleet, Duties: d.Duties,
-		Suspicions: d.Suspicions, SuspicionsPlace: d.SuspicionsPlace, Software: d.Software,
+		Declaration: d.Declaration, Duties: coordination.WireEntries(d.Duties),
+		Suspicions: d.Suspicions, SuspicionsPlace: d.SuspicionsPlace, Software: d.Software.Wire(),
+	}
+	if d.Fleet != nil {
+		view := d.Fleet.Wire()
+		rest.Fleet = &view
 	}
 	if !rest.empty() {
 		encoded, err := encodeNested(rest)
@@ -244,13 +260,19 @@
 	if err != nil {
 		return Delta{}, err
 	}
-	return Delta{
-		Feed: w.Feed, Place: coordination.Position{Era: w.Era, Revision: w.Place}, Age: w.Age, BeliefAge: w.BeliefAge, DisturbedAgo: w.DisturbedAgo,
+	delta := Delta{
+		Feed: w.Feed, Place: coordination.Position{Era: coordination.EraFromWire(w.Era, w.ZeroEra), Revision: w.Place}, Age: w.Age, BeliefAge: w.BeliefAge, DisturbedAgo: w.DisturbedAgo,
 		Weights: w.Weights, Nodes: w.Nodes, Sum: w.Sum, Others: workshare.Report{Work: unpackWork(w.Work, w.Details), Quota: used}, Kept: w.Kept,
 		EntriesMissingFor: w.Missing, Whole: servers.Whole, Changed: changed, Gone: servers.Gone, Loads: rest.Loads,
-		Declaration: rest.Declaration, Fleet: rest.Fleet, Duties: rest.Duties,
-		Suspicions: rest.Suspicions, SuspicionsPlace: rest.SuspicionsPlace, Software: rest.Software,
-	}, nil
+		Declaration: rest.Declaration, Duties: coordination.EntriesFromWire(rest.Duties),
+		Suspicions: rest.Suspicions, SuspicionsPlace: rest.SuspicionsPlace, Software: rest.Software.Record(),
+		BeganAtZero: w.BeganAtZero, eraLeftOut: leavesOutEra(w.Format, w.Place, w.Era, w.ZeroEra),
+	}
+	if rest.Fleet != nil {
+		view := rest.Fleet.View()
+		delta.Fleet = &view
+	}
+	return delta, nil
 }
 
 // encodeNested returns the gob encoding of a part of a message.
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -11,6 +11,7 @@
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/lease"
 )
 
@@ -51,6 +52,8 @@
 	Recorder Recorder
 	// Holder is this node's name, which orders carry as the leader's name.
 	Holder string
+	// Eras tracks the era of the store.
+	Eras *coordination.EraTracker
 	// MaxStaleness is the longest time for which older weights may serve.
 	MaxStaleness time.Duration
 	// PropagationDelay returns the time in which a broadcast reaches all nodes.
@@ -115,7 +118,7 @@
 	targets.Uses, targets.PropagationDelay, targets.ServersInBackoff = c.Set.Uses(now), c.PropagationDelay(), c.Set.ServersInBackoff(now)
 	actions := c.machine.Step(now, targets, servers)
 	loads := c.machine.Loads()
-	encoded := State{Holder: c.Holder, Active: !c.machine.Idle()}.Encode()
+	encoded := State{Holder: c.Holder, Active: !c.machine.Idle(), BeganAtZero: c.Eras.BeganAtZero()}.Encode()
 	return encoded, func(ctx context.Context, leadership *lease.Leadership) {
 		c.broadcast(loads, leadership.FencingToken)
 		c.act(ctx, leadership, actions)
@@ -164,6 +167,12 @@
 	return err == nil && decoded.Holder == c.Holder
 }
 
+// BeganAtZero reports whether a published state says that the first era of the store was 0.
+func (c *Controller) BeganAtZero(state []byte) bool {
+	decoded, err := DecodeState(state)
+	return err == nil && decoded.BeganAtZero
+}
+
 // withMachine runs a change of the machine, unless the leadership has ended.
 func (c *Controller) withMachine(change func(machine *Machine)) {
 	c.mutex.Lock()
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -14,6 +14,8 @@
 	Holder string
 	// Active is set if orders may be in progress.
 	Active bool
+	// BeganAtZero is set if the first era of the store was 0.
+	BeganAtZero bool
 }
 
 // Encode returns the published form of the state. Equal states have equal encodings.
--- a/internal/telemetry/origins.go
+++ b/internal/telemetry/origins.go
@@ -151,7 +151,7 @@
 
 // SoftwareRecordChanged records that this node knows another record of software versions.
 func (recorder *Recorder) SoftwareRecordChanged(record backend.SoftwareRecord) {
-	recorder.log.Info().Interface("services", record.Services()).Int64("revision", record.Revision).Int64("era", record.AsOf.Era).Bool("complete", record.Complete()).Msg("software versions are recorded")
+	recorder.log.Info().Interface("services", record.Services()).Int64("revision", record.Revision).Any("era", record.AsOf.Era).Bool("complete", record.Complete()).Msg("software versions are recorded")
 }
 
 // SoftwareRecordWritten records a write of the software versions; written is false if another node has
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -583,20 +583,20 @@
 }
 
 // StoreRestored records that the shared store was restored from an older copy.
-func (recorder *Recorder) StoreRestored(before, after int64) {
+func (recorder *Recorder) StoreRestored(before, after coordination.Era) {
 	recorder.metrics.storeRestores.Inc()
-	recorder.log.Warn().Int64("before", before).Int64("era", after).Msg("store was restored from an older copy")
+	recorder.log.Warn().Any("before", before).Any("era", after).Msg("store was restored from an older copy")
 }
 
 // EraIgnored records an invalid or outdated store era in a response of the store or of a node.
-func (recorder *Recorder) EraIgnored(value string, current int64) {
-	recorder.limitedLine(zerolog.WarnLevel).Str("told", value).Int64("era", current).Msg("ignored an invalid or outdated store era")
+func (recorder *Recorder) EraIgnored(value string, current coordination.Era) {
+	recorder.limitedLine(zerolog.WarnLevel).Str("told", value).Any("era", current).Msg("ignored an invalid or outdated store era")
 }
 
 // EntryUnreadable records a store entry that was skipped.
 func (recorder *Recorder) EntryUnreadable(key string, at coordination.Position, err error) {
 	recorder.metrics.unreadableEntries.WithLabelValues(metricReason(err)).Inc()
-	recorder.limitedLine(zerolog.WarnLevel).Str("key", key).Int64("era", at.Era).Int64("revision", at.Revision).Err(err).Msg("skipped an unreadable store entry")
+	recorder.limitedLine(zerolog.WarnLevel).Str("key", key).Any("era", at.Era).Int64("revision", at.Revision).Err(err).Msg("skipped an unreadable store entry")
 }
 
 // reasonedError is an error with a reason for metrics.
