Send a declaration whose version is 0 to nodes that have none

Callers saw 503 at a node that could not read the store itself, if the first declaration had version 0: other nodes did not send it.

A node asks others with the version that it has, and 0 stood for none. It now says that it has none. A former build does not, and is answered as before: it reads such a declaration from the store.

go test ./internal/reflector passes.

--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -83,10 +83,12 @@
 	Node string
 	// Software is the digest of the sender's record of software versions; 0 if its build has none.
 	Software uint64
-	// Declaration is the version of the sender's declaration, and Fleet the digest of its
-	// view of the fleet.
-	Declaration int64
-	Fleet       uint64
+	// Declaration is the version of the sender's declaration, which may be 0, and NoDeclaration
+	// reports that it has none. Former builds do not report that. Fleet is the digest of the
+	// sender's view of the fleet.
+	Declaration   int64
+	NoDeclaration bool
+	Fleet         uint64
 	// Relay reports that the sender is a relay: it receives neither work nor cache updates,
 	// which relays exchange in group requests.
 	Relay bool
@@ -315,7 +317,7 @@
 	for model, releases := range replica.Weights {
 		delta.Weights[model] = releases.Newest()
 	}
-	if replica.Snapshot.Version > request.Declaration {
+	if request.lacks(replica.Snapshot) {
 		delta.Declaration = replica.Snapshot.Declaration()
 	}
 }
@@ -340,7 +342,12 @@
 // one.
 func (f *Feed) hasNewerDeclaration(request PollRequest) bool {
 	replica := f.replica.Load()
-	return replica != nil && replica.Snapshot != nil && replica.Snapshot.Version > request.Declaration
+	return replica != nil && replica.Snapshot != nil && request.lacks(replica.Snapshot)
+}
+
+// lacks reports whether the sender has no declaration, or an older one.
+func (q PollRequest) lacks(snapshot *catalog.Snapshot) bool {
+	return q.NoDeclaration || snapshot.Version > q.Declaration
 }
 
 // hasNoServerOrRolloutChanges reports whether a delta contains neither server nor rollout changes.
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -349,6 +349,8 @@
 	}
 	if replica := r.Replica.Load(); replica != nil && replica.Snapshot != nil {
 		request.Declaration = replica.Snapshot.Version
+	} else {
+		request.NoDeclaration = true
 	}
 	request.Reader, request.BeganAtZero = r.Reads(), r.Eras.BeganAtZero()
 	if request.Relay = r.Relays(); !request.Relay {
--- a/internal/reflector/legacy_test.go
+++ b/internal/reflector/legacy_test.go
@@ -280,6 +280,27 @@
 	require.True(t, feed.Eras.BeganAtZero())
 }
 
+// The first declaration may have version 0: a node without one is told from a node that has that.
+func TestDeclarationOfVersionZeroIsSent(t *testing.T) {
+	upstream := newFeed("one")
+	upstream.replica.Store(catalog.Advance(nil, catalog.ReadResult{SentAt: time.Now(), Declaration: &catalog.Declaration{}}))
+	node := newFollower(&countingSource{}, &staticPeers{})
+	ask := func() Delta {
+		encoded := &bytes.Buffer{}
+		require.NoError(t, node.request("one", &suspicionExchange{}).encode(encoded))
+		request, err := decodePollRequest(encoded)
+		require.NoError(t, err)
+		request.Wait = 0
+		return upstream.Respond(context.Background(), request)
+	}
+	delta := ask()
+	require.NotNil(t, delta.Declaration)
+	node.applyReplica(delta, time.Now())
+	require.NotNil(t, node.Replica.Load().Snapshot)
+	require.Nil(t, ask().Declaration, "it is sent once")
+	require.Nil(t, upstream.Respond(context.Background(), PollRequest{}).Declaration, "a former build does not say whether it has one")
+}
+
 // staticPeers answers every poll with the same delta.
 type staticPeers struct{ delta Delta }
 
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -101,8 +101,9 @@
 	Suspicions      []byte
 	SuspicionsPlace int64
 	// Software is the digest of the sender's record of software versions; builds without records send 0.
-	Software    uint64
-	BeganAtZero bool
+	Software      uint64
+	BeganAtZero   bool
+	NoDeclaration bool
 }
 
 // encode writes the request to w.
@@ -113,7 +114,7 @@
 		Format: messageFormat,
 		Feed:   q.Feed, Place: q.Place.Revision, Era: era, ZeroEra: zeroEra, Wait: q.Wait, Loads: q.Loads, Node: q.Node, Declaration: q.Declaration, Fleet: q.Fleet,
 		Relay: q.Relay, Reader: q.Reader, Work: packed, Details: details, Quota: q.Own.Quota.Encode(), Kept: q.Kept,
-		SuspicionsPlace: q.SuspicionsPlace, Software: q.Software, BeganAtZero: q.BeganAtZero,
+		SuspicionsPlace: q.SuspicionsPlace, Software: q.Software, BeganAtZero: q.BeganAtZero, NoDeclaration: q.NoDeclaration,
 	}
 	if q.Suspicions != nil {
 		encoded, err := encodeNested(q.Suspicions)
@@ -136,7 +137,7 @@
 	}
 	q := PollRequest{
 		Feed: w.Feed, Place: coordination.Position{Era: coordination.EraFromWire(w.Era, w.ZeroEra), Revision: w.Place}, Wait: w.Wait, Loads: w.Loads, Node: w.Node, Declaration: w.Declaration, Fleet: w.Fleet,
-		Relay: w.Relay, Reader: w.Reader, Kept: w.Kept, SuspicionsPlace: w.SuspicionsPlace, Software: w.Software, BeganAtZero: w.BeganAtZero, eraLeftOut: leavesOutEra(w.Format, w.Place, w.Era, w.ZeroEra),
+		Relay: w.Relay, Reader: w.Reader, Kept: w.Kept, SuspicionsPlace: w.SuspicionsPlace, Software: w.Software, BeganAtZero: w.BeganAtZero, NoDeclaration: w.NoDeclaration, eraLeftOut: leavesOutEra(w.Format, w.Place, w.Era, w.ZeroEra),
 	}
 	if w.Suspicions != nil {
 		if err := gob.NewDecoder(bytes.NewReader(w.Suspicions)).Decode(&q.Suspicions); err != nil {
