Leave an unset cursor of another node unset

A node that has the declaration and no list of servers took the answer of another node without a list for a list at revision 0 of its era, and went on as one that has a list: it asked with the shorter wait, and left stale upstreams as one that has started does.

A cursor without an era is in the asker's only if it has a revision.

go test ./internal/reflector passes.

--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -264,8 +264,12 @@
 		r.Eras.Observe(delta.Place.Era)
 		return true
 	}
+	if delta.Place.IsZero() {
+		// The node has no list yet.
+		return true
+	}
 	delta.Place.Era = impliedEra(delta.eraLeftOut, r.Eras.Current())
-	return !r.Eras.WasRestored() || delta.Place.Revision == 0
+	return !r.Eras.WasRestored()
 }
 
 // impliedEra returns the era of a cursor that another node sent without one, given this node's era. An era
--- a/internal/reflector/legacy_test.go
+++ b/internal/reflector/legacy_test.go
@@ -301,6 +301,21 @@
 	require.Nil(t, upstream.Respond(context.Background(), PollRequest{}).Declaration, "a former build does not say whether it has one")
 }
 
+// An upstream that has no list of servers yet sends an unset cursor. The node that asked still lacks the list.
+func TestUnsetCursorOfUpstreamIsNoPosition(t *testing.T) {
+	for _, own := range []coordination.Era{{}, coordination.EraOf(0), coordination.EraOf(1), coordination.EraOf(7)} {
+		t.Run("era "+own.String(), func(t *testing.T) {
+			node := newFollower(&countingSource{}, &staticPeers{Delta{}})
+			node.Eras = &coordination.EraTracker{}
+			node.Eras.Observe(own)
+			_ = node.poll(context.Background(), "other", &suspicionExchange{})
+			cursor, _ := node.Feed.cursor()
+			require.True(t, cursor.IsZero())
+			require.True(t, node.uninitialized())
+		})
+	}
+}
+
 // staticPeers answers every poll with the same delta.
 type staticPeers struct{ delta Delta }
 
