--- a/internal/reflector/feed.go
+++ b/internal/reflector/feed.go
@@ -63,6 +63,11 @@
 	// cursor from which to continue, or 0 if there is nothing new.
 	Suspicions      []quarantine.Item
 	SuspicionsPlace int64
+	// BeganAtZero reports that the first era of the store was 0.
+	BeganAtZero bool
+	// eraLeftOut reports that Place has no era although the sender's build knows eras: it leaves out an
+	// era of 0.
+	eraLeftOut bool
 }
 
 // PollRequest requests what has changed at a node since the cursors that it carries.
@@ -78,10 +83,12 @@
 	Node string
 	// Software is the digest of the sender's record of software versions; 0 if its build has none.
 	Software uint64
-	// Declaration is the version of the sender's declaration, and Fleet the digest of its
-	// view of the fleet.
-	Declaration int64
-	Fleet       uint64
+	// Declaration is the version of the sender's declaration, which may be 0, and NoDeclaration
+	// reports that it has none. Former builds do not report that. Fleet is the digest of the
+	// sender's view of the fleet.
+	Declaration   int64
+	NoDeclaration bool
+	Fleet         uint64
 	// Relay reports that the sender is a relay: it receives neither work nor cache updates,
 	// which relays exchange in group requests.
 	Relay bool
@@ -95,6 +102,11 @@
 	// SuspicionsPlace is its cursor in the feed's suspicions.
 	Suspicions      []quarantine.Item
 	SuspicionsPlace int64
+	// BeganAtZero reports that the first era of the store was 0.
+	BeganAtZero bool
+	// eraLeftOut reports that Place has no era although the sender's build knows eras: it leaves out an
+	// era of 0.
+	eraLeftOut bool
 }
 
 // Feed serves a node's state to nodes that do not read the store. Rewrites of a server's
@@ -102,6 +114,8 @@
 type Feed struct {
 	// EntriesMissingUntil, if set, returns until when the list may lack servers that live.
 	EntriesMissingUntil func() time.Time
+	// Eras, if set, tracks the era of the store.
+	Eras *coordination.EraTracker
 
 	name       string
 	replica    *catalog.AtomicReplica
@@ -249,8 +263,11 @@
 	if request.Feed != f.name {
 		request.SuspicionsPlace = 0
 	}
-	if cursor, _ := f.cursor(); request.Place.Era == 0 && request.Place.Revision != 0 {
-		request.Place.Era = cursor.Era
+	if request.BeganAtZero {
+		f.Eras.ObserveBeganAtZero()
+	}
+	if cursor, _ := f.cursor(); !request.Place.Era.IsKnown() && request.Place.Revision != 0 {
+		request.Place.Era = impliedEra(request.eraLeftOut, cursor.Era)
 	}
 	f.quarantine.Apply(request.Suspicions, request.Node, boottime.Now())
 	delta := f.awaitChanges(ctx, request)
@@ -261,6 +278,7 @@
 	if f.EntriesMissingUntil != nil {
 		delta.EntriesMissingFor = max(0, boottime.Until(f.EntriesMissingUntil()))
 	}
+	delta.BeganAtZero = f.Eras.BeganAtZero()
 	delta.Fleet, delta.Nodes = f.registry.ViewIfChanged(request.Fleet)
 	if request.Reader {
 		delta.Duties = f.registry.Duties()
@@ -299,7 +317,7 @@
 	for model, releases := range replica.Weights {
 		delta.Weights[model] = releases.Newest()
 	}
-	if replica.Snapshot.Version > request.Declaration {
+	if request.lacks(replica.Snapshot) {
 		delta.Declaration = replica.Snapshot.Declaration()
 	}
 }
@@ -324,7 +342,12 @@
 // one.
 func (f *Feed) hasNewerDeclaration(request PollRequest) bool {
 	replica := f.replica.Load()
-	return replica != nil && replica.Snapshot != nil && replica.Snapshot.Version > request.Declaration
+	return replica != nil && replica.Snapshot != nil && request.lacks(replica.Snapshot)
+}
+
+// lacks reports whether the sender has no declaration, or an older one.
+func (q PollRequest) lacks(snapshot *catalog.Snapshot) bool {
+	return q.NoDeclaration || snapshot.Version > q.Declaration
 }
 
 // hasNoServerOrRolloutChanges reports whether a delta contains neither server nor rollout changes.
