Log of each connection that is turned away whose it is, and how long its request had waited

Requests on new connections ended without a response 202 to 256 ms after their last byte. The line about a connection that is closed unread named neither the client nor how long its request had waited, and shared its rate limit with the lines about requests, so that it could not be told whether the node accepts late or its client learns late.

The line names the client, and what the kernel says of the bytes that have arrived. It has a rate limit of its own. No logic changes.

--- a/cmd/cloverrail/connections.go
+++ b/cmd/cloverrail/connections.go
@@ -31,8 +31,8 @@
 	process.metrics.Gauge("cloverrail_proxy_client_connections", "Open connections of clients.", func() float64 { return float64(gate.Open()) })
 	process.metrics.Gauge("cloverrail_proxy_client_connections_limit", "Connections of clients that this node can hold; 0 if there is no bound.", func() float64 { return float64(gate.Limit()) })
 	go process.observeDelay(ctx, gate)
-	limited := &connlimit.Listener{Listener: listener, Gate: gate, OnTurnedAway: func(reason connlimit.Reason) {
-		process.recorder.ConnectionTurnedAway(string(reason), gate.Open(), gate.Limit())
+	limited := &connlimit.Listener{Listener: listener, Gate: gate, OnTurnedAway: func(reason connlimit.Reason, arrival connlimit.Arrival) {
+		process.recorder.ConnectionTurnedAway(reason, arrival, gate.Open(), gate.Limit())
 	}}
 	return process.observeClients(limited)
 }
--- a/internal/connlimit/gate_test.go
+++ b/internal/connlimit/gate_test.go
@@ -108,7 +108,7 @@
 	gate := NewGate(1)
 	gate.now = func() time.Time { return time.Unix(0, 0) }
 	gate.acceptedAt = gate.now()
-	listener := &Listener{Listener: plain, Gate: gate, OnTurnedAway: func(Reason) { turnedAway.Add(1) }}
+	listener := &Listener{Listener: plain, Gate: gate, OnTurnedAway: func(Reason, Arrival) { turnedAway.Add(1) }}
 	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { read.Add(1) })}}
 	server.Start()
 	defer server.Close()
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -12,8 +12,8 @@
 type Listener struct {
 	net.Listener
 	Gate *Gate
-	// OnTurnedAway is called with the reason for each connection that is closed unread. It must not block.
-	OnTurnedAway func(reason Reason)
+	// OnTurnedAway is called for each connection that is closed unread. It must not block.
+	OnTurnedAway func(reason Reason, arrival Arrival)
 }
 
 // Accept returns the next connection that the gate admits.
@@ -27,7 +27,7 @@
 		if admitted {
 			return &conn{Conn: accepted, release: l.Gate.Release}, nil
 		}
-		l.OnTurnedAway(reason)
+		l.OnTurnedAway(reason, arrivalOf(accepted))
 		_ = accepted.Close()
 	}
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -15,6 +15,7 @@
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/connlimit"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/failure"
@@ -33,6 +34,9 @@
 	// so that others do not displace them.
 	abortedLinesPerSecond = 20
 	abortedLineBurst      = 200
+	// turnedAwayLinesPerSecond and turnedAwayLineBurst are the rate limit of lines about connections that were closed unread.
+	turnedAwayLinesPerSecond = 100
+	turnedAwayLineBurst      = 400
 )
 
 // Recorder logs and counts each decision about a request and each change of the
@@ -43,6 +47,8 @@
 	limiter *rate.Limiter
 	// abortedLimiter limits lines about requests that ended without a response.
 	abortedLimiter *rate.Limiter
+	// turnedAwayLimiter limits lines about connections that were closed unread.
+	turnedAwayLimiter *rate.Limiter
 
 	mutex        sync.Mutex
 	suppressed   int
@@ -57,8 +63,9 @@
 func NewRecorder(log zerolog.Logger, metrics *Metrics) *Recorder {
 	return &Recorder{
 		log: log, metrics: metrics, unknownHeaders: map[string]bool{},
-		limiter:        rate.NewLimiter(linesPerSecond, lineBurst),
-		abortedLimiter: rate.NewLimiter(abortedLinesPerSecond, abortedLineBurst),
+		limiter:           rate.NewLimiter(linesPerSecond, lineBurst),
+		abortedLimiter:    rate.NewLimiter(abortedLinesPerSecond, abortedLineBurst),
+		turnedAwayLimiter: rate.NewLimiter(turnedAwayLinesPerSecond, turnedAwayLineBurst),
 	}
 }
 
@@ -325,9 +332,13 @@
 }
 
 // ConnectionTurnedAway records a client's connection that was closed before anything was read from it.
-func (recorder *Recorder) ConnectionTurnedAway(reason string, open, limit int) {
-	recorder.metrics.turnedAway.WithLabelValues(reason).Inc()
-	recorder.limitedLine(zerolog.InfoLevel).Str("reason", reason).Int("open", open).Int("limit", limit).Msg("connection turned away")
+func (recorder *Recorder) ConnectionTurnedAway(reason connlimit.Reason, arrival connlimit.Arrival, open, limit int) {
+	recorder.metrics.turnedAway.WithLabelValues(string(reason)).Inc()
+	line := recorder.lineWithin(recorder.turnedAwayLimiter, zerolog.InfoLevel).Str("reason", string(reason)).Str("client", arrival.Client)
+	if arrival.Known {
+		line.Int("unread", arrival.Unread).Dur("waited", arrival.Waited)
+	}
+	line.Int("open", open).Int("limit", limit).Msg("connection turned away")
 }
 
 // SheddingChanged records that the node begins or ceases to turn new connections away for want of processor time.
