Accept the connections that clients have established before a stopping node closes its listener

Callers saw requests on new connections end with a reset at the moment a node that stops closed its listener: 3 requests of one stop in a soak on one processor, 356 ms before the process ended.

The kernel resets what waits in a listener's backlog when the listener is closed, with the requests that have arrived. A node that gets the processor late has connections there.

Drain lets Accept return them, without waiting for more, and then closes the listener. TestDrainAcceptsEstablishedConnections and TestEstablishedConnectionDuringShutdownIsAnswered fail with a Drain that only closes (3 of 3) and pass.

Tests: the fixture's listener is drained as that of the program is; two tests that close it name it by its new type.

--- a/cmd/cloverrail/clientclose_test.go
+++ b/cmd/cloverrail/clientclose_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/proxy"
 	"github.com/cloverrail/cloverrail/platform"
 	"github.com/cloverrail/cloverrail/platform/standin"
@@ -43,7 +44,11 @@
 }
 
 func (fixture *fixture) connect() *clientConnection {
-	connection, err := net.Dial("tcp", fixture.frontend.Listener.Addr().String())
+	return fixture.connectTo(fixture.frontend.Listener.Addr().String())
+}
+
+func (fixture *fixture) connectTo(address string) *clientConnection {
+	connection, err := net.Dial("tcp", address)
 	require.NoError(fixture.t, err)
 	fixture.t.Cleanup(func() { _ = connection.Close() })
 	return &clientConnection{t: fixture.t, TCPConn: connection.(*net.TCPConn), reader: bufio.NewReader(connection)}
@@ -244,7 +249,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 		defer cancel()
-		fixture.clientServer.close(ctx, fixture.frontend.Listener)
+		fixture.clientServer.close(ctx, fixture.clients)
 		close(closed)
 	}()
 	idle.awaitClose()
@@ -256,6 +261,33 @@
 	<-closed
 }
 
+// A request on a connection that was established, but not accepted yet when the node began to close its connections is
+// answered.
+func TestEstablishedConnectionDuringShutdownIsAnswered(t *testing.T) {
+	t.Parallel()
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, "done")))
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener, server := fixture.process.limitConnections(t.Context(), plain), &clientServer{}
+	server.Handler, server.ConnContext, server.ConnState = fixture.clientServer.Handler, clientconn.WithConn, server.trackState
+	server.IdleTimeout = idleTimeout
+	client := fixture.connectTo(plain.Addr().String())
+	client.writeRequest(fixture, "/once/")
+	closed := make(chan struct{})
+	go func() {
+		ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+		defer cancel()
+		server.close(ctx, listener)
+		close(closed)
+	}()
+	time.Sleep(beforeClose)
+	go func() { _ = server.Serve(fixture.process.observeClients(listener)) }()
+	got := client.readResponse()
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+	<-closed
+}
+
 // A request on a kept connection whose head is being read while the node closes its connections is answered.
 func TestHeadDuringShutdownIsAnswered(t *testing.T) {
 	t.Parallel()
@@ -274,7 +306,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 		defer cancel()
-		fixture.clientServer.close(ctx, fixture.frontend.Listener)
+		fixture.clientServer.close(ctx, fixture.clients)
 		close(closed)
 	}()
 	idle.awaitClose()
--- a/cmd/cloverrail/connections.go
+++ b/cmd/cloverrail/connections.go
@@ -26,15 +26,14 @@
 
 // limitConnections returns a listener of clients' connections that accepts as many as this node can serve, until the
 // context ends.
-func (process *process) limitConnections(ctx context.Context, listener net.Listener) net.Listener {
+func (process *process) limitConnections(ctx context.Context, listener net.Listener) *connlimit.Listener {
 	gate := connlimit.NewGate(connlimit.LimitFor(descriptors(process.settings.Descriptors), process.settings.MemoryBytes()))
 	process.metrics.Gauge("cloverrail_proxy_client_connections", "Open connections of clients.", func() float64 { return float64(gate.Open()) })
 	process.metrics.Gauge("cloverrail_proxy_client_connections_limit", "Connections of clients that this node can hold; 0 if there is no bound.", func() float64 { return float64(gate.Limit()) })
 	go process.observeDelay(ctx, gate)
-	limited := &connlimit.Listener{Listener: listener, Gate: gate, OnTurnedAway: func(reason connlimit.Reason, arrival connlimit.Arrival) {
+	return &connlimit.Listener{Listener: listener, Gate: gate, OnTurnedAway: func(reason connlimit.Reason, arrival connlimit.Arrival) {
 		process.recorder.ConnectionTurnedAway(reason, arrival, gate.Open(), gate.Limit())
 	}}
-	return process.observeClients(limited)
 }
 
 // observeClients returns a listener whose connections follow the declared timeouts.
@@ -95,11 +94,12 @@
 	})
 }
 
-// close stops accepting connections and closes idle ones, the others after their next response. It returns once all are
-// closed, or when the context ends. Unlike http.Server.Shutdown and SetKeepAlivesEnabled, it drops no request that has
-// been read, or is being read.
-func (c *clientServer) close(ctx context.Context, listener net.Listener) {
-	_ = listener.Close()
+// close stops accepting connections, beyond those that clients have established, and closes idle ones, the others after
+// their next response. It returns once all are closed, or when the context ends. Unlike http.Server.Shutdown and
+// SetKeepAlivesEnabled, it drops no request that has been read, or is being read.
+func (c *clientServer) close(ctx context.Context, listener *connlimit.Listener) {
+	// What remains if the context ends is closed with the process.
+	_ = listener.Drain(ctx)
 	for ctx.Err() == nil && c.count.Load() > 0 {
 		c.endIdle()
 		pause.For(ctx, closePollInterval)
--- a/cmd/cloverrail/fixture_test.go
+++ b/cmd/cloverrail/fixture_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/connlimit"
 	"github.com/cloverrail/cloverrail/internal/forward"
 	"github.com/cloverrail/cloverrail/internal/lab/faultwire"
 	"github.com/cloverrail/cloverrail/internal/origin"
@@ -44,8 +45,10 @@
 	frontend *httptest.Server
 	// clientServer is the server that frontend runs.
 	clientServer *clientServer
-	requests     atomic.Int64
-	version      int64
+	// clients is the listener of frontend.
+	clients  *connlimit.Listener
+	requests atomic.Int64
+	version  int64
 	// kill stops the node as seen from other nodes.
 	kill func()
 	// links are the connections from the node to the store and from other nodes to it. isolated
@@ -186,7 +189,8 @@
 	fixture.frontend = httptest.NewUnstartedServer(nil)
 	fixture.clientServer = fixture.process.newClientServer()
 	fixture.frontend.Config = &fixture.clientServer.Server
-	fixture.frontend.Listener = fixture.process.observeClients(fixture.frontend.Listener)
+	fixture.clients = &connlimit.Listener{Listener: fixture.frontend.Listener, Gate: connlimit.NewGate(0)}
+	fixture.frontend.Listener = fixture.process.observeClients(fixture.clients)
 	fixture.frontend.Start()
 	t.Cleanup(fixture.frontend.Close)
 	return fixture
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -107,13 +107,13 @@
 			return err
 		}
 	}
-	clients, err := listen(config.CallerAddress)
+	listener, err := listen(config.CallerAddress)
 	if err != nil {
 		return err
 	}
-	clients = process.limitConnections(ctx, clients)
+	clients := process.limitConnections(ctx, listener)
 	clientServer := process.newClientServer()
-	go func() { _ = clientServer.Serve(clients) }()
+	go func() { _ = clientServer.Serve(process.observeClients(clients)) }()
 	process.log.Info().Str("zone", config.Zone).Msg("started")
 	for running := true; running; {
 		select {
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -1,11 +1,15 @@
 package connlimit
 
 import (
+	"context"
 	"net"
+	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Listener accepts the connections that its gate admits, and closes all others without reading from them.
@@ -14,12 +18,17 @@
 	Gate *Gate
 	// OnTurnedAway is called for each connection that is closed unread. It must not block.
 	OnTurnedAway func(reason Reason, arrival Arrival)
+
+	// draining is set once Drain is called, and drained is called once Accept has returned the last connection.
+	mutex    sync.Mutex
+	draining bool
+	drained  context.CancelFunc
 }
 
 // Accept returns the next connection that the gate admits.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		accepted, err := l.Listener.Accept()
+		accepted, err := l.accept()
 		if err != nil {
 			return nil, err
 		}
@@ -32,6 +41,79 @@
 	}
 }
 
+// accept returns the next connection. While the listener is drained, it does not wait for one.
+func (l *Listener) accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err == nil {
+		return accepted, nil
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.draining || errors.Is(err, net.ErrClosed) {
+		return nil, err
+	}
+	accepted, err = acceptEstablished(l.Listener)
+	if errors.Is(err, unix.EAGAIN) {
+		_ = l.Listener.Close()
+		l.drained()
+		return nil, net.ErrClosed
+	}
+	return accepted, err
+}
+
+// Drain closes the listener once Accept, which must be called until it fails, has returned the connections that clients
+// have established. Closing it at once would reset them, with requests that have been sent. If the context ends before, it
+// closes the listener all the same, and returns the context's error.
+func (l *Listener) Drain(ctx context.Context) error {
+	drained, end := context.WithCancel(context.Background())
+	defer end()
+	l.mutex.Lock()
+	l.draining, l.drained = true, end
+	l.mutex.Unlock()
+	deadline, hasDeadline := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !hasDeadline {
+		return l.Close()
+	}
+	if err := deadline.SetDeadline(time.Unix(1, 0)); err != nil {
+		return errors.Trace(err)
+	}
+	select {
+	case <-drained.Done():
+		return nil
+	case <-ctx.Done():
+		_ = l.Close()
+		return ctx.Err()
+	}
+}
+
+// acceptEstablished returns a connection that has been established, or EAGAIN if there is none. Unlike Accept, it does so
+// after the listener's deadline, too.
+func acceptEstablished(listener net.Listener) (net.Conn, error) {
+	socket, isSocket := listener.(syscall.Conn)
+	if !isSocket {
+		return nil, errors.NotSupportedf("raw connection of %T", listener)
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	accepted, acceptErr := -1, error(unix.ECONNABORTED)
+	err = raw.Control(func(descriptor uintptr) {
+		for errors.Is(acceptErr, unix.ECONNABORTED) || errors.Is(acceptErr, unix.EINTR) {
+			accepted, _, acceptErr = unix.Accept4(int(descriptor), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	if acceptErr != nil {
+		return nil, acceptErr
+	}
+	file := os.NewFile(uintptr(accepted), "connection")
+	defer file.Close()
+	return net.FileConn(file)
+}
+
 // conn is an accepted connection.
 type conn struct {
 	net.Conn
