Read what has arrived on a connection before its wait ends

What callers saw: a request that had arrived whole on a kept connection could get nothing from a node that stops and gets the processor late; none was seen in a soak, tests alone show it.

The node ended connections at rest by a deadline, and a read whose deadline has passed does not look whether data is there. A process that was paused twice did the same when a declared timeout had passed: it was given 20 ms to read what had arrived in time.

When a wait ends, the connection counts the bytes that have arrived, and reads these however long that takes, but nothing beyond them.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -88,28 +88,45 @@
 	if end := c.End(); end != EndNone {
 		return end == EndOfData
 	}
-	socket, isSocket := c.Conn.(syscall.Conn)
-	if !isSocket {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
 	ended := false
-	_ = raw.Control(func(descriptor uintptr) {
-		n, _, err := unix.Recvfrom(int(descriptor), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	c.control(func(descriptor int) {
+		n, _, err := unix.Recvfrom(descriptor, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		ended = err == nil && n == 0
 	})
 	return ended
 }
 
+// unread returns the number of bytes that have arrived and were not read yet, as far as the kernel tells.
+func (c *Conn) unread() int {
+	unread := 0
+	c.control(func(descriptor int) {
+		if n, err := unix.IoctlGetInt(descriptor, unix.TIOCINQ); err == nil {
+			unread = n
+		}
+	})
+	return unread
+}
+
+// control calls f with the connection's descriptor, if it has one.
+func (c *Conn) control(f func(descriptor int)) {
+	socket, isSocket := c.Conn.(syscall.Conn)
+	if !isSocket {
+		return
+	}
+	if raw, err := socket.SyscallConn(); err == nil {
+		_ = raw.Control(func(descriptor uintptr) { f(int(descriptor)) })
+	}
+}
+
 // Read reads from the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	for isTimeout(err) && c.extendWait() {
 		n, err = c.Conn.Read(p)
 	}
+	if n > 0 {
+		c.recordRead(n)
+	}
 	switch {
 	case err == nil, isTimeout(err), errors.Is(err, net.ErrClosed):
 	case errors.Is(err, io.EOF):
--- a/internal/clientconn/timeouts.go
+++ b/internal/clientconn/timeouts.go
@@ -37,8 +37,12 @@
 	// waiting is what the connection waits for, since a time; zero if it waits for neither.
 	waiting Waiting
 	since   time.Time
-	// final is set once the wait has ended, and the connection reads what has arrived.
-	final bool
+	// final is set once the wait has ended, and the connection reads what has arrived. unread is how many bytes had arrived
+	// by then that were not read yet.
+	final  bool
+	unread int
+	// ended is set if the node has ended the wait, and received once something of the request has been read.
+	ended, received bool
 }
 
 // TrackState records that a request has ended. It is meant for http.Server.ConnState.
@@ -58,11 +62,11 @@
 	c.wait.mutex.Lock()
 	defer c.wait.mutex.Unlock()
 	now := time.Now()
-	c.wait.since, c.wait.final = time.Time{}, false
+	c.wait.since, c.wait.final, c.wait.ended = time.Time{}, false, false
 	if deadline.After(now) {
 		c.wait.waiting, c.wait.since = WaitingForHead, now
 		if c.wait.idle {
-			c.wait.waiting, c.wait.idle = WaitingIdle, false
+			c.wait.waiting, c.wait.idle, c.wait.received = WaitingIdle, false, false
 		}
 		if timeout := c.declaredTimeout(); timeout > 0 {
 			deadline = now.Add(timeout)
@@ -93,24 +97,37 @@
 	}
 	now := time.Now()
 	deadline := c.wait.since.Add(c.declaredTimeout())
-	if !deadline.After(now) {
-		if c.wait.final {
-			c.onTimeout(c.wait.waiting)
+	if c.wait.ended || !deadline.After(now) {
+		if c.wait.final && c.wait.unread <= 0 {
+			if !c.wait.ended {
+				c.onTimeout(c.wait.waiting)
+			}
 			return false
 		}
-		c.wait.final, deadline = true, now.Add(finalReadTimeout)
+		if !c.wait.final {
+			c.wait.final, c.wait.unread = true, c.unread()
+		}
+		deadline = now.Add(finalReadTimeout)
 	}
 	return c.Conn.SetReadDeadline(deadline) == nil
 }
 
-// EndIdle ends the connection if it waits for the next request, and nothing of that has been read. Closing it could lose
-// a request that is being read meanwhile.
+// EndIdle ends the connection if it waits for the next request, and nothing of that has arrived. Closing it could lose a
+// request that has arrived, or is being read meanwhile.
 func (c *Conn) EndIdle() {
 	c.wait.mutex.Lock()
 	defer c.wait.mutex.Unlock()
-	if c.wait.since.IsZero() || c.wait.waiting != WaitingIdle {
+	if c.wait.since.IsZero() || c.wait.waiting != WaitingIdle || c.wait.received || c.wait.ended {
 		return
 	}
-	c.wait.since = time.Time{}
+	c.wait.ended = true
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
+
+// recordRead records that bytes have been read.
+func (c *Conn) recordRead(n int) {
+	c.wait.mutex.Lock()
+	defer c.wait.mutex.Unlock()
+	c.wait.received = true
+	c.wait.unread -= n
+}
--- a/internal/clientconn/timeouts_test.go
+++ b/internal/clientconn/timeouts_test.go
@@ -1,6 +1,7 @@
 package clientconn
 
 import (
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -33,3 +34,88 @@
 		})
 	}
 }
+
+// A request that has arrived on a connection at rest is read, even if the node ends such connections first.
+func TestEndIdleReadsDataThatArrived(t *testing.T) {
+	conn, client := acceptOne(t)
+	TrackState(conn, http.StateIdle)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err := client.Write([]byte("GET"))
+	require.NoError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	conn.EndIdle()
+	time.Sleep(2 * finalReadTimeout)
+	buffer := make([]byte, 1)
+	for _, want := range "GET" {
+		n, err := conn.Read(buffer)
+		require.NoError(t, err)
+		require.Equal(t, string(want), string(buffer[:n]))
+		conn.EndIdle()
+	}
+}
+
+// A connection at rest on which nothing has arrived ends, and not for its client's silence.
+func TestEndIdleEndsConnectionAtRest(t *testing.T) {
+	conn, _ := acceptOne(t)
+	conn.onTimeout = func(waiting Waiting) { t.Error("timed out", waiting) }
+	TrackState(conn, http.StateIdle)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+	conn.EndIdle()
+	_, err := conn.Read(make([]byte, 1))
+	require.True(t, isTimeout(err), err)
+}
+
+// pausedReader is a connection whose process may be paused before it reads.
+type pausedReader struct {
+	*net.TCPConn
+	before func()
+}
+
+func (p *pausedReader) Read(buffer []byte) (int, error) {
+	p.before()
+	return p.TCPConn.Read(buffer)
+}
+
+// Data that arrived in time is read, however long the process is paused before it reads.
+func TestDataIsReadByPausedProcess(t *testing.T) {
+	conn, client := acceptOne(t)
+	conn.timeouts = func() Timeouts { return Timeouts{Head: 50 * time.Millisecond} }
+	reads := 0
+	conn.Conn = &pausedReader{TCPConn: conn.Conn.(*net.TCPConn), before: func() {
+		if reads++; reads < 4 {
+			time.Sleep(2 * finalReadTimeout)
+		}
+	}}
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err := client.Write([]byte("GET"))
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	buffer := make([]byte, 16)
+	n, err := conn.Read(buffer)
+	require.NoError(t, err)
+	require.Equal(t, "GET", string(buffer[:n]))
+}
+
+// A client that sends on without end is not read beyond what had arrived when the wait ended.
+func TestDataAfterDeadlineIsNotRead(t *testing.T) {
+	conn, client := acceptOne(t)
+	conn.timeouts = func() Timeouts { return Timeouts{Head: 50 * time.Millisecond} }
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+	go func() {
+		for {
+			if _, err := client.Write([]byte("X")); err != nil {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	startedAt := time.Now()
+	for {
+		if _, err := conn.Read(make([]byte, 1)); err != nil {
+			require.True(t, isTimeout(err), err)
+			break
+		}
+		require.Less(t, time.Since(startedAt), waitTimeout)
+		time.Sleep(2 * time.Millisecond)
+	}
+}
