Answer requests that arrive slowly at a stopping node, within its grace period

What callers saw: a request on a new connection, the first part of which a node had read, ended with a reset 5 ms after its last byte, at the moment the node ended, 3.5 s after its stop signal with a grace period of 8 s.

A node whose requests had ended closed its connections for 400 ms and then ended, whatever it was reading.

It now waits for what it reads until 300 ms before the end of the grace period, as long as it waits for requests. A connection on which nothing has arrived still ends after 400 ms. The line that the node has stopped says how many connections were left. TestRequestThatArrivesSlowlyDuringStopIsAnswered fails with the former time (3 of 3) and passes.

Tests: TestRequestDuringShutdownIsAnswered sets how long the node waits for a first request, which its client sends after another event.

--- a/cmd/cloverrail/clientclose_test.go
+++ b/cmd/cloverrail/clientclose_test.go
@@ -239,6 +239,7 @@
 func TestRequestDuringShutdownIsAnswered(t *testing.T) {
 	t.Parallel()
 	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, "done")))
+	fixture.clientServer.unusedTimeout = waitTimeout
 	client := fixture.connect()
 	idle := fixture.connect()
 	idle.writeRequest(fixture, "/once/")
@@ -268,7 +269,7 @@
 	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, "done")))
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	listener, server := fixture.process.limitConnections(t.Context(), plain), &clientServer{}
+	listener, server := fixture.process.limitConnections(t.Context(), plain), &clientServer{unusedTimeout: waitTimeout}
 	server.Handler, server.ConnContext, server.ConnState = fixture.clientServer.Handler, clientconn.WithConn, server.trackState
 	server.IdleTimeout = idleTimeout
 	client := fixture.connectTo(plain.Addr().String())
@@ -399,3 +400,40 @@
 		})
 	}
 }
+
+// A request that a stopping node has begun to read is answered if the rest of it arrives within the grace period, and a
+// connection without a request does not delay the stop.
+func TestRequestThatArrivesSlowlyDuringStopIsAnswered(t *testing.T) {
+	t.Parallel()
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, "done")))
+	head := "POST /once/ HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer " + key + "\r\n" + standin.HeaderRequestID + ": late\r\nContent-Length: 4\r\n\r\n"
+	withoutHead, withoutBody, unused := fixture.connect(), fixture.connect(), fixture.connect()
+	_, err := io.WriteString(withoutHead, head[:40])
+	require.NoError(t, err)
+	_, err = io.WriteString(withoutBody, head)
+	require.NoError(t, err)
+	time.Sleep(beforeClose)
+	stopped, tasksDone := make(chan struct{}), make(chan struct{})
+	close(tasksDone)
+	go func() {
+		fixture.process.stop(t.Context(), fixture.clients, fixture.clientServer, func() {}, tasksDone)
+		close(stopped)
+	}()
+	unused.awaitClose()
+	time.Sleep(2 * shutdownTimeout)
+	select {
+	case <-stopped:
+		require.Fail(t, "the node has stopped before the requests were read")
+	default:
+	}
+	_, err = io.WriteString(withoutHead, head[40:]+"body")
+	require.NoError(t, err)
+	_, err = io.WriteString(withoutBody, "body")
+	require.NoError(t, err)
+	for _, client := range []*clientConnection{withoutHead, withoutBody} {
+		got := client.readResponse()
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+	}
+	<-stopped
+}
--- a/cmd/cloverrail/connections.go
+++ b/cmd/cloverrail/connections.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/connlimit"
 	"github.com/cloverrail/cloverrail/internal/pause"
@@ -55,6 +56,8 @@
 // clientServer serves clients' connections.
 type clientServer struct {
 	http.Server
+	// unusedTimeout is how long close waits for the first request of a connection.
+	unusedTimeout time.Duration
 	// open holds the open connections, and count their number.
 	open  sync.Map
 	count atomic.Int64
@@ -63,7 +66,7 @@
 // newClientServer returns the server of clients' connections, which observeClients must accept. Its timeouts hold where
 // none are declared.
 func (process *process) newClientServer() *clientServer {
-	c := &clientServer{}
+	c := &clientServer{unusedTimeout: shutdownTimeout}
 	c.Handler = process.ingress()
 	c.ReadHeaderTimeout, c.IdleTimeout = readHeaderTimeout, idleTimeout
 	c.ConnContext, c.ConnState = clientconn.WithConn, c.trackState
@@ -84,24 +87,28 @@
 	}
 }
 
-// endIdle ends the connections that wait for their next request.
-func (c *clientServer) endIdle() {
+// endUnread ends the connections that wait for a request, of which nothing has arrived.
+func (c *clientServer) endUnread(waiting clientconn.Waiting) {
 	c.open.Range(func(key, _ any) bool {
 		if conn, isConn := key.(*clientconn.Conn); isConn {
-			conn.EndIdle()
+			conn.EndUnread(waiting)
 		}
 		return true
 	})
 }
 
 // close stops accepting connections, beyond those that clients have established, and closes idle ones, the others after
-// their next response. It returns once all are closed, or when the context ends. Unlike http.Server.Shutdown and
-// SetKeepAlivesEnabled, it drops no request that has been read, or is being read.
+// their next response, or after unusedTimeout if they bring no request. It returns once all are closed, or when the context ends.
+// Unlike http.Server.Shutdown and SetKeepAlivesEnabled, it drops no request that has been read, or is being read.
 func (c *clientServer) close(ctx context.Context, listener *connlimit.Listener) {
 	// What remains if the context ends is closed with the process.
 	_ = listener.Drain(ctx)
+	closedAt := boottime.Now()
 	for ctx.Err() == nil && c.count.Load() > 0 {
-		c.endIdle()
+		c.endUnread(clientconn.WaitingIdle)
+		if boottime.Since(closedAt) >= c.unusedTimeout {
+			c.endUnread(clientconn.WaitingForHead)
+		}
 		pause.For(ctx, closePollInterval)
 	}
 }
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/connlimit"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/platform"
 )
@@ -22,9 +23,12 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
-	shutdownTimeout   = 400 * time.Millisecond
-	logFlushTimeout   = 100 * time.Millisecond
-	gcPercent         = 50
+	// shutdownTimeout is how long a stopping process waits for its background tasks, and for the first requests of connections.
+	shutdownTimeout = 400 * time.Millisecond
+	// exitMargin is reserved at the end of the grace period for the end of the process.
+	exitMargin      = 300 * time.Millisecond
+	logFlushTimeout = 100 * time.Millisecond
+	gcPercent       = 50
 	// goMemoryShare is the share of a node's memory that the runtime keeps within by collecting garbage more often.
 	goMemoryShare = 0.75
 )
@@ -123,21 +127,30 @@
 			running = false
 		}
 	}
+	process.stop(ctx, clients, clientServer, stopTasks, tasksDone)
+	process.logWriter.Flush(logFlushTimeout)
+	return nil
+}
+
+// stop shuts down gracefully. It returns once the connections of clients and the background tasks have ended, or shortly
+// before the end of the grace period.
+func (process *process) stop(ctx context.Context, clients *connlimit.Listener, clientServer *clientServer, stopTasks func(), tasksDone <-chan struct{}) {
+	stoppedAt, grace := boottime.Now(), process.settings.Grace
 	process.stopping.Store(true)
 	process.log.Info().Int("open", process.proxy.Open()).Msg("stopping")
 	// Background tasks continue while open requests drain: a change of leader is more expensive
 	// for the fleet than a late one.
-	process.proxy.Drain(ctx, config.Grace)
+	process.proxy.Drain(ctx, grace)
 	process.handOverOrigins(ctx)
 	stopTasks()
-	shutdownContext, cancel := context.WithTimeout(ctx, shutdownTimeout)
-	defer cancel()
-	clientServer.close(shutdownContext, clients)
+	tasksContext, cancelTasks := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancelTasks()
+	closeContext, cancelClose := context.WithTimeout(ctx, max(shutdownTimeout, grace-boottime.Since(stoppedAt)-exitMargin))
+	defer cancelClose()
+	clientServer.close(closeContext, clients)
 	select {
 	case <-tasksDone:
-	case <-shutdownContext.Done():
+	case <-tasksContext.Done():
 	}
-	process.log.Info().Msg("stopped")
-	process.logWriter.Flush(logFlushTimeout)
-	return nil
+	process.log.Info().Int64("unfinished", clientServer.count.Load()).Msg("stopped")
 }
--- a/internal/clientconn/timeouts.go
+++ b/internal/clientconn/timeouts.go
@@ -112,12 +112,12 @@
 	return c.Conn.SetReadDeadline(deadline) == nil
 }
 
-// EndIdle ends the connection if it waits for the next request, and nothing of that has arrived. Closing it could lose a
+// EndUnread ends the connection if that is what it waits for, and nothing of the request has arrived. Closing it could lose a
 // request that has arrived, or is being read meanwhile.
-func (c *Conn) EndIdle() {
+func (c *Conn) EndUnread(waiting Waiting) {
 	c.wait.mutex.Lock()
 	defer c.wait.mutex.Unlock()
-	if c.wait.since.IsZero() || c.wait.waiting != WaitingIdle || c.wait.received || c.wait.ended {
+	if c.wait.since.IsZero() || c.wait.waiting != waiting || c.wait.received || c.wait.ended {
 		return
 	}
 	c.wait.ended = true
--- a/internal/clientconn/timeouts_test.go
+++ b/internal/clientconn/timeouts_test.go
@@ -36,31 +36,31 @@
 }
 
 // A request that has arrived on a connection at rest is read, even if the node ends such connections first.
-func TestEndIdleReadsDataThatArrived(t *testing.T) {
+func TestEndUnreadReadsDataThatArrived(t *testing.T) {
 	conn, client := acceptOne(t)
 	TrackState(conn, http.StateIdle)
 	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
 	_, err := client.Write([]byte("GET"))
 	require.NoError(t, err)
 	time.Sleep(20 * time.Millisecond)
-	conn.EndIdle()
+	conn.EndUnread(WaitingIdle)
 	time.Sleep(2 * finalReadTimeout)
 	buffer := make([]byte, 1)
 	for _, want := range "GET" {
 		n, err := conn.Read(buffer)
 		require.NoError(t, err)
 		require.Equal(t, string(want), string(buffer[:n]))
-		conn.EndIdle()
+		conn.EndUnread(WaitingIdle)
 	}
 }
 
 // A connection at rest on which nothing has arrived ends, and not for its client's silence.
-func TestEndIdleEndsConnectionAtRest(t *testing.T) {
+func TestEndUnreadEndsConnectionAtRest(t *testing.T) {
 	conn, _ := acceptOne(t)
 	conn.onTimeout = func(waiting Waiting) { t.Error("timed out", waiting) }
 	TrackState(conn, http.StateIdle)
 	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
-	conn.EndIdle()
+	conn.EndUnread(WaitingIdle)
 	_, err := conn.Read(make([]byte, 1))
 	require.True(t, isTimeout(err), err)
 }
