--- a/cmd/cloverrail/clientclose_test.go
+++ b/cmd/cloverrail/clientclose_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/proxy"
 	"github.com/cloverrail/cloverrail/platform"
 	"github.com/cloverrail/cloverrail/platform/standin"
@@ -43,11 +44,11 @@
 }
 
 func (fixture *fixture) connect() *clientConnection {
-	return fixture.connectTo(fixture.frontend.Listener)
+	return fixture.connectTo(fixture.frontend.Listener.Addr().String())
 }
 
-func (fixture *fixture) connectTo(listener net.Listener) *clientConnection {
-	connection, err := net.Dial("tcp", listener.Addr().String())
+func (fixture *fixture) connectTo(address string) *clientConnection {
+	connection, err := net.Dial("tcp", address)
 	require.NoError(fixture.t, err)
 	fixture.t.Cleanup(func() { _ = connection.Close() })
 	return &clientConnection{t: fixture.t, TCPConn: connection.(*net.TCPConn), reader: bufio.NewReader(connection)}
@@ -238,6 +239,7 @@
 func TestRequestDuringShutdownIsAnswered(t *testing.T) {
 	t.Parallel()
 	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, "done")))
+	fixture.clientServer.UnusedTimeout = waitTimeout
 	client := fixture.connect()
 	idle := fixture.connect()
 	idle.writeRequest(fixture, "/once/")
@@ -248,7 +250,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 		defer cancel()
-		fixture.clientServer.Drain(ctx, fixture.frontend.Listener)
+		fixture.clientServer.Drain(ctx, fixture.clients)
 		close(closed)
 	}()
 	idle.awaitClose()
@@ -260,6 +262,32 @@
 	<-closed
 }
 
+// A request on a connection that was established, but not accepted yet when the node began to close its connections is
+// answered.
+func TestEstablishedConnectionDuringShutdownIsAnswered(t *testing.T) {
+	t.Parallel()
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, "done")))
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener, server := fixture.process.limitConnections(t.Context(), plain), clientconn.NewServer(fixture.clientServer.Handler)
+	server.IdleTimeout, server.UnusedTimeout = idleTimeout, waitTimeout
+	client := fixture.connectTo(plain.Addr().String())
+	client.writeRequest(fixture, "/once/")
+	closed := make(chan struct{})
+	go func() {
+		ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+		defer cancel()
+		server.Drain(ctx, listener)
+		close(closed)
+	}()
+	time.Sleep(beforeClose)
+	go func() { _ = server.Serve(fixture.process.observeClients(listener)) }()
+	got := client.readResponse()
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+	<-closed
+}
+
 // A request on a kept connection whose head is being read while the node closes its connections is answered.
 func TestHeadDuringShutdownIsAnswered(t *testing.T) {
 	t.Parallel()
@@ -278,7 +306,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 		defer cancel()
-		fixture.clientServer.Drain(ctx, fixture.frontend.Listener)
+		fixture.clientServer.Drain(ctx, fixture.clients)
 		close(closed)
 	}()
 	idle.awaitClose()
@@ -311,8 +339,10 @@
 	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, "done")))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	go func() { _ = fixture.clientServer.Serve(fixture.process.limitConnections(t.Context(), listener)) }()
-	client := fixture.connectTo(listener)
+	go func() {
+		_ = fixture.clientServer.Serve(fixture.process.observeClients(fixture.process.limitConnections(t.Context(), listener)))
+	}()
+	client := fixture.connectTo(listener.Addr().String())
 	request, err := http.NewRequest(http.MethodPost, "http://"+host+"/once/", strings.NewReader(strings.Repeat("x", bodyBytes)))
 	require.NoError(t, err)
 	request.Header.Set(standin.HeaderRequestID, "large")
@@ -391,3 +421,40 @@
 		})
 	}
 }
+
+// A request that a stopping node has begun to read is answered if the rest of it arrives within the grace period, and a
+// connection without a request does not delay the stop.
+func TestRequestThatArrivesSlowlyDuringStopIsAnswered(t *testing.T) {
+	t.Parallel()
+	fixture := newFixture(t).serve(plainServer("i-1", standin.Respond(http.StatusOK, "done")))
+	head := "POST /once/ HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer " + key + "\r\n" + standin.HeaderRequestID + ": late\r\nContent-Length: 4\r\n\r\n"
+	withoutHead, withoutBody, unused := fixture.connect(), fixture.connect(), fixture.connect()
+	_, err := io.WriteString(withoutHead, head[:40])
+	require.NoError(t, err)
+	_, err = io.WriteString(withoutBody, head)
+	require.NoError(t, err)
+	time.Sleep(beforeClose)
+	stopped, tasksDone := make(chan struct{}), make(chan struct{})
+	close(tasksDone)
+	go func() {
+		fixture.process.stop(t.Context(), fixture.clients, fixture.clientServer, func() {}, tasksDone)
+		close(stopped)
+	}()
+	unused.awaitClose()
+	time.Sleep(2 * shutdownTimeout)
+	select {
+	case <-stopped:
+		require.Fail(t, "the node has stopped before the requests were read")
+	default:
+	}
+	_, err = io.WriteString(withoutHead, head[40:]+"body")
+	require.NoError(t, err)
+	_, err = io.WriteString(withoutBody, "body")
+	require.NoError(t, err)
+	for _, client := range []*clientConnection{withoutHead, withoutBody} {
+		got := client.readResponse()
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+	}
+	<-stopped
+}
--- a/cmd/cloverrail/connections.go
+++ b/cmd/cloverrail/connections.go
@@ -20,15 +20,14 @@
 
 // limitConnections returns a listener of clients' connections that accepts as many as this node can serve, until the
 // context ends.
-func (process *process) limitConnections(ctx context.Context, listener net.Listener) net.Listener {
+func (process *process) limitConnections(ctx context.Context, listener net.Listener) *connlimit.Listener {
 	gate := connlimit.NewGate(connlimit.LimitFor(descriptors(process.settings.Descriptors), process.settings.MemoryBytes()))
 	process.metrics.Gauge("cloverrail_proxy_client_connections", "Open connections of clients.", func() float64 { return float64(gate.Open()) })
 	process.metrics.Gauge("cloverrail_proxy_client_connections_limit", "Connections of clients that this node can hold; 0 if there is no bound.", func() float64 { return float64(gate.Limit()) })
 	go process.observeDelay(ctx, gate)
-	limited := &connlimit.Listener{Listener: listener, Gate: gate, OnTurnedAway: func(reason connlimit.Reason) {
-		process.recorder.ConnectionTurnedAway(string(reason), gate.Open(), gate.Limit())
+	return &connlimit.Listener{Listener: listener, Gate: gate, OnTurnedAway: func(reason connlimit.Reason, arrival connlimit.Arrival) {
+		process.recorder.ConnectionTurnedAway(reason, arrival, gate.Open(), gate.Limit())
 	}}
-	return process.observeClients(limited)
 }
 
 // observeClients returns a listener whose connections follow the declared timeouts.
@@ -51,7 +50,7 @@
 // none are declared.
 func (process *process) newClientServer() *clientconn.Server {
 	server := clientconn.NewServer(process.ingress())
-	server.ReadHeaderTimeout, server.IdleTimeout = readHeaderTimeout, idleTimeout
+	server.ReadHeaderTimeout, server.IdleTimeout, server.UnusedTimeout = readHeaderTimeout, idleTimeout, shutdownTimeout
 	server.ErrorLog = log.New(process.clients, "", 0)
 	return server
 }
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
+	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/connlimit"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/platform"
@@ -23,9 +24,12 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
-	shutdownTimeout   = 400 * time.Millisecond
-	logFlushTimeout   = 100 * time.Millisecond
-	gcPercent         = 50
+	// shutdownTimeout is how long a stopping process waits for its background tasks, and for the first requests of connections.
+	shutdownTimeout = 400 * time.Millisecond
+	// exitMargin is reserved at the end of the grace period for the end of the process.
+	exitMargin      = 300 * time.Millisecond
+	logFlushTimeout = 100 * time.Millisecond
+	gcPercent       = 50
 	// goMemoryShare is the share of a node's memory that the runtime keeps within by collecting garbage more often.
 	goMemoryShare = 0.75
 )
@@ -61,16 +65,13 @@
 		return nil, err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(connlimit.PersistentListener{Listener: listener}) }()
 	return server, nil
 }
 
 func listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Annotatef(err, "cannot listen on address %s; choose a free port", address)
-	}
-	return connlimit.PersistentListener{Listener: listener}, nil
+	return listener, errors.Annotatef(err, "cannot listen on address %s; choose a free port", address)
 }
 
 // runProxy serves until a stop signal arrives, and then shuts down gracefully. At each hangup it reads the settings file
@@ -111,13 +112,13 @@
 			return err
 		}
 	}
-	clients, err := listen(config.CallerAddress)
+	listener, err := listen(config.CallerAddress)
 	if err != nil {
 		return err
 	}
-	clients = process.limitConnections(ctx, clients)
+	clients := process.limitConnections(ctx, listener)
 	clientServer := process.newClientServer()
-	go func() { _ = clientServer.Serve(clients) }()
+	go func() { _ = clientServer.Serve(process.observeClients(clients)) }()
 	process.log.Info().Str("zone", config.Zone).Msg("started")
 	for running := true; running; {
 		select {
@@ -127,21 +128,30 @@
 			running = false
 		}
 	}
+	process.stop(ctx, clients, clientServer, stopTasks, tasksDone)
+	process.logWriter.Flush(logFlushTimeout)
+	return nil
+}
+
+// stop shuts down gracefully. It returns once the connections of clients and the background tasks have ended, or shortly
+// before the end of the grace period.
+func (process *process) stop(ctx context.Context, clients *connlimit.Listener, clientServer *clientconn.Server, stopTasks func(), tasksDone <-chan struct{}) {
+	stoppedAt, grace := boottime.Now(), process.settings.Grace
 	process.stopping.Store(true)
 	process.log.Info().Int("open", process.proxy.Open()).Msg("stopping")
 	// Background tasks continue while open requests drain: a change of leader is more expensive
 	// for the fleet than a late one.
-	process.proxy.Drain(ctx, config.Grace)
+	process.proxy.Drain(ctx, grace)
 	process.handOverOrigins(ctx)
 	stopTasks()
-	shutdownContext, cancel := context.WithTimeout(ctx, shutdownTimeout)
-	defer cancel()
-	clientServer.Drain(shutdownContext, clients)
+	tasksContext, cancelTasks := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancelTasks()
+	closeContext, cancelClose := context.WithTimeout(ctx, max(shutdownTimeout, grace-boottime.Since(stoppedAt)-exitMargin))
+	defer cancelClose()
+	clientServer.Drain(closeContext, clients)
 	select {
 	case <-tasksDone:
-	case <-shutdownContext.Done():
+	case <-tasksContext.Done():
 	}
-	process.log.Info().Int("connections", clientServer.Open()).Msg("stopped")
-	process.logWriter.Flush(logFlushTimeout)
-	return nil
+	process.log.Info().Int("unfinished", clientServer.Open()).Msg("stopped")
 }
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -1,25 +1,34 @@
 package connlimit
 
 import (
+	"context"
 	"net"
+	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Listener accepts the connections that its gate admits, and closes all others without reading from them.
 type Listener struct {
 	net.Listener
 	Gate *Gate
-	// OnTurnedAway is called with the reason for each connection that is closed unread. It must not block.
-	OnTurnedAway func(reason Reason)
+	// OnTurnedAway is called for each connection that is closed unread. It must not block.
+	OnTurnedAway func(reason Reason, arrival Arrival)
+
+	// draining is set once Drain is called, and drained is called once Accept has returned the last connection.
+	mutex    sync.Mutex
+	draining bool
+	drained  context.CancelFunc
 }
 
 // Accept returns the next connection that the gate admits.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		accepted, err := accept(l.Listener)
+		accepted, err := l.accept()
 		if err != nil {
 			return nil, err
 		}
@@ -27,11 +36,87 @@
 		if admitted {
 			return &conn{Conn: accepted, release: l.Gate.Release}, nil
 		}
-		l.OnTurnedAway(reason)
+		l.OnTurnedAway(reason, arrivalOf(accepted))
 		_ = accepted.Close()
 	}
 }
 
+// accept returns the next connection. While the listener is drained, it does not wait for one.
+func (l *Listener) accept() (net.Conn, error) {
+	accepted, err := accept(l.Listener)
+	if err == nil {
+		return accepted, nil
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.draining || errors.Is(err, net.ErrClosed) {
+		return nil, err
+	}
+	accepted, err = acceptEstablished(l.Listener)
+	switch {
+	case errors.Is(err, unix.EAGAIN):
+		_ = l.Listener.Close()
+		l.drained()
+		return nil, net.ErrClosed
+	case err != nil:
+		return nil, &acceptError{err}
+	}
+	return accepted, nil
+}
+
+// Drain closes the listener once Accept, which must be called until it fails, has returned the connections that clients
+// have established. Closing it at once would reset them, with requests that have been sent. If the context ends before, it
+// closes the listener all the same, and returns the context's error.
+func (l *Listener) Drain(ctx context.Context) error {
+	drained, end := context.WithCancel(context.Background())
+	defer end()
+	l.mutex.Lock()
+	l.draining, l.drained = true, end
+	l.mutex.Unlock()
+	deadline, hasDeadline := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !hasDeadline {
+		return l.Close()
+	}
+	if err := deadline.SetDeadline(time.Unix(1, 0)); err != nil {
+		return errors.Trace(err)
+	}
+	select {
+	case <-drained.Done():
+		return nil
+	case <-ctx.Done():
+		_ = l.Close()
+		return ctx.Err()
+	}
+}
+
+// acceptEstablished returns a connection that has been established, or EAGAIN if there is none. Unlike Accept, it does so
+// after the listener's deadline, too.
+func acceptEstablished(listener net.Listener) (net.Conn, error) {
+	socket, isSocket := listener.(syscall.Conn)
+	if !isSocket {
+		return nil, errors.NotSupportedf("raw connection of %T", listener)
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	accepted, acceptErr := -1, error(unix.ECONNABORTED)
+	err = raw.Control(func(descriptor uintptr) {
+		for errors.Is(acceptErr, unix.ECONNABORTED) || errors.Is(acceptErr, unix.EINTR) {
+			accepted, _, acceptErr = unix.Accept4(int(descriptor), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	if acceptErr != nil {
+		return nil, acceptErr
+	}
+	file := os.NewFile(uintptr(accepted), "connection")
+	defer file.Close()
+	return net.FileConn(file)
+}
+
 // PersistentListener is a listener whose errors of accepting one connection do not end an http.Server.
 type PersistentListener struct{ net.Listener }
 
--- a/internal/connlimit/listener_test.go
+++ b/internal/connlimit/listener_test.go
@@ -41,7 +41,7 @@
 			go func() {
 				failing := &failingListener{Listener: listener, err: err}
 				if limited {
-					done <- server.Serve(&Listener{Listener: failing, Gate: NewGate(0), OnTurnedAway: func(Reason) {}})
+					done <- server.Serve(&Listener{Listener: failing, Gate: NewGate(0), OnTurnedAway: func(Reason, Arrival) {}})
 				} else {
 					done <- server.Serve(PersistentListener{failing})
 				}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/configstore"
 	"github.com/cloverrail/cloverrail/internal/configuration"
+	"github.com/cloverrail/cloverrail/internal/connlimit"
 	"github.com/cloverrail/cloverrail/internal/dispatch"
 	"github.com/cloverrail/cloverrail/internal/endpoint"
 	"github.com/cloverrail/cloverrail/internal/engineapi"
@@ -192,15 +193,16 @@
 	return nil
 }
 
-func (node *Node) listen(address string, handler http.Handler) (*clientconn.Server, net.Listener, error) {
+func (node *Node) listen(address string, handler http.Handler) (*clientconn.Server, *connlimit.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, errors.Annotatef(err, "cannot listen on %s; choose a free port", address)
 	}
 	server := clientconn.NewServer(handler)
 	server.ReadHeaderTimeout, server.IdleTimeout = readHeaderTimeout, idleTimeout
-	go func() { _ = server.Serve(&clientconn.Listener{Listener: listener}) }()
-	return server, listener, nil
+	unlimited := &connlimit.Listener{Listener: listener, Gate: connlimit.NewGate(0), OnTurnedAway: func(connlimit.Reason, connlimit.Arrival) {}}
+	go func() { _ = server.Serve(&clientconn.Listener{Listener: unlimited}) }()
+	return server, unlimited, nil
 }
 
 // logClientEnd logs what became of a caller whose side of the connection ended before its response.
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/clientconn"
+	"github.com/cloverrail/cloverrail/internal/connlimit"
 	"github.com/cloverrail/cloverrail/internal/membership"
 )
 
-func (node *Node) drain(server *clientconn.Server, listener net.Listener) {
+func (node *Node) drain(server *clientconn.Server, listener *connlimit.Listener) {
 	node.log.Info().Int("open", node.lifecycle.openRequests()).Msg("node draining")
 	node.lifecycle.markUnready()
 	node.gossip.apply((*membership.Machine).Drain)
