Count each response that clears a crash of a part

Callers of requests with sound parts got 503 "held_off" for 3 to 6 s, though requests with the same parts were served between the crashes. In a run of TestTwoPartsThatCrashServersAreQuarantined on one processor node 0 rejected a request for its part "system", which all sound requests share, at 0 ms, for 6 crashes at -3029 to -1326 ms. A sound request that was sent at -2012 had been served at -1398, which leaves 3 crashes.

Cause: of the responses to requests with a part the ledger recorded one in 1.5 s, by the time when the request was sent, so that a popular part takes few messages. It dropped the others also where they cleared crashes. With responses of 0.6 to 1.2 s the crashes of more than two seconds stayed, enough for a quarantine.

Change: a response that clears a crash is always recorded, and passed on. Each clears at least one crash that its node counts, so that crashes bound them. Others are recorded once in 1.5 s, as before.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -67,8 +67,8 @@
 	// servedTTL is how long a complete response clears a request, even if further servers crash
 	// under it. It is many times the propagation time of an observation, which is under a second.
 	servedTTL = 30 * time.Second
-	// partServedInterval is the minimum time between two complete responses that are recorded for a part, so that
-	// a popular part takes few messages however many nodes serve it.
+	// partServedInterval is the minimum time between two complete responses that are recorded for a part and clear no
+	// crash of it, so that a popular part takes few messages however many nodes serve it.
 	partServedInterval = propagationTime
 	// maxSuspects bounds the remembered suspects. It is the number of requests that become suspect at once when a
 	// zone of 250 servers with 16 requests each is lost, and as many parts that they share.
@@ -128,6 +128,16 @@
 	return h.served.isSet() && until.After(at)
 }
 
+// crashedBefore reports whether a crash before a given time counts.
+func (h *history) crashedBefore(at time.Time) bool {
+	for _, crash := range h.crashes {
+		if crash.at.Before(at) {
+			return true
+		}
+	}
+	return false
+}
+
 // Ledger records observations of requests and derives verdicts from them. It is safe for
 // concurrent use.
 type Ledger struct {
@@ -230,12 +240,7 @@
 	if !part {
 		return !h.served.isSet() || at.Sub(h.served.at) >= servedTTL/2
 	}
-	for _, crash := range h.crashes {
-		if crash.at.Before(at) {
-			return true
-		}
-	}
-	return l.pending[f] > 0 || h.quarantined.isSet()
+	return h.crashedBefore(at) || l.pending[f] > 0 || h.quarantined.isSet()
 }
 
 // ApplyStored records the suspects that are quarantined in the shared store.
@@ -275,7 +280,8 @@
 }
 
 // merge adds an observation to a history, and reports whether it was new. The result does not
-// depend on the order of observations, except that of complete responses to a part within partServedInterval.
+// depend on the order of observations, except that of complete responses to a part within partServedInterval that clear
+// no crash.
 func (l *Ledger) merge(h *history, item Item, new observation) bool {
 	switch item.Kind {
 	case KindCrashed:
@@ -295,7 +301,7 @@
 		l.suspectsAt(item.Server)[item.Fingerprint] = true
 	case KindServed:
 		newest := h.served.at
-		if h.part && h.served.isSet() {
+		if h.part && !h.crashedBefore(new.at) {
 			newest = newest.Add(partServedInterval)
 		}
 		if h.served.isSet() && !new.at.After(newest) {
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -114,6 +114,38 @@
 	require.True(t, l.Evaluate(prompt(500, badPart), alwaysConfirmed, later.Add(time.Minute/2)).Quarantined, "the part has become harmful")
 }
 
+// Guards against ignoring responses that come soon after another one: a sound part whose requests are served again and
+// again, and run beside each crash of another part, is not quarantined.
+func TestPartThatIsServedBetweenCrashesIsNotQuarantined(t *testing.T) {
+	const (
+		crashInterval = 250 * time.Millisecond
+		settleDelay   = 500 * time.Millisecond
+		sendInterval  = 600 * time.Millisecond
+		responseTime  = 1200 * time.Millisecond
+		step          = 50 * time.Millisecond
+	)
+	l := NewLedger()
+	for elapsed := time.Duration(0); elapsed < 10*time.Second; elapsed += step {
+		now := begin.Add(elapsed)
+		if crashedAt := elapsed - settleDelay; crashedAt >= 0 && crashedAt%crashInterval == 0 {
+			number := uint64(crashedAt / crashInterval)
+			running := []Suspects{prompt(Fingerprint(number+1), badPart), prompt(Fingerprint(number+101), systemPart, otherPart)}
+			for _, s := range running {
+				l.Suspect(s)
+			}
+			for _, s := range running {
+				l.Resolve(s, number, begin.Add(crashedAt), true, now)
+			}
+		}
+		if sentAt := elapsed - responseTime; sentAt >= 0 && sentAt%sendInterval == 0 {
+			l.Served(prompt(Fingerprint(2000+sentAt/sendInterval), systemPart, otherPart), begin.Add(sentAt), now)
+		}
+		unconfirmed := func(_ uint64, at time.Time) bool { return now.Sub(at) < awarenessDelay }
+		require.False(t, l.Evaluate(prompt(5000, systemPart, otherPart), unconfirmed, now).Quarantined, "after %v", elapsed)
+	}
+	require.True(t, l.Evaluate(prompt(5001, badPart), alwaysConfirmed, begin.Add(10*time.Second)).Quarantined)
+}
+
 // A quarantined part stays quarantined until a trial is served, and each failed trial doubles the time to the next.
 func TestFailedTrialsBecomeRarer(t *testing.T) {
 	l, now := NewLedger(), begin
