--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -35,8 +35,8 @@
 	abortedLinesPerSecond = 20
 	abortedLineBurst      = 200
 	// turnedAwayLinesPerSecond and turnedAwayLineBurst are the rate limit of lines about connections that were closed unread.
-	turnedAwayLinesPerSecond = 100
-	turnedAwayLineBurst      = 400
+	turnedAwayLinesPerSecond = 400
+	turnedAwayLineBurst      = 1000
 )
 
 // Recorder logs and counts each decision about a request and each change of the
