--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -35,8 +35,8 @@
 	abortedLinesPerSecond = 20
 	abortedLineBurst      = 200
 	// turnedAwayLinesPerSecond and turnedAwayLineBurst are the rate limit of lines about connections that were closed unread.
-	turnedAwayLinesPerSecond = 400
-	turnedAwayLineBurst      = 1000
+	turnedAwayLinesPerSecond = 2000
+	turnedAwayLineBurst      = 4000
 )
 
 // Recorder logs and counts each decision about a request and each change of the
