Name the rule that stood against another attempt when a request is given up

What operators saw: "given up after 2 attempts: the server refused the request", whether the route's runs, the bound of sends, the retry budget or the repeatability stood against another attempt.

Change: takeRetry returns the rule, and the failure names it. Decisions are the same. go test ./internal/exchange: passes; TestFailureNamesRuleAgainstRetry does not compile on the former code, which has no such names.

--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -182,7 +182,7 @@
 		// The caller already has the head of another response.
 		return machine.retryOrFail(now, "the server did not resume the stream")
 	}
-	if event.Faulty && machine.mayRetry(now, true) {
+	if event.Faulty && machine.takeRetry(now, true) == retryAllowed {
 		machine.stashed = true
 		return append([]Action{Stash{}}, machine.place(now)...)
 	}
@@ -192,10 +192,11 @@
 
 // unvouched handles a response that is not delivered. The attempt has ended at its server, as after any response.
 func (machine *Machine) unvouched(now time.Time, event Unvouched) []Action {
-	if machine.mayRetry(now, true) {
+	denied := machine.takeRetry(now, true)
+	if denied == retryAllowed {
 		return append([]Action{Cancel{}}, machine.place(now)...)
 	}
-	return machine.giveUp(fmt.Sprintf("the server responded with status %d and did not state that the request did not run", event.Status))
+	return machine.giveUp(fmt.Sprintf("the server responded with status %d and did not state that the request did not run", event.Status), denied)
 }
 
 // sendHead commits the response to the current attempt's head, unless the caller has one already. A stream that fails
@@ -222,7 +223,7 @@
 
 // silent cancels a silent attempt only if it may be retried.
 func (machine *Machine) silent(now time.Time) []Action {
-	if !machine.inFlight() || !machine.mayRetry(now, true) {
+	if !machine.inFlight() || machine.takeRetry(now, true) != retryAllowed {
 		return nil
 	}
 	machine.silentServers = append(machine.silentServers, machine.server)
@@ -249,22 +250,24 @@
 // notRun handles an attempt that certainly did not run. If it reached the server, a retry is charged to the budget.
 func (machine *Machine) notRun(now time.Time, reason string, reachedServer bool) []Action {
 	machine.runs--
-	if machine.mayRetry(now, reachedServer) {
+	denied := machine.takeRetry(now, reachedServer)
+	if denied == retryAllowed {
 		return append([]Action{Cancel{}}, machine.place(now)...)
 	}
-	return machine.giveUp(reason)
+	return machine.giveUp(reason, denied)
 }
 
 // retryOrFail handles a failed attempt that may have run, and charges a retry to the budget.
 func (machine *Machine) retryOrFail(now time.Time, reason string) []Action {
-	if machine.mayRetry(now, true) {
+	denied := machine.takeRetry(now, true)
+	if denied == retryAllowed {
 		return machine.release()
 	}
-	return machine.giveUp(reason)
+	return machine.giveUp(reason, denied)
 }
 
-// giveUp ends a request whose last attempt has failed.
-func (machine *Machine) giveUp(reason string) []Action {
+// giveUp ends a request whose last attempt has failed, and which is not sent again for the given reason.
+func (machine *Machine) giveUp(reason string, denied retryDenial) []Action {
 	if machine.stashed {
 		machine.phase = finished
 		return []Action{Cancel{}, Deliver{}}
@@ -273,21 +276,34 @@
 	if machine.headSent {
 		kind = failure.KindStreamBroken
 	}
-	return append([]Action{Cancel{}}, machine.fail(kind, fmt.Sprintf("given up after %d attempts: %s", machine.sends, reason), "send the request again")...)
+	return append([]Action{Cancel{}}, machine.fail(kind, fmt.Sprintf("given up after %d attempts (%s): %s", machine.sends, denied, reason), "send the request again")...)
 }
 
-// mayRetry reports whether one more attempt is permitted, and charges it to the budget
-// if the failed one reached the server.
-func (machine *Machine) mayRetry(now time.Time, reachedServer bool) bool {
+// retryDenial is why no further attempt is permitted.
+type retryDenial string
+
+const (
+	retryAllowed   retryDenial = ""
+	deniedRepeat   retryDenial = "it may not run twice"
+	deniedByRuns   retryDenial = "the route allows no more runs"
+	deniedBySends  retryDenial = "too many servers did not take it"
+	deniedByBudget retryDenial = "the service's retry budget is spent"
+)
+
+// takeRetry returns why one more attempt is not permitted, or retryAllowed. It charges a permitted one to the budget if the
+// failed one reached the server.
+func (machine *Machine) takeRetry(now time.Time, reachedServer bool) retryDenial {
 	switch {
 	case machine.runs > 0 && !machine.rules.Repeatable:
-		return false
-	case machine.runs >= machine.rules.MaxRuns || machine.sends >= machine.rules.MaxSends:
-		return false
-	case !reachedServer:
-		return true
+		return deniedRepeat
+	case machine.runs >= machine.rules.MaxRuns:
+		return deniedByRuns
+	case machine.sends >= machine.rules.MaxSends:
+		return deniedBySends
+	case !reachedServer || machine.budget.Withdraw(now):
+		return retryAllowed
 	default:
-		return machine.budget.Withdraw(now)
+		return deniedByBudget
 	}
 }
 
--- a/internal/exchange/machine_test.go
+++ b/internal/exchange/machine_test.go
@@ -196,6 +196,26 @@
 	require.Equal(t, failure.NotRun, denied[1].(Fail).Failure.Outcome)
 }
 
+// Guards against requests that are given up without a word about the rule that stood against another attempt.
+func TestFailureNamesRuleAgainstRetry(t *testing.T) {
+	begun := []Event{Placed{Server: "a"}, Opened{}, Arrived{ID: 1, HasID: true}, Silent{}, Released{}, Placed{Server: "b"}}
+	for denied, actions := range map[retryDenial][]Action{
+		deniedRepeat:   lastActions(singleRun, 9, nil, Placed{Server: "a"}, Broken{}),
+		deniedByRuns:   lastActions(twoRuns, 9, nil, append(begun, Broken{})...),
+		deniedBySends:  lastActions(Rules{Repeatable: true, MaxRuns: 2, MaxSends: 1}, 9, nil, Placed{Server: "a"}, Refused{}),
+		deniedByBudget: lastActions(singleRun, 0, nil, Placed{Server: "a"}, Refused{}),
+	} {
+		var problem string
+		switch last := actions[len(actions)-1].(type) {
+		case Fail:
+			problem = last.Failure.Problem
+		case Cut:
+			problem = last.Failure.Problem
+		}
+		require.Contains(t, problem, string(denied))
+	}
+}
+
 func TestStreamResumesAfterLastEvent(t *testing.T) {
 	events := []Event{Placed{Server: "a"}, Opened{}, Arrived{ID: 1, HasID: true}, Arrived{ID: 3, HasID: true}, Broken{}, Placed{Server: "b"}}
 	require.Equal(t, []Action{Send{Resumes: true, After: 3}}, lastActions(twoRuns, 1, nil, events...))
