Continue a stream that was given up for its server's silence once a server or retry is available

What callers saw: a stream that had begun ended without its end (LOST), though its server was only silent for a second or so and would have gone on. The node gave the silent attempt up for another server, which refused it, and the retry budget was spent by then, or no server was eligible at that moment: the connection was aborted by the node's own decision.

Cause: giving up a silent attempt was paid for, and what had to follow was not: any refusal after it ended the stream. The class is a decision of the node's own that leaves the request to luck.

Change: while the caller has events of a stream that was given up for silence alone, a refusal without a retry left waits for one, and a placement without a server is tried again, until the deadline, a stop, the caller's leaving or a final refusal. A stream that its server has broken off, and a request whose caller has nothing yet, end at once as before. Nothing is sent beyond the budget.

TestStreamOfSilentServerOutlastsRetryBudget fails on the former code 3 of 3 ("unexpected EOF" at the caller), passes 3 of 3 now. TestSilentStreamIsNotAbortedForAnyEvents fails with the mechanism taken out. TestSilentServerIsUsedAgainIfNoOtherCanServe asked for an abort when neither server is eligible; the rule is that a silent server is no reason to end an answer sooner, so that the new TestStreamOfSilentServerIsContinuedOncePossible asks for the wait there, and for the abort only where something ends the stream. go test ./internal/exchange ./internal/proxy ./internal/telemetry passes.

--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -173,6 +173,10 @@
 		driver.endAttempt(ResultNeutral)
 	case AwaitRelease:
 		driver.awaitRelease(ctx)
+	case AwaitRetry:
+		if driver.wait(ctx, action.Delay) {
+			driver.step(RetryDue{})
+		}
 	case Stash:
 		driver.stashed = driver.reply.Complete
 		driver.endAttempt(ResultFaulty)
@@ -216,16 +220,8 @@
 }
 
 func (driver *driver) place(ctx context.Context, action Place) {
-	if action.Delay > 0 {
-		select {
-		case <-time.After(action.Delay):
-		case <-ctx.Done():
-			driver.step(driver.contextEvent(ctx))
-			return
-		case <-driver.request.Stopping:
-			driver.step(Stopping{})
-			return
-		}
+	if action.Delay > 0 && !driver.wait(ctx, action.Delay) {
+		return
 	}
 	placement, unplaced := driver.request.Placer.Place(action.Excluded)
 	if unplaced != nil {
@@ -236,6 +232,19 @@
 	driver.step(Placed{Server: placement.Server()})
 }
 
+// wait waits for a time, and reports whether the request goes on.
+func (driver *driver) wait(ctx context.Context, delay time.Duration) bool {
+	select {
+	case <-time.After(delay):
+		return true
+	case <-ctx.Done():
+		driver.step(driver.contextEvent(ctx))
+	case <-driver.request.Stopping:
+		driver.step(Stopping{})
+	}
+	return false
+}
+
 // awaitRelease waits until the latest attempt has been released.
 func (driver *driver) awaitRelease(ctx context.Context) {
 	startedAt := boottime.Now()
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -15,8 +15,9 @@
 // Unplaced reports that no server accepts the request now.
 type Unplaced struct {
 	Reason string
-	// Permanent is set if waiting does not help.
+	// Permanent is set if waiting for free capacity does not help, and Final if no server may get the request any more.
 	Permanent bool
+	Final     bool
 	// RetryAfter is the retry delay for the caller; 0 if unknown.
 	RetryAfter time.Duration
 	// Refusal, if set, is the failure of the request, unless a response of a server has begun.
@@ -67,6 +68,9 @@
 	Waited time.Duration
 }
 
+// RetryDue reports that the delay of AwaitRetry has passed.
+type RetryDue struct{}
+
 // Expired reports that the request's deadline has passed.
 type Expired struct{}
 
@@ -89,6 +93,7 @@
 func (Silent) event()     {}
 func (Late) event()       {}
 func (Released) event()   {}
+func (RetryDue) event()   {}
 func (Expired) event()    {}
 func (Stopping) event()   {}
 func (CallerLeft) event() {}
@@ -115,6 +120,9 @@
 // AwaitRelease waits until the attempt that was cancelled no longer runs at its server.
 type AwaitRelease struct{}
 
+// AwaitRetry waits before the next attempt is charged to the budget again.
+type AwaitRetry struct{ Delay time.Duration }
+
 // Stash keeps the current response for Deliver in case the retry yields no better one.
 type Stash struct{}
 
@@ -140,6 +148,7 @@
 func (Send) action()         {}
 func (Cancel) action()       {}
 func (AwaitRelease) action() {}
+func (AwaitRetry) action()   {}
 func (Stash) action()        {}
 func (Deliver) action()      {}
 func (Open) action()         {}
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -32,8 +32,12 @@
 
 const callerLeft = "the caller disconnected before the response was complete"
 
-// placementRetryDelay is the delay between placements while no server has free capacity.
-const placementRetryDelay = 20 * time.Millisecond
+const (
+	// placementRetryDelay is the delay between placements while no server has free capacity.
+	placementRetryDelay = 20 * time.Millisecond
+	// continuationDelay is the delay between tries to continue a stream that was given up for its server's silence.
+	continuationDelay = 100 * time.Millisecond
+)
 
 // Budget permits or denies retries; see package retry.
 type Budget interface {
@@ -49,6 +53,8 @@
 	streaming
 	// releasing is the wait until the previous attempt has ended at its server.
 	releasing
+	// awaitingRetry is the wait until the budget permits the next attempt.
+	awaitingRetry
 	finished
 )
 
@@ -58,7 +64,9 @@
 // repeatable; at most Rules.MaxRuns attempts may have run; the caller gets one head and
 // one end, and no event twice; a failure states NotRun only if every attempt was refused
 // by its server or never reached one, and a response that promises as much is not
-// delivered; an attempt that may still run is released before the next one is placed.
+// delivered; an attempt that may still run is released before the next one is placed;
+// a stream that was given up for its server's silence alone is not aborted because no
+// server or retry is available at the moment.
 type Machine struct {
 	rules  Rules
 	budget Budget
@@ -68,7 +76,10 @@
 	excluded []string
 	// silentServers holds those of the excluded servers that were only silent, and may be used again if no other can serve.
 	silentServers []string
-	sends         int
+	// owesContinuation is set while the caller has events of a stream that was given up for its server's silence, and no
+	// other server has taken it.
+	owesContinuation bool
+	sends            int
 	// runs counts the attempts that may have run.
 	runs int
 	// placingSince is when the current placement began; zero if there is none.
@@ -142,6 +153,8 @@
 		return machine.retryOrFail(now, "the server did not start the request in time")
 	case Released:
 		return machine.released(now)
+	case RetryDue:
+		return machine.retryDue(now)
 	case Expired:
 		return machine.abandon(failure.KindDeadline, "the request's deadline has passed", "set a longer timeout, or send the request again")
 	case Stopping:
@@ -173,6 +186,9 @@
 	if len(machine.silentServers) > 0 {
 		return machine.placeSilent(now)
 	}
+	if machine.owesContinuation && !event.Final {
+		return []Action{Place{Excluded: machine.excluded, Delay: continuationDelay}}
+	}
 	machine.retryAfter = event.RetryAfter
 	return machine.fail(failure.KindNoEndpoint, "no server can accept the request: "+event.Reason, "send the request again, or add servers")
 }
@@ -192,6 +208,7 @@
 
 // unvouched handles a response that is not delivered. The attempt has ended at its server, as after any response.
 func (machine *Machine) unvouched(now time.Time, event Unvouched) []Action {
+	machine.owesContinuation = false
 	denied := machine.takeRetry(now, true)
 	if denied == retryAllowed {
 		return append([]Action{Cancel{}}, machine.place(now)...)
@@ -218,6 +235,7 @@
 		}
 		machine.resumes, machine.lastEventID = true, event.ID
 	}
+	machine.owesContinuation = false
 	return append(machine.sendHead(), Forward{})
 }
 
@@ -227,6 +245,7 @@
 		return nil
 	}
 	machine.silentServers = append(machine.silentServers, machine.server)
+	machine.owesContinuation = machine.headSent
 	return machine.release()
 }
 
@@ -251,14 +270,32 @@
 func (machine *Machine) notRun(now time.Time, reason string, reachedServer bool) []Action {
 	machine.runs--
 	denied := machine.takeRetry(now, reachedServer)
-	if denied == retryAllowed {
+	switch {
+	case denied == retryAllowed:
 		return append([]Action{Cancel{}}, machine.place(now)...)
+	case denied == deniedByBudget && machine.owesContinuation:
+		machine.phase = awaitingRetry
+		return []Action{Cancel{}, AwaitRetry{Delay: continuationDelay}}
+	default:
+		return machine.giveUp(reason, denied)
+	}
+}
+
+// retryDue tries again to charge the next attempt of a stream to the budget.
+func (machine *Machine) retryDue(now time.Time) []Action {
+	switch {
+	case machine.phase != awaitingRetry:
+		return nil
+	case machine.budget.Withdraw(now):
+		return machine.place(now)
+	default:
+		return []Action{AwaitRetry{Delay: continuationDelay}}
 	}
-	return machine.giveUp(reason, denied)
 }
 
 // retryOrFail handles a failed attempt that may have run, and charges a retry to the budget.
 func (machine *Machine) retryOrFail(now time.Time, reason string) []Action {
+	machine.owesContinuation = false
 	denied := machine.takeRetry(now, true)
 	if denied == retryAllowed {
 		return machine.release()
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -123,11 +123,11 @@
 	placer.excluded = excluded
 	now := boottime.Now()
 	if reason := placer.blockedByQuarantine(now); reason != "" {
-		return nil, &exchange.Unplaced{Reason: reason, Permanent: true}
+		return nil, &exchange.Unplaced{Reason: reason, Permanent: true, Final: true}
 	}
 	// The timer that ends the request does not advance while the machine is suspended.
 	if !now.Before(placer.admitted.deadline) {
-		return nil, &exchange.Unplaced{Reason: "the request's deadline has passed", Permanent: true}
+		return nil, &exchange.Unplaced{Reason: "the request's deadline has passed", Permanent: true, Final: true}
 	}
 	if unplaced := placer.checkOrigin(); unplaced != nil {
 		return nil, unplaced
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -360,8 +360,8 @@
 	switch event := event.(type) {
 	case exchange.Arrived, exchange.Opened, exchange.Ended:
 		return
-	case exchange.Placed, exchange.Unplaced:
-		// A placement has its own line; a failed one is logged at the end of the request.
+	case exchange.Placed, exchange.Unplaced, exchange.RetryDue:
+		// A placement has its own line; a failed one is logged at the end of the request, and so is the rule against a retry.
 		recorder.metrics.attempts.WithLabelValues(eventName(event)).Inc()
 		return
 	case exchange.Answered:
