Offer a stream of a silent server again to servers that have declined it

What callers saw: a stream that was given up for its server's silence was aborted at its deadline, although both servers would have continued it for most of that time. Each had been full for a moment when it was tried.

Cause: a server that has refused a request, or was out of reach, is excluded from its further attempts. That suits a request that ends once no server is left. A stream that waits for a server places its attempts with the same exclusions for good, so that the wait could end only by its deadline once each server had declined once.

Each further attempt is charged to the retry budget as before, and a backoff that a server has asked for is obeyed. A server that has broken the stream off stays excluded.

--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -77,8 +77,9 @@
 	// silentServers holds those of the excluded servers that were only silent, and may be used again if no other can serve.
 	silentServers []string
 	// owesContinuation is set while the caller has events of a stream that was given up for its server's silence, and no
-	// other server has taken it.
+	// other server has taken it. declined holds those of the excluded servers that have not taken it since.
 	owesContinuation bool
+	declined         []string
 	sends            int
 	// runs counts the attempts that may have run.
 	runs int
@@ -187,7 +188,7 @@
 		return machine.placeSilent(now)
 	}
 	if machine.owesContinuation && !event.Final {
-		return []Action{Place{Excluded: machine.excluded, Delay: continuationDelay}}
+		return machine.placeDeclined()
 	}
 	machine.retryAfter = event.RetryAfter
 	return machine.fail(failure.KindNoEndpoint, "no server can accept the request: "+event.Reason, "send the request again, or add servers")
@@ -269,6 +270,9 @@
 // notRun handles an attempt that certainly did not run. If it reached the server, a retry is charged to the budget.
 func (machine *Machine) notRun(now time.Time, reason string, reachedServer bool) []Action {
 	machine.runs--
+	if machine.owesContinuation {
+		machine.declined = append(machine.declined, machine.server)
+	}
 	denied := machine.takeRetry(now, reachedServer)
 	switch {
 	case denied == retryAllowed:
@@ -354,13 +358,26 @@
 // placeSilent places the next attempt with the silent servers no longer excluded, which may go on. Each is used again once,
 // unless it is silent again.
 func (machine *Machine) placeSilent(now time.Time) []Action {
-	isSilent := func(server string) bool { return slices.Contains(machine.silentServers, server) }
-	machine.excluded = slices.DeleteFunc(slices.Clone(machine.excluded), isSilent)
+	machine.readmit(machine.silentServers)
 	machine.silentServers = nil
 	machine.placingSince = now
 	return []Action{Place{Excluded: machine.excluded}}
 }
 
+// placeDeclined places the next attempt later, with the servers no longer excluded that have not taken the stream: they may
+// have been full or out of reach for a moment only.
+func (machine *Machine) placeDeclined() []Action {
+	machine.readmit(machine.declined)
+	machine.declined = nil
+	return []Action{Place{Excluded: machine.excluded, Delay: continuationDelay}}
+}
+
+// readmit ends the exclusion of servers.
+func (machine *Machine) readmit(servers []string) {
+	isReadmitted := func(server string) bool { return slices.Contains(servers, server) }
+	machine.excluded = slices.DeleteFunc(slices.Clone(machine.excluded), isReadmitted)
+}
+
 // abandon ends the request and cancels its current attempt.
 func (machine *Machine) abandon(kind failure.Kind, problem, remedy string) []Action {
 	if !machine.inFlight() {
