Let a stream of a silent server outlast the bound of attempts

What callers would see: a stream that was given up for its server's silence is aborted once six servers in all have refused it or were out of reach. Attempts that reach no server cost nothing, so that a node whose paths fail for a moment spends all six at once.

Cause: the bound of attempts protects servers from a request that nobody takes. It ends the stream although its server would have gone on, which is the node's own decision, as with a spent budget.

Change: such a stream waits when the bound is reached as when the budget is spent. A request whose caller has nothing yet, and a stream that a server has broken off, end as before.

Shown for the state machine; not played over sockets.

--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -19,7 +19,8 @@
 	Repeatable bool
 	// MaxRuns bounds the attempts that may have run.
 	MaxRuns int
-	// MaxSends bounds all attempts, including those that certainly did not run.
+	// MaxSends bounds all attempts, including those that certainly did not run. Further ones of a stream that was given up for
+	// its server's silence are charged to the budget one by one, with a delay.
 	MaxSends int
 	// PlacementWait bounds the wait for a server with free capacity.
 	PlacementWait time.Duration
@@ -277,7 +278,7 @@
 	switch {
 	case denied == retryAllowed:
 		return append([]Action{Cancel{}}, machine.place(now)...)
-	case denied == deniedByBudget && machine.owesContinuation:
+	case machine.owesContinuation && (denied == deniedByBudget || denied == deniedBySends):
 		machine.phase = awaitingRetry
 		return []Action{Cancel{}, AwaitRetry{Delay: continuationDelay}}
 	default:
