Do not take a client that reads slowly for a server that is silent

What callers would see: a stream whose client took an event more slowly than the gap that is allowed between events was given up for its server's silence, although the server's next event had come. It cost a retry, the wait for the release, and the stream itself where no other server took it.

Cause: the timer of silence runs on while the driver writes an event to the client. Once the write returned, both the timer and the next event were ready, and the select chose either. The same held for the deadline by which a response must have begun.

Change: when one of these timers passes, an update that is ready is processed first. Updates are not preferred to the end of the context or to a stop, which a server that sends without end would hold up.

Shown with the driver in virtual time; not played over sockets.

--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -106,17 +106,15 @@
 func (driver *driver) await(ctx context.Context) {
 	select {
 	case update := <-driver.updates:
-		driver.result, driver.rawEvent = update.result, update.rawEvent
-		if update.reply != nil {
-			driver.reply = update.reply
-			driver.received = append(driver.received, update.reply.Complete)
-		}
-		driver.recordActivity(update.event)
-		driver.step(update.event)
+		driver.receive(update)
 	case <-driver.silenceTimer.C:
-		driver.checkSilence()
+		if !driver.receiveReady() {
+			driver.checkSilence()
+		}
 	case <-driver.startTimer.C:
-		driver.step(Late{})
+		if !driver.receiveReady() {
+			driver.step(Late{})
+		}
 	case <-ctx.Done():
 		driver.step(driver.contextEvent(ctx))
 	case <-driver.request.Stopping:
@@ -124,6 +122,29 @@
 	}
 }
 
+// receive steps the machine with what the attempt reports.
+func (driver *driver) receive(update update) {
+	driver.result, driver.rawEvent = update.result, update.rawEvent
+	if update.reply != nil {
+		driver.reply = update.reply
+		driver.received = append(driver.received, update.reply.Complete)
+	}
+	driver.recordActivity(update.event)
+	driver.step(update.event)
+}
+
+// receiveReady processes an update that has come while the driver wrote to a slow caller, and reports whether there was one.
+// A timer that has passed meanwhile shows nothing of the server then.
+func (driver *driver) receiveReady() bool {
+	select {
+	case update := <-driver.updates:
+		driver.receive(update)
+		return true
+	default:
+		return false
+	}
+}
+
 // contextEvent returns the event for the end of the request's context.
 func (driver *driver) contextEvent(ctx context.Context) Event {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/internal/exchange/slow_reader_test.go
+++ b/internal/exchange/slow_reader_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -44,3 +46,30 @@
 	require.Equal(t, int64(events), caller.forwarded)
 	require.LessOrEqual(t, caller.maxAhead, int64(1))
 }
+
+// slowCaller takes each event after a delay.
+type slowCaller struct {
+	recorder
+	delay time.Duration
+}
+
+func (caller *slowCaller) Forward(event []byte) error {
+	time.Sleep(caller.delay)
+	return caller.recorder.Forward(event)
+}
+
+// Guards against streams that are given up for their server's silence although its next event has come: their client took the
+// one before slowly.
+func TestSlowReaderIsNotTakenForSilentServer(t *testing.T) {
+	const events, silence = 20, 100 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		fakePlacer := &placer{servers: []fakeServer{streams(events, io.EOF), streams(events, io.EOF)}, stalled: func(time.Duration) bool { return true }}
+		caller := &slowCaller{delay: 2 * silence}
+		outcome := Run(t.Context(), Request{
+			Rules: Rules{Repeatable: true, MaxRuns: 2, MaxSends: 6}, Budget: &fixedBudget{remaining: 9}, Placer: fakePlacer, Caller: caller,
+			SilenceTimeouts: SilenceTimeouts{FirstEvent: silence, BetweenEvents: silence},
+		})
+		require.Nil(t, outcome.Failure)
+		require.Equal(t, []Result{ResultServed}, fakePlacer.results)
+	})
+}
