Report a request whose placement finds its deadline passed as expired

What operators and callers saw: a stream that was aborted at its deadline was logged as "no_endpoint", with the advice to add servers, where the placement found out before the timer did. That is likely after a wait that the deadline ends, such as that for the release of a silent attempt. The soak, which excuses only what the log says was ended by its deadline, took it for a lost request; so did callers, who got 502 instead of 504.

Cause: the placer had one way to say no, which the machine takes for a lack of servers. Change: it says that the deadline has passed. TestPlacementAfterDeadlineReportsDeadline fails on the former placer ("no_endpoint"), and passes now. go test ./internal/exchange ./internal/proxy passes.

--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -158,7 +158,7 @@
 	case RetryDue:
 		return machine.retryDue(now)
 	case Expired:
-		return machine.abandon(failure.KindDeadline, "the request's deadline has passed", "set a longer timeout, or send the request again")
+		return machine.expired()
 	case Stopping:
 		return machine.abandon(failure.KindStopping, "this node is shutting down", "send the request to another node")
 	case CallerLeft:
@@ -179,6 +179,9 @@
 }
 
 func (machine *Machine) unplaced(now time.Time, event Unplaced) []Action {
+	if event.Expired {
+		return machine.expired()
+	}
 	if !event.Permanent && now.Sub(machine.placingSince) < machine.rules.PlacementWait {
 		return []Action{Place{Excluded: machine.excluded, Delay: placementRetryDelay}}
 	}
@@ -379,6 +382,11 @@
 	machine.excluded = slices.DeleteFunc(slices.Clone(machine.excluded), isReadmitted)
 }
 
+// expired ends the request at its deadline.
+func (machine *Machine) expired() []Action {
+	return machine.abandon(failure.KindDeadline, "the request's deadline has passed", "set a longer timeout, or send the request again")
+}
+
 // abandon ends the request and cancels its current attempt.
 func (machine *Machine) abandon(kind failure.Kind, problem, remedy string) []Action {
 	if !machine.inFlight() {
--- a/internal/exchange/machine_test.go
+++ b/internal/exchange/machine_test.go
@@ -350,7 +350,7 @@
 	require.Equal(t, []Action{Send{Resumes: true, After: 1}}, machine.Step(now, Placed{Server: "a"}))
 
 	for name, last := range map[string]Event{
-		"deadline": Expired{}, "stop": Stopping{}, "caller": CallerLeft{}, "final": Unplaced{Permanent: true, Final: true},
+		"deadline": Expired{}, "placement after the deadline": Unplaced{Expired: true}, "stop": Stopping{}, "caller": CallerLeft{}, "final": Unplaced{Permanent: true, Final: true},
 		"refusal": Unplaced{Permanent: true, Refusal: failure.New(failure.KindOtherSoftware, "", "")},
 	} {
 		actions := lastActions(rules, 1, nil, append(silent, unavailable, unavailable, last)...)
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -10,6 +10,7 @@
 	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/property"
 	"github.com/cloverrail/cloverrail/internal/routing"
 )
@@ -150,3 +151,13 @@
 		require.True(t, attempt.exceedsSilenceLimitAt(longest, start.Add(longest)))
 	})
 }
+
+// Guards against requests that are reported as lacking a server although their deadline had passed: a placement found that out
+// before the timer did.
+func TestPlacementAfterDeadlineReportsDeadline(t *testing.T) {
+	p := newTestPlacer(10, 2, 0)
+	p.admitted.deadline = time.Now()
+	outcome := exchange.Run(t.Context(), exchange.Request{Rules: exchange.Rules{MaxRuns: 1, MaxSends: 1}, Placer: p})
+	require.Equal(t, failure.KindDeadline, outcome.Failure.Kind)
+	require.Equal(t, failure.NotRun, outcome.Failure.Outcome)
+}
