Read on before a silence that was noticed late counts as the server's

What callers would see: after a pause of a node's process, or while it is short of processor time, its streams are given up for their servers' silence although their next events have come. Each costs a retry, the wait for the release and the prefill at another server; with a spent budget the stream waits.

Cause: the timer of silence passes while the process is paused. Once it runs again, timers come before the data of its connections, so that the silence measured is the process's own. clientconn has the same cause mended for what clients send.

Change: if the timer passes more than 10 ms late, the response is read on for 20 ms, once, before the silence is judged, as at clients' connections. A server that is silent counts as silent 20 ms later.

The pause is played in virtual time as a driver that is held up, with the event read 5 ms after it; not played with a process that is stopped.

--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -13,6 +13,13 @@
 	"github.com/cloverrail/cloverrail/internal/failure"
 )
 
+const (
+	// maxTimerDelay is the delay of a timer from which on this process counts as paused, or short of processor time.
+	maxTimerDelay = 10 * time.Millisecond
+	// finalReadTimeout is how long a response is read on after that: it may have come in time.
+	finalReadTimeout = 20 * time.Millisecond
+)
+
 // update is sent by an attempt's goroutine to the driver.
 type update struct {
 	event    Event
@@ -45,6 +52,9 @@
 	startTimer     *time.Timer
 	silenceTimeout time.Duration
 	lastActivity   time.Time
+	// silenceDue is when silenceTimer passes, and readsOn is set while it runs for finalReadTimeout.
+	silenceDue time.Time
+	readsOn    bool
 }
 
 // Run processes a request to completion. The context must end when the caller
@@ -166,8 +176,13 @@
 
 // checkSilence reports a silent attempt to the machine if its placement has stalled.
 func (driver *driver) checkSilence() {
+	if !driver.readsOn && boottime.Since(driver.silenceDue) > maxTimerDelay {
+		driver.startSilenceTimer(finalReadTimeout)
+		driver.readsOn = true
+		return
+	}
 	if !driver.placement.Stalled(boottime.Since(driver.lastActivity)) {
-		driver.silenceTimer.Reset(cmp.Or(driver.request.SilenceTimeouts.Recheck, driver.silenceTimeout))
+		driver.startSilenceTimer(cmp.Or(driver.request.SilenceTimeouts.Recheck, driver.silenceTimeout))
 		return
 	}
 	driver.step(Silent{})
@@ -180,10 +195,15 @@
 	driver.silenceTimer.Stop()
 	driver.silenceTimeout, driver.lastActivity = timeout, boottime.Now()
 	if timeout > 0 {
-		driver.silenceTimer.Reset(timeout)
+		driver.startSilenceTimer(timeout)
 	}
 }
 
+func (driver *driver) startSilenceTimer(timeout time.Duration) {
+	driver.silenceDue, driver.readsOn = boottime.Now().Add(timeout), false
+	driver.silenceTimer.Reset(timeout)
+}
+
 func (driver *driver) perform(ctx context.Context, action Action) {
 	switch action := action.(type) {
 	case Place:
--- a/internal/exchange/slow_reader_test.go
+++ b/internal/exchange/slow_reader_test.go
@@ -73,3 +73,32 @@
 		require.Equal(t, []Result{ResultServed}, fakePlacer.results)
 	})
 }
+
+// Guards against streams that are given up for their server's silence by a process that was paused: their next events had come
+// in time, and were not read yet.
+func TestPausedProcessReadsBeforeServerCountsAsSilent(t *testing.T) {
+	const silence, readDelay = 100 * time.Millisecond, 5 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		begun := false
+		server := func(context.Context, bool, int64) (*Reply, error) {
+			id := int64(0)
+			return &Reply{Status: http.StatusOK, Close: func() {}, Next: func() (StreamEvent, error) {
+				if id == 2 {
+					return StreamEvent{}, io.EOF
+				}
+				if id++; id == 2 && !begun {
+					begun = true
+					time.Sleep(2*silence + readDelay)
+				}
+				return StreamEvent{Raw: make([]byte, 64), ID: id, HasID: true}, nil
+			}}, nil
+		}
+		fakePlacer := &placer{servers: []fakeServer{server, server}, stalled: func(time.Duration) bool { return true }}
+		outcome := Run(t.Context(), Request{
+			Rules: Rules{Repeatable: true, MaxRuns: 2, MaxSends: 6}, Budget: &fixedBudget{remaining: 9}, Placer: fakePlacer, Caller: &slowCaller{delay: 2 * silence},
+			SilenceTimeouts: SilenceTimeouts{FirstEvent: silence, BetweenEvents: silence},
+		})
+		require.Nil(t, outcome.Failure)
+		require.Equal(t, []Result{ResultServed}, fakePlacer.results, "the first server was not silent")
+	})
+}
