--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -13,6 +13,13 @@
 	"github.com/cloverrail/cloverrail/internal/failure"
 )
 
+const (
+	// maxTimerDelay is the delay of a timer from which on this process counts as paused, or short of processor time.
+	maxTimerDelay = 10 * time.Millisecond
+	// finalReadTimeout is how long a response is read on after that: it may have come in time.
+	finalReadTimeout = 20 * time.Millisecond
+)
+
 // update is sent by an attempt's goroutine to the driver.
 type update struct {
 	event    Event
@@ -45,6 +52,9 @@
 	startTimer     *time.Timer
 	silenceTimeout time.Duration
 	lastActivity   time.Time
+	// silenceDue is when silenceTimer passes, and readsOn is set while it runs for finalReadTimeout.
+	silenceDue time.Time
+	readsOn    bool
 }
 
 // Run processes a request to completion. The context must end when the caller
@@ -106,17 +116,15 @@
 func (driver *driver) await(ctx context.Context) {
 	select {
 	case update := <-driver.updates:
-		driver.result, driver.rawEvent = update.result, update.rawEvent
-		if update.reply != nil {
-			driver.reply = update.reply
-			driver.received = append(driver.received, update.reply.Complete)
-		}
-		driver.recordActivity(update.event)
-		driver.step(update.event)
+		driver.receive(update)
 	case <-driver.silenceTimer.C:
-		driver.checkSilence()
+		if !driver.receiveReady() {
+			driver.checkSilence()
+		}
 	case <-driver.startTimer.C:
-		driver.step(Late{})
+		if !driver.receiveReady() {
+			driver.step(Late{})
+		}
 	case <-ctx.Done():
 		driver.step(driver.contextEvent(ctx))
 	case <-driver.request.Stopping:
@@ -124,6 +132,29 @@
 	}
 }
 
+// receive steps the machine with what the attempt reports.
+func (driver *driver) receive(update update) {
+	driver.result, driver.rawEvent = update.result, update.rawEvent
+	if update.reply != nil {
+		driver.reply = update.reply
+		driver.received = append(driver.received, update.reply.Complete)
+	}
+	driver.recordActivity(update.event)
+	driver.step(update.event)
+}
+
+// receiveReady processes an update that has come while the driver wrote to a slow caller, and reports whether there was one.
+// A timer that has passed meanwhile shows nothing of the server then.
+func (driver *driver) receiveReady() bool {
+	select {
+	case update := <-driver.updates:
+		driver.receive(update)
+		return true
+	default:
+		return false
+	}
+}
+
 // contextEvent returns the event for the end of the request's context.
 func (driver *driver) contextEvent(ctx context.Context) Event {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -145,8 +176,13 @@
 
 // checkSilence reports a silent attempt to the machine if its placement has stalled.
 func (driver *driver) checkSilence() {
+	if !driver.readsOn && boottime.Since(driver.silenceDue) > maxTimerDelay {
+		driver.startSilenceTimer(finalReadTimeout)
+		driver.readsOn = true
+		return
+	}
 	if !driver.placement.Stalled(boottime.Since(driver.lastActivity)) {
-		driver.silenceTimer.Reset(cmp.Or(driver.request.SilenceTimeouts.Recheck, driver.silenceTimeout))
+		driver.startSilenceTimer(cmp.Or(driver.request.SilenceTimeouts.Recheck, driver.silenceTimeout))
 		return
 	}
 	driver.step(Silent{})
@@ -159,10 +195,15 @@
 	driver.silenceTimer.Stop()
 	driver.silenceTimeout, driver.lastActivity = timeout, boottime.Now()
 	if timeout > 0 {
-		driver.silenceTimer.Reset(timeout)
+		driver.startSilenceTimer(timeout)
 	}
 }
 
+func (driver *driver) startSilenceTimer(timeout time.Duration) {
+	driver.silenceDue, driver.readsOn = boottime.Now().Add(timeout), false
+	driver.silenceTimer.Reset(timeout)
+}
+
 func (driver *driver) perform(ctx context.Context, action Action) {
 	switch action := action.(type) {
 	case Place:
