--- a/cmd/cloverrail/untilclose_test.go
+++ b/cmd/cloverrail/untilclose_test.go
@@ -81,6 +81,36 @@
 	require.True(t, got.err != nil || got.status == http.StatusBadGateway, "%d %q", got.status, got.body)
 }
 
+// TestContinuationWithoutEventIsNotComplete guards against streams that end early and look complete: the server that goes on
+// with a stream, for the node or for a client that comes again, stops right after a head without a length.
+func TestContinuationWithoutEventIsNotComplete(t *testing.T) {
+	t.Parallel()
+	cut := standin.UntilClose(standin.StreamEvents(5, 3), false)
+	stopsAfterHead := standin.UntilClose(func(server *standin.Server, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(standin.HeaderStamp, server.Instance+standin.StampSuffix)
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+	}, false)
+	handler := func(server *standin.Server, w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(standin.HeaderLastEventID) != "" {
+			stopsAfterHead(server, w, r)
+			return
+		}
+		cut(server, w, r)
+	}
+	fixture := newFixture(t).serve(engine("i-1", handler), engine("i-2", handler))
+	resumes := func(request *http.Request) {
+		setPromptHeaders(request)
+		request.Header.Set(standin.HeaderLastEventID, "2")
+	}
+	for range 5 {
+		for _, set := range []func(*http.Request){setPromptHeaders, resumes} {
+			got := fixture.send(http.MethodPost, "/stream/", "prompt", set)
+			require.True(t, got.err != nil || got.status != http.StatusOK, "%d %q", got.status, got.body)
+		}
+	}
+}
+
 // Servers whose responses end with their connections crash under a part, at the end of an event: what they wrote looks
 // complete, and must not clear the part.
 func TestCrashAfterWholeEventDoesNotClearPart(t *testing.T) {
