Do not take a 200 without a body for a result without fields

What would be seen: a 200 of the store with Content-Length 0, as a gateway or a server in trouble sends it, is an empty list of servers and nodes, a key that does not exist, a write at revision 0, or a lease with the number 0, under which keys are written for good. From the key-value service it is a lease that has ended; from an engine or server an empty prefix cache. A node that reads the list of servers so drops them all. Nodes are callers here: a 200 with an empty body, framed as whole.

Cause: sling does not decode a body whose length is 0, and reports no error; the result stays as it was made. Hypothesis before the change: one of the node's own calls takes a short response for a whole one; told by the metric of store calls, which counts such a call as answered, and by the next decision that uses it.

Change: outbound.DecodeJSON returns io.ErrUnexpectedEOF for a 200 without a body where a result is wanted, and the clients of the store, servers, engines and the key-value service use it. Calls whose result is the status (renewing and ending a lease, a server's order) are as before. What a list or transaction of the store does when its response is cut was not at fault: a table cuts a response at each 11th byte for all three framings and each call of the store, its source and servers, and requires an error.

No real store or server was seen to answer so.

--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -258,7 +258,7 @@
 	if err != nil {
 		return result, errors.Trace(err)
 	}
-	response, err := sling.New().Client(client.httpClient).Do(request.WithContext(ctx), &result, nil)
+	response, err := outbound.DecodeJSON(client.httpClient, request.WithContext(ctx), &result, nil)
 	if err != nil {
 		return result, errors.Trace(err)
 	}
--- a/internal/kvservice/client.go
+++ b/internal/kvservice/client.go
@@ -41,7 +41,7 @@
 		return errors.Trace(err)
 	}
 	var errorResponse ErrorResponse
-	response, err := sling.New().Client(client.httpClient).Do(request.WithContext(ctx), result, &errorResponse)
+	response, err := outbound.DecodeJSON(client.httpClient, request.WithContext(ctx), result, &errorResponse)
 	if err != nil {
 		return failure.New(failure.KindUnavailable, "the key-value service did not respond: "+err.Error(),
 			"check that it is running at "+client.base).WithOutcome(failure.Unknown)
