Pass an engine's rejection on only whole

What callers saw: an engine that closes its connection inside the body of a 400 or another 4xx. The client got that status with an empty or short body, framed as whole; the same for a rejection of more than 1 MiB, which was passed on without the rest.

Cause: the error of reading the body was dropped, and the bound of the reader was taken for the end of the body. Hypothesis before the change: an end that is no end of a message is taken for one where errors of a read are dropped; nothing told it, as the node logged the rejection as any other. The attempt now fails with the status and the reason.

Change: such an attempt is broken, as any other whose response does not arrive whole, and dispatch decides what follows. The test also cuts an answer's stream at each byte: events without their end were not passed on before either, and no end of a connection ends a stream.

Failed before:

TestCutResponseIsNotWhole: "HTTP/1.1 400 Bad Request\r\nContent-Length: 9\r\n\r\n": the engine answered 400 TestLongRejectionIsNotWhole: 1048577 bytes

Now go test ./internal/engineapi ./internal/dispatch passes.

--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -149,7 +149,13 @@
 		// An error of the engine; the request may or may not have started.
 		return nil, errors.Errorf("the engine answered %d", response.StatusCode)
 	}
-	body, _ := io.ReadAll(io.LimitReader(response.Body, maxEventBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxEventBytes+1))
+	if err != nil {
+		return nil, errors.Annotatef(err, "the engine broke off its response with status %d", response.StatusCode)
+	}
+	if len(body) > maxEventBytes {
+		return nil, errors.Errorf("the engine's response with status %d is longer than %d bytes", response.StatusCode, maxEventBytes)
+	}
 	return nil, &ErrRejected{Status: response.StatusCode, Body: body}
 }
 
