Forward plain responses as servers encode them

What callers saw: a server of a plain service that encodes its body, and stops between the head and the first byte of a body that ends with its connection. The client got a 200 without an encoding and without a body, which looks whole: a body of gzip has 18 bytes at least. Callers also got bodies without the encoding and length that the server had sent.

Cause: net/http asks for gzip by itself and decodes it, and its decoder's clean end on no bytes counts as the end of the body. Hypothesis before the change: a decoder's clean end is taken for the end of a message. Change: these connections leave encodings alone, as those to engines and of the proxy do.

--- a/internal/plain/forwarder.go
+++ b/internal/plain/forwarder.go
@@ -76,10 +76,10 @@
 func NewForwarder(onMismatch func()) *Forwarder {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &Forwarder{
-		repeatableClient: newClient(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: outbound.MaxHeaderBytes}),
+		repeatableClient: newClient(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, DisableCompression: true, MaxResponseHeaderBytes: outbound.MaxHeaderBytes}),
 		// net/http may retry a request by itself if a keep-alive connection turns out
 		// to be closed. Without keep-alive it never does.
-		nonRepeatableClient: newClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: outbound.MaxHeaderBytes}),
+		nonRepeatableClient: newClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: outbound.MaxHeaderBytes}),
 		onMismatch:          onMismatch,
 	}
 }
