--- a/cmd/cloverrail-lab/soak.go
+++ b/cmd/cloverrail-lab/soak.go
@@ -36,6 +36,8 @@
 			&cli.IntFlag{Name: "plain", Value: 3},
 			&cli.IntFlag{Name: "callers", Value: 12},
 			&cli.DurationFlag{Name: "caller-interval", Value: 5 * time.Millisecond, Usage: "pause of a caller after each request"},
+			&cli.FloatFlag{Name: "memory", Value: soak.DefaultMegabytes, Usage: "memory of a node in `MEGABYTES`"},
+			&cli.IntFlag{Name: "descriptors", Value: soak.DefaultDescriptors, Usage: "`NUMBER` of file descriptors of a node"},
 			&cli.FloatFlag{Name: "retry-extra", Value: 54, Usage: "`RETRIES` in the fleet's budget that do not depend on the number of requests"},
 			&cli.Int64Flag{Name: "first-era", Value: 1, Usage: "`ERA` in which the store begins; it rises by one with each restore"},
 			&cli.StringFlag{Name: "folder", Usage: "`FOLDER` for the nodes' logs; a new one by default"},
@@ -71,7 +73,7 @@
 		verdicts, err := soak.Run(ctx, soak.Config{
 			Program: command.String("program"), LegacyProgram: legacy, Seed: seed.Seed, Only: command.String("only"), FaultKinds: seed.FaultKinds, Duration: command.Duration("duration"),
 			Nodes: command.Int("nodes"), Engines: command.Int("engines"), Plain: command.Int("plain"), Callers: command.Int("callers"),
-			CallerInterval: command.Duration("caller-interval"), RetryExtra: command.Float("retry-extra"), FirstEra: command.Int64("first-era"), Folder: folder, Output: os.Stdout,
+			CallerInterval: command.Duration("caller-interval"), MemoryMegabytes: command.Float("memory"), Descriptors: command.Int("descriptors"), RetryExtra: command.Float("retry-extra"), FirstEra: command.Int64("first-era"), Folder: folder, Output: os.Stdout,
 		})
 		if err != nil {
 			return err
--- a/internal/lab/faultwire/forwarder.go
+++ b/internal/lab/faultwire/forwarder.go
@@ -53,6 +53,8 @@
 	changed     *sync.Cond
 	mode        Mode
 	connections map[*net.TCPConn]bool
+	// silent holds the connections whose data is withheld for good.
+	silent map[*net.TCPConn]bool
 }
 
 // New starts a forwarder to an address, in ModeForward. Its own address is one that no outgoing connection takes while the
@@ -62,7 +64,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "cannot listen on loopback")
 	}
-	f := &Forwarder{listener: listener, address: listener.Addr().String(), target: target, connections: map[*net.TCPConn]bool{}}
+	f := &Forwarder{listener: listener, address: listener.Addr().String(), target: target, connections: map[*net.TCPConn]bool{}, silent: map[*net.TCPConn]bool{}}
 	f.changed = sync.NewCond(&f.mutex)
 	go f.accept(listener)
 	return f, nil
@@ -90,6 +92,23 @@
 	}
 }
 
+// SilenceOpen withholds all further data of the connections that are open now, in both directions, and lets neither side
+// learn of the other's end. New connections are not affected.
+func (f *Forwarder) SilenceOpen() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for c := range f.connections {
+		f.silent[c] = true
+	}
+}
+
+// isSilent reports whether a connection was silenced.
+func (f *Forwarder) isSilent(c *net.TCPConn) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.silent[c]
+}
+
 // listen opens or closes the listener. The caller holds the mutex.
 func (f *Forwarder) listen(open bool) {
 	switch {
@@ -158,6 +177,7 @@
 func (f *Forwarder) untrack(c *net.TCPConn) {
 	f.mutex.Lock()
 	delete(f.connections, c)
+	delete(f.silent, c)
 	f.mutex.Unlock()
 	_ = c.Close()
 }
@@ -169,6 +189,12 @@
 	for {
 		n, err := from.Read(buffer)
 		f.awaitMode(responses)
+		if f.isSilent(from) {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				abort(from)
--- a/internal/lab/faultwire/forwarder_test.go
+++ b/internal/lab/faultwire/forwarder_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -79,3 +80,32 @@
 	}
 	require.Error(t, err)
 }
+
+// Silenced connections get nothing more in either mode, and new ones are forwarded.
+func TestForwarderSilencesOpenConnections(t *testing.T) {
+	address, lines := startEchoServer(t)
+	forwarder, err := New(address)
+	require.NoError(t, err)
+	defer forwarder.Close()
+	dial := func(text string) net.Conn {
+		c, err := net.Dial("tcp", forwarder.Address())
+		require.NoError(t, err)
+		_, err = io.WriteString(c, text+"\n")
+		require.NoError(t, err)
+		require.Equal(t, text, <-lines)
+		response, err := bufio.NewReader(c).ReadString('\n')
+		require.NoError(t, err)
+		require.Equal(t, text+"\n", response)
+		return c
+	}
+	silent := dial("a")
+	forwarder.SilenceOpen()
+	_, err = io.WriteString(silent, "b\n")
+	require.NoError(t, err)
+	forwarder.SetMode(ModeForward)
+	dial("c")
+	require.NoError(t, silent.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+	_, err = silent.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.Empty(t, lines)
+}
