Report a deadline that passes before a placement as the deadline

What callers and operators saw: a stream that had used all of its route's time ended with the line `request`, result `no_endpoint`, "no server can accept the request: the request's deadline has passed"; a request that may have run and whose caller had nothing got 502 instead of the 504 that docs/OPERATORS.md gives for a deadline. Metrics counted both as a lack of servers.

Cause: the placer looks at the deadline by itself, as the timer does not advance while the machine is suspended, and reported it as one more reason for which no server accepts the request. It is met without a suspension, too: an attempt was given up for silence, and its server was released after the deadline, before the timer's event was handled.

The soak's check takes only `deadline_exceeded` for an end of time, rightly: it stays.

Change: the placer says that the deadline has passed, and the machine ends the request as for its timer. Silent servers are not asked for once more then.

Before: TestDeadlineDuringPlacementIsReported "expected to be of type exchange.Cut, but was exchange.Place", TestPlacementAfterDeadlineReportsIt "Should be true".

--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -18,6 +18,8 @@
 	// Permanent is set if waiting for free capacity does not help, and Final if no server may get the request any more.
 	Permanent bool
 	Final     bool
+	// Expired is set if the request's deadline has passed.
+	Expired bool
 	// RetryAfter is the retry delay for the caller; 0 if unknown.
 	RetryAfter time.Duration
 	// Refusal, if set, is the failure of the request, unless a response of a server has begun.
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -156,7 +156,7 @@
 	case RetryDue:
 		return machine.retryDue(now)
 	case Expired:
-		return machine.abandon(failure.KindDeadline, "the request's deadline has passed", "set a longer timeout, or send the request again")
+		return machine.expired()
 	case Stopping:
 		return machine.abandon(failure.KindStopping, "this node is shutting down", "send the request to another node")
 	case CallerLeft:
@@ -176,7 +176,15 @@
 	return []Action{Send{Resumes: machine.resumes, After: machine.lastEventID}}
 }
 
+// expired ends a request whose deadline has passed.
+func (machine *Machine) expired() []Action {
+	return machine.abandon(failure.KindDeadline, "the request's deadline has passed", "set a longer timeout, or send the request again")
+}
+
 func (machine *Machine) unplaced(now time.Time, event Unplaced) []Action {
+	if event.Expired {
+		return machine.expired()
+	}
 	if !event.Permanent && now.Sub(machine.placingSince) < machine.rules.PlacementWait {
 		return []Action{Place{Excluded: machine.excluded, Delay: placementRetryDelay}}
 	}
--- a/internal/exchange/machine_test.go
+++ b/internal/exchange/machine_test.go
@@ -131,13 +131,15 @@
 // recordSilence records before a step whether the stream was given up for its server's silence alone.
 func (checker *checker) recordSilence(event Event) {
 	checker.mayAbort = false
-	switch event.(type) {
+	switch event := event.(type) {
 	case Silent:
 		checker.silentOnly = checker.silentOnly || checker.forwards > 0 && checker.inFlight
 	case Arrived, Broken, Late, Answered, Unvouched:
 		checker.silentOnly = false
 	case Expired, CallerLeft, Stopping:
 		checker.mayAbort = true
+	case Unplaced:
+		checker.mayAbort = event.Expired
 	}
 }
 
@@ -157,7 +159,7 @@
 		checker.streaming = false
 		return rapid.SampledFrom([]Event{
 			Placed{Server: fmt.Sprint("s", checker.sends)}, Placed{Server: fmt.Sprint("s", checker.sends)},
-			Unplaced{Reason: "full"}, Unplaced{Reason: "gone", Permanent: true}, Expired{}, CallerLeft{}, Stopping{},
+			Unplaced{Reason: "full"}, Unplaced{Reason: "gone", Permanent: true}, Unplaced{Expired: true}, Expired{}, CallerLeft{}, Stopping{},
 		}).Draw(checker.t, "placement")
 	}
 	if checker.streaming {
@@ -381,3 +383,18 @@
 	require.Equal(t, failure.NotRun, final.Outcome)
 	require.Equal(t, time.Second, final.RetryAfter, "the failure carries the retry delay")
 }
+
+// Guards against a request whose time is up being reported as one for which there is no server, if the deadline passes before
+// the next attempt is placed.
+func TestDeadlineDuringPlacementIsReported(t *testing.T) {
+	rules := Rules{Repeatable: true, MaxRuns: 3, MaxSends: 6}
+	expired := Unplaced{Expired: true}
+	begun := []Event{Placed{Server: "a"}, Opened{}, Arrived{ID: 1, HasID: true}, Silent{}, Released{}}
+	cut := lastActions(rules, 9, nil, append(begun, expired)...)
+	require.IsType(t, Cut{}, cut[0], "the silent server is not tried again")
+	require.Equal(t, failure.KindDeadline, cut[0].(Cut).Failure.Kind)
+	unanswered := lastActions(rules, 9, nil, Placed{Server: "a"}, Silent{}, Released{}, expired)[0].(Fail).Failure
+	require.Equal(t, failure.KindDeadline, unanswered.Kind)
+	require.Equal(t, failure.Unknown, unanswered.Outcome, "the first attempt may have run")
+	require.Equal(t, failure.KindDeadline, lastActions(rules, 9, nil, expired)[0].(Fail).Failure.Kind)
+}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -127,7 +127,7 @@
 	}
 	// The timer that ends the request does not advance while the machine is suspended.
 	if !now.Before(placer.admitted.deadline) {
-		return nil, &exchange.Unplaced{Reason: "the request's deadline has passed", Permanent: true, Final: true}
+		return nil, &exchange.Unplaced{Expired: true}
 	}
 	if unplaced := placer.checkOrigin(); unplaced != nil {
 		return nil, unplaced
--- a/internal/proxy/release_test.go
+++ b/internal/proxy/release_test.go
@@ -208,3 +208,12 @@
 		require.InDelta(t, runTimeFactor*now.Seconds(), r.estimate("r").Seconds(), 0.01)
 	})
 }
+
+// Guards against a request whose time is up being reported as one for which there is no server.
+func TestPlacementAfterDeadlineReportsIt(t *testing.T) {
+	p := newTestPlacer(10, 2, 0)
+	p.admitted.deadline = boottime.Now()
+	placed, unplaced := p.Place(nil)
+	require.Nil(t, placed)
+	require.True(t, unplaced.Expired)
+}
