--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -178,6 +178,11 @@
 	return []Action{Send{Resumes: machine.resumes, After: machine.lastEventID}}
 }
 
+// expired ends a request whose deadline has passed.
+func (machine *Machine) expired() []Action {
+	return machine.abandon(failure.KindDeadline, "the request's deadline has passed", "set a longer timeout, or send the request again")
+}
+
 func (machine *Machine) unplaced(now time.Time, event Unplaced) []Action {
 	if event.Expired {
 		return machine.expired()
