--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -387,11 +387,6 @@
 	machine.excluded = slices.DeleteFunc(slices.Clone(machine.excluded), isReadmitted)
 }
 
-// expired ends the request at its deadline.
-func (machine *Machine) expired() []Action {
-	return machine.abandon(failure.KindDeadline, "the request's deadline has passed", "set a longer timeout, or send the request again")
-}
-
 // abandon ends the request and cancels its current attempt.
 func (machine *Machine) abandon(kind failure.Kind, problem, remedy string) []Action {
 	if !machine.inFlight() {
