Reject responses whose length stands in a malformed header

What callers saw: a server writes "Content-Length : 9", with a space before the colon, and closes after four bytes of the body. The client got a 200 with the short body, framed as whole; with "Transfer-Encoding : chunked" it got the text of the chunks.

Cause: net/http keeps such a name with its space, as a header of its own, and so takes the response for one that ends with its connection.

That a response of HTTP/1.0 names chunks cannot be seen, since net/http removes that header: such a body is passed on until the connection ends.

--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -99,3 +100,15 @@
 	b.cancel()
 	return err
 }
+
+// MalformedLength returns the name of a header that gives the length of the body and ends with white space, or "". net/http keeps
+// it as a header of another name.
+func MalformedLength(header http.Header) string {
+	for name := range header {
+		trimmed := strings.TrimRight(name, " \t")
+		if trimmed != name && (strings.EqualFold(trimmed, "Content-Length") || strings.EqualFold(trimmed, "Transfer-Encoding")) {
+			return name
+		}
+	}
+	return ""
+}
--- a/internal/plain/cut_test.go
+++ b/internal/plain/cut_test.go
@@ -86,3 +86,13 @@
 		}
 	}
 }
+
+// TestLengthInMalformedHeaderIsNotIgnored guards against a short body that looks whole: net/http takes a name that ends with a space
+// for that of another header, and reads until the connection ends.
+func TestLengthInMalformedHeaderIsNotIgnored(t *testing.T) {
+	for _, header := range []string{"Content-Length : 9", "Transfer-Encoding : chunked"} {
+		servers := &sequentialChooser{servers: []Server{{Name: "a", Address: respondRaw(t, "HTTP/1.1 200 OK\r\n"+header+"\r\n\r\nturn", false)}}}
+		_, err := NewForwarder(func() {}).Forward(t.Context(), Request{Method: http.MethodPost, Path: "/", Header: http.Header{}}, servers, unlimitedBudget{})
+		require.Error(t, err, header)
+	}
+}
--- a/internal/plain/forwarder.go
+++ b/internal/plain/forwarder.go
@@ -221,6 +221,9 @@
 		forwarder.onMismatch()
 		return nil, errors.New("the answer belongs to another request")
 	}
+	if name := outbound.MalformedLength(response.Header); name != "" {
+		return nil, errors.Errorf("the answer has the malformed header %q, so that the end of its body is unknown", name)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return nil, errors.Trace(err)
