Set the format of times in logs once

What developers saw: the tests of cmd/cloverrail that run in parallel fail with the race detector, whatever they test, so that it was never of use for them. Each process that starts wrote the global format of times of zerolog while others write lines. A running proxy sets it once, before it logs: callers are not affected.

go test -race -c ./cmd/cloverrail, then -test.parallel 3 -test.run 'SilentStream|StreamOfSilent|HalfClosed|Shutdown|Stopping|Idle| Deadline|Declared|Configuration|NewerDeclaration|Suspen|Retry' (load 120): two data races before, both of newProcess, by which five tests fail; none after, and all pass.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -71,6 +71,9 @@
 	silenceTolerance = 1500 * time.Millisecond
 )
 
+// init sets the format of times in logs, which processes in the same test read while others start.
+func init() { zerolog.TimeFieldFormat = time.RFC3339Nano }
+
 // process holds the components of a running proxy.
 type process struct {
 	settings  settings.Proxy
@@ -126,7 +129,6 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	zerolog.TimeFieldFormat = time.RFC3339Nano
 	process := &process{settings: config, replica: &catalog.AtomicReplica{}, serverSet: backend.NewSet(), sharedSize: &fleet.SharedSize{}, peerClient: outbound.NewClient(peerTimeout)}
 	zerolog.SetGlobalLevel(level)
 	process.logWriter = telemetry.NewWriter(os.Stdout)
