Mend crashing stand-ins without a data race

What developers saw: TestMendedPartIsServedAfterOneTrial fails with the race detector, since it took away the function that decides on crashes while stand-ins called it, which could also panic. The node is not affected.

--- a/cmd/cloverrail/crashing_part_test.go
+++ b/cmd/cloverrail/crashing_part_test.go
@@ -428,7 +428,7 @@
 	sendAll()
 	require.Equal(t, reached+1, len(f.partRuns("bad")), "one trial, though servers still crash")
 	for _, m := range f.machines {
-		m.CausesCrash = nil
+		m.Mend()
 	}
 	time.Sleep(propagationTime)
 	machine.Suspend(70 * time.Second)
