Send the attempt that continues a stream on a new connection

What callers saw: a stream that was given up for its server's silence, or that its server had broken off, was sent to another server on an idle connection, which was reset at once; with two runs allowed, the node aborted it ("given up after 2 attempts (the route allows no more runs): connection reset by peer"). Servers may forget idle connections silently and reset what is sent on them next.

Change: an attempt that continues a stream opens a connection; its server can reset it only for a reason of its own then. It costs a handshake for each continued stream.

TestContinuationGetsNewConnection fails on the former code (1 connection in place of 2), and passes now. go test ./platform ./internal/keepalive passes.

--- a/internal/keepalive/client.go
+++ b/internal/keepalive/client.go
@@ -39,6 +39,18 @@
 // ErrUnsent reports that a connection failed before any byte of the request was sent.
 var ErrUnsent = errors.New("no byte of the request was sent")
 
+// Reuse says which open connections a request may use.
+type Reuse int
+
+const (
+	// ReuseAny allows all that are expected to be open.
+	ReuseAny Reuse = iota
+	// ReuseRecent allows those that are certainly open, for requests that must not run twice.
+	ReuseRecent
+	// ReuseNone allows none: a server may have forgotten an idle connection, and resets it then.
+	ReuseNone
+)
+
 // Options configures a Client.
 type Options struct {
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -90,15 +102,20 @@
 //
 // ErrUnsent and dial errors guarantee that nothing was sent.
 func (c *Client) Do(build func() *http.Request, atMostOnce bool) (*http.Response, error) {
-	response, _, err := c.DoOn(build, atMostOnce)
+	reuse := ReuseAny
+	if atMostOnce {
+		reuse = ReuseRecent
+	}
+	response, _, err := c.DoOn(build, reuse)
 	return response, err
 }
 
 // DoOn is like Do, and also returns when the connection was established on which the response arrives.
-func (c *Client) DoOn(build func() *http.Request, atMostOnce bool) (response *http.Response, connectedAt time.Time, err error) {
+func (c *Client) DoOn(build func() *http.Request, reuse Reuse) (response *http.Response, connectedAt time.Time, err error) {
 	for attempt := 1; ; attempt++ {
 		request := build()
-		u := &use{client: c, address: request.URL.Host, atMostOnce: atMostOnce, needsNewConnection: atMostOnce && replayable(request), completion: outbound.CompletionOf(request.Context())}
+		needsNew := reuse == ReuseNone || reuse == ReuseRecent && replayable(request)
+		u := &use{client: c, address: request.URL.Host, atMostOnce: reuse == ReuseRecent, needsNewConnection: needsNew, completion: outbound.CompletionOf(request.Context())}
 		traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: u.acquire, PutIdleConn: u.finish})
 		response, err = c.transport.RoundTrip(request.WithContext(traced))
 		switch {
@@ -131,8 +148,8 @@
 	client     *Client
 	address    string
 	atMostOnce bool
-	// needsNewConnection says that the request must not reuse a connection: net/http would resend it
-	// by itself if a reused one failed.
+	// needsNewConnection says that the request must not reuse a connection: it allows none, or net/http would
+	// resend it by itself if a reused one failed.
 	needsNewConnection bool
 	// completion, if set, tracks when the server has ended the request.
 	completion *outbound.Completion
