Take bytes of a server, and not the end of a handshake, for a path that works

Callers saw nearly all requests fail at nodes whose connections to servers are accepted and then reset or silent: 502, or 503 "no server is eligible".

Cause: an established connection restored a path and ended isolation, and nothing broke a path whose connections are accepted: the probe that a failed attempt asks for only connected. So the node never sent through others, or went back and forth with each probe.

A failed attempt still only asks for a probe, so that a crashed server costs no detour: nobody else hears it. A server that resets new connections because it has too many is told apart by what it answers on others. Where no server has been heard since a path broke, the other paths in use are probed too. A node that sends for others suspects its own paths when that fails. A path that was restored is not probed on suspicion for 1.5 s, and broken paths are probed every 0.5 to 1.5 s (2 s), so that a path that heals is used within 2 s.

--- /dev/null
+++ b/cmd/cloverrail/accepted_connections_test.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/platform/standin"
+)
+
+const (
+	// contactTime is the time from which nodes must have adapted to a partition.
+	contactTime = 4 * time.Second
+	// restoredTime is the time within which a path that heals must be used again.
+	restoredTime = 2 * time.Second
+	// servedShare is the fraction of first tries that cut nodes must serve.
+	servedShare = 0.95
+	// sendInterval is the time between two requests to a node.
+	sendInterval = 100 * time.Millisecond
+	// fleetSize is the number of nodes of the tests of accepted connections.
+	fleetSize = 6
+)
+
+// sendFor sends requests to nodes at intervals for some time, whether or not earlier ones have ended, and returns how
+// many were sent and how many of them were served.
+func (f *partitionFixture) sendFor(c routeCall, duration time.Duration, nodes ...int) (sent, served int) {
+	return f.startSending(c, duration, nodes...)()
+}
+
+// startSending is like sendFor, and returns once all requests are sent. The function that it returns waits for their
+// ends.
+func (f *partitionFixture) startSending(c routeCall, duration time.Duration, nodes ...int) (await func() (sent, served int)) {
+	var mutex sync.Mutex
+	var done sync.WaitGroup
+	sent, served := 0, 0
+	for since := time.Now(); time.Since(since) < duration; time.Sleep(sendInterval) {
+		for _, i := range nodes {
+			sent++
+			id := fmt.Sprintf("node-%d-%d", i, f.nodes[i].requests.Add(1))
+			done.Go(func() {
+				got := f.nodes[i].send(c.method, c.path, "turn", func(r *http.Request) {
+					r.Header.Set(standin.HeaderRequestID, id)
+					r.Header.Set(standin.HeaderDeadline, "4000")
+					if c.prompted {
+						setPromptHeaders(r)
+					}
+				})
+				mutex.Lock()
+				defer mutex.Unlock()
+				if got.err == nil && got.status == http.StatusOK {
+					served++
+				} else {
+					f.t.Logf("%s: %d %q %v", id, got.status, got.body, got.err)
+				}
+			})
+		}
+	}
+	return func() (int, int) {
+		done.Wait()
+		return sent, served
+	}
+}
+
+// pathChanges returns how often the paths of a node have changed.
+func (f *partitionFixture) pathChanges(node int) float64 {
+	return f.nodes[node].metric("cloverrail_proxy_path_changes_total", "")
+}
+
+// requireRunAtMostOnce checks that no server has run a request of sendFor that another attempt has run.
+func (f *partitionFixture) requireRunAtMostOnce() {
+	runs := map[string]int{}
+	for _, m := range f.machines {
+		for _, server := range m.Incarnations() {
+			for _, arrival := range server.Arrivals() {
+				if id := arrival.Header.Get(standin.HeaderRequestID); arrival.Ran && strings.HasPrefix(id, "node-") {
+					runs[id]++
+				}
+			}
+		}
+	}
+	require.NotEmpty(f.t, runs)
+	for id, count := range runs {
+		require.Equal(f.t, 1, count, id)
+	}
+}
+
+func firstNodes(n int) (nodes []int) {
+	for i := range n {
+		nodes = append(nodes, i)
+	}
+	return nodes
+}
+
+// Guards against nodes whose connections to servers are accepted and bring nothing, and which take the end of the
+// handshake for a path that works: they failed nearly all requests instead of sending them through other nodes.
+func TestAcceptedConnectionsAreNotTakenForPaths(t *testing.T) {
+	for name, mode := range acceptingModes {
+		for _, cut := range []int{1, 2, 3, 5} {
+			t.Run(fmt.Sprintf("%d of %d nodes, %s", cut, fleetSize, name), func(t *testing.T) {
+				t.Parallel()
+				f := newPartitionFixture(t, fleetSize)
+				f.warmUp(nonIdempotent)
+				all, nodes := firstNodes(fleetSize), firstNodes(cut)
+				for _, i := range nodes {
+					f.links[i].set(mode)
+				}
+				adapting := f.startSending(nonIdempotent, contactTime, all...)
+				changes := map[int]float64{}
+				for _, i := range nodes {
+					changes[i] = f.pathChanges(i)
+				}
+				const duration = 3 * time.Second
+				sent, served := f.sendFor(nonIdempotent, duration, nodes...)
+				t.Logf("%d of %d served", served, sent)
+				require.GreaterOrEqual(t, float64(served), servedShare*float64(sent), "%d of %d served", served, sent)
+				for _, i := range nodes {
+					require.LessOrEqual(t, f.pathChanges(i)-changes[i], duration.Seconds(), "changes of node %d", i)
+				}
+				for _, i := range nodes {
+					f.links[i].set(linksUp)
+				}
+				healing := f.startSending(nonIdempotent, restoredTime, all...)
+				for _, i := range nodes {
+					require.Zero(t, f.nodes[i].metric("cloverrail_proxy_broken_paths", ""), "node %d", i)
+				}
+				sent, served = f.sendFor(nonIdempotent, time.Second, nodes...)
+				require.Equal(t, sent, served, "after the partition")
+				adapting()
+				healing()
+				f.requireRunAtMostOnce()
+			})
+		}
+	}
+}
--- a/cmd/cloverrail/paths.go
+++ b/cmd/cloverrail/paths.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/forward"
@@ -72,11 +73,18 @@
 	})
 }
 
-// handleDial records the result of connecting to a server.
-func (process *process) handleDial(address string, startedAt time.Time, err error) {
-	change := process.serverSet.ObserveConnect(address, err == nil, startedAt, boottime.Now())
+// handlePath records the evidence for or against the path to a server.
+func (process *process) handlePath(evidence platform.PathEvidence) {
+	now := boottime.Now()
+	var change backend.PathChange
+	if evidence.Err != nil && evidence.Connected {
+		process.recorder.ProbeUnanswered()
+		change = process.serverSet.ObserveUnanswered(evidence.Address, evidence.StartedAt, now)
+	} else {
+		change = process.serverSet.ObserveConnect(evidence.Address, evidence.Err == nil, evidence.StartedAt, now)
+	}
 	if change.Any() {
-		process.recorder.PathChanged(change, err)
+		process.recorder.PathChanged(change, evidence.Err)
 	}
 }
 
@@ -84,7 +92,7 @@
 func (process *process) probePaths(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, address := range process.serverSet.DuePathProbes(maxPathProbes, boottime.Now()) {
-			// The result is reported to handleDial.
+			// The result is reported to handlePath.
 			go func() { _ = process.serverClient.Probe(ctx, address) }()
 		}
 		if process.serverSet.BrokenPaths() > 0 {
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -145,7 +145,7 @@
 		OnConnection:     process.recorder.ConnectionUsed,
 		OnNotice:         process.handleNotice,
 		OnTimeout:        process.recorder.ConnectionTimedOut,
-		OnDial:           process.handleDial,
+		OnPath:           process.handlePath,
 		OnOwnCall:        process.chargeOwnCall,
 		Memory:           process.responseMemory,
 		OnTooLarge:       process.recorder.ResponseTooLarge,
--- a/cmd/cloverrail/serverlinks_test.go
+++ b/cmd/cloverrail/serverlinks_test.go
@@ -20,10 +20,25 @@
 	linksReset
 	// linksRefuseNew refuses new connections, while open ones stay up.
 	linksRefuseNew
+	// linksAcceptAndReset resets open connections, and accepts new ones and resets them at once, as
+	// linksResetAfterHead does once the head of a request has arrived, and linksResetLater after resetDelay.
+	linksAcceptAndReset
+	linksResetAfterHead
+	linksResetLater
+	// linksAcceptAndHang accepts new connections and drops all packets after that.
+	linksAcceptAndHang
 )
 
+// resetDelay is how long linksResetLater leaves a connection open.
+const resetDelay = 200 * time.Millisecond
+
 var partitionModes = map[string]linkMode{"hanging": linksHang, "reset": linksReset, "new connections refused": linksRefuseNew}
 
+// acceptingModes are the partitions by which connections are accepted, and no byte of a server arrives.
+var acceptingModes = map[string]linkMode{
+	"reset at once": linksAcceptAndReset, "reset after the head": linksResetAfterHead, "reset later": linksResetLater, "silent": linksAcceptAndHang,
+}
+
 // serverLinks partitions one node from servers.
 type serverLinks struct {
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -58,10 +73,10 @@
 	for c := range l.open {
 		switch {
 		case !l.affects(c.RemoteAddr().String()):
-		case mode == linksHang:
+		case mode == linksHang || mode == linksAcceptAndHang:
 			// What the partition held up stays lost after it.
 			c.hang()
-		case mode == linksReset:
+		case mode != linksRefuseNew && mode != linksUp:
 			_ = c.tcp.SetLinger(0)
 			c.reset.Do(func() { close(c.wasReset) })
 			_ = c.tcp.Close()
@@ -95,6 +110,8 @@
 		case <-time.After(connectTimeout):
 			return failed(os.ErrDeadlineExceeded)
 		}
+	case affected && mode >= linksAcceptAndReset:
+		return l.connectToGateway(ctx, network, mode)
 	case affected:
 		return failed(os.NewSyscallError("connect", syscall.ECONNREFUSED))
 	}
@@ -110,6 +127,44 @@
 	return c, nil
 }
 
+// connectToGateway connects to a gateway that accepts connections in the place of a server, and ends them as the
+// mode says.
+func (l *serverLinks) connectToGateway(ctx context.Context, network string, mode linkMode) (net.Conn, error) {
+	gateway, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer gateway.Close()
+	c, err := l.dial(ctx, network, gateway.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	accepted, err := gateway.Accept()
+	if err != nil {
+		return nil, err
+	}
+	go endAtGateway(accepted.(*net.TCPConn), mode)
+	return c, nil
+}
+
+func endAtGateway(accepted *net.TCPConn, mode linkMode) {
+	buffer := make([]byte, 1<<10)
+	switch mode {
+	case linksResetAfterHead:
+		_, _ = accepted.Read(buffer)
+	case linksResetLater:
+		time.Sleep(resetDelay)
+	case linksAcceptAndHang:
+		for {
+			if _, err := accepted.Read(buffer); err != nil {
+				break
+			}
+		}
+	}
+	_ = accepted.SetLinger(0)
+	_ = accepted.Close()
+}
+
 // linkConn is a connection that can be partitioned.
 type linkConn struct {
 	net.Conn
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -103,6 +103,14 @@
 	attempt.entry.lastResponseAt, attempt.entry.lastAcceptedAt = now, now
 	attempt.entry.unansweredSince, attempt.entry.silentSince = time.Time{}, time.Time{}
 	attempt.entry.recordAnswered(attempt.sentAt)
+	attempt.markHeard(attempt.entry, now)
+}
+
+// markHeard records that the server has responded, unless the response came through another node.
+func (attempt *Attempt) markHeard(e *entry, now time.Time) {
+	if !attempt.detour {
+		e.heardAt, attempt.set.heardAt = now, now
+	}
 }
 
 // SentOnDetour records that the attempt is sent through another node.
@@ -154,6 +162,7 @@
 	switch result {
 	case exchange.ResultServed, exchange.ResultRefused, exchange.ResultFaulty:
 		e.recordAnswered(attempt.sentAt)
+		attempt.markHeard(e, now)
 	}
 	switch result {
 	case exchange.ResultServed:
--- a/internal/backend/occupancy.go
+++ b/internal/backend/occupancy.go
@@ -140,7 +140,7 @@
 	}
 	attempt.set.mutex.Lock()
 	defer attempt.set.mutex.Unlock()
-	return attempt.entry.lastResponseAt.After(since) || attempt.entry.peersAnsweredAt().After(since)
+	return attempt.entry.lastResponseAt.After(since) || attempt.peersAnsweredAt().After(since)
 }
 
 // ServerRespondedHereSince reports whether the server has responded to any attempt of this node
@@ -162,17 +162,21 @@
 	}
 	attempt.set.mutex.Lock()
 	defer attempt.set.mutex.Unlock()
-	at = attempt.entry.peersAnsweredAt()
+	at = attempt.peersAnsweredAt()
 	return at, !at.IsZero() && !now.After(attempt.set.peerWorkUntil)
 }
 
 // peersAnsweredAt returns when other nodes last heard a response of the server, or zero. Their evidence
-// does not count while this node cannot connect: it shows that the server runs, but not that this
-// node's path to it works.
-func (entry *entry) peersAnsweredAt() time.Time {
-	local := entry.local()
-	if entry.peers == nil || local.lastConnectFailureAt.After(local.lastResponseAt) {
+// does not count while this node does not reach the server itself: it shows that the server runs, but not that
+// an attempt on this node's path to it is answered.
+func (attempt *Attempt) peersAnsweredAt() time.Time {
+	local := attempt.entry.local()
+	switch {
+	case attempt.entry.peers == nil || local.lastConnectFailureAt.After(local.lastResponseAt):
 		return time.Time{}
+	case !attempt.detour && !local.path.brokenSince.IsZero():
+		return time.Time{}
+	default:
+		return attempt.entry.peers.answeredAt
 	}
-	return entry.peers.answeredAt
 }
--- a/internal/backend/path.go
+++ b/internal/backend/path.go
@@ -12,7 +12,7 @@
 	// minPathProbeInterval and maxPathProbeInterval bound the time between two probes of a broken
 	// path. It doubles from one to the next.
 	minPathProbeInterval = 500 * time.Millisecond
-	maxPathProbeInterval = 2 * time.Second
+	maxPathProbeInterval = 1500 * time.Millisecond
 	// probeRounds is the number of rounds of probes in which all broken paths are probed once.
 	probeRounds = 8
 	// unansweredLimit is how long a server may leave this node without a response until a probe must
@@ -27,16 +27,20 @@
 
 // path is the state of this node's own connections to a server. The zero value is intact.
 type path struct {
-	// brokenSince is when the first of the connection attempts that failed began; zero while
-	// connections can be established.
+	// brokenSince is when the first of the connections that failed was begun; zero while the path is
+	// intact.
 	brokenSince time.Time
+	// refused is set if connections could not be established, and not if they ended without a response.
+	refused bool
 	// detour is set once attempts go through other nodes.
 	detour bool
 	// unreachableUntil is until when the server counts as unreachable for all nodes.
 	unreachableUntil time.Time
-	// suspected is set if attempts on established connections have failed, so that a probe must
-	// tell whether connections can still be established.
-	suspected bool
+	// suspectedAt is when a probe was requested, since attempts on established connections have failed;
+	// zero if none is to be sent.
+	suspectedAt time.Time
+	// restoredAt is when the path was last restored. Connections that were begun before say nothing of it.
+	restoredAt time.Time
 	// probeAt is when the next probe is due, and probeInterval the time from the last one to it.
 	probeAt       time.Time
 	probeInterval time.Duration
@@ -58,37 +62,75 @@
 // Any reports whether anything changed.
 func (c PathChange) Any() bool { return c.Server != "" || c.IsolationChanged }
 
-// ObserveConnect records that connecting to an address, begun at startedAt, succeeded or failed. A
-// failure breaks the path to the server, and a success restores it.
-func (set *Set) ObserveConnect(address string, connected bool, startedAt, now time.Time) PathChange {
+// ObserveConnect records that a connection to an address, begun at startedAt, has brought a response of
+// the server, or could not be established. A failure breaks the path to the server. A response restores
+// it. If connections could not be established, one on an older connection does not: that may outlast a
+// partition. The end of a handshake is no evidence, since gateways and full backlogs accept first.
+func (set *Set) ObserveConnect(address string, answered bool, startedAt, now time.Time) PathChange {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
-	change := PathChange{}
-	if connected && startedAt.After(set.connectedAt) {
+	if !answered {
+		return set.breakPaths(address, true, startedAt, now)
+	}
+	if startedAt.After(set.connectedAt) {
 		set.connectedAt = startedAt
 	}
-	for e := range set.withLocalState {
-		if e.server.Address != address || !e.listed {
-			continue
-		}
-		if connected {
-			e.path.suspected = false
+	set.heardAt = now
+	for e := range set.suspectedPaths {
+		if e.server.Address == address && startedAt.After(e.path.suspectedAt) {
+			e.path.suspectedAt = time.Time{}
+			delete(set.suspectedPaths, e)
 		}
-		if broken := !e.path.brokenSince.IsZero(); broken == connected {
-			change.Server, change.Broken = e.name, !connected
-			if connected {
-				change.BrokenFor = now.Sub(e.path.brokenSince)
-			}
-			set.setPathBroken(e, !connected, startedAt, now)
+	}
+	change := PathChange{}
+	for e := range set.brokenPaths {
+		if e.server.Address == address && e.listed && (!e.path.refused || startedAt.After(e.path.brokenSince)) {
+			change.Server, change.BrokenFor = e.name, now.Sub(e.path.brokenSince)
+			set.restorePath(e, now)
 		}
 	}
-	if connected {
+	set.updateIsolation(&change, now)
+	if change.Any() {
 		// The cause of the other broken paths may have ended too.
 		set.noDetourUntil = time.Time{}
 		for e := range set.brokenPaths {
 			e.path.probeAt, e.path.probeInterval = now, minPathProbeInterval
 		}
 	}
+	return change
+}
+
+// ObserveUnanswered records that a probe of the path to an address, begun at startedAt, was connected and got
+// no response. It breaks the path, unless the server has meanwhile responded on another connection: a server
+// that has too many connections resets new ones.
+func (set *Set) ObserveUnanswered(address string, startedAt, now time.Time) PathChange {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	return set.breakPaths(address, false, startedAt, now)
+}
+
+// breakPaths breaks the path to the server at an address.
+func (set *Set) breakPaths(address string, refused bool, startedAt, now time.Time) PathChange {
+	change := PathChange{}
+	for e := range set.withLocalState {
+		if e.server.Address != address || !e.listed || startedAt.Before(e.path.restoredAt) {
+			continue
+		}
+		switch {
+		case !refused && e.heardAt.After(startedAt):
+		case e.path.brokenSince.IsZero():
+			change.Server, change.Broken = e.name, true
+			e.path.brokenSince, e.path.refused, e.path.suspectedAt = startedAt, refused, time.Time{}
+			e.path.probeAt, e.path.probeInterval = now.Add(minPathProbeInterval), minPathProbeInterval
+			set.brokenPaths[e] = true
+		}
+	}
+	set.updateIsolation(&change, now)
+	return change
+}
+
+// updateIsolation records in a change whether this node has become isolated, or no longer is.
+func (set *Set) updateIsolation(change *PathChange, now time.Time) {
 	change.Isolated = set.isIsolated()
 	change.IsolationChanged = change.Isolated != !set.isolatedSince.IsZero()
 	switch {
@@ -98,21 +140,15 @@
 		set.isolatedSince = now
 	}
 	change.BrokenPaths = len(set.brokenPaths)
-	return change
 }
 
-// setPathBroken changes the state of a path. The failures that were observed on a broken path say
-// nothing of the server.
-func (set *Set) setPathBroken(e *entry, broken bool, startedAt, now time.Time) {
-	if !broken {
-		e.resetFailures()
-		e.path = path{}
-		delete(set.brokenPaths, e)
-		return
-	}
-	e.path.brokenSince, e.path.suspected = startedAt, false
-	e.path.probeAt, e.path.probeInterval = now.Add(minPathProbeInterval), minPathProbeInterval
-	set.brokenPaths[e] = true
+// restorePath records that a path is intact again. The failures that were observed on it say nothing of the
+// server. It is not suspected again at once, so that a path on which only some connections fail does not
+// change its state with each of them.
+func (set *Set) restorePath(e *entry, now time.Time) {
+	e.resetFailures()
+	e.path = path{restoredAt: now, probeAt: now.Add(maxPathProbeInterval)}
+	delete(set.brokenPaths, e)
 }
 
 // resetFailures forgets the failures of attempts on the server.
@@ -123,8 +159,8 @@
 }
 
 // Isolated reports whether this node seems to be partitioned from all servers: connections to
-// isolationQuorum of them, or to all if there are fewer, have failed since the last one that was
-// established.
+// isolationQuorum of them, or to all if there are fewer, have failed since the last one that brought a
+// response.
 func (set *Set) Isolated() bool {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
@@ -132,7 +168,7 @@
 }
 
 // IsolatedSince reports whether this node may have been isolated from all servers at a given time: it is now, and
-// has established no connection that was begun later. Connections to several servers do not break at quite the same
+// has got no response on a connection that was begun later. Connections to several servers do not break at quite the same
 // time.
 func (set *Set) IsolatedSince(at time.Time) bool {
 	set.mutex.Lock()
@@ -160,8 +196,18 @@
 	return failed > 0 && failed >= min(isolationQuorum, len(set.servers)-len(set.unlisted))
 }
 
-// NeedsDetour reports whether an attempt on a server must go through another node: connections to
-// it fail, while other nodes are answered by it or this node reaches no server at all.
+// mayBeIsolated reports whether this node is isolated, or has heard no server since a path broke.
+func (set *Set) mayBeIsolated() bool {
+	for e := range set.brokenPaths {
+		if e.listed && e.path.brokenSince.After(set.heardAt) {
+			return true
+		}
+	}
+	return set.isIsolated()
+}
+
+// NeedsDetour reports whether an attempt on a server must go through another node: the path to it is
+// broken, while other nodes are answered by it or this node reaches no server at all.
 func (set *Set) NeedsDetour(name string) bool {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
@@ -182,7 +228,7 @@
 	return local.path.detour
 }
 
-// PathBroken reports whether this node cannot connect to a server.
+// PathBroken reports whether the path to a server is broken.
 func (set *Set) PathBroken(name string) bool {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
@@ -241,24 +287,43 @@
 func (set *Set) SuspectPath(name string, now time.Time) {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
-	e := set.servers[name]
-	if e == nil || !e.listed || e.localState == nil || e.path.suspected || !e.path.brokenSince.IsZero() {
+	if e := set.servers[name]; e != nil && e.listed {
+		set.ensureLocalState(e)
+		set.suspectPath(e, now)
+	}
+}
+
+func (set *Set) suspectPath(e *entry, now time.Time) {
+	if !e.path.suspectedAt.IsZero() || !e.path.brokenSince.IsZero() {
 		return
 	}
 	// A server is not probed more often than a broken path.
-	if e.path.suspected = true; e.path.probeAt.Before(now) {
+	if e.path.suspectedAt = now; e.path.probeAt.Before(now) {
 		e.path.probeAt = now
 	}
 	set.suspectedPaths[e] = true
 }
 
+// suspectPathsInUse requests probes of the paths to all servers in use. What has partitioned this node from some
+// of them may have done so from all, and each would cost requests.
+func (set *Set) suspectPathsInUse(now time.Time) {
+	for e := range set.withLocalState {
+		if e.listed && !now.Before(e.path.probeAt) {
+			set.suspectPath(e, now)
+		}
+	}
+}
+
 // DuePathProbes returns the addresses of some servers whose paths are to be probed now: at most limit or
 // a probeRounds-th of the broken paths, and one more while this node is isolated. The result of each
-// probe must be passed to ObserveConnect.
+// probe must be passed to ObserveConnect or ObserveUnanswered.
 func (set *Set) DuePathProbes(limit int, now time.Time) []string {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	set.suspectSilentPaths(now)
+	if set.mayBeIsolated() {
+		set.suspectPathsInUse(now)
+	}
 	limit = max(limit, len(set.brokenPaths)/probeRounds)
 	var due []string
 	for e := range set.suspectedPaths {
@@ -269,8 +334,8 @@
 			continue
 		}
 		delete(set.suspectedPaths, e)
-		if e.path.suspected && e.listed {
-			e.path.suspected, e.path.probeAt = false, now.Add(maxPathProbeInterval)
+		if !e.path.suspectedAt.IsZero() && e.listed {
+			e.path.suspectedAt, e.path.probeAt = time.Time{}, now.Add(maxPathProbeInterval)
 			due = append(due, e.server.Address)
 		}
 	}
@@ -297,7 +362,7 @@
 func (set *Set) suspectSilentPaths(now time.Time) {
 	for e := range set.withLocalState {
 		since := e.unansweredSince
-		if since.IsZero() || !e.listed || e.path.suspected || !e.path.brokenSince.IsZero() || now.Before(e.path.probeAt) {
+		if since.IsZero() || !e.listed || !e.path.brokenSince.IsZero() || now.Before(e.path.probeAt) {
 			continue
 		}
 		limit := unansweredLimit
@@ -305,14 +370,13 @@
 			limit = unansweredByPeersLimit
 		}
 		if now.Sub(since) >= limit {
-			e.path.suspected = true
-			set.suspectedPaths[e] = true
+			set.suspectPath(e, now)
 		}
 	}
 }
 
 // intactPath returns the address of any listed server whose path is not known to be broken, if there
-// is one. While it can be connected to, this node is not isolated.
+// is one. While it responds, this node is not isolated.
 func (set *Set) intactPath() []string {
 	for _, e := range set.servers {
 		if e.listed && !set.brokenPaths[e] {
@@ -322,7 +386,7 @@
 	return nil
 }
 
-// BrokenPaths returns the number of listed servers to which connections cannot be established.
+// BrokenPaths returns the number of listed servers to which the path is broken.
 func (set *Set) BrokenPaths() int {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -56,10 +56,12 @@
 	// drainingServers holds the incarnations that have announced that they are shutting down.
 	drainingServers drainingSet
 	// brokenPaths and suspectedPaths hold the servers whose paths are broken or to be probed, and
-	// connectedAt is when the last connection that was established was begun.
+	// connectedAt is when the last connection that brought a response was begun.
 	brokenPaths    map[*entry]bool
 	suspectedPaths map[*entry]bool
 	connectedAt    time.Time
+	// heardAt is when any server last responded to this node on a connection of its own.
+	heardAt time.Time
 	// noDetourUntil is until when no other node is available for servers with broken paths.
 	noDetourUntil time.Time
 	// isolatedSince is when this node became isolated; zero if it is not.
@@ -119,6 +121,8 @@
 	// send time of the most recently sent attempt that it answered.
 	lastResponseAt     time.Time
 	lastAnsweredSentAt time.Time
+	// heardAt is when the server last responded to an attempt on a connection of this node's own.
+	heardAt time.Time
 	// lastConnectFailureAt is when a connection to the server last failed to establish.
 	lastConnectFailureAt time.Time
 	queuedTokens         int
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -12,6 +12,10 @@
 	"github.com/cloverrail/cloverrail/internal/outbound"
 )
 
+// peerUnansweredLimit is how long an attempt of another node may stay without a response until a probe must tell
+// whether this node reaches the server.
+const peerUnansweredLimit = time.Second
+
 // Forwarder sends attempts through other nodes, on servers that this node cannot reach.
 type Forwarder interface {
 	// Forward sends an attempt on a server in a zone. It returns the error types of Servers.Send:
@@ -86,7 +90,12 @@
 		return nil, done, err
 	}
 	dispatch.OnNotice = onNotice
+	unanswered := time.AfterFunc(peerUnansweredLimit, func() { proxy.set.SuspectPath(dispatch.Server, boottime.Now()) })
 	reply, err = proxy.servers.Send(tracked, dispatch)
+	unanswered.Stop()
+	if isCutOff(err) {
+		proxy.set.SuspectPath(dispatch.Server, boottime.Now())
+	}
 	if err == nil {
 		reply, err = checkStatus(reply)
 	}
@@ -96,6 +105,12 @@
 	return reply, done, err
 }
 
+// isCutOff reports whether a server's connection ended before its complete response.
+func isCutOff(err error) bool {
+	var cutOff *exchange.ErrCutOff
+	return errors.As(err, &cutOff)
+}
+
 // awaitCompletion waits until a server has ended an attempt, or this node must exit. Connections do not linger for ever.
 func (proxy *Proxy) awaitCompletion(completion *outbound.Completion) {
 	select {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -185,7 +185,7 @@
 	}
 	metrics.Registry.MustRegister(metrics.overload.refusals, metrics.overload.promises)
 	metrics.Registry.MustRegister(metrics.origins.collectors()...)
-	metrics.Registry.MustRegister(metrics.paths.changes, metrics.paths.forwarded, metrics.paths.forwardedForPeers)
+	metrics.Registry.MustRegister(metrics.paths.changes, metrics.paths.unansweredProbes, metrics.paths.forwarded, metrics.paths.forwardedForPeers)
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "cloverrail_proxy_declaration_age_seconds", Help: "Time since the declaration was certainly current.",
 	}, func() float64 {
--- a/internal/telemetry/paths.go
+++ b/internal/telemetry/paths.go
@@ -15,6 +15,7 @@
 // other nodes.
 type pathMetrics struct {
 	changes           *prometheus.CounterVec
+	unansweredProbes  prometheus.Counter
 	forwarded         *prometheus.CounterVec
 	forwardedForPeers *prometheus.CounterVec
 }
@@ -24,6 +25,9 @@
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_path_changes_total", Help: "Paths from this node to servers that broke or were restored.",
 		}, []string{"state"}),
+		unansweredProbes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_unanswered_probes_total", Help: "Probes of paths to servers whose connections were accepted and ended without a response.",
+		}),
 		forwarded: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_forwarded_total", Help: "Attempts that this node offered to other nodes, by result.",
 		}, []string{"result"}),
@@ -79,6 +83,9 @@
 	}
 }
 
+// ProbeUnanswered records that the connection of a probe was accepted and ended without a response.
+func (recorder *Recorder) ProbeUnanswered() { recorder.metrics.paths.unansweredProbes.Inc() }
+
 // PeersUnread records that the nodes through which attempts could be sent were not read from the shared
 // store.
 func (recorder *Recorder) PeersUnread(err error) {
