Test single servers and nodes in turn whose connections are accepted in vain

The unit tests of package backend show the evidence one by one: a server that answers elsewhere, a connection that outlasted a partition, a probe that was sent before a path healed.

--- a/cmd/cloverrail/accepted_connections_test.go
+++ b/cmd/cloverrail/accepted_connections_test.go
@@ -137,3 +137,56 @@
 		}
 	}
 }
+
+// Guards against detours that the links of one server cost at others, and against requests that are still sent there.
+func TestServerThatResetsConnectionsCostsNoDetour(t *testing.T) {
+	for name, mode := range acceptingModes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newPartitionFixture(t, 3)
+			f.warmUp(nonIdempotent)
+			all := firstNodes(3)
+			for _, i := range all {
+				f.links[i].set(mode, f.machines[0].Address())
+			}
+			adapting := f.startSending(nonIdempotent, contactTime, all...)
+			forwarded := 0.0
+			for _, n := range f.nodes {
+				forwarded -= n.metric("cloverrail_proxy_forwarded_total", "answered")
+			}
+			sent, served := f.sendFor(nonIdempotent, 2*time.Second, all...)
+			require.GreaterOrEqual(t, float64(served), servedShare*float64(sent), "%d of %d served", served, sent)
+			for _, n := range f.nodes {
+				forwarded += n.metric("cloverrail_proxy_forwarded_total", "answered")
+			}
+			require.Zero(t, forwarded, "attempts through other nodes")
+			adapting()
+			f.requireRunAtMostOnce()
+		})
+	}
+}
+
+// Guards against nodes that take turns in being cut, and ask each other while the former state still holds.
+func TestAcceptedConnectionsOfNodesInTurn(t *testing.T) {
+	for name, mode := range acceptingModes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newPartitionFixture(t, fleetSize)
+			f.warmUp(nonIdempotent)
+			all := firstNodes(fleetSize)
+			var adapting []func() (int, int)
+			for turn := range 3 {
+				cut := turn % 2
+				f.links[1-cut].set(linksUp)
+				f.links[cut].set(mode)
+				adapting = append(adapting, f.startSending(nonIdempotent, contactTime, all...))
+				sent, served := f.sendFor(nonIdempotent, 2*time.Second, 0, 1)
+				require.GreaterOrEqual(t, float64(served), servedShare*float64(sent), "%d of %d served in turn %d", served, sent, turn)
+			}
+			for _, await := range adapting {
+				await()
+			}
+			f.requireRunAtMostOnce()
+		})
+	}
+}
--- a/internal/backend/path_test.go
+++ b/internal/backend/path_test.go
@@ -189,3 +189,43 @@
 	set.Update([]Server{{Instance: "i-0", Service: "s", Address: "at i-0"}, {Instance: "i-2", Service: "s", Address: "at i-2"}}, now)
 	require.False(t, set.NeedsDetour("i-0"), "a server that is listed again may be reached again")
 }
+
+// Guards against a path that counts as broken although its server only resets new connections, since it has too many.
+func TestServerThatAnswersElsewhereHasIntactPath(t *testing.T) {
+	set := newPathSet(3)
+	attempt := send(set, "i-0", 0, begin)
+	attempt.ResponseStarted(begin.Add(2))
+	require.False(t, set.ObserveUnanswered("at i-0", begin.Add(1), begin.Add(3)).Any())
+	require.True(t, set.ObserveUnanswered("at i-0", begin.Add(3), begin.Add(4)).Broken)
+}
+
+// Guards against a path that is restored by a connection that has outlasted a partition in which new ones are refused, and
+// against one that stays broken while its server responds.
+func TestOlderConnectionRestoresOnlyPathThatAcceptsNewOnes(t *testing.T) {
+	set := newPathSet(3)
+	set.connect("i-0", false, begin.Add(2))
+	set.ObserveUnanswered("at i-1", begin.Add(2), begin.Add(3))
+	require.False(t, set.ObserveConnect("at i-0", true, begin.Add(1), begin.Add(4)).Any())
+	require.Equal(t, "i-1", set.ObserveConnect("at i-1", true, begin.Add(1), begin.Add(4)).Server)
+	require.Equal(t, "i-0", set.ObserveConnect("at i-0", true, begin.Add(3), begin.Add(4)).Server)
+}
+
+// Guards against a probe that was sent before a path healed, and breaks it again when it ends.
+func TestFormerConnectionDoesNotBreakRestoredPath(t *testing.T) {
+	set := newPathSet(3)
+	set.ObserveUnanswered("at i-0", begin.Add(1), begin.Add(2))
+	set.ObserveConnect("at i-0", true, begin.Add(4), begin.Add(5))
+	require.False(t, set.ObserveUnanswered("at i-0", begin.Add(3), begin.Add(6)).Any())
+}
+
+// Guards against requests that are lost one server after the other while a node is partitioned from all: the paths in use are
+// probed once no server has been heard since one broke.
+func TestPathsInUseAreProbedWhileNoServerIsHeard(t *testing.T) {
+	set := newPathSet(4)
+	set.ObserveUnanswered("at i-0", begin.Add(1), begin.Add(2))
+	require.Len(t, set.DuePathProbes(8, begin.Add(2)), 3)
+	other := newPathSet(4)
+	other.ObserveUnanswered("at i-0", begin.Add(1), begin.Add(2))
+	other.ObserveConnect("at i-1", true, begin.Add(1), begin.Add(2))
+	require.Empty(t, other.DuePathProbes(8, begin.Add(2)), "others are heard")
+}
