Reset cut streams of clients that know no chunks

What callers saw: a client of HTTP/1.0 got a stream without its last events as a whole one. Such a client takes the end of its connection for the end of the stream, and a stream that its server broke off between two events ended with an orderly end of the connection, as a complete one does.

Cause: ServeHTTP aborts the handler of a stream that is cut. net/http leaves out the last chunk then and closes the connection, and without chunks the close is no sign of a cut.

Clients of HTTP/1.1 were not struck: their streams have chunks.

--- a/cmd/cloverrail/odd_status_test.go
+++ b/cmd/cloverrail/odd_status_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -17,19 +19,29 @@
 // stamp. The connection stays open until the caller closes it.
 func respondRaw(text string) standin.Handler {
 	return func(server *standin.Server, w http.ResponseWriter, r *http.Request) {
-		connection, _, err := http.NewResponseController(w).Hijack()
+		connection, err := writeRaw(text, server, w, r)
 		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		defer connection.Close()
-		text := strings.NewReplacer("{id}", r.Header.Get(standin.HeaderRequestID), "{stamp}", server.Instance+standin.StampSuffix).Replace(text)
-		if _, err := connection.Write([]byte(text)); err != nil {
 			return
 		}
+		defer connection.Close()
 		_, _ = connection.Read(make([]byte, 1))
 	}
 }
 
+// writeRaw writes the bytes of respondRaw, and returns the connection, which the caller must close.
+func writeRaw(text string, server *standin.Server, w http.ResponseWriter, r *http.Request) (net.Conn, error) {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	text = strings.NewReplacer("{id}", r.Header.Get(standin.HeaderRequestID), "{stamp}", server.Instance+standin.StampSuffix).Replace(text)
+	if _, err := io.WriteString(connection, text); err != nil {
+		_ = connection.Close()
+		return nil, err
+	}
+	return connection, nil
+}
+
 const rawHeaders = standin.HeaderRequestID + ": {id}\r\n" + standin.HeaderStamp + ": {stamp}\r\n"
 
 // oddResponses are responses of servers by name.
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -106,6 +106,15 @@
 	return closer.CloseWrite()
 }
 
+// setResetOnClose sets whether the connection ends with a reset, also if the process ends.
+func (c *Conn) setResetOnClose(resets bool) {
+	linger := unix.Linger{}
+	if resets {
+		linger.Onoff = 1
+	}
+	c.control(func(descriptor int) { _ = unix.SetsockoptLinger(descriptor, unix.SOL_SOCKET, unix.SO_LINGER, &linger) })
+}
+
 // unread returns the number of bytes that have arrived and were not read yet, as far as the kernel tells.
 func (c *Conn) unread() int {
 	unread := 0
--- a/internal/clientconn/watch.go
+++ b/internal/clientconn/watch.go
@@ -106,6 +106,14 @@
 	}
 }
 
+// SetResetOnClose sets whether the client's connection ends with a reset, also if the process ends. A response without a
+// length and chunks, such as a stream to a client of HTTP/1.0, would otherwise look complete wherever it is cut off.
+func (w *Watch) SetResetOnClose(resets bool) {
+	if w.conn != nil {
+		w.conn.setResetOnClose(resets)
+	}
+}
+
 // clientEnded is called once net/http has ended the request's context.
 func (w *Watch) clientEnded(ctx context.Context) {
 	end := EndNone
