Count a stream that has only comments as one without an event

What callers would see: a 200 with an empty stream that looks complete. A server that sends a comment or a blank line after its head, as a sign of life, and stops before the first event, ends its connection as a server does that has sent all.

Cause: a stream with neither a length nor chunks has to have an event, or it counts as cut off, and each block of lines counted as an event.

Change: the reader tells blocks with a data field from others, as clients of server-sent events do, and only the former are events of the stream. All are passed on as before.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -25,6 +25,8 @@
 	// ID is the numeric event ID; HasID reports whether the event had one.
 	ID    int64
 	HasID bool
+	// HasData reports whether the event has a data field. Without one, it is a comment or sets fields of the stream.
+	HasData bool
 }
 
 // Reader reads events from a stream.
@@ -65,9 +67,13 @@
 			event.Raw = reader.raw
 			return event, nil
 		}
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+		name, value, found := bytes.Cut(line, []byte(":"))
+		switch {
+		case string(name) == "id" && found:
 			number, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 			event.ID, event.HasID = number, err == nil
+		case string(name) == "data":
+			event.HasData = true
 		}
 	}
 }
