--- a/internal/keepalive/linger.go
+++ b/internal/keepalive/linger.go
@@ -27,6 +27,8 @@
 	discardBufferSize = 1 << 10
 	// tcpFinWait2 is the state of a TCP connection whose peer has acknowledged that this side is closed.
 	tcpFinWait2 = 5
+	// tcpClosed is the state of a TCP connection that was reset, or whose two sides have closed it.
+	tcpClosed = 7
 )
 
 // halfCloser is a connection of which one direction can be closed.
@@ -62,20 +64,27 @@
 // closeAcknowledged reports whether the server's host has acknowledged that this side of the connection is closed. It is
 // false if the socket does not tell.
 func (c *conn) closeAcknowledged() bool {
+	state, known := c.tcpState()
+	return known && state == tcpFinWait2
+}
+
+// tcpState returns the state of the connection in TCP, and whether the socket tells it.
+func (c *conn) tcpState() (state uint8, known bool) {
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, false
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return 0, false
 	}
-	acknowledged := false
 	err = raw.Control(func(descriptor uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
-		acknowledged = err == nil && info.State == tcpFinWait2
+		if err == nil {
+			state, known = info.State, true
+		}
 	})
-	return err == nil && acknowledged
+	return state, err == nil && known
 }
 
 // awaitPeerClose waits until the server has closed or reset the connection, or sends on.
