Do not take a reset for the end of a response in cloverrail node

A read that finds the end of the data on a connection that this side has closed meanwhile fails too, also in keepalive.

Change: the look at the state of the connection moves to outbound, which keepalive and the dialers of both clients use.

--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -79,7 +79,7 @@
 // NewClient returns a client whose connections are shared by all requests.
 func NewClient() *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:         outbound.ReportResets((&net.Dialer{Timeout: connectTimeout}).DialContext),
 		MaxIdleConnsPerHost: 256,
 		// An engine sends response headers when it accepts a request, long before the
 		// first token. One that does not has crashed or hangs.
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -17,9 +17,6 @@
 // may be closing it.
 var errIdleTooLong = errors.New("connection was idle for too long")
 
-// errReset is the error of reads of a connection that was reset, if the socket does not return one.
-var errReset = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
-
 // conn is a connection to a server that tracks how long it has been idle. If it is closed while the
 // server may work on a request, it lingers: the server reads the end of the connection, and the other
 // direction stays open until the server has closed it, which shows that it has ended the request.
@@ -151,9 +148,7 @@
 		return 0, net.ErrClosed
 	}
 	n, err := c.Conn.Read(data)
-	if errors.Is(err, io.EOF) && c.wasReset() {
-		err = errReset
-	}
+	err = outbound.ReadError(c.Conn, err)
 	if err != nil {
 		c.mutex.Lock()
 		c.ended = c.ended || errors.Is(err, io.EOF)
@@ -163,13 +158,6 @@
 	return n, err
 }
 
-// wasReset reports whether the server has reset the connection. A write that fails with that takes the error from the
-// socket, so that a read sees the end of the data.
-func (c *conn) wasReset() bool {
-	state, known := c.tcpState()
-	return known && state == tcpClosed
-}
-
 // Close closes the connection, and calls serverClosed if the server closed it while idle. One that broke
 // says nothing of how long the server keeps idle connections. If the server may work on a request, the
 // connection lingers.
--- a/internal/keepalive/linger.go
+++ b/internal/keepalive/linger.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"golang.org/x/sys/unix"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/outbound"
@@ -25,10 +24,6 @@
 	maxDiscarded = 256 << 10
 	// discardBufferSize is the size of the buffer for these bytes.
 	discardBufferSize = 1 << 10
-	// tcpFinWait2 is the state of a TCP connection whose peer has acknowledged that this side is closed.
-	tcpFinWait2 = 5
-	// tcpClosed is the state of a TCP connection that was reset, or whose two sides have closed it.
-	tcpClosed = 7
 )
 
 // halfCloser is a connection of which one direction can be closed.
@@ -64,27 +59,8 @@
 // closeAcknowledged reports whether the server's host has acknowledged that this side of the connection is closed. It is
 // false if the socket does not tell.
 func (c *conn) closeAcknowledged() bool {
-	state, known := c.tcpState()
-	return known && state == tcpFinWait2
-}
-
-// tcpState returns the state of the connection in TCP, and whether the socket tells it.
-func (c *conn) tcpState() (state uint8, known bool) {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, false
-	}
-	err = raw.Control(func(descriptor uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err == nil {
-			state, known = info.State, true
-		}
-	})
-	return state, err == nil && known
+	state, err := outbound.TCPState(c.Conn)
+	return err == nil && state == outbound.StateFinWait2
 }
 
 // awaitPeerClose waits until the server has closed or reset the connection, or sends on.
--- a/internal/plain/cut_test.go
+++ b/internal/plain/cut_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -96,3 +97,33 @@
 		require.Error(t, err, header)
 	}
 }
+
+// TestResetResponseIsNotWhole guards against a short body that looks whole: a server resets the connection while a long request is
+// still written, and the write takes the error away from the read of the response.
+func TestResetResponseIsNotWhole(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+					_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\ntu")
+				}
+				time.Sleep(5 * time.Millisecond)
+				_ = connection.(*net.TCPConn).SetLinger(0)
+				connection.Close()
+			}()
+		}
+	}()
+	request := Request{Method: http.MethodPost, Path: "/", Header: http.Header{}, Body: make([]byte, 16<<20)}
+	for range 20 {
+		servers := &sequentialChooser{servers: []Server{{Name: "a", Address: listener.Addr().String()}}}
+		answer, err := NewForwarder(func() {}).Forward(t.Context(), request, servers, unlimitedBudget{})
+		require.Error(t, err, "%+v", answer)
+	}
+}
--- a/internal/plain/forwarder.go
+++ b/internal/plain/forwarder.go
@@ -74,12 +74,12 @@
 // NewForwarder returns a forwarder; onMismatch is called for each answer that
 // belongs to another attempt.
 func NewForwarder(onMismatch func()) *Forwarder {
-	dialer := &net.Dialer{Timeout: connectTimeout}
+	dial := outbound.ReportResets((&net.Dialer{Timeout: connectTimeout}).DialContext)
 	return &Forwarder{
-		repeatableClient: newClient(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, DisableCompression: true, MaxResponseHeaderBytes: outbound.MaxHeaderBytes}),
+		repeatableClient: newClient(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, DisableCompression: true, MaxResponseHeaderBytes: outbound.MaxHeaderBytes}),
 		// net/http may retry a request by itself if a keep-alive connection turns out
 		// to be closed. Without keep-alive it never does.
-		nonRepeatableClient: newClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: outbound.MaxHeaderBytes}),
+		nonRepeatableClient: newClient(&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: outbound.MaxHeaderBytes}),
 		onMismatch:          onMismatch,
 	}
 }
