Check forwarded streams without an event at the node that asked

What callers saw: a resumable stream that was cut short and looks complete, while nodes of two builds ran side by side.

Cause: the rule that such a continuation counts as cut off stands where the response of the server is read. Builds without it pass the end on.

The node that asked for it applies the rule too.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -175,12 +175,18 @@
 		response.Body.Close()
 		held.Hold.Release()
 	}
+	hasContent := !head.EndsWithConnection
 	reply.Next = func() (exchange.StreamEvent, error) {
 		held.Reset()
 		var event wireEvent
 		if err := decoder.Decode(&event); err != nil {
 			return exchange.StreamEvent{}, c.failed(response.Request.Context(), use, noEOF(err))
 		}
+		if event.End && !hasContent {
+			// Former builds pass the end of such a continuation on.
+			return exchange.StreamEvent{}, &exchange.ErrCutOff{Reason: "the connection ended before the first event"}
+		}
+		hasContent = true
 		return event.streamEvent()
 	}
 	return reply, nil
--- a/internal/forward/cut_test.go
+++ b/internal/forward/cut_test.go
@@ -139,6 +139,21 @@
 	}
 }
 
+// TestForwardedStreamWithoutEventIsNotWhole guards against a stream that looks complete although its server stopped right after a
+// head without a length: the forwarding node is of a build that takes this for the end of a continuation.
+func TestForwardedStreamWithoutEventIsNotWhole(t *testing.T) {
+	event := wireEvent{Raw: []byte("tu"), ID: 1, HasID: true}
+	for _, endsWithConnection := range []bool{false, true} {
+		for body, events := range map[string][]any{"": {wireEvent{End: true}}, "tu": {event, wireEvent{End: true}}} {
+			head := wireHead{Format: messageFormat, Status: 200, Stream: true, EndsWithConnection: endsWithConnection}
+			encoded := encodeAll(t, append([]any{head}, events...)...)
+			got, whole := forwardOnce(t, fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(encoded), encoded), false)
+			require.Equal(t, body, got)
+			require.Equal(t, body != "" || !endsWithConnection, whole, "%q, ends with its connection: %v", body, endsWithConnection)
+		}
+	}
+}
+
 // TestCutAttemptIsNotSent guards against an attempt whose message is cut, at any byte, and that the server gets in part.
 func TestCutAttemptIsNotSent(t *testing.T) {
 	sender := &stubSender{send: func(context.Context, proxy.Dispatch, func(proxy.ServerNotice)) (*exchange.Reply, error) {
