Keep bytes behind responses out of the node's output

What operators would see: parts of responses in the output of a node, as lines that are not structured, one for each response and without a bound. A server that sends more than its response, such as a body longer than its length or a second response, is quoted by net/http on the standard logger.

Change: what libraries write to the standard logger becomes lines of the node's log within the limit of lines, and a counter; of bytes behind a response only that they came. The connection is closed, as before.

TestBytesBehindResponseAreNotLogged failed before: Should be empty, but was ...

--- a/cmd/cloverrail/cut_response_test.go
+++ b/cmd/cloverrail/cut_response_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -90,3 +94,38 @@
 		}
 	}
 }
+
+// lockedBuffer is a buffer that may be used concurrently.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
+// TestBytesBehindResponseAreNotLogged guards against parts of responses in a node's output, line by line and without a bound: net/http
+// quotes what a server sends after its response.
+func TestBytesBehindResponseAreNotLogged(t *testing.T) {
+	output := &lockedBuffer{}
+	former := log.Writer()
+	log.SetOutput(output)
+	defer func() { log.SetOutput(former) }()
+	server := plainServer("i-1", respondRaw("HTTP/1.1 200 OK\r\n"+rawHeaders+"Content-Length: 4\r\n\r\ndone and an answer"))
+	fixture := newFixture(t).serve(server)
+	fixture.waitUntil(func() bool {
+		require.Equal(t, "done", fixture.send(http.MethodPost, "/again/", "turn", nil).body)
+		return strings.Contains(output.String(), "answer") || fixture.metric("cloverrail_proxy_library_messages_total", "unsolicited_response") > 0
+	})
+	require.Empty(t, output.String())
+}
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -136,6 +137,8 @@
 	process.metrics = telemetry.NewMetrics(process.replica)
 	process.recorder = telemetry.NewRecorder(process.log, process.metrics)
 	process.clients = telemetry.NewClientRecorder(process.recorder)
+	log.SetFlags(0)
+	log.SetOutput(telemetry.NewLibraryRecorder(process.recorder))
 	process.memory = admission.NewMemoryBudget(config.MemoryBytes())
 	process.responseMemory = admission.NewResponseBudget(config.MemoryBytes())
 	process.eras = &coordination.EraTracker{OnChange: process.handleRestore, OnIgnored: process.recorder.EraIgnored}
