--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -148,6 +148,7 @@
 		return 0, net.ErrClosed
 	}
 	n, err := c.Conn.Read(data)
+	err = outbound.ReadError(c.Conn, err)
 	if err != nil {
 		c.mutex.Lock()
 		c.ended = c.ended || errors.Is(err, io.EOF)
--- a/internal/keepalive/linger.go
+++ b/internal/keepalive/linger.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"golang.org/x/sys/unix"
 
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/outbound"
@@ -25,8 +24,6 @@
 	maxDiscarded = 256 << 10
 	// discardBufferSize is the size of the buffer for these bytes.
 	discardBufferSize = 1 << 10
-	// tcpFinWait2 is the state of a TCP connection whose peer has acknowledged that this side is closed.
-	tcpFinWait2 = 5
 )
 
 // halfCloser is a connection of which one direction can be closed.
@@ -62,20 +59,8 @@
 // closeAcknowledged reports whether the server's host has acknowledged that this side of the connection is closed. It is
 // false if the socket does not tell.
 func (c *conn) closeAcknowledged() bool {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	acknowledged := false
-	err = raw.Control(func(descriptor uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
-		acknowledged = err == nil && info.State == tcpFinWait2
-	})
-	return err == nil && acknowledged
+	state, err := outbound.TCPState(c.Conn)
+	return err == nil && state == outbound.StateFinWait2
 }
 
 // awaitPeerClose waits until the server has closed or reset the connection, or sends on.
