Read the store at once when a starting relay's upstreams are gone

What callers saw: up to 2 s of refusals beyond the contact time of 3 s, at a node that started in an outage of the store and knew, after it, only former nodes that were gone but whose registrations had not expired.

Cause: a starting node waits 2 s for another node's state before it reads the store itself. Beside as many former nodes as new ones the first reader is a former node half of the time. The other readers poll the readers: they wait for nodes that refuse connections, or, if two of them live, for each other.

Change: a starting relay waits no longer once all of its upstreams have failed in a row, and a reader waits only for as long as readers follow the first one when it is lost later (0.15 of the bound). Followers wait as before, so that a fleet that starts does not read the store node by node. `no upstream node answers; reading the store` and upstreams_lost_total say so.

--- a/internal/reflector/bootstrap.go
+++ b/internal/reflector/bootstrap.go
@@ -71,16 +71,34 @@
 	return r.Registry.ObservePublishedView(view, boottime.Now())
 }
 
-// awaitUpstream gives the relays time to deliver their state to a starting node.
+// awaitUpstream gives other nodes time to deliver their state to a starting node. A relay does not wait for nodes that
+// are gone: its followers depend on it, and relays are few.
 func (r *Reflector) awaitUpstream(ctx context.Context) {
-	for startedAt := boottime.Now(); ctx.Err() == nil && boottime.Since(startedAt) < firstUpstreamWait; {
-		if r.isFirstReader() || r.isFresh(r.MaxStaleness, boottime.Now()) {
+	for startedAt := boottime.Now(); ctx.Err() == nil && boottime.Since(startedAt) < r.upstreamWait(); {
+		if r.isFresh(r.MaxStaleness, boottime.Now()) {
+			return
+		}
+		if r.Relays() && r.upstreamsLost.Load() {
+			r.Recorder.UpstreamsLost()
 			return
 		}
 		pause.For(ctx, startupPollInterval)
 	}
 }
 
+// upstreamWait returns how long a starting node waits for another node's state. The other readers follow the first one
+// as they do when it is lost later: those that live would otherwise wait for each other.
+func (r *Reflector) upstreamWait() time.Duration {
+	switch {
+	case r.isFirstReader():
+		return 0
+	case r.Reads():
+		return r.maxAge(readerFraction - firstReaderFraction)
+	default:
+		return firstUpstreamWait
+	}
+}
+
 func (r *Reflector) readNodes(ctx context.Context, stale bool) error {
 	sentAt := boottime.Now()
 	entries, complete, err := r.Source.ReadNodes(ctx, stale)
--- a/internal/reflector/follow.go
+++ b/internal/reflector/follow.go
@@ -155,6 +155,7 @@
 	exchange := &suspicionExchange{}
 	next := 0
 	role := r.roleFraction()
+	failures := pollFailures{}
 	changedAt := time.Time{}
 	var cause error
 	for ctx.Err() == nil {
@@ -163,6 +164,7 @@
 			role, next = now, 0
 		}
 		upstreams := r.upstreams()
+		r.upstreamsLost.Store(failures.cover(upstreams))
 		if len(upstreams) == 0 {
 			pause.For(ctx, upstreamRetryDelay)
 			continue
@@ -175,6 +177,7 @@
 		}
 		startedAt := boottime.Now()
 		cause = r.poll(ctx, node, exchange)
+		failures.observe(cause == nil || cause == errStaleUpstream)
 		switch {
 		case cause == nil:
 			pause.For(ctx, r.pollPause()-boottime.Since(startedAt))
@@ -192,6 +195,27 @@
 	}
 }
 
+// pollFailures counts the polls in a row that failed, each of the next one of a list of upstreams.
+type pollFailures struct {
+	upstreams []string
+	inARow    int
+}
+
+// cover reports whether all upstreams of a list have failed. Another list starts a new count.
+func (f *pollFailures) cover(upstreams []string) bool {
+	if !slices.Equal(upstreams, f.upstreams) {
+		*f = pollFailures{upstreams: upstreams}
+	}
+	return len(upstreams) > 0 && f.inARow >= len(upstreams)
+}
+
+func (f *pollFailures) observe(answered bool) {
+	f.inARow++
+	if answered {
+		f.inARow = 0
+	}
+}
+
 // Upstream returns the address of the node that is polled, or "".
 func (r *Reflector) Upstream() string {
 	if node := r.upstream.Load(); node != nil {
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -88,6 +88,8 @@
 	// UpstreamChanged is called with the node that is polled from now on, and with the
 	// error for which the previous one was left.
 	UpstreamChanged(node string, left error)
+	// UpstreamsLost is called when a starting relay reads the store because none of its upstreams answers.
+	UpstreamsLost()
 	// SoftwareRecordChanged is called with the record of software versions when it has changed.
 	SoftwareRecordChanged(record backend.SoftwareRecord)
 	// CacheUpdatesRejected is called when a node's cache updates cannot be decoded.
@@ -174,8 +176,10 @@
 	declarationPosition atomic.Pointer[coordination.Position]
 	// startedAt is when the reflector was started.
 	startedAt atomicTime
-	// upstream is the address of the node that is polled.
-	upstream atomic.Pointer[string]
+	// upstream is the address of the node that is polled, and upstreamsLost reports that none of the present upstreams
+	// has answered its last poll.
+	upstream      atomic.Pointer[string]
+	upstreamsLost atomic.Bool
 }
 
 // atomicTime is a time shared by goroutines. It keeps its monotonic clock reading, so that
--- a/internal/reflector/reflector_test.go
+++ b/internal/reflector/reflector_test.go
@@ -40,6 +40,7 @@
 func (nopRecorder) ConfigurationChanged(*catalog.Replica, *catalog.Replica) {}
 func (nopRecorder) ServersChanged([]backend.Change)                         {}
 func (nopRecorder) UpstreamChanged(string, error)                           {}
+func (nopRecorder) UpstreamsLost()                                          {}
 func (nopRecorder) SoftwareRecordChanged(backend.SoftwareRecord)            {}
 func (nopRecorder) CacheUpdatesRejected(string, error)                      {}
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -44,6 +44,7 @@
 	unreadableEntries   *prometheus.CounterVec
 	malformedUpdates    prometheus.Counter
 	upstreamChanges     prometheus.Counter
+	upstreamsLost       prometheus.Counter
 	storeCalls          *storeCallMetrics
 	serverCalls         *prometheus.CounterVec
 	peerResponseBytes   *prometheus.HistogramVec
@@ -166,6 +167,9 @@
 		upstreamChanges: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_follows_total", Help: "Changes of the node that this one asks for what it believes.",
 		}),
+		upstreamsLost: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_upstreams_lost_total", Help: "Starts at which this node read the store because none of the nodes that it polls answered.",
+		}),
 		storeCalls: newStoreCallMetrics(),
 		serverCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_server_calls_total", Help: "Calls that this node makes to servers on its own, by call.",
@@ -195,7 +199,7 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.retries, metrics.tooLargeResponses, metrics.firstResponse, metrics.predictionErrors, metrics.storeReads,
-		metrics.orders, metrics.waitedOrders, metrics.connections, metrics.connectionTimeouts, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.noRoom, metrics.roomRejections, metrics.deferred, metrics.placementConflicts, metrics.keptAttempts, metrics.releases, metrics.releaseWait, metrics.quarantined, metrics.trials, metrics.turnedAway, metrics.endedWithConnection, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
+		metrics.orders, metrics.waitedOrders, metrics.connections, metrics.connectionTimeouts, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.noRoom, metrics.roomRejections, metrics.deferred, metrics.placementConflicts, metrics.keptAttempts, metrics.releases, metrics.releaseWait, metrics.quarantined, metrics.trials, metrics.turnedAway, metrics.endedWithConnection, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.upstreamsLost, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
 	metrics.Registry.MustRegister(metrics.storeCalls.collectors()...)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -457,6 +457,12 @@
 	recorder.log.Info().Str("asks", node).AnErr("left", reason).Msg("upstream node changed")
 }
 
+// UpstreamsLost records that this node reads the store at its start because none of the nodes that it polls answers.
+func (recorder *Recorder) UpstreamsLost() {
+	recorder.metrics.upstreamsLost.Inc()
+	recorder.log.Info().Msg("no upstream node answers; reading the store")
+}
+
 // ConfigurationChanged records a change of the node's replica of the declaration.
 func (recorder *Recorder) ConfigurationChanged(before, after *catalog.Replica) {
 	if after.Snapshot != nil && (before == nil || before.Snapshot != after.Snapshot) {
