Let a burst return to the server that it left for its silence

Cause: all requests of a burst are at one server, which is silent for half of the target. They are given up for another server whose backoff has just ended; that refuses them and asks for a backoff again. Nobody else is left, so each is placed at the silent server again, once. But three silent attempts have opened its circuit breaker, which lets one probe return; the others wait for an eighth of the target and fail. Had the refusal been known, none would have left.

Change: the machine says which servers it readmits for their silence alone, and the placer lets the request return to them also beside a probe. Requests that were not there still wait for the probe, so that a server that is down gets no more than it had.

The three machine tests that compare the whole action now ask for the readmitted server as well, and so are stricter.

--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -264,6 +264,9 @@
 	if action.Delay > 0 && !driver.wait(ctx, action.Delay) {
 		return
 	}
+	if len(action.Readmitted) > 0 {
+		driver.request.Placer.Readmit(action.Readmitted)
+	}
 	placement, unplaced := driver.request.Placer.Place(action.Excluded)
 	if unplaced != nil {
 		driver.step(*unplaced)
--- a/internal/exchange/driver_test.go
+++ b/internal/exchange/driver_test.go
@@ -23,6 +23,7 @@
 type placer struct {
 	servers     []fakeServer
 	next        int
+	readmitted  []string
 	results     []Result
 	stalled     func(silent time.Duration) bool
 	startWithin time.Duration
@@ -38,6 +39,10 @@
 	return &placement{placer: placer, number: placer.next - 1}, nil
 }
 
+func (placer *placer) Readmit(servers []string) {
+	placer.readmitted = append(placer.readmitted, servers...)
+}
+
 type placement struct {
 	placer *placer
 	number int
@@ -231,6 +236,17 @@
 	require.Equal(t, []Result{ResultSilent, ResultServed}, fakePlacer.results)
 }
 
+// Guards against a request that cannot return to a server that it left for its silence alone, since its placer does not know
+// that it was there.
+func TestPlacerLearnsOfReadmittedServers(t *testing.T) {
+	fakePlacer := &placer{servers: []fakeServer{hangs}, stalled: func(time.Duration) bool { return true }}
+	outcome := Run(context.Background(), Request{
+		Rules: twoRuns, Budget: &fixedBudget{remaining: 1}, Placer: fakePlacer, Caller: &recorder{}, SilenceTimeouts: SilenceTimeouts{FirstEvent: time.Millisecond},
+	})
+	require.NotNil(t, outcome.Failure, "no server is left")
+	require.Equal(t, []string{"0"}, fakePlacer.readmitted)
+}
+
 // Guards against a dark server that is given up only at the next multiple of the silence timeout: where
 // a recheck interval is set, an attempt that stays silent is checked again after it.
 func TestSilentAttemptIsCheckedAgainAfterRecheckInterval(t *testing.T) {
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -103,10 +103,12 @@
 // Action is an output of the Machine, which the driver performs.
 type Action interface{ action() }
 
-// Place chooses a server after a delay.
+// Place chooses a server after a delay. Readmitted holds the servers that are no longer excluded although the request was
+// given up there: they were only silent.
 type Place struct {
-	Excluded []string
-	Delay    time.Duration
+	Excluded   []string
+	Readmitted []string
+	Delay      time.Duration
 }
 
 // Send starts an attempt on the chosen server. If Resumes is set, the stream continues
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -367,10 +367,11 @@
 // placeSilent places the next attempt with the silent servers no longer excluded, which may go on. Each is used again once,
 // unless it is silent again.
 func (machine *Machine) placeSilent(now time.Time) []Action {
-	machine.readmit(machine.silentServers)
+	readmitted := machine.silentServers
+	machine.readmit(readmitted)
 	machine.silentServers = nil
 	machine.placingSince = now
-	return []Action{Place{Excluded: machine.excluded}}
+	return []Action{Place{Excluded: machine.excluded, Readmitted: readmitted}}
 }
 
 // placeDeclined places the next attempt later, with the servers no longer excluded that have not taken the stream: they may
--- a/internal/exchange/machine_test.go
+++ b/internal/exchange/machine_test.go
@@ -316,12 +316,12 @@
 	rules := Rules{Repeatable: true, MaxRuns: 3, MaxSends: 6}
 	begun := []Event{Placed{Server: "a"}, Opened{}, Arrived{ID: 1, HasID: true}, Silent{}, Released{}}
 	refused := append(begun, Placed{Server: "b"}, Refused{}, unavailable)
-	require.Equal(t, []Action{Place{Excluded: []string{"b"}}}, lastActions(rules, 9, nil, refused...), "the server that refused stays excluded")
+	require.Equal(t, []Action{Place{Excluded: []string{"b"}, Readmitted: []string{"a"}}}, lastActions(rules, 9, nil, refused...), "the server that refused stays excluded")
 	require.Equal(t, []Action{Send{Resumes: true, After: 1}}, lastActions(rules, 9, nil, append(refused, Placed{Server: "a"})...))
-	require.Equal(t, []Action{Place{Excluded: []string{}}}, lastActions(rules, 9, nil, append(begun, unavailable)...))
+	require.Equal(t, []Action{Place{Excluded: []string{}, Readmitted: []string{"a"}}}, lastActions(rules, 9, nil, append(begun, unavailable)...))
 	require.IsType(t, Cut{}, lastActions(rules, 9, nil, append(refused, Placed{Server: "a"}, Broken{}, Released{}, unavailable)...)[0], "it failed then")
 	again := append(refused, Placed{Server: "a"}, Silent{}, Released{}, unavailable)
-	require.Equal(t, []Action{Place{Excluded: []string{"b"}}}, lastActions(rules, 9, nil, again...), "silent once more, within the bound of runs")
+	require.Equal(t, []Action{Place{Excluded: []string{"b"}, Readmitted: []string{"a"}}}, lastActions(rules, 9, nil, again...), "silent once more, within the bound of runs")
 	require.Empty(t, lastActions(rules, 9, nil, append(again, Placed{Server: "a"}, Silent{})...), "no more runs: the attempt goes on")
 	refusal := failure.New(failure.KindQuarantined, "", "")
 	require.IsType(t, Fail{}, lastActions(rules, 9, nil, Placed{Server: "a"}, Silent{}, Released{}, Unplaced{Refusal: refusal, Permanent: true})[0])
@@ -347,7 +347,7 @@
 	}
 	budget.remaining = 1
 	require.Equal(t, []Action{Place{Excluded: []string{"a", "b"}}}, machine.Step(now, RetryDue{}))
-	require.Equal(t, []Action{Place{Excluded: []string{"b"}}}, machine.Step(now, unavailable), "the silent server may go on")
+	require.Equal(t, []Action{Place{Excluded: []string{"b"}, Readmitted: []string{"a"}}}, machine.Step(now, unavailable), "the silent server may go on")
 	require.Equal(t, []Action{Place{Excluded: []string{}, Delay: continuationDelay}}, machine.Step(now, unavailable), "it is not eligible either")
 	require.Equal(t, []Action{Send{Resumes: true, After: 1}}, machine.Step(now, Placed{Server: "a"}))
 
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -160,6 +160,9 @@
 	// Place begins an attempt on a server that is not excluded, or returns why none is
 	// available.
 	Place(excluded []string) (Placement, *Unplaced)
+	// Readmit reports that no other server can serve the request than those that were silent. It returns to these as if
+	// it had stayed there, whatever was learned of them meanwhile from silence alone.
+	Readmit(servers []string)
 }
 
 // Caller receives the response. Its methods block while the caller reads slowly. An error
--- a/internal/plain/forwarder.go
+++ b/internal/plain/forwarder.go
@@ -146,6 +146,9 @@
 	return &placement{placer: placer, server: server}, nil
 }
 
+// Readmit does nothing, since no attempt is given up for silence.
+func (placer *placer) Readmit([]string) {}
+
 // placement is one attempt at a server.
 type placement struct {
 	placer *placer
--- a/internal/proxy/contention_test.go
+++ b/internal/proxy/contention_test.go
@@ -202,6 +202,33 @@
 	})
 }
 
+// Guards against requests that fail although a server only paused for a moment: those of a burst left it together, no other
+// server could take them, and its circuit breaker let one of them return. Requests that were not there do not follow.
+func TestBurstReturnsToSilentServer(t *testing.T) {
+	const burst = 6
+	p := newTestPlacer(10, 2, 0)
+	sent := time.Now().Add(-time.Second)
+	placers, attempts := make([]*placer, burst), make([]*placement, burst)
+	for i := range placers {
+		placers[i] = p.withRequestID(i)
+		attempts[i] = placers[i].silentPlacement("i-0", sent)
+	}
+	for _, attempt := range attempts {
+		attempt.End(exchange.ResultSilent)
+	}
+	served := 0
+	for _, placer := range placers {
+		placer.Readmit([]string{"i-0"})
+		if placed, _ := placer.Place([]string{"i-1"}); placed != nil {
+			require.Equal(t, "i-0", placed.Server())
+			served++
+		}
+	}
+	require.Equal(t, burst, served)
+	_, unplaced := p.withRequestID(burst).Place([]string{"i-1"})
+	require.NotNil(t, unplaced, "a probe is in flight")
+}
+
 // failAttempt begins an attempt on a candidate and ends it as unreached.
 func (p *placer) failAttempt(c routing.Candidate, at time.Time) {
 	proposed := backend.Placement{Query: p.query(at), Chosen: c, StillValid: func(*routing.Candidate) bool { return true }}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -109,7 +109,9 @@
 	resident []backend.Prefix
 	// excluded lists the servers that were already tried.
 	excluded []string
-	overload overloadCheck
+	// readmitted lists the servers that the request returns to because no other one can serve it.
+	readmitted []string
+	overload   overloadCheck
 	// foundNoRoom is set once a brittle server had no room for the request.
 	foundNoRoom bool
 }
@@ -118,6 +120,12 @@
 	return &placer{proxy: proxy, admitted: admitted, pieces: map[cacheBuild][]residency.Piece{}, storedTokens: map[cacheBuild]int{}}
 }
 
+// Readmit makes the request return to servers that were silent, although their circuit breakers are open. All that left
+// one return: if the others' refusals had been known, they would not have left.
+func (placer *placer) Readmit(servers []string) {
+	placer.readmitted = append(placer.readmitted, servers...)
+}
+
 // Place chooses the cheapest available server and begins an attempt on it.
 func (placer *placer) Place(excluded []string) (exchange.Placement, *exchange.Unplaced) {
 	placer.excluded = excluded
@@ -138,7 +146,7 @@
 			placer.proxy.conflictMutex.Lock()
 			defer placer.proxy.conflictMutex.Unlock()
 		}
-		selection := &selection{scheduler: scheduler, request: request, strict: round < maxPlacementRounds}
+		selection := &selection{scheduler: scheduler, request: request, readmitted: placer.readmitted, strict: round < maxPlacementRounds}
 		placed, unplaced := placer.selectAndBegin(selection, excluded, boottime.Now())
 		if placed != nil {
 			placer.admitted.placedAt = placed.placedAt
@@ -181,6 +189,15 @@
 	strict bool
 	// lastResort is set if the circuit breakers of all remaining servers are open.
 	lastResort bool
+	// readmitted lists the servers that the request returns to.
+	readmitted []string
+}
+
+// passBreaker makes a candidate eligible as a last resort although its circuit breaker is open. It gets one probe at a time,
+// and the requests that return to it.
+func (s *selection) passBreaker(candidate *routing.Candidate) {
+	candidate.BreakerOpen = false
+	candidate.Probing = candidate.Probing && !slices.Contains(s.readmitted, candidate.Endpoint)
 }
 
 // schedule runs the scheduler on the candidates.
@@ -195,7 +212,7 @@
 		return false
 	}
 	if s.lastResort {
-		current.BreakerOpen = false
+		s.passBreaker(current)
 	}
 	if routing.Filter(s.request, current) != routing.Accepted {
 		return false
@@ -300,7 +317,7 @@
 	if selection.decision.Index < 0 {
 		selection.lastResort = true
 		for i := range selection.candidates {
-			selection.candidates[i].BreakerOpen = false
+			selection.passBreaker(&selection.candidates[i])
 		}
 		selection.schedule()
 	}
