Ask on for the version of a stream that continues while its server is listed

Callers saw a stream end without its end although a server went on with it. An attempt that continues a stream gets a new connection, which the list of servers is always too young to vouch for, so that the server is asked for its start time. Three questions without an answer, which take no time at all if they are reset and 0.3 s otherwise, ended the attempt as broken; a node that sent the attempt for another one asked once.

A stream that its caller has events of is asked for until the answer comes, the server leaves the list, or the attempt is given up for silence or at its deadline. One that begins goes to another server after three questions, as before.

TestContinuationOutlastsUnansweredQuestions failed before: "the server may have started again, with a software version that is not known yet". TestContinuationThroughPeerOutlastsUnansweredQuestions: ConfirmedByPeer "Should be true". TestUncertainStreamIsNotAwaited has the bounds of the wait.

--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -100,7 +100,8 @@
 		reply, err = checkStatus(reply)
 	}
 	if err == nil && dispatch.Confirm && reply.Next != nil {
-		reply.ConfirmedByPeer = proxy.confirmIncarnation(ctx, dispatch.Server, reply.ConnectedAt) == incarnationConfirmed
+		ask := func() incarnationEvidence { return proxy.confirmIncarnation(ctx, dispatch.Server, reply.ConnectedAt) }
+		reply.ConfirmedByPeer = proxy.askIncarnation(ctx, dispatch.Server, dispatch.Resumes, ask) == incarnationConfirmed
 	}
 	return reply, done, err
 }
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -13,6 +13,7 @@
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/origin"
+	"github.com/cloverrail/cloverrail/internal/pause"
 )
 
 const (
@@ -26,9 +27,10 @@
 	// originRetryAfter is when a caller may resume a stream of which the holders could not be asked.
 	originRetryAfter = time.Second
 	// reportTimeout bounds the question for the start time of a server. It is asked up to maxReportQuestions times
-	// before the stream that a server has begun is given up.
+	// before the stream that a server has begun is given up, and then every reportPause for one that continues.
 	reportTimeout      = 100 * time.Millisecond
 	maxReportQuestions = 3
+	reportPause        = 100 * time.Millisecond
 	// requiredHolders is the number of other nodes that must have no record of a stream for it to count
 	// as unrecorded, if there are that many.
 	requiredHolders = 2
@@ -336,11 +338,30 @@
 	}
 }
 
+// askIncarnation asks for the incarnation that sends a response until that is known, at least maxReportQuestions times. A
+// stream that continues is given up no earlier than its attempt or its server: few further attempts are left for it.
+func (proxy *Proxy) askIncarnation(ctx context.Context, server string, continues bool, ask func() incarnationEvidence) incarnationEvidence {
+	evidence := ask()
+	for question := 1; evidence == incarnationUnconfirmed && ctx.Err() == nil; question++ {
+		if question >= maxReportQuestions {
+			if !continues || !proxy.set.Listed(backend.ServerKey(server)) {
+				break
+			}
+			pause.For(ctx, reportPause)
+		}
+		evidence = ask()
+	}
+	return evidence
+}
+
 // requireKnownVersion returns an error unless it is certain which software version the stream has.
 func (placement *placement) requireKnownVersion(ctx context.Context, reply *exchange.Reply) error {
-	evidence := placement.incarnation(ctx, reply)
-	for question := 1; evidence == incarnationUnconfirmed && question < maxReportQuestions && !placement.detour && ctx.Err() == nil; question++ {
-		evidence = placement.incarnation(ctx, reply)
+	ask := func() incarnationEvidence { return placement.incarnation(ctx, reply) }
+	evidence := incarnationUnconfirmed
+	if placement.detour {
+		evidence = ask()
+	} else {
+		evidence = placement.placer.proxy.askIncarnation(ctx, placement.chosen.Endpoint, placement.continues, ask)
 	}
 	if evidence == incarnationConfirmed {
 		return nil
