Keep a silent attempt of a request that no other server may get

Callers saw a stream end without its end, or a failure, although its server went on: the attempt was silent for a while, another server would have taken it by its load, and the node gave the attempt up. The next placement then refused the request, since such requests had crashed servers meanwhile, or since it is not known which software version began the stream. The check for an alternative asked neither.

It asks now what a placement asks first.

TestSilentAttemptIsKeptIfNoOtherMayFollow failed before, for both reasons: "Should be false". Passed after: internal/proxy whole.

--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -122,14 +122,7 @@
 func (placer *placer) Place(excluded []string) (exchange.Placement, *exchange.Unplaced) {
 	placer.excluded = excluded
 	now := boottime.Now()
-	if reason := placer.blockedByQuarantine(now); reason != "" {
-		return nil, &exchange.Unplaced{Reason: reason, Permanent: true, Final: true}
-	}
-	// The timer that ends the request does not advance while the machine is suspended.
-	if !now.Before(placer.admitted.deadline) {
-		return nil, &exchange.Unplaced{Expired: true}
-	}
-	if unplaced := placer.checkOrigin(); unplaced != nil {
+	if unplaced := placer.checkBarred(now); unplaced != nil {
 		return nil, unplaced
 	}
 	scheduler, request := routing.NewScheduler(placer.scorers()...), placer.routingRequest()
@@ -153,6 +146,18 @@
 	return nil, &exchange.Unplaced{Reason: "servers filled up with other requests during placement"}
 }
 
+// checkBarred returns why no server may get the request any more, or nil.
+func (placer *placer) checkBarred(now time.Time) *exchange.Unplaced {
+	if reason := placer.blockedByQuarantine(now); reason != "" {
+		return &exchange.Unplaced{Reason: reason, Permanent: true, Final: true}
+	}
+	// The timer that ends the request does not advance while the machine is suspended.
+	if !now.Before(placer.admitted.deadline) {
+		return &exchange.Unplaced{Expired: true}
+	}
+	return placer.checkOrigin()
+}
+
 const (
 	// subsetSize is the number of servers of a large service that a request chooses from.
 	// The best of 64 is as good as the best of thousands while a few percent are busy: with
@@ -254,10 +259,13 @@
 	return unplaced
 }
 
-// hasAlternative reports whether the subset has another server that was not yet tried and
-// accepts the request now.
+// hasAlternative reports whether the request may go to another server, and the subset has one that was not yet tried
+// and accepts it now.
 func (placer *placer) hasAlternative(server string) bool {
 	now := boottime.Now()
+	if placer.checkBarred(now) != nil {
+		return false
+	}
 	selection := &selection{scheduler: routing.NewScheduler(placer.scorers()...), request: placer.routingRequest()}
 	query := placer.query(now)
 	query.Limit = subsetSize
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -11,6 +11,7 @@
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/origin"
 	"github.com/cloverrail/cloverrail/internal/property"
 	"github.com/cloverrail/cloverrail/internal/routing"
 )
@@ -161,3 +162,30 @@
 	require.Equal(t, failure.KindDeadline, outcome.Failure.Kind)
 	require.Equal(t, failure.NotRun, outcome.Failure.Outcome)
 }
+
+// Guards against silent attempts that are given up although the request may be sent to no other server: because of crashes of
+// servers that ran such requests meanwhile, or since it is not known which software version began the stream.
+func TestSilentAttemptIsKeptIfNoOtherMayFollow(t *testing.T) {
+	now := time.Now()
+	const silent = time.Minute
+	for name, bar := range map[string]func(p *placer){
+		"quarantined": func(p *placer) {
+			p.proxy.unconfirmed = func(uint64, time.Time) bool { return false }
+			for server := range uint64(10) {
+				p.proxy.quarantine.Suspect(p.admitted.suspects())
+				p.proxy.quarantine.Resolve(p.admitted.suspects(), server, now, true, now)
+			}
+		},
+		"unknown version": func(p *placer) { p.admitted.origin = &origin.Origin{Service: "s"} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newTestPlacer(10, 3, 0)
+			attempt := p.silentPlacement("i-0", now.Add(-silent))
+			require.True(t, attempt.Stalled(silent), "another server would take it")
+			bar(p)
+			_, unplaced := p.Place([]string{"i-0"})
+			require.NotNil(t, unplaced)
+			require.False(t, attempt.Stalled(silent))
+		})
+	}
+}
