Drop the suspicion of all paths once a server is heard

Servers got a probe from nodes that had no reason for it. A node that has heard no server since the path to one broke asks for probes of all servers in use, as it may be partitioned. These requests stood until each was sent, also if another server responded a moment later. A node that hears a server now and then looks like that after the loss of any single one.

Such a request is dropped once the node reaches a server. One that a path has for a reason of its own stands.

TestPathsInUseAreNotProbedOnceServerIsHeard failed before: "Should be empty", with 96 of 100 servers; TestPathSuspectedByItselfIsProbedOnceServerIsHeard: 7 addresses instead of 1. TestPathsInUseAreProbedWhileNoServerIsHeard passes as before, and internal/backend whole.

--- a/internal/backend/path.go
+++ b/internal/backend/path.go
@@ -39,6 +39,8 @@
 	// suspectedAt is when a probe was requested, since attempts on established connections have failed;
 	// zero if none is to be sent.
 	suspectedAt time.Time
+	// suspectedWithAll is set if that probe was requested only since this node may reach no server.
+	suspectedWithAll bool
 	// restoredAt is when the path was last restored. Connections that were begun before say nothing of it.
 	restoredAt time.Time
 	// probeAt is when the next probe is due, and probeInterval the time from the last one to it.
@@ -293,7 +295,13 @@
 	}
 }
 
+// suspectPath requests a probe of a path for a reason of its own.
 func (set *Set) suspectPath(e *entry, now time.Time) {
+	e.path.suspectedWithAll = false
+	set.requestProbe(e, now)
+}
+
+func (set *Set) requestProbe(e *entry, now time.Time) {
 	if !e.path.suspectedAt.IsZero() || !e.path.brokenSince.IsZero() {
 		return
 	}
@@ -308,8 +316,19 @@
 // of them may have done so from all, and each would cost requests.
 func (set *Set) suspectPathsInUse(now time.Time) {
 	for e := range set.withLocalState {
-		if e.listed && !now.Before(e.path.probeAt) {
-			set.suspectPath(e, now)
+		if e.listed && e.path.suspectedAt.IsZero() && e.path.brokenSince.IsZero() && !now.Before(e.path.probeAt) {
+			e.path.suspectedWithAll = true
+			set.requestProbe(e, now)
+		}
+	}
+}
+
+// clearGeneralSuspicion drops the requests of suspectPathsInUse, since this node reaches some server.
+func (set *Set) clearGeneralSuspicion() {
+	for e := range set.suspectedPaths {
+		if e.path.suspectedWithAll {
+			e.path.suspectedAt, e.path.suspectedWithAll = time.Time{}, false
+			delete(set.suspectedPaths, e)
 		}
 	}
 }
@@ -323,6 +342,8 @@
 	set.suspectSilentPaths(now)
 	if set.mayBeIsolated() {
 		set.suspectPathsInUse(now)
+	} else {
+		set.clearGeneralSuspicion()
 	}
 	limit = max(limit, len(set.brokenPaths)/probeRounds)
 	var due []string
--- a/internal/backend/path_test.go
+++ b/internal/backend/path_test.go
@@ -229,3 +229,34 @@
 	other.ObserveConnect("at i-1", true, begin.Add(1), begin.Add(2))
 	require.Empty(t, other.DuePathProbes(8, begin.Add(2)), "others are heard")
 }
+
+// Guards against probes of all servers in use after one was lost while this node heard none for a moment: hundreds of nodes
+// would probe hundreds of servers each.
+func TestPathsInUseAreNotProbedOnceServerIsHeard(t *testing.T) {
+	const servers, limit = 100, 4
+	set := newPathSet(servers)
+	lost := "at i-0"
+	set.ObserveUnanswered(lost, begin.Add(1), begin.Add(2))
+	require.Len(t, set.DuePathProbes(limit, begin.Add(2)), limit)
+	set.SuspectPath("i-2", begin.Add(2))
+	set.ObserveConnect("at i-1", true, begin, begin.Add(3))
+	probed := map[string]bool{}
+	for now := begin.Add(4); now.Before(begin.Add(20 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		for _, address := range set.DuePathProbes(limit, now) {
+			probed[address] = true
+		}
+	}
+	delete(probed, lost)
+	delete(probed, "at i-2")
+	require.Empty(t, probed)
+}
+
+// Guards against a suspicion of one path that is dropped with that of all.
+func TestPathSuspectedByItselfIsProbedOnceServerIsHeard(t *testing.T) {
+	set := newPathSet(8)
+	set.ObserveUnanswered("at i-0", begin.Add(1), begin.Add(2))
+	set.DuePathProbes(0, begin.Add(2))
+	set.SuspectPath("i-2", begin.Add(2))
+	set.ObserveConnect("at i-1", true, begin, begin.Add(3))
+	require.Equal(t, []string{"at i-2"}, set.DuePathProbes(8, begin.Add(3)))
+}
