Promise no outcome of a rejected request that an earlier attempt may have run

Callers of cloverrail node were told "not-run" with each rejection of an engine, also if an earlier attempt had been sent to another engine whose connection was lost, and may have run. The rejection carries the outcome of the request as its other failures do.

TestRejectionAfterLostAttemptPromisesNothing failed before (Outcome "" and not "unknown", with the field added), and so did TestRejectionStatesItsOutcome (expected "unknown", actual "not-run"). Passed after: internal/dispatch and internal/gateway whole.

--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -66,6 +66,8 @@
 type Rejection struct {
 	Status int
 	Body   []byte
+	// Outcome is whether the request may have run at another engine before.
+	Outcome failure.Outcome
 }
 
 // Error implements error.
@@ -137,7 +139,7 @@
 	case Fail:
 		run.err = action.Failure
 	case ForwardRejection:
-		run.err = &Rejection{Status: action.Status, Body: action.Body}
+		run.err = &Rejection{Status: action.Status, Body: action.Body, Outcome: action.Outcome}
 	}
 }
 
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -132,6 +132,8 @@
 type ForwardRejection struct {
 	Status int
 	Body   []byte
+	// Outcome is whether an earlier attempt may have run.
+	Outcome failure.Outcome
 }
 
 func (Place) action()            {}
@@ -222,7 +224,7 @@
 	case Rejected:
 		return machine.ifCurrent(event.Attempt, func() []Action {
 			machine.finished = true
-			return []Action{ForwardRejection{Status: event.Status, Body: event.Body}}
+			return []Action{ForwardRejection{Status: event.Status, Body: event.Body, Outcome: machine.outcome()}}
 		})
 	case Broken:
 		return machine.ifCurrent(event.Attempt, func() []Action { return machine.broken(now, event.Reason) })
--- a/internal/dispatch/machine_test.go
+++ b/internal/dispatch/machine_test.go
@@ -200,3 +200,20 @@
 	machine.Step(time.Unix(0, 0), TextComplete{})
 	require.Equal(t, []Action{Finish{}}, machine.Step(time.Unix(0, 0), Broken{Attempt: "a"}))
 }
+
+// Guards against a promise that a request did not run, since an engine has rejected it, although another one may have run it.
+func TestRejectionAfterLostAttemptPromisesNothing(t *testing.T) {
+	machine := NewMachine(DefaultLimits, &fixedBudget{remaining: 3})
+	machine.Start()
+	now := time.Time{}
+	machine.Step(now, Placed{Attempt: "a", Target: Target{Endpoint: "e-1"}})
+	machine.Step(now, Broken{Attempt: "a", Reason: "reset"})
+	machine.Step(now, Placed{Attempt: "b", Target: Target{Endpoint: "e-2"}})
+	actions := machine.Step(now, Rejected{Attempt: "b", Status: 400})
+	require.Equal(t, []Action{ForwardRejection{Status: 400, Outcome: failure.Unknown}}, actions)
+
+	first := NewMachine(DefaultLimits, &fixedBudget{})
+	first.Start()
+	first.Step(now, Placed{Attempt: "a"})
+	require.Equal(t, []Action{ForwardRejection{Status: 400, Outcome: failure.NotRun}}, first.Step(now, Rejected{Attempt: "a", Status: 400}))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -284,7 +284,7 @@
 	var rejection *dispatch.Rejection
 	if errors.As(err, &rejection) {
 		writer.Header().Set("Content-Type", "application/json")
-		writer.Header().Set(headerOutcome, string(failure.NotRun))
+		writer.Header().Set(headerOutcome, string(rejection.Outcome))
 		writer.WriteHeader(rejection.Status)
 		_, _ = writer.Write(rejection.Body)
 		return
