Let a stream of a silent server wait where its refusal is temporary

Callers would see a stream end without its end: its server was silent for a moment, the node gave the attempt up for another one, and while the store writes entries again that lapsed during a disruption, no listed server has the version that began the stream. A placement refuses it then with a time at which it may be resumed, and the machine aborted it, against its invariant that no such stream is aborted because no server is available at the moment. It waits now, as it does for other servers, until the refusal is final or the deadline passes. Other requests are refused as before.

TestStreamOfSilentServerOutlastsTemporaryRefusal failed before: no action after the refusal, and not a placement after a delay. Passed after: internal/exchange whole.

--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -190,7 +190,7 @@
 	if !event.Permanent && now.Sub(machine.placingSince) < machine.rules.PlacementWait {
 		return []Action{Place{Excluded: machine.excluded, Delay: placementRetryDelay}}
 	}
-	if event.Refusal != nil {
+	if event.Refusal != nil && !(machine.owesContinuation && event.Refusal.RetryAfter > 0) {
 		return machine.refuse(event.Refusal)
 	}
 	if len(machine.silentServers) > 0 {
--- a/internal/exchange/machine_test.go
+++ b/internal/exchange/machine_test.go
@@ -435,3 +435,19 @@
 	require.Equal(t, failure.Unknown, unanswered.Outcome, "the first attempt may have run")
 	require.Equal(t, failure.KindDeadline, lastActions(rules, 9, nil, expired)[0].(Fail).Failure.Kind)
 }
+
+// Guards against streams that are cut since their server was silent for a moment, and the list of servers lacked those that may go on
+// with them while it was written again.
+func TestStreamOfSilentServerOutlastsTemporaryRefusal(t *testing.T) {
+	rules := Rules{Repeatable: true, MaxRuns: 3, MaxSends: 6}
+	refusal := failure.New(failure.KindOtherSoftware, "", "")
+	temporary := Unplaced{Permanent: true, Refusal: refusal.WithRetryAfter(time.Second)}
+	silent := []Event{Placed{Server: "a"}, Opened{}, Arrived{ID: 1, HasID: true}, Silent{}, Released{}}
+	refused := append(silent, temporary, temporary)
+	require.Equal(t, []Action{Place{Excluded: []string{}, Delay: continuationDelay}}, lastActions(rules, 9, nil, refused...))
+	require.Equal(t, []Action{Send{Resumes: true, After: 1}}, lastActions(rules, 9, nil, append(refused, Placed{Server: "a"})...))
+	require.IsType(t, Cut{}, lastActions(rules, 9, nil, append(refused, Unplaced{Permanent: true, Refusal: refusal})...)[0], "no server is left")
+	broken := append(silent, Placed{Server: "b"}, Broken{}, Released{}, temporary)
+	require.IsType(t, Cut{}, lastActions(rules, 9, nil, broken...)[0], "the other server broke the stream off")
+	require.IsType(t, Fail{}, lastActions(rules, 9, nil, Placed{Server: "a"}, Silent{}, Released{}, temporary)[0], "the caller has nothing yet")
+}
