Test that an event which has come is read before its server counts as silent

A driver without the look at a waiting event passed the tests since it also reads on after a timer that is late by more than 10 ms.

--- a/internal/exchange/slow_reader_test.go
+++ b/internal/exchange/slow_reader_test.go
@@ -102,3 +102,18 @@
 		require.Equal(t, []Result{ResultServed}, fakePlacer.results, "the first server was not silent")
 	})
 }
+
+// Guards against streams that are given up for their server's silence although its next event has come, where the client has taken
+// the one before just after the silence would have been too long: either may be looked at first then.
+func TestEventThatHasComeIsNotTakenForSilence(t *testing.T) {
+	const events, silence = 60, 100 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		fakePlacer := &placer{servers: []fakeServer{streams(events, io.EOF), streams(events, io.EOF)}, stalled: func(time.Duration) bool { return true }}
+		outcome := Run(t.Context(), Request{
+			Rules: Rules{Repeatable: true, MaxRuns: 2, MaxSends: 6}, Budget: &fixedBudget{remaining: 9}, Placer: fakePlacer, Caller: &slowCaller{delay: silence + maxTimerDelay/2},
+			SilenceTimeouts: SilenceTimeouts{FirstEvent: silence, BetweenEvents: silence},
+		})
+		require.Nil(t, outcome.Failure)
+		require.Equal(t, []Result{ResultServed}, fakePlacer.results)
+	})
+}
