Test that a restored path is not probed at once

No test had the time from which on a restored path may be suspected again. Without it (trial) the test fails: "Should be empty, but was [at i-0]".

--- a/internal/backend/path_test.go
+++ b/internal/backend/path_test.go
@@ -260,3 +260,14 @@
 	set.ObserveConnect("at i-1", true, begin, begin.Add(3))
 	require.Equal(t, []string{"at i-2"}, set.DuePathProbes(8, begin.Add(3)))
 }
+
+// Guards against a path on which only some connections fail, and which breaks and is restored with each of them.
+func TestRestoredPathIsNotProbedAtOnce(t *testing.T) {
+	set := newPathSet(3)
+	set.ObserveUnanswered("at i-0", begin.Add(1), begin.Add(2))
+	restored := begin.Add(time.Second)
+	require.Equal(t, "i-0", set.ObserveConnect("at i-0", true, begin.Add(3), restored).Server)
+	set.SuspectPath("i-0", restored)
+	require.Empty(t, set.DuePathProbes(4, restored.Add(maxPathProbeInterval-1)))
+	require.Equal(t, []string{"at i-0"}, set.DuePathProbes(4, restored.Add(maxPathProbeInterval)))
+}
