Offer the attempt that continues a stream to other nodes on a new connection

Callers of a node that does not reach their server itself would see a stream end without its end: the attempt that continues it is offered to another node, on an idle connection that the other one may have forgotten, as after it was replaced. The reset counts as a run, and the route allows few. Attempts on servers get a new connection already; the same rule, now in keepalive.ReuseFor, holds for other nodes.

TestContinuationIsOfferedOnNewConnection failed before: "node node-0 failed while it forwarded the attempt", "connection reset by peer". Passed after: internal/forward, internal/keepalive, and -run 'Continuation|Cut' of platform, whose TestContinuationGetsNewConnection guards the rule for servers.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -76,7 +76,7 @@
 			break
 		}
 		excluded = append(excluded, use.node.Name)
-		reply, err := c.offer(ctx, use, body.Bytes(), !dispatch.Repeatable)
+		reply, err := c.offer(ctx, use, body.Bytes(), keepalive.ReuseFor(dispatch.Resumes, dispatch.Repeatable))
 		c.onResult(Result{RequestID: dispatch.Request.ID, Server: dispatch.Server, Node: use.node.Name, Offered: offered, Err: err})
 		if err == nil {
 			return reply, nil
@@ -96,7 +96,7 @@
 func (c *Client) Available() bool { return c.peers.available(boottime.Now()) }
 
 // offer sends an attempt to one node. If it returns a reply, the use ends when that is closed.
-func (c *Client) offer(ctx context.Context, use *use, body []byte, atMostOnce bool) (*exchange.Reply, error) {
+func (c *Client) offer(ctx context.Context, use *use, body []byte, reuse keepalive.Reuse) (*exchange.Reply, error) {
 	build := func() *http.Request {
 		request := &http.Request{
 			Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: use.node.Address, Path: Path}, Header: http.Header{"User-Agent": nil},
@@ -104,7 +104,7 @@
 		}
 		return request.WithContext(ctx)
 	}
-	response, err := c.client.Do(build, atMostOnce)
+	response, _, err := c.client.DoOn(build, reuse)
 	if err != nil {
 		return nil, c.failed(ctx, use, err)
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -411,3 +411,31 @@
 	require.NoError(t, d.Refresh(t.Context(), now.Add(directoryTTL)))
 	require.Equal(t, 2, reads)
 }
+
+// Guards against streams that are cut since the attempt that continues them was offered on an idle connection which the other node
+// had forgotten: the reset counts as a run, and the route allows few.
+func TestContinuationIsOfferedOnNewConnection(t *testing.T) {
+	f := newTestFleet(t)
+	sender := &stubSender{send: func(context.Context, proxy.Dispatch, func(proxy.ServerNotice)) (*exchange.Reply, error) {
+		return complete("done")
+	}}
+	handler, used := newTestHandler(sender), sync.Map{}
+	f.addNode("a", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, again := used.LoadOrStore(r.RemoteAddr, true); again {
+			connection, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_ = connection.(*net.TCPConn).SetLinger(0)
+				connection.Close()
+			}
+			return
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	first := testDispatch()
+	first.Resumes = false
+	for _, dispatch := range []proxy.Dispatch{first, testDispatch()} {
+		reply, err := f.client.Forward(t.Context(), dispatch, "a")
+		require.NoError(t, err)
+		require.Equal(t, "done", string(reply.Complete.Body))
+	}
+}
--- a/internal/keepalive/client.go
+++ b/internal/keepalive/client.go
@@ -51,6 +51,19 @@
 	ReuseNone
 )
 
+// ReuseFor returns which open connections an attempt may use. One that continues a stream gets a new one: the caller has
+// events already, and few further attempts are left if it is reset.
+func ReuseFor(continues, repeatable bool) Reuse {
+	switch {
+	case continues:
+		return ReuseNone
+	case !repeatable:
+		return ReuseRecent
+	default:
+		return ReuseAny
+	}
+}
+
 // Options configures a Client.
 type Options struct {
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
