Test what responses through other nodes say of a path

No test turned red (trial) when other nodes' evidence counted for an attempt on a broken path of this node, or when a response that came through another node counted for this node's path. With the same two changes the new tests fail: TestPeersEvidenceNeedsPathOfAttempt ("Should be false"), TestResponseThroughPeerSaysNothingOfPath ("Should be true").

--- a/internal/backend/path_test.go
+++ b/internal/backend/path_test.go
@@ -271,3 +271,28 @@
 	require.Empty(t, set.DuePathProbes(4, restored.Add(maxPathProbeInterval-1)))
 	require.Equal(t, []string{"at i-0"}, set.DuePathProbes(4, restored.Add(maxPathProbeInterval)))
 }
+
+// Guards against an attempt that is held on to since its server answers other nodes, although this node does not reach it.
+func TestPeersEvidenceNeedsPathOfAttempt(t *testing.T) {
+	set := newPathSet(2)
+	direct, detour := send(set, "i-0", 0, begin), send(set, "i-0", 0, begin)
+	detour.SentOnDetour()
+	now := begin.Add(time.Second)
+	set.ApplyPeerWork([]Work{{Server: ServerKey("i-0"), AnswerAge: time.Millisecond}}, now)
+	require.True(t, direct.ServerRespondedSince(begin))
+	set.ObserveUnanswered("at i-0", begin.Add(1), begin.Add(2))
+	require.False(t, direct.ServerRespondedSince(begin))
+	_, found := direct.PeersAnsweredAt(now)
+	require.False(t, found)
+	require.True(t, detour.ServerRespondedSince(begin), "the other node reaches it")
+}
+
+// Guards against a path that counts as intact since a response came through another node.
+func TestResponseThroughPeerSaysNothingOfPath(t *testing.T) {
+	set := newPathSet(2)
+	detour := send(set, "i-0", 0, begin)
+	detour.SentOnDetour()
+	detour.ResponseStarted(begin.Add(2))
+	detour.End(exchange.ResultServed, begin.Add(2))
+	require.True(t, set.ObserveUnanswered("at i-0", begin.Add(1), begin.Add(3)).Broken)
+}
