Check a silent attempt again while the retry budget is spent

Callers waited until their deadline for a server that had stopped: the retry budget was spent at the moment when the server had been silent for too long, and the timer was not set again, so that retries which were earned later did not help. Nodes of a large fleet have less than one saved retry each. The attempt is checked again after each further silence timeout. One that may not be sent again for another reason is not.

TestSilentAttemptIsGivenUpOnceRetryIsAvailable failed before, for a server that stops before its response and for one in its stream: "the request's deadline has passed", with a deadline of a minute, although the third retry is granted. With the change both are complete after three silence timeouts (virtual time). Passed after: internal/exchange, internal/proxy, internal/plain and internal/telemetry whole.

--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -186,7 +187,7 @@
 		return
 	}
 	driver.step(Silent{})
-	if len(driver.pendingActions) > 0 {
+	if slices.Contains(driver.pendingActions, Action(Cancel{})) {
 		driver.result = ResultSilent
 	}
 }
@@ -218,6 +219,8 @@
 		if driver.wait(ctx, action.Delay) {
 			driver.step(RetryDue{})
 		}
+	case RecheckSilence:
+		driver.startSilenceTimer(driver.silenceTimeout)
 	case Stash:
 		driver.stashed = driver.reply.Complete
 		driver.endAttempt(ResultFaulty)
--- a/internal/exchange/driver_test.go
+++ b/internal/exchange/driver_test.go
@@ -359,3 +359,50 @@
 	})
 	require.Len(t, fakePlacer.results, 1)
 }
+
+// earningBudget is a Budget that denies the first retries.
+type earningBudget struct{ denied int }
+
+func (b *earningBudget) Withdraw(time.Time) bool {
+	b.denied--
+	return b.denied < 0
+}
+
+// Guards against requests that wait for a server which has stopped until their deadline: the retry budget was spent when it had been
+// silent for too long, and earned retries later.
+func TestSilentAttemptIsGivenUpOnceRetryIsAvailable(t *testing.T) {
+	const silence = 400 * time.Millisecond
+	stops := func(ctx context.Context, _ bool, _ int64) (*Reply, error) {
+		reply, _ := streams(1, nil)(ctx, false, 0)
+		first := reply.Next
+		sent := false
+		reply.Next = func() (StreamEvent, error) {
+			if !sent {
+				sent = true
+				return first()
+			}
+			<-ctx.Done()
+			return StreamEvent{}, ctx.Err()
+		}
+		return reply, nil
+	}
+	for name, server := range map[string]fakeServer{"before its response": hangs, "in its stream": stops} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				startedAt := time.Now()
+				fakePlacer := &placer{servers: []fakeServer{server, streams(3, io.EOF)}, stalled: func(time.Duration) bool { return true }}
+				caller := &recorder{}
+				outcome := Run(ctx, Request{
+					Rules: twoRuns, Budget: &earningBudget{denied: 2}, Placer: fakePlacer, Caller: caller,
+					SilenceTimeouts: SilenceTimeouts{FirstEvent: silence, BetweenEvents: silence},
+				})
+				require.Nil(t, outcome.Failure)
+				require.Equal(t, "1 2 3 ", caller.body.String())
+				require.Equal(t, []Result{ResultSilent, ResultServed}, fakePlacer.results)
+				require.Equal(t, 3*silence, time.Since(startedAt))
+			})
+		})
+	}
+}
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -126,6 +126,9 @@
 // AwaitRetry waits before the next attempt is charged to the budget again.
 type AwaitRetry struct{ Delay time.Duration }
 
+// RecheckSilence checks after another silence timeout whether the attempt is still silent.
+type RecheckSilence struct{}
+
 // Stash keeps the current response for Deliver in case the retry yields no better one.
 type Stash struct{}
 
@@ -147,15 +150,16 @@
 // Fail writes the failure of a request that was given up to the caller.
 type Fail struct{ Failure *failure.Failure }
 
-func (Place) action()        {}
-func (Send) action()         {}
-func (Cancel) action()       {}
-func (AwaitRelease) action() {}
-func (AwaitRetry) action()   {}
-func (Stash) action()        {}
-func (Deliver) action()      {}
-func (Open) action()         {}
-func (Forward) action()      {}
-func (Finish) action()       {}
-func (Cut) action()          {}
-func (Fail) action()         {}
+func (Place) action()          {}
+func (Send) action()           {}
+func (Cancel) action()         {}
+func (AwaitRelease) action()   {}
+func (AwaitRetry) action()     {}
+func (RecheckSilence) action() {}
+func (Stash) action()          {}
+func (Deliver) action()        {}
+func (Open) action()           {}
+func (Forward) action()        {}
+func (Finish) action()         {}
+func (Cut) action()            {}
+func (Fail) action()           {}
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -249,14 +249,21 @@
 	return append(machine.sendHead(), Forward{})
 }
 
-// silent cancels a silent attempt only if it may be retried.
+// silent cancels a silent attempt only if it may be retried. If only the budget forbids that now, it is checked again.
 func (machine *Machine) silent(now time.Time) []Action {
-	if !machine.inFlight() || machine.takeRetry(now, true) != retryAllowed {
+	if !machine.inFlight() {
+		return nil
+	}
+	switch machine.takeRetry(now, true) {
+	case retryAllowed:
+		machine.silentServers = append(machine.silentServers, machine.server)
+		machine.owesContinuation = machine.headSent
+		return machine.release()
+	case deniedByBudget:
+		return []Action{RecheckSilence{}}
+	default:
 		return nil
 	}
-	machine.silentServers = append(machine.silentServers, machine.server)
-	machine.owesContinuation = machine.headSent
-	return machine.release()
 }
 
 // inFlight reports whether an attempt has been sent and has not been given up.
