Charge a retry to all budgets or to none

What the earlier budgets gave is returned.

TestDeniedRetryCostsNoBudget failed before: "Should be true" at the first retry after five denied ones. Passed after: internal/retry and internal/node whole.

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -106,18 +106,23 @@
 	budget.last = now
 }
 
-// Withdrawer is a retry budget.
-type Withdrawer interface {
-	Withdraw(now time.Time) bool
+// refund returns a retry that was not made.
+func (budget *Budget) refund() {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.tokens = math.Min(budget.capacity(), budget.tokens+1)
 }
 
 // All combines budgets: a retry is permitted only if every budget permits it.
-type All []Withdrawer
+type All []*Budget
 
-// Withdraw takes one retry from each budget, in order, and stops at the first that has none.
+// Withdraw takes one retry from each budget, or none if one of them has none.
 func (all All) Withdraw(now time.Time) bool {
-	for _, budget := range all {
+	for i, budget := range all {
 		if !budget.Withdraw(now) {
+			for _, taken := range all[:i] {
+				taken.refund()
+			}
 			return false
 		}
 	}
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -130,3 +130,15 @@
 	require.True(t, budget.Withdraw(now.Add(50*time.Millisecond)))
 	require.False(t, budget.Withdraw(now.Add(60*time.Millisecond)))
 }
+
+// Guards against a budget that is spent on retries which another one denies, such as a tenant's while that of the node is spent.
+func TestDeniedRetryCostsNoBudget(t *testing.T) {
+	now := time.Unix(0, 0)
+	tenant, node := NewBudget(BudgetConfig{Capacity: 2}, now), NewBudget(BudgetConfig{}, now)
+	for range 5 {
+		require.False(t, All{tenant, node}.Withdraw(now))
+	}
+	require.True(t, All{tenant}.Withdraw(now))
+	require.True(t, All{tenant}.Withdraw(now))
+	require.False(t, All{tenant}.Withdraw(now))
+}
