--- a/internal/backend/path_test.go
+++ b/internal/backend/path_test.go
@@ -229,3 +229,70 @@
 	other.ObserveConnect("at i-1", true, begin.Add(1), begin.Add(2))
 	require.Empty(t, other.DuePathProbes(8, begin.Add(2)), "others are heard")
 }
+
+// Guards against probes of all servers in use after one was lost while this node heard none for a moment: hundreds of nodes
+// would probe hundreds of servers each.
+func TestPathsInUseAreNotProbedOnceServerIsHeard(t *testing.T) {
+	const servers, limit = 100, 4
+	set := newPathSet(servers)
+	lost := "at i-0"
+	set.ObserveUnanswered(lost, begin.Add(1), begin.Add(2))
+	require.Len(t, set.DuePathProbes(limit, begin.Add(2)), limit)
+	set.SuspectPath("i-2", begin.Add(2))
+	set.ObserveConnect("at i-1", true, begin, begin.Add(3))
+	probed := map[string]bool{}
+	for now := begin.Add(4); now.Before(begin.Add(20 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		for _, address := range set.DuePathProbes(limit, now) {
+			probed[address] = true
+		}
+	}
+	delete(probed, lost)
+	delete(probed, "at i-2")
+	require.Empty(t, probed)
+}
+
+// Guards against a suspicion of one path that is dropped with that of all.
+func TestPathSuspectedByItselfIsProbedOnceServerIsHeard(t *testing.T) {
+	set := newPathSet(8)
+	set.ObserveUnanswered("at i-0", begin.Add(1), begin.Add(2))
+	set.DuePathProbes(0, begin.Add(2))
+	set.SuspectPath("i-2", begin.Add(2))
+	set.ObserveConnect("at i-1", true, begin, begin.Add(3))
+	require.Equal(t, []string{"at i-2"}, set.DuePathProbes(8, begin.Add(3)))
+}
+
+// Guards against a path on which only some connections fail, and which breaks and is restored with each of them.
+func TestRestoredPathIsNotProbedAtOnce(t *testing.T) {
+	set := newPathSet(3)
+	set.ObserveUnanswered("at i-0", begin.Add(1), begin.Add(2))
+	restored := begin.Add(time.Second)
+	require.Equal(t, "i-0", set.ObserveConnect("at i-0", true, begin.Add(3), restored).Server)
+	set.SuspectPath("i-0", restored)
+	require.Empty(t, set.DuePathProbes(4, restored.Add(maxPathProbeInterval-1)))
+	require.Equal(t, []string{"at i-0"}, set.DuePathProbes(4, restored.Add(maxPathProbeInterval)))
+}
+
+// Guards against an attempt that is held on to since its server answers other nodes, although this node does not reach it.
+func TestPeersEvidenceNeedsPathOfAttempt(t *testing.T) {
+	set := newPathSet(2)
+	direct, detour := send(set, "i-0", 0, begin), send(set, "i-0", 0, begin)
+	detour.SentOnDetour()
+	now := begin.Add(time.Second)
+	set.ApplyPeerWork([]Work{{Server: ServerKey("i-0"), AnswerAge: time.Millisecond}}, now)
+	require.True(t, direct.ServerRespondedSince(begin))
+	set.ObserveUnanswered("at i-0", begin.Add(1), begin.Add(2))
+	require.False(t, direct.ServerRespondedSince(begin))
+	_, found := direct.PeersAnsweredAt(now)
+	require.False(t, found)
+	require.True(t, detour.ServerRespondedSince(begin), "the other node reaches it")
+}
+
+// Guards against a path that counts as intact since a response came through another node.
+func TestResponseThroughPeerSaysNothingOfPath(t *testing.T) {
+	set := newPathSet(2)
+	detour := send(set, "i-0", 0, begin)
+	detour.SentOnDetour()
+	detour.ResponseStarted(begin.Add(2))
+	detour.End(exchange.ResultServed, begin.Add(2))
+	require.True(t, set.ObserveUnanswered("at i-0", begin.Add(1), begin.Add(3)).Broken)
+}
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -22,7 +22,8 @@
 	Expired bool
 	// RetryAfter is the retry delay for the caller; 0 if unknown.
 	RetryAfter time.Duration
-	// Refusal, if set, is the failure of the request, unless a response of a server has begun.
+	// Refusal, if set, is the failure of the request, unless a response of a server has begun. A stream that was given up
+	// for its server's silence waits where it has a retry delay.
 	Refusal *failure.Failure
 }
 
@@ -127,6 +128,9 @@
 // AwaitRetry waits before the next attempt is charged to the budget again.
 type AwaitRetry struct{ Delay time.Duration }
 
+// RecheckSilence checks after another silence timeout whether the attempt is still silent.
+type RecheckSilence struct{}
+
 // Stash keeps the current response for Deliver in case the retry yields no better one.
 type Stash struct{}
 
@@ -148,15 +152,16 @@
 // Fail writes the failure of a request that was given up to the caller.
 type Fail struct{ Failure *failure.Failure }
 
-func (Place) action()        {}
-func (Send) action()         {}
-func (Cancel) action()       {}
-func (AwaitRelease) action() {}
-func (AwaitRetry) action()   {}
-func (Stash) action()        {}
-func (Deliver) action()      {}
-func (Open) action()         {}
-func (Forward) action()      {}
-func (Finish) action()       {}
-func (Cut) action()          {}
-func (Fail) action()         {}
+func (Place) action()          {}
+func (Send) action()           {}
+func (Cancel) action()         {}
+func (AwaitRelease) action()   {}
+func (AwaitRetry) action()     {}
+func (RecheckSilence) action() {}
+func (Stash) action()          {}
+func (Deliver) action()        {}
+func (Open) action()           {}
+func (Forward) action()        {}
+func (Finish) action()         {}
+func (Cut) action()            {}
+func (Fail) action()           {}
