Decide on a stream that breaks once it is known whether its path has failed

Callers saw streams of a resumable route end without their end at nodes whose connections to servers are accepted and reset (LOST): "no server is eligible: excluded" and "given up after 3 attempts (the route allows no more runs)".

Cause: a broken stream went on at another server at once, over another link that reset it, 80 ms before a probe showed that the paths had failed. By then each server of its version was excluded, or the runs of the route were spent, although other nodes reach all of them.

A stream that breaks now waits, once its attempt is released, for the verdict of the probe that the failure asks for, at most as long as for a silent server. If the path has failed, the attempt does not count as a run, its server may be used again, and the stream is continued as one of a silent server is: each attempt is charged to the retry budget, and without a server or a retry it waits. If not, it ends or goes on as before. Requests whose caller has nothing yet, and attempts through other nodes, are handled as before.

--- a/cmd/cloverrail/accepted_connections_test.go
+++ b/cmd/cloverrail/accepted_connections_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -190,3 +191,83 @@
 		})
 	}
 }
+
+// isWholeStream reports whether an answer holds each event of a stream once, all from servers of one software version.
+func isWholeStream(got clientResult, events int) bool {
+	_, rest, _ := strings.Cut(got.body, "data: ")
+	software, _, _ := strings.Cut(rest, " ")
+	whole := &strings.Builder{}
+	for id := range events {
+		fmt.Fprintf(whole, "id: %d\ndata: %s %d\n\n", id+1, software, id+1)
+	}
+	return got.err == nil && got.body == whole.String()
+}
+
+// resettingModes are those of acceptingModes that reset connections.
+var resettingModes = map[string]linkMode{"reset at once": linksAcceptAndReset, "reset after the head": linksResetAfterHead, "reset later": linksResetLater}
+
+const (
+	// pacedEvents is the number of events of a stream that is cut meanwhile, and pacedEventGap the time between two of them.
+	pacedEvents   = 30
+	pacedEventGap = 50 * time.Millisecond
+	// turnTime is the time of a turn in which a node is cut, all but the first third of it.
+	turnTime = 1500 * time.Millisecond
+)
+
+// newStreamFixture starts a fleet before engines of two software versions. Streams of the one run out of servers first, and those
+// of the other out of the runs that their route allows.
+func newStreamFixture(t *testing.T, nodes int) *partitionFixture {
+	f := &partitionFixture{fleetFixture: newFleet(t, 0, 0)}
+	for i, software := range []string{"v1", "v1", "v2", "v2", "v2", "v2"} {
+		f.startMachine(&standin.Machine{
+			Name: fmt.Sprint("e", i), Service: "engines", Model: model, Software: software, Handler: standin.StreamSoftware(pacedEvents, pacedEventGap),
+		})
+	}
+	for range nodes {
+		f.links = append(f.links, newServerLinks(f.addNode()))
+	}
+	for _, n := range f.nodes {
+		f.awaitReady(n)
+		n.waitUntil(func() bool { return n.knows(len(f.machines)) && n.make(resumableStream).status == http.StatusOK })
+	}
+	return f
+}
+
+// requireWholeStreams cuts one node a turn, in which streams are sent to it and the configuration changes, and checks that all
+// streams that begin are whole.
+func (f *partitionFixture) requireWholeStreams(mode linkMode, turns ...int) {
+	var streams sync.WaitGroup
+	var begun, whole atomic.Int64
+	for turn, node := range turns {
+		for since := time.Now(); time.Since(since) < turnTime; time.Sleep(sendInterval) {
+			if time.Since(since) > turnTime/3 {
+				f.links[node].set(mode)
+			}
+			streams.Go(func() {
+				got := f.nodes[node].make(resumableStream)
+				if got.status == http.StatusOK {
+					begun.Add(1)
+				}
+				if isWholeStream(got, pacedEvents) {
+					whole.Add(1)
+				}
+			})
+		}
+		f.store.Put(standin.KeyConfiguration, newDocument(int64(turn+2), key))
+		f.links[node].set(linksUp)
+	}
+	streams.Wait()
+	require.NotZero(f.t, begun.Load())
+	require.Equal(f.t, begun.Load(), whole.Load(), "streams that are whole")
+}
+
+// Guards against streams that end without their end since each attempt to continue them goes over another link that accepts it
+// and resets it, until no server or no run is left.
+func TestStreamsOutlastAcceptedConnections(t *testing.T) {
+	for name, mode := range resettingModes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			newStreamFixture(t, 3).requireWholeStreams(mode, 0, 0, 0, 0)
+		})
+	}
+}
--- a/internal/backend/path.go
+++ b/internal/backend/path.go
@@ -37,8 +37,9 @@
 	// unreachableUntil is until when the server counts as unreachable for all nodes.
 	unreachableUntil time.Time
 	// suspectedAt is when a probe was requested, since attempts on established connections have failed;
-	// zero if none is to be sent.
+	// zero if none is to be sent. probedAt is when one that was requested was sent; zero once it has a result.
 	suspectedAt time.Time
+	probedAt    time.Time
 	// restoredAt is when the path was last restored. Connections that were begun before say nothing of it.
 	restoredAt time.Time
 	// probeAt is when the next probe is due, and probeInterval the time from the last one to it.
@@ -82,6 +83,7 @@
 			delete(set.suspectedPaths, e)
 		}
 	}
+	set.endProbe(address, startedAt)
 	change := PathChange{}
 	for e := range set.brokenPaths {
 		if e.server.Address == address && e.listed && (!e.path.refused || startedAt.After(e.path.brokenSince)) {
@@ -125,10 +127,22 @@
 			set.brokenPaths[e] = true
 		}
 	}
+	set.endProbe(address, startedAt)
 	set.updateIsolation(&change, now)
 	return change
 }
 
+// endProbe records that a probe of the path to an address that was requested has a result, if the connection of the result
+// was begun after it was sent.
+func (set *Set) endProbe(address string, startedAt time.Time) {
+	for e := range set.probedPaths {
+		if e.server.Address == address && !startedAt.Before(e.path.probedAt) {
+			e.path.probedAt = time.Time{}
+			delete(set.probedPaths, e)
+		}
+	}
+}
+
 // updateIsolation records in a change whether this node has become isolated, or no longer is.
 func (set *Set) updateIsolation(change *PathChange, now time.Time) {
 	change.Isolated = set.isIsolated()
@@ -236,6 +250,53 @@
 	return e != nil && !e.local().path.brokenSince.IsZero()
 }
 
+// PathVerdict is what is known of the path on which an attempt has failed.
+type PathVerdict int
+
+const (
+	// PathNotFailed means that nothing shows that the path has failed, and not the server.
+	PathNotFailed PathVerdict = iota
+	// PathPending means that a probe that may show it is to be sent or in flight.
+	PathPending
+	// PathFailed means that the path has failed while the server runs, as far as known, or that this node is isolated.
+	PathFailed
+)
+
+// PathVerdict returns what is known of the path on which an attempt on a server failed at a given time. While this node may
+// be isolated, the probes of all paths decide.
+func (set *Set) PathVerdict(name string, failedAt, now time.Time) PathVerdict {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	e := set.servers[name]
+	if e == nil || !e.listed {
+		return PathNotFailed
+	}
+	path := e.local().path
+	switch broken := !path.brokenSince.IsZero(); {
+	case path.restoredAt.After(failedAt) || set.needsDetour(e):
+		return PathFailed
+	case path.undecided(now) || broken && set.mayBeIsolated() && set.awaitsProbes(now):
+		return PathPending
+	default:
+		return PathNotFailed
+	}
+}
+
+// undecided reports whether a probe of the path that was requested has no result yet.
+func (p *path) undecided(now time.Time) bool {
+	return !p.suspectedAt.IsZero() || !p.probedAt.IsZero() && now.Before(p.probeAt)
+}
+
+// awaitsProbes reports whether the path to any server in use is yet to be probed, or being probed.
+func (set *Set) awaitsProbes(now time.Time) bool {
+	for e := range set.withLocalState {
+		if e.listed && e.path.brokenSince.IsZero() && (e.path.undecided(now) || !now.Before(e.path.probeAt)) {
+			return true
+		}
+	}
+	return false
+}
+
 // SuspendDetours records that no other node is available for attempts on servers with broken paths.
 func (set *Set) SuspendDetours(now time.Time) {
 	set.mutex.Lock()
@@ -335,7 +396,8 @@
 		}
 		delete(set.suspectedPaths, e)
 		if !e.path.suspectedAt.IsZero() && e.listed {
-			e.path.suspectedAt, e.path.probeAt = time.Time{}, now.Add(maxPathProbeInterval)
+			e.path.suspectedAt, e.path.probedAt, e.path.probeAt = time.Time{}, now, now.Add(maxPathProbeInterval)
+			set.probedPaths[e] = true
 			due = append(due, e.server.Address)
 		}
 	}
--- a/internal/backend/path_test.go
+++ b/internal/backend/path_test.go
@@ -229,3 +229,40 @@
 	other.ObserveConnect("at i-1", true, begin.Add(1), begin.Add(2))
 	require.Empty(t, other.DuePathProbes(8, begin.Add(2)), "others are heard")
 }
+
+// Guards against streams that go on at another server while the probe that shows that this node's path has failed is on its
+// way, and against ones that wait although nothing is to be known any more.
+func TestVerdictOnPathFollowsProbes(t *testing.T) {
+	set := newPathSet(3)
+	verdict := func(after time.Duration) PathVerdict { return set.PathVerdict("i-0", begin.Add(1), begin.Add(after)) }
+	require.Equal(t, PathNotFailed, verdict(1))
+	set.SuspectPath("i-0", begin.Add(1))
+	require.Equal(t, PathPending, verdict(2), "a probe is to be sent")
+	require.Len(t, set.DuePathProbes(4, begin.Add(2)), 1)
+	require.Equal(t, PathPending, verdict(3), "it is in flight")
+	require.Equal(t, PathNotFailed, verdict(maxPathProbeInterval+2), "its result is lost")
+	set.ObserveUnanswered("at i-0", begin.Add(2), begin.Add(4))
+	require.Equal(t, PathPending, verdict(5), "the others are to be probed")
+	require.Len(t, set.DuePathProbes(4, begin.Add(5)), 2)
+	require.Equal(t, PathPending, verdict(6), "they are being probed")
+	set.ObserveUnanswered("at i-1", begin.Add(5), begin.Add(7))
+	require.Equal(t, PathFailed, verdict(7), "the node is isolated")
+	set.ObserveConnect("at i-0", true, begin.Add(8), begin.Add(9))
+	require.Equal(t, PathFailed, verdict(10), "the path has healed")
+	require.Equal(t, PathNotFailed, set.PathVerdict("i-0", begin.Add(11), begin.Add(11)), "it failed after that")
+
+	set = newPathSet(3)
+	set.SuspectPath("i-0", begin.Add(1))
+	set.DuePathProbes(4, begin.Add(2))
+	set.ObserveConnect("at i-0", true, begin, begin.Add(3))
+	require.Equal(t, PathPending, verdict(3), "a response on an older connection")
+	set.ObserveConnect("at i-0", true, begin.Add(2), begin.Add(3))
+	require.Equal(t, PathNotFailed, verdict(4), "the server has answered")
+
+	set = newPathSet(3)
+	set.connect("i-0", false, begin.Add(2))
+	set.connect("i-1", true, begin.Add(3))
+	require.Equal(t, PathNotFailed, verdict(4), "it may have crashed")
+	set.ApplyPeerWork([]Work{{Server: ServerKey("i-0"), AnswerAge: 100 * time.Millisecond}}, begin.Add(time.Second))
+	require.Equal(t, PathFailed, verdict(time.Second), "other nodes hear it")
+}
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -55,10 +55,11 @@
 	recentlyUsed map[*entry]bool
 	// drainingServers holds the incarnations that have announced that they are shutting down.
 	drainingServers drainingSet
-	// brokenPaths and suspectedPaths hold the servers whose paths are broken or to be probed, and
-	// connectedAt is when the last connection that brought a response was begun.
+	// brokenPaths, suspectedPaths and probedPaths hold the servers whose paths are broken, to be probed, or being
+	// probed since that was requested, and connectedAt is when the last connection that brought a response was begun.
 	brokenPaths    map[*entry]bool
 	suspectedPaths map[*entry]bool
+	probedPaths    map[*entry]bool
 	connectedAt    time.Time
 	// heardAt is when any server last responded to this node on a connection of its own.
 	heardAt time.Time
@@ -163,7 +164,7 @@
 	return &Set{
 		servers: map[string]*entry{}, latest: map[string]*entry{}, rings: map[string]ring{}, byKey: map[uint64]*entry{},
 		unlisted: map[*entry]bool{}, withLocalState: map[*entry]bool{}, recentlyUsed: map[*entry]bool{},
-		brokenPaths: map[*entry]bool{}, suspectedPaths: map[*entry]bool{},
+		brokenPaths: map[*entry]bool{}, suspectedPaths: map[*entry]bool{}, probedPaths: map[*entry]bool{},
 		software: newSoftwareHistory(),
 		random:   rand.Float64,
 	}
@@ -291,6 +292,7 @@
 		delete(set.recentlyUsed, e)
 		delete(set.brokenPaths, e)
 		delete(set.suspectedPaths, e)
+		delete(set.probedPaths, e)
 		delete(set.servers, e.name)
 		if set.latest[e.server.Instance] == e {
 			delete(set.latest, e.server.Instance)
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -17,10 +17,10 @@
 	// Repeatable is set if the request may run more than once, or if its stream can be
 	// resumed after the last event.
 	Repeatable bool
-	// MaxRuns bounds the attempts that may have run.
+	// MaxRuns bounds the attempts that may have run, apart from those that were cut off by the failure of this node's path.
 	MaxRuns int
 	// MaxSends bounds all attempts, including those that certainly did not run. Further ones of a stream that was given up for
-	// its server's silence are charged to the budget one by one, with a delay.
+	// its server's silence, or cut off by its path, are charged to the budget one by one, with a delay.
 	MaxSends int
 	// PlacementWait bounds the wait for a server with free capacity.
 	PlacementWait time.Duration
@@ -36,7 +36,7 @@
 const (
 	// placementRetryDelay is the delay between placements while no server has free capacity.
 	placementRetryDelay = 20 * time.Millisecond
-	// continuationDelay is the delay between tries to continue a stream that was given up for its server's silence.
+	// continuationDelay is the delay between tries to continue a stream that no server has broken off.
 	continuationDelay = 100 * time.Millisecond
 )
 
@@ -62,28 +62,32 @@
 // Machine is the state machine of one request.
 //
 // Invariants: an attempt that may have run is retried only if the request is
-// repeatable; at most Rules.MaxRuns attempts may have run; the caller gets one head and
-// one end, and no event twice; a failure states NotRun only if every attempt was refused
-// by its server or never reached one, and a response that promises as much is not
-// delivered; an attempt that may still run is released before the next one is placed;
-// a stream that was given up for its server's silence alone is not aborted because no
-// server or retry is available at the moment.
+// repeatable; at most Rules.MaxRuns attempts may have run that no failed path cut off; the
+// caller gets one head and one end, and no event twice; a failure states NotRun only if
+// every attempt was refused by its server or never reached one, and a response that
+// promises as much is not delivered; an attempt that may still run is released before the
+// next one is placed; a stream that was given up for its server's silence alone, or cut off
+// by a failed path, is not aborted because no server or retry is available at the moment.
 type Machine struct {
 	rules  Rules
 	budget Budget
 
-	phase    phase
+	phase phase
+	// server is the server of the latest attempt; "" once that may be used again.
 	server   string
 	excluded []string
 	// silentServers holds those of the excluded servers that were only silent, and may be used again if no other can serve.
 	silentServers []string
-	// owesContinuation is set while the caller has events of a stream that was given up for its server's silence, and no
-	// other server has taken it. declined holds those of the excluded servers that have not taken it since.
+	// owesContinuation is set while the caller has events of a stream that was given up for its server's silence, or cut off
+	// by its path, and no other server has taken it. declined holds those of the excluded servers that have not taken it since.
 	owesContinuation bool
 	declined         []string
 	sends            int
-	// runs counts the attempts that may have run.
-	runs int
+	// runs counts the attempts that may have run, and cutOffRuns those of them that a failed path cut off.
+	runs       int
+	cutOffRuns int
+	// brokenReason is why the attempt that is being released broke, while it is not decided whether another one follows.
+	brokenReason string
 	// placingSince is when the current placement began; zero if there is none.
 	placingSince time.Time
 	// retryAfter is the time until servers accept requests again, as far as they have
@@ -148,13 +152,13 @@
 		machine.phase = finished
 		return append(machine.sendHead(), Finish{})
 	case Broken:
-		return machine.retryOrFail(now, "the attempt failed after it was sent: "+event.Reason)
+		return machine.broken(now, "the attempt failed after it was sent: "+event.Reason)
 	case Silent:
 		return machine.silent(now)
 	case Late:
 		return machine.retryOrFail(now, "the server did not start the request in time")
 	case Released:
-		return machine.released(now)
+		return machine.released(now, event.Reason)
 	case RetryDue:
 		return machine.retryDue(now)
 	case Expired:
@@ -269,11 +273,30 @@
 	return []Action{Cancel{}, AwaitRelease{}}
 }
 
-func (machine *Machine) released(now time.Time) []Action {
-	if machine.phase != releasing {
+func (machine *Machine) released(now time.Time, reason ReleaseReason) []Action {
+	switch {
+	case machine.phase != releasing:
 		return nil
+	case machine.brokenReason == "":
+		return machine.place(now)
+	}
+	problem := machine.brokenReason
+	machine.brokenReason = ""
+	if reason == ReleaseUnreachable {
+		machine.cutOffRuns++
+		machine.server, machine.owesContinuation = "", true
+	}
+	return machine.continueOrFail(now, problem, true)
+}
+
+// broken handles an attempt that broke after it was sent. Whether a stream goes on that the caller has events of is decided
+// once the attempt is released: then it is known whether the server has failed or the path to it.
+func (machine *Machine) broken(now time.Time, reason string) []Action {
+	if !machine.headSent || !machine.rules.Repeatable {
+		return machine.retryOrFail(now, reason)
 	}
-	return machine.place(now)
+	machine.owesContinuation, machine.brokenReason = false, reason
+	return machine.release()
 }
 
 // notRun handles an attempt that certainly did not run. If it reached the server, a retry is charged to the budget.
@@ -282,6 +305,11 @@
 	if machine.owesContinuation {
 		machine.declined = append(machine.declined, machine.server)
 	}
+	return machine.continueOrFail(now, reason, reachedServer)
+}
+
+// continueOrFail places the next attempt if that is permitted. A stream that no server has broken off waits for a retry.
+func (machine *Machine) continueOrFail(now time.Time, reason string, reachedServer bool) []Action {
 	denied := machine.takeRetry(now, reachedServer)
 	switch {
 	case denied == retryAllowed:
@@ -346,7 +374,7 @@
 	switch {
 	case machine.runs > 0 && !machine.rules.Repeatable:
 		return deniedRepeat
-	case machine.runs >= machine.rules.MaxRuns:
+	case machine.runs-machine.cutOffRuns >= machine.rules.MaxRuns:
 		return deniedByRuns
 	case machine.sends >= machine.rules.MaxSends:
 		return deniedBySends
@@ -360,7 +388,9 @@
 func (machine *Machine) place(now time.Time) []Action {
 	machine.phase = placing
 	machine.placingSince = now
-	machine.excluded = append(machine.excluded, machine.server)
+	if machine.server != "" {
+		machine.excluded = append(machine.excluded, machine.server)
+	}
 	return []Action{Place{Excluded: machine.excluded}}
 }
 
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -131,7 +131,8 @@
 	// End records the result of the attempt.
 	End(result Result)
 	// AwaitRelease waits, after End, until the attempt no longer runs at its server, until the caller can wait no
-	// longer for another server, or until the context ends. It returns why it has ceased to wait.
+	// longer for another server, or until the context ends. It returns why it has ceased to wait. If the attempt of a
+	// stream that has begun was broken, it also waits until it is known whether its path has failed.
 	AwaitRelease(ctx context.Context) ReleaseReason
 }
 
@@ -146,7 +147,7 @@
 	ReleaseEnded ReleaseReason = "ended"
 	// ReleaseReplaced means that the server's incarnation no longer exists.
 	ReleaseReplaced ReleaseReason = "replaced"
-	// ReleaseUnreachable means that this node alone cannot connect to the server.
+	// ReleaseUnreachable means that this node alone does not reach the server.
 	ReleaseUnreachable ReleaseReason = "unreachable"
 	// ReleaseResponsive means that the server has shown signs of life for longer than it takes to notice that a
 	// connection was closed, and that the attempt's connection hangs or was reset.
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -49,6 +49,8 @@
 	endsWithConnection atomic.Bool
 	// completion tells when the server has ended the attempt; nil if it was not sent.
 	completion *outbound.Completion
+	// brokenAt is when the attempt ended by a failure of its connection; zero if it did not.
+	brokenAt time.Time
 	// kept is set once the attempt has been kept because other nodes hear its server.
 	kept bool
 }
@@ -219,6 +221,9 @@
 	now := boottime.Now()
 	full := placement.attempt.End(result, now)
 	placement.recordRoom(result, full, now)
+	if result == exchange.ResultBroken || result == exchange.ResultCutOff {
+		placement.brokenAt = now
+	}
 	switch result {
 	case exchange.ResultBroken, exchange.ResultCutOff, exchange.ResultSilent:
 		placement.placer.proxy.set.SuspectPath(placement.chosen.Endpoint, now)
--- a/internal/proxy/release.go
+++ b/internal/proxy/release.go
@@ -35,25 +35,58 @@
 		return exchange.ReleaseNotRequired
 	}
 	release := newRelease(placement, boottime.Now())
+	reason := release.await(ctx)
+	if release.awaitPathFailure(ctx) {
+		return exchange.ReleaseUnreachable
+	}
+	return reason
+}
+
+// await waits until the attempt no longer runs at its server, or the caller can wait no longer.
+func (r *release) await(ctx context.Context) exchange.ReleaseReason {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ticker := time.NewTicker(releaseCheckInterval)
 	defer ticker.Stop()
-	done := placement.completion.Done()
+	done := r.placement.completion.Done()
 	for {
 		select {
 		case <-done:
-			if reason := release.complete(boottime.Now()); reason != "" {
+			if reason := r.complete(boottime.Now()); reason != "" {
 				return reason
 			}
 			done = nil
 		case <-ctx.Done():
 			return exchange.ReleaseOverdue
 		case <-ticker.C:
-			if reason := release.check(boottime.Now()); reason != "" {
+			if reason := r.check(boottime.Now()); reason != "" {
 				return reason
 			}
-			release.checkLiveness(ctx, boottime.Now())
+			r.checkLiveness(ctx, boottime.Now())
+		}
+	}
+}
+
+// awaitPathFailure reports whether an attempt of a stream that has begun broke because this node's path to the server failed.
+// It waits for the probe that shows it, but no longer than for a silent server.
+func (r *release) awaitPathFailure(ctx context.Context) bool {
+	proxy, began := r.placement.placer.proxy, r.placement.placer.admitted.origin != nil
+	if r.placement.brokenAt.IsZero() || r.placement.detour || !began || proxy.forwarder == nil {
+		return false
+	}
+	ticker := time.NewTicker(releaseCheckInterval)
+	defer ticker.Stop()
+	longest := r.placement.placer.silenceTimeouts().BetweenEvents
+	for {
+		now := boottime.Now()
+		verdict := proxy.set.PathVerdict(r.placement.chosen.Endpoint, r.placement.brokenAt, now)
+		if verdict != backend.PathPending || now.Sub(r.placement.brokenAt) >= longest {
+			return verdict == backend.PathFailed
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
 		}
 	}
 }
