Tell a node that another one's path has failed under its stream

Callers saw streams end without their end that had gone on through another node, whose own connections to servers were then accepted and reset (LOST): "given up after 3 attempts (the route allows no more runs)", with `forwarded` and result `broken` twice within 12 ms.

Cause: neither node knew yet that the path had failed. The one that owned the stream took each break for its server's, and sent the next attempt through the same node again. A path that failed under a stream that had begun was not even suspected at the node that forwarded it.

The node that forwards an attempt which continues a stream, or a stream that may be resumed, suspects its path when that is cut off, waits for the verdict, a second at most, and says whether its path has failed. The other one treats that as a failure of its own path, and leaves the node out for that server. It is no evidence against the server. Former builds read the new kind of error as one of an attempt that may have run, as they read any they do not know. `forwarded` and cloverrail_proxy_forwarded_total count it as `path_failed`.

TestErrorOfUnknownKindMayHaveRun asks for the first kind that is not known.

--- a/cmd/cloverrail/accepted_connections_test.go
+++ b/cmd/cloverrail/accepted_connections_test.go
@@ -271,3 +271,13 @@
 		})
 	}
 }
+
+// Guards against the same at streams that go on through another node, which is cut in its turn.
+func TestStreamsOutlastAcceptedConnectionsOfNodesInTurn(t *testing.T) {
+	for name, mode := range resettingModes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			newStreamFixture(t, 3).requireWholeStreams(mode, 0, 1, 0, 1)
+		})
+	}
+}
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -403,7 +403,10 @@
 	var withdrawn *ErrWithdrawn
 	var cutOff *ErrCutOff
 	var unvouched *ErrUnvouched
+	var pathFailed *ErrPathFailed
 	switch {
+	case errors.As(err, &pathFailed):
+		return update{event: Broken{Reason: err.Error(), PathFailed: true}, result: ResultNeutral}
 	case errors.As(err, &unvouched):
 		return update{event: Unvouched{Status: unvouched.Status}, result: ResultFaulty}
 	case errors.As(err, &refused):
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -53,8 +53,12 @@
 // Ended reports that the stream is complete.
 type Ended struct{}
 
-// Broken reports that the attempt failed after it was sent, so that it may have run.
-type Broken struct{ Reason string }
+// Broken reports that the attempt failed after it was sent, so that it may have run. PathFailed is set if it is known that
+// the path has failed on which another node sent it, and not the server.
+type Broken struct {
+	Reason     string
+	PathFailed bool
+}
 
 // Silent reports that the attempt has made no progress for longer than expected.
 type Silent struct{}
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -86,8 +86,8 @@
 	// runs counts the attempts that may have run, and cutOffRuns those of them that a failed path cut off.
 	runs       int
 	cutOffRuns int
-	// brokenReason is why the attempt that is being released broke, while it is not decided whether another one follows.
-	brokenReason string
+	// brokenBy is how the attempt that is being released broke, while it is not decided whether another one follows.
+	brokenBy *Broken
 	// placingSince is when the current placement began; zero if there is none.
 	placingSince time.Time
 	// retryAfter is the time until servers accept requests again, as far as they have
@@ -152,7 +152,7 @@
 		machine.phase = finished
 		return append(machine.sendHead(), Finish{})
 	case Broken:
-		return machine.broken(now, "the attempt failed after it was sent: "+event.Reason)
+		return machine.broken(now, event)
 	case Silent:
 		return machine.silent(now)
 	case Late:
@@ -277,28 +277,30 @@
 	switch {
 	case machine.phase != releasing:
 		return nil
-	case machine.brokenReason == "":
+	case machine.brokenBy == nil:
 		return machine.place(now)
 	}
-	problem := machine.brokenReason
-	machine.brokenReason = ""
-	if reason == ReleaseUnreachable {
+	by := machine.brokenBy
+	machine.brokenBy = nil
+	if by.PathFailed || reason == ReleaseUnreachable {
 		machine.cutOffRuns++
 		machine.server, machine.owesContinuation = "", true
 	}
-	return machine.continueOrFail(now, problem, true)
+	return machine.continueOrFail(now, by.problem(), true)
 }
 
 // broken handles an attempt that broke after it was sent. Whether a stream goes on that the caller has events of is decided
 // once the attempt is released: then it is known whether the server has failed or the path to it.
-func (machine *Machine) broken(now time.Time, reason string) []Action {
+func (machine *Machine) broken(now time.Time, by Broken) []Action {
 	if !machine.headSent || !machine.rules.Repeatable {
-		return machine.retryOrFail(now, reason)
+		return machine.retryOrFail(now, by.problem())
 	}
-	machine.owesContinuation, machine.brokenReason = false, reason
+	machine.owesContinuation, machine.brokenBy = false, &by
 	return machine.release()
 }
 
+func (b *Broken) problem() string { return "the attempt failed after it was sent: " + b.Reason }
+
 // notRun handles an attempt that certainly did not run. If it reached the server, a retry is charged to the budget.
 func (machine *Machine) notRun(now time.Time, reason string, reachedServer bool) []Action {
 	machine.runs--
--- a/internal/exchange/machine_test.go
+++ b/internal/exchange/machine_test.go
@@ -40,10 +40,10 @@
 	awaitsRetry  bool
 	awaitedRetry bool
 	// possibleRuns counts the attempts that may have run, and cutOffRuns those of them that a failed path cut off. broke is
-	// set while one that broke is being released.
+	// how the attempt broke that is being released.
 	possibleRuns int
 	cutOffRuns   int
-	broke        bool
+	broke        *Broken
 	sends        int
 	heads        int
 	forwards     int
@@ -122,14 +122,14 @@
 	case Answered, Unvouched, Ended:
 		checker.inFlight, checker.mayRun = false, false
 	case Released:
-		if checker.broke && event.Reason == ReleaseUnreachable && checker.forwards > 0 {
+		if checker.cutOffByPath(event) {
 			checker.cutOffRuns++
 		}
-		checker.releasing, checker.mayRun, checker.broke = false, false, false
+		checker.releasing, checker.mayRun, checker.broke = false, false, nil
 	case RetryDue:
 		checker.awaitedRetry = true
 	case Broken:
-		checker.inFlight, checker.broke = false, true
+		checker.inFlight, checker.broke = false, &event
 	case Late:
 		checker.inFlight = false
 	}
@@ -141,6 +141,11 @@
 	checker.checkActions(actions)
 }
 
+// cutOffByPath reports whether the end of a release shows that the stream was cut off by a failed path.
+func (checker *checker) cutOffByPath(released Released) bool {
+	return checker.forwards > 0 && checker.broke != nil && (checker.broke.PathFailed || released.Reason == ReleaseUnreachable)
+}
+
 // recordSilence records before a step whether the stream was given up for its server's silence alone.
 func (checker *checker) recordSilence(event Event) {
 	checker.mayAbort = false
@@ -150,7 +155,7 @@
 	case Arrived, Broken, Late, Answered, Unvouched:
 		checker.silentOnly = false
 	case Released:
-		checker.silentOnly = checker.silentOnly || checker.broke && checker.forwards > 0 && event.Reason == ReleaseUnreachable
+		checker.silentOnly = checker.silentOnly || checker.cutOffByPath(event)
 	case Expired, CallerLeft, Stopping:
 		checker.mayAbort = true
 	case Unplaced:
@@ -180,12 +185,12 @@
 	if checker.streaming {
 		next := max(0, checker.lastID+int64(rapid.IntRange(-1, 2).Draw(checker.t, "id")))
 		return rapid.SampledFrom([]Event{
-			Arrived{ID: next, HasID: true}, Arrived{ID: next, HasID: true}, Broken{Reason: "reset"}, Ended{}, Silent{}, Expired{}, CallerLeft{}, Stopping{},
+			Arrived{ID: next, HasID: true}, Arrived{ID: next, HasID: true}, Broken{Reason: "reset"}, Broken{PathFailed: true}, Ended{}, Silent{}, Expired{}, CallerLeft{}, Stopping{},
 		}).Draw(checker.t, "stream")
 	}
 	event := rapid.SampledFrom([]Event{
 		Opened{}, Opened{}, Answered{}, Answered{Faulty: true}, Unvouched{Status: http.StatusServiceUnavailable}, Refused{Reason: "full"}, Unreached{Reason: "dark"},
-		Broken{Reason: "reset"}, Silent{}, Late{}, Expired{}, CallerLeft{}, Stopping{},
+		Broken{Reason: "reset"}, Broken{PathFailed: true}, Silent{}, Late{}, Expired{}, CallerLeft{}, Stopping{},
 	}).Draw(checker.t, "attempt")
 	_, checker.streaming = event.(Opened)
 	return event
@@ -419,6 +424,8 @@
 	for name, reason := range map[string]Event{"ended": Released{Reason: ReleaseEnded}, "overdue": Released{Reason: ReleaseOverdue}} {
 		require.Equal(t, []Action{Cancel{}, Place{Excluded: []string{"a"}}}, lastActions(twoRuns, 9, nil, append(begun, reason)...), name)
 	}
+	forwarded := []Event{Placed{Server: "a"}, Opened{}, Arrived{ID: 1, HasID: true}, Broken{PathFailed: true}, Released{Reason: ReleaseEnded}}
+	require.Equal(t, []Action{Cancel{}, Place{}}, lastActions(twoRuns, 9, nil, forwarded...), "another node's path has failed")
 	cutOff := append(begun, unreachable)
 	require.Equal(t, []Action{Cancel{}, Place{}}, lastActions(twoRuns, 9, nil, cutOff...), "the server may be used again")
 	for range 3 {
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -102,6 +102,13 @@
 // Error implements the error interface.
 func (c *ErrCutOff) Error() string { return c.Reason }
 
+// ErrPathFailed is returned if another node sent the attempt, and its path to the server failed before the complete
+// response. It says nothing of the server.
+type ErrPathFailed struct{ Reason string }
+
+// Error implements the error interface.
+func (p *ErrPathFailed) Error() string { return "path failed: " + p.Reason }
+
 // ErrUnvouched is returned if the status of a complete response promises that the request did not run, and nobody
 // vouches for that: the server did not state it, so that the attempt may have run.
 type ErrUnvouched struct{ Status int }
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -181,7 +181,11 @@
 		if err := decoder.Decode(&event); err != nil {
 			return exchange.StreamEvent{}, c.failed(response.Request.Context(), use, noEOF(err))
 		}
-		return event.streamEvent()
+		next, err := event.streamEvent()
+		if pathFailed(err) {
+			use.unreached(boottime.Now())
+		}
+		return next, err
 	}
 	return reply, nil
 }
@@ -191,7 +195,7 @@
 	var unreached *exchange.ErrUnreached
 	var unavailable *proxy.ErrUnavailable
 	switch {
-	case errors.As(err, &unreached):
+	case errors.As(err, &unreached) || pathFailed(err):
 		use.unreached(now)
 	case errors.As(err, &unavailable):
 		use.failed(now)
@@ -200,6 +204,12 @@
 	}
 }
 
+// pathFailed reports whether an error means that the path of the other node has failed.
+func pathFailed(err error) bool {
+	var failed *exchange.ErrPathFailed
+	return errors.As(err, &failed)
+}
+
 // noEOF replaces the end of a connection, since only a wireEvent with End ends a stream.
 func noEOF(err error) error {
 	if errors.Is(err, io.EOF) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -149,6 +149,7 @@
 		"withdrawn":   {err: &exchange.ErrWithdrawn{Reason: "draining"}},
 		"cut off":     {err: &exchange.ErrCutOff{Reason: "EOF"}},
 		"unvouched":   {err: &exchange.ErrUnvouched{Status: 503}},
+		"path failed": {err: &exchange.ErrPathFailed{Reason: "reset"}},
 		"broken":      {err: errors.New("garbled")},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -168,7 +169,7 @@
 			require.Equal(t, 1, asked)
 			var cutOff *exchange.ErrCutOff
 			switch name {
-			case "refused", "unvouched":
+			case "refused", "unvouched", "path failed":
 				require.Equal(t, c.err, err)
 			case "withdrawn":
 				require.Equal(t, c.err, err)
@@ -183,9 +184,9 @@
 
 // Guards against "not run" from a kind of error that a later build has added.
 func TestErrorOfUnknownKindMayHaveRun(t *testing.T) {
-	require.EqualError(t, wireError{Kind: errorUnvouched + 1, Reason: "new"}.err(), "new")
+	require.EqualError(t, wireError{Kind: errorPathFailed + 1, Reason: "new"}.err(), "new")
 	var refused *exchange.ErrRefused
-	require.False(t, errors.As(wireError{Kind: errorUnvouched + 1}.err(), &refused))
+	require.False(t, errors.As(wireError{Kind: errorPathFailed + 1}.err(), &refused))
 }
 
 func TestNodesThatDoNotForwardAreSkipped(t *testing.T) {
@@ -242,6 +243,33 @@
 	require.NoError(t, err, "other servers are reached through it")
 }
 
+// Guards against streams that are sent through a node again whose path to the server has failed under them.
+func TestNodeIsNotAskedAgainForServerToWhichItsPathFailed(t *testing.T) {
+	failed := &exchange.ErrPathFailed{Reason: "reset"}
+	for name, begins := range map[string]bool{"before the response": false, "during the stream": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t)
+			sender := f.addSender(func(context.Context, proxy.Dispatch, func(proxy.ServerNotice)) (*exchange.Reply, error) {
+				if !begins {
+					return nil, failed
+				}
+				return &exchange.Reply{Status: http.StatusOK, Close: func() {}, Next: func() (exchange.StreamEvent, error) { return exchange.StreamEvent{}, failed }}, nil
+			})
+			reply, err := f.client.Forward(t.Context(), testDispatch(), "a")
+			if begins {
+				require.NoError(t, err)
+				_, err = reply.Next()
+				reply.Close()
+			}
+			require.Equal(t, failed, err)
+			var unreached *exchange.ErrUnreached
+			_, err = f.client.Forward(t.Context(), testDispatch(), "a")
+			require.ErrorAs(t, err, &unreached)
+			require.Len(t, sender.sent(), 1)
+		})
+	}
+}
+
 // Guards against a stream that ends as complete when the connection between two nodes breaks.
 func TestBrokenStreamIsNotComplete(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -92,6 +92,8 @@
 	// errorUnvouched is an exchange.ErrUnvouched. Builds that do not know it take it for errorBroken, as they do any kind
 	// that is added.
 	errorUnvouched
+	// errorPathFailed is an exchange.ErrPathFailed.
+	errorPathFailed
 )
 
 // wireError is the error of an attempt.
@@ -113,7 +115,10 @@
 	var cutOff *exchange.ErrCutOff
 	var unavailable *proxy.ErrUnavailable
 	var unvouched *exchange.ErrUnvouched
+	var pathFailed *exchange.ErrPathFailed
 	switch {
+	case errors.As(err, &pathFailed):
+		return wireError{Kind: errorPathFailed, Reason: pathFailed.Reason}
 	case errors.As(err, &unvouched):
 		return wireError{Kind: errorUnvouched, Reason: err.Error(), Status: unvouched.Status}
 	case errors.As(err, &refused):
@@ -146,6 +151,8 @@
 		return &exchange.ErrCutOff{Reason: w.Reason}
 	case errorUnavailable:
 		return &proxy.ErrUnavailable{Reason: w.Reason}
+	case errorPathFailed:
+		return &exchange.ErrPathFailed{Reason: w.Reason}
 	case errorUnvouched:
 		return &exchange.ErrUnvouched{Status: w.Status}
 	default:
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -93,18 +93,38 @@
 	unanswered := time.AfterFunc(peerUnansweredLimit, func() { proxy.set.SuspectPath(dispatch.Server, boottime.Now()) })
 	reply, err = proxy.servers.Send(tracked, dispatch)
 	unanswered.Stop()
-	if isCutOff(err) {
-		proxy.set.SuspectPath(dispatch.Server, boottime.Now())
-	}
+	err = proxy.explainCutOff(ctx, dispatch, dispatch.Resumes, err)
 	if err == nil {
 		reply, err = checkStatus(reply)
 	}
+	if err == nil && reply.Next != nil {
+		next := reply.Next
+		reply.Next = func() (exchange.StreamEvent, error) {
+			event, err := next()
+			return event, proxy.explainCutOff(ctx, dispatch, true, err)
+		}
+	}
 	if err == nil && dispatch.Confirm && reply.Next != nil {
 		reply.ConfirmedByPeer = proxy.confirmIncarnation(ctx, dispatch.Server, reply.ConnectedAt) == incarnationConfirmed
 	}
 	return reply, done, err
 }
 
+// explainCutOff returns the error of an attempt of another node. If its connection was cut off, the path to the server is
+// suspected. If it is that of a stream which may have begun and may be resumed, the other node must know whether the path
+// has failed.
+func (proxy *Proxy) explainCutOff(ctx context.Context, dispatch Dispatch, began bool, err error) error {
+	if !isCutOff(err) {
+		return err
+	}
+	now := boottime.Now()
+	proxy.set.SuspectPath(dispatch.Server, now)
+	if began && dispatch.Stream && dispatch.Repeatable && proxy.awaitPathFailure(ctx, dispatch.Server, now, minEventGapTimeout) {
+		return &exchange.ErrPathFailed{Reason: err.Error()}
+	}
+	return err
+}
+
 // isCutOff reports whether a server's connection ended before its complete response.
 func isCutOff(err error) bool {
 	var cutOff *exchange.ErrCutOff
--- a/internal/proxy/release.go
+++ b/internal/proxy/release.go
@@ -68,19 +68,24 @@
 }
 
 // awaitPathFailure reports whether an attempt of a stream that has begun broke because this node's path to the server failed.
-// It waits for the probe that shows it, but no longer than for a silent server.
+// It waits no longer for that than for a silent server.
 func (r *release) awaitPathFailure(ctx context.Context) bool {
 	proxy, began := r.placement.placer.proxy, r.placement.placer.admitted.origin != nil
 	if r.placement.brokenAt.IsZero() || r.placement.detour || !began || proxy.forwarder == nil {
 		return false
 	}
+	return proxy.awaitPathFailure(ctx, r.placement.chosen.Endpoint, r.placement.brokenAt, r.placement.placer.silenceTimeouts().BetweenEvents)
+}
+
+// awaitPathFailure reports whether this node's path to a server failed at a time. It waits for the probe that shows it, until
+// the longest time has passed since then.
+func (proxy *Proxy) awaitPathFailure(ctx context.Context, server string, failedAt time.Time, longest time.Duration) bool {
 	ticker := time.NewTicker(releaseCheckInterval)
 	defer ticker.Stop()
-	longest := r.placement.placer.silenceTimeouts().BetweenEvents
 	for {
 		now := boottime.Now()
-		verdict := proxy.set.PathVerdict(r.placement.chosen.Endpoint, r.placement.brokenAt, now)
-		if verdict != backend.PathPending || now.Sub(r.placement.brokenAt) >= longest {
+		verdict := proxy.set.PathVerdict(server, failedAt, now)
+		if verdict != backend.PathPending || now.Sub(failedAt) >= longest {
 			return verdict == backend.PathFailed
 		}
 		select {
--- a/internal/telemetry/paths.go
+++ b/internal/telemetry/paths.go
@@ -44,11 +44,14 @@
 	var withdrawn *exchange.ErrWithdrawn
 	var unavailable *proxy.ErrUnavailable
 	var unvouched *exchange.ErrUnvouched
+	var pathFailed *exchange.ErrPathFailed
 	switch {
 	case err == nil:
 		return "answered"
 	case errors.As(err, &unvouched):
 		return "unvouched"
+	case errors.As(err, &pathFailed):
+		return "path_failed"
 	case errors.As(err, &refused):
 		return "refused"
 	case errors.As(err, &unreached):
