--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -102,6 +102,13 @@
 // Error implements the error interface.
 func (c *ErrCutOff) Error() string { return c.Reason }
 
+// ErrPathFailed is returned if another node sent the attempt, and its path to the server failed before the complete
+// response. It says nothing of the server.
+type ErrPathFailed struct{ Reason string }
+
+// Error implements the error interface.
+func (p *ErrPathFailed) Error() string { return "path failed: " + p.Reason }
+
 // ErrUnvouched is returned if the status of a complete response promises that the request did not run, and nobody
 // vouches for that: the server did not state it, so that the attempt may have run.
 type ErrUnvouched struct{ Status int }
@@ -131,7 +138,8 @@
 	// End records the result of the attempt.
 	End(result Result)
 	// AwaitRelease waits, after End, until the attempt no longer runs at its server, until the caller can wait no
-	// longer for another server, or until the context ends. It returns why it has ceased to wait.
+	// longer for another server, or until the context ends. It returns why it has ceased to wait. If the attempt of a
+	// stream that has begun was broken, it also waits until it is known whether its path has failed.
 	AwaitRelease(ctx context.Context) ReleaseReason
 }
 
@@ -146,7 +154,7 @@
 	ReleaseEnded ReleaseReason = "ended"
 	// ReleaseReplaced means that the server's incarnation no longer exists.
 	ReleaseReplaced ReleaseReason = "replaced"
-	// ReleaseUnreachable means that this node alone cannot connect to the server.
+	// ReleaseUnreachable means that this node alone does not reach the server.
 	ReleaseUnreachable ReleaseReason = "unreachable"
 	// ReleaseResponsive means that the server has shown signs of life for longer than it takes to notice that a
 	// connection was closed, and that the attempt's connection hangs or was reset.
--- a/internal/proxy/release.go
+++ b/internal/proxy/release.go
@@ -35,25 +35,63 @@
 		return exchange.ReleaseNotRequired
 	}
 	release := newRelease(placement, boottime.Now())
+	reason := release.await(ctx)
+	if release.awaitPathFailure(ctx) {
+		return exchange.ReleaseUnreachable
+	}
+	return reason
+}
+
+// await waits until the attempt no longer runs at its server, or the caller can wait no longer.
+func (r *release) await(ctx context.Context) exchange.ReleaseReason {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ticker := time.NewTicker(releaseCheckInterval)
 	defer ticker.Stop()
-	done := placement.completion.Done()
+	done := r.placement.completion.Done()
 	for {
 		select {
 		case <-done:
-			if reason := release.complete(boottime.Now()); reason != "" {
+			if reason := r.complete(boottime.Now()); reason != "" {
 				return reason
 			}
 			done = nil
 		case <-ctx.Done():
 			return exchange.ReleaseOverdue
 		case <-ticker.C:
-			if reason := release.check(boottime.Now()); reason != "" {
+			if reason := r.check(boottime.Now()); reason != "" {
 				return reason
 			}
-			release.checkLiveness(ctx, boottime.Now())
+			r.checkLiveness(ctx, boottime.Now())
+		}
+	}
+}
+
+// awaitPathFailure reports whether an attempt of a stream that has begun broke because this node's path to the server failed.
+// It waits no longer for that than for a silent server.
+func (r *release) awaitPathFailure(ctx context.Context) bool {
+	proxy, began := r.placement.placer.proxy, r.placement.placer.admitted.origin != nil
+	if r.placement.brokenAt.IsZero() || r.placement.detour || !began || proxy.forwarder == nil {
+		return false
+	}
+	return proxy.awaitPathFailure(ctx, r.placement.chosen.Endpoint, r.placement.brokenAt, r.placement.placer.silenceTimeouts().BetweenEvents)
+}
+
+// awaitPathFailure reports whether this node's path to a server failed at a time. It waits for the probe that shows it, until
+// the longest time has passed since then.
+func (proxy *Proxy) awaitPathFailure(ctx context.Context, server string, failedAt time.Time, longest time.Duration) bool {
+	ticker := time.NewTicker(releaseCheckInterval)
+	defer ticker.Stop()
+	for {
+		now := boottime.Now()
+		verdict := proxy.set.PathVerdict(server, failedAt, now)
+		if verdict != backend.PathPending || now.Sub(failedAt) >= longest {
+			return verdict == backend.PathFailed
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
 		}
 	}
 }
