Take a late verdict on the path of an isolated node for a failure

A node sends four probes in 0.1 s. Where dozens of its servers have streams and all paths fail at once, the probe of one path can come later than the second for which a broken stream waits. The stream then counted the attempt as a run and excluded its server, although two other paths had already shown that the node is isolated.

At the end of the wait, the path of a node that has been isolated since the attempt broke counts as failed.

TestBrokenStreamAwaitsVerdictOnItsPath, in virtual time: "only others have failed" gave "ended" on the former code, and gives "unreachable" now; its other five cases hold for the wait as it was. Not seen over sockets.

--- a/internal/proxy/release.go
+++ b/internal/proxy/release.go
@@ -78,15 +78,19 @@
 }
 
 // awaitPathFailure reports whether this node's path to a server failed at a time. It waits for the probe that shows it, until
-// the longest time has passed since then.
+// the longest time has passed since then: a node with many servers probes some of them later. While it is isolated, the
+// path counts as failed then.
 func (proxy *Proxy) awaitPathFailure(ctx context.Context, server string, failedAt time.Time, longest time.Duration) bool {
 	ticker := time.NewTicker(releaseCheckInterval)
 	defer ticker.Stop()
 	for {
 		now := boottime.Now()
 		verdict := proxy.set.PathVerdict(server, failedAt, now)
-		if verdict != backend.PathPending || now.Sub(failedAt) >= longest {
+		switch {
+		case verdict != backend.PathPending:
 			return verdict == backend.PathFailed
+		case now.Sub(failedAt) >= longest:
+			return proxy.set.IsolatedSince(failedAt)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/proxy/release_test.go
+++ b/internal/proxy/release_test.go
@@ -13,6 +13,7 @@
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
+	"github.com/cloverrail/cloverrail/internal/origin"
 	"github.com/cloverrail/cloverrail/internal/outbound"
 	"github.com/cloverrail/cloverrail/internal/property"
 )
@@ -217,3 +218,62 @@
 	require.Nil(t, placed)
 	require.True(t, unplaced.Expired)
 }
+
+// stubForwarder is a Forwarder that is never asked.
+type stubForwarder struct{ Forwarder }
+
+// Guards against streams that go on, or end, before it is known whether their server or the path to it has failed, and against
+// ones that wait for that for longer than for a silent server.
+func TestBrokenStreamAwaitsVerdictOnItsPath(t *testing.T) {
+	const probed = 80 * time.Millisecond
+	const tick = releaseCheckInterval
+	unanswered := func(servers ...string) func(set *backend.Set, sentAt time.Time) {
+		return func(set *backend.Set, sentAt time.Time) {
+			for _, name := range servers {
+				set.ObserveUnanswered("at "+name, sentAt, boottime.Now())
+			}
+		}
+	}
+	for name, test := range map[string]struct {
+		probes  func(set *backend.Set, sentAt time.Time)
+		unbegun bool
+		reason  exchange.ReleaseReason
+		after   time.Duration
+	}{
+		"the server answers the probe": {
+			probes: func(set *backend.Set, sentAt time.Time) { set.ObserveConnect("at i-0", true, sentAt, boottime.Now()) },
+			reason: exchange.ReleaseEnded, after: probed,
+		},
+		"no server answers":        {probes: unanswered("i-0", "i-1", "i-2"), reason: exchange.ReleaseUnreachable, after: probed},
+		"no probe has a result":    {probes: unanswered(), reason: exchange.ReleaseEnded, after: minEventGapTimeout},
+		"only others have failed":  {probes: unanswered("i-1", "i-2"), reason: exchange.ReleaseUnreachable, after: minEventGapTimeout},
+		"the caller has no event":  {probes: unanswered("i-0", "i-1", "i-2"), unbegun: true, reason: exchange.ReleaseEnded},
+		"only its path has failed": {probes: unanswered("i-0"), reason: exchange.ReleaseEnded, after: minEventGapTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newTestPlacer(10, 3, 0)
+				p.proxy.forwarder = stubForwarder{}
+				p.admitted.route = &catalog.Route{Name: "r", Kind: catalog.Stream, Resumable: true, TargetLatency: 800 * time.Millisecond, GapTarget: 100 * time.Millisecond}
+				if !test.unbegun {
+					p.admitted.origin = &origin.Origin{}
+				}
+				set := p.proxy.set
+				for _, name := range []string{"i-1", "i-2"} {
+					p.silentPlacement(name, boottime.Now()).End(exchange.ResultServed)
+				}
+				time.Sleep(time.Second)
+				broken := p.silentPlacement("i-0", boottime.Now())
+				_, broken.completion = outbound.TrackCompletion(context.Background())
+				time.Sleep(time.Second)
+				broken.End(exchange.ResultBroken)
+				brokenAt := boottime.Now()
+				set.DuePathProbes(4, brokenAt)
+				time.AfterFunc(probed, func() { test.probes(set, brokenAt) })
+				require.Equal(t, test.reason, broken.AwaitRelease(context.Background()))
+				require.GreaterOrEqual(t, boottime.Since(brokenAt), test.after)
+				require.LessOrEqual(t, boottime.Since(brokenAt), test.after+tick)
+			})
+		})
+	}
+}
