--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -17,7 +17,7 @@
 	// Repeatable is set if the request may run more than once, or if its stream can be
 	// resumed after the last event.
 	Repeatable bool
-	// MaxRuns bounds the attempts that may have run, apart from those that were cut off by the failure of this node's path.
+	// MaxRuns bounds the attempts that may have run, apart from those that a failed path cut off.
 	MaxRuns int
 	// MaxSends bounds all attempts, including those that certainly did not run. Further ones of a stream that was given up for
 	// its server's silence, or cut off by its path, are charged to the budget one by one, with a delay.
