Read the archive beside nodes that do not respond

Callers that resumed a stream of which no node knew anything waited for a second or more for the refusal, where neither the holders of its record nor the store responded. Other nodes are asked for 600 ms, and the archive was read after that, for 400 ms: the bounds of a single search added up to 1 s, which is all that such a refusal may take.

The read of the archive begins after 200 ms now, while the nodes are asked, and has the same 400 ms as before. Both searches end after 600 ms. A node that responds before that is waited for alone, and the store is not read.

TestUnknownStreamIsRefusedInTime (virtual time) failed before with '"1s" is not less than "1s"', at no load at all. The fault was found by TestStreamsAreNotGuessedWithoutArchive (late, slow) in a full run at load 30 to 73.

--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -22,8 +22,10 @@
 	originSendTimeout = 25 * time.Millisecond
 	// originFindTimeout bounds the search for what began a stream.
 	originFindTimeout = 600 * time.Millisecond
-	// archiveReadTimeout bounds how long a request waits for a read of the archive.
+	// archiveReadTimeout bounds how long a request waits for a read of the archive. It begins while other nodes are asked, if
+	// that takes longer than archiveReadDelay, so that both searches end at the same time.
 	archiveReadTimeout = 400 * time.Millisecond
+	archiveReadDelay   = originFindTimeout - archiveReadTimeout
 	// originRetryAfter is when a caller may resume a stream of which the holders could not be asked.
 	originRetryAfter = time.Second
 	// reportTimeout bounds the question for the start time of a server. It is asked up to maxReportQuestions times
@@ -116,6 +118,9 @@
 			return
 		}
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	readArchive := proxy.scheduleArchiveRead(ctx, resumption)
 	finding := proxy.askHolders(ctx, resumption.Key)
 	resumption.Asked, resumption.Failed = finding.Answered(), finding.Failed
 	if resumption.Resumes != "" && finding.Found {
@@ -129,17 +134,31 @@
 			return
 		}
 	}
-	proxy.findArchived(ctx, resumption)
+	if readArchive != nil {
+		proxy.findArchived(readArchive, resumption)
+	}
 }
 
-// findArchived searches the archive, for the case that all nodes with a record of the stream are lost.
-func (proxy *Proxy) findArchived(ctx context.Context, resumption *Resumption) {
+// scheduleArchiveRead returns a function that reads the archive, for the case that all nodes with a record of the stream are
+// lost, and waits for the result; nil if there is no archive. Unless the context ends, the read begins after archiveReadDelay
+// at the latest.
+func (proxy *Proxy) scheduleArchiveRead(ctx context.Context, resumption *Resumption) func() error {
 	if proxy.archive == nil || resumption.Resumes == "" {
-		return
+		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, archiveReadTimeout)
-	defer cancel()
-	if err := proxy.archive.Read(ctx); err != nil {
+	read := sync.OnceValue(func() error {
+		ctx, cancel := context.WithTimeout(ctx, archiveReadTimeout)
+		defer cancel()
+		return proxy.archive.Read(ctx)
+	})
+	timer := time.AfterFunc(archiveReadDelay, func() { _ = read() })
+	context.AfterFunc(ctx, func() { timer.Stop() })
+	return read
+}
+
+// findArchived searches the archive.
+func (proxy *Proxy) findArchived(read func() error, resumption *Resumption) {
+	if err := read(); err != nil {
 		resumption.ArchiveError = err
 		return
 	}
