Count lists of a test's store atomically

The race detector reported the counter of slowArchiveStore, which is written by the read of the archive and read by the test. 50 runs of the three tests with the race detector report nothing now.

--- a/internal/proxy/origin_test.go
+++ b/internal/proxy/origin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,11 +44,11 @@
 type slowArchiveStore struct {
 	origin.ArchiveStore
 	delay time.Duration
-	lists int
+	lists atomic.Int64
 }
 
 func (s *slowArchiveStore) List(context.Context, string) ([]coordination.Entry, error) {
-	s.lists++
+	s.lists.Add(1)
 	time.Sleep(s.delay)
 	return nil, context.DeadlineExceeded
 }
@@ -88,7 +89,7 @@
 		require.NotNil(t, refusal)
 		require.Equal(t, originRetryAfter, refusal.RetryAfter)
 		require.Less(t, time.Since(startedAt), maxResumptionWait)
-		require.Equal(t, 1, store.lists)
+		require.EqualValues(t, 1, store.lists.Load())
 		time.Sleep(store.delay)
 	})
 }
@@ -101,7 +102,7 @@
 		resumption.Resumes, resumption.Key = admitted.request.Resumes, admitted.originKey(admitted.request.Resumes)
 		proxy.findOrigin(t.Context(), admitted, &resumption)
 		require.NotZero(t, resumption.Failed)
-		require.Equal(t, 1, store.lists)
+		require.EqualValues(t, 1, store.lists.Load())
 		require.ErrorIs(t, resumption.ArchiveError, context.DeadlineExceeded)
 		require.NotContains(t, resumption.ArchiveError.Error(), "in time", "the store's own error")
 	})
@@ -115,6 +116,6 @@
 		peer.Begin(admitted.originKey(admitted.request.Resumes), origin.Origin{Service: "s", Software: "v1"}, true, boottime.Now())
 		require.Nil(t, proxy.resolveOrigin(t.Context(), admitted))
 		time.Sleep(2 * archiveReadDelay)
-		require.Zero(t, store.lists)
+		require.Zero(t, store.lists.Load())
 	})
 }
