Take a response whole whose connection is reset after its end

What callers saw: a 502, or a stream that is cut, in place of a whole response without a length or chunks. The server answers before it has read a long request and ends the connection in an orderly way; the bytes of the request that arrive later are answered with a reset, which may come before the node reads the end.

Cause: the end of the data counted as a reset if the state of the connection was closed, or if this side had closed it after a failed write. Both also hold for a reset that follows the end of the data.

Change: the connection remembers whether a write has taken the error of a reset. A reset before the end of the data fails the first write with ECONNRESET, and one after it with EPIPE.

TestResetAfterEndOfDataIsNotFailure failed before, 2 of 2: "read tcp: connection reset by peer". TestResetIsNotEndOfData and TestResetResponseIsNotWhole still pass, 30 of 30 runs.

--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -26,6 +26,7 @@
 	// serverClosed is called if the server closes the connection while it is idle.
 	serverClosed func(rested time.Duration)
 	lingerers    *lingerers
+	resets       outbound.Resets
 
 	// readMutex is held during reads.
 	readMutex sync.Mutex
@@ -134,7 +135,7 @@
 	// Even a failed write may have sent some bytes.
 	c.written = true
 	c.mutex.Unlock()
-	return c.Conn.Write(data)
+	return c.resets.Write(c.Conn, data)
 }
 
 // Read reads from the connection.
@@ -148,7 +149,7 @@
 		return 0, net.ErrClosed
 	}
 	n, err := c.Conn.Read(data)
-	err = outbound.ReadError(c.Conn, err)
+	err = c.resets.ReadError(c.Conn, err)
 	if err != nil {
 		c.mutex.Lock()
 		c.ended = c.ended || errors.Is(err, io.EOF)
--- a/internal/keepalive/reset_test.go
+++ b/internal/keepalive/reset_test.go
@@ -5,8 +5,11 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cloverrail/cloverrail/internal/outbound"
 )
 
 // connect returns both ends of a connection.
@@ -52,3 +55,31 @@
 		require.ErrorIs(t, err, io.EOF)
 	})
 }
+
+// TestResetAfterEndOfDataIsNotFailure guards against failures in place of whole responses without a length: the server ends the
+// connection before it has read a long request, so that the rest of the request is answered with a reset.
+func TestResetAfterEndOfDataIsNotFailure(t *testing.T) {
+	for name, write := range map[string]func(near *conn){
+		"seen by a write": func(near *conn) {
+			for err := error(nil); err == nil; {
+				_, err = near.Write([]byte("body"))
+			}
+		},
+		"not seen by a write": func(near *conn) { _, _ = near.Write([]byte("body")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := connect(t)
+			_, err := far.Write([]byte("response"))
+			require.NoError(t, err)
+			require.NoError(t, far.Close())
+			write(near)
+			require.Eventually(t, func() bool {
+				state, err := outbound.TCPState(near.Conn)
+				return err == nil && state == outbound.StateClosed
+			}, 5*time.Second, time.Millisecond)
+			response, err := io.ReadAll(near)
+			require.NoError(t, err)
+			require.Equal(t, "response", string(response))
+		})
+	}
+}
--- a/internal/outbound/reset.go
+++ b/internal/outbound/reset.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"syscall"
 
 	"github.com/juju/errors"
@@ -47,43 +48,68 @@
 	}
 }
 
-// ReadError returns the error of a read. In place of io.EOF it wraps syscall.ECONNRESET if the peer has reset the connection, and
-// net.ErrClosed if this side has closed it meanwhile, as net/http does after a failed write: a write that fails with a reset
-// takes the error from the socket, so that a read sees the end of the data.
-func ReadError(c net.Conn, err error) error {
+// Resets tracks whether the peer of one connection has reset it. A write that fails with a reset takes the error from the socket,
+// so that a read sees the end of the data. The zero value is ready to use.
+type Resets struct {
+	// writing is held during writes.
+	writing sync.Mutex
+	// seen is set once a write has taken the error of a reset.
+	seen bool
+}
+
+// Write writes to the connection.
+func (r *Resets) Write(c net.Conn, data []byte) (int, error) {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	n, err := c.Write(data)
+	r.seen = r.seen || errors.Is(err, syscall.ECONNRESET)
+	return n, err
+}
+
+// ReadError returns the error of a read of the connection. It wraps syscall.ECONNRESET in place of io.EOF if a write has seen a
+// reset. One that comes after the end of the peer's data fails writes with syscall.EPIPE instead.
+func (r *Resets) ReadError(c net.Conn, err error) error {
 	if !errors.Is(err, io.EOF) {
 		return err
 	}
 	state, stateErr := TCPState(c)
-	switch {
-	case errors.Is(stateErr, net.ErrClosed):
-		return stateErr
-	case stateErr == nil && state == StateClosed:
-		return errReset
-	default:
+	if closed := errors.Is(stateErr, net.ErrClosed) || stateErr == nil && state == StateClosed; !closed {
 		return err
 	}
+	// A write in progress returns at once, since the connection is closed.
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	if r.seen {
+		return errReset
+	}
+	return err
 }
 
 // DialFunc opens connections.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// ReportResets returns a function that dials like dial. Reads of its connections return errors as ReadError does.
+// ReportResets returns a function that dials like dial. Reads of its connections return errors as Resets.ReadError does.
 func ReportResets(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return resetConn{c}, nil
+		return &resetConn{Conn: c}, nil
 	}
 }
 
-// resetConn is a connection whose reads return errors as ReadError does.
-type resetConn struct{ net.Conn }
+// resetConn is a connection whose reads return errors as Resets.ReadError does.
+type resetConn struct {
+	net.Conn
+	resets Resets
+}
 
 // Read reads from the connection.
-func (c resetConn) Read(data []byte) (int, error) {
+func (c *resetConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	return n, ReadError(c.Conn, err)
+	return n, c.resets.ReadError(c.Conn, err)
 }
+
+// Write writes to the connection.
+func (c *resetConn) Write(data []byte) (int, error) { return c.resets.Write(c.Conn, data) }
