Count the run of a stream whose server has restarted

What callers saw: none shown yet. A stream that its server broke off by a crash went on without the run being counted, so that max_attempts did not bound it, and a node that forwarded it reported a failed path, which is no evidence of a crash for the quarantine.

Cause: a server that restarts within the wait refuses connections and then answers, like one to which the path has failed and healed. The verdict on the path did not heed that another incarnation had answered at the address, and replaced the reason that the release had found.

Change: a server that was replaced has terminated, whatever the path did.

Failed before: TestRestartOfServerIsNotFailureOfPath (expected 0, PathNotFailed; actual 2, PathFailed) and TestBrokenStreamAwaitsVerdictOnItsPath with a server that has restarted (expected ended, actual unreachable).

--- a/internal/backend/path.go
+++ b/internal/backend/path.go
@@ -265,12 +265,12 @@
 )
 
 // PathVerdict returns what is known of the path on which an attempt on a server failed at a given time. While this node may
-// be isolated, the probes of all paths decide.
+// be isolated, the probes of all paths decide. Another incarnation shows that the server has terminated.
 func (set *Set) PathVerdict(name string, failedAt, now time.Time) PathVerdict {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	e := set.servers[name]
-	if e == nil || !e.listed {
+	if e == nil || !e.listed || !e.local().replacedUntil.IsZero() {
 		return PathNotFailed
 	}
 	path := e.local().path
--- a/internal/backend/path_test.go
+++ b/internal/backend/path_test.go
@@ -333,3 +333,18 @@
 	set.ApplyPeerWork([]Work{{Server: ServerKey("i-0"), AnswerAge: 100 * time.Millisecond}}, begin.Add(time.Second))
 	require.Equal(t, PathFailed, verdict(time.Second), "other nodes hear it")
 }
+
+// Guards against runs that are not counted although their server has crashed: one that restarts at once refuses connections and
+// then answers, as if the path to it had failed and healed.
+func TestRestartOfServerIsNotFailureOfPath(t *testing.T) {
+	set := newPathSet(1)
+	verdict := func(after time.Duration) PathVerdict { return set.PathVerdict("i-0", begin.Add(1), begin.Add(after)) }
+	set.SuspectPath("i-0", begin.Add(1))
+	set.DuePathProbes(4, begin.Add(2))
+	set.connect("i-0", false, begin.Add(3))
+	require.Equal(t, PathFailed, verdict(4), "nothing tells yet that this node is not isolated")
+	set.connect("i-0", true, begin.Add(5))
+	require.Equal(t, PathFailed, verdict(6), "the path has healed, as far as known")
+	set.Gone("i-0", begin.Add(7))
+	require.Equal(t, PathNotFailed, verdict(8), "another incarnation answers")
+}
--- a/internal/proxy/release_test.go
+++ b/internal/proxy/release_test.go
@@ -244,7 +244,14 @@
 			probes: func(set *backend.Set, sentAt time.Time) { set.ObserveConnect("at i-0", true, sentAt, boottime.Now()) },
 			reason: exchange.ReleaseEnded, after: probed,
 		},
-		"no server answers":        {probes: unanswered("i-0", "i-1", "i-2"), reason: exchange.ReleaseUnreachable, after: probed},
+		"no server answers": {probes: unanswered("i-0", "i-1", "i-2"), reason: exchange.ReleaseUnreachable, after: probed},
+		"the server has restarted": {
+			probes: func(set *backend.Set, sentAt time.Time) {
+				unanswered("i-0", "i-1", "i-2")(set, sentAt)
+				set.Gone("i-0", boottime.Now())
+			},
+			reason: exchange.ReleaseEnded, after: probed,
+		},
 		"no probe has a result":    {probes: unanswered(), reason: exchange.ReleaseEnded, after: minEventGapTimeout},
 		"only others have failed":  {probes: unanswered("i-1", "i-2"), reason: exchange.ReleaseUnreachable, after: minEventGapTimeout},
 		"the caller has no event":  {probes: unanswered("i-0", "i-1", "i-2"), unbegun: true, reason: exchange.ReleaseEnded},
