Do not take a connection that timed out for one that ended

What callers would see: a short response without a length, framed as whole. The kernel gives a connection up while a long request is written to it.

Cause: since only a reset that a write has seen counted against the end of the data. A write takes any other error of the socket too.

Change: every error of the socket that a write has seen counts, apart from EPIPE, which follows the end of the server's data.

TestTimeoutIsNotEndOfData failed before: "found: EOF, in chain: EOF".

--- a/internal/keepalive/reset_test.go
+++ b/internal/keepalive/reset_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/cloverrail/cloverrail/internal/outbound"
 )
@@ -56,6 +57,25 @@
 	})
 }
 
+// TestTimeoutIsNotEndOfData guards against a response without a length that is short and looks complete: the kernel gives the
+// connection up while the request is written, and a write takes the error away from the next read.
+func TestTimeoutIsNotEndOfData(t *testing.T) {
+	near, _ := connect(t)
+	raw, err := near.Conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(descriptor uintptr) {
+		err = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 50)
+	}))
+	require.NoError(t, near.Conn.SetWriteDeadline(time.Now().Add(10*time.Second)))
+	for err == nil {
+		_, err = near.Write(make([]byte, 1<<20))
+	}
+	require.ErrorIs(t, err, syscall.ETIMEDOUT)
+	_, err = near.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, io.EOF)
+}
+
 // TestResetAfterEndOfDataIsNotFailure guards against failures in place of whole responses without a length: the server ends the
 // connection before it has read a long request, so that the rest of the request is answered with a reset.
 func TestResetAfterEndOfDataIsNotFailure(t *testing.T) {
--- a/internal/outbound/reset.go
+++ b/internal/outbound/reset.go
@@ -48,12 +48,12 @@
 	}
 }
 
-// Resets tracks whether the peer of one connection has reset it. A write that fails with a reset takes the error from the socket,
-// so that a read sees the end of the data. The zero value is ready to use.
+// Resets tracks whether one connection has failed, mostly by a reset of its peer. A write that fails takes the error from the
+// socket, so that a read sees the end of the data. The zero value is ready to use.
 type Resets struct {
 	// writing is held during writes.
 	writing sync.Mutex
-	// seen is set once a write has taken the error of a reset.
+	// seen is set once a write has taken the error of the socket.
 	seen bool
 }
 
@@ -62,12 +62,13 @@
 	r.writing.Lock()
 	defer r.writing.Unlock()
 	n, err := c.Write(data)
-	r.seen = r.seen || errors.Is(err, syscall.ECONNRESET)
+	var number syscall.Errno
+	r.seen = r.seen || errors.As(err, &number) && number != syscall.EPIPE
 	return n, err
 }
 
-// ReadError returns the error of a read of the connection. It wraps syscall.ECONNRESET in place of io.EOF if a write has seen a
-// reset. One that comes after the end of the peer's data fails writes with syscall.EPIPE instead.
+// ReadError returns the error of a read of the connection. It wraps syscall.ECONNRESET in place of io.EOF if a write has seen that
+// the connection failed. A reset after the end of the peer's data fails writes with syscall.EPIPE instead.
 func (r *Resets) ReadError(c net.Conn, err error) error {
 	if !errors.Is(err, io.EOF) {
 		return err
