Say what a stream that has begun waits for

Callers saw streams that end at their deadline although the paths of their node were whole again. No line told what such a stream waited for, a retry or a server.

A line 'waits' names the cause, and why no server can continue the stream; 'waited' says for how long. waiting_streams and stream_wait_seconds count them, and explain reads both lines. Nothing else changes.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -251,6 +251,10 @@
 		return fmt.Sprintf("server %s was silent for %.0f ms but answers other nodes: the attempt goes on", line.Server, line.Silent)
 	case "released":
 		return fmt.Sprintf("it could go on elsewhere %.0f ms after it was given up at server %s: %s", line.Waited, line.Server, releaseTexts[line.Reason])
+	case "waits":
+		return line.waitText()
+	case "waited":
+		return fmt.Sprintf("no longer waits for a %s, after %.0f ms", line.For, line.Waited)
 	case "limited":
 		return line.tenantLimitText()
 	case "over the limits of servers":
@@ -272,6 +276,14 @@
 	}
 }
 
+func (line logLine) waitText() string {
+	text := "its stream waits for a " + line.For
+	if line.Reason != "" {
+		text += ": " + line.Reason
+	}
+	return text
+}
+
 func (line logLine) placementText() string {
 	text := fmt.Sprintf("server %s was chosen: distance %d, %d requests of this node there, failure share %.2f",
 		line.Server, line.Distance, line.InFlight, line.Failures)
--- a/internal/command/explain_release_test.go
+++ b/internal/command/explain_release_test.go
@@ -14,3 +14,15 @@
 	require.NoError(t, explain(strings.NewReader(log), &text, "r1"))
 	require.Contains(t, text.String(), "it could go on elsewhere 1600 ms after it was given up at server i-7: the caller could wait no longer")
 }
+
+func TestExplainNamesWhatStreamWaitsFor(t *testing.T) {
+	log := `{"node":"a","id":"r1","for":"server","reason":"no server is eligible: down","message":"waits"}
+{"node":"a","id":"r1","for":"retry","message":"waits"}
+{"node":"a","id":"r1","for":"retry","waited":1600.4,"message":"waited"}
+`
+	written := &strings.Builder{}
+	require.NoError(t, explain(strings.NewReader(log), written, "r1"))
+	require.Contains(t, written.String(), "its stream waits for a server: no server is eligible: down")
+	require.Contains(t, written.String(), "its stream waits for a retry\n")
+	require.Contains(t, written.String(), "no longer waits for a retry, after 1600 ms")
+}
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -56,6 +56,11 @@
 	// silenceDue is when silenceTimer passes, and readsOn is set while it runs for finalReadTimeout.
 	silenceDue time.Time
 	readsOn    bool
+	// wait is the current wait of a stream that has begun, since waitingSince; its Cause is "" if there is none.
+	wait         Wait
+	waitingSince time.Time
+	// unplacedReason is why no server could be chosen for the latest placement that failed.
+	unplacedReason string
 }
 
 // Run processes a request to completion. The context must end when the caller
@@ -87,6 +92,7 @@
 
 // release ends the current attempt, and returns the memory of all responses.
 func (driver *driver) release() {
+	driver.endWait()
 	driver.endAttempt(ResultNeutral)
 	for _, answer := range driver.received {
 		answer.release()
@@ -216,7 +222,8 @@
 	case AwaitRelease:
 		driver.awaitRelease(ctx)
 	case AwaitRetry:
-		if driver.wait(ctx, action.Delay) {
+		driver.beginWait(WaitForRetry, "")
+		if driver.pause(ctx, action.Delay) {
 			driver.step(RetryDue{})
 		}
 	case RecheckSilence:
@@ -264,23 +271,54 @@
 }
 
 func (driver *driver) place(ctx context.Context, action Place) {
-	if action.Delay > 0 && !driver.wait(ctx, action.Delay) {
-		return
+	if action.Delay > 0 {
+		driver.beginWait(WaitForServer, driver.unplacedReason)
+		if !driver.pause(ctx, action.Delay) {
+			return
+		}
 	}
 	if len(action.Readmitted) > 0 {
 		driver.request.Placer.Readmit(action.Readmitted)
 	}
 	placement, unplaced := driver.request.Placer.Place(action.Excluded)
 	if unplaced != nil {
+		driver.unplacedReason = unplaced.Reason
 		driver.step(*unplaced)
 		return
 	}
+	driver.endWait()
 	driver.placement = placement
 	driver.step(Placed{Server: placement.Server()})
 }
 
-// wait waits for a time, and reports whether the request goes on.
-func (driver *driver) wait(ctx context.Context, delay time.Duration) bool {
+// beginWait records that a stream which has begun waits before it goes on. Only a change of the cause is reported.
+func (driver *driver) beginWait(cause WaitCause, reason string) {
+	if driver.outcome.Events == 0 || driver.wait.Cause == cause {
+		return
+	}
+	driver.endWait()
+	driver.wait, driver.waitingSince = Wait{Cause: cause, Reason: reason}, boottime.Now()
+	driver.observeWait()
+}
+
+// endWait records that the current wait, if any, has ended.
+func (driver *driver) endWait() {
+	if driver.wait.Cause == "" {
+		return
+	}
+	driver.wait.Ended, driver.wait.Waited = true, boottime.Since(driver.waitingSince)
+	driver.observeWait()
+	driver.wait = Wait{}
+}
+
+func (driver *driver) observeWait() {
+	if driver.request.ObserveWait != nil {
+		driver.request.ObserveWait(driver.wait)
+	}
+}
+
+// pause waits for a time, and reports whether the request goes on.
+func (driver *driver) pause(ctx context.Context, delay time.Duration) bool {
 	select {
 	case <-time.After(delay):
 		return true
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -205,6 +205,29 @@
 	Stopping <-chan struct{}
 	// Observe, if set, is called with each event and the server that it concerns.
 	Observe func(server string, event Event)
+	// ObserveWait, if set, is called when a stream that has begun starts to wait before it goes on, and when that ends.
+	ObserveWait func(wait Wait)
+}
+
+// WaitCause is what a stream that has begun waits for before it goes on.
+type WaitCause string
+
+// The causes. They are labels of metrics.
+const (
+	// WaitForRetry means that no further attempt is permitted until the retry budget permits one.
+	WaitForRetry WaitCause = "retry"
+	// WaitForServer means that no server can continue the stream at the moment.
+	WaitForServer WaitCause = "server"
+)
+
+// Wait is a wait of a stream that has begun, in which no server works on it.
+type Wait struct {
+	Cause WaitCause
+	// Reason is why no server can continue the stream; "" if it does not wait for a server.
+	Reason string
+	// Ended is set once the stream no longer waits for Cause, after the time Waited.
+	Ended  bool
+	Waited time.Duration
 }
 
 // Outcome is how a request ended.
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -69,6 +69,7 @@
 			}
 			proxy.recorder.Attempt(admitted.request, server, event, suspects)
 		},
+		ObserveWait: func(wait exchange.Wait) { proxy.recorder.StreamWaits(admitted.request, wait) },
 	}
 }
 
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -67,6 +67,8 @@
 	Attempt(request *Request, server string, event exchange.Event, suspects quarantine.Suspects)
 	// Retry records whether the fleet's retry budget of a service had a retry that a request asked for.
 	Retry(service string, granted bool)
+	// StreamWaits records that a stream which has begun waits before it goes on, or that this wait has ended.
+	StreamWaits(request *Request, wait exchange.Wait)
 	// AttemptKept records, once per attempt, that a silent attempt is not given up because other
 	// nodes hear its server.
 	AttemptKept(request *Request, server string, silent time.Duration)
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -28,6 +28,7 @@
 func (nopRecorder) Attempt(*Request, string, exchange.Event, quarantine.Suspects)        {}
 func (nopRecorder) Retry(string, bool)                                                   {}
 func (nopRecorder) NoRoom(string)                                                        {}
+func (nopRecorder) StreamWaits(*Request, exchange.Wait)                                  {}
 func (nopRecorder) RejectedForRoom(Rejection)                                            {}
 func (nopRecorder) OverLimits(*Request, OverLimits)                                      {}
 func (nopRecorder) AttemptKept(*Request, string, time.Duration)                          {}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -22,6 +22,7 @@
 	connections         *prometheus.CounterVec
 	connectionTimeouts  prometheus.Counter
 	paths               *pathMetrics
+	waits               *waitMetrics
 	origins             *originMetrics
 	replacedPlacements  prometheus.Counter
 	rateLimited         prometheus.Counter
@@ -185,10 +186,12 @@
 		}),
 		overload: newOverloadMetrics(),
 		paths:    newPathMetrics(),
+		waits:    newWaitMetrics(),
 		origins:  newOriginMetrics(),
 	}
 	metrics.Registry.MustRegister(metrics.overload.refusals, metrics.overload.promises)
 	metrics.Registry.MustRegister(metrics.origins.collectors()...)
+	metrics.Registry.MustRegister(metrics.waits.collectors()...)
 	metrics.Registry.MustRegister(metrics.paths.changes, metrics.paths.unansweredProbes, metrics.paths.forwarded, metrics.paths.forwardedForPeers)
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "cloverrail_proxy_declaration_age_seconds", Help: "Time since the declaration was certainly current.",
