Lend retries to streams that wait for one at another node

Callers saw streams of resumable routes end without their end: the paths of one node are reset, all of its streams break at that moment, and some of them wait until their deadline although other nodes, and soon this one, reach all servers.

Cause: each stream that goes on is charged a retry of the node's share of the fleet's budget, which holds three to five. Each stream asked the budget by itself every 0.1 s, so that what was earned went to whichever asked first, while the shares of all other nodes stayed unused. All tests of such streams had a budget of a million retries.

Now streams that have begun wait in a queue, before requests that have nothing yet, and a node asks others for retries as long as streams wait. A retry is taken from the lender before it is handed over, so that the fleet's bound holds (TestLoansCreateNoRetries).

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -35,6 +35,7 @@
 	"github.com/cloverrail/cloverrail/internal/quota"
 	"github.com/cloverrail/cloverrail/internal/reflector"
 	"github.com/cloverrail/cloverrail/internal/residency"
+	"github.com/cloverrail/cloverrail/internal/retryloan"
 	"github.com/cloverrail/cloverrail/internal/rollout"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/internal/telemetry"
@@ -189,19 +190,20 @@
 			ReplacedLoss:  config.Bounds.ReplacedLoss,
 			StartupGrace:  config.Bounds.StartupGrace,
 		},
-		RetryBudgets: process.retryBudgets,
-		Distance:     process.distance,
-		Recorder:     process.recorder,
-		Ledger:       process.cacheLedger,
-		Limiter:      process.tenantLimiter,
-		Forwarder:    process.forwarder,
-		ServerLimits: process.serverLimits,
-		ServerRooms:  process.serverRooms,
-		Overload:     process.overloadControl(),
-		Quarantine:   process.quarantineLedger,
-		Unconfirmed:  process.crashUnconfirmed,
-		Trials:       &quarantine.Trials{Store: process.store.WithPurpose("quarantine"), Prefix: platform.PrefixTrials, Now: boottime.Now},
-		Capacity:     process.capacity,
+		RetryBudgets:  process.retryBudgets,
+		BorrowRetries: process.newRetryBorrower(),
+		Distance:      process.distance,
+		Recorder:      process.recorder,
+		Ledger:        process.cacheLedger,
+		Limiter:       process.tenantLimiter,
+		Forwarder:     process.forwarder,
+		ServerLimits:  process.serverLimits,
+		ServerRooms:   process.serverRooms,
+		Overload:      process.overloadControl(),
+		Quarantine:    process.quarantineLedger,
+		Unconfirmed:   process.crashUnconfirmed,
+		Trials:        &quarantine.Trials{Store: process.store.WithPurpose("quarantine"), Prefix: platform.PrefixTrials, Now: boottime.Now},
+		Capacity:      process.capacity,
 
 		Origins:       process.origins,
 		OriginHolders: process.newOriginHolders(),
@@ -534,6 +536,7 @@
 	mux.HandleFunc("POST "+reflector.PathServers, reflector.Handler(process.feed))
 	mux.HandleFunc("GET "+reflector.PathWork, reflector.WorkHandler(process.feed))
 	mux.HandleFunc("POST "+forward.Path, process.forwardHandler())
+	mux.HandleFunc("POST "+retryloan.Path, process.lendHandler())
 	mux.HandleFunc("POST "+origin.PathRecords, origin.RecordsHandler(process.origins))
 	mux.HandleFunc("POST "+origin.PathLookup, origin.LookupHandler(process.origins))
 	mux.HandleFunc("POST "+origin.PathOpen, process.archive.OpenHandler())
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -92,6 +92,7 @@
 
 // release ends the current attempt, and returns the memory of all responses.
 func (driver *driver) release() {
+	driver.leaveRetryQueue()
 	driver.endWait()
 	driver.endAttempt(ResultNeutral)
 	for _, answer := range driver.received {
@@ -223,7 +224,7 @@
 		driver.awaitRelease(ctx)
 	case AwaitRetry:
 		driver.beginWait(WaitForRetry, "")
-		if driver.pause(ctx, action.Delay) {
+		if driver.pause(ctx, action.Delay, driver.joinRetryQueue()) {
 			driver.step(RetryDue{})
 		}
 	case RecheckSilence:
@@ -271,9 +272,10 @@
 }
 
 func (driver *driver) place(ctx context.Context, action Place) {
+	driver.leaveRetryQueue()
 	if action.Delay > 0 {
 		driver.beginWait(WaitForServer, driver.unplacedReason)
-		if !driver.pause(ctx, action.Delay) {
+		if !driver.pause(ctx, action.Delay, nil) {
 			return
 		}
 	}
@@ -317,11 +319,26 @@
 	}
 }
 
-// pause waits for a time, and reports whether the request goes on.
-func (driver *driver) pause(ctx context.Context, delay time.Duration) bool {
+func (driver *driver) joinRetryQueue() <-chan struct{} {
+	if driver.request.RetryQueue == nil {
+		return nil
+	}
+	return driver.request.RetryQueue.Join()
+}
+
+func (driver *driver) leaveRetryQueue() {
+	if driver.request.RetryQueue != nil {
+		driver.request.RetryQueue.Leave()
+	}
+}
+
+// pause waits for a time, or until the channel has an element, and reports whether the request goes on.
+func (driver *driver) pause(ctx context.Context, delay time.Duration, ready <-chan struct{}) bool {
 	select {
 	case <-time.After(delay):
 		return true
+	case <-ready:
+		return true
 	case <-ctx.Done():
 		driver.step(driver.contextEvent(ctx))
 	case <-driver.request.Stopping:
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -193,10 +193,20 @@
 	Recheck time.Duration
 }
 
+// RetryQueue orders the requests that wait until their Budget permits a retry.
+type RetryQueue interface {
+	// Join makes the request wait, if it does not yet. The channel has an element when Budget.Withdraw may succeed.
+	Join() <-chan struct{}
+	// Leave ends the wait, if the request waits.
+	Leave()
+}
+
 // Request is a request to process with Run.
 type Request struct {
-	Rules           Rules
-	Budget          Budget
+	Rules  Rules
+	Budget Budget
+	// RetryQueue is nil if requests that wait for a retry are not ordered.
+	RetryQueue      RetryQueue
 	SilenceTimeouts SilenceTimeouts
 	ResumeAfter     *int64
 	Placer          Placer
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -48,6 +48,8 @@
 // exchangeRequest returns the exchange.Request for an admitted request.
 func (proxy *Proxy) exchangeRequest(admitted *admitted, caller exchange.Caller) exchange.Request {
 	route, placer := admitted.route, newPlacer(proxy, admitted)
+	service := admitted.service.Name
+	budget := &requestBudget{budget: proxy.retryBudgets.ForService(service), service: service, recorder: proxy.recorder, borrow: proxy.borrowRetries}
 	return exchange.Request{
 		Rules: exchange.Rules{
 			Repeatable:    route.Retryable(),
@@ -56,7 +58,8 @@
 			PlacementWait: route.TargetLatency / placementWaitDivisor,
 			RetryAfter:    retryAfter(route),
 		},
-		Budget:          recordedBudget{proxy.retryBudgets.ForService(admitted.service.Name), proxy.recorder, admitted.service.Name},
+		Budget:          budget,
+		RetryQueue:      budget,
 		SilenceTimeouts: placer.silenceTimeouts(),
 		ResumeAfter:     admitted.request.ResumeAfter,
 		Placer:          placer,
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"github.com/cloverrail/cloverrail/internal/quarantine"
 	"github.com/cloverrail/cloverrail/internal/quota"
 	"github.com/cloverrail/cloverrail/internal/residency"
+	"github.com/cloverrail/cloverrail/internal/retry"
 )
 
 // Part is one segment of a prompt. Requests with the same part ID share its content.
@@ -157,24 +158,26 @@
 	servers      Servers
 	bounds       Bounds
 	retryBudgets *RetryBudgets
-	distance     backend.Distance
-	recorder     Recorder
-	started      time.Time
-	splitter     splitter
-	prefillRate  *prefillRate
-	slotTime     *slotTime
-	capacity     *capacity.Estimator
-	ledger       *residency.Ledger
-	limiter      *quota.Limiter
-	forwarder    Forwarder
-	serverLimits *quota.ServerLimits
-	serverRooms  *quota.ServerRooms
-	overload     *overload.Services
-	quarantine   *quarantine.Ledger
-	unconfirmed  quarantine.Unconfirmed
-	trials       *quarantine.Trials
-	closeTimes   *closeTimes
-	runTimes     *runTimes
+	// borrowRetries is that of Options.
+	borrowRetries func(service string, budget *retry.Budget)
+	distance      backend.Distance
+	recorder      Recorder
+	started       time.Time
+	splitter      splitter
+	prefillRate   *prefillRate
+	slotTime      *slotTime
+	capacity      *capacity.Estimator
+	ledger        *residency.Ledger
+	limiter       *quota.Limiter
+	forwarder     Forwarder
+	serverLimits  *quota.ServerLimits
+	serverRooms   *quota.ServerRooms
+	overload      *overload.Services
+	quarantine    *quarantine.Ledger
+	unconfirmed   quarantine.Unconfirmed
+	trials        *quarantine.Trials
+	closeTimes    *closeTimes
+	runTimes      *runTimes
 	// origins holds what began each stream, and originHolders asks other nodes; nil if there are none.
 	origins       *origin.Ledger
 	originHolders *origin.Client
@@ -202,10 +205,13 @@
 	Servers      Servers
 	Bounds       Bounds
 	RetryBudgets *RetryBudgets
-	Distance     backend.Distance
-	Recorder     Recorder
-	Ledger       *residency.Ledger
-	Limiter      *quota.Limiter
+	// BorrowRetries asks other nodes for retries of a service while requests wait for them. It must not block. Nil means
+	// that other nodes lend none.
+	BorrowRetries func(service string, budget *retry.Budget)
+	Distance      backend.Distance
+	Recorder      Recorder
+	Ledger        *residency.Ledger
+	Limiter       *quota.Limiter
 	// Forwarder sends attempts through other nodes; nil if there are none.
 	Forwarder Forwarder
 	// ServerLimits are the request limits that servers advertise, by backend.ServerKey.
@@ -250,25 +256,26 @@
 		options.Capacity = capacity.NewEstimator()
 	}
 	return &Proxy{
-		replica:      options.Replica,
-		set:          options.Set,
-		servers:      options.Servers,
-		bounds:       options.Bounds,
-		retryBudgets: options.RetryBudgets,
-		distance:     options.Distance,
-		recorder:     options.Recorder,
-		ledger:       options.Ledger,
-		limiter:      options.Limiter,
-		forwarder:    options.Forwarder,
-		serverLimits: options.ServerLimits,
-		serverRooms:  options.ServerRooms,
-		overload:     options.Overload,
-		quarantine:   options.Quarantine,
-		unconfirmed:  options.Unconfirmed,
-		trials:       options.Trials,
-		closeTimes:   newCloseTimes(),
-		runTimes:     newRunTimes(),
-		origins:      options.Origins,
+		replica:       options.Replica,
+		set:           options.Set,
+		servers:       options.Servers,
+		bounds:        options.Bounds,
+		retryBudgets:  options.RetryBudgets,
+		borrowRetries: options.BorrowRetries,
+		distance:      options.Distance,
+		recorder:      options.Recorder,
+		ledger:        options.Ledger,
+		limiter:       options.Limiter,
+		forwarder:     options.Forwarder,
+		serverLimits:  options.ServerLimits,
+		serverRooms:   options.ServerRooms,
+		overload:      options.Overload,
+		quarantine:    options.Quarantine,
+		unconfirmed:   options.Unconfirmed,
+		trials:        options.Trials,
+		closeTimes:    newCloseTimes(),
+		runTimes:      newRunTimes(),
+		origins:       options.Origins,
 
 		originHolders: options.OriginHolders,
 		openStreams:   options.OpenStreams,
--- a/internal/proxy/retries.go
+++ b/internal/proxy/retries.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/retry"
 )
 
@@ -118,20 +117,6 @@
 	return budget
 }
 
-// recordedBudget is the retry budget of a service that records what it grants.
-type recordedBudget struct {
-	exchange.Budget
-	recorder Recorder
-	service  string
-}
-
-// Withdraw takes one retry from the budget and reports whether one was available.
-func (b recordedBudget) Withdraw(now time.Time) bool {
-	granted := b.Budget.Withdraw(now)
-	b.recorder.Retry(b.service, granted)
-	return granted
-}
-
 // Deposit records a first attempt at a service, which earns part of a retry.
 func (budgets *RetryBudgets) Deposit(service string, now time.Time) {
 	budgets.budget(service).Deposit(now)
@@ -141,3 +126,14 @@
 func (budgets *RetryBudgets) ForService(service string) *retry.Budget {
 	return budgets.budget(service)
 }
+
+// Lend takes up to a number of retries of a service from this node's share, for requests of another node, and returns how many.
+func (budgets *RetryBudgets) Lend(service string, wanted int, now time.Time) int {
+	budgets.mutex.Lock()
+	budget := budgets.budgets[service]
+	budgets.mutex.Unlock()
+	if budget == nil {
+		return 0
+	}
+	return budget.Lend(wanted, now)
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -40,6 +40,10 @@
 	// time constant Window.
 	recentlyEarned float64
 	last           time.Time
+	// queue holds the requests that wait for a retry, in the order in which they get one, and borrowed is the number of
+	// retries that other nodes have lent to them.
+	queue    []*Waiter
+	borrowed int
 }
 
 // NewBudget returns a full budget.
@@ -54,6 +58,7 @@
 	budget.refill(now)
 	budget.recentlyEarned += budget.config.Ratio
 	budget.tokens = math.Min(budget.capacity(), budget.tokens+budget.config.Ratio)
+	budget.wakeWaiters()
 }
 
 // capacity returns the current bound of accumulated retries.
@@ -77,16 +82,21 @@
 	budget.tokens, budget.recentlyEarned = 0, 0
 }
 
-// Withdraw takes one retry from the budget and reports whether one was available.
+// Withdraw takes one retry from the budget and reports whether one was available. Requests that wait go first.
 func (budget *Budget) Withdraw(now time.Time) bool {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	budget.refill(now)
-	if budget.tokens >= 1 {
+	return budget.take(len(budget.queue))
+}
+
+// take takes one retry, unless the budget has no more than the given number of requests that go first.
+func (budget *Budget) take(first int) bool {
+	if budget.tokens >= float64(first+1) {
 		budget.tokens--
 		return true
 	}
-	if budget.config.Draw == nil || budget.capacity() >= 1 {
+	if first > 0 || budget.config.Draw == nil || budget.capacity() >= 1 {
 		return false
 	}
 	probability := budget.tokens
