Queue silent streams for retries, and lend from small shares

A review of the queue and the loans, by a reader who had not seen the work, found streams that still wait for a retry until their deadline, and one new fault:

- a node that has had no request of a service lent nothing of its share.

--- a/cmd/cloverrail/retryloans.go
+++ b/cmd/cloverrail/retryloans.go
@@ -14,9 +14,13 @@
 	return func(service string, budget *retry.Budget) { borrower.Borrow(service, budget) }
 }
 
-// lendHandler returns the handler of requests for retries from other nodes.
+// lendHandler returns the handler of requests for retries from other nodes. It lends those of declared services.
 func (process *process) lendHandler() http.HandlerFunc {
 	return retryloan.Handler(func(service string, wanted int) int {
+		replica := process.replica.Load()
+		if replica == nil || replica.Snapshot == nil || replica.Snapshot.Service(service) == nil {
+			return 0
+		}
 		lent := process.retryBudgets.Lend(service, wanted, boottime.Now())
 		process.recorder.RetriesLent(service, lent)
 		return lent
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -56,6 +56,8 @@
 	// silenceDue is when silenceTimer passes, and readsOn is set while it runs for finalReadTimeout.
 	silenceDue time.Time
 	readsOn    bool
+	// retryReady has an element when a silent attempt that waits for a retry may be given up; nil if none waits.
+	retryReady <-chan struct{}
 	// wait is the current wait of a stream that has begun, since waitingSince; its Cause is "" if there is none.
 	wait         Wait
 	waitingSince time.Time
@@ -129,6 +131,10 @@
 		if !driver.receiveReady() {
 			driver.checkSilence()
 		}
+	case <-driver.retryReady:
+		if !driver.receiveReady() {
+			driver.checkSilence()
+		}
 	case <-driver.startTimer.C:
 		if !driver.receiveReady() {
 			driver.step(Late{})
@@ -177,6 +183,7 @@
 	switch event.(type) {
 	case Opened, Arrived:
 		driver.startTimer.Stop()
+		driver.leaveRetryQueue()
 		driver.placement.ResponseStarted()
 		driver.resetSilenceTimer(driver.request.SilenceTimeouts.BetweenEvents)
 	}
@@ -190,6 +197,7 @@
 		return
 	}
 	if !driver.placement.Stalled(boottime.Since(driver.lastActivity)) {
+		driver.leaveRetryQueue()
 		driver.startSilenceTimer(cmp.Or(driver.request.SilenceTimeouts.Recheck, driver.silenceTimeout))
 		return
 	}
@@ -223,12 +231,11 @@
 	case AwaitRelease:
 		driver.awaitRelease(ctx)
 	case AwaitRetry:
-		driver.beginWait(WaitForRetry, "")
 		if driver.pause(ctx, action.Delay, driver.joinRetryQueue()) {
 			driver.step(RetryDue{})
 		}
 	case RecheckSilence:
-		driver.startSilenceTimer(driver.silenceTimeout)
+		driver.recheckSilence()
 	case Stash:
 		driver.stashed = driver.reply.Complete
 		driver.endAttempt(ResultFaulty)
@@ -319,17 +326,40 @@
 	}
 }
 
+// recheckSilence checks a silent attempt again for which the budget has no retry. That of a stream which has begun waits in the
+// queue for one meanwhile.
+func (driver *driver) recheckSilence() {
+	timeout := driver.silenceTimeout
+	if driver.outcome.Events > 0 && driver.request.RetryQueue != nil {
+		driver.retryReady = driver.joinRetryQueue()
+		timeout = continuationDelay
+	}
+	driver.startSilenceTimer(timeout)
+}
+
+// joinRetryQueue makes a stream wait for a retry in the queue, but for one that too many servers did not take: that asks for
+// what the others leave, and no sooner than after the delay.
 func (driver *driver) joinRetryQueue() <-chan struct{} {
+	if driver.machine.Sends() >= driver.request.Rules.MaxSends {
+		driver.beginWait(WaitForRetry, string(deniedBySends))
+		return nil
+	}
+	driver.beginWait(WaitForRetry, "")
 	if driver.request.RetryQueue == nil {
 		return nil
 	}
 	return driver.request.RetryQueue.Join()
 }
 
+// leaveRetryQueue ends the wait for a retry, if there is one.
 func (driver *driver) leaveRetryQueue() {
+	driver.retryReady = nil
 	if driver.request.RetryQueue != nil {
 		driver.request.RetryQueue.Leave()
 	}
+	if driver.wait.Cause == WaitForRetry {
+		driver.endWait()
+	}
 }
 
 // pause waits for a time, or until the channel has an element, and reports whether the request goes on.
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -230,10 +230,10 @@
 	WaitForServer WaitCause = "server"
 )
 
-// Wait is a wait of a stream that has begun, in which no server works on it.
+// Wait is a wait of a stream that has begun, in which it gets no events.
 type Wait struct {
 	Cause WaitCause
-	// Reason is why no server can continue the stream; "" if it does not wait for a server.
+	// Reason is why no server can continue the stream, or may be asked at once; "" if the budget has no retry.
 	Reason string
 	// Ended is set once the stream no longer waits for Cause, after the time Waited.
 	Ended  bool
--- a/internal/proxy/requestbudget.go
+++ b/internal/proxy/requestbudget.go
@@ -22,7 +22,9 @@
 func (b *requestBudget) Withdraw(now time.Time) bool {
 	granted := false
 	if b.waiter != nil {
-		granted = b.waiter.Withdraw(now)
+		if granted = b.waiter.Withdraw(now); !granted {
+			b.borrowRetries()
+		}
 	} else {
 		granted = b.budget.Withdraw(now)
 	}
@@ -34,9 +36,7 @@
 func (b *requestBudget) Join() <-chan struct{} {
 	if b.waiter == nil {
 		b.waiter = b.budget.Queue()
-		if b.borrow != nil {
-			b.borrow(b.service, b.budget)
-		}
+		b.borrowRetries()
 	}
 	return b.waiter.Ready()
 }
@@ -48,3 +48,9 @@
 		b.waiter = nil
 	}
 }
+
+func (b *requestBudget) borrowRetries() {
+	if b.borrow != nil {
+		b.borrow(b.service, b.budget)
+	}
+}
--- a/internal/proxy/retries.go
+++ b/internal/proxy/retries.go
@@ -129,11 +129,5 @@
 
 // Lend takes up to a number of retries of a service from this node's share, for requests of another node, and returns how many.
 func (budgets *RetryBudgets) Lend(service string, wanted int, now time.Time) int {
-	budgets.mutex.Lock()
-	budget := budgets.budgets[service]
-	budgets.mutex.Unlock()
-	if budget == nil {
-		return 0
-	}
-	return budget.Lend(wanted, now)
+	return budgets.budget(service).Lend(wanted, now)
 }
--- a/internal/retry/queue.go
+++ b/internal/retry/queue.go
@@ -6,8 +6,11 @@
 	"time"
 )
 
-// lendShare is the fraction of its capacity that a budget keeps for its own requests when it lends retries.
-const lendShare = 0.5
+const (
+	// minLendingCapacity is the capacity from which on a budget that lends keeps part of it, keptShare, for its own requests.
+	minLendingCapacity = 2
+	keptShare          = 0.5
+)
 
 // Waiter is a request that waits for a retry of a budget. Requests that wait get retries in the order of Queue, and before
 // all others. It is safe for concurrent use.
@@ -69,15 +72,22 @@
 }
 
 // Lend takes up to a number of retries from the budget for the requests of another node, and returns how many. It lends none
-// while requests of its own wait, and keeps lendShare of its capacity for those that come.
+// while requests of its own wait, and keeps part of its capacity for those that come. A budget that saves less than two lends
+// at most one, and one that saves less than one draws for it.
 func (budget *Budget) Lend(wanted int, now time.Time) int {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	budget.refill(now)
-	if len(budget.queue) > 0 {
+	if len(budget.queue) > 0 || wanted <= 0 {
+		return 0
+	}
+	if budget.capacity() < minLendingCapacity {
+		if budget.take(0) {
+			return 1
+		}
 		return 0
 	}
-	lent := max(0, min(wanted, int(budget.tokens-lendShare*budget.capacity())))
+	lent := max(0, min(wanted, int(budget.tokens-keptShare*budget.capacity())))
 	budget.tokens -= float64(lent)
 	return lent
 }
--- a/internal/retry/queue_test.go
+++ b/internal/retry/queue_test.go
@@ -109,3 +109,14 @@
 		require.LessOrEqual(t, retries, earned+1e-6)
 	})
 }
+
+// Guards against small budgets that lend more than they have, or nothing: each look at one that saves less than one empties it.
+func TestSmallBudgetLendsByDraw(t *testing.T) {
+	now := time.Unix(0, 0)
+	for capacity, drawn := range map[float64][]int{0.6: {1, 0}, 0.4: {0, 0}, 1.5: {1, 0}} {
+		budget := NewBudget(BudgetConfig{Capacity: capacity, Draw: func() float64 { return 0.5 }}, now)
+		for _, lent := range drawn {
+			require.Equal(t, lent, budget.Lend(9, now), "capacity %.1f", capacity)
+		}
+	}
+}
--- a/internal/telemetry/waits.go
+++ b/internal/telemetry/waits.go
@@ -56,7 +56,9 @@
 
 // RetriesLent records how many retries this node has lent to another one that asked for some.
 func (recorder *Recorder) RetriesLent(service string, lent int) {
-	recorder.metrics.waits.lent.WithLabelValues(service).Add(float64(lent))
+	if lent > 0 {
+		recorder.metrics.waits.lent.WithLabelValues(service).Add(float64(lent))
+	}
 }
 
 // RetriesBorrowed records how many retries another node has lent to this one.
