--- a/internal/exchange/queue_test.go
+++ b/internal/exchange/queue_test.go
@@ -63,6 +63,7 @@
 			Rules: rules, Budget: q, RetryQueue: q, Placer: &placer{servers: servers}, Caller: &recorder{},
 			ObserveWait: func(w Wait) { waits = append(waits, w) },
 		})
+		cancel()
 		time.Sleep(time.Second)
 		require.LessOrEqual(t, outcome.Sends, rules.MaxSends+int(time.Second/continuationDelay))
 		require.Greater(t, outcome.Sends, rules.MaxSends)
@@ -96,6 +97,7 @@
 			SilenceTimeouts: SilenceTimeouts{FirstEvent: 300 * time.Millisecond, BetweenEvents: 300 * time.Millisecond},
 			ObserveWait:     func(w Wait) { waits = append(waits, w) },
 		})
+		cancel()
 		time.Sleep(time.Second)
 		require.Nil(t, outcome.Failure)
 		require.Len(t, waits, 2)
