Give up a continued stream whose server's path is silent, also if it yields

Callers saw streams that were sent to another server after a silence, and then got nothing until their deadline, while that server answered other requests of the node.

Cause: a request that will be late yields to others, so that its attempt does not count as silent for as long as the server answers these. That is right for a request that has nothing yet, which waits in the server's queue, and wrong for a stream whose caller has events: the connection of that attempt alone may be silent.

TestDeferredContinuationIsGivenUpForSilence failed before.

--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -44,8 +44,9 @@
 	if evidence == serverSilent {
 		return true
 	}
-	// A deferred request yields to others for as long as the server serves these.
-	yields := placement.deferred && !placement.responding
+	// A deferred request yields to others for as long as the server serves these, unless its caller has events already and
+	// waits for the next one.
+	yields := placement.deferred && !placement.responding && !placement.continues
 	exceeds := !yields && silent >= time.Duration(maxSilenceFactor*float64(target))
 	if !exceeds && evidence != answeredHere {
 		placement.recordKept(silent)
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -189,3 +189,19 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at a server whose path is silent, and which waits until its deadline since it yields to
+// the other requests of that server.
+func TestDeferredContinuationIsGivenUpForSilence(t *testing.T) {
+	p, sent := sharedServicePlacer(1, 2, 0), time.Now()
+	for _, continues := range []bool{true, false} {
+		attempt := p.silentPlacement("i-0", sent)
+		attempt.deferred, attempt.continues = true, continues
+		other := p.silentPlacement("i-0", sent)
+		silent := 10 * p.admitted.route.TargetLatency
+		other.attempt.ResponseStarted(sent.Add(silent - time.Millisecond))
+		require.Equal(t, continues, attempt.exceedsSilenceLimitAt(silent, sent.Add(silent)))
+		attempt.attempt.End(exchange.ResultNeutral, sent)
+		other.attempt.End(exchange.ResultNeutral, sent)
+	}
+}
