Count an attempt that got no connection as not sent

Callers saw 502, which promises nothing, for requests of which no byte was written. A request that must not run twice was lost by it, although any other server could have taken it.

Cause: net/http refuses a head that it cannot write, such as one with a line end in a value, before it takes a connection. The client told requests that were not sent by their connection alone, and a request without one counted as sent.

Now a request that got no connection is unsent, unless its caller gave it up. The error that stands behind stays in the chain, so that a refused connection and a lack of descriptors are told as before (TestErrorOfConnectingIsKept).

--- a/internal/keepalive/client.go
+++ b/internal/keepalive/client.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -36,7 +37,8 @@
 	maxAttempts = maxIdlePerServer + 2
 )
 
-// ErrUnsent reports that a connection failed before any byte of the request was sent.
+// ErrUnsent reports that a request failed before any byte of it was sent: it could not be written, or there was no
+// connection, whose error is kept.
 var ErrUnsent = errors.New("no byte of the request was sent")
 
 // Reuse says which open connections a request may use.
@@ -135,7 +137,12 @@
 		case err == nil:
 			c.observeHeader(u.address, response.Header.Get("Keep-Alive"))
 			return response, u.connectedAt(), nil
-		case !u.unsent() || request.Context().Err() != nil:
+		case request.Context().Err() != nil:
+			return nil, time.Time{}, err
+		case !u.connected():
+			// No connection would take the request, or there is none. Another attempt would end in the same way.
+			return nil, time.Time{}, fmt.Errorf("%w: %w", ErrUnsent, err)
+		case !u.unsent():
 			return nil, time.Time{}, err
 		case attempt == maxAttempts:
 			return nil, time.Time{}, errors.Annotate(ErrUnsent, err.Error())
@@ -167,12 +174,17 @@
 	// completion, if set, tracks when the server has ended the request.
 	completion *outbound.Completion
 
-	mutex  sync.Mutex
-	conn   *conn
-	number int
+	mutex sync.Mutex
+	// gotConn says that the request got a connection, which is conn.
+	gotConn bool
+	conn    *conn
+	number  int
 }
 
 func (u *use) acquire(got httptrace.GotConnInfo) {
+	u.mutex.Lock()
+	u.gotConn = true
+	u.mutex.Unlock()
 	taken, known := got.Conn.(*conn)
 	if !known {
 		return
@@ -208,6 +220,13 @@
 	return u.conn.connectedAt
 }
 
+// connected reports whether the request got a connection.
+func (u *use) connected() bool {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.gotConn
+}
+
 // unsent reports whether the request got a connection and no byte was sent on it.
 func (u *use) unsent() bool {
 	u.mutex.Lock()
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -228,3 +229,35 @@
 		})
 	}
 }
+
+// Guards against a request that could not be written, such as one with a header value that no connection carries, counting
+// as one that may have run.
+func TestRequestThatCannotBeWrittenIsUnsent(t *testing.T) {
+	for name, value := range map[string]string{"line end": "x\n", "carriage return": "x\ry", "zero byte": "x\x00y", "control character": "\x01", "delete": "x\x7f"} {
+		for _, atMostOnce := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, " at most once ", atMostOnce), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := &server{idleTimeout: time.Second, requests: map[string]int{}}
+					c := New(Options{Timeout: time.Minute, Dial: s.dial})
+					err := send(c, http.MethodPost, "request", "body", http.Header{"Expected": {value}}, atMostOnce)
+					require.ErrorIs(t, err, ErrUnsent)
+					require.ErrorContains(t, err, "invalid header field value")
+					require.Empty(t, s.requests)
+				})
+			})
+		}
+	}
+}
+
+// Guards against losing what a failure to connect was, by which others tell a server that refuses connections.
+func TestErrorOfConnectingIsKept(t *testing.T) {
+	failure := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	c := New(Options{Timeout: time.Minute, Dial: func(context.Context, string, string) (net.Conn, error) { return nil, failure }})
+	_, err := c.Do(func() *http.Request {
+		return &http.Request{Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: "server:1", Path: "/"}, Header: http.Header{}}
+	}, true)
+	require.ErrorIs(t, err, ErrUnsent)
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	var operation *net.OpError
+	require.ErrorAs(t, err, &operation)
+}
