Bound the slots of a server where they are decoded

An entry with 2^31 to 2^63-1 slots counted as a server that is never full, which draws requests, and sums of the slots of a service wrap with two of them.

Cause: validate asked for slots of 0 or more, and a list from another node was taken as it is.

A fleet of 10,000 servers sums to 2^34 at most.

TestImpossibleSlotsOfPackedListAreUnknown failed before on the first of 6 values and passes on all now.

--- a/internal/backend/packed.go
+++ b/internal/backend/packed.go
@@ -72,7 +72,8 @@
 // Empty reports whether the list has no servers.
 func (p Packed) Empty() bool { return len(p.Kind) == 0 }
 
-// Unpack decodes the list. It returns an error if the list is malformed.
+// Unpack decodes the list. It returns an error if the list is malformed. Slots that no server has count as unknown: nodes of
+// former builds pass on whatever an entry says.
 func (p Packed) Unpack() ([]Server, error) {
 	n := len(p.Kind)
 	if len(p.Instance) != n || len(p.Address) != n || len(p.Revision) != n || len(p.Created) != n || p.Born != nil && len(p.Born) != n {
@@ -91,6 +92,9 @@
 		if p.Born != nil {
 			list[i].Born = p.Born[i]
 		}
+		if list[i].Slots < 0 || list[i].Slots > MaxSlots {
+			list[i].Slots = 0
+		}
 	}
 	return list, nil
 }
--- a/internal/backend/packed_test.go
+++ b/internal/backend/packed_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/gob"
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -74,3 +75,12 @@
 	t.Logf("%d bytes per server", encoded.Len()/servers)
 	require.LessOrEqual(t, encoded.Len()/servers, mostEach)
 }
+
+// Guards against sums of slots that wrap: a node of a former build passes on whatever an entry says.
+func TestImpossibleSlotsOfPackedListAreUnknown(t *testing.T) {
+	for _, slots := range []int{math.MinInt64, -1, MaxSlots + 1, math.MaxInt32 + 1, math.MaxInt64 / 2, math.MaxInt64} {
+		list, err := Pack([]Server{{Instance: "i-1", Slots: slots}, {Instance: "i-2", Slots: MaxSlots}, {Instance: "i-3", Slots: 8}}).Unpack()
+		require.NoError(t, err)
+		require.Equal(t, []int{0, MaxSlots, 8}, []int{list[0].Slots, list[1].Slots, list[2].Slots}, "%d", slots)
+	}
+}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -5,6 +5,10 @@
 	"strconv"
 )
 
+// MaxSlots is the number of requests that a server can run concurrently at most. Sums of slots over all servers of a fleet
+// stay far below the largest int.
+const MaxSlots = 1 << 20
+
 // Server describes one incarnation of a server, as registered in the server list.
 type Server struct {
 	// Instance is the instance ID. Born is the start time in Unix milliseconds, or 0 if not
@@ -17,7 +21,7 @@
 	// Software is the version of the server's software, not of its weights; "" if unknown. What two
 	// versions write does not fit together.
 	Software string
-	// Slots is the number of requests the server runs concurrently; 0 if unknown.
+	// Slots is the number of requests the server runs concurrently, at most MaxSlots; 0 if unknown.
 	Slots    int
 	Draining bool
 	// Versions maps each model to its loaded version. The map is copy-on-write and may be shared
