Exclude the twin of a server for longer each time

An entry of another writer that names a server's address under another ID is answered with 421. Nothing runs, and the request goes to another server, but each such answer charges a retry, and every node asked for the instance again every 10 s for as long as the entry stays.

Cause: a server is excluded for 10 s after another instance answered at its address, by which time the entry of a former incarnation has expired. One that stays was asked again without end.

Now each further such answer doubles the exclusion, up to an hour. A request that the server serves ends that, and so does another address: the exclusion is then the first one again. Answers to attempts that were sent together count once. The server that the address belongs to has an entry of its own and is not affected.

The true server is a candidate at each of 21,600 seconds.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -219,6 +219,7 @@
 	}
 	switch result {
 	case exchange.ResultServed:
+		entry.replacedFor = 0
 		entry.breaker.Succeeded()
 		entry.failures.record(0, now)
 		entry.refusals.record(0, now)
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -21,9 +21,11 @@
 	// last resort. The list loses entries while the store is down.
 	unlistedRetention = 15 * time.Second
 	// replacedRetention is how long a server is excluded after another incarnation answered at its
-	// address. By then its entry has expired; if it is still listed, the answer was wrong and the
-	// server becomes eligible again.
-	replacedRetention = 10 * time.Second
+	// address. By then its entry has expired; if it is still listed, the answer may have been wrong and the
+	// server becomes eligible again. Each further such answer doubles it, up to maxReplacedRetention: an entry
+	// of another writer may name the address of another server for as long as it likes.
+	replacedRetention    = 10 * time.Second
+	maxReplacedRetention = time.Hour
 )
 
 var (
@@ -115,7 +117,10 @@
 	// replacedUntil is until when the server is excluded because another incarnation answered at
 	// its address or took over its instance ID; zero if neither has happened.
 	replacedUntil time.Time
-	inFlight      int
+	// replacedFor is how long the server was last excluded because another incarnation answered; zero if it has
+	// served a request since.
+	replacedFor time.Duration
+	inFlight    int
 	// deferred counts the attempts in flight that yield to all others and have not started.
 	deferred int
 	// lastResponseAt is when the server last responded to any attempt, and lastAnsweredSentAt the
@@ -327,6 +332,9 @@
 	if previous == nil {
 		return
 	}
+	if entry.localState != nil && server.Address != previous.Address {
+		entry.limitExclusion()
+	}
 	if server.Software == "" {
 		entry.keepSoftware(previous.Software)
 	}
@@ -335,6 +343,15 @@
 	}
 }
 
+// limitExclusion limits the exclusion of a replaced server to replacedRetention: what answers at its former address says
+// nothing of another one.
+func (local *localState) limitExclusion() {
+	if excess := local.replacedFor - replacedRetention; excess > 0 {
+		local.replacedUntil = local.replacedUntil.Add(-excess)
+	}
+	local.replacedFor = 0
+}
+
 // keepSoftware sets the software version of a server if it is unknown: nodes of former builds do not
 // pass it on.
 func (entry *entry) keepSoftware(software string) {
@@ -435,13 +452,21 @@
 }
 
 // Gone records that another incarnation answered at the address of a server. The server
-// is excluded for replacedRetention, since the list includes it until its entry expires.
+// is excluded for replacedRetention or longer, since the list includes it until its entry expires.
 func (set *Set) Gone(instance string, now time.Time) {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
-	if e := set.lookup(instance); e != nil {
-		set.ensureLocalState(e).replacedUntil = now.Add(replacedRetention)
+	e := set.lookup(instance)
+	if e == nil {
+		return
+	}
+	local := set.ensureLocalState(e)
+	if now.Before(local.replacedUntil) {
+		// Attempts that were sent together are answered together.
+		return
 	}
+	local.replacedFor = min(max(replacedRetention, 2*local.replacedFor), maxReplacedRetention)
+	local.replacedUntil = now.Add(local.replacedFor)
 }
 
 // ObserveVersions records the model versions that a server's own answer has shown.
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -259,6 +260,51 @@
 	require.False(t, waiting.ServerRespondedSince(begin.Add(time.Second)))
 }
 
+// Guards against asking again and again for the instance of an entry that names the address of another server, which
+// charges a retry each time.
+func TestTwinEntryIsAskedForRarely(t *testing.T) {
+	start := time.Unix(1000, 0)
+	set := NewSet()
+	list := []Server{{Instance: "true", Service: "s", Address: "a"}, {Instance: "twin", Service: "s", Address: "a"}}
+	eligible := func(instance string, now time.Time) bool {
+		set.Update(slices.Clone(list), now)
+		return slices.ContainsFunc(set.Candidates(nil, Query{Service: "s", Distance: func(string) int { return 0 }}, now), func(c routing.Candidate) bool { return c.Endpoint == instance })
+	}
+	asked := 0
+	for now := start; now.Before(start.Add(6 * time.Hour)); now = now.Add(time.Second) {
+		require.True(t, eligible("true", now), "the server at the address is used")
+		if eligible("twin", now) {
+			asked++
+			// Two attempts that were sent together are answered together.
+			set.Gone("twin", now)
+			set.Gone("twin", now.Add(100*time.Millisecond))
+		}
+	}
+	require.LessOrEqual(t, asked, 9+6, "the exclusion doubles up to an hour")
+	require.GreaterOrEqual(t, asked, 6, "it is not for good")
+
+	now := start.Add(6 * time.Hour)
+	if eligible("twin", now) {
+		set.Gone("twin", now)
+	}
+	list[1].Address = "b"
+	require.True(t, eligible("twin", now.Add(replacedRetention)), "at another address it counts as any server")
+}
+
+// Guards against a server being excluded for long by answers of others that were wrong: it has served since.
+func TestServerThatServesIsExcludedBriefly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := NewSet()
+	set.Update([]Server{{Instance: "i", Service: "s", Address: "a"}}, now)
+	for range 9 {
+		set.Gone("i", now)
+		now = now.Add(replacedRetention)
+		attempt := set.Begin(Placement{Chosen: routing.Candidate{Endpoint: "i"}, Query: query, StillValid: func(*routing.Candidate) bool { return true }}, now)
+		require.NotNil(t, attempt, "the exclusion is as long as the first")
+		attempt.End(exchange.ResultServed, now)
+	}
+}
+
 func TestReplacedServerIsExcludedUntilRetentionEnds(t *testing.T) {
 	now := time.Unix(1000, 0)
 	set := NewSet()
