Exclude all twins of a server by one answer

Callers saw 503 beside entries of another writer that name a server's address under other IDs: each such entry had to be asked for once by each node, and a request that six of them did not take is refused.

Cause: an answer 421 counted for the one entry that was asked for, although the answer names the instance that lives at the address.

Now a 421 that names its instance excludes all servers that are listed at the address under other IDs, for the same time. The named instance and those at other addresses stay. One that names none counts for the one entry, as before. Nodes pass the name on with the error of a forwarded attempt, a new field.

TestOneAnswerExcludesAllTwins is new with the function. The case refused of TestErrorsOfForwardedAttemptsKeepTheirMeaning has the new field too.

--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -456,17 +456,37 @@
 func (set *Set) Gone(instance string, now time.Time) {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
-	e := set.lookup(instance)
-	if e == nil {
+	if e := set.lookup(instance); e != nil {
+		set.exclude(e, now)
+	}
+}
+
+// ObserveOtherInstance records that another instance answered at the address of a server, like Gone. If it named itself,
+// the servers with other instance IDs that are listed at the address are excluded too, none of which lives there.
+func (set *Set) ObserveOtherInstance(name, responding string, now time.Time) {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	e := set.lookup(name)
+	if e == nil || !set.exclude(e, now) || responding == "" {
 		return
 	}
+	for _, twin := range set.servers {
+		if twin.listed && twin.server.Address == e.server.Address && twin.server.Instance != responding {
+			set.exclude(twin, now)
+		}
+	}
+}
+
+// exclude excludes a server at whose address another incarnation answered, for longer each time. It reports whether the
+// server was not excluded already: attempts that were sent together are answered together.
+func (set *Set) exclude(e *entry, now time.Time) bool {
 	local := set.ensureLocalState(e)
 	if now.Before(local.replacedUntil) {
-		// Attempts that were sent together are answered together.
-		return
+		return false
 	}
 	local.replacedFor = min(max(replacedRetention, 2*local.replacedFor), maxReplacedRetention)
 	local.replacedUntil = now.Add(local.replacedFor)
+	return true
 }
 
 // ObserveVersions records the model versions that a server's own answer has shown.
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -291,6 +292,27 @@
 	require.True(t, eligible("twin", now.Add(replacedRetention)), "at another address it counts as any server")
 }
 
+// Guards against asking for the instance of each of many entries that name the address of one server.
+func TestOneAnswerExcludesAllTwins(t *testing.T) {
+	set := NewSet()
+	list := []Server{{Instance: "true", Born: 5, Service: "s", Address: "a"}, {Instance: "elsewhere", Service: "s", Address: "b"}}
+	for i := range 40 {
+		list = append(list, Server{Instance: fmt.Sprint("twin-", i), Service: "s", Address: "a"})
+	}
+	set.Update(list, begin)
+	names := func(now time.Time) (names []string) {
+		for _, c := range set.Candidates(nil, Query{Service: "s", Distance: zoneDistance}, now) {
+			names = append(names, c.Endpoint)
+		}
+		return names
+	}
+	set.ObserveOtherInstance("twin-7", "", begin)
+	require.Len(t, names(begin), 41, "an instance that does not name itself may be any other one")
+	set.ObserveOtherInstance("twin-8", "true", begin)
+	require.ElementsMatch(t, []string{"true@5", "elsewhere"}, names(begin))
+	require.Len(t, names(begin.Add(replacedRetention)), 42)
+}
+
 // Guards against a server being excluded for long by answers of others that were wrong: it has served since.
 func TestServerThatServesIsExcludedBriefly(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -77,6 +77,8 @@
 	// AnotherInstance is set if another incarnation responded, which shows that the
 	// intended one no longer exists.
 	AnotherInstance bool
+	// RespondingInstance is the ID of the instance that responded, if it was another one and named itself.
+	RespondingInstance string
 }
 
 // Error implements the error interface.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -143,7 +143,7 @@
 		// next says that another node may be asked.
 		next bool
 	}{
-		"refused":     {err: &exchange.ErrRefused{Reason: "503", LoadedVersion: 4, AnotherInstance: true}},
+		"refused":     {err: &exchange.ErrRefused{Reason: "503", LoadedVersion: 4, AnotherInstance: true, RespondingInstance: "i-2"}},
 		"unreached":   {err: &exchange.ErrUnreached{Reason: "dial"}, next: true},
 		"unavailable": {err: &proxy.ErrUnavailable{Reason: "stopping"}, next: true},
 		"withdrawn":   {err: &exchange.ErrWithdrawn{Reason: "draining"}},
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -102,6 +102,8 @@
 	Reason          string
 	LoadedVersion   int64
 	AnotherInstance bool
+	// RespondingInstance is empty from nodes of former builds.
+	RespondingInstance string
 	// Status is that of an errorUnvouched.
 	Status int
 }
@@ -122,7 +124,7 @@
 	case errors.As(err, &unvouched):
 		return wireError{Kind: errorUnvouched, Reason: err.Error(), Status: unvouched.Status}
 	case errors.As(err, &refused):
-		return wireError{Kind: errorRefused, Reason: refused.Reason, LoadedVersion: refused.LoadedVersion, AnotherInstance: refused.AnotherInstance}
+		return wireError{Kind: errorRefused, Reason: refused.Reason, LoadedVersion: refused.LoadedVersion, AnotherInstance: refused.AnotherInstance, RespondingInstance: refused.RespondingInstance}
 	case errors.As(err, &unreached):
 		return wireError{Kind: errorUnreached, Reason: unreached.Reason}
 	case errors.As(err, &withdrawn):
@@ -142,7 +144,7 @@
 	case errorNone:
 		return nil
 	case errorRefused:
-		return &exchange.ErrRefused{Reason: w.Reason, LoadedVersion: w.LoadedVersion, AnotherInstance: w.AnotherInstance}
+		return &exchange.ErrRefused{Reason: w.Reason, LoadedVersion: w.LoadedVersion, AnotherInstance: w.AnotherInstance, RespondingInstance: w.RespondingInstance}
 	case errorUnreached:
 		return &exchange.ErrUnreached{Reason: w.Reason}
 	case errorWithdrawn:
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -118,7 +118,7 @@
 		return
 	}
 	if refused.AnotherInstance {
-		placement.placer.proxy.set.Gone(placement.chosen.Endpoint, boottime.Now())
+		placement.placer.proxy.set.ObserveOtherInstance(placement.chosen.Endpoint, refused.RespondingInstance, boottime.Now())
 		return
 	}
 	if dispatch.Version != 0 && refused.LoadedVersion != 0 {
