--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -259,6 +261,72 @@
 	require.False(t, waiting.ServerRespondedSince(begin.Add(time.Second)))
 }
 
+// Guards against asking again and again for the instance of an entry that names the address of another server, which
+// charges a retry each time.
+func TestTwinEntryIsAskedForRarely(t *testing.T) {
+	start := time.Unix(1000, 0)
+	set := NewSet()
+	list := []Server{{Instance: "true", Service: "s", Address: "a"}, {Instance: "twin", Service: "s", Address: "a"}}
+	eligible := func(instance string, now time.Time) bool {
+		set.Update(slices.Clone(list), now)
+		return slices.ContainsFunc(set.Candidates(nil, Query{Service: "s", Distance: func(string) int { return 0 }}, now), func(c routing.Candidate) bool { return c.Endpoint == instance })
+	}
+	asked := 0
+	for now := start; now.Before(start.Add(6 * time.Hour)); now = now.Add(time.Second) {
+		require.True(t, eligible("true", now), "the server at the address is used")
+		if eligible("twin", now) {
+			asked++
+			// Two attempts that were sent together are answered together.
+			set.Gone("twin", now)
+			set.Gone("twin", now.Add(100*time.Millisecond))
+		}
+	}
+	require.LessOrEqual(t, asked, 9+6, "the exclusion doubles up to an hour")
+	require.GreaterOrEqual(t, asked, 6, "it is not for good")
+
+	now := start.Add(6 * time.Hour)
+	if eligible("twin", now) {
+		set.Gone("twin", now)
+	}
+	list[1].Address = "b"
+	require.True(t, eligible("twin", now.Add(replacedRetention)), "at another address it counts as any server")
+}
+
+// Guards against asking for the instance of each of many entries that name the address of one server.
+func TestOneAnswerExcludesAllTwins(t *testing.T) {
+	set := NewSet()
+	list := []Server{{Instance: "true", Born: 5, Service: "s", Address: "a"}, {Instance: "elsewhere", Service: "s", Address: "b"}}
+	for i := range 40 {
+		list = append(list, Server{Instance: fmt.Sprint("twin-", i), Service: "s", Address: "a"})
+	}
+	set.Update(list, begin)
+	names := func(now time.Time) (names []string) {
+		for _, c := range set.Candidates(nil, Query{Service: "s", Distance: zoneDistance}, now) {
+			names = append(names, c.Endpoint)
+		}
+		return names
+	}
+	set.ObserveOtherInstance("twin-7", "", begin)
+	require.Len(t, names(begin), 41, "an instance that does not name itself may be any other one")
+	set.ObserveOtherInstance("twin-8", "true", begin)
+	require.ElementsMatch(t, []string{"true@5", "elsewhere"}, names(begin))
+	require.Len(t, names(begin.Add(replacedRetention)), 42)
+}
+
+// Guards against a server being excluded for long by answers of others that were wrong: it has served since.
+func TestServerThatServesIsExcludedBriefly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := NewSet()
+	set.Update([]Server{{Instance: "i", Service: "s", Address: "a"}}, now)
+	for range 9 {
+		set.Gone("i", now)
+		now = now.Add(replacedRetention)
+		attempt := set.Begin(Placement{Chosen: routing.Candidate{Endpoint: "i"}, Query: query, StillValid: func(*routing.Candidate) bool { return true }}, now)
+		require.NotNil(t, attempt, "the exclusion is as long as the first")
+		attempt.End(exchange.ResultServed, now)
+	}
+}
+
 func TestReplacedServerIsExcludedUntilRetentionEnds(t *testing.T) {
 	now := time.Unix(1000, 0)
 	set := NewSet()
