Probe a path at once for the failure of an attempt sent after it was restored

Cause: a path that was restored or probed was not probed on suspicion for 1.5 s.

Change: the failure of an attempt that was sent after the restoration is evidence for a probe at once, and of one that was sent after a probe for another 0.5 s after that. A path is not restored within 2 s of its last restoration, which bounds the changes of its state to one a second.

Tests: with the change taken out TestFailureOfLaterAttemptIsProbedAtOnce and TestStreamOnRestoredPathAwaitsVerdict fail (1 of 1 each); with the bound taken out TestPathChangesAtMostOnceASecond counts 12,000 changes in a minute instead of 60.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -120,6 +120,13 @@
 	attempt.detour = true
 }
 
+// Detour reports whether the attempt is sent through another node.
+func (attempt *Attempt) Detour() bool {
+	attempt.set.mutex.Lock()
+	defer attempt.set.mutex.Unlock()
+	return attempt.detour
+}
+
 // markAdmitted records, at most once, that the server has accepted the attempt.
 func (attempt *Attempt) markAdmitted() {
 	if attempt.slowStartRound > 0 && !attempt.admitted {
--- a/internal/backend/path.go
+++ b/internal/backend/path.go
@@ -13,6 +13,9 @@
 	// path. It doubles from one to the next.
 	minPathProbeInterval = 500 * time.Millisecond
 	maxPathProbeInterval = 1500 * time.Millisecond
+	// minRestoreInterval is the minimum time between two restorations of a path, so that it changes its state at most
+	// once a second.
+	minRestoreInterval = 2 * time.Second
 	// probeRounds is the number of rounds of probes in which all broken paths are probed once.
 	probeRounds = 8
 	// unansweredLimit is how long a server may leave this node without a response until a probe must
@@ -44,6 +47,10 @@
 	suspectedWithAll bool
 	// restoredAt is when the path was last restored. Connections that were begun before say nothing of it.
 	restoredAt time.Time
+	// checkedAt is when the path was last restored, or a probe of it was sent on suspicion, and recheckAt when it may be
+	// probed again for the failure of an attempt that was sent later.
+	checkedAt time.Time
+	recheckAt time.Time
 	// probeAt is when the next probe is due, and probeInterval the time from the last one to it.
 	probeAt       time.Time
 	probeInterval time.Duration
@@ -88,7 +95,7 @@
 	set.endProbe(address, startedAt)
 	change := PathChange{}
 	for e := range set.brokenPaths {
-		if e.server.Address == address && e.listed && (!e.path.refused || startedAt.After(e.path.brokenSince)) {
+		if e.server.Address == address && e.listed && (!e.path.refused || startedAt.After(e.path.brokenSince)) && !now.Before(e.path.restorableAt()) {
 			change.Server, change.BrokenFor = e.name, now.Sub(e.path.brokenSince)
 			set.restorePath(e, now)
 		}
@@ -98,12 +105,27 @@
 		// The cause of the other broken paths may have ended too.
 		set.noDetourUntil = time.Time{}
 		for e := range set.brokenPaths {
-			e.path.probeAt, e.path.probeInterval = now, minPathProbeInterval
+			e.path.probeAt, e.path.probeInterval = later(now, e.path.restorableAt()), minPathProbeInterval
 		}
 	}
 	return change
 }
 
+// restorableAt returns from when on a broken path may be restored.
+func (p *path) restorableAt() time.Time {
+	if p.restoredAt.IsZero() {
+		return time.Time{}
+	}
+	return p.restoredAt.Add(minRestoreInterval)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // ObserveUnanswered records that a probe of the path to an address, begun at startedAt, was connected and got
 // no response. It breaks the path, unless the server has meanwhile responded on another connection: a server
 // that has too many connections resets new ones.
@@ -125,7 +147,7 @@
 		case e.path.brokenSince.IsZero():
 			change.Server, change.Broken = e.name, true
 			e.path.brokenSince, e.path.refused, e.path.suspectedAt = startedAt, refused, time.Time{}
-			e.path.probeAt, e.path.probeInterval = now.Add(minPathProbeInterval), minPathProbeInterval
+			e.path.probeAt, e.path.probeInterval = later(now.Add(minPathProbeInterval), e.path.restorableAt()), minPathProbeInterval
 			set.brokenPaths[e] = true
 		}
 	}
@@ -159,11 +181,11 @@
 }
 
 // restorePath records that a path is intact again. The failures that were observed on it say nothing of the
-// server. It is not suspected again at once, so that a path on which only some connections fail does not
-// change its state with each of them.
+// server. Only the failure of an attempt that was sent later is evidence against it at once: others may have failed
+// before.
 func (set *Set) restorePath(e *entry, now time.Time) {
 	e.resetFailures()
-	e.path = path{restoredAt: now, probeAt: now.Add(maxPathProbeInterval)}
+	e.path = path{restoredAt: now, probeAt: now.Add(maxPathProbeInterval), checkedAt: now, recheckAt: now}
 	delete(set.brokenPaths, e)
 }
 
@@ -356,6 +378,22 @@
 	}
 }
 
+// SuspectPathSince is like SuspectPath after an attempt has failed that was sent at sentAt. The probe does not wait as long
+// as after other evidence if the path was restored or probed before that.
+func (set *Set) SuspectPathSince(name string, sentAt, now time.Time) {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	e := set.servers[name]
+	if e == nil || !e.listed {
+		return
+	}
+	set.ensureLocalState(e)
+	set.suspectPath(e, now)
+	if e.path.brokenSince.IsZero() && sentAt.After(e.path.checkedAt) && e.path.recheckAt.Before(e.path.probeAt) {
+		e.path.probeAt = later(now, e.path.recheckAt)
+	}
+}
+
 // suspectPath requests a probe of a path for a reason of its own.
 func (set *Set) suspectPath(e *entry, now time.Time) {
 	e.path.suspectedWithAll = false
@@ -418,6 +456,7 @@
 		delete(set.suspectedPaths, e)
 		if !e.path.suspectedAt.IsZero() && e.listed {
 			e.path.suspectedAt, e.path.probedAt, e.path.probeAt = time.Time{}, now, now.Add(maxPathProbeInterval)
+			e.path.checkedAt, e.path.recheckAt = now, now.Add(minPathProbeInterval)
 			set.probedPaths[e] = true
 			due = append(due, e.server.Address)
 		}
--- a/internal/backend/path_test.go
+++ b/internal/backend/path_test.go
@@ -348,3 +348,61 @@
 	set.Gone("i-0", begin.Add(7))
 	require.Equal(t, PathNotFailed, verdict(8), "another incarnation answers")
 }
+
+// Guards against streams that get no verdict within the time for which they wait, since the path on which they broke was
+// restored or probed a moment before and is not probed again until 1.5 s later.
+func TestFailureOfLaterAttemptIsProbedAtOnce(t *testing.T) {
+	set := newPathSet(3)
+	set.ObserveUnanswered("at i-0", begin.Add(1), begin.Add(2))
+	restored := begin.Add(time.Second)
+	set.ObserveConnect("at i-0", true, begin.Add(3), restored)
+	failed := restored.Add(200 * time.Millisecond)
+	set.SuspectPathSince("i-0", restored.Add(-1), failed)
+	require.Empty(t, set.DuePathProbes(4, failed), "the attempt was sent before the path was restored")
+	set.SuspectPathSince("i-0", restored.Add(1), failed)
+	require.Equal(t, []string{"at i-0"}, set.DuePathProbes(4, failed))
+	require.Equal(t, PathPending, set.PathVerdict("i-0", failed, failed))
+
+	set.ObserveConnect("at i-0", true, failed, failed.Add(1))
+	again := failed.Add(100 * time.Millisecond)
+	set.SuspectPathSince("i-0", failed.Add(-1), again)
+	require.Empty(t, set.DuePathProbes(4, failed.Add(minPathProbeInterval)), "the attempt was sent before the probe")
+	set.SuspectPathSince("i-0", failed.Add(1), again)
+	require.Empty(t, set.DuePathProbes(4, failed.Add(minPathProbeInterval-1)), "no more often than a broken path")
+	require.Equal(t, []string{"at i-0"}, set.DuePathProbes(4, failed.Add(minPathProbeInterval)))
+}
+
+// Guards against a path that changes its state with each connection that fails or brings a response, now that one is evidence
+// enough for a probe.
+func TestPathChangesAtMostOnceASecond(t *testing.T) {
+	const duration, step = 60 * time.Second, 10 * time.Millisecond
+	for name, refused := range map[string]bool{"refused": true, "unanswered": false} {
+		t.Run(name, func(t *testing.T) {
+			set, changes := newPathSet(3), 0
+			note := func(change PathChange) {
+				if change.Server != "" {
+					changes++
+				}
+			}
+			for now := begin.Add(1); now.Before(begin.Add(duration)); now = now.Add(step) {
+				set.SuspectPathSince("i-0", now.Add(-1), now)
+				for range set.DuePathProbes(4, now) {
+					if refused {
+						note(set.ObserveConnect("at i-0", false, now, now))
+					} else {
+						note(set.ObserveUnanswered("at i-0", now, now))
+					}
+				}
+				note(set.ObserveConnect("at i-0", true, now.Add(1), now.Add(2)))
+			}
+			require.NotZero(t, changes)
+			require.LessOrEqual(t, float64(changes), duration.Seconds()+1)
+			for now := begin.Add(duration); now.Before(begin.Add(duration + 2*time.Second)); now = now.Add(step) {
+				for range set.DuePathProbes(4, now) {
+					set.ObserveConnect("at i-0", true, now, now)
+				}
+			}
+			require.Zero(t, set.BrokenPaths(), "it is restored in the end")
+		})
+	}
+}
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -90,10 +90,11 @@
 		return nil, done, err
 	}
 	dispatch.OnNotice = onNotice
+	sentAt := boottime.Now()
 	unanswered := time.AfterFunc(peerUnansweredLimit, func() { proxy.set.SuspectPath(dispatch.Server, boottime.Now()) })
 	reply, err = proxy.servers.Send(tracked, dispatch)
 	unanswered.Stop()
-	err = proxy.explainCutOff(ctx, dispatch, dispatch.Resumes, err)
+	err = proxy.explainCutOff(ctx, dispatch, sentAt, dispatch.Resumes, err)
 	if err == nil {
 		reply, err = checkStatus(reply)
 	}
@@ -101,7 +102,7 @@
 		next := reply.Next
 		reply.Next = func() (exchange.StreamEvent, error) {
 			event, err := next()
-			return event, proxy.explainCutOff(ctx, dispatch, true, err)
+			return event, proxy.explainCutOff(ctx, dispatch, sentAt, true, err)
 		}
 	}
 	if err == nil && dispatch.Confirm && reply.Next != nil {
@@ -111,15 +112,15 @@
 	return reply, done, err
 }
 
-// explainCutOff returns the error of an attempt of another node. If its connection was cut off, the path to the server is
+// explainCutOff returns the error of an attempt of another node that was sent at sentAt. If its connection was cut off, the path to the server is
 // suspected. If it is that of a stream which may have begun and may be resumed, the other node must know whether the path
 // has failed.
-func (proxy *Proxy) explainCutOff(ctx context.Context, dispatch Dispatch, began bool, err error) error {
+func (proxy *Proxy) explainCutOff(ctx context.Context, dispatch Dispatch, sentAt time.Time, began bool, err error) error {
 	if !isCutOff(err) {
 		return err
 	}
 	now := boottime.Now()
-	proxy.set.SuspectPath(dispatch.Server, now)
+	proxy.set.SuspectPathSince(dispatch.Server, sentAt, now)
 	if began && dispatch.Stream && dispatch.Repeatable && proxy.awaitPathFailure(ctx, dispatch.Server, now, minEventGapTimeout) {
 		return &exchange.ErrPathFailed{Reason: err.Error()}
 	}
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -216,6 +216,17 @@
 	return boottime.Suspended() == placement.suspendedAtPlacement && placement.placer.proxy.set.InService(placement.chosen.Endpoint)
 }
 
+// suspectPath requests a probe of the path to the server. An attempt that went through another node shows nothing of the
+// time at which it was sent.
+func (placement *placement) suspectPath(now time.Time) {
+	set := placement.placer.proxy.set
+	if placement.attempt.Detour() {
+		set.SuspectPath(placement.chosen.Endpoint, now)
+		return
+	}
+	set.SuspectPathSince(placement.chosen.Endpoint, placement.placedAt, now)
+}
+
 // End records the result of the attempt.
 func (placement *placement) End(result exchange.Result) {
 	now := boottime.Now()
@@ -226,7 +237,7 @@
 	}
 	switch result {
 	case exchange.ResultBroken, exchange.ResultCutOff, exchange.ResultSilent:
-		placement.placer.proxy.set.SuspectPath(placement.chosen.Endpoint, now)
+		placement.suspectPath(now)
 	}
 	placement.placer.admitted.unverified = nil
 	if result == exchange.ResultServed && placement.endsWithConnection.Load() && placement.implicatesRequest() {
--- a/internal/proxy/release_test.go
+++ b/internal/proxy/release_test.go
@@ -284,3 +284,33 @@
 		})
 	}
 }
+
+// Guards against a stream that gets no verdict on a path that was restored a moment before its attempt was sent.
+func TestStreamOnRestoredPathAwaitsVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPlacer(10, 1, 0)
+		p.proxy.forwarder = stubForwarder{}
+		p.admitted.route = &catalog.Route{Name: "r", Kind: catalog.Stream, Resumable: true, TargetLatency: 800 * time.Millisecond, GapTarget: 100 * time.Millisecond}
+		p.admitted.origin = &origin.Origin{}
+		set := p.proxy.set
+		p.silentPlacement("i-0", boottime.Now()).End(exchange.ResultServed)
+		set.ObserveUnanswered("at i-0", boottime.Now(), boottime.Now())
+		time.Sleep(time.Second)
+		set.ObserveConnect("at i-0", true, boottime.Now(), boottime.Now())
+		time.Sleep(200 * time.Millisecond)
+		broken := p.silentPlacement("i-0", boottime.Now())
+		_, broken.completion = outbound.TrackCompletion(context.Background())
+		time.Sleep(200 * time.Millisecond)
+		broken.End(exchange.ResultBroken)
+		go func() {
+			for range 20 {
+				for _, address := range set.DuePathProbes(4, boottime.Now()) {
+					set.ObserveUnanswered(address, boottime.Now(), boottime.Now())
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		require.Equal(t, exchange.ReleaseUnreachable, broken.AwaitRelease(context.Background()))
+		time.Sleep(2 * time.Second)
+	})
+}
