Spend no run of a stream on a path that a probe has shown to be broken

Callers saw the same streams end with "the route allows no more runs": in one that was traced, a run was spent on a path that was already broken, while the node was not isolated and no other node's evidence had come.

Cause: an attempt takes a detour around a broken path only with evidence from other nodes or in isolation, and the verdict on one that went there without was that nothing shows its path's failure.

Change: an attempt that was sent after the unanswered probe which broke the path is no run. Its stream goes on once other nodes are known to reach the server, after the time for which a server may be silent at the latest. A path whose connections are refused is left out: its server may have crashed.

Tests: TestStreamOnBrokenPathSpendsNoRun fails without the change (2 of its 3 situations).

--- a/internal/backend/path.go
+++ b/internal/backend/path.go
@@ -306,6 +306,19 @@
 	}
 }
 
+// SentOnBrokenPath reports whether an attempt on a server was sent at a time at which the path was already broken, as a probe
+// that got no response has shown, and still is. The failure of such an attempt says nothing of the server.
+func (set *Set) SentOnBrokenPath(name string, sentAt time.Time) bool {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	e := set.servers[name]
+	if e == nil || !e.listed || !e.local().replacedUntil.IsZero() {
+		return false
+	}
+	path := e.local().path
+	return !path.refused && !path.brokenSince.IsZero() && sentAt.After(path.brokenSince)
+}
+
 // undecided reports whether a probe of the path that was requested has no result yet.
 func (p *path) undecided(now time.Time) bool {
 	return !p.suspectedAt.IsZero() || !p.probedAt.IsZero() && now.Before(p.probeAt)
--- a/internal/backend/path_test.go
+++ b/internal/backend/path_test.go
@@ -406,3 +406,22 @@
 		})
 	}
 }
+
+// Guards against runs that are spent on a path that a probe has already shown to be broken, while the node is not isolated and no
+// other node's evidence has come.
+func TestAttemptOnBrokenPathIsCutOffByIt(t *testing.T) {
+	set := newPathSet(3)
+	set.ObserveUnanswered("at i-0", begin.Add(2), begin.Add(3))
+	set.connect("i-1", true, begin.Add(4))
+	require.False(t, set.NeedsDetour("i-0"))
+	require.True(t, set.SentOnBrokenPath("i-0", begin.Add(5)))
+	require.False(t, set.SentOnBrokenPath("i-0", begin.Add(1)), "it may have crashed the server")
+	require.False(t, set.SentOnBrokenPath("i-1", begin.Add(5)))
+	set.Gone("i-0", begin.Add(6))
+	require.False(t, set.SentOnBrokenPath("i-0", begin.Add(5)), "another incarnation answers")
+
+	set = newPathSet(3)
+	set.connect("i-0", false, begin.Add(2))
+	set.connect("i-1", true, begin.Add(4))
+	require.False(t, set.SentOnBrokenPath("i-0", begin.Add(5)), "its server refuses connections, as one that has crashed")
+}
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -121,7 +121,7 @@
 	}
 	now := boottime.Now()
 	proxy.set.SuspectPathSince(dispatch.Server, sentAt, now)
-	if began && dispatch.Stream && dispatch.Repeatable && proxy.awaitPathFailure(ctx, dispatch.Server, now, minEventGapTimeout) {
+	if began && dispatch.Stream && dispatch.Repeatable && proxy.awaitPathFailure(ctx, dispatch.Server, sentAt, now, minEventGapTimeout) {
 		return &exchange.ErrPathFailed{Reason: err.Error()}
 	}
 	return err
--- a/internal/proxy/release.go
+++ b/internal/proxy/release.go
@@ -74,23 +74,26 @@
 	if r.placement.brokenAt.IsZero() || r.placement.detour || !began || proxy.forwarder == nil {
 		return false
 	}
-	return proxy.awaitPathFailure(ctx, r.placement.chosen.Endpoint, r.placement.brokenAt, r.placement.placer.silenceTimeouts().BetweenEvents)
+	return proxy.awaitPathFailure(ctx, r.placement.chosen.Endpoint, r.placement.placedAt, r.placement.brokenAt, r.placement.placer.silenceTimeouts().BetweenEvents)
 }
 
-// awaitPathFailure reports whether this node's path to a server failed at a time. It waits for the probe that shows it, until
-// the longest time has passed since then: a node with many servers probes some of them later. While it is isolated, the
-// path counts as failed then.
-func (proxy *Proxy) awaitPathFailure(ctx context.Context, server string, failedAt time.Time, longest time.Duration) bool {
+// awaitPathFailure reports whether this node's path to a server failed under an attempt that was sent at a time and failed at
+// another. It waits for the probe that shows it, until the longest time has passed since then: a node with many servers probes
+// some of them later. The path counts as failed then while this node is isolated, and if it was broken when the attempt was
+// sent. That is not concluded earlier: the next attempt would go the same way until other nodes are known to reach the server.
+func (proxy *Proxy) awaitPathFailure(ctx context.Context, server string, sentAt, failedAt time.Time, longest time.Duration) bool {
 	ticker := time.NewTicker(releaseCheckInterval)
 	defer ticker.Stop()
 	for {
 		now := boottime.Now()
-		verdict := proxy.set.PathVerdict(server, failedAt, now)
+		verdict, onBroken := proxy.set.PathVerdict(server, failedAt, now), proxy.set.SentOnBrokenPath(server, sentAt)
 		switch {
-		case verdict != backend.PathPending:
-			return verdict == backend.PathFailed
+		case verdict == backend.PathFailed:
+			return true
 		case now.Sub(failedAt) >= longest:
-			return proxy.set.IsolatedSince(failedAt)
+			return onBroken || proxy.set.IsolatedSince(failedAt)
+		case verdict == backend.PathNotFailed && !onBroken:
+			return false
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/proxy/release_test.go
+++ b/internal/proxy/release_test.go
@@ -285,6 +285,53 @@
 	}
 }
 
+// Guards against a run that is counted since the attempt was sent on a path that a probe had already shown to be broken, while
+// other nodes were not yet known to reach its server.
+func TestStreamOnBrokenPathSpendsNoRun(t *testing.T) {
+	for name, test := range map[string]struct {
+		refused bool
+		heard   time.Duration
+		reason  exchange.ReleaseReason
+		after   time.Duration
+	}{
+		"nobody hears the server":     {reason: exchange.ReleaseUnreachable, after: minEventGapTimeout},
+		"other nodes hear the server": {heard: 300 * time.Millisecond, reason: exchange.ReleaseUnreachable, after: 300 * time.Millisecond},
+		"the server refuses":          {refused: true, reason: exchange.ReleaseEnded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newTestPlacer(10, 3, 0)
+				p.proxy.forwarder = stubForwarder{}
+				p.admitted.route = &catalog.Route{Name: "r", Kind: catalog.Stream, Resumable: true, TargetLatency: 800 * time.Millisecond, GapTarget: 100 * time.Millisecond}
+				p.admitted.origin = &origin.Origin{}
+				set := p.proxy.set
+				p.silentPlacement("i-0", boottime.Now()).End(exchange.ResultServed)
+				time.Sleep(time.Second)
+				if test.refused {
+					set.ObserveConnect("at i-0", false, boottime.Now(), boottime.Now())
+				} else {
+					set.ObserveUnanswered("at i-0", boottime.Now(), boottime.Now())
+				}
+				time.Sleep(time.Second)
+				set.ObserveConnect("at i-1", true, boottime.Now(), boottime.Now())
+				broken := p.silentPlacement("i-0", boottime.Now())
+				_, broken.completion = outbound.TrackCompletion(context.Background())
+				time.Sleep(10 * time.Millisecond)
+				broken.End(exchange.ResultBroken)
+				brokenAt := boottime.Now()
+				if test.heard > 0 {
+					time.AfterFunc(test.heard, func() {
+						set.ApplyPeerWork([]backend.Work{{Server: backend.ServerKey("i-0"), AnswerAge: time.Millisecond}}, boottime.Now())
+					})
+				}
+				require.Equal(t, test.reason, broken.AwaitRelease(context.Background()))
+				require.GreaterOrEqual(t, boottime.Since(brokenAt), test.after)
+				require.LessOrEqual(t, boottime.Since(brokenAt), test.after+releaseCheckInterval)
+			})
+		})
+	}
+}
+
 // Guards against a stream that gets no verdict on a path that was restored a moment before its attempt was sent.
 func TestStreamOnRestoredPathAwaitsVerdict(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
