Cut a silent stream off once its path has failed

Callers saw streams of a resumable route wait until their deadline where links accept connections and stay silent, although other nodes, and then the same one, reached the servers.

Cause, from the logs of 20 lost streams: they expired at a server whose link had fallen silent, 12 at the last run that the route allows (earlier silences had each counted as a run), 8 with a run left and no other server of their version. A silent attempt was given up only for a retry that its runs permit and if another server was eligible. Its path was suspected only when it ended, after 2 s; a cut of 1 s was over by then.

Change: the path of a silent stream is checked beside that. It is probed once the silence is unusual for the stream; once it has failed, the attempt is cut off by it and is no run. That also holds for one that was given up for its silence and whose path has failed by its release, and for one that has been silent since before a probe that got no response for a second, although its server has responded on other connections since. The next attempt awaits the end of the former one as before, and requests that may run once are not watched at all.

Weighed and left out, not tried: counting each silent attempt whose connection hangs as no run (a server that falls silent for a request would get it again and again).

Tests: without the check TestSilentStreamGoesOnOnceItsPathHasFailed fails, without the rule of runs TestSilentStreamOnFailedPathSpendsNoRun, without the probe or the look at the release TestPathOfSilentStreamIsProbed, with a probe for each silence TestUsualGapOfStreamCausesNoProbe, without the rule of lapsed paths TestStreamOnConnectionThatPathHeldUpIsCutOff. The checker of the machine's invariants counts what it now should: a silent attempt that a failed path cut off is no run. The server that stops after an event moves from one test to a function.

--- a/cmd/cloverrail/accepted_connections_test.go
+++ b/cmd/cloverrail/accepted_connections_test.go
@@ -281,3 +281,9 @@
 		})
 	}
 }
+
+// Guards against streams that wait until their deadline at links that accept connections and stay silent, although other nodes,
+// and then this one, reach all servers.
+func TestStreamsOutlastSilentLinks(t *testing.T) {
+	newStreamFixture(t, 3).requireWholeStreams(linksAcceptAndHang, 0, 0, 0, 0)
+}
--- a/internal/backend/path.go
+++ b/internal/backend/path.go
@@ -47,6 +47,9 @@
 	suspectedWithAll bool
 	// restoredAt is when the path was last restored. Connections that were begun before say nothing of it.
 	restoredAt time.Time
+	// lapsedAt is when the last probe was begun that got no response within unansweredLimit although the server has responded on
+	// other connections since.
+	lapsedAt time.Time
 	// checkedAt is when the path was last restored, or a probe of it was sent on suspicion, and recheckAt when it may be
 	// probed again for the failure of an attempt that was sent later.
 	checkedAt time.Time
@@ -144,6 +147,9 @@
 		}
 		switch {
 		case !refused && e.heardAt.After(startedAt):
+			if now.Sub(startedAt) >= unansweredLimit {
+				e.path.lapsedAt = startedAt
+			}
 		case e.path.brokenSince.IsZero():
 			change.Server, change.Broken = e.name, true
 			e.path.brokenSince, e.path.refused, e.path.suspectedAt = startedAt, refused, time.Time{}
@@ -185,7 +191,7 @@
 // before.
 func (set *Set) restorePath(e *entry, now time.Time) {
 	e.resetFailures()
-	e.path = path{restoredAt: now, probeAt: now.Add(maxPathProbeInterval), checkedAt: now, recheckAt: now}
+	e.path = path{restoredAt: now, lapsedAt: e.path.lapsedAt, probeAt: now.Add(maxPathProbeInterval), checkedAt: now, recheckAt: now}
 	delete(set.brokenPaths, e)
 }
 
@@ -306,6 +312,15 @@
 	}
 }
 
+// PathLapsed reports whether the path to a server had failed for a while after a time, which only some of the connections have
+// outlasted.
+func (set *Set) PathLapsed(name string, since time.Time) bool {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	e := set.servers[name]
+	return e != nil && e.listed && e.local().replacedUntil.IsZero() && e.local().path.lapsedAt.After(since)
+}
+
 // SentOnBrokenPath reports whether an attempt on a server was sent at a time at which the path was already broken, as a probe
 // that got no response has shown, and still is. The failure of such an attempt says nothing of the server.
 func (set *Set) SentOnBrokenPath(name string, sentAt time.Time) bool {
--- a/internal/backend/path_test.go
+++ b/internal/backend/path_test.go
@@ -425,3 +425,20 @@
 	set.connect("i-1", true, begin.Add(4))
 	require.False(t, set.SentOnBrokenPath("i-0", begin.Add(5)), "its server refuses connections, as one that has crashed")
 }
+
+// Guards against streams on connections that a short failure of the path has left silent: the server responds on others before the
+// probe that was sent meanwhile has ended, so that the path counts as intact.
+func TestUnansweredProbeShowsThatPathLapsed(t *testing.T) {
+	set := newPathSet(3)
+	hear := func(at time.Time) { send(set, "i-0", 0, at).End(exchange.ResultServed, at) }
+	sent := begin.Add(time.Second)
+	hear(sent.Add(2))
+	require.False(t, set.ObserveUnanswered("at i-0", sent, sent.Add(unansweredLimit-1)).Any())
+	require.False(t, set.PathLapsed("i-0", begin), "the server resets connections")
+	require.False(t, set.ObserveUnanswered("at i-0", sent, sent.Add(unansweredLimit)).Any())
+	require.True(t, set.PathLapsed("i-0", sent.Add(-1)))
+	require.False(t, set.PathLapsed("i-0", sent), "what was silent only later")
+	require.Equal(t, PathNotFailed, set.PathVerdict("i-0", sent.Add(-1), sent.Add(2*time.Second)))
+	set.Gone("i-0", sent.Add(3*time.Second))
+	require.False(t, set.PathLapsed("i-0", sent.Add(-1)), "another incarnation answers")
+}
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -19,6 +19,12 @@
 	maxTimerDelay = 10 * time.Millisecond
 	// finalReadTimeout is how long a response is read on after that: it may have come in time.
 	finalReadTimeout = 20 * time.Millisecond
+	// pathCheckDelay is how long an attempt of a stream may be silent until its path is first checked, and pathCheckInterval the
+	// time between two checks.
+	pathCheckDelay    = 500 * time.Millisecond
+	pathCheckInterval = 100 * time.Millisecond
+	// silentPath is the reason why an attempt of a stream was cut off that its path left silent.
+	silentPath = "the path to the server failed while it was silent"
 )
 
 // update is sent by an attempt's goroutine to the driver.
@@ -47,10 +53,12 @@
 	reply   *Reply
 	stashed *Answer
 	// received holds all answers whose memory is not returned yet.
-	received       []*Answer
-	rawEvent       []byte
-	silenceTimer   *time.Timer
-	startTimer     *time.Timer
+	received     []*Answer
+	rawEvent     []byte
+	silenceTimer *time.Timer
+	startTimer   *time.Timer
+	// pathTimer passes when the path of a silent attempt is to be checked.
+	pathTimer      *time.Timer
 	silenceTimeout time.Duration
 	lastActivity   time.Time
 	// silenceDue is when silenceTimer passes, and readsOn is set while it runs for finalReadTimeout.
@@ -73,6 +81,7 @@
 		started:      started,
 		silenceTimer: stoppedTimer(),
 		startTimer:   stoppedTimer(),
+		pathTimer:    stoppedTimer(),
 	}
 	// Also if the caller panics: an attempt would count as in flight for good.
 	defer driver.release()
@@ -129,6 +138,10 @@
 		if !driver.receiveReady() {
 			driver.checkSilence()
 		}
+	case <-driver.pathTimer.C:
+		if !driver.receiveReady() {
+			driver.checkPath()
+		}
 	case <-driver.startTimer.C:
 		if !driver.receiveReady() {
 			driver.step(Late{})
@@ -199,11 +212,26 @@
 	}
 }
 
+// checkPath ends a silent attempt of a stream that has begun once its path has failed: no retry that is permitted, and no other
+// server, is needed for that.
+func (driver *driver) checkPath() {
+	if driver.placement.PathFailed(boottime.Since(driver.lastActivity)) {
+		driver.result = ResultNeutral
+		driver.step(Broken{Reason: silentPath, PathFailed: true})
+		return
+	}
+	driver.pathTimer.Reset(pathCheckInterval)
+}
+
 func (driver *driver) resetSilenceTimer(timeout time.Duration) {
 	driver.silenceTimer.Stop()
+	driver.pathTimer.Stop()
 	driver.silenceTimeout, driver.lastActivity = timeout, boottime.Now()
 	if timeout > 0 {
 		driver.startSilenceTimer(timeout)
+		if driver.outcome.Events > 0 || driver.reply != nil {
+			driver.pathTimer.Reset(pathCheckDelay)
+		}
 	}
 }
 
@@ -397,6 +425,7 @@
 	}
 	driver.silenceTimer.Stop()
 	driver.startTimer.Stop()
+	driver.pathTimer.Stop()
 	if driver.cancel != nil {
 		driver.cancel()
 	}
--- a/internal/exchange/driver_test.go
+++ b/internal/exchange/driver_test.go
@@ -27,6 +27,8 @@
 	results     []Result
 	stalled     func(silent time.Duration) bool
 	startWithin time.Duration
+	// pathFailed, if set, reports whether the path has failed under the attempt with a number.
+	pathFailed func(number int, silent time.Duration) bool
 	// awaitRelease, if set, is called when the attempt with a number is to be released.
 	awaitRelease func(ctx context.Context, number int)
 }
@@ -55,6 +57,9 @@
 func (placement *placement) Stalled(silent time.Duration) bool {
 	return placement.placer.stalled != nil && placement.placer.stalled(silent)
 }
+func (placement *placement) PathFailed(silent time.Duration) bool {
+	return placement.placer.pathFailed != nil && placement.placer.pathFailed(placement.number, silent)
+}
 func (placement *placement) StartDeadline() time.Time {
 	if placement.placer.startWithin == 0 || placement.number > 0 {
 		return time.Time{}
@@ -386,22 +391,48 @@
 
 // Guards against requests that wait for a server which has stopped until their deadline: the retry budget was spent when it had been
 // silent for too long, and earned retries later.
-func TestSilentAttemptIsGivenUpOnceRetryIsAvailable(t *testing.T) {
-	const silence = 400 * time.Millisecond
-	stops := func(ctx context.Context, _ bool, _ int64) (*Reply, error) {
-		reply, _ := streams(1, nil)(ctx, false, 0)
-		first := reply.Next
-		sent := false
-		reply.Next = func() (StreamEvent, error) {
-			if !sent {
-				sent = true
-				return first()
-			}
-			<-ctx.Done()
-			return StreamEvent{}, ctx.Err()
+// Guards against a stream that waits until its deadline at a server that its path leaves silent, since its runs are spent or no
+// other server can serve it.
+func TestSilentStreamGoesOnOnceItsPathHasFailed(t *testing.T) {
+	const silence, verdict = 2 * time.Second, 1200 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		startedAt := time.Now()
+		fakePlacer := &placer{
+			servers:    []fakeServer{stops, stops, streams(3, io.EOF)},
+			pathFailed: func(number int, silent time.Duration) bool { return number < 2 && silent >= verdict },
 		}
-		return reply, nil
+		caller := &recorder{}
+		outcome := Run(ctx, Request{
+			Rules: Rules{Repeatable: true, MaxRuns: 1, MaxSends: 6}, Budget: &earningBudget{}, Placer: fakePlacer, Caller: caller,
+			SilenceTimeouts: SilenceTimeouts{FirstEvent: silence, BetweenEvents: silence},
+		})
+		require.Nil(t, outcome.Failure)
+		require.Equal(t, "1 2 3 ", caller.body.String())
+		require.Equal(t, []Result{ResultNeutral, ResultNeutral, ResultServed}, fakePlacer.results, "it says nothing of the servers")
+		require.Equal(t, 2*verdict, time.Since(startedAt))
+	})
+}
+
+// stops sends one event and then nothing more.
+func stops(ctx context.Context, _ bool, _ int64) (*Reply, error) {
+	reply, _ := streams(1, nil)(ctx, false, 0)
+	first := reply.Next
+	sent := false
+	reply.Next = func() (StreamEvent, error) {
+		if !sent {
+			sent = true
+			return first()
+		}
+		<-ctx.Done()
+		return StreamEvent{}, ctx.Err()
 	}
+	return reply, nil
+}
+
+func TestSilentAttemptIsGivenUpOnceRetryIsAvailable(t *testing.T) {
+	const silence = 400 * time.Millisecond
 	for name, server := range map[string]fakeServer{"before its response": hangs, "in its stream": stops} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -55,7 +55,7 @@
 type Ended struct{}
 
 // Broken reports that the attempt failed after it was sent, so that it may have run. PathFailed is set if it is known that
-// the path has failed on which another node sent it, and not the server.
+// the path has failed on which this or another node sent it, and not the server.
 type Broken struct {
 	Reason     string
 	PathFailed bool
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -285,17 +285,26 @@
 	case machine.phase != releasing:
 		return nil
 	case machine.brokenBy == nil:
+		if reason == ReleaseUnreachable && machine.owesContinuation {
+			machine.cutOff()
+		}
 		return machine.place(now)
 	}
 	by := machine.brokenBy
 	machine.brokenBy = nil
 	if by.PathFailed || reason == ReleaseUnreachable {
-		machine.cutOffRuns++
-		machine.server, machine.owesContinuation = "", true
+		machine.cutOff()
 	}
 	return machine.continueOrFail(now, by.problem(), true)
 }
 
+// cutOff records that a failed path cut the attempt off. It is no run, and its server may be used again.
+func (machine *Machine) cutOff() {
+	machine.cutOffRuns++
+	machine.silentServers = slices.DeleteFunc(machine.silentServers, func(server string) bool { return server == machine.server })
+	machine.server, machine.owesContinuation = "", true
+}
+
 // broken handles an attempt that broke after it was sent. Whether a stream goes on that the caller has events of is decided
 // once the attempt is released: then it is known whether the server has failed or the path to it.
 func (machine *Machine) broken(now time.Time, by Broken) []Action {
--- a/internal/exchange/machine_test.go
+++ b/internal/exchange/machine_test.go
@@ -55,6 +55,8 @@
 	// silentOnly is set while the caller has events of a stream that was given up for its server's silence, or cut off by a
 	// failed path, and nothing else has ended it since. mayAbort is set if the latest event may end such a stream.
 	silentOnly, mayAbort bool
+	// silent is set while an attempt of a stream that has begun is given up, or was to be, for its server's silence.
+	silent bool
 }
 
 func (checker *checker) checkActions(actions []Action) {
@@ -125,7 +127,7 @@
 		if checker.cutOffByPath(event) {
 			checker.cutOffRuns++
 		}
-		checker.releasing, checker.mayRun, checker.broke = false, false, nil
+		checker.releasing, checker.mayRun, checker.broke, checker.silent = false, false, nil, false
 	case RetryDue:
 		checker.awaitedRetry = true
 	case Broken:
@@ -143,7 +145,8 @@
 
 // cutOffByPath reports whether the end of a release shows that the stream was cut off by a failed path.
 func (checker *checker) cutOffByPath(released Released) bool {
-	return checker.forwards > 0 && checker.broke != nil && (checker.broke.PathFailed || released.Reason == ReleaseUnreachable)
+	failed := released.Reason == ReleaseUnreachable
+	return checker.forwards > 0 && (checker.broke != nil && (checker.broke.PathFailed || failed) || checker.silent && failed)
 }
 
 // recordSilence records before a step whether the stream was given up for its server's silence alone.
@@ -151,9 +154,10 @@
 	checker.mayAbort = false
 	switch event := event.(type) {
 	case Silent:
+		checker.silent = checker.silent || checker.inFlight
 		checker.silentOnly = checker.silentOnly || checker.forwards > 0 && checker.inFlight
 	case Arrived, Broken, Late, Answered, Unvouched:
-		checker.silentOnly = false
+		checker.silentOnly, checker.silent = false, false
 	case Released:
 		checker.silentOnly = checker.silentOnly || checker.cutOffByPath(event)
 	case Expired, CallerLeft, Stopping:
@@ -441,6 +445,20 @@
 	require.IsType(t, Cut{}, lastActions(singleRun, 9, nil, begun...)[1], "it may not run again")
 }
 
+// Guards against streams that spend their runs at servers whose paths have failed and left them silent.
+func TestSilentStreamOnFailedPathSpendsNoRun(t *testing.T) {
+	events := []Event{Placed{Server: "a"}, Opened{}, Arrived{ID: 1, HasID: true}}
+	for range 3 {
+		events = append(events, Silent{}, Released{Reason: ReleaseUnreachable})
+		require.Equal(t, []Action{Place{}}, lastActions(twoRuns, 9, nil, events...), "the server may be used again")
+		events = append(events, Placed{Server: "a"})
+		require.Equal(t, []Action{Send{Resumes: true, After: 1}}, lastActions(twoRuns, 9, nil, events...))
+	}
+	silent := append(events, Silent{}, Released{Reason: ReleaseOverdue}, Placed{Server: "b"}, Silent{})
+	require.Empty(t, lastActions(twoRuns, 9, nil, silent...), "other silences are runs")
+	require.Equal(t, []Action{Place{Excluded: []string{"a"}}}, lastActions(twoRuns, 9, nil, Placed{Server: "a"}, Silent{}, Released{Reason: ReleaseUnreachable}), "the caller has nothing yet")
+}
+
 // Guards against a refusal for lack of free servers because of the time in which the previous server ended its attempt.
 func TestPlacementWaitBeginsWithRelease(t *testing.T) {
 	machine := NewMachine(Rules{Repeatable: true, MaxRuns: 2, MaxSends: 6, PlacementWait: 50 * time.Millisecond}, &fixedBudget{remaining: 1}, nil)
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -132,6 +132,9 @@
 	// Stalled reports whether an attempt that has been silent for the given time should
 	// be retried on another server.
 	Stalled(silent time.Duration) bool
+	// PathFailed reports whether this node's path to the server has failed under an attempt that has been silent for the
+	// given time. It may have the path probed, and may be called again until that has a result.
+	PathFailed(silent time.Duration) bool
 	// StartDeadline returns the time by which the response must have begun, or else the
 	// attempt is cancelled; zero means that there is no deadline.
 	StartDeadline() time.Time
--- a/internal/plain/forwarder.go
+++ b/internal/plain/forwarder.go
@@ -168,6 +168,9 @@
 // deadline.
 func (placement *placement) Stalled(time.Duration) bool { return false }
 
+// PathFailed returns false: plain answers are not streamed.
+func (placement *placement) PathFailed(time.Duration) bool { return false }
+
 // StartDeadline returns the zero time: plain requests may start at any time.
 func (placement *placement) StartDeadline() time.Time { return time.Time{} }
 
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -414,7 +414,11 @@
 
 // Forwarding records that the caller gets an event, and binds the request to the software version of the attempt.
 func (placement *placement) Forwarding() {
-	placement.lastEventAt = boottime.Now()
+	now := boottime.Now()
+	if !placement.lastEventAt.IsZero() {
+		placement.longestGap = max(placement.longestGap, now.Sub(placement.lastEventAt))
+	}
+	placement.lastEventAt = now
 	if placement.placer.admitted.origin == nil && placement.keepsOrigin() {
 		placement.placer.admitted.origin = &placement.origin
 	}
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -35,7 +35,9 @@
 	// respondingSince is when the response began.
 	respondingSince time.Time
 	// lastEventAt is when an event of the response was last passed on.
-	lastEventAt  time.Time
+	lastEventAt time.Time
+	// longestGap is the longest time between two events of the response.
+	longestGap   time.Duration
 	savesToStore bool
 	// dispatch is the attempt as it is sent, but for what Send is called with.
 	dispatch Dispatch
@@ -51,6 +53,8 @@
 	completion *outbound.Completion
 	// brokenAt is when the attempt ended by a failure of its connection; zero if it did not.
 	brokenAt time.Time
+	// gaveUpSilent is set if the attempt was given up for its server's silence.
+	gaveUpSilent bool
 	// kept is set once the attempt has been kept because other nodes hear its server.
 	kept bool
 }
@@ -235,6 +239,7 @@
 	if result == exchange.ResultBroken || result == exchange.ResultCutOff {
 		placement.brokenAt = now
 	}
+	placement.gaveUpSilent = result == exchange.ResultSilent
 	switch result {
 	case exchange.ResultBroken, exchange.ResultCutOff, exchange.ResultSilent:
 		placement.suspectPath(now)
--- a/internal/proxy/release.go
+++ b/internal/proxy/release.go
@@ -36,7 +36,7 @@
 	}
 	release := newRelease(placement, boottime.Now())
 	reason := release.await(ctx)
-	if release.awaitPathFailure(ctx) {
+	if release.awaitPathFailure(ctx) || release.silentOnFailedPath(boottime.Now()) {
 		return exchange.ReleaseUnreachable
 	}
 	return reason
@@ -67,14 +67,27 @@
 	}
 }
 
+// silentOnFailedPath reports whether an attempt of a stream that has begun was given up for its silence, and this node's path to the
+// server has failed meanwhile.
+func (r *release) silentOnFailedPath(now time.Time) bool {
+	if !r.placement.gaveUpSilent || !r.placement.hasOwnPath() {
+		return false
+	}
+	since := r.placement.placedAt
+	if r.placement.responding {
+		since = r.placement.lastEventAt
+	}
+	set, server := r.placement.placer.proxy.set, r.placement.chosen.Endpoint
+	return set.PathVerdict(server, since, now) == backend.PathFailed || set.PathLapsed(server, since)
+}
+
 // awaitPathFailure reports whether an attempt of a stream that has begun broke because this node's path to the server failed.
 // It waits no longer for that than for a silent server.
 func (r *release) awaitPathFailure(ctx context.Context) bool {
-	proxy, began := r.placement.placer.proxy, r.placement.placer.admitted.origin != nil
-	if r.placement.brokenAt.IsZero() || r.placement.detour || !began || proxy.forwarder == nil {
+	if r.placement.brokenAt.IsZero() || !r.placement.hasOwnPath() {
 		return false
 	}
-	return proxy.awaitPathFailure(ctx, r.placement.chosen.Endpoint, r.placement.placedAt, r.placement.brokenAt, r.placement.placer.silenceTimeouts().BetweenEvents)
+	return r.placement.placer.proxy.awaitPathFailure(ctx, r.placement.chosen.Endpoint, r.placement.placedAt, r.placement.brokenAt, r.placement.placer.silenceTimeouts().BetweenEvents)
 }
 
 // awaitPathFailure reports whether this node's path to a server failed under an attempt that was sent at a time and failed at
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cloverrail/cloverrail/internal/backend"
 	"github.com/cloverrail/cloverrail/internal/boottime"
 )
 
@@ -10,6 +11,9 @@
 // of other nodes may show that its server answers: at most that of the reports.
 const silenceRecheckInterval = 50 * time.Millisecond
 
+// unusualGapFactor is the silence of a stream, as a multiple of its longest gap so far, from which on its path is suspected.
+const unusualGapFactor = 4
+
 // serverEvidence is what is known of the server of a silent attempt.
 type serverEvidence int
 
@@ -93,6 +97,39 @@
 	placement.placer.proxy.recorder.AttemptKept(placement.placer.admitted.request, placement.chosen.Endpoint, silent)
 }
 
+// PathFailed reports whether this node's path to the server has failed under the attempt of a stream that has begun, and has
+// been silent for some time. It has the path probed once that is long for the stream, unless this node has heard the server
+// meanwhile. A server that has not begun its response is probed with others that do not answer: it may be busy with the prompt.
+func (placement *placement) PathFailed(silent time.Duration) bool {
+	return placement.pathFailedAt(silent, boottime.Now())
+}
+
+// unusualGap returns the silence from which on the path of the stream is suspected; longest is the one that its server is allowed.
+func (placement *placement) unusualGap(longest time.Duration) time.Duration {
+	if placement.longestGap == 0 {
+		return longest / 2
+	}
+	return min(unusualGapFactor*placement.longestGap, longest/2)
+}
+
+// hasOwnPath reports whether the attempt is one of a stream that has begun, and was sent by this node itself although others could.
+func (placement *placement) hasOwnPath() bool {
+	return placement.placer.proxy.forwarder != nil && placement.placer.admitted.origin != nil && !placement.attempt.Detour()
+}
+
+func (placement *placement) pathFailedAt(silent time.Duration, now time.Time) bool {
+	proxy, since := placement.placer.proxy, now.Add(-silent)
+	if !placement.hasOwnPath() {
+		return false
+	}
+	longest := placement.placer.silenceTimeouts().BetweenEvents
+	if placement.responding && silent >= placement.unusualGap(longest) && !placement.attempt.ServerRespondedHereSince(since) {
+		proxy.set.SuspectPathSince(placement.chosen.Endpoint, since, now)
+	}
+	failed := proxy.set.PathVerdict(placement.chosen.Endpoint, since, now) == backend.PathFailed
+	return failed || silent >= longest && proxy.set.PathLapsed(placement.chosen.Endpoint, since)
+}
+
 // sharesPriorities reports whether routes of different priority share the request's service.
 func (placer *placer) sharesPriorities() bool {
 	snapshot := placer.admitted.replica.Snapshot
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -1,17 +1,21 @@
 package proxy
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/cloverrail/cloverrail/internal/backend"
+	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/catalog"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/failure"
 	"github.com/cloverrail/cloverrail/internal/origin"
+	"github.com/cloverrail/cloverrail/internal/outbound"
 	"github.com/cloverrail/cloverrail/internal/property"
 	"github.com/cloverrail/cloverrail/internal/routing"
 )
@@ -189,3 +193,105 @@
 		})
 	}
 }
+
+// Guards against a stream that waits until its deadline at a server that its path leaves silent: nobody probed the path of a
+// stream that had begun, and an attempt there counted as a run.
+func TestPathOfSilentStreamIsProbed(t *testing.T) {
+	const gap = 50 * time.Millisecond
+	for name, test := range map[string]struct {
+		// probed is what a probe of the path shows; nil if none is to be sent within a second.
+		probed func(set *backend.Set, address string)
+		heard  bool
+		failed bool
+	}{
+		"the probe is not answered": {probed: func(set *backend.Set, address string) { set.ObserveUnanswered(address, boottime.Now(), boottime.Now()) }, failed: true},
+		"the server answers": {probed: func(set *backend.Set, address string) {
+			set.ObserveConnect(address, true, boottime.Now(), boottime.Now())
+		}},
+		"this node hears the server": {heard: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newTestPlacer(10, 1, 0)
+				p.proxy.forwarder = stubForwarder{}
+				p.admitted.route = &catalog.Route{Name: "r", Kind: catalog.Stream, Resumable: true, TargetLatency: 800 * time.Millisecond, GapTarget: 500 * time.Millisecond}
+				p.admitted.origin = &origin.Origin{}
+				set, stream := p.proxy.set, p.silentPlacement("i-0", boottime.Now())
+				_, stream.completion = outbound.TrackCompletion(context.Background())
+				stream.ResponseStarted()
+				for range 5 {
+					time.Sleep(gap)
+					stream.Forwarding()
+				}
+				time.Sleep(500 * time.Millisecond)
+				if test.heard {
+					other := p.silentPlacement("i-0", boottime.Now())
+					other.attempt.ResponseStarted(boottime.Now())
+				}
+				require.False(t, stream.PathFailed(500*time.Millisecond))
+				due := set.DuePathProbes(4, boottime.Now())
+				require.Equal(t, test.probed != nil, len(due) == 1)
+				if test.probed != nil {
+					test.probed(set, due[0])
+				}
+				time.Sleep(time.Millisecond)
+				require.Equal(t, test.failed, stream.PathFailed(501*time.Millisecond))
+				stream.End(exchange.ResultSilent)
+				closed := newRelease(stream, boottime.Now())
+				require.Equal(t, test.failed, closed.silentOnFailedPath(boottime.Now()))
+			})
+		})
+	}
+}
+
+// Guards against probes for each silence that is usual in a stream: hundreds of nodes have thousands of streams.
+func TestUsualGapOfStreamCausesNoProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPlacer(10, 1, 0)
+		p.proxy.forwarder = stubForwarder{}
+		p.admitted.route = &catalog.Route{Name: "r", Kind: catalog.Stream, Resumable: true, TargetLatency: 800 * time.Millisecond, GapTarget: 500 * time.Millisecond}
+		p.admitted.origin = &origin.Origin{}
+		stream := p.silentPlacement("i-0", boottime.Now())
+		stream.ResponseStarted()
+		stream.Forwarding()
+		time.Sleep(400 * time.Millisecond)
+		require.False(t, stream.PathFailed(400*time.Millisecond))
+		require.Empty(t, p.proxy.set.DuePathProbes(4, boottime.Now()), "nothing is known of its gaps")
+		stream.Forwarding()
+		time.Sleep(900 * time.Millisecond)
+		require.False(t, stream.PathFailed(900*time.Millisecond))
+		require.Empty(t, p.proxy.set.DuePathProbes(4, boottime.Now()))
+		time.Sleep(100 * time.Millisecond)
+		require.False(t, stream.PathFailed(time.Second))
+		require.Len(t, p.proxy.set.DuePathProbes(4, boottime.Now()), 1, "half of the time for which it may be silent")
+	})
+}
+
+// Guards against a stream that waits until its deadline on a connection that a short failure of its path has left silent, while the
+// server responds on others.
+func TestStreamOnConnectionThatPathHeldUpIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPlacer(10, 2, 0)
+		p.proxy.forwarder = stubForwarder{}
+		p.admitted.route = &catalog.Route{Name: "r", Kind: catalog.Stream, Resumable: true, TargetLatency: 800 * time.Millisecond, GapTarget: 500 * time.Millisecond}
+		p.admitted.origin = &origin.Origin{}
+		set, stream := p.proxy.set, p.silentPlacement("i-0", boottime.Now())
+		stream.ResponseStarted()
+		stream.Forwarding()
+		time.Sleep(50 * time.Millisecond)
+		stream.Forwarding()
+		time.Sleep(500 * time.Millisecond)
+		require.False(t, stream.PathFailed(500*time.Millisecond))
+		probedAt := boottime.Now()
+		require.Len(t, set.DuePathProbes(4, probedAt), 1)
+		time.Sleep(time.Second)
+		other := p.silentPlacement("i-0", boottime.Now())
+		other.attempt.ResponseStarted(boottime.Now())
+		time.Sleep(499 * time.Millisecond)
+		set.ObserveUnanswered("at i-0", probedAt, boottime.Now())
+		require.False(t, set.PathBroken("i-0"))
+		require.False(t, stream.PathFailed(1999*time.Millisecond))
+		time.Sleep(time.Millisecond)
+		require.True(t, stream.PathFailed(2*time.Second), "it is silent for as long as it may be")
+	})
+}
