Replace a malformed record of software versions, and begin streams meanwhile

Callers saw 503 for each stream of engines ("the software versions of the service's servers are not recorded in the store yet") from the start of all nodes until somebody removed the key, once another writer had left a malformed value in cloverrail/software.

Cause: such an entry counted as one that has not been read. A node that started knew no record, began no stream, and had nothing that it could replace.

Change: a malformed entry (or one that is null, or has more than 1 MB) means the least that it can: it names no version and may lack some, which is said by an era that no store has, `unreadable`, in the record's field of eras. A relay that knows the listed versions replaces it at its revision and era, and keeps that mark until a node knows all versions, so that later nodes refuse what they cannot know. A node that has read a sound record goes on with its versions, passes that one on, records origins meanwhile, and replaces a malformed entry at most once a second; relays of a worse rank wait anew for each write. A node that was out of touch for more than 2 s while the entry was or had been malformed does not claim to know all versions for two minutes, as after a restore.

Nothing was added to or changed in what nodes send each other. A former build takes the mark for another era: the record may lack versions.

--- a/cmd/cloverrail/softwarerecord.go
+++ b/cmd/cloverrail/softwarerecord.go
@@ -19,6 +19,9 @@
 	// recordReadDelay is how long a node that knows servers waits for another node to send the record of
 	// their versions, before it reads the record itself. Nodes of former builds send none.
 	recordReadDelay = time.Second
+	// recordRepairInterval is the shortest time between two replacements of malformed records by a node. The store
+	// allows few writes, and another writer may spoil the record again and again.
+	recordRepairInterval = time.Second
 )
 
 // softwareRecorder keeps the record of software versions in the store.
@@ -28,6 +31,10 @@
 	// since when this node lacks a record of listed versions; zero if neither is the case.
 	dueSince     time.Time
 	missingSince time.Time
+	// unreadable is the revision of the malformed record to be replaced, 0 if there is none, and repairedAt when this
+	// node last replaced one.
+	unreadable int64
+	repairedAt time.Time
 }
 
 // keepSoftwareRecord records the software versions for nodes that start, until the context ends.
@@ -49,18 +56,22 @@
 // step writes or reads the record if that is due. It returns false if the store did not answer.
 func (r *softwareRecorder) step(ctx context.Context, now time.Time) bool {
 	set := r.process.serverSet
-	record := set.SoftwareRecord()
+	record := set.StoredSoftwareRecord()
 	versions, complete := set.Software(now)
 	var replacement backend.SoftwareVersions
 	if record != nil {
 		replacement = record.Replacement(versions, complete)
 	}
 	differs := record != nil && !set.LacksSoftware() && !reflect.DeepEqual(replacement, record.Versions)
+	if r.observeUnreadable(record) {
+		// A relay of a better rank replaces each malformed record first.
+		r.dueSince = time.Time{}
+	}
 	r.dueSince = since(r.dueSince, differs, now)
 	r.missingSince = since(r.missingSince, len(versions) > 0 && (record == nil || len(set.UnrecordedSoftware()) > 0), now)
 	delay := time.Duration(r.process.registry.Rank()) * recordDelayPerRank
 	switch {
-	case differs && r.process.reflector.Relays() && now.Sub(r.dueSince) >= delay:
+	case differs && r.process.reflector.Relays() && now.Sub(r.dueSince) >= delay && r.mayRepair(now):
 		return r.write(ctx, replacement, *record)
 	case !r.missingSince.IsZero() && now.Sub(r.missingSince) >= recordReadDelay:
 		r.missingSince = now
@@ -70,6 +81,28 @@
 	}
 }
 
+// observeUnreadable reports whether the record is malformed, and another write than the last one that was.
+func (r *softwareRecorder) observeUnreadable(record *backend.SoftwareRecord) bool {
+	former := r.unreadable
+	r.unreadable = 0
+	if record != nil && record.Unreadable() {
+		r.unreadable = record.Revision
+	}
+	return r.unreadable != 0 && r.unreadable != former
+}
+
+// mayRepair reports whether the record may be replaced now as far as malformed ones are concerned.
+func (r *softwareRecorder) mayRepair(now time.Time) bool {
+	if r.unreadable == 0 {
+		return true
+	}
+	if now.Sub(r.repairedAt) < recordRepairInterval {
+		return false
+	}
+	r.repairedAt = now
+	return true
+}
+
 // since returns since when a condition holds, or zero if it does not.
 func since(former time.Time, holds bool, now time.Time) time.Time {
 	switch {
--- a/internal/backend/software.go
+++ b/internal/backend/software.go
@@ -35,8 +35,11 @@
 	// unrecorded has an element after a version was listed that is not recorded, or the record turned out not to be
 	// complete.
 	unrecorded chan struct{}
-	// record is the latest record that this node knows, or nil.
+	// record is the latest record that this node could read, or that of a malformed entry if it knows no other; nil if
+	// it knows none.
 	record *SoftwareRecord
+	// unreadable is that of the malformed entry that has replaced record in the store, or nil.
+	unreadable *SoftwareRecord
 }
 
 func newSoftwareHistory() softwareHistory {
--- a/internal/backend/softwarerecord.go
+++ b/internal/backend/softwarerecord.go
@@ -51,12 +51,32 @@
 // builds keep former eras beside the latest for a time.
 const completeEraField = ""
 
+// unreadableEra stands in the field of eras of a record that was malformed, or that has replaced one. It is the name of
+// no era, so that builds that do not know it do not take the record for a complete one either.
+const unreadableEra = "unreadable"
+
+// UnreadableSoftwareRecord returns what a malformed entry, read at a position, means: it names no version, and may lack
+// some.
+func UnreadableSoftwareRecord(revision int64, asOf coordination.Position) SoftwareRecord {
+	return SoftwareRecord{Versions: SoftwareVersions{completeEraField: {unreadableEra}}, Revision: revision, AsOf: asOf}
+}
+
+// Unreadable reports whether the record is that of a malformed entry.
+func (r *SoftwareRecord) Unreadable() bool {
+	return len(r.Versions) == 1 && slices.Equal(r.Versions[completeEraField], []string{unreadableEra})
+}
+
+// wasUnreadable reports whether the record is that of a malformed entry, or has replaced one.
+func (r *SoftwareRecord) wasUnreadable() bool {
+	return slices.Contains(r.Versions[completeEraField], unreadableEra)
+}
+
 // maxRecordGap is the longest time without the list of servers after which a node still knows all versions that were
-// recorded before the store was restored.
+// recorded before the store was restored, or before the record became malformed.
 const maxRecordGap = 2 * time.Second
 
 // Complete reports whether all versions that may have begun a stream are in the record: after a restore of the
-// store, the entry may be one that lacks some.
+// store, the entry may be one that lacks some, and one that has replaced a malformed entry may, too.
 func (r *SoftwareRecord) Complete() bool {
 	if eras := r.Versions[completeEraField]; len(eras) > 0 {
 		return slices.Contains(eras, r.era())
@@ -120,7 +140,9 @@
 
 // SetSoftwareRecord applies a record, unless a later one is known. It reports whether the record has
 // changed. With a complete record, the history is complete. A node that was out of touch when the store was
-// restored may have missed versions.
+// restored, or the entry malformed, may have missed versions. A malformed entry replaces no record that could be
+// read: nodes that start know from it that they lack versions, so that those in the former record may go on
+// beginning streams.
 func (set *Set) SetSoftwareRecord(record SoftwareRecord, now time.Time) (changed bool) {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
@@ -129,13 +151,20 @@
 		return false
 	}
 	former := h.record
+	if record.Unreadable() && former != nil && !former.Unreadable() {
+		set.noteUnreadable(record, now)
+		return false
+	}
 	h.record = &record
+	if h.unreadable != nil && !record.AsOf.Before(h.unreadable.AsOf) {
+		h.unreadable = nil
+	}
 	complete := record.Complete()
 	switch {
 	case complete && (h.completeAt.IsZero() || h.completeAt.After(now)):
 		h.completeAt = now
 	case complete:
-	case h.completeAt.IsZero(), former != nil && former.AsOf.Era.Before(record.AsOf.Era) && now.Sub(set.listReadAt) > maxRecordGap:
+	case h.completeAt.IsZero(), former != nil && (former.AsOf.Era.Before(record.AsOf.Era) || record.wasUnreadable()) && now.Sub(set.listReadAt) > maxRecordGap:
 		h.completeAt = now.Add(SoftwareRetention)
 	}
 	if former != nil && former.Complete() == complete && reflect.DeepEqual(former.Versions, record.Versions) {
@@ -158,16 +187,45 @@
 	return true
 }
 
-// SoftwareRecord returns the record that this node knows, or nil.
+// noteUnreadable remembers that the entry in the store has become malformed. The caller holds the mutex.
+func (set *Set) noteUnreadable(record SoftwareRecord, now time.Time) {
+	h := &set.software
+	former := h.unreadable
+	if former != nil && record.AsOf.Before(former.AsOf) {
+		return
+	}
+	h.unreadable = &record
+	if former != nil && former.AsOf.Era == record.AsOf.Era && former.Revision == record.Revision {
+		return
+	}
+	if now.Sub(set.listReadAt) > maxRecordGap {
+		h.completeAt = now.Add(SoftwareRetention)
+	}
+	signal(h.changed)
+	signal(h.unrecorded)
+}
+
+// StoredSoftwareRecord returns the latest entry of the store that this node knows, or nil. It differs from
+// SoftwareRecord if that entry is malformed.
+func (set *Set) StoredSoftwareRecord() *SoftwareRecord {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	if set.software.unreadable != nil {
+		return set.software.unreadable
+	}
+	return set.software.record
+}
+
+// SoftwareRecord returns the latest record that this node could read. It is nil if this node knows no entry.
 func (set *Set) SoftwareRecord() *SoftwareRecord {
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	return set.software.record
 }
 
-// LacksCompleteRecord reports whether the record that this node knows may lack versions that have begun streams.
+// LacksCompleteRecord reports whether the entry of the store may lack versions that have begun streams.
 func (set *Set) LacksCompleteRecord() bool {
-	record := set.SoftwareRecord()
+	record := set.StoredSoftwareRecord()
 	return record != nil && !record.Complete()
 }
 
--- a/internal/backend/softwarerecord_test.go
+++ b/internal/backend/softwarerecord_test.go
@@ -56,7 +56,7 @@
 			}
 		}
 		for _, n := range s.nodes {
-			if record := n.set.SoftwareRecord(); n.frozen == 0 && record.AsOf == s.at {
+			if record := n.set.StoredSoftwareRecord(); n.frozen == 0 && record.AsOf == s.at {
 				versions, complete := n.set.Software(s.now)
 				if replacement := record.Replacement(versions, complete); !reflect.DeepEqual(replacement, record.Versions) {
 					s.at.Revision++
@@ -79,7 +79,8 @@
 }
 
 // Guards against a version that is taken for the only one although streams of another one may be resumed, whatever
-// is lost: the record's last writes with a restore of the store, nodes, or a node's sight of the others for a time.
+// is lost: the record's last writes with a restore of the store, nodes, a node's sight of the others for a time, or the
+// record to another writer.
 func TestOnlyVersionHasBegunAllStreams(t *testing.T) {
 	concluded := 0
 	property.CheckMany(t, 5000, func(t *rapid.T) {
@@ -100,7 +101,7 @@
 			s.now = s.now.Add(time.Duration(rapid.SampledFrom([]int{1, 1, 1, 50}).Draw(t, "seconds")) * time.Second)
 			for range rapid.IntRange(1, 4).Draw(t, "changes") {
 				software := rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "software")
-				switch rapid.SampledFrom([]string{"list", "unlist", "copy", "restore", "kill", "kill one", "freeze other"}).Draw(t, "what") {
+				switch rapid.SampledFrom([]string{"list", "unlist", "copy", "restore", "kill", "kill one", "freeze other", "spoil"}).Draw(t, "what") {
 				case "list":
 					s.listed[software] = true
 				case "unlist":
@@ -117,6 +118,9 @@
 					s.nodes[1] = &recordNode{set: NewSet()}
 				case "freeze other":
 					s.nodes[0].frozen = 3
+				case "spoil":
+					s.at.Revision++
+					s.versions = UnreadableSoftwareRecord(s.at.Revision, s.at).Versions
 				}
 			}
 			s.step()
@@ -140,7 +144,7 @@
 // Guards against a fleet that refuses resumed streams for good after a restore of the store.
 func TestRecordIsCompleteAgainAfterRetention(t *testing.T) {
 	now, at := time.Unix(1000, 0), coordination.Position{Era: coordination.EraOf(2), Revision: 7}
-	for _, versions := range []SoftwareVersions{{}, {"s": {"v1"}}, {"s": {"v1"}, completeEraField: {"1"}}, {"s": {"v1"}, completeEraField: {}}} {
+	for _, versions := range []SoftwareVersions{{}, {"s": {"v1"}}, {"s": {"v1"}, completeEraField: {"1"}}, {"s": {"v1"}, completeEraField: {}}, UnreadableSoftwareRecord(7, at).Versions} {
 		s := &recordStore{now: now, at: at, versions: versions, listed: map[string]bool{"v1": true}, nodes: []*recordNode{{set: NewSet()}}, began: map[string]time.Time{}}
 		s.step()
 		set := s.nodes[0].set
@@ -170,7 +174,7 @@
 // latest, and drops all after a time.
 func TestErasThatFormerBuildsKeepStay(t *testing.T) {
 	services := SoftwareVersions{"s": {"v1"}}
-	for eras, complete := range map[string]bool{"1": false, "2": true, "1 2": true, "2 1": true, "1 3": false} {
+	for eras, complete := range map[string]bool{"1": false, "2": true, "1 2": true, "2 1": true, "1 3": false, "unreadable": false, "unreadable 2": true} {
 		record := &SoftwareRecord{Versions: SoftwareVersions{"s": {"v1"}, completeEraField: strings.Fields(eras)}, AsOf: coordination.Position{Era: coordination.EraOf(2), Revision: 9}}
 		require.Equal(t, complete, record.Complete(), eras)
 		require.Equal(t, services, record.Services())
