Do not take nodes with an absurd processor time for the relays

Cause: a registration says how much processor time its node has, and any number was believed. Each node knew its own, and took the two others, with 10^18 cores each, for the only relays: nobody wrote the versions to the record.

Change: a processor time that is not positive, or above 65,536 cores, counts like one that cannot be parsed: the node does not count as large.

--- a/internal/fleet/registration.go
+++ b/internal/fleet/registration.go
@@ -27,14 +27,17 @@
 	return strings.Join([]string{info.address, info.zone, strconv.FormatFloat(info.cores, 'g', -1, 64)}, " ")
 }
 
+// maxCores is the processor time, in cores, above which a registration is not believed.
+const maxCores = 1 << 16
+
 // parseNodeInfo parses the registered form. Missing fields stay empty: a node whose processor
-// time cannot be parsed does not count as large.
+// time cannot be parsed, or is absurd, does not count as large.
 func parseNodeInfo(text string) nodeInfo {
 	info := nodeInfo{}
 	address, rest, _ := strings.Cut(text, " ")
 	zone, cores, _ := strings.Cut(rest, " ")
 	info.address, info.zone = address, zone
-	if parsed, err := strconv.ParseFloat(cores, 64); err == nil {
+	if parsed, err := strconv.ParseFloat(cores, 64); err == nil && parsed > 0 && parsed <= maxCores {
 		info.cores = parsed
 	}
 	return info
