Replace a malformed record at the revision that it has now

Callers saw 503 for streams from a start of all nodes on, for as long as another writer spoilt all keys of the nodes three times a second.

Cause: a malformed record was replaced at the revision that the node had last observed. It had been spoilt again by then, the write was refused, and the next one followed a second later, when the same had happened. Nodes that start also waited anew with each spoilt write for relays of a better rank, of which they do not hear while the addresses in the registrations are spoilt.

Change: a node reads the entry right before it replaces it. One that knows no record that could be read does not wait again.

--- a/cmd/cloverrail/softwarerecord.go
+++ b/cmd/cloverrail/softwarerecord.go
@@ -63,8 +63,9 @@
 		replacement = record.Replacement(versions, complete)
 	}
 	differs := record != nil && !set.LacksSoftware() && !reflect.DeepEqual(replacement, record.Versions)
-	if r.observeUnreadable(record) {
-		// A relay of a better rank replaces each malformed record first.
+	if r.observeUnreadable(record) && !set.SoftwareRecord().Unreadable() {
+		// A relay of a better rank replaces each malformed record first. A node that knows no other record does not
+		// wait again: it may not hear of what that relay writes.
 		r.dueSince = time.Time{}
 	}
 	r.dueSince = since(r.dueSince, differs, now)
@@ -72,6 +73,9 @@
 	delay := time.Duration(r.process.registry.Rank()) * recordDelayPerRank
 	switch {
 	case differs && r.process.reflector.Relays() && now.Sub(r.dueSince) >= delay && r.mayRepair(now):
+		if r.unreadable != 0 {
+			return r.repair(ctx)
+		}
 		return r.write(ctx, replacement, *record)
 	case !r.missingSince.IsZero() && now.Sub(r.missingSince) >= recordReadDelay:
 		r.missingSince = now
@@ -127,6 +131,21 @@
 	return r.read(ctx)
 }
 
+// repair replaces a malformed record. It reads the entry first, since another writer may have spoilt it again after this
+// node observed it.
+func (r *softwareRecorder) repair(ctx context.Context) bool {
+	if !r.read(ctx) {
+		return false
+	}
+	set := r.process.serverSet
+	record := set.StoredSoftwareRecord()
+	if !record.Unreadable() {
+		return true
+	}
+	versions, complete := set.Software(boottime.Now())
+	return r.write(ctx, record.Replacement(versions, complete), *record)
+}
+
 func (r *softwareRecorder) read(ctx context.Context) bool {
 	record, err := r.process.source.ReadSoftware(ctx)
 	r.process.recorder.SoftwareRecordRead(err)
--- a/cmd/cloverrail/spoilt_keys_test.go
+++ b/cmd/cloverrail/spoilt_keys_test.go
@@ -79,3 +79,48 @@
 		})
 	}
 }
+
+// Guards against a malformed record that no node ever replaces, since it is spoilt again between a node's reading and
+// its writing, and against other keys that stop requests while all are spoilt again and again.
+func TestKeysSpoiltAgainAndAgainStopNoRequest(t *testing.T) {
+	for name, spoil := range property.Spoilings {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newSpoilableFleet(t)
+			f.killAll()
+			stop, stopped := make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(stopped)
+				for {
+					f.spoil(func(value []byte, position int) []byte {
+						// Doubling a value again and again would make it as long as the machine's memory.
+						if value = spoil(value, position); len(value) > 1<<14 {
+							value = value[:1<<14]
+						}
+						return value
+					})
+					select {
+					case <-stop:
+						return
+					case <-time.After(333 * time.Millisecond):
+					}
+				}
+			}()
+			defer func() { close(stop); <-stopped }()
+			for range 3 {
+				f.addNode()
+			}
+			nodes := f.nodes[len(f.nodes)-f.running:]
+			for range 2 {
+				f.awaitBegun(nodes[0].contact())
+				for range 10 {
+					for _, n := range nodes {
+						got := n.send(http.MethodGet, "/again/", "", nil)
+						require.Equal(t, http.StatusOK, got.status, "%s: %s", n.process.settings.Name, got.body)
+					}
+				}
+				time.Sleep(3 * time.Second)
+			}
+		})
+	}
+}
