--- a/cmd/cloverrail/accepted_connections_test.go
+++ b/cmd/cloverrail/accepted_connections_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/platform/standin"
 )
 
@@ -217,14 +218,19 @@
 // newStreamFixture starts a fleet before engines of two software versions. Streams of the one run out of servers first, and those
 // of the other out of the runs that their route allows.
 func newStreamFixture(t *testing.T, nodes int) *partitionFixture {
+	return newStreamFixtureWith(t, nodes, []string{"v1", "v1", "v2", "v2", "v2", "v2"}, func(*settings.Proxy) {})
+}
+
+// newStreamFixtureWith starts a fleet with changed settings before an engine of each of the software versions.
+func newStreamFixtureWith(t *testing.T, nodes int, versions []string, change func(config *settings.Proxy)) *partitionFixture {
 	f := &partitionFixture{fleetFixture: newFleet(t, 0, 0)}
-	for i, software := range []string{"v1", "v1", "v2", "v2", "v2", "v2"} {
+	for i, software := range versions {
 		f.startMachine(&standin.Machine{
 			Name: fmt.Sprint("e", i), Service: "engines", Model: model, Software: software, Handler: standin.StreamSoftware(pacedEvents, pacedEventGap),
 		})
 	}
 	for range nodes {
-		f.links = append(f.links, newServerLinks(f.addNode()))
+		f.links = append(f.links, newServerLinks(f.addNodeWith(change)))
 	}
 	for _, n := range f.nodes {
 		f.awaitReady(n)
--- a/cmd/cloverrail/waiting_stream_test.go
+++ b/cmd/cloverrail/waiting_stream_test.go
@@ -23,19 +23,9 @@
 
 // newBudgetedStreamFixture starts a fleet like newStreamFixture, whose nodes share a retry budget.
 func newBudgetedStreamFixture(t *testing.T, nodes int) *partitionFixture {
-	f := &partitionFixture{fleetFixture: newFleet(t, 0, 0)}
-	for i, software := range []string{"v1", "v1", "v1", "v2", "v2", "v2"} {
-		f.startMachine(&standin.Machine{
-			Name: fmt.Sprint("e", i), Service: "engines", Model: model, Software: software, Handler: standin.StreamSoftware(pacedEvents, pacedEventGap),
-		})
-	}
-	for range nodes {
-		f.links = append(f.links, newServerLinks(f.addNodeWith(func(config *settings.Proxy) { config.Bounds.RetryExtra = fleetRetryExtra })))
-	}
+	f := newStreamFixtureWith(t, nodes, []string{"v1", "v1", "v1", "v2", "v2", "v2"}, func(config *settings.Proxy) { config.Bounds.RetryExtra = fleetRetryExtra })
 	for _, n := range f.nodes {
-		f.awaitReady(n)
 		n.awaitRetryShare()
-		n.waitUntil(func() bool { return n.knows(len(f.machines)) && n.make(resumableStream).status == http.StatusOK })
 	}
 	return f
 }
