--- a/internal/exchange/driver_test.go
+++ b/internal/exchange/driver_test.go
@@ -389,8 +389,6 @@
 	return b.denied < 0
 }
 
-// Guards against requests that wait for a server which has stopped until their deadline: the retry budget was spent when it had been
-// silent for too long, and earned retries later.
 // Guards against a stream that waits until its deadline at a server that its path leaves silent, since its runs are spent or no
 // other server can serve it.
 func TestSilentStreamGoesOnOnceItsPathHasFailed(t *testing.T) {
@@ -431,6 +429,8 @@
 	return reply, nil
 }
 
+// Guards against requests that wait for a server which has stopped until their deadline: the retry budget was spent when it had been
+// silent for too long, and earned retries later.
 func TestSilentAttemptIsGivenUpOnceRetryIsAvailable(t *testing.T) {
 	const silence = 400 * time.Millisecond
 	for name, server := range map[string]fakeServer{"before its response": hangs, "in its stream": stops} {
--- a/internal/exchange/queue_test.go
+++ b/internal/exchange/queue_test.go
@@ -93,7 +93,7 @@
 		var waits []Wait
 		outcome := Run(ctx, Request{
 			Rules: twoRuns, Budget: q, RetryQueue: q, Caller: &recorder{},
-			Placer:          &placer{servers: []fakeServer{fallsSilent, streams(3, io.EOF)}, stalled: func(time.Duration) bool { return true }},
+			Placer:          &placer{servers: []fakeServer{stops, streams(3, io.EOF)}, stalled: func(time.Duration) bool { return true }},
 			SilenceTimeouts: SilenceTimeouts{FirstEvent: 300 * time.Millisecond, BetweenEvents: 300 * time.Millisecond},
 			ObserveWait:     func(w Wait) { waits = append(waits, w) },
 		})
@@ -136,18 +136,3 @@
 		require.Zero(t, q.budget.Wanted(time.Now()))
 	})
 }
-
-// fallsSilent sends one event of a stream and then nothing.
-func fallsSilent(ctx context.Context, resumes bool, after int64) (*Reply, error) {
-	reply, err := streams(1, nil)(ctx, resumes, after)
-	next, sent := reply.Next, false
-	reply.Next = func() (StreamEvent, error) {
-		if !sent {
-			sent = true
-			return next()
-		}
-		<-ctx.Done()
-		return StreamEvent{}, ctx.Err()
-	}
-	return reply, err
-}
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -113,8 +113,8 @@
 }
 
 // explainCutOff returns the error of an attempt of another node that was sent at sentAt. If its connection was cut off, the
-// path to the server is suspected. If it is that of a stream which may have begun and may be resumed, the other node must know whether the path
-// has failed.
+// path to the server is suspected. If it is that of a stream which may have begun and may be resumed, the other node must
+// know whether the path has failed.
 func (proxy *Proxy) explainCutOff(ctx context.Context, dispatch Dispatch, sentAt time.Time, began bool, err error) error {
 	if !isCutOff(err) {
 		return err
