Record by which sign a request that may run once is sent again

Users saw requests that may run once run twice and kept no logs; no line or metric of ours would have told why either: a second send follows a server's refusal, a failed connection, a decision of the node or the report of another node, and 'placed' names none of them.

Attempts that did not run now carry a sign (exchange.Sign). Each further send of a request that may run once has a line 'sent again' with it and counts in resends_total{sign}; a refusal as not run after an attempt names it in its 'request' line, and explain shows both.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -132,8 +132,24 @@
 	State    string `json:"state"`
 	Refused  string `json:"refused"`
 	Promised bool   `json:"promised"`
+	// Sign is what showed that the last attempt did not run, and Previous its server.
+	Sign     string `json:"sign"`
+	Previous string `json:"previous"`
 }
 
+// signTexts maps the signs that an attempt did not run to their explanations.
+var signTexts = map[string]string{
+	"stated":         "the server stated that it did not run it",
+	"unsent":         "no byte of it was sent",
+	"withdrawn":      "this node decided not to send it",
+	"peer_stated":    "another node reports that the server stated that it did not run it",
+	"peer_unsent":    "the nodes that it was offered to sent no byte of it",
+	"peer_withdrawn": "another node decided not to send it",
+}
+
+// signText explains a sign that an attempt did not run.
+func signText(sign string) string { return cmp.Or(signTexts[sign], sign) }
+
 // eventTexts maps the events of attempts to their explanations.
 var eventTexts = map[string]string{
 	"refused":    "the server refused it: it did not run there",
@@ -266,6 +282,8 @@
 		return line.quarantineText()
 	case "memory budget exceeded":
 		return line.memoryText()
+	case "sent again":
+		return fmt.Sprintf("sent again, to server %s, though it may run only once: it did not run at server %s, as %s", line.Server, line.Previous, signText(line.Sign))
 	case "suspect sent":
 		return line.suspectText()
 	case "cleared":
@@ -473,6 +491,9 @@
 		text += fmt.Sprintf("answered with the server's %d, first after %.0f ms", line.Status, line.First)
 	} else {
 		text += fmt.Sprintf("%s (%s, outcome %s)", line.Problem, line.Result, line.Outcome)
+		if line.Sign != "" {
+			text += "; it did not run, as " + signText(line.Sign)
+		}
 	}
 	return text + fmt.Sprintf("; sent %d times, may have run %d times, %.0f ms in all", line.Sends, line.Runs, line.Took)
 }
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -96,6 +96,16 @@
 	require.Contains(t, text.String(), "that counts for nothing (evidence: answer to other nodes)")
 }
 
+// What allowed a second attempt of a request that may run once, and what a refusal as not run rests on.
+func TestExplainNamesSignsThatNothingRan(t *testing.T) {
+	log := `{"node":"a","id":"r1","server":"i-8","previous":"i-7","sign":"peer_stated","message":"sent again","time":"2000-01-01T00:00:01Z"}
+{"node":"a","id":"r1","problem":"no server","result":"no_endpoint","outcome":"not-run","sign":"unsent","sends":2,"message":"request","time":"2000-01-01T00:00:02Z"}`
+	text := strings.Builder{}
+	require.NoError(t, explain(strings.NewReader(log), &text, "r1"))
+	require.Contains(t, text.String(), "sent again, to server i-8, though it may run only once: it did not run at server i-7, as another node reports that the server stated that it did not run it")
+	require.Contains(t, text.String(), "outcome not-run); it did not run, as no byte of it was sent")
+}
+
 func TestExplainWithoutMatchingLines(t *testing.T) {
 	err := explain(strings.NewReader(explainLog), &strings.Builder{}, "r9")
 	require.ErrorContains(t, err, "5 that the nodes suppressed")
--- a/internal/exchange/driver.go
+++ b/internal/exchange/driver.go
@@ -167,9 +167,22 @@
 		driver.received = append(driver.received, update.reply.Complete)
 	}
 	driver.recordActivity(update.event)
+	driver.outcome.Sign = signOf(update.event)
 	driver.step(update.event)
 }
 
+// signOf returns the sign by which an event shows that the attempt did not run; the zero value if it does not.
+func signOf(event Event) Sign {
+	switch event := event.(type) {
+	case Refused:
+		return event.Sign
+	case Unreached:
+		return event.Sign
+	default:
+		return Sign{}
+	}
+}
+
 // receiveReady processes an update that has come while the driver wrote to a slow caller, and reports whether there was one.
 // A timer that has passed meanwhile shows nothing of the server then.
 func (driver *driver) receiveReady() bool {
@@ -325,9 +338,18 @@
 	}
 	driver.endWait()
 	driver.placement = placement
+	driver.observeResend(placement.Server())
 	driver.step(Placed{Server: placement.Server()})
 }
 
+// observeResend reports a further attempt of a request that may run once, on a server.
+func (driver *driver) observeResend(server string) {
+	if driver.request.ObserveResend == nil || driver.request.Rules.Repeatable || driver.machine.Sends() == 0 {
+		return
+	}
+	driver.request.ObserveResend(Resend{Server: server, Previous: driver.ended.Server(), Sign: driver.outcome.Sign})
+}
+
 // beginWait records that a stream which has begun waits before it goes on. Only a change of the cause is reported.
 func (driver *driver) beginWait(cause WaitCause, reason string) {
 	if driver.outcome.Events == 0 || driver.wait.Cause == cause {
@@ -517,6 +539,14 @@
 	return update{event: Answered{}, result: ResultServed, reply: reply}
 }
 
+// signBy returns a sign as reported by this node or by a peer.
+func signBy(sign Sign, byPeer bool) Sign {
+	if byPeer {
+		return sign.ByPeer()
+	}
+	return sign
+}
+
 func failureUpdate(err error) update {
 	var refused *ErrRefused
 	var unreached *ErrUnreached
@@ -530,11 +560,11 @@
 	case errors.As(err, &unvouched):
 		return update{event: Unvouched{Status: unvouched.Status}, result: ResultFaulty}
 	case errors.As(err, &refused):
-		return update{event: Refused{Reason: refused.Reason}, result: ResultRefused}
+		return update{event: Refused{Reason: refused.Reason, Sign: signBy(SignStated, refused.ByPeer)}, result: ResultRefused}
 	case errors.As(err, &unreached):
-		return update{event: Unreached{Reason: unreached.Reason}, result: ResultUnreached}
+		return update{event: Unreached{Reason: unreached.Reason, Sign: signBy(SignUnsent, unreached.ByPeer)}, result: ResultUnreached}
 	case errors.As(err, &withdrawn):
-		return update{event: Unreached{Reason: withdrawn.Reason}, result: ResultNeutral}
+		return update{event: Unreached{Reason: withdrawn.Reason, Sign: signBy(SignWithdrawn, withdrawn.ByPeer)}, result: ResultNeutral}
 	case errors.As(err, &cutOff):
 		return update{event: Broken{Reason: err.Error()}, result: ResultCutOff}
 	default:
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -28,11 +28,17 @@
 }
 
 // Refused reports that the server stated that it did not and will not run the attempt.
-type Refused struct{ Reason string }
+type Refused struct {
+	Reason string
+	Sign   Sign
+}
 
 // Unreached reports that nothing was sent to the server, usually because no connection
 // could be established.
-type Unreached struct{ Reason string }
+type Unreached struct {
+	Reason string
+	Sign   Sign
+}
 
 // Answered reports a complete response. Faulty is set if it is a server error, so that a
 // retry on another server may succeed.
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -79,13 +79,19 @@
 	AnotherInstance bool
 	// RespondingInstance is the ID of the instance that responded, if it was another one and named itself.
 	RespondingInstance string
+	// ByPeer is set if another node reports it, to which the attempt was forwarded.
+	ByPeer bool
 }
 
 // Error implements the error interface.
 func (refused *ErrRefused) Error() string { return "not run: " + refused.Reason }
 
 // ErrUnreached is returned if no connection to the server could be established.
-type ErrUnreached struct{ Reason string }
+type ErrUnreached struct {
+	Reason string
+	// ByPeer is set if other nodes report it, to which the attempt was forwarded.
+	ByPeer bool
+}
 
 // Error implements the error interface.
 func (unreached *ErrUnreached) Error() string { return "not reached: " + unreached.Reason }
@@ -93,7 +99,11 @@
 // ErrWithdrawn is returned if nothing was sent for a reason that says nothing of the server's
 // health: it announced after it was chosen that it accepts no more requests, or this node lacks a
 // resource for a connection.
-type ErrWithdrawn struct{ Reason string }
+type ErrWithdrawn struct {
+	Reason string
+	// ByPeer is set if another node reports it, to which the attempt was forwarded.
+	ByPeer bool
+}
 
 // Error implements the error interface.
 func (w *ErrWithdrawn) Error() string { return "not sent: " + w.Reason }
@@ -220,6 +230,8 @@
 	Stopping <-chan struct{}
 	// Observe, if set, is called with each event and the server that it concerns.
 	Observe func(server string, event Event)
+	// ObserveResend, if set, is called when a request that may run once is sent to a server after attempts that did not run.
+	ObserveResend func(resend Resend)
 	// ObserveWait, if set, is called when a stream that has begun starts to wait before it goes on, and when that ends.
 	ObserveWait func(wait Wait)
 }
@@ -245,6 +257,14 @@
 	Waited time.Duration
 }
 
+// Resend is a further attempt of a request that may run once.
+type Resend struct {
+	// Server is that of the attempt, and Previous that of the last one, which did not run by Sign.
+	Server   string
+	Previous string
+	Sign     Sign
+}
+
 // Outcome is how a request ended.
 type Outcome struct {
 	// Failure is nil if the caller got a complete response of a server.
@@ -256,6 +276,8 @@
 	Events int
 	Runs   int
 	Sends  int
+	// Sign is what showed that the last attempt did not run, if it did not.
+	Sign Sign
 	// TimeToHead is the time from the start of Run until the head of the response was
 	// written to the caller.
 	TimeToHead time.Duration
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -89,7 +89,7 @@
 		}
 		reason = "node " + use.node.Name + ": " + err.Error()
 	}
-	return nil, &exchange.ErrUnreached{Reason: "neither this node nor others reach the server: " + reason}
+	return nil, &exchange.ErrUnreached{Reason: "neither this node nor others reach the server: " + reason, ByPeer: len(excluded) > 0}
 }
 
 // Available reports whether any node may be asked to forward an attempt now.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -169,10 +169,12 @@
 			require.Equal(t, 1, asked)
 			var cutOff *exchange.ErrCutOff
 			switch name {
-			case "refused", "unvouched", "path failed":
+			case "unvouched", "path failed":
 				require.Equal(t, c.err, err)
+			case "refused":
+				require.Equal(t, &exchange.ErrRefused{Reason: "503", LoadedVersion: 4, AnotherInstance: true, RespondingInstance: "i-2", ByPeer: true}, err)
 			case "withdrawn":
-				require.Equal(t, c.err, err)
+				require.Equal(t, &exchange.ErrWithdrawn{Reason: "draining", ByPeer: true}, err)
 			case "cut off":
 				require.ErrorAs(t, err, &cutOff)
 			default:
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -144,11 +144,11 @@
 	case errorNone:
 		return nil
 	case errorRefused:
-		return &exchange.ErrRefused{Reason: w.Reason, LoadedVersion: w.LoadedVersion, AnotherInstance: w.AnotherInstance, RespondingInstance: w.RespondingInstance}
+		return &exchange.ErrRefused{Reason: w.Reason, LoadedVersion: w.LoadedVersion, AnotherInstance: w.AnotherInstance, RespondingInstance: w.RespondingInstance, ByPeer: true}
 	case errorUnreached:
-		return &exchange.ErrUnreached{Reason: w.Reason}
+		return &exchange.ErrUnreached{Reason: w.Reason, ByPeer: true}
 	case errorWithdrawn:
-		return &exchange.ErrWithdrawn{Reason: w.Reason}
+		return &exchange.ErrWithdrawn{Reason: w.Reason, ByPeer: true}
 	case errorCutOff:
 		return &exchange.ErrCutOff{Reason: w.Reason}
 	case errorUnavailable:
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -72,7 +72,8 @@
 			}
 			proxy.recorder.Attempt(admitted.request, server, event, suspects)
 		},
-		ObserveWait: func(wait exchange.Wait) { proxy.recorder.StreamWaits(admitted.request, wait) },
+		ObserveResend: func(resend exchange.Resend) { proxy.recorder.Resent(admitted.request, resend) },
+		ObserveWait:   func(wait exchange.Wait) { proxy.recorder.StreamWaits(admitted.request, wait) },
 	}
 }
 
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -49,6 +49,8 @@
 type Recorder interface {
 	// Placed records a placement.
 	Placed(request *Request, choice PlacementDecision)
+	// Resent records that a request that may run once is sent again, and what shows that it did not run.
+	Resent(request *Request, resend exchange.Resend)
 	// FirstTokenPredicted records the predicted and the actual time from the placement to the first
 	// token of a request.
 	FirstTokenPredicted(predicted, actual time.Duration)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -12,6 +12,7 @@
 	Registry            *prometheus.Registry
 	requests            *prometheus.CounterVec
 	attempts            *prometheus.CounterVec
+	resends             *prometheus.CounterVec
 	retries             *prometheus.CounterVec
 	tooLargeResponses   *prometheus.CounterVec
 	firstResponse       *prometheus.HistogramVec
@@ -78,6 +79,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_attempts_total", Help: "Events of attempts at servers by kind.",
 		}, []string{"event"}),
+		resends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_resends_total", Help: "Further attempts of requests that may run once, by the sign that the previous one did not run.",
+		}, []string{"sign"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_retries_total", Help: "Retries that requests asked for, by service and by whether this node's share of the fleet's budget had one.",
 		}, []string{"service", "result"}),
@@ -205,7 +209,7 @@
 		}
 		return -1
 	})
-	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.retries, metrics.tooLargeResponses, metrics.firstResponse, metrics.predictionErrors, metrics.storeReads,
+	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.resends, metrics.retries, metrics.tooLargeResponses, metrics.firstResponse, metrics.predictionErrors, metrics.storeReads,
 		metrics.orders, metrics.waitedOrders, metrics.connections, metrics.connectionTimeouts, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.noRoom, metrics.roomRejections, metrics.deferred, metrics.placementConflicts, metrics.keptAttempts, metrics.releases, metrics.releaseWait, metrics.quarantined, metrics.suspectsSent, metrics.trials, metrics.turnedAway, metrics.endedWithConnection, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.upstreamsLost, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
 	metrics.Registry.MustRegister(metrics.storeCalls.collectors()...)
 	return metrics
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -406,6 +406,13 @@
 	line.Dur("after", boottime.Since(request.Arrived)).Msg("attempt")
 }
 
+// Resent records that a request that may run once is sent again, and what shows that it did not run.
+func (recorder *Recorder) Resent(request *proxy.Request, resend exchange.Resend) {
+	recorder.metrics.resends.WithLabelValues(resend.Sign.String()).Inc()
+	recorder.limitedLine(zerolog.InfoLevel).Str("id", request.ID).Str("server", resend.Server).Str("previous", resend.Previous).
+		Stringer("sign", resend.Sign).Msg("sent again")
+}
+
 // recordReleased records that the request need not wait any longer for its previous server.
 func (recorder *Recorder) recordReleased(request *proxy.Request, server string, event exchange.Released) {
 	recorder.metrics.releases.WithLabelValues(string(event.Reason)).Inc()
@@ -431,6 +438,9 @@
 	if outcome.Failure != nil {
 		result = string(outcome.Failure.Kind)
 		line.Str("problem", outcome.Failure.Problem).Str("outcome", string(outcome.Failure.Outcome))
+		if outcome.Sends > 0 && outcome.Failure.Outcome == failure.NotRun {
+			line.Stringer("sign", outcome.Sign)
+		}
 	}
 	if aborted {
 		line.Bool("aborted", true)
