Take only the server's statement for a request that did not run

Cause: parseResponse took the status 421 for a refusal, whoever sent it. A status says what was asked of the server, not whether it ran.

Change: a refusal is one header Cloverrail-Not-Executed: 1 on a response that is no success. A 421 without it is an attempt that may have run (event unvouched): repeated within the budget where that is allowed, else 502. Another instance that names itself in it still shows that the server is gone. A refusal with 421 that another node reports counts only if that node's build knows the difference.

The test's own table took 421 for a statement; PROTOCOL says that nothing but the header is one. It is stricter now, and each request that may run once must have run once at most.

--- a/cmd/cloverrail/notice_test.go
+++ b/cmd/cloverrail/notice_test.go
@@ -35,6 +35,9 @@
 	allCalls        = map[string]routeCall{"once": nonIdempotent, "again": idempotent, "resumable stream": resumableStream, "stream": plainStream}
 )
 
+// repeatable reports whether requests of the route may run more than once.
+func (c routeCall) repeatable() bool { return c == idempotent || c == resumableStream }
+
 // make sends one request on a route.
 func (fixture *fixture) make(c routeCall) clientResult {
 	return fixture.send(c.method, c.path, "turn", func(request *http.Request) {
--- a/cmd/cloverrail/promise_test.go
+++ b/cmd/cloverrail/promise_test.go
@@ -48,10 +48,8 @@
 	retryAfter  bool
 }
 
-// vouched says that the response states that the request did not run.
-func (r scriptedResponse) vouched() bool {
-	return r.status != 0 && r.notExecuted || r.status == http.StatusMisdirectedRequest
-}
+// vouched says that the response states that the request did not run. No status says so by itself.
+func (r scriptedResponse) vouched() bool { return r.status != 0 && r.notExecuted }
 
 func (r scriptedResponse) promises() bool { return slices.Contains(promises, r.status) }
 
@@ -225,8 +223,11 @@
 	return id, got
 }
 
-// requireTrue checks that a response promises nothing that is not so.
-func (f *promiseFixture) requireTrue(t require.TestingT, id string, got clientResult) {
+// requireTrue checks that a response promises nothing that is not so, and that a request which may run once did.
+func (f *promiseFixture) requireTrue(t require.TestingT, c routeCall, id string, got clientResult) {
+	if !c.repeatable() {
+		require.LessOrEqual(t, f.servers.runsOf(id), 1, "status %d for a request that ran twice: %s", got.status, got.body)
+	}
 	if slices.Contains(promises, got.status) {
 		require.Zero(t, f.servers.runsOf(id), "status %d for a request that ran: %s", got.status, got.body)
 		require.Empty(t, got.header.Get(standin.HeaderStamp), "a promise of the node's own")
@@ -243,7 +244,7 @@
 		before := silent()
 		id, got := f.post(c, responses...)
 		require.NoError(f.t, got.err)
-		f.requireTrue(f.t, id, got)
+		f.requireTrue(f.t, c, id, got)
 		if silent() == before {
 			return got
 		}
@@ -274,10 +275,9 @@
 			t.Run(way+", "+kind, func(t *testing.T) {
 				t.Parallel()
 				f := newPromiseFixture(t, way, c)
-				repeatable := kind == "again" || kind == "resumable stream"
 				for _, response := range tableResponses() {
 					got := f.sendHeard(c, response)
-					retried := response.vouched() || repeatable && (response.status >= http.StatusInternalServerError || response.promises())
+					retried := response.vouched() || c.repeatable() && (response.status >= http.StatusInternalServerError || response.promises())
 					f.requireOutcome(response, retried, got)
 					got = f.sendHeard(c, slices.Repeat([]scriptedResponse{response}, exchange.DefaultMaxSends)...)
 					f.requireOutcome(response, false, got)
@@ -326,7 +326,7 @@
 			property.CheckMany(t, cases, func(t *rapid.T) {
 				c := allCalls[rapid.SampledFrom(kinds).Draw(t, "kind")]
 				id, got := f.sendScript(c, drawScript(t)...)
-				f.requireTrue(t, id, got)
+				f.requireTrue(t, c, id, got)
 				switch {
 				case slices.Contains(promises, got.status):
 					promised++
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -123,7 +123,11 @@
 
 // ErrUnvouched is returned if the status of a complete response promises that the request did not run, and nobody
 // vouches for that: the server did not state it, so that the attempt may have run.
-type ErrUnvouched struct{ Status int }
+type ErrUnvouched struct {
+	Status int
+	// RespondingInstance is the ID of the instance that responded, if it was another one and named itself.
+	RespondingInstance string
+}
 
 // Error implements the error interface.
 func (u *ErrUnvouched) Error() string {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -148,7 +148,7 @@
 		"unavailable": {err: &proxy.ErrUnavailable{Reason: "stopping"}, next: true},
 		"withdrawn":   {err: &exchange.ErrWithdrawn{Reason: "draining"}},
 		"cut off":     {err: &exchange.ErrCutOff{Reason: "EOF"}},
-		"unvouched":   {err: &exchange.ErrUnvouched{Status: 503}},
+		"unvouched":   {err: &exchange.ErrUnvouched{Status: 421, RespondingInstance: "i-2"}},
 		"path failed": {err: &exchange.ErrPathFailed{Reason: "reset"}},
 		"broken":      {err: errors.New("garbled")},
 	} {
@@ -184,6 +184,17 @@
 	}
 }
 
+// Guards against taking a 421 for "not run" because a node of a former build does, which needs no statement of the server.
+func TestMisdirectionReportedByFormerBuildMayHaveRun(t *testing.T) {
+	former := wireError{Kind: errorRefused, Reason: "421", AnotherInstance: true, RespondingInstance: "i-2"}
+	require.Equal(t, &exchange.ErrUnvouched{Status: 421, RespondingInstance: "i-2"}, former.err())
+	former.Reason = "503"
+	var refused *exchange.ErrRefused
+	require.ErrorAs(t, former.err(), &refused)
+	stated := newWireError(&exchange.ErrRefused{Reason: "421"})
+	require.ErrorAs(t, stated.err(), &refused)
+}
+
 // Guards against "not run" from a kind of error that a later build has added.
 func TestErrorOfUnknownKindMayHaveRun(t *testing.T) {
 	require.EqualError(t, wireError{Kind: errorPathFailed + 1, Reason: "new"}.err(), "new")
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -9,6 +9,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -106,8 +107,13 @@
 	RespondingInstance string
 	// Status is that of an errorUnvouched.
 	Status int
+	// Stated is set in an errorRefused by builds that take only the server's statement for a refusal.
+	Stated bool
 }
 
+// misdirected is the reason of a refusal with the status 421, which former builds take for one without a statement.
+var misdirected = strconv.Itoa(http.StatusMisdirectedRequest)
+
 // newWireError returns the message of an error. An error of an unknown type says nothing of whether
 // the attempt ran.
 func newWireError(err error) wireError {
@@ -122,9 +128,9 @@
 	case errors.As(err, &pathFailed):
 		return wireError{Kind: errorPathFailed, Reason: pathFailed.Reason}
 	case errors.As(err, &unvouched):
-		return wireError{Kind: errorUnvouched, Reason: err.Error(), Status: unvouched.Status}
+		return wireError{Kind: errorUnvouched, Reason: err.Error(), Status: unvouched.Status, RespondingInstance: unvouched.RespondingInstance}
 	case errors.As(err, &refused):
-		return wireError{Kind: errorRefused, Reason: refused.Reason, LoadedVersion: refused.LoadedVersion, AnotherInstance: refused.AnotherInstance, RespondingInstance: refused.RespondingInstance}
+		return wireError{Kind: errorRefused, Stated: true, Reason: refused.Reason, LoadedVersion: refused.LoadedVersion, AnotherInstance: refused.AnotherInstance, RespondingInstance: refused.RespondingInstance}
 	case errors.As(err, &unreached):
 		return wireError{Kind: errorUnreached, Reason: unreached.Reason}
 	case errors.As(err, &withdrawn):
@@ -144,6 +150,9 @@
 	case errorNone:
 		return nil
 	case errorRefused:
+		if !w.Stated && w.Reason == misdirected {
+			return &exchange.ErrUnvouched{Status: http.StatusMisdirectedRequest, RespondingInstance: w.RespondingInstance}
+		}
 		return &exchange.ErrRefused{Reason: w.Reason, LoadedVersion: w.LoadedVersion, AnotherInstance: w.AnotherInstance, RespondingInstance: w.RespondingInstance, ByPeer: true}
 	case errorUnreached:
 		return &exchange.ErrUnreached{Reason: w.Reason, ByPeer: true}
@@ -156,7 +165,7 @@
 	case errorPathFailed:
 		return &exchange.ErrPathFailed{Reason: w.Reason}
 	case errorUnvouched:
-		return &exchange.ErrUnvouched{Status: w.Status}
+		return &exchange.ErrUnvouched{Status: w.Status, RespondingInstance: w.RespondingInstance}
 	default:
 		return errors.New(w.Reason)
 	}
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -117,6 +117,10 @@
 // learnFromRefusal updates the server set from a refusal, which can show that the
 // incarnation is gone or which version of the weights the server has loaded.
 func (placement *placement) learnFromRefusal(dispatch Dispatch, err error) {
+	var unvouched *exchange.ErrUnvouched
+	if errors.As(err, &unvouched) && unvouched.RespondingInstance != "" {
+		placement.placer.proxy.set.ObserveOtherInstance(placement.chosen.Endpoint, unvouched.RespondingInstance, boottime.Now())
+	}
 	var refused *exchange.ErrRefused
 	if !errors.As(err, &refused) {
 		return
