Send one request of the fleet at a time while a part's verdict is open

What callers and operators saw: requests with a part of a prompt that crashes servers reached servers long after the fifth crash, 12 to 16 of them where 3 are allowed, and took the servers down a second time as soon as they were back.

Cause: nothing bounded what goes out while the verdict is open. Requests that are under way together crash servers at one moment, which weighs too little; the crash that would decide counts 0.5 to 0.8 s after it happened, and until then each node sent all that came. A sharper weight cannot close that.

Change: from five crashes on a part is on probation until an answer clears it, a response with it goes on, or it is quarantined: one request of the fleet is sent with it at a time, by a claim in the store, and others wait for up to 3 s. Its crash decides, unless something else that ran there explains as many.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -203,6 +203,7 @@
 		Quarantine:    process.quarantineLedger,
 		Unconfirmed:   process.crashUnconfirmed,
 		Trials:        &quarantine.Trials{Store: process.store.WithPurpose("quarantine"), Prefix: platform.PrefixTrials, Now: boottime.Now},
+		Probation:     process.newProbation(),
 		Capacity:      process.capacity,
 
 		Origins:       process.origins,
@@ -510,6 +511,13 @@
 	}
 }
 
+// newProbation returns the limit of requests with parts on probation.
+func (process *process) newProbation() *quarantine.Probation {
+	return &quarantine.Probation{
+		Store: process.store.WithPurpose("quarantine"), Prefix: platform.PrefixTrials, Now: boottime.Now, Nodes: func() int { return process.registry.Nodes() }, Claimed: process.recorder.PassClaimed,
+	}
+}
+
 // crashUnconfirmed reports whether it is uncertain that a server crashed at a time: the fleet has
 // not yet learned what else ran there, the server has answered a request that was sent later, or
 // it is still listed although its entry would have expired.
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -83,6 +83,8 @@
 	// Parts holds the fingerprints of the shared parts of the prompt, which are the same for all requests of a tenant
 	// that share them.
 	Parts []string `json:"parts"`
+	// Part is the fingerprint of the part that a decision is about.
+	Part string `json:"part"`
 	// Settled says whether a suspected server had crashed.
 	Settled string `json:"settled"`
 	// Evidence is what shows that.
@@ -286,6 +288,8 @@
 		return fmt.Sprintf("sent again, to server %s, though it may run only once: it did not run at server %s, as %s", line.Server, line.Previous, signText(line.Sign))
 	case "suspect sent":
 		return line.suspectText()
+	case "on probation":
+		return line.probationText()
 	case "cleared":
 		return fmt.Sprintf("a whole answer, which clears request %s", line.Fingerprint)
 	case "suspicion":
@@ -461,6 +465,14 @@
 	return text
 }
 
+func (line logLine) probationText() string {
+	part := fmt.Sprintf("part %s of its prompt is on probation, as %d servers have ended under it", line.Part, line.Crashes)
+	if line.Result == "waits" {
+		return part + ": it waits until no other request with the part is being tried"
+	}
+	return part + ": it is the one that is tried"
+}
+
 func (line logLine) suspicionText() string {
 	text := fmt.Sprintf("server %s closed a connection before its whole answer and goes on to answer: that counts for nothing", line.Server)
 	if line.Settled == "ended" {
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -22,6 +22,8 @@
 	Expired bool
 	// RetryAfter is the retry delay for the caller; 0 if unknown.
 	RetryAfter time.Duration
+	// Wait is how long the request waits for this reason to end, if that is longer than Rules.PlacementWait.
+	Wait time.Duration
 	// Refusal, if set, is the failure of the request, unless a response of a server has begun. A stream that was given up
 	// for its server's silence waits where it has a retry delay.
 	Refusal *failure.Failure
--- a/internal/exchange/machine.go
+++ b/internal/exchange/machine.go
@@ -36,6 +36,8 @@
 const (
 	// placementRetryDelay is the delay between placements while no server has free capacity.
 	placementRetryDelay = 20 * time.Millisecond
+	// longWaitRetryDelay is the same while the request waits for longer than Rules.PlacementWait.
+	longWaitRetryDelay = 50 * time.Millisecond
 	// continuationDelay is the delay between tries to continue a stream that no server has broken off.
 	continuationDelay = 100 * time.Millisecond
 )
@@ -191,8 +193,12 @@
 	if event.Expired {
 		return machine.expired()
 	}
-	if !event.Permanent && now.Sub(machine.placingSince) < machine.rules.PlacementWait {
-		return []Action{Place{Excluded: machine.excluded, Delay: placementRetryDelay}}
+	if !event.Permanent && now.Sub(machine.placingSince) < max(machine.rules.PlacementWait, event.Wait) {
+		delay := placementRetryDelay
+		if event.Wait > 0 {
+			delay = longWaitRetryDelay
+		}
+		return []Action{Place{Excluded: machine.excluded, Delay: delay}}
 	}
 	if event.Refusal != nil && !(machine.owesContinuation && event.Refusal.RetryAfter > 0) {
 		return machine.refuse(event.Refusal)
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -445,6 +445,7 @@
 		placement.longestGap = max(placement.longestGap, now.Sub(placement.lastEventAt))
 	}
 	placement.lastEventAt = now
+	placement.noteProgress(now)
 	if placement.placer.admitted.origin == nil && placement.keepsOrigin() {
 		placement.placer.admitted.origin = &placement.origin
 	}
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -57,6 +57,9 @@
 	gaveUpSilent bool
 	// kept is set once the attempt has been kept because other nodes hear its server.
 	kept bool
+	// firstEventAt is when the first event of the response was passed on, and progressed is set once the quarantine ledger knows that the response goes on.
+	firstEventAt time.Time
+	progressed   bool
 }
 
 // Server returns the name of the server's incarnation.
@@ -252,7 +255,9 @@
 	if result == exchange.ResultServed && placement.endsWithConnection.Load() && placement.implicatesRequest() {
 		placement.placer.admitted.unverified = &unverifiedEnd{server: placement.chosen, sentAt: placement.placedAt, at: now}
 	}
-	if result == exchange.ResultCutOff && placement.implicatesRequest() {
+	implicated := result == exchange.ResultCutOff && placement.implicatesRequest()
+	placement.placer.admitted.endPass(implicated)
+	if implicated {
 		placement.placer.admitted.cutOff = true
 		placement.placer.proxy.suspect(placement.placer.admitted, placement.chosen, placement.responding, placement.placedAt, now)
 	}
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -135,6 +135,16 @@
 
 // Place chooses the cheapest available server and begins an attempt on it.
 func (placer *placer) Place(excluded []string) (exchange.Placement, *exchange.Unplaced) {
+	placement, unplaced := placer.choose(excluded)
+	if unplaced != nil {
+		placer.admitted.returnPass()
+		return nil, unplaced
+	}
+	return placement, nil
+}
+
+// choose is Place, but for the pass of a request that is not placed.
+func (placer *placer) choose(excluded []string) (*placement, *exchange.Unplaced) {
 	placer.excluded = excluded
 	now := boottime.Now()
 	if unplaced := placer.checkBarred(now); unplaced != nil {
@@ -173,6 +183,9 @@
 	if !now.Before(placer.admitted.deadline) {
 		return &exchange.Unplaced{Expired: true}
 	}
+	if unplaced := placer.awaitPass(); unplaced != nil {
+		return unplaced
+	}
 	return placer.checkOrigin()
 }
 
@@ -252,6 +265,9 @@
 			if refusal := placer.checkOverload(selection, excluded, now); refusal != nil {
 				return nil, refusal
 			}
+			if unplaced := placer.takePass(); unplaced != nil {
+				return nil, unplaced
+			}
 			placed := placer.begin(selection, query, now)
 			if placed == nil || placer.takeFromLimit(selection.chosen(), now) {
 				return placed, nil
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -176,6 +176,7 @@
 	quarantine    *quarantine.Ledger
 	unconfirmed   quarantine.Unconfirmed
 	trials        *quarantine.Trials
+	probation     *quarantine.Probation
 	closeTimes    *closeTimes
 	runTimes      *runTimes
 	// origins holds what began each stream, and originHolders asks other nodes; nil if there are none.
@@ -228,6 +229,8 @@
 	Unconfirmed quarantine.Unconfirmed
 	// Trials claims trials of quarantined parts of prompts; nil if there are none.
 	Trials *quarantine.Trials
+	// Probation limits the requests with parts of prompts on probation; nil for no limit.
+	Probation *quarantine.Probation
 	// Capacity estimates the capacity of the servers of services that routes of different
 	// priority share; nil for a new estimator.
 	Capacity *capacity.Estimator
@@ -273,6 +276,7 @@
 		quarantine:    options.Quarantine,
 		unconfirmed:   options.Unconfirmed,
 		trials:        options.Trials,
+		probation:     options.Probation,
 		closeTimes:    newCloseTimes(),
 		runTimes:      newRunTimes(),
 		origins:       options.Origins,
@@ -341,6 +345,10 @@
 	suspected quarantine.Suspects
 	// trial is the quarantined part that the request tries; 0 if it tries none.
 	trial quarantine.Fingerprint
+	// pass permits the request to be sent with a part on probation; nil if it has none. waitsForPass is set once the
+	// request has waited for one.
+	pass         *quarantine.Pass
+	waitsForPass bool
 	// placedAt is when the latest attempt was placed, and cutOff is set once a server may have crashed while running
 	// the request.
 	placedAt time.Time
--- a/internal/proxy/recorder.go
+++ b/internal/proxy/recorder.go
@@ -77,6 +77,8 @@
 	// RequestQuarantined records a request that was refused because servers crashed while running it, or others with
 	// a part of its prompt.
 	RequestQuarantined(request *Request, suspects quarantine.Suspects, verdict quarantine.Verdict)
+	// OnProbation records that a request with a part on probation may be sent, or that it waits.
+	OnProbation(request *Request, decision ProbationDecision)
 	// SuspectSent records a request that was sent to a server although several servers crashed while running it, or others
 	// with a part of its prompt.
 	SuspectSent(request *Request, verdict quarantine.Verdict)
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -35,6 +35,7 @@
 func (nopRecorder) Overload(*Request, OverloadDecision)                                  {}
 func (nopRecorder) RequestQuarantined(*Request, quarantine.Suspects, quarantine.Verdict) {}
 func (nopRecorder) Resent(*Request, exchange.Resend)                                     {}
+func (nopRecorder) OnProbation(*Request, ProbationDecision)                              {}
 func (nopRecorder) SuspectSent(*Request, quarantine.Verdict)                             {}
 func (nopRecorder) ResponseEndedWithConnection()                                         {}
 func (nopRecorder) TrialClaimed(*Request, quarantine.Fingerprint, error)                 {}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -17,14 +17,14 @@
 	// sharedWeight is the weight of a crash for a request that ran beside another one with at least
 	// as many crashes.
 	sharedWeight = 0.5
-	// propagationTime is the time until all nodes know of a crash: they wait half a second for a
+	// PropagationTime is the time until all nodes know of a crash: they wait half a second for a
 	// sign of life of the server, and observations reach all nodes in less than a second.
-	propagationTime = 1500 * time.Millisecond
+	PropagationTime = 1500 * time.Millisecond
 	// soloConfirmDelay is the minimum age of a crash to count as solo (no other suspect on the
 	// server) for a request that also has shared crashes. Busy nodes are slow to report what else
 	// ran on the server.
 	soloConfirmDelay = 1200 * time.Millisecond
-	// crashGroupThreshold is the number of separate propagationTime intervals with crashes that it
+	// crashGroupThreshold is the number of separate PropagationTime intervals with crashes that it
 	// takes to quarantine a request with only shared crashes: within the first one no node could
 	// isolate it from the others. With crashes in more intervals the quarantine is no longer
 	// ambiguous.
@@ -32,7 +32,7 @@
 	// minAmbiguousDuration is the minimum quarantine of a request with only shared crashes; the
 	// maximum is twice that. What the first such request to return does is known to all nodes
 	// before most others return.
-	minAmbiguousDuration = 2 * propagationTime
+	minAmbiguousDuration = 2 * PropagationTime
 	// pendingSuspicionDuration is how long a request that has returned from an ambiguous quarantine
 	// is rejected while a suspicion of another crash is unresolved.
 	pendingSuspicionDuration = time.Second
@@ -47,16 +47,19 @@
 	// minUncontrastedTrialDelay is the same while the node sees the service answer nothing at all, so that the part may
 	// only be what all its requests share.
 	minUncontrastedTrialDelay = 10 * time.Second
-	// maxPartCrashes is the number of crashes of a part in more than one propagationTime interval, some of them without
+	// maxPartCrashes is the number of crashes of a part in more than one PropagationTime interval, some of them without
 	// another suspect, that suffice for its quarantine whatever else ran on the servers. It is also the minimum number of
 	// crashes for a quarantine because of separate crashes within one interval.
 	maxPartCrashes = 5
-	// maxPartGroupWeight is the maximum weight of the crashes of a part within one propagationTime interval: one more
+	// maxPartGroupWeight is the maximum weight of the crashes of a part within one PropagationTime interval: one more
 	// crash in a later interval suffices for its quarantine.
 	maxPartGroupWeight = crashThreshold - 1.0
 	// minCrashSeparation is the time between a crash and the sending of a request under which another server crashes, from
 	// which on one event cannot have caused both: nodes see the crashes of one event that much apart at most.
 	minCrashSeparation = 50 * time.Millisecond
+	// maxAmbiguousTrials is the number of requests with a part on probation that may crash servers beside other suspects
+	// before requests with it are rejected for a while. One such crash may be that of another part on probation.
+	maxAmbiguousTrials = 2
 	// partExcuseDivisor is the share of a part's crashes, one in partExcuseDivisor, that another suspect must have to be
 	// to blame for one of them. What runs beside two parts that crash servers equally often has twice their crashes, and
 	// what runs beside one by chance a small share of them.
@@ -73,7 +76,7 @@
 	servedTTL = 30 * time.Second
 	// partServedInterval is the minimum time between two complete responses that are recorded for a part and clear no
 	// crash of it, so that a popular part takes few messages however many nodes serve it.
-	partServedInterval = propagationTime
+	partServedInterval = PropagationTime
 	// maxSuspects bounds the remembered suspects. It is the number of requests that become suspect at once when a
 	// zone of 250 servers with 16 requests each is lost, and as many parts that they share.
 	maxSuspects = 8192
@@ -81,7 +84,7 @@
 	// evictionDivisor.
 	evictionDivisor = 4
 	// maxCrashesPerSuspect bounds the remembered crashes of a suspect. It exceeds the number of
-	// crashes within propagationTime, so that the shared crashes of two suspects remain known for
+	// crashes within PropagationTime, so that the shared crashes of two suspects remain known for
 	// both.
 	maxCrashesPerSuspect = 32
 	// expiryInterval is the minimum time between scans for expired observations.
@@ -121,6 +124,9 @@
 	served observation
 	// quarantined is when the shared store was last seen to contain the suspect.
 	quarantined observation
+	// progressed is when the latest request of this node with the part was sent whose response has gone on for
+	// longer than servers last under a part that crashes them.
+	progressed time.Time
 }
 
 // serviceState is what this node has seen of a service.
@@ -245,6 +251,18 @@
 	return cleared
 }
 
+// Progressed records that the response to a request that was sent at a given time goes on, longer than servers last under
+// a part that crashes them. It ends the probation of its parts at this node, and clears nothing.
+func (l *Ledger) Progressed(suspects Suspects, sentAt time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, f := range suspects.Parts {
+		if h := l.histories[f]; h != nil {
+			h.progressed = later(h.progressed, sentAt)
+		}
+	}
+}
+
 // clears reports whether a complete response at a given time is new information about a suspect.
 func (l *Ledger) clears(f Fingerprint, part bool, at time.Time) bool {
 	h := l.histories[f]
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -302,7 +302,7 @@
 	now := begin
 	for server := range uint64(2 * crashThreshold) {
 		require.False(t, l.Evaluate(request(7), alwaysConfirmed, now).Quarantined)
-		now = begin.Add(time.Duration(server) * propagationTime * 2 / (2*crashThreshold - 1))
+		now = begin.Add(time.Duration(server) * PropagationTime * 2 / (2*crashThreshold - 1))
 		crash(l, server, now, 7, 1<<63)
 	}
 	one, other := l.Evaluate(request(7), alwaysConfirmed, now), l.Evaluate(request(1<<63), alwaysConfirmed, now)
@@ -328,10 +328,10 @@
 		crash(l, 200+server, begin, 10, 11)
 	}
 	for _, f := range []Fingerprint{7, 8, 9, 10, 11} {
-		require.False(t, l.Evaluate(request(f), alwaysConfirmed, begin.Add(propagationTime)).Quarantined, "%d: %+v", f, l.Evaluate(request(f), alwaysConfirmed, begin.Add(propagationTime)))
+		require.False(t, l.Evaluate(request(f), alwaysConfirmed, begin.Add(PropagationTime)).Quarantined, "%d: %+v", f, l.Evaluate(request(f), alwaysConfirmed, begin.Add(PropagationTime)))
 	}
-	crash(l, 99, begin.Add(propagationTime), 7)
-	later := begin.Add(propagationTime + soloConfirmDelay)
+	crash(l, 99, begin.Add(PropagationTime), 7)
+	later := begin.Add(PropagationTime + soloConfirmDelay)
 	require.True(t, l.Evaluate(request(7), alwaysConfirmed, later).Quarantined)
 	require.False(t, l.Evaluate(request(8), alwaysConfirmed, later).Quarantined)
 	served(l, 11, later)
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -46,7 +46,7 @@
 	l, now := NewLedger(), begin
 	for i := range uint64(crashThreshold) {
 		require.False(t, l.Evaluate(prompt(500, systemPart, badPart), alwaysConfirmed, now).Quarantined)
-		now = begin.Add(time.Duration(i) * propagationTime)
+		now = begin.Add(time.Duration(i) * PropagationTime)
 		crashAll(l, i, now, prompt(Fingerprint(i+1), systemPart, badPart))
 	}
 	answerOther(l, now)
@@ -101,7 +101,7 @@
 func TestResponseClearsPartUpToItsStart(t *testing.T) {
 	l, later := NewLedger(), begin.Add(10*time.Second)
 	for i := range uint64(crashThreshold) {
-		crashAll(l, i, begin.Add(time.Duration(i)*propagationTime), prompt(Fingerprint(i+1), badPart))
+		crashAll(l, i, begin.Add(time.Duration(i)*PropagationTime), prompt(Fingerprint(i+1), badPart))
 	}
 	require.Contains(t, l.Served(prompt(400, badPart), later, later.Add(time.Second)), badPart)
 	require.False(t, l.Evaluate(prompt(500, badPart), alwaysConfirmed, later).Quarantined)
@@ -109,7 +109,7 @@
 	l.Apply([]Item{{Kind: KindCrashed, Fingerprint: badPart, Part: true, Server: 9, Request: 9, Age: 5 * time.Second}}, "peer", later)
 	require.Empty(t, l.histories[badPart].crashes, "reported late")
 	for i := range uint64(crashThreshold) {
-		crashAll(l, 100+i, later.Add(time.Duration(i+1)*propagationTime), prompt(Fingerprint(i+100), badPart))
+		crashAll(l, 100+i, later.Add(time.Duration(i+1)*PropagationTime), prompt(Fingerprint(i+100), badPart))
 	}
 	require.True(t, l.Evaluate(prompt(500, badPart), alwaysConfirmed, later.Add(time.Minute/2)).Quarantined, "the part has become harmful")
 }
@@ -150,7 +150,7 @@
 func TestFailedTrialsBecomeRarer(t *testing.T) {
 	l, now := NewLedger(), begin
 	for i := range uint64(crashThreshold) {
-		now = begin.Add(time.Duration(i) * propagationTime)
+		now = begin.Add(time.Duration(i) * PropagationTime)
 		crashAll(l, i, now, prompt(Fingerprint(i+1), badPart))
 	}
 	answerOther(l, now)
@@ -172,7 +172,7 @@
 func TestPartOfServiceThatServesNothingIsTriedSoon(t *testing.T) {
 	l, now := NewLedger(), begin
 	for i := range uint64(crashThreshold) {
-		now = begin.Add(time.Duration(i) * propagationTime)
+		now = begin.Add(time.Duration(i) * PropagationTime)
 		crashAll(l, i, now, prompt(Fingerprint(i+1), badPart))
 	}
 	require.True(t, l.Evaluate(prompt(500, badPart), alwaysConfirmed, now.Add(minUncontrastedTrialDelay)).TrialDue)
@@ -209,7 +209,7 @@
 	seen, relayed := NewLedger(), NewLedger()
 	now := begin
 	for i := range uint64(crashThreshold) {
-		now = begin.Add(time.Duration(i) * propagationTime)
+		now = begin.Add(time.Duration(i) * PropagationTime)
 		crashAll(seen, i, now, prompt(Fingerprint(i+1), systemPart, badPart))
 	}
 	items, _ := seen.Since(0, "", All, now)
@@ -251,7 +251,7 @@
 func TestFloodOfPartsIsBounded(t *testing.T) {
 	l, now := NewLedger(), begin
 	for i := range uint64(crashThreshold) {
-		now = begin.Add(time.Duration(i) * propagationTime)
+		now = begin.Add(time.Duration(i) * PropagationTime)
 		crashAll(l, i, now, prompt(Fingerprint(i+1), badPart))
 	}
 	for i := range uint64(1000) {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -31,6 +31,9 @@
 	Until time.Time
 	// TrialDue reports that one request with the quarantined part may be tried, by a node that claims the trial.
 	TrialDue bool
+	// OnProbation is the part of the request that only one request of the fleet may be sent with at a time; 0 if there is
+	// none. So many servers have crashed under it that the next crash may decide, and nothing shows yet that it is sound.
+	OnProbation Fingerprint
 }
 
 // Evaluate returns the verdict on a request. Crashes are ignored for which unconfirmed returns
@@ -43,20 +46,50 @@
 	defer l.mutex.Unlock()
 	l.expire(now)
 	var worst Verdict
+	onProbation, mostCrashes := Fingerprint(0), 0
 	for f, part := range suspects.all {
 		h := l.histories[f]
 		if h == nil {
 			continue
 		}
 		h.part = h.part || part
+		// Of the parts on probation, the one with the most crashes is the likely cause, and of those that always came
+		// together the last one in the prompt.
+		if crashes := h.probationCrashes(now); part && crashes > 0 && crashes >= mostCrashes {
+			onProbation, mostCrashes = f, crashes
+		}
 		v := l.evaluateSuspect(f, h, suspects, unconfirmed, now)
 		if worst.Suspect == 0 || v.worseThan(worst) {
 			worst = v
 		}
 	}
+	if !worst.Quarantined {
+		worst.OnProbation = onProbation
+	}
 	return worst
 }
 
+// probationCrashes returns the number of servers that have crashed under a part, those included whose crash is not
+// confirmed yet, or 0 if the part is not on probation.
+func (h *history) probationCrashes(now time.Time) int {
+	if !h.part || len(h.crashes) < maxPartCrashes {
+		return 0
+	}
+	count := 0
+	for _, crash := range h.crashes {
+		if now.Sub(crash.at) > crashTTL {
+			continue
+		}
+		if !crash.at.Before(h.progressed) {
+			count++
+		}
+	}
+	if count < maxPartCrashes {
+		return 0
+	}
+	return count
+}
+
 // worseThan reports whether a verdict replaces the one on an earlier suspect of the same request.
 func (v Verdict) worseThan(other Verdict) bool {
 	if v.Quarantined {
@@ -125,6 +158,10 @@
 	soloAt time.Time
 	// lastUnconfirmed is the time of the last unconfirmed crash.
 	lastUnconfirmed time.Time
+	// probationCrashes is the number of crashes under requests that were sent while the part was on probation, and
+	// failedProbation is set if nothing else that ran at one of them explains as many crashes.
+	probationCrashes int
+	failedProbation  bool
 }
 
 // times returns the times of the confirmed crashes, in order.
@@ -155,9 +192,27 @@
 		e.crashes = distinctRequests(e.crashes)
 	}
 	l.weigh(&e, f, h, suspects)
+	if h.part {
+		l.judgeProbation(&e, f, h, suspects)
+	}
 	return e
 }
 
+// judgeProbation determines whether crashes of a part, in order, ended requests that were sent once every node knew that
+// the part was on probation.
+func (l *Ledger) judgeProbation(e *evidence, f Fingerprint, h *history, suspects Suspects) {
+	if len(e.crashes) <= maxPartCrashes {
+		return
+	}
+	since := e.crashes[maxPartCrashes-1].at.Add(PropagationTime)
+	for _, c := range e.crashes {
+		if c.sentAt.After(since) {
+			e.probationCrashes++
+			e.failedProbation = e.failedProbation || !l.isShared(f, suspects, c.server, len(h.crashes))
+		}
+	}
+}
+
 // distinctRequests returns the first crash of each request with a part. A request that crashes servers by itself, however
 // often it is sent, says nothing of the parts of its prompt.
 func distinctRequests(crashes []confirmedCrash) []confirmedCrash {
@@ -219,6 +274,9 @@
 // weighPart returns the same for a part.
 func (e *evidence) weighPart() (weight float64, ambiguous bool) {
 	weight, groups := groupedCrashWeight(e.crashes, true)
+	if e.failedProbation {
+		return max(weight, crashThreshold), false
+	}
 	if !e.partCrashedAlone() {
 		return weight, true
 	}
@@ -264,6 +322,9 @@
 		v.Until = last.Add(QuarantineDuration)
 	}
 	v.Quarantined = v.Weight >= crashThreshold && (v.Until.After(now) || h.part && !v.Ambiguous)
+	if h.part && v.Ambiguous && e.probationCrashes < maxAmbiguousTrials {
+		v.Quarantined = false
+	}
 	v.TrialDue = v.Quarantined && !v.Until.After(now)
 	if !v.Quarantined {
 		v.Until = time.Time{}
@@ -300,7 +361,7 @@
 	if l.pending[f] > 0 {
 		return now.Add(pendingSuspicionDuration)
 	}
-	return e.lastUnconfirmed.Add(propagationTime)
+	return e.lastUnconfirmed.Add(PropagationTime)
 }
 
 func later(one, other time.Time) time.Time {
@@ -322,14 +383,14 @@
 }
 
 // groupedCrashWeight returns the weight of a sequence of crashes, and the number of
-// groups that are at least propagationTime apart. Within a group no node can isolate suspects
+// groups that are at least PropagationTime apart. Within a group no node can isolate suspects
 // that ran together, and a failure of many servers is a single event, so a group counts for at most half of
 // crashThreshold however many servers crash, or for maxPartGroupWeight. All crashes of a request count as shared.
 func groupedCrashWeight(crashes []confirmedCrash, part bool) (weight float64, groups int) {
 	groupWeight := 0.0
 	var groupStart time.Time
 	for _, c := range crashes {
-		if c.at.Sub(groupStart) >= propagationTime {
+		if c.at.Sub(groupStart) >= PropagationTime {
 			groupStart, groupWeight = c.at, 0
 			groups++
 		}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -38,6 +38,8 @@
 	quarantined         *prometheus.CounterVec
 	suspectsSent        *prometheus.CounterVec
 	trials              *prometheus.CounterVec
+	probation           *prometheus.CounterVec
+	passClaims          *prometheus.CounterVec
 	suspicions          *prometheus.CounterVec
 	turnedAway          *prometheus.CounterVec
 	endedWithConnection prometheus.Counter
@@ -146,6 +148,12 @@
 		suspectsSent: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_suspects_sent_total", Help: "Attempts of requests although several servers ended while they ran them, or others with a part of their prompts, by which of these.",
 		}, []string{"kind"}),
+		probation: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_probation_total", Help: "Requests with a part on probation that were sent, or had to wait.",
+		}, []string{"result"}),
+		passClaims: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_pass_claims_total", Help: "Claims of the pass for a part on probation, by result.",
+		}, []string{"result"}),
 		trials: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_trials_total", Help: "Requests by which this node tried a part of prompts under which servers had ended, and trials that failed since the store could not be asked.",
 		}, []string{"result"}),
@@ -210,7 +218,7 @@
 		return -1
 	})
 	metrics.Registry.MustRegister(metrics.requests, metrics.attempts, metrics.resends, metrics.retries, metrics.tooLargeResponses, metrics.firstResponse, metrics.predictionErrors, metrics.storeReads,
-		metrics.orders, metrics.waitedOrders, metrics.connections, metrics.connectionTimeouts, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.noRoom, metrics.roomRejections, metrics.deferred, metrics.placementConflicts, metrics.keptAttempts, metrics.releases, metrics.releaseWait, metrics.quarantined, metrics.suspectsSent, metrics.trials, metrics.turnedAway, metrics.endedWithConnection, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.upstreamsLost, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
+		metrics.orders, metrics.waitedOrders, metrics.connections, metrics.connectionTimeouts, metrics.replacedPlacements, metrics.rateLimited, metrics.overServerLimits, metrics.noRoom, metrics.roomRejections, metrics.deferred, metrics.placementConflicts, metrics.keptAttempts, metrics.releases, metrics.releaseWait, metrics.quarantined, metrics.suspectsSent, metrics.trials, metrics.probation, metrics.passClaims, metrics.turnedAway, metrics.endedWithConnection, metrics.suspicions, metrics.clearedSuspicions, metrics.notices, metrics.storeRestores, metrics.unreadableEntries, metrics.malformedUpdates, metrics.upstreamChanges, metrics.upstreamsLost, metrics.serverCalls, metrics.peerResponseBytes, metrics.declarationVersion, metrics.suppressedLines, age)
 	metrics.Registry.MustRegister(metrics.storeCalls.collectors()...)
 	return metrics
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -229,6 +229,31 @@
 	recorder.limitedLine(zerolog.InfoLevel).Str("id", request.ID).Stringer("fingerprint", cleared).Msg("cleared")
 }
 
+// OnProbation records that a request with a part on probation may be sent, or that it waits.
+func (recorder *Recorder) OnProbation(request *proxy.Request, decision proxy.ProbationDecision) {
+	result := "sent"
+	if decision.Waits {
+		result = "waits"
+	}
+	recorder.metrics.probation.WithLabelValues(result).Inc()
+	recorder.limitedLine(zerolog.InfoLevel).Str("id", request.ID).Stringer("part", decision.Part).Int("ended", decision.Crashes).Str("result", result).Msg("on probation")
+}
+
+// PassClaimed records a claim of the pass for a part on probation. With an error the node has taken it without the store.
+func (recorder *Recorder) PassClaimed(part quarantine.Fingerprint, claimed bool, err error) {
+	result := "taken"
+	switch {
+	case err != nil:
+		result = "failed"
+	case claimed:
+		result = "claimed"
+	}
+	recorder.metrics.passClaims.WithLabelValues(result).Inc()
+	if claimed {
+		recorder.limitedLine(zerolog.InfoLevel).Stringer("part", part).Str("result", result).Err(err).Msg("pass claimed")
+	}
+}
+
 // TrialClaimed records that a request tries a quarantined part, or the error that prevented it.
 func (recorder *Recorder) TrialClaimed(request *proxy.Request, part quarantine.Fingerprint, err error) {
 	result := "claimed"
