Let the node that forwards an attempt tell whether the server crashed under it

Cause: the node took answers that others got from any server, which tell that its own path is cut, for a sign that the crashed server lives. An attempt that went through another node says nothing of this node's path. It is the class of a belief that answers another question.

Change: such an attempt is refuted by answers of that very server alone, and judged by its registration. That alone is late where entries live for seconds, so the node that sent the attempt judges it too, by its own connections: the attempt carries its suspects. Former builds send none.

--- a/cmd/cloverrail/partition_test.go
+++ b/cmd/cloverrail/partition_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverrail/cloverrail/internal/proxy"
+	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/platform/standin"
 )
 
@@ -478,3 +479,53 @@
 	exhausted.Store(false)
 	require.Equal(t, 20, countServed(n.makeMany(nonIdempotent, 20)), "nothing is held against the servers")
 }
+
+// Guards against a node that cannot reach the servers and goes on sending through other nodes what crashes them: it took the
+// answers that others get from any server for a sign that the crashed one lives, and 6 to 24 attempts reached servers late.
+func TestPartitionedNodeQuarantinesCrashingRequest(t *testing.T) {
+	for _, heartbeat := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond} {
+		for _, kind := range []string{"again", "fixed"} {
+			t.Run(fmt.Sprintf("%s, heartbeats each %v", kind, heartbeat), func(t *testing.T) {
+				t.Parallel()
+				f := newCrashingPartition(t, heartbeat)
+				f.links[0].set(linksReset)
+				call := routeCall{method: http.MethodPost, path: "/" + kind + "/", prompted: routeKinds[kind] != nil}
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					f.keepBusy(call, 11*time.Second)
+				}()
+				for begun := time.Now(); time.Since(begun) < 10*time.Second; time.Sleep(150 * time.Millisecond) {
+					f.nodes[0].send(http.MethodPost, "/"+kind+"/x", crashingBody, routeKinds[kind])
+				}
+				<-done
+				t.Logf("%d crashes", len(f.crashTimes(crashingBody)))
+				f.requireQuarantined(crashingBody)
+			})
+		}
+	}
+}
+
+// newCrashingPartition returns four nodes and 16 servers of each service, whose entries lapse three heartbeats after a crash.
+func newCrashingPartition(t *testing.T, heartbeat time.Duration) *partitionFixture {
+	f := &partitionFixture{fleetFixture: &fleetFixture{t: t}}
+	f.store, f.storeAddress = newStore(t)
+	for i := range 16 {
+		f.startMachine(&standin.Machine{Name: fmt.Sprint("p", i), Service: "plain", Handler: standin.Respond(http.StatusOK, "done")})
+		f.startMachine(&standin.Machine{Name: fmt.Sprint("e", i), Service: "engines", Model: model, Handler: standin.StreamEvents(3, 0)})
+	}
+	for _, m := range f.machines {
+		m.Downtime, m.EntryTTL = 4*time.Second, 3*heartbeat
+	}
+	for range 4 {
+		f.addNodeWith(func(config *settings.Proxy) { config.Heartbeat = heartbeat })
+	}
+	f.store.Put(standin.KeyConfiguration, newDocument(1, key))
+	for _, n := range f.nodes {
+		f.awaitReady(n)
+		f.links = append(f.links, newServerLinks(n))
+	}
+	f.warmUp(idempotent)
+	f.warmUp(plainStream)
+	return f
+}
--- a/internal/backend/path.go
+++ b/internal/backend/path.go
@@ -371,6 +371,15 @@
 	return entry.peers != nil && entry.peers.answeredAt.After(since)
 }
 
+// AnsweredPeersSince reports whether a server has responded to other nodes since the failure of a connection to it at a given
+// time.
+func (set *Set) AnsweredPeersSince(key uint64, failedAt time.Time) bool {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	e := set.byKey[key]
+	return e != nil && e.answeredPeersSince(failedAt.Add(peerEvidenceMargin))
+}
+
 // PartitionedFrom reports whether there is evidence that the failure of a connection to a server at
 // a given time was that of this node's path: the server has answered other nodes since, or this node
 // is isolated and has such evidence of another server.
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -18,6 +18,7 @@
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/proxy"
+	"github.com/cloverrail/cloverrail/internal/quarantine"
 )
 
 // Path is the path at which a node accepts attempts of other nodes.
@@ -51,6 +52,10 @@
 	After      int64
 	Repeatable bool
 	Confirm    bool
+	// Service, Fingerprint and Parts are the attempt's suspects. Former builds send none.
+	Service     string
+	Fingerprint quarantine.Fingerprint
+	Parts       []quarantine.Fingerprint
 	// Remaining is the time until the deadline.
 	Remaining time.Duration
 }
@@ -61,6 +66,7 @@
 		ID: d.Request.ID, Method: d.Request.Method, Host: d.Request.Host, Target: d.Request.Target, Header: d.Request.Header, Body: d.Request.Body,
 		Instance: d.Instance, Server: d.Server, Address: d.Address, Stream: d.Stream, Tenant: d.Tenant, Urgency: d.Urgency, Version: d.Version,
 		Salt: d.Salt, FetchFrom: d.FetchFrom, SaveTo: d.SaveTo, Resumes: d.Resumes, After: d.After, Repeatable: d.Repeatable, Confirm: d.Confirm,
+		Service: d.Suspects.Service, Fingerprint: d.Suspects.Request, Parts: d.Suspects.Parts,
 		Remaining: boottime.Until(d.Deadline),
 	}
 }
@@ -74,6 +80,7 @@
 		Request:  &proxy.Request{ID: w.ID, Method: w.Method, Host: w.Host, Target: w.Target, Header: w.Header, Body: w.Body, Arrived: arrived},
 		Instance: w.Instance, Server: w.Server, Address: w.Address, Stream: w.Stream, Tenant: w.Tenant, Urgency: w.Urgency, Version: w.Version,
 		Salt: w.Salt, FetchFrom: w.FetchFrom, SaveTo: w.SaveTo, Resumes: w.Resumes, After: w.After, Repeatable: w.Repeatable, Confirm: w.Confirm,
+		Suspects: quarantine.Suspects{Service: w.Service, Request: w.Fingerprint, Parts: w.Parts},
 		Deadline: arrived.Add(w.Remaining),
 	}
 }
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -10,6 +10,7 @@
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/exchange"
 	"github.com/cloverrail/cloverrail/internal/outbound"
+	"github.com/cloverrail/cloverrail/internal/routing"
 )
 
 // peerUnansweredLimit is how long an attempt of another node may stay without a response until a probe must tell
@@ -94,6 +95,7 @@
 	unanswered := time.AfterFunc(peerUnansweredLimit, func() { proxy.set.SuspectPath(dispatch.Server, boottime.Now()) })
 	reply, err = proxy.servers.Send(tracked, dispatch)
 	unanswered.Stop()
+	proxy.suspectForPeer(dispatch, sentAt, false, err)
 	err = proxy.explainCutOff(ctx, dispatch, sentAt, dispatch.Resumes, err)
 	if err == nil {
 		reply, err = checkStatus(reply)
@@ -102,6 +104,7 @@
 		next := reply.Next
 		reply.Next = func() (exchange.StreamEvent, error) {
 			event, err := next()
+			proxy.suspectForPeer(dispatch, sentAt, true, err)
 			return event, proxy.explainCutOff(ctx, dispatch, sentAt, true, err)
 		}
 	}
@@ -112,6 +115,17 @@
 	return reply, done, err
 }
 
+// suspectForPeer suspects an attempt of another node whose connection the server closed before its complete response. This
+// node can tell sooner than the other one whether the server has crashed, which does not reach it.
+func (proxy *Proxy) suspectForPeer(dispatch Dispatch, sentAt time.Time, responding bool, err error) {
+	if !isCutOff(err) || dispatch.Suspects.Request == 0 || !proxy.set.InService(dispatch.Server) {
+		return
+	}
+	proxy.suspect(dispatch.Suspects, brokenAttempt{
+		server: routing.Candidate{Endpoint: dispatch.Server, Address: dispatch.Address}, sentAt: sentAt, at: boottime.Now(), responding: responding,
+	})
+}
+
 // explainCutOff returns the error of an attempt of another node that was sent at sentAt. If its connection was cut off, the
 // path to the server is suspected. If it is that of a stream which may have begun and may be resumed, the other node must
 // know whether the path has failed.
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -109,6 +109,9 @@
 	if admitted.tenant != nil {
 		dispatch.Tenant = admitted.tenant.Name
 	}
+	if placement.needsDetour() {
+		dispatch.Suspects = admitted.suspects()
+	}
 	if placement.placer.prompt() != nil {
 		dispatch.Version = placement.chosen.Version
 		dispatch.Salt = placement.placer.salt(cacheBuildOf(&placement.chosen))
@@ -253,13 +256,15 @@
 	}
 	placement.placer.admitted.unverified = nil
 	if result == exchange.ResultServed && placement.endsWithConnection.Load() && placement.implicatesRequest() {
-		placement.placer.admitted.unverified = &unverifiedEnd{server: placement.chosen, sentAt: placement.placedAt, at: now}
+		placement.placer.admitted.unverified = &brokenAttempt{server: placement.chosen, sentAt: placement.placedAt, at: now, detour: placement.attempt.Detour()}
 	}
 	implicated := result == exchange.ResultCutOff && placement.implicatesRequest()
 	placement.placer.admitted.endPass(implicated)
 	if implicated {
 		placement.placer.admitted.cutOff = true
-		placement.placer.proxy.suspect(placement.placer.admitted, placement.chosen, placement.responding, placement.placedAt, now)
+		placement.placer.proxy.suspect(placement.placer.admitted.suspects(), brokenAttempt{
+			server: placement.chosen, sentAt: placement.placedAt, at: now, responding: placement.responding, detour: placement.attempt.Detour(),
+		})
 	}
 	if result == exchange.ResultServed && placement.responding && placement.placer.prompt() != nil {
 		prefill := placement.placer.proxy.prefillRate.timeFor(placement.prefillTokens)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -103,6 +103,8 @@
 	// Confirm asks a node that sends the attempt for another one to check that the responding
 	// incarnation is the intended one.
 	Confirm bool
+	// Suspects are what a node that sends the attempt for another one suspects if the server crashes under it.
+	Suspects quarantine.Suspects
 }
 
 // Servers sends attempts. Send returns the error types of package exchange.
@@ -354,7 +356,7 @@
 	placedAt time.Time
 	cutOff   bool
 	// unverified is the end of a response that ended with its connection; nil if the response did not.
-	unverified *unverifiedEnd
+	unverified *brokenAttempt
 	// origin is what began the stream that the caller has; nil if the caller has no event yet.
 	origin *origin.Origin
 	stream *trackedStream
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -219,56 +219,77 @@
 // If the response had begun, the server counts as crashed unless it answers a later request. If
 // not, the server may only have had too many connections, so that its crash must be confirmed,
 // after LivenessCheckDelay or once its registration has expired. It has not crashed if only this
-// node's path to it has failed; an isolated node can tell only by the registration.
-func (proxy *Proxy) suspect(admitted *admitted, server routing.Candidate, responding bool, sentAt, brokenAt time.Time) {
-	suspects, key := admitted.suspects().WithSentAt(sentAt), backend.ServerKey(server.Endpoint)
+// node's path to it has failed; an isolated node can tell only by the registration, and so can one that sent the attempt
+// through another node.
+func (proxy *Proxy) suspect(suspects quarantine.Suspects, broken brokenAttempt) {
+	suspects, key := suspects.WithSentAt(broken.sentAt), backend.ServerKey(broken.server.Endpoint)
 	resolve := func(c conclusion) {
 		now := boottime.Now()
-		proxy.quarantine.Resolve(suspects, key, brokenAt, c.crashed, now)
-		proxy.recorder.SuspicionResolved(Suspicion{Suspects: suspects, Server: server.Endpoint, Terminated: c.crashed, Evidence: c.evidence, After: now.Sub(brokenAt)})
+		proxy.quarantine.Resolve(suspects, key, broken.at, c.crashed, now)
+		proxy.recorder.SuspicionResolved(Suspicion{Suspects: suspects, Server: broken.server.Endpoint, Terminated: c.crashed, Evidence: c.evidence, After: now.Sub(broken.at)})
 	}
 	proxy.quarantine.Suspect(suspects)
-	time.AfterFunc(LivenessCheckDelay, func() { proxy.settle(server, responding, brokenAt, resolve) })
+	time.AfterFunc(LivenessCheckDelay, func() { proxy.settle(broken, resolve) })
 }
 
-// settle determines whether a server has crashed at a time, LivenessCheckDelay ago, and passes the result to resolve.
-func (proxy *Proxy) settle(server routing.Candidate, responding bool, brokenAt time.Time, resolve func(conclusion)) {
-	key := backend.ServerKey(server.Endpoint)
+// brokenAttempt is an attempt whose connection ended before the complete response.
+type brokenAttempt struct {
+	server     routing.Candidate
+	sentAt, at time.Time
+	// responding is set if the response had begun, and detour if another node sent the attempt.
+	responding bool
+	detour     bool
+}
+
+// pathFailed reports whether the server lives as far as other nodes know, so that only this node's path has failed. An attempt
+// that another node sent shows nothing of this node's path: then only answers of the server itself count.
+func (proxy *Proxy) pathFailed(broken brokenAttempt) bool {
+	key := backend.ServerKey(broken.server.Endpoint)
+	if broken.detour {
+		return proxy.set.AnsweredPeersSince(key, broken.at)
+	}
+	return proxy.set.PartitionedFrom(key, broken.at)
+}
+
+// settle determines whether the server of a broken attempt has crashed, LivenessCheckDelay ago, and passes the result to
+// resolve.
+func (proxy *Proxy) settle(broken brokenAttempt, resolve func(conclusion)) {
+	key := backend.ServerKey(broken.server.Endpoint)
 	switch {
-	case proxy.set.PartitionedFrom(key, brokenAt):
+	case proxy.pathFailed(broken):
 		resolve(conclusion{evidence: EvidencePeers})
-	case proxy.set.AnsweredSince(key, brokenAt):
+	case proxy.set.AnsweredSince(key, broken.at):
 		resolve(conclusion{evidence: EvidenceAnswer})
-	case proxy.set.IsolatedSince(brokenAt):
-		proxy.settleByRegistration(server, brokenAt, true, resolve)
-	case responding:
+	case broken.detour || proxy.set.IsolatedSince(broken.at):
+		proxy.settleByRegistration(broken, true, resolve)
+	case broken.responding:
 		resolve(conclusion{crashed: true, evidence: EvidenceSilence})
-	case proxy.set.Terminated(key, brokenAt) || !proxy.set.NeedsDetour(server.Endpoint) && proxy.refusesConnections(server.Address):
+	case proxy.set.Terminated(key, broken.at) || !proxy.set.NeedsDetour(broken.server.Endpoint) && proxy.refusesConnections(broken.server.Address):
 		resolve(conclusion{crashed: true, evidence: EvidenceConnection})
 	default:
-		proxy.settleByRegistration(server, brokenAt, false, resolve)
+		proxy.settleByRegistration(broken, false, resolve)
 	}
 }
 
 // settleByRegistration determines by the registration of a server whether it has crashed at a time: as soon as the
 // registration is gone, or when that of a crashed server must have expired. If this node was isolated, its own failed
 // connections show nothing of the server.
-func (proxy *Proxy) settleByRegistration(server routing.Candidate, brokenAt time.Time, isolated bool, resolve func(conclusion)) {
+func (proxy *Proxy) settleByRegistration(broken brokenAttempt, isolated bool, resolve func(conclusion)) {
 	time.AfterFunc(LivenessCheckDelay, func() {
-		key := backend.ServerKey(server.Endpoint)
-		isolated := isolated || proxy.set.IsolatedSince(brokenAt)
-		expired := proxy.entryExpired(brokenAt)
-		listed, partitioned := proxy.set.Listed(key), proxy.set.PartitionedFrom(key, brokenAt)
+		key := backend.ServerKey(broken.server.Endpoint)
+		isolated := isolated || proxy.set.IsolatedSince(broken.at)
+		expired := proxy.entryExpired(broken.at)
+		listed, partitioned := proxy.set.Listed(key), proxy.pathFailed(broken)
 		switch {
 		case !expired && (listed || partitioned):
-			proxy.settleByRegistration(server, brokenAt, isolated, resolve)
+			proxy.settleByRegistration(broken, isolated, resolve)
 		case partitioned:
 			resolve(conclusion{evidence: EvidencePeers})
 		case !listed:
 			resolve(conclusion{crashed: true, evidence: EvidenceUnlisted})
-		case proxy.set.Replaced(server.Endpoint):
+		case proxy.set.Replaced(broken.server.Endpoint):
 			resolve(conclusion{crashed: true, evidence: EvidenceReplaced})
-		case !isolated && proxy.set.Terminated(key, brokenAt):
+		case !isolated && proxy.set.Terminated(key, broken.at):
 			resolve(conclusion{crashed: true, evidence: EvidenceConnection})
 		default:
 			resolve(conclusion{evidence: EvidenceListed})
@@ -283,16 +304,9 @@
 	return proxy.set.ListReadSince(expiresAt) || boottime.Since(expiresAt) >= maxListDelay
 }
 
-// unverifiedEnd is the end of a response that ended with its connection.
-type unverifiedEnd struct {
-	server routing.Candidate
-	sentAt time.Time
-	at     time.Time
-}
-
 // verifyEnd determines whether the server of a response that ended with its connection has crashed then: the response
 // looks complete in either case. It is evidence for or against the request only once that is known.
-func (proxy *Proxy) verifyEnd(admitted *admitted, end unverifiedEnd, outcome exchange.Outcome) {
+func (proxy *Proxy) verifyEnd(admitted *admitted, end brokenAttempt, outcome exchange.Outcome) {
 	time.AfterFunc(LivenessCheckDelay, func() {
 		key := backend.ServerKey(end.server.Endpoint)
 		if proxy.set.AnsweredSince(key, end.at) {
@@ -301,7 +315,7 @@
 		}
 		suspects := admitted.suspects().WithSentAt(end.sentAt)
 		proxy.quarantine.Suspect(suspects)
-		proxy.settle(end.server, false, end.at, func(c conclusion) {
+		proxy.settle(end, func(c conclusion) {
 			now := boottime.Now()
 			proxy.quarantine.Resolve(suspects, key, end.at, c.crashed, now)
 			if !c.crashed {
--- a/internal/proxy/quarantine_test.go
+++ b/internal/proxy/quarantine_test.go
@@ -53,7 +53,8 @@
 	proxy := New(Options{Servers: servers, Set: set, Quarantine: quarantine.NewLedger(), Recorder: recorder, EntryTTL: time.Minute, Replica: &catalog.AtomicReplica{}})
 	server := routing.Candidate{Endpoint: "i-1", Address: "at i-1"}
 	for _, body := range []string{"one", "other", "third"} {
-		proxy.suspect(&admitted{request: &Request{Body: []byte(body)}, service: &catalog.Service{Name: "s"}}, server, false, time.Now(), time.Now())
+		asked := &admitted{request: &Request{Body: []byte(body)}, service: &catalog.Service{Name: "s"}}
+		proxy.suspect(asked.suspects(), brokenAttempt{server: server, sentAt: time.Now(), at: time.Now()})
 	}
 	for range 3 {
 		select {
@@ -159,7 +160,7 @@
 			if c.before != nil {
 				c.before(f)
 			}
-			proxy.settle(routing.Candidate{Endpoint: "i-0", Address: "at i-0"}, c.responding, f.brokenAt, func(c conclusion) { settled <- c })
+			proxy.settle(brokenAttempt{server: routing.Candidate{Endpoint: "i-0", Address: "at i-0"}, responding: c.responding, at: f.brokenAt}, func(c conclusion) { settled <- c })
 			if c.after != nil {
 				c.after(f)
 			}
@@ -197,7 +198,7 @@
 					}
 				})
 				concluded := make(chan conclusion, 1)
-				proxy.settleByRegistration(routing.Candidate{Endpoint: "i-1", Address: "at i-1"}, brokenAt, true, func(c conclusion) { concluded <- c })
+				proxy.settleByRegistration(brokenAttempt{server: routing.Candidate{Endpoint: "i-1", Address: "at i-1"}, at: brokenAt}, true, func(c conclusion) { concluded <- c })
 				got := <-concluded
 				require.Equal(t, test.evidence, got.evidence)
 				require.Equal(t, test.gone, got.crashed)
