Let parts that crashed a server together on probation share one pass

Cause: both parts were tried at the same time, at the only server that was back, and 1.5 s later again, at one of few. Two crashes on probation beside another suspect reject for a while.

Change: parts that crashed a server together while they were on probation share one pass, the lowest of them, so that the next crash tells them apart.

--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -33,6 +33,8 @@
 	TrialDue bool
 	// OnProbation is the part of the request that only one request of the fleet may be sent with at a time; 0 if there is
 	// none. So many servers have crashed under it that the next crash may decide, and nothing shows yet that it is sound.
+	// Of parts that crashed a server together while on probation, it names the same one for all, so that the next crash
+	// tells them apart.
 	OnProbation Fingerprint
 }
 
@@ -63,12 +65,40 @@
 			worst = v
 		}
 	}
-	if !worst.Quarantined {
-		worst.OnProbation = onProbation
+	if !worst.Quarantined && onProbation != 0 {
+		worst.OnProbation = l.probationGroup(onProbation, now)
 	}
 	return worst
 }
 
+// probationGroup returns the lowest of the parts on probation that ran on a server with a given one when it crashed, if both
+// were on probation then.
+func (l *Ledger) probationGroup(f Fingerprint, now time.Time) Fingerprint {
+	lowest, h := f, l.histories[f]
+	times := crashTimes(h)
+	if len(times) <= maxPartCrashes {
+		return f
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	since := probationBegin(times)
+	for server, crash := range h.crashes {
+		if !crash.sentAt().After(since) {
+			continue
+		}
+		for other := range l.byServer[server] {
+			if l.histories[other].probationCrashes(now) > 0 {
+				lowest = min(lowest, other)
+			}
+		}
+	}
+	return lowest
+}
+
+// probationBegin returns when all nodes know that a part is on probation, by the times of its crashes, in order.
+func probationBegin(crashes []time.Time) time.Time {
+	return crashes[maxPartCrashes-1].Add(PropagationTime)
+}
+
 // probationCrashes returns the number of servers that have crashed under a part, those included whose crash is not
 // confirmed yet, or 0 if the part is not on probation.
 func (h *history) probationCrashes(now time.Time) int {
@@ -204,7 +234,7 @@
 	if len(e.crashes) <= maxPartCrashes {
 		return
 	}
-	since := e.crashes[maxPartCrashes-1].at.Add(PropagationTime)
+	since := probationBegin(e.times())
 	for _, c := range e.crashes {
 		if c.sentAt.After(since) {
 			e.probationCrashes++
