Keep sound companions out of a part's probation, and bound undecided trials

Changes: a crash under a request with another part on probation counts against neither, in requests without the other; each crash that did not decide lets the pass be held for 1.5 s more, up to 4.5 s; a node takes a pass without the store once it has not reached it for 1.5 s; separate crashes count once they are 1.5 s old, within the 3 s in which the fleet must know.

--- a/internal/proxy/probation.go
+++ b/internal/proxy/probation.go
@@ -58,6 +58,7 @@
 	if admitted.pass = placer.proxy.probation.Take(part); admitted.pass == nil {
 		return placer.unplacedOnProbation()
 	}
+	admitted.trials = placer.verdict.Trials
 	placer.proxy.recorder.OnProbation(admitted.request, ProbationDecision{Part: part, Crashes: placer.verdict.Crashes})
 	return nil
 }
@@ -72,7 +73,7 @@
 // whether it did.
 func (admitted *admitted) endPass(crashed bool) {
 	if crashed {
-		admitted.pass.ReturnAfter(quarantine.PropagationTime)
+		admitted.pass.ReturnAfter(quarantine.CrashHold(admitted.trials))
 		admitted.pass = nil
 		return
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -351,6 +351,8 @@
 	// request has waited for one.
 	pass         *quarantine.Pass
 	waitsForPass bool
+	// trials is the number of requests with the part of the pass that crashed servers on probation before.
+	trials int
 	// placedAt is when the latest attempt was placed, and cutOff is set once a server may have crashed while running
 	// the request.
 	placedAt time.Time
--- a/internal/quarantine/probation.go
+++ b/internal/quarantine/probation.go
@@ -11,10 +11,15 @@
 
 const (
 	// passLease is how long a claim of a pass excludes other nodes. It exceeds the time to a first token and
-	// PropagationTime, for which the pass is held after a crash.
-	passLease = 5 * time.Second
+	// maxPassHold.
+	passLease = 6 * time.Second
+	// maxPassHold bounds the time for which a pass is held after a crash.
+	maxPassHold = 3 * PropagationTime
 	// passMargin is left before the end of the lease, for the calls that a node is behind others.
 	passMargin = 500 * time.Millisecond
+	// storelessDelay is how long claims must have failed until a node takes a pass without the store. Nodes that are cut off
+	// from it for a moment, one after the other, would send one request each.
+	storelessDelay = PropagationTime
 	// unusedPassTime is how long a node keeps a pass that no request takes: the one that it was claimed for may be gone.
 	unusedPassTime = 500 * time.Millisecond
 	// minClaimInterval is the minimum time between two claims of a pass by one node, and claimIntervalPerNode what each
@@ -33,7 +38,7 @@
 }
 
 // Probation limits the requests with a part on probation to one of the whole fleet at a time, by claims in the shared
-// store. While the store cannot be asked, it is one of each node.
+// store. If a node cannot ask it for storelessDelay, it is one of that node.
 type Probation struct {
 	Store PassStore
 	// Prefix is the key prefix; the fingerprint follows.
@@ -60,6 +65,8 @@
 	// claimed is set while the node has the pass, and holder is the request that uses it.
 	claimed bool
 	holder  *Pass
+	// failingSince is when the first of the latest claims failed; zero if the last one did not.
+	failingSince time.Time
 	// used counts the passes that were taken.
 	used int
 }
@@ -156,15 +163,21 @@
 	if err == nil {
 		_, created, err = p.Store.Create(ctx, p.Prefix+part.String(), []byte(passValue), lease)
 	}
-	if err != nil {
-		lease, leaseUntil, created = 0, p.Now().Add(passLease), true
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	s := p.state(part)
+	switch {
+	case err == nil:
+		s.failingSince = time.Time{}
+	case s.failingSince.IsZero():
+		s.failingSince = startedAt
+		fallthrough
+	default:
+		lease, leaseUntil, created = 0, p.Now().Add(passLease), p.Now().Sub(s.failingSince) >= storelessDelay
 	}
 	if p.Claimed != nil {
 		p.Claimed(part, created, err)
 	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	s := p.state(part)
 	s.claiming, s.claimed, s.lease, s.leaseUntil = false, created, lease, leaseUntil
 	if created {
 		used := s.used
@@ -181,6 +194,12 @@
 	}
 }
 
+// CrashHold returns how long a pass is held after a crash under its request, if so many with the part have crashed servers on
+// probation before: until all nodes count the crash, and longer each time that this has not decided.
+func CrashHold(trials int) time.Duration {
+	return min(time.Duration(1+trials)*PropagationTime, maxPassHold)
+}
+
 // Return returns the pass, so that another request may take it. Only the first call counts.
 func (p *Pass) Return() { p.ReturnAfter(0) }
 
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -36,6 +36,9 @@
 	// Of parts that crashed a server together while on probation, it names the same one for all, so that the next crash
 	// tells them apart.
 	OnProbation Fingerprint
+	// Trials is the number of requests with that part that crashed servers while it was on probation, also where that is
+	// not confirmed.
+	Trials int
 }
 
 // Evaluate returns the verdict on a request. Crashes are ignored for which unconfirmed returns
@@ -66,18 +69,18 @@
 		}
 	}
 	if !worst.Quarantined && onProbation != 0 {
-		worst.OnProbation = l.probationGroup(onProbation, now)
+		worst.OnProbation, worst.Trials = l.probationGroup(onProbation, now)
 	}
 	return worst
 }
 
 // probationGroup returns the lowest of the parts on probation that ran on a server with a given one when it crashed, if both
-// were on probation then.
-func (l *Ledger) probationGroup(f Fingerprint, now time.Time) Fingerprint {
+// were on probation then, and the number of such crashes of the given one.
+func (l *Ledger) probationGroup(f Fingerprint, now time.Time) (lowest Fingerprint, trials int) {
 	lowest, h := f, l.histories[f]
 	times := crashTimes(h)
 	if len(times) <= maxPartCrashes {
-		return f
+		return f, 0
 	}
 	slices.SortFunc(times, time.Time.Compare)
 	since := probationBegin(times)
@@ -85,13 +88,14 @@
 		if !crash.sentAt().After(since) {
 			continue
 		}
+		trials++
 		for other := range l.byServer[server] {
 			if l.histories[other].probationCrashes(now) > 0 {
 				lowest = min(lowest, other)
 			}
 		}
 	}
-	return lowest
+	return lowest, trials
 }
 
 // probationBegin returns when all nodes know that a part is on probation, by the times of its crashes, in order.
@@ -236,13 +240,26 @@
 	}
 	since := probationBegin(e.times())
 	for _, c := range e.crashes {
-		if c.sentAt.After(since) {
+		if c.sentAt.After(since) && !l.isAccompanied(f, h, suspects, c.server) {
 			e.probationCrashes++
 			e.failedProbation = e.failedProbation || !l.isShared(f, suspects, c.server, len(h.crashes))
 		}
 	}
 }
 
+// isAccompanied reports whether the request with a part that ran on a server when it crashed had another part that may be to
+// blame, and which the request in question does not contain.
+func (l *Ledger) isAccompanied(f Fingerprint, h *history, suspects Suspects, server uint64) bool {
+	request := h.crashes[server].request
+	for other := range l.byServer[server] {
+		sibling := l.histories[other]
+		if other != f && sibling.part && request != 0 && sibling.crashes[server].request == request && len(sibling.crashes) >= maxPartCrashes && !suspects.contains(other) {
+			return true
+		}
+	}
+	return false
+}
+
 // distinctRequests returns the first crash of each request with a part. A request that crashes servers by itself, however
 // often it is sent, says nothing of the parts of its prompt.
 func distinctRequests(crashes []confirmedCrash) []confirmedCrash {
@@ -302,7 +319,7 @@
 }
 
 // weighPart returns the same for a part.
-func (e *evidence) weighPart() (weight float64, ambiguous bool) {
+func (e *evidence) weighPart(now time.Time) (weight float64, ambiguous bool) {
 	weight, groups := groupedCrashWeight(e.crashes, true)
 	if e.failedProbation {
 		return max(weight, crashThreshold), false
@@ -310,18 +327,22 @@
 	if !e.partCrashedAlone() {
 		return weight, true
 	}
-	if len(e.crashes) >= maxPartCrashes && (groups > 1 || separateCrashWeight(e.crashes) >= crashThreshold) {
+	if len(e.crashes) >= maxPartCrashes && (groups > 1 || separateCrashWeight(e.crashes, now) >= crashThreshold) {
 		weight = max(weight, crashThreshold)
 	}
 	return weight, false
 }
 
 // separateCrashWeight returns the weight of the crashes of a part, in order, that no common event explains, however close
-// they are: each of them ended a request that was sent after the previous one.
-func separateCrashWeight(crashes []confirmedCrash) float64 {
+// they are: each of them ended a request that was sent after the previous one. They count from PropagationTime on: a node that
+// reports late what else ran on the servers makes sound parts look as if they alone had.
+func separateCrashWeight(crashes []confirmedCrash, now time.Time) float64 {
 	weight := 0.0
 	var last time.Time
 	for _, c := range crashes {
+		if now.Sub(c.at) < PropagationTime {
+			break
+		}
 		if last.IsZero() || !c.sentAt.IsZero() && c.sentAt.Sub(last) >= minCrashSeparation {
 			weight += c.weight()
 			last = c.at
@@ -338,7 +359,7 @@
 	}
 	v := Verdict{Suspect: f, Part: h.part, Crashes: len(e.crashes)}
 	if h.part {
-		v.Weight, v.Ambiguous = e.weighPart()
+		v.Weight, v.Ambiguous = e.weighPart(now)
 	} else {
 		v.Weight, v.Ambiguous = e.weighRequest(now)
 	}
