Count a request as waiting for a pass only where it waits

The look for another server under a silent attempt recorded that the request waits for a pass, and marked it so: a line and a count too many. Found on reading. It still finds no other server while another request has the pass.

go test ./internal/proxy ./internal/quarantine passes; no test tells the count.

--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -57,7 +57,8 @@
 	gaveUpSilent bool
 	// kept is set once the attempt has been kept because other nodes hear its server.
 	kept bool
-	// firstEventAt is when the first event of the response was passed on, and progressed is set once the quarantine ledger knows that the response goes on.
+	// firstEventAt is when the first event of the response was passed on, and progressed is set once the quarantine ledger
+	// knows that the response goes on.
 	firstEventAt time.Time
 	progressed   bool
 }
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -150,6 +150,10 @@
 	if unplaced := placer.checkBarred(now); unplaced != nil {
 		return nil, unplaced
 	}
+	if placer.lacksPass() {
+		// This is cheaper than to choose a server first.
+		return nil, placer.unplacedOnProbation()
+	}
 	scheduler, request := routing.NewScheduler(placer.scorers()...), placer.routingRequest()
 	for round := 1; round <= maxPlacementRounds; round++ {
 		if round == 2 {
@@ -183,9 +187,6 @@
 	if !now.Before(placer.admitted.deadline) {
 		return &exchange.Unplaced{Expired: true}
 	}
-	if unplaced := placer.awaitPass(); unplaced != nil {
-		return unplaced
-	}
 	return placer.checkOrigin()
 }
 
@@ -306,7 +307,7 @@
 // and accepts it now.
 func (placer *placer) hasAlternative(server string) bool {
 	now := boottime.Now()
-	if placer.checkBarred(now) != nil {
+	if placer.checkBarred(now) != nil || placer.lacksPass() {
 		return false
 	}
 	selection := &selection{scheduler: routing.NewScheduler(placer.scorers()...), request: placer.routingRequest()}
--- a/internal/proxy/probation.go
+++ b/internal/proxy/probation.go
@@ -24,14 +24,10 @@
 	Waits   bool
 }
 
-// awaitPass returns what the request waits for if another one has the pass that it needs. It is cheaper than to choose a
-// server first.
-func (placer *placer) awaitPass() *exchange.Unplaced {
-	admitted, part := placer.admitted, placer.verdict.OnProbation
-	if part == 0 || placer.proxy.probation == nil || admitted.pass.Part() == part || placer.proxy.probation.Available(part) {
-		return nil
-	}
-	return placer.unplacedOnProbation()
+// lacksPass reports whether the request needs a pass that another one has.
+func (placer *placer) lacksPass() bool {
+	part := placer.verdict.OnProbation
+	return part != 0 && placer.proxy.probation != nil && placer.admitted.pass.Part() != part && !placer.proxy.probation.Available(part)
 }
 
 // unplacedOnProbation records that the request waits for a pass, and returns that.
