--- a/cmd/cloverrail/crash_wave_test.go
+++ b/cmd/cloverrail/crash_wave_test.go
@@ -42,8 +42,13 @@
 		w.nodes, w.servers, w.waveSize, w.downtime, w.kind, w.name, w.entriesStay, w.isolates)
 }
 
+// waveFleets bounds the fleets of crash waves at a time: with more of them, nodes lack processor time.
+var waveFleets = make(chan struct{}, 4)
+
 // newWaveFleet returns a fleet whose engines are down for a time after a crash.
 func newWaveFleet(t *testing.T, w crashWave) *fleetFixture {
+	waveFleets <- struct{}{}
+	t.Cleanup(func() { <-waveFleets })
 	f := newFleet(t, w.nodes, w.servers)
 	for _, m := range f.machines {
 		if m.Model != "" {
