--- a/internal/exchange/sign.go
+++ b/internal/exchange/sign.go
@@ -1,7 +1,7 @@
 package exchange
 
 // Sign is what shows that an attempt did not run and never will. A request that may run once is sent again, and its
-// caller is promised that it did not run, only by one. No other package can make further signs.
+// caller is promised that it did not run, only by one. It is for logs and metrics: the Machine decides by the event.
 type Sign struct{ name string }
 
 // The signs. Their names are labels of metrics.
