Tell responses too many, and attempts that meet the connection of an earlier one

The log did not distinguish the hypotheses on copies of refusals: no line said that two attempts of a request went over one connection, nor what a response too many was. No decision changes: cloverrail_proxy_repeat_connections_total and cloverrail_proxy_surplus_responses_total count both, each with a line.

--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -147,6 +147,7 @@
 	process.eras = &coordination.EraTracker{OnChange: process.handleRestore, OnIgnored: process.recorder.EraIgnored}
 	process.outage = &coordination.Outage{}
 	process.store = platform.NewStore(config.StoreAddress, process.recorder.StoreCall, process.eras, process.outage)
+	surplus := telemetry.NewSurplusRecorder(process.recorder)
 	process.serverClient = platform.NewServerClient(platform.ConnectionOptions{
 		ConnectTimeout:   connectTimeout,
 		SilenceTolerance: silenceTolerance,
@@ -157,6 +158,8 @@
 		OnOwnCall:        process.chargeOwnCall,
 		Memory:           process.responseMemory,
 		OnTooLarge:       process.recorder.ResponseTooLarge,
+		OnRepeat:         surplus.Repeated,
+		OnSurplus:        surplus.Received,
 	})
 	process.retryBudgets = proxy.NewRetryBudgets(proxy.RetryBounds{
 		Ratio:  config.Bounds.RetryRatio,
--- a/internal/keepalive/client.go
+++ b/internal/keepalive/client.go
@@ -77,11 +77,18 @@
 	// OnConnection, if set, is called for each request with whether it reused a connection. It
 	// must not block.
 	OnConnection func(kept bool)
+	// IDHeader is the header of a request's ID, which servers repeat in their responses; "" means that requests have none.
+	IDHeader string
+	// OnRepeat, if set, is called with the address of a server and the ID of a request that gets a connection which has carried
+	// it before. It must not block.
+	OnRepeat func(address, id string)
 }
 
 // Client sends requests on persistent connections. It is safe for concurrent use.
 type Client struct {
 	onConnection func(kept bool)
+	idHeader     string
+	onRepeat     func(address, id string)
 	// transport is used without an http.Client, which fails responses with a malformed Location header.
 	transport *outbound.Transport
 	lingerers lingerers
@@ -92,7 +99,7 @@
 
 // New returns a client without connections.
 func New(options Options) *Client {
-	c := &Client{onConnection: options.OnConnection, idleTimeouts: map[string]*IdleTimeout{}}
+	c := &Client{onConnection: options.OnConnection, idHeader: options.IDHeader, onRepeat: options.OnRepeat, idleTimeouts: map[string]*IdleTimeout{}}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			plain, err := options.Dial(ctx, network, address)
@@ -130,7 +137,7 @@
 	for attempt := 1; ; attempt++ {
 		request := build()
 		needsNew := reuse == ReuseNone || reuse == ReuseRecent && replayable(request)
-		u := &use{client: c, address: request.URL.Host, atMostOnce: reuse == ReuseRecent, needsNewConnection: needsNew, completion: outbound.CompletionOf(request.Context())}
+		u := &use{client: c, address: request.URL.Host, id: c.idOf(request), atMostOnce: reuse == ReuseRecent, needsNewConnection: needsNew, completion: outbound.CompletionOf(request.Context())}
 		traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: u.acquire, PutIdleConn: u.finish})
 		response, err = c.transport.RoundTrip(request.WithContext(traced))
 		switch {
@@ -150,6 +157,14 @@
 	}
 }
 
+// idOf returns the ID of a request, or "" if it has none.
+func (c *Client) idOf(request *http.Request) string {
+	if c.idHeader == "" {
+		return ""
+	}
+	return request.Header.Get(c.idHeader)
+}
+
 // replayable reports whether net/http would resend the request by itself if a reused connection
 // failed.
 func replayable(request *http.Request) bool {
@@ -165,8 +180,10 @@
 
 // use is one request's use of a connection.
 type use struct {
-	client     *Client
-	address    string
+	client  *Client
+	address string
+	// id is that of the request; "" if it has none.
+	id         string
 	atMostOnce bool
 	// needsNewConnection says that the request must not reuse a connection: it allows none, or net/http would
 	// resend it by itself if a reused one failed.
@@ -189,6 +206,9 @@
 	if !known {
 		return
 	}
+	if taken.recordCarried(u.id) && u.client.onRepeat != nil {
+		u.client.onRepeat(u.address, u.id)
+	}
 	number := taken.acquire(u.client.maxIdle(u.address, u.atMostOnce), u.needsNewConnection && got.Reused)
 	if completed := taken.currentCompletion(); u.completion != nil && completed != nil {
 		u.completion.Begin(completed.done, func() outbound.CompletionResult { return completed.result }, taken.closeAcknowledged)
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -48,6 +48,8 @@
 	closing bool
 	// completion is that of the current request; nil if there is none.
 	completion *completion
+	// carried is the requests that have used the connection.
+	carried carried
 }
 
 // completion is the end of one request at the server.
@@ -80,6 +82,15 @@
 	return c.uses
 }
 
+// recordCarried records that the connection carries a request, and reports whether it has carried it before.
+func (c *conn) recordCarried(id string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	before := c.carried.contains(id)
+	c.carried.add(id)
+	return before
+}
+
 // currentCompletion returns the completion of the current request.
 func (c *conn) currentCompletion() *completion {
 	c.mutex.Lock()
