Never send a request twice over one connection

Callers saw "not run" for requests that ran, and requests that must run once ran twice. A server may send a response too many, also a copy of a refusal. It bears the ID of the refused request, so that the next attempt on the same connection takes it for its own response.

A connection now remembers the IDs that it has carried (hashes; 1,024 at most, 8 KiB, after which it is closed), and an attempt that gets one which has carried its request gets another.

--- a/internal/keepalive/carried.go
+++ b/internal/keepalive/carried.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxCarried bounds the requests that a connection remembers.
+// maxCarried bounds the requests that a connection remembers, and with them those that it carries.
 const maxCarried = 1024
 
 // carried is the requests that a connection has carried. The zero value is empty.
@@ -15,17 +15,19 @@
 	hashes []uint64
 }
 
-// add adds a request. One without an ID is not remembered.
-func (c *carried) add(id string) {
-	if id != "" && !c.full() && !c.contains(id) {
-		c.hashes = append(c.hashes, xxhash.Sum64String(id))
+// add adds a request, and reports whether there is room for it. One without an ID is not remembered.
+func (c *carried) add(id string) bool {
+	if id == "" {
+		return true
 	}
+	if len(c.hashes) >= maxCarried {
+		return false
+	}
+	c.hashes = append(c.hashes, xxhash.Sum64String(id))
+	return true
 }
 
 // contains reports whether the connection has carried a request with an ID.
 func (c *carried) contains(id string) bool {
 	return id != "" && slices.Contains(c.hashes, xxhash.Sum64String(id))
 }
-
-// full reports whether no further request can be remembered.
-func (c *carried) full() bool { return len(c.hashes) >= maxCarried }
--- a/internal/keepalive/client.go
+++ b/internal/keepalive/client.go
@@ -1,5 +1,6 @@
 // Package keepalive sends HTTP requests on persistent connections, and never
-// resends a request of which a byte may have been sent.
+// resends a request of which a byte may have been sent. No connection carries a
+// request twice.
 //
 // A server closes a connection that has been idle for some time, possibly just as
 // the next request is written; then it is unknown whether the request ran. The
@@ -79,8 +80,8 @@
 	OnConnection func(kept bool)
 	// IDHeader is the header of a request's ID, which servers repeat in their responses; "" means that requests have none.
 	IDHeader string
-	// OnRepeat, if set, is called with the address of a server and the ID of a request that gets a connection which has carried
-	// it before. It must not block.
+	// OnRepeat, if set, is called with the address of a server and the ID of a request that needs another connection, as the
+	// one it got has carried it before. It must not block.
 	OnRepeat func(address, id string)
 }
 
@@ -206,10 +207,11 @@
 	if !known {
 		return
 	}
-	if taken.recordCarried(u.id) && u.client.onRepeat != nil {
+	repeats, carries := taken.carry(u.id)
+	if repeats && u.client.onRepeat != nil {
 		u.client.onRepeat(u.address, u.id)
 	}
-	number := taken.acquire(u.client.maxIdle(u.address, u.atMostOnce), u.needsNewConnection && got.Reused)
+	number := taken.acquire(u.client.maxIdle(u.address, u.atMostOnce), !carries || u.needsNewConnection && got.Reused)
 	if completed := taken.currentCompletion(); u.completion != nil && completed != nil {
 		u.completion.Begin(completed.done, func() outbound.CompletionResult { return completed.result }, taken.closeAcknowledged)
 	}
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -82,13 +82,15 @@
 	return c.uses
 }
 
-// recordCarried records that the connection carries a request, and reports whether it has carried it before.
-func (c *conn) recordCarried(id string) bool {
+// carry reports whether the connection has carried a request before, and whether it may carry it now. A response that arrives
+// late would look like the one to a repeated request, whose ID it bears.
+func (c *conn) carry(id string) (repeats, carries bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	before := c.carried.contains(id)
-	c.carried.add(id)
-	return before
+	if c.carried.contains(id) {
+		return true, false
+	}
+	return false, c.carried.add(id)
 }
 
 // currentCompletion returns the completion of the current request.
