Read the awaited response behind one that answers an earlier request

Callers saw 502 ("given up after 1 attempts (it may not run twice)") for requests that the server had answered: a response too many came first, and failed the request that waited behind it, whose outcome was then unknown.

A connection now drops a response that bears the ID of an earlier request of its own, and reads on. What comes while nothing is awaited closes the connection, and a request gets it only once net/http has used all that was read before: what the library held of a response too many was taken for the next one. One that bears an ID which the connection has not carried, or none, fails the request as before: servers that mix connections up send no other.

--- a/internal/keepalive/client.go
+++ b/internal/keepalive/client.go
@@ -83,6 +83,9 @@
 	// OnRepeat, if set, is called with the address of a server and the ID of a request that needs another connection, as the
 	// one it got has carried it before. It must not block.
 	OnRepeat func(address, id string)
+	// OnSurplus, if set, is called with the address of a server that has sent a response too many, which was not used. It must
+	// not block.
+	OnSurplus func(address string, kind Surplus)
 }
 
 // Client sends requests on persistent connections. It is safe for concurrent use.
@@ -107,7 +110,13 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: plain, connectedAt: boottime.Now(), lingerers: &c.lingerers, serverClosed: func(idle time.Duration) { c.serverClosed(address, idle) }}, nil
+			opened := newConn(plain)
+			opened.lingerers, opened.idHeader = &c.lingerers, c.idHeader
+			opened.serverClosed = func(idle time.Duration) { c.serverClosed(address, idle) }
+			if options.OnSurplus != nil {
+				opened.onSurplus = func(kind Surplus) { options.OnSurplus(address, kind) }
+			}
+			return opened, nil
 		},
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: outbound.MaxHeaderBytes,
@@ -138,7 +147,7 @@
 	for attempt := 1; ; attempt++ {
 		request := build()
 		needsNew := reuse == ReuseNone || reuse == ReuseRecent && replayable(request)
-		u := &use{client: c, address: request.URL.Host, id: c.idOf(request), atMostOnce: reuse == ReuseRecent, needsNewConnection: needsNew, completion: outbound.CompletionOf(request.Context())}
+		u := &use{client: c, address: request.URL.Host, id: c.idOf(request), method: request.Method, atMostOnce: reuse == ReuseRecent, needsNewConnection: needsNew, completion: outbound.CompletionOf(request.Context())}
 		traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: u.acquire, PutIdleConn: u.finish})
 		response, err = c.transport.RoundTrip(request.WithContext(traced))
 		switch {
@@ -185,6 +194,7 @@
 	address string
 	// id is that of the request; "" if it has none.
 	id         string
+	method     string
 	atMostOnce bool
 	// needsNewConnection says that the request must not reuse a connection: it allows none, or net/http would
 	// resend it by itself if a reused one failed.
@@ -207,11 +217,14 @@
 	if !known {
 		return
 	}
-	repeats, carries := taken.carry(u.id)
+	if got.Reused {
+		taken.awaitReader()
+	}
+	repeats, carries := taken.carry(u.id, u.method)
 	if repeats && u.client.onRepeat != nil {
 		u.client.onRepeat(u.address, u.id)
 	}
-	number := taken.acquire(u.client.maxIdle(u.address, u.atMostOnce), !carries || u.needsNewConnection && got.Reused)
+	number := taken.acquire(u.id, u.client.maxIdle(u.address, u.atMostOnce), !carries || u.needsNewConnection && got.Reused)
 	if completed := taken.currentCompletion(); u.completion != nil && completed != nil {
 		u.completion.Begin(completed.done, func() outbound.CompletionResult { return completed.result }, taken.closeAcknowledged)
 	}
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -1,8 +1,10 @@
 package keepalive
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -27,11 +29,22 @@
 	serverClosed func(rested time.Duration)
 	lingerers    *lingerers
 	resets       outbound.Resets
+	// idHeader is the header of requests' IDs; "" if they have none.
+	idHeader string
+	// onSurplus, if set, is called for each response that answers no request which waits for one.
+	onSurplus func(kind Surplus)
 
 	// readMutex is held during reads.
 	readMutex sync.Mutex
+	// rest holds what has been read from the socket and not passed on yet, and restErr is the error that follows it.
+	rest    *bufio.Reader
+	restErr error
 
 	mutex sync.Mutex
+	// readable is broadcast when reading or closing is set.
+	readable *sync.Cond
+	// reading says that a read waits for the socket: all that has been read before was used.
+	reading bool
 	// uses counts the requests that used the connection.
 	uses int
 	// idleSince is zero while a request is in flight.
@@ -48,8 +61,19 @@
 	closing bool
 	// completion is that of the current request; nil if there is none.
 	completion *completion
-	// carried is the requests that have used the connection.
-	carried carried
+	// carried is the requests that have used the connection, and carriedHead says that one had the method HEAD.
+	carried     carried
+	carriedHead bool
+	awaited     awaited
+	// spoilt says that something has come that answers no request.
+	spoilt bool
+}
+
+// newConn returns a connection to a server.
+func newConn(plain net.Conn) *conn {
+	c := &conn{Conn: plain, connectedAt: boottime.Now()}
+	c.readable = sync.NewCond(&c.mutex)
+	return c
 }
 
 // completion is the end of one request at the server.
@@ -66,15 +90,16 @@
 
 // acquire takes the connection for a request. Its writes fail if refused is set or if the
 // connection was idle for longer than the limit. It returns the number of the use.
-func (c *conn) acquire(limit time.Duration, refused bool) int {
+func (c *conn) acquire(id string, limit time.Duration, refused bool) int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.uses++
 	c.written = false
+	c.awaited = awaited{id: id, head: true}
 	// A connection is reused only once its previous request is complete.
 	c.complete(outbound.CompletionEnded)
 	c.completion = &completion{done: make(chan struct{})}
-	c.refused = refused || !c.idleSince.IsZero() && boottime.Since(c.idleSince) > limit
+	c.refused = refused || c.spoilt || !c.idleSince.IsZero() && boottime.Since(c.idleSince) > limit
 	c.idleSince = time.Time{}
 	if c.expiry != nil {
 		c.expiry.Stop()
@@ -84,15 +109,26 @@
 
 // carry reports whether the connection has carried a request before, and whether it may carry it now. A response that arrives
 // late would look like the one to a repeated request, whose ID it bears.
-func (c *conn) carry(id string) (repeats, carries bool) {
+func (c *conn) carry(id, method string) (repeats, carries bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.carried.contains(id) {
 		return true, false
 	}
+	c.carriedHead = c.carriedHead || method == http.MethodHead
 	return false, c.carried.add(id)
 }
 
+// awaitReader waits until all that has been read from the connection was used, or until it is closed. What net/http holds of a
+// response too many would count as the response to the next request.
+func (c *conn) awaitReader() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for !c.reading && !c.closing {
+		c.readable.Wait()
+	}
+}
+
 // currentCompletion returns the completion of the current request.
 func (c *conn) currentCompletion() *completion {
 	c.mutex.Lock()
@@ -151,16 +187,41 @@
 	return c.resets.Write(c.Conn, data)
 }
 
-// Read reads from the connection.
+// Read reads from the connection, without responses that answer no request which waits for one.
 func (c *conn) Read(data []byte) (int, error) {
 	c.readMutex.Lock()
 	defer c.readMutex.Unlock()
-	c.mutex.Lock()
-	closing := c.closing
-	c.mutex.Unlock()
-	if closing {
+	if n, err := c.readRest(data); n > 0 || err != nil {
+		return n, err
+	}
+	if !c.beginRead() {
 		return 0, net.ErrClosed
 	}
+	defer c.endRead()
+	n, err := c.readSocket(data)
+	if n == 0 {
+		return 0, err
+	}
+	return c.examine(data, n, err)
+}
+
+// beginRead records that a read waits for the socket. It returns false if the connection is being closed.
+func (c *conn) beginRead() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.reading = !c.closing
+	c.readable.Broadcast()
+	return c.reading
+}
+
+func (c *conn) endRead() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.reading = false
+}
+
+// readSocket reads from the socket, and records how the connection has ended.
+func (c *conn) readSocket(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	err = c.resets.ReadError(c.Conn, err)
 	if err != nil {
@@ -182,6 +243,7 @@
 		return nil
 	}
 	c.closing = true
+	c.readable.Broadcast()
 	since, expired := c.idleSince, c.expired || !c.ended
 	c.idleSince = time.Time{}
 	if c.expiry != nil {
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -216,8 +216,9 @@
 			require.NoError(t, err)
 			far, err := listener.Accept()
 			require.NoError(t, err)
-			c := &conn{Conn: plain, serverClosed: func(idle time.Duration) { closings <- idle }}
-			c.release(c.acquire(time.Minute, false), time.Minute)
+			c := newConn(plain)
+			c.serverClosed = func(idle time.Duration) { closings <- idle }
+			c.release(c.acquire("", time.Minute, false), time.Minute)
 			if reset {
 				require.NoError(t, far.(*net.TCPConn).SetLinger(0))
 			}
--- a/internal/keepalive/reset_test.go
+++ b/internal/keepalive/reset_test.go
@@ -24,7 +24,7 @@
 	accepted, err := listener.Accept()
 	require.NoError(t, err)
 	t.Cleanup(func() { accepted.Close() })
-	return &conn{Conn: dialed}, accepted.(*net.TCPConn)
+	return newConn(dialed), accepted.(*net.TCPConn)
 }
 
 // TestResetIsNotEndOfData guards against a response without a length that is short and looks complete: the server resets the
