Bound the heads of clients' requests, one by one and together

Callers saw a node that ran out of memory and ended, with all requests on it: each connection could hold a head of 1 MiB, three times over, outside the account of memory, and the declared bound was compared once the head had been read and parsed.

A connection now counts the bytes and lines of a head as they arrive. Beyond the bound in force (the declared one, or 1 MiB while none is known) the client gets 431; where all heads together hold half of the account of requests, it gets 503 with Retry-After, which is true: nothing of the request was read. Small heads cost nothing there. The client has half a second to read the response, as a reset could overtake it.

--- a/cmd/cloverrail/connections.go
+++ b/cmd/cloverrail/connections.go
@@ -15,6 +15,13 @@
 // stallTimeout is how long a client may take nothing of what is written to it.
 const stallTimeout = 2 * time.Second
 
+const (
+	// defaultMaxHeadBytes bounds the head of a request where no bound is declared.
+	defaultMaxHeadBytes = 1 << 20
+	// serverMaxHeadBytes is the bound of http.Server, which is fixed when it starts: the declared one holds instead.
+	serverMaxHeadBytes = 1 << 30
+)
+
 // delayInterval is the interval between two measurements of the scheduling delay.
 const delayInterval = 100 * time.Millisecond
 
@@ -43,7 +50,21 @@
 			return clientconn.Timeouts{Head: limits.HeaderTimeout, Idle: limits.IdleTimeout}
 		},
 		OnTimeout: process.clients.TimedOut,
+		Heads: &clientconn.HeadLimits{
+			MaxBytes:   process.maxHeadBytes,
+			Memory:     process.headMemory,
+			OnRejected: process.clients.HeadRejected,
+		},
+	}
+}
+
+// maxHeadBytes returns the bound of the head of a request in bytes.
+func (process *process) maxHeadBytes() int {
+	limits, unconfigured := process.proxy.Limits()
+	if unconfigured != nil || limits.MaxHeaderBytes <= 0 {
+		return defaultMaxHeadBytes
 	}
+	return limits.MaxHeaderBytes
 }
 
 // newClientServer returns the server of clients' connections, which observeClients must accept. Its timeouts hold where
@@ -51,6 +72,7 @@
 func (process *process) newClientServer() *clientconn.Server {
 	server := clientconn.NewServer(process.ingress())
 	server.ReadHeaderTimeout, server.IdleTimeout, server.UnusedTimeout = readHeaderTimeout, idleTimeout, shutdownTimeout
+	server.MaxHeaderBytes = serverMaxHeadBytes
 	server.ErrorLog = log.New(process.clients, "", 0)
 	return server
 }
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -120,8 +120,10 @@
 	peerClient *http.Client
 	// quarantinePersister writes quarantined requests to the store.
 	quarantinePersister *quarantine.Persister
-	// memory bounds the bytes that requests hold, and responseMemory those that servers' responses do.
+	// memory bounds the bytes that requests hold, headMemory those of their heads, and responseMemory those that servers'
+	// responses do.
 	memory         *admission.MemoryBudget
+	headMemory     *admission.MemoryBudget
 	responseMemory *admission.MemoryBudget
 	// reflector reads the store, or polls a node that does.
 	reflector *reflector.Reflector
@@ -143,6 +145,7 @@
 	log.SetFlags(0)
 	log.SetOutput(telemetry.NewLibraryRecorder(process.recorder))
 	process.memory = admission.NewMemoryBudget(config.MemoryBytes())
+	process.headMemory = process.memory.Heads()
 	process.responseMemory = admission.NewResponseBudget(config.MemoryBytes())
 	process.eras = &coordination.EraTracker{OnChange: process.handleRestore, OnIgnored: process.recorder.EraIgnored}
 	process.outage = &coordination.Outage{}
@@ -336,6 +339,9 @@
 	process.metrics.Gauge("cloverrail_proxy_response_memory_held_bytes", "Bytes that responses of servers hold beyond the first bytes of each.", func() float64 {
 		return float64(process.responseMemory.Held())
 	})
+	process.metrics.Gauge("cloverrail_proxy_head_memory_held_bytes", "Bytes that heads of requests hold beyond the first bytes of each.", func() float64 {
+		return float64(process.headMemory.Held())
+	})
 	process.metrics.Gauge("cloverrail_proxy_retry_sharing_nodes", "Nodes that share the part of the fleet's retries that does not depend on requests; 0 if this node has no share, since the others may not count it.", func() float64 {
 		return float64(process.retryBudgets.Nodes())
 	})
--- a/internal/admission/memory.go
+++ b/internal/admission/memory.go
@@ -77,13 +77,25 @@
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	if budget.limit > 0 && bytes > budget.limit-budget.held {
-		return &MemoryRefusal{Wanted: bytes, Held: budget.held, Limit: budget.limit, RetryAfter: budget.retryAfter()}
+		return budget.refusal(bytes)
 	}
 	budget.held += bytes
 	hold.bytes += bytes
 	return nil
 }
 
+// refuse returns the refusal of bytes.
+func (budget *MemoryBudget) refuse(bytes int64) *MemoryRefusal {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	return budget.refusal(bytes)
+}
+
+// refusal returns the refusal of bytes. The caller must hold the mutex.
+func (budget *MemoryBudget) refusal(bytes int64) *MemoryRefusal {
+	return &MemoryRefusal{Wanted: bytes, Held: budget.held, Limit: budget.limit, RetryAfter: budget.retryAfter()}
+}
+
 // Release returns the bytes to the budget. Further calls have no effect.
 func (hold *MemoryHold) Release(now time.Time) {
 	budget := hold.budget
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -44,6 +44,8 @@
 	Timeouts func() Timeouts
 	// OnTimeout, if set, is called for each connection that is closed because its client took too long.
 	OnTimeout func(waiting Waiting)
+	// Heads bounds the heads of requests; nil means that the bound of the http.Server holds.
+	Heads *HeadLimits
 }
 
 // Accept returns the next connection.
@@ -52,7 +54,10 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{Conn: accepted, stallTimeout: l.StallTimeout, timeouts: l.Timeouts, onTimeout: l.OnTimeout}
+	c := &Conn{Conn: accepted, stallTimeout: l.StallTimeout, timeouts: l.Timeouts, onTimeout: l.OnTimeout, limits: l.Heads}
+	if l.Heads != nil {
+		c.head.hold = l.Heads.Memory.HoldHead()
+	}
 	if c.timeouts == nil {
 		c.timeouts = func() Timeouts { return Timeouts{} }
 	}
@@ -72,6 +77,9 @@
 	// endedAt is when the end of the client's data was read, in nanoseconds since the Unix epoch; 0 if it was not.
 	endedAt atomic.Int64
 	wait    wait
+	// limits bounds heads; nil means that nothing does.
+	limits *HeadLimits
+	head   head
 }
 
 // End returns how the client's side of the connection has ended.
@@ -143,8 +151,10 @@
 	for isTimeout(err) && c.extendWait() {
 		n, err = c.Conn.Read(p)
 	}
-	if n > 0 {
-		c.recordRead(n)
+	if n > 0 && c.recordRead(n) {
+		if refusal := c.readHead(p[:n]); refusal != nil {
+			return 0, c.rejectHead(refusal)
+		}
 	}
 	switch {
 	case err == nil, isTimeout(err), errors.Is(err, net.ErrClosed):
--- a/internal/clientconn/timeouts.go
+++ b/internal/clientconn/timeouts.go
@@ -54,6 +54,9 @@
 	c.wait.mutex.Lock()
 	defer c.wait.mutex.Unlock()
 	c.wait.idle = state == http.StateIdle
+	if c.wait.idle {
+		c.head.release(false)
+	}
 }
 
 // SetReadDeadline sets the read deadline. http.Server sets deadlines in the future for heads and idle connections only;
@@ -128,10 +131,11 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// recordRead records that bytes have been read.
-func (c *Conn) recordRead(n int) {
+// recordRead records that bytes have been read, and reports whether they may be of a head.
+func (c *Conn) recordRead(n int) bool {
 	c.wait.mutex.Lock()
 	defer c.wait.mutex.Unlock()
 	c.wait.received = true
 	c.wait.unread -= n
+	return !c.wait.since.IsZero()
 }
--- a/internal/telemetry/clients.go
+++ b/internal/telemetry/clients.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/cloverrail/cloverrail/internal/admission"
 	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/failure"
 )
@@ -16,6 +17,7 @@
 	unread   *prometheus.CounterVec
 	ends     *prometheus.CounterVec
 	timeouts *prometheus.CounterVec
+	heads    *prometheus.CounterVec
 	errors   prometheus.Counter
 }
 
@@ -32,11 +34,14 @@
 		timeouts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_client_timeouts_total", Help: "Connections of clients that were closed because no head of a request came in time, or no further request.",
 		}, []string{"waiting"}),
+		heads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_rejected_heads_total", Help: "Heads of requests that were rejected before they were read whole, by the bound that they exceed (head, memory).",
+		}, []string{"bound"}),
 		errors: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_connection_errors_total", Help: "Errors of the HTTP server that ended a client's connection.",
 		}),
 	}
-	recorder.metrics.Registry.MustRegister(c.unread, c.ends, c.timeouts, c.errors)
+	recorder.metrics.Registry.MustRegister(c.unread, c.ends, c.timeouts, c.heads, c.errors)
 	return c
 }
 
@@ -61,6 +66,19 @@
 	}
 }
 
+// HeadRejected records a connection that was closed because the head of a request exceeds a bound.
+func (c *ClientRecorder) HeadRejected(rejection clientconn.HeadRejection) {
+	line := c.recorder.limitedLine(zerolog.InfoLevel).Int("bytes", rejection.Bytes).Int("max_bytes", rejection.MaxBytes)
+	if rejection.Memory == nil {
+		c.heads.WithLabelValues(admission.BoundHead).Inc()
+		line.Str("bound", admission.BoundHead).Msg("head rejected")
+		return
+	}
+	c.heads.WithLabelValues(admission.BoundMemory).Inc()
+	line.Str("bound", admission.BoundMemory).Int64("wanted_bytes", rejection.Memory.Wanted).Int64("held_bytes", rejection.Memory.Held).
+		Int64("limit_bytes", rejection.Memory.Limit).Msg("head rejected")
+}
+
 // Write logs an error of the HTTP server, such as a panic of a handler. It implements io.Writer for http.Server.ErrorLog.
 func (c *ClientRecorder) Write(message []byte) (int, error) {
 	c.errors.Inc()
