Bound connections and heads at the addresses that are not the clients'

Callers saw the same as at the clients' address: whoever reaches the addresses of readiness, metrics, other nodes or seeds could have a node hold heads of 1 MiB on any number of connections, until its memory or its descriptors ended.

Heads may have 8 KiB there; load balancers and collectors of metrics have 32 connections each, other nodes half of the descriptors that are kept from the clients. A node of 985 is asked by some 60 others (docs/CAPACITY.md).

Beginnings of long messages to nodes still take up to 194 MB.

--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -30,6 +30,11 @@
 	exitMargin      = 300 * time.Millisecond
 	logFlushTimeout = 100 * time.Millisecond
 	gcPercent       = 50
+	// internalHeadBytes bounds the head of a request at an address that is not the clients'. Nodes, load balancers and
+	// collectors of metrics send some hundred bytes.
+	internalHeadBytes = 8 << 10
+	// maxProbeConnections bounds the connections of load balancers, and of collectors of metrics.
+	maxProbeConnections = 32
 	// goMemoryShare is the share of a node's memory that the runtime keeps within by collecting garbage more often.
 	goMemoryShare = 0.75
 )
@@ -59,14 +64,18 @@
 	}
 }
 
-func serve(address string, handler http.Handler) (*http.Server, error) {
+// serve serves an address that is not the clients'. Its connections are those that the gate admits.
+func (process *process) serve(address, name string, handler http.Handler, gate *connlimit.Gate) error {
 	listener, err := listen(address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	go func() { _ = server.Serve(connlimit.PersistentListener{Listener: listener}) }()
-	return server, nil
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: internalHeadBytes}
+	limited := &connlimit.Listener{Listener: listener, Gate: gate, OnTurnedAway: func(connlimit.Reason, connlimit.Arrival) {
+		process.clients.InternalTurnedAway(name)
+	}}
+	go func() { _ = server.Serve(limited) }()
+	return nil
 }
 
 func listen(address string) (net.Listener, error) {
@@ -74,6 +83,28 @@
 	return listener, errors.Annotatef(err, "cannot listen on address %s; choose a free port", address)
 }
 
+// serveInternal serves the addresses that are not the clients'.
+func (process *process) serveInternal(ready func() bool) error {
+	config := process.settings
+	peers := connlimit.NewGate(connlimit.InternalLimitFor(descriptors(config.Descriptors), config.MemoryBytes()))
+	if err := process.serve(config.ReadinessAddress, "readiness", platform.ReadinessHandler(ready), connlimit.NewGate(maxProbeConnections)); err != nil {
+		return err
+	}
+	if err := process.serve(config.PeerAddress, "peers", process.peerHandler(), peers); err != nil {
+		return err
+	}
+	if config.SeedAddress != "" {
+		if err := process.serve(config.SeedAddress, "seed", process.peerHandler(), peers); err != nil {
+			return err
+		}
+	}
+	if config.MetricsAddress == "" {
+		return nil
+	}
+	metrics := promhttp.HandlerFor(process.metrics.Registry, promhttp.HandlerOpts{})
+	return process.serve(config.MetricsAddress, "metrics", metrics, connlimit.NewGate(maxProbeConnections))
+}
+
 // runProxy serves until a stop signal arrives, and then shuts down gracefully. At each hangup it reads the settings file
 // again.
 func runProxy(ctx context.Context, config settings.Proxy, file string, hangups <-chan os.Signal) error {
@@ -96,22 +127,9 @@
 	defer stopTasks()
 	tasksDone := process.runBackgroundTasks(taskContext)
 	ready := func() bool { return !process.stopping.Load() && process.proxy.Ready(boottime.Now()) }
-	if _, err := serve(config.ReadinessAddress, platform.ReadinessHandler(ready)); err != nil {
-		return err
-	}
-	if _, err := serve(config.PeerAddress, process.peerHandler()); err != nil {
+	if err := process.serveInternal(ready); err != nil {
 		return err
 	}
-	if config.SeedAddress != "" {
-		if _, err := serve(config.SeedAddress, process.peerHandler()); err != nil {
-			return err
-		}
-	}
-	if config.MetricsAddress != "" {
-		if _, err := serve(config.MetricsAddress, promhttp.HandlerFor(process.metrics.Registry, promhttp.HandlerOpts{})); err != nil {
-			return err
-		}
-	}
 	listener, err := listen(config.CallerAddress)
 	if err != nil {
 		return err
--- a/internal/connlimit/gate.go
+++ b/internal/connlimit/gate.go
@@ -118,6 +118,20 @@
 	minLimit = 16
 )
 
+// internalShare is the share of the descriptors beside the clients' that connections from other nodes may use.
+const internalShare = 0.5
+
+// InternalLimitFor returns the number of connections from other nodes that a process with the given number of file descriptors and
+// bytes of memory can hold; 0 means unknown.
+func InternalLimitFor(descriptors int, memory int64) int {
+	limit := LimitFor(descriptors, memory)
+	if descriptors <= 0 {
+		return limit
+	}
+	reserved := min(reservedDescriptors, descriptors/2)
+	return min(limit, max(minLimit, int(internalShare*float64(reserved))))
+}
+
 // LimitFor returns the number of client connections that a process with the given number of file descriptors and bytes of
 // memory can hold; 0 means unknown.
 func LimitFor(descriptors int, memory int64) int {
--- a/internal/telemetry/clients.go
+++ b/internal/telemetry/clients.go
@@ -18,6 +18,7 @@
 	ends     *prometheus.CounterVec
 	timeouts *prometheus.CounterVec
 	heads    *prometheus.CounterVec
+	internal *prometheus.CounterVec
 	errors   prometheus.Counter
 }
 
@@ -37,11 +38,14 @@
 		heads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_rejected_heads_total", Help: "Heads of requests that were rejected before they were read whole, by the bound that they exceed (head, memory).",
 		}, []string{"bound"}),
+		internal: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_internal_connections_turned_away_total", Help: "Connections that were closed unread, as their address, which is not the clients', had as many as it may have.",
+		}, []string{"address"}),
 		errors: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_connection_errors_total", Help: "Errors of the HTTP server that ended a client's connection.",
 		}),
 	}
-	recorder.metrics.Registry.MustRegister(c.unread, c.ends, c.timeouts, c.heads, c.errors)
+	recorder.metrics.Registry.MustRegister(c.unread, c.ends, c.timeouts, c.heads, c.internal, c.errors)
 	return c
 }
 
@@ -79,6 +83,12 @@
 		Int64("limit_bytes", rejection.Memory.Limit).Msg("head rejected")
 }
 
+// InternalTurnedAway records a connection that was closed unread at one of the addresses that are not the clients'.
+func (c *ClientRecorder) InternalTurnedAway(address string) {
+	c.internal.WithLabelValues(address).Inc()
+	c.recorder.lineWithin(c.recorder.turnedAwayLimiter, zerolog.InfoLevel).Str("address", address).Msg("internal connection turned away")
+}
+
 // Write logs an error of the HTTP server, such as a panic of a handler. It implements io.Writer for http.Server.ErrorLog.
 func (c *ClientRecorder) Write(message []byte) (int, error) {
 	c.errors.Inc()
