Read responses whose lines end without a carriage return

Callers saw a request end with its timeout although its response had arrived: a server that ends the lines of a head with a line feed alone, which net/http reads.

The end of a head was looked for as CR LF CR LF alone, so that the reader which looks for responses too many waited for more bytes. It now looks for an empty line as net/http does.

TestResponseWithBareLineEndsIsRead failed before ("context deadline exceeded").

--- a/internal/keepalive/surplus.go
+++ b/internal/keepalive/surplus.go
@@ -28,8 +28,20 @@
 // errSurplus is the error of reads of a connection on which something came that answers no request.
 var errSurplus = errors.New("a response came that answers no request")
 
-// headEnd ends the head of a response.
-var headEnd = []byte("\r\n\r\n")
+// headLength returns the length of the head at the start of data, or 0 if its end is missing. As for net/http, a line may end
+// without a carriage return.
+func headLength(data []byte) int {
+	for length := 0; ; {
+		line, _, ended := bytes.Cut(data[length:], []byte("\n"))
+		if !ended {
+			return 0
+		}
+		length += len(line) + 1
+		if len(bytes.TrimSuffix(line, []byte("\r"))) == 0 {
+			return length
+		}
+	}
+}
 
 // headerValue returns the value of a header in the head of a response, or "".
 func headerValue(head []byte, name string) string {
@@ -47,8 +59,8 @@
 func peekHead(r *bufio.Reader) ([]byte, error) {
 	for {
 		buffered, _ := r.Peek(r.Buffered())
-		if end := bytes.Index(buffered, headEnd); end >= 0 {
-			return buffered[:end+len(headEnd)], nil
+		if length := headLength(buffered); length > 0 {
+			return buffered[:length], nil
 		}
 		if _, err := r.Peek(len(buffered) + 1); err != nil {
 			return nil, err
@@ -106,7 +118,7 @@
 	case !awaitsHead || c.idHeader == "":
 		return n, err
 	}
-	if end := bytes.Index(data[:n], headEnd); end >= 0 && !c.isEarlier(data[:end+len(headEnd)]) {
+	if length := headLength(data[:n]); length > 0 && !c.isEarlier(data[:length]) {
 		c.endHead()
 		return n, err
 	}
