Read the awaited response behind interim ones and responses too many

Callers saw a request of unknown outcome although its response was on its way: an interim response, which bears no ID, was followed by a response too many.

The interim response counted as the awaited one, so that what came behind it was passed on unexamined. Interim responses are now discarded, up to 8 KiB of them; net/http makes nothing of them either.

TestResponseTooManyBehindInterimResponse failed before ("response of a"). TestEachRequestGetsItsOwnResponse cuts responses of several framings, with responses too many before and behind them, into any pieces: before, it lost a request behind an interim response (38th case).

--- a/internal/keepalive/surplus.go
+++ b/internal/keepalive/surplus.go
@@ -25,6 +25,9 @@
 // maxExaminedHead bounds the bytes of a response's head in which its ID is looked for.
 const maxExaminedHead = 8 << 10
 
+// maxInterimBytes bounds the heads of interim responses that are discarded before a response.
+const maxInterimBytes = 8 << 10
+
 // errSurplus is the error of reads of a connection on which something came that answers no request.
 var errSurplus = errors.New("a response came that answers no request")
 
@@ -54,6 +57,13 @@
 	return ""
 }
 
+// isInterim reports whether the head of a response is that of an interim one, which precedes the response to the same request. A
+// switch of protocols is final.
+func isInterim(head []byte) bool {
+	_, status, _ := bytes.Cut(head, []byte(" "))
+	return bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
+}
+
 // peekHead returns the head of the next response without consuming it. The error is that of the reader, bufio.ErrBufferFull if
 // the head exceeds its buffer.
 func peekHead(r *bufio.Reader) ([]byte, error) {
@@ -118,27 +128,33 @@
 	case !awaitsHead || c.idHeader == "":
 		return n, err
 	}
-	if length := headLength(data[:n]); length > 0 && !c.isEarlier(data[:length]) {
+	if length := headLength(data[:n]); length > 0 && !isInterim(data[:length]) && !c.isEarlier(data[:length]) {
 		c.endHead()
 		return n, err
 	}
 	return c.skipEarlier(data, n)
 }
 
-// skipEarlier discards responses to earlier requests, the first bytes of which data holds, and reads the awaited one.
+// skipEarlier discards interim responses and those to earlier requests, the first bytes of which data holds, and reads the
+// awaited one.
 func (c *conn) skipEarlier(data []byte, n int) (int, error) {
 	c.rest = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(data[:n])), readerFunc(c.readSocket)), maxExaminedHead)
-	for {
+	for interim := 0; ; {
 		head, err := peekHead(c.rest)
-		if err != nil || !c.isEarlier(head) {
+		switch {
+		case err == nil && isInterim(head) && interim < maxInterimBytes:
+			interim += len(head)
+			_, _ = c.rest.Discard(len(head))
+		case err == nil && c.isEarlier(head):
+			c.reportSurplus(SurplusEarlier)
+			if err := discardResponse(c.rest); err != nil {
+				return 0, err
+			}
+		default:
 			c.endHead()
 			c.restErr = err
 			return c.readRest(data)
 		}
-		c.reportSurplus(SurplusEarlier)
-		if err := discardResponse(c.rest); err != nil {
-			return 0, err
-		}
 	}
 }
 
