Open a new connection for each request that needs one

Callers saw a resumed stream fail as unreached, and orders not sent, although the server was well: 20 of 20 requests that allow no reuse failed with ErrUnsent beside four callers of the same server, where connecting took 30 ms and a response 5 ms.

net/http hands a request that waits for its connection any other one that is returned meanwhile. Such a request refused it, which also closed it, and after six attempts it was given up. A request that needs a new connection, and the last attempt of any other, now has a transport of its own; the connection is closed after the response.

TestNewConnectionIsOpenedWhileOthersAreReturned: 20 of 20 failed before, 0 after, with one connection for each request.

--- a/internal/keepalive/client.go
+++ b/internal/keepalive/client.go
@@ -95,7 +95,9 @@
 	onRepeat     func(address, id string)
 	// transport is used without an http.Client, which fails responses with a malformed Location header.
 	transport *outbound.Transport
-	lingerers lingerers
+	// newTransport returns a transport without connections. An idle timeout of 0 means no bound.
+	newTransport func(idleTimeout time.Duration) *outbound.Transport
+	lingerers    lingerers
 
 	mutex        sync.Mutex
 	idleTimeouts map[string]*IdleTimeout
@@ -104,27 +106,32 @@
 // New returns a client without connections.
 func New(options Options) *Client {
 	c := &Client{onConnection: options.OnConnection, idHeader: options.IDHeader, onRepeat: options.OnRepeat, idleTimeouts: map[string]*IdleTimeout{}}
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			plain, err := options.Dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			opened := newConn(plain)
-			opened.lingerers, opened.idHeader = &c.lingerers, c.idHeader
-			opened.serverClosed = func(idle time.Duration) { c.serverClosed(address, idle) }
-			if options.OnSurplus != nil {
-				opened.onSurplus = func(kind Surplus) { options.OnSurplus(address, kind) }
-			}
-			return opened, nil
-		},
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: outbound.MaxHeaderBytes,
-		MaxIdleConnsPerHost:    maxIdlePerServer,
-		ReadBufferSize:         options.BufferSize,
-		WriteBufferSize:        options.BufferSize,
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		plain, err := options.Dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		opened := newConn(plain)
+		opened.lingerers, opened.idHeader = &c.lingerers, c.idHeader
+		opened.serverClosed = func(idle time.Duration) { c.serverClosed(address, idle) }
+		if options.OnSurplus != nil {
+			opened.onSurplus = func(kind Surplus) { options.OnSurplus(address, kind) }
+		}
+		return opened, nil
+	}
+	c.newTransport = func(idleTimeout time.Duration) *outbound.Transport {
+		base := &http.Transport{
+			DialContext:            dial,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: outbound.MaxHeaderBytes,
+			MaxIdleConnsPerHost:    maxIdlePerServer,
+			IdleConnTimeout:        idleTimeout,
+			ReadBufferSize:         options.BufferSize,
+			WriteBufferSize:        options.BufferSize,
+		}
+		return &outbound.Transport{Base: base, Timeout: options.Timeout}
 	}
-	c.transport = &outbound.Transport{Base: transport, Timeout: options.Timeout}
+	c.transport = c.newTransport(0)
 	return c
 }
 
@@ -145,11 +152,16 @@
 // DoOn is like Do, and also returns when the connection was established on which the response arrives.
 func (c *Client) DoOn(build func() *http.Request, reuse Reuse) (response *http.Response, connectedAt time.Time, err error) {
 	for attempt := 1; ; attempt++ {
-		request := build()
-		needsNew := reuse == ReuseNone || reuse == ReuseRecent && replayable(request)
-		u := &use{client: c, address: request.URL.Host, id: c.idOf(request), method: request.Method, atMostOnce: reuse == ReuseRecent, needsNewConnection: needsNew, completion: outbound.CompletionOf(request.Context())}
+		request, transport := build(), c.transport
+		// The last attempt cannot meet another connection that it may not use.
+		needsNew := reuse == ReuseNone || reuse == ReuseRecent && replayable(request) || attempt == maxAttempts
+		if needsNew {
+			// A shared transport may hand out a connection that is returned while the new one is opened.
+			transport = c.newTransport(defaultIdleTimeout)
+		}
+		u := &use{client: c, address: request.URL.Host, id: c.idOf(request), method: request.Method, atMostOnce: reuse == ReuseRecent, single: needsNew, completion: outbound.CompletionOf(request.Context())}
 		traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: u.acquire, PutIdleConn: u.finish})
-		response, err = c.transport.RoundTrip(request.WithContext(traced))
+		response, err = transport.RoundTrip(request.WithContext(traced))
 		switch {
 		case err == nil:
 			c.observeHeader(u.address, response.Header.Get("Keep-Alive"))
@@ -196,9 +208,9 @@
 	id         string
 	method     string
 	atMostOnce bool
-	// needsNewConnection says that the request must not reuse a connection: it allows none, or net/http would
-	// resend it by itself if a reused one failed.
-	needsNewConnection bool
+	// single says that the connection is closed after the request. The request needs a new one: it may not reuse any, or
+	// net/http would resend it by itself if a reused one failed.
+	single bool
 	// completion, if set, tracks when the server has ended the request.
 	completion *outbound.Completion
 
@@ -224,7 +236,7 @@
 	if repeats && u.client.onRepeat != nil {
 		u.client.onRepeat(u.address, u.id)
 	}
-	number := taken.acquire(u.id, u.client.maxIdle(u.address, u.atMostOnce), !carries || u.needsNewConnection && got.Reused)
+	number := taken.acquire(u.id, u.client.maxIdle(u.address, u.atMostOnce), !carries || u.single && got.Reused)
 	if completed := taken.currentCompletion(); u.completion != nil && completed != nil {
 		u.completion.Begin(completed.done, func() outbound.CompletionResult { return completed.result }, taken.closeAcknowledged)
 	}
@@ -240,9 +252,14 @@
 func (u *use) finish(err error) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	if err == nil && u.conn != nil {
-		u.conn.release(u.number, u.client.maxIdle(u.address, false))
+	if err != nil || u.conn == nil {
+		return
+	}
+	timeout := u.client.maxIdle(u.address, false)
+	if u.single {
+		timeout = 0
 	}
+	u.conn.release(u.number, timeout)
 }
 
 // connectedAt returns when the connection was established, or zero if there is none.
