Count responses too many that arrive together with a response

The operator saw neither a line of the log nor a count for a response too many that was read in one piece with the response before it: net/http finds its bytes in its own buffer and closes the connection with no error of the connection.

An idle connection that is closed although no read failed or waits was closed for such bytes, and counts as a response too many that was not asked for.

--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -57,6 +57,8 @@
 	written bool
 	// ended says that the server has closed the connection in an orderly way, and reset that it has reset it.
 	ended, reset bool
+	// failed says that a read has failed.
+	failed bool
 	// closing says that Close was called.
 	closing bool
 	// completion is that of the current request; nil if there is none.
@@ -226,6 +228,7 @@
 	err = c.resets.ReadError(c.Conn, err)
 	if err != nil {
 		c.mutex.Lock()
+		c.failed = true
 		c.ended = c.ended || errors.Is(err, io.EOF)
 		c.reset = c.reset || errors.Is(err, syscall.ECONNRESET)
 		c.mutex.Unlock()
@@ -244,6 +247,8 @@
 	}
 	c.closing = true
 	c.readable.Broadcast()
+	// Without an error, net/http stops reading from an idle connection only if it holds bytes that it has not been asked for.
+	unasked := !c.idleSince.IsZero() && !c.reading && !c.failed && !c.expired && !c.spoilt
 	since, expired := c.idleSince, c.expired || !c.ended
 	c.idleSince = time.Time{}
 	if c.expiry != nil {
@@ -260,6 +265,9 @@
 		c.complete(outbound.CompletionUnknown)
 	}
 	c.mutex.Unlock()
+	if unasked {
+		c.reportSurplus(SurplusUnasked)
+	}
 	if lingers {
 		go c.linger(half)
 		return nil
--- a/internal/keepalive/surplus_test.go
+++ b/internal/keepalive/surplus_test.go
@@ -116,6 +116,31 @@
 	})
 }
 
+// Guards against a response too many that nothing tells of, as net/http has read it together with the response before it.
+func TestResponseTooManyInReadOfResponseIsReported(t *testing.T) {
+	for name, surplus := range map[string]string{"none": "", "response": "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n", "byte": "H"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &scriptedServer{respond: func(_ []string, id string) []string {
+					return []string{"HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok" + surplus}
+				}}
+				var received []Surplus
+				c := New(Options{Timeout: time.Minute, Dial: s.dial, IDHeader: "Id", OnSurplus: func(_ string, kind Surplus) { received = append(received, kind) }})
+				for _, id := range []string{"a", "b"} {
+					_, err := exchange(c, id)
+					require.NoError(t, err)
+				}
+				endTest(c)
+				if surplus == "" {
+					require.Empty(t, received)
+				} else {
+					require.Equal(t, []Surplus{SurplusUnasked, SurplusUnasked}, received)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a response too many that counts as the one to a later request of its connection, and against responses that
 // are changed on their way, however they are framed and cut into reads.
 func TestEachRequestGetsItsOwnResponse(outer *testing.T) {
