Drop bytes that come before the first request of a connection

Callers would see the answer to nothing: bytes that a server sends as soon as a connection is open were passed to net/http unexamined, which takes them for the response to the first request if that is registered before they are looked at.

The check for bytes that were not asked for left out connections without a request so far.

--- a/internal/keepalive/surplus.go
+++ b/internal/keepalive/surplus.go
@@ -115,7 +115,7 @@
 // earlier requests are discarded. Nothing may come while no request has been sent.
 func (c *conn) examine(data []byte, n int, err error) (int, error) {
 	c.mutex.Lock()
-	unasked := c.uses > 0 && (!c.idleSince.IsZero() || !c.written)
+	unasked := !c.idleSince.IsZero() || !c.written
 	awaitsHead := c.awaited.head
 	// The use that begins next must not write.
 	c.refused = c.refused || unasked
