Send no request on a connection that has just expired

Callers would see a request of unknown outcome that was not sent: a connection that had been idle for too long was closed just as a request took it, and the server had advertised a longer idle timeout since, so that the request did not refuse it. A write to a closed connection counts as sent.

An expired connection now refuses requests, which then take another one.

TestExpiredConnectionTakesNoRequest failed before.

--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -101,7 +101,7 @@
 	// A connection is reused only once its previous request is complete.
 	c.complete(outbound.CompletionEnded)
 	c.completion = &completion{done: make(chan struct{})}
-	c.refused = refused || c.spoilt || !c.idleSince.IsZero() && boottime.Since(c.idleSince) > limit
+	c.refused = refused || c.spoilt || c.expired || !c.idleSince.IsZero() && boottime.Since(c.idleSince) > limit
 	c.idleSince = time.Time{}
 	if c.expiry != nil {
 		c.expiry.Stop()
--- a/internal/keepalive/conn_test.go
+++ b/internal/keepalive/conn_test.go
@@ -23,3 +23,16 @@
 	require.ErrorIs(t, err, errIdleTooLong)
 	require.True(t, near.unsent())
 }
+
+// Guards against a request that counts as sent although its connection was closed before: the idle timeout of the server grew
+// just as the connection expired.
+func TestExpiredConnectionTakesNoRequest(t *testing.T) {
+	near, _ := connect(t)
+	use := near.acquire("", time.Minute, false)
+	near.release(use, time.Minute)
+	near.expire(use)
+	near.acquire("", time.Hour, false)
+	_, err := near.Write([]byte("request"))
+	require.Error(t, err)
+	require.True(t, near.unsent())
+}
