Refuse attempts of other nodes before connections are closed unread

Callers would see a request of unknown outcome that no node had read: a node that holds as many connections of other nodes as it can closes further ones unread, which the node that offers an attempt cannot tell from a failure while it runs.

Beyond three quarters of its bound, a node now answers attempts of others with 503, which says that the attempt was not sent, and closes the connection; it goes to another node.

A burst that brings the last quarter at once is still closed unread.

--- a/cmd/cloverrail/paths.go
+++ b/cmd/cloverrail/paths.go
@@ -69,6 +69,7 @@
 			}
 			return func() { hold.Release(boottime.Now()) }, nil
 		},
+		Crowded:     process.peerGate.Crowded,
 		OnForwarded: process.recorder.ForwardedForPeer,
 	})
 }
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -21,6 +21,7 @@
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/capacity"
 	"github.com/cloverrail/cloverrail/internal/catalog"
+	"github.com/cloverrail/cloverrail/internal/connlimit"
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/forward"
@@ -125,6 +126,8 @@
 	memory         *admission.MemoryBudget
 	headMemory     *admission.MemoryBudget
 	responseMemory *admission.MemoryBudget
+	// peerGate admits the connections of other nodes.
+	peerGate *connlimit.Gate
 	// reflector reads the store, or polls a node that does.
 	reflector *reflector.Reflector
 	stopping  atomic.Bool
@@ -144,6 +147,7 @@
 	process.clients = telemetry.NewClientRecorder(process.recorder)
 	log.SetFlags(0)
 	log.SetOutput(telemetry.NewLibraryRecorder(process.recorder))
+	process.peerGate = connlimit.NewGate(connlimit.InternalLimitFor(descriptors(config.Descriptors), config.MemoryBytes()))
 	process.memory = admission.NewMemoryBudget(config.MemoryBytes())
 	process.headMemory = process.memory.Heads()
 	process.responseMemory = admission.NewResponseBudget(config.MemoryBytes())
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -86,15 +86,14 @@
 // serveInternal serves the addresses that are not the clients'.
 func (process *process) serveInternal(ready func() bool) error {
 	config := process.settings
-	peers := connlimit.NewGate(connlimit.InternalLimitFor(descriptors(config.Descriptors), config.MemoryBytes()))
 	if err := process.serve(config.ReadinessAddress, "readiness", platform.ReadinessHandler(ready), connlimit.NewGate(maxProbeConnections)); err != nil {
 		return err
 	}
-	if err := process.serve(config.PeerAddress, "peers", process.peerHandler(), peers); err != nil {
+	if err := process.serve(config.PeerAddress, "peers", process.peerHandler(), process.peerGate); err != nil {
 		return err
 	}
 	if config.SeedAddress != "" {
-		if err := process.serve(config.SeedAddress, "seed", process.peerHandler(), peers); err != nil {
+		if err := process.serve(config.SeedAddress, "seed", process.peerHandler(), process.peerGate); err != nil {
 			return err
 		}
 	}
--- a/internal/connlimit/gate.go
+++ b/internal/connlimit/gate.go
@@ -101,6 +101,11 @@
 	return g.open
 }
 
+// Crowded reports whether few further connections are admitted.
+func (g *Gate) Crowded() bool {
+	return g.limit > 0 && float64(g.Open()) > crowdedShare*float64(g.limit)
+}
+
 // Limit returns the maximum number of open connections; 0 means no limit.
 func (g *Gate) Limit() int { return g.limit }
 
@@ -118,6 +123,9 @@
 	minLimit = 16
 )
 
+// crowdedShare is the share of its limit beyond which a gate is crowded.
+const crowdedShare = 0.75
+
 // internalShare is the share of the descriptors beside the clients' that connections from other nodes may use.
 const internalShare = 0.5
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -91,12 +91,14 @@
 	return sender
 }
 
-func newTestHandler(sender Sender) http.Handler {
-	return NewHandler(HandlerOptions{
+func newTestHandler(sender Sender) http.Handler { return NewHandler(testHandlerOptions(sender)) }
+
+func testHandlerOptions(sender Sender) HandlerOptions {
+	return HandlerOptions{
 		Sender: sender, MaxBytes: func() int64 { return 1 << 20 },
 		Reserve:     func(int64) (func(), error) { return func() {}, nil },
 		OnForwarded: func(string, proxy.Dispatch, error) {},
-	})
+	}
 }
 
 func testDispatch() proxy.Dispatch {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -28,6 +28,8 @@
 	MaxBytes func() int64
 	// Reserve takes the bytes of a message from the node's memory. The returned function returns them.
 	Reserve func(bytes int64) (release func(), err error)
+	// Crowded, if set, reports whether the node can hold few further connections. It accepts no attempts then.
+	Crowded func() bool
 	// OnForwarded is called with the error of each attempt, nil if the server has responded. It must
 	// not block.
 	OnForwarded func(node string, dispatch proxy.Dispatch, err error)
@@ -69,6 +71,10 @@
 
 // readAttempt reads a message within the node's limits.
 func readAttempt(options HandlerOptions, w http.ResponseWriter, r *http.Request) (wireAttempt, func(), *refusal) {
+	if options.Crowded != nil && options.Crowded() {
+		w.Header().Set("Connection", "close")
+		return wireAttempt{}, nil, &refusal{http.StatusServiceUnavailable, errors.New("this node can hold few further connections from other nodes; use another node")}
+	}
 	limit := options.MaxBytes()
 	if r.ContentLength < 0 || r.ContentLength > limit {
 		return wireAttempt{}, nil, &refusal{http.StatusRequestEntityTooLarge, errors.Errorf("attempt has %d bytes, and this node accepts %d; send its length, or use another node", r.ContentLength, limit)}
