--- a/internal/keepalive/surplus.go
+++ b/internal/keepalive/surplus.go
@@ -25,11 +25,26 @@
 // maxExaminedHead bounds the bytes of a response's head in which its ID is looked for.
 const maxExaminedHead = 8 << 10
 
+// maxInterimBytes bounds the heads of interim responses that are discarded before a response.
+const maxInterimBytes = 8 << 10
+
 // errSurplus is the error of reads of a connection on which something came that answers no request.
 var errSurplus = errors.New("a response came that answers no request")
 
-// headEnd ends the head of a response.
-var headEnd = []byte("\r\n\r\n")
+// headLength returns the length of the head at the start of data, or 0 if its end is missing. As for net/http, a line may end
+// without a carriage return.
+func headLength(data []byte) int {
+	for length := 0; ; {
+		line, _, ended := bytes.Cut(data[length:], []byte("\n"))
+		if !ended {
+			return 0
+		}
+		length += len(line) + 1
+		if len(bytes.TrimSuffix(line, []byte("\r"))) == 0 {
+			return length
+		}
+	}
+}
 
 // headerValue returns the value of a header in the head of a response, or "".
 func headerValue(head []byte, name string) string {
@@ -42,13 +57,20 @@
 	return ""
 }
 
+// isInterim reports whether the head of a response is that of an interim one, which precedes the response to the same request. A
+// switch of protocols is final.
+func isInterim(head []byte) bool {
+	_, status, _ := bytes.Cut(head, []byte(" "))
+	return bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
+}
+
 // peekHead returns the head of the next response without consuming it. The error is that of the reader, bufio.ErrBufferFull if
 // the head exceeds its buffer.
 func peekHead(r *bufio.Reader) ([]byte, error) {
 	for {
 		buffered, _ := r.Peek(r.Buffered())
-		if end := bytes.Index(buffered, headEnd); end >= 0 {
-			return buffered[:end+len(headEnd)], nil
+		if length := headLength(buffered); length > 0 {
+			return buffered[:length], nil
 		}
 		if _, err := r.Peek(len(buffered) + 1); err != nil {
 			return nil, err
@@ -93,7 +115,7 @@
 // earlier requests are discarded. Nothing may come while no request has been sent.
 func (c *conn) examine(data []byte, n int, err error) (int, error) {
 	c.mutex.Lock()
-	unasked := c.uses > 0 && (!c.idleSince.IsZero() || !c.written)
+	unasked := !c.idleSince.IsZero() || !c.written
 	awaitsHead := c.awaited.head
 	// The use that begins next must not write.
 	c.refused = c.refused || unasked
@@ -106,27 +128,33 @@
 	case !awaitsHead || c.idHeader == "":
 		return n, err
 	}
-	if end := bytes.Index(data[:n], headEnd); end >= 0 && !c.isEarlier(data[:end+len(headEnd)]) {
+	if length := headLength(data[:n]); length > 0 && !isInterim(data[:length]) && !c.isEarlier(data[:length]) {
 		c.endHead()
 		return n, err
 	}
 	return c.skipEarlier(data, n)
 }
 
-// skipEarlier discards responses to earlier requests, the first bytes of which data holds, and reads the awaited one.
+// skipEarlier discards interim responses and those to earlier requests, the first bytes of which data holds, and reads the
+// awaited one.
 func (c *conn) skipEarlier(data []byte, n int) (int, error) {
 	c.rest = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(data[:n])), readerFunc(c.readSocket)), maxExaminedHead)
-	for {
+	for interim := 0; ; {
 		head, err := peekHead(c.rest)
-		if err != nil || !c.isEarlier(head) {
+		switch {
+		case err == nil && isInterim(head) && interim < maxInterimBytes:
+			interim += len(head)
+			_, _ = c.rest.Discard(len(head))
+		case err == nil && c.isEarlier(head):
+			c.reportSurplus(SurplusEarlier)
+			if err := discardResponse(c.rest); err != nil {
+				return 0, err
+			}
+		default:
 			c.endHead()
 			c.restErr = err
 			return c.readRest(data)
 		}
-		c.reportSurplus(SurplusEarlier)
-		if err := discardResponse(c.rest); err != nil {
-			return 0, err
-		}
 	}
 }
 
