Reset a connection before its request counts as reset

Another node could go on with a stream a moment before its former server was reset: the connection lingered, the server sent on, and the request counted as reset before the connection was closed.

--- a/internal/keepalive/linger.go
+++ b/internal/keepalive/linger.go
@@ -55,6 +55,10 @@
 	// It fails if the server has reset the connection, which the next read shows.
 	_ = half.CloseWrite()
 	result := c.awaitPeerClose()
+	if result == outbound.CompletionReset {
+		// What counts as reset must have been reset.
+		_ = c.Conn.Close()
+	}
 	c.mutex.Lock()
 	c.complete(result)
 	c.mutex.Unlock()
