Use the buffers of events that are given up again

A server that sends an event without end makes the node read up to 1 MiB of it, into buffers that double: 2.2 MB of garbage for each attempt, of which as much piles up as the collector allows and more where processor time is short. Beside load the heap grew by 35 and 43 MB in TestResponsesWithoutEndDoNotTakeMemory, 33.5 are allowed.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -6,7 +6,9 @@
 	"bufio"
 	"bytes"
 	"io"
+	"math/bits"
 	"strconv"
+	"sync"
 
 	"github.com/juju/errors"
 )
@@ -58,8 +60,10 @@
 		start := len(reader.raw)
 		if err := reader.readLine(); err != nil {
 			if errors.Is(err, io.EOF) && len(reader.raw) > 0 {
-				return Event{}, io.ErrUnexpectedEOF
+				err = io.ErrUnexpectedEOF
 			}
+			// The caller does not get what was read.
+			reader.drop()
 			return Event{}, err
 		}
 		line := bytes.TrimRight(reader.raw[start:], "\r\n")
@@ -84,10 +88,16 @@
 		reader.raw = reader.raw[:0]
 		return nil
 	}
-	reader.raw = nil
+	reader.drop()
 	return reader.reserve(0)
 }
 
+// drop gives the buffer up.
+func (reader *Reader) drop() {
+	putBuffer(reader.raw)
+	reader.raw = nil
+}
+
 func (reader *Reader) reserve(bytes int) error {
 	if reader.Reserve == nil {
 		return nil
@@ -102,16 +112,43 @@
 		return ErrEventTooLong
 	}
 	if size > cap(reader.raw) && size > keptBytes {
-		grown := min(MaxEventBytes, 2*size)
-		if err := reader.reserve(grown); err != nil {
+		if err := reader.reserve(1 << sizeClass(size)); err != nil {
 			return err
 		}
-		reader.raw = append(make([]byte, 0, grown), reader.raw...)
+		grown := append(newBuffer(size), reader.raw...)
+		reader.drop()
+		reader.raw = grown
 	}
 	reader.raw = append(reader.raw, part...)
 	return nil
 }
 
+// largeBuffers holds large buffers that are not in use, by their size class, so that events which are given up leave little
+// garbage behind.
+var largeBuffers [maxSizeClass + 1]sync.Pool
+
+// maxSizeClass is the size class of MaxEventBytes.
+const maxSizeClass = 20
+
+// sizeClass returns the binary logarithm of the size of the buffers for a number of bytes.
+func sizeClass(bytes int) int { return bits.Len(uint(bytes - 1)) }
+
+// newBuffer returns an empty buffer for a number of bytes, which may have been used before.
+func newBuffer(bytes int) []byte {
+	class := sizeClass(bytes)
+	if used, found := largeBuffers[class].Get().(*[]byte); found {
+		return (*used)[:0]
+	}
+	return make([]byte, 0, 1<<class)
+}
+
+// putBuffer takes back a buffer of newBuffer. Others are left to the garbage collector.
+func putBuffer(buffer []byte) {
+	if size := cap(buffer); size > keptBytes && size == 1<<sizeClass(size) {
+		largeBuffers[sizeClass(size)].Put(&buffer)
+	}
+}
+
 // readLine appends one line, including its terminator, to the raw event.
 func (reader *Reader) readLine() error {
 	for {
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -59,3 +60,85 @@
 		require.True(t, strings.HasPrefix(stream, joined))
 	})
 }
+
+// endless repeats a text without end.
+type endless struct{ text string }
+
+func (e endless) Read(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		n += copy(p[n:], e.text)
+	}
+	return n, nil
+}
+
+// Guards against events without end that leave many buffers behind, which take memory until they are collected.
+func TestEndlessEventsLeaveLittleGarbage(t *testing.T) {
+	const streams = 100
+	for name, text := range map[string]string{"long line": "token ", "many lines": "data: token\n"} {
+		t.Run(name, func(t *testing.T) {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			for range streams {
+				_, err := NewReader(endless{text}, 1<<10).Next()
+				require.ErrorIs(t, err, ErrEventTooLong)
+			}
+			runtime.ReadMemStats(&after)
+			perStream := (after.TotalAlloc - before.TotalAlloc) / streams
+			t.Logf("%d bytes a stream", perStream)
+			require.LessOrEqual(t, perStream, uint64(MaxEventBytes))
+		})
+	}
+}
+
+// Large events of streams that are read at once keep their bytes, and are reserved before they are held.
+func TestLargeEventsShareNoBuffer(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		sizes := rapid.SliceOfN(rapid.IntRange(0, 200<<10), 1, 6)
+		type stream struct {
+			*Reader
+			sizes    []int
+			reserved int
+			last     Event
+			text     string
+		}
+		streams := []*stream{}
+		for i := range 3 {
+			s := &stream{sizes: sizes.Draw(t, "sizes"), text: string(rune('a' + i))}
+			source := strings.Builder{}
+			for _, size := range s.sizes {
+				source.WriteString("data: " + strings.Repeat(s.text, size) + "\n\n")
+			}
+			s.Reader = NewReader(strings.NewReader(source.String()), 1<<10)
+			s.Reserve = func(bytes int) error {
+				s.reserved = bytes
+				return nil
+			}
+			streams = append(streams, s)
+		}
+		for len(streams) > 0 {
+			i := rapid.IntRange(0, len(streams)-1).Draw(t, "next")
+			s := streams[i]
+			if len(s.sizes) == 0 {
+				_, err := s.Next()
+				require.Equal(t, io.EOF, err)
+				streams = append(streams[:i], streams[i+1:]...)
+				continue
+			}
+			var err error
+			s.last, err = s.Next()
+			require.NoError(t, err)
+			for _, s := range streams {
+				if s.last.Raw != nil {
+					size := len(s.last.Raw) - len("data: \n\n")
+					require.Equal(t, "data: "+strings.Repeat(s.text, size)+"\n\n", string(s.last.Raw))
+				}
+			}
+			require.Len(t, s.last.Raw, s.sizes[0]+len("data: \n\n"))
+			if len(s.last.Raw) > 2*keptBytes {
+				require.GreaterOrEqual(t, s.reserved, len(s.last.Raw))
+			}
+			s.sizes = s.sizes[1:]
+		}
+	})
+}
