Decode the answers to own calls once a value is complete

A decoder that reads a value without end doubles its buffer up to the bound: 126 KB of garbage for each call, which was most of what a node allocated while servers answered by a string, a row or white space without end.

heldBody collects what arrives in a buffer that is used again, and passes complete values on: rows of caches, or a report as a whole. Buffers start at 1 KiB, so that calls that wait hold little; the pool of the event reader is a package now.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -6,15 +6,15 @@
 	"bufio"
 	"bytes"
 	"io"
-	"math/bits"
 	"strconv"
-	"sync"
 
 	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/bufferpool"
 )
 
 // MaxEventBytes bounds the size of one event.
-const MaxEventBytes = 1 << 20
+const MaxEventBytes = bufferpool.MaxBytes
 
 // ErrEventTooLong is returned for an event that exceeds the size limit.
 var ErrEventTooLong = errors.New("event of the stream exceeds 1 MiB")
@@ -94,7 +94,7 @@
 
 // drop gives the buffer up.
 func (reader *Reader) drop() {
-	putBuffer(reader.raw)
+	bufferpool.Put(reader.raw)
 	reader.raw = nil
 }
 
@@ -112,10 +112,10 @@
 		return ErrEventTooLong
 	}
 	if size > cap(reader.raw) && size > keptBytes {
-		if err := reader.reserve(1 << sizeClass(size)); err != nil {
+		if err := reader.reserve(bufferpool.Size(size)); err != nil {
 			return err
 		}
-		grown := append(newBuffer(size), reader.raw...)
+		grown := append(bufferpool.Get(size), reader.raw...)
 		reader.drop()
 		reader.raw = grown
 	}
@@ -123,32 +123,6 @@
 	return nil
 }
 
-// largeBuffers holds large buffers that are not in use, by their size class, so that events which are given up leave little
-// garbage behind.
-var largeBuffers [maxSizeClass + 1]sync.Pool
-
-// maxSizeClass is the size class of MaxEventBytes.
-const maxSizeClass = 20
-
-// sizeClass returns the binary logarithm of the size of the buffers for a number of bytes.
-func sizeClass(bytes int) int { return bits.Len(uint(bytes - 1)) }
-
-// newBuffer returns an empty buffer for a number of bytes, which may have been used before.
-func newBuffer(bytes int) []byte {
-	class := sizeClass(bytes)
-	if used, found := largeBuffers[class].Get().(*[]byte); found {
-		return (*used)[:0]
-	}
-	return make([]byte, 0, 1<<class)
-}
-
-// putBuffer takes back a buffer of newBuffer. Others are left to the garbage collector.
-func putBuffer(buffer []byte) {
-	if size := cap(buffer); size > keptBytes && size == 1<<sizeClass(size) {
-		largeBuffers[sizeClass(size)].Put(&buffer)
-	}
-}
-
 // readLine appends one line, including its terminator, to the raw event.
 func (reader *Reader) readLine() error {
 	for {
