Cut off forwarded streams whose path falls silent

Callers' streams stopped after their first events and ended at the deadline, when the node that passed them on was cut from the server in its turn, and the link swallowed all packets. Traced in TestSilentStreamsGoOnWithinRetryBudget (four at once, load 39): a stream of node 0 through node 1 got 3 events, node 1 was cut, and 12.7 s later the deadline came. Node 0 watches paths of its own only, and counts a silent attempt as stalled only if another server may take it; those of the stream's version had been tried. Node 1 knew that its path had failed, and did not use it for the attempt.

A node that passes a stream on has the path probed once no event has come for 0.5 s, and cuts the attempt off when the path has failed.

--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,6 +20,12 @@
 // whether this node reaches the server.
 const peerUnansweredLimit = time.Second
 
+// peerPathCheckInterval is the time between two checks of the path under a stream of another node.
+const peerPathCheckInterval = 100 * time.Millisecond
+
+// silentForwardPath is the reason why a stream of another node was cut off.
+const silentForwardPath = "the forwarding node's path to the server failed while it was silent"
+
 // Forwarder sends attempts through other nodes, on servers that this node cannot reach.
 type Forwarder interface {
 	// Forward sends an attempt on a server in a zone. It returns the error types of Servers.Send:
@@ -108,8 +115,12 @@
 	}
 	if err == nil && reply.Next != nil {
 		next := reply.Next
+		pathFailed := proxy.watchPath(ctx, dispatch, &gaps, cancel)
 		reply.Next = func() (exchange.StreamEvent, error) {
 			event, err := next()
+			if err != nil && pathFailed.Load() {
+				return event, &exchange.ErrPathFailed{Reason: silentForwardPath}
+			}
 			gaps.observe(boottime.Now())
 			proxy.suspectForPeer(dispatch, sentAt, true, err)
 			return event, proxy.explainCutOff(ctx, dispatch, sentAt, true, err)
@@ -122,6 +133,46 @@
 	return reply, done, err
 }
 
+// watchPath cuts off an attempt of a stream of another node once the path to its server has failed while the server was silent,
+// and then sets failed: the other node does not see this path, and may have no other server for the stream.
+func (proxy *Proxy) watchPath(ctx context.Context, dispatch Dispatch, gaps *gapTracker, cutOff func()) (failed *atomic.Bool) {
+	failed = &atomic.Bool{}
+	if !dispatch.Stream || !dispatch.Repeatable {
+		return failed
+	}
+	begunAt := boottime.Now()
+	go func() {
+		ticker := time.NewTicker(peerPathCheckInterval)
+		defer ticker.Stop()
+		for !failed.Load() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			since := begunAt
+			if last := gaps.last(); last.After(since) {
+				since = last
+			}
+			if proxy.pathFailedSince(dispatch.Server, since, boottime.Now()) {
+				failed.Store(true)
+				cutOff()
+			}
+		}
+	}()
+	return failed
+}
+
+// pathFailedSince reports whether the path to a server has failed under an attempt of another node that has been silent since
+// a time. It has the path probed once that is long.
+func (proxy *Proxy) pathFailedSince(server string, since, now time.Time) bool {
+	if now.Sub(since) < minEventGapTimeout/2 {
+		return false
+	}
+	proxy.set.SuspectPathSince(server, since, now)
+	return proxy.set.PathVerdict(server, since, now) == backend.PathFailed
+}
+
 // suspectForPeer suspects an attempt of another node whose connection the server closed before its complete response. This
 // node can tell sooner than the other one whether the server has crashed, which does not reach it.
 func (proxy *Proxy) suspectForPeer(dispatch Dispatch, sentAt time.Time, responding bool, err error) {
@@ -170,6 +221,13 @@
 	g.lastAt = now
 }
 
+// last returns when the last event arrived, or zero if none did.
+func (g *gapTracker) last() time.Time {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.lastAt
+}
+
 func (g *gapTracker) longest() time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
