--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -9,10 +9,12 @@
 	"strconv"
 
 	"github.com/juju/errors"
+
+	"github.com/cloverrail/cloverrail/internal/bufferpool"
 )
 
 // MaxEventBytes bounds the size of one event.
-const MaxEventBytes = 1 << 20
+const MaxEventBytes = bufferpool.MaxBytes
 
 // ErrEventTooLong is returned for an event that exceeds the size limit.
 var ErrEventTooLong = errors.New("event of the stream exceeds 1 MiB")
@@ -58,8 +60,10 @@
 		start := len(reader.raw)
 		if err := reader.readLine(); err != nil {
 			if errors.Is(err, io.EOF) && len(reader.raw) > 0 {
-				return Event{}, io.ErrUnexpectedEOF
+				err = io.ErrUnexpectedEOF
 			}
+			// The caller does not get what was read.
+			reader.drop()
 			return Event{}, err
 		}
 		line := bytes.TrimRight(reader.raw[start:], "\r\n")
@@ -84,10 +88,16 @@
 		reader.raw = reader.raw[:0]
 		return nil
 	}
-	reader.raw = nil
+	reader.drop()
 	return reader.reserve(0)
 }
 
+// drop gives the buffer up.
+func (reader *Reader) drop() {
+	bufferpool.Put(reader.raw)
+	reader.raw = nil
+}
+
 func (reader *Reader) reserve(bytes int) error {
 	if reader.Reserve == nil {
 		return nil
@@ -102,11 +112,12 @@
 		return ErrEventTooLong
 	}
 	if size > cap(reader.raw) && size > keptBytes {
-		grown := min(MaxEventBytes, 2*size)
-		if err := reader.reserve(grown); err != nil {
+		if err := reader.reserve(bufferpool.Size(size)); err != nil {
 			return err
 		}
-		reader.raw = append(make([]byte, 0, grown), reader.raw...)
+		grown := append(bufferpool.Get(size), reader.raw...)
+		reader.drop()
+		reader.raw = grown
 	}
 	reader.raw = append(reader.raw, part...)
 	return nil
