--- a/internal/plain/forwarder_test.go
+++ b/internal/plain/forwarder_test.go
@@ -57,6 +57,12 @@
 	_, _ = io.WriteString(writer, "somebody else's answer")
 }
 
+// refusesOtherAttempt sends the refusal of another attempt, which says nothing of this one.
+func refusesOtherAttempt(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set(engineapi.HeaderAttempt, "another attempt")
+	rejects(writer, request)
+}
+
 // unreachableAddress is an address on which nothing listens.
 const unreachableAddress = "127.0.0.1:1"
 
@@ -93,7 +99,7 @@
 }
 
 func TestNonRepeatableRequestIsNotRetriedAfterSend(t *testing.T) {
-	for _, fault := range []behavior{dropsConnection, echoesOtherAttempt} {
+	for _, fault := range []behavior{dropsConnection, echoesOtherAttempt, refusesOtherAttempt} {
 		_, reached, err := forward(t, false, fault, respondsWith("done"))
 		require.Equal(t, failure.Unknown, failure.As(err).Outcome)
 		require.Equal(t, 1, reached)
@@ -101,7 +107,7 @@
 }
 
 func TestRepeatableRequestIsRetriedAfterSend(t *testing.T) {
-	for _, fault := range []behavior{dropsConnection, echoesOtherAttempt} {
+	for _, fault := range []behavior{dropsConnection, echoesOtherAttempt, refusesOtherAttempt} {
 		answer, reached, err := forward(t, true, fault, respondsWith("done"))
 		require.NoError(t, err)
 		require.Equal(t, "done", string(answer.Body), "the answer of another attempt is discarded")
