Take no refusal of another attempt for that of an engine's stream

Callers of the product's own interface could have a request that may run once sent again: connections to engines are shared, and a refusal or rejection that names another attempt was believed. The attempt that a response names was checked for streams only.

A refusal that names another attempt is now an error by which the attempt may have run. One that names none is believed as before: engines need not name it there.

TestRefusalOfAnotherAttemptSaysNothing failed before (503 and 400 of another attempt).

--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -111,7 +111,7 @@
 	request.Header.Set(HeaderAttempt, dispatch.Attempt)
 	request.Header.Set(HeaderEpoch, dispatch.Epoch)
 	request.Header.Set(HeaderWeights, dispatch.Weights)
-	return client.openStream(request)
+	return client.openStream(request, dispatch.Attempt)
 }
 
 // Resume reopens an attempt's stream after the given offset.
@@ -121,10 +121,11 @@
 		return nil, errors.Trace(err)
 	}
 	request.Header.Set(HeaderLastEventID, strconv.Itoa(after))
-	return client.openStream(request)
+	return client.openStream(request, attempt)
 }
 
-func (client *Client) openStream(request *http.Request) (*Stream, error) {
+// openStream sends a request for the stream of an attempt.
+func (client *Client) openStream(request *http.Request, attempt string) (*Stream, error) {
 	response, err := client.httpClient.Do(request.WithContext(outbound.WithTimeout(request.Context(), streamTimeout)))
 	if err != nil {
 		var operation *net.OpError
@@ -142,6 +143,9 @@
 		return &Stream{Identity: identity, body: response.Body}, nil
 	}
 	defer response.Body.Close()
+	if echoed := response.Header.Get(HeaderAttempt); echoed != "" && echoed != attempt {
+		return nil, errors.Errorf("the engine's response with status %d is for another attempt, %q", response.StatusCode, echoed)
+	}
 	if reason := response.Header.Get(HeaderNotStarted); reason != "" {
 		return nil, &ErrNotStarted{Reason: reason}
 	}
--- a/internal/engineapi/client_test.go
+++ b/internal/engineapi/client_test.go
@@ -88,3 +88,25 @@
 	}()
 	return listener.Addr().String()
 }
+
+// Guards against an attempt that counts as not started, and is sent again, as the late refusal of another one came on its
+// connection.
+func TestRefusalOfAnotherAttemptSaysNothing(t *testing.T) {
+	for name, believed := range map[string]bool{"a": true, "another attempt": false, "": true} {
+		for status, answer := range map[int]func(error) bool{
+			http.StatusServiceUnavailable: func(err error) bool { var e *ErrNotStarted; return errors.As(err, &e) },
+			http.StatusBadRequest:         func(err error) bool { var e *ErrRejected; return errors.As(err, &e) },
+		} {
+			response := fmt.Sprintf("HTTP/1.1 %d Text\r\nContent-Length: 0\r\n", status)
+			if name != "" {
+				response += HeaderAttempt + ": " + name + "\r\n"
+			}
+			if status == http.StatusServiceUnavailable {
+				response += HeaderNotStarted + ": leaving\r\n"
+			}
+			_, err := NewClient().Open(t.Context(), Dispatch{Address: respondRaw(t, response+"\r\n"), Path: "/p", Attempt: "a"})
+			require.Error(t, err)
+			require.Equal(t, believed, answer(err), "%d of %q: %v", status, name, err)
+		}
+	}
+}
