--- a/internal/lab/faultwire/forwarder.go
+++ b/internal/lab/faultwire/forwarder.go
@@ -30,11 +30,13 @@
 	ModeHoldResponses
 	// ModeRefuse resets all open connections and refuses new ones.
 	ModeRefuse
+	// ModeRefuseNew keeps all open connections and refuses new ones.
+	ModeRefuseNew
 )
 
 // String returns the name of the mode.
 func (m Mode) String() string {
-	return [...]string{"sound", "slow", "reset", "silent", "one way", "refused"}[m]
+	return [...]string{"sound", "slow", "reset", "silent", "one way", "refused", "refused to new connections"}[m]
 }
 
 const (
@@ -48,7 +50,7 @@
 	address string
 
 	mutex sync.Mutex
-	// listener is closed in ModeRefuse.
+	// listener is closed in ModeRefuse and ModeRefuseNew.
 	listener    net.Listener
 	changed     *sync.Cond
 	mode        Mode
@@ -77,7 +79,7 @@
 // and the new mode permits it.
 func (f *Forwarder) SetMode(mode Mode) {
 	f.mutex.Lock()
-	f.listen(mode != ModeRefuse)
+	f.listen(mode != ModeRefuse && mode != ModeRefuseNew)
 	f.mode = mode
 	reset := []*net.TCPConn{}
 	if mode == ModeReset || mode == ModeRefuse {
@@ -114,7 +116,7 @@
 	switch {
 	case !open:
 		_ = f.listener.Close()
-	case f.mode == ModeRefuse:
+	case f.mode == ModeRefuse || f.mode == ModeRefuseNew:
 		if listener, err := net.Listen("tcp", f.address); err == nil {
 			f.listener = listener
 			go f.accept(listener)
