--- a/internal/lab/faultwire/forwarder_test.go
+++ b/internal/lab/faultwire/forwarder_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -109,3 +110,30 @@
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 	require.Empty(t, lines)
 }
+
+// Open connections go on while new ones are refused.
+func TestForwarderRefusesNewConnections(t *testing.T) {
+	address, lines := startEchoServer(t)
+	forwarder, err := New(address)
+	require.NoError(t, err)
+	defer forwarder.Close()
+	open, err := net.Dial("tcp", forwarder.Address())
+	require.NoError(t, err)
+	_, err = io.WriteString(open, "a\n")
+	require.NoError(t, err)
+	require.Equal(t, "a", <-lines)
+
+	forwarder.SetMode(ModeRefuseNew)
+	_, err = net.Dial("tcp", forwarder.Address())
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	_, err = io.WriteString(open, "b\n")
+	require.NoError(t, err)
+	require.Equal(t, "b", <-lines)
+
+	forwarder.SetMode(ModeForward)
+	again, err := net.Dial("tcp", forwarder.Address())
+	require.NoError(t, err)
+	_, err = io.WriteString(again, "c\n")
+	require.NoError(t, err)
+	require.Equal(t, "c", <-lines)
+}
