Read messages of other nodes whole, within time and memory, before they are decoded

Callers saw a node that ran out of memory: a message of another node, or of whoever reaches that address, had a decoder allocate up to 10 MB by the length that it claims. A body that never ends held its connection for good at each address that is not the clients', and the declared length of an attempt that never came held its part of the account of requests.

Bodies at those addresses now have 10 s, the longest time of a call between nodes. A message is read whole, in blocks that a part of the account of requests has first (half, beyond 16 KiB each), and its lengths are compared with what is there; only then its handler decodes it. The bytes on the wire are the same. A rejection closes the connection: 413, 503 with Retry-After, 408 or 400; no status but 200 ever meant that an attempt was sent.

--- a/cmd/cloverrail/paths.go
+++ b/cmd/cloverrail/paths.go
@@ -51,17 +51,20 @@
 	process.handleNotice(platform.ReceivedNotice{Instance: notice.Server, SentAt: notice.SentAt, Notice: notice.Notice})
 }
 
+// maxForwardedBytes returns the maximum size of a message with an attempt of another node; 0 means that none is accepted yet.
+func (process *process) maxForwardedBytes() int64 {
+	limits, refusal := process.proxy.Limits()
+	if refusal != nil {
+		return 0
+	}
+	return int64(limits.MaxHeaderBytes) + limits.MaxBodyBytes + forwardOverhead
+}
+
 // forwardHandler returns the handler of attempts that other nodes send through this one.
 func (process *process) forwardHandler() http.HandlerFunc {
 	return forward.NewHandler(forward.HandlerOptions{
-		Sender: process.proxy,
-		MaxBytes: func() int64 {
-			limits, refusal := process.proxy.Limits()
-			if refusal != nil {
-				return 0
-			}
-			return int64(limits.MaxHeaderBytes) + limits.MaxBodyBytes + forwardOverhead
-		},
+		Sender:   process.proxy,
+		MaxBytes: process.maxForwardedBytes,
 		Reserve: func(bytes int64) (release func(), err error) {
 			hold, refusal := process.memory.Reserve(bytes, boottime.Now())
 			if refusal != nil {
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -24,6 +24,7 @@
 	"github.com/cloverrail/cloverrail/internal/coordination"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/forward"
+	"github.com/cloverrail/cloverrail/internal/inbound"
 	"github.com/cloverrail/cloverrail/internal/lease"
 	"github.com/cloverrail/cloverrail/internal/origin"
 	"github.com/cloverrail/cloverrail/internal/outbound"
@@ -120,10 +121,11 @@
 	peerClient *http.Client
 	// quarantinePersister writes quarantined requests to the store.
 	quarantinePersister *quarantine.Persister
-	// memory bounds the bytes that requests hold, headMemory those of their heads, and responseMemory those that servers'
-	// responses do.
+	// memory bounds the bytes that requests hold, headMemory those of their heads, messageMemory those of messages of other
+	// nodes, and responseMemory those that servers' responses do.
 	memory         *admission.MemoryBudget
 	headMemory     *admission.MemoryBudget
+	messageMemory  *admission.MemoryBudget
 	responseMemory *admission.MemoryBudget
 	// reflector reads the store, or polls a node that does.
 	reflector *reflector.Reflector
@@ -146,6 +148,7 @@
 	log.SetOutput(telemetry.NewLibraryRecorder(process.recorder))
 	process.memory = admission.NewMemoryBudget(config.MemoryBytes())
 	process.headMemory = process.memory.Heads()
+	process.messageMemory = process.memory.Messages()
 	process.responseMemory = admission.NewResponseBudget(config.MemoryBytes())
 	process.eras = &coordination.EraTracker{OnChange: process.handleRestore, OnIgnored: process.recorder.EraIgnored}
 	process.outage = &coordination.Outage{}
@@ -342,6 +345,9 @@
 	process.metrics.Gauge("cloverrail_proxy_head_memory_held_bytes", "Bytes that heads of requests hold beyond the first bytes of each.", func() float64 {
 		return float64(process.headMemory.Held())
 	})
+	process.metrics.Gauge("cloverrail_proxy_message_memory_held_bytes", "Bytes that messages of other nodes hold until they are decoded, beyond the first bytes of each.", func() float64 {
+		return float64(process.messageMemory.Held())
+	})
 	process.metrics.Gauge("cloverrail_proxy_retry_sharing_nodes", "Nodes that share the part of the fleet's retries that does not depend on requests; 0 if this node has no share, since the others may not count it.", func() float64 {
 		return float64(process.retryBudgets.Nodes())
 	})
@@ -556,15 +562,19 @@
 // peerHandler returns the handler of requests from other nodes.
 func (process *process) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+reflector.PathServers, reflector.Handler(process.feed))
-	mux.HandleFunc("GET "+reflector.PathWork, reflector.WorkHandler(process.feed))
-	mux.HandleFunc("POST "+forward.Path, process.forwardHandler())
-	mux.HandleFunc("POST "+retryloan.Path, process.lendHandler())
-	mux.HandleFunc("POST "+origin.PathRecords, origin.RecordsHandler(process.origins))
-	mux.HandleFunc("POST "+origin.PathLookup, origin.LookupHandler(process.origins))
-	mux.HandleFunc("POST "+origin.PathRunning, origin.RunningHandler(process.running))
-	mux.HandleFunc("POST "+origin.PathRunningLookup, origin.RunningLookupHandler(process.running))
-	mux.HandleFunc("POST "+origin.PathOpen, process.archive.OpenHandler())
+	messages := &inbound.Reader{Memory: process.messageMemory, OnRejected: process.clients.MessageRejected}
+	handle := func(pattern string, maxBytes int64, handler http.Handler) {
+		mux.Handle(pattern, messages.Handle(func() int64 { return maxBytes }, handler))
+	}
+	handle("POST "+reflector.PathServers, reflector.MaxRequestBytes, reflector.Handler(process.feed))
+	handle("GET "+reflector.PathWork, 0, reflector.WorkHandler(process.feed))
+	handle("POST "+retryloan.Path, retryloan.MaxMessageBytes, process.lendHandler())
+	handle("POST "+origin.PathRecords, origin.MaxMessageBytes, origin.RecordsHandler(process.origins))
+	handle("POST "+origin.PathLookup, origin.MaxMessageBytes, origin.LookupHandler(process.origins))
+	handle("POST "+origin.PathRunning, origin.MaxMessageBytes, origin.RunningHandler(process.running))
+	handle("POST "+origin.PathRunningLookup, origin.MaxMessageBytes, origin.RunningLookupHandler(process.running))
+	handle("POST "+origin.PathOpen, origin.MaxReportBytes, process.archive.OpenHandler())
+	mux.Handle("POST "+forward.Path, messages.Handle(process.maxForwardedBytes, process.forwardHandler()))
 	return mux
 }
 
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/connlimit"
+	"github.com/cloverrail/cloverrail/internal/inbound"
 	"github.com/cloverrail/cloverrail/internal/settings"
 	"github.com/cloverrail/cloverrail/platform"
 )
@@ -70,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: internalHeadBytes}
+	server := &http.Server{Handler: inbound.WithBodyTimeout(peerTimeout, handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: internalHeadBytes}
 	limited := &connlimit.Listener{Listener: listener, Gate: gate, OnTurnedAway: func(connlimit.Reason, connlimit.Arrival) {
 		process.clients.InternalTurnedAway(name)
 	}}
--- a/internal/admission/response.go
+++ b/internal/admission/response.go
@@ -120,12 +120,6 @@
 	return true
 }
 
-// blockSize is the size of the blocks into which a body of unknown length is read beyond FreeResponseBytes.
-const blockSize = 64 << 10
-
-// blocks holds blocks that are not in use, so that bodies which are given up leave no garbage behind.
-var blocks = sync.Pool{New: func() any { return new([blockSize]byte) }}
-
 // ReadResponse reads the body of a response whole, of the given length in bytes or of an unknown one if that is
 // negative. The hold has each buffer before it is made. The error is ResponseTooLarge if a bound is exceeded.
 func ReadResponse(body io.Reader, length int64, hold *ResponseHold) ([]byte, error) {
@@ -156,51 +150,21 @@
 
 // readBlocks reads a body of unknown length. It is held twice while its blocks are joined.
 func readBlocks(body io.Reader, hold *ResponseHold) ([]byte, error) {
-	first, err := io.ReadAll(io.LimitReader(body, FreeResponseBytes))
-	if err != nil || len(first) < FreeResponseBytes {
-		return first, err
-	}
-	parts, total := [][]byte{first}, int64(FreeResponseBytes)
-	defer func() {
-		for _, part := range parts[1:] {
-			blocks.Put((*[blockSize]byte)(part[:blockSize]))
-		}
-	}()
-	for err == nil {
-		if total > MaxResponseBytes {
-			return nil, &ResponseTooLarge{Bound: BoundBody, Limit: MaxResponseBytes}
-		}
-		if err := hold.Resize(total + blockSize); err != nil {
-			return nil, err
-		}
-		var part []byte
-		part, err = fillBlock(body, blocks.Get().(*[blockSize]byte)[:])
-		parts, total = append(parts, part), total+int64(len(part))
-	}
-	if err != io.EOF {
+	read, err := ReadBlocks(body, MaxResponseBytes, hold)
+	if err != nil {
 		return nil, err
 	}
-	if err := hold.Resize(2 * total); err != nil {
+	defer read.Release()
+	if len(read.parts) == 1 {
+		return read.parts[0], nil
+	}
+	if err := hold.Resize(2 * read.Size()); err != nil {
 		return nil, err
 	}
-	whole := slices.Concat(parts...)
+	whole := slices.Concat(read.parts...)
 	return whole, hold.Resize(int64(len(whole)))
 }
 
-// fillBlock reads until the block is full, and returns what it has read. The error is that of the body: unlike
-// io.ReadFull, it tells the end of the body from a body that was broken off.
-func fillBlock(body io.Reader, block []byte) ([]byte, error) {
-	filled := 0
-	for filled < len(block) {
-		n, err := body.Read(block[filled:])
-		filled += n
-		if err != nil {
-			return block[:filled], err
-		}
-	}
-	return block, nil
-}
-
 // HeldReader reads a response that is decoded as it arrives, and holds what has been read twice: as bytes, and decoded.
 type HeldReader struct {
 	Source io.Reader
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -303,7 +303,7 @@
 		return nil, errors.Trace(err)
 	}
 	defer response.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	answer, err := io.ReadAll(io.LimitReader(response.Body, MaxMessageBytes))
 	switch {
 	case err != nil:
 		c.failed(ctx, node)
--- a/internal/origin/client_test.go
+++ b/internal/origin/client_test.go
@@ -171,7 +171,7 @@
 		return body
 	}
 	for _, path := range []string{PathRecords, PathLookup} {
-		for _, body := range [][]byte{nil, []byte("garbage"), encoded(wireLookup{Format: 2, Key: 1}), bytes.Repeat([]byte{0xff}, maxMessageBytes+1)} {
+		for _, body := range [][]byte{nil, []byte("garbage"), encoded(wireLookup{Format: 2, Key: 1}), bytes.Repeat([]byte{0xff}, MaxMessageBytes+1)} {
 			status, text := post(path, body)
 			require.Equal(t, http.StatusBadRequest, status)
 			require.True(t, strings.Contains(text, "run builds that support"), text)
@@ -181,7 +181,7 @@
 	require.NoError(t, err)
 	status, _ := post(PathRecords, truncated[:len(truncated)-1])
 	require.Equal(t, http.StatusBadRequest, status)
-	tooLong, err := records{v1, make([]Key, maxMessageBytes/keyBytes)}.encode()
+	tooLong, err := records{v1, make([]Key, MaxMessageBytes/keyBytes)}.encode()
 	require.NoError(t, err)
 	status, _ = post(PathRecords, tooLong)
 	require.Equal(t, http.StatusBadRequest, status)
--- a/internal/origin/message.go
+++ b/internal/origin/message.go
@@ -20,8 +20,8 @@
 
 	// messageFormat is the version of the message format. Within a version, fields are only added.
 	messageFormat = 1
-	// maxMessageBytes bounds a message, and maxKeysPerMessage the streams that one reports.
-	maxMessageBytes   = 64 << 10
+	// MaxMessageBytes bounds a message, and maxKeysPerMessage the streams that one reports.
+	MaxMessageBytes   = 64 << 10
 	maxKeysPerMessage = 4096
 	keyBytes          = 8
 )
@@ -92,7 +92,7 @@
 // RecordsHandler returns the handler of the records that other nodes send.
 func RecordsHandler(ledger *Ledger) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		received, err := decodeRecords(http.MaxBytesReader(w, r.Body, maxMessageBytes))
+		received, err := decodeRecords(http.MaxBytesReader(w, r.Body, MaxMessageBytes))
 		if err != nil {
 			reject(w, err)
 			return
@@ -122,7 +122,7 @@
 
 // decode decodes a message and checks its format. If it returns false, it has responded.
 func decode(w http.ResponseWriter, r *http.Request, message any, format *int) bool {
-	err := gob.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes)).Decode(message)
+	err := gob.NewDecoder(http.MaxBytesReader(w, r.Body, MaxMessageBytes)).Decode(message)
 	if err == nil {
 		err = checkFormat(*format)
 	}
--- a/internal/origin/reports.go
+++ b/internal/origin/reports.go
@@ -95,7 +95,7 @@
 // the store, so that the sender tries another relay.
 func (a *Archive) OpenHandler() http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		report, err := decodeReport(http.MaxBytesReader(w, r.Body, maxReportBytes))
+		report, err := decodeReport(http.MaxBytesReader(w, r.Body, MaxReportBytes))
 		if err != nil {
 			reject(w, err)
 			return
@@ -111,8 +111,8 @@
 }
 
 const (
-	// maxReportBytes bounds a report: that of a relay holds the streams of other nodes, too.
-	maxReportBytes = 1 << 20
+	// MaxReportBytes bounds a report: that of a relay holds the streams of other nodes, too.
+	MaxReportBytes = 1 << 20
 	// refusalPeriod is how long a relay accepts no reports after a failed write. It is longer than the delay
 	// until it tries again.
 	refusalPeriod = 2 * coordination.MaxRetryDelay
--- a/internal/reflector/transport.go
+++ b/internal/reflector/transport.go
@@ -37,8 +37,8 @@
 	messageFormat = 1
 	// maxErrorBytes bounds the part of another node's error message that is read.
 	maxErrorBytes = 256
-	// maxRequestBytes bounds a request.
-	maxRequestBytes = 64 << 10
+	// MaxRequestBytes bounds a request.
+	MaxRequestBytes = 64 << 10
 	// maxResponseBytes bounds a response: a full list of 10,000 servers takes 0.4 MB, a
 	// declaration of 31,000 tenants some 2 MB.
 	maxResponseBytes = 16 << 20
@@ -51,7 +51,7 @@
 // Handler serves other nodes' poll requests from a feed.
 func Handler(f *Feed) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
-		poll, err := decodePollRequest(io.LimitReader(request.Body, maxRequestBytes))
+		poll, err := decodePollRequest(io.LimitReader(request.Body, MaxRequestBytes))
 		if err != nil {
 			http.Error(writer, err.Error(), http.StatusBadRequest)
 			return
--- a/internal/retryloan/message.go
+++ b/internal/retryloan/message.go
@@ -15,8 +15,8 @@
 const (
 	// Path is the path at which a node lends retries.
 	Path = "/retry-loan"
-	// maxMessageBytes bounds a message, and maxWanted the retries that one asks for.
-	maxMessageBytes = 4 << 10
+	// MaxMessageBytes bounds a message, and maxWanted the retries that one asks for.
+	MaxMessageBytes = 4 << 10
 	maxWanted       = 64
 )
 
@@ -33,7 +33,7 @@
 func Handler(lend func(service string, wanted int) int) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var request loanRequest
-		if err := gob.NewDecoder(io.LimitReader(r.Body, maxMessageBytes)).Decode(&request); err != nil {
+		if err := gob.NewDecoder(io.LimitReader(r.Body, MaxMessageBytes)).Decode(&request); err != nil {
 			http.Error(w, "malformed request for retries: "+err.Error(), http.StatusBadRequest)
 			return
 		}
@@ -49,7 +49,7 @@
 // decodeLoan decodes what a node has lent in response to a request for a number of retries.
 func decodeLoan(r io.Reader, wanted int) (int, error) {
 	var l loan
-	if err := gob.NewDecoder(io.LimitReader(r, maxMessageBytes)).Decode(&l); err != nil {
+	if err := gob.NewDecoder(io.LimitReader(r, MaxMessageBytes)).Decode(&l); err != nil {
 		return 0, errors.Trace(err)
 	}
 	return max(0, min(l.Granted, wanted)), nil
--- a/internal/telemetry/clients.go
+++ b/internal/telemetry/clients.go
@@ -9,6 +9,7 @@
 	"github.com/cloverrail/cloverrail/internal/admission"
 	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/inbound"
 )
 
 // ClientRecorder logs and counts what ends before a request is admitted.
@@ -19,6 +20,7 @@
 	timeouts *prometheus.CounterVec
 	heads    *prometheus.CounterVec
 	internal *prometheus.CounterVec
+	messages *prometheus.CounterVec
 	errors   prometheus.Counter
 }
 
@@ -41,11 +43,14 @@
 		internal: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_internal_connections_turned_away_total", Help: "Connections that were closed unread, as their address, which is not the clients', had as many as it may have.",
 		}, []string{"address"}),
+		messages: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cloverrail_proxy_rejected_messages_total", Help: "Messages of other nodes that were rejected before they were decoded, by the bound that they exceed (length, memory, time, format).",
+		}, []string{"bound"}),
 		errors: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_connection_errors_total", Help: "Errors of the HTTP server that ended a client's connection.",
 		}),
 	}
-	recorder.metrics.Registry.MustRegister(c.unread, c.ends, c.timeouts, c.heads, c.internal, c.errors)
+	recorder.metrics.Registry.MustRegister(c.unread, c.ends, c.timeouts, c.heads, c.internal, c.messages, c.errors)
 	return c
 }
 
@@ -89,6 +94,12 @@
 	c.recorder.lineWithin(c.recorder.turnedAwayLimiter, zerolog.InfoLevel).Str("address", address).Msg("internal connection turned away")
 }
 
+// MessageRejected records a message of another node that was rejected before it was decoded.
+func (c *ClientRecorder) MessageRejected(rejection inbound.Rejection) {
+	c.messages.WithLabelValues(rejection.Bound).Inc()
+	c.recorder.limitedLine(zerolog.WarnLevel).Str("path", rejection.Path).Str("bound", rejection.Bound).Str("problem", rejection.Problem.Error()).Msg("message rejected")
+}
+
 // Write logs an error of the HTTP server, such as a panic of a handler. It implements io.Writer for http.Server.ErrorLog.
 func (c *ClientRecorder) Write(message []byte) (int, error) {
 	c.errors.Inc()
