Reject messages of other nodes whose lists claim more elements than they have

Callers saw a node that ran out of memory for one message of some 300 bytes: a decoder of gob makes a map, such as that of an attempt's headers, with room for as many entries as the message claims.

Each value is now passed over once without decoding it into anything, which fails at the first element that is missing.

--- a/cmd/cloverrail/crowd_messages_test.go
+++ b/cmd/cloverrail/crowd_messages_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +25,7 @@
 // wireAttempt has the fields of the message of package forward that these tests send.
 type wireAttempt struct {
 	Format int
+	Header http.Header
 	Body   []byte
 }
 
@@ -41,17 +43,27 @@
 // Guards against crowds at the address of other nodes whose messages are within the bounds of one message.
 func TestCrowdOfPeerMessagesStaysWithinMemory(t *testing.T) {
 	whole := encodeAttempt(t, wireAttempt{Format: 1, Body: make([]byte, 3_900_000)})
+	entries := encodeAttempt(t, wireAttempt{Format: 1, Header: http.Header{"A": {"b"}}})
+	before, after, found := bytes.Cut(entries, []byte("\x01\x01A\x01\x01b"))
+	require.True(t, found)
+	before[bytes.LastIndexByte(before, 0xff)-1] += 3
+	manyEntries := append(append(bytes.Clone(before), "\xfd\x40\x00\x00\x01A\x01\x01b"...), after...)
 	reports := encodeAttempt(t, wireAttempt{Body: make([]byte, 1_000_000)})
 	for name, send := range map[string]sender{
-		"open attempts":  {post(forward.Path, len(whole), whole[:200]), strings.Repeat("\x00", 4096)},
-		"open reports":   {post(origin.PathOpen, len(reports), reports[:200]), strings.Repeat("\x00", 4096)},
-		"whole attempts": {post(forward.Path, len(whole), whole), ""},
-		"whole reports":  {post(origin.PathOpen, len(reports), reports), ""},
+		"open attempts":      {post(forward.Path, len(whole), whole[:200]), strings.Repeat("\x00", 4096)},
+		"open reports":       {post(origin.PathOpen, len(reports), reports[:200]), strings.Repeat("\x00", 4096)},
+		"whole attempts":     {post(forward.Path, len(whole), whole), ""},
+		"whole reports":      {post(origin.PathOpen, len(reports), reports), ""},
+		"entries of headers": {post(forward.Path, len(manyEntries), manyEntries), ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := startProgram(t)
 			p.declare(4096)
-			p.requireSound(p.crowd(p.config.PeerAddress, crowdConnections, send))
+			connections := crowdConnections
+			if name == "entries of headers" {
+				connections = 1
+			}
+			p.requireSound(p.crowd(p.config.PeerAddress, connections, send))
 		})
 	}
 }
--- a/internal/inbound/message.go
+++ b/internal/inbound/message.go
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	endBodyTimeout(w)
-	if err := checkLengths(message); err != nil {
+	if err := check(message); err != nil {
 		message.Release()
 		return nil, err
 	}
--- a/internal/inbound/message_test.go
+++ b/internal/inbound/message_test.go
@@ -113,12 +113,17 @@
 // Guards against a few bytes that have a decoder allocate what they claim to follow.
 func TestMessageThatClaimsMoreThanItHasIsRejected(t *testing.T) {
 	f := newFixture(t, 0, readAll)
+	oneEntry := encode(t, attempt{Header: map[string][]string{"A": {"b"}}})
+	manyEntries := bytes.Replace(oneEntry, []byte("\x01\x01A\x01\x01b"), []byte("\xfd\x40\x00\x00\x01A\x01\x01b"), 1)
+	last := bytes.LastIndexByte(manyEntries[:bytes.Index(manyEntries, []byte("\xfd\x40"))], 0xff) - 1
+	manyEntries[last] += 3
 	for name, message := range map[string][]byte{
 		"a value":                  []byte("\xfd\x9f\x00\x00a"),
 		"a second value":           append(encode(t, 1), "\xfd\x9f\x00\x00a"...),
 		"a value of 2^63 bytes":    []byte("\xf8\xff\xff\xff\xff\xff\xff\xff\xffa"),
 		"a length of 128 bytes":    []byte("\x80a"),
 		"a length that is cut off": []byte("\xfd\x9f"),
+		"entries of a map":         manyEntries,
 		"no gob":                   []byte("garbage"),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/inbound/values.go
+++ b/internal/inbound/values.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"encoding/gob"
 	"io"
+	"reflect"
 
 	"github.com/juju/errors"
 
@@ -13,8 +15,26 @@
 // maxOneByte is the largest unsigned integer that gob encodes as itself. Others follow the negated number of their bytes.
 const maxOneByte = 0x7f
 
-// checkLengths checks that no gob value of a message claims to be longer than what is left of the message. A decoder
-// allocates them before it has read the values.
+// check checks that a message is a sequence of gob values, none of which claims to be longer or to have more elements than the
+// message has bytes for.
+func check(message *admission.Blocks) error {
+	if err := checkLengths(message); err != nil {
+		return err
+	}
+	reader := bufio.NewReader(message.Reader())
+	decoder := gob.NewDecoder(reader)
+	for {
+		if _, err := reader.Peek(1); err == io.EOF {
+			return nil
+		}
+		// Elements that are not decoded into anything are passed over one by one, and not allocated.
+		if err := decoder.DecodeValue(reflect.Value{}); err != nil {
+			return errors.Annotate(err, "cannot decode a value")
+		}
+	}
+}
+
+// checkLengths checks the lengths of the values: a decoder allocates them before it has read the values.
 func checkLengths(message *admission.Blocks) error {
 	left := message.Size()
 	reader := bufio.NewReader(message.Reader())
