--- a/cmd/cloverrail/crowd_test.go
+++ b/cmd/cloverrail/crowd_test.go
@@ -84,6 +84,8 @@
 	command *exec.Cmd
 	log     *bytes.Buffer
 	ended   chan struct{}
+	// environment holds variables of the program besides those of the test.
+	environment []string
 }
 
 // startProgram starts a node with the limits of a crowd. The store holds one server and no declaration.
@@ -103,12 +105,19 @@
 	p.config.PeerAddress, p.config.SeedAddress, p.config.StoreAddress = address.Free(), address.Free(), storeAddress
 	p.config.MemoryMegabytes, p.config.Descriptors = crowdMegabytes, crowdDescriptors
 	p.config.LogLevel = "error"
-	text, err := yaml.Marshal(p.config)
+	p.start("proxy", p.config, p.config.CallerAddress)
+	return p
+}
+
+// start starts the program with a command and its settings, and waits until it accepts connections at an address.
+func (p *program) start(command string, config any, address string) {
+	t := p.t
+	text, err := yaml.Marshal(config)
 	require.NoError(t, err)
-	file := filepath.Join(t.TempDir(), "proxy.yaml")
+	file := filepath.Join(t.TempDir(), command+".yaml")
 	require.NoError(t, os.WriteFile(file, text, 0o600))
-	p.command = exec.Command(os.Args[0], "proxy", "--settings", file)
-	p.command.Env = append(os.Environ(), programVariable+"=1")
+	p.command = exec.Command(os.Args[0], command, "--settings", file)
+	p.command.Env = append(append(os.Environ(), programVariable+"=1"), p.environment...)
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	p.command.Stdout, p.command.Stderr = p.log, p.log
 	require.NoError(t, p.command.Start())
@@ -121,13 +130,12 @@
 		<-p.ended
 	})
 	require.Eventually(t, func() bool {
-		connection, err := net.Dial("tcp", p.config.CallerAddress)
+		connection, err := net.Dial("tcp", address)
 		if err == nil {
 			_ = connection.Close()
 		}
 		return err == nil
 	}, waitTimeout, 10*time.Millisecond)
-	return p
 }
 
 // declare writes a declaration with a limit of heads, and waits until it is in force.
@@ -208,6 +216,12 @@
 
 // requireSound checks that the process lives within its limits, and answers an ordinary request.
 func (p *program) requireSound(descriptors int) {
+	p.requireWithinLimits(descriptors)
+	require.Eventually(p.t, p.answers, waitTimeout, 100*time.Millisecond, "no ordinary request is answered")
+}
+
+// requireWithinLimits checks that the process lives within its limits.
+func (p *program) requireWithinLimits(descriptors int) {
 	select {
 	case <-p.ended:
 		p.t.Fatalf("the process has ended: %s", p.log)
@@ -217,7 +231,6 @@
 	p.t.Logf("peak memory %d MB, %d descriptors", peak/1_000_000, descriptors)
 	require.LessOrEqual(p.t, peak, crowdMegabytes*1_000_000, "bytes of memory")
 	require.LessOrEqual(p.t, descriptors, crowdDescriptors, "descriptors")
-	require.Eventually(p.t, p.answers, waitTimeout, 100*time.Millisecond, "no ordinary request is answered")
 }
 
 // Guards against clients that end a process: they sent heads without end, or large ones over many connections, which were read
