End connections to a node that do not authenticate

Callers saw a node that other nodes could not reach: whoever opens connections to its peer address held each for two minutes without belonging to the fleet.

The handshake now has 5 s. TestConnectionWithoutHandshakeEnds failed before (open after 30 s).

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -18,7 +18,9 @@
 	// DefaultTimeout bounds a call whose context has no deadline.
 	DefaultTimeout = time.Second
 	idleTimeout    = time.Minute
-	maxIdlePerPeer = 4
+	// handshakeTimeout bounds the time in which a client must prove that it belongs to the fleet.
+	handshakeTimeout = 5 * time.Second
+	maxIdlePerPeer   = 4
 )
 
 // Handler handles one request. The types of requests and responses must be
@@ -186,8 +188,23 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		go serveConnection(ctx, newConnection(socket), handler)
+		go func() {
+			if shakeHands(ctx, socket) == nil {
+				serveConnection(ctx, newConnection(socket), handler)
+			}
+		}()
+	}
+}
+
+// shakeHands authenticates the client of a connection, or closes it.
+func shakeHands(ctx context.Context, socket net.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	err := socket.(*tls.Conn).HandshakeContext(ctx)
+	if err != nil {
+		_ = socket.Close()
 	}
+	return err
 }
 
 func serveConnection(ctx context.Context, connection *connection, handler Handler) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/gob"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -85,3 +86,13 @@
 		}
 	}
 }
+
+// Guards against clients that do not belong to the fleet and hold connections, which other nodes need.
+func TestConnectionWithoutHandshakeEnds(t *testing.T) {
+	connection, err := net.Dial("tcp", startServer(t, goodKey))
+	require.NoError(t, err)
+	defer connection.Close()
+	require.NoError(t, connection.SetReadDeadline(time.Now().Add(6*handshakeTimeout)))
+	_, err = connection.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
