End bodies of operators' calls that do not arrive

A body without an end held its connection to the operators' address for good, also where the request is refused or its body is not read.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -16,6 +16,7 @@
 	"github.com/cloverrail/cloverrail/internal/configuration"
 	"github.com/cloverrail/cloverrail/internal/difference"
 	"github.com/cloverrail/cloverrail/internal/failure"
+	"github.com/cloverrail/cloverrail/internal/inbound"
 	"github.com/cloverrail/cloverrail/internal/node"
 	"github.com/cloverrail/cloverrail/internal/strictyaml"
 )
@@ -89,12 +90,14 @@
 	node      *node.Node
 	bootstrap string
 	mux       *http.ServeMux
+	handler   http.Handler
 }
 
 // NewServer returns the server of a node. Bootstrap is the digest of a key that is
 // accepted even before any operator is declared; empty means none.
 func NewServer(n *node.Node, bootstrap string) *Server {
 	server := &Server{node: n, bootstrap: bootstrap, mux: http.NewServeMux()}
+	server.handler = inbound.WithBodyTimeout(callTimeout, server.mux)
 	server.mux.Handle("GET /metrics", promhttp.HandlerFor(n.Registry(), promhttp.HandlerOpts{}))
 	server.mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "ok\n") })
 	server.mux.HandleFunc("GET /readyz", func(writer http.ResponseWriter, _ *http.Request) {
@@ -112,7 +115,7 @@
 
 // ServeHTTP implements http.Handler.
 func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	server.mux.ServeHTTP(writer, request)
+	server.handler.ServeHTTP(writer, request)
 }
 
 func (server *Server) handle(pattern string, serve func(ctx context.Context, body []byte) (any, error)) {
