Bound connections and heads of a node of the product's own interface

Callers saw the same as at the platform's nodes: whoever reaches the callers' or the operators' address could have a node hold heads of 1 MiB on any number of connections, and connections to any address could use up its descriptors.

Heads may have 1 MiB, as before, and together a part of the memory, if the new setting memoryMegabytes names it (none by default). Connections are bounded by the descriptors of the process, or those of the new setting: a caller's counts two, and callers have 3/4 of the number that LimitFor returns, nodes half of it, operators 64. The runtime collects garbage more often near the memory, as it does for the platform's nodes.

--- a/cmd/cloverrail/connections.go
+++ b/cmd/cloverrail/connections.go
@@ -4,7 +4,6 @@
 	"context"
 	"log"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/cloverrail/cloverrail/internal/clientconn"
@@ -28,7 +27,7 @@
 // limitConnections returns a listener of clients' connections that accepts as many as this node can serve, until the
 // context ends.
 func (process *process) limitConnections(ctx context.Context, listener net.Listener) *connlimit.Listener {
-	gate := connlimit.NewGate(connlimit.LimitFor(descriptors(process.settings.Descriptors), process.settings.MemoryBytes()))
+	gate := connlimit.NewGate(connlimit.LimitFor(connlimit.Descriptors(process.settings.Descriptors), process.settings.MemoryBytes()))
 	process.metrics.Gauge("cloverrail_proxy_client_connections", "Open connections of clients.", func() float64 { return float64(gate.Open()) })
 	process.metrics.Gauge("cloverrail_proxy_client_connections_limit", "Connections of clients that this node can hold; 0 if there is no bound.", func() float64 { return float64(gate.Limit()) })
 	go process.observeDelay(ctx, gate)
@@ -88,15 +87,3 @@
 		}
 	}
 }
-
-// descriptors returns the number of file descriptors that this process may use, or 0 if it is not known.
-func descriptors(configured int) int {
-	if configured > 0 {
-		return configured
-	}
-	var limit syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
-		return 0
-	}
-	return int(min(limit.Cur, 1<<20))
-}
--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -87,7 +87,7 @@
 // serveInternal serves the addresses that are not the clients'.
 func (process *process) serveInternal(ready func() bool) error {
 	config := process.settings
-	peers := connlimit.NewGate(connlimit.InternalLimitFor(descriptors(config.Descriptors), config.MemoryBytes()))
+	peers := connlimit.NewGate(connlimit.InternalLimitFor(connlimit.Descriptors(config.Descriptors), config.MemoryBytes()))
 	if err := process.serve(config.ReadinessAddress, "readiness", platform.ReadinessHandler(ready), connlimit.NewGate(maxProbeConnections)); err != nil {
 		return err
 	}
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -25,6 +25,8 @@
 	// streams produce little garbage, and their memory is what a node runs out of first. The
 	// environment variable GOGC overrides it.
 	gcPercent = 50
+	// goMemoryShare is the share of a node's memory that the runtime keeps within by collecting garbage more often.
+	goMemoryShare = 0.75
 )
 
 // Node returns the command that runs a node.
@@ -63,6 +65,8 @@
 		&cli.Int64Flag{Name: "revision-floor", Usage: "lowest configuration `REVISION` to accept", Sources: cli.EnvVars(environmentPrefix + "REVISION_FLOOR")},
 		&cli.IntFlag{Name: "replicate-up-to", Usage: "largest `FLEET` in which every node keeps the whole index", Sources: cli.EnvVars(environmentPrefix + "REPLICATE_UP_TO")},
 		&cli.Int64Flag{Name: "maximum-body", Usage: "largest request body in `BYTES`", Sources: cli.EnvVars(environmentPrefix + "MAXIMUM_BODY")},
+		&cli.FloatFlag{Name: "memory-megabytes", Usage: "`MEGABYTES` of memory that the node may use", Sources: cli.EnvVars(environmentPrefix + "MEMORY_MEGABYTES")},
+		&cli.IntFlag{Name: "descriptors", Usage: "`NUMBER` of file descriptors that the node may use", Sources: cli.EnvVars(environmentPrefix + "DESCRIPTORS")},
 		text("bootstrap-digest", "BOOTSTRAP_DIGEST", "SHA-256 `DIGEST` of the first operator's key"),
 		text("log-level", "LOG_LEVEL", "`LEVEL`: debug, info, warn or error"),
 	}
@@ -105,6 +109,12 @@
 	if command.IsSet("maximum-body") {
 		config.MaximumBody = command.Int64("maximum-body")
 	}
+	if command.IsSet("memory-megabytes") {
+		config.MemoryMegabytes = command.Float("memory-megabytes")
+	}
+	if command.IsSet("descriptors") {
+		config.Descriptors = command.Int("descriptors")
+	}
 	return config, config.Check()
 }
 
@@ -134,6 +144,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
+	if memory := config.MemoryBytes(); memory > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(goMemoryShare * float64(memory)))
+	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return created.Run(ctx, gateway.New(created), operator.NewServer(created, config.BootstrapDigest))
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -25,6 +25,8 @@
 	ClaimRounds         *prometheus.CounterVec
 	DatagramsSent       prometheus.Counter
 	ConfigurationErrors prometheus.Counter
+	RejectedHeads       *prometheus.CounterVec
+	TurnedAway          *prometheus.CounterVec
 }
 
 // New creates and registers all metrics.
@@ -66,5 +68,7 @@
 	set.ClaimRounds = counters("claim_rounds_total", "Claims of idempotency keys by decision.", "decision")
 	set.DatagramsSent = counter("datagrams_sent_total", "Gossip datagrams sent.")
 	set.ConfigurationErrors = counter("configuration_errors_total", "Versions of the configuration that could not be read.")
+	set.RejectedHeads = counters("rejected_heads_total", "Heads of requests that were rejected before they were read whole, by the bound that they exceed (head, memory).", "bound")
+	set.TurnedAway = counters("connections_turned_away_total", "Connections that were closed unread, as their address had as many as it may have.", "address")
 	return set
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/cloverrail/cloverrail/internal/admission"
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/clientconn"
 	"github.com/cloverrail/cloverrail/internal/configstore"
@@ -50,6 +51,14 @@
 	lingerTime         = 500 * time.Millisecond
 	lingerLimit        = 5 * time.Second
 	lingerPollInterval = 20 * time.Millisecond
+	// maxHeadBytes bounds the head of a request.
+	maxHeadBytes = http.DefaultMaxHeaderBytes
+	// maxOperatorConnections bounds the connections of operators, of load balancers and of collectors of metrics.
+	maxOperatorConnections = 64
+	// callerShare and peerShare are the shares of the connections for which a node has descriptors and memory that callers
+	// and other nodes may have. A caller's needs two descriptors, a node's one.
+	callerShare = 0.75
+	peerShare   = 0.5
 )
 
 // Node is one server process.
@@ -82,6 +91,9 @@
 
 	peers       net.Listener
 	credentials *peer.Credentials
+	// memory bounds the bytes that bodies of requests hold, and headMemory those of their heads.
+	memory     *admission.MemoryBudget
+	headMemory *admission.MemoryBudget
 }
 
 // Options holds overrides for tests and simulations.
@@ -119,7 +131,9 @@
 		lifecycle:        newLifecycle(),
 		tasks:            make(chan func(context.Context), 256),
 		credentials:      credentials,
+		memory:           admission.NewMemoryBudget(nodeSettings.MemoryBytes()),
 	}
+	node.headMemory = node.memory.Heads()
 	node.observersDisabled = options.NoObservers
 	node.synced = make(chan struct{})
 	node.markSynced = sync.OnceFunc(func() { close(node.synced) })
@@ -132,9 +146,11 @@
 		return nil, err
 	}
 	node.gossip.onChange = node.memberChanged
-	if node.peers, err = net.Listen("tcp", nodeSettings.PeerAddress); err != nil {
+	peers, err := net.Listen("tcp", nodeSettings.PeerAddress)
+	if err != nil {
 		return nil, errors.Annotate(err, "cannot listen on the peer address; choose a free port")
 	}
+	node.peers = node.limitConnections(peers, "peers", node.connectionLimit(peerShare))
 	return node, nil
 }
 
@@ -156,11 +172,11 @@
 // Run serves until the context ends and then shuts down gracefully: it announces
 // that it is draining, rejects new requests and waits for open ones.
 func (node *Node) Run(ctx context.Context, callers, operators http.Handler) error {
-	callerServer, callerListener, err := node.listen(node.settings.CallerAddress, clientconn.Handler(callers, node.logClientEnd))
+	callerServer, callerListener, err := node.listen(node.settings.CallerAddress, "callers", node.connectionLimit(callerShare), clientconn.Handler(callers, node.logClientEnd))
 	if err != nil {
 		return err
 	}
-	operatorServer, _, err := node.listen(node.settings.OperatorAddress, operators)
+	operatorServer, _, err := node.listen(node.settings.OperatorAddress, "operators", maxOperatorConnections, operators)
 	if err != nil {
 		return err
 	}
@@ -193,16 +209,43 @@
 	return nil
 }
 
-func (node *Node) listen(address string, handler http.Handler) (*clientconn.Server, *connlimit.Listener, error) {
+// connectionLimit returns the number of connections that an address may have; 0 means no limit.
+func (node *Node) connectionLimit(share float64) int {
+	return int(share * float64(connlimit.LimitFor(connlimit.Descriptors(node.settings.Descriptors), node.settings.MemoryBytes())))
+}
+
+// limitConnections returns a listener of an address that accepts at most limit connections at a time; 0 means no limit.
+func (node *Node) limitConnections(listener net.Listener, address string, limit int) *connlimit.Listener {
+	return &connlimit.Listener{Listener: listener, Gate: connlimit.NewGate(limit), OnTurnedAway: func(connlimit.Reason, connlimit.Arrival) {
+		node.metrics.TurnedAway.WithLabelValues(address).Inc()
+	}}
+}
+
+// headLimits returns the bounds of the heads of requests.
+func (node *Node) headLimits() *clientconn.HeadLimits {
+	return &clientconn.HeadLimits{
+		MaxBytes: func() int { return maxHeadBytes },
+		Memory:   node.headMemory,
+		OnRejected: func(rejection clientconn.HeadRejection) {
+			bound := admission.BoundHead
+			if rejection.Memory != nil {
+				bound = admission.BoundMemory
+			}
+			node.metrics.RejectedHeads.WithLabelValues(bound).Inc()
+		},
+	}
+}
+
+func (node *Node) listen(address, name string, connections int, handler http.Handler) (*clientconn.Server, *connlimit.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, errors.Annotatef(err, "cannot listen on %s; choose a free port", address)
 	}
 	server := clientconn.NewServer(handler)
 	server.ReadHeaderTimeout, server.IdleTimeout = readHeaderTimeout, idleTimeout
-	unlimited := &connlimit.Listener{Listener: listener, Gate: connlimit.NewGate(0), OnTurnedAway: func(connlimit.Reason, connlimit.Arrival) {}}
-	go func() { _ = server.Serve(&clientconn.Listener{Listener: unlimited}) }()
-	return server, unlimited, nil
+	limited := node.limitConnections(listener, name, connections)
+	go func() { _ = server.Serve(&clientconn.Listener{Listener: limited, Heads: node.headLimits()}) }()
+	return server, limited, nil
 }
 
 // logClientEnd logs what became of a caller whose side of the connection ended before its response.
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -109,9 +109,6 @@
 	}
 }
 
-// bytesPerMegabyte converts MemoryMegabytes.
-const bytesPerMegabyte = 1_000_000
-
 // MemoryBytes returns the memory that this node may use, in bytes; 0 means unknown.
 func (settings *Proxy) MemoryBytes() int64 {
 	return int64(settings.MemoryMegabytes * bytesPerMegabyte)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,12 @@
 	ReplicateUpTo int `yaml:"replicateUpTo" validate:"min=0"`
 	// MaximumBody bounds the size of a request body in bytes.
 	MaximumBody int64 `yaml:"maximumBody" validate:"min=1024"`
+	// MemoryMegabytes is the memory that this node may use, in units of 1,000,000 bytes; 0 means unknown. Heads and bodies of
+	// requests may hold a share of it.
+	MemoryMegabytes float64 `yaml:"memoryMegabytes,omitempty" validate:"min=0,max=1e9"`
+	// Descriptors is the number of file descriptors that this node may use; 0 means that the limit of the process
+	// applies. It bounds the connections that may be open.
+	Descriptors int `yaml:"descriptors,omitempty" validate:"min=0"`
 	// BootstrapDigest is the SHA-256 digest of an operator key that works on this
 	// node before any operator is declared; empty means none.
 	BootstrapDigest string `yaml:"bootstrapDigest" validate:"omitempty,len=64,hexadecimal"`
@@ -90,6 +96,14 @@
 	return key
 }
 
+// bytesPerMegabyte converts MemoryMegabytes.
+const bytesPerMegabyte = 1_000_000
+
+// MemoryBytes returns the memory that this node may use, in bytes; 0 means unknown.
+func (settings *Settings) MemoryBytes() int64 {
+	return int64(settings.MemoryMegabytes * bytesPerMegabyte)
+}
+
 // Redacted returns a copy without secrets, for printing.
 func (settings Settings) Redacted() Settings {
 	if settings.FleetKey != "" {
