Bound what the bodies of callers' requests hold at a node, and for how long refused ones stay open

Callers saw a node that ran out of memory: each tenant could have it hold bodies of 32 MiB on any number of connections. The body of a refused request that never ends held its connection for good.

What is left of a refused request's body has 5 s.

--- a/cmd/cloverrail/crowd_node_test.go
+++ b/cmd/cloverrail/crowd_node_test.go
@@ -5,7 +5,9 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"maps"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -126,3 +128,23 @@
 		})
 	}
 }
+
+// Guards against bodies of refused requests without an end, which hold connections for good.
+func TestOpenBodyAtNodeEnds(t *testing.T) {
+	n := startNodeProgram(t)
+	for _, target := range []struct{ door, path string }{
+		{"callers", "/v1/completions"}, {"callers", "/absent"}, {"operators", "/operator/apply"}, {"operators", "/healthz"}, {"operators", "/absent"},
+	} {
+		t.Run(target.door+", "+target.path, func(t *testing.T) {
+			t.Parallel()
+			connection, err := net.Dial("tcp", nodeDoors[target.door](n.settings))
+			require.NoError(t, err)
+			defer connection.Close()
+			_, err = io.WriteString(connection, post(target.path, 3000, []byte("a")))
+			require.NoError(t, err)
+			require.NoError(t, connection.SetReadDeadline(time.Now().Add(openEndTimeout)))
+			_, err = io.Copy(io.Discard, connection)
+			require.NoError(t, err, "the connection stays open")
+		})
+	}
+}
--- a/internal/admission/response.go
+++ b/internal/admission/response.go
@@ -124,7 +124,7 @@
 // negative. The hold has each buffer before it is made. The error is ResponseTooLarge if a bound is exceeded.
 func ReadResponse(body io.Reader, length int64, hold *ResponseHold) ([]byte, error) {
 	if length < 0 {
-		return readBlocks(body, hold)
+		return ReadBody(body, MaxResponseBytes, hold)
 	}
 	if length > MaxResponseBytes {
 		return nil, &ResponseTooLarge{Bound: BoundBody, Limit: MaxResponseBytes}
@@ -148,9 +148,9 @@
 	}
 }
 
-// readBlocks reads a body of unknown length. It is held twice while its blocks are joined.
-func readBlocks(body io.Reader, hold *ResponseHold) ([]byte, error) {
-	read, err := ReadBlocks(body, MaxResponseBytes, hold)
+// ReadBody reads a body of unknown length whole. It is held twice while its blocks are joined. The error is that of ReadBlocks.
+func ReadBody(body io.Reader, maxBytes int64, hold *ResponseHold) ([]byte, error) {
+	read, err := ReadBlocks(body, maxBytes, hold)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cloverrail/cloverrail/internal/admission"
 	"github.com/cloverrail/cloverrail/internal/configuration"
 	"github.com/cloverrail/cloverrail/internal/dispatch"
 	"github.com/cloverrail/cloverrail/internal/engineapi"
@@ -32,6 +33,10 @@
 	// writeTimeout bounds the write of one event. A slower caller is considered
 	// disconnected even if its connection is still open.
 	writeTimeout = 30 * time.Second
+	// memoryRetryDelay is the retry delay of a request whose body finds no memory.
+	memoryRetryDelay = time.Second
+	// unreadBodyTimeout bounds the time in which the body of a refused request must end. http.Server reads on until then.
+	unreadBodyTimeout = 5 * time.Second
 )
 
 // Router defines the operations of a node that the gateway uses.
@@ -43,6 +48,7 @@
 	Ready() bool
 	Draining() bool
 	MaximumBody() int64
+	Memory() *admission.MemoryBudget
 	Metrics() *metrics.Set
 }
 
@@ -101,6 +107,7 @@
 		result := "ok"
 		if err != nil {
 			result = "refused"
+			boundUnreadBody(writer)
 			gateway.writeFailure(writer, err)
 		}
 		gateway.router.Metrics().Requests.WithLabelValues(route, result).Inc()
@@ -125,17 +132,32 @@
 		return err
 	}
 	defer release()
-	limited := http.MaxBytesReader(c.ResponseWriter, c.request.Body, gateway.router.MaximumBody())
-	if c.body, err = io.ReadAll(limited); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return failure.New(failure.KindTooLarge, "the body is longer than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes", "send a shorter one")
-		}
-		return failure.New(failure.KindInvalidRequest, "the body is truncated", "send the request again")
+	hold := gateway.router.Memory().HoldResponse()
+	defer hold.Release()
+	if err := c.readBody(gateway.router.MaximumBody(), hold); err != nil {
+		return err
 	}
 	return handle(c)
 }
 
+// readBody reads the body of the request, which the hold has.
+func (c *call) readBody(maxBytes int64, hold *admission.ResponseHold) (err error) {
+	limited := http.MaxBytesReader(c.ResponseWriter, c.request.Body, maxBytes)
+	c.body, err = admission.ReadBody(limited, maxBytes, hold)
+	var tooLong *http.MaxBytesError
+	var refused *admission.ResponseTooLarge
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &tooLong):
+		return failure.New(failure.KindTooLarge, "the body is longer than "+strconv.FormatInt(tooLong.Limit, 10)+" bytes", "send a shorter one")
+	case errors.As(err, &refused):
+		return failure.New(failure.KindMemory, "the bodies at this node hold the "+strconv.FormatInt(refused.Limit, 10)+" bytes that they may", "retry after the given delay; add nodes or raise memoryMegabytes if this persists").WithRetryAfter(memoryRetryDelay)
+	default:
+		return failure.New(failure.KindInvalidRequest, "the body is truncated", "send the request again")
+	}
+}
+
 // classOf returns the job class named in the header, or else the tenant's own.
 func classOf(c *call) (*configuration.Class, error) {
 	name := c.request.Header.Get(headerClass)
@@ -303,6 +325,12 @@
 	writeJSON(writer, status, errorBody{Error: newErrorDetail(refusal)})
 }
 
+// boundUnreadBody bounds what is left of the body of a refused request, which may never end.
+func boundUnreadBody(writer http.ResponseWriter) {
+	// A writer without deadlines has no connection that could be held.
+	_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+}
+
 // writeJSON writes a JSON response. Write errors are ignored, since they mean that
 // the caller has disconnected.
 func writeJSON(writer http.ResponseWriter, status int, value any) {
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/cloverrail/cloverrail/internal/admission"
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/configstore"
 	"github.com/cloverrail/cloverrail/internal/configuration"
@@ -31,6 +32,9 @@
 // MaximumBody returns the maximum size of a request body in bytes.
 func (node *Node) MaximumBody() int64 { return node.settings.MaximumBody }
 
+// Memory returns the budget for the bodies of callers' requests.
+func (node *Node) Memory() *admission.MemoryBudget { return node.memory }
+
 // BeginRequest admits a request to the node. It rejects requests while there is no
 // configuration, or after a pause until the node has caught up, since its
 // configuration may be outdated.
