Bound what forwarded attempts have beside their bodies

Callers saw a node that ran out of memory for one whole message: the bound of a message with an attempt counted the body's bytes for the headers, too, and a decoder of gob makes a map with room for many times the bytes of its shortest entries.

--- a/cmd/cloverrail/paths.go
+++ b/cmd/cloverrail/paths.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/forward"
+	"github.com/cloverrail/cloverrail/internal/inbound"
 	"github.com/cloverrail/cloverrail/internal/keepalive"
 	"github.com/cloverrail/cloverrail/internal/pause"
 	"github.com/cloverrail/cloverrail/internal/proxy"
@@ -57,7 +59,26 @@
 	if refusal != nil {
 		return 0
 	}
-	return int64(limits.MaxHeaderBytes) + limits.MaxBodyBytes + forwardOverhead
+	return process.maxForwardedHeadBytes() + limits.MaxBodyBytes
+}
+
+// maxForwardedHeadBytes returns the maximum size of what such a message has beside the body of the attempt.
+func (process *process) maxForwardedHeadBytes() int64 {
+	limits, refusal := process.proxy.Limits()
+	if refusal != nil {
+		return 0
+	}
+	return int64(limits.MaxHeaderBytes) + forwardOverhead
+}
+
+// forwardLimits returns the bounds of messages with attempts of other nodes.
+func (process *process) forwardLimits() inbound.Limits {
+	return inbound.Limits{
+		MaxBytes: process.maxForwardedBytes,
+		Check: func(message io.Reader, bytes int64) error {
+			return forward.CheckMessage(message, bytes, process.maxForwardedHeadBytes())
+		},
+	}
 }
 
 // forwardHandler returns the handler of attempts that other nodes send through this one.
--- a/cmd/cloverrail/process.go
+++ b/cmd/cloverrail/process.go
@@ -564,7 +564,7 @@
 	mux := http.NewServeMux()
 	messages := &inbound.Reader{Memory: process.messageMemory, OnRejected: process.clients.MessageRejected}
 	handle := func(pattern string, maxBytes int64, handler http.Handler) {
-		mux.Handle(pattern, messages.Handle(func() int64 { return maxBytes }, handler))
+		mux.Handle(pattern, messages.Handle(inbound.Limits{MaxBytes: func() int64 { return maxBytes }}, handler))
 	}
 	handle("POST "+reflector.PathServers, reflector.MaxRequestBytes, reflector.Handler(process.feed))
 	handle("GET "+reflector.PathWork, 0, reflector.WorkHandler(process.feed))
@@ -574,7 +574,7 @@
 	handle("POST "+origin.PathRunning, origin.MaxMessageBytes, origin.RunningHandler(process.running))
 	handle("POST "+origin.PathRunningLookup, origin.MaxMessageBytes, origin.RunningLookupHandler(process.running))
 	handle("POST "+origin.PathOpen, origin.MaxReportBytes, process.archive.OpenHandler())
-	mux.Handle("POST "+forward.Path, messages.Handle(process.maxForwardedBytes, process.forwardHandler()))
+	mux.Handle("POST "+forward.Path, messages.Handle(process.forwardLimits(), process.forwardHandler()))
 	return mux
 }
 
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -7,6 +7,7 @@
 package forward
 
 import (
+	"encoding/gob"
 	"io"
 	"net/http"
 	"strconv"
@@ -71,6 +72,20 @@
 	}
 }
 
+// CheckMessage checks that a message of a size, with an attempt, has at most maxHeadBytes beside the body. A decoder of gob makes
+// a map, such as that of the headers, with room for many times the bytes of its shortest entries.
+func CheckMessage(message io.Reader, bytes, maxHeadBytes int64) error {
+	// The other fields are passed over, and their numbers of elements compared with what is there.
+	var attempt struct{ Body []byte }
+	if err := gob.NewDecoder(message).Decode(&attempt); err != nil {
+		return errors.Trace(err)
+	}
+	if head := bytes - int64(len(attempt.Body)); head > maxHeadBytes {
+		return errors.Errorf("attempt has %d bytes beside its body, and this node accepts %d", head, maxHeadBytes)
+	}
+	return nil
+}
+
 // dispatch returns the attempt of a message that arrived at a time.
 func (w wireAttempt) dispatch(arrived time.Time) proxy.Dispatch {
 	if w.Header == nil {
--- a/internal/inbound/message.go
+++ b/internal/inbound/message.go
@@ -46,9 +46,17 @@
 	OnRejected func(rejection Rejection)
 }
 
-// Handle returns a handler that calls another one with messages of at most maxBytes. Each is a sequence of whole gob values: a
+// Limits are the bounds of the messages of one handler.
+type Limits struct {
+	// MaxBytes returns the maximum size of a message.
+	MaxBytes func() int64
+	// Check checks a message of a size before it is decoded; nil means that its values are passed over.
+	Check func(message io.Reader, bytes int64) error
+}
+
+// Handle returns a handler that calls another one with messages within the limits. Each is a sequence of whole gob values: a
 // decoder of gob allocates what a length says before it looks whether that much is there.
-func (r *Reader) Handle(maxBytes func() int64, next http.Handler) http.Handler {
+func (r *Reader) Handle(limits Limits, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		if request.Body == http.NoBody {
 			next.ServeHTTP(w, request)
@@ -56,7 +64,7 @@
 		}
 		hold := r.Memory.HoldResponse()
 		defer hold.Release()
-		message, err := read(w, request, maxBytes(), hold)
+		message, err := read(w, request, limits, hold)
 		if err != nil {
 			r.reject(w, request, err)
 			return
@@ -69,7 +77,8 @@
 }
 
 // read reads a message and checks its format.
-func read(w http.ResponseWriter, request *http.Request, maxBytes int64, hold *admission.ResponseHold) (*admission.Blocks, error) {
+func read(w http.ResponseWriter, request *http.Request, limits Limits, hold *admission.ResponseHold) (*admission.Blocks, error) {
+	maxBytes := limits.MaxBytes()
 	if request.ContentLength > maxBytes {
 		return nil, &http.MaxBytesError{Limit: maxBytes}
 	}
@@ -78,7 +87,7 @@
 		return nil, err
 	}
 	endBodyTimeout(w)
-	if err := check(message); err != nil {
+	if err := limits.check(message); err != nil {
 		message.Release()
 		return nil, err
 	}
--- a/internal/inbound/message_test.go
+++ b/internal/inbound/message_test.go
@@ -41,7 +41,7 @@
 		f.handled.Add(1)
 		handler(w, r)
 	})
-	f.Server = httptest.NewServer(WithBodyTimeout(bodyTimeout, reader.Handle(func() int64 { return maxBytes }, counted)))
+	f.Server = httptest.NewServer(WithBodyTimeout(bodyTimeout, reader.Handle(Limits{MaxBytes: func() int64 { return maxBytes }}, counted)))
 	t.Cleanup(f.Close)
 	return f
 }
--- a/internal/inbound/values.go
+++ b/internal/inbound/values.go
@@ -17,11 +17,18 @@
 
 // check checks that a message is a sequence of gob values, none of which claims to be longer or to have more elements than the
 // message has bytes for.
-func check(message *admission.Blocks) error {
+func (l Limits) check(message *admission.Blocks) error {
 	if err := checkLengths(message); err != nil {
 		return err
 	}
-	reader := bufio.NewReader(message.Reader())
+	if l.Check != nil {
+		return l.Check(message.Reader(), message.Size())
+	}
+	return checkValues(bufio.NewReader(message.Reader()))
+}
+
+// checkValues passes over the values of a message.
+func checkValues(reader *bufio.Reader) error {
 	decoder := gob.NewDecoder(reader)
 	for {
 		if _, err := reader.Peek(1); err == io.EOF {
