--- a/cmd/cloverrail/paths.go
+++ b/cmd/cloverrail/paths.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/cloverrail/cloverrail/internal/boottime"
 	"github.com/cloverrail/cloverrail/internal/fleet"
 	"github.com/cloverrail/cloverrail/internal/forward"
+	"github.com/cloverrail/cloverrail/internal/inbound"
 	"github.com/cloverrail/cloverrail/internal/keepalive"
 	"github.com/cloverrail/cloverrail/internal/pause"
 	"github.com/cloverrail/cloverrail/internal/proxy"
@@ -51,17 +53,39 @@
 	process.handleNotice(platform.ReceivedNotice{Instance: notice.Server, SentAt: notice.SentAt, Notice: notice.Notice})
 }
 
+// maxForwardedBytes returns the maximum size of a message with an attempt of another node; 0 means that none is accepted yet.
+func (process *process) maxForwardedBytes() int64 {
+	limits, refusal := process.proxy.Limits()
+	if refusal != nil {
+		return 0
+	}
+	return process.maxForwardedHeadBytes() + limits.MaxBodyBytes
+}
+
+// maxForwardedHeadBytes returns the maximum size of what such a message has beside the body of the attempt.
+func (process *process) maxForwardedHeadBytes() int64 {
+	limits, refusal := process.proxy.Limits()
+	if refusal != nil {
+		return 0
+	}
+	return int64(limits.MaxHeaderBytes) + forwardOverhead
+}
+
+// forwardLimits returns the bounds of messages with attempts of other nodes.
+func (process *process) forwardLimits() inbound.Limits {
+	return inbound.Limits{
+		MaxBytes: process.maxForwardedBytes,
+		Check: func(message io.Reader, bytes int64) error {
+			return forward.CheckMessage(message, bytes, process.maxForwardedHeadBytes())
+		},
+	}
+}
+
 // forwardHandler returns the handler of attempts that other nodes send through this one.
 func (process *process) forwardHandler() http.HandlerFunc {
 	return forward.NewHandler(forward.HandlerOptions{
-		Sender: process.proxy,
-		MaxBytes: func() int64 {
-			limits, refusal := process.proxy.Limits()
-			if refusal != nil {
-				return 0
-			}
-			return int64(limits.MaxHeaderBytes) + limits.MaxBodyBytes + forwardOverhead
-		},
+		Sender:   process.proxy,
+		MaxBytes: process.maxForwardedBytes,
 		Reserve: func(bytes int64) (release func(), err error) {
 			hold, refusal := process.memory.Reserve(bytes, boottime.Now())
 			if refusal != nil {
