Believe a rejection by a plain service only for its own attempt

What callers saw: none in the record. A request at the product's own interface whose server sends the rejection of another attempt counted as not started: one that may run once was sent to the next server although it may have run, and its caller was told "not run" if there was none.

Cause: the header of a rejection was believed before the attempt that the answer names was compared.

Change: the comparison comes first. A rejection that names no attempt is believed as before.

Result: TestNonRepeatableRequestIsNotRetriedAfterSend with such a rejection failed before (the request was served by the second server), and passes.

--- a/internal/plain/forwarder.go
+++ b/internal/plain/forwarder.go
@@ -216,6 +216,10 @@
 		return nil, errors.Trace(err)
 	}
 	defer response.Body.Close()
+	if echoed := response.Header.Get(engineapi.HeaderAttempt); echoed != "" && echoed != attempt {
+		forwarder.onMismatch()
+		return nil, errors.New("the answer belongs to another request")
+	}
 	if reason := response.Header.Get(engineapi.HeaderNotStarted); reason != "" {
 		return nil, &exchange.ErrRefused{Reason: reason}
 	}
@@ -223,10 +227,6 @@
 		// net/http accepts any three digits, and a switch of protocols, which no request asks for.
 		return nil, errors.Errorf("status %d is not that of a final response", response.StatusCode)
 	}
-	if echoed := response.Header.Get(engineapi.HeaderAttempt); echoed != "" && echoed != attempt {
-		forwarder.onMismatch()
-		return nil, errors.New("the answer belongs to another request")
-	}
 	if name := outbound.MalformedLength(response.Header); name != "" {
 		return nil, errors.Errorf("the answer has the malformed header %q, so that the end of its body is unknown", name)
 	}
--- a/internal/plain/forwarder_test.go
+++ b/internal/plain/forwarder_test.go
@@ -57,6 +57,13 @@
 	_, _ = io.WriteString(writer, "somebody else's answer")
 }
 
+// rejectsOtherAttempt runs the request, and responds with the rejection of another attempt.
+func rejectsOtherAttempt(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set(engineapi.HeaderAttempt, "another attempt")
+	writer.Header().Set(engineapi.HeaderNotStarted, "leaving")
+	writer.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // unreachableAddress is an address on which nothing listens.
 const unreachableAddress = "127.0.0.1:1"
 
@@ -93,7 +100,7 @@
 }
 
 func TestNonRepeatableRequestIsNotRetriedAfterSend(t *testing.T) {
-	for _, fault := range []behavior{dropsConnection, echoesOtherAttempt} {
+	for _, fault := range []behavior{dropsConnection, echoesOtherAttempt, rejectsOtherAttempt} {
 		_, reached, err := forward(t, false, fault, respondsWith("done"))
 		require.Equal(t, failure.Unknown, failure.As(err).Outcome)
 		require.Equal(t, 1, reached)
