Read the awaited response behind the answer to an own call

What callers saw: if a server sent the answer to one of the node's own calls once more, before the response to the next request of that connection, the request failed with an unknown outcome ("response is for another request, \"\"").

Cause: own calls share connections with requests, and have no ID. Only responses with the ID of an earlier request were dropped.

Change: on a connection that has carried a request without an ID, a response without one is dropped while a request with an ID waits, since servers repeat the IDs of requests in all their responses. Interim responses are left to net/http. Elsewhere a response without an ID still fails its request at once. The cost: a server that leaves out the ID after an own call keeps its request waiting until its timeout, instead of failing it at once.

Not changed: a second answer to a call of the same kind is still taken for the one to the next own call of its connection.

--- a/internal/keepalive/carried.go
+++ b/internal/keepalive/carried.go
@@ -13,11 +13,14 @@
 type carried struct {
 	// hashes holds the hashes of the requests' IDs.
 	hashes []uint64
+	// unnamed is set once a request without an ID was among them.
+	unnamed bool
 }
 
-// add adds a request, and reports whether there is room for it. One without an ID is not remembered.
+// add adds a request, and reports whether there is room for it.
 func (c *carried) add(id string) bool {
 	if id == "" {
+		c.unnamed = true
 		return true
 	}
 	if len(c.hashes) >= maxCarried {
@@ -31,3 +34,8 @@
 func (c *carried) contains(id string) bool {
 	return id != "" && slices.Contains(c.hashes, xxhash.Sum64String(id))
 }
+
+// answeredBy reports whether a response with an ID, or without one, may answer a request that the connection has carried.
+func (c *carried) answeredBy(id string) bool {
+	return c.contains(id) || id == "" && c.unnamed
+}
--- a/internal/keepalive/surplus.go
+++ b/internal/keepalive/surplus.go
@@ -16,9 +16,10 @@
 const (
 	// SurplusUnasked means that it came while no request waited for a response.
 	SurplusUnasked Surplus = "unasked"
-	// SurplusEarlier means that it bears the ID of an earlier request of its connection. The awaited response can follow.
+	// SurplusEarlier means that it bears the ID of an earlier request of its connection, or none after an earlier request that had
+	// none. The awaited response can follow.
 	SurplusEarlier Surplus = "earlier"
-	// SurplusUnknown means that it bears an ID that the connection has not carried, or none.
+	// SurplusUnknown means that it bears an ID that the connection has not carried, or none without such a request.
 	SurplusUnknown Surplus = "unknown"
 )
 
@@ -72,6 +73,9 @@
 	return errors.Trace(err)
 }
 
+// isInterim reports whether a head is that of an interim response, which the awaited one follows.
+func isInterim(head []byte) bool { return bytes.HasPrefix(head, []byte("HTTP/1.1 1")) }
+
 // awaited is the response that a connection waits for.
 type awaited struct {
 	// id is that of the request; "" if it has none.
@@ -83,10 +87,13 @@
 // isEarlier reports whether the head of a response is that of one to an earlier request of the connection.
 func (c *conn) isEarlier(head []byte) bool {
 	id := headerValue(head, c.idHeader)
+	if id == "" && isInterim(head) {
+		return false
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	// The length of a body that answers HEAD is not known without its request.
-	return id != "" && id != c.awaited.id && !c.carriedHead && c.carried.contains(id)
+	return id != c.awaited.id && !c.carriedHead && c.carried.answeredBy(id)
 }
 
 // examine checks what has been read, and returns how many bytes of the awaited response data holds in its place: responses to
