--- a/internal/keepalive/surplus.go
+++ b/internal/keepalive/surplus.go
@@ -16,9 +16,10 @@
 const (
 	// SurplusUnasked means that it came while no request waited for a response.
 	SurplusUnasked Surplus = "unasked"
-	// SurplusEarlier means that it bears the ID of an earlier request of its connection. The awaited response can follow.
+	// SurplusEarlier means that it bears the ID of an earlier request of its connection, or none after an earlier request that had
+	// none. The awaited response can follow.
 	SurplusEarlier Surplus = "earlier"
-	// SurplusUnknown means that it bears an ID that the connection has not carried, or none.
+	// SurplusUnknown means that it bears an ID that the connection has not carried, or none without such a request.
 	SurplusUnknown Surplus = "unknown"
 )
 
@@ -105,10 +106,13 @@
 // isEarlier reports whether the head of a response is that of one to an earlier request of the connection.
 func (c *conn) isEarlier(head []byte) bool {
 	id := headerValue(head, c.idHeader)
+	if id == "" && isInterim(head) {
+		return false
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	// The length of a body that answers HEAD is not known without its request.
-	return id != "" && id != c.awaited.id && !c.carriedHead && c.carried.contains(id)
+	return id != c.awaited.id && !c.carriedHead && c.carried.answeredBy(id)
 }
 
 // examine checks what has been read, and returns how many bytes of the awaited response data holds in its place: responses to
