--- a/cmd/cloverrail/proxy.go
+++ b/cmd/cloverrail/proxy.go
@@ -65,20 +65,33 @@
 	}
 }
 
-// serve serves an address that is not the clients'. Its connections are those that the gate admits.
-func (process *process) serve(address, name string, handler http.Handler, gate *connlimit.Gate) error {
+// serve serves an address that is not the clients', with the connections that limit lets through.
+func (process *process) serve(address string, handler http.Handler, limit func(net.Listener) net.Listener) error {
 	listener, err := listen(address)
 	if err != nil {
 		return err
 	}
 	server := &http.Server{Handler: inbound.WithBodyTimeout(peerTimeout, handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: internalHeadBytes}
-	limited := &connlimit.Listener{Listener: listener, Gate: gate, OnTurnedAway: func(connlimit.Reason, connlimit.Arrival) {
-		process.clients.InternalTurnedAway(name)
-	}}
-	go func() { _ = server.Serve(limited) }()
+	go func() { _ = server.Serve(limit(listener)) }()
 	return nil
 }
 
+// limitPeers returns a listener whose connections are those that the gate of other nodes admits.
+func (process *process) limitPeers(name string) func(net.Listener) net.Listener {
+	return func(listener net.Listener) net.Listener {
+		return &connlimit.Listener{Listener: listener, Gate: process.peerGate, OnTurnedAway: func(connlimit.Reason, connlimit.Arrival) {
+			process.clients.InternalTurnedAway(name)
+		}}
+	}
+}
+
+// limitProbes returns a listener that prefers new connections: probes are short, and must not wait for those that rest.
+func (process *process) limitProbes(name string) func(net.Listener) net.Listener {
+	return func(listener net.Listener) net.Listener {
+		return &connlimit.NewestListener{Listener: listener, Limit: maxProbeConnections, OnClosed: func() { process.clients.InternalTurnedAway(name) }}
+	}
+}
+
 func listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	return listener, errors.Annotatef(err, "cannot listen on address %s; choose a free port", address)
@@ -87,14 +100,14 @@
 // serveInternal serves the addresses that are not the clients'.
 func (process *process) serveInternal(ready func() bool) error {
 	config := process.settings
-	if err := process.serve(config.ReadinessAddress, "readiness", platform.ReadinessHandler(ready), connlimit.NewGate(maxProbeConnections)); err != nil {
+	if err := process.serve(config.ReadinessAddress, platform.ReadinessHandler(ready), process.limitProbes("readiness")); err != nil {
 		return err
 	}
-	if err := process.serve(config.PeerAddress, "peers", process.peerHandler(), process.peerGate); err != nil {
+	if err := process.serve(config.PeerAddress, process.peerHandler(), process.limitPeers("peers")); err != nil {
 		return err
 	}
 	if config.SeedAddress != "" {
-		if err := process.serve(config.SeedAddress, "seed", process.peerHandler(), process.peerGate); err != nil {
+		if err := process.serve(config.SeedAddress, process.peerHandler(), process.limitPeers("seed")); err != nil {
 			return err
 		}
 	}
@@ -102,7 +115,7 @@
 		return nil
 	}
 	metrics := promhttp.HandlerFor(process.metrics.Registry, promhttp.HandlerOpts{})
-	return process.serve(config.MetricsAddress, "metrics", metrics, connlimit.NewGate(maxProbeConnections))
+	return process.serve(config.MetricsAddress, metrics, process.limitProbes("metrics"))
 }
 
 // runProxy serves until a stop signal arrives, and then shuts down gracefully. At each hangup it reads the settings file
--- a/internal/telemetry/clients.go
+++ b/internal/telemetry/clients.go
@@ -41,7 +41,7 @@
 			Name: "cloverrail_proxy_rejected_heads_total", Help: "Heads of requests that were rejected before they were read whole, by the bound that they exceed (head, memory).",
 		}, []string{"bound"}),
 		internal: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "cloverrail_proxy_internal_connections_turned_away_total", Help: "Connections that were closed unread, as their address, which is not the clients', had as many as it may have.",
+			Name: "cloverrail_proxy_internal_connections_turned_away_total", Help: "Connections that were closed, as their address, which is not the clients', had as many as it may have.",
 		}, []string{"address"}),
 		messages: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverrail_proxy_rejected_messages_total", Help: "Messages of other nodes that were rejected before they were decoded, by the bound that they exceed (length, memory, time, format).",
@@ -88,7 +88,7 @@
 		Int64("limit_bytes", rejection.Memory.Limit).Msg("head rejected")
 }
 
-// InternalTurnedAway records a connection that was closed unread at one of the addresses that are not the clients'.
+// InternalTurnedAway records a connection that was closed, as one of the addresses that are not the clients' had too many.
 func (c *ClientRecorder) InternalTurnedAway(address string) {
 	c.internal.WithLabelValues(address).Inc()
 	c.recorder.lineWithin(c.recorder.turnedAwayLimiter, zerolog.InfoLevel).Str("address", address).Msg("internal connection turned away")
