--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -117,12 +117,6 @@
 	return net.FileConn(file)
 }
 
-// PersistentListener is a listener whose errors of accepting one connection do not end an http.Server.
-type PersistentListener struct{ net.Listener }
-
-// Accept returns the next connection.
-func (l PersistentListener) Accept() (net.Conn, error) { return accept(l.Listener) }
-
 // accept returns the next connection of a listener. All errors are an acceptError but that of a closed listener.
 func accept(listener net.Listener) (net.Conn, error) {
 	accepted, err := listener.Accept()
--- a/internal/connlimit/listener_test.go
+++ b/internal/connlimit/listener_test.go
@@ -43,7 +43,7 @@
 				if limited {
 					done <- server.Serve(&Listener{Listener: failing, Gate: NewGate(0), OnTurnedAway: func(Reason, Arrival) {}})
 				} else {
-					done <- server.Serve(PersistentListener{failing})
+					done <- server.Serve(&NewestListener{Listener: failing, Limit: 4, OnClosed: func() {}})
 				}
 			}()
 			response, getErr := http.Get("http://" + listener.Addr().String())
