--- a/internal/admission/message.go
+++ b/internal/admission/message.go
@@ -2,7 +2,7 @@
 
 // messageShare is the share of the budget for requests that messages of other nodes may hold while they arrive, so that whoever
 // sends such messages slowly does not take what clients' requests need.
-const messageShare = 0.5
+const messageShare = 0.25
 
 // Messages returns the part of the budget for requests that messages of other nodes may hold until they are decoded.
 func (budget *MemoryBudget) Messages() *MemoryBudget {
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -72,12 +73,20 @@
 	}
 }
 
+// checkedAttempt is what CheckMessage decodes of a wireAttempt. The decoder passes over the other fields, and compares their
+// numbers of elements with what is there.
+type checkedAttempt struct{ Body []byte }
+
+// checkedAttempts holds attempts that are not in use: the decoder uses their bodies again.
+var checkedAttempts = sync.Pool{New: func() any { return new(checkedAttempt) }}
+
 // CheckMessage checks that a message of a size, with an attempt, has at most maxHeadBytes beside the body. A decoder of gob makes
 // a map, such as that of the headers, with room for many times the bytes of its shortest entries.
 func CheckMessage(message io.Reader, bytes, maxHeadBytes int64) error {
-	// The other fields are passed over, and their numbers of elements compared with what is there.
-	var attempt struct{ Body []byte }
-	if err := gob.NewDecoder(message).Decode(&attempt); err != nil {
+	attempt := checkedAttempts.Get().(*checkedAttempt)
+	defer checkedAttempts.Put(attempt)
+	attempt.Body = attempt.Body[:0]
+	if err := gob.NewDecoder(message).Decode(attempt); err != nil {
 		return errors.Trace(err)
 	}
 	if head := bytes - int64(len(attempt.Body)); head > maxHeadBytes {
