--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -15,9 +15,9 @@
 	"github.com/cloverrail/cloverrail/internal/outbound"
 )
 
-// errIdleTooLong reports that a connection has been idle for too long to be reused: the server
-// may be closing it.
-var errIdleTooLong = errors.New("connection was idle for too long")
+// errNotReusable reports that a connection takes no further request, or not this one: the server may be closing it, it has
+// carried the request before, or something has come that answers no request.
+var errNotReusable = errors.New("connection cannot be reused for the request")
 
 // conn is a connection to a server that tracks how long it has been idle. If it is closed while the
 // server may work on a request, it lingers: the server reads the end of the connection, and the other
@@ -181,7 +181,7 @@
 	c.mutex.Lock()
 	if c.refused {
 		c.mutex.Unlock()
-		return 0, errIdleTooLong
+		return 0, errNotReusable
 	}
 	// Even a failed write may have sent some bytes.
 	c.written = true
--- a/internal/keepalive/conn_test.go
+++ b/internal/keepalive/conn_test.go
@@ -20,7 +20,7 @@
 	require.Equal(t, []Surplus{SurplusUnasked}, surplus)
 	near.acquire("", time.Minute, false)
 	_, err = near.Write([]byte("request"))
-	require.ErrorIs(t, err, errIdleTooLong)
+	require.ErrorIs(t, err, errNotReusable)
 	require.True(t, near.unsent())
 }
 
